--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,94 @@
+// Package admin is the operators' listener of a process: state dump, metrics,
+// log level, drain. It listens on loopback unless the settings say otherwise,
+// and nothing in it changes the fleet's configuration.
+//
+//	GET  /state            the state dump, JSON
+//	GET  /metrics          all metrics, one a line
+//	GET  /log-level        PUT sets it
+//	POST /drain            begins a planned stop
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router"
+)
+
+// Admin serves operators.
+type Admin struct {
+	router *router.Router
+	log    *event.Log
+	drain  func()
+	server *http.Server
+}
+
+// New returns the admin face of a router. drain is called to begin a stop.
+func New(r *router.Router, log *event.Log, drain func()) *Admin {
+	const timeout = 10 * time.Second
+	a := &Admin{router: r, log: log, drain: drain}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /state", a.state)
+	mux.HandleFunc("GET /metrics", a.metrics)
+	mux.HandleFunc("GET /log-level", a.logLevel)
+	mux.HandleFunc("PUT /log-level", a.setLogLevel)
+	mux.HandleFunc("POST /drain", a.startDrain)
+	a.server = &http.Server{Handler: mux, ReadTimeout: timeout, WriteTimeout: timeout}
+	return a
+}
+
+// Serve serves operators on a listener until Close.
+func (a *Admin) Serve(l net.Listener) error {
+	err := a.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends the listener.
+func (a *Admin) Close() { a.server.Close() }
+
+func (a *Admin) state(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	// A caller that left needs no answer.
+	_ = encoder.Encode(a.router.State())
+}
+
+func (a *Admin) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	writeMetrics(w, a.router)
+}
+
+func (a *Admin) logLevel(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, a.log.Level())
+}
+
+func (a *Admin) setLogLevel(w http.ResponseWriter, r *http.Request) {
+	const longest = 16
+	text, err := io.ReadAll(io.LimitReader(r.Body, longest))
+	if err != nil {
+		return
+	}
+	level := strings.TrimSpace(string(text))
+	if err := a.log.SetLevel(level); err != nil {
+		http.Error(w, "the body must be debug, info, warning or error", http.StatusBadRequest)
+		return
+	}
+	a.log.Write(event.LogLevel, event.F("level", level))
+	fmt.Fprintln(w, a.log.Level())
+}
+
+func (a *Admin) startDrain(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusAccepted)
+	a.drain()
+}
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	fleetdemo "github.com/croftyard/croftyard/internal/demo"
+)
+
+type demo struct {
+	Port  int    `default:"8080" help:"Callers' port of the first router; the other ports follow it. 0 picks free ones."`
+	Level string `default:"warning" enum:"debug,info,warning,error" help:"Log level."`
+}
+
+const (
+	demoRouters = 3
+	demoEngines = 6
+	demoReady   = 10 * time.Second
+)
+
+// Run implements the command.
+func (c *demo) Run(s *streams) error {
+	level, err := logrus.ParseLevel(c.Level)
+	if err != nil {
+		return usageError{err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	start, cancel := context.WithTimeout(ctx, demoReady)
+	defer cancel()
+	fleet, err := fleetdemo.Start(start, fleetdemo.Options{Routers: demoRouters, Engines: demoEngines, Port: c.Port, Level: level, Log: s.err})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	printDemo(s.out, fleet)
+	<-ctx.Done()
+	return nil
+}
+
+func printDemo(out io.Writer, fleet *fleetdemo.Fleet) {
+	for _, i := range fleet.Routers {
+		a := i.Addresses()
+		fmt.Fprintf(out, "router  callers %s  admin %s\n", a.Callers, a.Admin)
+	}
+	fmt.Fprintf(out, "platform %s\n\n", fleet.PlatformURL())
+	fmt.Fprintf(out, "ready; try:\n  curl -isN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '%s'\n",
+		fleet.Routers[0].Addresses().Callers, fleetdemo.Key,
+		`{"model":"drafting","stream":true,"messages":[{"role":"user","content":"the lock is open"}]}`)
+}
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/instance"
+	"github.com/croftyard/croftyard/internal/settings"
+)
+
+type serve struct {
+	Settings string `required:"" type:"path" help:"The settings file."`
+}
+
+// Run implements the command. It ends after SIGTERM or SIGINT once everything
+// in flight is finished; a second signal ends it at once.
+func (c *serve) Run(s *streams) error {
+	read, err := settings.Read(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	log := event.New(s.err, read.Name, read.LogLevel)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	err = runInstance(read, log, signals, s.out)
+	if err != nil {
+		log.Write(event.Failed, event.F("error", err))
+	}
+	return err
+}
+
+func runInstance(read settings.Settings, log *event.Log, signals <-chan os.Signal, out io.Writer) error {
+	i, err := instance.Start(read, log)
+	if err != nil {
+		return err
+	}
+	a := i.Addresses()
+	fmt.Fprintf(out, "router %s: callers %s, peers %s, admin %s\n", read.Name, a.Callers, a.Peers, a.Admin)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+		case <-i.DrainAsked():
+		case <-ctx.Done():
+			return
+		}
+		i.Stop()
+		<-signals
+		i.Kill()
+	}()
+	err = i.Wait()
+	if errors.Is(err, instance.ErrCut) {
+		return WithCode(err, ExitFailed)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/dispatch/events.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+)
+
+// EndMarker is the data of the event that ends a whole stream.
+const EndMarker = "[DONE]"
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// batch is the most bytes of whole events passed on together.
+const batch = 32 << 10
+
+func isEventStream(resp *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
+// passEvents passes a stream event by event. Events that arrived together are
+// passed on together, which saves most of the cost a token; nothing waits for a
+// later event. The stream is whole only if its end marker came.
+func (a *attempt) passEvents(body io.Reader) error {
+	const size = 16 << 10
+	in := bufio.NewReaderSize(body, size)
+	out := make([]byte, 0, size)
+	for {
+		start := len(out)
+		var err error
+		out, err = appendEvent(out, in)
+		if err != nil {
+			// Half an event is not passed on: a resumed stream begins with it.
+			return a.broken(out[:start], err)
+		}
+		a.events++
+		end := isEnd(out[start:])
+		if !end && hasEvent(in) && len(out) < batch {
+			continue
+		}
+		if a.sink.Chunk(out) != nil {
+			return ErrCallerGone
+		}
+		if end {
+			return nil
+		}
+		out = out[:0]
+	}
+}
+
+func (a *attempt) broken(rest []byte, err error) error {
+	if len(rest) > 0 && a.sink.Chunk(rest) != nil {
+		return ErrCallerGone
+	}
+	return fmt.Errorf("%w: %v", errBroken, err)
+}
+
+// appendEvent appends the next event with its closing blank line.
+func appendEvent(out []byte, in *bufio.Reader) ([]byte, error) {
+	start := len(out)
+	for {
+		line, err := in.ReadSlice('\n')
+		out = append(out, line...)
+		if err == bufio.ErrBufferFull {
+			err = nil
+		} else if err == nil && isBlank(line) && len(out)-start > len(line) {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+		if len(out)-start > maxEvent {
+			return out, fmt.Errorf("event longer than %d bytes", maxEvent)
+		}
+	}
+}
+
+func isBlank(line []byte) bool {
+	return len(bytes.TrimRight(line, "\r\n")) == 0
+}
+
+// hasEvent tells whether a whole event can be read without waiting.
+func hasEvent(in *bufio.Reader) bool {
+	waiting, err := in.Peek(in.Buffered())
+	return err == nil && bytes.Contains(waiting, []byte("\n\n"))
+}
+
+// isEnd tells whether an event is the end marker.
+func isEnd(event []byte) bool {
+	data, found := bytes.CutPrefix(bytes.TrimSpace(event), []byte("data:"))
+	return found && string(bytes.TrimSpace(data)) == EndMarker
+}
--- /dev/null
+++ b/internal/edge/answer.go
@@ -0,0 +1,132 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/croftyard/croftyard/internal/dispatch"
+	"github.com/croftyard/croftyard/pkg/admission"
+)
+
+// answer writes a request's answer to its caller.
+//
+// A stream is passed on as it comes. Any other answer is held until it is
+// whole, so that a target that fails half way becomes a clear error; only one
+// that outgrows the buffer is passed on early, and then a failure breaks the
+// connection, never ends the body cleanly.
+type answer struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	stream  bool
+	seal    sealer
+	head    dispatch.Head
+	begun   bool
+	held    []byte
+}
+
+// holdAtMost is the most bytes of an answer that are held back.
+const holdAtMost = 1 << 20
+
+func newAnswer(w http.ResponseWriter, stream bool) *answer {
+	return &answer{writer: w, control: http.NewResponseController(w), stream: stream}
+}
+
+// Served implements router.Answer.
+func (a *answer) Served(engine string) error {
+	if a.seal != nil {
+		a.writer.Header().Set(ChatHeader, a.seal(engine))
+	}
+	return nil
+}
+
+// Head implements dispatch.Sink.
+func (a *answer) Head(h dispatch.Head) error {
+	a.head = h
+	if h.ContentType != "" {
+		a.writer.Header().Set("Content-Type", h.ContentType)
+	}
+	a.stream = a.stream && h.Status == http.StatusOK
+	if a.stream {
+		a.writer.Header().Set("Cache-Control", "no-store")
+		a.begin()
+		return a.control.Flush()
+	}
+	return nil
+}
+
+func (a *answer) begin() {
+	a.begun = true
+	a.writer.WriteHeader(a.head.Status)
+}
+
+// Chunk implements dispatch.Sink.
+func (a *answer) Chunk(b []byte) error {
+	if a.stream {
+		if _, err := a.writer.Write(b); err != nil {
+			return err
+		}
+		return a.control.Flush()
+	}
+	if a.begun {
+		_, err := a.writer.Write(b)
+		return err
+	}
+	a.held = append(a.held, b...)
+	if len(a.held) <= holdAtMost {
+		return nil
+	}
+	return a.release()
+}
+
+func (a *answer) release() error {
+	a.begin()
+	_, err := a.writer.Write(a.held)
+	a.held = nil
+	return err
+}
+
+// finish ends the answer: whole, refused, or visibly broken.
+func (a *answer) finish(refusal *admission.Refusal) {
+	switch {
+	case refusal == nil && !a.begun:
+		// A caller that left needs no answer.
+		_ = a.release()
+	case refusal == nil:
+	case !a.begun:
+		a.writer.Header().Del(ChatHeader)
+		a.writer.Header().Del("Content-Type")
+		writeProblem(a.writer, refusalProblem(refusal))
+	case a.stream:
+		a.breakStream(refusal)
+	default:
+		// Ends the connection without the body's end, which the caller sees.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// streamError is the last event of a stream that could not go on. No end
+// marker follows it.
+type streamError struct {
+	Error streamErrorBody `json:"error"`
+}
+
+type streamErrorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func (a *answer) breakStream(refusal *admission.Refusal) {
+	event := streamError{Error: streamErrorBody{
+		Message: refusal.Detail,
+		Type:    "croftyard_stream_broken",
+		Code:    refusal.Reason.String(),
+	}}
+	data, err := json.Marshal(event)
+	if err != nil {
+		panic(err)
+	}
+	// A caller that left needs no answer.
+	_, _ = a.writer.Write([]byte("data: " + string(data) + "\n\n"))
+	_ = a.control.Flush()
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,164 @@
+// Package edge is the callers' side: HTTP in the usual shape of chat
+// completions, and the way to plain services.
+//
+//	POST /v1/chat/completions     JSON, or server-sent events with "stream": true
+//	GET  /v1/models               the models that the caller's group may use
+//	ANY  /v1/services/NAME/...    to a replica of the plain service
+//	GET  /healthz, /readyz
+//
+// The edge checks everything it can before a request goes on, so that bad
+// input is a clear error and reaches no target.
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/pkg/placement"
+	"github.com/croftyard/croftyard/pkg/policy"
+)
+
+// Headers between caller and edge.
+const (
+	ChatHeader        = "Croftyard-Chat"
+	RanHeader         = "Croftyard-Ran"
+	DeadlineHeader    = "Croftyard-Deadline"
+	PriorityHeader    = "Croftyard-Priority"
+	RequestHeader     = "Croftyard-Request"
+	AdapterHeader     = "Croftyard-Adapter"
+	IdempotencyKey    = "Idempotency-Key"
+	maxIdempotencyKey = 255
+)
+
+// Edge serves callers.
+type Edge struct {
+	router *router.Router
+	limits settings.Limits
+	server *http.Server
+}
+
+// New returns an edge for a router.
+func New(r *router.Router, limits settings.Limits) *Edge {
+	const headerTimeout = 10 * time.Second
+	e := &Edge{router: r, limits: limits}
+	e.server = &http.Server{
+		Handler:           e.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       time.Minute,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    limits.Header,
+	}
+	return e
+}
+
+// Serve serves callers on a listener until Shutdown.
+func (e *Edge) Serve(l net.Listener) error {
+	err := e.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown takes no new connections and waits for the requests in flight.
+func (e *Edge) Shutdown(ctx context.Context) error {
+	return e.server.Shutdown(ctx)
+}
+
+// Close ends everything at once.
+func (e *Edge) Close() {
+	e.server.Close()
+}
+
+func (e *Edge) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("/v1/services/{name}/{rest...}", e.service)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.ready)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, notFound("no such path: "+r.URL.Path))
+	})
+	return mux
+}
+
+func (e *Edge) ready(w http.ResponseWriter, _ *http.Request) {
+	if !e.router.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// authenticate finds the group whose bearer key the request carries.
+func (e *Edge) authenticate(r *http.Request) (*policy.Snapshot, *policy.Group, *problem) {
+	snapshot := e.router.Snapshot()
+	if snapshot == nil {
+		return nil, nil, notReady()
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, nil, unauthorized("a bearer key is required")
+	}
+	group := snapshot.GroupByKey(policy.HashKey(key))
+	if group == nil {
+		return nil, nil, unauthorized("the bearer key is not known")
+	}
+	return snapshot, group, nil
+}
+
+func (e *Edge) models(w http.ResponseWriter, r *http.Request) {
+	_, group, p := e.authenticate(r)
+	if p != nil {
+		writeProblem(w, p)
+		return
+	}
+	list := modelList{Object: "list"}
+	for _, name := range e.router.Models() {
+		if group.MayUse(name) {
+			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "croftyard"})
+		}
+	}
+	writeJSON(w, http.StatusOK, "application/json", list)
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func newRequestID() string { return uuid.NewString() }
+
+// tokenFor returns what the caller's chat token says, or the zero token.
+func (e *Edge) tokenFor(s *policy.Snapshot, group *policy.Group, text string, modelHash uint64) placement.Token {
+	if text == "" {
+		return placement.Token{}
+	}
+	keys := placement.Keys{Current: s.Fleet.ChatKey, Previous: s.Fleet.PreviousChatKey}
+	token, err := keys.Open(text)
+	if err == nil && (token.Group != placement.Hash(group.Name) || token.Model != modelHash) {
+		err = errForeignToken
+	}
+	if err != nil {
+		e.router.IgnoredToken(err)
+		return placement.Token{}
+	}
+	return token
+}
+
+var errForeignToken = errors.New("edge: chat token of another group or model")
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/croftyard/croftyard/internal/peer/peerpb"
+)
+
+// Client calls other routers. It is safe for concurrent use.
+type Client struct {
+	pool  *drpcpool.Pool[string, *drpcconn.Conn]
+	meter *Meter
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// NewClient returns a client that counts its control calls in meter.
+func NewClient(meter *Meter) *Client {
+	const dialTimeout = time.Second
+	const idlePerPeer = 128
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+			Expiration:  time.Minute,
+			KeyCapacity: idlePerPeer,
+		}),
+		meter: meter,
+		dial:  dialer.DialContext,
+	}
+}
+
+// Close closes the pooled connections.
+func (c *Client) Close() {
+	// The connections are idle; how their closing went changes nothing.
+	_ = c.pool.Close()
+}
+
+// conn takes a pooled connection that is ready or dials one. An error means
+// that no byte left.
+func (c *Client) conn(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	for {
+		conn, found := c.pool.Take(address)
+		if !found {
+			break
+		}
+		if ready(conn) {
+			return conn, nil
+		}
+		conn.Close()
+	}
+	raw, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnreachable, err)
+	}
+	return drpcconn.New(raw), nil
+}
+
+func ready(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return false
+	default:
+	}
+	select {
+	case <-conn.Unblocked():
+		return true
+	default:
+		return false
+	}
+}
+
+// Forward hands a request to another router and calls receive for each event
+// up to and including the end. It returns ErrUnreachable when nothing was
+// sent, ErrBroken when the end did not come, and receive's error as it is.
+func (c *Client) Forward(ctx context.Context, address string, r *peerpb.ForwardRequest, receive Sender) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err = forward(ctx, conn, r, receive)
+	if err != nil {
+		// Cancelling tells the other router to stop the work; the connection is
+		// not used again.
+		cancel()
+		conn.Close()
+		return err
+	}
+	c.pool.Put(address, conn)
+	return nil
+}
+
+func forward(ctx context.Context, conn *drpcconn.Conn, r *peerpb.ForwardRequest, receive Sender) error {
+	stream, err := peerpb.NewDRPCPeerClient(conn).Forward(ctx, r)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			return fmt.Errorf("%w: %v", ErrBroken, err)
+		}
+		if err := receive(event); err != nil {
+			return err
+		}
+		if event.GetEnd() != nil {
+			return closed(stream)
+		}
+	}
+}
+
+// closed reads the stream's regular end, after which the connection is free.
+func closed(stream peerpb.DRPCPeer_ForwardClient) error {
+	if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: event after the end: %v", ErrBroken, err)
+	}
+	return nil
+}
+
+// Exchange sends a digest.
+func (c *Client) Exchange(ctx context.Context, address string, d *peerpb.Digest) (*peerpb.DigestReply, error) {
+	var reply *peerpb.DigestReply
+	err := c.control(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (err error) {
+		reply, err = peer.Exchange(ctx, d)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.meter.called(d, reply)
+	return reply, nil
+}
+
+// Configuration asks for a newer configuration.
+func (c *Client) Configuration(ctx context.Context, address string, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
+	var reply *peerpb.ConfigurationReply
+	err := c.control(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (err error) {
+		reply, err = peer.Configuration(ctx, r)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.meter.called(r, reply)
+	return reply, nil
+}
+
+// control makes one bounded call. Control calls may be repeated, so their
+// errors need not tell what became of them.
+func (c *Client) control(ctx context.Context, address string, call func(context.Context, peerpb.DRPCPeerClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := call(ctx, peerpb.NewDRPCPeerClient(conn)); err != nil {
+		conn.Close()
+		return fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	c.pool.Put(address, conn)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/meter.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// callOverhead is what one control call costs on the wire beside its two
+// messages: frame headers, the method's name, the closing frames. Measured on
+// the socket; TestMeterMatchesSocket fails if it is off.
+const callOverhead = 42
+
+// Meter counts the bytes of control calls, of both directions.
+type Meter struct {
+	sentBytes     atomic.Uint64
+	receivedBytes atomic.Uint64
+	calls         atomic.Uint64
+}
+
+// Bytes returns the bytes sent and received.
+func (m *Meter) Bytes() (sent, received uint64) {
+	return m.sentBytes.Load(), m.receivedBytes.Load()
+}
+
+// Calls returns the number of control calls made and served.
+func (m *Meter) Calls() uint64 { return m.calls.Load() }
+
+// called counts a call that this router made.
+func (m *Meter) called(request, reply proto.Message) {
+	m.count(&m.sentBytes, &m.receivedBytes, request, reply)
+}
+
+// received counts a call that this router served.
+func (m *Meter) received(request, reply proto.Message) {
+	m.count(&m.receivedBytes, &m.sentBytes, request, reply)
+}
+
+func (m *Meter) count(out, back *atomic.Uint64, request, reply proto.Message) {
+	m.calls.Add(1)
+	out.Add(uint64(proto.Size(request) + callOverhead))
+	back.Add(uint64(proto.Size(reply)))
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,110 @@
+// Package peer is how routers talk to each other: drpc over TCP.
+//
+//	Server  answers Forward, Exchange and Configuration with a Handler
+//	Client  calls them; connections to a peer are pooled, one a running call
+//
+// Control traffic (Exchange, Configuration) is metered in bytes, since a node
+// has a budget for it; the tests check the meter against the socket.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/croftyard/croftyard/internal/peer/peerpb"
+)
+
+// Errors of this package.
+var (
+	// ErrUnreachable: no byte of the call left; another peer can be asked.
+	ErrUnreachable = errors.New("peer: unreachable")
+	// ErrBroken: the call was under way; what became of it is not known.
+	ErrBroken = errors.New("peer: connection broken")
+)
+
+// Sender passes the events of a forwarded request back to the edge.
+type Sender func(*peerpb.ForwardEvent) error
+
+// Handler serves the calls of other routers.
+type Handler struct {
+	Forward       func(ctx context.Context, r *peerpb.ForwardRequest, send Sender) error
+	Exchange      func(d *peerpb.Digest) *peerpb.DigestReply
+	Configuration func(r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error)
+}
+
+// service adapts a Handler to the generated interface.
+type service struct {
+	handler Handler
+	meter   *Meter
+}
+
+// Forward implements the generated interface.
+func (s *service) Forward(r *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
+	return s.handler.Forward(stream.Context(), r, stream.Send)
+}
+
+// Exchange implements the generated interface.
+func (s *service) Exchange(_ context.Context, d *peerpb.Digest) (*peerpb.DigestReply, error) {
+	reply := s.handler.Exchange(d)
+	s.meter.received(d, reply)
+	return reply, nil
+}
+
+// Configuration implements the generated interface.
+func (s *service) Configuration(_ context.Context, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
+	reply, err := s.handler.Configuration(r)
+	if err != nil {
+		return nil, err
+	}
+	s.meter.received(r, reply)
+	return reply, nil
+}
+
+// Server listens for other routers.
+type Server struct {
+	listener net.Listener
+	server   *drpcserver.Server
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// Listen starts a server.
+func Listen(address string, handler Handler, meter *Meter) (*Server, error) {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &service{handler: handler, meter: meter}); err != nil {
+		return nil, fmt.Errorf("peer: register: %w", err)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer: listen: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: listener, server: drpcserver.New(mux), cancel: cancel}
+	s.done.Go(func() {
+		// The error is that of the closed listener.
+		_ = s.server.Serve(ctx, listener)
+	})
+	return s, nil
+}
+
+// Address returns the host:port that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends the server and what it still runs.
+func (s *Server) Close() {
+	s.cancel()
+	s.listener.Close()
+	s.done.Wait()
+}
+
+// controlTimeout bounds a control call.
+const controlTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/router/digest.go
@@ -0,0 +1,206 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/pkg/fleet"
+	"github.com/croftyard/croftyard/pkg/placement"
+)
+
+// sendDigests tells the partners this router's load, period by period.
+func (r *Router) sendDigests(ctx context.Context) error {
+	for sleep(ctx, r.jitter(r.settings.Limits.DigestPeriod)) {
+		r.tick()
+		r.sendRound(ctx)
+	}
+	return nil
+}
+
+// tick refreshes what ages: suspects that may be tried again, loads, the parts
+// of the surge limits.
+func (r *Router) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.board.Forget(now)
+	for name, seen := range r.leavingSeen {
+		if now.Sub(seen) > fleet.StaleAfter {
+			delete(r.leavingSeen, name)
+		}
+	}
+	r.rebuild()
+	for _, p := range r.pools {
+		p.refresh(r.board)
+	}
+	routers := r.fleetSize()
+	r.limits.Demands(now, func(organisation string, _ float64) {
+		r.limits.SetPart(now, organisation, r.board.OthersDemand(shortName(organisation)), routers)
+	})
+}
+
+// fleetSize is the number of live routers in this data centre, itself counted.
+func (r *Router) fleetSize() int {
+	n := 1
+	for _, other := range r.routers {
+		if other.DataCentre == r.settings.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
+// message is a digest on its way to one peer.
+type message struct {
+	to     fleet.Instance
+	digest *peerpb.Digest
+}
+
+func (r *Router) sendRound(ctx context.Context) {
+	var round errgroup.Group
+	for _, m := range r.messages() {
+		round.Go(func() error {
+			r.sendDigest(ctx, m)
+			return nil
+		})
+	}
+	// No function of the round returns an error; failures are noted in the view.
+	_ = round.Wait()
+}
+
+func (r *Router) messages() []message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peers := make(map[uint64]fleet.Instance)
+	var hashes []uint64
+	for _, other := range r.routers {
+		if other.DataCentre != r.settings.DataCentre {
+			continue
+		}
+		hash := placement.Hash(other.Name)
+		peers[hash] = other
+		hashes = append(hashes, hash)
+	}
+	own := r.ownDigest()
+	partners := fleet.PartnersOf(r.selfHash, hashes)
+	direct := peer.EncodeDigest(own)
+	var messages []message
+	var line []fleet.ID
+	for _, hash := range partners.Direct {
+		messages = append(messages, message{to: peers[hash], digest: direct})
+		line = append(line, fleet.Short(hash))
+	}
+	if len(partners.Relayed) == 0 {
+		return messages
+	}
+	relayed := peer.EncodeDigest(r.board.Relay(own, line))
+	for _, hash := range partners.Relayed {
+		messages = append(messages, message{to: peers[hash], digest: relayed})
+	}
+	return messages
+}
+
+// ownDigest is what this router tells of itself. The caller holds the mutex.
+func (r *Router) ownDigest() fleet.Digest {
+	r.sequence++
+	row := fleet.Row{Router: r.selfID, Sequence: r.sequence}
+	for name, p := range r.pools {
+		if name.DataCentre == r.settings.DataCentre {
+			row.Groups = append(row.Groups, p.digest(r.settings.Name)...)
+		}
+	}
+	demands := make(map[fleet.ID]float64)
+	r.limits.Demands(time.Now(), func(organisation string, demand float64) {
+		demands[shortName(organisation)] = demand
+	})
+	d := fleet.Digest{
+		Sender:   r.selfID,
+		Rows:     []fleet.Row{row},
+		Demands:  fleet.LargestDemands(demands),
+		Version:  r.version(),
+		Stopping: r.draining.Load(),
+	}
+	for name := range r.leavingSeen {
+		d.Leaving = append(d.Leaving, shortName(name))
+	}
+	return d
+}
+
+func (r *Router) version() uint64 {
+	if s := r.adopted.Current(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+func (r *Router) sendDigest(ctx context.Context, m message) {
+	reply, err := r.peers.Exchange(ctx, m.to.Address, m.digest)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.failed(m.to.Name, event.PeerLost, err)
+		}
+		return
+	}
+	r.reached(m.to.Name)
+	r.config.heard(reply.Version, m.to.Address)
+}
+
+// takeDigest serves a digest of a peer.
+func (r *Router) takeDigest(m *peerpb.Digest) *peerpb.DigestReply {
+	d := peer.DecodeDigest(m)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.board.Take(d, now)
+	r.takeLeaving(d.Leaving, now)
+	if d.Stopping {
+		r.rebuild()
+	}
+	for _, p := range r.pools {
+		p.refresh(r.board)
+	}
+	if address := r.addressOf(d.Sender); address != "" {
+		r.config.heard(d.Version, address)
+	}
+	return &peerpb.DigestReply{Version: r.version()}
+}
+
+// takeLeaving notes the targets that a peer saw leaving. They are not told on:
+// the word reaches everyone from where it was seen, and so cannot go round.
+func (r *Router) takeLeaving(leaving []fleet.ID, now time.Time) {
+	if len(leaving) == 0 {
+		return
+	}
+	told := make(map[fleet.ID]bool, len(leaving))
+	for _, id := range leaving {
+		told[id] = true
+	}
+	r.view.Instances(now, func(i fleet.Instance, health fleet.Health) {
+		if told[shortName(i.Name)] && health != fleet.Departing {
+			r.view.Leaving(i.Name, now)
+		}
+	})
+	r.closeEngines(now)
+}
+
+func (r *Router) addressOf(router fleet.ID) string {
+	for _, other := range r.routers {
+		if shortName(other.Name) == router {
+			return other.Address
+		}
+	}
+	return ""
+}
+
+// announceStop tells the partners at once that this router stops.
+func (r *Router) announceStop(ctx context.Context) {
+	const longest = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	r.sendRound(ctx)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,189 @@
+// Package router joins the decisions of pkg/ with the network: it keeps the
+// live view and the configuration, talks to the other routers, and carries a
+// request from the edge to its owner and to a target.
+//
+//	membership.go  the platform's list -> View -> pools
+//	config.go      the head -> the snapshot in force
+//	digest.go      load digests to and from other routers
+//	serve.go       the edge's half of a request: choose a group, go to its owner
+//	local.go       the owner's half: queue, claim, dispatch
+//	plain.go       plain services
+//	state.go       the state dump
+//
+// One mutex guards all of a router's decisions. A node serves some 30 requests
+// a second and a decision takes microseconds, so finer locks would buy nothing
+// and cost the reader much; nothing blocks while the mutex is held.
+package router
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/croftyard/croftyard/internal/dispatch"
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/platform"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/pkg/admission"
+	"github.com/croftyard/croftyard/pkg/fleet"
+	"github.com/croftyard/croftyard/pkg/once"
+	"github.com/croftyard/croftyard/pkg/owner"
+	"github.com/croftyard/croftyard/pkg/placement"
+	"github.com/croftyard/croftyard/pkg/policy"
+)
+
+// Router is one instance.
+type Router struct {
+	settings settings.Settings
+	log      *event.Log
+	metrics  *Metrics
+	platform *platform.Client
+	claims   *once.Claims
+	peers    *peer.Client
+	meter    *peer.Meter
+	server   *peer.Server
+	targets  *dispatch.Dispatcher
+	adopted  policy.Adopted
+	config   *config
+	selfHash uint64
+	selfID   fleet.ID
+	listed   atomic.Bool
+	draining atomic.Bool
+	inFlight sync.WaitGroup
+	active   atomic.Int64
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	view    *fleet.View
+	board   *fleet.Board
+	limits  *admission.Limits
+	retries admission.Retries
+	traffic *placement.Traffic
+	pools   map[poolName]*pool
+	engines map[uint64]*owner.Engine
+	// services counts the requests in flight at each plain target.
+	services map[string]int
+	routers  []fleet.Instance
+	// leavingSeen holds the targets that said themselves that they leave.
+	leavingSeen map[string]time.Time
+	sequence    uint32
+}
+
+// New makes a router and opens its listener for peers. Run starts it.
+func New(s settings.Settings, log *event.Log) (*Router, error) {
+	r := &Router{
+		settings:    s,
+		log:         log,
+		metrics:     newMetrics(),
+		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
+		meter:       &peer.Meter{},
+		targets:     dispatch.New(s.Limits.Idle),
+		selfHash:    placement.Hash(s.Name),
+		rnd:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		view:        fleet.NewView(),
+		limits:      admission.NewLimits(),
+		traffic:     placement.NewTraffic(),
+		pools:       make(map[poolName]*pool),
+		engines:     make(map[uint64]*owner.Engine),
+		services:    make(map[string]int),
+		leavingSeen: make(map[string]time.Time),
+		sequence:    rand.Uint32(),
+	}
+	r.selfID = fleet.Short(r.selfHash)
+	r.board = fleet.NewBoard(r.selfID)
+	r.claims = once.NewClaims(r.platform, time.Now)
+	r.peers = peer.NewClient(r.meter)
+	r.config = newConfig(r)
+	server, err := peer.Listen(s.Listen.Peers, peer.Handler{
+		Forward:       r.serveForward,
+		Exchange:      r.takeDigest,
+		Configuration: r.config.answer,
+	}, r.meter)
+	if err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
+	r.server = server
+	return r, nil
+}
+
+// Run keeps the router up to date until ctx ends. It serves peers and Serve
+// all the while, and for as long as it takes to drain after that.
+func (r *Router) Run(ctx context.Context) error {
+	work, ctx := errgroup.WithContext(ctx)
+	work.Go(func() error { return r.followList(ctx) })
+	work.Go(func() error { return r.config.follow(ctx) })
+	work.Go(func() error { return r.sendDigests(ctx) })
+	work.Go(func() error { return r.pollLoads(ctx) })
+	return work.Wait()
+}
+
+// PeerAddress returns the host:port on which peers are served.
+func (r *Router) PeerAddress() string { return r.server.Address() }
+
+// Ready tells whether requests can be served: a configuration is in force and
+// the list of instances was read.
+func (r *Router) Ready() bool {
+	return !r.draining.Load() && r.listed.Load() && r.adopted.Current() != nil
+}
+
+// Snapshot returns the configuration in force, or nil.
+func (r *Router) Snapshot() *policy.Snapshot { return r.adopted.Current() }
+
+// Metrics returns the router's metrics.
+func (r *Router) Metrics() *Metrics { return r.metrics }
+
+// Drain ends what waits here and waits for what is in flight, as long as ctx
+// allows. New requests are refused from the first moment.
+func (r *Router) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	r.log.Write(event.Draining)
+	r.announceStop(ctx)
+	r.mu.Lock()
+	for _, p := range r.pools {
+		p.drain(admission.Stopping)
+	}
+	r.mu.Unlock()
+	return r.waitIdle(ctx)
+}
+
+func (r *Router) waitIdle(ctx context.Context) error {
+	idle := make(chan struct{})
+	go func() {
+		r.inFlight.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		r.log.Write(event.DrainCut, event.F("active", r.active.Load()))
+		return fmt.Errorf("router: %d requests still in flight: %w", r.active.Load(), ctx.Err())
+	}
+}
+
+// Close ends the listener and all connections.
+func (r *Router) Close() {
+	r.server.Close()
+	r.peers.Close()
+}
+
+// begin counts a request in, unless the router is stopping.
+func (r *Router) begin() (end func(), accepted bool) {
+	r.inFlight.Add(1)
+	r.active.Add(1)
+	end = func() {
+		r.active.Add(-1)
+		r.inFlight.Done()
+	}
+	if r.draining.Load() {
+		end()
+		return nil, false
+	}
+	return end, true
+}
--- /dev/null
+++ b/internal/router/serve.go
@@ -0,0 +1,313 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/dispatch"
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/pkg/admission"
+	"github.com/croftyard/croftyard/pkg/fleet"
+	"github.com/croftyard/croftyard/pkg/placement"
+	"github.com/croftyard/croftyard/pkg/policy"
+)
+
+// Job is one request of a caller, checked by the edge.
+type Job struct {
+	// ID names the request in logs.
+	ID       string
+	Group    *policy.Group
+	Model    string
+	Adapter  string
+	Path     string
+	Body     []byte
+	Stream   bool
+	Priority int
+	Deadline time.Time
+	// PromptTokens and OutputTokens estimate the request's size; Fresh is the
+	// part of the prompt that no engine can hold, the last turn.
+	PromptTokens int
+	OutputTokens int
+	FreshTokens  int
+	// Chat and Prefix are the hashes that place the request.
+	Chat   uint64
+	Prefix uint64
+	// Engine is the hash of the token's engine, or 0.
+	Engine uint64
+	// Key is the caller's Idempotency-Key with its group, or empty.
+	Key string
+}
+
+// Answer takes a request's answer: the engine's name comes before its head.
+type Answer interface {
+	dispatch.Sink
+	Served(engine string) error
+}
+
+// maxHops bounds the groups that are asked in turn.
+const maxHops = 3
+
+// Serve takes a request from the edge to an engine and its answer back. It
+// returns nil once the answer is whole, or a refusal; answer may then have
+// begun.
+func (r *Router) Serve(ctx context.Context, job *Job, answer Answer) *admission.Refusal {
+	end, accepted := r.begin()
+	if !accepted {
+		return r.confirmed(ctx, job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
+	}
+	defer end()
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	defer cancel()
+	refusal := r.admit(job)
+	if refusal == nil {
+		refusal = r.route(ctx, job, answer)
+	}
+	if refusal != nil {
+		refusal = r.confirmed(ctx, job, refusal)
+		r.refused(job, refusal)
+		return refusal
+	}
+	r.metrics.Served.Inc(1)
+	observe(r.metrics.Total, time.Since(started))
+	r.log.Write(event.RequestServed, event.F("request", job.ID), event.F("group", job.Group.Name))
+	return nil
+}
+
+func (r *Router) refused(job *Job, refusal *admission.Refusal) {
+	r.metrics.Refused(refusal.Reason)
+	r.log.Write(event.RequestRefused, event.F("request", job.ID), event.F("group", job.Group.Name),
+		event.F("reason", refusal.Reason.String()), event.F("not_run", refusal.NotRun), event.F("detail", refusal.Detail))
+}
+
+// admit draws the request's work from the organisation's surge limit.
+func (r *Router) admit(job *Job) *admission.Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := admission.Limit{Rate: job.Group.Rate, Burst: job.Group.Burst}
+	r.retries.Earn()
+	return r.limits.Admit(time.Now(), job.Group.Organisation, limit, job.work(), 1/float64(r.fleetSize()))
+}
+
+// work estimates the request's work: with a token the engine holds all but the
+// last turn.
+func (j *Job) work() float64 {
+	cached := 0
+	if j.Engine != 0 {
+		cached = j.PromptTokens - j.FreshTokens
+	}
+	return admission.Work(j.PromptTokens, cached, j.OutputTokens)
+}
+
+// place is the edge's decision for one hop.
+type place struct {
+	pool   *pool
+	choice placement.Choice
+	owner  fleet.Instance
+	// self tells that this router serves the group, as owner or alone.
+	self bool
+}
+
+// route asks groups in turn until one serves the request or says that it
+// cannot be served. Another is asked only while nothing can have run.
+func (r *Router) route(ctx context.Context, job *Job, answer Answer) *admission.Refusal {
+	avoid := make(map[string]bool)
+	var last *admission.Refusal
+	from := placement.None
+	for hop := 1; hop <= maxHops; hop++ {
+		at, found := r.choose(job, from, avoid)
+		if !found {
+			return admission.Refuse(admission.NoEngine, time.Second, fmt.Sprintf("no live engine serves %s", job.Model))
+		}
+		refusal := r.hop(ctx, job, at, maxHops-hop, answer)
+		if refusal == nil || !refusal.NotRun || !passable(refusal.Reason) {
+			return refusal
+		}
+		last = refusal
+		switch refusal.Reason {
+		case admission.HopBroken, admission.Stopping:
+			avoid[at.owner.Name] = true
+		case admission.GroupFull:
+			r.metrics.PassedOn.Inc(1)
+			from = at.choice.Group
+		}
+	}
+	return last
+}
+
+// passable tells whether another group or owner may do better.
+func passable(reason admission.Reason) bool {
+	switch reason {
+	case admission.GroupFull, admission.HopBroken, admission.Stopping, admission.NoEngine:
+		return true
+	}
+	return false
+}
+
+// choose picks the group and its owner. from is the group that passed the
+// request on, or None.
+func (r *Router) choose(job *Job, from int, avoid map[string]bool) (place, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.poolFor(job.Model)
+	if p == nil {
+		return place{}, false
+	}
+	at := place{pool: p}
+	if from != placement.None && from < len(p.layout.Groups) {
+		at.choice = p.layout.PassOn(from, p.loads, r.rnd)
+	} else {
+		at.choice = p.layout.Choose(r.request(p, job), p.loads, job.Group.Bound, r.rnd)
+	}
+	if at.choice.Group == placement.None {
+		return place{}, false
+	}
+	r.metrics.placed(at.choice.Origin)
+	owner, found := p.owner(at.choice.Group, avoid)
+	if p.name.DataCentre != r.settings.DataCentre && !found {
+		return place{}, false
+	}
+	at.owner = owner
+	// Without any owner within reach this router dispatches itself.
+	at.self = !found || owner.Name == r.settings.Name
+	if !found {
+		r.metrics.Alone.Inc(1)
+	}
+	return at, true
+}
+
+func (r *Router) request(p *pool, job *Job) placement.Request {
+	return placement.Request{
+		Chat:        job.Chat,
+		Prefix:      job.Prefix,
+		PrefixShare: r.traffic.Seen(job.Prefix, time.Now()),
+		Engine:      r.tokenEngine(p, job.Engine),
+	}
+}
+
+// tokenEngine finds the token's engine in the pool's layout, unless it gets no
+// new work.
+func (r *Router) tokenEngine(p *pool, hash uint64) int {
+	if e := r.engines[hash]; hash == 0 || e == nil || e.Closed {
+		return placement.None
+	}
+	return p.layout.Engine(hash)
+}
+
+// poolFor returns the model's pool in this data centre, or, when that has no
+// open engine, the one in the data centre that comes first by rendezvous.
+func (r *Router) poolFor(model string) *pool {
+	own := r.pools[poolName{DataCentre: r.settings.DataCentre, Model: model}]
+	if own != nil && r.open(own) {
+		return own
+	}
+	var best *pool
+	var bestRank uint64
+	key := placement.Hash(model)
+	for name, p := range r.pools {
+		if name.Model != model || !r.open(p) {
+			continue
+		}
+		if rank := placement.Rank(key, placement.Hash(name.DataCentre)); best == nil || rank > bestRank {
+			best = p
+			bestRank = rank
+		}
+	}
+	return best
+}
+
+func (r *Router) open(p *pool) bool {
+	for hash := range p.engines {
+		if e := r.engines[hash]; e != nil && !e.Closed {
+			return true
+		}
+	}
+	return false
+}
+
+// hop has one group serve the request.
+func (r *Router) hop(ctx context.Context, job *Job, at place, hopsLeft int, answer Answer) *admission.Refusal {
+	if at.self {
+		return r.serveOwned(ctx, job, at, hopsLeft, answer)
+	}
+	r.metrics.Forwarded.Inc(1)
+	f := &forwarded{answer: answer}
+	err := r.peers.Forward(ctx, at.owner.Address, encodeJob(job, at, hopsLeft), f.receive)
+	switch {
+	case f.end != nil:
+		r.reached(at.owner.Name)
+		return refusalOf(f.end)
+	case errors.Is(err, peer.ErrUnreachable) && ctx.Err() == nil:
+		r.failed(at.owner.Name, event.PeerLost, err)
+		return admission.Refuse(admission.HopBroken, time.Second, "the engines' owner cannot be reached")
+	case errors.Is(err, peer.ErrUnreachable):
+		return admission.Refuse(admission.DeadlineMiss, 0, "the deadline passed before the request was sent")
+	case errors.Is(err, dispatch.ErrCallerGone) || errors.Is(ctx.Err(), context.Canceled):
+		return admission.Doubt(admission.CallerGone, "the caller went away")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return admission.Doubt(admission.DeadlineMiss, "the deadline passed while the request ran")
+	}
+	r.failed(at.owner.Name, event.PeerLost, err)
+	return admission.Doubt(admission.HopBroken, "the connection to the engines' owner broke")
+}
+
+// forwarded passes the events of a forwarded request to the caller's answer.
+type forwarded struct {
+	answer Answer
+	end    *peerpb.End
+}
+
+func (f *forwarded) receive(e *peerpb.ForwardEvent) error {
+	switch event := e.Event.(type) {
+	case *peerpb.ForwardEvent_Chunk:
+		return f.answer.Chunk(event.Chunk)
+	case *peerpb.ForwardEvent_Head:
+		if err := f.answer.Served(event.Head.Engine); err != nil {
+			return err
+		}
+		return f.answer.Head(dispatch.Head{Status: int(event.Head.Status), ContentType: event.Head.ContentType})
+	case *peerpb.ForwardEvent_End:
+		f.end = event.End
+	}
+	return nil
+}
+
+func refusalOf(end *peerpb.End) *admission.Refusal {
+	if end.Whole {
+		return nil
+	}
+	return &admission.Refusal{
+		Reason:     admission.Reason(end.Reason),
+		NotRun:     end.NotRun,
+		RetryAfter: time.Duration(end.RetryAfterMs) * time.Millisecond,
+		Detail:     end.Detail,
+	}
+}
+
+func encodeJob(job *Job, at place, hopsLeft int) *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{
+		RequestId:    job.ID,
+		Organisation: job.Group.Organisation,
+		Group:        job.Group.Name,
+		Model:        job.Model,
+		Adapter:      job.Adapter,
+		Path:         job.Path,
+		Body:         job.Body,
+		Stream:       job.Stream,
+		Priority:     int32(job.Priority),
+		DeadlineMs:   max(time.Until(job.Deadline).Milliseconds(), 1),
+		PromptTokens: int64(job.PromptTokens),
+		OutputTokens: int64(job.OutputTokens),
+		FreshTokens:  int64(job.FreshTokens),
+		Engine:       job.Engine,
+		Chat:         job.Chat,
+		Prefix:       job.Prefix,
+		EngineGroup:  at.pool.layout.Groups[at.choice.Group].ID,
+		HopsLeft:     uint32(hopsLeft),
+		Key:          job.Key,
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const good = "[instance]\nname = r1\ndata_centre = north\n[platform]\nurl = http://127.0.0.1:9/\n"
+
+func TestParse(t *testing.T) {
+	s, err := Parse("r.ini", []byte(good+"poll = 3s\n[limits]\nslots = 7\n"))
+	require.NoError(t, err)
+	assert.Equal(t, "r1", s.Name)
+	assert.Equal(t, "http://127.0.0.1:9", s.Platform.URL)
+	assert.Equal(t, 3*time.Second, s.Platform.Poll)
+	assert.Equal(t, 7, s.Limits.Slots)
+	assert.Equal(t, Default().Limits.Body, s.Limits.Body)
+}
+
+func TestParseNamesEveryError(t *testing.T) {
+	bad := "[instance]\nname = two words\n[listen]\ncallers = here:80\npeers = 127.0.0.1:99999\n[limits]\nslots = 0\nslot = 1\nidle = soon\n[other]\n"
+	_, err := Parse("r.ini", []byte(bad))
+	require.ErrorIs(t, err, ErrInvalid)
+	for _, part := range []string{
+		`r.ini: [instance] name = "two words"`, `[instance] data_centre = ""`, `[listen] callers = "here:80"`,
+		`[listen] peers = "127.0.0.1:99999"`, `[platform] url = ""`, `[limits] slots = "0": must be a whole number from 1 to 65536`,
+		`[limits] slot = "1": no such key`, `[limits] idle = "soon"`, `[other]: no such section`,
+	} {
+		assert.ErrorContains(t, err, part)
+	}
+}
+
+func TestRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.ini")
+	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
+	_, err := Read(path)
+	require.NoError(t, err)
+	_, err = Read(path + ".absent")
+	assert.ErrorIs(t, err, ErrInvalid)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("[limits]\nslots = 1e9\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("f", text)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrInvalid)
+			return
+		}
+		assert.NotEmpty(t, s.Name)
+		assert.Positive(t, s.Limits.Slots)
+	})
+}
--- /dev/null
+++ b/pkg/admission/admission.go
@@ -0,0 +1,119 @@
+// Package admission decides whether a request is let in, how long it waits and
+// who goes first.
+//
+//	Limits   an organisation's surge limit, split over the routers by demand
+//	Queue    fair queueing by share, priorities within it, deadlines, a bound
+//	Refusal  why a request was not served, and when to come back
+//	Retries  the budget that keeps retries a small part of the traffic
+//
+// Work is counted in tokens: the prompt tokens that no cache is known to hold
+// and the output tokens asked for, each output token weighing as outputWeight
+// prompt tokens, since the engine computes a prompt in one batch and an answer
+// token by token.
+//
+// The package does no I/O. Time comes from the caller.
+package admission
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// outputWeight is the work of one output token in prompt tokens.
+const outputWeight = 4
+
+// Work estimates the work of a request in tokens.
+func Work(promptTokens, cachedTokens, outputTokens int) float64 {
+	uncached := max(promptTokens-cachedTokens, 1)
+	return float64(uncached) + outputWeight*float64(outputTokens)
+}
+
+// Reason tells why a request was refused or broken off. The numbers are sent
+// between routers and must not change.
+type Reason uint32
+
+// The reasons.
+const (
+	Served       Reason = 0
+	SurgeLimit   Reason = 1
+	QueueFull    Reason = 2
+	DeadlineMiss Reason = 3
+	NoEngine     Reason = 4
+	Stopping     Reason = 5
+	TargetFailed Reason = 6
+	HopBroken    Reason = 7
+	AlreadyRan   Reason = 8
+	ClaimHeld    Reason = 9
+	ClaimUnknown Reason = 10
+	ServiceDown  Reason = 11
+	StreamBroken Reason = 12
+	Crossed      Reason = 13
+	Displaced    Reason = 14
+	CallerGone   Reason = 15
+	GroupFull    Reason = 16
+)
+
+var reasonNames = map[Reason]string{
+	Served:       "served",
+	SurgeLimit:   "surge_limit",
+	QueueFull:    "queue_full",
+	DeadlineMiss: "deadline",
+	NoEngine:     "no_engine",
+	Stopping:     "stopping",
+	TargetFailed: "target_failed",
+	HopBroken:    "hop_broken",
+	AlreadyRan:   "already_ran",
+	ClaimHeld:    "claim_held",
+	ClaimUnknown: "claim_unknown",
+	ServiceDown:  "service_down",
+	StreamBroken: "stream_broken",
+	Crossed:      "answer_crossed",
+	Displaced:    "displaced",
+	CallerGone:   "caller_gone",
+	GroupFull:    "group_full",
+}
+
+// String returns the name used in answers, metrics and logs.
+func (r Reason) String() string {
+	if name, known := reasonNames[r]; known {
+		return name
+	}
+	return fmt.Sprintf("reason_%d", uint32(r))
+}
+
+// Reasons returns the name of each reason.
+func Reasons() map[Reason]string { return reasonNames }
+
+// ErrRefused is wrapped by every Refusal.
+var ErrRefused = errors.New("admission: refused")
+
+// Refusal is the error of a request that was not served.
+type Refusal struct {
+	Reason Reason
+	// NotRun is true only when no byte of the request can have reached a target.
+	NotRun bool
+	// RetryAfter tells the caller when to come back; 0 means that coming back
+	// is pointless or that the time is not known.
+	RetryAfter time.Duration
+	// Detail is one sentence for a person.
+	Detail string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%v: %s: %s", ErrRefused, r.Reason, r.Detail)
+}
+
+// Unwrap lets errors.Is find ErrRefused.
+func (r *Refusal) Unwrap() error { return ErrRefused }
+
+// Refuse returns a refusal of a request that was certainly not run.
+func Refuse(reason Reason, after time.Duration, detail string) *Refusal {
+	return &Refusal{Reason: reason, NotRun: true, RetryAfter: after, Detail: detail}
+}
+
+// Doubt returns a refusal of a request that may have run.
+func Doubt(reason Reason, detail string) *Refusal {
+	return &Refusal{Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,268 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Item is a request that waits.
+type Item[T any] struct {
+	// Flow is whom the share belongs to: the research group. Share is its weight.
+	Flow  string
+	Share float64
+	// Priority orders items within a flow, larger first.
+	Priority int
+	// Deadline is when the answer is useless, Service how long serving takes.
+	Deadline time.Time
+	Service  time.Duration
+	// Work is the estimate of its work.
+	Work float64
+	// Payload is the caller's.
+	Payload T
+
+	arrived time.Time
+	number  uint64
+}
+
+// Queue orders waiting requests. It is not safe for concurrent use.
+//
+// Start-time fair queueing: each flow has a virtual time that advances by
+// work / share whenever one of its requests is dispatched, and the flow that is
+// furthest behind goes first. A flow that was idle starts at the time of the one
+// in service, so that idling earns no credit.
+//
+// Weighed against this (docs/design/admission.md): one queue by deadline, in
+// which a surging group with short deadlines starves the rest; the CoDel of
+// "Forze Resilience", which bounds the time in queue but is blind to shares.
+// Deadlines already bound the time here, at arrival and again at each Next.
+type Queue[T any] struct {
+	limit   int
+	length  int
+	virtual float64
+	numbers uint64
+	flows   map[string]*flow[T]
+	// active holds the flows with items, in no order; the few of them are scanned.
+	active []*flow[T]
+}
+
+type flow[T any] struct {
+	name  string
+	share float64
+	start float64
+	work  float64
+	// items are sorted: highest priority first, then order of arrival.
+	items []*Item[T]
+}
+
+// NewQueue returns a queue that holds at most limit items.
+func NewQueue[T any](limit int) *Queue[T] {
+	return &Queue[T]{limit: limit, flows: make(map[string]*flow[T])}
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Work returns the work that waits.
+func (q *Queue[T]) Work() float64 {
+	sum := 0.0
+	for _, f := range q.active {
+		sum += f.work
+	}
+	return sum
+}
+
+// Wait estimates how long a new item of this flow would wait if work is served
+// at rate, in work tokens a second: the flow's own backlog at its share of the
+// rate, or everything that waits, whichever is sooner.
+func (q *Queue[T]) Wait(name string, share, rate float64) time.Duration {
+	if q.length == 0 || rate <= 0 {
+		return 0
+	}
+	shares, own := share, 0.0
+	for _, f := range q.active {
+		if f.name == name {
+			own = f.work
+			continue
+		}
+		shares += f.share
+	}
+	seconds := min(own*shares/share, q.Work()) / rate
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Push adds an item. It returns nil or a refusal, and the item that was
+// displaced by it, if any: a full queue refuses the flow that is furthest above
+// its share of the places, be it the newcomer's or another's.
+func (q *Queue[T]) Push(item *Item[T], now time.Time, rate float64) (*Refusal, *Item[T]) {
+	wait := q.Wait(item.Flow, item.Share, rate)
+	if now.Add(wait + item.Service).After(item.Deadline) {
+		return Refuse(DeadlineMiss, wait, "the deadline cannot be met"), nil
+	}
+	var displaced *Item[T]
+	if q.length >= q.limit {
+		displaced = q.displace(item)
+		if displaced == nil {
+			return Refuse(QueueFull, wait, "the queue is full"), nil
+		}
+	}
+	item.arrived = now
+	item.number = q.numbers
+	q.numbers++
+	q.flow(item).insert(item)
+	q.length++
+	return nil, displaced
+}
+
+// displace removes the last item of the flow with the most places for its
+// share, unless that is the newcomer's own and outranks it.
+func (q *Queue[T]) displace(newcomer *Item[T]) *Item[T] {
+	crowd := func(f *flow[T]) float64 { return float64(len(f.items)) / f.share }
+	worst := slices.MaxFunc(q.active, func(a, b *flow[T]) int { return cmp.Compare(crowd(a), crowd(b)) })
+	own := 1 / newcomer.Share
+	if f := q.flows[newcomer.Flow]; f != nil {
+		own = float64(len(f.items)+1) / f.share
+	}
+	last := worst.items[len(worst.items)-1]
+	if worst.name == newcomer.Flow && last.Priority >= newcomer.Priority {
+		return nil
+	}
+	if worst.name != newcomer.Flow && crowd(worst) <= own {
+		return nil
+	}
+	q.remove(worst, len(worst.items)-1)
+	return last
+}
+
+func (q *Queue[T]) flow(item *Item[T]) *flow[T] {
+	f := q.flows[item.Flow]
+	if f == nil {
+		f = &flow[T]{name: item.Flow}
+		q.flows[item.Flow] = f
+	}
+	f.share = item.Share
+	if len(f.items) == 0 {
+		f.start = max(f.start, q.virtual)
+		q.active = append(q.active, f)
+	}
+	return f
+}
+
+func (f *flow[T]) insert(item *Item[T]) {
+	at, _ := slices.BinarySearchFunc(f.items, item, func(a, b *Item[T]) int {
+		if c := cmp.Compare(b.Priority, a.Priority); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.number, b.number)
+	})
+	f.items = slices.Insert(f.items, at, item)
+	f.work += item.Work
+}
+
+func (q *Queue[T]) remove(f *flow[T], at int) {
+	f.work -= f.items[at].Work
+	f.items = slices.Delete(f.items, at, at+1)
+	q.length--
+	if len(f.items) > 0 {
+		return
+	}
+	f.work = 0
+	q.active = slices.DeleteFunc(q.active, func(other *flow[T]) bool { return other == f })
+	if f.start <= q.virtual {
+		delete(q.flows, f.name)
+	}
+}
+
+// depth bounds how many items of one flow Next offers, so that one flow whose
+// items all wait for a busy engine costs little.
+const depth = 16
+
+// Next offers items in fair order until take accepts one, which is removed and
+// returned; nil if none was accepted. take must not change the queue.
+func (q *Queue[T]) Next(take func(*Item[T]) bool) *Item[T] {
+	if len(q.active) > 1 {
+		slices.SortFunc(q.active, func(a, b *flow[T]) int {
+			if c := cmp.Compare(a.start, b.start); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.items[0].number, b.items[0].number)
+		})
+	}
+	for _, f := range q.active {
+		for at, item := range f.items {
+			if at == depth {
+				break
+			}
+			if take(item) {
+				q.served(f, item.Work, item.Share)
+				q.remove(f, at)
+				return item
+			}
+		}
+	}
+	return nil
+}
+
+func (q *Queue[T]) served(f *flow[T], work, share float64) {
+	q.virtual = max(q.virtual, f.start)
+	f.start += work / share
+}
+
+// Charge counts work of a flow that was dispatched without waiting, so that a
+// group that was served at once does not start level when a queue forms.
+func (q *Queue[T]) Charge(name string, work, share float64) {
+	if q.length == 0 {
+		return
+	}
+	f := q.flows[name]
+	if f == nil {
+		f = &flow[T]{name: name, share: share, start: q.virtual}
+		q.flows[name] = f
+	}
+	f.start += work / share
+}
+
+// Expired removes and returns the items whose deadline can no longer be met.
+// They get their answer now, not at the deadline.
+func (q *Queue[T]) Expired(now time.Time) []*Item[T] {
+	var out []*Item[T]
+	for _, f := range slices.Clone(q.active) {
+		for at := len(f.items) - 1; at >= 0; at-- {
+			item := f.items[at]
+			if now.Add(item.Service).After(item.Deadline) {
+				out = append(out, item)
+				q.remove(f, at)
+			}
+		}
+	}
+	return out
+}
+
+// Drain removes and returns everything, in fair order of flows.
+func (q *Queue[T]) Drain() []*Item[T] {
+	var out []*Item[T]
+	for q.length > 0 {
+		out = append(out, q.Next(func(*Item[T]) bool { return true }))
+	}
+	return out
+}
+
+// Remove takes one item out, for a caller that left. It tells whether the item
+// was waiting.
+func (q *Queue[T]) Remove(item *Item[T]) bool {
+	f := q.flows[item.Flow]
+	if f == nil {
+		return false
+	}
+	at := slices.Index(f.items, item)
+	if at < 0 {
+		return false
+	}
+	q.remove(f, at)
+	return true
+}
+
+// Waited returns how long an item has waited.
+func (i *Item[T]) Waited(now time.Time) time.Duration {
+	return now.Sub(i.arrived)
+}
--- /dev/null
+++ b/pkg/placement/choose.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Request is what the edge knows of a request before it is placed.
+type Request struct {
+	// Chat identifies the chat; it places a chat that has neither token nor prefix.
+	Chat uint64
+	// Prefix is the hash of a shared prompt prefix, or 0.
+	Prefix uint64
+	// PrefixShare is the prefix's share of the pool's traffic, 0 to 1.
+	PrefixShare float64
+	// Engine is the index of the token's engine in the layout, or None.
+	Engine int
+}
+
+// Loads is what the edge knows of the groups: requests queued and in flight
+// per engine, entry i for Layout.Groups[i]. Figures are lagged by a digest
+// period or two. A negative entry is unknown and counts as the mean.
+type Loads []float64
+
+// Origin tells what a choice of a group rests on.
+type Origin uint8
+
+// The origins of a choice, in the order in which they are tried.
+const (
+	FromNothing Origin = iota
+	FromToken
+	FromPrefix
+	FromChat
+	FromDiversion
+)
+
+var originNames = [...]string{"nothing", "token", "prefix", "chat", "diversion"}
+
+// String returns the name used in metrics and in the state dump.
+func (o Origin) String() string { return originNames[o] }
+
+// Choice is the edge's decision.
+type Choice struct {
+	// Group is an index into Layout.Groups, or None when there are no engines.
+	Group int
+	// Engine is the token's engine when it is in Group, else None.
+	Engine int
+	// Origin tells why the group was chosen.
+	Origin Origin
+}
+
+// Mean returns the mean load per engine over all groups whose load is known,
+// weighted by engines.
+func (l *Layout) Mean(loads Loads) float64 {
+	var sum, engines float64
+	for g, load := range loads {
+		if load < 0 {
+			continue
+		}
+		n := float64(len(l.Groups[g].Engines))
+		sum += load * n
+		engines += n
+	}
+	if engines == 0 {
+		return 0
+	}
+	return sum / engines
+}
+
+// Choose picks the group for a request. bound is the operator's c: the
+// multiple of the mean load that no group is to exceed.
+//
+// A group above the bound is not avoided outright. The figures are old, and
+// every edge reads the same ones, so all of them would move at once. Each
+// request moves with the probability 1 - target/load, which in sum moves just
+// the excess.
+func (l *Layout) Choose(req Request, loads Loads, bound float64, rnd *rand.Rand) Choice {
+	choice := l.home(req, loads)
+	if choice.Group == None {
+		return choice
+	}
+	mean := l.Mean(loads)
+	target := max(bound*mean, mean+1)
+	load := loadOf(loads, choice.Group, mean)
+	if load <= target {
+		return choice
+	}
+	if rnd.Float64() >= 1-target/load {
+		return choice
+	}
+	return l.divert(choice, loads, mean, rnd)
+}
+
+// home is the group a request would go to if no group were overloaded.
+func (l *Layout) home(req Request, loads Loads) Choice {
+	if len(l.Groups) == 0 {
+		return Choice{Group: None, Engine: None}
+	}
+	if req.Engine != None {
+		return Choice{Group: l.GroupOf[req.Engine], Engine: req.Engine, Origin: FromToken}
+	}
+	if req.Prefix != 0 {
+		return Choice{Group: l.prefixGroup(req, loads), Engine: None, Origin: FromPrefix}
+	}
+	return Choice{Group: l.ByRendezvous(req.Chat), Engine: None, Origin: FromChat}
+}
+
+// SpreadSize is the number of groups that a prefix with this share of the
+// traffic is spread over: twice its share, and two so that there is a choice.
+func SpreadSize(share float64, groups int) int {
+	return min(groups, int(math.Ceil(2*share*float64(groups)))+2)
+}
+
+// prefixGroup takes two groups of the prefix's set, fixed by the chat, and
+// returns the less loaded.
+func (l *Layout) prefixGroup(req Request, loads Loads) int {
+	var space [maxSpread]int
+	set := l.spreadSet(req.Prefix, SpreadSize(req.PrefixShare, len(l.Groups)), &space)
+	pair := score(req.Prefix, req.Chat)
+	first := set[pair%uint64(len(set))]
+	second := set[(pair>>32)%uint64(len(set))]
+	mean := l.Mean(loads)
+	if loadOf(loads, second, mean) < loadOf(loads, first, mean) {
+		return second
+	}
+	return first
+}
+
+// divert takes the less loaded of two random groups, the power of two choices:
+// unlike the least loaded of all, it differs between edges.
+func (l *Layout) divert(from Choice, loads Loads, mean float64, rnd *rand.Rand) Choice {
+	if len(l.Groups) < 2 {
+		return from
+	}
+	first := l.otherGroup(from.Group, rnd)
+	second := l.otherGroup(from.Group, rnd)
+	if loadOf(loads, second, mean) < loadOf(loads, first, mean) {
+		first = second
+	}
+	if loadOf(loads, first, mean) >= loadOf(loads, from.Group, mean) {
+		return from
+	}
+	return Choice{Group: first, Engine: None, Origin: FromDiversion}
+}
+
+// PassOn returns another group for a request that the owner of from could not
+// place because all of its engines are at the bound.
+func (l *Layout) PassOn(from int, loads Loads, rnd *rand.Rand) Choice {
+	none := Choice{Group: from, Engine: None, Origin: FromNothing}
+	return l.divert(none, loads, l.Mean(loads), rnd)
+}
+
+func (l *Layout) otherGroup(not int, rnd *rand.Rand) int {
+	g := rnd.IntN(len(l.Groups) - 1)
+	if g >= not {
+		g++
+	}
+	return g
+}
+
+func loadOf(loads Loads, group int, mean float64) float64 {
+	if group >= len(loads) || loads[group] < 0 {
+		return mean
+	}
+	return loads[group]
+}
--- /dev/null
+++ b/pkg/placement/layout.go
@@ -0,0 +1,148 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// DefaultGroupSize is the number of engines in a group when the operator sets
+// none. Groups below about ten lose cache reuse: a chat whose engine is at its
+// bound then finds too few neighbours with room.
+const DefaultGroupSize = 10
+
+// None marks the absence of an engine, a group or a token.
+const None = -1
+
+// Layout is the division of one pool's engines into groups. It is immutable;
+// a change of the live view makes a new one.
+//
+//	Engines: e0 e1 e2 e3 ...      sorted by name hash
+//	GroupOf:  1  0  1  2 ...      index into Groups
+//	Groups[1].Engines = [0 2 ...] indexes into Engines
+type Layout struct {
+	Engines []uint64
+	GroupOf []int
+	Groups  []Group
+}
+
+// Group is a set of engines with one owner.
+type Group struct {
+	// ID is the same on every router that sees the same pool.
+	ID uint64
+	// Owner is an index into the routers given to NewLayout, or None.
+	Owner int
+	// Engines are indexes into Layout.Engines.
+	Engines []int
+}
+
+// NewLayout divides engines (hashes of names) into groups of about groupSize
+// and finds each group's owner among routers. pool is the hash of the pool's
+// name. Two routers with the same lists get the same layout; lists that differ
+// by one engine give layouts that differ by a few engines.
+func NewLayout(pool uint64, engines, routers []uint64, groupSize int) *Layout {
+	l := &Layout{
+		Engines: slices.Clone(engines),
+		GroupOf: make([]int, len(engines)),
+		Groups:  make([]Group, groupCount(len(engines), groupSize)),
+	}
+	slices.Sort(l.Engines)
+	for g := range l.Groups {
+		l.Groups[g].ID = score(pool, uint64(g))
+		l.Groups[g].Owner = Owner(l.Groups[g].ID, routers)
+	}
+	l.assign()
+	return l
+}
+
+func groupCount(engines, groupSize int) int {
+	if engines == 0 {
+		return 0
+	}
+	if groupSize <= 0 {
+		groupSize = DefaultGroupSize
+	}
+	n := int(math.Round(float64(engines) / float64(groupSize)))
+	return max(n, 1)
+}
+
+// assign gives each engine its best group that still has room. Plain
+// rendezvous would leave groups of three and of eighteen, and the small ones
+// lose reuse; a strict split would move most engines at each join. One place
+// of slack in each group keeps the moves few.
+func (l *Layout) assign() {
+	const slack = 1
+	if len(l.Groups) == 0 {
+		return
+	}
+	room := (len(l.Engines)+len(l.Groups)-1)/len(l.Groups) + slack
+	for e, engine := range l.Engines {
+		best := None
+		var bestScore uint64
+		for g := range l.Groups {
+			if len(l.Groups[g].Engines) >= room {
+				continue
+			}
+			s := score(engine, l.Groups[g].ID)
+			if best == None || s > bestScore {
+				best = g
+				bestScore = s
+			}
+		}
+		l.GroupOf[e] = best
+		l.Groups[best].Engines = append(l.Groups[best].Engines, e)
+	}
+}
+
+// Engine returns the index of the engine with this hash, or None.
+func (l *Layout) Engine(engine uint64) int {
+	i, found := slices.BinarySearch(l.Engines, engine)
+	if !found {
+		return None
+	}
+	return i
+}
+
+// Group returns the index of the group with this ID, or None.
+func (l *Layout) Group(id uint64) int {
+	return slices.IndexFunc(l.Groups, func(g Group) bool { return g.ID == id })
+}
+
+// ByRendezvous returns the group for key, each group weighted by its number
+// of engines. It returns None when there are no groups.
+func (l *Layout) ByRendezvous(key uint64) int {
+	best := None
+	bestScore := -1.0
+	for g := range l.Groups {
+		weight := float64(len(l.Groups[g].Engines))
+		if s := weightedScore(key, l.Groups[g].ID, weight); s > bestScore {
+			best = g
+			bestScore = s
+		}
+	}
+	return best
+}
+
+// maxSpread bounds the set of groups that one shared prefix is spread over.
+const maxSpread = 64
+
+// spreadSet writes into set the k best groups for a prefix, best first.
+func (l *Layout) spreadSet(prefix uint64, k int, set *[maxSpread]int) []int {
+	k = min(k, len(l.Groups), maxSpread)
+	found := set[:0]
+	for g := range l.Groups {
+		s := score(prefix, l.Groups[g].ID)
+		at, _ := slices.BinarySearchFunc(found, s, func(other int, s uint64) int {
+			return cmp.Compare(s, score(prefix, l.Groups[other].ID))
+		})
+		if at >= k {
+			continue
+		}
+		if len(found) < k {
+			found = append(found, 0)
+		}
+		copy(found[at+1:], found[at:])
+		found[at] = g
+	}
+	return found
+}
--- /dev/null
+++ b/pkg/placement/token.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Token is what an answer brings back to the caller so that the next turn of
+// the chat finds its cache. It holds no text of the chat.
+//
+//	version 1 | engine 8 | model 8 | chat 8 | group 8 | prefix 8 | MAC 16
+//
+// It is sent as unpadded base64url, 76 characters.
+type Token struct {
+	Engine uint64
+	Model  uint64
+	Chat   uint64
+	// Group is the hash of the research group, which binds the token to its
+	// callers: another group's token is ignored.
+	Group  uint64
+	Prefix uint64
+}
+
+const (
+	tokenVersion = 1
+	tokenBody    = 1 + 5*8
+	tokenMAC     = 16
+)
+
+// ErrToken is returned for a token that is damaged, forged or of another key.
+// Such a token is to be ignored and counted: it is a hint, never a credential.
+var ErrToken = errors.New("placement: chat token not valid")
+
+// Keys authenticate tokens. Previous is accepted but never used to sign, so
+// that a key can be replaced without losing affinity. Each is any secret of at
+// least 16 bytes; Previous may be empty.
+type Keys struct {
+	Current  []byte
+	Previous []byte
+}
+
+// Seal returns the token's text.
+func (k Keys) Seal(t Token) string {
+	b := make([]byte, 0, tokenBody+tokenMAC)
+	b = append(b, tokenVersion)
+	for _, v := range [...]uint64{t.Engine, t.Model, t.Chat, t.Group, t.Prefix} {
+		b = binary.BigEndian.AppendUint64(b, v)
+	}
+	b = append(b, mac(k.Current, b)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Open checks a token's text and returns what it says, or ErrToken.
+func (k Keys) Open(text string) (Token, error) {
+	if len(text) != base64.RawURLEncoding.EncodedLen(tokenBody+tokenMAC) {
+		return Token{}, fmt.Errorf("%w: length %d", ErrToken, len(text))
+	}
+	b, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return Token{}, fmt.Errorf("%w: not base64", ErrToken)
+	}
+	body, sum := b[:tokenBody], b[tokenBody:]
+	if body[0] != tokenVersion {
+		return Token{}, fmt.Errorf("%w: version %d", ErrToken, body[0])
+	}
+	if !k.signed(body, sum) {
+		return Token{}, fmt.Errorf("%w: not signed by a current key", ErrToken)
+	}
+	word := func(i int) uint64 { return binary.BigEndian.Uint64(body[1+8*i:]) }
+	return Token{Engine: word(0), Model: word(1), Chat: word(2), Group: word(3), Prefix: word(4)}, nil
+}
+
+func (k Keys) signed(body, sum []byte) bool {
+	if hmac.Equal(sum, mac(k.Current, body)) {
+		return true
+	}
+	return len(k.Previous) > 0 && hmac.Equal(sum, mac(k.Previous, body))
+}
+
+func mac(key, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(body)
+	return h.Sum(nil)[:tokenMAC]
+}
--- /dev/null
+++ b/pkg/policy/delta.go
@@ -0,0 +1,59 @@
+package policy
+
+import "slices"
+
+// Delta is what brings a router from one version to a later one without
+// sending the whole head: the edits in between.
+type Delta struct {
+	// From is the version that the edits are applied to.
+	From uint64 `json:"from"`
+	// Full is the whole head, set when the edits kept do not reach back to From.
+	Full *Head `json:"full,omitempty"`
+	// Edits lead from From to the newest version, oldest first.
+	Edits []Edit `json:"edits,omitempty"`
+}
+
+// Since returns the delta from a version to this head.
+func (h Head) Since(version uint64) Delta {
+	first := slices.IndexFunc(h.Edits, func(e Edit) bool { return e.Version == version+1 })
+	if version == 0 || first < 0 {
+		return Delta{Full: &h}
+	}
+	return Delta{From: version, Edits: h.Edits[first:]}
+}
+
+// Hashes returns the segments that the delta brings, newest last.
+func (d Delta) Hashes() []Hash {
+	var hashes []Hash
+	if d.Full != nil {
+		for _, e := range d.Full.Segments {
+			hashes = append(hashes, e.Hash)
+		}
+		return hashes
+	}
+	for _, edit := range d.Edits {
+		for _, c := range edit.Changes {
+			if c.After != "" && !slices.Contains(hashes, c.After) {
+				hashes = append(hashes, c.After)
+			}
+		}
+	}
+	return hashes
+}
+
+// Advance returns the head after the delta. A delta from another version, or
+// one that leads back, is left out.
+func (h Head) Advance(d Delta) Head {
+	if d.Full != nil {
+		if d.Full.Version > h.Version {
+			return *d.Full
+		}
+		return h
+	}
+	for _, edit := range d.Edits {
+		if edit.Version == h.Version+1 {
+			h = h.apply(edit)
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/pkg/policy/edit.go
@@ -0,0 +1,207 @@
+package policy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/kv"
+)
+
+// Keys of the service.
+const (
+	// HeadKey holds the head.
+	HeadKey = "croftyard/config/head"
+	// segmentKey with a hash holds a segment's text.
+	segmentKey = "croftyard/config/segment/"
+)
+
+// SegmentKey returns the key under which a segment's text is stored.
+func SegmentKey(h Hash) string { return segmentKey + string(h) }
+
+// Proposal is an edit that an operator asks for.
+type Proposal struct {
+	// ID must be new and random; it settles a lost answer.
+	ID     string
+	Author string
+	Note   string
+	At     time.Time
+	// Base is the version the operator looked at.
+	Base uint64
+	// Put are the segments to set, Delete the names to remove.
+	Put    []Segment
+	Delete []Name
+}
+
+// Conflict tells which segment two edits both changed.
+type Conflict struct {
+	Name Name
+	// Base is the segment's hash at the proposal's base, Current the one in force.
+	Base    Hash
+	Current Hash
+	// Version is the one in force.
+	Version uint64
+}
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("%v: [%s] was changed since the base version, in force is version %d", ErrConflict, c.Name, c.Version)
+}
+
+// Unwrap lets errors.Is find ErrConflict.
+func (c *Conflict) Unwrap() error { return ErrConflict }
+
+// maxTries bounds how often an edit is rebased on others' edits or repeated
+// after a lost answer.
+const maxTries = 16
+
+// Apply brings a proposal into force and returns the head that holds it.
+//
+// Another edit in between of other segments is rebased silently; one of the
+// same segment is a *Conflict. After a lost answer the head is read again: if
+// it holds the edit's id, the edit took effect. A result of ErrUnknown is
+// settled the same way by calling Apply again with the same proposal.
+func Apply(ctx context.Context, store kv.Store, p Proposal) (Head, error) {
+	for _, s := range p.Put {
+		if err := putSegment(ctx, store, s); err != nil {
+			return Head{}, err
+		}
+	}
+	unsettled := false
+	for range maxTries {
+		head, err := tryApply(ctx, store, p)
+		switch {
+		case err == nil:
+			return head, nil
+		case errors.Is(err, kv.ErrConflict):
+			continue
+		case errors.Is(err, kv.ErrUnknown):
+			unsettled = true
+			continue
+		case errors.Is(err, kv.ErrUnavailable) && unsettled:
+			return Head{}, fmt.Errorf("%w: edit %s: %v", ErrUnknown, p.ID, err)
+		default:
+			return Head{}, convert(err)
+		}
+	}
+	if unsettled {
+		return Head{}, fmt.Errorf("%w: edit %s: no answer in %d tries", ErrUnknown, p.ID, maxTries)
+	}
+	return Head{}, fmt.Errorf("%w: edit %s lost %d races", ErrUnavailable, p.ID, maxTries)
+}
+
+func tryApply(ctx context.Context, store kv.Store, p Proposal) (Head, error) {
+	entry, err := readSettled(ctx, store, HeadKey)
+	if err != nil {
+		return Head{}, err
+	}
+	head, err := DecodeHead(entry.Value)
+	if err != nil {
+		return Head{}, err
+	}
+	if _, done := head.Edit(p.ID); done {
+		return head, nil
+	}
+	next, err := rebase(ctx, store, head, p)
+	if err != nil {
+		return Head{}, err
+	}
+	if _, err := store.Swap(ctx, HeadKey, entry.Revision, next.Encode(), kv.NoLease); err != nil {
+		return Head{}, err
+	}
+	return next, nil
+}
+
+// rebase checks the proposal against the head in force and returns the next.
+func rebase(ctx context.Context, store kv.Store, head Head, p Proposal) (Head, error) {
+	base, err := head.At(p.Base)
+	if err != nil {
+		return Head{}, err
+	}
+	edit := Edit{ID: p.ID, Author: p.Author, Note: p.Note, At: p.At.UTC()}
+	for _, s := range p.Put {
+		edit.Changes = append(edit.Changes, Change{Kind: s.Name.Kind, Name: s.Name.Own, After: s.Hash})
+	}
+	for _, n := range p.Delete {
+		edit.Changes = append(edit.Changes, Change{Kind: n.Kind, Name: n.Own})
+	}
+	atBase := Head{Segments: base}
+	for i, c := range edit.Changes {
+		was, is := atBase.Hash(c.Kind, c.Name), head.Hash(c.Kind, c.Name)
+		if was != is {
+			return Head{}, &Conflict{Name: Name{Kind: c.Kind, Own: c.Name}, Base: was, Current: is, Version: head.Version}
+		}
+		edit.Changes[i].Before = is
+	}
+	edit.Changes = slices.DeleteFunc(edit.Changes, func(c Change) bool { return c.Before == c.After })
+	next := head.apply(edit)
+	if len(next.Encode()) > kv.MaxValue {
+		return Head{}, fmt.Errorf("%w: the head would exceed %d bytes", ErrInvalid, kv.MaxValue)
+	}
+	_, err = Load(ctx, store, next, nil)
+	return next, err
+}
+
+// Rollback proposes the content of an earlier version as a new one.
+func Rollback(head Head, version uint64) (put []Entry, remove []Name, err error) {
+	old, err := head.At(version)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, e := range old {
+		if head.Hash(e.Kind, e.Name) != e.Hash {
+			put = append(put, e)
+		}
+	}
+	past := Head{Segments: old}
+	for _, e := range head.Segments {
+		if past.Hash(e.Kind, e.Name) == "" {
+			remove = append(remove, Name{Kind: e.Kind, Own: e.Name})
+		}
+	}
+	return put, remove, nil
+}
+
+// putSegment stores a segment. It is immutable, so finding it is success.
+func putSegment(ctx context.Context, store kv.Store, s Segment) error {
+	var err error
+	for range maxTries {
+		_, err = store.Swap(ctx, SegmentKey(s.Hash), 0, s.Text, kv.NoLease)
+		if err == nil || errors.Is(err, kv.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, kv.ErrUnknown) {
+			return convert(err)
+		}
+	}
+	// The head was not touched: nothing is in force, whatever became of this.
+	return fmt.Errorf("%w: storing [%s]: %v", ErrUnavailable, s.Name, err)
+}
+
+// readSettled reads a key, repeating reads whose answer was lost.
+func readSettled(ctx context.Context, store kv.Store, key string) (kv.Entry, error) {
+	var err error
+	for range maxTries {
+		var entry kv.Entry
+		entry, err = store.Get(ctx, key)
+		if !errors.Is(err, kv.ErrUnknown) {
+			return entry, err
+		}
+	}
+	return kv.Entry{}, fmt.Errorf("%w: %v", kv.ErrUnavailable, err)
+}
+
+// convert turns the store's errors into this package's.
+func convert(err error) error {
+	switch {
+	case errors.Is(err, kv.ErrUnavailable):
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	case errors.Is(err, kv.ErrUnknown):
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
+	case errors.Is(err, kv.ErrTooLarge):
+		return fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/policy/head.go
@@ -0,0 +1,158 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// maxEdits bounds the edits kept in the head: the history that can be rolled
+// back to, the window in which a lost answer can be settled, and the delta
+// that a router that lags can be brought up with.
+const maxEdits = 128
+
+// Head is the one value that decides which configuration is in force.
+type Head struct {
+	Version  uint64  `json:"version"`
+	Segments []Entry `json:"segments"`
+	Edits    []Edit  `json:"edits"`
+}
+
+// Entry names one segment and the hash of its text. Entries are sorted by name.
+type Entry struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name,omitempty"`
+	Hash Hash   `json:"hash"`
+}
+
+// Edit records one accepted change, newest last in Head.Edits.
+type Edit struct {
+	// ID is chosen by the editor; it settles a lost answer.
+	ID      string    `json:"id"`
+	Version uint64    `json:"version"`
+	Author  string    `json:"author,omitempty"`
+	Note    string    `json:"note,omitempty"`
+	At      time.Time `json:"at"`
+	Changes []Change  `json:"changes"`
+}
+
+// Change is one segment's part of an edit. An empty hash means absence.
+type Change struct {
+	Kind   Kind   `json:"kind"`
+	Name   string `json:"name,omitempty"`
+	Before Hash   `json:"before,omitempty"`
+	After  Hash   `json:"after,omitempty"`
+}
+
+// DecodeHead reads a stored head. An empty value is version 0.
+func DecodeHead(value []byte) (Head, error) {
+	var h Head
+	if len(value) == 0 {
+		return h, nil
+	}
+	if err := json.Unmarshal(value, &h); err != nil {
+		return Head{}, fmt.Errorf("%w: head: %v", ErrInvalid, err)
+	}
+	return h, nil
+}
+
+// Encode returns the head as it is stored.
+func (h Head) Encode() []byte {
+	b, err := json.Marshal(h)
+	if err != nil {
+		// Head holds nothing that JSON cannot express.
+		panic(err)
+	}
+	return b
+}
+
+// Hash returns the hash of a segment in this head, or "" when it has none.
+func (h Head) Hash(kind Kind, name string) Hash {
+	for _, e := range h.Segments {
+		if e.Kind == kind && e.Name == name {
+			return e.Hash
+		}
+	}
+	return ""
+}
+
+// Edit returns the edit with this id, if the head still holds it.
+func (h Head) Edit(id string) (Edit, bool) {
+	for _, e := range h.Edits {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return Edit{}, false
+}
+
+// apply returns the head after an edit. The receiver is not changed.
+func (h Head) apply(edit Edit) Head {
+	next := Head{
+		Version:  h.Version + 1,
+		Segments: slices.Clone(h.Segments),
+		Edits:    append(slices.Clone(h.Edits), edit),
+	}
+	next.Edits[len(next.Edits)-1].Version = next.Version
+	if extra := len(next.Edits) - maxEdits; extra > 0 {
+		next.Edits = next.Edits[extra:]
+	}
+	for _, c := range edit.Changes {
+		next.Segments = withChange(next.Segments, c)
+	}
+	return next
+}
+
+func withChange(entries []Entry, c Change) []Entry {
+	at, found := slices.BinarySearchFunc(entries, c, func(e Entry, c Change) int {
+		return compareNames(e.Kind, e.Name, c.Kind, c.Name)
+	})
+	if c.After == "" {
+		if found {
+			entries = slices.Delete(entries, at, at+1)
+		}
+		return entries
+	}
+	entry := Entry{Kind: c.Kind, Name: c.Name, Hash: c.After}
+	if found {
+		entries[at] = entry
+		return entries
+	}
+	return slices.Insert(entries, at, entry)
+}
+
+func compareNames(kindA Kind, a string, kindB Kind, b string) int {
+	switch {
+	case kindA < kindB:
+		return -1
+	case kindA > kindB:
+		return 1
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// At returns the segments that were in force at an earlier version, found by
+// walking the edits backwards.
+func (h Head) At(version uint64) ([]Entry, error) {
+	if version > h.Version {
+		return nil, fmt.Errorf("%w: %d is newer than %d", ErrVersion, version, h.Version)
+	}
+	entries := slices.Clone(h.Segments)
+	for i := len(h.Edits) - 1; i >= 0 && h.Edits[i].Version > version; i-- {
+		for _, c := range slices.Backward(h.Edits[i].Changes) {
+			entries = withChange(entries, Change{Kind: c.Kind, Name: c.Name, After: c.Before})
+		}
+		if h.Edits[i].Version == version+1 {
+			return entries, nil
+		}
+	}
+	if version == h.Version {
+		return entries, nil
+	}
+	return nil, fmt.Errorf("%w: %d is older than the %d edits kept", ErrVersion, version, len(h.Edits))
+}
--- /dev/null
+++ b/pkg/policy/load.go
@@ -0,0 +1,95 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/croftyard/croftyard/pkg/kv"
+)
+
+// Cache holds segments by hash, so that a change fetches only what changed.
+type Cache map[Hash]Segment
+
+// Load fetches the head's segments that are not in cache (which may be nil),
+// checks them as a whole and returns the snapshot. The cache then holds just
+// the head's segments.
+func Load(ctx context.Context, store kv.Store, head Head, cache Cache) (*Snapshot, error) {
+	segments := make([]Segment, 0, len(head.Segments))
+	for _, e := range head.Segments {
+		if s, found := cache[e.Hash]; found {
+			segments = append(segments, s)
+			continue
+		}
+		entry, err := readSettled(ctx, store, SegmentKey(e.Hash))
+		if err != nil {
+			return nil, convert(err)
+		}
+		s, err := ParseSegment(e.Hash, entry.Value)
+		if err != nil {
+			return nil, err
+		}
+		segments = append(segments, s)
+	}
+	return fill(head, segments, cache)
+}
+
+func fill(head Head, segments []Segment, cache Cache) (*Snapshot, error) {
+	snapshot, err := Resolve(head.Version, segments)
+	if err != nil {
+		return nil, err
+	}
+	if cache != nil {
+		clear(cache)
+		for _, s := range segments {
+			cache[s.Hash] = s
+		}
+	}
+	return snapshot, nil
+}
+
+// Assemble builds a snapshot from a head and texts that came from a peer. Every
+// text is checked against its hash, so a peer can delay but not falsify.
+func Assemble(head Head, texts map[Hash][]byte, cache Cache) (*Snapshot, error) {
+	segments := make([]Segment, 0, len(head.Segments))
+	for _, e := range head.Segments {
+		if s, found := cache[e.Hash]; found {
+			segments = append(segments, s)
+			continue
+		}
+		text, found := texts[e.Hash]
+		if !found {
+			return nil, fmt.Errorf("%w: segment %s is missing", ErrInvalid, e.Hash)
+		}
+		s, err := ParseSegment(e.Hash, text)
+		if err != nil {
+			return nil, err
+		}
+		segments = append(segments, s)
+	}
+	return fill(head, segments, cache)
+}
+
+// Adopted is the snapshot in force in one process. It only moves forward.
+type Adopted struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// Current returns the snapshot in force, or nil before the first.
+func (a *Adopted) Current() *Snapshot {
+	return a.current.Load()
+}
+
+// Offer adopts s if its version is larger than the one in force and tells
+// whether it did.
+func (a *Adopted) Offer(s *Snapshot) bool {
+	for {
+		old := a.current.Load()
+		if old != nil && s.Version <= old.Version {
+			return false
+		}
+		if a.current.CompareAndSwap(old, s) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/pkg/policy/policy.go
@@ -0,0 +1,152 @@
+// Package policy holds what operators decide: templates, the parameters of
+// research groups, plain services and the fleet's own parameters, and how a
+// change of them comes into force everywhere and never goes back.
+//
+//	segment  one INI section, immutable, stored under its hash
+//	head     {version, the hash of each segment, the last edits}, one key
+//	snapshot what a router works with: all segments of one head, resolved
+//
+// An edit stores its segments and then moves the head by compare-and-swap, so
+// the head alone decides; a router adopts only larger versions. The package
+// does no I/O of its own: it works on a kv.Store.
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors of this package.
+var (
+	// ErrInvalid: the text breaks a rule; the message names section and key.
+	ErrInvalid = errors.New("policy: not valid")
+	// ErrConflict: another edit changed the same segment since the base version.
+	ErrConflict = errors.New("policy: edit conflict")
+	// ErrUnavailable: nothing was changed; the service could not be asked.
+	ErrUnavailable = errors.New("policy: service unavailable")
+	// ErrUnknown: the edit may or may not be in force; ask again with its id.
+	ErrUnknown = errors.New("policy: outcome unknown")
+	// ErrVersion: the version asked for is no longer in the head's history.
+	ErrVersion = errors.New("policy: version not known")
+)
+
+// Kind tells what a segment describes.
+type Kind string
+
+// The kinds of segment.
+const (
+	KindFleet    Kind = "fleet"
+	KindTemplate Kind = "template"
+	KindGroup    Kind = "group"
+	KindService  Kind = "service"
+)
+
+// Name identifies a segment: its kind and, but for the fleet, its own name.
+type Name struct {
+	Kind Kind
+	Own  string
+}
+
+// String returns the name as it stands in an INI section header.
+func (n Name) String() string {
+	if n.Own == "" {
+		return string(n.Kind)
+	}
+	return string(n.Kind) + " " + n.Own
+}
+
+// Fleet holds the parameters that all routers share.
+type Fleet struct {
+	// ChatKey and PreviousChatKey authenticate chat tokens (hexadecimal).
+	ChatKey         []byte
+	PreviousChatKey []byte
+	// GroupSize is the number of engines in a placement group.
+	GroupSize int
+	// PrefillRate is the prompt tokens an engine computes in a second; it turns
+	// cached tokens into the time that waiting for them may cost.
+	PrefillRate float64
+}
+
+// Parameters are what a template sets and a group may override.
+type Parameters struct {
+	// Share is the weight in fair queueing, above 0.
+	Share float64
+	// PriorityMin and PriorityMax bound the priorities a caller may ask for; a
+	// larger number goes first.
+	PriorityMin int
+	PriorityMax int
+	// Models and Adapters are the names a request may use.
+	Models   []string
+	Adapters []string
+	// Rate (work tokens a second) and Burst (work tokens) limit surges.
+	Rate  float64
+	Burst float64
+	// Bound is c: the multiple of the mean load no engine is to exceed.
+	Bound float64
+	// Deadline is a request's time when the caller names none; MaxDeadline is
+	// the most a caller may ask for.
+	Deadline    time.Duration
+	MaxDeadline time.Duration
+	// MaxOutputTokens bounds and, where the caller sets none, estimates the answer.
+	MaxOutputTokens int
+}
+
+// Group is one research group with its template's values filled in.
+type Group struct {
+	Name         string
+	Template     string
+	Organisation string
+	// KeyHashes are the SHA-256 hashes of the group's bearer keys.
+	KeyHashes []KeyHash
+	Parameters
+	// Overrides lists the keys that the group sets itself.
+	Overrides []string
+}
+
+// Service is a route to a plain service.
+type Service struct {
+	Name string
+	// Repeatable tells that a call may be sent again when its outcome is unknown.
+	Repeatable bool
+	// Timeout bounds one attempt.
+	Timeout time.Duration
+}
+
+// MayUse tells whether the group may use the model.
+func (p Parameters) MayUse(model string) bool {
+	return contains(p.Models, model)
+}
+
+// MayAdapt tells whether the group may use the adapter; none is always allowed.
+func (p Parameters) MayAdapt(adapter string) bool {
+	return adapter == "" || contains(p.Adapters, adapter)
+}
+
+func contains(list []string, name string) bool {
+	for _, s := range list {
+		if s == name || s == "*" {
+			return true
+		}
+	}
+	return false
+}
+
+// Snapshot is one version, resolved and immutable.
+type Snapshot struct {
+	Version  uint64
+	Fleet    Fleet
+	Groups   map[string]*Group
+	Services map[string]*Service
+
+	byKey map[KeyHash]*Group
+}
+
+// GroupByKey returns the group whose bearer key hashes to h, or nil.
+func (s *Snapshot) GroupByKey(h KeyHash) *Group {
+	return s.byKey[h]
+}
+
+func invalid(name Name, key, value, allowed string) error {
+	return fmt.Errorf("%w: [%s] %s = %q: %s", ErrInvalid, name, key, value, allowed)
+}
--- /dev/null
+++ b/pkg/policy/resolve.go
@@ -0,0 +1,174 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"gopkg.in/ini.v1"
+)
+
+// Defaults that hold where neither a template nor a group sets a value.
+const (
+	DefaultBound       = 1.25
+	DefaultGroupSize   = 10
+	DefaultPrefillRate = 8000
+)
+
+// Resolve checks segments as a whole and builds the snapshot of one version:
+// templates are filled into their groups. All errors are reported together.
+func Resolve(version uint64, segments []Segment) (*Snapshot, error) {
+	r := resolver{
+		snapshot: &Snapshot{
+			Version:  version,
+			Fleet:    Fleet{GroupSize: DefaultGroupSize, PrefillRate: DefaultPrefillRate},
+			Groups:   make(map[string]*Group),
+			Services: make(map[string]*Service),
+			byKey:    make(map[KeyHash]*Group),
+		},
+		templates: make(map[string]Parameters),
+	}
+	// Templates come first, whatever the order of the segments.
+	for _, kind := range []Kind{KindFleet, KindTemplate, KindGroup, KindService} {
+		for _, s := range segments {
+			if s.Name.Kind == kind {
+				r.add(s)
+			}
+		}
+	}
+	if len(r.problems) > 0 {
+		return nil, errors.Join(r.problems...)
+	}
+	return r.snapshot, nil
+}
+
+type resolver struct {
+	snapshot  *Snapshot
+	templates map[string]Parameters
+	problems  []error
+}
+
+func (r *resolver) add(s Segment) {
+	parsed, err := load(s.Text)
+	if err != nil {
+		r.problems = append(r.problems, fmt.Errorf("%w: [%s]: %v", ErrInvalid, s.Name, err))
+		return
+	}
+	f := &fields{name: s.Name, section: parsed.Section(s.Name.String())}
+	switch s.Name.Kind {
+	case KindFleet:
+		r.addFleet(f)
+	case KindTemplate:
+		r.addTemplate(f)
+	case KindGroup:
+		r.addGroup(f)
+	case KindService:
+		r.addService(f)
+	}
+	f.rejectUnread()
+	r.problems = append(r.problems, f.problems...)
+}
+
+func (r *resolver) addFleet(f *fields) {
+	fleet := &r.snapshot.Fleet
+	f.hex("chat_key", &fleet.ChatKey)
+	f.hex("previous_chat_key", &fleet.PreviousChatKey)
+	f.integer("group_size", &fleet.GroupSize, 1, 1000)
+	f.float("prefill_rate", &fleet.PrefillRate, 1, 1e9)
+}
+
+func (r *resolver) addTemplate(f *fields) {
+	p := Defaults()
+	readParameters(f, &p)
+	r.templates[f.name.Own] = p
+}
+
+func (r *resolver) addGroup(f *fields) {
+	g := &Group{Name: f.name.Own, Parameters: Defaults()}
+	f.text("template", &g.Template)
+	if g.Template != "" {
+		template, found := r.templates[g.Template]
+		if !found {
+			f.reject("template", g.Template, "no such template")
+		}
+		g.Parameters = template
+	}
+	f.text("organisation", &g.Organisation)
+	if g.Organisation == "" {
+		f.reject("organisation", "", "must be set")
+	}
+	g.Overrides = readParameters(f, &g.Parameters)
+	r.addKeys(f, g)
+	r.snapshot.Groups[g.Name] = g
+}
+
+func (r *resolver) addKeys(f *fields, g *Group) {
+	var hashes []string
+	f.list("keys", &hashes)
+	for _, text := range hashes {
+		h, err := ParseKeyHash(text)
+		if err != nil {
+			f.reject("keys", text, "must be sha256: and 64 hexadecimal digits (croftyardctl key new)")
+			continue
+		}
+		if other := r.snapshot.byKey[h]; other != nil {
+			f.reject("keys", text, fmt.Sprintf("is also a key of group %s", other.Name))
+			continue
+		}
+		g.KeyHashes = append(g.KeyHashes, h)
+		r.snapshot.byKey[h] = g
+	}
+}
+
+func (r *resolver) addService(f *fields) {
+	s := &Service{Name: f.name.Own, Timeout: defaultDeadline}
+	f.boolean("repeatable", &s.Repeatable)
+	f.duration("timeout", &s.Timeout)
+	r.snapshot.Services[s.Name] = s
+}
+
+// Defaults returns the parameters that hold where nothing is set.
+func Defaults() Parameters {
+	return Parameters{
+		Share:           1,
+		PriorityMax:     9,
+		Rate:            100_000,
+		Burst:           200_000,
+		Bound:           DefaultBound,
+		Deadline:        defaultDeadline,
+		MaxDeadline:     defaultMaxDeadline,
+		MaxOutputTokens: 1024,
+	}
+}
+
+// readParameters reads the keys that templates and groups share and returns
+// those that were set.
+func readParameters(f *fields, p *Parameters) []string {
+	before := len(f.read)
+	f.float("share", &p.Share, 0.001, 1e6)
+	f.integer("priority_min", &p.PriorityMin, -100, 100)
+	f.integer("priority_max", &p.PriorityMax, -100, 100)
+	f.list("models", &p.Models)
+	f.list("adapters", &p.Adapters)
+	f.float("rate", &p.Rate, 1, 1e12)
+	f.float("burst", &p.Burst, 1, 1e12)
+	f.float("bound", &p.Bound, 1, 100)
+	f.duration("deadline", &p.Deadline)
+	f.duration("max_deadline", &p.MaxDeadline)
+	f.integer("max_output_tokens", &p.MaxOutputTokens, 1, 1<<20)
+	if p.PriorityMin > p.PriorityMax {
+		f.reject("priority_min", fmt.Sprint(p.PriorityMin), fmt.Sprintf("must not exceed priority_max (%d)", p.PriorityMax))
+	}
+	if p.Deadline > p.MaxDeadline {
+		f.reject("deadline", p.Deadline.String(), fmt.Sprintf("must not exceed max_deadline (%s)", p.MaxDeadline))
+	}
+	return slices.Clone(f.read[before:])
+}
+
+// fields reads the keys of one section and collects what is wrong with them.
+type fields struct {
+	name     Name
+	section  *ini.Section
+	read     []string
+	problems []error
+}
