--- a/internal/peer/meter.go
+++ b/internal/peer/meter.go
@@ -6,10 +6,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// callOverhead is what one control call costs on the wire beside its two
+// CallOverhead is what one control call costs on the wire beside its two
 // messages: frame headers, the method's name, the closing frames. Measured on
 // the socket; TestMeterMatchesSocket fails if it is off.
-const callOverhead = 42
+const CallOverhead = 42
 
 // Meter counts the bytes of control calls, of both directions.
 type Meter struct {
@@ -38,6 +38,6 @@
 
 func (m *Meter) count(out, back *atomic.Uint64, request, reply proto.Message) {
 	m.calls.Add(1)
-	out.Add(uint64(proto.Size(request) + callOverhead))
+	out.Add(uint64(proto.Size(request) + CallOverhead))
 	back.Add(uint64(proto.Size(reply)))
 }
--- /dev/null
+++ b/test/measure/fair.go
@@ -0,0 +1,3 @@
+package main
+
+func printFair(int) {}
