--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 run: build
 	./bin/croftyard demo
 
-test: check unit integration
+test: setup check unit integration verify
 
 check:
 	@unformatted=$$(gofmt -l . | grep -v '\.pb\.go$$' || true); \
@@ -34,3 +34,35 @@
 # The policies side by side; FULL=1 adds 1,520 engines, JSON=1 prints objects.
 measure:
 	$(GO) run ./test/measure $(if $(FULL),--full) $(if $(JSON),--json)
+
+# Slopes for docs/CAPACITY.md.
+capacity:
+	$(GO) run ./test/capacity
+
+# The core protocol, checked exhaustively, and its mutants.
+verify: setup
+	spec/verify.sh
+
+# Spin is the one tool that is no Go module.
+setup:
+	@command -v spin >/dev/null && command -v cc >/dev/null || \
+	{ apt-get update -qq && apt-get install -y -qq spin gcc libc6-dev; }
+
+# Requests, streams and edits under random faults against real processes.
+soak:
+	$(GO) run ./test/soak --seconds $(SECONDS)
+
+FUZZTIME ?= 10s
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZTIME) ./pkg/placement
+	$(GO) test -run '^$$' -fuzz FuzzSplit -fuzztime $(FUZZTIME) ./pkg/policy
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/settings
+	$(GO) test -run '^$$' -fuzz FuzzChat -fuzztime $(FUZZTIME) ./internal/edge
+	$(GO) test -run '^$$' -fuzz FuzzDigest -fuzztime $(FUZZTIME) ./internal/peer
+
+# Generated code is committed; this makes it anew.
+generate:
+	cd internal/peer/peerpb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. peer.proto
+
+clean:
+	rm -rf bin spec/build
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -37,6 +38,9 @@
 	router *Router
 	hints  chan hint
 
+	// settled: the service, or every peer that answers, was asked at least once.
+	settled atomic.Bool
+
 	mu    sync.Mutex
 	head  policy.Head
 	cache policy.Cache
@@ -129,6 +133,7 @@
 			continue
 		}
 		revision = entry.Revision
+		c.settled.Store(true)
 	}
 }
 
@@ -139,7 +144,7 @@
 		c.router.log.Write(event.PlatformDown, event.F("error", err))
 	}
 	*down = true
-	if c.router.version() == 0 {
+	if !c.settled.Load() {
 		c.askPeers(ctx)
 	}
 	sleep(ctx, c.router.jitter(time.Second))
@@ -154,6 +159,9 @@
 	for _, other := range routers {
 		c.pull(ctx, other.Address)
 	}
+	if c.router.version() > 0 {
+		c.settled.Store(true)
+	}
 }
 
 // watches tells whether this router is one of the watchers.
@@ -161,7 +169,7 @@
 	r := c.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.version() == 0 || r.fleetSize() <= watchAll {
+	if !c.settled.Load() || r.fleetSize() <= watchAll {
 		return true
 	}
 	key := placement.Hash(watchersKey)
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -291,8 +291,10 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.settings.Platform.Timeout)
 	defer cancel()
 	err := r.claims.Peek(ctx, claimKey(job.Key))
+	// Long after the deadline the record may have been forgotten.
+	timely := time.Since(job.Deadline) < once.Retention/2
 	switch {
-	case err == nil:
+	case err == nil && timely:
 		return refusal
 	case errors.Is(err, once.ErrDone), errors.Is(err, once.ErrHeld):
 		return r.claimRefusal(job, err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -136,10 +136,10 @@
 // PeerAddress returns the host:port on which peers are served.
 func (r *Router) PeerAddress() string { return r.server.Address() }
 
-// Ready tells whether requests can be served: a configuration is in force and
-// the list of instances was read.
+// Ready tells whether requests can be served: the newest configuration that
+// can be had is in force and the list of instances was read.
 func (r *Router) Ready() bool {
-	return !r.draining.Load() && r.listed.Load() && r.adopted.Current() != nil
+	return !r.draining.Load() && r.listed.Load() && r.config.settled.Load()
 }
 
 // Snapshot returns the configuration in force, or nil.
