--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,7 +181,7 @@
 		return Outcome{Begun: a.begun, Reason: admission.Crossed, Err: errCrossed}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(LeavingHeader) != "" {
-		return Outcome{NotRun: !a.begun, Begun: a.begun, Leaving: true, Reason: admission.TargetFailed}
+		return Outcome{NotRun: !a.begun, Begun: a.begun, Leaving: true, Reason: admission.Leaving}
 	}
 	body := &watched{body: resp.Body, silence: silence, idle: a.dispatcher.idle}
 	return a.pass(resp, body)
--- a/internal/edge/problem.go
+++ b/internal/edge/problem.go
@@ -57,6 +57,7 @@
 	admission.AlreadyRan:   http.StatusConflict,
 	admission.ClaimHeld:    http.StatusConflict,
 	admission.TargetFailed: http.StatusBadGateway,
+	admission.Leaving:      http.StatusBadGateway,
 	admission.HopBroken:    http.StatusBadGateway,
 	admission.StreamBroken: http.StatusBadGateway,
 	admission.Crossed:      http.StatusBadGateway,
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -34,9 +34,16 @@
 }
 
 // retry tells whether another engine may be tried: nothing ran, time is left,
-// and the budget of retries allows it.
+// and the budget of retries allows it. A target that said that it leaves costs
+// no budget: it is not asked again, so there are no more such tries than targets.
 func (r *Router) retry(ctx context.Context, job *Job, refusal *admission.Refusal) bool {
-	if !refusal.NotRun || refusal.Reason != admission.TargetFailed || ctx.Err() != nil {
+	if !refusal.NotRun || ctx.Err() != nil {
+		return false
+	}
+	if refusal.Reason == admission.Leaving {
+		return true
+	}
+	if refusal.Reason != admission.TargetFailed {
 		return false
 	}
 	r.mu.Lock()
@@ -244,12 +251,17 @@
 	case errors.Is(err, once.ErrDone):
 		return admission.Doubt(admission.AlreadyRan, "a request with this key has already run")
 	case errors.Is(err, once.ErrHeld):
-		return admission.Doubt(admission.ClaimHeld, "another request with this key is under way or its outcome is not known")
+		return later(admission.Doubt(admission.ClaimHeld, "another request with this key is under way or its outcome is not known"))
 	case errors.Is(err, once.ErrUnsettled):
 		r.log.Write(event.ClaimUnsettled, event.F("request", job.ID), event.F("error", err))
-		return admission.Doubt(admission.ClaimUnknown, "the claim's outcome is not known; this attempt did not run")
+		return later(admission.Doubt(admission.ClaimUnknown, "the claim's outcome is not known; this attempt did not run"))
 	}
-	refusal := admission.Refuse(admission.ServiceDown, retryAfterOutage, "keys cannot be claimed now")
+	return admission.Refuse(admission.ServiceDown, retryAfterOutage, "keys cannot be claimed now")
+}
+
+// later tells the caller when to ask again with the same key.
+func later(refusal *admission.Refusal) *admission.Refusal {
+	refusal.RetryAfter = retryAfterOutage
 	return refusal
 }
 
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -52,6 +52,7 @@
 	Displaced    Reason = 14
 	CallerGone   Reason = 15
 	GroupFull    Reason = 16
+	Leaving      Reason = 17
 )
 
 var reasonNames = map[Reason]string{
@@ -72,6 +73,7 @@
 	Displaced:    "displaced",
 	CallerGone:   "caller_gone",
 	GroupFull:    "group_full",
+	Leaving:      "target_leaving",
 }
 
 // String returns the name used in answers, metrics and logs.
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -331,3 +331,17 @@
 	require.NoError(t, err)
 	return string(text)
 }
+
+// applyEdit brings the test configuration with one change into force.
+func applyEdit(c *cluster, from, to string) error {
+	return demo.Apply(context.Background(), c.platform, strings.Replace(testConfig(), from, to, 1))
+}
+
+func closedEngine(engines []router.EngineState, name string) bool {
+	for _, e := range engines {
+		if e.Name == name {
+			return e.Closed
+		}
+	}
+	return false
+}
