Soak under random faults; refusals before a look at the key are unknown

All came from one place: a router that has no configuration yet refuses before it can look at any record.

Change: the edge's own refusals of a request with an Idempotency-Key are unknown. TestSoak drives chats, keyed calls and edits through three processes while engines, service, platform and routers are cut, silenced, frozen, killed and replaced; make soak runs it longer.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 
 # Requests, streams and edits under random faults against real processes.
 soak:
-	$(GO) run ./test/soak --seconds $(SECONDS)
+	SOAK_SECONDS=$(SECONDS) $(GO) test -count=1 -run TestSoak -v -timeout 30m ./test/integration
 
 FUZZTIME ?= 10s
 fuzz:
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/admission"
+)
+
+// record is a Sink that keeps what it got; fail makes it refuse chunks.
+type record struct {
+	head Head
+	body strings.Builder
+	fail error
+}
+
+func (r *record) Head(h Head) error {
+	r.head = h
+	return nil
+}
+
+func (r *record) Chunk(b []byte) error {
+	r.body.Write(b)
+	return r.fail
+}
+
+// target serves with a handler that need not echo the attempt.
+func target(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
+		handler(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func run(address string, stream bool, sink Sink) Outcome {
+	r := Request{Method: http.MethodPost, Address: address, Path: "/x", Body: []byte("hello"), Attempt: NewAttempt(), Stream: stream}
+	return New(time.Second).Run(context.Background(), r, sink)
+}
+
+func TestWholeAnswer(t *testing.T) {
+	address := target(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	})
+	var sink record
+	out := run(address, false, &sink)
+	assert.True(t, out.Whole)
+	assert.Equal(t, "hello", sink.body.String())
+	assert.Equal(t, http.StatusOK, sink.head.Status)
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		stream  bool
+		sink    record
+		want    Outcome
+	}{
+		{"another attempt's answer", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(AttemptHeader, "other") },
+			false, record{}, Outcome{Reason: admission.Crossed}},
+		{"leaving", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(LeavingHeader, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, false, record{}, Outcome{NotRun: true, Leaving: true, Reason: admission.Leaving}},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			false, record{}, Outcome{Reason: admission.TargetFailed}},
+		{"half a body", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, false, record{}, Outcome{Begun: true, Reason: admission.StreamBroken}},
+		{"a stream without its end marker", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(ResumeHeader) != "" {
+				w.WriteHeader(http.StatusConflict)
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: a\n\n")
+		}, true, record{}, Outcome{Begun: true, Resumed: 1, Reason: admission.StreamBroken}},
+		{"the caller left", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") },
+			false, record{fail: errors.New("gone")}, Outcome{Begun: true, Reason: admission.CallerGone}},
+	} {
+		out := run(target(t, c.handler), c.stream, &c.sink)
+		out.Err = nil
+		assert.Equal(t, c.want, out, c.name)
+	}
+}
+
+func TestUnreachableDidNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	out := run(address, false, &record{})
+	assert.True(t, out.NotRun)
+	assert.True(t, out.Unreachable)
+}
+
+// TestTheLibraryRepeatsNothing guards against net/http, which repeats a request
+// that carries an Idempotency-Key when a reused connection breaks.
+func TestTheLibraryRepeatsNothing(t *testing.T) {
+	var runs atomic.Int64
+	address := target(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler) // after the run, without an answer
+		}
+	})
+	d := New(time.Second)
+	for _, body := range [][]byte{[]byte("x"), nil} {
+		runs.Store(0)
+		request := Request{Method: http.MethodPost, Address: address, Path: "/", Body: body, Key: "k", Attempt: NewAttempt()}
+		require.True(t, d.Run(context.Background(), request, &record{}).Whole)
+		out := d.Run(context.Background(), request, &record{}) // on the same connection
+		assert.False(t, out.NotRun)
+		assert.EqualValues(t, 2, runs.Load(), "the second was sent once")
+	}
+}
+
+func TestSilentTargetIsGivenUp(t *testing.T) {
+	release := make(chan struct{})
+	address := target(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	r := Request{Method: http.MethodPost, Address: address, Path: "/", Attempt: NewAttempt()}
+	out := New(20*time.Millisecond).Run(context.Background(), r, &record{})
+	assert.False(t, out.Whole)
+	assert.False(t, out.NotRun)
+}
+
+func TestEventsArePassedWhole(t *testing.T) {
+	text := "data: a\n\n: note\r\n\r\ndata: " + strings.Repeat("x", 40_000) + "\n\ndata: [DONE]\n\n"
+	address := target(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+		_, _ = io.WriteString(w, text+"data: after the end\n\n")
+	})
+	var sink record
+	out := run(address, true, &sink)
+	assert.True(t, out.Whole)
+	assert.Equal(t, text, sink.body.String())
+}
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -45,7 +45,7 @@
 	w.Header().Set(RequestHeader, id)
 	job, token, p := e.readChat(w, r, id)
 	if p != nil {
-		writeProblem(w, p)
+		writeProblem(w, p.without(r))
 		return
 	}
 	answer := newAnswer(w, job.Stream)
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/dispatch"
+	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/pkg/admission"
+	"github.com/croftyard/croftyard/pkg/policy"
+)
+
+func FuzzChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":"m","max_tokens":-1,"messages":[{"role":"user","content":[{"type":"text"}]}]}`))
+	group := &policy.Group{Name: "g", Parameters: policy.Defaults()}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		chat, p := parseChat(body)
+		if p != nil {
+			assert.Equal(t, 400, p.Status)
+			return
+		}
+		var job router.Job
+		measure(&job, group, chat)
+		assert.Positive(t, job.PromptTokens)
+		assert.GreaterOrEqual(t, job.PromptTokens, job.FreshTokens)
+	})
+}
+
+func expectJob(t *testing.T, body string) router.Job {
+	t.Helper()
+	chat, p := parseChat([]byte(body))
+	require.Nil(t, p)
+	var job router.Job
+	measure(&job, &policy.Group{Name: "g", Parameters: policy.Defaults()}, chat)
+	return job
+}
+
+func TestChatIsTheSameThroughItsTurns(t *testing.T) {
+	first := expectJob(t, `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"}]}`)
+	later := expectJob(t, `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"},{"role":"assistant","content":"b"},{"role":"user","content":"c"}]}`)
+	other := expectJob(t, `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"z"}]}`)
+	assert.Equal(t, first.Chat, later.Chat)
+	assert.NotEqual(t, first.Chat, other.Chat)
+	assert.Zero(t, first.Prefix, "a short system message is no prefix")
+}
+
+func TestAnswerIsHeldUntilWhole(t *testing.T) {
+	w := httptest.NewRecorder()
+	a := newAnswer(w, false)
+	require.NoError(t, a.Head(dispatch.Head{Status: 200, ContentType: "application/json"}))
+	require.NoError(t, a.Chunk([]byte(`{"half":`)))
+	refusal := admission.Doubt(admission.StreamBroken, "broke")
+	refusal.RetryAfter = 1500 * time.Millisecond
+	a.finish(refusal)
+	assert.Equal(t, 502, w.Code)
+	assert.Equal(t, "unknown", w.Header().Get(RanHeader))
+	assert.Equal(t, "2", w.Header().Get("Retry-After"))
+	var p problem
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &p), "nothing of the half answer got out")
+	assert.Equal(t, "stream_broken", p.Reason)
+}
+
+func TestLargeAnswerBreaksVisibly(t *testing.T) {
+	a := newAnswer(httptest.NewRecorder(), false)
+	require.NoError(t, a.Head(dispatch.Head{Status: 200}))
+	require.NoError(t, a.Chunk(make([]byte, holdAtMost+1)))
+	assert.Panics(t, func() { a.finish(admission.Doubt(admission.StreamBroken, "broke")) })
+}
--- a/internal/edge/problem.go
+++ b/internal/edge/problem.go
@@ -78,6 +78,16 @@
 	return p
 }
 
+// without tells the problem to a caller whose request went no further than the
+// edge. With an Idempotency-Key nobody has looked whether an earlier request
+// with that key ran, so "not run" would not be known to be true.
+func (p *problem) without(r *http.Request) *problem {
+	if r.Header.Get(IdempotencyKey) != "" {
+		p.Ran = ranUnknown
+	}
+	return p
+}
+
 func writeProblem(w http.ResponseWriter, p *problem) {
 	w.Header().Set(RanHeader, p.Ran)
 	if p.retryAfter > 0 {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -14,7 +14,7 @@
 	w.Header().Set(RequestHeader, id)
 	call, p := e.readCall(w, r, id)
 	if p != nil {
-		writeProblem(w, p)
+		writeProblem(w, p.without(r))
 		return
 	}
 	answer := newAnswer(w, false)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -152,7 +152,7 @@
 		http.Error(w, "not a chat request", http.StatusBadRequest)
 		return
 	}
-	e.Runs.add(attempt, r.Header.Get(dispatch.KeyHeader))
+	e.Runs.add(attempt, r.Header.Get(dispatch.KeyHeader), req.Messages[len(req.Messages)-1].Content)
 	e.running.Add(1)
 	defer e.running.Add(-1)
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -32,7 +32,7 @@
 			return
 		}
 		attempt := r.Header.Get(dispatch.AttemptHeader)
-		s.Runs.add(attempt, r.Header.Get(dispatch.KeyHeader))
+		s.Runs.add(attempt, r.Header.Get(dispatch.KeyHeader), string(body))
 		if s.dropNext.CompareAndSwap(true, false) {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -52,16 +52,19 @@
 	mu       sync.Mutex
 	attempts map[string]int
 	keys     map[string]int
+	bodies   map[string]int
 }
 
 func newRuns() Runs {
-	return Runs{attempts: make(map[string]int), keys: make(map[string]int)}
+	return Runs{attempts: make(map[string]int), keys: make(map[string]int), bodies: make(map[string]int)}
 }
 
-func (r *Runs) add(attempt, key string) {
+// add notes a run; body is the text by which a test knows the request.
+func (r *Runs) add(attempt, key, body string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempts[attempt]++
+	r.bodies[body]++
 	if key != "" {
 		r.keys[key]++
 	}
@@ -74,6 +77,13 @@
 	return r.keys[key]
 }
 
+// Body returns how often a request with this text ran.
+func (r *Runs) Body(body string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bodies[body]
+}
+
 // Total returns how many requests ran.
 func (r *Runs) Total() int {
 	r.mu.Lock()
--- a/test/integration/failure_test.go
+++ b/test/integration/failure_test.go
@@ -229,6 +229,17 @@
 	assert.Equal(t, "no", r.header.Get("Croftyard-Ran"), r.body)
 }
 
+func TestRouterWithoutAConfigurationKnowsNothingOfAKey(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	require.Equal(t, http.StatusOK, c.routers[0].post(t, "/v1/services/deposits/new", "x", header("Idempotency-Key", "ran")).status)
+	c.platform.SetDown(true)
+	p := c.startRouter("router-2", testCentre)
+	r := p.post(t, "/v1/services/deposits/new", "x", header("Idempotency-Key", "ran"))
+	assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	assert.Equal(t, "unknown", r.header.Get("Croftyard-Ran"))
+	assert.Equal(t, "no", p.post(t, chatPath, chatBody("x", false)).header.Get("Croftyard-Ran"))
+}
+
 func TestRouterStartsDuringAnOutageFromItsPeers(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	gate := newProxy(t, c.address)
