--- a/internal/peer/meter.go
+++ b/internal/peer/meter.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -41,3 +43,34 @@
 	out.Add(uint64(proto.Size(request) + CallOverhead))
 	back.Add(uint64(proto.Size(reply)))
 }
+
+// Probe returns a dialer whose connections count as control traffic byte for
+// byte: those to targets, to ask for their load.
+func (m *Meter) Probe(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &meteredConn{Conn: conn, meter: m}, nil
+	}
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.receivedBytes.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sentBytes.Add(uint64(n))
+	return n, err
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,7 +6,7 @@
 //	PUT  /v1/kv/KEY                    If-Revision, Lease headers; 200, 409, 410
 //	POST /v1/leases?ttl=30s            200 {"lease": N}
 //	POST /v1/leases/N                  keep alive; 200, 410
-//	GET  /v1/instances                 the lagging list, JSON
+//	GET  /v1/instances                 the lagging list, JSON; ETag, If-None-Match
 //
 // Every call has a time-out and draws on the process's rate budget, since the
 // service bears only so much in all. What matters most is the kind of error: a
@@ -42,6 +42,9 @@
 // WatchWait is how long one watch call waits at the service.
 const WatchWait = 20 * time.Second
 
+// maxAnswer bounds an answer; the list of instances may be larger than a value.
+const maxAnswer = 16 << 20
+
 // Client talks to the platform. It implements kv.Store.
 type Client struct {
 	base    string
@@ -174,6 +177,7 @@
 type answer struct {
 	status   int
 	revision uint64
+	tag      string
 	body     []byte
 }
 
@@ -230,7 +234,7 @@
 		return answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, kv.MaxValue+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return answer{}, err
 	}
@@ -238,5 +242,5 @@
 	if err != nil {
 		revision = 0
 	}
-	return answer{status: resp.StatusCode, revision: revision, body: body}, nil
+	return answer{status: resp.StatusCode, revision: revision, tag: resp.Header.Get("ETag"), body: body}, nil
 }
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -35,12 +35,13 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.board.Forget(now)
+	r.view.Age(now)
 	for name, seen := range r.leavingSeen {
 		if now.Sub(seen) > fleet.StaleAfter {
 			delete(r.leavingSeen, name)
 		}
 	}
-	r.rebuild()
+	r.refreshView()
 	for _, e := range r.engines {
 		e.Refresh(now)
 	}
@@ -198,7 +199,7 @@
 	r.board.Take(d, now)
 	r.takeLeaving(d.Leaving, now)
 	if d.Stopping {
-		r.rebuild()
+		r.refreshView()
 	}
 	for _, p := range r.pools {
 		p.refresh(r.board)
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
 	"slices"
 	"time"
 
@@ -20,8 +16,9 @@
 // away the last list stays, corrected by what the router sees.
 func (r *Router) followList(ctx context.Context) error {
 	down := false
+	tag := ""
 	for {
-		list, err := r.platform.Instances(ctx)
+		list, changed, err := r.platform.Instances(ctx, tag)
 		if err != nil && ctx.Err() == nil && !down {
 			r.log.Write(event.PlatformDown, event.F("error", err))
 		}
@@ -29,8 +26,9 @@
 			r.log.Write(event.PlatformBack)
 		}
 		down = err != nil
-		if err == nil {
-			r.takeList(list)
+		if changed {
+			tag = list.Tag
+			r.takeList(list.Instances)
 		}
 		if !sleep(ctx, r.jitter(r.settings.Platform.Poll)) {
 			return nil
@@ -42,38 +40,80 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.view.Replace(list, time.Now())
-	r.rebuild()
+	r.routers = r.routers[:0]
+	for _, i := range list {
+		if i.Role == fleet.RoleRouter && i.Name != r.settings.Name && i.State == fleet.StateLive {
+			r.routers = append(r.routers, i)
+		}
+	}
+	sortInstances(r.routers)
+	r.listChanged = true
+	r.refreshView()
 	r.listed.Store(true)
 }
 
-// rebuild makes the pools from the live view. The caller holds the mutex.
+// refreshView brings the pools up to the live view. The caller holds the
+// mutex. Pools are made anew only when the list or the set of live routers
+// changed; at 8,000 instances that takes milliseconds, and it is asked for once
+// a second and at each failure.
 //
 // Engines stay in the layout while they are suspect: taking them out would
 // move other engines between groups each time one flaps. They are only closed.
-func (r *Router) rebuild() {
+func (r *Router) refreshView() {
 	now := time.Now()
+	owners := r.ownersByCentre(now)
+	if mark := markOf(owners); r.listChanged || mark != r.ownersMark {
+		r.listChanged = false
+		r.ownersMark = mark
+		r.rebuildPools(r.enginesByPool(now), owners)
+	}
+	r.closeEngines(now)
+}
+
+// ownersByCentre returns the routers that may own groups, sorted by name.
+func (r *Router) ownersByCentre(now time.Time) map[string][]fleet.Instance {
+	owners := make(map[string][]fleet.Instance)
+	add := func(i fleet.Instance) {
+		if r.view.Health(i.Name, now) == fleet.Live && !r.stopping(i.Name) {
+			owners[i.DataCentre] = append(owners[i.DataCentre], i)
+		}
+	}
+	for _, i := range r.routers {
+		add(i)
+	}
+	if self, listed := r.view.Get(r.settings.Name); listed {
+		add(self)
+	}
+	for _, list := range owners {
+		sortInstances(list)
+	}
+	return owners
+}
+
+// markOf sums the hashes of the owners' names and addresses, which tells two
+// sets of them apart.
+func markOf(owners map[string][]fleet.Instance) uint64 {
+	mark := uint64(0)
+	for _, list := range owners {
+		for _, i := range list {
+			mark += placement.Hash(i.Name + i.Address)
+		}
+	}
+	return mark
+}
+
+func (r *Router) enginesByPool(now time.Time) map[poolName][]fleet.Instance {
 	engines := make(map[poolName][]fleet.Instance)
-	routers := make(map[string][]fleet.Instance)
-	r.routers = r.routers[:0]
-	r.view.Instances(now, func(i fleet.Instance, health fleet.Health) {
-		switch i.Role {
-		case fleet.RoleEngine:
-			for _, model := range i.Models {
-				name := poolName{DataCentre: i.DataCentre, Model: model}
-				engines[name] = append(engines[name], i)
-			}
-		case fleet.RoleRouter:
-			if health == fleet.Live && !r.stopping(i.Name) {
-				routers[i.DataCentre] = append(routers[i.DataCentre], i)
-			}
-			if i.Name != r.settings.Name && i.State == fleet.StateLive {
-				r.routers = append(r.routers, i)
-			}
+	r.view.Instances(now, func(i fleet.Instance, _ fleet.Health) {
+		if i.Role != fleet.RoleEngine {
+			return
+		}
+		for _, model := range i.Models {
+			name := poolName{DataCentre: i.DataCentre, Model: model}
+			engines[name] = append(engines[name], i)
 		}
 	})
-	sortInstances(r.routers)
-	r.rebuildPools(engines, routers)
-	r.closeEngines(now)
+	return engines
 }
 
 func (r *Router) stopping(name string) bool {
@@ -98,7 +138,6 @@
 		}
 		owners := routers[name.DataCentre]
 		sortInstances(list)
-		sortInstances(owners)
 		if p.layout != nil && sameNames(list, p.engineList()) && sameNames(owners, p.routers) {
 			continue
 		}
@@ -199,7 +238,7 @@
 	}
 	r.log.Write(what, event.F("name", name), event.F("error", err))
 	r.view.Failed(name, now)
-	r.rebuild()
+	r.refreshView()
 }
 
 // reached notes that a target or peer answered.
@@ -209,7 +248,7 @@
 	now := time.Now()
 	if r.view.Health(name, now) == fleet.Suspect {
 		r.view.Reached(name, now)
-		r.rebuild()
+		r.refreshView()
 	}
 }
 
@@ -226,87 +265,6 @@
 	r.closeEngines(now)
 }
 
-// pollLoads asks engines for their load, which tells what other routers run
-// there and whether a suspect one is back: those that are new here at once, and
-// each one of this router's groups now and then.
-func (r *Router) pollLoads(ctx context.Context) error {
-	const periods = 5
-	client := &http.Client{Timeout: time.Second}
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case e := <-r.gained:
-			r.pollLoad(ctx, client, e)
-		case <-timer.C:
-			for _, e := range r.ownEngines() {
-				r.pollLoad(ctx, client, e)
-			}
-			timer.Reset(r.jitter(periods * r.settings.Limits.DigestPeriod))
-		}
-	}
-}
-
-func (r *Router) pollLoad(ctx context.Context, client *http.Client, e fleet.Instance) {
-	running, err := loadOf(ctx, client, e.Address)
-	if ctx.Err() != nil {
-		return
-	}
-	if err != nil {
-		r.failed(e.Name, event.EngineSuspect, err)
-		return
-	}
-	r.reached(e.Name)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.engine(e).Reported(running, time.Now())
-}
-
-func (r *Router) ownEngines() []fleet.Instance {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []fleet.Instance
-	for _, p := range r.pools {
-		for _, g := range p.layout.Groups {
-			if g.Owner == placement.None || p.routers[g.Owner].Name != r.settings.Name {
-				continue
-			}
-			for _, e := range g.Engines {
-				list = append(list, p.engines[p.layout.Engines[e]])
-			}
-		}
-	}
-	return list
-}
-
-// loadReport is an engine's answer to GET /v1/load.
-type loadReport struct {
-	Running int `json:"running"`
-}
-
-func loadOf(ctx context.Context, client *http.Client, address string) (int, error) {
-	const maxReport = 4 << 10
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
-	if err != nil {
-		return 0, fmt.Errorf("router: load: %w", err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, fmt.Errorf("router: load: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("router: load: status %d", resp.StatusCode)
-	}
-	var report loadReport
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&report); err != nil {
-		return 0, fmt.Errorf("router: load: %w", err)
-	}
-	return report.Running, nil
-}
-
 // sleep waits and returns false when ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/internal/router/probe.go
@@ -0,0 +1,106 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/fleet"
+	"github.com/croftyard/croftyard/pkg/placement"
+)
+
+// pollLoads asks engines for their load, which tells what other routers run
+// there and whether a suspect one is back: those that are new here at once, and
+// each one of this router's groups now and then.
+func (r *Router) pollLoads(ctx context.Context) error {
+	const periods = 5
+	client := r.probeClient()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-r.gained:
+			r.pollLoad(ctx, client, e)
+		case <-timer.C:
+			for _, e := range r.ownEngines() {
+				r.pollLoad(ctx, client, e)
+			}
+			timer.Reset(r.jitter(periods * r.settings.Limits.DigestPeriod))
+		}
+	}
+}
+
+func (r *Router) pollLoad(ctx context.Context, client *http.Client, e fleet.Instance) {
+	running, err := loadOf(ctx, client, e.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.failed(e.Name, event.EngineSuspect, err)
+		return
+	}
+	r.reached(e.Name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engine(e).Reported(running, time.Now())
+}
+
+func (r *Router) ownEngines() []fleet.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []fleet.Instance
+	for _, p := range r.pools {
+		for _, g := range p.layout.Groups {
+			if g.Owner == placement.None || p.routers[g.Owner].Name != r.settings.Name {
+				continue
+			}
+			for _, e := range g.Engines {
+				list = append(list, p.engines[p.layout.Engines[e]])
+			}
+		}
+	}
+	return list
+}
+
+// loadReport is an engine's answer to GET /v1/load.
+type loadReport struct {
+	Running int `json:"running"`
+}
+
+func loadOf(ctx context.Context, client *http.Client, address string) (int, error) {
+	const maxReport = 4 << 10
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return 0, fmt.Errorf("router: load: %w", err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("router: load: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("router: load: status %d", resp.StatusCode)
+	}
+	var report loadReport
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&report); err != nil {
+		return 0, fmt.Errorf("router: load: %w", err)
+	}
+	return report.Running, nil
+}
+
+// probeClient returns a client whose bytes count as control traffic.
+func (r *Router) probeClient() *http.Client {
+	const idle = time.Minute
+	transport := &http.Transport{
+		DialContext:     r.meter.Probe(&net.Dialer{Timeout: time.Second}),
+		IdleConnTimeout: idle,
+	}
+	return &http.Client{Timeout: time.Second, Transport: transport}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,7 +73,11 @@
 	gained   chan fleet.Instance
 	// services counts the requests in flight at each plain target.
 	services map[string]int
-	routers  []fleet.Instance
+	// routers are the others in the list; ownersMark tells a change of those that
+	// may own groups, listChanged one of the list.
+	routers     []fleet.Instance
+	ownersMark  uint64
+	listChanged bool
 	// leavingSeen holds the targets that said themselves that they leave.
 	leavingSeen map[string]time.Time
 	sequence    uint32
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -20,11 +21,13 @@
 type Platform struct {
 	Store *kv.Memory
 
-	mu     sync.Mutex
-	list   []fleet.Instance
-	down   bool
-	writes int
-	reads  int
+	mu   sync.Mutex
+	list []fleet.Instance
+	// listVersion counts the changes of the list.
+	listVersion int
+	down        bool
+	writes      int
+	reads       int
 	// loseAnswers is how many writes take effect without an answer.
 	loseAnswers int
 }
@@ -98,6 +101,7 @@
 func (p *Platform) Put(i fleet.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listVersion++
 	at := slices.IndexFunc(p.list, func(other fleet.Instance) bool { return other.Name == i.Name })
 	if at < 0 {
 		p.list = append(p.list, i)
@@ -110,6 +114,7 @@
 func (p *Platform) Remove(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listVersion++
 	p.list = slices.DeleteFunc(p.list, func(i fleet.Instance) bool { return i.Name == name })
 }
 
@@ -215,10 +220,16 @@
 	}
 }
 
-func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	list := slices.Clone(p.list)
+	tag := fmt.Sprintf("%q", strconv.Itoa(p.listVersion))
 	p.mu.Unlock()
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, list)
 }
 
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -49,6 +49,11 @@
 	for _, i := range list {
 		v.listed[i.Name] = i
 	}
+	v.Age(now)
+}
+
+// Age drops corrections that no longer say anything.
+func (v *View) Age(now time.Time) {
 	for name, n := range v.notes {
 		_, listed := v.listed[name]
 		if n.aged(now) && (!listed || n.failures == 0) {
--- a/test/integration/bench_test.go
+++ b/test/integration/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/standin"
+	"github.com/croftyard/croftyard/pkg/fleet"
 )
 
 // benchTokens is the length of a streamed answer in the benchmarks.
@@ -111,3 +112,67 @@
 	b.ReportMetric(spent.Seconds()*1e6/tokens/2, "cpu-µs/token/router")
 	b.ReportMetric(tokens/spent.Seconds()*2, "tokens/s/core/router")
 }
+
+// BenchmarkMemoryOfStreams reports the memory that open streams keep in a
+// router that is edge and owner at once.
+func BenchmarkMemoryOfStreams(b *testing.B) {
+	for _, streams := range []int{100, 200, 400} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			c := newCluster(b, 0, 1)
+			for n := range 10 {
+				c.addEngine(fmt.Sprintf("slow-%d", n), standin.EngineOptions{TokenTime: time.Hour, CacheTokens: 1 << 20})
+			}
+			c.waitReady()
+			before := memoryOf(b, c.routers[0])
+			for range streams {
+				go func() {
+					// Ends when the cluster does.
+					_, _ = c.routers[0].tryPost(chatPath, benchBody(), header("Croftyard-Deadline", "2m"))
+				}()
+			}
+			c.eventually("all are open", func() bool {
+				s, err := c.routers[0].state()
+				return err == nil && s.Active == int64(streams)
+			})
+			for b.Loop() {
+				time.Sleep(time.Millisecond)
+			}
+			after := memoryOf(b, c.routers[0])
+			b.ReportMetric(float64(before)/(1<<20), "idle-MB")
+			b.ReportMetric(float64(after-before)/float64(streams)/(1<<10), "KB/stream")
+		})
+	}
+}
+
+// BenchmarkIdleRouter reports what a router spends without any request.
+func BenchmarkIdleRouter(b *testing.B) {
+	for _, engines := range []int{1000, 4000, 8000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			c := newPacedCluster(b, 1, 3, "1s", "1s")
+			address := c.serve(c.engines[0].Handler())
+			for n := range engines {
+				// 28 models in five data centres, and 11 engines a router in this one.
+				centre := []string{"a", "b", "c", "d"}[n%4]
+				if n < 33 {
+					centre = testCentre
+				}
+				c.platform.Put(fleet.Instance{
+					Name: fmt.Sprintf("listed-%d", n), Role: fleet.RoleEngine, DataCentre: centre,
+					Address: address, State: fleet.StateLive, Models: []string{fmt.Sprintf("model-%d", n%28)},
+				})
+			}
+			c.eventually("seen", func() bool {
+				s, err := c.routers[0].state()
+				return err == nil && len(s.Instances) > engines
+			})
+			const watched = 10 * time.Second
+			for b.Loop() {
+				cpu, began := cpuTime(b, c.routers[0]), time.Now()
+				time.Sleep(watched)
+				spent := cpuTime(b, c.routers[0]) - cpu
+				b.ReportMetric(100*spent.Seconds()/time.Since(began).Seconds(), "%core")
+				b.ReportMetric(float64(memoryOf(b, c.routers[0]))/(1<<20), "MB")
+			}
+		})
+	}
+}
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -67,6 +67,8 @@
 	engines  []*standin.Engine
 	services map[string]*standin.Service
 	routers  []*process
+	// poll and digest are the routers' periods, short in tests.
+	poll, digest string
 }
 
 // process is one router process.
@@ -112,7 +114,15 @@
 // newCluster starts a platform, engines and services, and routers.
 func newCluster(t testing.TB, engines, routers int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, platform: standin.NewPlatform(), services: make(map[string]*standin.Service)}
+	return newPacedCluster(t, engines, routers, "50ms", "100ms")
+}
+
+func newPacedCluster(t testing.TB, engines, routers int, poll, digest string) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, platform: standin.NewPlatform(), services: make(map[string]*standin.Service),
+		poll: poll, digest: digest,
+	}
 	c.address = c.serve(c.platform.Handler())
 	for n := range engines {
 		c.addEngine(fmt.Sprintf("engine-%d", n+1), standin.EngineOptions{CacheTokens: 1 << 20})
@@ -174,14 +184,14 @@
 admin = 127.0.0.1:0
 [platform]
 url = http://%s
-poll = 50ms
+poll = %s
 rate = 200
 timeout = 1s
 [limits]
-digest_period = 100ms
+digest_period = %s
 drain = 20s
 body = 100000
-`, name, centre, address)
+`, name, centre, address, c.poll, c.digest)
 	path := filepath.Join(c.t.TempDir(), name+".ini")
 	require.NoError(c.t, os.WriteFile(path, []byte(text), 0o600))
 	p := &process{name: name, stderr: &lockedBuffer{}, exited: make(chan struct{})}
--- a/test/integration/proc_test.go
+++ b/test/integration/proc_test.go
@@ -27,3 +27,13 @@
 	}
 	return ticks * tick
 }
+
+// memoryOf reads a process's resident memory in bytes.
+func memoryOf(t testing.TB, p *process) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	pages, err := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	require.NoError(t, err)
+	return pages * int64(os.Getpagesize())
+}
