--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 //
 //	GET  /state            the state dump, JSON
 //	GET  /metrics          all metrics, one a line
+//	GET  /explain          where a request would go: ?group=&model=&token=
 //	GET  /log-level        PUT sets it
 //	POST /drain            begins a planned stop
 package admin
@@ -37,6 +38,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", a.state)
 	mux.HandleFunc("GET /metrics", a.metrics)
+	mux.HandleFunc("GET /explain", a.explain)
 	mux.HandleFunc("GET /log-level", a.logLevel)
 	mux.HandleFunc("PUT /log-level", a.setLogLevel)
 	mux.HandleFunc("POST /drain", a.startDrain)
@@ -57,11 +59,29 @@
 func (a *Admin) Close() { a.server.Close() }
 
 func (a *Admin) state(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, a.router.State())
+}
+
+func (a *Admin) explain(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	explanation, err := a.router.Explain(router.Question{
+		Group: query.Get("group"),
+		Model: query.Get("model"),
+		Token: query.Get("token"),
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	writeJSON(w, explanation)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
 	// A caller that left needs no answer.
-	_ = encoder.Encode(a.router.State())
+	_ = encoder.Encode(v)
 }
 
 func (a *Admin) metrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -62,7 +62,7 @@
 	Routers int
 	Engines int
 	// Port is the callers' port of the first router; its peers' and admin ports
-	// and the other routers' follow. 0 picks free ports.
+	// and the other routers' follow, then the platform's. 0 picks free ports.
 	Port  int
 	Level logrus.Level
 	Log   io.Writer
@@ -82,7 +82,7 @@
 func Start(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{Platform: standin.NewPlatform()}
 	var err error
-	if f.platform, err = standin.Serve("127.0.0.1:0", f.Platform.Handler()); err != nil {
+	if f.platform, err = standin.Serve(platformAddress(o), f.Platform.Handler()); err != nil {
 		return nil, err
 	}
 	f.servers = append(f.servers, f.platform)
@@ -103,6 +103,16 @@
 	return f, f.waitReady(ctx)
 }
 
+// platformPort is the platform's port beyond the first router's.
+const platformPort = 10
+
+func platformAddress(o Options) string {
+	if o.Port == 0 {
+		return "127.0.0.1:0"
+	}
+	return fmt.Sprintf("127.0.0.1:%d", o.Port+platformPort)
+}
+
 // Apply brings a configuration into force in a stand-in platform.
 func Apply(ctx context.Context, p *standin.Platform, text string) error {
 	segments, err := policy.Split("demo", []byte(text))
