--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 # Slopes for docs/CAPACITY.md.
 capacity:
 	$(GO) run ./test/capacity
+	$(GO) test -run '^$$' -bench 'MemoryOfStreams|IdleRouter' -benchtime 1x ./test/integration
+	$(GO) test -run '^$$' -bench 'AddedTime|StreamedTokens' -benchtime 400x ./test/integration
+	$(GO) test -run '^$$' -bench Exchange ./internal/peer
 
 # The core protocol, checked exhaustively, and its mutants.
 verify: setup
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -134,3 +134,21 @@
 	err = client.Forward(context.Background(), address, &peerpb.ForwardRequest{}, func(*peerpb.ForwardEvent) error { return gone })
 	assert.ErrorIs(t, err, gone)
 }
+
+// BenchmarkExchange is one digest sent and answered, both ends in one process.
+func BenchmarkExchange(b *testing.B) {
+	server, err := Listen("127.0.0.1:0", Handler{Exchange: func(m *peerpb.Digest) *peerpb.DigestReply {
+		DecodeDigest(m)
+		return &peerpb.DigestReply{Version: 4}
+	}}, &Meter{})
+	require.NoError(b, err)
+	defer server.Close()
+	client := NewClient(&Meter{})
+	defer client.Close()
+	d := sampleDigest()
+	for b.Loop() {
+		if _, err := client.Exchange(context.Background(), server.Address(), EncodeDigest(d)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
 	"github.com/croftyard/croftyard/pkg/fleet"
@@ -151,19 +153,43 @@
 }
 
 // askPeers pulls from every peer that answers, so that a router that starts
-// during an outage takes the newest version that any of them has.
+// during an outage takes the newest version that any of them has. Those of its
+// own data centre come first: they are the likeliest within reach.
 func (c *config) askPeers(ctx context.Context) {
-	c.router.mu.Lock()
-	routers := slices.Clone(c.router.routers)
-	c.router.mu.Unlock()
-	for _, other := range routers {
-		c.pull(ctx, other.Address)
+	const atOnce = 32
+	var round errgroup.Group
+	round.SetLimit(atOnce)
+	for _, other := range c.peersNearFirst() {
+		round.Go(func() error {
+			c.pull(ctx, other.Address)
+			return nil
+		})
 	}
+	// No pull returns an error; a peer that does not answer has nothing to give.
+	_ = round.Wait()
 	if c.router.version() > 0 {
 		c.settled.Store(true)
 	}
 }
 
+func (c *config) peersNearFirst() []fleet.Instance {
+	c.router.mu.Lock()
+	routers := slices.Clone(c.router.routers)
+	c.router.mu.Unlock()
+	own := c.router.settings.DataCentre
+	slices.SortStableFunc(routers, func(a, b fleet.Instance) int {
+		return cmp.Compare(distance(a, own), distance(b, own))
+	})
+	return routers
+}
+
+func distance(i fleet.Instance, dataCentre string) int {
+	if i.DataCentre == dataCentre {
+		return 0
+	}
+	return 1
+}
+
 // watches tells whether this router is one of the watchers.
 func (c *config) watches() bool {
 	r := c.router
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -150,7 +150,7 @@
 		}
 	}
 	demands := make(map[fleet.ID]float64)
-	r.limits.Demands(time.Now(), func(organisation string, demand float64) {
+	r.limits.Pressing(time.Now(), r.fleetSize(), func(organisation string, demand float64) {
 		demands[shortName(organisation)] = demand
 	})
 	d := fleet.Digest{
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -18,7 +18,7 @@
 // there and whether a suspect one is back: those that are new here at once, and
 // each one of this router's groups now and then.
 func (r *Router) pollLoads(ctx context.Context) error {
-	const periods = 5
+	const periods = 10
 	client := r.probeClient()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -32,7 +32,7 @@
 			for _, e := range r.ownEngines() {
 				r.pollLoad(ctx, client, e)
 			}
-			timer.Reset(r.jitter(periods * r.settings.Limits.DigestPeriod))
+			timer.Reset(r.jitter(periods * r.digestPeriod()))
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,7 +82,7 @@
 			Body:         8 << 20,
 			Header:       32 << 10,
 			Queue:        4096,
-			Slots:        64,
+			Slots:        256,
 			Idle:         30 * time.Second,
 			Drain:        2 * time.Minute,
 			DigestPeriod: time.Second,
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -182,6 +182,15 @@
 	assert.Nil(t, l.Admit(start, "other", limit, 100, 1), "limits of organisations are apart")
 }
 
+func TestOnlyPressingDemandIsTold(t *testing.T) {
+	l := NewLimits()
+	require.Nil(t, l.Admit(start, "small", Limit{Rate: 1000, Burst: 10_000}, 100, 1))
+	require.Nil(t, l.Admit(start, "large", Limit{Rate: 1000, Burst: 10_000}, 4000, 1))
+	var told []string
+	l.Pressing(start, 2, func(organisation string, _ float64) { told = append(told, organisation) })
+	assert.Equal(t, []string{"large"}, told)
+}
+
 func TestPartFollowsDemand(t *testing.T) {
 	for _, c := range []struct {
 		own, others float64
--- a/pkg/admission/limits.go
+++ b/pkg/admission/limits.go
@@ -21,6 +21,8 @@
 type bucket struct {
 	limiter *rate.Limiter
 	demand  Meter
+	// rate is the organisation's limit for the whole fleet.
+	rate float64
 	// part is the fraction of the organisation's limit that is this router's.
 	part float64
 }
@@ -60,6 +62,7 @@
 }
 
 func (b *bucket) limit(now time.Time, limit Limit) {
+	b.rate = limit.Rate
 	perSecond := rate.Limit(limit.Rate * b.part)
 	if b.limiter.Limit() != perSecond {
 		b.limiter.SetLimitAt(now, perSecond)
@@ -86,6 +89,19 @@
 	return b.demand.Rate(now)
 }
 
+// Pressing calls visit for each organisation whose demand here would, if all
+// routers saw as much, come near its limit. Only these need to be told to other
+// routers: for the rest the split does not bind.
+func (l *Limits) Pressing(now time.Time, routers int, visit func(organisation string, demand float64)) {
+	const near = 0.5
+	for organisation, b := range l.buckets {
+		demand := b.demand.Rate(now)
+		if demand*float64(routers) >= near*b.rate {
+			visit(organisation, demand)
+		}
+	}
+}
+
 // Demands calls visit for each organisation seen lately and forgets the others.
 func (l *Limits) Demands(now time.Time, visit func(organisation string, demand float64)) {
 	const forgotten = 0.01
--- /dev/null
+++ b/pkg/fleet/example_test.go
@@ -0,0 +1,19 @@
+package fleet_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/fleet"
+)
+
+// A view corrects the platform's lagging list by what was seen.
+func Example() {
+	now := time.Now()
+	view := fleet.NewView()
+	view.Replace([]fleet.Instance{{Name: "engine-a", State: fleet.StateLive}}, now)
+	view.Failed("engine-a", now)
+	fmt.Println(view.Health("engine-a", now), view.Health("engine-a", now.Add(2*time.Second)))
+	// Output:
+	// suspect live
+}
--- /dev/null
+++ b/pkg/policy/example_test.go
@@ -0,0 +1,35 @@
+package policy_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/kv"
+	"github.com/croftyard/croftyard/pkg/policy"
+)
+
+// An edit is brought into force and adopted.
+func Example() {
+	ctx := context.Background()
+	store := kv.NewMemory(time.Now)
+	segments, err := policy.Split("fleet.ini", []byte("[group agents]\norganisation = harrowgate\nshare = 3\n"))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	head, err := policy.Apply(ctx, store, policy.Proposal{ID: "edit-1", At: time.Now(), Put: segments})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	snapshot, err := policy.Load(ctx, store, head, nil)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	var adopted policy.Adopted
+	fmt.Println(adopted.Offer(snapshot), adopted.Current().Groups["agents"].Share)
+	// Output:
+	// true 3
+}
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -142,37 +142,43 @@
 	}
 }
 
-// digests measures control bytes in steady state: each router leads 152 / 136
-// of the groups of each pool size, and tells 8 organisations.
+// digests measures control bytes in steady state: each router leads two groups
+// and tells so many organisations whose demand comes near their limit.
 func digests() {
-	table("Digests: control traffic of one router, sent and received", "routers", "period s", "messages sent", "bytes a second", "ns to take one")
-	for _, n := range []int{9, 18, 36, 64, 136} {
-		routers := hashes("router", n)
-		own := func(i int) fleet.Digest {
-			d := fleet.Digest{Sender: fleet.Short(routers[i]), Sequence: 1 << 20, Version: 1 << 21}
-			for g := range 2 {
-				d.Loads = append(d.Loads, fleet.GroupLoad{Group: fleet.ID(1<<30 + 2*i + g), Load: 20})
-			}
-			for o := range fleet.MaxDemands {
-				d.Demands = append(d.Demands, fleet.Demand{Organisation: fleet.ID(1<<30 + o), Rate: 5000})
-			}
-			return d
+	table("Digests: control traffic of one router, sent and received", "routers", "organisations told", "period s", "messages sent", "bytes a second", "ns to take one")
+	for _, told := range []int{1, 4, fleet.MaxDemands} {
+		for _, n := range []int{9, 18, 36, 64, 136} {
+			digestRow(n, told)
 		}
-		total, messages := 0, 0
-		for i := range routers {
-			bytes, sent := round(routers, i, own)
-			total += bytes
-			messages += sent
+	}
+}
+
+func digestRow(n, told int) {
+	routers := hashes("router", n)
+	own := func(i int) fleet.Digest {
+		d := fleet.Digest{Sender: fleet.Short(routers[i]), Sequence: 1 << 20, Version: 1 << 21}
+		for g := range 2 {
+			d.Loads = append(d.Loads, fleet.GroupLoad{Group: fleet.ID(1<<30 + 2*i + g), Load: 20})
 		}
-		period := fleet.Period(time.Second, n)
-		board := fleet.NewBoard(1)
-		d := own(0)
-		take := perCall(func() {
-			d.Sequence++
-			board.Take(d, time.Unix(0, 0))
-		})
-		row(n, period.Seconds(), float64(messages)/float64(n), 2*float64(total)/float64(n)/period.Seconds(), take)
+		for o := range told {
+			d.Demands = append(d.Demands, fleet.Demand{Organisation: fleet.ID(1<<30 + o), Rate: 5000})
+		}
+		return d
 	}
+	total, messages := 0, 0
+	for i := range routers {
+		bytes, sent := round(routers, i, own)
+		total += bytes
+		messages += sent
+	}
+	period := fleet.Period(time.Second, n)
+	board := fleet.NewBoard(1)
+	d := own(0)
+	take := perCall(func() {
+		d.Sequence++
+		board.Take(d, time.Unix(0, 0))
+	})
+	row(n, told, period.Seconds(), float64(messages)/float64(n), 2*float64(total)/float64(n)/period.Seconds(), take)
 }
 
 // round returns the bytes and messages that router i sends in one period.
--- a/test/measure/croftyard.go
+++ b/test/measure/croftyard.go
@@ -15,7 +15,7 @@
 
 const (
 	digestPeriod = time.Second
-	pollEvery    = 5
+	pollEvery    = 10
 	maxHops      = 3
 	queueLimit   = 4096
 	groupSize    = 10
