Requests with an adapter go only to engines that hold it

Cause: reading the path as a newcomer showed that the adapter was checked against the group's parameters and then forgotten: any engine of the model could get the request.

Change: the edge chooses among the groups in which some engine holds the adapter, the owner among those engines; none is a clear refusal.

Conclusion: eligibility by model and adapter holds; by role is not asked yet.

--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -106,6 +106,9 @@
 		Bound:    job.Group.Bound,
 		LastHop:  hopsLeft == 0,
 	}
+	if job.Adapter != "" {
+		request.Adapter = placement.Hash(job.Adapter)
+	}
 	if s := r.adopted.Current(); s != nil && job.Engine != 0 {
 		cached := float64(job.PromptTokens - job.FreshTokens)
 		request.Saved = time.Duration(cached / s.Fleet.PrefillRate * float64(time.Second))
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -138,7 +138,7 @@
 		}
 		owners := routers[name.DataCentre]
 		sortInstances(list)
-		if p.layout != nil && sameNames(list, p.engineList()) && sameNames(owners, p.routers) {
+		if p.layout != nil && sameInstances(list, p.engineList()) && sameInstances(owners, p.routers) {
 			continue
 		}
 		p.lay(list, owners, groupSize, r.engine)
@@ -186,8 +186,10 @@
 	return list
 }
 
-func sameNames(a, b []fleet.Instance) bool {
-	return slices.EqualFunc(a, b, func(x, y fleet.Instance) bool { return x.Name == y.Name && x.Address == y.Address })
+func sameInstances(a, b []fleet.Instance) bool {
+	return slices.EqualFunc(a, b, func(x, y fleet.Instance) bool {
+		return x.Name == y.Name && x.Address == y.Address && slices.Equal(x.Adapters, y.Adapters)
+	})
 }
 
 // engine returns the counts of an engine, which outlive layouts.
@@ -212,6 +214,7 @@
 		e := r.engine(i)
 		listed[e.Hash] = true
 		e.Closed = health != fleet.Live
+		e.Adapters = hashesOf(i.Adapters, e.Adapters[:0])
 		e.Ramp = r.view.Ramp(i.Name, now)
 	})
 	for hash, e := range r.engines {
@@ -228,6 +231,13 @@
 	}
 }
 
+func hashesOf(names []string, into []uint64) []uint64 {
+	for _, name := range names {
+		into = append(into, placement.Hash(name))
+	}
+	return into
+}
+
 // failed notes that a target or peer could not be reached.
 func (r *Router) failed(name string, what event.ID, err error) {
 	r.mu.Lock()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -36,6 +36,8 @@
 	routers []fleet.Instance
 	// index finds a group by the short ID that digests carry.
 	index map[fleet.ID]int
+	// adapters are the groups in which some engine holds an adapter, by its name.
+	adapters map[string][]int
 	// loads are the lagged loads of the groups, refreshed by digests.
 	loads placement.Loads
 	// owned holds the queues of the groups that this router has served.
@@ -63,15 +65,39 @@
 	p.layout = placement.NewLayout(placement.Hash(p.name.String()), hashes, routerHashes, groupSize)
 	p.index = make(map[fleet.ID]int, len(p.layout.Groups))
 	p.loads = make(placement.Loads, len(p.layout.Groups))
+	p.adapters = make(map[string][]int)
 	for g, group := range p.layout.Groups {
 		p.index[fleet.Short(group.ID)] = g
 		p.loads[g] = -1
+		p.noteAdapters(g)
 	}
 	for id, owned := range p.owned {
 		owned.SetEngines(p.members(id, state))
 	}
 }
 
+func (p *pool) noteAdapters(g int) {
+	for _, at := range p.layout.Groups[g].Engines {
+		for _, adapter := range p.engines[p.layout.Engines[at]].Adapters {
+			if !slices.Contains(p.adapters[adapter], g) {
+				p.adapters[adapter] = append(p.adapters[adapter], g)
+			}
+		}
+	}
+}
+
+// eligible returns the groups that can serve a request with this adapter, nil
+// for all when it needs none.
+func (p *pool) eligible(adapter string) []int {
+	if adapter == "" {
+		return nil
+	}
+	if groups := p.adapters[adapter]; groups != nil {
+		return groups
+	}
+	return []int{}
+}
+
 // members returns the engines of a group, none if the group is gone.
 func (p *pool) members(id uint64, state func(fleet.Instance) *owner.Engine) []*owner.Engine {
 	g := p.layout.Group(id)
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -103,6 +103,14 @@
 	return admission.Work(j.PromptTokens, cached, j.OutputTokens)
 }
 
+// wanted names what an engine must serve.
+func (j *Job) wanted() string {
+	if j.Adapter == "" {
+		return j.Model
+	}
+	return fmt.Sprintf("%s with adapter %s", j.Model, j.Adapter)
+}
+
 // place is the edge's decision for one hop.
 type place struct {
 	pool   *pool
@@ -121,7 +129,7 @@
 	for hop := 1; hop <= maxHops; hop++ {
 		at, found := r.choose(job, from, avoid)
 		if !found {
-			return admission.Refuse(admission.NoEngine, time.Second, fmt.Sprintf("no live engine serves %s", job.Model))
+			return admission.Refuse(admission.NoEngine, time.Second, "no live engine serves "+job.wanted())
 		}
 		refusal := r.hop(ctx, job, at, maxHops-hop, answer)
 		if refusal == nil || !refusal.NotRun || !passable(refusal.Reason) {
@@ -159,7 +167,7 @@
 	}
 	at := place{pool: p}
 	if from != placement.None && from < len(p.layout.Groups) {
-		at.choice = p.layout.PassOn(from, p.loads, r.rnd)
+		at.choice = p.layout.PassOn(from, p.eligible(job.Adapter), p.loads, r.rnd)
 	} else {
 		at.choice = p.layout.Choose(r.request(p, job), p.loads, job.Group.Bound, r.rnd)
 	}
@@ -186,6 +194,7 @@
 		Prefix:      job.Prefix,
 		PrefixShare: r.traffic.Seen(job.Prefix, time.Now()),
 		Engine:      r.tokenEngine(p, job.Engine),
+		Only:        p.eligible(job.Adapter),
 	}
 }
 
--- a/pkg/owner/engine.go
+++ b/pkg/owner/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -36,6 +37,8 @@
 	Ramp float64
 	// Closed: it gets no new work now (leaving, or not answering).
 	Closed bool
+	// Adapters are the hashes of the adapters that it holds.
+	Adapters []uint64
 
 	prefixes *simplelru.LRU[uint64, struct{}]
 	// told holds other routers' own counts; it is empty but for the seconds in
@@ -113,7 +116,7 @@
 
 // state is the engine as PickEngine sees it. One that is being ramped up looks
 // fuller than it is.
-func (e *Engine) state(prefix uint64) placement.EngineState {
+func (e *Engine) state(prefix, adapter uint64) placement.EngineState {
 	inFlight := e.InFlight + int(math.Ceil(float64(e.foreign)*foreignWeight))
 	if e.Ramp < 1 {
 		inFlight = int(math.Ceil(float64(inFlight+1)/e.Ramp)) - 1
@@ -122,6 +125,6 @@
 		InFlight:   inFlight,
 		Slots:      e.Slots,
 		Holds:      prefix != 0 && e.prefixes.Contains(prefix),
-		Ineligible: e.Closed,
+		Ineligible: e.Closed || adapter != 0 && !slices.Contains(e.Adapters, adapter),
 	}
 }
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -37,6 +37,8 @@
 	Engine uint64
 	// Prefix is the shared prefix's hash, or 0.
 	Prefix uint64
+	// Adapter is the hash of the adapter that the engine must hold, or 0.
+	Adapter uint64
 	// Saved is the time that the token's engine saves by its cache: the longest
 	// that it is worth waiting for it.
 	Saved time.Duration
@@ -194,7 +196,7 @@
 func (g *Group[T]) pick(t *Ticket[T]) *Engine {
 	token := placement.None
 	for i, e := range g.engines {
-		g.states[i] = e.state(t.Prefix)
+		g.states[i] = e.state(t.Prefix, t.Adapter)
 		if t.Engine != 0 && e.Hash == t.Engine && !g.states[i].Ineligible {
 			token = i
 		}
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -117,6 +117,20 @@
 	assert.EqualValues(t, 2, x.Granted().Hash, "no waiting for an engine that leaves")
 }
 
+func TestAdapterNeedsAnEngineThatHoldsIt(t *testing.T) {
+	b := newBench(3, 1)
+	b.engines[1].Adapters = []uint64{7}
+	for want := 1; want <= 2; want++ {
+		x := ticket(func(r *Request) { r.Adapter = 7 })
+		require.Nil(t, b.Enter(x, start))
+		if want == 1 {
+			assert.EqualValues(t, 2, x.Granted().Hash)
+			continue
+		}
+		assert.Nil(t, x.Granted(), "the others do not hold it")
+	}
+}
+
 func TestReturningEngineIsLoadedGradually(t *testing.T) {
 	b := newBench(2, 0)
 	b.SetMean(10)
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 // Request is what the edge knows of a request before it is placed.
@@ -15,6 +16,9 @@
 	PrefixShare float64
 	// Engine is the index of the token's engine in the layout, or None.
 	Engine int
+	// Only are the groups that can serve the request, such as those with its
+	// adapter; nil for all.
+	Only []int
 }
 
 // Loads is what the edge knows of the groups: requests queued and in flight
@@ -88,7 +92,7 @@
 	if rnd.Float64() >= 1-target/load {
 		return choice
 	}
-	return l.divert(choice, loads, mean, rnd)
+	return l.divert(choice, req.Only, loads, mean, rnd)
 }
 
 // home is the group a request would go to if no group were overloaded.
@@ -96,6 +100,9 @@
 	if len(l.Groups) == 0 {
 		return Choice{Group: None, Engine: None}
 	}
+	if req.Only != nil {
+		return l.homeAmong(req)
+	}
 	if req.Engine != None {
 		return Choice{Group: l.GroupOf[req.Engine], Engine: req.Engine, Origin: FromToken}
 	}
@@ -105,6 +112,24 @@
 	return Choice{Group: l.ByRendezvous(req.Chat), Engine: None, Origin: FromChat}
 }
 
+// homeAmong is home for a request that only some groups can serve: they are few,
+// so a shared prefix finds them by itself.
+func (l *Layout) homeAmong(req Request) Choice {
+	if req.Engine != None && slices.Contains(req.Only, l.GroupOf[req.Engine]) {
+		return Choice{Group: l.GroupOf[req.Engine], Engine: req.Engine, Origin: FromToken}
+	}
+	best := Choice{Group: None, Engine: None, Origin: FromChat}
+	bestScore := -1.0
+	for _, g := range req.Only {
+		weight := float64(len(l.Groups[g].Engines))
+		if s := weightedScore(req.Chat, l.Groups[g].ID, weight); s > bestScore {
+			best.Group = g
+			bestScore = s
+		}
+	}
+	return best
+}
+
 // SpreadSize is the number of groups that a prefix with this share of the
 // traffic is spread over: twice its share, and two so that there is a choice.
 func SpreadSize(share float64, groups int) int {
@@ -128,12 +153,12 @@
 
 // divert takes the less loaded of two random groups, the power of two choices:
 // unlike the least loaded of all, it differs between edges.
-func (l *Layout) divert(from Choice, loads Loads, mean float64, rnd *rand.Rand) Choice {
-	if len(l.Groups) < 2 {
+func (l *Layout) divert(from Choice, only []int, loads Loads, mean float64, rnd *rand.Rand) Choice {
+	first := l.otherGroup(from.Group, only, rnd)
+	second := l.otherGroup(from.Group, only, rnd)
+	if first == None || second == None {
 		return from
 	}
-	first := l.otherGroup(from.Group, rnd)
-	second := l.otherGroup(from.Group, rnd)
 	if loadOf(loads, second, mean) < loadOf(loads, first, mean) {
 		first = second
 	}
@@ -145,17 +170,33 @@
 
 // PassOn returns another group for a request that the owner of from could not
 // place because all of its engines are at the bound.
-func (l *Layout) PassOn(from int, loads Loads, rnd *rand.Rand) Choice {
+func (l *Layout) PassOn(from int, only []int, loads Loads, rnd *rand.Rand) Choice {
 	none := Choice{Group: from, Engine: None, Origin: FromNothing}
-	return l.divert(none, loads, l.Mean(loads), rnd)
+	return l.divert(none, only, loads, l.Mean(loads), rnd)
+}
+
+// otherGroup returns a random group other than not, or None.
+func (l *Layout) otherGroup(not int, only []int, rnd *rand.Rand) int {
+	if only != nil {
+		at := slices.Index(only, not)
+		if at < 0 || len(only) < 2 {
+			return None
+		}
+		return only[randomOther(len(only), at, rnd)]
+	}
+	if len(l.Groups) < 2 {
+		return None
+	}
+	return randomOther(len(l.Groups), not, rnd)
 }
 
-func (l *Layout) otherGroup(not int, rnd *rand.Rand) int {
-	g := rnd.IntN(len(l.Groups) - 1)
-	if g >= not {
-		g++
+// randomOther returns a random number below n other than not.
+func randomOther(n, not int, rnd *rand.Rand) int {
+	i := rnd.IntN(n - 1)
+	if i >= not {
+		i++
 	}
-	return g
+	return i
 }
 
 func loadOf(loads Loads, group int, mean float64) float64 {
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/demo"
+	"github.com/croftyard/croftyard/internal/standin"
+	"github.com/croftyard/croftyard/pkg/fleet"
 )
 
 type usageBody struct {
@@ -129,6 +131,28 @@
 	}
 }
 
+func TestAdapterIsServedWhereItIs(t *testing.T) {
+	c := newCluster(t, 4, 2)
+	require.NoError(t, applyEdit(c, "models = drafting", "models = drafting\nadapters = deeds, wills"))
+	holder := c.addEngine("holder", standin.EngineOptions{CacheTokens: 1 << 20})
+	c.platform.Put(fleet.Instance{
+		Name: "holder", Role: fleet.RoleEngine, DataCentre: testCentre, Address: c.serve(holder.Handler()),
+		State: fleet.StateLive, Models: []string{"drafting"}, Adapters: []string{"deeds"},
+	})
+	for _, p := range c.routers {
+		c.eventually("edit and engine seen", func() bool {
+			s, err := p.state()
+			return err == nil && s.ConfigVersion == 2 && len(s.Instances) == 9
+		})
+		for range 5 {
+			expectWhole(t, p.post(t, chatPath, chatBody("x", true), header("Croftyard-Adapter", "deeds")), "x")
+		}
+		r := p.post(t, chatPath, chatBody("x", true), header("Croftyard-Adapter", "wills"))
+		assert.Contains(t, r.body, "no live engine serves drafting with adapter wills")
+	}
+	assert.Equal(t, 10, holder.Runs.Total())
+}
+
 func TestPlainService(t *testing.T) {
 	c := newCluster(t, 1, 1)
 	r := c.routers[0].post(t, "/v1/services/lookup/names/a%2Fb?like=1", "body")
