Fenced orders from the daemon: load adapter

Cause: groups may use adapters, but nothing had an engine hold one; pkg/orders stood unused.

Change: three routers by rendezvous ask for the right; its holder has engines load what the configuration wants, staggered by the weight store's rate.

Conclusion: one order, as the issue asks; models, versions and roles are left.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,7 @@
 	// LeavingHeader on a 503 tells that the target leaves and did not run it.
 	LeavingHeader = "Croftyard-Leaving"
 	KeyHeader     = "Idempotency-Key"
+	AdapterHeader = "Croftyard-Adapter"
 )
 
 // Request is one attempt's request.
@@ -50,6 +51,8 @@
 	Attempt string
 	// Key is the caller's Idempotency-Key, or empty.
 	Key string
+	// Adapter is the adapter that the engine is to use, or empty.
+	Adapter string
 	// Stream tells that a server-sent event stream is expected.
 	Stream bool
 }
@@ -205,6 +208,9 @@
 	if a.request.Key != "" {
 		req.Header.Set(KeyHeader, a.request.Key)
 	}
+	if a.request.Adapter != "" {
+		req.Header.Set(AdapterHeader, a.request.Adapter)
+	}
 	if a.begun {
 		req.Header.Set(ResumeHeader, strconv.Itoa(a.events))
 	}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -17,7 +17,6 @@
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/kv"
-	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -198,17 +197,7 @@
 	if !c.settled.Load() || r.fleetSize() <= watchAll {
 		return true
 	}
-	key := placement.Hash(watchersKey)
-	names := []string{r.settings.Name}
-	for _, other := range r.routers {
-		if other.DataCentre == r.settings.DataCentre && r.view.Health(other.Name, time.Now()) == fleet.Live {
-			names = append(names, other.Name)
-		}
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Compare(placement.Rank(key, placement.Hash(b)), placement.Rank(key, placement.Hash(a)))
-	})
-	return slices.Contains(names[:watchers], r.settings.Name)
+	return r.chosen(watchersKey, watchers, func(i fleet.Instance) bool { return i.DataCentre == r.settings.DataCentre })
 }
 
 // load adopts a head that came from the service.
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -182,7 +182,7 @@
 		}
 		return
 	}
-	r.reached(m.to.Name)
+	r.reached(m.to.Name, event.PeerBack)
 	r.config.heard(reply.Version, m.to.Address)
 }
 
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -8,14 +8,10 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/peer"
-	"github.com/croftyard/croftyard/internal/peer/peerpb"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
-	"github.com/croftyard/croftyard/pkg/once"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
-	"github.com/croftyard/croftyard/pkg/policy"
 )
 
 // serveOwned serves a request in one of this router's own groups.
@@ -162,6 +158,7 @@
 		Path:        job.Path,
 		ContentType: "application/json",
 		Body:        job.Body,
+		Adapter:     job.Adapter,
 		Stream:      job.Stream,
 	}
 	named := &namedSink{Answer: answer, engine: v.engine.Name}
@@ -247,163 +244,3 @@
 	}
 	return refusal
 }
-
-// claimRefusal turns a claim's error into a refusal.
-func (r *Router) claimRefusal(job *Job, err error) *admission.Refusal {
-	switch {
-	case errors.Is(err, once.ErrDone):
-		return admission.Doubt(admission.AlreadyRan, "a request with this key has already run")
-	case errors.Is(err, once.ErrHeld):
-		return later(admission.Doubt(admission.ClaimHeld, "another request with this key is under way or its outcome is not known"))
-	case errors.Is(err, once.ErrUnsettled):
-		r.log.Write(event.ClaimUnsettled, event.F("request", job.ID), event.F("error", err))
-		return later(admission.Doubt(admission.ClaimUnknown, "the claim's outcome is not known; this attempt did not run"))
-	}
-	return admission.Refuse(admission.ServiceDown, retryAfterOutage, "keys cannot be claimed now")
-}
-
-// later tells the caller when to ask again with the same key.
-func later(refusal *admission.Refusal) *admission.Refusal {
-	refusal.RetryAfter = retryAfterOutage
-	return refusal
-}
-
-// retryAfterOutage is when a caller is told to come back during an outage.
-const retryAfterOutage = 5 * time.Second
-
-// settleTime bounds the write that ends a claim.
-const settleTime = 5 * time.Second
-
-func (r *Router) release(claim *once.Claim, job *Job) {
-	r.endClaim(claim.Release, job)
-}
-
-func (r *Router) done(claim *once.Claim, job *Job) {
-	r.endClaim(claim.Done, job)
-}
-
-// endClaim writes the claim's end beside the answer, which does not wait for
-// the service; a planned stop does.
-func (r *Router) endClaim(end func(context.Context) error, job *Job) {
-	r.inFlight.Go(func() { r.writeClaim(end, job) })
-}
-
-func (r *Router) writeClaim(end func(context.Context) error, job *Job) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
-	defer cancel()
-	if err := end(ctx); err != nil {
-		r.log.Write(event.ClaimUnsettled, event.F("request", job.ID), event.F("error", err))
-	}
-}
-
-// confirmed checks a refusal of a request with a key: that it was not run is
-// said only after its record was seen free. Without that look the refusal
-// would be false whenever an earlier request with the same key has run.
-func (r *Router) confirmed(ctx context.Context, job *Job, refusal *admission.Refusal) *admission.Refusal {
-	if job.Key == "" || !refusal.NotRun {
-		return refusal
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.settings.Platform.Timeout)
-	defer cancel()
-	err := r.claims.Peek(ctx, claimKey(job.Key))
-	// Long after the deadline the record may have been forgotten.
-	timely := time.Since(job.Deadline) < once.Retention/2
-	switch {
-	case err == nil && timely:
-		return refusal
-	case errors.Is(err, once.ErrDone), errors.Is(err, once.ErrHeld):
-		return r.claimRefusal(job, err)
-	}
-	return &admission.Refusal{
-		Reason:     refusal.Reason,
-		RetryAfter: max(refusal.RetryAfter, retryAfterOutage),
-		Detail:     refusal.Detail + "; whether an earlier request with this key ran cannot be looked up now",
-	}
-}
-
-// serveForward serves a request that another router's edge sent here.
-func (r *Router) serveForward(ctx context.Context, m *peerpb.ForwardRequest, send peer.Sender) error {
-	refusal := r.serveForwarded(ctx, m, &remoteAnswer{send: send})
-	end := &peerpb.End{Whole: refusal == nil}
-	if refusal != nil {
-		end.Reason = uint32(refusal.Reason)
-		end.NotRun = refusal.NotRun
-		end.RetryAfterMs = refusal.RetryAfter.Milliseconds()
-		end.Detail = refusal.Detail
-	}
-	return send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_End{End: end}})
-}
-
-func (r *Router) serveForwarded(ctx context.Context, m *peerpb.ForwardRequest, answer Answer) *admission.Refusal {
-	end, accepted := r.begin()
-	if !accepted {
-		return admission.Refuse(admission.Stopping, 0, "the engines' owner stops")
-	}
-	defer end()
-	job := r.decodeJob(m)
-	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
-	defer cancel()
-	r.mu.Lock()
-	p := r.pools[poolName{DataCentre: r.settings.DataCentre, Model: m.Model}]
-	group := placement.None
-	if p != nil {
-		group = p.layout.Group(m.EngineGroup)
-	}
-	r.retries.Earn()
-	r.mu.Unlock()
-	if group == placement.None {
-		return admission.Refuse(admission.NoEngine, 0, "the group of engines is not known here")
-	}
-	at := place{pool: p, choice: placement.Choice{Group: group}, self: true}
-	return r.serveOwned(ctx, job, at, int(m.HopsLeft), answer)
-}
-
-// decodeJob reads a forwarded request. The group's parameters are this
-// router's own; a group that it does not know yet gets the defaults.
-func (r *Router) decodeJob(m *peerpb.ForwardRequest) *Job {
-	group := &policy.Group{Name: m.Group, Organisation: m.Organisation, Parameters: policy.Defaults()}
-	if s := r.adopted.Current(); s != nil && s.Groups[m.Group] != nil {
-		group = s.Groups[m.Group]
-	}
-	return &Job{
-		ID:           m.RequestId,
-		Group:        group,
-		Model:        m.Model,
-		Adapter:      m.Adapter,
-		Path:         m.Path,
-		Body:         m.Body,
-		Stream:       m.Stream,
-		Priority:     int(m.Priority),
-		Deadline:     time.Now().Add(time.Duration(m.DeadlineMs) * time.Millisecond),
-		PromptTokens: int(m.PromptTokens),
-		OutputTokens: int(m.OutputTokens),
-		FreshTokens:  int(m.FreshTokens),
-		Chat:         m.Chat,
-		Prefix:       m.Prefix,
-		Engine:       m.Engine,
-		Key:          m.Key,
-	}
-}
-
-// remoteAnswer sends an answer back to the edge.
-type remoteAnswer struct {
-	send   peer.Sender
-	engine string
-}
-
-// Served implements Answer.
-func (a *remoteAnswer) Served(engine string) error {
-	a.engine = engine
-	return nil
-}
-
-// Head implements dispatch.Sink.
-func (a *remoteAnswer) Head(h dispatch.Head) error {
-	head := &peerpb.Head{Engine: a.engine, Status: int32(h.Status), ContentType: h.ContentType}
-	return a.send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Head{Head: head}})
-}
-
-// Chunk implements dispatch.Sink.
-func (a *remoteAnswer) Chunk(b []byte) error {
-	return a.send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Chunk{Chunk: b}})
-}
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -231,6 +231,25 @@
 	}
 }
 
+// chosen tells whether this router is among the first n by rendezvous on key of
+// the live routers that among allows. A role is thus held by few without a
+// message; views that differ make it a few more for a while.
+func (r *Router) chosen(key string, n int, among func(fleet.Instance) bool) bool {
+	now := time.Now()
+	hash := placement.Hash(key)
+	own := placement.Rank(hash, r.selfHash)
+	before := 0
+	for _, other := range r.routers {
+		if !among(other) || r.view.Health(other.Name, now) != fleet.Live {
+			continue
+		}
+		if placement.Rank(hash, placement.Hash(other.Name)) > own {
+			before++
+		}
+	}
+	return before < n
+}
+
 func hashesOf(names []string, into []uint64) []uint64 {
 	for _, name := range names {
 		into = append(into, placement.Hash(name))
@@ -252,11 +271,12 @@
 }
 
 // reached notes that a target or peer answered.
-func (r *Router) reached(name string) {
+func (r *Router) reached(name string, what event.ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	if r.view.Health(name, now) == fleet.Suspect {
+		r.log.Write(what, event.F("name", name))
 		r.view.Reached(name, now)
 		r.refreshView()
 	}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/admission"
@@ -14,33 +12,6 @@
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
-// claimPrefix is where claims stand in the platform's service.
-const claimPrefix = "croftyard/once/"
-
-// keySeparator stands between a group and its caller's key; neither holds it.
-const keySeparator = "\x00"
-
-// ScopedKey joins a group and its caller's Idempotency-Key: groups do not
-// share keys.
-func ScopedKey(group, key string) string {
-	return group + keySeparator + key
-}
-
-func callersKey(scoped string) string {
-	for i := range scoped {
-		if scoped[i] == keySeparator[0] {
-			return scoped[i+1:]
-		}
-	}
-	return scoped
-}
-
-// claimKey is the service's key for a scoped key. Two hashes of it make 128
-// bits, so that two keys do not meet.
-func claimKey(scoped string) string {
-	return fmt.Sprintf("%s%016x%016x", claimPrefix, xxhash.Sum64String(scoped), xxhash.Sum64String("once"+keySeparator+scoped))
-}
-
 // Call is a request to a plain service.
 type Call struct {
 	Job     Job
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -46,7 +46,7 @@
 		r.failed(e.Name, event.EngineSuspect, err)
 		return
 	}
-	r.reached(e.Name)
+	r.reached(e.Name, event.EngineBack)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.engine(e).Reported(running, time.Now())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,8 +6,13 @@
 //	config.go      the head -> the snapshot in force
 //	digest.go      load digests to and from other routers
 //	serve.go       the edge's half of a request: choose a group, go to its owner
-//	local.go       the owner's half: queue, claim, dispatch
+//	local.go       the owner's half: queue, dispatch, retry
+//	forwarded.go   a request that another router's edge sent here
+//	claim.go       keyed requests
 //	plain.go       plain services
+//	probe.go       the load of owned engines
+//	orders.go      fenced orders to targets
+//	explain.go     a decision worked out for an operator
 //	state.go       the state dump
 //
 // One mutex guards all of a router's decisions. A node serves some 30 requests
@@ -134,6 +139,7 @@
 	work.Go(func() error { return r.config.follow(ctx) })
 	work.Go(func() error { return r.sendDigests(ctx) })
 	work.Go(func() error { return r.pollLoads(ctx) })
+	work.Go(func() error { return r.giveOrders(ctx) })
 	return work.Wait()
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -248,7 +248,7 @@
 	err := r.peers.Forward(ctx, at.owner.Address, encodeJob(job, at, hopsLeft), f.receive)
 	switch {
 	case f.end != nil:
-		r.reached(at.owner.Name)
+		r.reached(at.owner.Name, event.PeerBack)
 		return refusalOf(f.end)
 	case errors.Is(err, peer.ErrUnreachable) && ctx.Err() == nil:
 		r.failed(at.owner.Name, event.PeerLost, err)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -21,6 +21,8 @@
 	TokenTime   time.Duration
 	// CacheTokens bounds the prefix cache.
 	CacheTokens int
+	// ChecksOrders makes the engine refuse orders with a smaller token.
+	ChecksOrders bool
 }
 
 // Engine is the stand-in of a model engine. Its answer to a chat repeats the
@@ -41,6 +43,9 @@
 	noResume atomic.Bool
 
 	mu sync.Mutex
+	// orders are those taken, in order; token is the largest seen.
+	orders []Order
+	token  uint64
 	// streams holds the whole answer of each streamed attempt, for resuming.
 	streams map[string]stream
 }
@@ -82,6 +87,7 @@
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	mux.HandleFunc("POST /v1/orders", e.takeOrder)
 	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, LoadReport{Running: e.Running()})
 	})
--- a/pkg/orders/orders.go
+++ b/pkg/orders/orders.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// Held tells whether the right is held, as far as this process knows.
+func (h *Holder) Held() bool {
+	return h.token > 0 && h.now().Before(h.until)
+}
+
 // Hold takes the right or keeps it. It is to be called several times within
 // the TTL. It returns nil while the right is held.
 func (h *Holder) Hold(ctx context.Context) error {
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -66,6 +66,12 @@
 	// PrefillRate is the prompt tokens an engine computes in a second; it turns
 	// cached tokens into the time that waiting for them may cost.
 	PrefillRate float64
+	// LoadRate is the loads a second that the weight store bears; at 0, the
+	// default, the fleet orders none.
+	LoadRate float64
+	// AdapterCopies is how many engines of a pool are to hold an adapter that
+	// some group may use there.
+	AdapterCopies int
 }
 
 // Parameters are what a template sets and a group may override.
@@ -123,9 +129,12 @@
 	return adapter == "" || contains(p.Adapters, adapter)
 }
 
+// All stands in a list of models or adapters for every name.
+const All = "*"
+
 func contains(list []string, name string) bool {
 	for _, s := range list {
-		if s == name || s == "*" {
+		if s == name || s == All {
 			return true
 		}
 	}
--- a/pkg/policy/resolve.go
+++ b/pkg/policy/resolve.go
@@ -13,6 +13,8 @@
 	DefaultBound       = 1.15
 	DefaultGroupSize   = 10
 	DefaultPrefillRate = 8000
+	// DefaultAdapterCopies lets one engine fail without its adapters being gone.
+	DefaultAdapterCopies = 2
 )
 
 // Resolve checks segments as a whole and builds the snapshot of one version:
@@ -21,7 +23,7 @@
 	r := resolver{
 		snapshot: &Snapshot{
 			Version:  version,
-			Fleet:    Fleet{GroupSize: DefaultGroupSize, PrefillRate: DefaultPrefillRate},
+			Fleet:    Fleet{GroupSize: DefaultGroupSize, PrefillRate: DefaultPrefillRate, AdapterCopies: DefaultAdapterCopies},
 			Groups:   make(map[string]*Group),
 			Services: make(map[string]*Service),
 			byKey:    make(map[KeyHash]*Group),
@@ -75,6 +77,8 @@
 	f.hex("previous_chat_key", &fleet.PreviousChatKey)
 	f.integer("group_size", &fleet.GroupSize, 1, 1000)
 	f.float("prefill_rate", &fleet.PrefillRate, 1, 1e9)
+	f.float("load_rate", &fleet.LoadRate, 0, 1000)
+	f.integer("adapter_copies", &fleet.AdapterCopies, 1, 1000)
 }
 
 func (r *resolver) addTemplate(f *fields) {
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -344,7 +344,16 @@
 
 // applyEdit brings the test configuration with one change into force.
 func applyEdit(c *cluster, from, to string) error {
-	return demo.Apply(context.Background(), c.platform, strings.Replace(testConfig(), from, to, 1))
+	return applyText(c, []string{from, to})
+}
+
+// applyText does so with several changes, each a text and what replaces it.
+func applyText(c *cluster, changes []string) error {
+	text := testConfig()
+	for i := 0; i < len(changes); i += 2 {
+		text = strings.Replace(text, changes[i], changes[i+1], 1)
+	}
+	return demo.Apply(context.Background(), c.platform, text)
 }
 
 func closedEngine(engines []router.EngineState, name string) bool {
