Few routers read the list of instances, the others ask them what changed

Cause: docs/CAPACITY.md showed the largest misfit at the size of two years: the whole list, 1.14 MB, read by all 680 nodes at each of 0.071 changes a second, 81 KB a second a node against 4 KB, and 680 reads of the service.

Change: three readers a data centre by rendezvous; the others ask one of them each second or two for what leads from their version's mark, a sum of row hashes, and fall back to the next reader and to the platform. Up to nine routers in a data centre all read, as before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -153,6 +153,20 @@
 	return reply, nil
 }
 
+// List asks for what changed in the platform's list.
+func (c *Client) List(ctx context.Context, address string, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	var reply *peerpb.ListReply
+	err := c.control(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (err error) {
+		reply, err = peer.List(ctx, r)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.meter.called(r, reply)
+	return reply, nil
+}
+
 // control makes one bounded call. Control calls may be repeated, so their
 // errors need not tell what became of them.
 func (c *Client) control(ctx context.Context, address string, call func(context.Context, peerpb.DRPCPeerClient) error) error {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,9 +1,9 @@
 // Package peer is how routers talk to each other: drpc over TCP.
 //
-//	Server  answers Forward, Exchange and Configuration with a Handler
+//	Server  answers Forward, Exchange, Configuration and List with a Handler
 //	Client  calls them; connections to a peer are pooled, one a running call
 //
-// Control traffic (Exchange, Configuration) is metered in bytes, since a node
+// Control traffic (all but Forward) is metered in bytes, since a node
 // has a budget for it; the tests check the meter against the socket.
 package peer
 
@@ -37,6 +37,7 @@
 	Forward       func(ctx context.Context, r *peerpb.ForwardRequest, send Sender) error
 	Exchange      func(d *peerpb.Digest) *peerpb.DigestReply
 	Configuration func(r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error)
+	List          func(r *peerpb.ListRequest) (*peerpb.ListReply, error)
 }
 
 // service adapts a Handler to the generated interface.
@@ -67,6 +68,16 @@
 	return reply, nil
 }
 
+// List implements the generated interface.
+func (s *service) List(_ context.Context, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	reply, err := s.handler.List(r)
+	if err != nil {
+		return nil, err
+	}
+	s.meter.received(r, reply)
+	return reply, nil
+}
+
 // Server listens for other routers.
 type Server struct {
 	listener net.Listener
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -12,30 +12,6 @@
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
-// followList reads the platform's list again and again. While the platform is
-// away the last list stays, corrected by what the router sees.
-func (r *Router) followList(ctx context.Context) error {
-	down := false
-	tag := ""
-	for {
-		list, changed, err := r.platform.Instances(ctx, tag)
-		if err != nil && ctx.Err() == nil && !down {
-			r.log.Write(event.PlatformDown, event.F("error", err))
-		}
-		if err == nil && down {
-			r.log.Write(event.PlatformBack)
-		}
-		down = err != nil
-		if changed {
-			tag = list.Tag
-			r.takeList(list.Instances)
-		}
-		if !sleep(ctx, r.jitter(r.settings.Platform.Poll)) {
-			return nil
-		}
-	}
-}
-
 func (r *Router) takeList(list []fleet.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,7 +2,8 @@
 // live view and the configuration, talks to the other routers, and carries a
 // request from the edge to its owner and to a target.
 //
-//	membership.go  the platform's list -> View -> pools
+//	list.go        the platform's list, from the platform or from a peer
+//	membership.go  the list -> View -> pools
 //	config.go      the head -> the snapshot in force
 //	digest.go      load digests to and from other routers
 //	serve.go       the edge's half of a request: choose a group, go to its owner
@@ -56,6 +57,7 @@
 	targets  *dispatch.Dispatcher
 	adopted  policy.Adopted
 	config   *config
+	list     *list
 	selfHash uint64
 	selfID   fleet.ID
 	listed   atomic.Bool
@@ -119,10 +121,12 @@
 	r.claims = once.NewClaims(r.platform, time.Now)
 	r.peers = peer.NewClient(r.meter)
 	r.config = newConfig(r)
+	r.list = &list{router: r}
 	server, err := peer.Listen(s.Listen.Peers, peer.Handler{
 		Forward:       r.serveForward,
 		Exchange:      r.takeDigest,
 		Configuration: r.config.answer,
+		List:          r.list.answer,
 	}, r.meter)
 	if err != nil {
 		return nil, fmt.Errorf("router: %w", err)
@@ -135,7 +139,7 @@
 // all the while, and for as long as it takes to drain after that.
 func (r *Router) Run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return r.followList(ctx) })
+	work.Go(func() error { return r.list.follow(ctx) })
 	work.Go(func() error { return r.config.follow(ctx) })
 	work.Go(func() error { return r.sendDigests(ctx) })
 	work.Go(func() error { return r.pollLoads(ctx) })
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -200,7 +201,7 @@
 }
 
 func views() {
-	table("Live view: the whole list in one router", "instances", "bytes", "µs to take a list", "list bytes as JSON")
+	table("Live view: the whole list in one router", "instances", "bytes", "µs to take a list", "list bytes as JSON", "bytes of one change between peers", "ms to take a change")
 	now := time.Unix(1_800_000_000, 0)
 	for _, n := range []int{1000, 4000, 8280} {
 		list := make([]fleet.Instance, n)
@@ -218,7 +219,14 @@
 			return v
 		})
 		v := fleet.NewView()
-		row(n, bytes, perCall(func() { v.Replace(list, now) })/1000, size)
+		changed := slices.Clone(list)
+		changed[n/2].State = fleet.StateLeaving
+		delta := fleet.DeltaOf(list, changed)
+		take := perCall(func() {
+			var h fleet.ListHistory
+			h.Take(delta.Apply(list))
+		})
+		row(n, bytes, perCall(func() { v.Replace(list, now) })/1000, size, len(jsonOf(delta)), take/1e6)
 	}
 }
 
