Cache reuse, first byte and events in the metrics; allocations measured

Cause: the metrics listed reuse and first byte and nothing filled them; seen in the output of the demo.

Change: the edge reads the usage that engines report, without decoding the rest of an answer, and counts first byte and events. Benchmarks for what a token allocates.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -153,3 +153,40 @@
 	assert.True(t, out.Whole)
 	assert.Equal(t, text, sink.body.String())
 }
+
+// discard is a Sink that takes everything.
+type discard struct{}
+
+func (discard) Head(Head) error    { return nil }
+func (discard) Chunk([]byte) error { return nil }
+
+// BenchmarkPassEvents passes a stream of 200 events on, each read alone; the
+// allocations reported are of one stream.
+func BenchmarkPassEvents(b *testing.B) {
+	const events = 200
+	event := `data: {"id":"x","choices":[{"index":0,"delta":{"content":"word "}}]}` + "\n\n"
+	text := strings.Repeat(event, events) + "data: [DONE]\n\n"
+	b.ReportAllocs()
+	for b.Loop() {
+		a := &attempt{sink: discard{}, request: Request{Stream: true}}
+		if err := a.passEvents(&stepReader{text: text, step: len(event)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/events, "ns/event")
+}
+
+// stepReader gives its text in pieces, as events arrive.
+type stepReader struct {
+	text string
+	step int
+}
+
+func (r *stepReader) Read(p []byte) (int, error) {
+	if r.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, r.text[:min(r.step, len(r.text))])
+	r.text = r.text[n:]
+	return n, nil
+}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -19,6 +19,7 @@
 	control *http.ResponseController
 	stream  bool
 	seal    sealer
+	observe observer
 	head    dispatch.Head
 	begun   bool
 	held    []byte
@@ -27,8 +28,8 @@
 // holdAtMost is the most bytes of an answer that are held back.
 const holdAtMost = 1 << 20
 
-func newAnswer(w http.ResponseWriter, stream bool) *answer {
-	return &answer{writer: w, control: http.NewResponseController(w), stream: stream}
+func newAnswer(w http.ResponseWriter, stream bool, o observer) *answer {
+	return &answer{writer: w, control: http.NewResponseController(w), stream: stream, observe: o}
 }
 
 // Served implements router.Answer.
@@ -42,6 +43,7 @@
 // Head implements dispatch.Sink.
 func (a *answer) Head(h dispatch.Head) error {
 	a.head = h
+	a.observe.head()
 	if h.ContentType != "" {
 		a.writer.Header().Set("Content-Type", h.ContentType)
 	}
@@ -62,6 +64,7 @@
 // Chunk implements dispatch.Sink.
 func (a *answer) Chunk(b []byte) error {
 	if a.stream {
+		a.observe.events(b)
 		if _, err := a.writer.Write(b); err != nil {
 			return err
 		}
@@ -80,6 +83,7 @@
 
 func (a *answer) release() error {
 	a.begin()
+	a.observe.usage(a.held)
 	_, err := a.writer.Write(a.held)
 	a.held = nil
 	return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -142,6 +142,10 @@
 	OwnedBy string `json:"owned_by"`
 }
 
+func (e *Edge) observer() observer {
+	return observer{metrics: e.router.Metrics(), began: time.Now()}
+}
+
 func newRequestID() string { return uuid.NewString() }
 
 // tokenFor returns what the caller's chat token says, or the zero token.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -50,9 +50,30 @@
 	assert.Zero(t, first.Prefix, "a short system message is no prefix")
 }
 
+func testObserver() observer {
+	return observer{metrics: router.NewMetrics(), began: time.Now()}
+}
+
+func TestUsage(t *testing.T) {
+	for _, c := range []struct {
+		text           string
+		prompt, cached int
+	}{
+		{`{"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}`, 9, 4},
+		{"data: {}\n\ndata: {\"usage\":{\"prompt_tokens\":3}}\n\ndata: [DONE]\n\n", 3, 0},
+		{`{"content":"\"usage\": none"}`, 0, 0},
+		{`{"usage":null}`, 0, 0},
+	} {
+		o := testObserver()
+		o.usage([]byte(c.text))
+		assert.EqualValues(t, c.prompt, o.metrics.PromptTokens.Count(), c.text)
+		assert.EqualValues(t, c.cached, o.metrics.CachedTokens.Count(), c.text)
+	}
+}
+
 func TestAnswerIsHeldUntilWhole(t *testing.T) {
 	w := httptest.NewRecorder()
-	a := newAnswer(w, false)
+	a := newAnswer(w, false, testObserver())
 	require.NoError(t, a.Head(dispatch.Head{Status: 200, ContentType: "application/json"}))
 	require.NoError(t, a.Chunk([]byte(`{"half":`)))
 	refusal := admission.Doubt(admission.StreamBroken, "broke")
@@ -67,7 +88,7 @@
 }
 
 func TestLargeAnswerBreaksVisibly(t *testing.T) {
-	a := newAnswer(httptest.NewRecorder(), false)
+	a := newAnswer(httptest.NewRecorder(), false, testObserver())
 	require.NoError(t, a.Head(dispatch.Head{Status: 200}))
 	require.NoError(t, a.Chunk(make([]byte, holdAtMost+1)))
 	assert.Panics(t, func() { a.finish(admission.Doubt(admission.StreamBroken, "broke")) })
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -152,3 +152,27 @@
 		}
 	}
 }
+
+// BenchmarkForwardChunk is one piece of a stream from owner to edge, both ends
+// in one process; the allocations are of both.
+func BenchmarkForwardChunk(b *testing.B) {
+	chunk := &peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Chunk{Chunk: make([]byte, 70)}}
+	pieces := make(chan int)
+	server, err := Listen("127.0.0.1:0", Handler{Forward: func(_ context.Context, _ *peerpb.ForwardRequest, send Sender) error {
+		for range <-pieces {
+			if err := send(chunk); err != nil {
+				return err
+			}
+		}
+		return send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_End{End: &peerpb.End{Whole: true}}})
+	}}, &Meter{})
+	require.NoError(b, err)
+	defer server.Close()
+	client := NewClient(&Meter{})
+	defer client.Close()
+	b.ReportAllocs()
+	b.ResetTimer()
+	go func() { pieces <- b.N }()
+	err = client.Forward(context.Background(), server.Address(), &peerpb.ForwardRequest{}, func(*peerpb.ForwardEvent) error { return nil })
+	require.NoError(b, err)
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -35,7 +35,8 @@
 	origins map[placement.Origin]gometrics.Counter
 }
 
-func newMetrics() *Metrics {
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
 	const reservoir = 1028
 	const recent = 0.015
 	registry := gometrics.NewRegistry()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,7 +99,7 @@
 	r := &Router{
 		settings:    s,
 		log:         log,
-		metrics:     newMetrics(),
+		metrics:     NewMetrics(),
 		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
 		meter:       &peer.Meter{},
 		targets:     dispatch.New(s.Limits.Idle),
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -41,6 +41,31 @@
 	}
 }
 
+func (p *process) metrics(t *testing.T) string {
+	t.Helper()
+	resp, err := http.Get("http://" + p.admin + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	return readAll(t, resp)
+}
+
+func TestCacheReuseIsInTheMetrics(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	for _, stream := range []bool{true, false} {
+		expectStatus(t, c.routers[0].post(t, chatPath, chatBody("the lock is open and the boat is in", stream)))
+	}
+	text := c.routers[0].metrics(t)
+	assert.Contains(t, text, "croftyard_cache_prompt_tokens 18\n")
+	assert.Contains(t, text, "croftyard_cache_cached_tokens 9\n")
+	assert.Contains(t, text, "croftyard_latency_first_byte_us_count 2\n")
+	assert.Contains(t, text, "croftyard_output_events 18\n")
+}
+
+func expectStatus(t *testing.T, r reply) {
+	t.Helper()
+	require.Equal(t, http.StatusOK, r.status, r.body)
+}
+
 func TestStreamIsWholeAndOwn(t *testing.T) {
 	c := newCluster(t, 6, 3)
 	for i := range 30 {
@@ -60,13 +85,7 @@
 	foreign := c.routers[0].post(t, "/v1/chat/completions", chatBody("hello", true),
 		header("Croftyard-Chat", good), header("Authorization", "Bearer "+foreignKey))
 	expectWhole(t, foreign, "hello")
-	metrics, err := http.Get("http://" + c.routers[0].admin + "/metrics")
-	require.NoError(t, err)
-	defer metrics.Body.Close()
-	text := new(strings.Builder)
-	_, err = fmt.Fprint(text, readAll(t, metrics))
-	require.NoError(t, err)
-	assert.Contains(t, text.String(), "croftyard_chat_tokens_ignored 4\n")
+	assert.Contains(t, c.routers[0].metrics(t), "croftyard_chat_tokens_ignored 4\n")
 }
 
 func TestBadInputIsAClearErrorAndReachesNoTarget(t *testing.T) {
