A group is named by its ID once the mutex is released

Cause: reading serve.go showed that a hop looked up its group by index in the pool's layout after the mutex was released; a list that changed in between gave another group, or an index out of range and a panic. No test could see it: the router processes of the integration tests were built without the race detector.

Change: place carries the group's ID. Processes are built with -race when the tests run with it, and a race in any of them fails its test.

--- a/internal/router/forwarded.go
+++ b/internal/router/forwarded.go
@@ -45,7 +45,7 @@
 	if group == placement.None {
 		return admission.Refuse(admission.NoEngine, 0, "the group of engines is not known here")
 	}
-	at := place{pool: p, choice: placement.Choice{Group: group}, self: true}
+	at := place{pool: p, group: m.EngineGroup, self: true}
 	return r.serveOwned(ctx, job, at, int(m.HopsLeft), answer)
 }
 
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -16,9 +16,8 @@
 
 // serveOwned serves a request in one of this router's own groups.
 func (r *Router) serveOwned(ctx context.Context, job *Job, at place, hopsLeft int, answer Answer) *admission.Refusal {
-	id := at.pool.layout.Groups[at.choice.Group].ID
 	for {
-		visit, refusal := r.wait(ctx, job, at.pool, id, hopsLeft)
+		visit, refusal := r.wait(ctx, job, at.pool, at.group, hopsLeft)
 		if refusal != nil {
 			return refusal
 		}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -111,11 +111,12 @@
 	return fmt.Sprintf("%s with adapter %s", j.Model, j.Adapter)
 }
 
-// place is the edge's decision for one hop.
+// place is the edge's decision for one hop. It names the group by its ID: the
+// pool may be divided anew as soon as the mutex is released.
 type place struct {
-	pool   *pool
-	choice placement.Choice
-	owner  fleet.Instance
+	pool  *pool
+	group uint64
+	owner fleet.Instance
 	// self tells that this router serves the group, as owner or alone.
 	self bool
 }
@@ -125,9 +126,9 @@
 func (r *Router) route(ctx context.Context, job *Job, answer Answer) *admission.Refusal {
 	avoid := make(map[string]bool)
 	var last *admission.Refusal
-	from := placement.None
+	full := uint64(0)
 	for hop := 1; hop <= maxHops; hop++ {
-		at, found := r.choose(job, from, avoid)
+		at, found := r.choose(job, full, avoid)
 		if !found {
 			return admission.Refuse(admission.NoEngine, time.Second, "no live engine serves "+job.wanted())
 		}
@@ -141,7 +142,7 @@
 			avoid[at.owner.Name] = true
 		case admission.GroupFull:
 			r.metrics.PassedOn.Inc(1)
-			from = at.choice.Group
+			full = at.group
 		}
 	}
 	return last
@@ -156,30 +157,25 @@
 	return false
 }
 
-// choose picks the group and its owner. from is the group that passed the
-// request on, or None.
-func (r *Router) choose(job *Job, from int, avoid map[string]bool) (place, bool) {
+// choose picks the group and its owner. full is the ID of the group that passed
+// the request on, or 0.
+func (r *Router) choose(job *Job, full uint64, avoid map[string]bool) (place, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.poolFor(job.Model)
 	if p == nil {
 		return place{}, false
 	}
-	at := place{pool: p}
-	if from != placement.None && from < len(p.layout.Groups) {
-		at.choice = p.layout.PassOn(from, p.eligible(job.Adapter), p.loads, r.rnd)
-	} else {
-		at.choice = p.layout.Choose(r.request(p, job), p.loads, job.Group.Bound, r.rnd)
-	}
-	if at.choice.Group == placement.None {
+	choice := r.chooseGroup(p, job, full)
+	if choice.Group == placement.None {
 		return place{}, false
 	}
-	r.metrics.placed(at.choice.Origin)
-	owner, found := p.owner(at.choice.Group, avoid)
+	r.metrics.placed(choice.Origin)
+	owner, found := p.owner(choice.Group, avoid)
 	if p.name.DataCentre != r.settings.DataCentre && !found {
 		return place{}, false
 	}
-	at.owner = owner
+	at := place{pool: p, group: p.layout.Groups[choice.Group].ID, owner: owner}
 	// Without any owner within reach this router dispatches itself.
 	at.self = !found || owner.Name == r.settings.Name
 	if !found {
@@ -188,6 +184,13 @@
 	return at, true
 }
 
+func (r *Router) chooseGroup(p *pool, job *Job, full uint64) placement.Choice {
+	if from := p.layout.Group(full); full != 0 && from != placement.None {
+		return p.layout.PassOn(from, p.eligible(job.Adapter), p.loads, r.rnd)
+	}
+	return p.layout.Choose(r.request(p, job), p.loads, job.Group.Bound, r.rnd)
+}
+
 func (r *Router) request(p *pool, job *Job) placement.Request {
 	return placement.Request{
 		Chat:        job.Chat,
@@ -315,7 +318,7 @@
 		Engine:       job.Engine,
 		Chat:         job.Chat,
 		Prefix:       job.Prefix,
-		EngineGroup:  at.pool.layout.Groups[at.choice.Group].ID,
+		EngineGroup:  at.group,
 		HopsLeft:     uint32(hopsLeft),
 		Key:          job.Key,
 	}
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/demo"
@@ -41,7 +42,8 @@
 		if binaries.err != nil {
 			return
 		}
-		build := exec.Command("go", "build", "-o", binaries.dir+"/", "github.com/croftyard/croftyard/cmd/...")
+		args := append([]string{"build"}, buildFlags...)
+		build := exec.Command("go", append(args, "-o", binaries.dir+"/", "github.com/croftyard/croftyard/cmd/...")...)
 		if out, err := build.CombinedOutput(); err != nil {
 			binaries.err = fmt.Errorf("%w: %s", err, out)
 		}
@@ -224,6 +226,7 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	_ = p.cmd.Process.Kill()
 	<-p.exited
+	assert.NotContains(c.t, p.stderr.String(), "DATA RACE", p.name)
 	if c.t.Failed() {
 		c.t.Logf("%s:\n%s", p.name, p.stderr.String())
 	}
