A repeatable call that may have run is never called not run

Cause: reading plain.go: when the first replica may have run a call and no other was left to repeat it, the caller was told "no live replica" and "not run". The soak repeats only keyed calls, so it could not see it.

Change: what an earlier replica may have run stays in doubt through all later refusals. Each piece written to a caller has a deadline, so that one who does not read ends the engine's work instead of holding it past the request's own.

Conclusion: a false refusal less; the rule is now in one place.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/pkg/admission"
@@ -20,16 +21,28 @@
 	stream  bool
 	seal    sealer
 	observe observer
-	head    dispatch.Head
-	begun   bool
-	held    []byte
+	// idle is how long a caller may take to read a piece.
+	idle  time.Duration
+	head  dispatch.Head
+	begun bool
+	held  []byte
 }
 
 // holdAtMost is the most bytes of an answer that are held back.
 const holdAtMost = 1 << 20
 
-func newAnswer(w http.ResponseWriter, stream bool, o observer) *answer {
-	return &answer{writer: w, control: http.NewResponseController(w), stream: stream, observe: o}
+func newAnswer(w http.ResponseWriter, stream bool, idle time.Duration, o observer) *answer {
+	return &answer{writer: w, control: http.NewResponseController(w), stream: stream, idle: idle, observe: o}
+}
+
+// write writes a piece to the caller. One who does not read for as long as idle
+// is gone: without the deadline the write would block past the request's own.
+func (a *answer) write(b []byte) error {
+	if err := a.control.SetWriteDeadline(time.Now().Add(a.idle)); err != nil {
+		return err
+	}
+	_, err := a.writer.Write(b)
+	return err
 }
 
 // Served implements router.Answer.
@@ -65,14 +78,13 @@
 func (a *answer) Chunk(b []byte) error {
 	if a.stream {
 		a.observe.events(b)
-		if _, err := a.writer.Write(b); err != nil {
+		if err := a.write(b); err != nil {
 			return err
 		}
 		return a.control.Flush()
 	}
 	if a.begun {
-		_, err := a.writer.Write(b)
-		return err
+		return a.write(b)
 	}
 	a.held = append(a.held, b...)
 	if len(a.held) <= holdAtMost {
@@ -84,7 +96,7 @@
 func (a *answer) release() error {
 	a.begin()
 	a.observe.usage(a.held)
-	_, err := a.writer.Write(a.held)
+	err := a.write(a.held)
 	a.held = nil
 	return err
 }
@@ -131,6 +143,6 @@
 		panic(err)
 	}
 	// A caller that left needs no answer.
-	_, _ = a.writer.Write([]byte("data: " + string(data) + "\n\n"))
+	_ = a.write([]byte("data: " + string(data) + "\n\n"))
 	_ = a.control.Flush()
 }
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -48,7 +48,7 @@
 		writeProblem(w, p.without(r))
 		return
 	}
-	answer := newAnswer(w, job.Stream, e.observer())
+	answer := newAnswer(w, job.Stream, e.limits.Idle, e.observer())
 	answer.seal = token
 	refusal := e.router.Serve(r.Context(), job, answer)
 	answer.finish(refusal)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -50,6 +50,29 @@
 	assert.Zero(t, first.Prefix, "a short system message is no prefix")
 }
 
+// deadlines is a writer that records write deadlines.
+type deadlines struct {
+	*httptest.ResponseRecorder
+	set int
+}
+
+// SetWriteDeadline is what http.ResponseController looks for.
+func (d *deadlines) SetWriteDeadline(time.Time) error {
+	d.set++
+	return nil
+}
+
+func TestEachPieceHasAWriteDeadline(t *testing.T) {
+	w := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+	a := newAnswer(w, true, time.Second, testObserver())
+	require.NoError(t, a.Head(dispatch.Head{Status: 200, ContentType: "text/event-stream"}))
+	for range 3 {
+		require.NoError(t, a.Chunk([]byte("data: x\n\n")))
+	}
+	a.finish(admission.Doubt(admission.StreamBroken, "broke"))
+	assert.Equal(t, 4, w.set)
+}
+
 func testObserver() observer {
 	return observer{metrics: router.NewMetrics(), began: time.Now()}
 }
@@ -73,7 +96,7 @@
 
 func TestAnswerIsHeldUntilWhole(t *testing.T) {
 	w := httptest.NewRecorder()
-	a := newAnswer(w, false, testObserver())
+	a := newAnswer(&deadlines{ResponseRecorder: w}, false, time.Second, testObserver())
 	require.NoError(t, a.Head(dispatch.Head{Status: 200, ContentType: "application/json"}))
 	require.NoError(t, a.Chunk([]byte(`{"half":`)))
 	refusal := admission.Doubt(admission.StreamBroken, "broke")
@@ -88,7 +111,7 @@
 }
 
 func TestLargeAnswerBreaksVisibly(t *testing.T) {
-	a := newAnswer(httptest.NewRecorder(), false, testObserver())
+	a := newAnswer(&deadlines{ResponseRecorder: httptest.NewRecorder()}, false, time.Second, testObserver())
 	require.NoError(t, a.Head(dispatch.Head{Status: 200}))
 	require.NoError(t, a.Chunk(make([]byte, holdAtMost+1)))
 	assert.Panics(t, func() { a.finish(admission.Doubt(admission.StreamBroken, "broke")) })
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -17,7 +17,7 @@
 		writeProblem(w, p.without(r))
 		return
 	}
-	answer := newAnswer(w, false, e.observer())
+	answer := newAnswer(w, false, e.limits.Idle, e.observer())
 	answer.finish(e.router.ServePlain(r.Context(), call, answer))
 }
 
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -46,31 +46,36 @@
 func (r *Router) callReplicas(ctx context.Context, call *Call, sink dispatch.Sink) *admission.Refusal {
 	tried := make(map[string]bool)
 	started := &startedSink{Sink: sink}
+	mayHaveRun := false
 	for {
 		target, found := r.leastBusy(call.Service.Name, tried)
 		if !found {
-			return admission.Refuse(admission.NoEngine, time.Second, fmt.Sprintf("no live replica of %s", call.Service.Name))
+			refusal := admission.Refuse(admission.NoEngine, time.Second, fmt.Sprintf("no live replica of %s", call.Service.Name))
+			refusal.NotRun = !mayHaveRun
+			return refusal
 		}
 		tried[target.Name] = true
 		refusal := r.callReplica(ctx, call, target, started)
-		if refusal == nil || started.begun || !r.callAgain(ctx, call, refusal) {
+		if refusal == nil {
+			return nil
+		}
+		// What an earlier replica may have run, no later refusal makes undone.
+		mayHaveRun = mayHaveRun || !refusal.NotRun
+		refusal.NotRun = !mayHaveRun
+		if started.begun || !r.callAgain(ctx, call, refusal) {
 			return refusal
 		}
 	}
 }
 
-// callAgain tells whether another replica may be called after this refusal.
+// callAgain tells whether another replica may be called after this refusal: the
+// call did not run, or the service's calls may be repeated.
 func (r *Router) callAgain(ctx context.Context, call *Call, refusal *admission.Refusal) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	unknownButRepeatable := refusal.Reason == admission.TargetFailed && call.Service.Repeatable && call.Job.Key == ""
-	if unknownButRepeatable {
-		again := *refusal
-		again.NotRun = true
-		return r.retry(ctx, &call.Job, &again)
-	}
-	return r.retry(ctx, &call.Job, refusal)
+	failed := refusal.Reason == admission.TargetFailed || refusal.Reason == admission.Leaving
+	repeatable := failed && call.Service.Repeatable && call.Job.Key == ""
+	again := *refusal
+	again.NotRun = refusal.NotRun || repeatable
+	return r.retry(ctx, &call.Job, &again)
 }
 
 func (r *Router) callReplica(ctx context.Context, call *Call, target fleet.Instance, sink dispatch.Sink) *admission.Refusal {
--- a/test/integration/failure_test.go
+++ b/test/integration/failure_test.go
@@ -195,6 +195,14 @@
 	}
 }
 
+func TestRepeatableCallThatMayHaveRunIsNeverCalledNotRun(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.services["lookup"].DropNext() // the only replica runs it and loses its answer
+	r := c.routers[0].post(t, "/v1/services/lookup/x", "y")
+	assert.Equal(t, "unknown", r.header.Get("Croftyard-Ran"), r.body)
+	assert.Equal(t, 1, c.services["lookup"].Runs.Total())
+}
+
 func TestLostClaimAnswerIsSettled(t *testing.T) {
 	c := newCluster(t, 1, 1)
 	c.routers[0].post(t, "/v1/services/deposits/new", "warm", header("Idempotency-Key", "warm"))
