A chat token with line breaks no longer panics

Cause: the fuzzer gave a text of the right length that holds line breaks, which the base64 decoder passes over: the decoded token was too short and slicing it panicked. Over HTTP no header holds a line break; embedders had no such luck.

Change: the decoded length is checked.

--- a/pkg/placement/token.go
+++ b/pkg/placement/token.go
@@ -60,7 +60,8 @@
 		return Token{}, fmt.Errorf("%w: length %d", ErrToken, len(text))
 	}
 	b, err := base64.RawURLEncoding.DecodeString(text)
-	if err != nil {
+	// The decoder passes over line breaks, so the text's length is not enough.
+	if err != nil || len(b) != tokenBody+tokenMAC {
 		return Token{}, fmt.Errorf("%w: not base64", ErrToken)
 	}
 	body, sum := b[:tokenBody], b[tokenBody:]
