Nothing is kept that nothing calls

Cause: a last read of the whole change for what is not needed. owner.Engine had a Forget that no code and no test called.

Change: it is removed. The pairs that the duplicate finder lists were read: imports, sentinel errors and kong structs that have the same shape, and two checks of different histories; none is one logic that stands twice.

Conclusion: no change of behaviour.

--- a/pkg/owner/engine.go
+++ b/pkg/owner/engine.go
@@ -111,9 +111,6 @@
 	}
 }
 
-// Forget drops what is believed to be cached, after the engine restarted.
-func (e *Engine) Forget() { e.prefixes.Purge() }
-
 // state is the engine as PickEngine sees it. One that is being ramped up looks
 // fuller than it is.
 func (e *Engine) state(prefix, adapter uint64) placement.EngineState {
