--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -85,7 +85,7 @@
 }
 
 type check struct {
-	Settings string `required:"" type:"path" help:"The settings file."`
+	Settings string `required:"" type:"path" env:"CROFTYARD_BOOT" help:"The settings file."`
 }
 
 // Run implements the command.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -15,7 +15,7 @@
 )
 
 type serve struct {
-	Settings string `required:"" type:"path" help:"The settings file."`
+	Settings string `required:"" type:"path" env:"CROFTYARD_BOOT" help:"The settings file."`
 }
 
 // Run implements the command. It ends after SIGTERM or SIGINT once everything
@@ -29,7 +29,11 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	err = runInstance(read, log, signals, s.out)
+	if read.Platform.Kind == settings.PlatformStore {
+		err = runEntry(read, log, signals, s.out)
+	} else {
+		err = runInstance(read, log, signals, s.out)
+	}
 	if err != nil {
 		log.Write(event.Failed, event.F("error", err))
 	}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,259 @@
+// Package entry runs one router that serves configured routes, from start to
+// planned stop.
+//
+//	Start -> not ready until a configuration and the replicas are known
+//	Stop  -> not ready at once; serves on while the balancer notices, each
+//	         answer being the last of its connection; then no new connections,
+//	         what is in flight ends, and at the limit the rest is cut
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/front"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/freshness"
+)
+
+// ErrCut: the stop's limit was reached with requests in flight.
+var ErrCut = errors.New("entry: requests cut")
+
+// Outside is what the surroundings bring: where knowledge is kept, and how
+// callers, replicas and the balancer speak.
+type Outside struct {
+	Source    follow.Source
+	Dialect   front.Dialect
+	ReadyPath string
+}
+
+// Entry is a running router.
+type Entry struct {
+	settings settings.Settings
+	log      *event.Log
+	holder   *freshness.Holder
+	balancer *balance.Balancer
+	follower *follow.Follower
+	pool     *upstream.Pool
+	front    *front.Front
+	metrics  *front.Metrics
+
+	callers   *http.Server
+	readiness *http.Server
+	listeners []net.Listener
+
+	stopping atomic.Bool
+	stopOnce sync.Once
+	stop     chan struct{}
+	kill     context.CancelFunc
+	killed   context.Context
+	done     chan struct{}
+	err      error
+}
+
+// Start opens the listeners and begins to serve.
+func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
+	e := &Entry{settings: s, log: log, stop: make(chan struct{}), done: make(chan struct{})}
+	e.killed, e.kill = context.WithCancel(context.Background())
+	e.build(outside)
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	log.Write(event.Starting, event.F("data_centre", s.DataCentre), event.F("callers", s.Listen.Callers))
+	go e.run()
+	return e, nil
+}
+
+// Parts of the users' bounds that the router allows itself.
+const (
+	// keyProofPart of the time within which a revoked key must be refused.
+	keyProofPart = 0.8
+	// absencePart of the time within which a configuration must be in force.
+	absencePart = 0.6
+	// readPart of the same time is the pause between two reads of the source.
+	readPart = 0.5
+	// repeatPart of the fleet's ratio of repeats is earned at each router.
+	repeatPart = 0.5
+	// reserveParts divides the fleet's allowance of repeats among routers.
+	reserveParts = 16
+)
+
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * share)
+}
+
+func (e *Entry) build(outside Outside) {
+	b := e.settings.Bounds
+	e.metrics = front.NewMetrics()
+	e.holder = freshness.NewHolder()
+	e.balancer = balance.New(uint64(time.Now().UnixNano()))
+	period := part(b.Apply, readPart)
+	e.follower = follow.New(outside.Source, follow.Options{Period: period, Timeout: period},
+		directory.New(2*period+b.Heartbeat, 2*b.Heartbeat), e.holder, e.balancer, e.log)
+	e.pool = upstream.New(upstream.Options{
+		IDHeader:       outside.Dialect.Attempt,
+		DialTimeout:    e.settings.Routes.Dial,
+		SilenceTimeout: e.settings.Routes.Silence,
+		IdleTime:       e.settings.Routes.Keep,
+		Opened:         func(string) { e.metrics.Opened.Inc(1) },
+	})
+	e.front = front.New(front.Options{
+		Dialect:       outside.Dialect,
+		DataCentre:    e.settings.DataCentre,
+		KeyProof:      part(b.Revoke, keyProofPart),
+		AbsenceProof:  part(b.Apply, absencePart),
+		RepeatRatio:   b.RepeatRatio * repeatPart,
+		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
+	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
+	limits := front.NewConnLimits(e.holder)
+	e.callers = &http.Server{Handler: e.front, ConnState: limits.ConnState, MaxHeaderBytes: e.settings.Limits.Header}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+outside.ReadyPath, e.answerReady)
+	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
+}
+
+// headerTime bounds a question for readiness.
+const headerTime = 5 * time.Second
+
+func (e *Entry) listen() error {
+	for _, address := range []string{e.settings.Listen.Callers, e.settings.Listen.Readiness} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range e.listeners {
+				open.Close()
+			}
+			return fmt.Errorf("entry: %w", err)
+		}
+		e.listeners = append(e.listeners, l)
+	}
+	return nil
+}
+
+// Addresses returns where callers and the balancer's questions are served.
+func (e *Entry) Addresses() (callers, readiness string) {
+	return e.listeners[0].Addr().String(), e.listeners[1].Addr().String()
+}
+
+// Ready tells whether the router should get new connections.
+func (e *Entry) Ready() bool {
+	if e.stopping.Load() || !e.follower.Known() {
+		return false
+	}
+	return e.follower.ProofAge(time.Now()) < part(e.settings.Bounds.Revoke, keyProofPart)
+}
+
+func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// Stop begins the planned stop.
+func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
+
+// Kill cuts a stop short.
+func (e *Entry) Kill() { e.kill() }
+
+// Wait returns when the router has ended.
+func (e *Entry) Wait() error {
+	<-e.done
+	return e.err
+}
+
+func (e *Entry) run() {
+	defer close(e.done)
+	ctx, cancel := context.WithCancel(context.Background())
+	work, ctx := errgroup.WithContext(ctx)
+	work.Go(func() error { return serve(e.callers, e.listeners[0]) })
+	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
+	work.Go(func() error {
+		e.follower.Run(ctx)
+		return nil
+	})
+	work.Go(func() error {
+		e.tidy(ctx)
+		return nil
+	})
+	select {
+	case <-e.stop:
+		e.err = e.shutDown()
+	case <-ctx.Done():
+	}
+	cancel()
+	e.callers.Close()
+	e.readiness.Close()
+	if err := work.Wait(); err != nil && e.err == nil {
+		e.err = fmt.Errorf("entry: %w", err)
+	}
+	e.log.Write(event.Stopped, event.F("in_flight", e.front.Active()))
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// tidy writes when the router is first ready and closes connections that
+// rested too long.
+func (e *Entry) tidy(ctx context.Context) {
+	const pause = 500 * time.Millisecond
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	ready := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if now := e.Ready(); now != ready {
+			ready = now
+			e.log.Write(event.Ready, event.F("ready", ready), event.F("proof_ms", e.follower.ProofAge(time.Now()).Milliseconds()))
+		}
+		e.pool.CloseIdle("")
+	}
+}
+
+// shutDown ends the service within the users' grace time.
+func (e *Entry) shutDown() error {
+	e.log.Write(event.Draining, event.F("in_flight", e.front.Active()))
+	e.stopping.Store(true)
+	e.front.Stopping()
+	limit, cancel := context.WithTimeout(e.killed, part(e.settings.Bounds.Grace, gracePart))
+	defer cancel()
+	select {
+	case <-time.After(part(e.settings.Bounds.Grace, serveOnPart)):
+	case <-limit.Done():
+	}
+	if err := e.callers.Shutdown(limit); err != nil {
+		e.log.Write(event.DrainCut, event.F("in_flight", e.front.Active()))
+		return fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	return nil
+}
+
+// Parts of the grace time of a planned stop.
+const (
+	// serveOnPart is how long new connections are still taken: the balancer asks
+	// each second and needs two misses.
+	serveOnPart = 0.375
+	// gracePart is when what is still in flight is cut.
+	gracePart = 0.92
+)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -16,73 +16,77 @@
 // The events. 1xx process, 2xx configuration, 3xx fleet, 4xx requests,
 // 5xx platform, 6xx orders.
 const (
-	Starting       ID = 101
-	Ready          ID = 102
-	Draining       ID = 103
-	Stopped        ID = 104
-	DrainCut       ID = 105
-	Failed         ID = 106
-	LogLevel       ID = 107
-	ConfigAdopted  ID = 201
-	ConfigRejected ID = 202
-	ConfigFromPeer ID = 203
-	ConfigAbsent   ID = 204
-	EngineSuspect  ID = 301
-	EngineBack     ID = 302
-	TargetLeaving  ID = 303
-	LayoutChanged  ID = 304
-	PeerLost       ID = 305
-	PeerBack       ID = 306
-	RequestServed  ID = 401
-	RequestRefused ID = 402
-	RequestBroken  ID = 403
-	RequestRetried ID = 404
-	AnswerCrossed  ID = 405
-	StreamResumed  ID = 406
-	ClaimUnsettled ID = 407
-	TokenIgnored   ID = 408
-	CallerGone     ID = 409
-	PlatformDown   ID = 501
-	PlatformBack   ID = 502
-	OrderLease     ID = 601
-	OrderSent      ID = 602
-	OrderHeldBack  ID = 603
+	Starting          ID = 101
+	Ready             ID = 102
+	Draining          ID = 103
+	Stopped           ID = 104
+	DrainCut          ID = 105
+	Failed            ID = 106
+	LogLevel          ID = 107
+	ConfigAdopted     ID = 201
+	ConfigRejected    ID = 202
+	ConfigFromPeer    ID = 203
+	ConfigAbsent      ID = 204
+	EngineSuspect     ID = 301
+	EngineBack        ID = 302
+	TargetLeaving     ID = 303
+	LayoutChanged     ID = 304
+	PeerLost          ID = 305
+	PeerBack          ID = 306
+	ReplicaChanged    ID = 307
+	ReplicaUnreadable ID = 308
+	RequestServed     ID = 401
+	RequestRefused    ID = 402
+	RequestBroken     ID = 403
+	RequestRetried    ID = 404
+	AnswerCrossed     ID = 405
+	StreamResumed     ID = 406
+	ClaimUnsettled    ID = 407
+	TokenIgnored      ID = 408
+	CallerGone        ID = 409
+	PlatformDown      ID = 501
+	PlatformBack      ID = 502
+	OrderLease        ID = 601
+	OrderSent         ID = 602
+	OrderHeldBack     ID = 603
 
 	lastID = 700
 )
 
 var catalogue = map[ID]Entry{
-	Starting:       {logrus.InfoLevel, "process starts", "None needed."},
-	Ready:          {logrus.InfoLevel, "ready for requests", "None needed. /readyz answers 200 from here on."},
-	Draining:       {logrus.InfoLevel, "stop asked for, no new requests", "None needed. What is in flight finishes first."},
-	Stopped:        {logrus.InfoLevel, "process ends", "None needed."},
-	DrainCut:       {logrus.WarnLevel, "drain limit reached, requests cut", "Raise drain in [limits] if answers take longer than it allows."},
-	Failed:         {logrus.ErrorLevel, "process cannot go on", "Read the error; the process ends with exit code 1."},
-	LogLevel:       {logrus.InfoLevel, "log level changed", "None needed."},
-	ConfigAdopted:  {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
-	ConfigRejected: {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
-	ConfigFromPeer: {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
-	ConfigAbsent:   {logrus.WarnLevel, "no configuration found yet", "Apply one with croftyardctl apply; the process is not ready before."},
-	EngineSuspect:  {logrus.WarnLevel, "target does not answer, set aside", "If it lasts, look at the target. It is tried again by itself."},
-	EngineBack:     {logrus.InfoLevel, "target answers again", "None needed."},
-	TargetLeaving:  {logrus.InfoLevel, "target leaves, no new work for it", "None needed."},
-	LayoutChanged:  {logrus.DebugLevel, "engines divided anew", "None needed."},
-	PeerLost:       {logrus.WarnLevel, "peer does not answer", "If it lasts for many peers, look at the network between instances."},
-	PeerBack:       {logrus.InfoLevel, "peer answers again", "None needed."},
-	RequestServed:  {logrus.DebugLevel, "request served", "None needed."},
-	RequestRefused: {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
-	RequestBroken:  {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
-	RequestRetried: {logrus.InfoLevel, "request tried again", "None needed; only requests that cannot have run, or may be repeated."},
-	AnswerCrossed:  {logrus.ErrorLevel, "answer of another request dropped", "The target mixes up answers. Take it out of service."},
-	StreamResumed:  {logrus.InfoLevel, "stream resumed at its offset", "None needed."},
-	ClaimUnsettled: {logrus.WarnLevel, "claim's outcome unknown", "The caller was told so. Look at the platform's service."},
-	TokenIgnored:   {logrus.DebugLevel, "chat token ignored", "None needed, unless frequent after a key change: keep previous_chat_key set for a day."},
-	CallerGone:     {logrus.DebugLevel, "caller went away, work cancelled", "None needed."},
-	PlatformDown:   {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
-	PlatformBack:   {logrus.InfoLevel, "platform's service answers again", "None needed."},
-	OrderLease:     {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
-	OrderSent:      {logrus.InfoLevel, "order sent to a target", "None needed."},
-	OrderHeldBack:  {logrus.DebugLevel, "order held back", "None needed; the lease's margin or the weight store's rate does not allow it yet."},
+	Starting:          {logrus.InfoLevel, "process starts", "None needed."},
+	Ready:             {logrus.InfoLevel, "ready for requests", "None needed. /readyz answers 200 from here on."},
+	Draining:          {logrus.InfoLevel, "stop asked for, no new requests", "None needed. What is in flight finishes first."},
+	Stopped:           {logrus.InfoLevel, "process ends", "None needed."},
+	DrainCut:          {logrus.WarnLevel, "drain limit reached, requests cut", "Raise drain in [limits] if answers take longer than it allows."},
+	Failed:            {logrus.ErrorLevel, "process cannot go on", "Read the error; the process ends with exit code 1."},
+	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
+	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
+	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
+	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
+	ConfigAbsent:      {logrus.WarnLevel, "no configuration found yet", "Apply one with croftyardctl apply; the process is not ready before."},
+	EngineSuspect:     {logrus.WarnLevel, "target does not answer, set aside", "If it lasts, look at the target. It is tried again by itself."},
+	EngineBack:        {logrus.InfoLevel, "target answers again", "None needed."},
+	TargetLeaving:     {logrus.InfoLevel, "target leaves, no new work for it", "None needed."},
+	LayoutChanged:     {logrus.DebugLevel, "engines divided anew", "None needed."},
+	PeerLost:          {logrus.WarnLevel, "peer does not answer", "If it lasts for many peers, look at the network between instances."},
+	PeerBack:          {logrus.InfoLevel, "peer answers again", "None needed."},
+	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains or is gone", "None needed."},
+	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
+	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
+	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
+	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
+	RequestRetried:    {logrus.InfoLevel, "request tried again", "None needed; only requests that cannot have run, or may be repeated."},
+	AnswerCrossed:     {logrus.ErrorLevel, "answer of another request dropped", "The target mixes up answers. Take it out of service."},
+	StreamResumed:     {logrus.InfoLevel, "stream resumed at its offset", "None needed."},
+	ClaimUnsettled:    {logrus.WarnLevel, "claim's outcome unknown", "The caller was told so. Look at the platform's service."},
+	TokenIgnored:      {logrus.DebugLevel, "chat token ignored", "None needed, unless frequent after a key change: keep previous_chat_key set for a day."},
+	CallerGone:        {logrus.DebugLevel, "caller went away, work cancelled", "None needed."},
+	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
+	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
+	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
+	OrderSent:         {logrus.InfoLevel, "order sent to a target", "None needed."},
+	OrderHeldBack:     {logrus.DebugLevel, "order held back", "None needed; the lease's margin or the weight store's rate does not allow it yet."},
 }
 
 // Catalogue returns the entry of each event.
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,210 @@
+// Package follow keeps a router's knowledge of the configuration and of the
+// replicas up to date.
+//
+//	Source ──Read, each Period──> Follower ──> freshness.Holder (configuration, proof)
+//	                                      └──> directory, balancer (replicas)
+//
+// Each read is answered by the newest state there was, so it proves that
+// whatever was accepted before it was sent is known. That is why the source is
+// read rather than watched: a watch can be silent while changes are made.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// ErrNoConfig: the source holds no configuration yet.
+var ErrNoConfig = errors.New("follow: no configuration")
+
+// Snapshot is what one read of a source returned.
+type Snapshot struct {
+	// Config is nil if it could not be decoded; Problem then tells why.
+	Config  *route.Config
+	Problem error
+	// Replicas are those whose entries could be decoded; BadReplicas the others.
+	Replicas    []directory.Replica
+	BadReplicas []string
+}
+
+// Source is where the configuration and the list of replicas are kept. Read
+// must be answered by the newest state, or fail.
+type Source interface {
+	Read(ctx context.Context) (Snapshot, error)
+}
+
+// Options of a follower.
+type Options struct {
+	// Period is the pause between two reads.
+	Period time.Duration
+	// Timeout bounds one read.
+	Timeout time.Duration
+}
+
+// Follower is safe for concurrent use.
+type Follower struct {
+	source   Source
+	options  Options
+	log      *event.Log
+	holder   *freshness.Holder
+	balancer *balance.Balancer
+	wake     chan struct{}
+
+	mu        sync.Mutex
+	directory *directory.Directory
+	lost      bool
+	// read is closed and renewed with each read that succeeded.
+	read chan struct{}
+}
+
+// New returns a follower that feeds a holder and a balancer.
+func New(s Source, o Options, d *directory.Directory, h *freshness.Holder, b *balance.Balancer, log *event.Log) *Follower {
+	return &Follower{
+		source:    s,
+		options:   o,
+		log:       log,
+		holder:    h,
+		balancer:  b,
+		wake:      make(chan struct{}, 1),
+		directory: d,
+		read:      make(chan struct{}),
+	}
+}
+
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-f.wake:
+		}
+		pause := f.options.Period
+		if err := f.readOnce(ctx); err != nil {
+			// A source that answers again is to be noticed soon.
+			const retryPause = 4
+			pause /= retryPause
+		}
+		timer.Reset(pause)
+	}
+}
+
+func (f *Follower) readOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	defer cancel()
+	sent := time.Now()
+	snapshot, err := f.source.Read(ctx)
+	f.noteSource(err, sent)
+	if err != nil {
+		return err
+	}
+	f.Take(snapshot, sent)
+	return nil
+}
+
+// noteSource writes when the source was lost and regained.
+func (f *Follower) noteSource(err error, sent time.Time) {
+	f.mu.Lock()
+	was := f.lost
+	f.lost = err != nil
+	f.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		f.log.Write(event.PlatformDown, event.F("error", err), event.F("proof_ms", f.ProofAge(sent).Milliseconds()))
+	case err == nil && was:
+		f.log.Write(event.PlatformBack, event.F("proof_ms", f.ProofAge(sent).Milliseconds()))
+	}
+}
+
+// Take takes what a read returned that was sent at a time.
+func (f *Follower) Take(s Snapshot, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeConfig(s, sent)
+	changes := f.directory.Replace(s.Replicas, sent)
+	if len(changes) > 0 {
+		f.balancer.Replace(f.directory.List())
+	}
+	for _, c := range changes {
+		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
+			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
+	}
+	for _, id := range s.BadReplicas {
+		f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
+	}
+	close(f.read)
+	f.read = make(chan struct{})
+}
+
+func (f *Follower) takeConfig(s Snapshot, sent time.Time) {
+	if s.Problem != nil {
+		f.log.Write(event.ConfigRejected, event.F("error", s.Problem))
+		return
+	}
+	held := f.holder.Current()
+	if held.Table != nil && s.Config.Version == held.Table.Version() {
+		f.holder.Prove(s.Config.Version, sent)
+		return
+	}
+	table, err := route.Compile(*s.Config)
+	if err != nil {
+		f.log.Write(event.ConfigRejected, event.F("error", err), event.F("version", s.Config.Version))
+		return
+	}
+	if f.holder.Offer(table, sent) {
+		f.log.Write(event.ConfigAdopted, event.F("version", table.Version()), event.F("routes", len(s.Config.Routes)))
+	}
+}
+
+// ProofAge returns how old the proof of the configuration is.
+func (f *Follower) ProofAge(now time.Time) time.Duration {
+	return f.holder.Current().Age(now)
+}
+
+// Known tells whether a configuration and a list of replicas were ever read.
+func (f *Follower) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holder.Current().Table != nil && !f.directory.Read().IsZero()
+}
+
+// Replicas returns the replicas that are known.
+func (f *Follower) Replicas() []directory.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.List()
+}
+
+// Prove asks for a proof that is newer than a time and returns once there is
+// one, or with an error when ctx ends.
+func (f *Follower) Prove(ctx context.Context, since time.Time) error {
+	for {
+		f.mu.Lock()
+		read := f.read
+		f.mu.Unlock()
+		if !f.holder.Current().Proven.Before(since) {
+			return nil
+		}
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-read:
+		case <-ctx.Done():
+			return fmt.Errorf("follow: no proof: %w", ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/admit.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/freshness"
+)
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status int
+	reason string
+	// retryAfter tells when to come back; zero: not at all.
+	retryAfter time.Duration
+	// closes the connection with the answer.
+	closes bool
+}
+
+// Times after which a refused caller is told to come back.
+const (
+	// retryElsewhere is for what another router can serve at once.
+	retryElsewhere = 50 * time.Millisecond
+	// retryLater is for what no router can serve now.
+	retryLater = 500 * time.Millisecond
+)
+
+// proofWait bounds the wait for a proof that is new enough to say no by.
+const proofWait = 400 * time.Millisecond
+
+func unproven(reason string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryElsewhere, closes: true}
+}
+
+// admit finds the route and the organisation of the request in the newest
+// configuration, or says why there are none. What is not found is looked for
+// again once the configuration is proven to be new.
+func (c *call) admit(ctx context.Context) *refusal {
+	state := c.front.holder.Current()
+	if state.Table == nil {
+		return unproven("no configuration yet")
+	}
+	refused := c.resolve(state)
+	if refused == nil {
+		return c.checkProof(ctx, state)
+	}
+	if state.Age(time.Now()) < c.front.options.AbsenceProof {
+		return refused
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofWait)
+	defer cancel()
+	if c.front.follower.Prove(ctx, c.arrival) != nil {
+		return unproven("cannot tell: " + refused.reason)
+	}
+	return c.resolve(c.front.holder.Current())
+}
+
+// checkProof refuses a request with a key whose revocation might be unknown.
+func (c *call) checkProof(ctx context.Context, state *freshness.State) *refusal {
+	if c.organisation == nil || state.Age(time.Now()) < c.front.options.KeyProof {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofWait)
+	defer cancel()
+	// Any proof that is young enough will do; one that is asked for now is.
+	if c.front.follower.Prove(ctx, time.Now().Add(-c.front.options.AbsenceProof)) != nil {
+		return unproven("proof too old for keys")
+	}
+	return c.resolve(c.front.holder.Current())
+}
+
+// resolve looks the request up in one state.
+func (c *call) resolve(state *freshness.State) *refusal {
+	path := c.request.URL.EscapedPath()
+	if u, err := url.ParseRequestURI(c.request.RequestURI); err == nil {
+		path = u.EscapedPath()
+	}
+	found := state.Table.Match(c.request.Host, path)
+	if found == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	c.route = found
+	c.service = state.Table.Service(found.Service(c.draw))
+	if c.service == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "service not configured", retryAfter: retryLater}
+	}
+	c.organisation = nil
+	if state.Table.Keyed() && !found.Public {
+		c.organisation = state.Table.Organisation(c.key())
+		if c.organisation == nil {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+		}
+	}
+	c.setEnd()
+	return nil
+}
--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,210 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+)
+
+// connectionHeaders pertain to one connection and are never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// forwarded returns a copy of a header without what pertains to one connection.
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for _, value := range h["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// drain reads a short answer to its end, so that its connection can be kept.
+func drain(answer *upstream.Answer) {
+	const most = 64 << 10
+	// An answer that does not end closes its connection.
+	_, _ = io.CopyN(io.Discard, answer, most)
+}
+
+// pass hands a replica's answer to the caller.
+func (c *call) pass(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
+	resumable := c.route.Resumable && answer.StatusCode == http.StatusOK
+	if c.begun && !isEventStream(answer.Response) {
+		c.outcome.reason = "replica does not resume"
+		drain(answer)
+		return c.repeat(c.outcome.reason)
+	}
+	if !c.begun {
+		c.passHead(answer, resumable)
+	}
+	var err error
+	if resumable && isEventStream(answer.Response) {
+		err = c.passEvents(answer)
+	} else {
+		err = c.passBytes(answer)
+	}
+	if err == nil {
+		c.finished("served", answer.StatusCode, "")
+		return done
+	}
+	return c.brokenOff(ctx, choice, err, resumable)
+}
+
+func isEventStream(r *http.Response) bool {
+	return strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+}
+
+func (c *call) passHead(answer *upstream.Answer, resumable bool) {
+	header := c.writer.Header()
+	for name, values := range forwarded(answer.Header) {
+		header[name] = values
+	}
+	if _, told := answer.Header["Date"]; !told {
+		header["Date"] = nil
+	}
+	if answer.ContentLength >= 0 && !resumable {
+		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	c.writer.WriteHeader(answer.StatusCode)
+	c.begun = true
+	c.firstByte = time.Now()
+}
+
+var errCallerGone = errors.New("front: caller gone")
+
+// passBytes passes a body as it comes.
+func (c *call) passBytes(answer *upstream.Answer) error {
+	const size = 16 << 10
+	buffer := make([]byte, size)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if err := c.write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *call) write(b []byte) error {
+	if _, err := c.writer.Write(b); err != nil {
+		return errCallerGone
+	}
+	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// brokenOff handles an answer that ended early.
+func (c *call) brokenOff(ctx context.Context, choice balance.Choice, err error, resumable bool) verdict {
+	switch {
+	case errors.Is(err, errCallerGone), c.request.Context().Err() != nil:
+		c.callerGone()
+		return done
+	case ctx.Err() != nil:
+		c.outcome.reason = "time is over"
+		return over
+	}
+	c.outcome.reason = "answer broken off: " + err.Error()
+	c.front.fail(choice.Replica.ID, balance.Broke)
+	if resumable && time.Until(c.end) > 0 {
+		return c.repeat("stream broken off")
+	}
+	return over
+}
+
+// callerGone ends a call whose caller left. The connection to the replica is
+// closed on the way out, which stops the work.
+func (c *call) callerGone() {
+	c.finished("caller gone", 0, c.outcome.reason)
+}
+
+// giveUp tells the caller that there will be no answer, at once. Only what
+// cannot have run is refused with a promise.
+func (c *call) giveUp(r *refusal) {
+	if c.request.Context().Err() != nil {
+		c.callerGone()
+		return
+	}
+	if c.begun {
+		c.finished("cut", 0, r.reason)
+		// The answer must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	if c.mayHaveRun {
+		status := http.StatusBadGateway
+		if !time.Now().Before(c.end) {
+			status = http.StatusGatewayTimeout
+		}
+		r = &refusal{status: status, reason: r.reason}
+	}
+	c.refuse(r)
+}
+
+// refuse writes an answer of the router's own.
+func (c *call) refuse(r *refusal) {
+	header := c.writer.Header()
+	if r.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	if r.closes {
+		header.Set("Connection", "close")
+	}
+	header.Set(c.front.options.Dialect.Attempt, c.id)
+	http.Error(c.writer, r.reason, r.status)
+	name := "refused"
+	if c.mayHaveRun {
+		name = "failed"
+	}
+	c.finished(name, r.status, r.reason)
+}
+
+func (c *call) finished(name string, status int, reason string) {
+	c.outcome.name, c.outcome.status, c.outcome.reason = name, status, reason
+}
+
+// finish counts and logs the call's end.
+func (c *call) finish() {
+	f := c.front
+	took := time.Since(c.arrival)
+	f.metrics.Ended(c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
+	id := event.RequestServed
+	switch c.outcome.name {
+	case "refused":
+		id = event.RequestRefused
+	case "failed", "cut":
+		id = event.RequestBroken
+	case "caller gone":
+		id = event.CallerGone
+	}
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	f.log.Write(id, event.F("request", c.id), event.F("route", name), event.F("status", c.outcome.status),
+		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent),
+		event.F("took_ms", took.Milliseconds()))
+}
--- /dev/null
+++ b/internal/front/call.go
@@ -0,0 +1,138 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// call is one request of a caller, from its arrival to its end.
+type call struct {
+	front   *Front
+	writer  http.ResponseWriter
+	request *http.Request
+	id      string
+	arrival time.Time
+	// end is when the caller's time or the route's is over.
+	end time.Time
+	// parts of the prompt, and the whole body.
+	parts []balance.Part
+	body  []byte
+	// draw decides between the shares of a route, the same for each attempt.
+	draw float64
+
+	route        *route.Route
+	service      *route.Service
+	organisation *route.Organisation
+
+	// sent counts the replicas that the request was sent to, tried names them
+	// and those that could not be reached.
+	sent  int
+	tried []string
+	// mayHaveRun: a replica may have begun to work on it.
+	mayHaveRun bool
+	// begun: the head of an answer went out.
+	begun bool
+	// lastEvent is the id of the last whole event that was passed on.
+	lastEvent string
+	events    int
+	firstByte time.Time
+	outcome   outcome
+}
+
+// outcome is how a call ended, for logs and metrics.
+type outcome struct {
+	name   string
+	status int
+	reason string
+	// replica is where it was sent last.
+	replica string
+}
+
+func newCall(f *Front, w http.ResponseWriter, r *http.Request, now time.Time) *call {
+	return &call{
+		front:   f,
+		writer:  w,
+		request: r,
+		id:      r.Header.Get(f.options.Dialect.Attempt),
+		arrival: now,
+		draw:    rand.Float64(),
+	}
+}
+
+// maxTime bounds a request whose route and caller set no time.
+const maxTime = 10 * time.Minute
+
+func (c *call) serve() {
+	if refused := c.admit(c.request.Context()); refused != nil {
+		c.refuse(refused)
+		return
+	}
+	if refused := c.readBody(); refused != nil {
+		c.refuse(refused)
+		return
+	}
+	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.Parts))
+	c.front.repeats.earn()
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.end)
+	defer cancel()
+	c.dispatch(ctx)
+}
+
+// setEnd works out when the request's time is over.
+func (c *call) setEnd() {
+	limit := maxTime
+	if c.route.Timeout > 0 {
+		limit = c.route.Timeout
+	}
+	milliseconds, err := strconv.ParseFloat(c.request.Header.Get(c.front.options.Dialect.Deadline), 64)
+	if err == nil && milliseconds > 0 {
+		limit = min(limit, time.Duration(milliseconds*float64(time.Millisecond)))
+	}
+	c.end = c.arrival.Add(limit)
+}
+
+// readBody reads the whole body: it may have to be sent again, and the caller's
+// leaving is seen only after its end.
+func (c *call) readBody() *refusal {
+	limit := c.front.holder.Current().Table.Limits().BodyBytes
+	if limit > 0 && c.request.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	reader := io.Reader(c.request.Body)
+	if limit > 0 {
+		reader = http.MaxBytesReader(c.writer, c.request.Body, limit)
+	}
+	// A writer that knows no deadlines has none to set.
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(c.end)
+	body, err := io.ReadAll(reader)
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		c.body = body
+		return nil
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: "body incomplete", closes: true}
+}
+
+// key returns the key that the caller sent, or an empty text.
+func (c *call) key() string {
+	dialect := &c.front.options.Dialect
+	key, found := strings.CutPrefix(c.request.Header.Get(dialect.Key), dialect.KeyScheme)
+	if !found {
+		return ""
+	}
+	return key
+}
--- /dev/null
+++ b/internal/front/dispatch.go
@@ -0,0 +1,298 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+)
+
+// verdict is what one attempt at a replica leads to.
+type verdict uint8
+
+const (
+	// done: the caller has its answer, or is gone.
+	done verdict = iota
+	// again: another replica may be asked.
+	again
+	// over: no further replica may be asked; the caller must be told.
+	over
+)
+
+// dispatch sends the request to replicas until one of them answers it or none
+// may be asked any more.
+func (c *call) dispatch(ctx context.Context) {
+	for {
+		if refused := c.mayStillSend(ctx); refused != nil {
+			c.giveUp(refused)
+			return
+		}
+		choice, found := c.front.balancer.Pick(c.question(), time.Now())
+		if !found {
+			if c.wait(ctx) {
+				continue
+			}
+			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "no replica", retryAfter: retryLater})
+			return
+		}
+		switch c.attempt(ctx, choice) {
+		case done:
+			return
+		case over:
+			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: c.outcome.reason, retryAfter: retryLater})
+			return
+		}
+	}
+}
+
+func (c *call) question() balance.Question {
+	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.tried}
+	if c.service.Engine != nil {
+		q.Parts = c.parts
+	}
+	return q
+}
+
+// mayStillSend looks once more whether the configuration allows the request:
+// it may have changed while the body came or while another replica was tried.
+func (c *call) mayStillSend(ctx context.Context) *refusal {
+	if ctx.Err() != nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryLater}
+	}
+	return c.admit(ctx)
+}
+
+// wait pauses before the directory is asked again and tells whether there is
+// time for it: a request that nobody can take is refused early.
+func (c *call) wait(ctx context.Context) bool {
+	const pause = 15 * time.Millisecond
+	if c.sent > 0 || time.Since(c.arrival) > c.patience() {
+		return false
+	}
+	// Those that could not be reached may be reached now.
+	c.tried = nil
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+// patience is how long a request may wait without being sent: a refusal within
+// a quarter of the target time leaves the caller time to come back.
+func (c *call) patience() time.Duration {
+	const part = 5
+	const untold = 100 * time.Millisecond
+	if c.route.Target == 0 {
+		return untold
+	}
+	return c.route.Target / part
+}
+
+// attempt sends the request to one replica.
+func (c *call) attempt(ctx context.Context, choice balance.Choice) verdict {
+	id := choice.Replica.ID
+	c.tried = append(c.tried, id)
+	c.outcome.replica = id
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	c.front.balancer.Started(id)
+	defer c.front.balancer.Finished(id)
+	hung := time.AfterFunc(c.hangTime(), func() { c.hung(id, cancel) })
+	defer hung.Stop()
+	sent := time.Now()
+	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, c.outgoing(choice))
+	if err != nil {
+		return c.failed(ctx, id, err)
+	}
+	defer answer.Close()
+	if hung.Stop() {
+		c.front.balancer.Paced(id, time.Since(sent))
+	}
+	c.sent++
+	return c.answered(ctx, choice, answer)
+}
+
+// errHung is the cause with which an attempt is cancelled that got no answer in
+// a time in which others do.
+var errHung = errors.New("front: no answer in time")
+
+// hangTime is how long a replica may be silent before it is doubted.
+func (c *call) hangTime() time.Duration {
+	const targets = 2
+	const least = 500 * time.Millisecond
+	return max(targets*c.route.Target, least)
+}
+
+// hung notes a replica's silence, and moves on if the request may be repeated.
+func (c *call) hung(id string, cancel context.CancelCauseFunc) {
+	c.front.fail(id, balance.Hung)
+	if !c.route.RunsOnce() && c.sent+1 < c.route.Attempts && time.Until(c.end) > c.hangTime() && c.front.repeats.has() {
+		cancel(errHung)
+	}
+}
+
+// failed turns an attempt without an answer into a verdict.
+func (c *call) failed(ctx context.Context, id string, err error) verdict {
+	c.outcome.reason = "no answer: " + err.Error()
+	if errors.Is(err, upstream.ErrNotSent) {
+		if c.request.Context().Err() == nil && ctx.Err() == nil {
+			c.front.fail(id, dialFailure(err))
+		}
+		// Nothing reached the replica, so this was no attempt.
+		return again
+	}
+	c.sent++
+	c.mayHaveRun = true
+	if c.request.Context().Err() != nil {
+		c.callerGone()
+		return done
+	}
+	hung := errors.Is(context.Cause(ctx), errHung)
+	if ctx.Err() != nil && !hung {
+		return over
+	}
+	if !hung {
+		c.front.fail(id, balance.Broke)
+	}
+	return c.repeat("broken")
+}
+
+func dialFailure(err error) balance.Failure {
+	if upstream.IsRefused(err) {
+		return balance.Refused
+	}
+	return balance.Unreachable
+}
+
+// repeat decides whether another replica may be asked after one that may have
+// run the request.
+func (c *call) repeat(why string) verdict {
+	if c.mayHaveRun && c.route.RunsOnce() {
+		return over
+	}
+	if c.sent >= c.route.Attempts || !c.front.repeats.spend() {
+		return over
+	}
+	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
+		event.F("why", why), event.F("sent", c.sent), event.F("after_ms", time.Since(c.arrival).Milliseconds()))
+	c.front.metrics.Repeats.Inc(1)
+	return again
+}
+
+// outgoing builds the request for a replica.
+func (c *call) outgoing(choice balance.Choice) *upstream.Request {
+	d := &c.front.options.Dialect
+	header := forwarded(c.request.Header)
+	for _, name := range d.Own {
+		header.Del(name)
+	}
+	if c.organisation != nil || c.front.holder.Current().Table.Keyed() {
+		header.Del(d.Key)
+	}
+	if c.organisation != nil {
+		header.Set(d.Organisation, c.organisation.Name)
+	}
+	header.Set(d.Deadline, strconv.FormatInt(max(time.Until(c.end).Milliseconds(), 1), 10))
+	header.Set(d.Expect, choice.Replica.ID)
+	if c.service.Engine != nil {
+		header.Set(d.Priority, strconv.Itoa(c.priority()))
+		if choice.Source != "" {
+			header.Set(d.CopyFrom, choice.Source)
+		}
+	}
+	if c.lastEvent != "" {
+		header.Set(lastEventHeader, c.lastEvent)
+	}
+	return &upstream.Request{
+		Method: c.request.Method,
+		URI:    c.request.RequestURI,
+		Host:   c.request.Host,
+		Header: header,
+		Body:   c.body,
+		ID:     c.id,
+	}
+}
+
+// lastEventHeader is the standard's header for taking a stream up again.
+const lastEventHeader = "Last-Event-Id"
+
+// priority is that of the organisation, else that of the route, within what a
+// replica takes.
+func (c *call) priority() int {
+	const lowest = 9
+	p := c.route.Priority
+	if c.organisation != nil && c.organisation.HasPriority {
+		p = c.organisation.Priority
+	}
+	return min(max(p, 0), lowest)
+}
+
+// answered handles an answer whose head has come.
+func (c *call) answered(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
+	d := &c.front.options.Dialect
+	id := choice.Replica.ID
+	if load, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
+		c.front.balancer.Reported(id, load, time.Now())
+	}
+	if answer.Header.Get(d.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
+		drain(answer)
+		c.outcome.reason = "not taken: " + strconv.Itoa(answer.StatusCode)
+		c.front.fail(id, notTaken(answer.StatusCode))
+		return c.repeat(c.outcome.reason)
+	}
+	c.mayHaveRun = true
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return c.replicaError(ctx, choice, answer)
+	}
+	c.front.balancer.Answered(id, c.parts, time.Now())
+	return c.pass(ctx, choice, answer)
+}
+
+func notTaken(status int) balance.Failure {
+	if status == http.StatusMisdirectedRequest {
+		return balance.Refused
+	}
+	return balance.Shed
+}
+
+// replicaError handles a replica's own 5xx: what it did is not known.
+func (c *call) replicaError(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
+	c.front.fail(choice.Replica.ID, balance.Errored)
+	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
+	if c.begun {
+		drain(answer)
+		return c.repeat(c.outcome.reason)
+	}
+	if !c.route.RunsOnce() && time.Until(c.end) > c.route.Target/2 && c.repeat(c.outcome.reason) == again {
+		drain(answer)
+		return again
+	}
+	if promises(answer.StatusCode) {
+		// Without the mark of not having run, its promise may not be passed on.
+		drain(answer)
+		return over
+	}
+	return c.pass(ctx, choice, answer)
+}
+
+// promises tells whether a status says that a request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// fail notes a failure at a replica.
+func (f *Front) fail(id string, kind balance.Failure) {
+	f.balancer.Failed(id, kind, f.options.DataCentre, time.Now())
+	f.log.Write(event.EngineSuspect, event.F("replica", id), event.F("kind", kind.String()))
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,112 @@
+// Package front serves callers' requests by the configured routes.
+//
+//	caller ──HTTP──> Front ── route, key, proof ──> balance.Pick ──> upstream ──HTTP──> replica
+//
+// Every request ends in one of three ways: the answer of a replica, unchanged;
+// a refusal that promises that it has not run and never will (503 with
+// Retry-After); or an error that promises nothing (502, 504, a cut connection).
+// The names of headers and the forms of their values are those of a Dialect, so
+// that the package knows no platform's names.
+package front
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/freshness"
+)
+
+// Dialect holds the names and forms in which callers, routers and replicas
+// speak.
+type Dialect struct {
+	// Headers of a caller's request.
+	Attempt  string
+	Deadline string
+	Parts    string
+	Key      string
+	// KeyScheme precedes the key in its header.
+	KeyScheme string
+	// Headers that the router sets towards a replica.
+	Organisation string
+	Expect       string
+	Priority     string
+	CopyFrom     string
+	// Own names all headers that only routers may set; a caller's are dropped.
+	Own []string
+	// Headers of a replica's answer.
+	NotRun  string
+	Load    string
+	Replica string
+	// Signature marks an answer as a replica's.
+	Signature string
+	// ParseParts reads the value of Parts, ParseLoad that of Load.
+	ParseParts func(string) []balance.Part
+	ParseLoad  func(string) (requests int, ok bool)
+}
+
+// Options of a front.
+type Options struct {
+	Dialect Dialect
+	// DataCentre is the router's.
+	DataCentre string
+	// KeyProof is the greatest age of the proof at which a key is believed.
+	KeyProof time.Duration
+	// AbsenceProof is the greatest age of the proof at which an unknown route or
+	// key is said to be unknown.
+	AbsenceProof time.Duration
+	// RepeatRatio is how many repeats each request earns, RepeatReserve how many
+	// there are in store.
+	RepeatRatio   float64
+	RepeatReserve float64
+}
+
+// Front is an http.Handler.
+type Front struct {
+	options  Options
+	follower *follow.Follower
+	holder   *freshness.Holder
+	balancer *balance.Balancer
+	pool     *upstream.Pool
+	log      *event.Log
+	metrics  *Metrics
+	repeats  *budget
+	active   atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns a front.
+func New(o Options, f *follow.Follower, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
+	return &Front{
+		options:  o,
+		follower: f,
+		holder:   h,
+		balancer: b,
+		pool:     p,
+		log:      log,
+		metrics:  m,
+		repeats:  newBudget(o.RepeatRatio, o.RepeatReserve),
+	}
+}
+
+// Active returns the number of requests that are served now.
+func (f *Front) Active() int { return int(f.active.Load()) }
+
+// Stopping makes each further answer the last of its connection.
+func (f *Front) Stopping() { f.stopping.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := newCall(f, w, r, time.Now())
+	defer c.finish()
+	c.serve()
+}
--- /dev/null
+++ b/internal/front/stream.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/upstream"
+)
+
+// errPartial: a stream ended within an event.
+var errPartial = errors.New("front: stream ended within an event")
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// passEvents passes whole events only, so that a stream that breaks off within
+// one can go on at another replica with the next.
+func (c *call) passEvents(answer *upstream.Answer) error {
+	reader := bufio.NewReader(answer)
+	var one []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		one = append(one, line...)
+		if err == bufio.ErrBufferFull && len(one) < maxEvent {
+			continue
+		}
+		if err == io.EOF && len(one) == 0 {
+			return nil
+		}
+		if err == io.EOF {
+			return errPartial
+		}
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		if err := c.passEvent(one); err != nil {
+			return err
+		}
+		one = one[:0]
+	}
+}
+
+func (c *call) passEvent(one []byte) error {
+	if id, found := eventID(one); found {
+		c.lastEvent = id
+		c.events++
+	}
+	return c.write(one)
+}
+
+// eventID returns the id line of an event.
+func eventID(one []byte) (string, bool) {
+	for line := range bytes.Lines(one) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+// since returns how long ago a time was, in milliseconds.
+func since(t time.Time) int64 { return time.Since(t).Milliseconds() }
--- /dev/null
+++ b/internal/settings/routes.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+// PlatformKind tells what a router finds at the platform's address.
+type PlatformKind string
+
+// The kinds.
+const (
+	// PlatformService is the key-value service that holds templates and groups.
+	PlatformService PlatformKind = "service"
+	// PlatformStore is a store that holds routes and the entries of replicas.
+	PlatformStore PlatformKind = "store"
+)
+
+// Peers tells how routers that serve routes find each other.
+type Peers struct {
+	// Seeds are peers' addresses of a few routers; they may be stale or down.
+	Seeds []string
+	// Period is the pause between two exchanges with a peer; 0: no exchanges.
+	Period time.Duration
+}
+
+// Routes holds the times of a router that serves routes.
+type Routes struct {
+	// Dial bounds the opening of a connection to a replica.
+	Dial time.Duration
+	// Silence is how long sent bytes may stay unacknowledged by a replica.
+	Silence time.Duration
+	// Keep is how long a connection to a replica rests before it is closed.
+	Keep time.Duration
+}
+
+// Bounds are what the users hold the whole fleet to.
+type Bounds struct {
+	// Apply is the time in which an accepted configuration is in force, Revoke
+	// that in which a key that was taken away is refused everywhere.
+	Apply  time.Duration
+	Revoke time.Duration
+	// Grace is the time from the order to stop until the kill.
+	Grace time.Duration
+	// Heartbeat is how often replicas renew their entries.
+	Heartbeat time.Duration
+	// RepeatRatio is the fleet's repeats over its requests in RepeatWindow,
+	// beside RepeatAllowance.
+	RepeatRatio     float64
+	RepeatAllowance float64
+	RepeatWindow    time.Duration
+}
+
+func defaultRoutes() Routes {
+	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute}
+}
+
+func defaultBounds() Bounds {
+	return Bounds{
+		Apply:           2 * time.Second,
+		Revoke:          5 * time.Second,
+		Grace:           8 * time.Second,
+		Heartbeat:       1200 * time.Millisecond,
+		RepeatRatio:     0.1,
+		RepeatAllowance: 30,
+		RepeatWindow:    10 * time.Second,
+	}
+}
+
+func (r *reader) peers(p *Peers) {
+	r.section("peers")
+	if v, set := r.value("seeds"); set && v != "" {
+		p.Seeds = strings.Split(v, ",")
+		for _, seed := range p.Seeds {
+			if _, _, err := net.SplitHostPort(seed); err != nil {
+				r.reject("peers", "seeds", v, "must be IP:PORT, separated by commas")
+				break
+			}
+		}
+	}
+	r.duration("period", &p.Period, 0, time.Minute)
+}
+
+func (r *reader) routes(t *Routes) {
+	r.section("routes")
+	r.duration("dial", &t.Dial, time.Millisecond, time.Minute)
+	r.duration("silence", &t.Silence, time.Millisecond, time.Hour)
+	r.duration("keep", &t.Keep, time.Millisecond, time.Hour)
+}
+
+func (r *reader) bounds(b *Bounds) {
+	r.section("bounds")
+	r.duration("apply", &b.Apply, 10*time.Millisecond, time.Hour)
+	r.duration("revoke", &b.Revoke, 10*time.Millisecond, time.Hour)
+	r.duration("grace", &b.Grace, 10*time.Millisecond, time.Hour)
+	r.duration("heartbeat", &b.Heartbeat, time.Millisecond, time.Hour)
+	r.float("repeat_ratio", &b.RepeatRatio, 0, 10)
+	r.float("repeat_allowance", &b.RepeatAllowance, 0, 1e6)
+	r.duration("repeat_window", &b.RepeatWindow, 10*time.Millisecond, time.Hour)
+}
+
+func (r *reader) kind(key string, to *PlatformKind) {
+	v, set := r.value(key)
+	if !set {
+		return
+	}
+	switch k := PlatformKind(v); k {
+	case PlatformService, PlatformStore:
+		*to = k
+	default:
+		r.reject(r.current, key, v, fmt.Sprintf("must be %s or %s", PlatformService, PlatformStore))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,9 @@
 	Listen     Listen
 	Platform   Platform
 	Limits     Limits
+	Peers      Peers
+	Routes     Routes
+	Bounds     Bounds
 }
 
 // Listen holds the addresses (host:port) that the process listens on.
@@ -42,11 +45,15 @@
 	Callers string
 	Peers   string
 	Admin   string
+	// Readiness is where the balancer asks; empty: the admin listener only.
+	Readiness string
 }
 
 // Platform tells where the platform's service is and how it may be used.
 type Platform struct {
 	URL string
+	// Kind tells what stands at URL.
+	Kind PlatformKind
 	// Timeout bounds one call.
 	Timeout time.Duration
 	// Rate is the calls a second that this process may make.
@@ -77,7 +84,9 @@
 	return Settings{
 		LogLevel: logrus.InfoLevel,
 		Listen:   Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
-		Platform: Platform{Timeout: 2 * time.Second, Rate: 5, Poll: time.Second},
+		Platform: Platform{Kind: PlatformService, Timeout: 2 * time.Second, Rate: 5, Poll: time.Second},
+		Routes:   defaultRoutes(),
+		Bounds:   defaultBounds(),
 		Limits: Limits{
 			Body:         8 << 20,
 			Header:       32 << 10,
@@ -121,9 +130,11 @@
 	r.address("callers", &s.Listen.Callers)
 	r.address("peers", &s.Listen.Peers)
 	r.address("admin", &s.Listen.Admin)
+	r.address("readiness", &s.Listen.Readiness)
 
 	r.section("platform")
 	r.url("url", &s.Platform.URL)
+	r.kind("kind", &s.Platform.Kind)
 	r.duration("timeout", &s.Platform.Timeout, time.Millisecond, time.Minute)
 	r.float("rate", &s.Platform.Rate, 0.1, 2000)
 	r.duration("poll", &s.Platform.Poll, 10*time.Millisecond, time.Minute)
@@ -137,6 +148,10 @@
 	r.duration("drain", &s.Limits.Drain, 0, time.Hour)
 	r.duration("digest_period", &s.Limits.DigestPeriod, 50*time.Millisecond, time.Minute)
 
+	r.peers(&s.Peers)
+	r.routes(&s.Routes)
+	r.bounds(&s.Bounds)
+
 	r.rejectUnknown()
 	if len(r.problems) > 0 {
 		return Settings{}, errors.Join(r.problems...)
@@ -271,7 +286,7 @@
 	for _, section := range r.file.Sections() {
 		keys, known := r.known[section.Name()]
 		if !known && section.Name() != ini.DefaultSection {
-			r.problems = append(r.problems, fmt.Errorf("%w: %s: [%s]: no such section; allowed are instance, listen, platform, limits", ErrInvalid, r.path, section.Name()))
+			r.problems = append(r.problems, fmt.Errorf("%w: %s: [%s]: no such section; allowed are instance, listen, platform, limits, peers, routes, bounds", ErrInvalid, r.path, section.Name()))
 			continue
 		}
 		for _, key := range section.KeyStrings() {
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,336 @@
+// Package upstream sends requests to replicas over HTTP/1.1 on connections of
+// its own and says what is known of each.
+//
+//	Pool.Do -> Answer          the head is that of this request: the id matches
+//	        -> ErrNotSent      no byte can have reached a replica
+//	        -> ErrBroken       sent; whether it ran is not known
+//
+// The standard client is not used: it repeats requests by itself, and a late
+// second answer on a kept connection would be taken for the next request's.
+// Here the echoed id decides, an answer of another request is skipped, and a
+// connection that holds more than its answer is never used again.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Errors of this package.
+var (
+	// ErrNotSent: no byte of the request can have reached the replica.
+	ErrNotSent = errors.New("upstream: not sent")
+	// ErrBroken: sent, but no answer that is this request's.
+	ErrBroken = errors.New("upstream: no answer")
+)
+
+// Options of a pool.
+type Options struct {
+	// IDHeader names the header that a replica echoes.
+	IDHeader string
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// SilenceTimeout is how long sent bytes may stay unacknowledged.
+	SilenceTimeout time.Duration
+	// IdleTime is how long a connection rests at most before it is closed.
+	IdleTime time.Duration
+	// Opened is called for each connection that was opened. It may be nil.
+	Opened func(address string)
+}
+
+// Pool keeps connections to replicas. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	mu      sync.Mutex
+	idle    map[string][]*conn
+}
+
+// New returns an empty pool.
+func New(o Options) *Pool {
+	return &Pool{options: o, idle: make(map[string][]*conn)}
+}
+
+// conn is one connection. Between requests it rests in the pool.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	// expires is when the replica or the pool no longer keeps it.
+	expires time.Time
+}
+
+// Request is what is sent.
+type Request struct {
+	Method string
+	// URI is the path with its query, unaltered.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID must come back in the answer.
+	ID string
+}
+
+// Answer is a replica's answer whose head has arrived. Body must be read to its
+// end or closed. Close must be called.
+type Answer struct {
+	*http.Response
+	pool  *Pool
+	conn  *conn
+	stop  func() bool
+	wrote chan error
+	ended bool
+}
+
+// Do sends a request and waits for the head of its answer. When ctx ends the
+// connection is closed, which tells the replica to stop the work.
+func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	for {
+		c, reused, err := p.connect(ctx, address)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		answer, written, err := p.exchange(ctx, c, r)
+		if err == nil {
+			return answer, nil
+		}
+		c.Close()
+		if written > 0 {
+			return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+		}
+		// Nothing left this machine. A kept connection may just have been
+		// closed by the other side, so another one is tried.
+		if !reused || ctx.Err() != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (c *conn, reused bool, err error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			return c, true, nil
+		}
+		c.Close()
+	}
+	c, err = p.dial(ctx, address)
+	return c, false, err
+}
+
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	// The one used last is the least likely to have been closed.
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	dialer := net.Dialer{
+		Control:         controlSocket(p.options.SilenceTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.options.SilenceTimeout, Interval: time.Second, Count: 2},
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.options.Opened != nil {
+		p.options.Opened(address)
+	}
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), address: address}, nil
+}
+
+// exchange writes the request and reads the head. written is the number of
+// bytes that were handed to the system.
+func (p *Pool) exchange(ctx context.Context, c *conn, r *Request) (*Answer, int, error) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	wrote, written, err := c.send(r)
+	if err != nil {
+		stop()
+		return nil, written, err
+	}
+	response, err := p.readHead(c, r)
+	if err != nil {
+		stop()
+		return nil, written, err
+	}
+	return &Answer{Response: response, pool: p, conn: c, stop: stop, wrote: wrote}, written, nil
+}
+
+// smallRequest is the size up to which a request is written before the answer
+// is read. A replica may answer a larger one before it has read it.
+const smallRequest = 32 << 10
+
+// send writes the request. A large one is still being written when send
+// returns; wrote then tells the outcome.
+func (c *conn) send(r *Request) (wrote chan error, written int, err error) {
+	wire := r.encode()
+	if len(wire) <= smallRequest {
+		written, err = c.Write(wire)
+		return nil, written, err
+	}
+	wrote = make(chan error, 1)
+	go func() {
+		_, err := c.Write(wire)
+		wrote <- err
+	}()
+	return wrote, len(wire), nil
+}
+
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1024)
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// The error is that of the buffer, which has none.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// readHead reads heads until one is this request's.
+func (p *Pool) readHead(c *conn, r *Request) (*http.Response, error) {
+	const maxSkipped = 4
+	for range maxSkipped {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if response.Header.Get(p.options.IDHeader) == r.ID {
+			return response, nil
+		}
+		if !delimited(response) {
+			return nil, errors.New("answer of another request, without a length")
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.New("answers of other requests only")
+}
+
+// delimited tells whether an answer's end can be found on its connection.
+func delimited(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
+// Close ends the answer. The connection is kept if the body was read to its
+// end and nothing else came, else it is closed.
+func (a *Answer) Close() {
+	if !a.stop() || !a.ended || !a.reusable() {
+		a.conn.Close()
+		return
+	}
+	a.conn.expires = time.Now().Add(a.keepTime())
+	a.pool.put(a.conn)
+}
+
+// Read reads the body and notes its end.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Body.Read(p)
+	if err == io.EOF {
+		a.ended = true
+	}
+	return n, err
+}
+
+func (a *Answer) reusable() bool {
+	if a.Response.Close || !delimited(a.Response) && a.bodyAllowed() || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	if a.wrote == nil {
+		return true
+	}
+	select {
+	case err := <-a.wrote:
+		return err == nil
+	default:
+		// The replica answered before it had read the request: what it reads
+		// next would be the rest of that request.
+		return false
+	}
+}
+
+func (a *Answer) bodyAllowed() bool {
+	return a.StatusCode != http.StatusNoContent && a.StatusCode != http.StatusNotModified
+}
+
+// keepTime is how long the connection may rest: less than the replica keeps it.
+func (a *Answer) keepTime() time.Duration {
+	const margin = time.Second
+	keep := a.pool.options.IdleTime
+	for _, field := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		seconds, err := strconv.Atoi(value)
+		if found && err == nil {
+			keep = min(keep, time.Duration(seconds)*time.Second-margin)
+		}
+	}
+	return keep
+}
+
+// CloseIdle closes the connections that rest at an address; with an empty
+// address, those that rested too long anywhere.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for at, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if at == address || now.After(c.expires) {
+				c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		p.idle[at] = kept
+		if len(kept) == 0 {
+			delete(p.idle, at)
+		}
+	}
+}
+
+// Idle returns how many connections rest.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := 0
+	for _, list := range p.idle {
+		total += len(list)
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/balance/balance.go
@@ -0,0 +1,332 @@
+// Package balance decides which replica of a service gets a request.
+//
+//	Replace   the replicas that may get work
+//	Pick      one of them, by the parts of the prompt, load and health
+//	Started, Answered, Failed, Finished    what became of it
+//	Merge     what another router tells of its own requests
+//
+// Engines keep the parts of prompts that they have read. Every router orders
+// the engines for a part in the same way, by rendezvous hashing, so that without
+// a word between them they agree on its home; a home above the bound is passed
+// over, and whoever does not hold the part is told an engine that does, from
+// which it copies. The package does no I/O; time and randomness come from the
+// caller.
+package balance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// Part is a piece of a prompt, named by its content.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Question asks for a replica.
+type Question struct {
+	Service string
+	// DataCentre is the asker's; replicas there are preferred where equal.
+	DataCentre string
+	// Parts of the prompt in order; the last belongs to the request or its
+	// session. Empty for plain services.
+	Parts []Part
+	// Tried holds the ids of replicas that are not to get it again.
+	Tried []string
+}
+
+// Reason tells why a replica was chosen.
+type Reason string
+
+// The reasons.
+const (
+	// Home: the part's first home, within its bound.
+	Home Reason = "home"
+	// Holder: another engine that is known to hold the part.
+	Holder Reason = "holder"
+	// Diverted: homes before it are above the bound, suspected or tried.
+	Diverted Reason = "diverted"
+	// LeastLoaded: the least loaded of a plain service.
+	LeastLoaded Reason = "least loaded"
+	// LastResort: all that is left is suspected or above the bound.
+	LastResort Reason = "last resort"
+)
+
+// Choice is the answer to a question.
+type Choice struct {
+	Replica directory.Replica
+	// Source is the address of an engine that may hold what the chosen one
+	// lacks; empty if none is needed.
+	Source string
+	Reason Reason
+	// Load is the replica's load as estimated, Bound what it was held against.
+	Load, Bound float64
+}
+
+// The bound on a replica's requests: a multiple of the mean and some more,
+// below what the users allow, since estimates lag.
+const (
+	boundFactor = 1.4
+	boundSlack  = 2
+)
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	replicas map[string]*replica
+	services map[string][]*replica
+	centres  map[string]*health
+	holders  *holders
+	peers    map[string]peerCounts
+}
+
+// replica is one replica with what was seen of it.
+type replica struct {
+	directory.Replica
+	hash    uint64
+	running int
+	report  report
+	health  health
+	pace    pace
+}
+
+// report is what a replica told of its load.
+type report struct {
+	load float64
+	// running is the own count when the report came.
+	running int
+	at      time.Time
+}
+
+// New returns a balancer without replicas. Its choices are a function of seed
+// and of what it is told.
+func New(seed uint64) *Balancer {
+	return &Balancer{
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		replicas: make(map[string]*replica),
+		services: make(map[string][]*replica),
+		centres:  make(map[string]*health),
+		holders:  newHolders(),
+		peers:    make(map[string]peerCounts),
+	}
+}
+
+// Replace takes the replicas of the directory. Those that drain get no new
+// work, but may still be copied from.
+func (b *Balancer) Replace(list []directory.Replica) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	replicas := make(map[string]*replica, len(list))
+	services := make(map[string][]*replica)
+	for _, r := range list {
+		known := b.replicas[r.ID]
+		if known == nil {
+			known = &replica{hash: hashText(r.ID)}
+		}
+		known.Replica = r
+		replicas[r.ID] = known
+		if r.State == directory.Ready {
+			services[r.Service] = append(services[r.Service], known)
+		}
+	}
+	b.replicas, b.services = replicas, services
+}
+
+// Pick chooses a replica, or returns false if the service has none that is left.
+func (b *Balancer) Pick(q Question, now time.Time) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.services[q.Service]
+	left := make([]*replica, 0, len(all))
+	total := 0.0
+	for _, r := range all {
+		total += b.load(r, now)
+		if !slices.Contains(q.Tried, r.ID) {
+			left = append(left, r)
+		}
+	}
+	if len(left) == 0 {
+		return Choice{}, false
+	}
+	bound := boundFactor*total/float64(len(all)) + boundSlack
+	var chosen *replica
+	var reason Reason
+	if len(q.Parts) > 0 {
+		chosen, reason = b.pickEngine(q, left, bound, now)
+	} else {
+		chosen, reason = b.pickPlain(q, left, now)
+	}
+	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}
+	if len(q.Parts) > 1 {
+		choice.Source = b.source(partKey(q.Parts), chosen, now)
+	}
+	return choice, true
+}
+
+// partKey names what a request's home is chosen by: the last part that is shared.
+func partKey(parts []Part) uint64 {
+	if len(parts) > 1 {
+		return parts[len(parts)-2].ID
+	}
+	return parts[0].ID
+}
+
+func (b *Balancer) pickEngine(q Question, left []*replica, bound float64, now time.Time) (*replica, Reason) {
+	key := partKey(q.Parts)
+	sortByHome(left, key)
+	for i, r := range left {
+		if i == 0 && b.fits(r, bound, now) {
+			return r, Home
+		}
+		if b.holders.holds(key, r.ID, now) && b.fits(r, bound, now) {
+			return r, Holder
+		}
+	}
+	for _, r := range left {
+		if b.fits(r, bound, now) {
+			return r, Diverted
+		}
+	}
+	return b.leastBad(left, now), LastResort
+}
+
+// sortByHome orders engines for a part: highest random weight first.
+func sortByHome(list []*replica, key uint64) {
+	slices.SortFunc(list, func(a, b *replica) int {
+		return cmp.Compare(mix(b.hash^key), mix(a.hash^key))
+	})
+}
+
+func (b *Balancer) fits(r *replica, bound float64, now time.Time) bool {
+	return !b.suspect(r, now) && b.load(r, now) < bound
+}
+
+// leastBad prefers health over load.
+func (b *Balancer) leastBad(list []*replica, now time.Time) *replica {
+	return slices.MinFunc(list, func(x, y *replica) int {
+		return cmp.Or(
+			cmp.Compare(b.badness(x, now), b.badness(y, now)),
+			cmp.Compare(b.load(x, now), b.load(y, now)),
+		)
+	})
+}
+
+func (b *Balancer) pickPlain(q Question, left []*replica, now time.Time) (*replica, Reason) {
+	// A random start makes routers that know the same choose differently.
+	b.random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+	weight := func(r *replica) float64 {
+		away := 0.0
+		if r.DataCentre != q.DataCentre {
+			away = awayPenalty
+		}
+		return math.Floor(b.load(r, now)) + away
+	}
+	best := slices.MinFunc(left, func(x, y *replica) int {
+		return cmp.Or(cmp.Compare(b.badness(x, now), b.badness(y, now)), cmp.Compare(weight(x), weight(y)))
+	})
+	if b.suspect(best, now) {
+		return best, LastResort
+	}
+	return best, LeastLoaded
+}
+
+// awayPenalty is what the way to another data centre weighs, in requests.
+const awayPenalty = 1.5
+
+// source returns where an engine that was chosen can copy a part from.
+func (b *Balancer) source(key uint64, chosen *replica, now time.Time) string {
+	if b.holders.holds(key, chosen.ID, now) {
+		return ""
+	}
+	for _, id := range b.holders.list(key, now) {
+		if r := b.replicas[id]; r != nil && id != chosen.ID && !b.suspect(r, now) {
+			return r.Address
+		}
+	}
+	// Nobody is known to hold it: the home, or the one that was home before the
+	// chosen one joined.
+	others := make([]*replica, 0, len(b.services[chosen.Service]))
+	for _, r := range b.services[chosen.Service] {
+		if r != chosen && !b.suspect(r, now) {
+			others = append(others, r)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	sortByHome(others, key)
+	return others[0].Address
+}
+
+// reportLife is how long a report says something: engines report with a lag,
+// and a request lasts about as long.
+const reportLife = 400 * time.Millisecond
+
+// load estimates the requests at a replica, of all routers.
+func (b *Balancer) load(r *replica, now time.Time) float64 {
+	load := float64(r.running) + b.othersRunning(r.ID, now)
+	if now.Sub(r.report.at) < reportLife {
+		load = max(load, r.report.load+float64(r.running-r.report.running))
+	}
+	return load
+}
+
+// Started counts a request that is about to be sent to a replica.
+func (b *Balancer) Started(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		r.running++
+	}
+}
+
+// Finished ends what Started began.
+func (b *Balancer) Finished(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil && r.running > 0 {
+		r.running--
+	}
+}
+
+// Reported takes the load that a replica told, in requests running and waiting.
+func (b *Balancer) Reported(id string, load int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		r.report = report{load: float64(load), running: r.running, at: now}
+	}
+}
+
+// Answered notes that a replica answered well, after a time, and that it now
+// holds the parts of the prompt.
+func (b *Balancer) Answered(id string, parts []Part, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return
+	}
+	r.health.succeeded(now)
+	if c := b.centres[r.DataCentre]; c != nil {
+		c.succeeded(now)
+	}
+	if len(parts) > 1 {
+		b.holders.note(partKey(parts), id, now)
+	}
+}
+
+// Ready returns how many replicas of a service may get work.
+func (b *Balancer) Ready(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.services[service])
+}
--- /dev/null
+++ b/pkg/balance/health.go
@@ -0,0 +1,164 @@
+package balance
+
+import (
+	"time"
+)
+
+// Failure is how a request to a replica went wrong.
+type Failure uint8
+
+// The failures, by how much they say against the replica.
+const (
+	// Shed: the replica did not take it, being full or leaving.
+	Shed Failure = iota
+	// Errored: it answered with an error of its own.
+	Errored
+	// Broke: the connection ended without a whole answer.
+	Broke
+	// Hung: no answer in a time in which others answer.
+	Hung
+	// Refused: nothing listens at its address, or another replica does.
+	Refused
+	// Unreachable: opening a connection took too long.
+	Unreachable
+)
+
+// String implements fmt.Stringer.
+func (f Failure) String() string {
+	return [...]string{"shed", "errored", "broke", "hung", "refused", "unreachable"}[f]
+}
+
+// base is how long a replica is avoided after one failure of the kind.
+func (f Failure) base() time.Duration {
+	switch f {
+	case Shed:
+		return 150 * time.Millisecond
+	case Errored, Broke:
+		return 700 * time.Millisecond
+	}
+	return time.Second
+}
+
+const (
+	// longestSuspicion bounds the doubling for repeated failures.
+	longestSuspicion = 6 * time.Second
+	// forgetAfter is the quiet time after which earlier failures don't count.
+	forgetAfter = 8 * time.Second
+	// forgiveStreak is how many good answers in a row clear earlier failures.
+	forgiveStreak = 3
+	// maxDoublings keeps the shift small.
+	maxDoublings = 5
+)
+
+// health says whether a replica is to be avoided.
+//
+//	failure          -> avoided for base, twice as long for each further one
+//	time is over     -> one request at a time, as a trial
+//	good answers     -> trusted again
+type health struct {
+	failures int
+	good     int
+	until    time.Time
+	last     time.Time
+	kind     Failure
+}
+
+func (h *health) failed(kind Failure, now time.Time) {
+	if now.Sub(h.last) > forgetAfter {
+		h.failures = 0
+	}
+	pause := min(kind.base()<<min(h.failures, maxDoublings), longestSuspicion)
+	if until := now.Add(pause); until.After(h.until) {
+		h.until = until
+	}
+	if kind != Shed {
+		h.failures++
+	}
+	h.good = 0
+	h.last = now
+	h.kind = kind
+}
+
+func (h *health) succeeded(now time.Time) {
+	h.good++
+	if h.failures > 0 && (h.good >= forgiveStreak || now.After(h.until)) {
+		h.failures--
+		h.good = 0
+	}
+}
+
+// avoided tells whether the replica is to get no work. running are its requests
+// of this router: on trial it gets one at a time.
+func (h *health) avoided(running int, now time.Time) bool {
+	if now.Before(h.until) {
+		return true
+	}
+	return h.failures > 1 && running > 0 && now.Sub(h.last) < forgetAfter
+}
+
+// suspect tells whether a replica is to be passed over while others are left.
+func (b *Balancer) suspect(r *replica, now time.Time) bool {
+	return b.badness(r, now) > 0
+}
+
+// badness orders replicas that should be avoided: 0 is sound.
+func (b *Balancer) badness(r *replica, now time.Time) int {
+	bad := 0
+	if b.slow(r) {
+		bad = 1
+	}
+	if r.health.avoided(r.running, now) {
+		bad = 2
+		if r.health.kind >= Refused {
+			bad = 4
+		}
+	}
+	if c := b.centres[r.DataCentre]; c != nil && c.avoided(0, now) {
+		bad = max(bad, 3)
+	}
+	return bad
+}
+
+// Failed notes a failure at a replica. A replica in another data centre that
+// can't be reached speaks against the whole of it: a cut strikes them all.
+func (b *Balancer) Failed(id string, kind Failure, ownDataCentre string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return
+	}
+	r.health.failed(kind, now)
+	if kind == Unreachable && r.DataCentre != ownDataCentre {
+		b.centreUnreachable(r.DataCentre, now)
+	}
+}
+
+// centreUnreachable avoids a data centre once two of its replicas could not be
+// reached within a moment.
+func (b *Balancer) centreUnreachable(name string, now time.Time) {
+	const moment = 2 * time.Second
+	unreachable := 0
+	for _, r := range b.replicas {
+		if r.DataCentre == name && r.health.kind == Unreachable && now.Sub(r.health.last) < moment && r.health.failures > 0 {
+			unreachable++
+		}
+	}
+	if unreachable < 2 {
+		return
+	}
+	c := b.centres[name]
+	if c == nil {
+		c = &health{}
+		b.centres[name] = c
+	}
+	c.failed(Unreachable, now)
+}
+
+// Suspected tells whether a replica is avoided now, for the state dump.
+func (b *Balancer) Suspected(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	return r != nil && b.suspect(r, now)
+}
--- /dev/null
+++ b/pkg/directory/directory.go
@@ -0,0 +1,150 @@
+// Package directory keeps which replicas may get new work, from full reads of
+// a list that is kept elsewhere.
+//
+//	listed and ready   -> gets work
+//	listed as draining -> gets nothing new
+//	no longer listed   -> gets nothing new, unless the list itself was lost:
+//	                      after an outage of the list, replicas that vanished
+//	                      keep their work for Grace, since their entries may
+//	                      have lapsed while they could not renew them
+//
+// The package does no I/O; time comes from the caller and is steady.
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what the list says of a replica.
+type State uint8
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Replica is one entry of the list.
+type Replica struct {
+	// ID names one incarnation; it is never used again.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is the most requests that it runs at a time.
+	Slots int
+	State State
+}
+
+// Change is a difference between two reads.
+type Change struct {
+	Replica Replica
+	What    What
+}
+
+// What says how a replica changed.
+type What string
+
+// The changes.
+const (
+	Joined  What = "joined"
+	Drains  What = "draining"
+	Left    What = "gone"
+	Doubted What = "vanished after an outage"
+)
+
+// Directory is not safe for concurrent use.
+type Directory struct {
+	outage  time.Duration
+	grace   time.Duration
+	entries map[string]*entry
+	read    time.Time
+}
+
+type entry struct {
+	replica Replica
+	// doubtedSince is when the entry was first missing after an outage.
+	doubtedSince time.Time
+}
+
+// New returns an empty directory. A pause of more than outage between two reads
+// counts as an outage of the list; grace is how long a replica that vanished in
+// one keeps its work.
+func New(outage, grace time.Duration) *Directory {
+	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry)}
+}
+
+// Replace takes a full read that was sent at a time, and returns what changed,
+// sorted by id. Reads that were sent before the last one taken are ignored.
+func (d *Directory) Replace(list []Replica, sent time.Time) []Change {
+	if sent.Before(d.read) {
+		return nil
+	}
+	lost := !d.read.IsZero() && sent.Sub(d.read) > d.outage
+	d.read = sent
+	var changes []Change
+	seen := make(map[string]bool, len(list))
+	for _, r := range list {
+		seen[r.ID] = true
+		changes = d.take(r, changes)
+	}
+	for id, e := range d.entries {
+		if !seen[id] {
+			changes = d.missing(id, e, lost, changes)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
+	return changes
+}
+
+func (d *Directory) take(r Replica, changes []Change) []Change {
+	old, known := d.entries[r.ID]
+	if !known {
+		d.entries[r.ID] = &entry{replica: r}
+		return append(changes, Change{r, Joined})
+	}
+	if r.State == Draining && old.replica.State != Draining {
+		changes = append(changes, Change{r, Drains})
+	}
+	old.replica = r
+	old.doubtedSince = time.Time{}
+	return changes
+}
+
+func (d *Directory) missing(id string, e *entry, lost bool, changes []Change) []Change {
+	if e.doubtedSince.IsZero() && lost && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
+		e.doubtedSince = d.read
+		return append(changes, Change{e.replica, Doubted})
+	}
+	if !e.doubtedSince.IsZero() && d.read.Sub(e.doubtedSince) < d.grace {
+		return changes
+	}
+	delete(d.entries, id)
+	return append(changes, Change{e.replica, Left})
+}
+
+// addressTaken tells whether another replica stands at the address now.
+func (d *Directory) addressTaken(id, address string) bool {
+	for other, e := range d.entries {
+		if other != id && e.replica.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// Read returns when the read that the directory rests on was sent; zero before
+// the first.
+func (d *Directory) Read() time.Time { return d.read }
+
+// List returns all replicas, draining ones included, sorted by id.
+func (d *Directory) List() []Replica {
+	list := make([]Replica, 0, len(d.entries))
+	for _, e := range d.entries {
+		list = append(list, e.replica)
+	}
+	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- /dev/null
+++ b/pkg/freshness/freshness.go
@@ -0,0 +1,82 @@
+// Package freshness keeps the newest configuration that a router knows together
+// with the proof of how new it is.
+//
+// A proof is the steady time at which a read was sent that was answered by the
+// newest state there was: whatever was accepted before that time is known. A
+// watch proves nothing, since it may be silent, and neither does a stale read.
+// Proofs cross routers as ages, so that no two clocks are compared: the asker's
+// proof dates from the time it asked, less the age that it was told.
+package freshness
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// State is what is known at one moment. It is immutable.
+type State struct {
+	// Table is nil before the first configuration.
+	Table *route.Table
+	// Proven is the steady time at which Table was the newest.
+	Proven time.Time
+}
+
+// Age returns how old the proof is.
+func (s *State) Age(now time.Time) time.Duration { return now.Sub(s.Proven) }
+
+// Holder holds the newest state. It is safe for concurrent use.
+type Holder struct {
+	mu    sync.Mutex
+	state atomic.Pointer[State]
+}
+
+// NewHolder returns a holder that knows nothing.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.state.Store(&State{})
+	return h
+}
+
+// Current returns the newest state.
+func (h *Holder) Current() *State { return h.state.Load() }
+
+// Offer takes a table with its proof and tells whether the table is newer than
+// the one held. An older version changes nothing: what it proves is that its
+// sender was behind.
+func (h *Holder) Offer(table *route.Table, proven time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.state.Load()
+	if old.Table == nil || table.Version() > old.Table.Version() {
+		// A proof for an older version says nothing of this one's age, so the
+		// new version's own proof counts.
+		h.state.Store(&State{Table: table, Proven: later(old.Proven, proven)})
+		return true
+	}
+	if table.Version() == old.Table.Version() {
+		h.state.Store(&State{Table: old.Table, Proven: later(old.Proven, proven)})
+	}
+	return false
+}
+
+// Prove notes that the version held was still the newest at a time.
+func (h *Holder) Prove(version uint64, proven time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.state.Load()
+	if old.Table == nil || old.Table.Version() != version {
+		return false
+	}
+	h.state.Store(&State{Table: old.Table, Proven: later(old.Proven, proven)})
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
