Routers act together: gossip of counts, failures, holders and proofs

Ruled out: a narrower set of engines for prompts with one large opening. Change: pkg/membership, internal/gossip; follower reads in order of rank and takes proofs dated from asking; holders of each shared part known to all and preferred to homes; copies from the holder of the longest beginning; slowness by the pace of streams; a request that fails at each replica blames none; bound 1.7 x mean + 2.5, below the users' 2 x mean + 3.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
+	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -50,6 +51,7 @@
 	pool     *upstream.Pool
 	front    *front.Front
 	metrics  *front.Metrics
+	gossip   *gossip.Gossip
 
 	callers   *http.Server
 	readiness *http.Server
@@ -68,7 +70,9 @@
 func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
 	e := &Entry{settings: s, log: log, stop: make(chan struct{}), done: make(chan struct{})}
 	e.killed, e.kill = context.WithCancel(context.Background())
-	e.build(outside)
+	if err := e.build(outside); err != nil {
+		return nil, err
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -95,14 +99,20 @@
 	return time.Duration(float64(d) * share)
 }
 
-func (e *Entry) build(outside Outside) {
+func (e *Entry) build(outside Outside) error {
 	b := e.settings.Bounds
 	e.metrics = front.NewMetrics()
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	period := part(b.Apply, readPart)
-	e.follower = follow.New(outside.Source, follow.Options{Period: period, Timeout: period},
+	e.follower = follow.New(outside.Source, follow.Options{Period: period, Timeout: period, Rank: e.rank},
 		directory.New(2*period+b.Heartbeat, 2*b.Heartbeat), e.holder, e.balancer, e.log)
+	var err error
+	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
+		e.follower, e.balancer, e.log)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
 	e.pool = upstream.New(upstream.Options{
 		IDHeader:       outside.Dialect.Attempt,
 		DialTimeout:    e.settings.Routes.Dial,
@@ -123,6 +133,15 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+outside.ReadyPath, e.answerReady)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
+	return nil
+}
+
+// rank is this router's place among those that it knows.
+func (e *Entry) rank() int {
+	if e.gossip == nil {
+		return 0
+	}
+	return e.gossip.Rank()
 }
 
 // headerTime bounds a question for readiness.
@@ -185,6 +204,10 @@
 		e.follower.Run(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.gossip.Run(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		e.tidy(ctx)
 		return nil
@@ -236,6 +259,7 @@
 	e.log.Write(event.Draining, event.F("in_flight", e.front.Active()))
 	e.stopping.Store(true)
 	e.front.Stopping()
+	e.gossip.Leave()
 	limit, cancel := context.WithTimeout(e.killed, part(e.settings.Bounds.Grace, gracePart))
 	defer cancel()
 	select {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,7 @@
 	ClaimUnsettled    ID = 407
 	TokenIgnored      ID = 408
 	CallerGone        ID = 409
+	ReplicaChosen     ID = 410
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	OrderLease        ID = 601
@@ -82,6 +83,7 @@
 	ClaimUnsettled:    {logrus.WarnLevel, "claim's outcome unknown", "The caller was told so. Look at the platform's service."},
 	TokenIgnored:      {logrus.DebugLevel, "chat token ignored", "None needed, unless frequent after a key change: keep previous_chat_key set for a day."},
 	CallerGone:        {logrus.DebugLevel, "caller went away, work cancelled", "None needed."},
+	ReplicaChosen:     {logrus.InfoLevel, "replica chosen", "None needed."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,8 @@
 	Period time.Duration
 	// Timeout bounds one read.
 	Timeout time.Duration
+	// Rank returns how many routers read before this one. It may be nil.
+	Rank func() int
 }
 
 // Follower is safe for concurrent use.
@@ -61,6 +63,7 @@
 
 	mu        sync.Mutex
 	directory *directory.Directory
+	mark      uint64
 	lost      bool
 	// read is closed and renewed with each read that succeeded.
 	read chan struct{}
@@ -80,27 +83,46 @@
 	}
 }
 
-// Run reads until ctx ends.
+// Run reads until ctx ends: as soon as the newest proof, own or told, is older
+// than this router's patience.
 func (f *Follower) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		woken := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		case <-f.wake:
+			woken = true
+		}
+		if rest := f.patience() - f.ProofAge(time.Now()); rest > 0 && !woken {
+			timer.Reset(rest)
+			continue
 		}
-		pause := f.options.Period
 		if err := f.readOnce(ctx); err != nil {
 			// A source that answers again is to be noticed soon.
-			const retryPause = 4
-			pause /= retryPause
+			const retryPart = 4
+			timer.Reset(f.options.Period / retryPart)
+			continue
 		}
-		timer.Reset(pause)
+		timer.Reset(f.patience())
 	}
 }
 
+// patience is how old the proof may get before this router reads. The first of
+// the routers has the least, so that it reads for all while it can.
+func (f *Follower) patience() time.Duration {
+	const step = 0.15
+	const lastRank = 3
+	rank := 0
+	if f.options.Rank != nil {
+		rank = min(f.options.Rank(), lastRank)
+	}
+	return time.Duration(float64(f.options.Period) * (1 + step*float64(rank)))
+}
+
 func (f *Follower) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
@@ -133,21 +155,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.takeConfig(s, sent)
-	changes := f.directory.Replace(s.Replicas, sent)
-	if len(changes) > 0 {
-		f.balancer.Replace(f.directory.List())
-	}
-	for _, c := range changes {
-		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
-			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
-	}
+	f.changed(f.directory.Replace(s.Replicas, sent))
 	for _, id := range s.BadReplicas {
 		f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
 	}
+	f.newProof()
+}
+
+// newProof wakes who waits for a proof. f.mu is held.
+func (f *Follower) newProof() {
 	close(f.read)
 	f.read = make(chan struct{})
 }
 
+// changed takes changes of the directory. f.mu is held.
+func (f *Follower) changed(changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	f.balancer.Replace(f.directory.List())
+	f.mark = f.directory.Mark()
+	for _, c := range changes {
+		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
+			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
+	}
+}
+
 func (f *Follower) takeConfig(s Snapshot, sent time.Time) {
 	if s.Problem != nil {
 		f.log.Write(event.ConfigRejected, event.F("error", s.Problem))
--- /dev/null
+++ b/internal/follow/knowledge.go
@@ -0,0 +1,93 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// Knowledge is what one router can pass on to another.
+type Knowledge struct {
+	Version uint64
+	// Mark names the list of replicas by its content.
+	Mark uint64
+	// Config and Replicas are nil where the other has the same.
+	Config   *route.Config
+	Replicas []directory.Replica
+}
+
+// Version returns the version of the configuration and the mark of the replicas
+// that are known.
+func (f *Follower) Version() (version, mark uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if table := f.holder.Current().Table; table != nil {
+		version = table.Version()
+	}
+	return version, f.mark
+}
+
+// ProvenBy takes another router's word that a version and a mark were the newest
+// at a time, and tells whether it has something newer to pass on.
+func (f *Follower) ProvenBy(version, mark uint64, proven time.Time) (newer bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.holder.Current()
+	if held.Table == nil || version > held.Table.Version() {
+		return true
+	}
+	if version < held.Table.Version() || !proven.After(f.directory.Read()) {
+		return false
+	}
+	if mark != f.mark {
+		return true
+	}
+	f.changed(f.directory.Confirm(proven))
+	if f.holder.Prove(version, proven) {
+		f.newProof()
+	}
+	return false
+}
+
+// Learn takes what another router passed on, which was the newest at a time.
+func (f *Follower) Learn(k Knowledge, proven time.Time, from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k.Config != nil {
+		f.learnConfig(k.Config, proven, from)
+	}
+	held := f.holder.Current()
+	if held.Table == nil || held.Table.Version() != k.Version || !proven.After(f.directory.Read()) {
+		return
+	}
+	if k.Replicas != nil {
+		f.changed(f.directory.Replace(k.Replicas, proven))
+	} else if k.Mark == f.mark {
+		f.changed(f.directory.Confirm(proven))
+	}
+	f.holder.Prove(k.Version, proven)
+	f.newProof()
+}
+
+func (f *Follower) learnConfig(c *route.Config, proven time.Time, from string) {
+	table, err := route.Compile(*c)
+	if err != nil {
+		f.log.Write(event.ConfigRejected, event.F("error", err), event.F("version", c.Version), event.F("peer", from))
+		return
+	}
+	if f.holder.Offer(table, proven) {
+		f.log.Write(event.ConfigFromPeer, event.F("version", c.Version), event.F("peer", from))
+	}
+}
+
+// Knowledge returns what is known, to be passed on, with the age of its proof.
+func (f *Follower) Knowledge(now time.Time) (Knowledge, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.holder.Current()
+	config := state.Table.Config()
+	k := Knowledge{Version: config.Version, Mark: f.mark, Config: &config, Replicas: f.directory.Listed()}
+	return k, max(state.Age(now), now.Sub(f.directory.Read()))
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -60,12 +60,22 @@
 		err = c.passBytes(answer)
 	}
 	if err == nil {
+		c.notePace(choice.Replica.ID)
 		c.finished("served", answer.StatusCode, "")
 		return done
 	}
 	return c.brokenOff(ctx, choice, err, resumable)
 }
 
+// notePace tells the balancer how fast an engine made a stream. The first event
+// depends on the prompt; those after it on the engine.
+func (c *call) notePace(id string) {
+	const enough = 4
+	if c.service.Engine != nil && c.chunks >= enough {
+		c.front.balancer.Paced(id, time.Since(c.firstByte)/time.Duration(c.chunks-1))
+	}
+}
+
 func isEventStream(r *http.Response) bool {
 	return strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
 }
@@ -112,6 +122,7 @@
 	if _, err := c.writer.Write(b); err != nil {
 		return errCallerGone
 	}
+	c.chunks++
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		return errCallerGone
 	}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -37,13 +37,17 @@
 	// and those that could not be reached.
 	sent  int
 	tried []string
+	// errored names the replicas that answered with an error of their own and
+	// are not yet blamed for it.
+	errored []string
 	// mayHaveRun: a replica may have begun to work on it.
 	mayHaveRun bool
 	// begun: the head of an answer went out.
 	begun bool
 	// lastEvent is the id of the last whole event that was passed on.
 	lastEvent string
-	events    int
+	// chunks counts the writes to the caller.
+	chunks int
 	firstByte time.Time
 	outcome   outcome
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -100,6 +100,10 @@
 	id := choice.Replica.ID
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
+	c.front.log.Write(event.ReplicaChosen, event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
+		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent),
+		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
+		event.F("proof_ms", c.front.follower.ProofAge(time.Now()).Milliseconds()))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.front.balancer.Started(id)
@@ -112,7 +116,7 @@
 		return c.failed(ctx, id, err)
 	}
 	defer answer.Close()
-	if hung.Stop() {
+	if hung.Stop() && c.service.Engine == nil {
 		c.front.balancer.Paced(id, time.Since(sent))
 	}
 	c.sent++
@@ -252,6 +256,7 @@
 		return c.replicaError(ctx, choice, answer)
 	}
 	c.front.balancer.Answered(id, c.parts, time.Now())
+	c.blame()
 	return c.pass(ctx, choice, answer)
 }
 
@@ -264,16 +269,20 @@
 
 // replicaError handles a replica's own 5xx: what it did is not known.
 func (c *call) replicaError(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
-	c.front.fail(choice.Replica.ID, balance.Errored)
 	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
 	if c.begun {
+		c.front.fail(choice.Replica.ID, balance.Errored)
 		drain(answer)
 		return c.repeat(c.outcome.reason)
 	}
 	if !c.route.RunsOnce() && time.Until(c.end) > c.route.Target/2 && c.repeat(c.outcome.reason) == again {
+		c.errored = append(c.errored, choice.Replica.ID)
 		drain(answer)
 		return again
 	}
+	if len(c.errored) == 0 {
+		c.front.fail(choice.Replica.ID, balance.Errored)
+	}
 	if promises(answer.StatusCode) {
 		// Without the mark of not having run, its promise may not be passed on.
 		drain(answer)
@@ -282,6 +291,15 @@
 	return c.pass(ctx, choice, answer)
 }
 
+// blame notes the replicas that failed a request which another one answered. A
+// request that fails at each replica speaks against itself, not against them.
+func (c *call) blame() {
+	for _, id := range c.errored {
+		c.front.fail(id, balance.Errored)
+	}
+	c.errored = nil
+}
+
 // promises tells whether a status says that a request has not run.
 func promises(status int) bool {
 	switch status {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -49,7 +49,6 @@
 func (c *call) passEvent(one []byte) error {
 	if id, found := eventID(one); found {
 		c.lastEvent = id
-		c.events++
 	}
 	return c.write(one)
 }
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,323 @@
+// Package gossip lets routers that serve routes act together: each tells the
+// others what it runs, which replicas failed it and which hold what, and learns
+// from them how new their knowledge is.
+//
+//	Exchange   what I run and saw  ->  how new your knowledge is
+//	Knowledge  my version and mark ->  the configuration and replicas, if newer
+//
+// Everything told is a hint but for the proof of the configuration, which is
+// dated from the time of asking less the age that was answered. A router that is
+// told nothing works on by itself.
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/membership"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// Options of a gossip.
+type Options struct {
+	// Address is where the others reach this router.
+	Address string
+	Seeds   []string
+	// Period is the pause between two rounds.
+	Period time.Duration
+}
+
+const (
+	// maxPartners bounds the exchanges of one round.
+	maxPartners = 16
+	// callTimeout bounds one call.
+	callTimeout = time.Second
+)
+
+// Gossip is safe for concurrent use.
+type Gossip struct {
+	options  Options
+	log      *event.Log
+	follower *follow.Follower
+	balancer *balance.Balancer
+	client   *peer.Client
+	server   *peer.Server
+
+	mu      sync.Mutex
+	members *membership.Table
+	busy    map[string]bool
+	round   int
+	stopped bool
+}
+
+// Start listens for other routers.
+func Start(o Options, f *follow.Follower, b *balance.Balancer, log *event.Log) (*Gossip, error) {
+	g := &Gossip{
+		options:  o,
+		log:      log,
+		follower: f,
+		balancer: b,
+		client:   peer.NewClient(&peer.Meter{}),
+		busy:     make(map[string]bool),
+	}
+	server, err := peer.ListenWith(o.Address, func(mux *drpcmux.Mux) error {
+		return gossippb.DRPCRegisterGossip(mux, g)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	g.server = server
+	g.members = membership.New(server.Address(), o.Seeds)
+	return g, nil
+}
+
+// Address returns where the others reach this router.
+func (g *Gossip) Address() string { return g.server.Address() }
+
+// Rank returns this router's place among those that it knows.
+func (g *Gossip) Rank() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Rank()
+}
+
+// Members returns the number of routers known, this one included.
+func (g *Gossip) Members() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Len()
+}
+
+// Run exchanges with the others until ctx ends, and then tells them.
+func (g *Gossip) Run(ctx context.Context) {
+	ticker := time.NewTicker(g.options.Period)
+	defer ticker.Stop()
+	for {
+		g.tick(ctx)
+		select {
+		case <-ctx.Done():
+			g.stop()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *Gossip) stop() {
+	g.client.Close()
+	g.server.Close()
+}
+
+// Leave tells the others that this router stops.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+}
+
+func (g *Gossip) tick(ctx context.Context) {
+	now := time.Now()
+	digest := g.digest(now)
+	g.mu.Lock()
+	lost := g.members.Expire(now)
+	partners := g.members.Partners(g.round, maxPartners, now)
+	g.round++
+	var ask []string
+	for _, p := range partners {
+		if !g.busy[p] {
+			g.busy[p] = true
+			ask = append(ask, p)
+		}
+	}
+	g.mu.Unlock()
+	for _, address := range lost {
+		g.balancer.Forget(address)
+		g.log.Write(event.PeerLost, event.F("peer", address))
+	}
+	for _, address := range ask {
+		go g.exchange(ctx, address, digest)
+	}
+}
+
+func (g *Gossip) digest(now time.Time) *gossippb.Digest {
+	told := g.balancer.Tell(now)
+	d := &gossippb.Digest{Sender: g.server.Address()}
+	for _, c := range told.Running {
+		d.Replica = append(d.Replica, c.Replica)
+		d.Running = append(d.Running, uint32(c.Running))
+	}
+	for _, f := range told.Failures {
+		d.Failed = append(d.Failed, f.Replica)
+		d.Failure = append(d.Failure, uint32(f.Failure))
+	}
+	for _, h := range told.Holders {
+		d.Part = append(d.Part, h.Part)
+		d.Holder = append(d.Holder, h.Replica)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d.Stopping = g.stopped
+	d.Member, d.HeardMs = g.rows(now)
+	return d
+}
+
+// rows returns the members in the wire form. g.mu is held.
+func (g *Gossip) rows(now time.Time) (addresses []string, ages []uint32) {
+	for _, r := range g.members.Rows(now) {
+		addresses = append(addresses, r.Address)
+		ages = append(ages, uint32(r.Age.Milliseconds()))
+	}
+	return addresses, ages
+}
+
+func decodeRows(addresses []string, ages []uint32) []membership.Row {
+	rows := make([]membership.Row, 0, len(addresses))
+	for i := range min(len(addresses), len(ages)) {
+		rows = append(rows, membership.Row{Address: addresses[i], Age: milliseconds(ages[i])})
+	}
+	return rows
+}
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// exchange makes one exchange and takes the other's knowledge if it is newer.
+func (g *Gossip) exchange(ctx context.Context, address string, digest *gossippb.Digest) {
+	defer func() {
+		g.mu.Lock()
+		delete(g.busy, address)
+		g.mu.Unlock()
+	}()
+	asked := time.Now()
+	var reply *gossippb.Freshness
+	err := g.client.Control(ctx, address, callTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = gossippb.NewDRPCGossipClient(conn).Exchange(ctx, digest)
+		return err
+	})
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	g.heard(address, now)
+	g.mu.Lock()
+	g.members.Merge(decodeRows(reply.Member, reply.HeardMs), now)
+	g.mu.Unlock()
+	if reply.ProofMs == nil {
+		return
+	}
+	proven := asked.Add(-milliseconds(reply.GetProofMs()))
+	if g.follower.ProvenBy(reply.Version, reply.Mark, proven) {
+		g.learn(ctx, address)
+	}
+}
+
+func (g *Gossip) heard(address string, now time.Time) {
+	g.mu.Lock()
+	fresh := g.members.Heard(address, now)
+	g.mu.Unlock()
+	if fresh {
+		g.log.Write(event.PeerBack, event.F("peer", address))
+	}
+}
+
+// learn takes the knowledge of another router.
+func (g *Gossip) learn(ctx context.Context, address string) {
+	asked := time.Now()
+	version, mark := g.follower.Version()
+	var reply *gossippb.KnowledgeReply
+	err := g.client.Control(ctx, address, callTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, &gossippb.KnowledgeRequest{Version: version, Mark: mark})
+		return err
+	})
+	if err != nil || reply.ProofMs == nil {
+		return
+	}
+	knowledge := follow.Knowledge{Version: reply.Version, Mark: reply.Mark}
+	if len(reply.Configuration) > 0 {
+		knowledge.Config = &route.Config{}
+		err = json.Unmarshal(reply.Configuration, knowledge.Config)
+	}
+	if err == nil && len(reply.Replicas) > 0 {
+		knowledge.Replicas = []directory.Replica{}
+		err = json.Unmarshal(reply.Replicas, &knowledge.Replicas)
+	}
+	if err != nil {
+		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
+		return
+	}
+	g.follower.Learn(knowledge, asked.Add(-milliseconds(reply.GetProofMs())), address)
+}
+
+// Exchange implements the generated interface.
+func (g *Gossip) Exchange(_ context.Context, d *gossippb.Digest) (*gossippb.Freshness, error) {
+	now := time.Now()
+	if d.Stopping {
+		g.mu.Lock()
+		g.members.Left(d.Sender, now)
+		g.mu.Unlock()
+		g.balancer.Forget(d.Sender)
+	} else {
+		g.heard(d.Sender, now)
+		g.balancer.Merge(d.Sender, decode(d), now)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
+	reply := &gossippb.Freshness{}
+	reply.Member, reply.HeardMs = g.rows(now)
+	version, mark := g.follower.Version()
+	if g.follower.Known() {
+		age := uint32(g.follower.ProofAge(now).Milliseconds()) + 1
+		reply.Version, reply.Mark, reply.ProofMs = version, mark, &age
+	}
+	return reply, nil
+}
+
+// decode reads a digest. Columns of unequal length are read as far as they all
+// go, so that a damaged message cannot harm.
+func decode(d *gossippb.Digest) balance.Told {
+	var t balance.Told
+	for i := range min(len(d.Replica), len(d.Running)) {
+		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i])})
+	}
+	for i := range min(len(d.Failed), len(d.Failure)) {
+		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i])})
+	}
+	for i := range min(len(d.Part), len(d.Holder)) {
+		t.Holders = append(t.Holders, balance.Holding{Part: d.Part[i], Replica: d.Holder[i]})
+	}
+	return t
+}
+
+// Knowledge implements the generated interface.
+func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
+	if !g.follower.Known() {
+		return &gossippb.KnowledgeReply{}, nil
+	}
+	k, age := g.follower.Knowledge(time.Now())
+	milliseconds := uint32(age.Milliseconds()) + 1
+	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
+	var err error
+	if k.Version > r.Version {
+		if reply.Configuration, err = json.Marshal(k.Config); err != nil {
+			return nil, fmt.Errorf("gossip: %w", err)
+		}
+	}
+	if k.Mark != r.Mark {
+		if reply.Replicas, err = json.Marshal(k.Replicas); err != nil {
+			return nil, fmt.Errorf("gossip: %w", err)
+		}
+	}
+	return reply, nil
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
@@ -170,13 +171,20 @@
 // control makes one bounded call. Control calls may be repeated, so their
 // errors need not tell what became of them.
 func (c *Client) control(ctx context.Context, address string, call func(context.Context, peerpb.DRPCPeerClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	return c.Control(ctx, address, controlTimeout, func(ctx context.Context, conn drpc.Conn) error {
+		return call(ctx, peerpb.NewDRPCPeerClient(conn))
+	})
+}
+
+// Control makes one call of any service, bounded in time, on a pooled connection.
+func (c *Client) Control(ctx context.Context, address string, timeout time.Duration, call func(context.Context, drpc.Conn) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := c.conn(ctx, address)
 	if err != nil {
 		return err
 	}
-	if err := call(ctx, peerpb.NewDRPCPeerClient(conn)); err != nil {
+	if err := call(ctx, conn); err != nil {
 		conn.Close()
 		return fmt.Errorf("%w: %v", ErrBroken, err)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -88,8 +88,15 @@
 
 // Listen starts a server.
 func Listen(address string, handler Handler, meter *Meter) (*Server, error) {
+	return ListenWith(address, func(mux *drpcmux.Mux) error {
+		return peerpb.DRPCRegisterPeer(mux, &service{handler: handler, meter: meter})
+	})
+}
+
+// ListenWith starts a server of the services that register adds.
+func ListenWith(address string, register func(*drpcmux.Mux) error) (*Server, error) {
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterPeer(mux, &service{handler: handler, meter: meter}); err != nil {
+	if err := register(mux); err != nil {
 		return nil, fmt.Errorf("peer: register: %w", err)
 	}
 	listener, err := net.Listen("tcp", address)
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -22,7 +22,7 @@
 type Peers struct {
 	// Seeds are peers' addresses of a few routers; they may be stale or down.
 	Seeds []string
-	// Period is the pause between two exchanges with a peer; 0: no exchanges.
+	// Period is the pause between two exchanges with a peer.
 	Period time.Duration
 }
 
@@ -57,6 +57,8 @@
 	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute}
 }
 
+func defaultPeers() Peers { return Peers{Period: 250 * time.Millisecond} }
+
 func defaultBounds() Bounds {
 	return Bounds{
 		Apply:           2 * time.Second,
@@ -80,7 +82,7 @@
 			}
 		}
 	}
-	r.duration("period", &p.Period, 0, time.Minute)
+	r.duration("period", &p.Period, 10*time.Millisecond, time.Minute)
 }
 
 func (r *reader) routes(t *Routes) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,7 @@
 		LogLevel: logrus.InfoLevel,
 		Listen:   Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
 		Platform: Platform{Kind: PlatformService, Timeout: 2 * time.Second, Rate: 5, Poll: time.Second},
+		Peers:    defaultPeers(),
 		Routes:   defaultRoutes(),
 		Bounds:   defaultBounds(),
 		Limits: Limits{
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -68,13 +68,18 @@
 	Reason Reason
 	// Load is the replica's load as estimated, Bound what it was held against.
 	Load, Bound float64
+	// Passed is the engine that would have been first, if it was passed over,
+	// PassedLoad its load and PassedBad how far it is suspected.
+	Passed     string
+	PassedLoad float64
+	PassedBad  int
 }
 
 // The bound on a replica's requests: a multiple of the mean and some more,
 // below what the users allow, since estimates lag.
 const (
-	boundFactor = 1.4
-	boundSlack  = 2
+	boundFactor = 1.7
+	boundSlack  = 2.5
 )
 
 // Balancer is safe for concurrent use.
@@ -86,12 +91,15 @@
 	centres  map[string]*health
 	holders  *holders
 	peers    map[string]peerCounts
+	byHash   map[uint32]*replica
+	untold   Told
 }
 
 // replica is one replica with what was seen of it.
 type replica struct {
 	directory.Replica
 	hash    uint64
+	short   uint32
 	running int
 	report  report
 	health  health
@@ -126,18 +134,20 @@
 	defer b.mu.Unlock()
 	replicas := make(map[string]*replica, len(list))
 	services := make(map[string][]*replica)
+	byHash := make(map[uint32]*replica, len(list))
 	for _, r := range list {
 		known := b.replicas[r.ID]
 		if known == nil {
-			known = &replica{hash: hashText(r.ID)}
+			known = &replica{hash: hashText(r.ID), short: Hash(r.ID)}
 		}
 		known.Replica = r
 		replicas[r.ID] = known
+		byHash[known.short] = known
 		if r.State == directory.Ready {
 			services[r.Service] = append(services[r.Service], known)
 		}
 	}
-	b.replicas, b.services = replicas, services
+	b.replicas, b.services, b.byHash = replicas, services, byHash
 }
 
 // Pick chooses a replica, or returns false if the service has none that is left.
@@ -165,50 +175,15 @@
 		chosen, reason = b.pickPlain(q, left, now)
 	}
 	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}
+	if len(q.Parts) > 0 && left[0] != chosen {
+		choice.Passed, choice.PassedLoad, choice.PassedBad = left[0].ID, b.load(left[0], now), b.badness(left[0], now)
+	}
 	if len(q.Parts) > 1 {
-		choice.Source = b.source(partKey(q.Parts), chosen, now)
+		choice.Source = b.source(chosen, q.Parts, now)
 	}
 	return choice, true
 }
 
-// partKey names what a request's home is chosen by: the last part that is shared.
-func partKey(parts []Part) uint64 {
-	if len(parts) > 1 {
-		return parts[len(parts)-2].ID
-	}
-	return parts[0].ID
-}
-
-func (b *Balancer) pickEngine(q Question, left []*replica, bound float64, now time.Time) (*replica, Reason) {
-	key := partKey(q.Parts)
-	sortByHome(left, key)
-	for i, r := range left {
-		if i == 0 && b.fits(r, bound, now) {
-			return r, Home
-		}
-		if b.holders.holds(key, r.ID, now) && b.fits(r, bound, now) {
-			return r, Holder
-		}
-	}
-	for _, r := range left {
-		if b.fits(r, bound, now) {
-			return r, Diverted
-		}
-	}
-	return b.leastBad(left, now), LastResort
-}
-
-// sortByHome orders engines for a part: highest random weight first.
-func sortByHome(list []*replica, key uint64) {
-	slices.SortFunc(list, func(a, b *replica) int {
-		return cmp.Compare(mix(b.hash^key), mix(a.hash^key))
-	})
-}
-
-func (b *Balancer) fits(r *replica, bound float64, now time.Time) bool {
-	return !b.suspect(r, now) && b.load(r, now) < bound
-}
-
 // leastBad prefers health over load.
 func (b *Balancer) leastBad(list []*replica, now time.Time) *replica {
 	return slices.MinFunc(list, func(x, y *replica) int {
@@ -241,38 +216,13 @@
 // awayPenalty is what the way to another data centre weighs, in requests.
 const awayPenalty = 1.5
 
-// source returns where an engine that was chosen can copy a part from.
-func (b *Balancer) source(key uint64, chosen *replica, now time.Time) string {
-	if b.holders.holds(key, chosen.ID, now) {
-		return ""
-	}
-	for _, id := range b.holders.list(key, now) {
-		if r := b.replicas[id]; r != nil && id != chosen.ID && !b.suspect(r, now) {
-			return r.Address
-		}
-	}
-	// Nobody is known to hold it: the home, or the one that was home before the
-	// chosen one joined.
-	others := make([]*replica, 0, len(b.services[chosen.Service]))
-	for _, r := range b.services[chosen.Service] {
-		if r != chosen && !b.suspect(r, now) {
-			others = append(others, r)
-		}
-	}
-	if len(others) == 0 {
-		return ""
-	}
-	sortByHome(others, key)
-	return others[0].Address
-}
-
 // reportLife is how long a report says something: engines report with a lag,
 // and a request lasts about as long.
 const reportLife = 400 * time.Millisecond
 
 // load estimates the requests at a replica, of all routers.
 func (b *Balancer) load(r *replica, now time.Time) float64 {
-	load := float64(r.running) + b.othersRunning(r.ID, now)
+	load := float64(r.running) + b.othersRunning(r.short, now)
 	if now.Sub(r.report.at) < reportLife {
 		load = max(load, r.report.load+float64(r.running-r.report.running))
 	}
@@ -319,8 +269,11 @@
 	if c := b.centres[r.DataCentre]; c != nil {
 		c.succeeded(now)
 	}
-	if len(parts) > 1 {
-		b.holders.note(partKey(parts), id, now)
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		if !b.holders.holdsFresh(part.ID, id, now) {
+			b.tellHolder(part.ID, r)
+		}
+		b.holders.note(part.ID, id, now)
 	}
 }
 
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -101,20 +101,28 @@
 	return b.badness(r, now) > 0
 }
 
+// Degrees of badness. One that can't be reached is no place to copy from.
+const (
+	badSlow = iota + 1
+	badFailing
+	badUnreachable
+	badAbsent
+)
+
 // badness orders replicas that should be avoided: 0 is sound.
 func (b *Balancer) badness(r *replica, now time.Time) int {
 	bad := 0
 	if b.slow(r) {
-		bad = 1
+		bad = badSlow
 	}
 	if r.health.avoided(r.running, now) {
-		bad = 2
+		bad = badFailing
 		if r.health.kind >= Refused {
-			bad = 4
+			bad = badAbsent
 		}
 	}
 	if c := b.centres[r.DataCentre]; c != nil && c.avoided(0, now) {
-		bad = max(bad, 3)
+		bad = max(bad, badUnreachable)
 	}
 	return bad
 }
@@ -129,6 +137,7 @@
 		return
 	}
 	r.health.failed(kind, now)
+	b.tellFailure(r, kind)
 	if kind == Unreachable && r.DataCentre != ownDataCentre {
 		b.centreUnreachable(r.DataCentre, now)
 	}
--- a/pkg/balance/holders.go
+++ b/pkg/balance/holders.go
@@ -59,3 +59,11 @@
 	}
 	return ids
 }
+
+// freshLife is how long a note is not worth telling the other routers again.
+const freshLife = 5 * time.Second
+
+func (h *holders) holdsFresh(key uint64, id string, now time.Time) bool {
+	list, _ := h.parts.Peek(key)
+	return slices.ContainsFunc(list, func(x holding) bool { return x.id == id && now.Sub(x.at) < freshLife })
+}
--- a/pkg/balance/pace.go
+++ b/pkg/balance/pace.go
@@ -13,9 +13,9 @@
 
 const (
 	// paceWeight is the weight of the newest sample.
-	paceWeight = 0.4
+	paceWeight = 0.25
 	// paceSamples is how many samples it takes to judge.
-	paceSamples = 2
+	paceSamples = 4
 	// slowFactor is how many times the median makes a replica slow.
 	slowFactor = 3
 	// paceForgets is how much of a slow pace is forgotten with each look at it,
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -6,21 +6,83 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Told is what one router tells the others. Replicas are named by Hash of
+// their ids.
+type Told struct {
+	Running  []Count
+	Failures []SeenFailure
+	Holders  []Holding
+}
+
+// Count is how many requests a router runs at a replica.
+type Count struct {
+	Replica uint32
+	Running int
+}
+
+// SeenFailure is a failure that a router saw.
+type SeenFailure struct {
+	Replica uint32
+	Failure Failure
+}
+
+// Holding says that a replica was sent a part of a prompt.
+type Holding struct {
+	Part    uint64
+	Replica uint32
+}
+
+// Hash names a replica among routers.
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // peerLife is how long another router's counts say something.
 const peerLife = 1500 * time.Millisecond
 
+// Bounds of what waits to be told; the oldest is left out.
+const (
+	maxToldFailures = 64
+	maxToldHolders  = 256
+)
+
 // peerCounts are the requests that one router runs, by replica.
 type peerCounts struct {
-	running map[string]int
+	running map[uint32]int
 	at      time.Time
 }
 
-// Merge takes another router's counts of what it runs at each replica, as they
-// stood at a time.
-func (b *Balancer) Merge(router string, running map[string]int, at time.Time) {
+// Tell returns what the others are to know, each failure and holder once.
+func (b *Balancer) Tell(now time.Time) Told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	told := b.untold
+	b.untold = Told{}
+	for id, r := range b.replicas {
+		if r.running > 0 {
+			told.Running = append(told.Running, Count{Hash(id), r.running})
+		}
+	}
+	return told
+}
+
+// Merge takes what another router told.
+func (b *Balancer) Merge(router string, t Told, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[router] = peerCounts{running: running, at: at}
+	counts := peerCounts{running: make(map[uint32]int, len(t.Running)), at: now}
+	for _, c := range t.Running {
+		counts.running[c.Replica] = c.Running
+	}
+	b.peers[router] = counts
+	for _, f := range t.Failures {
+		if r := b.byHash[f.Replica]; r != nil && f.Failure <= Unreachable {
+			r.health.failed(f.Failure, now)
+		}
+	}
+	for _, h := range t.Holders {
+		if r := b.byHash[h.Replica]; r != nil {
+			b.holders.note(h.Part, r.ID, now)
+		}
+	}
 }
 
 // Forget drops what a router told that is no longer there.
@@ -30,24 +92,24 @@
 	delete(b.peers, router)
 }
 
-// Running returns what this router runs at each replica that has any.
-func (b *Balancer) Running() map[string]int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	running := make(map[string]int)
-	for id, r := range b.replicas {
-		if r.running > 0 {
-			running[id] = r.running
-		}
+// tellFailure and tellHolder keep something for the next Tell. b.mu is held.
+func (b *Balancer) tellFailure(r *replica, kind Failure) {
+	if len(b.untold.Failures) < maxToldFailures {
+		b.untold.Failures = append(b.untold.Failures, SeenFailure{Hash(r.ID), kind})
+	}
+}
+
+func (b *Balancer) tellHolder(part uint64, r *replica) {
+	if len(b.untold.Holders) < maxToldHolders {
+		b.untold.Holders = append(b.untold.Holders, Holding{part, Hash(r.ID)})
 	}
-	return running
 }
 
-func (b *Balancer) othersRunning(id string, now time.Time) float64 {
+func (b *Balancer) othersRunning(hash uint32, now time.Time) float64 {
 	total := 0
 	for _, p := range b.peers {
 		if now.Sub(p.at) < peerLife {
-			total += p.running[id]
+			total += p.running[hash]
 		}
 	}
 	return float64(total)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -13,8 +13,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is what the list says of a replica.
@@ -135,15 +138,43 @@
 	return false
 }
 
+// Confirm notes that a read that was sent at a time would have returned the same
+// list as Listed, and returns what changed.
+func (d *Directory) Confirm(sent time.Time) []Change {
+	return d.Replace(d.Listed(), sent)
+}
+
+// Listed returns the replicas that the last read listed, sorted by id: without
+// those that vanished after an outage.
+func (d *Directory) Listed() []Replica {
+	return d.list(func(e *entry) bool { return e.doubtedSince.IsZero() })
+}
+
+// Mark names the list by its content.
+func (d *Directory) Mark() uint64 {
+	hash := xxhash.New()
+	for _, r := range d.Listed() {
+		// A hash takes every write.
+		fmt.Fprintf(hash, "%q %q %q %q %d %d\n", r.ID, r.Service, r.Address, r.DataCentre, r.Slots, r.State)
+	}
+	return hash.Sum64()
+}
+
 // Read returns when the read that the directory rests on was sent; zero before
 // the first.
 func (d *Directory) Read() time.Time { return d.read }
 
 // List returns all replicas, draining ones included, sorted by id.
 func (d *Directory) List() []Replica {
+	return d.list(func(*entry) bool { return true })
+}
+
+func (d *Directory) list(wanted func(*entry) bool) []Replica {
 	list := make([]Replica, 0, len(d.entries))
 	for _, e := range d.entries {
-		list = append(list, e.replica)
+		if wanted(e) {
+			list = append(list, e.replica)
+		}
 	}
 	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return list
