SIGHUP reads the settings again instead of ending the process

Ruled out: a panic (no trace in the logs of all machines), memory (8 MB). Change: signals are handled by a watch that reads the file again at SIGHUP and when it changed without one; bad settings change nothing. The retry budget is one package again and can change while it runs.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -1,26 +1,25 @@
 package command
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
-	"net/url"
 	"os"
+	"syscall"
+	"time"
 
 	"github.com/croftyard/croftyard/internal/entry"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/platform"
 )
 
 // runEntry serves routes that lie in the platform's store until a signal.
-func runEntry(read settings.Settings, log *event.Log, signals <-chan os.Signal, out io.Writer) error {
-	at, err := url.Parse(read.Platform.URL)
-	if err != nil {
-		return usageError{err}
-	}
+func runEntry(path string, read settings.Settings, log *event.Log, signals <-chan os.Signal, out io.Writer) error {
 	e, err := entry.Start(read, entry.Outside{
-		Source:    platform.NewStore(at.Host, read.Platform.Timeout),
+		Source:    func(s settings.Settings) follow.Source { return platform.NewStore(s.Platform.URL, s.Platform.Timeout) },
 		Dialect:   platform.Dialect(),
 		ReadyPath: platform.ReadyPath,
 	}, log)
@@ -29,15 +28,80 @@
 	}
 	callers, readiness := e.Addresses()
 	fmt.Fprintf(out, "router %s: callers %s, readiness %s\n", read.Name, callers, readiness)
+	done := make(chan struct{})
 	go func() {
-		<-signals
-		e.Stop()
-		<-signals
-		e.Kill()
+		err = e.Wait()
+		close(done)
 	}()
-	err = e.Wait()
+	newWatch(path, log, e.Reload).run(signals, done, e.Stop, e.Kill)
 	if errors.Is(err, entry.ErrCut) {
 		return WithCode(err, ExitFailed)
 	}
 	return err
 }
+
+// watch reads a settings file again when it changed: at SIGHUP, or without any
+// signal.
+type watch struct {
+	path   string
+	log    *event.Log
+	reload func(settings.Settings)
+	text   []byte
+}
+
+// watchPeriod is the pause between two looks at the file.
+const watchPeriod = 2 * time.Second
+
+func newWatch(path string, log *event.Log, reload func(settings.Settings)) *watch {
+	w := &watch{path: path, log: log, reload: reload}
+	// What can't be read now is read when it changes.
+	w.text, _ = os.ReadFile(path)
+	return w
+}
+
+// run handles signals until done is closed: the first SIGTERM or SIGINT stops,
+// the second kills.
+func (w *watch) run(signals <-chan os.Signal, done <-chan struct{}, stop, kill func()) {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	stopped := false
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			w.look(false)
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				w.look(true)
+			case stopped:
+				kill()
+			default:
+				stopped = true
+				stop()
+			}
+		}
+	}
+}
+
+// look reads the file and reloads if it changed or was said to have.
+func (w *watch) look(asked bool) {
+	text, err := os.ReadFile(w.path)
+	if err != nil {
+		if asked {
+			w.log.Write(event.SettingsRejected, event.F("error", err))
+		}
+		return
+	}
+	if !asked && bytes.Equal(text, w.text) {
+		return
+	}
+	w.text = text
+	read, err := settings.Parse(w.path, text)
+	if err != nil {
+		w.log.Write(event.SettingsRejected, event.F("error", err))
+		return
+	}
+	w.reload(read)
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -27,10 +27,10 @@
 	}
 	log := event.New(s.err, read.Name, read.LogLevel)
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	if read.Platform.Kind == settings.PlatformStore {
-		err = runEntry(read, log, signals, s.out)
+		err = runEntry(c.Settings, read, log, signals, s.out)
 	} else {
 		err = runInstance(read, log, signals, s.out)
 	}
@@ -51,13 +51,13 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-signals:
+		case <-stopSignal(ctx, signals):
 		case <-i.DrainAsked():
 		case <-ctx.Done():
 			return
 		}
 		i.Stop()
-		<-signals
+		<-stopSignal(ctx, signals)
 		i.Kill()
 	}()
 	err = i.Wait()
@@ -66,3 +66,23 @@
 	}
 	return err
 }
+
+// stopSignal passes on one signal that means to stop. A SIGHUP means that the
+// settings changed; a router of chats reads them at its start only.
+func stopSignal(ctx context.Context, signals <-chan os.Signal) <-chan os.Signal {
+	stop := make(chan os.Signal, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-signals:
+				if s != syscall.SIGHUP {
+					stop <- s
+					return
+				}
+			}
+		}
+	}()
+	return stop
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,7 +36,8 @@
 // Outside is what the surroundings bring: where knowledge is kept, and how
 // callers, replicas and the balancer speak.
 type Outside struct {
-	Source    follow.Source
+	// Source returns a client of where knowledge is kept, by the settings.
+	Source    func(settings.Settings) follow.Source
 	Dialect   front.Dialect
 	ReadyPath string
 }
@@ -44,6 +45,7 @@
 // Entry is a running router.
 type Entry struct {
 	settings settings.Settings
+	outside  Outside
 	log      *event.Log
 	holder   *freshness.Holder
 	balancer *balance.Balancer
@@ -68,9 +70,9 @@
 
 // Start opens the listeners and begins to serve.
 func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
-	e := &Entry{settings: s, log: log, stop: make(chan struct{}), done: make(chan struct{})}
+	e := &Entry{settings: s, outside: outside, log: log, stop: make(chan struct{}), done: make(chan struct{})}
 	e.killed, e.kill = context.WithCancel(context.Background())
-	if err := e.build(outside); err != nil {
+	if err := e.build(); err != nil {
 		return nil, err
 	}
 	if err := e.listen(); err != nil {
@@ -86,7 +88,7 @@
 	// keyProofPart of the time within which a revoked key must be refused.
 	keyProofPart = 0.8
 	// absencePart of the time within which a configuration must be in force.
-	absencePart = 0.6
+	absencePart = 0.8
 	// readPart of the same time is the pause between two reads of the source.
 	readPart = 0.5
 	// repeatPart of the fleet's ratio of repeats is earned at each router.
@@ -99,13 +101,13 @@
 	return time.Duration(float64(d) * share)
 }
 
-func (e *Entry) build(outside Outside) error {
+func (e *Entry) build() error {
 	b := e.settings.Bounds
 	e.metrics = front.NewMetrics()
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	period := part(b.Apply, readPart)
-	e.follower = follow.New(outside.Source, follow.Options{Period: period, Timeout: period, Rank: e.rank},
+	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
 		directory.New(2*period+b.Heartbeat, 2*b.Heartbeat), e.holder, e.balancer, e.log)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
@@ -114,28 +116,48 @@
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.pool = upstream.New(upstream.Options{
-		IDHeader:       outside.Dialect.Attempt,
+		IDHeader:       e.outside.Dialect.Attempt,
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: e.settings.Routes.Silence,
 		IdleTime:       e.settings.Routes.Keep,
 		Opened:         func(string) { e.metrics.Opened.Inc(1) },
 	})
 	e.front = front.New(front.Options{
-		Dialect:       outside.Dialect,
-		DataCentre:    e.settings.DataCentre,
-		KeyProof:      part(b.Revoke, keyProofPart),
-		AbsenceProof:  part(b.Apply, absencePart),
-		RepeatRatio:   b.RepeatRatio * repeatPart,
-		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
+		Dialect:    e.outside.Dialect,
+		DataCentre: e.settings.DataCentre,
+		Limits:     frontLimits(b),
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	limits := front.NewConnLimits(e.holder)
 	e.callers = &http.Server{Handler: e.front, ConnState: limits.ConnState, MaxHeaderBytes: e.settings.Limits.Header}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+outside.ReadyPath, e.answerReady)
+	mux.HandleFunc("GET "+e.outside.ReadyPath, e.answerReady)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
 	return nil
 }
 
+func (e *Entry) followOptions(s settings.Settings) follow.Options {
+	period := part(s.Bounds.Apply, readPart)
+	return follow.Options{Period: period, Timeout: period, Rank: e.rank}
+}
+
+func frontLimits(b settings.Bounds) front.Limits {
+	return front.Limits{
+		KeyProof:      part(b.Revoke, keyProofPart),
+		AbsenceProof:  part(b.Apply, absencePart),
+		RepeatRatio:   b.RepeatRatio * repeatPart,
+		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
+	}
+}
+
+// Reload takes changed settings. Names and addresses of a running process stay
+// as they are; a change of them is logged as waiting for the next start.
+func (e *Entry) Reload(s settings.Settings) {
+	restart := s.Name != e.settings.Name || s.DataCentre != e.settings.DataCentre || s.Listen != e.settings.Listen
+	e.follower.Set(e.outside.Source(s), e.followOptions(s))
+	e.front.SetLimits(frontLimits(s.Bounds))
+	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
+}
+
 // rank is this router's place among those that it knows.
 func (e *Entry) rank() int {
 	if e.gossip == nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -23,6 +23,8 @@
 	DrainCut          ID = 105
 	Failed            ID = 106
 	LogLevel          ID = 107
+	SettingsReloaded  ID = 108
+	SettingsRejected  ID = 109
 	ConfigAdopted     ID = 201
 	ConfigRejected    ID = 202
 	ConfigFromPeer    ID = 203
@@ -62,6 +64,8 @@
 	DrainCut:          {logrus.WarnLevel, "drain limit reached, requests cut", "Raise drain in [limits] if answers take longer than it allows."},
 	Failed:            {logrus.ErrorLevel, "process cannot go on", "Read the error; the process ends with exit code 1."},
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
+	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names or addresses changed: restart the process."},
+	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
 	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
 	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -54,8 +55,8 @@
 
 // Follower is safe for concurrent use.
 type Follower struct {
-	source   Source
-	options  Options
+	source   atomic.Pointer[Source]
+	options  atomic.Pointer[Options]
 	log      *event.Log
 	holder   *freshness.Holder
 	balancer *balance.Balancer
@@ -71,9 +72,7 @@
 
 // New returns a follower that feeds a holder and a balancer.
 func New(s Source, o Options, d *directory.Directory, h *freshness.Holder, b *balance.Balancer, log *event.Log) *Follower {
-	return &Follower{
-		source:    s,
-		options:   o,
+	f := &Follower{
 		log:       log,
 		holder:    h,
 		balancer:  b,
@@ -81,6 +80,14 @@
 		directory: d,
 		read:      make(chan struct{}),
 	}
+	f.Set(s, o)
+	return f
+}
+
+// Set changes the source and the options while the follower runs.
+func (f *Follower) Set(s Source, o Options) {
+	f.source.Store(&s)
+	f.options.Store(&o)
 }
 
 // Run reads until ctx ends: as soon as the newest proof, own or told, is older
@@ -104,7 +111,7 @@
 		if err := f.readOnce(ctx); err != nil {
 			// A source that answers again is to be noticed soon.
 			const retryPart = 4
-			timer.Reset(f.options.Period / retryPart)
+			timer.Reset(f.options.Load().Period / retryPart)
 			continue
 		}
 		timer.Reset(f.patience())
@@ -116,18 +123,19 @@
 func (f *Follower) patience() time.Duration {
 	const step = 0.15
 	const lastRank = 3
+	o := f.options.Load()
 	rank := 0
-	if f.options.Rank != nil {
-		rank = min(f.options.Rank(), lastRank)
+	if o.Rank != nil {
+		rank = min(o.Rank(), lastRank)
 	}
-	return time.Duration(float64(f.options.Period) * (1 + step*float64(rank)))
+	return time.Duration(float64(o.Period) * (1 + step*float64(rank)))
 }
 
 func (f *Follower) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.options.Load().Timeout)
 	defer cancel()
 	sent := time.Now()
-	snapshot, err := f.source.Read(ctx)
+	snapshot, err := (*f.source.Load()).Read(ctx)
 	f.noteSource(err, sent)
 	if err != nil {
 		return err
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -46,7 +46,7 @@
 	if refused == nil {
 		return c.checkProof(ctx, state)
 	}
-	if state.Age(time.Now()) < c.front.options.AbsenceProof {
+	if state.Age(time.Now()) < c.front.limits.Load().AbsenceProof {
 		return refused
 	}
 	ctx, cancel := context.WithTimeout(ctx, proofWait)
@@ -59,13 +59,13 @@
 
 // checkProof refuses a request with a key whose revocation might be unknown.
 func (c *call) checkProof(ctx context.Context, state *freshness.State) *refusal {
-	if c.organisation == nil || state.Age(time.Now()) < c.front.options.KeyProof {
+	if c.organisation == nil || state.Age(time.Now()) < c.front.limits.Load().KeyProof {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, proofWait)
 	defer cancel()
 	// Any proof that is young enough will do; one that is asked for now is.
-	if c.front.follower.Prove(ctx, time.Now().Add(-c.front.options.AbsenceProof)) != nil {
+	if c.front.follower.Prove(ctx, time.Now().Add(-c.front.limits.Load().AbsenceProof)) != nil {
 		return unproven("proof too old for keys")
 	}
 	return c.resolve(c.front.holder.Current())
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -47,7 +47,7 @@
 	// lastEvent is the id of the last whole event that was passed on.
 	lastEvent string
 	// chunks counts the writes to the caller.
-	chunks int
+	chunks    int
 	firstByte time.Time
 	outcome   outcome
 }
@@ -85,7 +85,7 @@
 		return
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.Parts))
-	c.front.repeats.earn()
+	c.front.repeats.Earn()
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.end)
 	defer cancel()
 	c.dispatch(ctx)
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -137,7 +137,7 @@
 // hung notes a replica's silence, and moves on if the request may be repeated.
 func (c *call) hung(id string, cancel context.CancelCauseFunc) {
 	c.front.fail(id, balance.Hung)
-	if !c.route.RunsOnce() && c.sent+1 < c.route.Attempts && time.Until(c.end) > c.hangTime() && c.front.repeats.has() {
+	if !c.route.RunsOnce() && c.sent+1 < c.route.Attempts && time.Until(c.end) > c.hangTime() && c.front.repeats.Left() {
 		cancel(errHung)
 	}
 }
@@ -181,7 +181,7 @@
 	if c.mayHaveRun && c.route.RunsOnce() {
 		return over
 	}
-	if c.sent >= c.route.Attempts || !c.front.repeats.spend() {
+	if c.sent >= c.route.Attempts || !c.front.repeats.Spend() {
 		return over
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
@@ -54,6 +55,11 @@
 	Dialect Dialect
 	// DataCentre is the router's.
 	DataCentre string
+	Limits     Limits
+}
+
+// Limits can change while the front runs.
+type Limits struct {
 	// KeyProof is the greatest age of the proof at which a key is believed.
 	KeyProof time.Duration
 	// AbsenceProof is the greatest age of the proof at which an unknown route or
@@ -74,14 +80,15 @@
 	pool     *upstream.Pool
 	log      *event.Log
 	metrics  *Metrics
-	repeats  *budget
+	limits   atomic.Pointer[Limits]
+	repeats  *admission.Retries
 	active   atomic.Int64
 	stopping atomic.Bool
 }
 
 // New returns a front.
 func New(o Options, f *follow.Follower, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
-	return &Front{
+	front := &Front{
 		options:  o,
 		follower: f,
 		holder:   h,
@@ -89,8 +96,16 @@
 		pool:     p,
 		log:      log,
 		metrics:  m,
-		repeats:  newBudget(o.RepeatRatio, o.RepeatReserve),
+		repeats:  admission.NewRetries(o.Limits.RepeatRatio, o.Limits.RepeatReserve),
 	}
+	front.limits.Store(&o.Limits)
+	return front
+}
+
+// SetLimits changes the limits.
+func (f *Front) SetLimits(l Limits) {
+	f.limits.Store(&l)
+	f.repeats.Set(l.RepeatRatio, l.RepeatReserve)
 }
 
 // Active returns the number of requests that are served now.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,7 +70,7 @@
 	view    *fleet.View
 	board   *fleet.Board
 	limits  *admission.Limits
-	retries admission.Retries
+	retries *admission.Retries
 	traffic *placement.Traffic
 	pools   map[poolName]*pool
 	engines map[uint64]*owner.Engine
@@ -107,6 +107,7 @@
 		rnd:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		view:        fleet.NewView(),
 		limits:      admission.NewLimits(),
+		retries:     admission.NewRetries(admission.DefaultRetryEarned, admission.DefaultRetryReserve),
 		traffic:     placement.NewTraffic(),
 		pools:       make(map[poolName]*pool),
 		engines:     make(map[uint64]*owner.Engine),
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -213,7 +213,7 @@
 }
 
 func TestRetriesStayATenth(t *testing.T) {
-	var r Retries
+	r := NewRetries(DefaultRetryEarned, DefaultRetryReserve)
 	spent := 0
 	for range 1000 {
 		r.Earn()
@@ -221,7 +221,7 @@
 			spent++
 		}
 	}
-	assert.InDelta(t, 100+retryReserve, spent, 2)
+	assert.InDelta(t, 100+DefaultRetryReserve, spent, 2)
 }
 
 func TestRefusalNames(t *testing.T) {
--- a/pkg/admission/retries.go
+++ b/pkg/admission/retries.go
@@ -1,31 +1,62 @@
 package admission
 
+import "sync"
+
 // Retries is the budget of retries of one process: each first attempt earns a
 // part of a retry, each retry costs one, and a few are in reserve. When a
-// target pool fails, retries thus stay a tenth of the traffic instead of
-// doubling it. It is not safe for concurrent use. The zero value is full.
+// target pool fails, retries thus stay a part of the traffic instead of
+// doubling it. It is safe for concurrent use.
 //
 // "Forze Resilience" stacks a rate limit outside of its retries to the same
 // end; a budget in proportion needs no figure that somebody has to guess.
 type Retries struct {
-	used float64
+	mu      sync.Mutex
+	earned  float64
+	reserve float64
+	left    float64
 }
 
+// Default figures of a budget.
 const (
-	retryEarned  = 0.1
-	retryReserve = 10
+	DefaultRetryEarned  = 0.1
+	DefaultRetryReserve = 10
 )
 
+// NewRetries returns a full budget to which each first attempt adds earned, up
+// to reserve.
+func NewRetries(earned, reserve float64) *Retries {
+	return &Retries{earned: earned, reserve: reserve, left: reserve}
+}
+
+// Set changes the figures; what is left stays within the new reserve.
+func (r *Retries) Set(earned, reserve float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.earned, r.reserve = earned, reserve
+	r.left = min(r.left, reserve)
+}
+
 // Earn counts a first attempt.
 func (r *Retries) Earn() {
-	r.used = max(r.used-retryEarned, 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = min(r.left+r.earned, r.reserve)
+}
+
+// Left tells whether there is a retry in the budget.
+func (r *Retries) Left() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left >= 1
 }
 
 // Spend takes one retry from the budget and tells whether there was one.
 func (r *Retries) Spend() bool {
-	if r.used+1 > retryReserve {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left < 1 {
 		return false
 	}
-	r.used++
+	r.left--
 	return true
 }
