--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,8 +17,14 @@
 	"github.com/croftyard/croftyard/platform"
 )
 
+// heapGrowth is how far the heap grows between two collections, in percent.
+const heapGrowth = 25
+
 // runEntry serves routes that lie in the platform's store until a signal.
 func runEntry(path string, read settings.Settings, log *event.Log, signals <-chan os.Signal, out io.Writer) error {
+	// The live heap is a few megabytes: collecting more often costs little time
+	// and keeps the peak low.
+	debug.SetGCPercent(heapGrowth)
 	e, err := entry.Start(read, entry.Outside{
 		Source:    func(s settings.Settings) follow.Source { return platform.NewStore(s.Platform.URL, s.Platform.Timeout) },
 		Dialect:   platform.Dialect(),
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -106,12 +106,13 @@
 		event.F("proof_ms", c.front.follower.ProofAge(time.Now()).Milliseconds()))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.front.balancer.Started(id)
+	tokens := c.front.balancer.Started(id, c.question().Parts, time.Now())
 	defer c.front.balancer.Finished(id)
 	hung := time.AfterFunc(c.hangTime(), func() { c.hung(id, cancel) })
 	defer hung.Stop()
 	sent := time.Now()
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, c.outgoing(choice))
+	c.front.balancer.Read(id, tokens)
 	if err != nil {
 		return c.failed(ctx, id, err)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -157,6 +157,7 @@
 	for _, c := range told.Running {
 		d.Replica = append(d.Replica, c.Replica)
 		d.Running = append(d.Running, uint32(c.Running))
+		d.Reading = append(d.Reading, uint32(c.Reading))
 	}
 	for _, f := range told.Failures {
 		d.Failed = append(d.Failed, f.Replica)
@@ -288,8 +289,8 @@
 // go, so that a damaged message cannot harm.
 func decode(d *gossippb.Digest) balance.Told {
 	var t balance.Told
-	for i := range min(len(d.Replica), len(d.Running)) {
-		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i])})
+	for i := range min(len(d.Replica), len(d.Running), len(d.Reading)) {
+		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i]), Reading: int(d.Reading[i])})
 	}
 	for i := range min(len(d.Failed), len(d.Failure)) {
 		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i])})
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -101,6 +101,7 @@
 	hash    uint64
 	short   uint32
 	running int
+	reading int
 	report  report
 	health  health
 	pace    pace
@@ -222,19 +223,38 @@
 
 // load estimates the requests at a replica, of all routers.
 func (b *Balancer) load(r *replica, now time.Time) float64 {
-	load := float64(r.running) + b.othersRunning(r.short, now)
+	load := float64(r.running + b.others(r.short, now).Running)
 	if now.Sub(r.report.at) < reportLife {
 		load = max(load, r.report.load+float64(r.running-r.report.running))
 	}
 	return load
 }
 
-// Started counts a request that is about to be sent to a replica.
-func (b *Balancer) Started(id string) {
+// Started counts a request that is about to be sent to a replica, and returns
+// the tokens of its prompt that the replica is taken to lack.
+func (b *Balancer) Started(id string, parts []Part, now time.Time) (tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return 0
+	}
+	r.running++
+	for i, part := range parts {
+		if i == len(parts)-1 || !b.holders.holds(part.ID, id, now) {
+			tokens += part.Tokens
+		}
+	}
+	r.reading += tokens
+	return tokens
+}
+
+// Read ends the reading of tokens that Started counted.
+func (b *Balancer) Read(id string, tokens int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.replicas[id]; r != nil {
-		r.running++
+		r.reading -= min(tokens, r.reading)
 	}
 }
 
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -42,16 +42,42 @@
 		}
 		return r, Holder
 	}
-	for i, r := range left {
+	if r := b.firstHome(left, bound, now); r == left[0] {
+		return r, Home
+	} else if r != nil {
+		return r, Diverted
+	}
+	return b.leastBad(left, now), LastResort
+}
+
+// homeChoices is how many engines are weighed for a part that nobody holds. Two
+// are enough to even out the reading, and keep routers that don't yet know of
+// each other's choice together.
+const (
+	homeChoices = 2
+	// muchToRead is by how many tokens the first must be behind: about a tenth
+	// of a second of an engine's reading.
+	muchToRead = 4096
+)
+
+// firstHome chooses where a part is read first: of the first engines in the
+// common order, the one that has the least to read.
+func (b *Balancer) firstHome(ordered []*replica, bound float64, now time.Time) *replica {
+	var best *replica
+	least, weighed := 0, 0
+	for _, r := range ordered {
 		if !b.fits(r, bound, now) {
 			continue
 		}
-		if i == 0 {
-			return r, Home
+		reading := r.reading + b.others(r.short, now).Reading
+		if best == nil || reading+muchToRead < least {
+			best, least = r, reading
+		}
+		if weighed++; weighed == homeChoices {
+			break
 		}
-		return r, Diverted
 	}
-	return b.leastBad(left, now), LastResort
+	return best
 }
 
 func (b *Balancer) fits(r *replica, bound float64, now time.Time) bool {
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -14,10 +14,13 @@
 	Holders  []Holding
 }
 
-// Count is how many requests a router runs at a replica.
+// Count is what a router runs at a replica.
 type Count struct {
 	Replica uint32
+	// Running is the number of requests, Reading the tokens of prompts that the
+	// replica has yet to read for them.
 	Running int
+	Reading int
 }
 
 // SeenFailure is a failure that a router saw.
@@ -46,7 +49,7 @@
 
 // peerCounts are the requests that one router runs, by replica.
 type peerCounts struct {
-	running map[uint32]int
+	running map[uint32]Count
 	at      time.Time
 }
 
@@ -58,7 +61,7 @@
 	b.untold = Told{}
 	for id, r := range b.replicas {
 		if r.running > 0 {
-			told.Running = append(told.Running, Count{Hash(id), r.running})
+			told.Running = append(told.Running, Count{Hash(id), r.running, r.reading})
 		}
 	}
 	return told
@@ -68,9 +71,9 @@
 func (b *Balancer) Merge(router string, t Told, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := peerCounts{running: make(map[uint32]int, len(t.Running)), at: now}
+	counts := peerCounts{running: make(map[uint32]Count, len(t.Running)), at: now}
 	for _, c := range t.Running {
-		counts.running[c.Replica] = c.Running
+		counts.running[c.Replica] = c
 	}
 	b.peers[router] = counts
 	for _, f := range t.Failures {
@@ -105,14 +108,16 @@
 	}
 }
 
-func (b *Balancer) othersRunning(hash uint32, now time.Time) float64 {
-	total := 0
+// others sums what the other routers run at a replica.
+func (b *Balancer) others(hash uint32, now time.Time) Count {
+	var total Count
 	for _, p := range b.peers {
 		if now.Sub(p.at) < peerLife {
-			total += p.running[hash]
+			total.Running += p.running[hash].Running
+			total.Reading += p.running[hash].Reading
 		}
 	}
-	return float64(total)
+	return total
 }
 
 func hashText(s string) uint64 { return xxhash.Sum64String(s) }
