--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/front"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+type source struct {
+	mu       sync.Mutex
+	snapshot follow.Snapshot
+	err      error
+}
+
+func (s *source) Read(context.Context) (follow.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot, s.err
+}
+
+func start(t *testing.T, s *source, grace time.Duration) *Entry {
+	t.Helper()
+	set := settings.Default()
+	set.Name, set.DataCentre = "r1", "here"
+	set.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0", Readiness: "127.0.0.1:0"}
+	set.Bounds.Apply = 100 * time.Millisecond
+	set.Bounds.Grace = grace
+	e, err := Start(set, Outside{
+		Source: func(settings.Settings) follow.Source { return s },
+		Dialect: front.Dialect{Attempt: "Try", Key: "Authorization", ParseParts: func(string) []balance.Part { return nil },
+			ParseLoad: func(string) (int, bool) { return 0, false }},
+		ReadyPath: "/ready",
+	}, event.Discard())
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		e.Stop()
+		e.Kill()
+		_ = e.Wait()
+	})
+	return e
+}
+
+func status(t *testing.T, url string) int {
+	t.Helper()
+	response, err := http.Get(url)
+	require.NoError(t, err)
+	response.Body.Close()
+	return response.StatusCode
+}
+
+func until(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func served(address string) follow.Snapshot {
+	return follow.Snapshot{
+		Config: &route.Config{Version: 1, Services: []route.Service{{Name: "s"}}, Routes: []route.Route{
+			{Name: "r", Host: "h", Prefix: "/", Attempts: 1, Timeout: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}}}},
+		Replicas: []directory.Replica{{ID: "a", Service: "s", Address: address}},
+	}
+}
+
+func TestReadyOnlyWithProvenKnowledge(t *testing.T) {
+	s := &source{err: follow.ErrNoConfig}
+	e := start(t, s, time.Second)
+	callers, readiness := e.Addresses()
+	assert.Equal(t, http.StatusServiceUnavailable, status(t, "http://"+readiness+"/ready"))
+	assert.Equal(t, http.StatusServiceUnavailable, status(t, "http://"+callers+"/x"), "no 404 without a configuration")
+	s.mu.Lock()
+	s.snapshot, s.err = served("127.0.0.1:1"), nil
+	s.mu.Unlock()
+	until(e.Ready)
+	assert.Equal(t, http.StatusOK, status(t, "http://"+readiness+"/ready"))
+}
+
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Try", r.Header.Get("Try"))
+		close(begun)
+		<-finish
+	}))
+	defer replica.Close()
+	e := start(t, &source{snapshot: served(strings.TrimPrefix(replica.URL, "http://"))}, 30*time.Second)
+	until(e.Ready)
+	callers, readiness := e.Addresses()
+	answer := make(chan int)
+	go func() {
+		request, _ := http.NewRequest("POST", "http://"+callers+"/x", nil)
+		request.Host = "h"
+		request.Header.Set("Try", "1")
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err != nil {
+			answer <- 0
+			return
+		}
+		response.Body.Close()
+		answer <- response.StatusCode
+	}()
+	<-begun
+	e.Stop()
+	until(func() bool { return !e.Ready() })
+	assert.Equal(t, http.StatusServiceUnavailable, status(t, "http://"+readiness+"/ready"), "at once, and still answered")
+	close(finish)
+	assert.Equal(t, http.StatusOK, <-answer)
+}
+
+func TestAStopThatTakesTooLongIsCutAndSaysSo(t *testing.T) {
+	begun := make(chan struct{})
+	replica := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	}))
+	defer replica.Close()
+	e := start(t, &source{snapshot: served(strings.TrimPrefix(replica.URL, "http://"))}, 50*time.Millisecond)
+	until(e.Ready)
+	callers, _ := e.Addresses()
+	go func() {
+		request, _ := http.NewRequest("GET", "http://"+callers+"/x", nil)
+		request.Host = "h"
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err == nil {
+			response.Body.Close()
+		}
+	}()
+	<-begun
+	e.Stop()
+	assert.ErrorIs(t, e.Wait(), ErrCut)
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,139 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// source returns what a test put into it, or an error.
+type source struct {
+	mu       sync.Mutex
+	snapshot follow.Snapshot
+	err      error
+	reads    int
+}
+
+func (s *source) Read(context.Context) (follow.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.snapshot, s.err
+}
+
+// router is what gossip needs of one.
+type router struct {
+	gossip   *Gossip
+	follower *follow.Follower
+	holder   *freshness.Holder
+	balancer *balance.Balancer
+	source   *source
+}
+
+func newRouter(t *testing.T, s *source, seeds ...string) *router {
+	t.Helper()
+	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: s}
+	r.follower = follow.New(s, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
+	var err error
+	r.gossip, err = Start(Options{Address: "127.0.0.1:0", Seeds: seeds, Period: 5 * time.Millisecond}, r.follower, r.balancer, event.Discard())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { r.gossip.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+	return r
+}
+
+func config(version uint64) *route.Config {
+	return &route.Config{Version: version, Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []route.Share{{Service: "s", Weight: 1}}}}}
+}
+
+func replicas(ids ...string) []directory.Replica {
+	var list []directory.Replica
+	for _, id := range ids {
+		list = append(list, directory.Replica{ID: id, Service: "s", Address: id + ":1"})
+	}
+	return list
+}
+
+// until waits for a condition; the test's own limit ends a wait in vain.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestARouterThatTheSourceTurnsAwayLearnsFromItsPeers(t *testing.T) {
+	first := newRouter(t, &source{})
+	second := newRouter(t, &source{err: errors.New("turned away")}, first.gossip.Address())
+	third := newRouter(t, &source{err: errors.New("turned away")}, second.gossip.Address())
+	read := time.Now()
+	first.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a", "b")}, read)
+	for _, r := range []*router{second, third} {
+		until(t, r.follower.Known)
+		assert.EqualValues(t, 4, r.holder.Current().Table.Version())
+		until(t, func() bool { return r.balancer.Ready("s") == 2 })
+		assert.False(t, r.holder.Current().Proven.After(read), "a proof gains nothing on its way")
+		assert.Zero(t, r.source.reads)
+	}
+	until(t, func() bool { return first.gossip.Members() == 3 && third.gossip.Members() == 3 })
+
+	later := time.Now()
+	first.follower.Take(follow.Snapshot{Config: config(5), Replicas: replicas("b")}, later)
+	until(t, func() bool { return third.holder.Current().Table.Version() == 5 && third.balancer.Ready("s") == 1 })
+	assert.False(t, third.holder.Current().Proven.After(later))
+}
+
+func TestAnOlderPeerTakesNothingBack(t *testing.T) {
+	old := newRouter(t, &source{})
+	old.follower.Take(follow.Snapshot{Config: config(3), Replicas: replicas("gone")}, time.Now())
+	r := newRouter(t, &source{}, old.gossip.Address())
+	proven := time.Now()
+	r.follower.Take(follow.Snapshot{Config: config(8), Replicas: replicas("a")}, proven)
+	until(t, func() bool { return old.holder.Current().Table.Version() == 8 })
+	assert.EqualValues(t, 8, r.holder.Current().Table.Version())
+	assert.Equal(t, "a", r.follower.Replicas()[0].ID)
+}
+
+func TestWhatRoutersRunAndSeeReachesTheOthers(t *testing.T) {
+	first := newRouter(t, &source{})
+	second := newRouter(t, &source{}, first.gossip.Address())
+	for _, r := range []*router{first, second} {
+		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+	}
+	until(t, func() bool { return first.gossip.Members() == 2 && second.gossip.Members() == 2 })
+	first.balancer.Failed("a", balance.Refused, "", time.Now())
+	until(t, func() bool { return second.balancer.Suspected("a", time.Now()) })
+	assert.False(t, second.balancer.Suspected("b", time.Now()))
+}
+
+func TestWhoLeavesIsForgottenAtOnce(t *testing.T) {
+	first := newRouter(t, &source{})
+	second := newRouter(t, &source{}, first.gossip.Address())
+	until(t, func() bool { return first.gossip.Members() == 2 && second.gossip.Members() == 2 })
+	second.gossip.Leave()
+	until(t, func() bool { return first.gossip.Members() == 1 })
+}
+
+func TestDamagedDigestsAreReadAsFarAsTheyGo(t *testing.T) {
+	told := decode(&gossippb.Digest{Replica: []uint32{1, 2}, Running: []uint32{3}, Reading: []uint32{4, 5}, Failed: []uint32{1}, Part: []uint64{1}})
+	assert.Equal(t, balance.Told{Running: []balance.Count{{Replica: 1, Running: 3, Reading: 4}}}, told)
+	assert.Empty(t, decodeRows([]string{"a"}, nil))
+}
--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,219 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+var start = time.Now()
+
+func engines(n int) []directory.Replica {
+	var list []directory.Replica
+	for i := range n {
+		list = append(list, directory.Replica{ID: fmt.Sprintf("i-%d", i), Service: "llm", Address: fmt.Sprintf("e%d:1", i), DataCentre: fmt.Sprintf("dc%d", i%3)})
+	}
+	return list
+}
+
+func prompt(part uint64) []Part {
+	return []Part{{ID: 1, Tokens: 2500}, {ID: 1000 + part, Tokens: 6000}, {ID: 99999, Tokens: 500}}
+}
+
+func newBalancer(list []directory.Replica) *Balancer {
+	b := New(1)
+	b.Replace(list)
+	return b
+}
+
+func pick(t *testing.T, b *Balancer, parts []Part, now time.Time, tried ...string) Choice {
+	t.Helper()
+	c, found := b.Pick(Question{Service: "llm", DataCentre: "dc0", Parts: parts, Tried: tried}, now)
+	require.True(t, found)
+	return c
+}
+
+func TestRoutersAgreeOnHomesWithoutAWord(t *testing.T) {
+	one, two := newBalancer(engines(12)), New(2)
+	two.Replace(engines(12))
+	homes := make(map[string]int)
+	for part := range uint64(600) {
+		c := pick(t, one, prompt(part), start)
+		assert.Equal(t, c.Replica.ID, pick(t, two, prompt(part), start).Replica.ID)
+		assert.Equal(t, Home, c.Reason)
+		homes[c.Replica.ID]++
+	}
+	for id, n := range homes {
+		assert.InDelta(t, 50, n, 30, id)
+	}
+}
+
+func TestNoEngineGetsMoreThanTheBound(t *testing.T) {
+	// All requests are about one part: the worst key there can be.
+	b := newBalancer(engines(12))
+	running := make(map[string]float64)
+	for n := range 240 {
+		c := pick(t, b, prompt(5), start)
+		mean := float64(n) / 12
+		assert.LessOrEqual(t, running[c.Replica.ID], boundFactor*mean+boundSlack, "request %d to %s", n, c.Replica.ID)
+		running[c.Replica.ID]++
+		b.Started(c.Replica.ID, nil, start)
+	}
+}
+
+func TestWhatOthersRunCounts(t *testing.T) {
+	b := newBalancer(engines(12))
+	home := pick(t, b, prompt(5), start).Replica.ID
+	b.Merge("other", Told{Running: []Count{{Replica: Hash(home), Running: 9}}}, start)
+	assert.NotEqual(t, home, pick(t, b, prompt(5), start).Replica.ID)
+	assert.Equal(t, home, pick(t, b, prompt(5), start.Add(2*peerLife)).Replica.ID, "old counts say nothing")
+	b.Merge("other", Told{Running: []Count{{Replica: Hash(home), Running: 9}}}, start)
+	b.Forget("other")
+	assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
+}
+
+func TestAReportCountsWhileItIsYoung(t *testing.T) {
+	b := newBalancer(engines(12))
+	home := pick(t, b, prompt(5), start).Replica.ID
+	b.Reported(home, 30, start)
+	assert.NotEqual(t, home, pick(t, b, prompt(5), start).Replica.ID)
+	assert.Equal(t, home, pick(t, b, prompt(5), start.Add(2*reportLife)).Replica.ID)
+}
+
+func TestPartsStayWithTheirHoldersWhenEnginesJoin(t *testing.T) {
+	b := newBalancer(engines(12))
+	held := make(map[uint64]string)
+	for part := range uint64(200) {
+		c := pick(t, b, prompt(part), start)
+		held[part] = c.Replica.ID
+		b.Answered(c.Replica.ID, prompt(part), start)
+	}
+	b.Replace(engines(16))
+	for part, id := range held {
+		c := pick(t, b, prompt(part), start)
+		assert.Equal(t, id, c.Replica.ID)
+		assert.Empty(t, c.Source, "nothing needs to be copied")
+	}
+}
+
+func TestHoldersAreToldAndCopiedFrom(t *testing.T) {
+	one, two := newBalancer(engines(12)), newBalancer(engines(12))
+	home := pick(t, one, prompt(5), start)
+	one.Answered(home.Replica.ID, prompt(5), start)
+	told := one.Tell(start)
+	assert.Len(t, told.Holders, 2, "each shared part")
+	assert.Empty(t, one.Tell(start).Holders, "once")
+	two.Merge("one", told, start)
+	c := pick(t, two, prompt(5), start, home.Replica.ID)
+	assert.Equal(t, home.Replica.Address, c.Source, "from the holder")
+	c = pick(t, two, prompt(6), start, home.Replica.ID)
+	assert.Equal(t, home.Replica.Address, c.Source, "the opening is shared")
+}
+
+func TestADrainingEngineGetsNothingButIsCopiedFrom(t *testing.T) {
+	list := engines(12)
+	b := newBalancer(list)
+	home := pick(t, b, prompt(5), start)
+	b.Answered(home.Replica.ID, prompt(5), start)
+	for i := range list {
+		if list[i].ID == home.Replica.ID {
+			list[i].State = directory.Draining
+		}
+	}
+	b.Replace(list)
+	c := pick(t, b, prompt(5), start)
+	assert.NotEqual(t, home.Replica.ID, c.Replica.ID)
+	assert.Equal(t, home.Replica.Address, c.Source)
+}
+
+func TestColdPartsAreReadWhereLessWaits(t *testing.T) {
+	b := newBalancer(engines(12))
+	home := pick(t, b, prompt(5), start).Replica.ID
+	tokens := b.Started(home, prompt(5), start)
+	assert.Equal(t, 9000, tokens)
+	second := pick(t, b, prompt(5), start).Replica.ID
+	assert.NotEqual(t, home, second)
+	b.Read(home, tokens)
+	assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
+	b.Answered(home, prompt(5), start)
+	assert.Equal(t, 500, b.Started(home, prompt(5), start), "its own part only")
+}
+
+func TestFailuresAreAvoidedLongerEachTime(t *testing.T) {
+	var h health
+	now := start
+	for _, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 6 * time.Second, 6 * time.Second} {
+		h.failed(Refused, now)
+		assert.True(t, h.avoided(0, now.Add(want-time.Millisecond)))
+		assert.False(t, h.avoided(0, now.Add(want+time.Millisecond)))
+		now = now.Add(want)
+	}
+	assert.True(t, h.avoided(1, now.Add(time.Second)), "one at a time while on trial")
+	for range 20 {
+		h.succeeded(now.Add(time.Minute))
+	}
+	assert.Zero(t, h.failures)
+}
+
+func TestASuspectIsPassedOverAndToldOf(t *testing.T) {
+	b, other := newBalancer(engines(3)), newBalancer(engines(3))
+	home := pick(t, b, prompt(5), start).Replica.ID
+	b.Failed(home, Errored, "dc0", start)
+	c := pick(t, b, prompt(5), start)
+	assert.NotEqual(t, home, c.Replica.ID)
+	assert.Equal(t, home, c.Passed)
+	other.Merge("b", b.Tell(start), start)
+	assert.True(t, other.Suspected(home, start))
+	assert.Equal(t, home, pick(t, b, prompt(5), start.Add(time.Minute)).Replica.ID)
+}
+
+func TestTwoUnreachableReplicasSpeakAgainstTheirDataCentre(t *testing.T) {
+	b := newBalancer(engines(12))
+	b.Failed("i-1", Unreachable, "dc0", start)
+	assert.False(t, b.Suspected("i-4", start))
+	b.Failed("i-7", Unreachable, "dc0", start)
+	assert.True(t, b.Suspected("i-4", start), "of the same data centre")
+	assert.False(t, b.Suspected("i-5", start))
+	b.Failed("i-0", Unreachable, "dc0", start)
+	b.Failed("i-3", Unreachable, "dc0", start)
+	assert.False(t, b.Suspected("i-6", start), "not of the own one")
+}
+
+func TestASlowEngineIsPassedOver(t *testing.T) {
+	b := newBalancer(engines(6))
+	for i := range 6 {
+		for range paceSamples {
+			took := 20 * time.Millisecond
+			if i == 2 {
+				took *= 8
+			}
+			b.Paced(fmt.Sprintf("i-%d", i), took)
+		}
+	}
+	for i := range 6 {
+		assert.Equal(t, i == 2, b.Suspected(fmt.Sprintf("i-%d", i), start), i)
+	}
+	for range 500 {
+		b.Suspected("i-2", start)
+	}
+	assert.False(t, b.Suspected("i-2", start), "it is tried again")
+}
+
+func TestPlainServicesGoToTheLeastLoadedNearby(t *testing.T) {
+	b := newBalancer(engines(3))
+	for range 20 {
+		assert.Equal(t, "i-0", pick(t, b, nil, start).Replica.ID)
+	}
+	b.Started("i-0", nil, start)
+	b.Started("i-0", nil, start)
+	assert.NotEqual(t, "i-0", pick(t, b, nil, start).Replica.ID)
+	_, found := b.Pick(Question{Service: "llm", Tried: []string{"i-0", "i-1", "i-2"}}, start)
+	assert.False(t, found)
+	_, found = b.Pick(Question{Service: "none"}, start)
+	assert.False(t, found)
+}
--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,78 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var start = time.Now()
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func ready(ids ...string) []Replica {
+	var list []Replica
+	for _, id := range ids {
+		list = append(list, Replica{ID: id, Service: "s", Address: id + ":1"})
+	}
+	return list
+}
+
+func changes(list []Change) map[string]What {
+	out := make(map[string]What)
+	for _, c := range list {
+		out[c.Replica.ID] = c.What
+	}
+	return out
+}
+
+func TestReplicasJoinDrainAndLeave(t *testing.T) {
+	d := New(3*time.Second, 2*time.Second)
+	assert.Equal(t, map[string]What{"a": Joined, "b": Joined}, changes(d.Replace(ready("a", "b"), at(0))))
+	draining := ready("a", "b")
+	draining[1].State = Draining
+	assert.Equal(t, map[string]What{"b": Drains}, changes(d.Replace(draining, at(1))))
+	assert.Empty(t, d.Replace(draining, at(2)))
+	assert.Equal(t, map[string]What{"b": Left}, changes(d.Replace(ready("a"), at(3))))
+	assert.Empty(t, d.Replace(ready("a", "b"), at(2)), "an older read says nothing")
+	assert.Len(t, d.List(), 1)
+}
+
+func TestReplicasThatVanishInAnOutageKeepTheirWorkForAWhile(t *testing.T) {
+	d := New(3*time.Second, 2*time.Second)
+	d.Replace(ready("a", "b"), at(0))
+	assert.Equal(t, map[string]What{"a": Doubted, "b": Doubted}, changes(d.Replace(nil, at(10))))
+	assert.Len(t, d.List(), 2)
+	assert.Empty(t, d.Listed(), "what is doubted is not passed on")
+	assert.Empty(t, d.Replace(ready("a"), at(11)), "a is back")
+	assert.Equal(t, map[string]What{"b": Left}, changes(d.Replace(ready("a"), at(12.5))))
+	assert.Equal(t, map[string]What{"a": Left}, changes(d.Replace(nil, at(13))), "the outage is over")
+}
+
+func TestAnAddressThatAnotherReplicaHasIsNotDoubtedButGone(t *testing.T) {
+	d := New(3*time.Second, 2*time.Second)
+	d.Replace(ready("a"), at(0))
+	other := Replica{ID: "new", Service: "t", Address: "a:1"}
+	assert.Equal(t, map[string]What{"a": Left, "new": Joined}, changes(d.Replace([]Replica{other}, at(10))))
+}
+
+func TestConfirmCountsAsARead(t *testing.T) {
+	d := New(3*time.Second, 2*time.Second)
+	d.Replace(ready("a"), at(0))
+	assert.Empty(t, d.Confirm(at(2)))
+	assert.Empty(t, d.Confirm(at(4)))
+	assert.Equal(t, at(4), d.Read())
+	assert.Equal(t, map[string]What{"a": Left}, changes(d.Replace(nil, at(6))), "there was no outage")
+}
+
+func TestMarkNamesTheContent(t *testing.T) {
+	one, two := New(0, 0), New(0, 0)
+	one.Replace(ready("a", "b"), at(0))
+	two.Replace(ready("b", "a"), at(5))
+	assert.Equal(t, one.Mark(), two.Mark())
+	two.Replace(ready("a"), at(6))
+	assert.NotEqual(t, one.Mark(), two.Mark())
+}
--- /dev/null
+++ b/pkg/freshness/freshness_test.go
@@ -0,0 +1,44 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+func table(t *testing.T, version uint64) *route.Table {
+	t.Helper()
+	compiled, err := route.Compile(route.Config{Version: version})
+	require.NoError(t, err)
+	return compiled
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	start := time.Now()
+	h := NewHolder()
+	assert.Nil(t, h.Current().Table)
+	assert.True(t, h.Offer(table(t, 5), start))
+	assert.False(t, h.Offer(table(t, 3), start.Add(time.Second)), "an answer that crossed a newer one")
+	assert.EqualValues(t, 5, h.Current().Table.Version())
+	assert.Equal(t, start, h.Current().Proven, "an older version proves nothing of this one")
+	assert.True(t, h.Offer(table(t, 9), start.Add(-time.Second)))
+	assert.Equal(t, start, h.Current().Proven, "what was proven before holds for what is newer")
+}
+
+func TestProofs(t *testing.T) {
+	start := time.Now()
+	h := NewHolder()
+	assert.False(t, h.Prove(1, start), "nothing is known")
+	h.Offer(table(t, 5), start)
+	assert.False(t, h.Prove(4, start.Add(time.Hour)))
+	assert.False(t, h.Prove(6, start.Add(time.Hour)), "a version that is not held can't be proven")
+	assert.True(t, h.Prove(5, start.Add(time.Second)))
+	assert.True(t, h.Prove(5, start))
+	assert.Equal(t, start.Add(time.Second), h.Current().Proven, "a proof that comes late takes nothing back")
+	assert.False(t, h.Offer(table(t, 5), start.Add(2*time.Second)))
+	assert.Equal(t, 3*time.Second, h.Current().Age(start.Add(5*time.Second)))
+}
