Silent data centres are passed over; silent streams go on elsewhere

Ruled out: shorter dial and silence time-outs alone; lossy links (2.5 %) need three retransmissions. Change: a data centre of which two or more routers are silent for 2.5 rounds of gossip, while others are heard, gets no work until one is heard; resumable streams break off after three of their pauses without an event and go on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,7 +110,7 @@
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
 		directory.New(2*period+b.Heartbeat, 2*b.Heartbeat), e.holder, e.balancer, e.log)
 	var err error
-	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
+	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
 		e.follower, e.balancer, e.log)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -43,7 +43,7 @@
 }
 
 // pass hands a replica's answer to the caller.
-func (c *call) pass(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
+func (c *call) pass(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) verdict {
 	resumable := c.route.Resumable && answer.StatusCode == http.StatusOK
 	if c.begun && !isEventStream(answer.Response) {
 		c.outcome.reason = "replica does not resume"
@@ -55,7 +55,7 @@
 	}
 	var err error
 	if resumable && isEventStream(answer.Response) {
-		err = c.passEvents(answer)
+		err = c.passResumable(choice.Replica.ID, answer, cancel)
 	} else {
 		err = c.passBytes(answer)
 	}
@@ -135,6 +135,9 @@
 	case errors.Is(err, errCallerGone), c.request.Context().Err() != nil:
 		c.callerGone()
 		return done
+	case errors.Is(context.Cause(ctx), errHung):
+		c.outcome.reason = "stream fell silent"
+		return c.repeat(c.outcome.reason)
 	case ctx.Err() != nil:
 		c.outcome.reason = "time is over"
 		return over
@@ -216,6 +219,6 @@
 		name = c.route.Name
 	}
 	f.log.Write(id, event.F("request", c.id), event.F("route", name), event.F("status", c.outcome.status),
-		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent),
+		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent.Load()),
 		event.F("took_ms", took.Milliseconds()))
 }
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -35,8 +36,11 @@
 
 	// sent counts the replicas that the request was sent to, tried names them
 	// and those that could not be reached.
-	sent  int
+	sent  atomic.Int32
 	tried []string
+	// waiting: a replica was asked and its head has not come. It is not yet
+	// counted as sent. Timers read it.
+	waiting atomic.Bool
 	// errored names the replicas that answered with an error of their own and
 	// are not yet blamed for it.
 	errored []string
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -71,7 +71,7 @@
 // time for it: a request that nobody can take is refused early.
 func (c *call) wait(ctx context.Context) bool {
 	const pause = 15 * time.Millisecond
-	if c.sent > 0 || time.Since(c.arrival) > c.patience() {
+	if c.sent.Load() > 0 || time.Since(c.arrival) > c.patience() {
 		return false
 	}
 	// Those that could not be reached may be reached now.
@@ -101,17 +101,19 @@
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
 	c.front.log.Write(event.ReplicaChosen, event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
-		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent),
+		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent.Load()),
 		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
 		event.F("proof_ms", c.front.follower.ProofAge(time.Now()).Milliseconds()))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	tokens := c.front.balancer.Started(id, c.question().Parts, time.Now())
 	defer c.front.balancer.Finished(id)
-	hung := time.AfterFunc(c.hangTime(), func() { c.hung(id, cancel) })
+	hung := c.whenSilent(c.hangTime(), id, cancel)
 	defer hung.Stop()
 	sent := time.Now()
+	c.waiting.Store(true)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, c.outgoing(choice))
+	c.waiting.Store(false)
 	c.front.balancer.Read(id, tokens)
 	if err != nil {
 		return c.failed(ctx, id, err)
@@ -120,8 +122,8 @@
 	if hung.Stop() && c.service.Engine == nil {
 		c.front.balancer.Paced(id, time.Since(sent))
 	}
-	c.sent++
-	return c.answered(ctx, choice, answer)
+	c.sent.Add(1)
+	return c.answered(ctx, cancel, choice, answer)
 }
 
 // errHung is the cause with which an attempt is cancelled that got no answer in
@@ -135,12 +137,17 @@
 	return max(targets*c.route.Target, least)
 }
 
-// hung notes a replica's silence, and moves on if the request may be repeated.
-func (c *call) hung(id string, cancel context.CancelCauseFunc) {
-	c.front.fail(id, balance.Hung)
-	if !c.route.RunsOnce() && c.sent+1 < c.route.Attempts && time.Until(c.end) > c.hangTime() && c.front.repeats.Left() {
-		cancel(errHung)
-	}
+// whenSilent starts a timer that doubts a replica when it fires, and moves on if
+// the request may be repeated. What the timer needs is read here: later it runs
+// beside the call.
+func (c *call) whenSilent(limit time.Duration, id string, cancel context.CancelCauseFunc) *time.Timer {
+	repeatable, attempts, end := !c.route.RunsOnce(), c.route.Attempts, c.end
+	return time.AfterFunc(limit, func() {
+		c.front.fail(id, balance.Hung)
+		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.front.repeats.Left() {
+			cancel(errHung)
+		}
+	})
 }
 
 // failed turns an attempt without an answer into a verdict.
@@ -153,7 +160,7 @@
 		// Nothing reached the replica, so this was no attempt.
 		return again
 	}
-	c.sent++
+	c.sent.Add(1)
 	c.mayHaveRun = true
 	if c.request.Context().Err() != nil {
 		c.callerGone()
@@ -169,6 +176,16 @@
 	return c.repeat("broken")
 }
 
+// asked returns how many replicas were asked, the one included whose answer is
+// waited for.
+func (c *call) asked() int {
+	sent := int(c.sent.Load())
+	if c.waiting.Load() {
+		sent++
+	}
+	return sent
+}
+
 func dialFailure(err error) balance.Failure {
 	if upstream.IsRefused(err) {
 		return balance.Refused
@@ -182,11 +199,11 @@
 	if c.mayHaveRun && c.route.RunsOnce() {
 		return over
 	}
-	if c.sent >= c.route.Attempts || !c.front.repeats.Spend() {
+	if int(c.sent.Load()) >= c.route.Attempts || !c.front.repeats.Spend() {
 		return over
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
-		event.F("why", why), event.F("sent", c.sent), event.F("after_ms", time.Since(c.arrival).Milliseconds()))
+		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", time.Since(c.arrival).Milliseconds()))
 	c.front.metrics.Repeats.Inc(1)
 	return again
 }
@@ -240,7 +257,7 @@
 }
 
 // answered handles an answer whose head has come.
-func (c *call) answered(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
+func (c *call) answered(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) verdict {
 	d := &c.front.options.Dialect
 	id := choice.Replica.ID
 	if load, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
@@ -254,11 +271,11 @@
 	}
 	c.mayHaveRun = true
 	if answer.StatusCode >= http.StatusInternalServerError {
-		return c.replicaError(ctx, choice, answer)
+		return c.replicaError(ctx, cancel, choice, answer)
 	}
 	c.front.balancer.Answered(id, c.parts, time.Now())
 	c.blame()
-	return c.pass(ctx, choice, answer)
+	return c.pass(ctx, cancel, choice, answer)
 }
 
 func notTaken(status int) balance.Failure {
@@ -269,7 +286,7 @@
 }
 
 // replicaError handles a replica's own 5xx: what it did is not known.
-func (c *call) replicaError(ctx context.Context, choice balance.Choice, answer *upstream.Answer) verdict {
+func (c *call) replicaError(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) verdict {
 	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
 	if c.begun {
 		c.front.fail(choice.Replica.ID, balance.Errored)
@@ -289,7 +306,7 @@
 		drain(answer)
 		return over
 	}
-	return c.pass(ctx, choice, answer)
+	return c.pass(ctx, cancel, choice, answer)
 }
 
 // blame notes the replicas that failed a request which another one answered. A
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -505,3 +505,40 @@
 	assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
 	assert.Zero(t, arrivals.Load())
 }
+
+func TestAResumableStreamThatFallsSilentGoesOnElsewhere(t *testing.T) {
+	var asked atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		if asked.Add(1) == 1 {
+			fmt.Fprint(w, "id: 1\ndata: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			return
+		}
+		assert.Equal(t, "1", r.Header.Get("Last-Event-Id"))
+		fmt.Fprint(w, "id: 2\ndata: b\n\n")
+	}
+	first, _ := replica(t, serve)
+	second, _ := replica(t, serve)
+	r := newRig(t, first, second)
+	_, text, err := r.send(t, "POST", "/resumable/", "")
+	require.NoError(t, err)
+	assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", text)
+}
+
+func TestARepeatableRequestThatHangsGoesElsewhere(t *testing.T) {
+	var asked atomic.Int32
+	serve := func(_ http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) == 1 {
+			<-r.Context().Done()
+		}
+	}
+	first, _ := replica(t, serve)
+	second, _ := replica(t, serve)
+	response, _, err := newRig(t, first, second).send(t, "GET", "/repeat/", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.EqualValues(t, 2, asked.Load())
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -18,7 +19,9 @@
 
 // passEvents passes whole events only, so that a stream that breaks off within
 // one can go on at another replica with the next.
-func (c *call) passEvents(answer *upstream.Answer) error {
+//
+// heard is called each time a whole event came.
+func (c *call) passEvents(answer *upstream.Answer, heard func()) error {
 	reader := bufio.NewReader(answer)
 	var one []byte
 	for {
@@ -39,6 +42,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		heard()
 		if err := c.passEvent(one); err != nil {
 			return err
 		}
@@ -63,5 +67,18 @@
 	return "", false
 }
 
-// since returns how long ago a time was, in milliseconds.
-func since(t time.Time) int64 { return time.Since(t).Milliseconds() }
+// silenceTime is how long a resumable stream may be silent before it goes on
+// elsewhere: well over its pauses, and before its caller gives up.
+func (c *call) silenceTime() time.Duration {
+	const gaps = 3
+	const least = 700 * time.Millisecond
+	return max(gaps*c.route.Gap, least)
+}
+
+// passResumable passes the events of a stream and breaks it off when it falls
+// silent while it can go on elsewhere.
+func (c *call) passResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
+	silence := c.whenSilent(c.silenceTime(), id, cancel)
+	defer silence.Stop()
+	return c.passEvents(answer, func() { silence.Reset(c.silenceTime()) })
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -34,7 +34,9 @@
 type Options struct {
 	// Address is where the others reach this router.
 	Address string
-	Seeds   []string
+	// DataCentre is this router's.
+	DataCentre string
+	Seeds      []string
 	// Period is the pause between two rounds.
 	Period time.Duration
 }
@@ -58,6 +60,8 @@
 	mu      sync.Mutex
 	members *membership.Table
 	busy    map[string]bool
+	// centres are the members' data centres, as they told.
+	centres map[string]string
 	round   int
 	stopped bool
 }
@@ -71,6 +75,7 @@
 		balancer: b,
 		client:   peer.NewClient(&peer.Meter{}),
 		busy:     make(map[string]bool),
+		centres:  make(map[string]string),
 	}
 	server, err := peer.ListenWith(o.Address, func(mux *drpcmux.Mux) error {
 		return gossippb.DRPCRegisterGossip(mux, g)
@@ -141,7 +146,13 @@
 			ask = append(ask, p)
 		}
 	}
+	silent := g.silentCentres(now)
 	g.mu.Unlock()
+	for _, name := range silent {
+		if g.balancer.CentreSilent(name, true) {
+			g.log.Write(event.CentreSilent, event.F("data_centre", name))
+		}
+	}
 	for _, address := range lost {
 		g.balancer.Forget(address)
 		g.log.Write(event.PeerLost, event.F("peer", address))
@@ -151,9 +162,37 @@
 	}
 }
 
+// silentRounds is for how many rounds all members of a data centre are silent
+// before it is taken to be cut off.
+const silentRounds = 2.5
+
+// silentCentres returns the other data centres of which no member was heard for
+// a moment, while somebody was. One member alone may have died. g.mu is held.
+func (g *Gossip) silentCentres(now time.Time) []string {
+	limit := time.Duration(silentRounds * float64(g.options.Period))
+	members, silent := make(map[string]int), make(map[string]int)
+	anyone := false
+	for _, row := range g.members.Rows(now) {
+		centre := g.centres[row.Address]
+		members[centre]++
+		if row.Age > limit {
+			silent[centre]++
+		} else {
+			anyone = true
+		}
+	}
+	var names []string
+	for centre, n := range silent {
+		if anyone && centre != "" && centre != g.options.DataCentre && n == members[centre] && n > 1 {
+			names = append(names, centre)
+		}
+	}
+	return names
+}
+
 func (g *Gossip) digest(now time.Time) *gossippb.Digest {
 	told := g.balancer.Tell(now)
-	d := &gossippb.Digest{Sender: g.server.Address()}
+	d := &gossippb.Digest{Sender: g.server.Address(), DataCentre: g.options.DataCentre}
 	for _, c := range told.Running {
 		d.Replica = append(d.Replica, c.Replica)
 		d.Running = append(d.Running, uint32(c.Running))
@@ -210,7 +249,7 @@
 		return
 	}
 	now := time.Now()
-	g.heard(address, now)
+	g.heard(address, reply.DataCentre, now)
 	g.mu.Lock()
 	g.members.Merge(decodeRows(reply.Member, reply.HeardMs), now)
 	g.mu.Unlock()
@@ -223,10 +262,14 @@
 	}
 }
 
-func (g *Gossip) heard(address string, now time.Time) {
+func (g *Gossip) heard(address, dataCentre string, now time.Time) {
 	g.mu.Lock()
 	fresh := g.members.Heard(address, now)
+	if fresh {
+		g.centres[address] = dataCentre
+	}
 	g.mu.Unlock()
+	g.balancer.CentreSilent(dataCentre, false)
 	if fresh {
 		g.log.Write(event.PeerBack, event.F("peer", address))
 	}
@@ -269,13 +312,13 @@
 		g.mu.Unlock()
 		g.balancer.Forget(d.Sender)
 	} else {
-		g.heard(d.Sender, now)
+		g.heard(d.Sender, d.DataCentre, now)
 		g.balancer.Merge(d.Sender, decode(d), now)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
-	reply := &gossippb.Freshness{}
+	reply := &gossippb.Freshness{DataCentre: g.options.DataCentre}
 	reply.Member, reply.HeardMs = g.rows(now)
 	version, mark := g.follower.Version()
 	if g.follower.Known() {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/membership"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -137,3 +138,17 @@
 	assert.Equal(t, balance.Told{Running: []balance.Count{{Replica: 1, Running: 3, Reading: 4}}}, told)
 	assert.Empty(t, decodeRows([]string{"a"}, nil))
 }
+
+func TestADataCentreOfWhichNobodyIsHeardIsSilent(t *testing.T) {
+	now := time.Now()
+	g := &Gossip{options: Options{DataCentre: "here", Period: 100 * time.Millisecond}, members: membership.New("me", nil),
+		centres: map[string]string{"a1": "a", "a2": "a", "b1": "b", "h1": "here"}}
+	for _, address := range []string{"a1", "a2", "b1"} {
+		g.members.Heard(address, now)
+	}
+	assert.Empty(t, g.silentCentres(now.Add(time.Second)), "nobody at all is heard: the fault is here")
+	g.members.Heard("h1", now.Add(time.Second))
+	assert.Equal(t, []string{"a"}, g.silentCentres(now.Add(time.Second)), "b has one member, which may have died")
+	g.members.Heard("a2", now.Add(time.Second))
+	assert.Empty(t, g.silentCentres(now.Add(time.Second)))
+}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -89,6 +89,7 @@
 	replicas map[string]*replica
 	services map[string][]*replica
 	centres  map[string]*health
+	silent   map[string]bool
 	holders  *holders
 	peers    map[string]peerCounts
 	byHash   map[uint32]*replica
@@ -123,6 +124,7 @@
 		replicas: make(map[string]*replica),
 		services: make(map[string][]*replica),
 		centres:  make(map[string]*health),
+		silent:   make(map[string]bool),
 		holders:  newHolders(),
 		peers:    make(map[string]peerCounts),
 	}
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -121,7 +121,7 @@
 			bad = badAbsent
 		}
 	}
-	if c := b.centres[r.DataCentre]; c != nil && c.avoided(0, now) {
+	if c := b.centres[r.DataCentre]; b.silent[r.DataCentre] || c != nil && c.avoided(0, now) {
 		bad = max(bad, badUnreachable)
 	}
 	return bad
@@ -164,6 +164,19 @@
 	c.failed(Unreachable, now)
 }
 
+// CentreSilent notes whether the routers of a data centre were heard, and tells
+// whether that changed. A cut that keeps routers apart keeps replicas apart too,
+// and silence shows sooner than a request that got no answer.
+func (b *Balancer) CentreSilent(name string, silent bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silent[name] == silent {
+		return false
+	}
+	b.silent[name] = silent
+	return true
+}
+
 // Suspected tells whether a replica is avoided now, for the state dump.
 func (b *Balancer) Suspected(id string, now time.Time) bool {
 	b.mu.Lock()
