A router that starts recalls who holds which parts

Change: who has run through a start passes its holders on; if nobody has, each engine is asked once, by the router that rendezvous names, and the others are told.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -29,6 +29,7 @@
 		Source:    func(s settings.Settings) follow.Source { return platform.NewStore(s.Platform.URL, s.Platform.Timeout) },
 		Dialect:   platform.Dialect(),
 		ReadyPath: platform.ReadyPath,
+		Held:      platform.Held,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,8 @@
 	Source    func(settings.Settings) follow.Source
 	Dialect   front.Dialect
 	ReadyPath string
+	// Held asks an engine what it holds. It may be nil.
+	Held func(ctx context.Context, address string) ([]balance.Part, error)
 }
 
 // Entry is a running router.
@@ -230,6 +232,10 @@
 		e.gossip.Run(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.recall(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		e.tidy(ctx)
 		return nil
--- /dev/null
+++ b/internal/entry/recall.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+const (
+	// recallWait is how long a router that starts waits for a peer that remembers.
+	recallWait = 350 * time.Millisecond
+	// heldTimeout bounds one question to an engine.
+	heldTimeout = time.Second
+)
+
+// recall learns who holds which parts of prompts after a start. A peer that has
+// run for longer knows; when all routers started anew, the engines are asked,
+// each by one router, which tells the others.
+func (e *Entry) recall(ctx context.Context) {
+	if e.settings.Routes.FirstStart || e.outside.Held == nil {
+		e.gossip.SetRecalled()
+		return
+	}
+	if !e.waitUntil(ctx, e.follower.Known) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(recallWait):
+	}
+	if e.gossip.Recalled() {
+		return
+	}
+	e.gossip.SetRecalled()
+	table := e.holder.Current().Table
+	for _, r := range e.follower.Replicas() {
+		service := table.Service(r.Service)
+		if service != nil && service.Engine != nil && r.State == directory.Ready && e.gossip.Mine(r.ID) {
+			go e.askHeld(ctx, r)
+		}
+	}
+}
+
+func (e *Entry) askHeld(ctx context.Context, r directory.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
+	defer cancel()
+	parts, err := e.outside.Held(ctx, r.Address)
+	e.log.Write(event.EngineAsked, event.F("replica", r.ID), event.F("parts", len(parts)), event.F("error", err))
+	e.balancer.Held(r.ID, parts, time.Now())
+}
+
+// waitUntil waits for a condition and tells whether it came before ctx ended.
+func (e *Entry) waitUntil(ctx context.Context, condition func() bool) bool {
+	const pause = 20 * time.Millisecond
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -38,6 +38,7 @@
 	ReplicaChanged    ID = 307
 	ReplicaUnreadable ID = 308
 	CentreSilent      ID = 309
+	EngineAsked       ID = 310
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -80,6 +81,7 @@
 	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains or is gone", "None needed."},
 	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
 	CentreSilent:      {logrus.WarnLevel, "no router of a data centre is heard", "Its replicas get no work from here until one is. Look at the network between data centres."},
+	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -57,6 +58,9 @@
 	client   *peer.Client
 	server   *peer.Server
 
+	// recalled: the holders of parts are known, from a peer or from the engines.
+	recalled atomic.Bool
+
 	mu      sync.Mutex
 	members *membership.Table
 	busy    map[string]bool
@@ -98,6 +102,20 @@
 	return g.members.Rank()
 }
 
+// Recalled tells whether it is known who holds which parts.
+func (g *Gossip) Recalled() bool { return g.recalled.Load() }
+
+// SetRecalled notes that the engines were asked, so that no peer has to be.
+func (g *Gossip) SetRecalled() { g.recalled.Store(true) }
+
+// Mine tells whether, of the routers known, this one is to do a task: each task
+// is one router's, as long as all know the same routers.
+func (g *Gossip) Mine(task string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Mine(task)
+}
+
 // Members returns the number of routers known, this one included.
 func (g *Gossip) Members() int {
 	g.mu.Lock()
@@ -202,10 +220,7 @@
 		d.Failed = append(d.Failed, f.Replica)
 		d.Failure = append(d.Failure, uint32(f.Failure))
 	}
-	for _, h := range told.Holders {
-		d.Part = append(d.Part, h.Part)
-		d.Holder = append(d.Holder, h.Replica)
-	}
+	d.Part, d.Holder = encodeHolders(told.Holders)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.Stopping = g.stopped
@@ -213,6 +228,14 @@
 	return d
 }
 
+func encodeHolders(list []balance.Holding) (parts []uint64, replicas []uint32) {
+	for _, h := range list {
+		parts = append(parts, h.Part)
+		replicas = append(replicas, h.Replica)
+	}
+	return parts, replicas
+}
+
 // rows returns the members in the wire form. g.mu is held.
 func (g *Gossip) rows(now time.Time) (addresses []string, ages []uint32) {
 	for _, r := range g.members.Rows(now) {
@@ -257,7 +280,8 @@
 		return
 	}
 	proven := asked.Add(-milliseconds(reply.GetProofMs()))
-	if g.follower.ProvenBy(reply.Version, reply.Mark, proven) {
+	newer := g.follower.ProvenBy(reply.Version, reply.Mark, proven)
+	if newer || !g.recalled.Load() {
 		g.learn(ctx, address)
 	}
 }
@@ -281,7 +305,7 @@
 	version, mark := g.follower.Version()
 	var reply *gossippb.KnowledgeReply
 	err := g.client.Control(ctx, address, callTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
-		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, &gossippb.KnowledgeRequest{Version: version, Mark: mark})
+		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, &gossippb.KnowledgeRequest{Version: version, Mark: mark, Holders: !g.recalled.Load()})
 		return err
 	})
 	if err != nil || reply.ProofMs == nil {
@@ -301,6 +325,10 @@
 		return
 	}
 	g.follower.Learn(knowledge, asked.Add(-milliseconds(reply.GetProofMs())), address)
+	if len(reply.Part) > 0 && g.follower.Known() {
+		g.balancer.Recall(decodeHolders(reply.Part, reply.Holder), time.Now())
+		g.recalled.Store(true)
+	}
 }
 
 // Exchange implements the generated interface.
@@ -338,12 +366,18 @@
 	for i := range min(len(d.Failed), len(d.Failure)) {
 		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i])})
 	}
-	for i := range min(len(d.Part), len(d.Holder)) {
-		t.Holders = append(t.Holders, balance.Holding{Part: d.Part[i], Replica: d.Holder[i]})
-	}
+	t.Holders = decodeHolders(d.Part, d.Holder)
 	return t
 }
 
+func decodeHolders(parts []uint64, replicas []uint32) []balance.Holding {
+	var list []balance.Holding
+	for i := range min(len(parts), len(replicas)) {
+		list = append(list, balance.Holding{Part: parts[i], Replica: replicas[i]})
+	}
+	return list
+}
+
 // Knowledge implements the generated interface.
 func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
 	if !g.follower.Known() {
@@ -363,5 +397,8 @@
 			return nil, fmt.Errorf("gossip: %w", err)
 		}
 	}
+	if r.Holders && g.recalled.Load() {
+		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(time.Now()))
+	}
 	return reply, nil
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -152,3 +152,36 @@
 	g.members.Heard("a2", now.Add(time.Second))
 	assert.Empty(t, g.silentCentres(now.Add(time.Second)))
 }
+
+func TestARouterThatStartsRecallsHoldersFromOneThatKnows(t *testing.T) {
+	parts := []balance.Part{{ID: 7, Tokens: 100}, {ID: 8, Tokens: 5}}
+	first := newRouter(t, &source{})
+	first.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+	first.balancer.Held("a", parts, time.Now())
+	second := newRouter(t, &source{}, first.gossip.Address())
+	second.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+	until(t, func() bool { return first.gossip.Members() == 2 && second.gossip.Members() == 2 })
+	assert.False(t, second.gossip.Recalled(), "the first one knows no more than it happened to see")
+	first.gossip.SetRecalled()
+	until(t, second.gossip.Recalled)
+	assert.Len(t, second.balancer.Holders(time.Now()), 2)
+}
+
+func TestEachTaskIsOneRouters(t *testing.T) {
+	tables := []*membership.Table{membership.New("a", nil), membership.New("b", nil), membership.New("c", nil)}
+	now := time.Now()
+	for _, table := range tables {
+		for _, address := range []string{"a", "b", "c"} {
+			table.Heard(address, now)
+		}
+	}
+	for _, task := range []string{"r1", "r2", "r3", "r4", "r5"} {
+		mine := 0
+		for _, table := range tables {
+			if table.Mine(task) {
+				mine++
+			}
+		}
+		assert.Equal(t, 1, mine, task)
+	}
+}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -34,6 +35,9 @@
 	Silence time.Duration
 	// Keep is how long a connection to a replica rests before it is closed.
 	Keep time.Duration
+	// FirstStart: the whole fleet starts for the first time, so that no engine
+	// holds anything yet.
+	FirstStart bool
 }
 
 // Bounds are what the users hold the whole fleet to.
@@ -90,6 +94,7 @@
 	r.duration("dial", &t.Dial, time.Millisecond, time.Minute)
 	r.duration("silence", &t.Silence, time.Millisecond, time.Hour)
 	r.duration("keep", &t.Keep, time.Millisecond, time.Hour)
+	r.bool("first_start", &t.FirstStart)
 }
 
 func (r *reader) bounds(b *Bounds) {
@@ -115,3 +120,16 @@
 		r.reject(r.current, key, v, fmt.Sprintf("must be %s or %s", PlatformService, PlatformStore))
 	}
 }
+
+func (r *reader) bool(key string, to *bool) {
+	v, set := r.value(key)
+	if !set {
+		return
+	}
+	b, err := strconv.ParseBool(v)
+	if err != nil {
+		r.reject(r.current, key, v, "must be true or false")
+		return
+	}
+	*to = b
+}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -44,7 +44,7 @@
 // Bounds of what waits to be told; the oldest is left out.
 const (
 	maxToldFailures = 64
-	maxToldHolders  = 256
+	maxToldHolders  = 4096
 )
 
 // peerCounts are the requests that one router runs, by replica.
@@ -88,6 +88,46 @@
 	}
 }
 
+// Holders returns who is known to hold which parts, for a router that starts.
+func (b *Balancer) Holders(now time.Time) []Holding {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Holding
+	for _, part := range b.holders.parts.Keys() {
+		for _, id := range b.holders.list(part, now) {
+			list = append(list, Holding{part, Hash(id)})
+		}
+	}
+	return list
+}
+
+// Recall takes what another router knew of holders. What is known here is newer.
+func (b *Balancer) Recall(list []Holding, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range list {
+		if r := b.byHash[h.Replica]; r != nil && !b.holders.holds(h.Part, r.ID, now) {
+			b.holders.note(h.Part, r.ID, now)
+		}
+	}
+}
+
+// Held takes what an engine itself said that it holds, and tells the others.
+func (b *Balancer) Held(id string, parts []Part, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return
+	}
+	for _, part := range parts {
+		if !b.holders.holds(part.ID, id, now) {
+			b.tellHolder(part.ID, r)
+		}
+		b.holders.note(part.ID, id, now)
+	}
+}
+
 // Forget drops what a router told that is no longer there.
 func (b *Balancer) Forget(router string) {
 	b.mu.Lock()
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -137,5 +137,17 @@
 	return rank
 }
 
+// Mine tells whether a task is this router's by rendezvous hashing. Routers that
+// know the same members agree.
+func (t *Table) Mine(task string) bool {
+	own := xxhash.Sum64String(t.own + task)
+	for address := range t.heard {
+		if xxhash.Sum64String(address+task) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // Len returns the number of routers, this one included.
 func (t *Table) Len() int { return len(t.heard) + 1 }
