Logs that explain a request, bounded; metrics; croftyardctl why

Cause: on-call engineers had no way from a request's id to its cause; a log line could make a request wait for standard output; a router of routes had no metrics. Change: a line for each decision that touches a request (chosen, tried again, refused, resumed, ended badly or late; others sampled) and for each change of a belief; at most 200 lines of an event a second, counted when left out; a sink that drops and counts rather than waits; one admin listener for both kinds of router; figures by route and outcome; croftyardctl why ID [FILE...]. A start waits to meet a peer before it asks the engines.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,29 +16,50 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/router"
 )
 
+// Subject is what operators look at.
+type Subject struct {
+	// State returns the state dump.
+	State func() any
+	// Registry holds the metrics, Gauges returns further ones at each look.
+	Registry gometrics.Registry
+	Gauges   func() []Gauge
+	// Explain answers where a request would go. It may be nil.
+	Explain func(url.Values) (any, error)
+}
+
+// Gauge is a metric that is worked out when it is looked at.
+type Gauge struct {
+	Name  string
+	Value float64
+}
+
 // Admin serves operators.
 type Admin struct {
-	router *router.Router
-	log    *event.Log
-	drain  func()
-	server *http.Server
+	subject Subject
+	log     *event.Log
+	drain   func()
+	server  *http.Server
 }
 
-// New returns the admin face of a router. drain is called to begin a stop.
-func New(r *router.Router, log *event.Log, drain func()) *Admin {
+// New returns the admin face of a subject. drain is called to begin a stop.
+func New(subject Subject, log *event.Log, drain func()) *Admin {
 	const timeout = 10 * time.Second
-	a := &Admin{router: r, log: log, drain: drain}
+	a := &Admin{subject: subject, log: log, drain: drain}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /state", a.state)
 	mux.HandleFunc("GET /metrics", a.metrics)
-	mux.HandleFunc("GET /explain", a.explain)
+	if subject.Explain != nil {
+		mux.HandleFunc("GET /explain", a.explain)
+	}
 	mux.HandleFunc("GET /log-level", a.logLevel)
 	mux.HandleFunc("PUT /log-level", a.setLogLevel)
 	mux.HandleFunc("POST /drain", a.startDrain)
@@ -59,16 +80,11 @@
 func (a *Admin) Close() { a.server.Close() }
 
 func (a *Admin) state(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, a.router.State())
+	writeJSON(w, a.subject.State())
 }
 
 func (a *Admin) explain(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	explanation, err := a.router.Explain(router.Question{
-		Group: query.Get("group"),
-		Model: query.Get("model"),
-		Token: query.Get("token"),
-	})
+	explanation, err := a.subject.Explain(r.URL.Query())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
@@ -86,7 +102,7 @@
 
 func (a *Admin) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	writeMetrics(w, a.router)
+	writeMetrics(w, a.subject)
 }
 
 func (a *Admin) logLevel(w http.ResponseWriter, _ *http.Request) {
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -8,8 +8,6 @@
 	"strings"
 
 	gometrics "github.com/rcrowley/go-metrics"
-
-	"github.com/croftyard/croftyard/internal/router"
 )
 
 // line is one sample in the text form that common scrapers read.
@@ -22,19 +20,14 @@
 var quantiles = []float64{0.5, 0.95, 0.99}
 
 // writeMetrics writes all metrics, sorted by name. Dots become underscores.
-func writeMetrics(w io.Writer, r *router.Router) {
+func writeMetrics(w io.Writer, subject Subject) {
 	var lines []line
-	r.Metrics().Registry.Each(func(name string, metric any) {
+	subject.Registry.Each(func(name string, metric any) {
 		lines = append(lines, samples(strings.ReplaceAll(name, ".", "_"), metric)...)
 	})
-	state := r.State()
-	lines = append(lines,
-		line{"croftyard_control_sent_bytes", float64(state.Control.SentBytes)},
-		line{"croftyard_control_received_bytes", float64(state.Control.ReceivedBytes)},
-		line{"croftyard_control_calls", float64(state.Control.Calls)},
-		line{"croftyard_platform_calls", float64(state.PlatformCalls)},
-		line{"croftyard_requests_active", float64(state.Active)},
-	)
+	for _, g := range subject.Gauges() {
+		lines = append(lines, line{g.Name, g.Value})
+	}
 	slices.SortFunc(lines, func(a, b line) int { return cmp.Compare(a.name, b.name) })
 	for _, l := range lines {
 		fmt.Fprintf(w, "%s %g\n", l.name, l.value)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
-	"io"
 	"os"
 	"runtime/debug"
 	"syscall"
@@ -21,7 +19,7 @@
 const heapGrowth = 25
 
 // runEntry serves routes that lie in the platform's store until a signal.
-func runEntry(path string, read settings.Settings, log *event.Log, signals <-chan os.Signal, out io.Writer) error {
+func runEntry(path string, read settings.Settings, log *event.Log, sink *event.Sink, signals <-chan os.Signal) error {
 	// The live heap is a few megabytes: collecting more often costs little time
 	// and keeps the peak low.
 	debug.SetGCPercent(heapGrowth)
@@ -30,12 +28,12 @@
 		Dialect:   platform.Dialect(),
 		ReadyPath: platform.ReadyPath,
 		Held:      platform.Held,
+
+		LogDropped: sink.Dropped,
 	}, log)
 	if err != nil {
 		return err
 	}
-	callers, readiness := e.Addresses()
-	fmt.Fprintf(out, "router %s: callers %s, readiness %s\n", read.Name, callers, readiness)
 	done := make(chan struct{})
 	go func() {
 		err = e.Wait()
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -8,12 +8,23 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/instance"
 	"github.com/croftyard/croftyard/internal/settings"
 )
 
+// Bounds of the log.
+const (
+	// logRoom is how many lines may wait for standard output to take them.
+	logRoom = 4096
+	// logLines is how many lines of one event are written in a second.
+	logLines = 200
+	// logFlush bounds the writing of what waits at the end.
+	logFlush = time.Second
+)
+
 type serve struct {
 	Settings string `required:"" type:"path" env:"CROFTYARD_BOOT" help:"The settings file."`
 }
@@ -25,12 +36,14 @@
 	if err != nil {
 		return usageError{err}
 	}
-	log := event.New(s.err, read.Name, read.LogLevel)
+	sink := event.NewSink(s.out, logRoom)
+	defer sink.Close(logFlush)
+	log := event.NewBounded(sink, read.Name, read.LogLevel, logLines)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	if read.Platform.Kind == settings.PlatformStore {
-		err = runEntry(c.Settings, read, log, signals, s.out)
+		err = runEntry(c.Settings, read, log, sink, signals)
 	} else {
 		err = runInstance(read, log, signals, s.out)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/croftyard/croftyard/internal/admin"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
@@ -42,6 +43,8 @@
 	ReadyPath string
 	// Held asks an engine what it holds. It may be nil.
 	Held func(ctx context.Context, address string) ([]balance.Part, error)
+	// LogDropped returns how many log lines found no room.
+	LogDropped func() uint64
 }
 
 // Entry is a running router.
@@ -59,6 +62,7 @@
 
 	callers   *http.Server
 	readiness *http.Server
+	operators *admin.Admin
 	listeners []net.Listener
 
 	stopping atomic.Bool
@@ -134,6 +138,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.outside.ReadyPath, e.answerReady)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
+	e.operators = admin.New(e.subject(), e.log, e.Stop)
 	return nil
 }
 
@@ -172,7 +177,7 @@
 const headerTime = 5 * time.Second
 
 func (e *Entry) listen() error {
-	for _, address := range []string{e.settings.Listen.Callers, e.settings.Listen.Readiness} {
+	for _, address := range []string{e.settings.Listen.Callers, e.settings.Listen.Readiness, e.settings.Listen.Admin} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			for _, open := range e.listeners {
@@ -195,6 +200,11 @@
 	if e.stopping.Load() || !e.follower.Known() {
 		return false
 	}
+	return e.proven()
+}
+
+// proven tells whether the configuration is proven to be new enough for keys.
+func (e *Entry) proven() bool {
 	return e.follower.ProofAge(time.Now()) < part(e.settings.Bounds.Revoke, keyProofPart)
 }
 
@@ -224,6 +234,7 @@
 	work, ctx := errgroup.WithContext(ctx)
 	work.Go(func() error { return serve(e.callers, e.listeners[0]) })
 	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
+	work.Go(func() error { return e.operators.Serve(e.listeners[2]) })
 	work.Go(func() error {
 		e.follower.Run(ctx)
 		return nil
@@ -248,6 +259,7 @@
 	cancel()
 	e.callers.Close()
 	e.readiness.Close()
+	e.operators.Close()
 	if err := work.Wait(); err != nil && e.err == nil {
 		e.err = fmt.Errorf("entry: %w", err)
 	}
@@ -267,7 +279,7 @@
 	const pause = 500 * time.Millisecond
 	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
-	ready := false
+	ready, proven := false, true
 	for {
 		select {
 		case <-ctx.Done():
@@ -278,6 +290,14 @@
 			ready = now
 			e.log.Write(event.Ready, event.F("ready", ready), event.F("proof_ms", e.follower.ProofAge(time.Now()).Milliseconds()))
 		}
+		if now := e.proven(); now != proven && e.follower.Known() {
+			proven = now
+			id := event.ProofOld
+			if proven {
+				id = event.ProofNew
+			}
+			e.log.Write(id, event.F("proof_ms", e.follower.ProofAge(time.Now()).Milliseconds()))
+		}
 		e.pool.CloseIdle("")
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -44,7 +44,8 @@
 		Source: func(settings.Settings) follow.Source { return s },
 		Dialect: front.Dialect{Attempt: "Try", Key: "Authorization", ParseParts: func(string) []balance.Part { return nil },
 			ParseLoad: func(string) (int, bool) { return 0, false }},
-		ReadyPath: "/ready",
+		ReadyPath:  "/ready",
+		LogDropped: func() uint64 { return 0 },
 	}, event.Discard())
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -9,7 +9,11 @@
 )
 
 const (
-	// recallWait is how long a router that starts waits for a peer that remembers.
+	// peerWait is how long a router that starts waits to meet another one: a
+	// first packet that is lost is sent again after a second.
+	peerWait = 1500 * time.Millisecond
+	// recallWait is how long it then waits for one that remembers, and for all
+	// to know of each other.
 	recallWait = 350 * time.Millisecond
 	// heldTimeout bounds one question to an engine.
 	heldTimeout = time.Second
@@ -26,6 +30,9 @@
 	if !e.waitUntil(ctx, e.follower.Known) {
 		return
 	}
+	meeting, cancel := context.WithTimeout(ctx, peerWait)
+	e.waitUntil(meeting, func() bool { return e.gossip.Members() > 1 })
+	cancel()
 	select {
 	case <-ctx.Done():
 		return
--- /dev/null
+++ b/internal/entry/subject.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/internal/admin"
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// State is the state dump of a router that serves routes.
+type State struct {
+	Name       string         `json:"name"`
+	DataCentre string         `json:"data_centre"`
+	Ready      bool           `json:"ready"`
+	Version    uint64         `json:"version"`
+	ProofMS    int64          `json:"proof_ms"`
+	Active     int            `json:"active"`
+	Routers    int            `json:"routers"`
+	Rank       int            `json:"rank"`
+	Replicas   []ReplicaState `json:"replicas"`
+}
+
+// ReplicaState is what is believed of one replica.
+type ReplicaState struct {
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Draining   bool   `json:"draining"`
+	Suspected  bool   `json:"suspected"`
+}
+
+// State returns the state dump.
+func (e *Entry) State() State {
+	now := time.Now()
+	version, _ := e.follower.Version()
+	s := State{
+		Name:       e.settings.Name,
+		DataCentre: e.settings.DataCentre,
+		Ready:      e.Ready(),
+		Version:    version,
+		ProofMS:    e.proofAge(now).Milliseconds(),
+		Active:     e.front.Active(),
+		Routers:    e.gossip.Members(),
+		Rank:       e.gossip.Rank(),
+	}
+	for _, r := range e.follower.Replicas() {
+		s.Replicas = append(s.Replicas, ReplicaState{
+			ID:         r.ID,
+			Service:    r.Service,
+			Address:    r.Address,
+			DataCentre: r.DataCentre,
+			Draining:   r.State == directory.Draining,
+			Suspected:  e.balancer.Suspected(r.ID, now),
+		})
+	}
+	return s
+}
+
+// proofAge is the age of the proof, or -1 ms while nothing is known.
+func (e *Entry) proofAge(now time.Time) time.Duration {
+	if !e.follower.Known() {
+		return -time.Millisecond
+	}
+	return e.follower.ProofAge(now)
+}
+
+// subject shows the router to its operators.
+func (e *Entry) subject() admin.Subject {
+	return admin.Subject{State: func() any { return e.State() }, Registry: e.metrics.Registry, Gauges: e.gauges}
+}
+
+func (e *Entry) gauges() []admin.Gauge {
+	version, _ := e.follower.Version()
+	made, failed := e.follower.Reads()
+	sent, received := e.gossip.Bytes()
+	return []admin.Gauge{
+		{Name: "croftyard_config_version", Value: float64(version)},
+		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(time.Now()).Milliseconds())},
+		{Name: "croftyard_source_reads", Value: float64(made)},
+		{Name: "croftyard_source_reads_failed", Value: float64(failed)},
+		{Name: "croftyard_peers_routers", Value: float64(e.gossip.Members())},
+		{Name: "croftyard_peers_sent_bytes", Value: float64(sent)},
+		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
+		{Name: "croftyard_front_active", Value: float64(e.front.Active())},
+		{Name: "croftyard_front_connections_idle", Value: float64(e.pool.Idle())},
+		{Name: "croftyard_log_lines_dropped", Value: float64(e.outside.LogDropped())},
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -39,6 +39,8 @@
 	ReplicaUnreadable ID = 308
 	CentreSilent      ID = 309
 	EngineAsked       ID = 310
+	ProofOld          ID = 311
+	ProofNew          ID = 312
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -49,6 +51,9 @@
 	TokenIgnored      ID = 408
 	CallerGone        ID = 409
 	ReplicaChosen     ID = 410
+	RequestSampled    ID = 411
+	RequestLate       ID = 412
+	BudgetSpent       ID = 413
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	OrderLease        ID = 601
@@ -82,6 +87,8 @@
 	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
 	CentreSilent:      {logrus.WarnLevel, "no router of a data centre is heard", "Its replicas get no work from here until one is. Look at the network between data centres."},
 	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
+	ProofOld:          {logrus.WarnLevel, "configuration not proven new enough for keys", "Requests with keys are refused. Look at the platform and at the peers."},
+	ProofNew:          {logrus.InfoLevel, "configuration proven new enough again", "None needed."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
@@ -90,8 +97,11 @@
 	StreamResumed:     {logrus.InfoLevel, "stream resumed at its offset", "None needed."},
 	ClaimUnsettled:    {logrus.WarnLevel, "claim's outcome unknown", "The caller was told so. Look at the platform's service."},
 	TokenIgnored:      {logrus.DebugLevel, "chat token ignored", "None needed, unless frequent after a key change: keep previous_chat_key set for a day."},
-	CallerGone:        {logrus.DebugLevel, "caller went away, work cancelled", "None needed."},
+	CallerGone:        {logrus.InfoLevel, "caller went away, work cancelled", "None needed."},
 	ReplicaChosen:     {logrus.InfoLevel, "replica chosen", "None needed."},
+	RequestSampled:    {logrus.InfoLevel, "request served, one of many", "None needed."},
+	RequestLate:       {logrus.InfoLevel, "request served late or after a repeat", "None needed. The lines of the same request tell why."},
+	BudgetSpent:       {logrus.WarnLevel, "no repeat left in the budget", "Look at the replicas that fail; the budget keeps them from being asked twice as often."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -9,6 +9,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -32,6 +33,8 @@
 	out    *logrus.Entry
 	logger *logrus.Logger
 	counts *[lastID]atomic.Uint64
+	// budgets is nil where lines are not bounded.
+	budgets *budgets
 }
 
 // New returns a log that writes lines of JSON to out. instance names the
@@ -48,6 +51,14 @@
 	}
 }
 
+// NewBounded returns a log that writes at most perSecond lines of each event in
+// a second. The first line after some were left out tells how many.
+func NewBounded(out io.Writer, instance string, level logrus.Level, perSecond int) *Log {
+	log := New(out, instance, level)
+	log.budgets = &budgets{perSecond: perSecond}
+	return log
+}
+
 // Discard returns a log that writes nothing, for tests.
 func Discard() *Log {
 	return New(io.Discard, "", logrus.PanicLevel)
@@ -80,8 +91,18 @@
 	if !l.logger.IsLevelEnabled(entry.Level) {
 		return
 	}
-	data := make(logrus.Fields, len(fields)+1)
+	leftOut := 0
+	if l.budgets != nil {
+		allowed := false
+		if allowed, leftOut = l.budgets.take(id, time.Now()); !allowed {
+			return
+		}
+	}
+	data := make(logrus.Fields, len(fields)+2)
 	data["event"] = int(id)
+	if leftOut > 0 {
+		data["left_out"] = leftOut
+	}
 	for _, f := range fields {
 		if err, isError := f.Value.(error); isError {
 			data[f.Key] = err.Error()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -61,6 +61,8 @@
 	holder   *freshness.Holder
 	balancer *balance.Balancer
 	wake     chan struct{}
+	reads    atomic.Uint64
+	failed   atomic.Uint64
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -136,6 +138,10 @@
 	defer cancel()
 	sent := time.Now()
 	snapshot, err := (*f.source.Load()).Read(ctx)
+	f.reads.Add(1)
+	if err != nil {
+		f.failed.Add(1)
+	}
 	f.noteSource(err, sent)
 	if err != nil {
 		return err
@@ -209,6 +215,11 @@
 	}
 }
 
+// Reads returns how many reads were made, and how many of them failed.
+func (f *Follower) Reads() (made, failed uint64) {
+	return f.reads.Load(), f.failed.Load()
+}
+
 // ProofAge returns how old the proof of the configuration is.
 func (f *Follower) ProofAge(now time.Time) time.Duration {
 	return f.holder.Current().Age(now)
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -73,6 +73,7 @@
 
 // resolve looks the request up in one state.
 func (c *call) resolve(state *freshness.State) *refusal {
+	c.version = state.Table.Version()
 	path := c.request.URL.EscapedPath()
 	if u, err := url.ParseRequestURI(c.request.RequestURI); err == nil {
 		path = u.EscapedPath()
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -50,7 +50,9 @@
 		drain(answer)
 		return c.repeat(c.outcome.reason)
 	}
-	if !c.begun {
+	if c.begun {
+		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.lastEvent))
+	} else {
 		c.passHead(answer, resumable)
 	}
 	var err error
@@ -61,7 +63,7 @@
 	}
 	if err == nil {
 		c.notePace(choice.Replica.ID)
-		c.finished("served", answer.StatusCode, "")
+		c.finished(outcomeServed, answer.StatusCode, "")
 		return done
 	}
 	return c.brokenOff(ctx, choice, err, resumable)
@@ -96,6 +98,15 @@
 	c.firstByte = time.Now()
 }
 
+// How calls end.
+const (
+	outcomeServed  = "served"
+	outcomeRefused = "refused"
+	outcomeFailed  = "failed"
+	outcomeCut     = "cut"
+	outcomeGone    = "caller_gone"
+)
+
 var errCallerGone = errors.New("front: caller gone")
 
 // passBytes passes a body as it comes.
@@ -143,7 +154,7 @@
 		return over
 	}
 	c.outcome.reason = "answer broken off: " + err.Error()
-	c.front.fail(choice.Replica.ID, balance.Broke)
+	c.front.fail(c.id, choice.Replica.ID, balance.Broke)
 	if resumable && time.Until(c.end) > 0 {
 		return c.repeat("stream broken off")
 	}
@@ -153,7 +164,7 @@
 // callerGone ends a call whose caller left. The connection to the replica is
 // closed on the way out, which stops the work.
 func (c *call) callerGone() {
-	c.finished("caller gone", 0, c.outcome.reason)
+	c.finished(outcomeGone, 0, c.outcome.reason)
 }
 
 // giveUp tells the caller that there will be no answer, at once. Only what
@@ -164,7 +175,7 @@
 		return
 	}
 	if c.begun {
-		c.finished("cut", 0, r.reason)
+		c.finished(outcomeCut, 0, r.reason)
 		// The answer must not look complete.
 		panic(http.ErrAbortHandler)
 	}
@@ -189,9 +200,9 @@
 	}
 	header.Set(c.front.options.Dialect.Attempt, c.id)
 	http.Error(c.writer, r.reason, r.status)
-	name := "refused"
+	name := outcomeRefused
 	if c.mayHaveRun {
-		name = "failed"
+		name = outcomeFailed
 	}
 	c.finished(name, r.status, r.reason)
 }
@@ -200,25 +211,53 @@
 	c.outcome.name, c.outcome.status, c.outcome.reason = name, status, reason
 }
 
-// finish counts and logs the call's end.
+// sampled is one in how many requests that were served in time have a line.
+const sampled = 64
+
+// finish counts and logs the call's end. A request that was refused, failed,
+// repeated or late always has its line; the others are sampled.
 func (c *call) finish() {
 	f := c.front
 	took := time.Since(c.arrival)
-	f.metrics.Ended(c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
-	id := event.RequestServed
-	switch c.outcome.name {
-	case "refused":
-		id = event.RequestRefused
-	case "failed", "cut":
-		id = event.RequestBroken
-	case "caller gone":
-		id = event.CallerGone
-	}
-	name := ""
-	if c.route != nil {
-		name = c.route.Name
-	}
-	f.log.Write(id, event.F("request", c.id), event.F("route", name), event.F("status", c.outcome.status),
+	f.metrics.Ended(c.name(), c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
+	id, written := c.endEvent()
+	if !written {
+		return
+	}
+	f.log.Write(id, event.F("request", c.id), event.F("route", c.name()), event.F("outcome", c.outcome.name), event.F("status", c.outcome.status),
 		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent.Load()),
-		event.F("took_ms", took.Milliseconds()))
+		event.F("may_have_run", c.mayHaveRun), event.F("first_byte_ms", c.firstByteTime().Milliseconds()), event.F("took_ms", took.Milliseconds()),
+		event.F("version", c.version), event.F("proof_ms", f.follower.ProofAge(time.Now()).Milliseconds()))
+}
+
+// name is that of the route, if one was found.
+func (c *call) name() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
+// firstByteTime is the time to the first byte of the answer, or 0 without one.
+func (c *call) firstByteTime() time.Duration {
+	if c.firstByte.IsZero() {
+		return 0
+	}
+	return c.firstByte.Sub(c.arrival)
+}
+
+func (c *call) endEvent() (id event.ID, written bool) {
+	switch c.outcome.name {
+	case outcomeRefused:
+		return event.RequestRefused, true
+	case outcomeFailed, outcomeCut:
+		return event.RequestBroken, true
+	case outcomeGone:
+		return event.CallerGone, true
+	}
+	late := c.route.Target > 0 && c.firstByteTime() > c.route.Target
+	if late || c.sent.Load() > 1 || c.outcome.status >= http.StatusBadRequest {
+		return event.RequestLate, true
+	}
+	return event.RequestSampled, c.front.served.Add(1)%sampled == 0
 }
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -30,6 +30,8 @@
 	// draw decides between the shares of a route, the same for each attempt.
 	draw float64
 
+	// version of the configuration that the request was last looked up in.
+	version      uint64
 	route        *route.Route
 	service      *route.Service
 	organisation *route.Organisation
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -143,7 +143,7 @@
 func (c *call) whenSilent(limit time.Duration, id string, cancel context.CancelCauseFunc) *time.Timer {
 	repeatable, attempts, end := !c.route.RunsOnce(), c.route.Attempts, c.end
 	return time.AfterFunc(limit, func() {
-		c.front.fail(id, balance.Hung)
+		c.front.fail(c.id, id, balance.Hung)
 		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.front.repeats.Left() {
 			cancel(errHung)
 		}
@@ -155,7 +155,7 @@
 	c.outcome.reason = "no answer: " + err.Error()
 	if errors.Is(err, upstream.ErrNotSent) {
 		if c.request.Context().Err() == nil && ctx.Err() == nil {
-			c.front.fail(id, dialFailure(err))
+			c.front.fail(c.id, id, dialFailure(err))
 		}
 		// Nothing reached the replica, so this was no attempt.
 		return again
@@ -171,7 +171,7 @@
 		return over
 	}
 	if !hung {
-		c.front.fail(id, balance.Broke)
+		c.front.fail(c.id, id, balance.Broke)
 	}
 	return c.repeat("broken")
 }
@@ -199,7 +199,7 @@
 	if c.mayHaveRun && c.route.RunsOnce() {
 		return over
 	}
-	if int(c.sent.Load()) >= c.route.Attempts || !c.front.repeats.Spend() {
+	if int(c.sent.Load()) >= c.route.Attempts || !c.front.spendRepeat(c.id) {
 		return over
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
@@ -208,6 +208,18 @@
 	return again
 }
 
+// spendRepeat takes a repeat from the budget, and notes when there is none.
+func (f *Front) spendRepeat(request string) bool {
+	spent := !f.repeats.Spend()
+	if spent && !f.spent.Swap(true) {
+		f.log.Write(event.BudgetSpent, event.F("request", request))
+	}
+	if !spent {
+		f.spent.Store(false)
+	}
+	return !spent
+}
+
 // outgoing builds the request for a replica.
 func (c *call) outgoing(choice balance.Choice) *upstream.Request {
 	d := &c.front.options.Dialect
@@ -266,14 +278,16 @@
 	if answer.Header.Get(d.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
 		drain(answer)
 		c.outcome.reason = "not taken: " + strconv.Itoa(answer.StatusCode)
-		c.front.fail(id, notTaken(answer.StatusCode))
+		c.front.fail(c.id, id, notTaken(answer.StatusCode))
 		return c.repeat(c.outcome.reason)
 	}
 	c.mayHaveRun = true
 	if answer.StatusCode >= http.StatusInternalServerError {
 		return c.replicaError(ctx, cancel, choice, answer)
 	}
-	c.front.balancer.Answered(id, c.parts, time.Now())
+	if c.front.balancer.Answered(id, c.parts, time.Now()) {
+		c.front.log.Write(event.EngineBack, event.F("replica", id), event.F("request", c.id))
+	}
 	c.blame()
 	return c.pass(ctx, cancel, choice, answer)
 }
@@ -289,7 +303,7 @@
 func (c *call) replicaError(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) verdict {
 	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
 	if c.begun {
-		c.front.fail(choice.Replica.ID, balance.Errored)
+		c.front.fail(c.id, choice.Replica.ID, balance.Errored)
 		drain(answer)
 		return c.repeat(c.outcome.reason)
 	}
@@ -299,7 +313,7 @@
 		return again
 	}
 	if len(c.errored) == 0 {
-		c.front.fail(choice.Replica.ID, balance.Errored)
+		c.front.fail(c.id, choice.Replica.ID, balance.Errored)
 	}
 	if promises(answer.StatusCode) {
 		// Without the mark of not having run, its promise may not be passed on.
@@ -313,7 +327,7 @@
 // request that fails at each replica speaks against itself, not against them.
 func (c *call) blame() {
 	for _, id := range c.errored {
-		c.front.fail(id, balance.Errored)
+		c.front.fail(c.id, id, balance.Errored)
 	}
 	c.errored = nil
 }
@@ -328,7 +342,7 @@
 }
 
 // fail notes a failure at a replica.
-func (f *Front) fail(id string, kind balance.Failure) {
+func (f *Front) fail(request, id string, kind balance.Failure) {
 	f.balancer.Failed(id, kind, f.options.DataCentre, time.Now())
-	f.log.Write(event.EngineSuspect, event.F("replica", id), event.F("kind", kind.String()))
+	f.log.Write(event.EngineSuspect, event.F("request", request), event.F("replica", id), event.F("kind", kind.String()))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -83,6 +83,8 @@
 	limits   atomic.Pointer[Limits]
 	repeats  *admission.Retries
 	active   atomic.Int64
+	served   atomic.Uint64
+	spent    atomic.Bool
 	stopping atomic.Bool
 }
 
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -1,23 +1,35 @@
 package front
 
 import (
-	"strings"
+	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
-// Metrics are the figures of a front. Times are in milliseconds.
+// Metrics are the figures of a front. Times are in milliseconds. Names follow
+// croftyard.PART.WHAT[_UNIT][.LABEL]; docs/METRICS.md lists them.
 type Metrics struct {
 	Registry  gometrics.Registry
 	Repeats   gometrics.Counter
 	Opened    gometrics.Counter
 	FirstByte gometrics.Histogram
 	Whole     gometrics.Histogram
+
+	mu     sync.Mutex
+	routes map[string]bool
 }
 
-// sampleSize is how many values a histogram keeps.
-const sampleSize = 512
+const (
+	// sampleSize is how many values a histogram keeps.
+	sampleSize = 512
+	// routeSampleSize is the same for one of a single route.
+	routeSampleSize = 64
+	// maxRoutes bounds the routes that have histograms of their own; the others
+	// share one.
+	maxRoutes   = 32
+	otherRoutes = "other"
+)
 
 // NewMetrics returns figures in a registry of their own.
 func NewMetrics() *Metrics {
@@ -28,15 +40,34 @@
 		Opened:    gometrics.NewRegisteredCounter("croftyard.front.connections_opened", r),
 		FirstByte: gometrics.NewRegisteredHistogram("croftyard.front.first_byte_ms", r, gometrics.NewUniformSample(sampleSize)),
 		Whole:     gometrics.NewRegisteredHistogram("croftyard.front.whole_ms", r, gometrics.NewUniformSample(sampleSize)),
+		routes:    make(map[string]bool),
 	}
 }
 
-// Ended counts a call by how it ended.
-func (m *Metrics) Ended(outcome string, took, first time.Duration, begun bool) {
-	name := "croftyard.front.requests." + strings.ReplaceAll(outcome, " ", "_")
-	gometrics.GetOrRegisterCounter(name, m.Registry).Inc(1)
+// Ended counts a call by its route and how it ended.
+func (m *Metrics) Ended(route, outcome string, took, first time.Duration, begun bool) {
+	gometrics.GetOrRegisterCounter("croftyard.front.requests."+outcome, m.Registry).Inc(1)
 	m.Whole.Update(took.Milliseconds())
+	label := m.label(route)
+	m.histogram("croftyard.front.route_whole_ms." + label).Update(took.Milliseconds())
 	if begun {
 		m.FirstByte.Update(first.Milliseconds())
+		m.histogram("croftyard.front.route_first_byte_ms." + label).Update(first.Milliseconds())
+	}
+}
+
+func (m *Metrics) histogram(name string) gometrics.Histogram {
+	return m.Registry.GetOrRegister(name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewUniformSample(routeSampleSize))
+	}).(gometrics.Histogram)
+}
+
+func (m *Metrics) label(route string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if route == "" || !m.routes[route] && len(m.routes) >= maxRoutes {
+		return otherRoutes
 	}
+	m.routes[route] = true
+	return route
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,7 +46,7 @@
 	// maxPartners bounds the exchanges of one round.
 	maxPartners = 16
 	// callTimeout bounds one call.
-	callTimeout = time.Second
+	callTimeout = 500 * time.Millisecond
 )
 
 // Gossip is safe for concurrent use.
@@ -55,6 +55,7 @@
 	log      *event.Log
 	follower *follow.Follower
 	balancer *balance.Balancer
+	meter    *peer.Meter
 	client   *peer.Client
 	server   *peer.Server
 
@@ -72,12 +73,14 @@
 
 // Start listens for other routers.
 func Start(o Options, f *follow.Follower, b *balance.Balancer, log *event.Log) (*Gossip, error) {
+	meter := &peer.Meter{}
 	g := &Gossip{
 		options:  o,
 		log:      log,
 		follower: f,
 		balancer: b,
-		client:   peer.NewClient(&peer.Meter{}),
+		meter:    meter,
+		client:   peer.NewClient(meter),
 		busy:     make(map[string]bool),
 		centres:  make(map[string]string),
 	}
@@ -116,6 +119,9 @@
 	return g.members.Mine(task)
 }
 
+// Bytes returns the bytes sent to and received from the others.
+func (g *Gossip) Bytes() (sent, received uint64) { return g.meter.Bytes() }
+
 // Members returns the number of routers known, this one included.
 func (g *Gossip) Members() int {
 	g.mu.Lock()
@@ -271,6 +277,7 @@
 	if err != nil {
 		return
 	}
+	g.meter.Called(digest, reply)
 	now := time.Now()
 	g.heard(address, reply.DataCentre, now)
 	g.mu.Lock()
@@ -311,6 +318,7 @@
 	if err != nil || reply.ProofMs == nil {
 		return
 	}
+	g.meter.Called(&gossippb.KnowledgeRequest{}, reply)
 	knowledge := follow.Knowledge{Version: reply.Version, Mark: reply.Mark}
 	if len(reply.Configuration) > 0 {
 		knowledge.Config = &route.Config{}
@@ -353,6 +361,7 @@
 		age := uint32(g.follower.ProofAge(now).Milliseconds()) + 1
 		reply.Version, reply.Mark, reply.ProofMs = version, mark, &age
 	}
+	g.meter.Received(d, reply)
 	return reply, nil
 }
 
@@ -400,5 +409,6 @@
 	if r.Holders && g.recalled.Load() {
 		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(time.Now()))
 	}
+	g.meter.Received(r, reply)
 	return reply, nil
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -85,7 +85,7 @@
 		return fmt.Errorf("instance: %w", err)
 	}
 	i.edge = edge.New(i.router, i.settings.Limits)
-	i.admin = admin.New(i.router, i.log, i.AskDrain)
+	i.admin = admin.New(subject(i.router), i.log, i.AskDrain)
 	return nil
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.meter.called(d, reply)
+	c.meter.Called(d, reply)
 	return reply, nil
 }
 
@@ -150,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.meter.called(r, reply)
+	c.meter.Called(r, reply)
 	return reply, nil
 }
 
@@ -164,7 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.meter.called(r, reply)
+	c.meter.Called(r, reply)
 	return reply, nil
 }
 
--- a/internal/peer/meter.go
+++ b/internal/peer/meter.go
@@ -28,13 +28,13 @@
 // Calls returns the number of control calls made and served.
 func (m *Meter) Calls() uint64 { return m.calls.Load() }
 
-// called counts a call that this router made.
-func (m *Meter) called(request, reply proto.Message) {
+// Called counts a call that this router made.
+func (m *Meter) Called(request, reply proto.Message) {
 	m.count(&m.sentBytes, &m.receivedBytes, request, reply)
 }
 
-// received counts a call that this router served.
-func (m *Meter) received(request, reply proto.Message) {
+// Received counts a call that this router served.
+func (m *Meter) Received(request, reply proto.Message) {
 	m.count(&m.receivedBytes, &m.sentBytes, request, reply)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -54,7 +54,7 @@
 // Exchange implements the generated interface.
 func (s *service) Exchange(_ context.Context, d *peerpb.Digest) (*peerpb.DigestReply, error) {
 	reply := s.handler.Exchange(d)
-	s.meter.received(d, reply)
+	s.meter.Received(d, reply)
 	return reply, nil
 }
 
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.meter.received(r, reply)
+	s.meter.Received(r, reply)
 	return reply, nil
 }
 
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.meter.received(r, reply)
+	s.meter.Received(r, reply)
 	return reply, nil
 }
 
--- /dev/null
+++ b/internal/why/why_test.go
@@ -0,0 +1,61 @@
+package why
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const lines = `router r1: some other text
+  12.1 r1 {"event":301,"instance":"r1","msg":"target does not answer, set aside","replica":"a","kind":"broke","time":"2026-01-02T00:00:01Z"}
+  12.2 r1 {"event":301,"instance":"r1","msg":"target does not answer, set aside","replica":"b","kind":"broke","time":"2026-01-02T00:00:01.1Z"}
+{"event":501,"instance":"r1","msg":"platform's service does not answer","time":"2026-01-02T00:00:01.5Z"}
+{"event":403,"instance":"r1","msg":"answer broken off","request":"x","replica":"a","status":502,"reason":"no answer","time":"2026-01-02T00:00:03Z"}
+{"event":410,"instance":"r1","msg":"replica chosen","request":"x","replica":"a","why":"home","copy_from":"","time":"2026-01-02T00:00:02Z"}
+{"event":410,"instance":"r1","msg":"replica chosen","request":"y","replica":"a","time":"2026-01-02T00:00:02Z"}
+{"event":501,"instance":"r2","msg":"platform's service does not answer","time":"2026-01-02T00:00:01.5Z"}
+{"event":201,"instance":"r1","msg":"configuration in force","version":9,"time":"2026-01-01T23:00:00Z"}
+{"event":410,"instance":"r1","requ
+`
+
+func TestTheStoryOfARequest(t *testing.T) {
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(lines)))
+	assert.Equal(t, 1, log.Broken)
+	story, err := log.Of("x")
+	require.NoError(t, err)
+	var out strings.Builder
+	require.NoError(t, story.Write(&out))
+	assert.Equal(t, `request x, 2 lines
+  +0.000 s  r1  410 replica chosen  replica=a  why=home
+  +1.000 s  r1  403 answer broken off  replica=a  reason=no answer  status=502
+
+what its routers came to believe, from 5s before
+  -1.000 s  r1  301 target does not answer, set aside  replica=a  kind=broke
+  -0.500 s  r1  501 platform's service does not answer
+`, out.String())
+}
+
+func TestErrors(t *testing.T) {
+	var log Log
+	_, err := log.Of("x")
+	assert.ErrorIs(t, err, ErrUnknown)
+	assert.ErrorIs(t, log.Read(iotest.ErrReader(errors.New("gone"))), ErrRead)
+	assert.ErrorIs(t, log.Read(strings.NewReader(strings.Repeat("x", maxLine+1))), ErrRead)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(lines)
+	f.Fuzz(func(_ *testing.T, text string) {
+		var log Log
+		if log.Read(strings.NewReader(text)) != nil {
+			return
+		}
+		// Whatever was read, asking for a request does no harm.
+		_, _ = log.Of("x")
+	})
+}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -278,15 +278,16 @@
 	}
 }
 
-// Answered notes that a replica answered well, after a time, and that it now
-// holds the parts of the prompt.
-func (b *Balancer) Answered(id string, parts []Part, now time.Time) {
+// Answered notes that a replica answered well and now holds the parts of the
+// prompt, and tells whether that cleared it of earlier failures.
+func (b *Balancer) Answered(id string, parts []Part, now time.Time) (cleared bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.replicas[id]
 	if r == nil {
-		return
+		return false
 	}
+	doubted := r.health.failures > 0
 	r.health.succeeded(now)
 	if c := b.centres[r.DataCentre]; c != nil {
 		c.succeeded(now)
@@ -297,6 +298,7 @@
 		}
 		b.holders.note(part.ID, id, now)
 	}
+	return doubted && r.health.failures == 0
 }
 
 // Ready returns how many replicas of a service may get work.
