Replicas that are listed again after an outage change the list's mark

The store was down and leases lapsed; the replicas came back a second later, but being listed again was no change, so the mark stayed that of an empty list; routers then confirmed the empty list to each other and dropped 14 sound replicas. Change: being listed again is a change; the grace is ten heartbeats; a service of which most replicas vanish at once is doubted even if no outage was seen.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,9 @@
 	absencePart = 0.8
 	// readPart of the same time is the pause between two reads of the source.
 	readPart = 0.5
+	// relistBeats is for how many heartbeats a replica that vanished with its list
+	// keeps its work. Replicas come back one by one, seconds after an outage.
+	relistBeats = 10
 	// repeatPart of the fleet's ratio of repeats is earned at each router.
 	repeatPart = 0.5
 	// reserveParts divides the fleet's allowance of repeats among routers.
@@ -114,7 +117,7 @@
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	period := part(b.Apply, readPart)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
-		directory.New(2*period+b.Heartbeat, 2*b.Heartbeat), e.holder, e.balancer, e.log)
+		directory.New(2*period, relistBeats*b.Heartbeat), e.holder, e.balancer, e.log)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
 		e.follower, e.balancer, e.log)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -4,9 +4,9 @@
 //	listed and ready   -> gets work
 //	listed as draining -> gets nothing new
 //	no longer listed   -> gets nothing new, unless the list itself was lost:
-//	                      after an outage of the list, replicas that vanished
-//	                      keep their work for Grace, since their entries may
-//	                      have lapsed while they could not renew them
+//	                      after an outage, or when most of a service vanish at
+//	                      once, they keep their work for a time, since their
+//	                      entries may have lapsed while they could not renew them
 //
 // The package does no I/O; time comes from the caller and is steady.
 package directory
@@ -55,7 +55,8 @@
 	Joined  What = "joined"
 	Drains  What = "draining"
 	Left    What = "gone"
-	Doubted What = "vanished after an outage"
+	Doubted What = "vanished with its list"
+	Back    What = "listed again"
 )
 
 // Directory is not safe for concurrent use.
@@ -85,31 +86,58 @@
 	if sent.Before(d.read) {
 		return nil
 	}
-	lost := !d.read.IsZero() && sent.Sub(d.read) > d.outage
+	outage := !d.read.IsZero() && sent.Sub(d.read) > d.outage
 	d.read = sent
-	var changes []Change
 	seen := make(map[string]bool, len(list))
 	for _, r := range list {
 		seen[r.ID] = true
+	}
+	emptied := d.emptied(seen)
+	var changes []Change
+	for _, r := range list {
 		changes = d.take(r, changes)
 	}
 	for id, e := range d.entries {
 		if !seen[id] {
-			changes = d.missing(id, e, lost, changes)
+			changes = d.missing(id, e, outage || emptied[e.replica.Service], changes)
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
 	return changes
 }
 
+// emptied returns the services of which most replicas vanished at once. That is
+// no release and no scaling, but a list that lost its entries: the outage may
+// have been too short to be seen here.
+func (d *Directory) emptied(seen map[string]bool) map[string]bool {
+	listed, vanished := make(map[string]int), make(map[string]int)
+	for id, e := range d.entries {
+		if e.replica.State != Ready || !e.doubtedSince.IsZero() {
+			continue
+		}
+		listed[e.replica.Service]++
+		if !seen[id] {
+			vanished[e.replica.Service]++
+		}
+	}
+	emptied := make(map[string]bool)
+	for service, n := range vanished {
+		emptied[service] = n > 1 && 2*n > listed[service]
+	}
+	return emptied
+}
+
 func (d *Directory) take(r Replica, changes []Change) []Change {
 	old, known := d.entries[r.ID]
 	if !known {
 		d.entries[r.ID] = &entry{replica: r}
 		return append(changes, Change{r, Joined})
 	}
-	if r.State == Draining && old.replica.State != Draining {
+	switch {
+	case r.State == Draining && old.replica.State != Draining:
 		changes = append(changes, Change{r, Drains})
+	case !old.doubtedSince.IsZero():
+		changes = append(changes, Change{r, Back})
 	}
 	old.replica = r
 	old.doubtedSince = time.Time{}
