--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -145,3 +148,43 @@
 	e.Stop()
 	assert.ErrorIs(t, e.Wait(), ErrCut)
 }
+
+var page = regexp.MustCompile("(?m)^\\| (croftyard_[a-zA-Z_]+) \\|")
+
+// The page of metrics and what a router tells name the same.
+func TestEveryMetricIsInThePage(t *testing.T) {
+	text, err := os.ReadFile("../../docs/METRICS.md")
+	require.NoError(t, err)
+	listed := make(map[string]bool)
+	for _, row := range page.FindAllStringSubmatch(string(text), -1) {
+		listed[row[1]] = true
+	}
+	e := start(t, &source{snapshot: served("127.0.0.1:1")}, time.Second)
+	until(e.Ready)
+	e.metrics.Ended("r", "served", time.Millisecond, time.Millisecond, true)
+	response, err := http.Get("http://" + e.listeners[2].Addr().String() + "/metrics")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	told, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	seen := make(map[string]bool)
+	for line := range strings.Lines(string(told)) {
+		name, _, _ := strings.Cut(strings.Fields(line)[0], "{")
+		name = strings.TrimSuffix(name, "_count")
+		name = strings.Replace(name, "requests_served", "requests_OUTCOME", 1)
+		if strings.HasPrefix(name, "croftyard_front_route_") {
+			name = strings.TrimSuffix(name, "_r") + "_ROUTE"
+		}
+		seen[name] = true
+	}
+	assert.Equal(t, listed, seen)
+}
+
+func TestTheStateDump(t *testing.T) {
+	e := start(t, &source{snapshot: served("127.0.0.1:1")}, time.Second)
+	until(e.Ready)
+	state := e.State()
+	assert.EqualValues(t, 1, state.Version)
+	assert.True(t, state.Ready)
+	assert.Equal(t, "a", state.Replicas[0].ID)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -239,6 +239,13 @@
 	return f.directory.List()
 }
 
+// Lost tells whether the last read failed.
+func (f *Follower) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
 // Prove asks for a proof that is newer than a time and returns once there is
 // one, or with an error when ctx ends.
 func (f *Follower) Prove(ctx context.Context, since time.Time) error {
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -49,9 +49,7 @@
 	if state.Age(time.Now()) < c.front.limits.Load().AbsenceProof {
 		return refused
 	}
-	ctx, cancel := context.WithTimeout(ctx, proofWait)
-	defer cancel()
-	if c.front.follower.Prove(ctx, c.arrival) != nil {
+	if !c.front.prove(ctx, c.arrival) {
 		return unproven("cannot tell: " + refused.reason)
 	}
 	return c.resolve(c.front.holder.Current())
@@ -62,15 +60,24 @@
 	if c.organisation == nil || state.Age(time.Now()) < c.front.limits.Load().KeyProof {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, proofWait)
-	defer cancel()
 	// Any proof that is young enough will do; one that is asked for now is.
-	if c.front.follower.Prove(ctx, time.Now().Add(-c.front.limits.Load().AbsenceProof)) != nil {
+	if !c.front.prove(ctx, time.Now().Add(-c.front.limits.Load().AbsenceProof)) {
 		return unproven("proof too old for keys")
 	}
 	return c.resolve(c.front.holder.Current())
 }
 
+// prove waits for a proof that is newer than a time. While the source is known
+// to be lost there is none to wait for.
+func (f *Front) prove(ctx context.Context, since time.Time) bool {
+	if f.follower.Lost() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofWait)
+	defer cancel()
+	return f.follower.Prove(ctx, since) == nil
+}
+
 // resolve looks the request up in one state.
 func (c *call) resolve(state *freshness.State) *refusal {
 	c.version = state.Table.Version()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -542,3 +542,23 @@
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 	assert.EqualValues(t, 2, asked.Load())
 }
+
+// A refusal once waited 0.4 s for a proof although the source was known to be
+// lost (incident inc-6f35 of kavango-lockside).
+func TestWhileTheSourceIsLostNobodyWaitsForAProof(t *testing.T) {
+	r := newRig(t)
+	r.source.mu.Lock()
+	r.source.err = errors.New("down")
+	r.source.mu.Unlock()
+	r.front.SetLimits(Limits{KeyProof: time.Nanosecond, AbsenceProof: time.Nanosecond, RepeatReserve: 1})
+	for !r.follower.Lost() {
+		_, _, err := r.send(t, "GET", "/none/", "")
+		require.NoError(t, err)
+	}
+	before, _ := r.follower.Reads()
+	response, _, err := r.send(t, "GET", "/none/", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	after, _ := r.follower.Reads()
+	assert.Equal(t, before, after)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -279,7 +279,11 @@
 	}
 	g.meter.Called(digest, reply)
 	now := time.Now()
-	g.heard(address, reply.DataCentre, now)
+	if reply.Stopping {
+		g.left(address, now)
+	} else {
+		g.heard(address, reply.DataCentre, now)
+	}
 	g.mu.Lock()
 	g.members.Merge(decodeRows(reply.Member, reply.HeardMs), now)
 	g.mu.Unlock()
@@ -306,6 +310,14 @@
 	}
 }
 
+// left notes that a member said that it stops.
+func (g *Gossip) left(address string, now time.Time) {
+	g.mu.Lock()
+	g.members.Left(address, now)
+	g.mu.Unlock()
+	g.balancer.Forget(address)
+}
+
 // learn takes the knowledge of another router.
 func (g *Gossip) learn(ctx context.Context, address string) {
 	asked := time.Now()
@@ -343,10 +355,7 @@
 func (g *Gossip) Exchange(_ context.Context, d *gossippb.Digest) (*gossippb.Freshness, error) {
 	now := time.Now()
 	if d.Stopping {
-		g.mu.Lock()
-		g.members.Left(d.Sender, now)
-		g.mu.Unlock()
-		g.balancer.Forget(d.Sender)
+		g.left(d.Sender, now)
 	} else {
 		g.heard(d.Sender, d.DataCentre, now)
 		g.balancer.Merge(d.Sender, decode(d), now)
@@ -354,7 +363,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
-	reply := &gossippb.Freshness{DataCentre: g.options.DataCentre}
+	reply := &gossippb.Freshness{DataCentre: g.options.DataCentre, Stopping: g.stopped}
 	reply.Member, reply.HeardMs = g.rows(now)
 	version, mark := g.follower.Version()
 	if g.follower.Known() {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -131,6 +131,9 @@
 	until(t, func() bool { return first.gossip.Members() == 2 && second.gossip.Members() == 2 })
 	second.gossip.Leave()
 	until(t, func() bool { return first.gossip.Members() == 1 })
+	// Whoever asks it is told as well, so that it is not taken for back.
+	first.gossip.exchange(context.Background(), second.gossip.Address(), &gossippb.Digest{Sender: first.gossip.Address()})
+	assert.Equal(t, 1, first.gossip.Members())
 }
 
 func TestDamagedDigestsAreReadAsFarAsTheyGo(t *testing.T) {
