Knowledge that crosses newer knowledge proves nothing

Answers of two peers crossed; one had left the replicas out, since they were the same when it was asked for, and still proved the configuration; that proof was told on as one of the replicas too, and kept the router from reading for itself. Ruled out: a cut (the router was in touch), the reader's patience (2.2 s). Change: such an answer confirms neither; routers are told the age of the older of configuration and replicas, and read by it. Tests of the follower, of which TestKnowledgeThatDoesNotFitProvesNothing failed first (2 s instead of 4 s).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -106,7 +106,7 @@
 		case <-f.wake:
 			woken = true
 		}
-		if rest := f.patience() - f.ProofAge(time.Now()); rest > 0 && !woken {
+		if rest := f.patience() - f.Age(time.Now()); rest > 0 && !woken {
 			timer.Reset(rest)
 			continue
 		}
@@ -225,6 +225,19 @@
 	return f.holder.Current().Age(now)
 }
 
+// Age returns how old all knowledge is: the older of the configuration's proof
+// and of the list of replicas. It is what other routers are told.
+func (f *Follower) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(now)
+}
+
+// age is Age with f.mu held.
+func (f *Follower) age(now time.Time) time.Duration {
+	return max(f.holder.Current().Age(now), now.Sub(f.directory.Read()))
+}
+
 // Known tells whether a configuration and a list of replicas were ever read.
 func (f *Follower) Known() bool {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,140 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// fakeSource answers after a delay.
+type fakeSource struct {
+	snapshot Snapshot
+	err      error
+	delay    time.Duration
+	reads    []time.Time
+}
+
+func (s *fakeSource) Read(ctx context.Context) (Snapshot, error) {
+	s.reads = append(s.reads, time.Now())
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return Snapshot{}, ctx.Err()
+	}
+	return s.snapshot, s.err
+}
+
+func newFollower(s Source, rank int) *Follower {
+	return New(s, Options{Period: time.Second, Timeout: time.Second, Rank: func() int { return rank }},
+		directory.New(2*time.Second, 2*time.Second), freshness.NewHolder(), balance.New(1), event.Discard())
+}
+
+func config(version uint64) *route.Config { return &route.Config{Version: version} }
+
+func replicas(ids ...string) []directory.Replica {
+	var list []directory.Replica
+	for _, id := range ids {
+		list = append(list, directory.Replica{ID: id, Service: "s"})
+	}
+	return list
+}
+
+func TestTheFirstRouterReadsAndTheOthersOnlyIfItDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: replicas("a")}}
+		f := newFollower(source, 2)
+		go f.Run(ctx)
+		for range 50 {
+			time.Sleep(200 * time.Millisecond)
+			version, mark := f.Version()
+			f.ProvenBy(version, mark, time.Now())
+		}
+		assert.Len(t, source.reads, 1, "others prove what it knows")
+		time.Sleep(1400 * time.Millisecond)
+		assert.Len(t, source.reads, 2, "nobody does any more")
+		cancel()
+	})
+}
+
+func TestAReadIsDatedFromWhenItWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &fakeSource{snapshot: Snapshot{Config: config(1)}, delay: 300 * time.Millisecond}
+		f := newFollower(source, 0)
+		go f.Run(ctx)
+		time.Sleep(300 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, 300*time.Millisecond, f.ProofAge(time.Now()))
+		cancel()
+	})
+}
+
+func TestALostSourceIsAskedMoreOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &fakeSource{err: errors.New("down")}
+		f := newFollower(source, 0)
+		go f.Run(ctx)
+		time.Sleep(2100 * time.Millisecond)
+		synctest.Wait()
+		assert.True(t, f.Lost())
+		assert.Len(t, source.reads, 9)
+		assert.False(t, f.Known())
+		cancel()
+	})
+}
+
+func TestABadConfigurationChangesNothing(t *testing.T) {
+	f := newFollower(&fakeSource{}, 0)
+	now := time.Now()
+	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now)
+	f.Take(Snapshot{Problem: errors.New("no JSON"), Replicas: replicas("a", "b")}, now.Add(time.Second))
+	bad := config(5)
+	bad.Routes = []route.Route{{Name: "r"}}
+	f.Take(Snapshot{Config: bad, Replicas: replicas("a", "b")}, now.Add(2*time.Second))
+	version, _ := f.Version()
+	assert.EqualValues(t, 4, version)
+	assert.Len(t, f.Replicas(), 2, "the replicas are still followed")
+	assert.Equal(t, 3*time.Second, f.ProofAge(now.Add(3*time.Second)), "what was not understood proves nothing")
+}
+
+// The grown site of hrs-croftyard, trouble-1: DRAIN (finding 3). Knowledge of
+// another router that left out the replicas, because they were the same when it
+// was asked for, came after they had changed here; it proved the configuration,
+// and with it a list that it did not confirm.
+func TestKnowledgeThatDoesNotFitProvesNothing(t *testing.T) {
+	f := newFollower(&fakeSource{}, 0)
+	now := time.Now()
+	f.Take(Snapshot{Config: config(4), Replicas: replicas("a", "b")}, now)
+	_, old := f.Version()
+	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(time.Second))
+	f.Learn(Knowledge{Version: 4, Mark: old}, now.Add(3*time.Second), "peer")
+	assert.Equal(t, 4*time.Second, f.Age(now.Add(5*time.Second)))
+	assert.Equal(t, 4*time.Second, f.ProofAge(now.Add(5*time.Second)))
+
+	_, mark := f.Version()
+	f.Learn(Knowledge{Version: 4, Mark: mark}, now.Add(3*time.Second), "peer")
+	assert.Equal(t, 2*time.Second, f.Age(now.Add(5*time.Second)))
+}
+
+func TestAgeIsThatOfTheOlderOfBoth(t *testing.T) {
+	f := newFollower(&fakeSource{}, 0)
+	now := time.Now()
+	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now)
+	f.holder.Prove(4, now.Add(time.Second))
+	assert.Equal(t, time.Second, f.ProofAge(now.Add(2*time.Second)))
+	assert.Equal(t, 2*time.Second, f.Age(now.Add(2*time.Second)))
+	f.Take(Snapshot{Problem: errors.New("no JSON"), Replicas: replicas("a")}, now.Add(3*time.Second))
+	assert.Equal(t, 3*time.Second, f.Age(now.Add(4*time.Second)))
+}
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -62,10 +62,14 @@
 	if held.Table == nil || held.Table.Version() != k.Version || !proven.After(f.directory.Read()) {
 		return
 	}
-	if k.Replicas != nil {
+	switch {
+	case k.Replicas != nil:
 		f.changed(f.directory.Replace(k.Replicas, proven))
-	} else if k.Mark == f.mark {
+	case k.Mark == f.mark:
 		f.changed(f.directory.Confirm(proven))
+	default:
+		// The list has changed here since it was asked for: this confirms neither.
+		return
 	}
 	f.holder.Prove(k.Version, proven)
 	f.newProof()
@@ -89,5 +93,5 @@
 	state := f.holder.Current()
 	config := state.Table.Config()
 	k := Knowledge{Version: config.Version, Mark: f.mark, Config: &config, Replicas: f.directory.Listed()}
-	return k, max(state.Age(now), now.Sub(f.directory.Read()))
+	return k, f.age(now)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -367,7 +367,7 @@
 	reply.Member, reply.HeardMs = g.rows(now)
 	version, mark := g.follower.Version()
 	if g.follower.Known() {
-		age := uint32(g.follower.ProofAge(now).Milliseconds()) + 1
+		age := uint32(g.follower.Age(now).Milliseconds()) + 1
 		reply.Version, reply.Mark, reply.ProofMs = version, mark, &age
 	}
 	g.meter.Received(d, reply)
