Revocation by the users' own rule; the old form's client is named for what it is

Cause: a deployment without strict revocation would have had its keys refused in every cut; internal/platform spoke croftyard's own form, not the platform's; router/orders.go held decisions that need no I/O. Change: [bounds] revoke_always from the settings; internal/platform is now internal/kvservice; which engines are to load an adapter is pkg/orders.Missing.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/croftyard/croftyard/internal/platform"
+	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/pkg/kv"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
@@ -47,7 +47,7 @@
 }
 
 // readHead reads the head in force.
-func readHead(ctx context.Context, client *platform.Client) (policy.Head, error) {
+func readHead(ctx context.Context, client *kvservice.Client) (policy.Head, error) {
 	entry, err := client.Get(ctx, policy.HeadKey)
 	if err != nil {
 		return policy.Head{}, withCode(fmt.Errorf("%w: %v", policy.ErrUnavailable, err))
@@ -159,7 +159,7 @@
 	ID      string `json:"id"`
 }
 
-func (c *apply) propose(ctx context.Context, out io.Writer, client *platform.Client, p policy.Proposal) error {
+func (c *apply) propose(ctx context.Context, out io.Writer, client *kvservice.Client, p policy.Proposal) error {
 	if p.ID == "" {
 		p.ID = uuid.NewString()
 	}
@@ -179,7 +179,7 @@
 	})
 }
 
-func showConflict(ctx context.Context, out io.Writer, client *platform.Client, c *policy.Conflict) {
+func showConflict(ctx context.Context, out io.Writer, client *kvservice.Client, c *policy.Conflict) {
 	base, errBase := segmentText(ctx, client, c.Base)
 	current, errCurrent := segmentText(ctx, client, c.Current)
 	if errBase != nil || errCurrent != nil {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -21,7 +21,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/croftyard/croftyard/internal/command"
-	"github.com/croftyard/croftyard/internal/platform"
+	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -66,9 +66,9 @@
 // calls an operator's command may make a second; rate limits are the service's.
 const callRate = 50
 
-func (s service) open() (*platform.Client, context.Context, context.CancelFunc) {
+func (s service) open() (*kvservice.Client, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	return platform.NewClient(s.Platform, s.Timeout, callRate), ctx, cancel
+	return kvservice.NewClient(s.Platform, s.Timeout, callRate), ctx, cancel
 }
 
 // output says how a command prints.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -150,9 +151,17 @@
 	return follow.Options{Period: period, Timeout: period, Rank: e.rank}
 }
 
+// keyProof is the greatest age of the proof at which keys are believed.
+func keyProof(b settings.Bounds) time.Duration {
+	if !b.RevokeAlways {
+		return math.MaxInt64
+	}
+	return part(b.Revoke, keyProofPart)
+}
+
 func frontLimits(b settings.Bounds) front.Limits {
 	return front.Limits{
-		KeyProof:      part(b.Revoke, keyProofPart),
+		KeyProof:      keyProof(b),
 		AbsenceProof:  part(b.Apply, absencePart),
 		RepeatRatio:   b.RepeatRatio * repeatPart,
 		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
@@ -208,7 +217,7 @@
 
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
-	return e.follower.ProofAge(time.Now()) < part(e.settings.Bounds.Revoke, keyProofPart)
+	return e.follower.ProofAge(time.Now()) < keyProof(e.settings.Bounds)
 }
 
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/platform/instances.go
+++ b/internal/kvservice/instances.go
@@ -1,4 +1,4 @@
-package platform
+package kvservice
 
 import (
 	"context"
--- a/internal/platform/platform.go
+++ b/internal/kvservice/kvservice.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's services over HTTP: the
-// key-value service and the list of instances.
+// Package kvservice is the client of a platform that speaks croftyard's own form
+// over HTTP: the key-value service and the list of instances.
 //
 //	GET  /v1/kv/KEY                    200 value, Revision header; 404 absent
 //	GET  /v1/kv/KEY?after=R&wait=20s   the same, once the revision is not R
@@ -11,7 +11,7 @@
 // Every call has a time-out and draws on the process's rate budget, since the
 // service bears only so much in all. What matters most is the kind of error: a
 // write that may have taken effect is kv.ErrUnknown, never kv.ErrUnavailable.
-package platform
+package kvservice
 
 import (
 	"bytes"
@@ -182,7 +182,7 @@
 }
 
 // errNotSent marks a failure before the first byte of a request was written.
-var errNotSent = errors.New("platform: not sent")
+var errNotSent = errors.New("kvservice: not sent")
 
 func writeError(what string, err error) error {
 	if errors.Is(err, errNotSent) {
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -14,7 +14,6 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/orders"
-	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -131,37 +130,26 @@
 
 // wantedAdapters returns the adapters that some group may use with the model.
 func wantedAdapters(s *policy.Snapshot, model string) []string {
-	var adapters []string
+	var named []string
 	for _, g := range s.Groups {
-		if !g.MayUse(model) {
-			continue
-		}
-		for _, adapter := range g.Adapters {
-			if adapter != policy.All {
-				adapters = append(adapters, adapter)
-			}
+		if g.MayUse(model) {
+			named = append(named, g.Adapters...)
 		}
 	}
-	slices.Sort(adapters)
-	return slices.Compact(adapters)
+	return orders.Adapters(named, policy.All)
 }
 
-// missingLoads returns the loads that an adapter lacks in a pool: its engines
-// are the first open ones by rendezvous, so that every holder chooses alike.
+// missingLoads returns the loads that an adapter lacks in a pool.
 func (r *Router) missingLoads(p *pool, adapter string, copies int) []load {
-	key := placement.Hash(adapter)
-	var open []uint64
-	for hash := range p.engines {
+	var open []orders.Candidate
+	for hash, engine := range p.engines {
 		if e := r.engines[hash]; e != nil && !e.Closed {
-			open = append(open, hash)
+			open = append(open, orders.Candidate{Hash: hash, Adapters: engine.Adapters})
 		}
 	}
-	slices.SortFunc(open, func(a, b uint64) int { return cmp.Compare(placement.Rank(key, b), placement.Rank(key, a)) })
 	var loads []load
-	for _, hash := range open[:min(copies, len(open))] {
-		if engine := p.engines[hash]; !slices.Contains(engine.Adapters, adapter) {
-			loads = append(loads, load{engine: engine, adapter: adapter})
-		}
+	for _, hash := range orders.Missing(open, adapter, copies) {
+		loads = append(loads, load{engine: p.engines[hash], adapter: adapter})
 	}
 	return loads
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,8 +33,8 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
-	"github.com/croftyard/croftyard/internal/platform"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
@@ -49,7 +49,7 @@
 	settings settings.Settings
 	log      *event.Log
 	metrics  *Metrics
-	platform *platform.Client
+	platform *kvservice.Client
 	claims   *once.Claims
 	peers    *peer.Client
 	meter    *peer.Meter
@@ -100,7 +100,7 @@
 		settings:    s,
 		log:         log,
 		metrics:     NewMetrics(),
-		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
+		platform:    kvservice.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
 		meter:       &peer.Meter{},
 		targets:     dispatch.New(s.Limits.Idle),
 		selfHash:    placement.Hash(s.Name),
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -46,6 +46,9 @@
 	// that in which a key that was taken away is refused everywhere.
 	Apply  time.Duration
 	Revoke time.Duration
+	// RevokeAlways: Revoke binds routers that are cut off as well. Where it does
+	// not, they go on believing the keys that they know.
+	RevokeAlways bool
 	// Grace is the time from the order to stop until the kill.
 	Grace time.Duration
 	// Heartbeat is how often replicas renew their entries.
@@ -67,6 +70,7 @@
 	return Bounds{
 		Apply:           2 * time.Second,
 		Revoke:          5 * time.Second,
+		RevokeAlways:    true,
 		Grace:           8 * time.Second,
 		Heartbeat:       1200 * time.Millisecond,
 		RepeatRatio:     0.1,
@@ -101,6 +105,7 @@
 	r.section("bounds")
 	r.duration("apply", &b.Apply, 10*time.Millisecond, time.Hour)
 	r.duration("revoke", &b.Revoke, 10*time.Millisecond, time.Hour)
+	r.bool("revoke_always", &b.RevokeAlways)
 	r.duration("grace", &b.Grace, 10*time.Millisecond, time.Hour)
 	r.duration("heartbeat", &b.Heartbeat, time.Millisecond, time.Hour)
 	r.float("repeat_ratio", &b.RepeatRatio, 0, 10)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/croftyard/croftyard/internal/platform"
+	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/kv"
 )
@@ -158,13 +158,13 @@
 	if err != nil {
 		return
 	}
-	revision, err := strconv.ParseUint(r.Header.Get(platform.IfRevisionHeader), 10, 64)
+	revision, err := strconv.ParseUint(r.Header.Get(kvservice.IfRevisionHeader), 10, 64)
 	if err != nil {
 		http.Error(w, "If-Revision must be a number", http.StatusBadRequest)
 		return
 	}
 	lease := uint64(kv.NoLease)
-	if text := r.Header.Get(platform.LeaseHeader); text != "" {
+	if text := r.Header.Get(kvservice.LeaseHeader); text != "" {
 		lease, err = strconv.ParseUint(text, 10, 64)
 		if err != nil {
 			http.Error(w, "Lease must be a number", http.StatusBadRequest)
@@ -189,7 +189,7 @@
 }
 
 func writeEntry(w http.ResponseWriter, revision uint64, value []byte) {
-	w.Header().Set(platform.RevisionHeader, strconv.FormatUint(revision, 10))
+	w.Header().Set(kvservice.RevisionHeader, strconv.FormatUint(revision, 10))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	// A caller that left needs no answer.
 	_, _ = w.Write(value)
@@ -206,7 +206,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	writeJSON(w, platform.Granted{Lease: lease})
+	writeJSON(w, kvservice.Granted{Lease: lease})
 }
 
 func (p *Platform) keepAlive(w http.ResponseWriter, r *http.Request) {
