What the other routers run is summed once, not for each engine

Ruled out: the sorting by home (0.05 ms for all that is left). Change: sums are kept until a router tells something new.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -92,6 +92,9 @@
 	silent   map[string]bool
 	holders  *holders
 	peers    map[string]peerCounts
+	// totals sums up peers, as of totalsAt.
+	totals   map[uint32]Count
+	totalsAt time.Time
 	byHash   map[uint32]*replica
 	untold   Told
 }
--- /dev/null
+++ b/pkg/balance/bench_test.go
@@ -0,0 +1,25 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPick is one decision at 150 engines, told of by 73 other routers.
+func BenchmarkPick(b *testing.B) {
+	balancer := newBalancer(engines(150))
+	now := time.Now()
+	for router := range 73 {
+		var t Told
+		for i := range 10 {
+			t.Running = append(t.Running, Count{Replica: Hash(fmt.Sprintf("i-%d", (router*7+i)%150)), Running: 1})
+		}
+		balancer.Merge(fmt.Sprint(router), t, now)
+	}
+	question := Question{Service: "llm", DataCentre: "dc0", Parts: prompt(5)}
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.Pick(question, now)
+	}
+}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -76,6 +76,7 @@
 		counts.running[c.Replica] = c
 	}
 	b.peers[router] = counts
+	b.totals = nil
 	for _, f := range t.Failures {
 		if r := b.byHash[f.Replica]; r != nil && f.Failure <= Unreachable {
 			r.health.failed(f.Failure, now)
@@ -133,6 +134,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.peers, router)
+	b.totals = nil
 }
 
 // tellFailure and tellHolder keep something for the next Tell. b.mu is held.
@@ -148,16 +150,32 @@
 	}
 }
 
-// others sums what the other routers run at a replica.
+// totalsLife is how long a sum over the other routers is used again while none
+// of them tells anything new.
+const totalsLife = 50 * time.Millisecond
+
+// others returns what the other routers run at a replica.
 func (b *Balancer) others(hash uint32, now time.Time) Count {
-	var total Count
+	if b.totals == nil || now.Sub(b.totalsAt) > totalsLife || now.Before(b.totalsAt) {
+		b.sumOthers(now)
+	}
+	return b.totals[hash]
+}
+
+// sumOthers adds up what the other routers told lately.
+func (b *Balancer) sumOthers(now time.Time) {
+	b.totals, b.totalsAt = make(map[uint32]Count), now
 	for _, p := range b.peers {
-		if now.Sub(p.at) < peerLife {
-			total.Running += p.running[hash].Running
-			total.Reading += p.running[hash].Reading
+		if now.Sub(p.at) >= peerLife {
+			continue
+		}
+		for hash, c := range p.running {
+			total := b.totals[hash]
+			total.Running += c.Running
+			total.Reading += c.Reading
+			b.totals[hash] = total
 		}
 	}
-	return total
 }
 
 func hashText(s string) uint64 { return xxhash.Sum64String(s) }
