Knowledge is taken from one router at a time and encoded once a version

Cause: each of up to eight partners that had something newer was asked for the whole configuration, 400 KB at 1,000 routes, and each encoded it anew. Ruled out: sending differences; versions rise by uneven steps and a table is swapped whole. Change: one question at a time; the encoded configuration is kept by version.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -65,6 +65,10 @@
 
 	// recalled: the holders of parts are known, from a peer or from the engines.
 	recalled atomic.Bool
+	// learning: another router is being asked for its knowledge.
+	learning atomic.Bool
+	// encoded is the configuration as it was passed on last.
+	encoded atomic.Pointer[encodedConfig]
 
 	mu      sync.Mutex
 	members *membership.Table
@@ -338,8 +342,13 @@
 	g.balancer.Forget(address)
 }
 
-// learn takes the knowledge of another router.
+// learn takes the knowledge of another router, of one at a time: when something
+// is new, many have it.
 func (g *Gossip) learn(ctx context.Context, address string) {
+	if !g.learning.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.learning.Store(false)
 	asked := time.Now()
 	version, mark := g.follower.Version()
 	var reply *gossippb.KnowledgeReply
@@ -419,6 +428,25 @@
 	return list
 }
 
+// encodedConfig is one version of the configuration in the wire form.
+type encodedConfig struct {
+	version uint64
+	text    []byte
+}
+
+// encodeConfig encodes each version once: it is passed on many times.
+func (g *Gossip) encodeConfig(k follow.Knowledge) ([]byte, error) {
+	if last := g.encoded.Load(); last != nil && last.version == k.Version {
+		return last.text, nil
+	}
+	text, err := json.Marshal(k.Config)
+	if err != nil {
+		return nil, err
+	}
+	g.encoded.Store(&encodedConfig{version: k.Version, text: text})
+	return text, nil
+}
+
 // Knowledge implements the generated interface.
 func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
 	if !g.follower.Known() {
@@ -429,7 +457,7 @@
 	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
 	var err error
 	if k.Version > r.Version {
-		if reply.Configuration, err = json.Marshal(k.Config); err != nil {
+		if reply.Configuration, err = g.encodeConfig(k); err != nil {
 			return nil, fmt.Errorf("gossip: %w", err)
 		}
 	}
