Files parted by job; heads above the configured size are refused

Change: gossip in who to talk to, wire form, answers; dispatch without the building of requests; 431 above the configured size of a head, with a test.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -314,7 +314,7 @@
 			}
 			e.log.Write(id, event.F("proof_ms", e.follower.ProofAge(time.Now()).Milliseconds()))
 		}
-		e.pool.CloseIdle("")
+		e.pool.CloseIdle()
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -149,7 +149,7 @@
 	assert.ErrorIs(t, e.Wait(), ErrCut)
 }
 
-var page = regexp.MustCompile("(?m)^\\| (croftyard_[a-zA-Z_]+) \\|")
+var page = regexp.MustCompile(`(?m)^\| (croftyard_[a-zA-Z_]+) \|`)
 
 // The page of metrics and what a router tells name the same.
 func TestEveryMetricIsInThePage(t *testing.T) {
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -42,6 +42,9 @@
 	if state.Table == nil {
 		return unproven("no configuration yet")
 	}
+	if limit := state.Table.Limits().HeaderBytes; limit > 0 && headerBytes(c.request) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large", closes: true}
+	}
 	refused := c.resolve(state)
 	if refused == nil {
 		return c.checkProof(ctx, state)
@@ -55,6 +58,18 @@
 	return c.resolve(c.front.holder.Current())
 }
 
+// headerBytes returns the size of a request's head as it is sent.
+func headerBytes(r *http.Request) int {
+	const line, field = len("  HTTP/1.1\r\n"), len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + line + len("Host") + len(r.Host) + field
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + field
+		}
+	}
+	return size
+}
+
 // checkProof refuses a request with a key whose revocation might be unknown.
 func (c *call) checkProof(ctx context.Context, state *freshness.State) *refusal {
 	if c.organisation == nil || state.Age(time.Now()) < c.front.limits.Load().KeyProof {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,11 +40,8 @@
 	// Own names all headers that only routers may set; a caller's are dropped.
 	Own []string
 	// Headers of a replica's answer.
-	NotRun  string
-	Load    string
-	Replica string
-	// Signature marks an answer as a replica's.
-	Signature string
+	NotRun string
+	Load   string
 	// ParseParts reads the value of Parts, ParseLoad that of Load.
 	ParseParts func(string) []balance.Part
 	ParseLoad  func(string) (requests int, ok bool)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -33,7 +33,7 @@
 		Attempt: "Try", Deadline: "Left", Parts: "Parts", Key: "Authorization", KeyScheme: "Key ",
 		Organisation: "Org", Expect: "Want", Priority: "Rank", CopyFrom: "Copy",
 		Own:    []string{"Org", "Want", "Rank", "Copy"},
-		NotRun: "Not-Run", Load: "Load", Signature: "Sign",
+		NotRun: "Not-Run", Load: "Load",
 		ParseParts: func(s string) []balance.Part {
 			if s == "" {
 				return nil
@@ -84,7 +84,7 @@
 			stream, resumable,
 		},
 		Services:      []route.Service{{Name: "s"}},
-		Limits:        route.Limits{BodyBytes: 1 << 20},
+		Limits:        route.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10},
 		Organisations: []route.Organisation{{Name: "acme", Keys: []string{"k1"}}},
 	}
 }
@@ -562,3 +562,15 @@
 	after, _ := r.follower.Reads()
 	assert.Equal(t, before, after)
 }
+
+func TestTooLargeAHeaderIsNotSent(t *testing.T) {
+	address, arrivals := replica(t, func(http.ResponseWriter, *http.Request) {})
+	r := newRig(t, address)
+	response, _, err := r.send(t, "POST", "/once/", "", "X-Long", strings.Repeat("x", 20000))
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	response, _, err = r.send(t, "POST", "/once/", "", "X-Long", strings.Repeat("x", 10000))
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.EqualValues(t, 1, arrivals.Load())
+}
--- /dev/null
+++ b/internal/front/outgoing.go
@@ -0,0 +1,57 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+)
+
+// outgoing builds the request for a replica.
+func (c *call) outgoing(choice balance.Choice) *upstream.Request {
+	d := &c.front.options.Dialect
+	header := forwarded(c.request.Header)
+	for _, name := range d.Own {
+		header.Del(name)
+	}
+	if c.organisation != nil || c.front.holder.Current().Table.Keyed() {
+		header.Del(d.Key)
+	}
+	if c.organisation != nil {
+		header.Set(d.Organisation, c.organisation.Name)
+	}
+	header.Set(d.Deadline, strconv.FormatInt(max(time.Until(c.end).Milliseconds(), 1), 10))
+	header.Set(d.Expect, choice.Replica.ID)
+	if c.service.Engine != nil {
+		header.Set(d.Priority, strconv.Itoa(c.priority()))
+		if choice.Source != "" {
+			header.Set(d.CopyFrom, choice.Source)
+		}
+	}
+	if c.lastEvent != "" {
+		header.Set(lastEventHeader, c.lastEvent)
+	}
+	return &upstream.Request{
+		Method: c.request.Method,
+		URI:    c.request.RequestURI,
+		Host:   c.request.Host,
+		Header: header,
+		Body:   c.body,
+		ID:     c.id,
+	}
+}
+
+// lastEventHeader is the standard's header for taking a stream up again.
+const lastEventHeader = "Last-Event-Id"
+
+// priority is that of the organisation, else that of the route, within what a
+// replica takes.
+func (c *call) priority() int {
+	const lowest = 9
+	p := c.route.Priority
+	if c.organisation != nil && c.organisation.HasPriority {
+		p = c.organisation.Priority
+	}
+	return min(max(p, 0), lowest)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
@@ -226,64 +225,6 @@
 	return names
 }
 
-// digests returns what is told in this round, without and with a hello.
-func (g *Gossip) digests(now time.Time) (plain, hello *gossippb.Digest) {
-	plain = g.digest(now)
-	hello = proto.CloneOf(plain)
-	hello.Hello = true
-	hello.DataCentre = g.options.DataCentre
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	hello.Member, hello.HeardMs = g.rows(now)
-	return plain, hello
-}
-
-func (g *Gossip) digest(now time.Time) *gossippb.Digest {
-	told := g.balancer.Tell(now)
-	d := &gossippb.Digest{Sender: g.server.Address()}
-	for _, c := range told.Running {
-		d.Replica = append(d.Replica, c.Replica)
-		d.Running = append(d.Running, uint32(c.Running))
-		d.Reading = append(d.Reading, uint32(c.Reading))
-	}
-	for _, f := range told.Failures {
-		d.Failed = append(d.Failed, f.Replica)
-		d.Failure = append(d.Failure, uint32(f.Failure))
-	}
-	d.Part, d.Holder = encodeHolders(told.Holders)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	d.Stopping = g.stopped
-	return d
-}
-
-func encodeHolders(list []balance.Holding) (parts []uint64, replicas []uint32) {
-	for _, h := range list {
-		parts = append(parts, h.Part)
-		replicas = append(replicas, h.Replica)
-	}
-	return parts, replicas
-}
-
-// rows returns the members in the wire form. g.mu is held.
-func (g *Gossip) rows(now time.Time) (addresses []string, ages []uint32) {
-	for _, r := range g.members.Rows(now) {
-		addresses = append(addresses, r.Address)
-		ages = append(ages, uint32(r.Age.Milliseconds()))
-	}
-	return addresses, ages
-}
-
-func decodeRows(addresses []string, ages []uint32) []membership.Row {
-	rows := make([]membership.Row, 0, len(addresses))
-	for i := range min(len(addresses), len(ages)) {
-		rows = append(rows, membership.Row{Address: addresses[i], Age: milliseconds(ages[i])})
-	}
-	return rows
-}
-
-func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // exchange makes one exchange and takes the other's knowledge if it is newer.
 func (g *Gossip) exchange(ctx context.Context, address string, digest *gossippb.Digest) {
 	defer func() {
@@ -379,96 +320,3 @@
 		g.recalled.Store(true)
 	}
 }
-
-// Exchange implements the generated interface.
-func (g *Gossip) Exchange(_ context.Context, d *gossippb.Digest) (*gossippb.Freshness, error) {
-	now := time.Now()
-	if d.Stopping {
-		g.left(d.Sender, now)
-	} else {
-		g.heard(d.Sender, d.DataCentre, now)
-		g.balancer.Merge(d.Sender, decode(d), now)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
-	reply := &gossippb.Freshness{Stopping: g.stopped}
-	if d.Hello {
-		reply.DataCentre = g.options.DataCentre
-		reply.Member, reply.HeardMs = g.rows(now)
-	}
-	version, mark := g.follower.Version()
-	if g.follower.Known() {
-		age := uint32(g.follower.Age(now).Milliseconds()) + 1
-		reply.Version, reply.Mark, reply.ProofMs = version, mark, &age
-	}
-	g.meter.Received(d, reply)
-	return reply, nil
-}
-
-// decode reads a digest. Columns of unequal length are read as far as they all
-// go, so that a damaged message cannot harm.
-func decode(d *gossippb.Digest) balance.Told {
-	var t balance.Told
-	for i := range min(len(d.Replica), len(d.Running), len(d.Reading)) {
-		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i]), Reading: int(d.Reading[i])})
-	}
-	for i := range min(len(d.Failed), len(d.Failure)) {
-		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i])})
-	}
-	t.Holders = decodeHolders(d.Part, d.Holder)
-	return t
-}
-
-func decodeHolders(parts []uint64, replicas []uint32) []balance.Holding {
-	var list []balance.Holding
-	for i := range min(len(parts), len(replicas)) {
-		list = append(list, balance.Holding{Part: parts[i], Replica: replicas[i]})
-	}
-	return list
-}
-
-// encodedConfig is one version of the configuration in the wire form.
-type encodedConfig struct {
-	version uint64
-	text    []byte
-}
-
-// encodeConfig encodes each version once: it is passed on many times.
-func (g *Gossip) encodeConfig(k follow.Knowledge) ([]byte, error) {
-	if last := g.encoded.Load(); last != nil && last.version == k.Version {
-		return last.text, nil
-	}
-	text, err := json.Marshal(k.Config)
-	if err != nil {
-		return nil, err
-	}
-	g.encoded.Store(&encodedConfig{version: k.Version, text: text})
-	return text, nil
-}
-
-// Knowledge implements the generated interface.
-func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
-	if !g.follower.Known() {
-		return &gossippb.KnowledgeReply{}, nil
-	}
-	k, age := g.follower.Knowledge(time.Now())
-	milliseconds := uint32(age.Milliseconds()) + 1
-	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
-	var err error
-	if k.Version > r.Version {
-		if reply.Configuration, err = g.encodeConfig(k); err != nil {
-			return nil, fmt.Errorf("gossip: %w", err)
-		}
-	}
-	if k.Mark != r.Mark {
-		if reply.Replicas, err = json.Marshal(k.Replicas); err != nil {
-			return nil, fmt.Errorf("gossip: %w", err)
-		}
-	}
-	if r.Holders && g.recalled.Load() {
-		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(time.Now()))
-	}
-	g.meter.Received(r, reply)
-	return reply, nil
-}
--- /dev/null
+++ b/internal/gossip/serve.go
@@ -0,0 +1,82 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+)
+
+// Exchange implements the generated interface.
+func (g *Gossip) Exchange(_ context.Context, d *gossippb.Digest) (*gossippb.Freshness, error) {
+	now := time.Now()
+	if d.Stopping {
+		g.left(d.Sender, now)
+	} else {
+		g.heard(d.Sender, d.DataCentre, now)
+		g.balancer.Merge(d.Sender, decode(d), now)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
+	reply := &gossippb.Freshness{Stopping: g.stopped}
+	if d.Hello {
+		reply.DataCentre = g.options.DataCentre
+		reply.Member, reply.HeardMs = g.rows(now)
+	}
+	version, mark := g.follower.Version()
+	if g.follower.Known() {
+		age := uint32(g.follower.Age(now).Milliseconds()) + 1
+		reply.Version, reply.Mark, reply.ProofMs = version, mark, &age
+	}
+	g.meter.Received(d, reply)
+	return reply, nil
+}
+
+// encodedConfig is one version of the configuration in the wire form.
+type encodedConfig struct {
+	version uint64
+	text    []byte
+}
+
+// encodeConfig encodes each version once: it is passed on many times.
+func (g *Gossip) encodeConfig(k follow.Knowledge) ([]byte, error) {
+	if last := g.encoded.Load(); last != nil && last.version == k.Version {
+		return last.text, nil
+	}
+	text, err := json.Marshal(k.Config)
+	if err != nil {
+		return nil, err
+	}
+	g.encoded.Store(&encodedConfig{version: k.Version, text: text})
+	return text, nil
+}
+
+// Knowledge implements the generated interface.
+func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
+	if !g.follower.Known() {
+		return &gossippb.KnowledgeReply{}, nil
+	}
+	k, age := g.follower.Knowledge(time.Now())
+	milliseconds := uint32(age.Milliseconds()) + 1
+	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
+	var err error
+	if k.Version > r.Version {
+		if reply.Configuration, err = g.encodeConfig(k); err != nil {
+			return nil, fmt.Errorf("gossip: %w", err)
+		}
+	}
+	if k.Mark != r.Mark {
+		if reply.Replicas, err = json.Marshal(k.Replicas); err != nil {
+			return nil, fmt.Errorf("gossip: %w", err)
+		}
+	}
+	if r.Holders && g.recalled.Load() {
+		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(time.Now()))
+	}
+	g.meter.Received(r, reply)
+	return reply, nil
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -302,24 +302,23 @@
 	return keep
 }
 
-// CloseIdle closes the connections that rest at an address; with an empty
-// address, those that rested too long anywhere.
-func (p *Pool) CloseIdle(address string) {
+// CloseIdle closes the connections that rested too long.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for at, list := range p.idle {
+	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if at == address || now.After(c.expires) {
+			if now.After(c.expires) {
 				c.Close()
 				continue
 			}
 			kept = append(kept, c)
 		}
-		p.idle[at] = kept
+		p.idle[address] = kept
 		if len(kept) == 0 {
-			delete(p.idle, at)
+			delete(p.idle, address)
 		}
 	}
 }
