--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	sink := event.NewSink(s.out, logRoom)
+	sink := event.NewSink(logOutput(read, s), logRoom)
 	defer sink.Close(logFlush)
 	log := event.NewBounded(sink, read.Name, read.LogLevel, logLines)
 	signals := make(chan os.Signal, 2)
@@ -53,6 +53,15 @@
 	return err
 }
 
+// logOutput is standard output for a router of routes. A router of chats says on
+// standard output where it listens, and logs to standard error.
+func logOutput(read settings.Settings, s *streams) io.Writer {
+	if read.Platform.Kind == settings.PlatformStore {
+		return s.out
+	}
+	return s.err
+}
+
 func runInstance(read settings.Settings, log *event.Log, signals <-chan os.Signal, out io.Writer) error {
 	i, err := instance.Start(read, log)
 	if err != nil {
