--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -138,8 +138,14 @@
 		DataCentre: e.settings.DataCentre,
 		Limits:     frontLimits(b),
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
-	limits := front.NewConnLimits(e.holder)
-	e.callers = &http.Server{Handler: e.front, ConnState: limits.ConnState, MaxHeaderBytes: e.settings.Limits.Header}
+	limits := front.NewConnLimits(e.holder, e.log)
+	e.callers = &http.Server{
+		Handler:        e.front,
+		ConnState:      limits.ConnState,
+		ConnContext:    limits.ConnContext,
+		MaxHeaderBytes: e.settings.Limits.Header,
+		ErrorLog:       e.log.Faults(event.HandlerFailed),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.outside.ReadyPath, e.answerReady)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -54,6 +54,8 @@
 	RequestSampled    ID = 411
 	RequestLate       ID = 412
 	BudgetSpent       ID = 413
+	CallerConnExpired ID = 414
+	HandlerFailed     ID = 415
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	OrderLease        ID = 601
@@ -102,6 +104,8 @@
 	RequestSampled:    {logrus.InfoLevel, "request served, one of many", "None needed."},
 	RequestLate:       {logrus.InfoLevel, "request served late or after a repeat", "None needed. The lines of the same request tell why."},
 	BudgetSpent:       {logrus.WarnLevel, "no repeat left in the budget", "Look at the replicas that fail; the budget keeps them from being asked twice as often."},
+	CallerConnExpired: {logrus.DebugLevel, "caller's connection rested too long, closed", "None needed. The configuration's limits say how long it may rest."},
+	HandlerFailed:     {logrus.ErrorLevel, "the HTTP server reports a fault", "A fault in croftyard or a caller's broken request: report it with the text."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -1,26 +1,46 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
 
 // ConnLimits closes connections of callers that rest or send a head for longer
 // than the configuration in force allows. The server's own time-outs can't
 // change while it runs.
+//
+// A connection is closed only while no request of it is being served, and a
+// request whose connection was closed under it is not passed on. Both are
+// decided under one lock, since the limit may end at the moment at which a
+// request comes.
 type ConnLimits struct {
 	holder *freshness.Holder
+	log    *event.Log
 	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	conns  map[net.Conn]*callerConn
+}
+
+// callerConn is a caller's connection. ConnLimits.mu guards it.
+type callerConn struct {
+	timer *time.Timer
+	// due is when the connection may be closed. A timer that was set anew may
+	// still fire for its earlier time.
+	due time.Time
+	// serving: a request was read and its handler has not returned.
+	serving bool
+	// expired: closed for its limit.
+	expired bool
 }
 
 // NewConnLimits returns limits that follow a configuration.
-func NewConnLimits(h *freshness.Holder) *ConnLimits {
-	return &ConnLimits{holder: h, timers: make(map[net.Conn]*time.Timer)}
+func NewConnLimits(h *freshness.Holder, log *event.Log) *ConnLimits {
+	return &ConnLimits{holder: h, log: log, conns: make(map[net.Conn]*callerConn)}
 }
 
 // Times that hold before there is a configuration, and what is added to those
@@ -31,18 +51,62 @@
 	idleMargin    = 500 * time.Millisecond
 )
 
+// connKey is the context's key of a caller's connection.
+type connKey struct{}
+
+// ConnContext is a server's hook. It lets Front tell by a request's context
+// whether the connection was closed for its limit.
+func (l *ConnLimits) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn := &callerConn{}
+	l.conns[c] = conn
+	return context.WithValue(ctx, connKey{}, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return conn.expired
+	})
+}
+
+// expired tells whether the connection of a request was closed for its limit.
+func expired(ctx context.Context) bool {
+	told, found := ctx.Value(connKey{}).(func() bool)
+	return found && told()
+}
+
 // ConnState is a server's hook.
 func (l *ConnLimits) ConnState(c net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if timer := l.timers[c]; timer != nil {
-		timer.Stop()
-		delete(l.timers, c)
+	conn := l.conns[c]
+	if conn == nil {
+		return
+	}
+	conn.serving = state == http.StateActive
+	if conn.timer != nil {
+		conn.timer.Stop()
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		l.timers[c] = time.AfterFunc(l.limit(state), func() { c.Close() })
+		limit := l.limit(state)
+		conn.due = time.Now().Add(limit)
+		conn.timer = time.AfterFunc(limit, func() { l.expire(c) })
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, c)
+	}
+}
+
+// expire closes a connection unless a request came on it meanwhile.
+func (l *ConnLimits) expire(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn := l.conns[c]
+	if conn == nil || conn.serving || time.Now().Before(conn.due) {
+		return
 	}
+	conn.expired = true
+	l.log.Write(event.CallerConnExpired, event.F("caller", c.RemoteAddr().String()))
+	c.Close()
 }
 
 func (l *ConnLimits) limit(state http.ConnState) time.Duration {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,6 +115,10 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expired(r.Context()) {
+		// The caller sees its connection closed and knows that nothing was passed on.
+		panic(http.ErrAbortHandler)
+	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	if f.stopping.Load() {
