The line of a choice names the part and how many holders are known

Cause: on the grown site 36 in 100 prompt tokens are parts read again; the lines could not tell whether routers knew who held a part.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -101,6 +102,7 @@
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
 	c.front.log.Write(event.ReplicaChosen, event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
+		event.F("part", fmt.Sprintf("%x", choice.Part)), event.F("holders", choice.Holders),
 		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent.Load()),
 		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
 		event.F("proof_ms", c.front.follower.ProofAge(time.Now()).Milliseconds()))
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -66,6 +66,10 @@
 	// lacks; empty if none is needed.
 	Source string
 	Reason Reason
+	// Part is the prompt's last shared part and Holders the number of engines
+	// known to hold it; zero for plain services.
+	Part    uint64
+	Holders int
 	// Load is the replica's load as estimated, Bound what it was held against.
 	Load, Bound float64
 	// Passed is the engine that would have been first, if it was passed over,
@@ -181,6 +185,10 @@
 		chosen, reason = b.pickPlain(q, left, now)
 	}
 	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}
+	if len(q.Parts) > 0 {
+		choice.Part = homeKey(q.Parts)
+		choice.Holders = len(b.holders.list(choice.Part, now))
+	}
 	if len(q.Parts) > 0 && left[0] != chosen {
 		choice.Passed, choice.PassedLoad, choice.PassedBad = left[0].ID, b.load(left[0], now), b.badness(left[0], now)
 	}
