Each router talks to the others in an order of its own

Cause: partners were taken in the order of addresses, by a round that all count alike. Change: the order is that of a hash of both addresses. Test: TestRoutersThatStartTogetherTalkToDifferentMembers, fails on the old order.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -168,7 +168,7 @@
 	plain, hello := g.digests(now)
 	g.mu.Lock()
 	lost := g.members.Expire(now)
-	partners := g.members.Partners(g.round, maxPartners, now)
+	partners := g.members.Partners(g.round, maxPartners)
 	g.round++
 	ask := make(map[string]*gossippb.Digest)
 	for _, p := range partners {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -10,6 +10,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -105,15 +106,15 @@
 // Partners returns whom to talk to in a round: all while they are at most
 // most, else as many, in turns that come round to each; and the seeds that are
 // no members, so that parts of a fleet that lost each other meet again.
-func (t *Table) Partners(round, most int, now time.Time) []string {
-	rows := t.Rows(now)
-	partners := make([]string, 0, min(len(rows), most)+len(t.seeds))
+func (t *Table) Partners(round, most int) []string {
+	members := t.ownOrder()
+	partners := make([]string, 0, min(len(members), most)+len(t.seeds))
 	start := 0
-	if len(rows) > most {
-		start = round * most % len(rows)
+	if len(members) > most {
+		start = round * most % len(members)
 	}
-	for i := range min(len(rows), most) {
-		partners = append(partners, rows[(start+i)%len(rows)].Address)
+	for i := range min(len(members), most) {
+		partners = append(partners, members[(start+i)%len(members)])
 	}
 	for _, seed := range t.seeds {
 		_, member := t.heard[seed]
@@ -124,6 +125,29 @@
 	return partners
 }
 
+// ownOrder returns the members in an order that is another one at each router
+// and that mixes data centres. Routers that start together count their rounds
+// alike: in a common order all would talk to the same few at a time, and hear
+// nothing of a whole data centre for several rounds.
+func (t *Table) ownOrder() []string {
+	type place struct {
+		key     uint64
+		address string
+	}
+	places := make([]place, 0, len(t.heard))
+	for address := range t.heard {
+		places = append(places, place{xxhash.Sum64String(t.own + address), address})
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.address, b.address))
+	})
+	addresses := make([]string, len(places))
+	for i, p := range places {
+		addresses[i] = p.address
+	}
+	return addresses
+}
+
 // Rank returns how many members come before this router in an order that is the
 // same everywhere. Whoever is first acts first; the others act if it does not.
 func (t *Table) Rank() int {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -20,7 +20,7 @@
 	for ; rounds < 60; rounds++ {
 		now = now.Add(250 * time.Millisecond)
 		for address, table := range tables {
-			for _, partner := range table.Partners(rounds, 16, now) {
+			for _, partner := range table.Partners(rounds, 16) {
 				tables[partner].Heard(address, now)
 				tables[partner].Merge(table.Rows(now), now)
 				table.Heard(partner, now)
@@ -75,10 +75,45 @@
 	}
 	seen := make(map[string]int)
 	for round := range 25 {
-		for _, p := range table.Partners(round, 16, now) {
+		for _, p := range table.Partners(round, 16) {
 			seen[p]++
 		}
 	}
 	assert.Len(t, seen, 51)
 	assert.Equal(t, 25, seen["seed"], "a seed that is no member is asked each time")
 }
+
+// On a day of 74 routers all talked to the same eight members in each round,
+// and for several rounds nobody of some data centre was heard.
+func TestRoutersThatStartTogetherTalkToDifferentMembers(t *testing.T) {
+	const routers, most, rounds = 74, 8, 3
+	now := time.Now()
+	address := func(i int) string { return fmt.Sprintf("10.%d.0.%d:7000", 1+i/20, 10+i%20) }
+	tables := make([]*Table, routers)
+	for i := range tables {
+		tables[i] = New(address(i), nil)
+		for j := range routers {
+			tables[i].Heard(address(j), now)
+		}
+	}
+	for round := range 20 {
+		asked := make(map[string]int)
+		for _, table := range tables {
+			for _, p := range table.Partners(round, most) {
+				asked[p]++
+			}
+		}
+		for member, n := range asked {
+			assert.Less(t, n, 4*most, "%s in round %d", member, round)
+		}
+	}
+	for i, table := range tables {
+		centres := make(map[string]bool)
+		for round := range rounds {
+			for _, p := range table.Partners(round, most) {
+				centres[p[:4]] = true
+			}
+		}
+		assert.Len(t, centres, 4, "router %d hears of each data centre", i)
+	}
+}
