Copies come from where a part is likely to be; one home in a large fleet

Cause: in a fleet of more than nine routers most holders are unknown to most routers. A part went to either of two homes, both read it; and an engine known to hold the opening of a prompt was told no source for the rest, which its home held. Change: where holders may be unknown (over eight partners, or just started) the first home alone is weighed, and a diverted request copies from the home; an engine that joined copies from the home before it. Tests: pkg/balance TestInALargeFleet..., TestWhereACopyComesFrom..., TestAnEngineThatJoined....

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -187,7 +187,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	f.balancer.Replace(f.directory.List())
+	f.balancer.Replace(f.directory.List(), f.directory.Read())
 	f.mark = f.directory.Mark()
 	for _, c := range changes {
 		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -170,6 +170,7 @@
 	lost := g.members.Expire(now)
 	partners := g.members.Partners(g.round, maxPartners)
 	g.round++
+	g.balancer.SetScarce(g.members.Len()-1 > maxPartners || !g.recalled.Load())
 	ask := make(map[string]*gossippb.Digest)
 	for _, p := range partners {
 		if g.busy[p] {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -101,6 +101,10 @@
 	totalsAt time.Time
 	byHash   map[uint32]*replica
 	untold   Told
+	// listed is when the first list came.
+	listed time.Time
+	// scarce: holders of parts may be there that this router has not heard of.
+	scarce bool
 }
 
 // replica is one replica with what was seen of it.
@@ -110,6 +114,7 @@
 	short   uint32
 	running int
 	reading int
+	joined  time.Time
 	report  report
 	health  health
 	pace    pace
@@ -137,11 +142,35 @@
 	}
 }
 
-// Replace takes the replicas of the directory. Those that drain get no new
-// work, but may still be copied from.
-func (b *Balancer) Replace(list []directory.Replica) {
+const (
+	// newLife is for how long an engine that joined is taken to lack the parts
+	// whose home it became.
+	newLife = 15 * time.Second
+	// settleTime is for how long after the first list replicas that join may have
+	// been there before: entries come one by one when all start together.
+	settleTime = 5 * time.Second
+)
+
+// isNew tells whether an engine joined a moment ago.
+func (r *replica) isNew(now time.Time) bool { return now.Sub(r.joined) < newLife }
+
+// SetScarce tells whether there may be holders of parts that this router has not
+// heard of: it started a moment ago, or the fleet is too large for all to hear
+// of a new one at once.
+func (b *Balancer) SetScarce(scarce bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.scarce = scarce
+}
+
+// Replace takes the replicas of the directory, as they were at a time. Those
+// that drain get no new work, but may still be copied from.
+func (b *Balancer) Replace(list []directory.Replica, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.listed.IsZero() {
+		b.listed = now
+	}
 	replicas := make(map[string]*replica, len(list))
 	services := make(map[string][]*replica)
 	byHash := make(map[uint32]*replica, len(list))
@@ -149,6 +178,9 @@
 		known := b.replicas[r.ID]
 		if known == nil {
 			known = &replica{hash: hashText(r.ID), short: Hash(r.ID)}
+			if now.Sub(b.listed) > settleTime {
+				known.joined = now
+			}
 		}
 		known.Replica = r
 		replicas[r.ID] = known
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -27,7 +27,7 @@
 
 func newBalancer(list []directory.Replica) *Balancer {
 	b := New(1)
-	b.Replace(list)
+	b.Replace(list, start)
 	return b
 }
 
@@ -40,7 +40,7 @@
 
 func TestRoutersAgreeOnHomesWithoutAWord(t *testing.T) {
 	one, two := newBalancer(engines(12)), New(2)
-	two.Replace(engines(12))
+	two.Replace(engines(12), start)
 	homes := make(map[string]int)
 	for part := range uint64(600) {
 		c := pick(t, one, prompt(part), start)
@@ -93,7 +93,7 @@
 		held[part] = c.Replica.ID
 		b.Answered(c.Replica.ID, prompt(part), start)
 	}
-	b.Replace(engines(16))
+	b.Replace(engines(16), start)
 	for part, id := range held {
 		c := pick(t, b, prompt(part), start)
 		assert.Equal(t, id, c.Replica.ID)
@@ -125,7 +125,7 @@
 			list[i].State = directory.Draining
 		}
 	}
-	b.Replace(list)
+	b.Replace(list, start)
 	c := pick(t, b, prompt(5), start)
 	assert.NotEqual(t, home.Replica.ID, c.Replica.ID)
 	assert.Equal(t, home.Replica.Address, c.Source)
@@ -217,3 +217,45 @@
 	_, found = b.Pick(Question{Service: "none"}, start)
 	assert.False(t, found)
 }
+
+func TestInALargeFleetAColdPartGoesToItsFirstHome(t *testing.T) {
+	b := newBalancer(engines(12))
+	b.SetScarce(true)
+	home := pick(t, b, prompt(5), start).Replica.ID
+	b.Started(home, prompt(5), start)
+	assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
+}
+
+// A diverted request found an engine that held the opening, so that it was told
+// no source, and read the rest again that its home held.
+func TestWhereACopyComesFromWhenNoHolderIsKnown(t *testing.T) {
+	b := newBalancer(engines(12))
+	home := pick(t, b, prompt(5), start).Replica
+	second := pick(t, b, prompt(5), start, home.ID).Replica
+	opening := prompt(5)[:1]
+	b.Held(second.ID, opening, start)
+	assert.Empty(t, pick(t, b, prompt(5), start, home.ID).Source, "all would have heard of a holder")
+	b.SetScarce(true)
+	assert.Equal(t, home.Address, pick(t, b, prompt(5), start, home.ID).Source, "diverted: the home is likely to hold it")
+	assert.Equal(t, second.Address, pick(t, b, prompt(5), start).Source, "at the home: the opening from whoever holds it")
+}
+
+func TestAnEngineThatJoinedCopiesFromTheHomeBefore(t *testing.T) {
+	list := engines(13)
+	for part := range uint64(200) {
+		b := newBalancer(list[:12])
+		before := pick(t, b, prompt(part), start).Replica
+		// The router knows of a holder of the opening, but not of one of the rest.
+		b.Held("i-3", prompt(part)[:1], start)
+		joined := start.Add(settleTime + 1)
+		b.Replace(list, joined)
+		c := pick(t, b, prompt(part), joined)
+		if c.Replica.ID == before.ID {
+			continue
+		}
+		assert.Equal(t, "i-12", c.Replica.ID)
+		assert.Equal(t, before.Address, c.Source)
+		return
+	}
+	t.Fatal("the new engine became no part's home")
+}
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -23,10 +23,13 @@
 // sortByHome orders engines for a part: highest random weight first.
 func sortByHome(list []*replica, key uint64) {
 	slices.SortFunc(list, func(a, b *replica) int {
-		return cmp.Compare(mix(b.hash^key), mix(a.hash^key))
+		return cmp.Compare(homeRank(b, key), homeRank(a, key))
 	})
 }
 
+// homeRank is the weight of an engine for a part. The highest is its home.
+func homeRank(r *replica, key uint64) uint64 { return mix(r.hash ^ key) }
+
 // pickEngine prefers an engine that is known to hold the prompt's shared parts,
 // in the common order; else the first in that order. Preferring holders lets
 // parts stay where they are when engines join.
@@ -50,9 +53,12 @@
 	return b.leastBad(left, now), LastResort
 }
 
-// homeChoices is how many engines are weighed for a part that nobody holds. Two
-// are enough to even out the reading, and keep routers that don't yet know of
-// each other's choice together.
+// homeChoices is how many engines are weighed for a part of which no holder is
+// known. Two are enough to even out the reading; more would spread the part.
+//
+// That pays only while all routers hear of each other's choice within a round of
+// telling. In a larger fleet a holder is mostly unknown because the news has not
+// come yet, and each home that a part goes to reads it again.
 const (
 	homeChoices = 2
 	// muchToRead is by how many tokens the first must be behind: about a tenth
@@ -73,7 +79,7 @@
 		if best == nil || reading+muchToRead < least {
 			best, least = r, reading
 		}
-		if weighed++; weighed == homeChoices {
+		if weighed++; weighed == homeChoices || b.scarce {
 			break
 		}
 	}
@@ -85,31 +91,63 @@
 }
 
 // source returns where an engine can copy what it lacks of a prompt's shared
-// parts from: an engine known to hold the longest beginning of them, else the
-// one where they would lie if the chosen one had not been taken.
+// parts from, or an empty text where there is nothing to copy.
 func (b *Balancer) source(chosen *replica, parts []Part, now time.Time) string {
 	parts = shared(parts)
-	for i := len(parts) - 1; i >= 0; i-- {
+	last := len(parts) - 1
+	if b.holders.holds(parts[last].ID, chosen.ID, now) {
+		return ""
+	}
+	if r := b.holderOtherThan(chosen, parts[last].ID, now); r != nil {
+		return r.Address
+	}
+	// No holder is known, though there may be one. The first home is the likely
+	// one; for the first home itself that is the next one, if it joined a moment
+	// ago.
+	likely := b.likelyHolder(chosen, parts[last].ID, now)
+	isFirstHome := likely == nil || homeRank(chosen, parts[last].ID) > homeRank(likely, parts[last].ID)
+	if likely != nil && (b.scarce && !isFirstHome || chosen.isNew(now)) {
+		return likely.Address
+	}
+	// The part is new to all, it seems: what comes before it may be there.
+	for i := last - 1; i >= 0; i-- {
 		if b.holders.holds(parts[i].ID, chosen.ID, now) {
 			return ""
 		}
-		for _, id := range b.holders.list(parts[i].ID, now) {
-			if r := b.replicas[id]; r != nil && r != chosen && !b.unreachable(r, now) {
-				return r.Address
-			}
+		if r := b.holderOtherThan(chosen, parts[i].ID, now); r != nil {
+			return r.Address
 		}
 	}
-	others := make([]*replica, 0, len(b.services[chosen.Service]))
-	for _, r := range b.services[chosen.Service] {
-		if r != chosen && !b.unreachable(r, now) {
-			others = append(others, r)
+	if likely == nil {
+		return ""
+	}
+	return likely.Address
+}
+
+// holderOtherThan returns the engine that was last known to read a part, other
+// than one and within reach, or nil.
+func (b *Balancer) holderOtherThan(chosen *replica, part uint64, now time.Time) *replica {
+	for _, id := range b.holders.list(part, now) {
+		if r := b.replicas[id]; r != nil && r != chosen && !b.unreachable(r, now) {
+			return r
 		}
 	}
-	if len(others) == 0 {
-		return ""
+	return nil
+}
+
+// likelyHolder returns the first home of a part, other than one and within
+// reach, or nil.
+func (b *Balancer) likelyHolder(chosen *replica, part uint64, now time.Time) *replica {
+	var first *replica
+	for _, r := range b.services[chosen.Service] {
+		if r == chosen || b.unreachable(r, now) {
+			continue
+		}
+		if first == nil || homeRank(r, part) > homeRank(first, part) {
+			first = r
+		}
 	}
-	sortByHome(others, parts[len(parts)-1].ID)
-	return others[0].Address
+	return first
 }
 
 // unreachable tells whether a replica can't even be copied from.
