Failures and holders reach every router of a large fleet; first reads wait for the seeds

Cause: what a router saw was told to the eight partners of one round and to nobody else, so of 73 routers 65 found out by themselves. On a first start each of 74 routers read the store for itself; and the engine that was a part's home until it drained was no source. Change: news is told for as many rounds as it takes to come round to each member, with ages, at most twelve of each kind a digest; the first read of a first start waits 1.5 s for the seeds; a draining home is a likely holder.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,7 @@
 # Generated code is committed; this makes it anew.
 generate:
 	cd internal/peer/peerpb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. peer.proto
+	cd internal/gossip/gossippb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. gossip.proto
 
 clean:
 	rm -rf bin spec/build
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,7 +156,21 @@
 
 func (e *Entry) followOptions(s settings.Settings) follow.Options {
 	period := part(s.Bounds.Apply, readPart)
-	return follow.Options{Period: period, Timeout: period, Rank: e.rank}
+	return follow.Options{Period: period, Timeout: period, FirstRead: firstRead(s), Rank: e.rank}
+}
+
+// firstReadWait is how long routers wait for the seeds to tell them what they
+// read, when the whole fleet starts for the first time.
+const firstReadWait = 1500 * time.Millisecond
+
+// firstRead is how long the first read of a router waits. A fleet that starts
+// has time, and as many reads as routers would be a large part of a day's. A
+// router that starts again is needed at once and reads for itself.
+func firstRead(s settings.Settings) time.Duration {
+	if !s.Routes.FirstStart || slices.Contains(s.Peers.Seeds, s.Listen.Peers) {
+		return 0
+	}
+	return firstReadWait
 }
 
 // keyProof is the greatest age of the proof at which keys are believed.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -188,3 +188,13 @@
 	assert.True(t, state.Ready)
 	assert.Equal(t, "a", state.Replicas[0].ID)
 }
+
+func TestOnAFirstStartOnlyTheSeedsReadAtOnce(t *testing.T) {
+	set := settings.Default()
+	set.Listen.Peers, set.Peers.Seeds = "10.0.0.1:1", []string{"10.0.0.1:1", "10.0.0.2:1"}
+	assert.Zero(t, firstRead(set), "a router that starts again reads at once")
+	set.Routes.FirstStart = true
+	assert.Zero(t, firstRead(set), "a seed")
+	set.Listen.Peers = "10.0.0.3:1"
+	assert.Equal(t, firstReadWait, firstRead(set))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,6 +49,8 @@
 	Period time.Duration
 	// Timeout bounds one read.
 	Timeout time.Duration
+	// FirstRead is how long the first read waits for what other routers tell.
+	FirstRead time.Duration
 	// Rank returns how many routers read before this one. It may be nil.
 	Rank func() int
 }
@@ -95,7 +97,7 @@
 // Run reads until ctx ends: as soon as the newest proof, own or told, is older
 // than this router's patience.
 func (f *Follower) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(f.options.Load().FirstRead)
 	defer timer.Stop()
 	for {
 		woken := false
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -68,6 +68,30 @@
 	})
 }
 
+func TestTheFirstReadWaitsForWhatPeersTell(t *testing.T) {
+	for name, told := range map[string]bool{"told": true, "not told": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				source := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: replicas("a")}}
+				f := newFollower(source, 2)
+				f.Set(source, Options{Period: time.Second, Timeout: time.Second, FirstRead: time.Second})
+				go f.Run(ctx)
+				time.Sleep(900 * time.Millisecond)
+				assert.Zero(t, source.reads.Load())
+				if told {
+					c := config(1)
+					f.Learn(Knowledge{Version: 1, Config: c, Replicas: replicas("a")}, time.Now(), "peer")
+				}
+				time.Sleep(200 * time.Millisecond)
+				assert.Equal(t, !told, source.reads.Load() == 1)
+				assert.True(t, f.Known())
+			})
+		})
+	}
+}
+
 func TestAReadIsDatedFromWhenItWasSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -71,6 +71,7 @@
 
 	mu      sync.Mutex
 	members *membership.Table
+	news    news
 	busy    map[string]bool
 	// centres are the members' data centres, as they told.
 	centres map[string]string
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -17,7 +17,7 @@
 		g.left(d.Sender, now)
 	} else {
 		g.heard(d.Sender, d.DataCentre, now)
-		g.balancer.Merge(d.Sender, decode(d), now)
+		g.balancer.Merge(d.Sender, decode(d, now), now)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -24,20 +24,21 @@
 
 func (g *Gossip) digest(now time.Time) *gossippb.Digest {
 	told := g.balancer.Tell(now)
-	d := &gossippb.Digest{Sender: g.server.Address()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	news := g.news.add(told, g.members.Cycle(maxPartners))
+	d := &gossippb.Digest{Sender: g.server.Address(), Stopping: g.stopped}
 	for _, c := range told.Running {
 		d.Replica = append(d.Replica, c.Replica)
 		d.Running = append(d.Running, uint32(c.Running))
 		d.Reading = append(d.Reading, uint32(c.Reading))
 	}
-	for _, f := range told.Failures {
+	for _, f := range news.Failures {
 		d.Failed = append(d.Failed, f.Replica)
 		d.Failure = append(d.Failure, uint32(f.Failure))
+		d.FailedAgeMs = append(d.FailedAgeMs, uint32(now.Sub(f.At).Milliseconds()))
 	}
-	d.Part, d.Holder = encodeHolders(told.Holders)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	d.Stopping = g.stopped
+	d.Part, d.Holder = encodeHolders(news.Holders)
 	return d
 }
 
@@ -70,13 +71,13 @@
 
 // decode reads a digest. Columns of unequal length are read as far as they all
 // go, so that a damaged message cannot harm.
-func decode(d *gossippb.Digest) balance.Told {
+func decode(d *gossippb.Digest, now time.Time) balance.Told {
 	var t balance.Told
 	for i := range min(len(d.Replica), len(d.Running), len(d.Reading)) {
 		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i]), Reading: int(d.Reading[i])})
 	}
-	for i := range min(len(d.Failed), len(d.Failure)) {
-		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i])})
+	for i := range min(len(d.Failed), len(d.Failure), len(d.FailedAgeMs)) {
+		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i]), At: now.Add(-milliseconds(d.FailedAgeMs[i]))})
 	}
 	t.Holders = decodeHolders(d.Part, d.Holder)
 	return t
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -240,6 +240,22 @@
 	assert.Equal(t, second.Address, pick(t, b, prompt(5), start).Source, "at the home: the opening from whoever holds it")
 }
 
+func TestTheNextHomeCopiesFromOneThatDrains(t *testing.T) {
+	list := engines(12)
+	b := newBalancer(list)
+	b.SetScarce(true)
+	home := pick(t, b, prompt(5), start).Replica
+	for i := range list {
+		if list[i].ID == home.ID {
+			list[i].State = directory.Draining
+		}
+	}
+	b.Replace(list, start)
+	c := pick(t, b, prompt(5), start)
+	assert.NotEqual(t, home.ID, c.Replica.ID)
+	assert.Equal(t, home.Address, c.Source, "although no holder is known")
+}
+
 func TestAnEngineThatJoinedCopiesFromTheHomeBefore(t *testing.T) {
 	list := engines(13)
 	for part := range uint64(200) {
@@ -259,3 +275,12 @@
 	}
 	t.Fatal("the new engine became no part's home")
 }
+
+func TestAFailureThatIsToldLateCountsFromWhenItWasSeen(t *testing.T) {
+	b := newBalancer(engines(3))
+	late := Told{Failures: []SeenFailure{{Hash("i-0"), Shed, start.Add(-time.Second)}, {Hash("i-1"), Refused, start.Add(-500 * time.Millisecond)}}}
+	b.Merge("other", late, start)
+	assert.False(t, b.Suspected("i-0", start), "its time is over")
+	assert.True(t, b.Suspected("i-1", start))
+	assert.False(t, b.Suspected("i-1", start.Add(501*time.Millisecond)))
+}
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -136,11 +136,11 @@
 }
 
 // likelyHolder returns the first home of a part, other than one and within
-// reach, or nil.
+// reach, or nil. One that drains was the home until a moment ago.
 func (b *Balancer) likelyHolder(chosen *replica, part uint64, now time.Time) *replica {
 	var first *replica
-	for _, r := range b.services[chosen.Service] {
-		if r == chosen || b.unreachable(r, now) {
+	for _, r := range b.replicas {
+		if r == chosen || r.Service != chosen.Service || b.unreachable(r, now) {
 			continue
 		}
 		if first == nil || homeRank(r, part) > homeRank(first, part) {
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -63,6 +63,8 @@
 	kind     Failure
 }
 
+// failed notes a failure at a time, which may lie before the last one if another
+// router saw it.
 func (h *health) failed(kind Failure, now time.Time) {
 	if now.Sub(h.last) > forgetAfter {
 		h.failures = 0
@@ -74,6 +76,9 @@
 	if kind != Shed {
 		h.failures++
 	}
+	if now.Before(h.last) {
+		return
+	}
 	h.good = 0
 	h.last = now
 	h.kind = kind
@@ -137,7 +142,7 @@
 		return
 	}
 	r.health.failed(kind, now)
-	b.tellFailure(r, kind)
+	b.tellFailure(r, kind, now)
 	if kind == Unreachable && r.DataCentre != ownDataCentre {
 		b.centreUnreachable(r.DataCentre, now)
 	}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -23,10 +23,12 @@
 	Reading int
 }
 
-// SeenFailure is a failure that a router saw.
+// SeenFailure is a failure that a router saw, with the steady time of the one
+// who holds it.
 type SeenFailure struct {
 	Replica uint32
 	Failure Failure
+	At      time.Time
 }
 
 // Holding says that a replica was sent a part of a prompt.
@@ -79,7 +81,7 @@
 	b.totals = nil
 	for _, f := range t.Failures {
 		if r := b.byHash[f.Replica]; r != nil && f.Failure <= Unreachable {
-			r.health.failed(f.Failure, now)
+			r.health.failed(f.Failure, f.At)
 		}
 	}
 	for _, h := range t.Holders {
@@ -138,9 +140,9 @@
 }
 
 // tellFailure and tellHolder keep something for the next Tell. b.mu is held.
-func (b *Balancer) tellFailure(r *replica, kind Failure) {
+func (b *Balancer) tellFailure(r *replica, kind Failure, now time.Time) {
 	if len(b.untold.Failures) < maxToldFailures {
-		b.untold.Failures = append(b.untold.Failures, SeenFailure{Hash(r.ID), kind})
+		b.untold.Failures = append(b.untold.Failures, SeenFailure{Hash(r.ID), kind, now})
 	}
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -125,6 +125,11 @@
 	return partners
 }
 
+// Cycle returns after how many rounds each member was a partner once.
+func (t *Table) Cycle(most int) int {
+	return max(1, (len(t.heard)+most-1)/most)
+}
+
 // ownOrder returns the members in an order that is another one at each router
 // and that mixes data centres. Routers that start together count their rounds
 // alike: in a common order all would talk to the same few at a time, and hear
