A sparse graph of partners in a large fleet; loads are passed on instead of counts

Cause: beyond nine routers each talked to each in turns: 146 connections of some 37 KB an end at 74 routers (5 MB of 11), rows of all members in each hello, and counts of what the others run that were 1.4 s old on average, older than most requests last. Ruled out: closing connections after each exchange (as many dials as exchanges). Change: up to eight members all are partners, as before; beyond, each has eight partners that stay the same, by rendezvous hashing, replaced while they don't answer. What replicas told of their load, failures, and holders that others can't guess are passed on once, dated by their age; hellos tell sixteen rows; a data centre is silent if those that speak to this router itself are.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,6 +46,8 @@
 	// maxPartners bounds the exchanges of one round: with a round each quarter of
 	// a second and some 130 bytes sent in each, about 4 KB a second.
 	maxPartners = 8
+	// maxRows bounds the members that one hello tells.
+	maxRows = 16
 	// helloRounds is after how many rounds members are told again.
 	helloRounds = 8
 	// callTimeout bounds one call.
@@ -71,11 +73,11 @@
 
 	mu      sync.Mutex
 	members *membership.Table
-	news    news
 	busy    map[string]bool
 	// centres are the members' data centres, as they told.
 	centres map[string]string
 	round   int
+	hellos  int
 	stopped bool
 }
 
@@ -99,7 +101,7 @@
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
 	g.server = server
-	g.members = membership.New(server.Address(), o.Seeds)
+	g.members = membership.New(server.Address(), o.Seeds, maxPartners)
 	return g, nil
 }
 
@@ -169,9 +171,9 @@
 	plain, hello := g.digests(now)
 	g.mu.Lock()
 	lost := g.members.Expire(now)
-	partners := g.members.Partners(g.round, maxPartners)
+	partners := g.members.Partners(now)
 	g.round++
-	g.balancer.SetScarce(g.members.Len()-1 > maxPartners || !g.recalled.Load())
+	large := g.members.Large()
 	ask := make(map[string]*gossippb.Digest)
 	for _, p := range partners {
 		if g.busy[p] {
@@ -185,6 +187,8 @@
 	}
 	silent := g.silentCentres(now)
 	g.mu.Unlock()
+	g.balancer.SetLarge(large)
+	g.balancer.SetRecalled(g.recalled.Load())
 	for _, name := range silent {
 		if g.balancer.CentreSilent(name, true) {
 			g.log.Write(event.CentreSilent, event.F("data_centre", name))
@@ -204,12 +208,18 @@
 const silentRounds = 2.5
 
 // silentCentres returns the other data centres of which no member was heard for
-// a moment, while somebody was. One member alone may have died. g.mu is held.
+// a moment, while somebody was. One member alone may have died. In a large fleet
+// those count that speak to this router itself: of the others it hears late.
+// g.mu is held.
 func (g *Gossip) silentCentres(now time.Time) []string {
 	limit := time.Duration(silentRounds * float64(g.options.Period))
 	members, silent := make(map[string]int), make(map[string]int)
 	anyone := false
-	for _, row := range g.members.Rows(now) {
+	rows := g.members.Rows(now)
+	if g.members.Large() {
+		rows = g.members.Direct(now)
+	}
+	for _, row := range rows {
 		centre := g.centres[row.Address]
 		members[centre]++
 		if row.Age > limit {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -145,7 +145,7 @@
 
 func TestADataCentreOfWhichNobodyIsHeardIsSilent(t *testing.T) {
 	now := time.Now()
-	g := &Gossip{options: Options{DataCentre: "here", Period: 100 * time.Millisecond}, members: membership.New("me", nil),
+	g := &Gossip{options: Options{DataCentre: "here", Period: 100 * time.Millisecond}, members: membership.New("me", nil, maxPartners),
 		centres: map[string]string{"a1": "a", "a2": "a", "b1": "b", "h1": "here"}}
 	for _, address := range []string{"a1", "a2", "b1"} {
 		g.members.Heard(address, now)
@@ -172,7 +172,7 @@
 }
 
 func TestEachTaskIsOneRouters(t *testing.T) {
-	tables := []*membership.Table{membership.New("a", nil), membership.New("b", nil), membership.New("c", nil)}
+	tables := []*membership.Table{membership.New("a", nil, maxPartners), membership.New("b", nil, maxPartners), membership.New("c", nil, maxPartners)}
 	now := time.Now()
 	for _, table := range tables {
 		for _, address := range []string{"a", "b", "c"} {
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -26,19 +26,23 @@
 	told := g.balancer.Tell(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	news := g.news.add(told, g.members.Cycle(maxPartners))
 	d := &gossippb.Digest{Sender: g.server.Address(), Stopping: g.stopped}
 	for _, c := range told.Running {
 		d.Replica = append(d.Replica, c.Replica)
 		d.Running = append(d.Running, uint32(c.Running))
 		d.Reading = append(d.Reading, uint32(c.Reading))
 	}
-	for _, f := range news.Failures {
+	for _, l := range told.Loads {
+		d.Loaded = append(d.Loaded, l.Replica)
+		d.Load = append(d.Load, uint32(l.Load))
+		d.LoadAgeMs = append(d.LoadAgeMs, uint32(now.Sub(l.At).Milliseconds()))
+	}
+	for _, f := range told.Failures {
 		d.Failed = append(d.Failed, f.Replica)
 		d.Failure = append(d.Failure, uint32(f.Failure))
 		d.FailedAgeMs = append(d.FailedAgeMs, uint32(now.Sub(f.At).Milliseconds()))
 	}
-	d.Part, d.Holder = encodeHolders(news.Holders)
+	d.Part, d.Holder = encodeHolders(told.Holders)
 	return d
 }
 
@@ -50,9 +54,11 @@
 	return parts, replicas
 }
 
-// rows returns the members in the wire form. g.mu is held.
+// rows returns members in the wire form, another part of them in each hello.
+// g.mu is held.
 func (g *Gossip) rows(now time.Time) (addresses []string, ages []uint32) {
-	for _, r := range g.members.Rows(now) {
+	g.hellos++
+	for _, r := range g.members.Sample(g.hellos, maxRows, now) {
 		addresses = append(addresses, r.Address)
 		ages = append(ages, uint32(r.Age.Milliseconds()))
 	}
@@ -76,6 +82,9 @@
 	for i := range min(len(d.Replica), len(d.Running), len(d.Reading)) {
 		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i]), Reading: int(d.Reading[i])})
 	}
+	for i := range min(len(d.Loaded), len(d.Load), len(d.LoadAgeMs)) {
+		t.Loads = append(t.Loads, balance.Load{Replica: d.Loaded[i], Load: int(d.Load[i]), At: now.Add(-milliseconds(d.LoadAgeMs[i]))})
+	}
 	for i := range min(len(d.Failed), len(d.Failure), len(d.FailedAgeMs)) {
 		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i]), At: now.Add(-milliseconds(d.FailedAgeMs[i]))})
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -103,8 +103,9 @@
 	untold   Told
 	// listed is when the first list came.
 	listed time.Time
-	// scarce: holders of parts may be there that this router has not heard of.
-	scarce bool
+	// large: routers can't tell all others what they run. recalled: who holds
+	// what is known as well as it can be.
+	large, recalled bool
 }
 
 // replica is one replica with what was seen of it.
@@ -120,14 +121,6 @@
 	pace    pace
 }
 
-// report is what a replica told of its load.
-type report struct {
-	load float64
-	// running is the own count when the report came.
-	running int
-	at      time.Time
-}
-
 // New returns a balancer without replicas. Its choices are a function of seed
 // and of what it is told.
 func New(seed uint64) *Balancer {
@@ -139,6 +132,7 @@
 		silent:   make(map[string]bool),
 		holders:  newHolders(),
 		peers:    make(map[string]peerCounts),
+		recalled: true,
 	}
 }
 
@@ -154,15 +148,25 @@
 // isNew tells whether an engine joined a moment ago.
 func (r *replica) isNew(now time.Time) bool { return now.Sub(r.joined) < newLife }
 
-// SetScarce tells whether there may be holders of parts that this router has not
-// heard of: it started a moment ago, or the fleet is too large for all to hear
-// of a new one at once.
-func (b *Balancer) SetScarce(scarce bool) {
+// SetLarge tells whether the fleet is too large for each router to tell each
+// other one what it runs and what it saw.
+func (b *Balancer) SetLarge(large bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.large = large
+}
+
+// SetRecalled tells whether who holds what has been recalled since the start.
+func (b *Balancer) SetRecalled(recalled bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.scarce = scarce
+	b.recalled = recalled
 }
 
+// scarce tells whether there may be holders of parts that this router has not
+// heard of.
+func (b *Balancer) scarce() bool { return b.large || !b.recalled }
+
 // Replace takes the replicas of the directory, as they were at a time. Those
 // that drain get no new work, but may still be copied from.
 func (b *Balancer) Replace(list []directory.Replica, now time.Time) {
@@ -198,9 +202,7 @@
 	defer b.mu.Unlock()
 	all := b.services[q.Service]
 	left := make([]*replica, 0, len(all))
-	total := 0.0
 	for _, r := range all {
-		total += b.load(r, now)
 		if !slices.Contains(q.Tried, r.ID) {
 			left = append(left, r)
 		}
@@ -208,7 +210,7 @@
 	if len(left) == 0 {
 		return Choice{}, false
 	}
-	bound := boundFactor*total/float64(len(all)) + boundSlack
+	bound := boundFactor*b.meanLoad(all, now) + boundSlack
 	var chosen *replica
 	var reason Reason
 	if len(q.Parts) > 0 {
@@ -262,19 +264,6 @@
 // awayPenalty is what the way to another data centre weighs, in requests.
 const awayPenalty = 1.5
 
-// reportLife is how long a report says something: engines report with a lag,
-// and a request lasts about as long.
-const reportLife = 400 * time.Millisecond
-
-// load estimates the requests at a replica, of all routers.
-func (b *Balancer) load(r *replica, now time.Time) float64 {
-	load := float64(r.running + b.others(r.short, now).Running)
-	if now.Sub(r.report.at) < reportLife {
-		load = max(load, r.report.load+float64(r.running-r.report.running))
-	}
-	return load
-}
-
 // Started counts a request that is about to be sent to a replica, and returns
 // the tokens of its prompt that the replica is taken to lack.
 func (b *Balancer) Started(id string, parts []Part, now time.Time) (tokens int) {
@@ -312,15 +301,6 @@
 	}
 }
 
-// Reported takes the load that a replica told, in requests running and waiting.
-func (b *Balancer) Reported(id string, load int, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.replicas[id]; r != nil {
-		r.report = report{load: float64(load), running: r.running, at: now}
-	}
-}
-
 // Answered notes that a replica answered well and now holds the parts of the
 // prompt, and tells whether that cleared it of earlier failures.
 func (b *Balancer) Answered(id string, parts []Part, now time.Time) (cleared bool) {
@@ -336,7 +316,7 @@
 		c.succeeded(now)
 	}
 	for _, part := range parts[:max(len(parts)-1, 0)] {
-		if !b.holders.holdsFresh(part.ID, id, now) {
+		if !b.holders.holdsFresh(part.ID, id, now) && b.worthTelling(r, part.ID, parts) {
 			b.tellHolder(part.ID, r)
 		}
 		b.holders.note(part.ID, id, now)
@@ -344,6 +324,24 @@
 	return doubted && r.health.failures == 0
 }
 
+// worthTelling tells whether others can't guess that an engine holds a part. In
+// a large fleet they take a prompt's last shared part to be at its first home,
+// and soon know some holder of an opening that many prompts share.
+func (b *Balancer) worthTelling(r *replica, part uint64, parts []Part) bool {
+	if !b.large {
+		return true
+	}
+	if part != homeKey(parts) {
+		return false
+	}
+	for _, other := range b.services[r.Service] {
+		if homeRank(other, part) > homeRank(r, part) {
+			return true
+		}
+	}
+	return false
+}
+
 // Ready returns how many replicas of a service may get work.
 func (b *Balancer) Ready(service string) int {
 	b.mu.Lock()
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -220,7 +220,7 @@
 
 func TestInALargeFleetAColdPartGoesToItsFirstHome(t *testing.T) {
 	b := newBalancer(engines(12))
-	b.SetScarce(true)
+	b.SetLarge(true)
 	home := pick(t, b, prompt(5), start).Replica.ID
 	b.Started(home, prompt(5), start)
 	assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
@@ -235,7 +235,7 @@
 	opening := prompt(5)[:1]
 	b.Held(second.ID, opening, start)
 	assert.Empty(t, pick(t, b, prompt(5), start, home.ID).Source, "all would have heard of a holder")
-	b.SetScarce(true)
+	b.SetLarge(true)
 	assert.Equal(t, home.Address, pick(t, b, prompt(5), start, home.ID).Source, "diverted: the home is likely to hold it")
 	assert.Equal(t, second.Address, pick(t, b, prompt(5), start).Source, "at the home: the opening from whoever holds it")
 }
@@ -243,7 +243,7 @@
 func TestTheNextHomeCopiesFromOneThatDrains(t *testing.T) {
 	list := engines(12)
 	b := newBalancer(list)
-	b.SetScarce(true)
+	b.SetLarge(true)
 	home := pick(t, b, prompt(5), start).Replica
 	for i := range list {
 		if list[i].ID == home.ID {
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -79,7 +79,7 @@
 		if best == nil || reading+muchToRead < least {
 			best, least = r, reading
 		}
-		if weighed++; weighed == homeChoices || b.scarce {
+		if weighed++; weighed == homeChoices || b.scarce() {
 			break
 		}
 	}
@@ -106,7 +106,7 @@
 	// ago.
 	likely := b.likelyHolder(chosen, parts[last].ID, now)
 	isFirstHome := likely == nil || homeRank(chosen, parts[last].ID) > homeRank(likely, parts[last].ID)
-	if likely != nil && (b.scarce && !isFirstHome || chosen.isNew(now)) {
+	if likely != nil && (b.scarce() && !isFirstHome || chosen.isNew(now)) {
 		return likely.Address
 	}
 	// The part is new to all, it seems: what comes before it may be there.
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -9,7 +9,9 @@
 // Told is what one router tells the others. Replicas are named by Hash of
 // their ids.
 type Told struct {
+	// Running is empty in a large fleet, where Loads stand in for it.
 	Running  []Count
+	Loads    []Load
 	Failures []SeenFailure
 	Holders  []Holding
 }
@@ -43,6 +45,14 @@
 // peerLife is how long another router's counts say something.
 const peerLife = 2500 * time.Millisecond
 
+const (
+	// newsLife is how long a failure is worth passing on.
+	newsLife = 2 * time.Second
+	// sameNews is by how much the times of one thing may differ that came on two
+	// ways: what the ways took is not known.
+	sameNews = 50 * time.Millisecond
+)
+
 // Bounds of what waits to be told; the oldest is left out.
 const (
 	maxToldFailures = 64
@@ -61,15 +71,20 @@
 	defer b.mu.Unlock()
 	told := b.untold
 	b.untold = Told{}
-	for id, r := range b.replicas {
+	if b.large {
+		told.Loads = b.tellLoads(now)
+		return told
+	}
+	for _, r := range b.replicas {
 		if r.running > 0 {
-			told.Running = append(told.Running, Count{Hash(id), r.running, r.reading})
+			told.Running = append(told.Running, Count{r.short, r.running, r.reading})
 		}
 	}
 	return told
 }
 
-// Merge takes what another router told.
+// Merge takes what another router told. In a large fleet what is news is passed
+// on, since its teller can't tell everybody.
 func (b *Balancer) Merge(router string, t Told, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,16 +94,40 @@
 	}
 	b.peers[router] = counts
 	b.totals = nil
+	b.mergeLoads(t.Loads)
 	for _, f := range t.Failures {
-		if r := b.byHash[f.Replica]; r != nil && f.Failure <= Unreachable {
-			r.health.failed(f.Failure, f.At)
-		}
+		b.mergeFailure(f, now)
 	}
 	for _, h := range t.Holders {
-		if r := b.byHash[h.Replica]; r != nil {
-			b.holders.note(h.Part, r.ID, now)
+		b.mergeHolder(h, now)
+	}
+}
+
+// mergeFailure takes a failure that another router saw. b.mu is held.
+func (b *Balancer) mergeFailure(f SeenFailure, now time.Time) {
+	r := b.byHash[f.Replica]
+	if r == nil || f.Failure > Unreachable {
+		return
+	}
+	if b.large {
+		if f.At.Sub(r.health.last) < sameNews || now.Sub(f.At) > newsLife {
+			return
 		}
+		b.tellFailure(r, f.Failure, f.At)
+	}
+	r.health.failed(f.Failure, f.At)
+}
+
+// mergeHolder takes a holder that another router saw. b.mu is held.
+func (b *Balancer) mergeHolder(h Holding, now time.Time) {
+	r := b.byHash[h.Replica]
+	if r == nil {
+		return
+	}
+	if b.large && !b.holders.holdsFresh(h.Part, r.ID, now) {
+		b.tellHolder(h.Part, r)
 	}
+	b.holders.note(h.Part, r.ID, now)
 }
 
 // Holders returns who is known to hold which parts, for a router that starts.
