--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/pkg/balance"
 )
 
 // Exchange implements the generated interface.
@@ -17,7 +16,7 @@
 		g.left(d.Sender, now)
 	} else {
 		g.heard(d.Sender, d.DataCentre, now)
-		g.balancer.Merge(d.Sender, decode(d, now), now)
+		g.merge(d, now)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -36,6 +35,16 @@
 	return reply, nil
 }
 
+// merge takes what a router tells of itself or of its line.
+func (g *Gossip) merge(d *gossippb.Digest, now time.Time) {
+	told := decode(d, now)
+	if d.Lines > 0 {
+		g.balancer.MergeLine(balance.Line{Number: int(d.Line), Of: int(d.Lines)}, told, now)
+		return
+	}
+	g.balancer.Merge(d.Sender, told, now)
+}
+
 // encodedConfig is one version of the configuration in the wire form.
 type encodedConfig struct {
 	version uint64
@@ -47,7 +56,7 @@
 	if last := g.encoded.Load(); last != nil && last.version == k.Version {
 		return last.text, nil
 	}
-	text, err := json.Marshal(k.Config)
+	text, err := pack(k.Config)
 	if err != nil {
 		return nil, err
 	}
@@ -66,12 +75,12 @@
 	var err error
 	if k.Version > r.Version {
 		if reply.Configuration, err = g.encodeConfig(k); err != nil {
-			return nil, fmt.Errorf("gossip: %w", err)
+			return nil, err
 		}
 	}
 	if k.Mark != r.Mark {
-		if reply.Replicas, err = json.Marshal(k.Replicas); err != nil {
-			return nil, fmt.Errorf("gossip: %w", err)
+		if reply.Replicas, err = pack(k.Replicas); err != nil {
+			return nil, err
 		}
 	}
 	if r.Holders && g.recalled.Load() {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -96,13 +96,17 @@
 	silent   map[string]bool
 	holders  *holders
 	peers    map[string]peerCounts
-	// totals sums up peers, as of totalsAt.
+	// lines are the sums that other lines of a large fleet told.
+	lines map[Line]peerCounts
+	// totals sums up peers and lines, as of totalsAt.
 	totals   map[uint32]Count
 	totalsAt time.Time
 	byHash   map[uint32]*replica
 	untold   Told
 	// listed is when the first list came.
 	listed time.Time
+	// medians are the median paces of services.
+	medians map[string]median
 	// large: routers can't tell all others what they run. recalled: who holds
 	// what is known as well as it can be.
 	large, recalled bool
@@ -132,6 +136,8 @@
 		silent:   make(map[string]bool),
 		holders:  newHolders(),
 		peers:    make(map[string]peerCounts),
+		lines:    make(map[Line]peerCounts),
+		medians:  make(map[string]median),
 		recalled: true,
 	}
 }
@@ -194,6 +200,7 @@
 		}
 	}
 	b.replicas, b.services, b.byHash = replicas, services, byHash
+	clear(b.medians)
 }
 
 // Pick chooses a replica, or returns false if the service has none that is left.
@@ -211,20 +218,15 @@
 		return Choice{}, false
 	}
 	bound := boundFactor*b.meanLoad(all, now) + boundSlack
-	var chosen *replica
-	var reason Reason
-	if len(q.Parts) > 0 {
-		chosen, reason = b.pickEngine(q, left, bound, now)
-	} else {
-		chosen, reason = b.pickPlain(q, left, now)
+	if len(q.Parts) == 0 {
+		chosen, reason := b.pickPlain(q, left, now)
+		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}, true
 	}
-	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}
-	if len(q.Parts) > 0 {
-		choice.Part = homeKey(q.Parts)
-		choice.Holders = len(b.holders.list(choice.Part, now))
-	}
-	if len(q.Parts) > 0 && left[0] != chosen {
-		choice.Passed, choice.PassedLoad, choice.PassedBad = left[0].ID, b.load(left[0], now), b.badness(left[0], now)
+	chosen, home, reason := b.pickEngine(q, left, bound, now)
+	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts)}
+	choice.Holders = len(b.holders.list(choice.Part, now))
+	if home != chosen {
+		choice.Passed, choice.PassedLoad, choice.PassedBad = home.ID, b.load(home, now), b.badness(home, now)
 	}
 	if len(q.Parts) > 1 {
 		choice.Source = b.source(chosen, q.Parts, now)
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -9,9 +9,7 @@
 // Told is what one router tells the others. Replicas are named by Hash of
 // their ids.
 type Told struct {
-	// Running is empty in a large fleet, where Loads stand in for it.
 	Running  []Count
-	Loads    []Load
 	Failures []SeenFailure
 	Holders  []Holding
 }
@@ -45,36 +43,59 @@
 // peerLife is how long another router's counts say something.
 const peerLife = 2500 * time.Millisecond
 
-const (
-	// newsLife is how long a failure is worth passing on.
-	newsLife = 2 * time.Second
-	// sameNews is by how much the times of one thing may differ that came on two
-	// ways: what the ways took is not known.
-	sameNews = 50 * time.Millisecond
-)
+// newsLife is how long a failure is worth passing on.
+const newsLife = 2 * time.Second
 
 // Bounds of what waits to be told; the oldest is left out.
 const (
 	maxToldFailures = 64
 	maxToldHolders  = 4096
+	// maxToldLarge is the same for both in a large fleet, where all that is told
+	// is passed on by all.
+	maxToldLarge = 16
 )
 
-// peerCounts are the requests that one router runs, by replica.
+// maxTold is how much of a kind may wait to be told.
+func (b *Balancer) maxTold(most int) int {
+	if b.large {
+		return maxToldLarge
+	}
+	return most
+}
+
+// peerCounts are the requests that one router runs, or one line, by replica.
 type peerCounts struct {
 	running map[uint32]Count
 	at      time.Time
 }
 
+func newPeerCounts(list []Count, now time.Time) peerCounts {
+	counts := peerCounts{running: make(map[uint32]Count, len(list)), at: now}
+	for _, c := range list {
+		counts.running[c.Replica] = c
+	}
+	return counts
+}
+
+// addTo adds the counts to sums while they say something.
+func (p peerCounts) addTo(sums map[uint32]Count, now time.Time) {
+	if now.Sub(p.at) >= peerLife {
+		return
+	}
+	for hash, c := range p.running {
+		total := sums[hash]
+		total.Running += c.Running
+		total.Reading += c.Reading
+		sums[hash] = total
+	}
+}
+
 // Tell returns what the others are to know, each failure and holder once.
 func (b *Balancer) Tell(now time.Time) Told {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	told := b.untold
 	b.untold = Told{}
-	if b.large {
-		told.Loads = b.tellLoads(now)
-		return told
-	}
 	for _, r := range b.replicas {
 		if r.running > 0 {
 			told.Running = append(told.Running, Count{r.short, r.running, r.reading})
@@ -83,18 +104,53 @@
 	return told
 }
 
-// Merge takes what another router told. In a large fleet what is news is passed
-// on, since its teller can't tell everybody.
-func (b *Balancer) Merge(router string, t Told, now time.Time) {
+// TellLine returns what all routers of this one's line run, as they told it
+// lately, this one included.
+func (b *Balancer) TellLine(now time.Time) []Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := peerCounts{running: make(map[uint32]Count, len(t.Running)), at: now}
-	for _, c := range t.Running {
-		counts.running[c.Replica] = c
+	sums := make(map[uint32]Count)
+	for _, p := range b.peers {
+		p.addTo(sums, now)
+	}
+	for _, r := range b.replicas {
+		if r.running > 0 {
+			own := sums[r.short]
+			own.Running += r.running
+			sums[r.short] = own
+		}
 	}
-	b.peers[router] = counts
+	list := make([]Count, 0, len(sums))
+	for short, sum := range sums {
+		list = append(list, Count{Replica: short, Running: sum.Running})
+	}
+	return list
+}
+
+// Merge takes what another router told of itself, of its own line in a large
+// fleet.
+func (b *Balancer) Merge(router string, t Told, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[router] = newPeerCounts(t.Running, now)
+	b.mergeNews(t, now)
+}
+
+// Line names a line of a fleet that is divided into a number of them.
+type Line struct{ Number, Of int }
+
+// MergeLine takes what a router told of its line, with what it saw itself.
+func (b *Balancer) MergeLine(line Line, t Told, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lines[line] = newPeerCounts(t.Running, now)
+	b.mergeNews(t, now)
+}
+
+// mergeNews takes failures and holders. In a large fleet what is news is passed
+// on, since its teller can't tell everybody. b.mu is held.
+func (b *Balancer) mergeNews(t Told, now time.Time) {
 	b.totals = nil
-	b.mergeLoads(t.Loads)
 	for _, f := range t.Failures {
 		b.mergeFailure(f, now)
 	}
@@ -110,7 +166,9 @@
 		return
 	}
 	if b.large {
-		if f.At.Sub(r.health.last) < sameNews || now.Sub(f.At) > newsLife {
+		// Who is avoided already was told of already, on a quicker way or by another
+		// router: what comes late must not go round again.
+		if r.health.avoided(0, now) || now.Sub(f.At) > newsLife {
 			return
 		}
 		b.tellFailure(r, f.Failure, f.At)
@@ -124,7 +182,7 @@
 	if r == nil {
 		return
 	}
-	if b.large && !b.holders.holdsFresh(h.Part, r.ID, now) {
+	if b.large && !b.holders.holds(h.Part, r.ID, now) {
 		b.tellHolder(h.Part, r)
 	}
 	b.holders.note(h.Part, r.ID, now)
@@ -180,13 +238,17 @@
 
 // tellFailure and tellHolder keep something for the next Tell. b.mu is held.
 func (b *Balancer) tellFailure(r *replica, kind Failure, now time.Time) {
-	if len(b.untold.Failures) < maxToldFailures {
+	if b.large && kind == Shed {
+		// It is over before it has come round.
+		return
+	}
+	if len(b.untold.Failures) < b.maxTold(maxToldFailures) {
 		b.untold.Failures = append(b.untold.Failures, SeenFailure{Hash(r.ID), kind, now})
 	}
 }
 
 func (b *Balancer) tellHolder(part uint64, r *replica) {
-	if len(b.untold.Holders) < maxToldHolders {
+	if len(b.untold.Holders) < b.maxTold(maxToldHolders) {
 		b.untold.Holders = append(b.untold.Holders, Holding{part, Hash(r.ID)})
 	}
 }
@@ -207,15 +269,13 @@
 func (b *Balancer) sumOthers(now time.Time) {
 	b.totals, b.totalsAt = make(map[uint32]Count), now
 	for _, p := range b.peers {
+		p.addTo(b.totals, now)
+	}
+	for line, p := range b.lines {
 		if now.Sub(p.at) >= peerLife {
-			continue
-		}
-		for hash, c := range p.running {
-			total := b.totals[hash]
-			total.Running += c.Running
-			total.Reading += c.Reading
-			b.totals[hash] = total
+			delete(b.lines, line)
 		}
+		p.addTo(b.totals, now)
 	}
 }
 
