--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,7 @@
 	EngineAsked       ID = 310
 	ProofOld          ID = 311
 	ProofNew          ID = 312
+	CentreHeard       ID = 313
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -91,6 +92,7 @@
 	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
 	ProofOld:          {logrus.WarnLevel, "configuration not proven new enough for keys", "Requests with keys are refused. Look at the platform and at the peers."},
 	ProofNew:          {logrus.InfoLevel, "configuration proven new enough again", "None needed."},
+	CentreHeard:       {logrus.InfoLevel, "a router of a silent data centre is heard again", "None needed."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -52,6 +52,8 @@
 	// largeRounds is how many rounds of a small fleet make one of a large one, in
 	// which a router has more partners and tells them of its line.
 	largeRounds = 2
+	// largeHelloRounds is helloRounds of a large fleet, in which more are told.
+	largeHelloRounds = 32
 	// callTimeout bounds an exchange, and learnTimeout the taking of another
 	// router's knowledge, which may be large and come over a narrow link.
 	callTimeout  = 500 * time.Millisecond
@@ -145,15 +147,20 @@
 
 // Run exchanges with the others until ctx ends, and then tells them.
 func (g *Gossip) Run(ctx context.Context) {
-	ticker := time.NewTicker(g.options.Period)
-	defer ticker.Stop()
+	round := time.NewTicker(g.options.Period)
+	defer round.Stop()
+	look := time.NewTicker(g.options.Period / silenceLooks)
+	defer look.Stop()
+	g.tick(ctx)
 	for {
-		g.tick(ctx)
 		select {
 		case <-ctx.Done():
 			g.stop()
 			return
-		case <-ticker.C:
+		case <-round.C:
+			g.tick(ctx)
+		case <-look.C:
+			g.noteSilence(time.Now())
 		}
 	}
 }
@@ -178,21 +185,20 @@
 	partners := g.members.Partners(now)
 	g.round++
 	round := g.round
-	silent := g.silentCentres(now)
 	g.mu.Unlock()
 	g.balancer.SetLarge(large)
 	g.balancer.SetRecalled(g.recalled.Load())
-	g.noteLost(lost, silent)
+	g.noteLost(lost)
 	if large && round%largeRounds != 0 {
 		return
 	}
 	d := g.digests(now, large)
 	own, line := d.own, d.line
-	if round%(helloRounds*largeRounds) == 0 {
+	switch {
+	case large && round%largeHelloRounds == 0:
+		own, line = d.with(own), d.with(line)
+	case !large && round%helloRounds == 0:
 		own = d.with(own)
-		if large {
-			line = d.with(line)
-		}
 	}
 	for _, address := range partners.Line {
 		g.start(ctx, address, own, d)
@@ -206,19 +212,27 @@
 	}
 }
 
-// noteLost takes the members and the data centres that fell silent.
-func (g *Gossip) noteLost(members, centres []string) {
-	for _, name := range centres {
-		if g.balancer.CentreSilent(name, true) {
-			g.log.Write(event.CentreSilent, event.F("data_centre", name))
-		}
-	}
+// noteLost forgets members that fell silent.
+func (g *Gossip) noteLost(members []string) {
 	for _, address := range members {
 		g.balancer.Forget(address)
 		g.log.Write(event.PeerLost, event.F("peer", address))
 	}
 }
 
+// noteSilence notes the data centres that fell silent. One that is heard again
+// is noted at once.
+func (g *Gossip) noteSilence(now time.Time) {
+	g.mu.Lock()
+	silent := g.silentCentres(now)
+	g.mu.Unlock()
+	for _, name := range silent {
+		if g.balancer.CentreSilent(name, true) {
+			g.log.Write(event.CentreSilent, event.F("data_centre", name))
+		}
+	}
+}
+
 // start begins an exchange with a partner unless one is under way. Who may not
 // know this router is told hello.
 func (g *Gossip) start(ctx context.Context, address string, digest *gossippb.Digest, d digests) {
@@ -234,9 +248,15 @@
 	go g.exchange(ctx, address, digest)
 }
 
-// silentRounds is for how many rounds all members of a data centre are silent
-// before it is taken to be cut off.
-const silentRounds = 2.5
+const (
+	// silentRounds is for how many rounds all members of a data centre are silent
+	// before it is taken to be cut off. Each of them is heard twice a round, when
+	// it asks and when it answers, so that is several times missed already; and
+	// the first that is heard ends it.
+	silentRounds = 1.3
+	// silenceLooks is how often in a round that is looked at.
+	silenceLooks = 4
+)
 
 // period is the pause between two rounds of this router. g.mu is held.
 func (g *Gossip) period() time.Duration {
@@ -320,7 +340,9 @@
 	}
 	centre := g.centres[address]
 	g.mu.Unlock()
-	g.balancer.CentreSilent(centre, false)
+	if g.balancer.CentreSilent(centre, false) {
+		g.log.Write(event.CentreHeard, event.F("data_centre", centre), event.F("peer", address))
+	}
 	if fresh {
 		g.log.Write(event.PeerBack, event.F("peer", address))
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -150,6 +150,9 @@
 	for _, address := range []string{"a1", "a2", "b1"} {
 		g.members.Heard(address, now)
 	}
+	g.members.Heard("b1", now.Add(125*time.Millisecond))
+	assert.Empty(t, g.silentCentres(now.Add(130*time.Millisecond)))
+	assert.Equal(t, []string{"a"}, g.silentCentres(now.Add(131*time.Millisecond)), "after 1.3 rounds")
 	assert.Empty(t, g.silentCentres(now.Add(time.Second)), "nobody at all is heard: the fault is here")
 	g.members.Heard("h1", now.Add(time.Second))
 	assert.Equal(t, []string{"a"}, g.silentCentres(now.Add(time.Second)), "b has one member, which may have died")
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -39,7 +39,8 @@
 func (g *Gossip) merge(d *gossippb.Digest, now time.Time) {
 	told := decode(d, now)
 	if d.Lines > 0 {
-		g.balancer.MergeLine(balance.Line{Number: int(d.Line), Of: int(d.Lines)}, told, now)
+		line := balance.LineTold{Named: told.Running, Rest: int(d.Rest)}
+		g.balancer.MergeLine(balance.Line{Number: int(d.Line), Of: int(d.Lines)}, line, told, now)
 		return
 	}
 	g.balancer.Merge(d.Sender, told, now)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -37,7 +37,9 @@
 		d.line = news
 		line, lines := g.members.Line()
 		d.line.Line, d.line.Lines = uint32(line), uint32(lines)
-		encodeCounts(d.line, g.balancer.TellLine(now))
+		told := g.balancer.TellLine(now)
+		encodeCounts(d.line, told.Named)
+		d.line.Rest = uint32(told.Rest)
 	}
 	d.hello.Member, d.hello.HeardMs = g.rows(now)
 	return d
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -100,6 +100,8 @@
 	lines map[Line]peerCounts
 	// totals sums up peers and lines, as of totalsAt.
 	totals   map[uint32]Count
+	named    map[uint32]float64
+	rest     float64
 	totalsAt time.Time
 	byHash   map[uint32]*replica
 	untold   Told
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -16,7 +16,8 @@
 
 // load estimates the requests at a replica, of all routers.
 func (b *Balancer) load(r *replica, now time.Time) float64 {
-	load := float64(r.running + b.others(r.short, now).Running)
+	others, _ := b.others(r.short, now)
+	load := float64(r.running) + others
 	if now.Sub(r.report.at) < reportLife {
 		load = max(load, r.report.load+float64(r.running-r.report.running))
 	}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -66,7 +66,9 @@
 // peerCounts are the requests that one router runs, or one line, by replica.
 type peerCounts struct {
 	running map[uint32]Count
-	at      time.Time
+	// rest is the mean at each replica that running does not name.
+	rest float64
+	at   time.Time
 }
 
 func newPeerCounts(list []Count, now time.Time) peerCounts {
@@ -104,9 +106,20 @@
 	return told
 }
 
+// LineTold is what the routers of one line run. Named are the replicas that run
+// more than one request of the line, Rest is the number of requests at all others:
+// what stands out is told exactly, and the rest by its mean.
+type LineTold struct {
+	Named []Count
+	Rest  int
+}
+
+// namedFrom is how many requests of a line a replica runs to be named.
+const namedFrom = 2
+
 // TellLine returns what all routers of this one's line run, as they told it
 // lately, this one included.
-func (b *Balancer) TellLine(now time.Time) []Count {
+func (b *Balancer) TellLine(now time.Time) LineTold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sums := make(map[uint32]Count)
@@ -120,11 +133,15 @@
 			sums[r.short] = own
 		}
 	}
-	list := make([]Count, 0, len(sums))
+	var told LineTold
 	for short, sum := range sums {
-		list = append(list, Count{Replica: short, Running: sum.Running})
+		if sum.Running < namedFrom {
+			told.Rest += sum.Running
+			continue
+		}
+		told.Named = append(told.Named, Count{Replica: short, Running: sum.Running})
 	}
-	return list
+	return told
 }
 
 // Merge takes what another router told of itself, of its own line in a large
@@ -139,12 +156,16 @@
 // Line names a line of a fleet that is divided into a number of them.
 type Line struct{ Number, Of int }
 
-// MergeLine takes what a router told of its line, with what it saw itself.
-func (b *Balancer) MergeLine(line Line, t Told, now time.Time) {
+// MergeLine takes what a router told of its line, with the news that it tells.
+func (b *Balancer) MergeLine(line Line, told LineTold, news Told, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lines[line] = newPeerCounts(t.Running, now)
-	b.mergeNews(t, now)
+	counts := newPeerCounts(told.Named, now)
+	if unnamed := len(b.replicas) - len(told.Named); unnamed > 0 {
+		counts.rest = float64(told.Rest) / float64(unnamed)
+	}
+	b.lines[line] = counts
+	b.mergeNews(news, now)
 }
 
 // mergeNews takes failures and holders. In a large fleet what is news is passed
@@ -258,24 +279,33 @@
 const totalsLife = 50 * time.Millisecond
 
 // others returns what the other routers run at a replica.
-func (b *Balancer) others(hash uint32, now time.Time) Count {
+func (b *Balancer) others(hash uint32, now time.Time) (running float64, reading int) {
 	if b.totals == nil || now.Sub(b.totalsAt) > totalsLife || now.Before(b.totalsAt) {
 		b.sumOthers(now)
 	}
-	return b.totals[hash]
+	count := b.totals[hash]
+	return float64(count.Running) + b.rest - b.named[hash], count.Reading
 }
 
-// sumOthers adds up what the other routers told lately.
+// sumOthers adds up what the other routers told lately. rest is the sum of the
+// lines' means, and named what of it does not hold for a replica, since lines
+// named it.
 func (b *Balancer) sumOthers(now time.Time) {
 	b.totals, b.totalsAt = make(map[uint32]Count), now
+	b.named, b.rest = make(map[uint32]float64), 0
 	for _, p := range b.peers {
 		p.addTo(b.totals, now)
 	}
 	for line, p := range b.lines {
 		if now.Sub(p.at) >= peerLife {
 			delete(b.lines, line)
+			continue
 		}
 		p.addTo(b.totals, now)
+		b.rest += p.rest
+		for hash := range p.running {
+			b.named[hash] += p.rest
+		}
 	}
 }
 
