A line tells each replica that runs one request by two bytes

Change: replicas with one request are told by the lower two bytes of their hash. Tests: pkg/balance TestALineTellsEachReplica; the gossip's test of damaged digests.

--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -39,7 +39,7 @@
 func (g *Gossip) merge(d *gossippb.Digest, now time.Time) {
 	told := decode(d, now)
 	if d.Lines > 0 {
-		line := balance.LineTold{Named: told.Running, Rest: int(d.Rest)}
+		line := balance.LineTold{Named: told.Running, Singles: decodeSingles(d.Singles)}
 		g.balancer.MergeLine(balance.Line{Number: int(d.Line), Of: int(d.Lines)}, line, told.Rumors, now)
 		return
 	}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -39,7 +40,9 @@
 		d.line.Line, d.line.Lines = uint32(line), uint32(lines)
 		told := g.balancer.TellLine(now)
 		encodeCounts(d.line, told.Named)
-		d.line.Rest = uint32(told.Rest)
+		for _, single := range told.Singles {
+			d.line.Singles = binary.LittleEndian.AppendUint16(d.line.Singles, single)
+		}
 	}
 	d.hello.Member, d.hello.HeardMs = g.rows(now)
 	return d
@@ -110,6 +113,15 @@
 	return t
 }
 
+// decodeSingles reads pairs of bytes; an odd one at the end is left out.
+func decodeSingles(b []byte) []uint16 {
+	var singles []uint16
+	for ; len(b) >= 2; b = b[2:] {
+		singles = append(singles, binary.LittleEndian.Uint16(b))
+	}
+	return singles
+}
+
 func decodeHolders(parts []uint64, replicas []uint32) []balance.Holding {
 	var list []balance.Holding
 	for i := range min(len(parts), len(replicas)) {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -100,10 +100,10 @@
 	lines map[Line]peerCounts
 	// totals sums up peers and lines, as of totalsAt.
 	totals   map[uint32]Count
-	named    map[uint32]float64
-	rest     float64
 	totalsAt time.Time
 	byHash   map[uint32]*replica
+	// bySingle are the replicas by the short hashes of LineTold.Singles.
+	bySingle map[uint16][]*replica
 	untold   Rumors
 	// listed is when the first list came.
 	listed time.Time
@@ -202,6 +202,10 @@
 		}
 	}
 	b.replicas, b.services, b.byHash = replicas, services, byHash
+	b.bySingle = make(map[uint16][]*replica, len(replicas))
+	for _, r := range replicas {
+		b.bySingle[uint16(r.short)] = append(b.bySingle[uint16(r.short)], r)
+	}
 	clear(b.medians)
 }
 
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -83,8 +83,7 @@
 
 // reading returns the tokens of prompts that an engine has yet to read.
 func (b *Balancer) reading(r *replica, now time.Time) int {
-	_, reading := b.others(r.short, now)
-	return r.reading + reading
+	return r.reading + b.others(r.short, now).Reading
 }
 
 func (b *Balancer) fits(r *replica, bound float64, now time.Time) bool {
--- a/pkg/balance/lines.go
+++ b/pkg/balance/lines.go
@@ -2,17 +2,16 @@
 
 import "time"
 
-// LineTold is what the routers of one line run. Named are the replicas that run
-// more than one request of the line, Rest is the number of requests at all others:
-// what stands out is told exactly, and the rest by its mean.
+// LineTold is what the routers of one line run. Most replicas run one request of
+// a line or none, so those with one take two bytes each.
 type LineTold struct {
+	// Named are the replicas that run more than one request of the line.
 	Named []Count
-	Rest  int
+	// Singles are the short hashes of those that run one. Two replicas may share a
+	// short hash; one request more or less does no harm.
+	Singles []uint16
 }
 
-// namedFrom is how many requests of a line a replica runs to be named.
-const namedFrom = 2
-
 // TellLine returns what all routers of this one's line run, as they told it
 // lately, this one included.
 func (b *Balancer) TellLine(now time.Time) LineTold {
@@ -31,8 +30,8 @@
 	}
 	var told LineTold
 	for short, sum := range sums {
-		if sum.Running < namedFrom {
-			told.Rest += sum.Running
+		if sum.Running == 1 {
+			told.Singles = append(told.Singles, uint16(short))
 			continue
 		}
 		told.Named = append(told.Named, Count{Replica: short, Running: sum.Running})
@@ -48,8 +47,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := newPeerCounts(told.Named, now)
-	if unnamed := len(b.replicas) - len(told.Named); unnamed > 0 {
-		counts.rest = float64(told.Rest) / float64(unnamed)
+	for _, single := range told.Singles {
+		for _, r := range b.bySingle[single] {
+			counts.running[r.short] = Count{Replica: r.short, Running: 1}
+		}
 	}
 	b.lines[line] = counts
 	b.totals = nil
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -16,8 +16,7 @@
 
 // load estimates the requests at a replica, of all routers.
 func (b *Balancer) load(r *replica, now time.Time) float64 {
-	others, _ := b.others(r.short, now)
-	load := float64(r.running) + others
+	load := float64(r.running + b.others(r.short, now).Running)
 	if now.Sub(r.report.at) < reportLife {
 		load = max(load, r.report.load+float64(r.running-r.report.running))
 	}
--- a/pkg/balance/load_test.go
+++ b/pkg/balance/load_test.go
@@ -32,18 +32,19 @@
 		list[2].Merge(fmt.Sprint(i), b.Tell(start), start)
 	}
 	sums := list[2].TellLine(start)
-	assert.Equal(t, LineTold{Named: []Count{{Replica: Hash(home), Running: 2 + 3 + 4}}}, sums)
+	assert.Equal(t, []Count{{Replica: Hash(home), Running: 2 + 3 + 4}}, sums.Named)
+	assert.Empty(t, sums.Singles)
 	last := list[3]
 	last.MergeLine(Line{1, 8}, sums, Rumors{}, start)
 	assert.NotEqual(t, home, pick(t, last, prompt(5), start).Replica.ID)
-	assert.Empty(t, last.TellLine(start), "what other lines run is not told on")
+	assert.Empty(t, last.TellLine(start).Named, "what other lines run is not told on")
 	last.MergeLine(Line{1, 8}, LineTold{}, Rumors{}, start)
 	assert.Equal(t, home, pick(t, last, prompt(5), start).Replica.ID, "a newer sum takes the place of the older")
 	last.MergeLine(Line{1, 8}, sums, Rumors{}, start)
 	assert.Equal(t, home, pick(t, last, prompt(5), start.Add(peerLife)).Replica.ID, "an old sum says nothing")
 }
 
-func TestALineTellsWhatStandsOutAndTheRestByItsMean(t *testing.T) {
+func TestALineTellsEachReplica(t *testing.T) {
 	list := largeFleet(2)
 	for i := range 10 {
 		list[0].Started(fmt.Sprintf("i-%d", i), nil, start)
@@ -52,20 +53,32 @@
 		list[0].Started("i-3", nil, start)
 	}
 	told := list[0].TellLine(start)
-	assert.Equal(t, LineTold{Named: []Count{{Replica: Hash("i-3"), Running: 5}}, Rest: 9}, told)
-	b := list[1]
-	b.MergeLine(Line{0, 8}, told, Rumors{}, start)
-	b.MergeLine(Line{1, 8}, LineTold{Rest: 12}, Rumors{}, start)
+	assert.Equal(t, []Count{{Replica: Hash("i-3"), Running: 5}}, told.Named)
+	assert.Len(t, told.Singles, 9)
+
+	// Lists differ while replicas come and go.
+	other := newBalancer(engines(13))
+	other.MergeLine(Line{0, 8}, told, Rumors{}, start)
+	other.MergeLine(Line{1, 8}, told, Rumors{}, start)
+	assertLoads(t, other, map[string]float64{"i-3": 10, "i-0": 2, "i-11": 0}, 28)
+	fewer := newBalancer(engines(4))
+	fewer.MergeLine(Line{0, 8}, told, Rumors{}, start)
+	assertLoads(t, fewer, map[string]float64{"i-3": 5, "i-0": 1}, 8)
+}
+
+// assertLoads checks the loads of some replicas and the sum of all.
+func assertLoads(t *testing.T, b *Balancer, wants map[string]float64, total float64) {
+	t.Helper()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	total := 0.0
-	for id, want := range map[string]float64{"i-3": 5 + 1, "i-0": 9./11 + 1, "i-11": 9./11 + 1} {
+	for id, want := range wants {
 		assert.InDelta(t, want, b.load(b.replicas[id], start), 1e-9, id)
 	}
+	sum := 0.0
 	for _, r := range b.replicas {
-		total += b.load(r, start)
+		sum += b.load(r, start)
 	}
-	assert.InDelta(t, 5+9+12, total, 1e-9, "nothing is lost")
+	assert.InDelta(t, total, sum, 1e-9, "nothing is lost")
 }
 
 // The same failure comes on several ways, later on some. It was taken for another
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -31,9 +31,7 @@
 // peerCounts are the requests that one router runs, or one line, by replica.
 type peerCounts struct {
 	running map[uint32]Count
-	// rest is the mean at each replica that running does not name.
-	rest float64
-	at   time.Time
+	at      time.Time
 }
 
 func newPeerCounts(list []Count, now time.Time) peerCounts {
@@ -94,20 +92,16 @@
 const totalsLife = 50 * time.Millisecond
 
 // others returns what the other routers run at a replica.
-func (b *Balancer) others(hash uint32, now time.Time) (running float64, reading int) {
+func (b *Balancer) others(hash uint32, now time.Time) Count {
 	if b.totals == nil || now.Sub(b.totalsAt) > totalsLife || now.Before(b.totalsAt) {
 		b.sumOthers(now)
 	}
-	count := b.totals[hash]
-	return float64(count.Running) + b.rest - b.named[hash], count.Reading
+	return b.totals[hash]
 }
 
-// sumOthers adds up what the other routers told lately. rest is the sum of the
-// lines' means, and named what of it does not hold for a replica, since lines
-// named it.
+// sumOthers adds up what the other routers told lately.
 func (b *Balancer) sumOthers(now time.Time) {
 	b.totals, b.totalsAt = make(map[uint32]Count), now
-	b.named, b.rest = make(map[uint32]float64), 0
 	for _, p := range b.peers {
 		p.addTo(b.totals, now)
 	}
@@ -117,10 +111,6 @@
 			continue
 		}
 		p.addTo(b.totals, now)
-		b.rest += p.rest
-		for hash := range p.running {
-			b.named[hash] += p.rest
-		}
 	}
 }
 
