--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -79,11 +79,14 @@
 	PassedBad  int
 }
 
-// The bound on a replica's requests: a multiple of the mean and some more,
-// below what the users allow, since estimates lag.
+// The bound on a replica's requests: a multiple of the mean and some more, below
+// what the users allow (twice the mean and 3), since estimates lag. In a large
+// fleet they lag by two rounds more.
 const (
-	boundFactor = 1.7
-	boundSlack  = 2.5
+	boundFactor      = 1.7
+	boundSlack       = 2.5
+	largeBoundFactor = 1.55
+	largeBoundSlack  = 2.0
 )
 
 // Balancer is safe for concurrent use.
@@ -223,7 +226,7 @@
 	if len(left) == 0 {
 		return Choice{}, false
 	}
-	bound := boundFactor*b.meanLoad(all, now) + boundSlack
+	bound := b.bound(all, now)
 	if len(q.Parts) == 0 {
 		chosen, reason := b.pickPlain(q, left, now)
 		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}, true
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -32,6 +32,14 @@
 	return total / float64(len(all))
 }
 
+// bound is the load up to which a replica of a service gets further requests.
+func (b *Balancer) bound(all []*replica, now time.Time) float64 {
+	if b.large {
+		return largeBoundFactor*b.meanLoad(all, now) + largeBoundSlack
+	}
+	return boundFactor*b.meanLoad(all, now) + boundSlack
+}
+
 // Reported takes the load that a replica told, in requests running and waiting.
 func (b *Balancer) Reported(id string, load int, now time.Time) {
 	b.mu.Lock()
--- a/pkg/balance/load_test.go
+++ b/pkg/balance/load_test.go
@@ -44,6 +44,18 @@
 	assert.Equal(t, home, pick(t, last, prompt(5), start.Add(peerLife)).Replica.ID, "an old sum says nothing")
 }
 
+func TestTheBoundIsTighterInALargeFleet(t *testing.T) {
+	b := newBalancer(engines(12))
+	for i := range 12 {
+		for range 4 {
+			b.Started(fmt.Sprintf("i-%d", i), nil, start)
+		}
+	}
+	assert.InDelta(t, 1.7*4+2.5, pick(t, b, prompt(5), start).Bound, 1e-9)
+	b.SetLarge(true)
+	assert.InDelta(t, 1.55*4+2, pick(t, b, prompt(5), start).Bound, 1e-9)
+}
+
 func TestALineTellsEachReplica(t *testing.T) {
 	list := largeFleet(2)
 	for i := range 10 {
