Members that fell silent are looked for, so that both sides of a long cut meet again

Cause: after six seconds of a cut both sides forget each other; they met again by the seeds alone, which may have been replaced at other addresses by then. Ruled out: longer lifetimes (ranks and lines would count the dead for as long). Change: one member that was lost is tried in each round, for five minutes; who said that it stops is not.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -37,6 +37,10 @@
 	// suspectAfter is how long a member of the line may be silent before another one
 	// does its work.
 	suspectAfter = 1500 * time.Millisecond
+	// lostLifetime is for how long a member that fell silent is looked for, one of
+	// them in each round: both sides of a cut forget each other, and the seeds may
+	// be gone by the time it is over.
+	lostLifetime = 5 * time.Minute
 )
 
 // Table is one router's view of the others. It is not safe for concurrent use.
@@ -50,6 +54,10 @@
 	left   map[string]time.Time
 	// unanswered is since when a partner is asked without an answer.
 	unanswered map[string]time.Time
+	// lost is when members that fell silent were forgotten, and next whom of them
+	// to look for.
+	lost map[string]time.Time
+	next int
 }
 
 // Row is a member with the time since it was heard.
@@ -69,6 +77,7 @@
 		direct:     make(map[string]time.Time),
 		left:       make(map[string]time.Time),
 		unanswered: make(map[string]time.Time),
+		lost:       make(map[string]time.Time),
 	}
 }
 
@@ -92,6 +101,7 @@
 	t.direct[address] = now
 	delete(t.left, address)
 	delete(t.unanswered, address)
+	delete(t.lost, address)
 	return !known
 }
 
@@ -100,6 +110,7 @@
 func (t *Table) Left(address string, now time.Time) {
 	delete(t.heard, address)
 	delete(t.direct, address)
+	delete(t.lost, address)
 	t.left[address] = now
 }
 
@@ -123,11 +134,17 @@
 	for address, at := range t.heard {
 		if now.Sub(at) > lifetime {
 			lost = append(lost, address)
+			t.lost[address] = now
 			delete(t.heard, address)
 			delete(t.direct, address)
 			delete(t.unanswered, address)
 		}
 	}
+	for address, at := range t.lost {
+		if now.Sub(at) > lostLifetime {
+			delete(t.lost, address)
+		}
+	}
 	for address, at := range t.left {
 		if now.Sub(at) > 2*largeLifetime {
 			delete(t.left, address)
@@ -162,8 +179,8 @@
 	Line []string
 	// Relayed are the members outside of the line that hear of it from this router.
 	Relayed []string
-	// Seeds are those that are no members, so that parts of a fleet that lost each
-	// other meet again.
+	// Seeds are those that are no members, and one member that was lost, so that
+	// parts of a fleet that lost each other meet again.
 	Seeds []string
 }
 
@@ -199,9 +216,29 @@
 			p.Seeds = append(p.Seeds, seed)
 		}
 	}
+	if lost := t.nextLost(); lost != "" && !slices.Contains(p.Seeds, lost) {
+		p.Seeds = append(p.Seeds, lost)
+	}
 	return p
 }
 
+// nextLost returns a member that was lost, another one each time, or an empty
+// text.
+func (t *Table) nextLost() string {
+	var lost []string
+	for address := range t.lost {
+		if _, member := t.heard[address]; !member {
+			lost = append(lost, address)
+		}
+	}
+	if len(lost) == 0 {
+		return ""
+	}
+	slices.Sort(lost)
+	t.next++
+	return lost[t.next%len(lost)]
+}
+
 // Line returns the number of this router's line, and how many there are.
 func (t *Table) Line() (line, lines int) { return t.lineOf(t.own), t.lines() }
 
