The last resort looks at homes and holders, within a bound over what is reached

Cause: where no engine is sound and below the bound (all of a service fail now and then; the small side of a cut), a request went to the least loaded of the least bad, wherever its parts were. Ruled out: load. The mean load was below 10 of 48 slots meanwhile.

Change: the least bad group is chosen among by holder and home like any other, within a bound over that group; the bound counts only engines within reach.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -243,16 +243,6 @@
 	return choice, true
 }
 
-// leastBad prefers health over load.
-func (b *Balancer) leastBad(list []*replica, now time.Time) *replica {
-	return slices.MinFunc(list, func(x, y *replica) int {
-		return cmp.Or(
-			cmp.Compare(b.badness(x, now), b.badness(y, now)),
-			cmp.Compare(b.load(x, now), b.load(y, now)),
-		)
-	})
-}
-
 func (b *Balancer) pickPlain(q Question, left []*replica, now time.Time) (*replica, Reason) {
 	// A random start makes routers that know the same choose differently.
 	b.random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -284,3 +284,52 @@
 	assert.True(t, b.Suspected("i-1", start))
 	assert.False(t, b.Suspected("i-1", start.Add(501*time.Millisecond)))
 }
+
+// While all engines failed now and then, and on the small side of a cut, requests
+// went to the least loaded one, wherever their parts were: each was copied or read
+// at one engine after the other.
+func TestPartsKeepTheirHomeWhileAllEnginesAreSuspected(t *testing.T) {
+	b := newBalancer(engines(12))
+	for i := range 12 {
+		b.Failed(fmt.Sprintf("i-%d", i), Refused, "dc0", start)
+	}
+	places := make(map[string]bool)
+	for range 3 {
+		c := pick(t, b, prompt(5), start)
+		assert.Equal(t, LastResort, c.Reason)
+		places[c.Replica.ID] = true
+		b.Answered(c.Replica.ID, prompt(5), start)
+		b.Started(c.Replica.ID, nil, start)
+	}
+	assert.Len(t, places, 1)
+}
+
+func TestTheLastResortKeepsABoundOfItsOwn(t *testing.T) {
+	b := newBalancer(engines(12))
+	for i := range 12 {
+		b.Failed(fmt.Sprintf("i-%d", i), Refused, "dc0", start)
+	}
+	running := make(map[string]int)
+	for range 120 {
+		c := pick(t, b, prompt(5), start)
+		running[c.Replica.ID]++
+		b.Started(c.Replica.ID, nil, start)
+	}
+	assert.Greater(t, len(running), 5, "one part alone does not pile up on one engine")
+}
+
+func TestTheBoundIsThatOfTheEnginesWithinReach(t *testing.T) {
+	b := newBalancer(engines(12))
+	b.CentreSilent("dc1", true)
+	b.CentreSilent("dc2", true)
+	home := pick(t, b, prompt(5), start)
+	assert.Equal(t, "dc0", home.Replica.DataCentre)
+	for _, id := range []string{"i-0", "i-3", "i-6", "i-9"} {
+		for range 8 {
+			b.Started(id, nil, start)
+		}
+	}
+	c := pick(t, b, prompt(5), start)
+	assert.Equal(t, home.Replica.ID, c.Replica.ID, "eight each is no more than the others have")
+	assert.NotEqual(t, LastResort, c.Reason)
+}
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // shared returns the parts of a prompt that other requests have too.
 func shared(parts []Part) []Part {
@@ -36,26 +40,57 @@
 // pickEngine prefers an engine that is known to hold the prompt's shared parts,
 // in the common order; else the first in that order. Preferring holders lets
 // parts stay where they are when engines join. home is the first in the order.
+//
+// Where no engine is both sound and below the bound, the least bad ones are
+// chosen among in the same way, within a bound of their own: parts that were
+// spread over all of them by load alone would have to be copied or read again.
 func (b *Balancer) pickEngine(q Question, left []*replica, bound float64, now time.Time) (chosen, home *replica, reason Reason) {
 	key := homeKey(q.Parts)
 	home = firstByHome(left, key, func(*replica) bool { return true })
+	fits := func(r *replica) bool { return b.fits(r, bound, now) }
+	reason = Diverted
+	if !slices.ContainsFunc(left, fits) {
+		left = b.leastBadGroup(left, now)
+		own := b.boundOver(left, now)
+		fits = func(r *replica) bool { return b.load(r, now) < own }
+		reason = LastResort
+	}
 	holder := firstByHome(left, key, func(r *replica) bool {
-		return b.holders.holds(key, r.ID, now) && b.fits(r, bound, now)
+		return b.holders.holds(key, r.ID, now) && fits(r)
 	})
+	if holder != nil {
+		return holder, home, reasonFor(holder, home, Holder, reason)
+	}
+	first := b.firstHome(left, key, fits, now)
+	return first, home, reasonFor(first, home, Diverted, reason)
+}
+
+// reasonFor names why an engine was chosen: as the first in the common order, as
+// one that is not, or for want of a better one.
+func reasonFor(chosen, home *replica, other, reason Reason) Reason {
 	switch {
-	case holder == home && holder != nil:
-		return holder, home, Home
-	case holder != nil:
-		return holder, home, Holder
+	case reason == LastResort:
+		return LastResort
+	case chosen == home:
+		return Home
 	}
-	first := b.firstHome(left, key, bound, now)
-	switch first {
-	case nil:
-		return b.leastBad(left, now), home, LastResort
-	case home:
-		return first, home, Home
+	return other
+}
+
+// leastBadGroup returns the replicas that are the least to be avoided.
+func (b *Balancer) leastBadGroup(list []*replica, now time.Time) []*replica {
+	var group []*replica
+	least := math.MaxInt
+	for _, r := range list {
+		bad := b.badness(r, now)
+		if bad < least {
+			least, group = bad, nil
+		}
+		if bad == least {
+			group = append(group, r)
+		}
 	}
-	return first, home, Diverted
+	return group
 }
 
 // muchToRead is by how many tokens the first of two homes must be behind for a
@@ -69,12 +104,12 @@
 
 // firstHome chooses where a part is read first: of the first engines in the
 // common order, the one that has the least to read.
-func (b *Balancer) firstHome(list []*replica, key uint64, bound float64, now time.Time) *replica {
-	first := firstByHome(list, key, func(r *replica) bool { return b.fits(r, bound, now) })
+func (b *Balancer) firstHome(list []*replica, key uint64, fits func(*replica) bool, now time.Time) *replica {
+	first := firstByHome(list, key, fits)
 	if first == nil || b.holdersUnknown() {
 		return first
 	}
-	second := firstByHome(list, key, func(r *replica) bool { return r != first && b.fits(r, bound, now) })
+	second := firstByHome(list, key, func(r *replica) bool { return r != first && fits(r) })
 	if second != nil && b.reading(second, now)+muchToRead < b.reading(first, now) {
 		return second
 	}
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -33,11 +33,27 @@
 }
 
 // bound is the load up to which a replica of a service gets further requests.
+// Those that can't be reached carry none of what this router sends, so the mean
+// is that of the others.
 func (b *Balancer) bound(all []*replica, now time.Time) float64 {
+	var reached []*replica
+	for _, r := range all {
+		if !b.unreachable(r, now) {
+			reached = append(reached, r)
+		}
+	}
+	if len(reached) == 0 {
+		reached = all
+	}
+	return b.boundOver(reached, now)
+}
+
+// boundOver is the bound within some replicas.
+func (b *Balancer) boundOver(list []*replica, now time.Time) float64 {
 	if b.large {
-		return largeBoundFactor*b.meanLoad(all, now) + largeBoundSlack
+		return largeBoundFactor*b.meanLoad(list, now) + largeBoundSlack
 	}
-	return boundFactor*b.meanLoad(all, now) + boundSlack
+	return boundFactor*b.meanLoad(list, now) + boundSlack
 }
 
 // Reported takes the load that a replica told, in requests running and waiting.
