A failure that sound replicas show too counts only where it stands out

Cause: one error, one answer that broke off or one that was lost set a replica aside for 0.7 to 6 s at all routers. Ruled out: the copies of releases alone; 31 to 65 diversions in two seconds passed over engines that were set aside, 9 to 23 over full ones.

Change: errors, broken answers and single lost ones are evidence, decayed with 1.5 s, and set a replica aside once its share of failures exceeds twice that of the others and a tenth. Good answers of all routers are estimated from the own ones. One that was set aside a moment ago is again by one more failure. Nothing listening, no way there, and two requests without an answer count at once as before. In a large fleet, where failures are told in part, who saw one judges by its own share.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -112,6 +112,8 @@
 	listed time.Time
 	// medians are the median paces of services.
 	medians map[string]median
+	// outcomes are how this router's own requests ended, by service.
+	outcomes map[string]*evidence
 	// large: routers can't tell all others what they run. recalled: who holds
 	// what is known as well as it can be.
 	large, recalled bool
@@ -128,6 +130,12 @@
 	report  report
 	health  health
 	pace    pace
+	// bad counts the failures that speak against the replica only if they are more
+	// than others have, as all routers saw them.
+	bad evidence
+	// answered is when it last answered well, hung when it last left a request
+	// without an answer.
+	answered, hung time.Time
 }
 
 // New returns a balancer without replicas. Its choices are a function of seed
@@ -143,6 +151,7 @@
 		peers:    make(map[string]peerCounts),
 		lines:    make(map[Line]peerCounts),
 		medians:  make(map[string]median),
+		outcomes: make(map[string]*evidence),
 		recalled: true,
 	}
 }
@@ -313,6 +322,8 @@
 	}
 	doubted := r.health.failures > 0
 	r.health.succeeded(now)
+	b.own(r.Service).succeeded(now)
+	r.answered = now
 	if c := b.centres[r.DataCentre]; c != nil {
 		c.succeeded(now)
 	}
--- /dev/null
+++ b/pkg/balance/evidence_test.go
@@ -0,0 +1,103 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// serve lets each engine answer some requests well.
+func serve(b *Balancer, engines, times int, now time.Time) {
+	for range times {
+		for i := range engines {
+			b.Answered(fmt.Sprintf("i-%d", i), nil, now)
+		}
+	}
+}
+
+func TestAnEngineThatFailsMoreThanTheOthersIsAvoided(t *testing.T) {
+	for _, kind := range []Failure{Errored, Broke} {
+		b, other := newBalancer(engines(12)), newBalancer(engines(12))
+		serve(b, 12, 4, start)
+		for range 3 {
+			b.Failed("i-4", kind, "dc0", start)
+		}
+		assert.True(t, b.Suspected("i-4", start), kind)
+		assert.False(t, b.Suspected("i-5", start), kind)
+		other.Merge("b", b.Tell(start), start)
+		assert.True(t, other.Suspected("i-4", start), "told, %s", kind)
+	}
+}
+
+// One answer in thirty was lost at half of the engines: each was avoided for it,
+// and its parts were copied elsewhere and back.
+func TestAFailureNowAndThenSaysNothing(t *testing.T) {
+	b := newBalancer(engines(12))
+	serve(b, 12, 10, start)
+	b.Failed("i-4", Broke, "dc0", start)
+	assert.False(t, b.Suspected("i-4", start))
+	b.Failed("i-4", Errored, "dc0", start.Add(3*evidenceLife))
+	assert.False(t, b.Suspected("i-4", start.Add(3*evidenceLife)), "the first is forgotten")
+}
+
+func TestAFailureThatAllShowSaysNothing(t *testing.T) {
+	for _, large := range []bool{false, true} {
+		b := newBalancer(engines(12))
+		b.SetLarge(large)
+		serve(b, 12, 3, start)
+		// Interleaved, so that all rise together as in a fault of the whole service.
+		for range 2 {
+			for i := range 12 {
+				b.own("llm").failed(start)
+				b.replicas[fmt.Sprintf("i-%d", i)].bad.failed(start)
+			}
+		}
+		b.Failed("i-4", Errored, "dc0", start)
+		assert.False(t, b.Suspected("i-4", start), "large %v", large)
+	}
+}
+
+func TestOneThatFailedAMomentAgoIsAvoidedForOneMore(t *testing.T) {
+	b := newBalancer(engines(12))
+	serve(b, 12, 4, start)
+	for range 3 {
+		b.Failed("i-4", Errored, "dc0", start)
+	}
+	later := start.Add(3 * time.Second)
+	assert.False(t, b.Suspected("i-4", later))
+	b.Failed("i-4", Errored, "dc0", later)
+	assert.True(t, b.Suspected("i-4", later))
+}
+
+func TestOneAnswerThatIsLostIsNoHang(t *testing.T) {
+	b := newBalancer(engines(12))
+	serve(b, 12, 4, start)
+	soon := start.Add(100 * time.Millisecond)
+	b.Failed("i-4", Hung, "dc0", soon)
+	assert.False(t, b.Suspected("i-4", soon), "it has just answered another")
+	b.Failed("i-5", Hung, "dc0", start.Add(time.Second))
+	assert.False(t, b.Suspected("i-5", start.Add(time.Second)), "one alone")
+	b.Failed("i-5", Hung, "dc0", start.Add(1100*time.Millisecond))
+	assert.True(t, b.Suspected("i-5", start.Add(1100*time.Millisecond)), "two, and no answer between them")
+}
+
+// What is told in a large fleet is judged by whoever saw it, and is passed on once.
+func TestInALargeFleetWhatDoesNotSpeakIsNotPassedOn(t *testing.T) {
+	b := newBalancer(engines(12))
+	b.SetLarge(true)
+	serve(b, 12, 1, start)
+	for range 8 {
+		b.own("llm").failed(start)
+	}
+	b.Failed("i-4", Errored, "dc0", start)
+	assert.Empty(t, b.Tell(start).Failures)
+	other := newBalancer(engines(12))
+	other.SetLarge(true)
+	other.Merge("b", Told{Rumors: Rumors{Failures: []SeenFailure{{Hash("i-4"), Errored, start}}}}, start)
+	assert.True(t, other.Suspected("i-4", start))
+	assert.Len(t, other.Tell(start).Failures, 1)
+	other.Merge("b", Told{Rumors: Rumors{Failures: []SeenFailure{{Hash("i-4"), Errored, start}}}}, start)
+	assert.Empty(t, other.Tell(start).Failures)
+}
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -28,6 +28,9 @@
 	return [...]string{"shed", "errored", "broke", "hung", "refused", "unreachable"}[f]
 }
 
+// soft tells whether sound replicas show the failure too, now and then.
+func (f Failure) soft() bool { return f == Errored || f == Broke }
+
 // base is how long a replica is avoided after one failure of the kind.
 func (f Failure) base() time.Duration {
 	switch f {
@@ -141,13 +144,50 @@
 	if r == nil {
 		return
 	}
-	r.health.failed(kind, now)
-	b.tellFailure(r, kind, now)
+	if kind.soft() {
+		b.own(r.Service).failed(now)
+	}
+	if b.doubt(r, kind, now) || !b.large {
+		b.tellFailure(r, kind, now)
+	}
 	if kind == Unreachable && r.DataCentre != ownDataCentre {
 		b.centreUnreachable(r.DataCentre, now)
 	}
 }
 
+const (
+	// aliveLook is how far back an answer shows that a replica was there while it
+	// left another request unanswered: less than it takes until that is noted.
+	aliveLook = 500 * time.Millisecond
+	// hungLook is within what time two requests without an answer, and none with one
+	// in between, show that a replica hangs. One alone is an answer that was lost.
+	hungLook = 2 * time.Second
+)
+
+// hangs tells whether a request that was left without an answer shows that the
+// replica hangs, and not just that one answer was lost.
+func (r *replica) hangs(at time.Time) bool {
+	before := r.hung
+	r.hung = at
+	return !r.answered.After(at.Add(-aliveLook)) && at.Sub(before) < hungLook && !r.answered.After(before)
+}
+
+// doubt takes a failure that this router or another one saw at a time, and tells
+// whether it speaks against the replica.
+func (b *Balancer) doubt(r *replica, kind Failure, at time.Time) bool {
+	if kind == Hung && !r.hangs(at) {
+		kind = Broke
+	}
+	if kind.soft() {
+		r.bad.failed(at)
+		if !b.speaks(r, at) {
+			return false
+		}
+	}
+	r.health.failed(kind, at)
+	return true
+}
+
 // centreUnreachable avoids a data centre once two of its replicas could not be
 // reached within a moment.
 func (b *Balancer) centreUnreachable(name string, now time.Time) {
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -83,8 +83,10 @@
 			return
 		}
 		b.tellFailure(r, f.Failure, f.At)
+		r.health.failed(f.Failure, f.At)
+		return
 	}
-	r.health.failed(f.Failure, f.At)
+	b.doubt(r, f.Failure, f.At)
 }
 
 // mergeHolder takes a holder that another router saw. b.mu is held.
