A cold part is read at one home, in small fleets too

A cut makes all parts of a side come anew.

Change: the second home, the counts of tokens to read and their field in gossip go. TestColdPartsAreReadWhereLessWaits stated the old rule and is replaced by TestAColdPartIsReadAtOneHome, which holds for both sizes of fleet.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -108,7 +108,7 @@
 		event.F("proof_ms", c.front.follower.ProofAge(time.Now()).Milliseconds()))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	tokens := c.front.balancer.Started(id, c.question().Parts, time.Now())
+	c.front.balancer.Started(id)
 	defer c.front.balancer.Finished(id)
 	hung := c.whenSilent(c.hangTime(), id, cancel)
 	defer hung.Stop()
@@ -116,7 +116,6 @@
 	c.waiting.Store(true)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, c.outgoing(choice))
 	c.waiting.Store(false)
-	c.front.balancer.Read(id, tokens)
 	if err != nil {
 		return c.failed(ctx, id, err)
 	}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -59,10 +59,6 @@
 	for _, c := range counts {
 		d.Replica = append(d.Replica, c.Replica)
 		d.Running = append(d.Running, uint32(c.Running))
-		// Nobody weighs what is to be read in a large fleet.
-		if d.Lines == 0 {
-			d.Reading = append(d.Reading, uint32(c.Reading))
-		}
 	}
 }
 
@@ -100,11 +96,7 @@
 func decode(d *gossippb.Digest, now time.Time) balance.Told {
 	var t balance.Told
 	for i := range min(len(d.Replica), len(d.Running)) {
-		c := balance.Count{Replica: d.Replica[i], Running: int(d.Running[i])}
-		if i < len(d.Reading) {
-			c.Reading = int(d.Reading[i])
-		}
-		t.Running = append(t.Running, c)
+		t.Running = append(t.Running, balance.Count{Replica: d.Replica[i], Running: int(d.Running[i])})
 	}
 	for i := range min(len(d.Failed), len(d.Failure), len(d.FailedAgeMs)) {
 		t.Failures = append(t.Failures, balance.SeenFailure{Replica: d.Failed[i], Failure: balance.Failure(d.Failure[i]), At: now.Add(-milliseconds(d.FailedAgeMs[i]))})
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -125,7 +125,6 @@
 	hash    uint64
 	short   uint32
 	running int
-	reading int
 	joined  time.Time
 	report  report
 	health  health
@@ -274,31 +273,12 @@
 // awayPenalty is what the way to another data centre weighs, in requests.
 const awayPenalty = 1.5
 
-// Started counts a request that is about to be sent to a replica, and returns
-// the tokens of its prompt that the replica is taken to lack.
-func (b *Balancer) Started(id string, parts []Part, now time.Time) (tokens int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := b.replicas[id]
-	if r == nil {
-		return 0
-	}
-	r.running++
-	for i, part := range parts {
-		if i == len(parts)-1 || !b.holders.holds(part.ID, id, now) {
-			tokens += part.Tokens
-		}
-	}
-	r.reading += tokens
-	return tokens
-}
-
-// Read ends the reading of tokens that Started counted.
-func (b *Balancer) Read(id string, tokens int) {
+// Started counts a request that is about to be sent to a replica.
+func (b *Balancer) Started(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.replicas[id]; r != nil {
-		r.reading -= min(tokens, r.reading)
+		r.running++
 	}
 }
 
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -62,7 +62,7 @@
 		mean := float64(n) / 12
 		assert.LessOrEqual(t, running[c.Replica.ID], boundFactor*mean+boundSlack, "request %d to %s", n, c.Replica.ID)
 		running[c.Replica.ID]++
-		b.Started(c.Replica.ID, nil, start)
+		b.Started(c.Replica.ID)
 	}
 }
 
@@ -131,17 +131,20 @@
 	assert.Equal(t, home.Replica.Address, c.Source)
 }
 
-func TestColdPartsAreReadWhereLessWaits(t *testing.T) {
-	b := newBalancer(engines(12))
-	home := pick(t, b, prompt(5), start).Replica.ID
-	tokens := b.Started(home, prompt(5), start)
-	assert.Equal(t, 9000, tokens)
-	second := pick(t, b, prompt(5), start).Replica.ID
-	assert.NotEqual(t, home, second)
-	b.Read(home, tokens)
-	assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
-	b.Answered(home, prompt(5), start)
-	assert.Equal(t, 500, b.Started(home, prompt(5), start), "its own part only")
+// Where a second home was weighed, each part that came twice in a moment was read
+// twice, and a cut made all of them come anew.
+func TestAColdPartIsReadAtOneHome(t *testing.T) {
+	for _, large := range []bool{false, true} {
+		b := newBalancer(engines(12))
+		b.SetLarge(large)
+		home := pick(t, b, prompt(5), start).Replica.ID
+		for range 2 {
+			b.Started(home)
+			assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
+		}
+		b.Answered(home, prompt(5), start)
+		assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
+	}
 }
 
 func TestFailuresAreAvoidedLongerEachTime(t *testing.T) {
@@ -209,8 +212,8 @@
 	for range 20 {
 		assert.Equal(t, "i-0", pick(t, b, nil, start).Replica.ID)
 	}
-	b.Started("i-0", nil, start)
-	b.Started("i-0", nil, start)
+	b.Started("i-0")
+	b.Started("i-0")
 	assert.NotEqual(t, "i-0", pick(t, b, nil, start).Replica.ID)
 	_, found := b.Pick(Question{Service: "llm", Tried: []string{"i-0", "i-1", "i-2"}}, start)
 	assert.False(t, found)
@@ -218,14 +221,6 @@
 	assert.False(t, found)
 }
 
-func TestInALargeFleetAColdPartGoesToItsFirstHome(t *testing.T) {
-	b := newBalancer(engines(12))
-	b.SetLarge(true)
-	home := pick(t, b, prompt(5), start).Replica.ID
-	b.Started(home, prompt(5), start)
-	assert.Equal(t, home, pick(t, b, prompt(5), start).Replica.ID)
-}
-
 // A diverted request found an engine that held the opening, so that it was told
 // no source, and read the rest again that its home held.
 func TestWhereACopyComesFromWhenNoHolderIsKnown(t *testing.T) {
@@ -299,7 +294,7 @@
 		assert.Equal(t, LastResort, c.Reason)
 		places[c.Replica.ID] = true
 		b.Answered(c.Replica.ID, prompt(5), start)
-		b.Started(c.Replica.ID, nil, start)
+		b.Started(c.Replica.ID)
 	}
 	assert.Len(t, places, 1)
 }
@@ -313,7 +308,7 @@
 	for range 120 {
 		c := pick(t, b, prompt(5), start)
 		running[c.Replica.ID]++
-		b.Started(c.Replica.ID, nil, start)
+		b.Started(c.Replica.ID)
 	}
 	assert.Greater(t, len(running), 5, "one part alone does not pile up on one engine")
 }
@@ -326,7 +321,7 @@
 	assert.Equal(t, "dc0", home.Replica.DataCentre)
 	for _, id := range []string{"i-0", "i-3", "i-6", "i-9"} {
 		for range 8 {
-			b.Started(id, nil, start)
+			b.Started(id)
 		}
 	}
 	c := pick(t, b, prompt(5), start)
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -61,7 +61,9 @@
 	if holder != nil {
 		return holder, home, reasonFor(holder, home, Holder, reason)
 	}
-	first := b.firstHome(left, key, fits, now)
+	// A part of which no holder is known goes to its first home only: at a second one
+	// it would be read again, which costs more than waiting for the first reading.
+	first := firstByHome(left, key, fits)
 	return first, home, reasonFor(first, home, Diverted, reason)
 }
 
@@ -93,34 +95,6 @@
 	return group
 }
 
-// muchToRead is by how many tokens the first of two homes must be behind for a
-// part of which no holder is known to go to the second: about a tenth of a second
-// of an engine's reading.
-//
-// Weighing two pays only while all routers hear of each other's choice within a
-// round of telling. In a larger fleet a holder is mostly unknown because it was
-// not told yet, and each home that a part goes to reads it again.
-const muchToRead = 4096
-
-// firstHome chooses where a part is read first: of the first engines in the
-// common order, the one that has the least to read.
-func (b *Balancer) firstHome(list []*replica, key uint64, fits func(*replica) bool, now time.Time) *replica {
-	first := firstByHome(list, key, fits)
-	if first == nil || b.holdersUnknown() {
-		return first
-	}
-	second := firstByHome(list, key, func(r *replica) bool { return r != first && fits(r) })
-	if second != nil && b.reading(second, now)+muchToRead < b.reading(first, now) {
-		return second
-	}
-	return first
-}
-
-// reading returns the tokens of prompts that an engine has yet to read.
-func (b *Balancer) reading(r *replica, now time.Time) int {
-	return r.reading + b.others(r.short, now).Reading
-}
-
 func (b *Balancer) fits(r *replica, bound float64, now time.Time) bool {
 	return !b.suspect(r, now) && b.load(r, now) < bound
 }
--- a/pkg/balance/load_test.go
+++ b/pkg/balance/load_test.go
@@ -24,7 +24,7 @@
 	home := pick(t, list[0], prompt(5), start).Replica.ID
 	for i, b := range list[:3] {
 		for range 2 + i {
-			b.Started(home, nil, start)
+			b.Started(home)
 		}
 	}
 	// The first three are one line, of which the third tells the fourth.
@@ -48,7 +48,7 @@
 	b := newBalancer(engines(12))
 	for i := range 12 {
 		for range 4 {
-			b.Started(fmt.Sprintf("i-%d", i), nil, start)
+			b.Started(fmt.Sprintf("i-%d", i))
 		}
 	}
 	assert.InDelta(t, 1.7*4+2.5, pick(t, b, prompt(5), start).Bound, 1e-9)
@@ -59,10 +59,10 @@
 func TestALineTellsEachReplica(t *testing.T) {
 	list := largeFleet(2)
 	for i := range 10 {
-		list[0].Started(fmt.Sprintf("i-%d", i), nil, start)
+		list[0].Started(fmt.Sprintf("i-%d", i))
 	}
 	for range 4 {
-		list[0].Started("i-3", nil, start)
+		list[0].Started("i-3")
 	}
 	told := list[0].TellLine(start)
 	assert.Equal(t, []Count{{Replica: Hash("i-3"), Running: 5}}, told.Named)
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -16,10 +16,8 @@
 // Count is what a router runs at a replica.
 type Count struct {
 	Replica uint32
-	// Running is the number of requests, Reading the tokens of prompts that the
-	// replica has yet to read for them.
+	// Running is the number of requests.
 	Running int
-	Reading int
 }
 
 // Hash names a replica among routers.
@@ -50,7 +48,6 @@
 	for hash, c := range p.running {
 		total := sums[hash]
 		total.Running += c.Running
-		total.Reading += c.Reading
 		sums[hash] = total
 	}
 }
@@ -63,7 +60,7 @@
 	b.untold = Rumors{}
 	for _, r := range b.replicas {
 		if r.running > 0 {
-			told.Running = append(told.Running, Count{r.short, r.running, r.reading})
+			told.Running = append(told.Running, Count{r.short, r.running})
 		}
 	}
 	return told
