Prompts with few shared tokens are kept in each data centre

Change: up to 1,024 shared tokens a router prefers holders and homes in its own data centre. Eight holders of a part are remembered instead of four.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -51,6 +51,8 @@
 	Home Reason = "home"
 	// Holder: another engine that is known to hold the part.
 	Holder Reason = "holder"
+	// Near: the holder or home in the router's own data centre.
+	Near Reason = "near"
 	// Diverted: homes before it are above the bound, suspected or tried.
 	Diverted Reason = "diverted"
 	// LeastLoaded: the least loaded of a plain service.
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -40,6 +40,7 @@
 // pickEngine prefers an engine that is known to hold the prompt's shared parts,
 // in the common order; else the first in that order. Preferring holders lets
 // parts stay where they are when engines join. home is the first in the order.
+// A small prompt is kept in each data centre, so that order is that of the own one.
 //
 // Where no engine is both sound and below the bound, the least bad ones are
 // chosen among in the same way, within a bound of their own: parts that were
@@ -55,16 +56,29 @@
 		fits = func(r *replica) bool { return b.load(r, now) < own }
 		reason = LastResort
 	}
-	holder := firstByHome(left, key, func(r *replica) bool {
+	if chosen, _ := b.firstOf(near(q, left), key, fits, now); chosen != nil {
+		return chosen, home, reasonFor(chosen, home, Near, reason)
+	}
+	chosen, held := b.firstOf(left, key, fits, now)
+	if held {
+		return chosen, home, reasonFor(chosen, home, Holder, reason)
+	}
+	return chosen, home, reasonFor(chosen, home, Diverted, reason)
+}
+
+// firstOf returns the first engine that fits and is known to hold a part, else the
+// first one that fits, or nil.
+//
+// A part of which no holder is known goes to its first home only: at a second one
+// it would be read again, which costs more than waiting for the first reading.
+func (b *Balancer) firstOf(list []*replica, key uint64, fits func(*replica) bool, now time.Time) (first *replica, held bool) {
+	first = firstByHome(list, key, func(r *replica) bool {
 		return b.holders.holds(key, r.ID, now) && fits(r)
 	})
-	if holder != nil {
-		return holder, home, reasonFor(holder, home, Holder, reason)
+	if first != nil {
+		return first, true
 	}
-	// A part of which no holder is known goes to its first home only: at a second one
-	// it would be read again, which costs more than waiting for the first reading.
-	first := firstByHome(left, key, fits)
-	return first, home, reasonFor(first, home, Diverted, reason)
+	return firstByHome(list, key, fits), false
 }
 
 // reasonFor names why an engine was chosen: as the first in the common order, as
--- a/pkg/balance/holders.go
+++ b/pkg/balance/holders.go
@@ -10,8 +10,9 @@
 const (
 	// maxParts is how many parts of prompts a router remembers holders of.
 	maxParts = 20000
-	// maxHolders is how many holders of a part are remembered.
-	maxHolders = 4
+	// maxHolders is how many holders of a part are remembered: one a data centre, and
+	// as many that requests were diverted to or that left.
+	maxHolders = 8
 	// holderLife is how long an engine is taken to hold what it once read.
 	holderLife = 30 * time.Second
 )
--- /dev/null
+++ b/pkg/balance/near_test.go
@@ -0,0 +1,53 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// small is a prompt with few shared tokens.
+func small(part uint64) []Part {
+	return []Part{{ID: 1, Tokens: 300}, {ID: 1000 + part, Tokens: 400}, {ID: 99999, Tokens: 500}}
+}
+
+func pickFrom(b *Balancer, centre string, parts []Part) Choice {
+	c, _ := b.Pick(Question{Service: "llm", DataCentre: centre, Parts: parts}, start)
+	return c
+}
+
+// Streams that crossed data centres broke off or fell silent when one was cut off.
+func TestASmallPromptIsKeptInEachDataCentre(t *testing.T) {
+	b := newBalancer(engines(12))
+	first := pickFrom(b, "dc0", small(5))
+	assert.Equal(t, "dc0", first.Replica.DataCentre)
+	b.Answered(first.Replica.ID, small(5), start)
+	other := pickFrom(b, "dc1", small(5))
+	assert.Equal(t, "dc1", other.Replica.DataCentre)
+	assert.Equal(t, first.Replica.Address, other.Source, "copied, not read again")
+	b.Answered(other.Replica.ID, small(5), start)
+	assert.Equal(t, other.Replica.ID, pickFrom(b, "dc1", small(5)).Replica.ID)
+	assert.Equal(t, first.Replica.ID, pickFrom(b, "dc0", small(5)).Replica.ID, "each its own")
+}
+
+func TestALargePromptHasOneHomeInTheFleet(t *testing.T) {
+	b := newBalancer(engines(12))
+	home := pickFrom(b, "dc0", prompt(5)).Replica
+	b.Answered(home.ID, prompt(5), start)
+	for _, centre := range []string{"dc0", "dc1", "dc2"} {
+		assert.Equal(t, home.ID, pickFrom(b, centre, prompt(5)).Replica.ID, centre)
+	}
+}
+
+func TestASmallPromptGoesElsewhereWhenItsDataCentreIsFullOrHasNoEngine(t *testing.T) {
+	b := newBalancer(engines(12))
+	for _, id := range []string{"i-0", "i-3", "i-6", "i-9"} {
+		for range 9 {
+			b.Started(id)
+		}
+	}
+	c := pickFrom(b, "dc0", small(5))
+	assert.NotEqual(t, "dc0", c.Replica.DataCentre, fmt.Sprint(c.Load, c.Bound))
+	assert.NotEmpty(t, pickFrom(b, "elsewhere", small(5)).Replica.ID)
+}
