Replicas that left the list are copied from for 5 s

Cause: parts of a replica that left were read again although it served on: some never say that they drain, their entry goes and they serve on for as long.

Change: Replace keeps what is listed no more for 5 s as a place to copy from, after those that are listed; it gets no work.

TestAReplicaThatLeftTheListIsCopiedFromForAWhile fails without it.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -96,6 +96,8 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	replicas map[string]*replica
+	// leavers are replicas that are listed no more but may still be copied from.
+	leavers  map[string]leaver
 	services map[string][]*replica
 	centres  map[string]*health
 	silent   map[string]bool
@@ -145,6 +147,7 @@
 	return &Balancer{
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		replicas: make(map[string]*replica),
+		leavers:  make(map[string]leaver),
 		services: make(map[string][]*replica),
 		centres:  make(map[string]*health),
 		silent:   make(map[string]bool),
@@ -214,6 +217,7 @@
 			services[r.Service] = append(services[r.Service], known)
 		}
 	}
+	b.keepLeavers(replicas, now)
 	b.replicas, b.services, b.byHash = replicas, services, byHash
 	b.bySingle = make(map[uint16][]*replica, len(replicas))
 	for _, r := range replicas {
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -148,14 +148,20 @@
 }
 
 // holderOtherThan returns the engine that was last known to read a part, other
-// than one and within reach, or nil.
+// than one and within reach, or nil. Those that are listed come first.
 func (b *Balancer) holderOtherThan(chosen *replica, part uint64, now time.Time) *replica {
+	var left *replica
 	for _, id := range b.holders.list(part, now) {
-		if r := b.replicas[id]; r != nil && r != chosen && !b.unreachable(r, now) {
+		r := b.copySource(id, now)
+		switch {
+		case r == nil || r == chosen:
+		case b.replicas[id] != nil:
 			return r
+		case left == nil:
+			left = r
 		}
 	}
-	return nil
+	return left
 }
 
 // likelyHolder returns the first home of a part, other than one and within
--- a/pkg/balance/near_test.go
+++ b/pkg/balance/near_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // small is a prompt with few shared tokens.
@@ -51,3 +55,32 @@
 	assert.NotEqual(t, "dc0", c.Replica.DataCentre, fmt.Sprint(c.Load, c.Bound))
 	assert.NotEmpty(t, pickFrom(b, "elsewhere", small(5)).Replica.ID)
 }
+
+// Some never say that they drain: their entry goes, and they serve on for seconds.
+// What they held was read again elsewhere, though it could be copied.
+func TestAReplicaThatLeftTheListIsCopiedFromForAWhile(t *testing.T) {
+	list := engines(12)
+	b := newBalancer(list)
+	home := pickFrom(b, "dc0", prompt(5)).Replica
+	b.Answered(home.ID, prompt(5), start)
+	rest := slices.DeleteFunc(slices.Clone(list), func(r directory.Replica) bool { return r.ID == home.ID })
+	b.Replace(rest, start)
+	c := pick(t, b, prompt(5), start)
+	assert.NotEqual(t, home.ID, c.Replica.ID, "it gets no work")
+	assert.Equal(t, home.Address, c.Source)
+	b.Answered(c.Replica.ID, prompt(5), start)
+	next := pick(t, b, prompt(5), start, c.Replica.ID)
+	assert.Equal(t, c.Replica.Address, next.Source, "one that is listed comes first")
+
+	b = newBalancer(list)
+	b.Answered(home.ID, prompt(5), start)
+	b.Replace(rest, start)
+	late := start.Add(leftLife + time.Millisecond)
+	assert.NotEqual(t, home.Address, pick(t, b, prompt(5), late).Source)
+
+	b = newBalancer(list)
+	b.Answered(home.ID, prompt(5), start)
+	b.Failed(home.ID, Refused, "dc0", start)
+	b.Replace(rest, start)
+	assert.NotEqual(t, home.Address, pick(t, b, prompt(5), start).Source, "nothing listens there")
+}
