A holder in the router's own data centre comes first

Cause: of several holders the first in the common order was taken, wherever it was, though one was near: streams crossed data centres for nothing.

Change: holders in the own data centre are looked at first.

--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -40,7 +40,7 @@
 // pickEngine prefers an engine that is known to hold the prompt's shared parts,
 // in the common order; else the first in that order. Preferring holders lets
 // parts stay where they are when engines join. home is the first in the order.
-// A small prompt is kept in each data centre, so that order is that of the own one.
+// A holder in the own data centre comes first, and a small prompt is kept in each.
 //
 // Where no engine is both sound and below the bound, the least bad ones are
 // chosen among in the same way, within a bound of their own: parts that were
@@ -56,10 +56,11 @@
 		fits = func(r *replica) bool { return b.load(r, now) < own }
 		reason = LastResort
 	}
-	if chosen, _ := b.firstOf(near(q, left), key, fits, now); chosen != nil {
+	chosen, held := b.firstOf(near(q, left), key, fits, now)
+	if held || chosen != nil && keptNear(q.Parts) {
 		return chosen, home, reasonFor(chosen, home, Near, reason)
 	}
-	chosen, held := b.firstOf(left, key, fits, now)
+	chosen, held = b.firstOf(left, key, fits, now)
 	if held {
 		return chosen, home, reasonFor(chosen, home, Holder, reason)
 	}
--- a/pkg/balance/near.go
+++ b/pkg/balance/near.go
@@ -17,11 +17,13 @@
 	return tokens
 }
 
-// near returns the engines that a prompt is kept at in the router's own data
-// centre, or none if it is kept at one home of the whole fleet.
+// keptNear tells whether a prompt is kept in each data centre, not at one home of
+// the whole fleet.
+func keptNear(parts []Part) bool {
+	return len(parts) > 1 && sharedTokens(parts) <= smallTokens
+}
+
+// near returns the replicas in the router's own data centre.
 func near(q Question, list []*replica) []*replica {
-	if len(q.Parts) < 2 || sharedTokens(q.Parts) > smallTokens {
-		return nil
-	}
 	return slices.DeleteFunc(slices.Clone(list), func(r *replica) bool { return r.DataCentre != q.DataCentre })
 }
--- a/pkg/balance/near_test.go
+++ b/pkg/balance/near_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// Holders in several data centres are left by diversions, bursts and cuts.
+func TestAHolderInTheOwnDataCentreComesFirst(t *testing.T) {
+	b := newBalancer(engines(12))
+	for _, id := range []string{"i-0", "i-1", "i-2"} {
+		b.Answered(id, prompt(5), start)
+	}
+	for i, centre := range []string{"dc0", "dc1", "dc2"} {
+		assert.Equal(t, fmt.Sprintf("i-%d", i), pickFrom(b, centre, prompt(5)).Replica.ID)
+	}
+}
+
 func TestASmallPromptGoesElsewhereWhenItsDataCentreIsFullOrHasNoEngine(t *testing.T) {
 	b := newBalancer(engines(12))
 	for _, id := range []string{"i-0", "i-3", "i-6", "i-9"} {
