Each mechanism that decides can be left out by a switch for experiments

Cause: the users ask what each mechanism is worth, on each site, and that what is worth nothing goes.

A test shows for each switch of the balancer that leaving it out changes a decision.

Conclusion: kept as a tool.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 SECONDS ?= 60
 
-.PHONY: build run test check unit integration bench measure capacity verify setup generate soak fuzz clean
+.PHONY: build run test check unit integration bench measure ablation capacity verify setup generate soak fuzz clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -32,6 +32,10 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./test/integration/
 
 # The policies side by side; FULL=1 adds 1,520 engines, JSON=1 prints objects.
+# What each mechanism is worth on a site: make ablation BENCH=... SITE=... DAYS=a,b
+ablation:
+	$(GO) run ./test/ablation --bench $(BENCH) --site $(SITE) --days $(DAYS)
+
 measure:
 	$(GO) run ./test/measure $(if $(FULL),--full) $(if $(JSON),--json)
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // ErrCut: the stop's limit was reached with requests in flight.
@@ -125,6 +126,7 @@
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
+	e.balancer.SetWithout(e.settings.Without)
 	period := readPeriod(b)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
 		directory.New(2*period, relistBeats*b.Heartbeat), e.holder, e.balancer, e.log)
@@ -145,6 +147,7 @@
 		Dialect:    e.outside.Dialect,
 		DataCentre: e.settings.DataCentre,
 		Limits:     frontLimits(b),
+		Without:    e.settings.Without,
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	limits := front.NewConnLimits(e.holder, e.log)
 	e.callers = &http.Server{
@@ -215,7 +218,7 @@
 
 // rank is this router's place among those that it knows.
 func (e *Entry) rank() int {
-	if e.gossip == nil {
+	if e.gossip == nil || e.settings.Without.Has(mechanism.Rank) {
 		return 0
 	}
 	return e.gossip.Rank()
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -6,6 +6,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 const (
@@ -23,7 +24,7 @@
 // run for longer knows; when all routers started anew, the engines are asked,
 // each by one router, which tells the others.
 func (e *Entry) recall(ctx context.Context) {
-	if e.settings.Routes.FirstStart || e.outside.Held == nil {
+	if e.settings.Routes.FirstStart || e.outside.Held == nil || e.settings.Without.Has(mechanism.Recall) {
 		e.gossip.SetRecalled()
 		return
 	}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -13,6 +13,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // connectionHeaders pertain to one connection and are never passed on.
@@ -44,7 +45,7 @@
 
 // pass hands a replica's answer to the caller.
 func (c *call) pass(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) verdict {
-	resumable := c.route.Resumable && answer.StatusCode == http.StatusOK
+	resumable := c.route.Resumable && !c.front.options.Without.Has(mechanism.Resume) && answer.StatusCode == http.StatusOK
 	if c.begun && !isEventStream(answer.Response) {
 		c.outcome.reason = "replica does not resume"
 		drain(answer)
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // verdict is what one attempt at a replica leads to.
@@ -80,7 +81,7 @@
 func (f *Front) renewList(ctx context.Context) {
 	limit := f.limits.Load().ListProof
 	now := time.Now()
-	if limit == 0 || f.follower.Lost() || f.follower.Age(now) < limit {
+	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.Lost() || f.follower.Age(now) < limit {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listWait)
@@ -175,7 +176,7 @@
 // the request may be repeated. What the timer needs is read here: later it runs
 // beside the call.
 func (c *call) whenSilent(limit time.Duration, id string, cancel context.CancelCauseFunc) *time.Timer {
-	repeatable, attempts, end := !c.route.RunsOnce(), c.route.Attempts, c.end
+	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
 	return time.AfterFunc(limit, func() {
 		c.front.fail(c.id, id, balance.Hung)
 		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.front.repeats.Left() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // Dialect holds the names and forms in which callers, routers and replicas
@@ -53,6 +54,8 @@
 	// DataCentre is the router's.
 	DataCentre string
 	Limits     Limits
+	// Without are mechanisms that an experiment leaves out.
+	Without mechanism.Set
 }
 
 // Limits can change while the front runs.
--- a/internal/front/outgoing.go
+++ b/internal/front/outgoing.go
@@ -6,6 +6,7 @@
 
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // outgoing builds the request for a replica.
@@ -24,7 +25,9 @@
 	header.Set(d.Deadline, strconv.FormatInt(max(time.Until(c.end).Milliseconds(), 1), 10))
 	header.Set(d.Expect, choice.Replica.ID)
 	if c.service.Engine != nil {
-		header.Set(d.Priority, strconv.Itoa(c.priority()))
+		if !c.front.options.Without.Has(mechanism.Priority) {
+			header.Set(d.Priority, strconv.Itoa(c.priority()))
+		}
 		if choice.Source != "" {
 			header.Set(d.CopyFrom, choice.Source)
 		}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // PlatformKind tells what a router finds at the platform's address.
@@ -122,6 +124,20 @@
 	r.duration("repeat_window", &b.RepeatWindow, 10*time.Millisecond, time.Hour)
 }
 
+func (r *reader) experiments(without *mechanism.Set) {
+	r.section("experiments")
+	v, set := r.value("without")
+	if !set {
+		return
+	}
+	parsed, err := mechanism.Parse(v)
+	if err != nil {
+		r.reject("experiments", "without", v, err.Error())
+		return
+	}
+	*without = parsed
+}
+
 func (r *reader) kind(key string, to *PlatformKind) {
 	v, set := r.value(key)
 	if !set {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,8 @@
 
 	"github.com/sirupsen/logrus"
 	"gopkg.in/ini.v1"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // ErrInvalid is wrapped by every error of this package.
@@ -37,6 +39,8 @@
 	Peers      Peers
 	Routes     Routes
 	Bounds     Bounds
+	// Without are the mechanisms that an experiment leaves out.
+	Without mechanism.Set
 }
 
 // Listen holds the addresses (host:port) that the process listens on.
@@ -152,6 +156,7 @@
 	r.peers(&s.Peers)
 	r.routes(&s.Routes)
 	r.bounds(&s.Bounds)
+	r.experiments(&s.Without)
 
 	r.rejectUnknown()
 	if len(r.problems) > 0 {
@@ -287,7 +292,7 @@
 	for _, section := range r.file.Sections() {
 		keys, known := r.known[section.Name()]
 		if !known && section.Name() != ini.DefaultSection {
-			r.problems = append(r.problems, fmt.Errorf("%w: %s: [%s]: no such section; allowed are instance, listen, platform, limits, peers, routes, bounds", ErrInvalid, r.path, section.Name()))
+			r.problems = append(r.problems, fmt.Errorf("%w: %s: [%s]: no such section; allowed are instance, listen, platform, limits, peers, routes, bounds, experiments", ErrInvalid, r.path, section.Name()))
 			continue
 		}
 		for _, key := range section.KeyStrings() {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // Part is a piece of a prompt, named by its content.
@@ -124,6 +125,8 @@
 	outcomes map[string]*evidence
 	// loadFactor is how many times the mean the users allow a replica.
 	loadFactor float64
+	// without are mechanisms that an experiment leaves out.
+	without mechanism.Set
 	// large: routers can't tell all others what they run. recalled: who holds
 	// what is known as well as it can be.
 	large, recalled bool
@@ -196,6 +199,14 @@
 	b.loadFactor = factor
 }
 
+// SetWithout leaves mechanisms out, for experiments.
+func (b *Balancer) SetWithout(set mechanism.Set) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.without = set
+	b.holders.off = set.Has(mechanism.Holders)
+}
+
 // SetRecalled tells whether who holds what has been recalled since the start.
 func (b *Balancer) SetRecalled(recalled bool) {
 	b.mu.Lock()
@@ -267,7 +278,7 @@
 	if home != chosen {
 		choice.Passed, choice.PassedLoad, choice.PassedBad = home.ID, b.load(home, now), b.badness(home, now)
 	}
-	if len(q.Parts) > 1 {
+	if len(q.Parts) > 1 && !b.without.Has(mechanism.Copies) {
 		choice.Source = b.source(chosen, q.Parts, now)
 	}
 	return choice, true
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -1,9 +1,12 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // shared returns the parts of a prompt that other requests have too.
@@ -52,12 +55,15 @@
 	reason = Diverted
 	if !slices.ContainsFunc(left, fits) {
 		left = b.leastBadGroup(left, now)
+		if b.without.Has(mechanism.LastResort) {
+			return b.leastLoaded(left, now), home, LastResort
+		}
 		own := b.boundOver(left, now)
 		fits = func(r *replica) bool { return b.load(r, now) < own }
 		reason = LastResort
 	}
 	chosen, held := b.firstOf(near(q, left), key, fits, now)
-	if held || chosen != nil && keptNear(q.Parts) {
+	if (held || chosen != nil && keptNear(q.Parts)) && !b.without.Has(mechanism.Near) {
 		return chosen, home, reasonFor(chosen, home, Near, reason)
 	}
 	chosen, held = b.firstOf(left, key, fits, now)
@@ -82,6 +88,13 @@
 	return firstByHome(list, key, fits), false
 }
 
+// leastLoaded returns the replica with the least load.
+func (b *Balancer) leastLoaded(list []*replica, now time.Time) *replica {
+	return slices.MinFunc(list, func(x, y *replica) int {
+		return cmp.Compare(b.load(x, now), b.load(y, now))
+	})
+}
+
 // reasonFor names why an engine was chosen: as the first in the common order, as
 // one that is not, or for want of a better one.
 func reasonFor(chosen, home *replica, other, reason Reason) Reason {
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // Failure is how a request to a replica went wrong.
@@ -123,7 +125,11 @@
 	if b.slow(r, now) {
 		bad = badSlow
 	}
-	if r.health.avoided(r.running, now) {
+	running := r.running
+	if b.without.Has(mechanism.Trial) {
+		running = 0
+	}
+	if r.health.avoided(running, now) {
 		bad = badFailing
 		if r.health.kind >= Refused {
 			bad = badAbsent
@@ -175,10 +181,10 @@
 // doubt takes a failure that this router or another one saw at a time, and tells
 // whether it speaks against the replica.
 func (b *Balancer) doubt(r *replica, kind Failure, at time.Time) bool {
-	if kind == Hung && !r.hangs(at) {
+	if kind == Hung && !b.without.Has(mechanism.Evidence) && !r.hangs(at) {
 		kind = Broke
 	}
-	if kind.soft() {
+	if kind.soft() && !b.without.Has(mechanism.Evidence) {
 		r.bad.failed(at)
 		if !b.speaks(r, at) {
 			return false
@@ -215,7 +221,7 @@
 func (b *Balancer) CentreSilent(name string, silent bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.silent[name] == silent {
+	if b.silent[name] == silent || b.without.Has(mechanism.Silence) {
 		return false
 	}
 	b.silent[name] = silent
--- a/pkg/balance/holders.go
+++ b/pkg/balance/holders.go
@@ -20,6 +20,8 @@
 // holders remembers which engines were seen to hold a part of a prompt.
 type holders struct {
 	parts *lru.Cache[uint64, []holding]
+	// off: nothing is remembered, for experiments.
+	off bool
 }
 
 type holding struct {
@@ -38,6 +40,9 @@
 
 // note puts an engine first in the list of a part's holders.
 func (h *holders) note(key uint64, id string, now time.Time) {
+	if h.off {
+		return
+	}
 	list, _ := h.parts.Get(key)
 	list = slices.DeleteFunc(list, func(x holding) bool { return x.id == id })
 	list = slices.Insert(list, 0, holding{id, now})
--- a/pkg/balance/left.go
+++ b/pkg/balance/left.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
+)
 
 // leftLife is how long a replica that is listed no more may still be copied from.
 // Many serve on for seconds after their entry is gone; from one that has ended
@@ -21,6 +25,9 @@
 			delete(b.leavers, id)
 		}
 	}
+	if b.without.Has(mechanism.Leavers) {
+		return
+	}
 	for id, r := range b.replicas {
 		if listed[id] == nil {
 			b.leavers[id] = leaver{r, now}
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -1,6 +1,11 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
+)
 
 // report is what a replica told of its load.
 type report struct {
@@ -50,6 +55,9 @@
 
 // boundOver is the bound within some replicas.
 func (b *Balancer) boundOver(list []*replica, now time.Time) float64 {
+	if b.without.Has(mechanism.Bound) {
+		return math.Inf(1)
+	}
 	part, slack := boundPart, boundSlack
 	if b.large {
 		part, slack = largeBoundPart, largeBoundSlack
--- a/pkg/balance/pace.go
+++ b/pkg/balance/pace.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
 // pace is how fast a replica works, as a moving mean of one kind of time.
@@ -74,7 +76,7 @@
 
 // slow tells whether a replica is far slower than the median of its service.
 func (b *Balancer) slow(r *replica, now time.Time) bool {
-	if r.pace.samples < paceSamples {
+	if r.pace.samples < paceSamples || b.without.Has(mechanism.Pace) {
 		return false
 	}
 	middle := b.medianPace(r.Service, now)
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/mechanism"
+)
 
 // Rumors are what a router saw or was told since it last told, to be passed on.
 type Rumors struct {
@@ -73,7 +77,7 @@
 // mergeFailure takes a failure that another router saw. b.mu is held.
 func (b *Balancer) mergeFailure(f SeenFailure, now time.Time) {
 	r := b.byHash[f.Replica]
-	if r == nil || f.Failure > Unreachable {
+	if r == nil || f.Failure > Unreachable || b.without.Has(mechanism.Rumors) {
 		return
 	}
 	if b.large {
--- /dev/null
+++ b/pkg/balance/without_test.go
@@ -0,0 +1,102 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/mechanism"
+)
+
+// Each mechanism that decides changes a decision: what can be left out without any
+// difference is none.
+func TestEachMechanismMakesADifference(t *testing.T) {
+	home := pickFrom(newBalancer(engines(12)), "dc0", prompt(5)).Replica
+	replace := func(b *Balancer) {
+		b.Replace(slices.DeleteFunc(engines(12), func(r directory.Replica) bool { return r.ID == home.ID }), start)
+	}
+	failAll := func(b *Balancer) {
+		for i := range 12 {
+			b.Failed(fmt.Sprintf("i-%d", i), Refused, "dc0", start)
+		}
+	}
+	later := start.Add(1100 * time.Millisecond)
+	cases := map[string]func(b *Balancer) any{
+		"holders": func(b *Balancer) any {
+			b.Answered("i-7", prompt(5), start)
+			return pickFrom(b, "dc0", prompt(5)).Replica.ID
+		},
+		"copies": func(b *Balancer) any {
+			b.Answered(home.ID, prompt(5), start)
+			return pick(t, b, prompt(5), start, home.ID).Source
+		},
+		"near": func(b *Balancer) any {
+			var ids []string
+			for _, centre := range []string{"dc0", "dc1", "dc2"} {
+				ids = append(ids, pickFrom(b, centre, small(5)).Replica.ID)
+			}
+			return ids
+		},
+		"leavers": func(b *Balancer) any {
+			b.Answered(home.ID, prompt(5), start)
+			replace(b)
+			return pickFrom(b, "dc0", prompt(5)).Source
+		},
+		"bound": func(b *Balancer) any {
+			for range 20 {
+				b.Started(home.ID)
+			}
+			return pickFrom(b, "dc0", prompt(5)).Replica.ID
+		},
+		"silence": func(b *Balancer) any {
+			b.CentreSilent(home.DataCentre, true)
+			return pickFrom(b, "elsewhere", prompt(5)).Replica.ID
+		},
+		"pace": func(b *Balancer) any {
+			for i := range 12 {
+				took := 20 * time.Millisecond
+				if fmt.Sprintf("i-%d", i) == home.ID {
+					took *= 8
+				}
+				for range paceSamples {
+					b.Paced(fmt.Sprintf("i-%d", i), took)
+				}
+			}
+			return pickFrom(b, "dc0", prompt(5)).Replica.ID
+		},
+		"evidence": func(b *Balancer) any {
+			serve(b, 12, 10, start)
+			b.Failed(home.ID, Broke, "dc0", start)
+			return pickFrom(b, "dc0", prompt(5)).Replica.ID
+		},
+		"rumors": func(b *Balancer) any {
+			b.Merge("other", Told{Rumors: Rumors{Failures: []SeenFailure{{Hash(home.ID), Refused, start}}}}, start)
+			return pickFrom(b, "dc0", prompt(5)).Replica.ID
+		},
+		"trial": func(b *Balancer) any {
+			b.Failed(home.ID, Refused, "dc0", start.Add(-time.Second))
+			b.Failed(home.ID, Refused, "dc0", start.Add(-time.Second))
+			b.Started(home.ID)
+			return pick(t, b, prompt(5), later).Replica.ID
+		},
+		"last_resort": func(b *Balancer) any {
+			failAll(b)
+			b.Started(home.ID)
+			return pickFrom(b, "dc0", prompt(5)).Replica.ID
+		},
+	}
+	for name, decide := range cases {
+		t.Run(name, func(t *testing.T) {
+			with, without := newBalancer(engines(12)), newBalancer(engines(12))
+			set, err := mechanism.Parse(name)
+			require.NoError(t, err)
+			without.SetWithout(set)
+			assert.NotEqual(t, decide(with), decide(without))
+		})
+	}
+}
