--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,11 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
 	$(GO) test -run '^$$' -bench . -benchmem ./test/integration/
 
-# The policies side by side; FULL=1 adds 1,520 engines, JSON=1 prints objects.
 # What each mechanism is worth on a site: make ablation BENCH=... SITE=... DAYS=a,b
 ablation:
 	$(GO) run ./test/ablation --bench $(BENCH) --site $(SITE) --days $(DAYS)
 
+# The policies side by side; FULL=1 adds 1,520 engines, JSON=1 prints objects.
 measure:
 	$(GO) run ./test/measure $(if $(FULL),--full) $(if $(JSON),--json)
 
