--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -52,25 +52,24 @@
 	key := homeKey(q.Parts)
 	home = firstByHome(left, key, func(*replica) bool { return true })
 	fits := func(r *replica) bool { return b.fits(r, bound, now) }
-	reason = Diverted
-	if !slices.ContainsFunc(left, fits) {
+	lastResort := !slices.ContainsFunc(left, fits)
+	if lastResort {
 		left = b.leastBadGroup(left, now)
 		if b.without.Has(mechanism.LastResort) {
 			return b.leastLoaded(left, now), home, LastResort
 		}
 		own := b.boundOver(left, now)
 		fits = func(r *replica) bool { return b.load(r, now) < own }
-		reason = LastResort
 	}
 	chosen, held := b.firstOf(near(q, left), key, fits, now)
 	if (held || chosen != nil && keptNear(q.Parts)) && !b.without.Has(mechanism.Near) {
-		return chosen, home, reasonFor(chosen, home, Near, reason)
+		return chosen, home, reasonFor(chosen, home, Near, lastResort)
 	}
 	chosen, held = b.firstOf(left, key, fits, now)
 	if held {
-		return chosen, home, reasonFor(chosen, home, Holder, reason)
+		return chosen, home, reasonFor(chosen, home, Holder, lastResort)
 	}
-	return chosen, home, reasonFor(chosen, home, Diverted, reason)
+	return chosen, home, reasonFor(chosen, home, Diverted, lastResort)
 }
 
 // firstOf returns the first engine that fits and is known to hold a part, else the
@@ -95,11 +94,11 @@
 	})
 }
 
-// reasonFor names why an engine was chosen: as the first in the common order, as
-// one that is not, or for want of a better one.
-func reasonFor(chosen, home *replica, other, reason Reason) Reason {
+// reasonFor names why an engine was chosen: for want of a better one, as the first
+// in the common order, or for another reason.
+func reasonFor(chosen, home *replica, other Reason, lastResort bool) Reason {
 	switch {
-	case reason == LastResort:
+	case lastResort:
 		return LastResort
 	case chosen == home:
 		return Home
