A few replicas that are gone after a pause between reads have left

The router's own log: after 2,185 routes came, its reads and its peers' answers came late over 10 Mbit/s; at 23.33 s its list was renewed after more than 2.4 s, and the two, which had drained and gone meanwhile, were taken for victims of an outage of the store ("vanished with its list") and kept their work until 27.1 s. Ruled out: the age of the list when the requests were sent (it was new), a cut (the router was in touch), and the renewal before sending.

Change: after a pause a service's list counts as lost only if a third of its replicas or all vanish at once; without a pause most of them, as before.

TestAFewThatAreGoneAfterAPauseHaveLeft fails without it.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -3,10 +3,11 @@
 //
 //	listed and ready   -> gets work
 //	listed as draining -> gets nothing new
-//	no longer listed   -> gets nothing new, unless the list itself was lost:
-//	                      after an outage, or when most of a service vanish at
-//	                      once, they keep their work for a time, since their
-//	                      entries may have lapsed while they could not renew them
+//	no longer listed   -> gets nothing new, unless the list itself was lost: when
+//	                      most of a service vanish at once, or a third after a
+//	                      pause between reads, they keep their work for a time,
+//	                      since their entries may have lapsed while they could
+//	                      not renew them
 //
 // The package does no I/O; time comes from the caller and is steady.
 package directory
@@ -74,7 +75,7 @@
 }
 
 // New returns an empty directory. A pause of more than outage between two reads
-// counts as an outage of the list; grace is how long a replica that vanished in
+// may have been an outage of the list; grace is how long a replica that vanished in
 // one keeps its work.
 func New(outage, grace time.Duration) *Directory {
 	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry)}
@@ -92,24 +93,26 @@
 	for _, r := range list {
 		seen[r.ID] = true
 	}
-	emptied := d.emptied(seen)
+	lost := d.lost(seen, outage)
 	var changes []Change
 	for _, r := range list {
 		changes = d.take(r, changes)
 	}
 	for id, e := range d.entries {
 		if !seen[id] {
-			changes = d.missing(id, e, outage || emptied[e.replica.Service], changes)
+			changes = d.missing(id, e, lost[e.replica.Service], changes)
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
 	return changes
 }
 
-// emptied returns the services of which most replicas vanished at once. That is
-// no release and no scaling, but a list that lost its entries: the outage may
-// have been too short to be seen here.
-func (d *Directory) emptied(seen map[string]bool) map[string]bool {
+// lost returns the services of which so many replicas vanished at once that it is no
+// release and no scaling, but a list that lost its entries: most of them, since an
+// outage may have been too short to be seen here, or a third after a pause between two
+// reads. A pause alone says little: it may be this router's reads that came late,
+// while the others saw those replicas drain and leave.
+func (d *Directory) lost(seen map[string]bool, pause bool) map[string]bool {
 	listed, vanished := make(map[string]int), make(map[string]int)
 	for id, e := range d.entries {
 		if e.replica.State != Ready || !e.doubtedSince.IsZero() {
@@ -120,11 +123,13 @@
 			vanished[e.replica.Service]++
 		}
 	}
-	emptied := make(map[string]bool)
+	lost := make(map[string]bool)
 	for service, n := range vanished {
-		emptied[service] = n > 1 && 2*n > listed[service]
+		most := n > 1 && 2*n > listed[service]
+		third := n == listed[service] || n > 1 && 3*n >= listed[service]
+		lost[service] = most || pause && third
 	}
-	return emptied
+	return lost
 }
 
 func (d *Directory) take(r Replica, changes []Change) []Change {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -88,3 +88,17 @@
 	assert.Equal(t, map[string]What{"c": Back}, changes(d.Replace(ready("c", "e"), at(3))))
 	assert.Equal(t, map[string]What{"d": Left}, changes(d.Replace(ready("c", "e"), at(4))))
 }
+
+// A router whose reads came late took replicas that had drained and left meanwhile for
+// victims of an outage, and sent them work for two heartbeats more: DRAIN on a grown
+// site.
+func TestAFewThatAreGoneAfterAPauseHaveLeft(t *testing.T) {
+	d := New(3*time.Second, 2*time.Second)
+	ids := []string{"a", "b", "c", "d", "e", "f", "g"}
+	d.Replace(ready(ids...), at(0))
+	assert.Equal(t, map[string]What{"a": Left, "b": Left}, changes(d.Replace(ready(ids[2:]...), at(10))), "two of seven")
+	assert.Equal(t, map[string]What{"c": Doubted, "d": Doubted}, changes(d.Replace(ready(ids[4:]...), at(20))), "two of five")
+	alone := New(3*time.Second, 2*time.Second)
+	alone.Replace(ready("a"), at(0))
+	assert.Equal(t, map[string]What{"a": Doubted}, changes(alone.Replace(nil, at(10))), "all there were")
+}
