--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -58,7 +58,7 @@
 // health says whether a replica is to be avoided.
 //
 //	failure          -> avoided for base, twice as long for each further one
-//	time is over     -> one request at a time, as a trial
+//	time is over     -> tried again
 //	good answers     -> trusted again
 type health struct {
 	failures int
@@ -97,14 +97,8 @@
 	}
 }
 
-// avoided tells whether the replica is to get no work. running are its requests
-// of this router: on trial it gets one at a time.
-func (h *health) avoided(running int, now time.Time) bool {
-	if now.Before(h.until) {
-		return true
-	}
-	return h.failures > 1 && running > 0 && now.Sub(h.last) < forgetAfter
-}
+// avoided tells whether the replica is to get no work.
+func (h *health) avoided(now time.Time) bool { return now.Before(h.until) }
 
 // suspect tells whether a replica is to be passed over while others are left.
 func (b *Balancer) suspect(r *replica, now time.Time) bool {
@@ -125,17 +119,13 @@
 	if b.slow(r, now) {
 		bad = badSlow
 	}
-	running := r.running
-	if b.without.Has(mechanism.Trial) {
-		running = 0
-	}
-	if r.health.avoided(running, now) {
+	if r.health.avoided(now) {
 		bad = badFailing
 		if r.health.kind >= Refused {
 			bad = badAbsent
 		}
 	}
-	if c := b.centres[r.DataCentre]; b.silent[r.DataCentre] || c != nil && c.avoided(0, now) {
+	if c := b.centres[r.DataCentre]; b.silent[r.DataCentre] || c != nil && c.avoided(now) {
 		bad = max(bad, badUnreachable)
 	}
 	return bad
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -83,7 +83,7 @@
 	if b.large {
 		// Who is avoided already was told of already, on a quicker way or by another
 		// router: what comes late must not go round again.
-		if r.health.avoided(0, now) || now.Sub(f.At) > rumorLife {
+		if r.health.avoided(now) || now.Sub(f.At) > rumorLife {
 			return
 		}
 		b.tellFailure(r, f.Failure, f.At)
--- a/pkg/mechanism/mechanism.go
+++ b/pkg/mechanism/mechanism.go
@@ -33,8 +33,6 @@
 	Evidence
 	// Rumors: failures that other routers saw count.
 	Rumors
-	// Trial: a replica that failed gets one request at a time at first.
-	Trial
 	// LastResort: the least bad replicas are chosen among by home.
 	LastResort
 	// Resume: a stream that broke off goes on at another replica.
@@ -57,7 +55,7 @@
 // names are those of settings, in the order of the constants.
 var names = []string{
 	"holders", "copies", "near", "leavers", "bound", "silence", "pace", "evidence", "rumors",
-	"trial", "last_resort", "resume", "hang", "recall", "priority", "rank", "renew",
+	"last_resort", "resume", "hang", "recall", "priority", "rank", "renew",
 }
 
 // Names returns the names of all mechanisms.
