A choice of an engine copies no lists

Lists of the reached and the near were copied for each choice, and whether a replica can be reached asked for its pace too. Ruled out: the holders' look-ups, which stay.

Change: sums and predicates instead of copies; unreachable looks at what it needs. No other choice than before: the tests of the package pass unchanged.

--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -61,7 +61,8 @@
 		own := b.boundOver(left, now)
 		fits = func(r *replica) bool { return b.load(r, now) < own }
 	}
-	chosen, held := b.firstOf(near(q, left), key, fits, now)
+	nearFits := func(r *replica) bool { return r.DataCentre == q.DataCentre && fits(r) }
+	chosen, held := b.firstOf(left, key, nearFits, now)
 	if (held || chosen != nil && keptNear(q.Parts)) && !b.without.Has(mechanism.Near) {
 		return chosen, home, reasonFor(chosen, home, Near, lastResort)
 	}
@@ -193,7 +194,8 @@
 	return first
 }
 
-// unreachable tells whether a replica can't even be copied from.
+// unreachable tells whether a replica can't even be copied from: badness is at least
+// badUnreachable, which is asked of all replicas of a service for each choice.
 func (b *Balancer) unreachable(r *replica, now time.Time) bool {
-	return b.badness(r, now) >= badUnreachable
+	return r.health.kind >= Refused && r.health.avoided(now) || b.cutOff(r.DataCentre, now)
 }
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -125,12 +125,21 @@
 			bad = badAbsent
 		}
 	}
-	if c := b.centres[r.DataCentre]; b.silent[r.DataCentre] || c != nil && c.avoided(now) {
+	if b.cutOff(r.DataCentre, now) {
 		bad = max(bad, badUnreachable)
 	}
 	return bad
 }
 
+// cutOff tells whether a data centre can't be reached, as it seems.
+func (b *Balancer) cutOff(centre string, now time.Time) bool {
+	if b.silent[centre] {
+		return true
+	}
+	c := b.centres[centre]
+	return c != nil && c.avoided(now)
+}
+
 // Failed notes a failure at a replica. A replica in another data centre that
 // can't be reached speaks against the whole of it: a cut strikes them all.
 func (b *Balancer) Failed(id string, kind Failure, ownDataCentre string, now time.Time) {
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -28,33 +28,34 @@
 	return load
 }
 
-// meanLoad estimates the mean load of a service's replicas.
-func (b *Balancer) meanLoad(all []*replica, now time.Time) float64 {
-	total := 0.0
-	for _, r := range all {
-		total += b.load(r, now)
-	}
-	return total / float64(len(all))
-}
-
 // bound is the load up to which a replica of a service gets further requests.
 // Those that can't be reached carry none of what this router sends, so the mean
 // is that of the others.
 func (b *Balancer) bound(all []*replica, now time.Time) float64 {
-	var reached []*replica
+	total, reached := 0.0, 0
 	for _, r := range all {
 		if !b.unreachable(r, now) {
-			reached = append(reached, r)
+			total += b.load(r, now)
+			reached++
 		}
 	}
-	if len(reached) == 0 {
-		reached = all
+	if reached == 0 {
+		return b.boundOver(all, now)
 	}
-	return b.boundOver(reached, now)
+	return b.boundOf(total / float64(reached))
 }
 
 // boundOver is the bound within some replicas.
 func (b *Balancer) boundOver(list []*replica, now time.Time) float64 {
+	total := 0.0
+	for _, r := range list {
+		total += b.load(r, now)
+	}
+	return b.boundOf(total / float64(len(list)))
+}
+
+// boundOf is the bound for a mean load.
+func (b *Balancer) boundOf(mean float64) float64 {
 	if b.without.Has(mechanism.Bound) {
 		return math.Inf(1)
 	}
@@ -62,7 +63,7 @@
 	if b.large {
 		part, slack = largeBoundPart, largeBoundSlack
 	}
-	return max(part*b.loadFactor, leastBoundFactor)*b.meanLoad(list, now) + slack
+	return max(part*b.loadFactor, leastBoundFactor)*mean + slack
 }
 
 // Reported takes the load that a replica told, in requests running and waiting.
--- a/pkg/balance/near.go
+++ b/pkg/balance/near.go
@@ -1,7 +1,5 @@
 package balance
 
-import "slices"
-
 // smallTokens is up to how many shared tokens a prompt's parts are kept in each
 // data centre: a copy of them costs less than what a cut makes late or breaks of
 // the streams that cross it. Measured with 0, 1,024 and 3,000 tokens, and with two
@@ -22,8 +20,3 @@
 func keptNear(parts []Part) bool {
 	return len(parts) > 1 && sharedTokens(parts) <= smallTokens
 }
-
-// near returns the replicas in the router's own data centre.
-func near(q Question, list []*replica) []*replica {
-	return slices.DeleteFunc(slices.Clone(list), func(r *replica) bool { return r.DataCentre != q.DataCentre })
-}
