--- /dev/null
+++ b/internal/conns/conn.go
@@ -0,0 +1,205 @@
+package conns
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Conn is a caller's connection.
+type Conn struct {
+	net.Conn
+	// raw is nil if the connection is no socket, as in tests.
+	raw syscall.RawConn
+
+	mu sync.Mutex
+	// serving: a whole head was read and its answer has not ended.
+	serving bool
+	// reading: a read waits for bytes. Until then the server may hold bytes of the
+	// next request that it read along with the last one.
+	reading bool
+	// heard: something of the next request was read.
+	heard  bool
+	closed bool
+	// since is when the connection began to rest.
+	since time.Time
+}
+
+func newConn(c net.Conn, now time.Time) *Conn {
+	conn := &Conn{Conn: c, since: now}
+	if socket, ok := c.(syscall.Conn); ok {
+		// One without a descriptor is read in the ordinary way.
+		conn.raw, _ = socket.SyscallConn()
+	}
+	return conn
+}
+
+// Read implements net.Conn. The bytes are taken from the socket under the lock
+// under which the connection is closed.
+func (c *Conn) Read(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	c.setReading(true)
+	defer c.setReading(false)
+	if c.raw == nil {
+		n, err = c.Conn.Read(p)
+		c.noteRead(n, len(p))
+		return n, err
+	}
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed {
+			err = net.ErrClosed
+			return true
+		}
+		n, err = readSocket(int(fd), p)
+		if err == syscall.EAGAIN {
+			return false
+		}
+		c.heard = c.heard || n > 0 && c.next(len(p))
+		return true
+	})
+	switch {
+	case rawErr != nil:
+		return 0, rawErr
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readSocket reads what is there.
+func readSocket(fd int, p []byte) (int, error) {
+	for {
+		n, err := syscall.Read(fd, p)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// next tells whether bytes that a read of a size brings belong to the next request:
+// those that come at rest do, and so does the one byte by which the server looks,
+// while it serves, whether the caller is still there.
+func (c *Conn) next(size int) bool { return !c.serving || size == 1 }
+
+func (c *Conn) noteRead(n, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = c.heard || n > 0 && c.next(size)
+}
+
+func (c *Conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
+// serves notes that a whole head was read.
+func (c *Conn) serves() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.heard = true, false
+}
+
+// rests notes that an answer has ended.
+func (c *Conn) rests(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.since = false, now
+}
+
+func (c *Conn) rested(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.since)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite tells the caller that nothing more comes. The server uses it behind the
+// last answer, so that the caller reads that before the connection is reset.
+func (c *Conn) CloseWrite() error {
+	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Outcome is what CloseIfResting found.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Closed: it was at rest, or closed before.
+	Closed Outcome = iota
+	// Unread: a request lies in the socket.
+	Unread
+	// Serving: a request, or a part of one, was read.
+	Serving
+)
+
+// CloseIfResting closes the connection unless something of a request was read or
+// lies unread.
+func (c *Conn) CloseIfResting() Outcome {
+	outcome := c.endRest()
+	if outcome == Closed {
+		// Not under the lock: it waits for the read that is under way. One that its
+		// caller has closed is as good.
+		_ = c.Conn.Close()
+	}
+	return outcome
+}
+
+// endRest marks the connection as closed if it is at rest; nothing is read from it
+// any more.
+func (c *Conn) endRest() Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch waiting, _ := c.look(); {
+	case c.closed:
+		return Closed
+	case c.serving || c.heard || !c.reading:
+		return Serving
+	case waiting:
+		return Unread
+	}
+	c.closed = true
+	return Closed
+}
+
+// CallerLeft tells whether the caller has closed the connection, also if the
+// server has not come to read that yet.
+func (c *Conn) CallerLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ended := c.look()
+	return ended
+}
+
+// look tells what a read would find now, without reading it: bytes, or the end.
+func (c *Conn) look() (waiting, ended bool) {
+	if c.raw == nil || c.closed {
+		return false, c.closed
+	}
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+		ended = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return waiting, ended || err != nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,9 +2,10 @@
 // planned stop.
 //
 //	Start -> not ready until a configuration and the replicas are known
-//	Stop  -> not ready at once; serves on while the balancer notices, each
-//	         answer being the last of its connection; then no new connections,
-//	         what is in flight ends, and at the limit the rest is cut
+//	Stop  -> not ready at once; serves on, each answer being the last of its
+//	         connection; ends early once callers have no connection left; late
+//	         in the grace time connections that rest are closed, and at the
+//	         limit what is still in flight is cut
 package entry
 
 import (
@@ -22,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/croftyard/croftyard/internal/admin"
+	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
@@ -64,6 +66,7 @@
 	gossip   *gossip.Gossip
 
 	callers   *http.Server
+	conns     *conns.Set
 	readiness *http.Server
 	operators *admin.Admin
 	listeners []net.Listener
@@ -150,9 +153,13 @@
 		Without:    e.settings.Without,
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	limits := front.NewConnLimits(e.holder, e.log)
+	e.conns = conns.NewSet()
 	e.callers = &http.Server{
-		Handler:        e.front,
-		ConnState:      limits.ConnState,
+		Handler: e.front,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			e.conns.ConnState(c, state)
+			limits.ConnState(c, state)
+		},
 		ConnContext:    limits.ConnContext,
 		MaxHeaderBytes: e.settings.Limits.Header,
 		ErrorLog:       e.log.Faults(event.HandlerFailed),
@@ -283,7 +290,7 @@
 	defer close(e.done)
 	ctx, cancel := context.WithCancel(context.Background())
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return serve(e.callers, e.listeners[0]) })
+	work.Go(func() error { return e.serveCallers() })
 	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
 	work.Go(func() error { return e.operators.Serve(e.listeners[2]) })
 	work.Go(func() error {
@@ -320,6 +327,15 @@
 		event.F("peers_sent", sent), event.F("peers_received", received), event.F("reads", reads), event.F("reads_failed", failed))
 }
 
+// serveCallers ends without an error once a stop closes the listener.
+func (e *Entry) serveCallers() error {
+	err := serve(e.callers, e.conns.Listener(e.listeners[0]))
+	if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -355,31 +371,3 @@
 		e.pool.CloseIdle()
 	}
 }
-
-// shutDown ends the service within the users' grace time.
-func (e *Entry) shutDown() error {
-	e.log.Write(event.Draining, event.F("in_flight", e.front.Active()))
-	e.stopping.Store(true)
-	e.front.Stopping()
-	e.gossip.Leave()
-	limit, cancel := context.WithTimeout(e.killed, part(e.settings.Bounds.Grace, gracePart))
-	defer cancel()
-	select {
-	case <-time.After(part(e.settings.Bounds.Grace, serveOnPart)):
-	case <-limit.Done():
-	}
-	if err := e.callers.Shutdown(limit); err != nil {
-		e.log.Write(event.DrainCut, event.F("in_flight", e.front.Active()))
-		return fmt.Errorf("%w: %w", ErrCut, err)
-	}
-	return nil
-}
-
-// Parts of the grace time of a planned stop.
-const (
-	// serveOnPart is how long new connections are still taken: the balancer asks
-	// each second and needs two misses.
-	serveOnPart = 0.375
-	// gracePart is when what is still in flight is cut.
-	gracePart = 0.92
-)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,7 @@
 	LogLevel          ID = 107
 	SettingsReloaded  ID = 108
 	SettingsRejected  ID = 109
+	CallersEnded      ID = 110
 	ConfigAdopted     ID = 201
 	ConfigRejected    ID = 202
 	ConfigFromPeer    ID = 203
@@ -78,6 +79,7 @@
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
 	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names or addresses changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
+	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
 	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
 	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -64,6 +64,7 @@
 	}
 	if err == nil {
 		c.notePace(choice.Replica.ID)
+		c.front.longest.Took(c.route.Name, time.Since(c.arrival), time.Now())
 		c.finished(outcomeServed, answer.StatusCode, "")
 		return done
 	}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -86,6 +86,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.front.endsInTime(c.route, c.end, c.arrival); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	if refused := c.readBody(); refused != nil {
 		c.refuse(refused)
 		return
@@ -94,6 +98,8 @@
 	c.front.repeats.Earn()
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.end)
 	defer cancel()
+	// Not the request's own: that it ends means that the caller left.
+	defer context.AfterFunc(c.front.cutting, cancel)()
 	c.dispatch(ctx)
 }
 
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
@@ -35,6 +36,8 @@
 	serving bool
 	// expired: closed for its limit.
 	expired bool
+	// late: its limit was over when a part of a head had come.
+	late bool
 }
 
 // NewConnLimits returns limits that follow a configuration.
@@ -81,7 +84,7 @@
 	if conn == nil {
 		return
 	}
-	conn.serving = state == http.StateActive
+	conn.serving, conn.late = state == http.StateActive, false
 	if conn.timer != nil {
 		conn.timer.Stop()
 	}
@@ -108,23 +111,36 @@
 		conn.timer.Reset(left)
 		return
 	}
+	if resting, can := c.(restingCloser); can && !conn.late && resting.CloseIfResting() != conns.Closed {
+		// A request lies in it, at least in part: the head has the time of one.
+		conn.late = true
+		conn.timer.Reset(l.headerTime() + idleMargin)
+		return
+	}
 	conn.expired = true
 	l.log.Write(event.CallerConnExpired, event.F("caller", c.RemoteAddr().String()), event.F("rested_ms", time.Since(conn.since).Milliseconds()))
 	c.Close()
 }
 
+// restingCloser is a connection that can tell whether a request lies in it unread.
+type restingCloser interface {
+	CloseIfResting() conns.Outcome
+}
+
 // limit is how long a connection may rest and then send a head. A new one may
 // rest as well: of 15 s that new ones once had, callers left 0.2 s.
 func (l *ConnLimits) limit() time.Duration {
-	idle, header := defaultIdle, defaultHeader
-	if table := l.holder.Current().Table; table != nil {
-		limits := table.Limits()
-		if limits.Idle > 0 {
-			idle = limits.Idle
-		}
-		if limits.HeaderTime > 0 {
-			header = limits.HeaderTime
-		}
+	idle := defaultIdle
+	if table := l.holder.Current().Table; table != nil && table.Limits().Idle > 0 {
+		idle = table.Limits().Idle
+	}
+	return idle + l.headerTime() + idleMargin
+}
+
+// headerTime is how long a caller may take to send a head.
+func (l *ConnLimits) headerTime() time.Duration {
+	if table := l.holder.Current().Table; table != nil && table.Limits().HeaderTime > 0 {
+		return table.Limits().HeaderTime
 	}
-	return idle + header + idleMargin
+	return defaultHeader
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -90,8 +91,13 @@
 	served   atomic.Uint64
 	spent    atomic.Bool
 	// listOld: the list of replicas could not be renewed when it was last asked for.
-	listOld  atomic.Bool
-	stopping atomic.Bool
+	listOld atomic.Bool
+	// stopping is nil while no stop was asked for.
+	stopping atomic.Pointer[stop]
+	// cutting ends the calls that are in flight.
+	cutting context.Context
+	cut     context.CancelFunc
+	longest *admission.Longest
 }
 
 // New returns a front.
@@ -106,8 +112,10 @@
 		metrics:  m,
 		started:  time.Now(),
 		repeats:  admission.NewRetries(o.Limits.RepeatRatio, o.Limits.RepeatReserve),
+		longest:  admission.NewLongest(),
 	}
 	front.limits.Store(&o.Limits)
+	front.cutting, front.cut = context.WithCancel(context.Background())
 	return front
 }
 
@@ -120,9 +128,6 @@
 // Active returns the number of requests that are served now.
 func (f *Front) Active() int { return int(f.active.Load()) }
 
-// Stopping makes each further answer the last of its connection.
-func (f *Front) Stopping() { f.stopping.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if expired(r.Context()) {
@@ -131,9 +136,7 @@
 	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.announceEnd(w)
 	c := newCall(f, w, r, time.Now())
 	defer c.finish()
 	c.serve()
--- /dev/null
+++ b/internal/front/stop.go
@@ -0,0 +1,60 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// stop is a planned stop that has begun.
+type stop struct {
+	// late is from when on streams must end well before cut, at which what is in
+	// flight will be cut.
+	late, cut time.Time
+}
+
+// Stopping makes each further answer the last of its connection, and refuses what
+// would not end before cut, at which what is in flight will be cut. Until late, new
+// callers come who could not know of the stop.
+func (f *Front) Stopping(late, cut time.Time) {
+	f.stopping.Store(&stop{late: late, cut: cut})
+}
+
+// Cut ends the requests in flight: those whose answer has not begun are told so,
+// the others are broken off.
+func (f *Front) Cut() { f.cut() }
+
+// announceEnd tells a caller of a stopping router not to use the connection again.
+func (f *Front) announceEnd(w http.ResponseWriter) {
+	if f.stopping.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// How much longer than the longest of late a request of a route may take. Streams of
+// a route differ much in length: at 1.25 eight of some 300 that a stopping fleet took
+// were cut, the shortest 2.2 s after it began.
+const (
+	stopMargin = 1.5
+	lateMargin = 4
+)
+
+// endsInTime refuses a request that a stopping router would have to cut, while it
+// has not run: another router can serve it whole. A stream that is cut has lost what
+// its caller has read of it; the caller of any other request is told.
+func (f *Front) endsInTime(r *route.Route, end, now time.Time) *refusal {
+	s := f.stopping.Load()
+	if s == nil || !end.After(s.cut) {
+		return nil
+	}
+	margin := stopMargin
+	if r.Kind == route.Stream && !now.Before(s.late) {
+		margin = lateMargin
+	}
+	longest, known := f.longest.Of(r.Name, now)
+	if known && now.Add(time.Duration(float64(longest)*margin)).Before(s.cut) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryElsewhere, closes: true}
+}
--- /dev/null
+++ b/internal/front/stop_test.go
@@ -0,0 +1,67 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A stopping router took streams that it cut 6 s later.
+func TestAStoppingRouterRefusesWhatItWouldCut(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		// lateIn and cutIn are the times left, longest what the route takes.
+		lateIn, cutIn, longest time.Duration
+		status                 int
+	}{
+		{"ends in time", "/once/", 0, 50 * time.Second, time.Second, http.StatusOK},
+		{"would be cut", "/once/", 0, time.Second, time.Second, http.StatusServiceUnavailable},
+		{"nothing is known of the route", "/once/", 0, time.Second, 0, http.StatusServiceUnavailable},
+		{"nothing is known, and its own time ends before", "/once/", 0, time.Hour, 0, http.StatusOK},
+		{"a stream that may end in time", "/stream/", time.Second, 50 * time.Second, 20 * time.Second, http.StatusOK},
+		{"a stream that may end in time, late", "/stream/", 0, 50 * time.Second, 20 * time.Second, http.StatusServiceUnavailable},
+		{"a stream that ends well in time, late", "/stream/", 0, 50 * time.Second, time.Second, http.StatusOK},
+		{"a stream whose own time ends before", "/stream/", 0, time.Hour, time.Second, http.StatusOK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, arrivals := replica(t, func(http.ResponseWriter, *http.Request) {})
+			r := newRig(t, address)
+			now := time.Now()
+			if test.longest > 0 {
+				r.front.longest.Took(strings.Trim(test.path, "/"), test.longest, now)
+			}
+			r.front.Stopping(now.Add(test.lateIn), now.Add(test.cutIn))
+			response, _, err := r.send(t, "POST", test.path, "")
+			require.NoError(t, err)
+			assert.Equal(t, test.status, response.StatusCode)
+			assert.True(t, response.Close)
+			if test.status != http.StatusOK {
+				assert.Zero(t, arrivals.Load(), "not run, as it says")
+				assert.NotEmpty(t, response.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+func TestCallersAreToldOfACut(t *testing.T) {
+	begun := make(chan struct{})
+	address, _ := replica(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	})
+	r := newRig(t, address)
+	go func() {
+		<-begun
+		r.front.Cut()
+	}()
+	response, _, err := r.send(t, "POST", "/once/", "")
+	require.NoError(t, err, "an answer, not a closed connection")
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode, "it may have run")
+	response, _, err = r.send(t, "POST", "/once/", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "it has not run")
+}
--- /dev/null
+++ b/pkg/admission/longest_test.go
@@ -0,0 +1,40 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLongest(t *testing.T) {
+	type took struct {
+		at, took time.Duration
+	}
+	for _, test := range []struct {
+		name  string
+		took  []took
+		at    time.Duration
+		want  time.Duration
+		known bool
+	}{
+		{"none ended", nil, 0, 0, false},
+		{"the longest counts", []took{{0, time.Second}, {time.Second, 3 * time.Second}, {2 * time.Second, time.Second}}, 3 * time.Second, 3 * time.Second, true},
+		{"the span before counts", []took{{0, 3 * time.Second}, {longestSpan, time.Second}}, longestSpan + time.Second, 3 * time.Second, true},
+		{"an older one does not", []took{{0, 3 * time.Second}, {longestSpan, time.Second}}, 2 * longestSpan, time.Second, true},
+		{"after a long rest nothing is known", []took{{0, 3 * time.Second}}, 3 * longestSpan, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			l := NewLongest()
+			for _, one := range test.took {
+				l.Took("a", one.took, start.Add(one.at))
+			}
+			longest, known := l.Of("a", start.Add(test.at))
+			assert.Equal(t, test.want, longest)
+			assert.Equal(t, test.known, known)
+			_, known = l.Of("b", start)
+			assert.False(t, known)
+		})
+	}
+}
