--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,10 +16,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/router"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -43,14 +45,18 @@
 	router *router.Router
 	limits settings.Limits
 	server *http.Server
+	conns  *conns.Set
+	// stopping: each further answer is the last of its connection.
+	stopping atomic.Bool
 }
 
 // New returns an edge for a router.
 func New(r *router.Router, limits settings.Limits) *Edge {
 	const headerTimeout = 10 * time.Second
-	e := &Edge{router: r, limits: limits}
+	e := &Edge{router: r, limits: limits, conns: conns.NewSet()}
 	e.server = &http.Server{
-		Handler:           e.handler(),
+		Handler:           e.announceEnd(e.handler()),
+		ConnState:         e.conns.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       time.Minute,
 		IdleTimeout:       2 * time.Minute,
@@ -61,16 +67,32 @@
 
 // Serve serves callers on a listener until Shutdown.
 func (e *Edge) Serve(l net.Listener) error {
-	err := e.server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
+	err := e.server.Serve(e.conns.Listener(l))
+	if errors.Is(err, http.ErrServerClosed) || e.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// Shutdown takes no new connections and waits for the requests in flight.
+// Stopping makes each further answer the last of its connection.
+func (e *Edge) Stopping() { e.stopping.Store(true) }
+
+// announceEnd tells callers of a stopping router not to use the connection again.
+func (e *Edge) announceEnd(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Shutdown closes the callers' connections, each once nothing of a request is in
+// it, and returns when none is left. Who served the listener has closed it.
 func (e *Edge) Shutdown(ctx context.Context) error {
-	return e.server.Shutdown(ctx)
+	e.Stopping()
+	_, err := e.conns.Drain(ctx)
+	return err
 }
 
 // Close ends everything at once.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -161,10 +161,12 @@
 func (i *Instance) shutDown() error {
 	ctx, cancel := context.WithTimeout(i.killed, i.settings.Limits.Drain)
 	defer cancel()
+	i.edge.Stopping()
 	if err := i.router.Drain(ctx); err != nil {
 		return fmt.Errorf("%w: %v", ErrCut, err)
 	}
-	// The router is idle, so this only closes idle connections.
+	// The router is idle, so this only closes connections that rest.
+	i.callers.Close()
 	if err := i.edge.Shutdown(ctx); err != nil {
 		return fmt.Errorf("%w: %v", ErrCut, err)
 	}
