--- /dev/null
+++ b/internal/front/oldlist_test.go
@@ -0,0 +1,64 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/upstream"
+)
+
+// The incident: a replica had declared that it leaves, and the users' store had
+// acknowledged that. A router behind a narrow link, whose reads came late, sent the
+// replica a request 3.06 s later; 3 s was the bound. It waited a moment for a newer
+// list and then went by the old one, whatever its age.
+
+// Ages of the lists in these tests, and the greatest at which requests are sent.
+const (
+	testListAge   = time.Minute
+	testListProof = 10 * time.Second
+)
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }
+
+// wantNotRun checks that a request was refused in a way that promises that it has
+// not run.
+func (r *rig) wantNotRun(t *testing.T) {
+	t.Helper()
+	response, _, err := r.send(t, "POST", "/repeat/x", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"), "it has not run and may come again")
+}
+
+func TestNothingIsSentByAListThatIsTooOld(t *testing.T) {
+	address, arrivals := replica(t, answerOK)
+	r := newAgedRig(t, testListAge, address)
+	r.setListProof(testListProof)
+	r.source.fallSilent()
+	r.wantNotRun(t)
+	assert.Zero(t, arrivals.Load())
+}
+
+// The list may become too old while a connection is opened, after the choice.
+func TestTheAgeOfTheListIsLookedAtAgainOnceConnected(t *testing.T) {
+	address, arrivals := replica(t, answerOK)
+	r := newAgedRig(t, testListAge, address)
+	r.setListProof(2 * testListAge)
+	r.front.pool = upstream.New(upstream.Options{
+		IDHeader:       "Try",
+		DialTimeout:    time.Second,
+		SilenceTimeout: 10 * time.Second,
+		IdleTime:       time.Minute,
+		Opened: func(string) {
+			r.source.fallSilent()
+			r.setListProof(testListProof)
+		},
+	})
+	r.wantNotRun(t)
+	assert.Zero(t, arrivals.Load())
+}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -48,6 +48,8 @@
 	snapshot follow.Snapshot
 	err      error
 	reads    int
+	// silent: a read is answered by nothing until its time is over.
+	silent bool
 }
 
 func (s *fakeSource) Replicas(ctx context.Context) (follow.Snapshot, error) {
@@ -56,11 +58,23 @@
 	return snapshot, err
 }
 
-func (s *fakeSource) Read(context.Context) (follow.Snapshot, error) {
+func (s *fakeSource) Read(ctx context.Context) (follow.Snapshot, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.reads++
-	return s.snapshot, s.err
+	snapshot, err, silent := s.snapshot, s.err, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return follow.Snapshot{}, ctx.Err()
+	}
+	return snapshot, err
+}
+
+// fallSilent leaves all reads without an answer from now on.
+func (s *fakeSource) fallSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
 }
 
 // rig is a front between a test's caller and its replicas.
@@ -94,6 +108,33 @@
 }
 
 func newRig(t *testing.T, replicas ...string) *rig {
+	t.Helper()
+	r := newStillRig(t, replicas...)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go r.follower.Run(ctx)
+	require.NoError(t, r.follower.Prove(ctx, time.Now().Add(-time.Hour)))
+	return r
+}
+
+// newAgedRig returns a rig whose knowledge is as old as told; it reads only when a
+// request asks for it.
+func newAgedRig(t *testing.T, age time.Duration, replicas ...string) *rig {
+	t.Helper()
+	r := newStillRig(t, replicas...)
+	r.follower.Take(r.source.snapshot, time.Now().Add(-age))
+	return r
+}
+
+// setListProof sets the greatest age of the list.
+func (r *rig) setListProof(age time.Duration) {
+	limits := *r.front.limits.Load()
+	limits.ListProof = age
+	r.front.SetLimits(limits)
+}
+
+// newStillRig returns a rig that knows nothing yet.
+func newStillRig(t *testing.T, replicas ...string) *rig {
 	t.Helper()
 	config := testConfig()
 	for i := range config.Routes {
@@ -113,10 +154,6 @@
 	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits}, f, holder, balancer, pool, NewMetrics(), log)
 	r := &rig{front: front, source: source, follower: f, holder: holder, server: httptest.NewServer(front), log: log}
 	t.Cleanup(r.server.Close)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go f.Run(ctx)
-	require.NoError(t, f.Prove(ctx, time.Now().Add(-time.Hour)))
 	return r
 }
 
