--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,10 +102,10 @@
 	// readPart of the same time, or of the time to drain if that is shorter, is the
 	// pause between two reads of the source.
 	readPart = 0.4
-	// listPart of the time to drain is the age of the list of replicas at which a
-	// request asks for a newer one: what is left is for the way to the replica, a
-	// connection that fails first (0.3 s) included.
-	listPart = 0.7
+	// wayPart of the time to drain is for the way to a replica of a request that is
+	// written: 0.4 s of 2 s. By the users' rules a link on which packets wait over
+	// half a second is out of the ordinary.
+	wayPart = 0.2
 	// relistBeats is for how many heartbeats a replica that vanished with its list
 	// keeps its work, from the first read after the outage. By the users' word
 	// those that live are listed again within about two seconds (two beats).
@@ -200,7 +200,7 @@
 	return front.Limits{
 		KeyProof:      keyProof(b),
 		AbsenceProof:  part(b.Apply, absencePart),
-		ListProof:     part(b.Drain, listPart),
+		ListProof:     part(b.Drain, 1-wayPart),
 		RepeatRatio:   b.RepeatRatio * repeatPart,
 		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -110,7 +110,7 @@
 	BudgetSpent:       {logrus.WarnLevel, "no repeat left in the budget", "Look at the replicas that fail; the budget keeps them from being asked twice as often."},
 	CallerConnExpired: {logrus.DebugLevel, "caller's connection rested too long, closed", "None needed. The configuration's limits say how long it may rest."},
 	HandlerFailed:     {logrus.ErrorLevel, "the HTTP server reports a fault", "A fault in croftyard or a caller's broken request: report it with the text."},
-	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down; else see why its answers are slow. Requests go by the list at hand."},
+	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down: requests go by the list at hand. Else see why its answers are slow: past its greatest age (`drain`) requests go only to replicas whose own answers show that they stay."},
 	ListNew:           {logrus.InfoLevel, "list of replicas was renewed", "None needed."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -79,6 +79,7 @@
 	// renewFailed is when one last failed.
 	renewing    chan struct{}
 	renewFailed time.Time
+	outage      outage
 }
 
 // New returns a follower that feeds a holder and a balancer.
@@ -148,6 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.options.Load().Timeout)
 	defer cancel()
 	sent := time.Now()
+	f.began(wholeRead, sent)
 	snapshot, err := (*f.source.Load()).Read(ctx)
 	f.reads.Add(1)
 	if err != nil {
@@ -161,11 +163,19 @@
 	return nil
 }
 
+// began notes that a read was sent.
+func (f *Follower) began(kind readKind, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outage.begin(kind, sent)
+}
+
 // noteSource writes when the source was lost and regained.
 func (f *Follower) noteSource(err error, sent time.Time) {
 	f.mu.Lock()
 	was := f.lost
 	f.lost = err != nil
+	f.outage.end(wholeRead, err, time.Now())
 	f.mu.Unlock()
 	switch {
 	case err != nil && !was:
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -42,7 +42,12 @@
 		go f.renewList()
 	}
 	renewing := f.renewing
+	began := f.outage.began[listRead]
 	f.mu.Unlock()
+	if !began.IsZero() && time.Since(began) >= silentAfter {
+		// Those that came before have waited for this read in vain.
+		return ErrNotRenewed
+	}
 	select {
 	case <-renewing:
 	case <-ctx.Done():
@@ -61,10 +66,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), f.options.Load().Timeout)
 	defer cancel()
 	sent := time.Now()
+	f.began(listRead, sent)
 	snapshot, err := (*f.source.Load()).Replicas(ctx)
 	f.reads.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.outage.end(listRead, err, time.Now())
 	if err != nil {
 		f.failed.Add(1)
 		f.renewFailed = time.Now()
--- /dev/null
+++ b/internal/follow/outage.go
@@ -0,0 +1,115 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// silentAfter is how long a read may go unanswered before it counts as one that
+// failed: the users' store answers in some 4 ms, and 200 KB of replicas take 160 ms
+// over 10 Mbit/s.
+const silentAfter = 200 * time.Millisecond
+
+// toldPart of the greatest age of the list is how long ago another router may have
+// been asked for its word to count: two to three rounds of telling.
+const toldPart = 4
+
+// outage is what tells a source that answers nobody from a router whose reads are
+// late. It is guarded by Follower.mu.
+type outage struct {
+	// failed is when a read last ended without an answer, zero once one was
+	// answered; late: its time was over, so the way may be to blame.
+	failed time.Time
+	late   bool
+	// began is when the reads under way were sent, by kind; zero: none is.
+	began [readKinds]time.Time
+	// asked is when another router was asked that answered, the latest of all, and
+	// told the newest proof that any had.
+	asked, told time.Time
+	// seen is when the source was last found to answer nobody.
+	seen time.Time
+}
+
+// readKind names the reads that may be under way beside each other.
+type readKind int
+
+// The kinds of reads.
+const (
+	wholeRead readKind = iota
+	listRead
+	readKinds
+)
+
+// begin notes that a read was sent.
+func (o *outage) begin(kind readKind, now time.Time) { o.began[kind] = now }
+
+// end notes how a read ended.
+func (o *outage) end(kind readKind, err error, now time.Time) {
+	o.began[kind] = time.Time{}
+	if err == nil {
+		o.failed = time.Time{}
+		return
+	}
+	o.failed = now
+	o.late = errors.Is(err, context.DeadlineExceeded)
+}
+
+// unanswered tells whether a read failed since a time or has no answer by now, and
+// whether it is only known to be late.
+func (o *outage) unanswered(since, now time.Time) (unanswered, late bool) {
+	if o.failed.After(since) {
+		return true, o.late
+	}
+	for _, began := range o.began {
+		if !began.IsZero() && now.Sub(began) >= silentAfter {
+			return true, true
+		}
+	}
+	return false, false
+}
+
+// Told takes another router's word, asked for at a time, that its knowledge was
+// the newest at a time, whether or not that knowledge can be taken.
+func (f *Follower) Told(asked, proven time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if asked.After(f.outage.asked) {
+		f.outage.asked = asked
+	}
+	if proven.After(f.outage.told) {
+		f.outage.told = proven
+	}
+}
+
+// Silent tells whether the source answers nobody, as far as can be known here: this
+// router's read has no answer, and another router that was asked lately has nothing
+// that is newer than limit either. Without another router's word a late read may be
+// this router's own fault. A router that never heard of another believes a plain
+// failure.
+func (f *Follower) Silent(limit time.Duration, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o := &f.outage
+	since := now.Add(-limit)
+	unanswered, late := o.unanswered(since, now)
+	if !unanswered || o.told.After(since) {
+		return false
+	}
+	silent := o.asked.After(now.Add(-limit / toldPart))
+	if o.asked.IsZero() {
+		silent = !late
+	}
+	if silent {
+		o.seen = now
+	}
+	return silent
+}
+
+// Unlisted returns the replicas that no list named which was read since a time. One
+// that vanished with its list in an outage that was seen here is not among them.
+func (f *Follower) Unlisted(since time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Unlisted(since, f.outage.seen)
+}
--- /dev/null
+++ b/internal/follow/outage_test.go
@@ -0,0 +1,67 @@
+package follow
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// How old a list may be in these tests.
+const testLimit = 2 * time.Second
+
+func TestASourceIsSilentOnlyWhileThisAndAnotherRouterAreNotAnswered(t *testing.T) {
+	tests := map[string]struct {
+		err   error
+		delay time.Duration
+		// asked and told are how long ago another router was asked, and how old what
+		// it told was; none was heard if told is zero.
+		asked, told time.Duration
+		want        bool
+	}{
+		"answered":                         {told: time.Minute},
+		"refused, others know no more":     {err: errors.New("down"), told: time.Minute, want: true},
+		"refused, another knows more":      {err: errors.New("down"), told: time.Second},
+		"refused, others asked long ago":   {err: errors.New("down"), asked: time.Second, told: time.Minute},
+		"refused, none heard":              {err: errors.New("down"), want: true},
+		"no answer, others know no more":   {delay: time.Minute, told: time.Minute, want: true},
+		"no answer, another knows more":    {delay: time.Minute, told: time.Second},
+		"no answer, others asked long ago": {delay: time.Minute, asked: time.Second, told: time.Minute},
+		"no answer, none heard":            {delay: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFollower(&fakeSource{err: test.err, delay: test.delay, snapshot: Snapshot{Config: config(1)}}, 0)
+				_ = f.readOnce(t.Context())
+				now := time.Now()
+				if test.told > 0 {
+					f.Told(now.Add(-test.asked), now.Add(-test.told))
+				}
+				assert.Equal(t, test.want, f.Silent(testLimit, now))
+				assert.False(t, f.Silent(testLimit, now.Add(testLimit)), "what was seen so long ago shows nothing")
+			})
+		})
+	}
+}
+
+// A read that hangs is known to before its time is over, and a request that comes
+// then does not wait for it.
+func TestAReadWithoutAnAnswerCountsBeforeItsTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower(&fakeSource{delay: time.Minute}, 0)
+		go func() { _ = f.RenewList(t.Context(), time.Now()) }()
+		synctest.Wait()
+		f.Told(time.Now(), time.Now().Add(-time.Minute))
+		assert.False(t, f.Silent(testLimit, time.Now()))
+		time.Sleep(silentAfter)
+		assert.True(t, f.Silent(testLimit, time.Now()))
+		begun := time.Now()
+		require.ErrorIs(t, f.RenewList(t.Context(), time.Now()), ErrNotRenewed)
+		assert.Zero(t, time.Since(begun))
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -46,6 +46,8 @@
 	// errored names the replicas that answered with an error of their own and
 	// are not yet blamed for it.
 	errored []string
+	// held counts how often it was held back once connected.
+	held int
 	// mayHaveRun: a replica may have begun to work on it.
 	mayHaveRun bool
 	// begun: the head of an answer went out.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,7 +36,12 @@
 			return
 		}
 		c.front.renewList(ctx)
-		choice, found := c.front.balancer.Pick(c.question(), time.Now())
+		barred := c.front.barred(time.Now())
+		choice, found := c.front.balancer.Pick(c.question(barred), time.Now())
+		if !found && len(barred) > 0 {
+			c.giveUp(unproven("list of replicas too old"))
+			return
+		}
 		if !found {
 			if c.wait(ctx) {
 				continue
@@ -53,8 +59,10 @@
 	}
 }
 
-func (c *call) question() balance.Question {
-	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.tried}
+// question asks for a replica that was not tried and is not barred.
+func (c *call) question(barred []string) balance.Question {
+	tried := slices.Concat(c.tried, barred)
+	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried}
 	if c.service.Engine != nil {
 		q.Parts = c.parts
 	}
@@ -74,12 +82,15 @@
 // some 4 ms, and their shortest target is 100 ms.
 const listWait = 60 * time.Millisecond
 
-// renewList asks for a newer list of replicas if the one at hand is so old that a
-// replica might get work after it has said that it leaves. Others read the list for
-// this router as a rule; a request is not to pay for one of them being late. While
-// the source does not answer, the list at hand is all there is.
+// renewPart of the greatest age of the list is the age at which a request asks for a
+// newer one: what is left is for the answer, 0.2 s of 1.6 s.
+const renewPart = 0.875
+
+// renewList asks for a newer list of replicas if the one at hand is nearly so old that
+// requests may no longer be sent by it. Others read the list for this router as a
+// rule; a request is not to pay for one of them being late.
 func (f *Front) renewList(ctx context.Context) {
-	limit := f.limits.Load().ListProof
+	limit := time.Duration(float64(f.limits.Load().ListProof) * renewPart)
 	now := time.Now()
 	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
 		return
@@ -148,7 +159,9 @@
 	defer hung.Stop()
 	sent := time.Now()
 	c.waiting.Store(true)
-	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, c.outgoing(choice))
+	request := c.outgoing(choice)
+	request.Check = func() error { return c.mayWrite(id, time.Now()) }
+	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
 	if err != nil {
 		return c.failed(ctx, id, err)
@@ -158,6 +171,7 @@
 		c.front.balancer.Paced(id, time.Since(sent))
 	}
 	c.sent.Add(1)
+	c.front.noteStay(id, sent, answer)
 	return c.answered(ctx, cancel, choice, answer)
 }
 
@@ -188,6 +202,9 @@
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, id string, err error) verdict {
 	c.outcome.reason = "no answer: " + err.Error()
+	if errors.Is(err, errHeldBack) {
+		return c.heldBack(id, err)
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		if c.request.Context().Err() == nil && ctx.Err() == nil {
 			c.front.fail(c.id, id, dialFailure(err))
@@ -211,6 +228,22 @@
 	return c.repeat("broken")
 }
 
+// maxHeldBack is how often a request may be held back once connected. Then its way
+// takes longer than what allows it stays new.
+const maxHeldBack = 2
+
+// heldBack turns an attempt that was held back into a verdict. It says nothing of the
+// replica, which may be asked if all is well again.
+func (c *call) heldBack(id string, err error) verdict {
+	c.outcome.reason = err.Error()
+	c.held++
+	if c.held >= maxHeldBack {
+		return over
+	}
+	c.tried = slices.DeleteFunc(c.tried, func(tried string) bool { return tried == id })
+	return again
+}
+
 // asked returns how many replicas were asked, the one included whose answer is
 // waited for.
 func (c *call) asked() int {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -65,8 +65,8 @@
 	// AbsenceProof is the greatest age of the proof at which an unknown route or
 	// key is said to be unknown.
 	AbsenceProof time.Duration
-	// ListProof is the greatest age of the list of replicas by which requests are
-	// sent without asking for a newer one first.
+	// ListProof is the greatest age of the list of replicas by which a request is
+	// written to a replica. Zero: none.
 	ListProof time.Duration
 	// RepeatRatio is how many repeats each request earns, RepeatReserve how many
 	// there are in store.
@@ -90,7 +90,9 @@
 	served   atomic.Uint64
 	spent    atomic.Bool
 	// listOld: the list of replicas could not be renewed when it was last asked for.
-	listOld  atomic.Bool
+	listOld atomic.Bool
+	// stayed is what replicas themselves showed of not leaving.
+	stayed   stayed
 	stopping atomic.Bool
 }
 
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -62,3 +62,51 @@
 	r.wantNotRun(t)
 	assert.Zero(t, arrivals.Load())
 }
+
+// A replica that answers without closing its connection has not said that it leaves.
+// One that leaves, or another that stands at its address, shows nothing.
+func TestAReplicaThatShowsThatItStaysIsUsedDespiteAnOldList(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		want   int
+	}{
+		"stays":                 {"HTTP/1.1 200 OK\r\nTry: id-1\r\nContent-Length: 0\r\n\r\n", http.StatusOK},
+		"leaves":                {"HTTP/1.1 200 OK\r\nTry: id-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n!", http.StatusServiceUnavailable},
+		"is another":            {"HTTP/1.1 421 No\r\nTry: id-1\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable},
+		"fails with its answer": {"HTTP/1.1 500 No\r\nTry: id-1\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := rawReplica(t, test.answer, whole("id-1", "later"))
+			r := newAgedRig(t, testListAge, address)
+			r.setListProof(2 * testListAge)
+			_, _, err := r.send(t, "POST", "/single/x", "")
+			require.NoError(t, err)
+			r.source.fallSilent()
+			r.setListProof(testListProof)
+			response, _, err := r.send(t, "POST", "/single/x", "")
+			require.NoError(t, err)
+			assert.Equal(t, test.want, response.StatusCode)
+		})
+	}
+}
+
+// A key's proof, too, may become too old while a connection is opened.
+func TestTheAgeOfTheKeysProofIsLookedAtAgainOnceConnected(t *testing.T) {
+	address, arrivals := replica(t, answerOK)
+	r := newAgedRig(t, testListAge, address)
+	r.front.pool = upstream.New(upstream.Options{
+		IDHeader:       "Try",
+		DialTimeout:    time.Second,
+		SilenceTimeout: 10 * time.Second,
+		IdleTime:       time.Minute,
+		Opened: func(string) {
+			limits := *r.front.limits.Load()
+			limits.KeyProof, limits.AbsenceProof = testListProof, testListProof
+			r.front.SetLimits(limits)
+			r.source.fail(assert.AnError)
+		},
+	})
+	r.wantNotRun(t)
+	assert.Zero(t, arrivals.Load())
+}
--- a/internal/front/renew_test.go
+++ b/internal/front/renew_test.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -16,13 +15,10 @@
 // A router whose list was old sent work to replicas that had said that they leave:
 // a hunt's DRAIN, 27 ms late, and eleven on a grown site.
 func TestAnOldListIsRenewedBeforeARequestIsSent(t *testing.T) {
-	answer := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }
-	leaving, _ := replica(t, answer)
-	staying, _ := replica(t, answer)
-	r := newRig(t, leaving, staying)
-	limits := *r.front.limits.Load()
-	limits.ListProof = time.Nanosecond
-	r.front.SetLimits(limits)
+	leaving, _ := replica(t, answerOK)
+	staying, _ := replica(t, answerOK)
+	r := newAgedRig(t, testListAge, leaving, staying)
+	r.setListProof(testListProof)
 	r.source.mu.Lock()
 	list := slices.Clone(r.source.snapshot.Replicas)
 	list[0].State = directory.Draining
@@ -42,19 +38,63 @@
 	}
 }
 
-func TestAListThatCannotBeRenewedIsGoneBy(t *testing.T) {
-	address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
-	r := newRig(t, address)
-	limits := *r.front.limits.Load()
-	limits.ListProof = time.Nanosecond
-	r.front.SetLimits(limits)
-	r.source.mu.Lock()
-	r.source.err = assert.AnError
-	r.source.mu.Unlock()
-	for range 3 {
-		response, _, err := r.send(t, "POST", "/single/x", "")
-		require.NoError(t, err)
-		assert.Equal(t, http.StatusOK, response.StatusCode)
+// Days on which the store is down go on: while it answers nobody, nobody can have
+// heard more than the list at hand says. A router that is late by itself is bound.
+func TestAnOldListIsGoneByOnlyWhileTheSourceAnswersNobody(t *testing.T) {
+	longAgo := func() time.Time { return time.Now().Add(-testListAge) }
+	tests := map[string]struct {
+		silent bool
+		told   func(*rig)
+		served bool
+	}{
+		"fails, no other router is known": {served: true},
+		"fails, others have nothing newer": {
+			told:   func(r *rig) { r.follower.Told(time.Now(), longAgo()) },
+			served: true,
+		},
+		"fails, another has something newer": {
+			told: func(r *rig) { r.follower.Told(time.Now(), time.Now()) },
+		},
+		"fails, others were not heard for long": {
+			told: func(r *rig) { r.follower.Told(longAgo(), longAgo()) },
+		},
+		"silent, no other router is known": {silent: true},
+		"silent, another has something newer": {
+			silent: true,
+			told:   func(r *rig) { r.follower.Told(time.Now(), time.Now()) },
+		},
+		"silent, others have nothing newer": {
+			silent: true,
+			told:   func(r *rig) { r.follower.Told(time.Now(), longAgo()) },
+			served: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, arrivals := replica(t, answerOK)
+			r := newAgedRig(t, testListAge, address)
+			r.setListProof(testListProof)
+			if test.silent {
+				r.source.fallSilent()
+			} else {
+				r.source.fail(assert.AnError)
+			}
+			// The read is known to have no answer before the request comes.
+			require.Error(t, r.follower.RenewList(t.Context(), time.Now()))
+			if test.told != nil {
+				test.told(r)
+			}
+			for range 3 {
+				if !test.served {
+					r.wantNotRun(t)
+					continue
+				}
+				response, _, err := r.send(t, "POST", "/single/x", "")
+				require.NoError(t, err)
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+			}
+			assert.Equal(t, test.served, arrivals.Load() > 0)
+			assert.True(t, r.front.listOld.Load(), "it is noted")
+		})
 	}
-	assert.True(t, r.front.listOld.Load(), "it is noted")
 }
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -77,6 +77,13 @@
 	s.silent = true
 }
 
+// fail answers all reads with an error from now on.
+func (s *fakeSource) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
 // rig is a front between a test's caller and its replicas.
 type rig struct {
 	front    *Front
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -43,6 +43,7 @@
 		return
 	}
 	proven := asked.Add(-milliseconds(reply.GetProofMs()))
+	g.follower.Told(asked, proven)
 	newer := g.follower.ProvenBy(reply.Version, reply.Mark, proven)
 	if newer || !g.recalled.Load() {
 		g.learn(ctx, address)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -79,6 +79,9 @@
 	Body   []byte
 	// ID must come back in the answer.
 	ID string
+	// Check is called when there is a connection, right before the first byte is
+	// written; an error leaves the request unsent. It may be nil.
+	Check func() error
 }
 
 // Answer is a replica's answer whose head has arrived. Body must be read to its
@@ -100,6 +103,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
+		if err := r.check(); err != nil {
+			p.keepUnused(c)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
 		answer, written, err := p.exchange(ctx, c, r)
 		if err == nil {
 			return answer, nil
@@ -116,6 +123,21 @@
 	}
 }
 
+// keepUnused keeps a connection on which nothing was sent.
+func (p *Pool) keepUnused(c *conn) {
+	if c.expires.IsZero() {
+		c.expires = time.Now().Add(p.options.IdleTime)
+	}
+	p.put(c)
+}
+
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 func (p *Pool) connect(ctx context.Context, address string) (c *conn, reused bool, err error) {
 	for {
 		c := p.take(address)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -66,10 +66,14 @@
 	grace   time.Duration
 	entries map[string]*entry
 	read    time.Time
+	// oldest is when the replica was last listed for which that is longest ago.
+	oldest time.Time
 }
 
 type entry struct {
 	replica Replica
+	// listed is when the last read was sent that listed it.
+	listed time.Time
 	// doubtedSince is when the entry was first missing after an outage.
 	doubtedSince time.Time
 }
@@ -103,6 +107,7 @@
 			changes = d.missing(id, e, lost[e.replica.Service], changes)
 		}
 	}
+	d.noteOldest()
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
 	return changes
 }
@@ -135,7 +140,7 @@
 func (d *Directory) take(r Replica, changes []Change) []Change {
 	old, known := d.entries[r.ID]
 	if !known {
-		d.entries[r.ID] = &entry{replica: r}
+		d.entries[r.ID] = &entry{replica: r, listed: d.read}
 		return append(changes, Change{r, Joined})
 	}
 	switch {
@@ -145,6 +150,7 @@
 		changes = append(changes, Change{r, Back})
 	}
 	old.replica = r
+	old.listed = d.read
 	old.doubtedSince = time.Time{}
 	return changes
 }
@@ -161,6 +167,32 @@
 	return append(changes, Change{e.replica, Left})
 }
 
+func (d *Directory) noteOldest() {
+	d.oldest = d.read
+	for _, e := range d.entries {
+		if e.listed.Before(d.oldest) {
+			d.oldest = e.listed
+		}
+	}
+}
+
+// Unlisted returns the ids of the replicas that no read named which was sent since a
+// time. One that vanished with its list is left out if the list was seen to be lost
+// after it was last named.
+func (d *Directory) Unlisted(since, lost time.Time) []string {
+	if !d.oldest.Before(since) {
+		return nil
+	}
+	var ids []string
+	for id, e := range d.entries {
+		excused := !e.doubtedSince.IsZero() && lost.After(e.listed)
+		if e.listed.Before(since) && !excused {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // addressTaken tells whether another replica stands at the address now.
 func (d *Directory) addressTaken(id, address string) bool {
 	for other, e := range d.entries {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -102,3 +102,19 @@
 	alone.Replace(ready("a"), at(0))
 	assert.Equal(t, map[string]What{"a": Doubted}, changes(alone.Replace(nil, at(10))), "all there were")
 }
+
+// Whether a replica may have said long ago that it leaves goes by when it was listed
+// itself, not by when the list was read.
+func TestUnlistedGoesByWhenEachReplicaWasListedLast(t *testing.T) {
+	d := New(10*time.Second, 10*time.Second)
+	d.Replace(ready("a", "b", "c"), at(0))
+	d.Replace(ready("a"), at(1))
+	assert.Len(t, d.List(), 3, "two vanished at once and are doubted")
+	assert.Empty(t, d.Unlisted(at(0), time.Time{}))
+	assert.ElementsMatch(t, []string{"b", "c"}, d.Unlisted(at(0.5), time.Time{}))
+	assert.ElementsMatch(t, []string{"b", "c"}, d.Unlisted(at(0.5), at(-1)), "an outage before says nothing")
+	assert.Empty(t, d.Unlisted(at(0.5), at(0.5)), "the list was lost after they were listed")
+	assert.Equal(t, []string{"a"}, d.Unlisted(at(1.5), at(0.5)), "a listed one is not excused")
+	d.Replace(ready("a", "b", "c"), at(2))
+	assert.Empty(t, d.Unlisted(at(2), time.Time{}))
+}
