--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -22,7 +23,7 @@
 	}()
 	asked := time.Now()
 	var reply *gossippb.Freshness
-	err := g.client.Control(ctx, address, callTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := g.client.Control(ctx, address, peer.Bound{Call: callTimeout, Kept: keptTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Exchange(ctx, digest)
 		return err
 	})
@@ -83,7 +84,7 @@
 	asked := time.Now()
 	version, mark := g.follower.Version()
 	var reply *gossippb.KnowledgeReply
-	err := g.client.Control(ctx, address, learnTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := g.client.Control(ctx, address, peer.Bound{Call: learnTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, &gossippb.KnowledgeRequest{Version: version, Mark: mark, Holders: !g.recalled.Load()})
 		return err
 	})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -57,6 +57,12 @@
 	// router's knowledge, which may be large and come over a narrow link.
 	callTimeout  = 500 * time.Millisecond
 	learnTimeout = time.Second
+	// keptTimeout is for how long a kept connection may leave an exchange without an
+	// answer: routers answer in some ms, and in half a round the call on a new one
+	// still ends before the next round begins, so that none is lost. The taking of
+	// knowledge has no such bound: it follows an exchange on the same connection, and
+	// what comes over a narrow link would have to come twice.
+	keptTimeout = 150 * time.Millisecond
 )
 
 // Gossip is safe for concurrent use.
--- /dev/null
+++ b/internal/gossip/silent_test.go
@@ -0,0 +1,26 @@
+package gossip
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/faulty"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+)
+
+func TestAnExchangeOnASilentConnectionStillArrives(t *testing.T) {
+	told, teller := newRestingRouter(t, &source{}), newRestingRouter(t, &source{})
+	relay, err := faulty.NewRelay(told.gossip.Address())
+	require.NoError(t, err)
+	t.Cleanup(relay.Close)
+	teller.gossip.exchange(context.Background(), relay.Address(), &gossippb.Digest{Sender: "10.0.0.1:1"})
+	require.Equal(t, 2, told.gossip.Members())
+	relay.Silence()
+
+	teller.gossip.exchange(context.Background(), relay.Address(), &gossippb.Digest{Sender: "10.0.0.2:1"})
+	assert.Equal(t, 3, told.gossip.Members(), "what a digest tells is told once: it must not be lost")
+	assert.Equal(t, 2, relay.Opened())
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -45,17 +45,41 @@
 
 // conn takes a pooled connection that is ready or dials one. An error means
 // that no byte left.
-func (c *Client) conn(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (conn *drpcconn.Conn, kept bool, err error) {
+	if conn := c.take(address); conn != nil {
+		return conn, true, nil
+	}
+	conn, err = c.open(ctx, address)
+	return conn, false, err
+}
+
+// take returns a pooled connection that is ready, or nil.
+func (c *Client) take(address string) *drpcconn.Conn {
 	for {
 		conn, found := c.pool.Take(address)
 		if !found {
-			break
+			return nil
 		}
 		if ready(conn) {
-			return conn, nil
+			return conn
 		}
 		conn.Close()
 	}
+}
+
+// forget closes the pooled connections to an address: they go silent together, so
+// one that failed speaks against all that were opened before.
+func (c *Client) forget(address string) {
+	for {
+		conn, found := c.pool.Take(address)
+		if !found {
+			return
+		}
+		conn.Close()
+	}
+}
+
+func (c *Client) open(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnreachable, err)
@@ -81,7 +105,7 @@
 // up to and including the end. It returns ErrUnreachable when nothing was
 // sent, ErrBroken when the end did not come, and receive's error as it is.
 func (c *Client) Forward(ctx context.Context, address string, r *peerpb.ForwardRequest, receive Sender) error {
-	conn, err := c.conn(ctx, address)
+	conn, _, err := c.conn(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -171,21 +195,54 @@
 // control makes one bounded call. Control calls may be repeated, so their
 // errors need not tell what became of them.
 func (c *Client) control(ctx context.Context, address string, call func(context.Context, peerpb.DRPCPeerClient) error) error {
-	return c.Control(ctx, address, controlTimeout, func(ctx context.Context, conn drpc.Conn) error {
+	return c.Control(ctx, address, Bound{Call: controlTimeout, Kept: keptTimeout}, func(ctx context.Context, conn drpc.Conn) error {
 		return call(ctx, peerpb.NewDRPCPeerClient(conn))
 	})
 }
 
-// Control makes one call of any service, bounded in time, on a pooled connection.
-func (c *Client) Control(ctx context.Context, address string, timeout time.Duration, call func(context.Context, drpc.Conn) error) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// Bound is how long a call may take.
+type Bound struct {
+	// Call is the time for the whole call.
+	Call time.Duration
+	// Kept is the part of it for a connection that was kept: one that went silent is
+	// told by nothing else. After it the call is made once more, on a new one. Without
+	// it a call is made once.
+	Kept time.Duration
+}
+
+// Control makes one call of any service, bounded in time. The call must be one
+// that may be repeated.
+func (c *Client) Control(ctx context.Context, address string, b Bound, call func(context.Context, drpc.Conn) error) error {
+	ctx, cancel := context.WithTimeout(ctx, b.Call)
 	defer cancel()
-	conn, err := c.conn(ctx, address)
+	conn, kept, err := c.conn(ctx, address)
 	if err != nil {
 		return err
 	}
+	if !kept || b.Kept == 0 {
+		return c.finish(ctx, address, conn, call)
+	}
+	err = c.finishWithin(ctx, b.Kept, address, conn, call)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	if conn, err = c.open(ctx, address); err != nil {
+		return err
+	}
+	return c.finish(ctx, address, conn, call)
+}
+
+func (c *Client) finishWithin(ctx context.Context, limit time.Duration, address string, conn *drpcconn.Conn, call func(context.Context, drpc.Conn) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.finish(ctx, address, conn, call)
+}
+
+// finish makes a call on a connection and keeps it, or drops all to the address.
+func (c *Client) finish(ctx context.Context, address string, conn *drpcconn.Conn, call func(context.Context, drpc.Conn) error) error {
 	if err := call(ctx, conn); err != nil {
 		conn.Close()
+		c.forget(address)
 		return fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	c.pool.Put(address, conn)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -124,5 +124,9 @@
 	s.done.Wait()
 }
 
-// controlTimeout bounds a control call.
-const controlTimeout = 2 * time.Second
+// controlTimeout bounds a control call, and keptTimeout its first attempt on a kept
+// connection: what is left is for a new one to open (a second at most) and answer.
+const (
+	controlTimeout = 2 * time.Second
+	keptTimeout    = 800 * time.Millisecond
+)
