--- a/internal/faulty/relay.go
+++ b/internal/faulty/relay.go
@@ -14,9 +14,11 @@
 	listener net.Listener
 	to       string
 	opened   atomic.Int64
-	mu       sync.Mutex
-	links    []*link
-	done     sync.WaitGroup
+	// silentNew: new connections are silent from their start.
+	silentNew atomic.Bool
+	mu        sync.Mutex
+	links     []*link
+	done      sync.WaitGroup
 }
 
 // link is one connection that is passed on.
@@ -51,6 +53,9 @@
 	}
 }
 
+// SilenceNew makes connections silent that are opened from now on.
+func (r *Relay) SilenceNew() { r.silentNew.Store(true) }
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	r.listener.Close()
@@ -79,6 +84,7 @@
 			continue
 		}
 		l := &link{caller: caller, server: server}
+		l.silent.Store(r.silentNew.Load())
 		r.mu.Lock()
 		r.links = append(r.links, l)
 		r.mu.Unlock()
