--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,19 +130,22 @@
 	period := readPeriod(b)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
 		directory.New(2*period, relistBeats*b.Heartbeat), e.holder, e.balancer, e.log)
-	var err error
-	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
-		e.follower, e.balancer, e.log)
-	if err != nil {
-		return fmt.Errorf("entry: %w", err)
-	}
 	e.pool = upstream.New(upstream.Options{
 		IDHeader:       e.outside.Dialect.Attempt,
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: e.settings.Routes.Silence,
 		IdleTime:       e.settings.Routes.Keep,
 		Opened:         func(string) { e.metrics.Opened.Inc(1) },
+		Silenced: func(address string, dropped int) {
+			e.log.Write(event.ConnsSilent, event.F("address", address), event.F("dropped", dropped))
+		},
 	})
+	var err error
+	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
+		e.follower, e.balancer, e.log)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
 	e.front = front.New(front.Options{
 		Dialect:    e.outside.Dialect,
 		DataCentre: e.settings.DataCentre,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -42,6 +42,7 @@
 	ProofOld          ID = 311
 	ProofNew          ID = 312
 	CentreHeard       ID = 313
+	ConnsSilent       ID = 314
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -95,6 +96,7 @@
 	ProofOld:          {logrus.WarnLevel, "configuration not proven new enough for keys", "Requests with keys are refused. Look at the platform and at the peers."},
 	ProofNew:          {logrus.InfoLevel, "configuration proven new enough again", "None needed."},
 	CentreHeard:       {logrus.InfoLevel, "a router of a silent data centre is heard again", "None needed."},
+	ConnsSilent:       {logrus.WarnLevel, "kept connections went silent, dropped", "If frequent, look at what stands between: a firewall or proxy that forgets connections."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -148,7 +148,9 @@
 	defer hung.Stop()
 	sent := time.Now()
 	c.waiting.Store(true)
-	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, c.outgoing(choice))
+	request := c.outgoing(choice)
+	request.Unacked = c.moveOn(c.hangTime(), cancel)
+	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
 	if err != nil {
 		return c.failed(ctx, id, err)
@@ -173,16 +175,24 @@
 }
 
 // whenSilent starts a timer that doubts a replica when it fires, and moves on if
-// the request may be repeated. What the timer needs is read here: later it runs
-// beside the call.
+// the request may be repeated.
 func (c *call) whenSilent(limit time.Duration, id string, cancel context.CancelCauseFunc) *time.Timer {
-	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
+	moveOn := c.moveOn(limit, cancel)
 	return time.AfterFunc(limit, func() {
 		c.front.fail(c.id, id, balance.Hung)
+		moveOn()
+	})
+}
+
+// moveOn returns what ends an attempt if the request may be repeated and there is
+// time for it. What it needs is read here: later it runs beside the call.
+func (c *call) moveOn(limit time.Duration, cancel context.CancelCauseFunc) func() {
+	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
+	return func() {
 		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.front.repeats.Left() {
 			cancel(errHung)
 		}
-	})
+	}
 }
 
 // failed turns an attempt without an answer into a verdict.
--- /dev/null
+++ b/internal/socket/socket_test.go
@@ -0,0 +1,77 @@
+package socket
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// connected returns the two ends of a connection.
+func connected(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		dialled.Close()
+		accepted.Close()
+	})
+	return accepted.(*net.TCPConn), dialled.(*net.TCPConn)
+}
+
+func left(c net.Conn) bool {
+	s, known := Look(c)
+	return known && s.Left
+}
+
+// until waits for a condition; the test's own limit ends a wait in vain.
+func until(condition func() bool) {
+	for !condition() {
+	}
+}
+
+func TestLeavingIsSeenBehindUnreadBytesAndBesideARead(t *testing.T) {
+	tests := map[string]func(near, far *net.TCPConn){
+		"closed":               func(_, far *net.TCPConn) { far.Close() },
+		"closed behind a text": func(_, far *net.TCPConn) { _, _ = far.Write([]byte("text")); far.Close() },
+		"reset":                func(_, far *net.TCPConn) { _ = far.SetLinger(0); far.Close() },
+		"a read is under way":  func(near, far *net.TCPConn) { go func() { _, _ = near.Read(make([]byte, 1)) }(); far.Close() },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			near, far := connected(t)
+			assert.False(t, left(near))
+			leave(near, far)
+			until(func() bool { return left(near) })
+		})
+	}
+}
+
+func TestBytesThatArrivedAreAcknowledged(t *testing.T) {
+	near, _ := connected(t)
+	_, err := near.Write([]byte("text"))
+	require.NoError(t, err)
+	until(func() bool {
+		s, known := Look(near)
+		require.True(t, known)
+		return !s.Unacked
+	})
+}
+
+func TestOnlySocketsAreKnown(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	_, known := Look(near)
+	assert.False(t, known)
+	closed, _ := connected(t)
+	closed.Close()
+	_, known = Look(closed)
+	assert.False(t, known)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,7 +23,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/socket"
 )
 
 // Errors of this package.
@@ -46,25 +49,37 @@
 	IdleTime time.Duration
 	// Opened is called for each connection that was opened. It may be nil.
 	Opened func(address string)
+	// Silenced is called when a kept connection to an address turned out to be silent,
+	// with how many that rested were dropped for it. It may be nil.
+	Silenced func(address string, dropped int)
 }
 
 // Pool keeps connections to replicas. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	mu      sync.Mutex
-	idle    map[string][]*conn
+	// look asks the system for the state of a connection.
+	look func(net.Conn) (s socket.State, known bool)
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// open are the connections to each address that are open, idle or not.
+	open map[string]map[*conn]struct{}
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{options: o, idle: make(map[string][]*conn)}
+	return &Pool{options: o, look: socket.Look, idle: make(map[string][]*conn), open: make(map[string]map[*conn]struct{})}
 }
 
 // conn is one connection. Between requests it rests in the pool.
 type conn struct {
 	net.Conn
+	pool    *Pool
 	reader  *bufio.Reader
 	address string
+	// opened and heard are when it was opened and when bytes last came on it, in
+	// nanoseconds of the pool's clock. An exchange's timer reads heard beside it.
+	opened int64
+	heard  atomic.Int64
 	// expires is when the replica or the pool no longer keeps it.
 	expires time.Time
 }
@@ -79,6 +94,9 @@
 	Body   []byte
 	// ID must come back in the answer.
 	ID string
+	// Unacked is called, beside Do, if the request was written on a kept connection and
+	// its arrival was not confirmed in time. It may be nil.
+	Unacked func()
 }
 
 // Answer is a replica's answer whose head has arrived. Body must be read to its
@@ -100,7 +118,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
-		answer, written, err := p.exchange(ctx, c, r)
+		answer, written, err := p.watched(ctx, c, reused, r)
 		if err == nil {
 			return answer, nil
 		}
@@ -164,7 +182,7 @@
 	if p.options.Opened != nil {
 		p.options.Opened(address)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), address: address}, nil
+	return p.newConn(raw, address), nil
 }
 
 // exchange writes the request and reads the head. written is the number of
@@ -303,15 +321,16 @@
 }
 
 // CloseIdle closes the connections that rested too long.
-func (p *Pool) CloseIdle() {
+func (p *Pool) CloseIdle() { closeAll(p.takeExpired(time.Now())) }
+
+func (p *Pool) takeExpired(now time.Time) (expired []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	for address, list := range p.idle {
-		kept := list[:0]
+		var kept []*conn
 		for _, c := range list {
 			if now.After(c.expires) {
-				c.Close()
+				expired = append(expired, c)
 				continue
 			}
 			kept = append(kept, c)
@@ -321,6 +340,7 @@
 			delete(p.idle, address)
 		}
 	}
+	return expired
 }
 
 // Idle returns how many connections rest.
