--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -14,8 +14,6 @@
 package balance
 
 import (
-	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -284,28 +282,6 @@
 	return choice, true
 }
 
-func (b *Balancer) pickPlain(q Question, left []*replica, now time.Time) (*replica, Reason) {
-	// A random start makes routers that know the same choose differently.
-	b.random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
-	weight := func(r *replica) float64 {
-		away := 0.0
-		if r.DataCentre != q.DataCentre {
-			away = awayPenalty
-		}
-		return math.Floor(b.load(r, now)) + away
-	}
-	best := slices.MinFunc(left, func(x, y *replica) int {
-		return cmp.Or(cmp.Compare(b.badness(x, now), b.badness(y, now)), cmp.Compare(weight(x), weight(y)))
-	})
-	if b.suspect(best, now) {
-		return best, LastResort
-	}
-	return best, LeastLoaded
-}
-
-// awayPenalty is what the way to another data centre weighs, in requests.
-const awayPenalty = 1.5
-
 // Started counts a request that is about to be sent to a replica.
 func (b *Balancer) Started(id string) {
 	b.mu.Lock()
--- /dev/null
+++ b/pkg/balance/plain.go
@@ -0,0 +1,75 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// awayPenalty is what the way to another data centre weighs, in requests.
+const awayPenalty = 1.5
+
+// pickPlain chooses a replica of a service that keeps nothing between requests.
+func (b *Balancer) pickPlain(q Question, left []*replica, now time.Time) (*replica, Reason) {
+	// A random start makes routers that know the same choose differently.
+	b.random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+	sound := b.leastBad(left, now)
+	chosen := b.lowest(q, sound, now)
+	if b.large {
+		chosen = b.drawByLoad(q, sound, now)
+	}
+	if b.suspect(chosen, now) {
+		return chosen, LastResort
+	}
+	return chosen, LeastLoaded
+}
+
+// leastBad returns those that are to be avoided least.
+func (b *Balancer) leastBad(list []*replica, now time.Time) []*replica {
+	var best []*replica
+	least := math.MaxInt
+	for _, r := range list {
+		bad := b.badness(r, now)
+		if bad < least {
+			best, least = best[:0], bad
+		}
+		if bad == least {
+			best = append(best, r)
+		}
+	}
+	return best
+}
+
+// plainLoad is a replica's load with what the way to it weighs.
+func (b *Balancer) plainLoad(q Question, r *replica, now time.Time) float64 {
+	if r.DataCentre != q.DataCentre {
+		return math.Floor(b.load(r, now)) + awayPenalty
+	}
+	return math.Floor(b.load(r, now))
+}
+
+func (b *Balancer) lowest(q Question, list []*replica, now time.Time) *replica {
+	return slices.MinFunc(list, func(x, y *replica) int {
+		return cmp.Compare(b.plainLoad(q, x, now), b.plainLoad(q, y, now))
+	})
+}
+
+// drawByLoad draws one, the likelier the less loaded it is. In a large fleet the
+// others' counts are a round of telling old: if all routers took the least loaded
+// one they would fill it, turn to the next, and fill that.
+func (b *Balancer) drawByLoad(q Question, list []*replica, now time.Time) *replica {
+	weights := make([]float64, len(list))
+	total := 0.0
+	for i, r := range list {
+		weights[i] = 1 / (1 + b.plainLoad(q, r, now))
+		total += weights[i]
+	}
+	point := b.random.Float64() * total
+	for i, weight := range weights {
+		if point -= weight; point < 0 {
+			return list[i]
+		}
+	}
+	return list[len(list)-1]
+}
