--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,8 +73,10 @@
 	directory *directory.Directory
 	mark      uint64
 	lost      bool
-	// read is closed and renewed with each read that succeeded.
+	// read is closed and renewed with each read that succeeded, news with each change
+	// of the configuration or of the list.
 	read chan struct{}
+	news chan struct{}
 	// renewing is closed when the renewal of the list that is under way has ended;
 	// renewFailed is when one last failed.
 	renewing    chan struct{}
@@ -90,6 +92,7 @@
 		wake:      make(chan struct{}, 1),
 		directory: d,
 		read:      make(chan struct{}),
+		news:      make(chan struct{}),
 	}
 	f.Set(s, o)
 	return f
@@ -200,6 +203,7 @@
 	}
 	f.balancer.Replace(f.directory.List(), f.directory.Read())
 	f.mark = f.directory.Mark()
+	f.tellNews()
 	for _, c := range changes {
 		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
 			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
@@ -222,6 +226,7 @@
 		return
 	}
 	if f.holder.Offer(table, sent) {
+		f.tellNews()
 		f.log.Write(event.ConfigAdopted, event.F("version", table.Version()), event.F("routes", len(s.Config.Routes)))
 	}
 }
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -84,6 +84,7 @@
 		return
 	}
 	if f.holder.Offer(table, proven) {
+		f.tellNews()
 		f.log.Write(event.ConfigFromPeer, event.F("version", c.Version), event.F("peer", from))
 	}
 }
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -9,67 +9,11 @@
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
 
-// refusal is an answer of the router's own.
-type refusal struct {
-	status int
-	reason string
-	// retryAfter tells when to come back; zero: not at all.
-	retryAfter time.Duration
-	// closes the connection with the answer.
-	closes bool
-}
-
-// Times after which a refused caller is told to come back.
-const (
-	// retryElsewhere is for what another router can serve at once.
-	retryElsewhere = 50 * time.Millisecond
-	// retryLater is for what no router can serve now.
-	retryLater = 500 * time.Millisecond
-)
-
-// startWait bounds the wait for the first configuration: a fifth of the users'
-// usual target.
-const startWait = 60 * time.Millisecond
-
-// proofWait bounds the wait for a proof that is new enough to say no by.
-const proofWait = 400 * time.Millisecond
-
-func unproven(reason string) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryElsewhere, closes: true}
-}
-
-// startTime is how long a start takes until there is a configuration, when all routers
-// start: with 2,185 routes over 10 Mbit/s it took 0.56 to 0.70 s.
-const startTime = 650 * time.Millisecond
-
-// notYet refuses a request that comes before there is a configuration. The caller is
-// told to come back when the start is over: many come back once only.
-func (f *Front) notYet(now time.Time) *refusal {
-	r := unproven("no configuration yet")
-	r.retryAfter = max(startTime-now.Sub(f.started), retryElsewhere)
-	return r
-}
-
-// firstState returns the state by which a request is served. One that comes right
-// after the start waits a moment for the first configuration: a small one is there
-// after some 15 ms.
-func (f *Front) firstState(ctx context.Context) *freshness.State {
-	state := f.holder.Current()
-	if state.Table != nil || f.follower.Lost() {
-		return state
-	}
-	ctx, cancel := context.WithTimeout(ctx, startWait)
-	defer cancel()
-	// Without a proof in time the state is as it was.
-	_ = f.follower.Prove(ctx, f.started)
-	return f.holder.Current()
-}
-
 // admit finds the route and the organisation of the request in the newest
 // configuration, or says why there are none. What is not found is looked for
 // again once the configuration is proven to be new.
 func (c *call) admit(ctx context.Context) *refusal {
-	state := c.front.firstState(ctx)
+	state := c.firstState(ctx)
 	if state.Table == nil {
 		return c.front.notYet(time.Now())
 	}
@@ -83,7 +27,7 @@
 	if state.Age(time.Now()) < c.front.limits.Load().AbsenceProof {
 		return refused
 	}
-	if !c.front.prove(ctx, c.arrival) {
+	if !c.prove(ctx, c.arrival) {
 		return unproven("cannot tell: " + refused.reason)
 	}
 	return c.resolve(c.front.holder.Current())
@@ -107,23 +51,12 @@
 		return nil
 	}
 	// Any proof that is young enough will do; one that is asked for now is.
-	if !c.front.prove(ctx, time.Now().Add(-c.front.limits.Load().AbsenceProof)) {
+	if !c.prove(ctx, time.Now().Add(-c.front.limits.Load().AbsenceProof)) {
 		return unproven("proof too old for keys")
 	}
 	return c.resolve(c.front.holder.Current())
 }
 
-// prove waits for a proof that is newer than a time. While the source is known
-// to be lost there is none to wait for.
-func (f *Front) prove(ctx context.Context, since time.Time) bool {
-	if f.follower.Lost() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, proofWait)
-	defer cancel()
-	return f.follower.Prove(ctx, since) == nil
-}
-
 // resolve looks the request up in one state.
 func (c *call) resolve(state *freshness.State) *refusal {
 	c.version = state.Table.Version()
@@ -138,7 +71,7 @@
 	c.route = found
 	c.service = state.Table.Service(found.Service(c.draw))
 	if c.service == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "service not configured", retryAfter: retryLater}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "service not configured", retryAfter: c.front.nextRead()}
 	}
 	c.organisation = nil
 	if state.Table.Keyed() && !found.Public {
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -34,20 +34,20 @@
 			c.giveUp(refused)
 			return
 		}
-		c.front.renewList(ctx)
+		c.renewList(ctx)
 		choice, found := c.front.balancer.Pick(c.question(), time.Now())
-		if !found {
-			if c.wait(ctx) {
+		if !found || choice.Hopeless {
+			if c.waitForReplica(ctx) {
 				continue
 			}
-			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "no replica", retryAfter: retryLater})
+			c.giveUp(c.notTaken("no replica"))
 			return
 		}
 		switch c.attempt(ctx, choice) {
 		case done:
 			return
 		case over:
-			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: c.outcome.reason, retryAfter: retryLater})
+			c.giveUp(c.notTaken(c.outcome.reason))
 			return
 		}
 	}
@@ -65,30 +65,11 @@
 // it may have changed while the body came or while another replica was tried.
 func (c *call) mayStillSend(ctx context.Context) *refusal {
 	if ctx.Err() != nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryLater}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
 	}
 	return c.admit(ctx)
 }
 
-// listWait bounds the wait for a newer list of replicas: the users' store answers in
-// some 4 ms, and their shortest target is 100 ms.
-const listWait = 60 * time.Millisecond
-
-// renewList asks for a newer list of replicas if the one at hand is so old that a
-// replica might get work after it has said that it leaves. Others read the list for
-// this router as a rule; a request is not to pay for one of them being late. While
-// the source does not answer, the list at hand is all there is.
-func (f *Front) renewList(ctx context.Context) {
-	limit := f.limits.Load().ListProof
-	now := time.Now()
-	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, listWait)
-	defer cancel()
-	f.noteList(f.follower.RenewList(ctx, now.Add(-limit)))
-}
-
 // noteList writes when the list of replicas could not be renewed, and when it was
 // again.
 func (f *Front) noteList(err error) {
@@ -102,34 +83,6 @@
 	f.log.Write(id, event.F("age_ms", f.follower.ListAge(time.Now()).Milliseconds()), event.F("error", err))
 }
 
-// wait pauses before the directory is asked again and tells whether there is
-// time for it: a request that nobody can take is refused early.
-func (c *call) wait(ctx context.Context) bool {
-	const pause = 15 * time.Millisecond
-	if c.sent.Load() > 0 || time.Since(c.arrival) > c.patience() {
-		return false
-	}
-	// Those that could not be reached may be reached now.
-	c.tried = nil
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
-
-// patience is how long a request may wait without being sent: a refusal within
-// a quarter of the target time leaves the caller time to come back.
-func (c *call) patience() time.Duration {
-	const part = 5
-	const untold = 100 * time.Millisecond
-	if c.route.Target == 0 {
-		return untold
-	}
-	return c.route.Target / part
-}
-
 // attempt sends the request to one replica.
 func (c *call) attempt(ctx context.Context, choice balance.Choice) verdict {
 	id := choice.Replica.ID
--- /dev/null
+++ b/internal/front/wait.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/mechanism"
+)
+
+// A request waits only for something that is expected to change, and no longer than
+// it costs little: by the users' prices holding a request that is then not served
+// costs nothing up to an eighth of its target time, and its whole worth at three
+// quarters of its time.
+const (
+	waitPart = 8
+	// proofPart is for a proof: one that comes within half the target leaves the time
+	// for an answer that has its full worth, and a refusal leads to another router
+	// that may know as little.
+	proofPart = 2
+)
+
+// Bounds of waits whatever the target.
+const (
+	// untoldWait is for routes without a target: an eighth of the users' longest.
+	untoldWait = 75 * time.Millisecond
+	// startWait is for the first configuration, before which no route is known: a
+	// small one is there after some 15 ms.
+	startWait = 60 * time.Millisecond
+	// proofWait is for a proof that is new enough to say no by: a read of the largest
+	// configuration over the narrowest link.
+	proofWait = 400 * time.Millisecond
+	// listWait is for a newer list of replicas: the users' store answers in some 4 ms.
+	listWait = 60 * time.Millisecond
+)
+
+// within is a part of the request's target, but no more than most.
+func (c *call) within(part, most time.Duration) time.Duration {
+	if c.route == nil || c.route.Target == 0 {
+		return min(untoldWait, most)
+	}
+	return min(c.route.Target/part, most)
+}
+
+// waitForReplica waits while a replica is expected to be there soon, and tells whether
+// to look again.
+func (c *call) waitForReplica(ctx context.Context) bool {
+	left := c.within(waitPart, maxTime) - time.Since(c.arrival)
+	if c.sent.Load() > 0 || left <= 0 {
+		return false
+	}
+	news, expected := c.front.follower.News()
+	opens, known := c.front.balancer.Opens(c.service.Name, time.Now())
+	opening := known && opens > 0 && opens <= left
+	if !opening && !expected {
+		return false
+	}
+	if opening {
+		left = opens
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-news:
+	case <-timer.C:
+		if !opening {
+			return false
+		}
+	}
+	// Those that could not be reached may be reached now.
+	c.tried = nil
+	return true
+}
+
+// renewList asks for a newer list of replicas if the one at hand is so old that a
+// replica might get work after it has said that it leaves. Others read the list for
+// this router as a rule; a request is not to pay for one of them being late. While
+// the source does not answer, the list at hand is all there is.
+func (c *call) renewList(ctx context.Context) {
+	f := c.front
+	limit := f.limits.Load().ListProof
+	now := time.Now()
+	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.within(waitPart, listWait))
+	defer cancel()
+	f.noteList(f.follower.RenewList(ctx, now.Add(-limit)))
+}
+
+// firstState returns the state by which a request is served. One that comes right
+// after the start waits a moment for the first configuration.
+func (c *call) firstState(ctx context.Context) *freshness.State {
+	f := c.front
+	state := f.holder.Current()
+	if state.Table != nil || f.follower.Lost() {
+		return state
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	// Without a proof in time the state is as it was.
+	_ = f.follower.Prove(ctx, f.started)
+	return f.holder.Current()
+}
+
+// prove waits for a proof that is newer than a time. While the source is known
+// to be lost there is none to wait for.
+func (c *call) prove(ctx context.Context, since time.Time) bool {
+	if c.front.follower.Lost() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.within(proofPart, proofWait))
+	defer cancel()
+	return c.front.follower.Prove(ctx, since) == nil
+}
--- /dev/null
+++ b/internal/front/wait_test.go
@@ -0,0 +1,197 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// idle is a front that nothing is read for, and a call of it that has just come.
+func idle(target time.Duration, source follow.Source) (*Front, *call) {
+	log := event.Discard()
+	holder, balancer := freshness.NewHolder(), balance.New(1)
+	follower := follow.New(source, follow.Options{Period: time.Second, Timeout: time.Second},
+		directory.New(time.Hour, time.Hour), holder, balancer, log)
+	f := New(Options{Dialect: testDialect(), DataCentre: "here"}, follower, holder, balancer, nil, NewMetrics(), log)
+	c := &call{front: f, arrival: time.Now(), route: &route.Route{Target: target}, service: &route.Service{Name: "s"}}
+	c.tried = []string{"r0"}
+	return f, c
+}
+
+// list gives a front replicas.
+func list(f *Front, ids ...string) {
+	snapshot := follow.Snapshot{Config: &route.Config{Version: 1}}
+	for _, id := range ids {
+		snapshot.Replicas = append(snapshot.Replicas, directory.Replica{ID: id, Service: "s", DataCentre: "here"})
+	}
+	f.follower.Take(snapshot, time.Now())
+}
+
+func TestARequestWaitsOnlyForWhatIsExpectedToChange(t *testing.T) {
+	avoided := func(rest time.Duration) func(*Front, *call) {
+		return func(f *Front, _ *call) {
+			list(f, "r0")
+			f.balancer.Failed("r0", balance.Refused, "here", time.Now().Add(rest-time.Second))
+		}
+	}
+	cases := []struct {
+		name    string
+		target  time.Duration
+		prepare func(*Front, *call)
+		again   bool
+		waited  time.Duration
+	}{
+		{"none is listed", 600 * time.Millisecond, func(f *Front, _ *call) { list(f, "other") }, false, 0},
+		{"avoided for a second", 600 * time.Millisecond, avoided(time.Second), false, 0},
+		{"avoided for a moment", 600 * time.Millisecond, avoided(40 * time.Millisecond), true, 40 * time.Millisecond},
+		{"avoided for a moment, but the target is short", 150 * time.Millisecond, avoided(40 * time.Millisecond), false, 0},
+		{"avoided for a moment, no target", 0, avoided(40 * time.Millisecond), true, 40 * time.Millisecond},
+		{"not reached, though not avoided", 600 * time.Millisecond, func(f *Front, _ *call) { list(f, "r0") }, false, 0},
+		{"sent already", 600 * time.Millisecond, func(f *Front, c *call) {
+			avoided(40*time.Millisecond)(f, c)
+			c.sent.Add(1)
+		}, false, 0},
+		{"has waited its time", 600 * time.Millisecond, func(f *Front, c *call) {
+			avoided(40*time.Millisecond)(f, c)
+			c.arrival = time.Now().Add(-75 * time.Millisecond)
+		}, false, 0},
+		{"the first list comes", 600 * time.Millisecond, func(f *Front, _ *call) {
+			time.AfterFunc(10*time.Millisecond, func() { list(f, "r1") })
+		}, true, 10 * time.Millisecond},
+		{"the first list does not come", 600 * time.Millisecond, func(*Front, *call) {}, false, 75 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, one := idle(c.target, &fakeSource{})
+				c.prepare(f, one)
+				begun := time.Now()
+				assert.Equal(t, c.again, one.waitForReplica(t.Context()))
+				assert.Equal(t, c.waited, time.Since(begun))
+				assert.Equal(t, c.again, one.tried == nil, "all may be tried again")
+			})
+		})
+	}
+}
+
+func TestAProofIsWaitedForWithinTheTarget(t *testing.T) {
+	for _, c := range []struct{ target, waited time.Duration }{
+		{150 * time.Millisecond, 75 * time.Millisecond},
+		{600 * time.Millisecond, 300 * time.Millisecond},
+		{2 * time.Second, proofWait},
+		{0, untoldWait},
+	} {
+		t.Run(c.target.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, one := idle(c.target, &fakeSource{})
+				begun := time.Now()
+				assert.False(t, one.prove(t.Context(), begun))
+				assert.Equal(t, c.waited, time.Since(begun))
+			})
+		})
+	}
+}
+
+// slowSource answers when its reader has given up.
+type slowSource struct{ fakeSource }
+
+func (*slowSource) Replicas(ctx context.Context) (follow.Snapshot, error) {
+	<-ctx.Done()
+	return follow.Snapshot{}, ctx.Err()
+}
+
+func TestANewerListIsWaitedForWithinTheTarget(t *testing.T) {
+	for _, c := range []struct{ target, waited time.Duration }{
+		{160 * time.Millisecond, 20 * time.Millisecond},
+		{600 * time.Millisecond, listWait},
+	} {
+		t.Run(c.target.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, one := idle(c.target, &slowSource{})
+				f.SetLimits(Limits{ListProof: time.Second, RepeatReserve: 1})
+				list(f, "r0")
+				time.Sleep(2 * time.Second)
+				begun := time.Now()
+				one.renewList(t.Context())
+				assert.Equal(t, c.waited, time.Since(begun))
+				// The read that was asked for ends by its own limit.
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+func TestWhenARefusedCallerIsBestBack(t *testing.T) {
+	fail := func(kind balance.Failure, ids ...string) func(*Front) {
+		return func(f *Front) {
+			list(f, "r0", "r1")
+			for _, id := range ids {
+				f.balancer.Failed(id, kind, "here", time.Now())
+			}
+		}
+	}
+	cases := []struct {
+		name    string
+		prepare func(*Front)
+		after   time.Duration
+	}{
+		{"another replica may have it", fail(balance.Shed, "r0"), retryElsewhere},
+		{"all are full", fail(balance.Shed, "r0", "r1"), 150 * time.Millisecond},
+		{"none is there", fail(balance.Refused, "r0", "r1"), retryLater},
+		{"none is listed, the list is read soon", func(f *Front) {
+			list(f)
+			time.Sleep(650 * time.Millisecond)
+		}, 200 * time.Millisecond},
+		{"none is listed, the list has just been read", func(f *Front) { list(f) }, retryLater},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, one := idle(600*time.Millisecond, &fakeSource{err: errors.New("down")})
+				c.prepare(f)
+				refused := one.notTaken("no replica")
+				assert.Equal(t, c.after, refused.retryAfter)
+				assert.Equal(t, http.StatusServiceUnavailable, refused.status)
+			})
+		})
+	}
+}
+
+// In a cut each request to a service with no replica on this side took 0.3 s until its
+// connection was given up, and was refused then.
+func TestWhatIsKnownToBeOutOfReachIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := idle(0, &fakeSource{})
+		config := testConfig()
+		for i := range config.Routes {
+			config.Routes[i].Shares = []route.Share{{Service: "s", Weight: 1}}
+		}
+		replicas := []directory.Replica{{ID: "r0", Service: "s", DataCentre: "there"}}
+		f.follower.Take(follow.Snapshot{Config: &config, Replicas: replicas}, time.Now())
+		f.SetLimits(Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RepeatReserve: 1})
+		f.balancer.Failed("r0", balance.Unreachable, "here", time.Now())
+		_, _ = f.balancer.Pick(balance.Question{Service: "s"}, time.Now())
+		begun := time.Now()
+		answer := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "http://h/once/x", nil)
+		request.Header.Set("Authorization", "Key k1")
+		// It has no pool to send by.
+		f.ServeHTTP(answer, request)
+		assert.Equal(t, http.StatusServiceUnavailable, answer.Code)
+		assert.Equal(t, "0.500", answer.Header().Get("Retry-After"))
+		assert.Zero(t, time.Since(begun))
+	})
+}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -78,6 +78,9 @@
 	Passed     string
 	PassedLoad float64
 	PassedBad  int
+	// Hopeless: all that is left could not be reached a moment ago, and another
+	// request has just tried again.
+	Hopeless bool
 }
 
 // The bound on a replica's requests: a multiple of the mean and some more, below
@@ -119,6 +122,8 @@
 	listed time.Time
 	// medians are the median paces of services.
 	medians map[string]median
+	// probed is when a service that is out of reach was last tried.
+	probed map[string]time.Time
 	// outcomes are how this router's own requests ended, by service.
 	outcomes map[string]*evidence
 	// loadFactor is how many times the mean the users allow a replica.
@@ -163,6 +168,7 @@
 		lines:    make(map[Line]peerCounts),
 		medians:  make(map[string]median),
 		outcomes: make(map[string]*evidence),
+		probed:   make(map[string]time.Time),
 		recalled: true,
 
 		loadFactor: defaultLoadFactor,
@@ -268,10 +274,10 @@
 	bound := b.bound(all, now)
 	if len(q.Parts) == 0 {
 		chosen, reason := b.pickPlain(q, left, now)
-		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}, true
+		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Hopeless: b.hopeless(chosen, now)}, true
 	}
 	chosen, home, reason := b.pickEngine(q, left, bound, now)
-	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts)}
+	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts), Hopeless: b.hopeless(chosen, now)}
 	choice.Holders = len(b.holders.list(choice.Part, now))
 	if home != chosen {
 		choice.Passed, choice.PassedLoad, choice.PassedBad = home.ID, b.load(home, now), b.badness(home, now)
--- /dev/null
+++ b/pkg/balance/opens.go
@@ -0,0 +1,30 @@
+package balance
+
+import "time"
+
+// Opens tells in what time a replica of a service is first to be given work again: 0
+// if one may have it now. It returns false if no such time is known: none is listed,
+// or all are in data centres that are silent.
+func (b *Balancer) Opens(service string, now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first, known := time.Duration(0), false
+	for _, r := range b.services[service] {
+		if b.silent[r.DataCentre] {
+			continue
+		}
+		if in := b.avoidedFor(r, now); !known || in < first {
+			first, known = in, true
+		}
+	}
+	return first, known
+}
+
+// avoidedFor is how long a replica, or its data centre, is still to be avoided.
+func (b *Balancer) avoidedFor(r *replica, now time.Time) time.Duration {
+	until := r.health.until
+	if c := b.centres[r.DataCentre]; c != nil && c.until.After(until) {
+		until = c.until
+	}
+	return max(until.Sub(now), 0)
+}
--- /dev/null
+++ b/pkg/balance/opens_test.go
@@ -0,0 +1,75 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+func TestWhenAReplicaIsToGetWorkAgain(t *testing.T) {
+	fail := func(ids ...string) func(*Balancer) {
+		return func(b *Balancer) {
+			for _, id := range ids {
+				b.Failed(id, Refused, "dc0", start)
+			}
+		}
+	}
+	cases := []struct {
+		name    string
+		prepare func(*Balancer)
+		in      time.Duration
+		known   bool
+	}{
+		{"one may have it now", fail("i-0", "i-1"), 0, true},
+		{"all are avoided for a second", fail("i-0", "i-1", "i-2"), time.Second, true},
+		{"the first of them counts", func(b *Balancer) {
+			fail("i-0", "i-1")(b)
+			b.Failed("i-2", Shed, "dc0", start)
+		}, 150 * time.Millisecond, true},
+		{"silent data centres don't tell when they are back", func(b *Balancer) {
+			fail("i-0")(b)
+			b.CentreSilent("dc1", true)
+			b.CentreSilent("dc2", true)
+		}, time.Second, true},
+		{"all are silent", func(b *Balancer) {
+			for _, centre := range []string{"dc0", "dc1", "dc2"} {
+				b.CentreSilent(centre, true)
+			}
+		}, 0, false},
+		{"those that drain never are", func(b *Balancer) {
+			list := engines(3)
+			for i := range list {
+				list[i].State = directory.Draining
+			}
+			b.Replace(list, start)
+		}, 0, false},
+		{"none is listed", func(b *Balancer) { b.Replace(nil, start) }, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBalancer(engines(3))
+			c.prepare(b)
+			in, known := b.Opens("llm", start)
+			assert.Equal(t, c.in, in)
+			assert.Equal(t, c.known, known)
+		})
+	}
+}
+
+func TestADataCentreThatIsCutOffOpensWhenItIsTriedAgain(t *testing.T) {
+	b := newBalancer(engines(6))
+	for _, id := range []string{"i-1", "i-4", "i-1"} {
+		b.Failed(id, Unreachable, "dc0", start)
+	}
+	for _, id := range []string{"i-0", "i-3", "i-2", "i-5"} {
+		for range 3 {
+			b.Failed(id, Refused, "dc0", start)
+		}
+	}
+	in, known := b.Opens("llm", start)
+	assert.True(t, known)
+	assert.Equal(t, 2*time.Second, in, "i-4 alone would be tried after one")
+}
--- /dev/null
+++ b/pkg/balance/reach_test.go
@@ -0,0 +1,69 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestAServiceThatIsOutOfReachIsTriedNowAndThen(t *testing.T) {
+	type step struct {
+		at       time.Duration
+		hopeless bool
+	}
+	unreachable := func(b *Balancer, ids ...string) {
+		for _, id := range ids {
+			b.Failed(id, Unreachable, "dc0", start)
+		}
+	}
+	cases := []struct {
+		name    string
+		prepare func(*Balancer)
+		steps   []step
+	}{
+		{"all sound", func(*Balancer) {}, []step{{0, false}, {1, false}}},
+		{"one is left", func(b *Balancer) { unreachable(b, "i-0", "i-1") }, []step{{0, false}, {1, false}}},
+		{"none is left", func(b *Balancer) { unreachable(b, "i-0", "i-1", "i-2") },
+			[]step{{0, false}, {1, true}, {probePause - 1, true}, {probePause, false}, {probePause + 1, true}, {time.Second, false}, {time.Second + 1, false}}},
+		{"none listens: that costs nothing to try", func(b *Balancer) {
+			for _, id := range []string{"i-0", "i-1", "i-2"} {
+				b.Failed(id, Refused, "dc0", start)
+			}
+		}, []step{{0, false}, {1, false}}},
+		{"one has answered since", func(b *Balancer) {
+			unreachable(b, "i-0", "i-1", "i-2")
+			for _, id := range []string{"i-0", "i-1", "i-2"} {
+				b.Answered(id, nil, start.Add(1))
+			}
+		}, []step{{2, false}, {3, false}}},
+		{"silent data centres alone say nothing", func(b *Balancer) {
+			for _, centre := range []string{"dc0", "dc1", "dc2"} {
+				b.CentreSilent(centre, true)
+			}
+		}, []step{{0, false}, {1, false}}},
+	}
+	for _, c := range cases {
+		for kind, parts := range map[string][]Part{"plain": nil, "engine": prompt(5)} {
+			t.Run(c.name+", "+kind, func(t *testing.T) {
+				b := newBalancer(engines(3))
+				c.prepare(b)
+				for _, s := range c.steps {
+					assert.Equal(t, s.hopeless, pick(t, b, parts, start.Add(s.at)).Hopeless, s.at)
+				}
+			})
+		}
+	}
+}
+
+func TestADataCentreThatIsCutOffIsOutOfReachAsAWhole(t *testing.T) {
+	list := engines(6)
+	for i := range list {
+		list[i].DataCentre = "dc1"
+	}
+	b := newBalancer(list)
+	b.Failed("i-0", Unreachable, "dc0", start)
+	b.Failed("i-1", Unreachable, "dc0", start)
+	assert.False(t, pick(t, b, nil, start).Hopeless, "tried")
+	assert.True(t, pick(t, b, nil, start, "i-0", "i-1").Hopeless, "the others were not")
+}
