--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,11 +99,11 @@
 	keyProofPart = 0.8
 	// absencePart of the time within which a configuration must be in force.
 	absencePart = 0.8
-	// readPart of the same time, or of the time to drain if that is shorter, is the
-	// pause between two reads of the source.
+	// readPart of the same time, or of the time to drain or to evacuate if that is
+	// shorter, is the pause between two reads of the source.
 	readPart = 0.4
-	// listPart of the time to drain is the age of the list of replicas at which a
-	// request asks for a newer one: what is left is for the way to the replica, a
+	// listPart of the time to drain, or to evacuate if that is shorter, is the age of
+	// the list of replicas at which a request asks for a newer one: what is left is for the way to the replica, a
 	// connection that fails first (0.3 s) included.
 	listPart = 0.7
 	// relistBeats is for how many heartbeats a replica that vanished with its list
@@ -126,6 +126,7 @@
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(b))
 	e.balancer.SetWithout(e.settings.Without)
 	period := readPeriod(b)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
@@ -166,7 +167,7 @@
 
 // readPeriod is the pause between two reads of the source.
 func readPeriod(b settings.Bounds) time.Duration {
-	return part(min(b.Apply, b.Drain), readPart)
+	return part(min(b.Apply, b.Drain, b.Evacuate), readPart)
 }
 
 func (e *Entry) followOptions(s settings.Settings) follow.Options {
@@ -196,11 +197,15 @@
 	return part(b.Revoke, keyProofPart)
 }
 
+func coldBounds(b settings.Bounds) balance.ColdBounds {
+	return balance.ColdBounds{Overage: b.ColdOverage, Allowance: b.ColdAllowance}
+}
+
 func frontLimits(b settings.Bounds) front.Limits {
 	return front.Limits{
 		KeyProof:      keyProof(b),
 		AbsenceProof:  part(b.Apply, absencePart),
-		ListProof:     part(b.Drain, listPart),
+		ListProof:     part(min(b.Drain, b.Evacuate), listPart),
 		RepeatRatio:   b.RepeatRatio * repeatPart,
 		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
 	}
@@ -213,6 +218,7 @@
 	e.follower.Set(e.outside.Source(s), e.followOptions(s))
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(s.Bounds))
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -204,3 +204,14 @@
 	set.Listen.Peers = "10.0.0.3:1"
 	assert.Equal(t, firstReadWait, firstRead(set))
 }
+
+func TestAShortTimeToEvacuateHasTheListReadMoreOften(t *testing.T) {
+	b := settings.Default().Bounds
+	period, proof := readPeriod(b), frontLimits(b).ListProof
+	b.Evacuate = min(b.Apply, b.Drain) / 2
+	assert.Equal(t, period/2, readPeriod(b))
+	assert.Equal(t, proof/2, frontLimits(b).ListProof)
+	b.Evacuate = time.Hour
+	assert.Equal(t, period, readPeriod(b))
+	assert.Equal(t, proof, frontLimits(b).ListProof)
+}
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -46,7 +46,7 @@
 	table := e.holder.Current().Table
 	for _, r := range e.follower.Replicas() {
 		service := table.Service(r.Service)
-		if service != nil && service.Engine != nil && r.State == directory.Ready && e.gossip.Mine(r.ID) {
+		if service != nil && service.Engine != nil && r.State == directory.Ready && !r.Evacuated && e.gossip.Mine(r.ID) {
 			go e.askHeld(ctx, r)
 		}
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -42,6 +42,8 @@
 	ProofOld          ID = 311
 	ProofNew          ID = 312
 	CentreHeard       ID = 313
+	CentreEvacuated   ID = 314
+	CentreReturned    ID = 315
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -88,13 +90,15 @@
 	LayoutChanged:     {logrus.DebugLevel, "engines divided anew", "None needed."},
 	PeerLost:          {logrus.WarnLevel, "peer does not answer", "If it lasts for many peers, look at the network between instances."},
 	PeerBack:          {logrus.InfoLevel, "peer answers again", "None needed."},
-	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains or is gone", "None needed."},
+	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains, is cold, warm or gone", "None needed."},
 	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
 	CentreSilent:      {logrus.WarnLevel, "no router of a data centre is heard", "Its replicas get no work from here until one is. Look at the network between data centres."},
 	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
 	ProofOld:          {logrus.WarnLevel, "configuration not proven new enough for keys", "Requests with keys are refused. Look at the platform and at the peers."},
 	ProofNew:          {logrus.InfoLevel, "configuration proven new enough again", "None needed."},
 	CentreHeard:       {logrus.InfoLevel, "a router of a silent data centre is heard again", "None needed."},
+	CentreEvacuated:   {logrus.WarnLevel, "data centre evacuated, nothing more is sent to its replicas", "None needed. It holds until the operator takes it back."},
+	CentreReturned:    {logrus.InfoLevel, "evacuated data centre taken back", "None needed. Its replicas get little until they are warm."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,13 +35,21 @@
 	// Replicas are those whose entries could be decoded; BadReplicas the others.
 	Replicas    []directory.Replica
 	BadReplicas []string
+	// Evacuated are the data centres to whose replicas nothing is to be sent.
+	Evacuated []string
+}
+
+// listing is what the snapshot lists.
+func (s *Snapshot) listing() directory.Listing {
+	return directory.Listing{Replicas: s.Replicas, Evacuated: s.Evacuated}
 }
 
 // Source is where the configuration and the list of replicas are kept. Read
 // must be answered by the newest state, or fail.
 type Source interface {
 	Read(ctx context.Context) (Snapshot, error)
-	// Replicas is Read without the configuration, for which Snapshot.Config is nil.
+	// Replicas is Read without the configuration, for which Snapshot.Config is nil:
+	// the replicas and the evacuations.
 	// It may run beside Read.
 	Replicas(ctx context.Context) (Snapshot, error)
 }
@@ -180,7 +188,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.takeConfig(s, sent)
-	f.changed(f.directory.Replace(s.Replicas, sent))
+	f.changed(f.directory.Take(s.listing(), sent))
 	for _, id := range s.BadReplicas {
 		f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
 	}
@@ -201,11 +209,23 @@
 	f.balancer.Replace(f.directory.List(), f.directory.Read())
 	f.mark = f.directory.Mark()
 	for _, c := range changes {
+		if c.Centre != "" {
+			f.log.Write(centreEvent(c.What), event.F("data_centre", c.Centre))
+			continue
+		}
 		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
 			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
 	}
 }
 
+// centreEvent is the event of a change of a data centre.
+func centreEvent(what directory.What) event.ID {
+	if what == directory.Evacuated {
+		return event.CentreEvacuated
+	}
+	return event.CentreReturned
+}
+
 func (f *Follower) takeConfig(s Snapshot, sent time.Time) {
 	if s.Problem != nil {
 		f.log.Write(event.ConfigRejected, event.F("error", s.Problem))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -88,7 +88,7 @@
 				assert.Zero(t, source.reads.Load())
 				if told {
 					c := config(1)
-					f.Learn(Knowledge{Version: 1, Config: c, Replicas: replicas("a")}, time.Now(), "peer")
+					f.Learn(Knowledge{Version: 1, Config: c, Listing: &directory.Listing{Replicas: replicas("a")}}, time.Now(), "peer")
 				}
 				time.Sleep(200 * time.Millisecond)
 				assert.Equal(t, !told, source.reads.Load() == 1)
@@ -159,6 +159,41 @@
 	assert.Equal(t, 2*time.Second, f.Age(now.Add(5*time.Second)))
 }
 
+func TestAnEvacuationIsFollowedPassedOnAndKept(t *testing.T) {
+	now := time.Now()
+	list := replicas("a", "b")
+	list[0].DataCentre = "north"
+	f, other := newFollower(&fakeSource{}, 0), newFollower(&fakeSource{}, 1)
+	f.Take(Snapshot{Config: config(4), Replicas: list}, now)
+	known, _ := f.Knowledge(now)
+	other.Learn(known, now, "peer")
+	assert.Equal(t, 2, other.balancer.Ready("s"))
+
+	f.Take(Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, now.Add(time.Second))
+	assert.Equal(t, 1, f.balancer.Ready("s"))
+	version, mark := f.Version()
+	assert.True(t, other.ProvenBy(version, mark, now.Add(time.Second)), "it is news")
+	known, _ = f.Knowledge(now.Add(time.Second))
+	other.Learn(known, now.Add(time.Second), "peer")
+	assert.Equal(t, 1, other.balancer.Ready("s"))
+	assert.False(t, other.ProvenBy(version, mark, now.Add(2*time.Second)), "both know it")
+	assert.Equal(t, 1, other.balancer.Ready("s"), "a proof takes nothing back")
+	assert.EqualValues(t, 1, other.log.Count(event.CentreEvacuated), "logged once")
+
+	f.Take(Snapshot{Config: config(4), Replicas: list}, now.Add(3*time.Second))
+	assert.Equal(t, 2, f.balancer.Ready("s"))
+	assert.EqualValues(t, 1, f.log.Count(event.CentreReturned))
+}
+
+func TestARenewedListBringsEvacuations(t *testing.T) {
+	source := &fakeSource{snapshot: Snapshot{Config: config(4), Replicas: replicas("a"), Evacuated: []string{""}}}
+	f := newFollower(source, 0)
+	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now().Add(-time.Second))
+	assert.False(t, f.balancer.Evacuated("s"))
+	assert.NoError(t, f.RenewList(t.Context(), time.Now().Add(-500*time.Millisecond)))
+	assert.True(t, f.balancer.Evacuated("s"), "replicas of the test are in the data centre without a name")
+}
+
 func TestAgeIsThatOfTheOlderOfBoth(t *testing.T) {
 	f := newFollower(&fakeSource{}, 0)
 	now := time.Now()
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -13,9 +13,9 @@
 	Version uint64
 	// Mark names the list of replicas by its content.
 	Mark uint64
-	// Config and Replicas are nil where the other has the same.
-	Config   *route.Config
-	Replicas []directory.Replica
+	// Config and Listing are nil where the other has the same.
+	Config  *route.Config
+	Listing *directory.Listing
 }
 
 // Version returns the version of the configuration and the mark of the replicas
@@ -65,8 +65,8 @@
 		return
 	}
 	switch {
-	case k.Replicas != nil:
-		f.changed(f.directory.Replace(k.Replicas, proven))
+	case k.Listing != nil:
+		f.changed(f.directory.Take(*k.Listing, proven))
 	case k.Mark == f.mark:
 		f.changed(f.directory.Confirm(proven))
 	default:
@@ -94,6 +94,7 @@
 	defer f.mu.Unlock()
 	state := f.holder.Current()
 	config := state.Table.Config()
-	k := Knowledge{Version: config.Version, Mark: f.mark, Config: &config, Replicas: f.directory.Listed()}
+	listing := f.directory.Listing()
+	k := Knowledge{Version: config.Version, Mark: f.mark, Config: &config, Listing: &listing}
 	return k, f.age(now)
 }
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -25,7 +25,7 @@
 
 // RenewList returns once the list of replicas is newer than a time, or with an error
 // when ctx ends or the source does not answer. All who wait share one read, of the
-// replicas only: a large configuration takes longer over a narrow link than a request
+// replicas and evacuations only: a large configuration takes longer over a narrow link than a request
 // can wait.
 func (f *Follower) RenewList(ctx context.Context, since time.Time) error {
 	f.mu.Lock()
@@ -69,7 +69,7 @@
 		f.failed.Add(1)
 		f.renewFailed = time.Now()
 	} else {
-		f.changed(f.directory.Replace(snapshot.Replicas, sent))
+		f.changed(f.directory.Take(snapshot.listing(), sent))
 		for _, id := range snapshot.BadReplicas {
 			f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
 		}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -40,7 +40,7 @@
 			if c.wait(ctx) {
 				continue
 			}
-			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "no replica", retryAfter: retryLater})
+			c.giveUp(c.noReplica())
 			return
 		}
 		switch c.attempt(ctx, choice) {
@@ -53,8 +53,20 @@
 	}
 }
 
+// noReplica refuses a request for which there is no replica.
+func (c *call) noReplica() *refusal {
+	reason := "no replica"
+	if c.evacuated() {
+		reason = "evacuated"
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryLater}
+}
+
+// evacuated tells whether all replicas of the service are: there is nothing to wait for.
+func (c *call) evacuated() bool { return c.front.balancer.Evacuated(c.service.Name) }
+
 func (c *call) question() balance.Question {
-	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.tried}
+	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.tried, ColdRate: c.service.ColdRate}
 	if c.service.Engine != nil {
 		q.Parts = c.parts
 	}
@@ -106,7 +118,7 @@
 // time for it: a request that nobody can take is refused early.
 func (c *call) wait(ctx context.Context) bool {
 	const pause = 15 * time.Millisecond
-	if c.sent.Load() > 0 || time.Since(c.arrival) > c.patience() {
+	if c.sent.Load() > 0 || c.evacuated() || time.Since(c.arrival) > c.patience() {
 		return false
 	}
 	// Those that could not be reached may be reached now.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/pkg/route"
 )
 
 func TestARequestReachesTheReplicaUnaltered(t *testing.T) {
@@ -119,6 +123,57 @@
 	assert.NotEmpty(t, response.Header.Get("Retry-After"))
 }
 
+func TestWhereAllIsEvacuatedARequestIsRefusedAtOnce(t *testing.T) {
+	address, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	r := newRig(t, address)
+	waits := &call{front: r.front, service: &route.Service{Name: "s"}, route: &route.Route{Target: time.Hour}, arrival: time.Now()}
+	assert.True(t, waits.wait(t.Context()), "one may come")
+	snapshot := changed(r, func(*route.Config) {})
+	snapshot.Evacuated = []string{"here"}
+	r.follower.Take(snapshot, time.Now())
+	assert.False(t, waits.wait(t.Context()), "none will")
+	response, body, err := r.send(t, "POST", "/repeat/x", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "the promise that it has not run")
+	assert.Contains(t, body, "evacuated")
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Zero(t, arrivals.Load())
+	snapshot.Evacuated = nil
+	r.follower.Take(snapshot, time.Now())
+	response, _, err = r.send(t, "POST", "/repeat/x", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+func TestAColdReplicaIsHeldBackByWhatItsServiceBears(t *testing.T) {
+	address, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	r := newRig(t, address)
+	snapshot := changed(r, func(c *route.Config) { c.Services[0].ColdRate = 1 })
+	for entry, cold := range []bool{true, false} {
+		snapshot.Replicas = slices.Clone(snapshot.Replicas)
+		snapshot.Replicas[0].Entry = uint64(entry + 1)
+		snapshot.Replicas[0].Cold, snapshot.Replicas[0].ColdLeft = cold, 0
+		if cold {
+			snapshot.Replicas[0].ColdLeft = time.Hour
+		}
+		r.follower.Take(snapshot, time.Now())
+		response, _, err := r.send(t, "POST", "/repeat/x", "")
+		require.NoError(t, err)
+		assert.Equal(t, cold, response.StatusCode == http.StatusServiceUnavailable, "no router is known to share with")
+		assert.Equal(t, !cold, arrivals.Load() == 1)
+	}
+}
+
+// changed returns the rig's snapshot with another configuration.
+func changed(r *rig, change func(c *route.Config)) follow.Snapshot {
+	config := *r.source.snapshot.Config
+	config.Version++
+	config.Routes = slices.Clone(config.Routes)
+	config.Services = slices.Clone(config.Services)
+	change(&config)
+	return follow.Snapshot{Config: &config, Replicas: r.source.snapshot.Replicas}
+}
+
 func TestARequestThatFailsAtEachReplicaBlamesNone(t *testing.T) {
 	failing := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 	first, arrivals := replica(t, failing)
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -97,8 +97,8 @@
 		err = unpack(reply.Configuration, knowledge.Config)
 	}
 	if err == nil && len(reply.Replicas) > 0 {
-		knowledge.Replicas = []directory.Replica{}
-		err = unpack(reply.Replicas, &knowledge.Replicas)
+		knowledge.Listing = &directory.Listing{}
+		err = unpack(reply.Replicas, knowledge.Listing)
 	}
 	if err != nil {
 		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -116,6 +116,34 @@
 	assert.False(t, third.holder.Current().Proven.After(later))
 }
 
+func TestAnEvacuationReachesRoutersThatTheSourceTurnsAway(t *testing.T) {
+	list := replicas("a", "b")
+	list[0].DataCentre = "north"
+	first := newRouter(t, &source{})
+	second := newRouter(t, &source{err: errors.New("turned away")}, first.gossip.Address())
+	third := newRouter(t, &source{err: errors.New("turned away")}, second.gossip.Address())
+	first.follower.Take(follow.Snapshot{Config: config(4), Replicas: list}, time.Now())
+	until(t, func() bool { return third.balancer.Ready("s") == 2 })
+	first.follower.Take(follow.Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, time.Now())
+	for _, r := range []*router{second, third} {
+		until(t, func() bool { return r.balancer.Ready("s") == 1 })
+		assert.Zero(t, r.source.reads)
+	}
+}
+
+func TestRoutersLearnWithWhomTheyShareColdReplicas(t *testing.T) {
+	r := newRouter(t, &source{})
+	r.balancer.SetColdBounds(balance.ColdBounds{Overage: 1.5, Allowance: 5})
+	list := replicas("a")
+	list[0].Cold, list[0].ColdLeft = true, time.Hour
+	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: list}, time.Now())
+	until(t, func() bool {
+		// Long after the start, but long before it is warm.
+		_, found := r.balancer.Pick(balance.Question{Service: "s", ColdRate: 1}, time.Now().Add(time.Minute))
+		return found
+	})
+}
+
 func TestAnOlderPeerTakesNothingBack(t *testing.T) {
 	old := newRouter(t, &source{})
 	old.follower.Take(follow.Snapshot{Config: config(3), Replicas: replicas("gone")}, time.Now())
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -80,7 +80,7 @@
 		}
 	}
 	if k.Mark != r.Mark {
-		if reply.Replicas, err = pack(k.Replicas); err != nil {
+		if reply.Replicas, err = pack(k.Listing); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -54,6 +54,13 @@
 	// Drain is the time after which a replica that said that it leaves gets nothing
 	// new.
 	Drain time.Duration
+	// Evacuate is the time after which the replicas of a data centre that was
+	// evacuated get nothing new.
+	Evacuate time.Duration
+	// ColdOverage is how many times what a cold replica bears all routers may send it
+	// in any one second, beside ColdAllowance.
+	ColdOverage   float64
+	ColdAllowance float64
 	// LoadFactor is how many times the mean of its service a replica may carry.
 	LoadFactor float64
 	// Grace is the time from the order to stop until the kill.
@@ -79,6 +86,9 @@
 		Revoke:          5 * time.Second,
 		RevokeAlways:    true,
 		Drain:           2 * time.Second,
+		Evacuate:        5 * time.Second,
+		ColdOverage:     1.5,
+		ColdAllowance:   5,
 		LoadFactor:      2,
 		Grace:           8 * time.Second,
 		Heartbeat:       1200 * time.Millisecond,
@@ -116,6 +126,9 @@
 	r.duration("revoke", &b.Revoke, 10*time.Millisecond, time.Hour)
 	r.bool("revoke_always", &b.RevokeAlways)
 	r.duration("drain", &b.Drain, 10*time.Millisecond, time.Hour)
+	r.duration("evacuate", &b.Evacuate, 10*time.Millisecond, time.Hour)
+	r.float("cold_overage", &b.ColdOverage, 0, 100)
+	r.float("cold_allowance", &b.ColdAllowance, 1, 1e6)
 	r.float("load_factor", &b.LoadFactor, 1, 100)
 	r.duration("grace", &b.Grace, 10*time.Millisecond, time.Hour)
 	r.duration("heartbeat", &b.Heartbeat, time.Millisecond, time.Hour)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,11 +36,14 @@
 }
 
 func TestBoundsOfTheUsersAreChecked(t *testing.T) {
-	s, err := Parse("r.ini", []byte(good+"[bounds]\ndrain = 1600ms\nload_factor = 1.8\n"))
+	s, err := Parse("r.ini", []byte(good+"[bounds]\ndrain = 1600ms\nload_factor = 1.8\nevacuate = 3s\ncold_overage = 1\n"))
 	require.NoError(t, err)
 	assert.Equal(t, 1600*time.Millisecond, s.Bounds.Drain)
 	assert.InDelta(t, 1.8, s.Bounds.LoadFactor, 0)
-	for _, bad := range []string{"load_factor = 0.9", "load_factor = two", "drain = soon", "drain = 0s"} {
+	assert.Equal(t, 3*time.Second, s.Bounds.Evacuate)
+	assert.InDelta(t, 1, s.Bounds.ColdOverage, 0)
+	assert.InDelta(t, 5, s.Bounds.ColdAllowance, 0, "the default")
+	for _, bad := range []string{"load_factor = 0.9", "load_factor = two", "drain = soon", "drain = 0s", "evacuate = 0s", "evacuate = never", "cold_overage = -1", "cold_allowance = 0"} {
 		_, err := Parse("r.ini", []byte(good+"[bounds]\n"+bad+"\n"))
 		require.ErrorIs(t, err, ErrInvalid, bad)
 		assert.ErrorContains(t, err, "[bounds] "+bad[:5], bad)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -41,6 +41,9 @@
 	Parts []Part
 	// Tried holds the ids of replicas that are not to get it again.
 	Tried []string
+	// ColdRate is how many requests a second a cold replica of the service bears; 0 if
+	// it bears what a warm one does.
+	ColdRate float64
 }
 
 // Reason tells why a replica was chosen.
@@ -60,6 +63,9 @@
 	LeastLoaded Reason = "least loaded"
 	// LastResort: all that is left is suspected or above the bound.
 	LastResort Reason = "last resort"
+	// Cold: a cold replica, by this router's share of what it bears, since no warm one
+	// has room.
+	Cold Reason = "cold"
 )
 
 // Choice is the answer to a question.
@@ -130,6 +136,9 @@
 	// large: routers can't tell all others what they run. recalled: who holds
 	// what is known as well as it can be.
 	large, recalled bool
+	// evacuated are the replicas of services that are left out with their data centre.
+	evacuated map[string][]*replica
+	cold      coldShares
 }
 
 // replica is one replica with what was seen of it.
@@ -142,6 +151,8 @@
 	report  report
 	health  health
 	pace    pace
+	// allowance is what this router may send to the replica while it is cold.
+	allowance bucket
 	// bad counts the failures that speak against the replica only if they are more
 	// than others have, as all routers saw them.
 	bad evidence
@@ -219,7 +230,8 @@
 func (b *Balancer) holdersUnknown() bool { return b.large || !b.recalled }
 
 // Replace takes the replicas of the directory, as they were at a time. Those
-// that drain get no new work, but may still be copied from.
+// that drain or are evacuated get no new work, but may still be copied from: the
+// one that copies asks them, no router.
 func (b *Balancer) Replace(list []directory.Replica, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -228,6 +240,7 @@
 	}
 	replicas := make(map[string]*replica, len(list))
 	services := make(map[string][]*replica)
+	evacuated := make(map[string][]*replica)
 	byHash := make(map[uint32]*replica, len(list))
 	for _, r := range list {
 		known := b.replicas[r.ID]
@@ -240,12 +253,16 @@
 		known.Replica = r
 		replicas[r.ID] = known
 		byHash[known.short] = known
-		if r.State == directory.Ready {
+		switch {
+		case r.State != directory.Ready:
+		case r.Evacuated:
+			evacuated[r.Service] = append(evacuated[r.Service], known)
+		default:
 			services[r.Service] = append(services[r.Service], known)
 		}
 	}
 	b.keepLeavers(replicas, now)
-	b.replicas, b.services, b.byHash = replicas, services, byHash
+	b.replicas, b.services, b.byHash, b.evacuated = replicas, services, byHash, evacuated
 	b.bySingle = make(map[uint16][]*replica, len(replicas))
 	for _, r := range replicas {
 		b.bySingle[uint16(r.short)] = append(b.bySingle[uint16(r.short)], r)
@@ -258,21 +275,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := b.services[q.Service]
-	left := make([]*replica, 0, len(all))
-	for _, r := range all {
-		if !slices.Contains(q.Tried, r.ID) {
-			left = append(left, r)
-		}
+	if len(all) == 0 {
+		return Choice{}, false
 	}
+	bound := b.bound(q.Service, now)
+	left := b.candidates(q, all, bound, now)
 	if len(left) == 0 {
 		return Choice{}, false
 	}
-	bound := b.bound(all, now)
 	if len(q.Parts) == 0 {
 		chosen, reason := b.pickPlain(q, left, now)
+		reason = b.spend(chosen, q, reason, now)
 		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound}, true
 	}
 	chosen, home, reason := b.pickEngine(q, left, bound, now)
+	reason = b.spend(chosen, q, reason, now)
 	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts)}
 	choice.Holders = len(b.holders.list(choice.Part, now))
 	if home != chosen {
@@ -367,6 +384,14 @@
 	return false
 }
 
+// Evacuated tells whether a service has no replica that may get work because its data
+// centres are evacuated.
+func (b *Balancer) Evacuated(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.evacuated[service]) > 0 && len(b.services[service]) == 0
+}
+
 // Ready returns how many replicas of a service may get work.
 func (b *Balancer) Ready(service string) int {
 	b.mu.Lock()
--- /dev/null
+++ b/pkg/balance/cold.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// A cold replica is one that is slow for a time after its start and bears few requests
+// a second. It gets nothing while a warm one has room. Beyond that, a few routers may
+// send to it, found by rendezvous hashing over all that are known, those behind a cut
+// included: a share of each of a large fleet would be a fraction of a request a second,
+// and what many may save up in a second is more than it bears.
+
+// ColdBounds are what the users allow all routers to send to a cold replica in any one
+// second: Overage times the rate that it bears, and Allowance requests more.
+type ColdBounds struct {
+	Overage   float64
+	Allowance float64
+}
+
+const (
+	// coldViews is how many groups of routers may hold different ones for those that
+	// may send to a cold replica: before and after a change of the members, or on both
+	// sides of a cut. Each group takes its part of the users' bound.
+	coldViews = 2
+	// settleRouters is for how long after its start a router sends nothing to cold
+	// replicas, since it does not know the others: twice what the members take to be
+	// told after a start (1.85 s, the waits of a recall).
+	settleRouters = 4 * time.Second
+	// coldBurst is what a router may save up for a cold replica, in requests.
+	coldBurst = 1
+)
+
+// coldShares is what it takes to divide a cold replica's rate among routers.
+type coldShares struct {
+	bounds ColdBounds
+	// own and others are the hashes of the routers' addresses.
+	own    uint64
+	others []uint64
+	// since is when the routers were first told.
+	since time.Time
+}
+
+// bucket holds requests that may be sent, up to coldBurst.
+type bucket struct {
+	spent float64
+	at    time.Time
+}
+
+// left returns the requests that may be sent at a time, at a rate a second.
+func (u *bucket) left(rate float64, now time.Time) float64 {
+	return coldBurst - max(u.spent-rate*now.Sub(u.at).Seconds(), 0)
+}
+
+// spend takes one request.
+func (u *bucket) spend(rate float64, now time.Time) {
+	u.spent = coldBurst - u.left(rate, now) + 1
+	u.at = now
+}
+
+// SetColdBounds sets what the users allow to be sent to cold replicas.
+func (b *Balancer) SetColdBounds(bounds ColdBounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cold.bounds = bounds
+}
+
+// SetRouters takes the addresses of all routers that are known, the own one included.
+func (b *Balancer) SetRouters(own string, known []string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cold.since.IsZero() {
+		b.cold.since = now
+	}
+	b.cold.own = hashText(own)
+	b.cold.others = b.cold.others[:0]
+	for _, address := range known {
+		if address != own {
+			b.cold.others = append(b.cold.others, hashText(address))
+		}
+	}
+}
+
+// senders is how many routers may send to one cold replica.
+func (c *coldShares) senders() int {
+	most := max(int(c.bounds.Allowance/(coldViews*coldBurst)), 1)
+	return min(most, len(c.others)+1)
+}
+
+// rate is what one of them may send in a second.
+func (c *coldShares) rate(bears float64) float64 {
+	return bears * c.bounds.Overage / float64(coldViews*c.senders())
+}
+
+// sends tells whether this router is one of those that may send to a cold replica.
+func (c *coldShares) sends(r *replica, now time.Time) bool {
+	if c.since.IsZero() || now.Sub(c.since) < settleRouters {
+		return false
+	}
+	before := 0
+	own := mix(c.own ^ r.hash)
+	for _, other := range c.others {
+		if mix(other^r.hash) > own {
+			before++
+		}
+	}
+	return before < c.senders()
+}
+
+// isCold tells whether a replica bears less than a warm one.
+func isCold(r directory.Replica, q Question, now time.Time) bool {
+	return q.ColdRate > 0 && now.Before(r.ColdUntil)
+}
+
+// candidates returns the replicas that may get a request: the warm ones, and where
+// none of them has room also the cold ones to which this router may send one.
+func (b *Balancer) candidates(q Question, all []*replica, bound float64, now time.Time) []*replica {
+	left := make([]*replica, 0, len(all))
+	var cold []*replica
+	for _, r := range all {
+		switch {
+		case slices.Contains(q.Tried, r.ID):
+		case isCold(r.Replica, q, now):
+			cold = append(cold, r)
+		default:
+			left = append(left, r)
+		}
+	}
+	hasRoom := func(r *replica) bool { return b.fits(r, bound, now) }
+	if len(cold) == 0 || slices.ContainsFunc(left, hasRoom) {
+		return left
+	}
+	rate := b.cold.rate(q.ColdRate)
+	for _, r := range cold {
+		if r.allowance.left(rate, now) >= 1 && b.cold.sends(r, now) {
+			left = append(left, r)
+		}
+	}
+	return left
+}
+
+// spend takes a request from the allowance of a chosen replica that is cold, and
+// returns the reason of the choice.
+func (b *Balancer) spend(chosen *replica, q Question, reason Reason, now time.Time) Reason {
+	if !isCold(chosen.Replica, q, now) {
+		return reason
+	}
+	chosen.allowance.spend(b.cold.rate(q.ColdRate), now)
+	return Cold
+}
--- /dev/null
+++ b/pkg/balance/cold_test.go
@@ -0,0 +1,251 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// What a cold replica of these tests bears, and what the users allow beyond it.
+const coldRate = 9.6
+
+var coldBounds = ColdBounds{Overage: 1.5, Allowance: 5}
+
+// mostCold is what all routers may send to a cold replica in a second.
+var mostCold = coldRate*coldBounds.Overage + coldBounds.Allowance
+
+func chill(list []directory.Replica, until time.Time, ids ...int) []directory.Replica {
+	for _, i := range ids {
+		list[i].ColdUntil = until
+	}
+	return list
+}
+
+// fleetOf returns the addresses of a number of routers.
+func fleetOf(n int) []string {
+	var addresses []string
+	for i := range n {
+		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:9", i))
+	}
+	return addresses
+}
+
+// settled returns a router's balancer that has known the others for long.
+func settled(list []directory.Replica, own string, known []string) *Balancer {
+	b := New(hashText(own))
+	b.SetColdBounds(coldBounds)
+	b.SetRouters(own, known, start.Add(-time.Hour))
+	b.Replace(list, start)
+	return b
+}
+
+func question(part uint64) Question {
+	return Question{Service: "llm", DataCentre: "dc0", Parts: prompt(part), ColdRate: coldRate}
+}
+
+func TestAColdReplicaGetsNothingWhileAWarmOneHasRoom(t *testing.T) {
+	until := start.Add(3 * time.Second)
+	b := settled(chill(engines(3), until, 1), "a", []string{"a"})
+	for part := range uint64(200) {
+		c, found := b.Pick(question(part), start)
+		require.True(t, found)
+		assert.NotEqual(t, "i-1", c.Replica.ID)
+	}
+	warm := 0
+	for part := range uint64(200) {
+		c, _ := b.Pick(question(part), until)
+		if c.Replica.ID == "i-1" {
+			warm++
+		}
+	}
+	assert.InDelta(t, 66, warm, 30, "it is a home again once it is warm")
+}
+
+func TestAServiceThatBearsTheSameWhenColdIsNotHeldBack(t *testing.T) {
+	b := settled(chill(engines(1), start.Add(time.Minute), 0), "a", []string{"a", "b", "c", "d", "e"})
+	for range 50 {
+		_, found := b.Pick(Question{Service: "llm", Parts: prompt(1)}, start)
+		assert.True(t, found)
+	}
+}
+
+func TestAColdReplicaTakesWhatNoWarmOneHasRoomFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		parts []Part
+		spoil func(b *Balancer)
+	}{
+		"a prompt, the others failing": {prompt(1), func(b *Balancer) { b.Failed("i-1", Refused, "dc0", start) }},
+		"plain, the others failing":    {nil, func(b *Balancer) { b.Failed("i-1", Refused, "dc0", start) }},
+		"a prompt, the others full": {prompt(1), func(b *Balancer) {
+			for range 40 {
+				b.Started("i-1")
+			}
+		}},
+		"a prompt, the others tried": {prompt(1), func(*Balancer) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := settled(chill(engines(2), start.Add(time.Minute), 0), "a", []string{"a"})
+			c.spoil(b)
+			q := Question{Service: "llm", DataCentre: "dc0", Parts: c.parts, ColdRate: coldRate}
+			if name == "a prompt, the others tried" {
+				q.Tried = []string{"i-1"}
+			}
+			chosen, found := b.Pick(q, start)
+			require.True(t, found)
+			assert.Equal(t, "i-0", chosen.Replica.ID)
+			assert.Equal(t, Cold, chosen.Reason)
+			again, found := b.Pick(q, start)
+			assert.True(t, !found || again.Replica.ID == "i-1", "the share is spent, for a last resort as well")
+		})
+	}
+}
+
+// sendAll has routers ask for a replica 100 times a second each, and returns the most
+// that each replica got within any second.
+func sendAll(t *testing.T, routers []*Balancer, q Question, length time.Duration) map[string]int {
+	t.Helper()
+	arrivals := make(map[string][]time.Time)
+	most := make(map[string]int)
+	for now := start; now.Sub(start) < length; now = now.Add(10 * time.Millisecond) {
+		for _, b := range routers {
+			c, found := b.Pick(q, now)
+			if !found {
+				continue
+			}
+			id := c.Replica.ID
+			arrivals[id] = append(arrivals[id], now)
+			for now.Sub(arrivals[id][0]) >= time.Second {
+				arrivals[id] = arrivals[id][1:]
+			}
+			most[id] = max(most[id], len(arrivals[id]))
+		}
+	}
+	return most
+}
+
+func TestAllRoutersTogetherKeepTheBoundOfAColdReplica(t *testing.T) {
+	for name, c := range map[string]struct {
+		parts  []Part
+		groups [][]string
+	}{
+		"one router":                        {prompt(1), [][]string{fleetOf(1)}},
+		"a small fleet":                     {prompt(1), [][]string{fleetOf(6)}},
+		"a large fleet":                     {prompt(1), [][]string{fleetOf(78)}},
+		"a large fleet, a plain service":    {nil, [][]string{fleetOf(78)}},
+		"two halves that know nothing":      {prompt(1), [][]string{fleetOf(78)[:39], fleetOf(78)[39:]}},
+		"two thirds that know nothing":      {nil, [][]string{fleetOf(78)[:52], fleetOf(78)[52:]}},
+		"a large fleet on its last replica": {prompt(2), [][]string{fleetOf(78)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := 5
+			if name == "a large fleet on its last replica" {
+				n = 1
+			}
+			list := engines(n)
+			for i := range list {
+				list[i].ColdUntil = start.Add(time.Minute)
+			}
+			var routers []*Balancer
+			for _, group := range c.groups {
+				for _, own := range group {
+					routers = append(routers, settled(list, own, group))
+				}
+			}
+			q := Question{Service: "llm", DataCentre: "dc0", Parts: c.parts, ColdRate: coldRate}
+			most := sendAll(t, routers, q, 4*time.Second)
+			assert.Len(t, most, n, "each is used")
+			for id, got := range most {
+				assert.LessOrEqual(t, float64(got), mostCold, id)
+				assert.GreaterOrEqual(t, float64(got), coldRate*0.7, "and not left idle: %s", id)
+			}
+		})
+	}
+}
+
+func TestARouterThatStartsSendsNothingToColdReplicas(t *testing.T) {
+	list := chill(engines(1), start.Add(time.Minute), 0)
+	b := New(1)
+	b.SetColdBounds(coldBounds)
+	b.Replace(list, start)
+	_, found := b.Pick(question(1), start)
+	assert.False(t, found, "nobody said which routers there are")
+	b.SetRouters("a", []string{"a"}, start)
+	_, found = b.Pick(question(1), start.Add(settleRouters-time.Millisecond))
+	assert.False(t, found, "it may not know the others")
+	_, found = b.Pick(question(1), start.Add(settleRouters))
+	assert.True(t, found)
+}
+
+func TestAllowancesOfOtherSizes(t *testing.T) {
+	for _, c := range []struct {
+		bounds  ColdBounds
+		senders int
+		rate    float64
+	}{
+		{ColdBounds{1.5, 5}, 2, 3.6},
+		{ColdBounds{1, 1}, 1, 4.8},
+		{ColdBounds{2, 20}, 10, 0.96},
+	} {
+		shares := coldShares{bounds: c.bounds, others: make([]uint64, 77)}
+		assert.Equal(t, c.senders, shares.senders())
+		assert.InDelta(t, c.rate, shares.rate(coldRate), 1e-9)
+	}
+}
+
+func TestAnEvacuatedReplicaGetsNothingButIsCopiedFrom(t *testing.T) {
+	b := newBalancer(engines(6))
+	first := pick(t, b, prompt(1), start)
+	b.Answered(first.Replica.ID, prompt(1), start)
+	list := engines(6)
+	for i := range list {
+		list[i].Evacuated = list[i].DataCentre == first.Replica.DataCentre
+	}
+	b.Replace(list, start)
+	for part := range uint64(100) {
+		assert.NotEqual(t, first.Replica.DataCentre, pick(t, b, prompt(part), start).Replica.DataCentre)
+	}
+	assert.Equal(t, first.Replica.Address, pick(t, b, prompt(1), start).Source)
+	assert.False(t, b.Evacuated("llm"))
+	for i := range list {
+		list[i].Evacuated = true
+	}
+	b.Replace(list, start)
+	_, found := b.Pick(question(1), start)
+	assert.False(t, found, "not as a last resort either")
+	assert.True(t, b.Evacuated("llm"))
+	assert.False(t, b.Evacuated("none"))
+}
+
+// A day with an evacuation: LIMIT, since the bound was that of the mean of two thirds
+// of the replicas.
+func TestTheBoundIsOfTheMeanOfAllReplicas(t *testing.T) {
+	for name, change := range map[string]func(r *directory.Replica){
+		"some evacuated": func(r *directory.Replica) { r.Evacuated = true },
+		"some cold":      func(r *directory.Replica) { r.ColdUntil = start.Add(time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := engines(9)
+			for i := range list {
+				if list[i].DataCentre == "dc2" {
+					change(&list[i])
+				}
+			}
+			b := settled(list, "a", []string{"a"})
+			for i := range list {
+				for range 9 {
+					if list[i].DataCentre != "dc2" {
+						b.Started(list[i].ID)
+					}
+				}
+			}
+			c, found := b.Pick(question(1), start)
+			require.True(t, found)
+			assert.InDelta(t, boundPart*defaultLoadFactor*6+boundSlack, c.Bound, 1e-9, "54 requests at 9 replicas")
+		})
+	}
+}
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -30,13 +30,17 @@
 
 // bound is the load up to which a replica of a service gets further requests.
 // Those that can't be reached carry none of what this router sends, so the mean
-// is that of the others.
-func (b *Balancer) bound(all []*replica, now time.Time) float64 {
+// is that of the others. The users' mean is of all replicas, those included to which
+// nothing is sent while they are evacuated or cold: the others are held to it.
+func (b *Balancer) bound(service string, now time.Time) float64 {
+	all := b.services[service]
 	total, reached := 0.0, 0
-	for _, r := range all {
-		if !b.unreachable(r, now) {
-			total += b.load(r, now)
-			reached++
+	for _, list := range [][]*replica{all, b.evacuated[service]} {
+		for _, r := range list {
+			if !b.unreachable(r, now) {
+				total += b.load(r, now)
+				reached++
+			}
 		}
 	}
 	if reached == 0 {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -3,6 +3,9 @@
 //
 //	listed and ready   -> gets work
 //	listed as draining -> gets nothing new
+//	evacuated          -> gets nothing new while its data centre is listed as such
+//	cold               -> listed with how long it will be; those who send count
+//	                      it down by their steady clocks
 //	no longer listed   -> gets nothing new, unless the list itself was lost: when
 //	                      most of a service vanish at once, or a third after a
 //	                      pause between reads, they keep their work for a time,
@@ -40,12 +43,33 @@
 	// Slots is the most requests that it runs at a time.
 	Slots int
 	State State
+	// Entry is the revision of the replica's entry: it rises when the entry changes.
+	Entry uint64
+	// Cold tells that the entry says that the replica is still slow from its start,
+	// and ColdLeft for how long from the read that lists it. Only the first tells one
+	// list from another: the second is another one at each read.
+	Cold     bool
+	ColdLeft time.Duration
+	// ColdUntil is when it is warm, by this router's clock.
+	ColdUntil time.Time `json:"-"`
+	// Evacuated: nothing is to be sent to its data centre.
+	Evacuated bool `json:"-"`
+}
+
+// Listing is what one read lists.
+type Listing struct {
+	Replicas []Replica
+	// Evacuated are the data centres to which nothing is to be sent.
+	Evacuated []string
 }
 
 // Change is a difference between two reads.
 type Change struct {
+	// Replica is the one that changed; empty where a data centre did.
 	Replica Replica
-	What    What
+	// Centre is the data centre that changed, or empty.
+	Centre string
+	What   What
 }
 
 // What says how a replica changed.
@@ -58,6 +82,11 @@
 	Left    What = "gone"
 	Doubted What = "vanished with its list"
 	Back    What = "listed again"
+	Cooled  What = "cold"
+	Warmed  What = "warm"
+	// Evacuated and Returned are of a data centre.
+	Evacuated What = "evacuated"
+	Returned  What = "taken back"
 )
 
 // Directory is not safe for concurrent use.
@@ -65,7 +94,9 @@
 	outage  time.Duration
 	grace   time.Duration
 	entries map[string]*entry
-	read    time.Time
+	// evacuated are the data centres to which nothing is to be sent, sorted.
+	evacuated []string
+	read      time.Time
 }
 
 type entry struct {
@@ -75,18 +106,30 @@
 }
 
 // New returns an empty directory. A pause of more than outage between two reads
-// may have been an outage of the list; grace is how long a replica that vanished in
-// one keeps its work.
+// may have been an outage of the list; grace is for how long
+// entries may lag behind what they tell: a replica that vanished in an outage keeps
+// its work so long, and those of a data centre that is taken back count as cold.
 func New(outage, grace time.Duration) *Directory {
 	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry)}
 }
 
-// Replace takes a full read that was sent at a time, and returns what changed,
-// sorted by id. Reads that were sent before the last one taken are ignored.
+// Replace is Take of a read that says nothing new of data centres.
 func (d *Directory) Replace(list []Replica, sent time.Time) []Change {
+	return d.Take(Listing{Replicas: list, Evacuated: d.evacuated}, sent)
+}
+
+// Take takes a full read that was sent at a time, and returns what changed, data
+// centres first, then replicas by id. Reads that were sent before the last one taken
+// are ignored.
+func (d *Directory) Take(l Listing, sent time.Time) []Change {
 	if sent.Before(d.read) {
 		return nil
 	}
+	changes := d.takeReplicas(l.Replicas, sent)
+	return append(d.takeCentres(l.Evacuated), changes...)
+}
+
+func (d *Directory) takeReplicas(list []Replica, sent time.Time) []Change {
 	outage := !d.read.IsZero() && sent.Sub(d.read) > d.outage
 	d.read = sent
 	seen := make(map[string]bool, len(list))
@@ -135,14 +178,19 @@
 func (d *Directory) take(r Replica, changes []Change) []Change {
 	old, known := d.entries[r.ID]
 	if !known {
+		r.ColdUntil = d.coldUntil(r)
 		d.entries[r.ID] = &entry{replica: r}
-		return append(changes, Change{r, Joined})
+		return append(changes, Change{Replica: r, What: Joined})
 	}
+	what := d.warmth(&r, old.replica)
 	switch {
 	case r.State == Draining && old.replica.State != Draining:
-		changes = append(changes, Change{r, Drains})
+		what = Drains
 	case !old.doubtedSince.IsZero():
-		changes = append(changes, Change{r, Back})
+		what = Back
+	}
+	if what != "" {
+		changes = append(changes, Change{Replica: r, What: what})
 	}
 	old.replica = r
 	old.doubtedSince = time.Time{}
@@ -152,13 +200,13 @@
 func (d *Directory) missing(id string, e *entry, lost bool, changes []Change) []Change {
 	if e.doubtedSince.IsZero() && lost && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
 		e.doubtedSince = d.read
-		return append(changes, Change{e.replica, Doubted})
+		return append(changes, Change{Replica: e.replica, What: Doubted})
 	}
 	if !e.doubtedSince.IsZero() && d.read.Sub(e.doubtedSince) < d.grace {
 		return changes
 	}
 	delete(d.entries, id)
-	return append(changes, Change{e.replica, Left})
+	return append(changes, Change{Replica: e.replica, What: Left})
 }
 
 // addressTaken tells whether another replica stands at the address now.
@@ -178,9 +226,18 @@
 }
 
 // Listed returns the replicas that the last read listed, sorted by id: without
-// those that vanished after an outage.
+// those that vanished after an outage. How long they stay cold is as of that read.
 func (d *Directory) Listed() []Replica {
-	return d.list(func(e *entry) bool { return e.doubtedSince.IsZero() })
+	list := d.list(func(e *entry) bool { return e.doubtedSince.IsZero() })
+	for i := range list {
+		list[i].ColdLeft = max(list[i].ColdUntil.Sub(d.read), 0)
+	}
+	return list
+}
+
+// Listing returns what the last read listed, to be passed on.
+func (d *Directory) Listing() Listing {
+	return Listing{Replicas: d.Listed(), Evacuated: slices.Clone(d.evacuated)}
 }
 
 // Mark names the list by its content.
@@ -188,8 +245,9 @@
 	hash := xxhash.New()
 	for _, r := range d.Listed() {
 		// A hash takes every write.
-		fmt.Fprintf(hash, "%q %q %q %q %d %d\n", r.ID, r.Service, r.Address, r.DataCentre, r.Slots, r.State)
+		fmt.Fprintf(hash, "%q %q %q %q %d %d %t\n", r.ID, r.Service, r.Address, r.DataCentre, r.Slots, r.State, r.Cold)
 	}
+	fmt.Fprintf(hash, "%q\n", d.evacuated)
 	return hash.Sum64()
 }
 
@@ -206,7 +264,9 @@
 	list := make([]Replica, 0, len(d.entries))
 	for _, e := range d.entries {
 		if wanted(e) {
-			list = append(list, e.replica)
+			r := e.replica
+			r.Evacuated = slices.Contains(d.evacuated, r.DataCentre)
+			list = append(list, r)
 		}
 	}
 	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
--- /dev/null
+++ b/pkg/directory/warmth_test.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// cold returns a replica whose entry of a revision says for how long it is cold.
+func cold(id string, entry uint64, left time.Duration) Replica {
+	return Replica{ID: id, Service: "s", Address: id + ":1", DataCentre: "north", Entry: entry, Cold: left > 0, ColdLeft: left}
+}
+
+// passed returns a listing as another router gets it.
+func passed(t *testing.T, l Listing) Listing {
+	t.Helper()
+	text, err := json.Marshal(l)
+	require.NoError(t, err)
+	var out Listing
+	require.NoError(t, json.Unmarshal(text, &out))
+	return out
+}
+
+func TestColdIsCountedDownFromTheReadThatTellsIt(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		reads []Replica
+		what  []What
+		until []float64
+	}{
+		"the entry stays as it is":       {[]Replica{cold("a", 1, 3*second), cold("a", 1, 3*second)}, []What{Joined, ""}, []float64{3, 3}},
+		"the entry counts down":          {[]Replica{cold("a", 1, 3*second), cold("a", 2, 1900*time.Millisecond)}, []What{Joined, ""}, []float64{3, 3}},
+		"the entry says that it is warm": {[]Replica{cold("a", 1, 3*second), cold("a", 2, 0)}, []What{Joined, Warmed}, []float64{3, 0}},
+		"a warm one turns cold":          {[]Replica{cold("a", 1, 0), cold("a", 2, 3*second)}, []What{Joined, Cooled}, []float64{0, 4}},
+		"a cold one turns cold again":    {[]Replica{cold("a", 1, 2*second), cold("a", 2, 3*second)}, []What{Joined, Cooled}, []float64{2, 4}},
+		"it drains and is warm":          {[]Replica{cold("a", 1, 3*second), {ID: "a", State: Draining, Entry: 2}}, []What{Joined, Drains}, []float64{3, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New(9*second, 2*second)
+			for i, r := range c.reads {
+				assert.Equal(t, c.what[i], changes(d.Replace([]Replica{r}, at(float64(i))))["a"])
+				until := d.List()[0].ColdUntil
+				if c.until[i] == 0 {
+					assert.Zero(t, until)
+					continue
+				}
+				assert.Equal(t, at(c.until[i]), until)
+			}
+		})
+	}
+}
+
+func TestTheMarkDoesNotCountDown(t *testing.T) {
+	d := New(9*time.Second, 2*time.Second)
+	d.Replace([]Replica{cold("a", 1, 3*time.Second)}, at(0))
+	fresh := d.Mark()
+	d.Replace([]Replica{cold("a", 2, 1900*time.Millisecond)}, at(1))
+	assert.Equal(t, fresh, d.Mark())
+	d.Confirm(at(2))
+	assert.Equal(t, fresh, d.Mark())
+	d.Replace([]Replica{cold("a", 3, 0)}, at(3))
+	assert.NotEqual(t, fresh, d.Mark(), "that it is warm is news")
+}
+
+func TestColdIsPassedOnAsOfTheRead(t *testing.T) {
+	first, second := New(9*time.Second, 2*time.Second), New(9*time.Second, 2*time.Second)
+	first.Replace([]Replica{cold("a", 1, 3*time.Second)}, at(0))
+	first.Confirm(at(1))
+	// The other router's clock is another one: what was read at 1 here was read at 501 there.
+	second.Take(passed(t, first.Listing()), at(501))
+	assert.Equal(t, at(503), second.List()[0].ColdUntil)
+	assert.Equal(t, first.Mark(), second.Mark())
+	first.Confirm(at(4))
+	third := New(9*time.Second, 2*time.Second)
+	third.Take(passed(t, first.Listing()), at(504))
+	assert.Zero(t, third.List()[0].ColdUntil, "the time is over")
+	assert.Equal(t, first.Mark(), third.Mark(), "the entry still says cold: both know the same list")
+}
+
+func TestADataCentreIsEvacuatedAndTakenBack(t *testing.T) {
+	centres := func(list []Change) map[string]What {
+		out := make(map[string]What)
+		for _, c := range list {
+			if c.Centre != "" {
+				out[c.Centre] = c.What
+			}
+		}
+		return out
+	}
+	d := New(9*time.Second, 2*time.Second)
+	list := []Replica{cold("a", 1, 0), {ID: "b", Service: "s", DataCentre: "south"}}
+	d.Take(Listing{Replicas: list}, at(0))
+	before := d.Mark()
+	assert.Equal(t, map[string]What{"north": Evacuated}, centres(d.Take(Listing{list, []string{"north"}}, at(1))))
+	assert.NotEqual(t, before, d.Mark())
+	assert.True(t, d.List()[0].Evacuated)
+	assert.False(t, d.List()[1].Evacuated)
+
+	assert.Empty(t, d.Confirm(at(2)))
+	assert.Empty(t, d.Take(Listing{list, nil}, at(1.5)), "an older read says nothing")
+	assert.Equal(t, []string{"north"}, d.Listing().Evacuated)
+	joined := append(list, Replica{ID: "c", DataCentre: "north"})
+	assert.Empty(t, centres(d.Take(Listing{joined, []string{"north", "north"}}, at(3))))
+	assert.True(t, d.List()[2].Evacuated, "one that joins there is evacuated as well")
+
+	other := New(9*time.Second, 2*time.Second)
+	assert.Equal(t, map[string]What{"north": Evacuated}, centres(other.Take(passed(t, d.Listing()), at(3))))
+	assert.Equal(t, d.Mark(), other.Mark())
+
+	assert.Equal(t, map[string]What{"north": Returned}, centres(d.Take(Listing{list, nil}, at(4))))
+	assert.Equal(t, before, d.Mark())
+	assert.False(t, d.List()[0].Evacuated)
+}
+
+func TestWhatIsTakenBackCountsAsColdUntilItsEntriesTell(t *testing.T) {
+	d := New(9*time.Second, 2*time.Second)
+	list := []Replica{cold("a", 1, 0), cold("b", 1, 0), cold("c", 1, 0), {ID: "d", DataCentre: "south"}}
+	d.Take(Listing{list, []string{"north"}}, at(0))
+	list[1] = cold("b", 2, 3*time.Second)
+	d.Take(Listing{list, nil}, at(1))
+	assert.Equal(t, at(3), d.List()[0].ColdUntil)
+	assert.Equal(t, at(4), d.List()[1].ColdUntil, "its entry tells of more")
+	assert.Zero(t, d.List()[3].ColdUntil)
+	list[0], list[2] = cold("a", 2, 3*time.Second), cold("c", 2, 0)
+	d.Take(Listing{list, nil}, at(2))
+	assert.Equal(t, at(5), d.List()[0].ColdUntil, "cold by its entry")
+	assert.Zero(t, d.List()[2].ColdUntil, "warm by its entry")
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -306,5 +306,19 @@
 	return true
 }
 
+// Known returns all routers that are members or were a while ago, this one included,
+// sorted. Those that fell silent may be at work behind a cut.
+func (t *Table) Known() []string {
+	known := []string{t.own}
+	for address := range t.heard {
+		known = append(known, address)
+	}
+	for address := range t.lost {
+		known = append(known, address)
+	}
+	slices.Sort(known)
+	return slices.Compact(known)
+}
+
 // Len returns the number of routers, this one included.
 func (t *Table) Len() int { return len(t.heard) + 1 }
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -306,3 +306,20 @@
 	}
 	assert.Len(t, asked, routers)
 }
+
+func TestRoutersThatFellSilentAreStillKnown(t *testing.T) {
+	now := time.Now()
+	table := New("b", nil, 11)
+	assert.Equal(t, []string{"b"}, table.Known())
+	for _, other := range []string{"c", "a", "d"} {
+		table.Heard(other, now)
+	}
+	assert.Equal(t, []string{"a", "b", "c", "d"}, table.Known())
+	table.Left("d", now)
+	table.Heard("c", now.Add(Lifetime))
+	assert.Equal(t, []string{"a"}, table.Expire(now.Add(Lifetime+time.Second)))
+	assert.Equal(t, []string{"a", "b", "c"}, table.Known(), "it may be at work behind a cut; one that said that it stops is not")
+	table.Heard("c", now.Add(lostLifetime+2*Lifetime))
+	table.Expire(now.Add(lostLifetime + 2*Lifetime + time.Second))
+	assert.Equal(t, []string{"b", "c"}, table.Known())
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -108,6 +108,9 @@
 	HealthPath string
 	// MaxConnections is the most that one replica takes from all callers; 0: not known.
 	MaxConnections int
+	// ColdRate is how many requests a second a replica bears that is still slow from
+	// its start; 0: as many as a warm one, as far as is known.
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
