--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,10 +102,10 @@
 	keyProofPart = 0.8
 	// absencePart of the time within which a configuration must be in force.
 	absencePart = 0.8
-	// readPart of the same time, or of the time to drain if that is shorter, is the
-	// pause between two reads of the source.
+	// readPart of the same time, or of the time to drain or to evacuate if that is
+	// shorter, is the pause between two reads of the source.
 	readPart = 0.4
-	// wayPart of the time to drain is for the way to a replica of a request that is
+	// wayPart of the time to drain, or to evacuate if that is shorter, is for the way to a replica of a request that is
 	// written: 0.4 s of 2 s. By the users' rules a link on which packets wait over
 	// half a second is out of the ordinary.
 	wayPart = 0.2
@@ -129,6 +129,7 @@
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(b))
 	e.balancer.SetWithout(e.settings.Without)
 	period := readPeriod(b)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
@@ -176,7 +177,7 @@
 
 // readPeriod is the pause between two reads of the source.
 func readPeriod(b settings.Bounds) time.Duration {
-	return part(min(b.Apply, b.Drain), readPart)
+	return part(min(b.Apply, b.Drain, b.Evacuate), readPart)
 }
 
 func (e *Entry) followOptions(s settings.Settings) follow.Options {
@@ -206,11 +207,15 @@
 	return part(b.Revoke, keyProofPart)
 }
 
+func coldBounds(b settings.Bounds) balance.ColdBounds {
+	return balance.ColdBounds{Overage: b.ColdOverage, Allowance: b.ColdAllowance}
+}
+
 func frontLimits(b settings.Bounds) front.Limits {
 	return front.Limits{
 		KeyProof:      keyProof(b),
 		AbsenceProof:  part(b.Apply, absencePart),
-		ListProof:     part(b.Drain, 1-wayPart),
+		ListProof:     part(min(b.Drain, b.Evacuate), 1-wayPart),
 		RepeatRatio:   b.RepeatRatio * repeatPart,
 		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
 	}
@@ -223,6 +228,7 @@
 	e.follower.Set(e.outside.Source(s), e.followOptions(s))
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(s.Bounds))
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,8 @@
 	ProofNew          ID = 312
 	CentreHeard       ID = 313
 	ConnsSilent       ID = 314
+	CentreEvacuated   ID = 315
+	CentreReturned    ID = 316
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -91,7 +93,7 @@
 	LayoutChanged:     {logrus.DebugLevel, "engines divided anew", "None needed."},
 	PeerLost:          {logrus.WarnLevel, "peer does not answer", "If it lasts for many peers, look at the network between instances."},
 	PeerBack:          {logrus.InfoLevel, "peer answers again", "None needed."},
-	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains or is gone", "None needed."},
+	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains, is cold, warm or gone", "None needed."},
 	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
 	CentreSilent:      {logrus.WarnLevel, "no router of a data centre is heard", "Its replicas get no work from here until one is. Look at the network between data centres."},
 	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
@@ -99,6 +101,8 @@
 	ProofNew:          {logrus.InfoLevel, "configuration proven new enough again", "None needed."},
 	CentreHeard:       {logrus.InfoLevel, "a router of a silent data centre is heard again", "None needed."},
 	ConnsSilent:       {logrus.WarnLevel, "kept connections went silent, dropped", "If frequent, look at what stands between: a firewall or proxy that forgets connections."},
+	CentreEvacuated:   {logrus.WarnLevel, "data centre evacuated, nothing more is sent to its replicas", "None needed. It holds until the operator takes it back."},
+	CentreReturned:    {logrus.InfoLevel, "evacuated data centre taken back", "None needed. Its replicas get little until they are warm."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -46,7 +46,7 @@
 			if c.waitForReplica(ctx) {
 				continue
 			}
-			c.giveUp(c.notTaken("no replica"))
+			c.giveUp(c.noReplica())
 			return
 		}
 		switch c.attempt(ctx, choice) {
@@ -59,10 +59,21 @@
 	}
 }
 
+// noReplica refuses a request for which there is no replica.
+func (c *call) noReplica() *refusal {
+	if c.evacuated() {
+		return c.notTaken("evacuated")
+	}
+	return c.notTaken("no replica")
+}
+
+// evacuated tells whether all replicas of the service are: there is nothing to wait for.
+func (c *call) evacuated() bool { return c.front.balancer.Evacuated(c.service.Name) }
+
 // question asks for a replica that was not tried and is not barred.
 func (c *call) question(barred []string) balance.Question {
 	tried := slices.Concat(c.tried, barred)
-	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried}
+	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate}
 	if c.service.Engine != nil {
 		q.Parts = c.parts
 	}
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -46,7 +46,7 @@
 // to look again.
 func (c *call) waitForReplica(ctx context.Context) bool {
 	left := c.within(waitPart, maxTime) - time.Since(c.arrival)
-	if c.sent.Load() > 0 || left <= 0 {
+	if c.sent.Load() > 0 || c.evacuated() || left <= 0 {
 		return false
 	}
 	news, expected := c.front.follower.News()
