--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -163,9 +163,11 @@
 }
 
 // callerGone ends a call whose caller left. The connection to the replica is
-// closed on the way out, which stops the work.
+// closed on the way out, which stops the work, and the caller's as well: one that
+// closed its sending side only must not take what it has for a whole answer.
 func (c *call) callerGone() {
 	c.finished(outcomeGone, 0, c.outcome.reason)
+	panic(http.ErrAbortHandler)
 }
 
 // giveUp tells the caller that there will be no answer, at once. Only what
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -108,8 +108,24 @@
 		limit = min(limit, time.Duration(milliseconds*float64(time.Millisecond)))
 	}
 	c.end = c.arrival.Add(limit)
+	c.boundWrites()
 }
 
+// answerTime is how long after the end of a request's time what is then said of it
+// may take to be written.
+const answerTime = time.Second
+
+// boundWrites sees to it that a caller that does not read its answer is not waited
+// for when its time is over: a write to it ends by nothing else. The server takes
+// the bound off after the answer.
+func (c *call) boundWrites() {
+	// A writer that knows no deadlines has none to set.
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.end.Add(answerTime))
+}
+
+// left tells whether nobody waits for the answer any more.
+func (c *call) left() bool { return callerLeft(c.request.Context()) }
+
 // readBody reads the whole body: it may have to be sent again, and the caller's
 // leaving is seen only after its end.
 func (c *call) readBody() *refusal {
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
 
@@ -60,6 +61,10 @@
 	defer l.mu.Unlock()
 	conn := &callerConn{}
 	l.conns[c] = conn
+	ctx = context.WithValue(ctx, leftKey{}, func() bool {
+		state, known := socket.Look(c)
+		return known && state.Left
+	})
 	return context.WithValue(ctx, connKey{}, func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -67,6 +72,17 @@
 	})
 }
 
+// leftKey is the context's key of what tells whether a caller closed its connection.
+type leftKey struct{}
+
+// callerLeft tells whether the caller of a request has closed its connection, also
+// if the server has not come to read that: a request that lay unread may have been
+// given up before it was read.
+func callerLeft(ctx context.Context) bool {
+	told, found := ctx.Value(leftKey{}).(func() bool)
+	return ctx.Err() != nil || found && told()
+}
+
 // expired tells whether the connection of a request was closed for its limit.
 func expired(ctx context.Context) bool {
 	told, found := ctx.Value(connKey{}).(func() bool)
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -30,6 +30,10 @@
 // may be asked any more.
 func (c *call) dispatch(ctx context.Context) {
 	for {
+		if c.left() {
+			c.callerGone()
+			return
+		}
 		if refused := c.mayStillSend(ctx); refused != nil {
 			c.giveUp(refused)
 			return
@@ -149,6 +153,7 @@
 	sent := time.Now()
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
+	request.Unwanted = c.left
 	request.Unacked = c.moveOn(c.hangTime(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
@@ -198,6 +203,10 @@
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, id string, err error) verdict {
 	c.outcome.reason = "no answer: " + err.Error()
+	if errors.Is(err, upstream.ErrUnwanted) {
+		c.callerGone()
+		return done
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		if c.request.Context().Err() == nil && ctx.Err() == nil {
 			c.front.fail(c.id, id, dialFailure(err))
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -163,3 +163,18 @@
 	t.Cleanup(func() { far.Close() })
 	return p.newConn(near, address)
 }
+
+func TestWhatIsNotWantedIsNotWritten(t *testing.T) {
+	relay := relayed(t, 1)
+	pool := New(Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: time.Minute, IdleTime: time.Minute})
+	for range 2 {
+		_, err := pool.Do(context.Background(), relay.Address(), &Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "a", Unwanted: func() bool {
+			assert.Zero(t, pool.Idle(), "asked once the connection is there")
+			return true
+		}})
+		assert.ErrorIs(t, err, ErrNotSent)
+		assert.ErrorIs(t, err, ErrUnwanted)
+	}
+	require.NoError(t, ask(context.Background(), pool, relay.Address()))
+	assert.Equal(t, 1, relay.Opened(), "a connection that was not used is kept")
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,6 +35,8 @@
 	ErrNotSent = errors.New("upstream: not sent")
 	// ErrBroken: sent, but no answer that is this request's.
 	ErrBroken = errors.New("upstream: no answer")
+	// ErrUnwanted: not sent, since nobody waits for the answer any more.
+	ErrUnwanted = errors.New("upstream: answer not wanted")
 )
 
 // Options of a pool.
@@ -94,6 +96,9 @@
 	Body   []byte
 	// ID must come back in the answer.
 	ID string
+	// Unwanted is asked right before the request is written, when a connection may
+	// have taken a while to open. It may be nil.
+	Unwanted func() bool
 	// Unacked is called, beside Do, if the request was written on a kept connection and
 	// its arrival was not confirmed in time. It may be nil.
 	Unacked func()
@@ -118,6 +123,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
+		if r.Unwanted != nil && r.Unwanted() {
+			p.rest(c)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrUnwanted)
+		}
 		answer, written, err := p.watched(ctx, c, reused, r)
 		if err == nil {
 			return answer, nil
@@ -162,6 +171,14 @@
 	return c
 }
 
+// rest puts back a connection that was not used.
+func (p *Pool) rest(c *conn) {
+	if c.expires.IsZero() {
+		c.expires = time.Now().Add(p.options.IdleTime)
+	}
+	p.put(c)
+}
+
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
