--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -169,37 +170,39 @@
 func (c *Conn) endRest() Outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch waiting, _ := c.look(); {
+	switch {
 	case c.closed:
 		return Closed
 	case c.serving || c.heard || !c.reading:
 		return Serving
-	case waiting:
+	case c.unread():
 		return Unread
 	}
 	c.closed = true
 	return Closed
 }
 
-// CallerLeft tells whether the caller has closed the connection, also if the
-// server has not come to read that yet.
-func (c *Conn) CallerLeft() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ended := c.look()
-	return ended
+// SyscallConn implements syscall.Conn, for those who ask the system what it knows of
+// the connection. Nothing is to be read by it.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if c.raw == nil {
+		return nil, errNoSocket
+	}
+	return c.raw, nil
 }
 
-// look tells what a read would find now, without reading it: bytes, or the end.
-func (c *Conn) look() (waiting, ended bool) {
+var errNoSocket = errors.New("conns: no socket")
+
+// unread tells whether a read would find bytes now, without reading them.
+func (c *Conn) unread() (waiting bool) {
 	if c.raw == nil || c.closed {
-		return false, c.closed
+		return false
 	}
-	err := c.raw.Control(func(fd uintptr) {
+	// One that is closed meanwhile holds nothing.
+	_ = c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waiting = err == nil && n > 0
-		ended = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
-	return waiting, ended || err != nil
+	return waiting
 }
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/socket"
 )
 
 // rig is a server whose connections belong to a set, and one caller's connection.
@@ -107,8 +109,7 @@
 func (c *Conn) finds() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waiting, _ := c.look()
-	return waiting
+	return c.unread()
 }
 
 const (
@@ -209,14 +210,19 @@
 	assert.Equal(t, Closed, c.CloseIfResting())
 }
 
+// What asks the system of a connection sees through to the socket.
 func TestACallerThatLeftIsSeen(t *testing.T) {
 	r := newRig(t)
 	r.send(t, held)
 	<-r.begun
-	c := r.conn(t)
-	assert.False(t, c.CallerLeft())
+	left := func() bool {
+		state, known := socket.Look(r.conn(t))
+		assert.True(t, known)
+		return state.Left
+	}
+	assert.False(t, left())
 	r.caller.Close()
-	await(c.CallerLeft)
+	await(left)
 	r.finish <- struct{}{}
 }
 
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -31,6 +31,10 @@
 // may be asked any more.
 func (c *call) dispatch(ctx context.Context) {
 	for {
+		if c.left() {
+			c.callerGone()
+			return
+		}
 		if refused := c.mayStillSend(ctx); refused != nil {
 			c.giveUp(refused)
 			return
@@ -172,6 +176,10 @@
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, id string, err error) verdict {
 	c.outcome.reason = "no answer: " + err.Error()
+	if errors.Is(err, errCallerGone) {
+		c.callerGone()
+		return done
+	}
 	if errors.Is(err, errHeldBack) {
 		return c.heldBack(id, err)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -32,7 +32,10 @@
 	address := server.Listener.Addr().String()
 	request := &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Try": {"1"}}, ID: "1"}
 
-	request.Check = func() error { return errNo }
+	request.Check = func() error {
+		assert.Zero(t, pool.Idle(), "asked once the connection is there")
+		return errNo
+	}
 	_, err := pool.Do(t.Context(), address, request)
 	require.ErrorIs(t, err, ErrNotSent)
 	require.ErrorIs(t, err, errNo)
