--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -22,7 +22,10 @@
 	// next request that it read along with the last one.
 	reading bool
 	// heard: something of the next request was read.
-	heard  bool
+	heard bool
+	// room is the size of a read by which the server fills its buffer when that holds
+	// nothing, as at the start of a connection.
+	room   int
 	closed bool
 	// since is when the connection began to rest.
 	since time.Time
@@ -43,7 +46,7 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	c.setReading(true)
+	c.beginRead(len(p))
 	defer c.setReading(false)
 	if c.raw == nil {
 		n, err = c.Conn.Read(p)
@@ -96,6 +99,19 @@
 	c.heard = c.heard || n > 0 && c.next(size)
 }
 
+// beginRead notes that a read of a size waits for bytes. One at rest that leaves out a
+// part of the server's buffer goes on behind bytes of the next request, which came with
+// those of the last one.
+func (c *Conn) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	if !c.serving {
+		c.room = max(c.room, size)
+		c.heard = c.heard || size < c.room
+	}
+}
+
 func (c *Conn) setReading(reading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -144,8 +160,10 @@
 
 // The outcomes.
 const (
-	// Closed: it was at rest, or closed before.
+	// Closed: it was at rest.
 	Closed Outcome = iota
+	// Gone: it was closed before.
+	Gone
 	// Unread: a request lies in the socket.
 	Unread
 	// Serving: a request, or a part of one, was read.
@@ -171,7 +189,7 @@
 	defer c.mu.Unlock()
 	switch waiting, _ := c.look(); {
 	case c.closed:
-		return Closed
+		return Gone
 	case c.serving || c.heard || !c.reading:
 		return Serving
 	case waiting:
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -127,12 +127,18 @@
 	defer ticker.Stop()
 	var all Ended
 	for {
-		all.add(s.CloseResting(time.Now()))
+		look := s.CloseResting(time.Now())
+		all.add(look)
 		if s.Open() == 0 {
 			return all, nil
 		}
+		ended := ctx.Done()
+		if look.Serving+look.Unread == 0 {
+			// All are closed, and the server is about to notice: nothing is cut.
+			ended = nil
+		}
 		select {
-		case <-ctx.Done():
+		case <-ended:
 			return all, ctx.Err()
 		case <-ticker.C:
 		}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -206,7 +206,7 @@
 	r.send(t, request)
 	_, err := r.reader.ReadByte()
 	assert.Error(t, err, "the request is not served on a connection that is said to be closed")
-	assert.Equal(t, Closed, c.CloseIfResting())
+	assert.Equal(t, Gone, c.CloseIfResting(), "closed once")
 }
 
 func TestACallerThatLeftIsSeen(t *testing.T) {
@@ -238,3 +238,45 @@
 	assert.Equal(t, 1, ended.Closed)
 	assert.NoError(t, r.set.Wait(context.Background()))
 }
+
+// A caller may send the next request before it has the answer; its first bytes then come
+// with those of the request before.
+func TestANextRequestThatCameInPartWithTheLastOneIsNotClosedOver(t *testing.T) {
+	r := newRig(t)
+	r.send(t, held+request[:10])
+	<-r.begun
+	r.finish <- struct{}{}
+	r.answer(t)
+	<-r.idle
+	r.resume <- struct{}{}
+	await(r.conn(t).waits)
+	assert.Equal(t, Ended{Serving: 1}, r.set.CloseResting(time.Now()))
+	r.send(t, request[10:])
+	r.answer(t)
+}
+
+// A stop that is cut short while connections rest, and no request is in flight, has cut
+// nothing. Each connection is closed, and counted, once.
+func TestAKillOfAServerAtRestCutsNothing(t *testing.T) {
+	r := newRig(t)
+	await(r.conn(t).waits)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ended, err := r.set.Drain(ctx)
+	assert.NoError(t, err, "nothing is in flight")
+	assert.Equal(t, 1, ended.Closed)
+}
+
+// A caller need not wait for an answer: the next request then lies in the server's
+// buffer, where no look into the socket finds it.
+func TestARequestInTheServersBufferIsServed(t *testing.T) {
+	r := newRig(t)
+	r.send(t, held+request)
+	<-r.begun
+	r.finish <- struct{}{}
+	r.answer(t)
+	<-r.idle
+	assert.Equal(t, Ended{Serving: 1}, r.set.CloseResting(time.Now()))
+	r.resume <- struct{}{}
+	r.answer(t)
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -95,6 +95,7 @@
 	if answer.ContentLength >= 0 && !resumable {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	c.front.announceEnd(c.writer)
 	c.writer.WriteHeader(answer.StatusCode)
 	c.begun = true
 	c.firstByte = time.Now()
@@ -200,6 +201,7 @@
 	if r.closes {
 		header.Set("Connection", "close")
 	}
+	c.front.announceEnd(c.writer)
 	header.Set(c.front.options.Dialect.Attempt, c.id)
 	http.Error(c.writer, r.reason, r.status)
 	name := outcomeRefused
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -111,7 +111,7 @@
 		conn.timer.Reset(left)
 		return
 	}
-	if resting, can := c.(restingCloser); can && !conn.late && resting.CloseIfResting() != conns.Closed {
+	if resting, can := c.(restingCloser); can && !conn.late && inUse(resting.CloseIfResting()) {
 		// A request lies in it, at least in part: the head has the time of one.
 		conn.late = true
 		conn.timer.Reset(l.headerTime() + idleMargin)
@@ -122,6 +122,8 @@
 	c.Close()
 }
 
+func inUse(o conns.Outcome) bool { return o == conns.Unread || o == conns.Serving }
+
 // restingCloser is a connection that can tell whether a request lies in it unread.
 type restingCloser interface {
 	CloseIfResting() conns.Outcome
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -136,7 +136,6 @@
 	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	f.announceEnd(w)
 	c := newCall(f, w, r, time.Now())
 	defer c.finish()
 	c.serve()
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -65,3 +65,31 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "it has not run")
 }
+
+// An answer may begin long after its request came: the stop is told in the head of each
+// answer that begins after it, not only of those whose request came after it.
+func TestAnAnswerThatBeginsAfterTheStopIsTheLastOfItsConnection(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			begun, finish := make(chan struct{}, 4), make(chan struct{})
+			address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+				begun <- struct{}{}
+				<-finish
+				if status != http.StatusOK {
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(status)
+				}
+			})
+			r := newRig(t, address)
+			go func() {
+				<-begun
+				r.front.Stopping(time.Now(), time.Now().Add(time.Hour))
+				close(finish)
+			}()
+			response, _, err := r.send(t, "POST", "/single/", "")
+			require.NoError(t, err)
+			assert.Equal(t, status, response.StatusCode)
+			assert.True(t, response.Close, "the caller is told not to use the connection again")
+		})
+	}
+}
