--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -66,8 +66,8 @@
 	// AbsenceProof is the greatest age of the proof at which an unknown route or
 	// key is said to be unknown.
 	AbsenceProof time.Duration
-	// ListProof is the greatest age of the list of replicas by which requests are
-	// sent without asking for a newer one first.
+	// ListProof is the greatest age of the list of replicas by which a request is
+	// written to a replica. Zero: none.
 	ListProof time.Duration
 	// RepeatRatio is how many repeats each request earns, RepeatReserve how many
 	// there are in store.
@@ -98,6 +98,8 @@
 	cutting context.Context
 	cut     context.CancelFunc
 	longest *admission.Longest
+	// stayed is what replicas themselves showed of not leaving.
+	stayed stayed
 }
 
 // New returns a front.
