--- a/internal/follow/outage.go
+++ b/internal/follow/outage.go
@@ -113,3 +113,10 @@
 	defer f.mu.Unlock()
 	return f.directory.Unlisted(since, f.outage.seen)
 }
+
+// Ready tells whether a replica may have new work by the list at hand.
+func (f *Follower) Ready(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Ready(id)
+}
--- a/internal/follow/outage_test.go
+++ b/internal/follow/outage_test.go
@@ -65,3 +65,17 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// A large fleet makes a round each 600 ms, and all partners are asked at once. While the
+// source answers nobody, what the last round told holds until the next one.
+func TestWhatALargeFleetToldHoldsUntilItsNextRound(t *testing.T) {
+	const limit, round = 1600 * time.Millisecond, 600 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower(&fakeSource{err: errors.New("down"), snapshot: Snapshot{Config: config(1)}}, 0)
+		_ = f.readOnce(t.Context())
+		asked := time.Now()
+		f.Told(asked, asked.Add(-time.Minute))
+		assert.True(t, f.Silent(limit, asked.Add(round/2)))
+		assert.True(t, f.Silent(limit, asked.Add(round)))
+	})
+}
--- a/internal/front/connlimits_test.go
+++ b/internal/front/connlimits_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/route"
@@ -124,3 +125,36 @@
 	assert.PanicsWithValue(t, http.ErrAbortHandler, func() { r.front.ServeHTTP(httptest.NewRecorder(), request) })
 	assert.Zero(t, arrivals.Load())
 }
+
+// usedConn is a connection in which a part of a request lies.
+type usedConn struct{ closeCounter }
+
+func (c *usedConn) CloseIfResting() conns.Outcome { return conns.Unread }
+
+// A limit that ends over a request in part leaves it the time of a head, once.
+func TestALimitThatEndsOverAPartOfAHeadLeavesItItsTime(t *testing.T) {
+	const idle, header = 5 * time.Second, 3 * time.Second
+	for name, rest := range map[string]struct {
+		after  time.Duration
+		closed int
+	}{
+		"within its time": {header, 0},
+		"after it":        {header + 2*idleMargin, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := limitsOf(t, idle, header)
+				conn := &usedConn{}
+				limits.ConnContext(context.Background(), conn)
+				limits.ConnState(conn, http.StateNew)
+				time.Sleep(idle + header + idleMargin + time.Millisecond)
+				synctest.Wait()
+				assert.Zero(t, conn.closed.Load(), "a request lies in it")
+				time.Sleep(rest.after)
+				synctest.Wait()
+				assert.EqualValues(t, rest.closed, conn.closed.Load())
+				limits.ConnState(conn, http.StateClosed)
+			})
+		})
+	}
+}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -38,7 +38,7 @@
 		c.front.renewList(ctx)
 		barred := c.front.barred(time.Now())
 		choice, found := c.front.balancer.Pick(c.question(barred), time.Now())
-		if !found && len(barred) > 0 {
+		if !found && c.holdsBack(barred) {
 			c.giveUp(unproven("list of replicas too old"))
 			return
 		}
@@ -59,6 +59,15 @@
 	}
 }
 
+// holdsBack tells whether the request would have a replica, were none barred.
+func (c *call) holdsBack(barred []string) bool {
+	if len(barred) == 0 {
+		return false
+	}
+	_, found := c.front.balancer.Pick(c.question(nil), time.Now())
+	return found
+}
+
 // question asks for a replica that was not tried and is not barred.
 func (c *call) question(barred []string) balance.Question {
 	tried := slices.Concat(c.tried, barred)
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // The incident: a replica had declared that it leaves, and the users' store had
@@ -110,3 +113,61 @@
 	r.wantNotRun(t)
 	assert.Zero(t, arrivals.Load())
 }
+
+// A request that finds no replica of its own service at the moment waits for one. That
+// one of another service is held back says nothing about it.
+func TestAnotherServicesOldReplicaRefusesNothing(t *testing.T) {
+	address, _ := replica(t, answerOK)
+	r := newStillRig(t, address, "one:1", "two:1")
+	own, foreign := r.source.snapshot.Replicas[0], r.source.snapshot.Replicas[1:]
+	foreign[0].Service, foreign[1].Service = "t", "t"
+	take := func(age time.Duration, list ...directory.Replica) {
+		r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: list}, time.Now().Add(-age))
+	}
+	// Both of the other service vanished with the list: they keep their work for a while,
+	// but were last listed long ago.
+	take(testListAge, foreign...)
+	take(0)
+	r.setListProof(testListProof)
+	require.Len(t, r.follower.Unlisted(time.Now().Add(-testListProof)), 2)
+	go func() {
+		for r.front.Active() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		take(0, own)
+	}()
+	response, text, err := r.send(t, "POST", "/single/x", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode, text)
+}
+
+// While a connection is opened a newer list may come, which says that the replica leaves
+// or has left. By then the one that named it may be older than any that may be used.
+func TestAReplicaThatLeavesWhileItIsConnectedToGetsNothing(t *testing.T) {
+	for name, state := range map[string]directory.State{"draining": directory.Draining, "gone": directory.Ready} {
+		t.Run(name, func(t *testing.T) {
+			address, arrivals := replica(t, answerOK)
+			r := newAgedRig(t, testListAge, address)
+			r.setListProof(2 * testListAge)
+			newer := slices.Clone(r.source.snapshot.Replicas)
+			newer[0].State = state
+			if name == "gone" {
+				// It is no outage: one of three.
+				others := []directory.Replica{{ID: "a", Service: "t"}, {ID: "b", Service: "t"}}
+				newer = others
+			}
+			r.front.pool = upstream.New(upstream.Options{
+				IDHeader:       "Try",
+				DialTimeout:    time.Second,
+				SilenceTimeout: 10 * time.Second,
+				IdleTime:       time.Minute,
+				Opened: func(string) {
+					r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: newer}, time.Now())
+					r.setListProof(testListProof)
+				},
+			})
+			r.wantNotRun(t)
+			assert.Zero(t, arrivals.Load())
+		})
+	}
+}
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -101,6 +101,11 @@
 // mayWrite looks, when a connection to a replica is there, whether the request may
 // still be written to it: opening the connection may have taken its time.
 func (c *call) mayWrite(id string, now time.Time) error {
+	if !c.front.follower.Ready(id) {
+		// A newer list came meanwhile. That the old one is not needed any more does not
+		// make the choice by it young.
+		return fmt.Errorf("%w: replica leaves", errHeldBack)
+	}
 	if slices.Contains(c.front.barred(now), id) {
 		return fmt.Errorf("%w: list of replicas too old", errHeldBack)
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -43,7 +43,8 @@
 		return
 	}
 	proven := asked.Add(-milliseconds(reply.GetProofMs()))
-	g.follower.Told(asked, proven)
+	// Whether the source answers somebody goes by the youngest that the proof may be.
+	g.follower.Told(asked, now.Add(-milliseconds(reply.GetProofMs())))
 	newer := g.follower.ProvenBy(reply.Version, reply.Mark, proven)
 	if newer || !g.recalled.Load() {
 		g.learn(ctx, address)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -207,3 +209,44 @@
 		assert.Equal(t, 1, mine, task)
 	}
 }
+
+// An answer says how old the proof was when it was given. What it refutes goes by the
+// youngest that the proof may be: the way there, which is long over a choked link, is not
+// taken for age.
+func TestAnotherRoutersWordIsNotMadeOlderByItsWay(t *testing.T) {
+	const age, limit = 55 * time.Minute, time.Hour
+	first := newRestingRouter(t, &source{})
+	first.follower.Take(follow.Snapshot{Config: config(1)}, time.Now().Add(-age))
+	second := newRestingRouter(t, &source{err: errors.New("down")})
+	second.follower.Take(follow.Snapshot{Config: config(1)}, time.Now().Add(-limit))
+	require.Error(t, second.follower.RenewList(t.Context(), time.Now()))
+	second.gossip.exchange(t.Context(), slowWay(t, first.gossip.Address()), &gossippb.Digest{Sender: second.gossip.Address()})
+	// At this moment the proof is just young enough; counted from the asking it is not.
+	now := first.holder.Current().Proven.Add(limit - 2*time.Millisecond)
+	assert.False(t, second.follower.Silent(limit, now), "another router was answered within the limit")
+}
+
+// slowWay passes on what comes to it, a while later, and what comes back at once.
+func slowWay(t *testing.T, to string) string {
+	t.Helper()
+	const delay = 50 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		caller, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer caller.Close()
+		called, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		defer called.Close()
+		time.Sleep(delay)
+		go func() { _, _ = io.Copy(called, caller) }()
+		_, _ = io.Copy(caller, called)
+	}()
+	return listener.Addr().String()
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -193,6 +193,13 @@
 	return ids
 }
 
+// Ready tells whether a replica may have new work: it is listed as ready, or keeps its
+// work for a while after an outage.
+func (d *Directory) Ready(id string) bool {
+	e, known := d.entries[id]
+	return known && e.replica.State == Ready
+}
+
 // addressTaken tells whether another replica stands at the address now.
 func (d *Directory) addressTaken(id, address string) bool {
 	for other, e := range d.entries {
