--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -24,6 +24,8 @@
 	idle, resume chan struct{}
 	begun        chan struct{}
 	finish       chan struct{}
+	// closes holds the server where it would note the end of a connection, for a while.
+	closes time.Duration
 }
 
 func newRig(t *testing.T) *rig {
@@ -41,6 +43,9 @@
 			fmt.Fprint(w, "ok")
 		}),
 		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				time.Sleep(r.closes)
+			}
 			r.set.ConnState(c, state)
 			if state == http.StateIdle {
 				r.idle <- struct{}{}
@@ -259,6 +264,7 @@
 // nothing. Each connection is closed, and counted, once.
 func TestAKillOfAServerAtRestCutsNothing(t *testing.T) {
 	r := newRig(t)
+	r.closes = 3 * drainPause
 	await(r.conn(t).waits)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,8 @@
 // Entry is a running router.
 type Entry struct {
 	settings settings.Settings
+	// bounds are the users' by the newest settings.
+	bounds   atomic.Pointer[settings.Bounds]
 	outside  Outside
 	log      *event.Log
 	holder   *freshness.Holder
@@ -84,6 +86,7 @@
 // Start opens the listeners and begins to serve.
 func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
 	e := &Entry{settings: s, started: time.Now(), outside: outside, log: log, stop: make(chan struct{}), done: make(chan struct{})}
+	e.bounds.Store(&s.Bounds)
 	e.killed, e.kill = context.WithCancel(context.Background())
 	if err := e.build(); err != nil {
 		return nil, err
@@ -218,6 +221,7 @@
 func (e *Entry) Reload(s settings.Settings) {
 	restart := s.Name != e.settings.Name || s.DataCentre != e.settings.DataCentre || s.Listen != e.settings.Listen
 	e.follower.Set(e.outside.Source(s), e.followOptions(s))
+	e.bounds.Store(&s.Bounds)
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
@@ -263,7 +267,7 @@
 
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
-	return e.follower.ProofAge(time.Now()) < keyProof(e.settings.Bounds)
+	return e.follower.ProofAge(time.Now()) < keyProof(*e.bounds.Load())
 }
 
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -204,3 +204,21 @@
 	set.Listen.Peers = "10.0.0.3:1"
 	assert.Equal(t, firstReadWait, firstRead(set))
 }
+
+// Settings that are reloaded bound a stop from then on: the platform kills by them.
+func TestAStopGoesByTheNewestSettings(t *testing.T) {
+	e := start(t, &source{snapshot: served("127.0.0.1:1")}, time.Hour)
+	until(e.Ready)
+	changed := e.settings
+	changed.Bounds.Grace = 100 * time.Millisecond
+	changed.Bounds.RevokeAlways, changed.Bounds.Revoke = true, time.Nanosecond
+	e.Reload(changed)
+	assert.False(t, e.Ready(), "no proof is as new as keys ask for now")
+	e.Stop()
+	select {
+	case <-e.done:
+		assert.NoError(t, e.Wait())
+	case <-time.After(30 * time.Second):
+		assert.Fail(t, "it goes by the grace time of its start")
+	}
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -27,7 +27,7 @@
 // shutDown ends the service within the users' grace time.
 func (e *Entry) shutDown() error {
 	asked := time.Now()
-	grace := e.settings.Bounds.Grace
+	grace := e.bounds.Load().Grace
 	e.log.Write(event.Draining, event.F("in_flight", e.front.Active()), event.F("connections", e.conns.Open()))
 	e.stopping.Store(true)
 	e.front.Stopping(asked.Add(part(grace, serveOnPart)), asked.Add(part(grace, cutPart)))
@@ -62,7 +62,7 @@
 func (e *Entry) cutCallers(cause error) error {
 	e.log.Write(event.DrainCut, event.F("in_flight", e.front.Active()))
 	e.front.Cut()
-	ctx, cancel := context.WithTimeout(context.Background(), part(e.settings.Bounds.Grace, tellPart))
+	ctx, cancel := context.WithTimeout(context.Background(), part(e.bounds.Load().Grace, tellPart))
 	defer cancel()
 	// Who has not taken the word by then is cut without it.
 	_, _ = e.conns.Drain(ctx)
