--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -17,14 +17,17 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // Set holds the open connections of one listener. It is safe for concurrent use.
 type Set struct {
-	mu   sync.Mutex
-	open map[*Conn]struct{}
+	mu        sync.Mutex
+	open      map[*Conn]struct{}
+	listeners []*listener
 }
 
 // NewSet returns an empty set.
@@ -34,12 +37,63 @@
 
 // Listener returns a listener whose connections belong to the set.
 func (s *Set) Listener(l net.Listener) net.Listener {
-	return &listener{Listener: l, set: s}
+	ours := &listener{Listener: l, set: s}
+	if socket, ok := l.(syscall.Conn); ok {
+		// The queue of one without a descriptor is not looked at.
+		ours.raw, _ = socket.SyscallConn()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, ours)
+	return ours
 }
 
 type listener struct {
 	net.Listener
 	set *Set
+	// raw is nil if the listener is no socket.
+	raw syscall.RawConn
+}
+
+// queued tells whether a connection waits to be accepted.
+func (l *listener) queued() bool {
+	if l.raw == nil {
+		return false
+	}
+	found := false
+	// One that is closed has no queue.
+	_ = l.raw.Control(func(fd uintptr) { found = readable(int(fd)) })
+	return found
+}
+
+// readable tells, without waiting, whether a descriptor has something to be read. Of
+// one that can't be asked nothing is known.
+func readable(fd int) bool {
+	poll, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+	if err != nil {
+		return false
+	}
+	defer syscall.Close(poll)
+	if err := syscall.EpollCtl(poll, syscall.EPOLL_CTL_ADD, fd, &syscall.EpollEvent{Events: syscall.EPOLLIN}); err != nil {
+		return false
+	}
+	var found [1]syscall.EpollEvent
+	n, err := syscall.EpollWait(poll, found[:], 0)
+	return err == nil && n > 0 && found[0].Events&syscall.EPOLLIN != 0
+}
+
+// Queued tells whether a connection waits to be accepted. Its request may have come
+// with it, and is lost if the listener is closed over it.
+func (s *Set) Queued() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.listeners, (*listener).queued)
+}
+
+// WaitAccepted returns once no connection waits to be accepted, or with the error of
+// ctx.
+func (s *Set) WaitAccepted(ctx context.Context) error {
+	return waitWhile(ctx, s.Queued)
 }
 
 // Accept implements net.Listener.
@@ -145,11 +199,16 @@
 	}
 }
 
-// Wait returns once no connection is open, or with the error of ctx.
+// Wait returns once no connection is open or waits to be accepted, or with the error of
+// ctx.
 func (s *Set) Wait(ctx context.Context) error {
+	return waitWhile(ctx, func() bool { return s.Queued() || s.Open() > 0 })
+}
+
+func waitWhile(ctx context.Context, condition func() bool) error {
 	ticker := time.NewTicker(drainPause)
 	defer ticker.Stop()
-	for s.Open() > 0 {
+	for condition() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -286,3 +286,28 @@
 	r.resume <- struct{}{}
 	r.answer(t)
 }
+
+// A connection that its server has not come to accept may bring a request.
+func TestWhatLiesInTheQueueIsWaitedFor(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	set := NewSet()
+	listener := set.Listener(raw)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, set.Wait(ctx))
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	await(set.Queued)
+	assert.ErrorIs(t, set.Wait(ctx), context.Canceled)
+	assert.ErrorIs(t, set.WaitAccepted(ctx), context.Canceled)
+	served, err := listener.Accept()
+	require.NoError(t, err)
+	defer served.Close()
+	assert.NoError(t, set.WaitAccepted(ctx))
+	assert.ErrorIs(t, set.Wait(ctx), context.Canceled, "it is open")
+	listener.Close()
+	assert.NoError(t, set.WaitAccepted(ctx))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,9 @@
 	operators *admin.Admin
 	listeners []net.Listener
 
+	// accepted is closed once no further callers are accepted.
+	accepted chan struct{}
+
 	started  time.Time
 	stopping atomic.Bool
 	stopOnce sync.Once
@@ -85,7 +88,7 @@
 
 // Start opens the listeners and begins to serve.
 func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
-	e := &Entry{settings: s, started: time.Now(), outside: outside, log: log, stop: make(chan struct{}), done: make(chan struct{})}
+	e := &Entry{settings: s, started: time.Now(), outside: outside, log: log, accepted: make(chan struct{}), stop: make(chan struct{}), done: make(chan struct{})}
 	e.bounds.Store(&s.Bounds)
 	e.killed, e.kill = context.WithCancel(context.Background())
 	if err := e.build(); err != nil {
@@ -333,6 +336,7 @@
 
 // serveCallers ends without an error once a stop closes the listener.
 func (e *Entry) serveCallers() error {
+	defer close(e.accepted)
 	err := serve(e.callers, e.conns.Listener(e.listeners[0]))
 	if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -39,7 +39,7 @@
 	case <-limit.Done():
 	}
 	e.waitForCallers(limit, asked.Add(part(grace, restPart)))
-	e.listeners[0].Close()
+	e.endListening(limit)
 	ended, err := e.conns.Drain(limit)
 	e.log.Write(event.CallersEnded, event.F("closed_at_rest", ended.Closed), event.F("found_unread", ended.Unread),
 		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", time.Since(asked).Milliseconds()))
@@ -58,6 +58,15 @@
 	_ = e.conns.Wait(ctx)
 }
 
+// endListening closes the callers' listener once nothing lies in its queue. What was
+// accepted by then belongs to the set when it returns.
+func (e *Entry) endListening(limit context.Context) {
+	// At the limit what is left is closed over.
+	_ = e.conns.WaitAccepted(limit)
+	e.listeners[0].Close()
+	<-e.accepted
+}
+
 // cutCallers ends what is in flight. Callers whose answer has not begun are told.
 func (e *Entry) cutCallers(cause error) error {
 	e.log.Write(event.DrainCut, event.F("in_flight", e.front.Active()))
