--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,8 @@
 	readiness *http.Server
 	operators *admin.Admin
 	listeners []net.Listener
+	// taker takes callers' connections.
+	taker *taker
 
 	started  time.Time
 	stopping atomic.Bool
@@ -241,6 +243,7 @@
 		}
 		e.listeners = append(e.listeners, l)
 	}
+	e.taker = &taker{Listener: e.listeners[0], relieve: e.relieve}
 	return nil
 }
 
@@ -251,12 +254,21 @@
 
 // Ready tells whether the router should get new connections.
 func (e *Entry) Ready() bool {
-	if e.stopping.Load() || !e.follower.Known() {
+	if e.stopping.Load() || !e.follower.Known() || e.taker.starved(time.Now()) {
 		return false
 	}
 	return e.proven()
 }
 
+// relieve makes room for callers when there is no descriptor left.
+func (e *Entry) relieve(err error, first bool) {
+	dropped := e.pool.DropIdle()
+	if !first {
+		return
+	}
+	e.log.Write(event.Exhausted, event.F("error", err), event.F("dropped", dropped), event.F("in_flight", e.front.Active()))
+}
+
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
 	return e.follower.ProofAge(time.Now()) < keyProof(e.settings.Bounds)
@@ -286,7 +298,7 @@
 	defer close(e.done)
 	ctx, cancel := context.WithCancel(context.Background())
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return serve(e.callers, e.listeners[0]) })
+	work.Go(func() error { return serve(e.callers, e.taker) })
 	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
 	work.Go(func() error { return e.operators.Serve(e.listeners[2]) })
 	work.Go(func() error {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,7 @@
 	LogLevel          ID = 107
 	SettingsReloaded  ID = 108
 	SettingsRejected  ID = 109
+	Exhausted         ID = 110
 	ConfigAdopted     ID = 201
 	ConfigRejected    ID = 202
 	ConfigFromPeer    ID = 203
@@ -79,6 +80,7 @@
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
 	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names or addresses changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
+	Exhausted:         {logrus.ErrorLevel, "no file descriptor left, resting connections to replicas closed", "Raise the limit of open files, or look at who opens so many connections."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
 	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
 	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -208,7 +209,8 @@
 		return done
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		if c.request.Context().Err() == nil && ctx.Err() == nil {
+		// That this router has no descriptor left is not the replica's fault.
+		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) {
 			c.front.fail(c.id, id, dialFailure(err))
 		}
 		// Nothing reached the replica, so this was no attempt.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -3,6 +3,7 @@
 package socket
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -58,3 +59,8 @@
 		uintptr(unsafe.Pointer(info)), uintptr(unsafe.Pointer(&size)), 0)
 	return errno == 0
 }
+
+// IsExhausted tells whether an error says that there is no descriptor left.
+func IsExhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +180,41 @@
 	require.NoError(t, ask(context.Background(), pool, relay.Address()))
 	assert.Equal(t, 1, relay.Opened(), "a connection that was not used is kept")
 }
+
+func TestConnectionsThatRestGiveWayWhenDescriptorsRunOut(t *testing.T) {
+	out := &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	tests := map[string]struct {
+		resting int
+		tries   int
+		opened  bool
+	}{
+		"some rest": {2, 2, true},
+		"none rest": {0, 1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			relay := relayed(t, 1)
+			pool := New(Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: time.Minute, IdleTime: time.Minute})
+			for range test.resting {
+				pool.rest(pipeTo(t, pool, "other"))
+			}
+			tries, open := 0, pool.opener
+			pool.opener = func(ctx context.Context, address string) (net.Conn, error) {
+				tries++
+				if tries == 1 {
+					return nil, out
+				}
+				return open(ctx, address)
+			}
+			err := ask(context.Background(), pool, relay.Address())
+			assert.Equal(t, test.tries, tries)
+			if test.opened {
+				assert.NoError(t, err)
+				assert.Equal(t, 1, pool.Idle())
+				return
+			}
+			assert.ErrorIs(t, err, ErrNotSent)
+			assert.ErrorIs(t, err, syscall.EMFILE, "the caller can tell that it is this machine's fault")
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -59,6 +59,8 @@
 // Pool keeps connections to replicas. It is safe for concurrent use.
 type Pool struct {
 	options Options
+	// opener opens a socket to an address.
+	opener func(ctx context.Context, address string) (net.Conn, error)
 	// look asks the system for the state of a connection.
 	look func(net.Conn) (s socket.State, known bool)
 	mu   sync.Mutex
@@ -69,7 +71,7 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{options: o, look: socket.Look, idle: make(map[string][]*conn), open: make(map[string]map[*conn]struct{})}
+	return &Pool{options: o, opener: opener(o), look: socket.Look, idle: make(map[string][]*conn), open: make(map[string]map[*conn]struct{})}
 }
 
 // conn is one connection. Between requests it rests in the pool.
@@ -155,6 +157,10 @@
 		c.Close()
 	}
 	c, err = p.dial(ctx, address)
+	if socket.IsExhausted(err) && p.DropIdle() > 0 {
+		// Those that rest give way.
+		c, err = p.dial(ctx, address)
+	}
 	return c, false, err
 }
 
@@ -188,11 +194,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
-	dialer := net.Dialer{
-		Control:         controlSocket(p.options.SilenceTimeout),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.options.SilenceTimeout, Interval: time.Second, Count: 2},
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.opener(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -202,6 +204,16 @@
 	return p.newConn(raw, address), nil
 }
 
+func opener(o Options) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Control:         controlSocket(o.SilenceTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.SilenceTimeout, Interval: time.Second, Count: 2},
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
+
 // exchange writes the request and reads the head. written is the number of
 // bytes that were handed to the system.
 func (p *Pool) exchange(ctx context.Context, c *conn, r *Request) (*Answer, int, error) {
@@ -360,6 +372,19 @@
 	return expired
 }
 
+// DropIdle closes all connections that rest and returns how many there were.
+func (p *Pool) DropIdle() int {
+	var idle []*conn
+	p.mu.Lock()
+	for _, list := range p.idle {
+		idle = append(idle, list...)
+	}
+	clear(p.idle)
+	p.mu.Unlock()
+	closeAll(idle)
+	return len(idle)
+}
+
 // Idle returns how many connections rest.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
