--- a/internal/front/moveon_test.go
+++ b/internal/front/moveon_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -37,3 +42,29 @@
 		})
 	}
 }
+
+func TestAReplicaIsBlamedOnlyForWhatIsItsFault(t *testing.T) {
+	tests := map[string]struct {
+		err    error
+		blamed bool
+	}{
+		"it can't be reached":             {syscall.EHOSTUNREACH, true},
+		"it refuses":                      {syscall.ECONNREFUSED, true},
+		"this router has no descriptor":   {syscall.EMFILE, false},
+		"this machine has no descriptor":  {syscall.ENFILE, false},
+		"nobody waits for the answer now": {upstream.ErrUnwanted, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "127.0.0.1:1")
+			c := newCall(r.front, nil, httptest.NewRequest(http.MethodGet, "/", nil), time.Now())
+			func() {
+				// A call whose caller has left ends so.
+				defer func() { _ = recover() }()
+				c.failed(context.Background(), "r0", fmt.Errorf("%w: %w", upstream.ErrNotSent, test.err))
+			}()
+			assert.Equal(t, test.blamed, r.front.balancer.Suspected("r0", time.Now()))
+			assert.False(t, c.mayHaveRun)
+		})
+	}
+}
