--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,9 +2,10 @@
 // planned stop.
 //
 //	Start -> not ready until a configuration and the replicas are known
-//	Stop  -> not ready at once; serves on while the balancer notices, each
-//	         answer being the last of its connection; then no new connections,
-//	         what is in flight ends, and at the limit the rest is cut
+//	Stop  -> not ready at once; serves on, each answer being the last of its
+//	         connection; ends early once callers have no connection left; late
+//	         in the grace time connections that rest are closed, and at the
+//	         limit what is still in flight is cut
 package entry
 
 import (
@@ -22,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/croftyard/croftyard/internal/admin"
+	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
@@ -64,6 +66,7 @@
 	gossip   *gossip.Gossip
 
 	callers   *http.Server
+	conns     *conns.Set
 	readiness *http.Server
 	operators *admin.Admin
 	listeners []net.Listener
@@ -101,13 +104,13 @@
 	keyProofPart = 0.8
 	// absencePart of the time within which a configuration must be in force.
 	absencePart = 0.8
-	// readPart of the same time, or of the time to drain if that is shorter, is the
-	// pause between two reads of the source.
+	// readPart of the same time, or of the time to drain or to evacuate if that is
+	// shorter, is the pause between two reads of the source.
 	readPart = 0.4
-	// listPart of the time to drain is the age of the list of replicas at which a
-	// request asks for a newer one: what is left is for the way to the replica, a
-	// connection that fails first (0.3 s) included.
-	listPart = 0.7
+	// wayPart of the time to drain, or to evacuate if that is shorter, is for the way to a replica of a request that is
+	// written: 0.4 s of 2 s. By the users' rules a link on which packets wait over
+	// half a second is out of the ordinary.
+	wayPart = 0.2
 	// relistBeats is for how many heartbeats a replica that vanished with its list
 	// keeps its work, from the first read after the outage. By the users' word
 	// those that live are listed again within about two seconds (two beats).
@@ -128,6 +131,7 @@
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(b))
 	e.balancer.SetWithout(e.settings.Without)
 	period := readPeriod(b)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
@@ -155,9 +159,13 @@
 		Without:    e.settings.Without,
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	limits := front.NewConnLimits(e.holder, e.log)
+	e.conns = conns.NewSet()
 	e.callers = &http.Server{
-		Handler:        e.front,
-		ConnState:      limits.ConnState,
+		Handler: e.front,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			e.conns.ConnState(c, state)
+			limits.ConnState(c, state)
+		},
 		ConnContext:    limits.ConnContext,
 		MaxHeaderBytes: e.settings.Limits.Header,
 		ErrorLog:       e.log.Faults(event.HandlerFailed),
@@ -171,7 +179,7 @@
 
 // readPeriod is the pause between two reads of the source.
 func readPeriod(b settings.Bounds) time.Duration {
-	return part(min(b.Apply, b.Drain), readPart)
+	return part(min(b.Apply, b.Drain, b.Evacuate), readPart)
 }
 
 func (e *Entry) followOptions(s settings.Settings) follow.Options {
@@ -201,11 +209,15 @@
 	return part(b.Revoke, keyProofPart)
 }
 
+func coldBounds(b settings.Bounds) balance.ColdBounds {
+	return balance.ColdBounds{Overage: b.ColdOverage, Allowance: b.ColdAllowance}
+}
+
 func frontLimits(b settings.Bounds) front.Limits {
 	return front.Limits{
 		KeyProof:      keyProof(b),
 		AbsenceProof:  part(b.Apply, absencePart),
-		ListProof:     part(b.Drain, listPart),
+		ListProof:     part(min(b.Drain, b.Evacuate), 1-wayPart),
 		RepeatRatio:   b.RepeatRatio * repeatPart,
 		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
 	}
@@ -218,6 +230,7 @@
 	e.follower.Set(e.outside.Source(s), e.followOptions(s))
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(s.Bounds))
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
@@ -298,7 +311,7 @@
 	defer close(e.done)
 	ctx, cancel := context.WithCancel(context.Background())
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return serve(e.callers, e.taker) })
+	work.Go(func() error { return e.serveCallers() })
 	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
 	work.Go(func() error { return e.operators.Serve(e.listeners[2]) })
 	work.Go(func() error {
@@ -335,6 +348,15 @@
 		event.F("peers_sent", sent), event.F("peers_received", received), event.F("reads", reads), event.F("reads_failed", failed))
 }
 
+// serveCallers ends without an error once a stop closes the listener.
+func (e *Entry) serveCallers() error {
+	err := serve(e.callers, e.conns.Listener(e.taker))
+	if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -370,31 +392,3 @@
 		e.pool.CloseIdle()
 	}
 }
-
-// shutDown ends the service within the users' grace time.
-func (e *Entry) shutDown() error {
-	e.log.Write(event.Draining, event.F("in_flight", e.front.Active()))
-	e.stopping.Store(true)
-	e.front.Stopping()
-	e.gossip.Leave()
-	limit, cancel := context.WithTimeout(e.killed, part(e.settings.Bounds.Grace, gracePart))
-	defer cancel()
-	select {
-	case <-time.After(part(e.settings.Bounds.Grace, serveOnPart)):
-	case <-limit.Done():
-	}
-	if err := e.callers.Shutdown(limit); err != nil {
-		e.log.Write(event.DrainCut, event.F("in_flight", e.front.Active()))
-		return fmt.Errorf("%w: %w", ErrCut, err)
-	}
-	return nil
-}
-
-// Parts of the grace time of a planned stop.
-const (
-	// serveOnPart is how long new connections are still taken: the balancer asks
-	// each second and needs two misses.
-	serveOnPart = 0.375
-	// gracePart is when what is still in flight is cut.
-	gracePart = 0.92
-)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,13 +35,21 @@
 	// Replicas are those whose entries could be decoded; BadReplicas the others.
 	Replicas    []directory.Replica
 	BadReplicas []string
+	// Evacuated are the data centres to whose replicas nothing is to be sent.
+	Evacuated []string
+}
+
+// listing is what the snapshot lists.
+func (s *Snapshot) listing() directory.Listing {
+	return directory.Listing{Replicas: s.Replicas, Evacuated: s.Evacuated}
 }
 
 // Source is where the configuration and the list of replicas are kept. Read
 // must be answered by the newest state, or fail.
 type Source interface {
 	Read(ctx context.Context) (Snapshot, error)
-	// Replicas is Read without the configuration, for which Snapshot.Config is nil.
+	// Replicas is Read without the configuration, for which Snapshot.Config is nil:
+	// the replicas and the evacuations.
 	// It may run beside Read.
 	Replicas(ctx context.Context) (Snapshot, error)
 }
@@ -73,12 +81,15 @@
 	directory *directory.Directory
 	mark      uint64
 	lost      bool
-	// read is closed and renewed with each read that succeeded.
+	// read is closed and renewed with each read that succeeded, news with each change
+	// of the configuration or of the list.
 	read chan struct{}
+	news chan struct{}
 	// renewing is closed when the renewal of the list that is under way has ended;
 	// renewFailed is when one last failed.
 	renewing    chan struct{}
 	renewFailed time.Time
+	outage      outage
 }
 
 // New returns a follower that feeds a holder and a balancer.
@@ -90,6 +101,7 @@
 		wake:      make(chan struct{}, 1),
 		directory: d,
 		read:      make(chan struct{}),
+		news:      make(chan struct{}),
 	}
 	f.Set(s, o)
 	return f
@@ -148,6 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.options.Load().Timeout)
 	defer cancel()
 	sent := time.Now()
+	f.began(wholeRead, sent)
 	snapshot, err := (*f.source.Load()).Read(ctx)
 	f.reads.Add(1)
 	if err != nil {
@@ -161,11 +174,19 @@
 	return nil
 }
 
+// began notes that a read was sent.
+func (f *Follower) began(kind readKind, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outage.begin(kind, sent)
+}
+
 // noteSource writes when the source was lost and regained.
 func (f *Follower) noteSource(err error, sent time.Time) {
 	f.mu.Lock()
 	was := f.lost
 	f.lost = err != nil
+	f.outage.end(wholeRead, err, time.Now())
 	f.mu.Unlock()
 	switch {
 	case err != nil && !was:
@@ -180,7 +201,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.takeConfig(s, sent)
-	f.changed(f.directory.Replace(s.Replicas, sent))
+	f.changed(f.directory.Take(s.listing(), sent))
 	for _, id := range s.BadReplicas {
 		f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
 	}
@@ -200,12 +221,25 @@
 	}
 	f.balancer.Replace(f.directory.List(), f.directory.Read())
 	f.mark = f.directory.Mark()
+	f.tellNews()
 	for _, c := range changes {
+		if c.Centre != "" {
+			f.log.Write(centreEvent(c.What), event.F("data_centre", c.Centre))
+			continue
+		}
 		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
 			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
 	}
 }
 
+// centreEvent is the event of a change of a data centre.
+func centreEvent(what directory.What) event.ID {
+	if what == directory.Evacuated {
+		return event.CentreEvacuated
+	}
+	return event.CentreReturned
+}
+
 func (f *Follower) takeConfig(s Snapshot, sent time.Time) {
 	if s.Problem != nil {
 		f.log.Write(event.ConfigRejected, event.F("error", s.Problem))
@@ -222,6 +256,7 @@
 		return
 	}
 	if f.holder.Offer(table, sent) {
+		f.tellNews()
 		f.log.Write(event.ConfigAdopted, event.F("version", table.Version()), event.F("routes", len(s.Config.Routes)))
 	}
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -64,6 +64,7 @@
 	}
 	if err == nil {
 		c.notePace(choice.Replica.ID)
+		c.front.longest.Took(c.route.Name, time.Since(c.arrival), time.Now())
 		c.finished(outcomeServed, answer.StatusCode, "")
 		return done
 	}
@@ -94,6 +95,7 @@
 	if answer.ContentLength >= 0 && !resumable {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	c.front.announceEnd(c.writer)
 	c.writer.WriteHeader(answer.StatusCode)
 	c.begun = true
 	c.firstByte = time.Now()
@@ -201,6 +203,7 @@
 	if r.closes {
 		header.Set("Connection", "close")
 	}
+	c.front.announceEnd(c.writer)
 	header.Set(c.front.options.Dialect.Attempt, c.id)
 	http.Error(c.writer, r.reason, r.status)
 	name := outcomeRefused
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -46,6 +46,8 @@
 	// errored names the replicas that answered with an error of their own and
 	// are not yet blamed for it.
 	errored []string
+	// held counts how often it was held back once connected.
+	held int
 	// mayHaveRun: a replica may have begun to work on it.
 	mayHaveRun bool
 	// begun: the head of an answer went out.
@@ -86,6 +88,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.front.endsInTime(c.route, c.end, c.arrival); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	if refused := c.readBody(); refused != nil {
 		c.refuse(refused)
 		return
@@ -94,6 +100,8 @@
 	c.front.repeats.Earn()
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.end)
 	defer cancel()
+	// Not the request's own: that it ends means that the caller left.
+	defer context.AfterFunc(c.front.cutting, cancel)()
 	c.dispatch(ctx)
 }
 
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -39,27 +40,45 @@
 			c.giveUp(refused)
 			return
 		}
-		c.front.renewList(ctx)
-		choice, found := c.front.balancer.Pick(c.question(), time.Now())
-		if !found {
-			if c.wait(ctx) {
+		c.renewList(ctx)
+		barred := c.front.barred(time.Now())
+		choice, found := c.front.balancer.Pick(c.question(barred), time.Now())
+		if !found && len(barred) > 0 {
+			c.giveUp(unproven("list of replicas too old"))
+			return
+		}
+		if !found || choice.Hopeless {
+			if c.waitForReplica(ctx) {
 				continue
 			}
-			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "no replica", retryAfter: retryLater})
+			c.giveUp(c.noReplica())
 			return
 		}
 		switch c.attempt(ctx, choice) {
 		case done:
 			return
 		case over:
-			c.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: c.outcome.reason, retryAfter: retryLater})
+			c.giveUp(c.notTaken(c.outcome.reason))
 			return
 		}
 	}
 }
 
-func (c *call) question() balance.Question {
-	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.tried}
+// noReplica refuses a request for which there is no replica.
+func (c *call) noReplica() *refusal {
+	if c.evacuated() {
+		return c.notTaken("evacuated")
+	}
+	return c.notTaken("no replica")
+}
+
+// evacuated tells whether all replicas of the service are: there is nothing to wait for.
+func (c *call) evacuated() bool { return c.front.balancer.Evacuated(c.service.Name) }
+
+// question asks for a replica that was not tried and is not barred.
+func (c *call) question(barred []string) balance.Question {
+	tried := slices.Concat(c.tried, barred)
+	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate}
 	if c.service.Engine != nil {
 		q.Parts = c.parts
 	}
@@ -70,30 +89,11 @@
 // it may have changed while the body came or while another replica was tried.
 func (c *call) mayStillSend(ctx context.Context) *refusal {
 	if ctx.Err() != nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryLater}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
 	}
 	return c.admit(ctx)
 }
 
-// listWait bounds the wait for a newer list of replicas: the users' store answers in
-// some 4 ms, and their shortest target is 100 ms.
-const listWait = 60 * time.Millisecond
-
-// renewList asks for a newer list of replicas if the one at hand is so old that a
-// replica might get work after it has said that it leaves. Others read the list for
-// this router as a rule; a request is not to pay for one of them being late. While
-// the source does not answer, the list at hand is all there is.
-func (f *Front) renewList(ctx context.Context) {
-	limit := f.limits.Load().ListProof
-	now := time.Now()
-	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, listWait)
-	defer cancel()
-	f.noteList(f.follower.RenewList(ctx, now.Add(-limit)))
-}
-
 // noteList writes when the list of replicas could not be renewed, and when it was
 // again.
 func (f *Front) noteList(err error) {
@@ -107,34 +107,6 @@
 	f.log.Write(id, event.F("age_ms", f.follower.ListAge(time.Now()).Milliseconds()), event.F("error", err))
 }
 
-// wait pauses before the directory is asked again and tells whether there is
-// time for it: a request that nobody can take is refused early.
-func (c *call) wait(ctx context.Context) bool {
-	const pause = 15 * time.Millisecond
-	if c.sent.Load() > 0 || time.Since(c.arrival) > c.patience() {
-		return false
-	}
-	// Those that could not be reached may be reached now.
-	c.tried = nil
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
-
-// patience is how long a request may wait without being sent: a refusal within
-// a quarter of the target time leaves the caller time to come back.
-func (c *call) patience() time.Duration {
-	const part = 5
-	const untold = 100 * time.Millisecond
-	if c.route.Target == 0 {
-		return untold
-	}
-	return c.route.Target / part
-}
-
 // attempt sends the request to one replica.
 func (c *call) attempt(ctx context.Context, choice balance.Choice) verdict {
 	id := choice.Replica.ID
@@ -154,7 +126,7 @@
 	sent := time.Now()
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
-	request.Unwanted = c.left
+	request.Check = func() error { return c.mayWrite(id, time.Now()) }
 	request.Unacked = c.moveOn(c.hangTime(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
@@ -166,6 +138,7 @@
 		c.front.balancer.Paced(id, time.Since(sent))
 	}
 	c.sent.Add(1)
+	c.front.noteStay(id, sent, answer)
 	return c.answered(ctx, cancel, choice, answer)
 }
 
@@ -204,10 +177,13 @@
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, id string, err error) verdict {
 	c.outcome.reason = "no answer: " + err.Error()
-	if errors.Is(err, upstream.ErrUnwanted) {
+	if errors.Is(err, errCallerGone) {
 		c.callerGone()
 		return done
 	}
+	if errors.Is(err, errHeldBack) {
+		return c.heldBack(id, err)
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		// That this router has no descriptor left is not the replica's fault.
 		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) {
@@ -232,6 +208,22 @@
 	return c.repeat("broken")
 }
 
+// maxHeldBack is how often a request may be held back once connected. Then its way
+// takes longer than what allows it stays new.
+const maxHeldBack = 2
+
+// heldBack turns an attempt that was held back into a verdict. It says nothing of the
+// replica, which may be asked if all is well again.
+func (c *call) heldBack(id string, err error) verdict {
+	c.outcome.reason = err.Error()
+	c.held++
+	if c.held >= maxHeldBack {
+		return over
+	}
+	c.tried = slices.DeleteFunc(c.tried, func(tried string) bool { return tried == id })
+	return again
+}
+
 // asked returns how many replicas were asked, the one included whose answer is
 // waited for.
 func (c *call) asked() int {
--- a/internal/front/moveon_test.go
+++ b/internal/front/moveon_test.go
@@ -52,7 +52,7 @@
 		"it refuses":                      {syscall.ECONNREFUSED, true},
 		"this router has no descriptor":   {syscall.EMFILE, false},
 		"this machine has no descriptor":  {syscall.ENFILE, false},
-		"nobody waits for the answer now": {upstream.ErrUnwanted, false},
+		"nobody waits for the answer now": {errCallerGone, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -44,6 +44,7 @@
 		return
 	}
 	proven := asked.Add(-milliseconds(reply.GetProofMs()))
+	g.follower.Told(asked, proven)
 	newer := g.follower.ProvenBy(reply.Version, reply.Mark, proven)
 	if newer || !g.recalled.Load() {
 		g.learn(ctx, address)
@@ -98,8 +99,8 @@
 		err = unpack(reply.Configuration, knowledge.Config)
 	}
 	if err == nil && len(reply.Replicas) > 0 {
-		knowledge.Replicas = []directory.Replica{}
-		err = unpack(reply.Replicas, &knowledge.Replicas)
+		knowledge.Listing = &directory.Listing{}
+		err = unpack(reply.Replicas, knowledge.Listing)
 	}
 	if err != nil {
 		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -166,16 +166,16 @@
 	return p.newConn(near, address)
 }
 
-func TestWhatIsNotWantedIsNotWritten(t *testing.T) {
+func TestWhatIsHeldBackIsNotWritten(t *testing.T) {
 	relay := relayed(t, 1)
 	pool := New(Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: time.Minute, IdleTime: time.Minute})
 	for range 2 {
-		_, err := pool.Do(context.Background(), relay.Address(), &Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "a", Unwanted: func() bool {
+		_, err := pool.Do(context.Background(), relay.Address(), &Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "a", Check: func() error {
 			assert.Zero(t, pool.Idle(), "asked once the connection is there")
-			return true
+			return net.ErrClosed
 		}})
 		assert.ErrorIs(t, err, ErrNotSent)
-		assert.ErrorIs(t, err, ErrUnwanted)
+		assert.ErrorIs(t, err, net.ErrClosed)
 	}
 	require.NoError(t, ask(context.Background(), pool, relay.Address()))
 	assert.Equal(t, 1, relay.Opened(), "a connection that was not used is kept")
@@ -196,7 +196,7 @@
 			relay := relayed(t, 1)
 			pool := New(Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: time.Minute, IdleTime: time.Minute})
 			for range test.resting {
-				pool.rest(pipeTo(t, pool, "other"))
+				pool.keepUnused(pipeTo(t, pool, "other"))
 			}
 			tries, open := 0, pool.opener
 			pool.opener = func(ctx context.Context, address string) (net.Conn, error) {
