--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -40,7 +40,9 @@
 	ours := &listener{Listener: l, set: s}
 	if socket, ok := l.(syscall.Conn); ok {
 		// The queue of one without a descriptor is not looked at.
-		ours.raw, _ = socket.SyscallConn()
+		if raw, err := socket.SyscallConn(); err == nil {
+			ours.raw = raw
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,8 @@
 	readiness *http.Server
 	operators *admin.Admin
 	listeners []net.Listener
+	// taker takes callers' connections.
+	taker *taker
 
 	// accepted is closed once no further callers are accepted.
 	accepted chan struct{}
@@ -261,6 +263,7 @@
 		}
 		e.listeners = append(e.listeners, l)
 	}
+	e.taker = &taker{Listener: e.listeners[0], relieve: e.relieve}
 	return nil
 }
 
@@ -271,12 +274,21 @@
 
 // Ready tells whether the router should get new connections.
 func (e *Entry) Ready() bool {
-	if e.stopping.Load() || !e.follower.Known() {
+	if e.stopping.Load() || !e.follower.Known() || e.taker.starved(time.Now()) {
 		return false
 	}
 	return e.proven()
 }
 
+// relieve makes room for callers when there is no descriptor left.
+func (e *Entry) relieve(err error, first bool) {
+	dropped := e.pool.DropIdle()
+	if !first {
+		return
+	}
+	e.log.Write(event.Exhausted, event.F("error", err), event.F("dropped", dropped), event.F("in_flight", e.front.Active()))
+}
+
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
 	return e.follower.ProofAge(time.Now()) < keyProof(*e.bounds.Load())
@@ -346,7 +358,7 @@
 // serveCallers ends without an error once a stop closes the listener.
 func (e *Entry) serveCallers() error {
 	defer close(e.accepted)
-	err := serve(e.callers, e.conns.Listener(e.listeners[0]))
+	err := serve(e.callers, e.conns.Listener(e.taker))
 	if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
