--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -194,22 +194,26 @@
 	s.record.departure(replica.ID, s.world.store.Remove(platform.ReplicaKey(replica.ID)))
 }
 
-// succeed ends an incarnation and starts the next one.
+// succeed ends an incarnation and starts the next one: where it stood, at a new
+// address, or where a replica of any service once stood.
 func (s *soak) succeed(place *seat, replica *standin.Replica, link *proxy.Proxy, rnd *rand.Rand) {
 	replica.Crash()
-	address := ownAddress()
-	if rnd.IntN(2) == 0 {
-		address = replica.Address()
+	address := replica.Address()
+	if rnd.IntN(3) > 0 {
+		address = s.world.reuse()
+		s.world.free(replica.Address())
 	}
 	if err := s.world.open(place, address, link != nil); err != nil {
 		s.record.problem("%v", err)
 	}
 }
 
-// fault makes the next requests at a replica fail in some ways.
+// fault makes the next requests at a replica fail in some ways: so many that those
+// of each kind of route meet some.
 func (s *soak) fault(place *seat, rnd *rand.Rand) {
+	const fewest, more = 3, 8
 	replica, _, _ := place.now()
-	for range 1 + rnd.IntN(3) {
+	for range fewest + rnd.IntN(more) {
 		replica.Fail(standin.ReplicaFaults[rnd.IntN(len(standin.ReplicaFaults))])
 	}
 }
--- a/test/soak/router.go
+++ b/test/soak/router.go
@@ -117,14 +117,22 @@
 	r.ready = true
 }
 
+// hasEnded tells whether the process has ended.
+func (r *router) hasEnded() bool {
+	select {
+	case <-r.end():
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitEnd waits for the process to end by itself within a time.
 func (r *router) awaitEnd(limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
 	select {
 	case <-r.end():
 		return true
-	case <-timer.C:
+	case <-time.After(limit):
 		return false
 	}
 }
@@ -136,7 +144,7 @@
 }
 
 // settingsText is a router's settings with the bounds of the users' sheet.
-func settingsText(name string, listen [4]string, store, seeds string, b Bounds, repeats int) string {
+func settingsText(name string, listen [listeners]string, store, seeds string, b Bounds, repeats int) string {
 	return fmt.Sprintf(`[instance]
 name = %s
 data_centre = %s
@@ -168,8 +176,15 @@
 	err  error
 }
 
+// givenProgram names a program to judge instead of this checkout's: that of another
+// commit, or one that is broken on purpose.
+const givenProgram = "SOAK_PROGRAM"
+
 // buildProgram builds the real program once.
 func buildProgram(dir string) (string, error) {
+	if given := os.Getenv(givenProgram); given != "" {
+		return given, nil
+	}
 	program.once.Do(func() {
 		program.path = filepath.Join(dir, "croftyard")
 		args := append([]string{"build"}, buildFlags...)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -27,7 +27,7 @@
 	world   *world
 	users   *users
 	routers []*router
-	listen  map[string][4]string
+	listen  map[string][listeners]string
 	stores  map[string]string
 	// work are the actions under way, striking is held while the store is struck.
 	work     sync.WaitGroup
@@ -44,7 +44,7 @@
 
 // Run plays a seed in a folder that takes all logs.
 func Run(program, dir string, seed uint64, length time.Duration) (Result, error) {
-	s := &soak{plan: planOf(seed, length), dir: dir, bounds: SheetBounds, record: newRecorder(), listen: make(map[string][4]string), stores: make(map[string]string)}
+	s := &soak{plan: planOf(seed, length), dir: dir, bounds: SheetBounds, record: newRecorder(), listen: make(map[string][listeners]string), stores: make(map[string]string)}
 	if err := s.keep("schedule.txt", []byte(s.plan.String())); err != nil {
 		return Result{}, err
 	}
@@ -64,28 +64,36 @@
 	return result, s.keepAll(h, result)
 }
 
-// startRouters starts all routers and waits until they are ready.
-func (s *soak) startRouters(program string) error {
+// listeners are what each router listens on: callers, readiness, peers, operators.
+const listeners = 4
+
+// placeRouters finds where the routers are to stand.
+func (s *soak) placeRouters(program string) error {
+	addresses, err := freeAddresses(listeners * s.plan.Routers)
+	if err != nil {
+		return err
+	}
 	for n := range s.plan.Routers {
 		r := &router{name: fmt.Sprintf("r%d", n), program: program, record: s.record}
 		r.settings, r.log = filepath.Join(s.dir, r.name+".ini"), filepath.Join(s.dir, r.name+".log")
-		var listen [4]string
-		for i := range listen {
-			address, err := freeAddress()
-			if err != nil {
-				return err
-			}
-			listen[i] = address
-		}
-		store, err := standin.Serve(ownAddress(), s.world.store.Handler(r.name))
+		store, err := standin.Serve(ownAddress(standInHost), s.world.store.Handler(r.name))
 		if err != nil {
 			return err
 		}
 		s.world.servers = append(s.world.servers, store)
+		listen := [listeners]string(addresses[listeners*n:])
 		r.callers, r.readiness = listen[0], listen[1]
 		s.listen[r.name], s.stores[r.name] = listen, store.Address
 		s.routers = append(s.routers, r)
 	}
+	return nil
+}
+
+// startRouters starts all routers and waits until they are ready.
+func (s *soak) startRouters(program string) error {
+	if err := s.placeRouters(program); err != nil {
+		return err
+	}
 	const repeats = 30
 	for _, r := range s.routers {
 		s.writeSettings(r, s.settingsOf(r, repeats))
@@ -168,14 +176,25 @@
 
 // recover waits until each router serves again.
 func (s *soak) recover() {
-	begun := time.Now()
+	var all sync.WaitGroup
 	for _, r := range s.routers {
-		rnd := rand.New(rand.NewPCG(s.plan.Seed, 0))
-		for !s.serves(r, rnd) && time.Since(begun) <= s.bounds.Recovery {
-			time.Sleep(shortestFault)
-		}
-		s.record.recovered(r.name, time.Since(begun))
+		all.Go(func() { s.recoverOne(r) })
+	}
+	all.Wait()
+}
+
+// recoverOne starts a router again that ended by itself, as the platform does, and
+// waits until it serves.
+func (s *soak) recoverOne(r *router) {
+	begun := time.Now()
+	if r.hasEnded() {
+		s.restart(r)
+	}
+	rnd := rand.New(rand.NewPCG(s.plan.Seed, 0))
+	for !s.serves(r, rnd) && time.Since(begun) <= s.bounds.Recovery {
+		time.Sleep(shortestFault)
 	}
+	s.record.recovered(r.name, time.Since(begun))
 }
 
 func (s *soak) serves(r *router, rnd *rand.Rand) bool {
@@ -230,8 +249,11 @@
 			s.record.problem("%v", err)
 			continue
 		}
-		if strings.Contains(string(text), "DATA RACE") {
-			s.record.problem("%s: a data race", r.name)
+		for _, mark := range []string{"DATA RACE", "panic: "} {
+			if _, told, found := strings.Cut(string(text), mark); found {
+				line, _, _ := strings.Cut(told, "\n")
+				s.record.problem("%s: %s%s", r.name, mark, line)
+			}
 		}
 		for _, key := range s.world.keysEver() {
 			if strings.Contains(string(text), key) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -19,7 +19,7 @@
 )
 
 // shortRun is how long the faults of a run in CI last.
-const shortRun = 5 * time.Second
+const shortRun = 4 * time.Second
 
 // logs is the folder of all runs; a run that holds leaves nothing in it.
 func logs(t *testing.T) string {
@@ -44,7 +44,7 @@
 	for _, v := range result.Violations {
 		assert.Fail(t, v.Rule, "seed %d, logs in %s: %s", seed, own, v)
 	}
-	for _, kind := range []string{"once", "repeat", "moved", "stream", "resume", "version"} {
+	for _, kind := range []string{"once", "repeat", "moved", "stream", "resume", "long", "version"} {
 		assert.Positive(t, result.Kinds[kind+" served"], "seed %d: nothing of %s was served, logs in %s", seed, kind, own)
 	}
 	if !t.Failed() {
--- a/test/soak/users.go
+++ b/test/soak/users.go
@@ -111,6 +111,7 @@
 	{"/moved/", 0, 2},
 	{"/stream/", streamEvents, 2},
 	{"/resume/", streamEvents, 2},
+	{"/long/", longEvents, 1},
 	{"", 0, 2},
 }
 
@@ -172,7 +173,7 @@
 	if rnd.IntN(seldom) == 0 {
 		s.pause = time.Duration(rnd.IntN(100)) * time.Millisecond
 	}
-	if rnd.IntN(seldom) == 0 {
+	if rnd.IntN(seldom) == 0 || a.Events == longEvents && rnd.IntN(3) == 0 {
 		s.leave = time.Duration(1+rnd.IntN(150)) * time.Millisecond
 	}
 	return s
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -20,6 +20,7 @@
 	plain   = "plain"
 	other   = "other"
 	engines = "engines"
+	long    = "long"
 )
 
 // Times of routes.
@@ -30,8 +31,12 @@
 	streamGap    = 300 * time.Millisecond
 )
 
-// streamEvents is how many events a stream has.
-const streamEvents = 8
+// streamEvents is how many events a stream has, longEvents that of a long one, which is
+// often under way when something happens.
+const (
+	streamEvents = 8
+	longEvents   = 40
+)
 
 // world is what surrounds the routers: store, operator and replicas.
 type world struct {
@@ -46,6 +51,7 @@
 	// oldKeys were taken away, oldMarkers are paths that were.
 	oldKeys    []string
 	oldMarkers []string
+	freed      []freedAddress
 	servers    []*standin.Server
 }
 
@@ -69,6 +75,7 @@
 	plainReplicas  = 3
 	otherReplicas  = 2
 	engineReplicas = 4
+	longReplicas   = 3
 	replicaSlots   = 16
 	plainWork      = 8 * time.Millisecond
 	firstEvent     = 15 * time.Millisecond
@@ -86,12 +93,13 @@
 		{plain, plainReplicas, standin.ReplicaOptions{Work: plainWork}},
 		{other, otherReplicas, standin.ReplicaOptions{Work: plainWork}},
 		{engines, engineReplicas, standin.ReplicaOptions{Work: firstEvent, Pieces: streamEvents, Gap: eventGap}},
+		{long, longReplicas, standin.ReplicaOptions{Work: firstEvent, Pieces: longEvents, Gap: eventGap}},
 	} {
 		s.o.Service, s.o.Zone, s.o.Slots = s.service, zone, replicaSlots
 		for n := range s.n {
 			place := &seat{name: fmt.Sprintf("%s-%d", s.service, n), options: s.o}
 			// Every other replica stands behind a link that can fail.
-			if err := w.open(place, ownAddress(), n%2 == 1); err != nil {
+			if err := w.open(place, ownAddress(standInHost), n%2 == 1); err != nil {
 				return nil, err
 			}
 			w.seats = append(w.seats, place)
@@ -101,23 +109,34 @@
 	return w, nil
 }
 
+// The last numbers of the loopback addresses on which routers and stand-ins listen. A
+// router's ports are free while it is restarted, and must not be taken meanwhile.
+const (
+	routerHost  = 2
+	standInHost = 3
+)
+
 // ownAddress is on a loopback address of this process: a port of 127.0.0.1 may be
 // taken by an outgoing connection of any other test.
-func ownAddress() string {
+func ownAddress(host int) string {
 	const perByte, lowest = 256, 1
 	const usable = 200
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.2:0", lowest+pid/perByte%usable, pid%perByte)
+	return fmt.Sprintf("127.%d.%d.%d:0", lowest+pid/perByte%usable, pid%perByte, host)
 }
 
-// freeAddress returns an address for a process that is to be started.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", ownAddress())
-	if err != nil {
-		return "", fmt.Errorf("soak: %w", err)
+// freeAddresses returns addresses for processes that are to be started, each another.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ownAddress(routerHost))
+		if err != nil {
+			return nil, fmt.Errorf("soak: %w", err)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return out, nil
 }
 
 // open starts the next incarnation at a seat and lists it.
@@ -145,6 +164,35 @@
 	return nil
 }
 
+// freedAddress is where a replica stood that has ended.
+type freedAddress struct {
+	address string
+	since   time.Time
+}
+
+// reuseAfter is how long after a replica has ended its address may be given to one of
+// another service. Source: the users' sheet.
+const reuseAfter = 2 * time.Second
+
+// free notes an address whose replica has ended.
+func (w *world) free(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.freed = append(w.freed, freedAddress{address: address, since: time.Now()})
+}
+
+// reuse returns an address that may be used again, or a new one.
+func (w *world) reuse() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.freed) == 0 || time.Since(w.freed[0].since) < reuseAfter {
+		return ownAddress(standInHost)
+	}
+	first := w.freed[0]
+	w.freed = w.freed[1:]
+	return first.address
+}
+
 func (s *seat) now() (*standin.Replica, *proxy.Proxy, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,15 +232,17 @@
 		"/moved/":         {Service: moved, Type: platform.RouteIdempotent, Attempts: repeatAttempts, Timeout: routeTimeout},
 		"/stream/":        {Service: engines, Type: platform.RouteStreaming, Attempts: onceAttempts, Timeout: routeTimeout},
 		"/resume/":        {Service: engines, Type: platform.RouteStreaming, Resumable: true, Attempts: repeatAttempts, Timeout: routeTimeout},
+		"/long/":          {Service: long, Type: platform.RouteStreaming, Resumable: true, Attempts: repeatAttempts, Timeout: routeTimeout},
 		marker(w.version): {Service: other, Type: platform.RouteIdempotent, Attempts: repeatAttempts, Timeout: routeTimeout},
 	}
 }
 
 // configOf writes a version as the operator does.
 func configOf(v *Version) platform.Configuration {
+	engine := &platform.EngineEntry{Slots: replicaSlots, KVCapacity: 1 << 20, KVBytes: 1 << 10}
 	c := platform.Configuration{
 		Version:  v.Number,
-		Services: []platform.ServiceEntry{{Name: plain}, {Name: other}, {Name: engines, Engine: &platform.EngineEntry{Slots: replicaSlots, KVCapacity: 1 << 20, KVBytes: 1 << 10}}},
+		Services: []platform.ServiceEntry{{Name: plain}, {Name: other}, {Name: engines, Engine: engine}, {Name: long, Engine: engine}},
 		Limits:   platform.LimitsEntry{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
 	}
 	for prefix, r := range v.Routes {
