--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 SECONDS ?= 60
 
-.PHONY: build run test check unit integration bench measure ablation capacity verify setup generate soak soak-chat fuzz clean
+.PHONY: build run run-routes test check unit integration bench measure ablation capacity verify setup generate soak soak-chat fuzz clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -12,6 +12,10 @@
 run: build
 	./bin/croftyard demo
 
+# The same for routers that serve routes, see docs/ROUTES.md.
+run-routes: build
+	./bin/croftyard demo --routes
+
 test: setup check unit integration verify
 
 check:
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -11,11 +11,14 @@
 	"github.com/sirupsen/logrus"
 
 	fleetdemo "github.com/croftyard/croftyard/internal/demo"
+	"github.com/croftyard/croftyard/platform"
 )
 
 type demo struct {
-	Port  int    `default:"8080" help:"Callers' port of the first router; the other ports follow it. 0 picks free ones."`
-	Level string `default:"warning" enum:"debug,info,warning,error" help:"Log level."`
+	Port   int    `default:"8080" help:"Callers' port of the first router; the other ports follow it. 0 picks free ones."`
+	Routes bool   `help:"Show routers that serve configured routes; ports from the given one + 100 on."`
+	Logs   string `default:"/tmp/croftyard-demo" type:"path" help:"Folder of the routers' logs, with --routes."`
+	Level  string `default:"warning" enum:"debug,info,warning,error" help:"Log level."`
 }
 
 const (
@@ -34,6 +37,9 @@
 	defer stop()
 	start, cancel := context.WithTimeout(ctx, demoReady)
 	defer cancel()
+	if c.Routes {
+		return c.showRoutes(ctx, start, s.out)
+	}
 	fleet, err := fleetdemo.Start(start, fleetdemo.Options{Routers: demoRouters, Engines: demoEngines, Port: c.Port, Level: level, Log: s.err})
 	if err != nil {
 		return err
@@ -44,6 +50,29 @@
 	return nil
 }
 
+// routesPort is the first port of the demo of routes beyond the given one.
+const routesPort = 100
+
+// showRoutes runs routers that serve routes until ctx ends.
+func (c *demo) showRoutes(ctx, start context.Context, out io.Writer) error {
+	fleet, err := fleetdemo.StartRoutes(start, fleetdemo.RoutesOptions{Port: c.Port + routesPort, Level: logrus.InfoLevel, Logs: c.Logs})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	for _, r := range fleet.Routers {
+		callers, readiness := r.Addresses()
+		fmt.Fprintf(out, "router  callers %s  readiness %s\n", callers, readiness)
+	}
+	callers, _ := fleet.Routers[0].Addresses()
+	names := platform.Dialect()
+	fmt.Fprintf(out, "logs in %s\n\nready; try:\n  curl -isN http://%s/generate/x -H '%s: %s%s' -H '%s: first' -d 'the lock is open'\n",
+		c.Logs, callers, names.Key, names.KeyScheme, fleetdemo.Key, names.Attempt)
+	fmt.Fprintf(out, "and, while it runs:\n  curl -X POST %s\n", fleet.CrashURL("first"))
+	<-ctx.Done()
+	return nil
+}
+
 func printDemo(out io.Writer, fleet *fleetdemo.Fleet) {
 	for _, i := range fleet.Routers {
 		a := i.Addresses()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,10 @@
 // shortRun is how long the faults of a run in CI last.
 const shortRun = 4 * time.Second
 
+// atOnce is how many known seeds are played at a time: a run mostly waits, and too many
+// would disturb each other.
+const atOnce = 2
+
 // logs is the folder of all runs; a run that holds leaves nothing in it.
 func logs(t *testing.T) string {
 	t.Helper()
@@ -80,8 +84,14 @@
 	dir := logs(t)
 	program, err := buildProgram(dir)
 	require.NoError(t, err)
+	slots := make(chan struct{}, atOnce)
 	for _, seed := range knownSeeds(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, program, dir, seed, seconds(t, shortRun)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			play(t, program, dir, seed, seconds(t, shortRun))
+		})
 	}
 }
 
