--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -37,6 +37,7 @@
 	server *Server
 	// ended is closed when it crashed or left.
 	ended      chan struct{}
+	endedAt    time.Time
 	endOnce    sync.Once
 	mu         sync.Mutex
 	leaving    bool
@@ -104,7 +105,10 @@
 
 // Crash ends the replica and all its connections at once.
 func (r *Replica) Crash() {
-	r.endOnce.Do(func() { close(r.ended) })
+	r.endOnce.Do(func() {
+		r.endedAt = time.Now()
+		close(r.ended)
+	})
 	r.server.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,6 +119,12 @@
 	}
 }
 
+// EndedAt returns when it crashed; it is asked of one that did.
+func (r *Replica) EndedAt() time.Time {
+	<-r.ended
+	return r.endedAt
+}
+
 // Runs returns copies of what came so far.
 func (r *Replica) Runs() []ReplicaRun {
 	r.mu.Lock()
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -190,6 +190,7 @@
 	over()
 	time.Sleep(between(rnd, shortestFault, longestFault))
 	s.succeed(place, replica, link, rnd)
+	// Meanwhile replicas of other services may come to stand where it stood.
 	time.Sleep(entryLapse)
 	s.record.departure(replica.ID, s.world.store.Remove(platform.ReplicaKey(replica.ID)))
 }
@@ -198,10 +199,11 @@
 // address, or where a replica of any service once stood.
 func (s *soak) succeed(place *seat, replica *standin.Replica, link *proxy.Proxy, rnd *rand.Rand) {
 	replica.Crash()
+	ended := replica.EndedAt()
 	address := replica.Address()
 	if rnd.IntN(3) > 0 {
 		address = s.world.reuse()
-		s.world.free(replica.Address())
+		s.world.free(replica.Address(), ended)
 	}
 	if err := s.world.open(place, address, link != nil); err != nil {
 		s.record.problem("%v", err)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -174,23 +175,25 @@
 // another service. Source: the users' sheet.
 const reuseAfter = 2 * time.Second
 
-// free notes an address whose replica has ended.
-func (w *world) free(address string) {
+// free notes an address whose replica ended at a time.
+func (w *world) free(address string, since time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.freed = append(w.freed, freedAddress{address: address, since: time.Now()})
+	w.freed = append(w.freed, freedAddress{address: address, since: since})
 }
 
-// reuse returns an address that may be used again, or a new one.
+// reuse returns the address that was given up last of those that may be used again,
+// since some router may still know it as it was, or a new one.
 func (w *world) reuse() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.freed) == 0 || time.Since(w.freed[0].since) < reuseAfter {
-		return ownAddress(standInHost)
+	for i, f := range slices.Backward(w.freed) {
+		if time.Since(f.since) >= reuseAfter {
+			w.freed = slices.Delete(w.freed, i, i+1)
+			return f.address
+		}
 	}
-	first := w.freed[0]
-	w.freed = w.freed[1:]
-	return first.address
+	return ownAddress(standInHost)
 }
 
 func (s *seat) now() (*standin.Replica, *proxy.Proxy, string) {
