--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -108,6 +108,11 @@
 		missed:   make(map[string]*gossippb.Digest),
 		centres:  make(map[string]string),
 	}
+	// Others that know this router's address call as soon as it listens, and its table
+	// of members has that address in it: they wait. One that started among four others
+	// met a call without a table, and ended.
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	server, err := peer.ListenWith(o.Address, func(mux *drpcmux.Mux) error {
 		return gossippb.DRPCRegisterGossip(mux, g)
 	})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,10 +11,12 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -97,6 +99,35 @@
 	}
 }
 
+// A router that starts again is known to others, which call it as soon as it listens.
+func TestACallThatComesWithTheStartFindsTheMembers(t *testing.T) {
+	for range 20 {
+		g := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
+		g.follower = follow.New(g.source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), g.holder, g.balancer, event.Discard())
+		held, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := held.Addr().String()
+		client := peer.NewClient(&peer.Meter{})
+		called := make(chan struct{})
+		go func() {
+			defer close(called)
+			until(t, func() bool {
+				return client.Control(t.Context(), address, peer.Bound{Call: time.Minute}, func(ctx context.Context, conn drpc.Conn) error {
+					_, err := gossippb.NewDRPCGossipClient(conn).Exchange(ctx, &gossippb.Digest{Sender: "127.0.0.2:1"})
+					return err
+				}) == nil
+			})
+		}()
+		held.Close()
+		g.gossip, err = Start(Options{Address: address, Period: time.Hour}, g.follower, g.balancer, event.Discard())
+		require.NoError(t, err)
+		<-called
+		assert.Equal(t, 2, g.gossip.Members())
+		client.Close()
+		g.gossip.stop()
+	}
+}
+
 func TestARouterThatTheSourceTurnsAwayLearnsFromItsPeers(t *testing.T) {
 	first := newRouter(t, &source{})
 	second := newRouter(t, &source{err: errors.New("turned away")}, first.gossip.Address())
