--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -43,6 +43,8 @@
 	// waiting: a replica was asked and its head has not come. It is not yet
 	// counted as sent. Timers read it.
 	waiting atomic.Bool
+	// reserved: a repeat was taken from the budget and not yet made.
+	reserved atomic.Bool
 	// errored names the replicas that answered with an error of their own and
 	// are not yet blamed for it.
 	errored []string
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -173,16 +173,30 @@
 }
 
 // moveOn returns what ends an attempt if the request may be repeated and there is
-// time for it. What it needs is read here: later it runs beside the call.
+// time for it. What it needs is read here: later it runs beside the call. The repeat is
+// taken before the attempt is ended: a sound stream was cut since the last one in store
+// went to another request in between.
 func (c *call) moveOn(limit time.Duration, cancel context.CancelCauseFunc) func() {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
 	return func() {
-		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.front.repeats.Left() {
+		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.reserveRepeat() {
 			cancel(errHung)
 		}
 	}
 }
 
+// reserveRepeat takes a repeat from the budget for the next attempt, once.
+func (c *call) reserveRepeat() bool {
+	if !c.reserved.CompareAndSwap(false, true) {
+		return false
+	}
+	if c.front.spendRepeat(c.id) {
+		return true
+	}
+	c.reserved.Store(false)
+	return false
+}
+
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, id string, err error) verdict {
 	c.outcome.reason = "no answer: " + err.Error()
@@ -256,7 +270,10 @@
 	if c.mayHaveRun && c.route.RunsOnce() {
 		return over
 	}
-	if int(c.sent.Load()) >= c.route.Attempts || !c.front.spendRepeat(c.id) {
+	if int(c.sent.Load()) >= c.route.Attempts {
+		return over
+	}
+	if !c.reserved.Swap(false) && !c.front.spendRepeat(c.id) {
 		return over
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
--- a/internal/front/moveon_test.go
+++ b/internal/front/moveon_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// A stream that seemed silent was ended while one repeat was left; another request took
+// that before the stream did, and its caller was cut off from an engine that was sound.
+func TestAnAttemptThatMovesOnHasItsRepeat(t *testing.T) {
+	r := newRig(t)
+	r.front.repeats.Set(0, 1)
+	one := &call{front: r.front, route: &route.Route{Kind: route.Repeatable, Attempts: 2}, end: time.Now().Add(time.Hour), mayHaveRun: true}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	moveOn := one.moveOn(time.Minute, cancel)
+	moveOn()
+	moveOn()
+	assert.Equal(t, errHung, context.Cause(ctx))
+	one.sent.Store(1)
+	assert.False(t, r.front.spendRepeat("another"), "it is taken")
+	assert.Equal(t, again, one.repeat("stream fell silent"))
+	assert.Equal(t, over, one.repeat("once more"), "it was one")
+}
+
 func TestAReplicaIsBlamedOnlyForWhatIsItsFault(t *testing.T) {
 	tests := map[string]struct {
 		err    error
