--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -140,6 +140,27 @@
 	assert.Equal(t, http.StatusOK, response.StatusCode, text)
 }
 
+// All replicas of a service were gone with one read, undeclared, and went on answering.
+// The list was doubted, as after an outage, though the source had answered all along.
+func TestReplicasThatVanishUndeclaredGetNothingPastTheBound(t *testing.T) {
+	first, arrivals := replica(t, answerOK)
+	second, arrivalsToo := replica(t, answerOK)
+	r := newStillRig(t, first, second)
+	list := r.source.snapshot.Replicas
+	take := func(age time.Duration, list ...directory.Replica) {
+		r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: list}, time.Now().Add(-age))
+	}
+	take(testListAge, list...)
+	take(0)
+	require.Len(t, r.follower.Replicas(), len(list), "they are doubted")
+	for _, gone := range list {
+		r.front.stayed.note(gone.ID, time.Now())
+	}
+	r.setListProof(testListProof)
+	r.wantNotRun(t)
+	assert.Zero(t, arrivals.Load()+arrivalsToo.Load())
+}
+
 // While a connection is opened a newer list may come, which says that the replica leaves
 // or has left. By then the one that named it may be older than any that may be used.
 func TestAReplicaThatLeavesWhileItIsConnectedToGetsNothing(t *testing.T) {
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -92,7 +92,12 @@
 	if len(unlisted) == 0 {
 		return nil
 	}
-	if f.follower.ListAge(now) >= limit && f.follower.Silent(limit, now) {
+	if f.follower.ListAge(now) < limit {
+		// A list that is young enough names them no more: some that leave say nothing of
+		// it themselves and go on answering.
+		return unlisted
+	}
+	if f.follower.Silent(limit, now) {
 		return nil
 	}
 	return slices.DeleteFunc(unlisted, func(id string) bool { return f.stayed.since(id, since) })
