--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,7 +49,9 @@
 	// helloRounds is after how many rounds members are told again.
 	helloRounds = 8
 	// largeRounds is how many rounds of a small fleet make one of a large one, in
-	// which a router has more partners and tells them of its line.
+	// which a router has more partners and tells them of its line. While many replicas
+	// are idle each round is one: the others are nearer to the users' bound then, and
+	// what is counted 1.2 s late piles up beyond it.
 	largeRounds = 2
 	// largeHelloRounds is helloRounds of a large fleet, in which more are told.
 	largeHelloRounds = 32
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -25,7 +25,7 @@
 	g.balancer.SetRouters(g.server.Address(), known, now)
 	g.balancer.SetRecalled(g.recalled.Load())
 	g.noteLost(lost)
-	if large && round%largeRounds != 0 {
+	if large && round%largeRounds != 0 && !g.balancer.Strained(now) {
 		return
 	}
 	d := g.digests(now, large)
--- a/internal/gossip/round_test.go
+++ b/internal/gossip/round_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 )
 
@@ -38,3 +41,26 @@
 	}
 	assert.Len(t, g.missed["other"].Failed, maxMissed)
 }
+
+func TestALargeFleetTellsInEachRoundWhileManyReplicasAreIdle(t *testing.T) {
+	for name, evacuated := range map[string][]string{"all in use": nil, "some idle": {"north"}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestingRouter(t, &source{})
+			list := replicas("a", "b")
+			list[0].DataCentre = "north"
+			r.follower.Take(follow.Snapshot{Config: config(4), Replicas: list, Evacuated: evacuated}, time.Now())
+			for port := range maxPartners + 1 {
+				r.gossip.members.Heard(fmt.Sprintf("127.0.0.1:%d", port+1), time.Now())
+			}
+			told := func() int {
+				r.gossip.tick(t.Context())
+				r.gossip.mu.Lock()
+				defer r.gossip.mu.Unlock()
+				return r.gossip.hellos
+			}
+			first, second := told(), told()
+			assert.Equal(t, evacuated != nil, first == 1, "half a round")
+			assert.Equal(t, first+1, second, "a whole one")
+		})
+	}
+}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -150,3 +150,20 @@
 	chosen.allowance.spend(b.cold.rate(q.ColdRate), now)
 	return Cold
 }
+
+// strainedPart is the part of the replicas beyond which idle ones strain the others.
+const strainedPart = 0.1
+
+// Strained tells whether many replicas are idle, being evacuated or cold, so that the
+// others are nearer to the users' bound: routers are to know sooner what each runs.
+func (b *Balancer) Strained(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	idle := 0
+	for _, r := range b.replicas {
+		if r.Evacuated || now.Before(r.ColdUntil) {
+			idle++
+		}
+	}
+	return float64(idle) > strainedPart*float64(len(b.replicas))
+}
--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -249,3 +249,20 @@
 		})
 	}
 }
+
+func TestRoutersAreStrainedWhileManyReplicasAreIdle(t *testing.T) {
+	b := newBalancer(engines(20))
+	assert.False(t, b.Strained(start))
+	assert.False(t, New(1).Strained(start), "before the first list")
+	b.Replace(chill(engines(20), start.Add(time.Second), 3, 4), start)
+	assert.False(t, b.Strained(start), "a tenth, as in a release")
+	b.Replace(chill(engines(20), start.Add(time.Second), 3, 4, 5), start)
+	assert.True(t, b.Strained(start))
+	assert.False(t, b.Strained(start.Add(time.Second)), "warm")
+	list := engines(20)
+	for i := range 3 {
+		list[i].Evacuated = true
+	}
+	b.Replace(list, start)
+	assert.True(t, b.Strained(start))
+}
