--- /dev/null
+++ b/internal/entry/bounds.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/front"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/pkg/balance"
+)
+
+// Parts of the users' bounds that the router allows itself.
+const (
+	// keyProofPart of the time within which a revoked key must be refused.
+	keyProofPart = 0.8
+	// absencePart of the time within which a configuration must be in force.
+	absencePart = 0.8
+	// readPart of the same time, or of the time to drain or to evacuate if that is
+	// shorter, is the pause between two reads of the source.
+	readPart = 0.4
+	// wayPart of the time to drain, or to evacuate if that is shorter, is for the way to a replica of a request that is
+	// written: 0.4 s of 2 s. By the users' rules a link on which packets wait over
+	// half a second is out of the ordinary.
+	wayPart = 0.2
+	// relistBeats is for how many heartbeats a replica that vanished with its list
+	// keeps its work, from the first read after the outage. By the users' word
+	// those that live are listed again within about two seconds (two beats).
+	relistBeats = 2
+	// repeatPart of the fleet's ratio of repeats is earned at each router.
+	repeatPart = 0.5
+	// reserveParts divides the fleet's allowance of repeats among routers.
+	reserveParts = 16
+)
+
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * share)
+}
+
+// readPeriod is the pause between two reads of the source.
+func readPeriod(b settings.Bounds) time.Duration {
+	return part(min(b.Apply, b.Drain, b.Evacuate), readPart)
+}
+
+func (e *Entry) followOptions(s settings.Settings) follow.Options {
+	period := readPeriod(s.Bounds)
+	return follow.Options{Period: period, Timeout: period, FirstRead: firstRead(s), Rank: e.rank}
+}
+
+// firstReadWait is how long routers wait for the seeds to tell them what they
+// read, when the whole fleet starts for the first time.
+const firstReadWait = 1500 * time.Millisecond
+
+// firstRead is how long the first read of a router waits. A fleet that starts
+// has time, and as many reads as routers would be a large part of a day's. A
+// router that starts again is needed at once and reads for itself.
+func firstRead(s settings.Settings) time.Duration {
+	if !s.Routes.FirstStart || slices.Contains(s.Peers.Seeds, s.Listen.Peers) {
+		return 0
+	}
+	return firstReadWait
+}
+
+// keyProof is the greatest age of the proof at which keys are believed.
+func keyProof(b settings.Bounds) time.Duration {
+	if !b.RevokeAlways {
+		return math.MaxInt64
+	}
+	return part(b.Revoke, keyProofPart)
+}
+
+func coldBounds(b settings.Bounds) balance.ColdBounds {
+	return balance.ColdBounds{Overage: b.ColdOverage, Allowance: b.ColdAllowance}
+}
+
+func frontLimits(b settings.Bounds) front.Limits {
+	return front.Limits{
+		KeyProof:      keyProof(b),
+		AbsenceProof:  part(b.Apply, absencePart),
+		ListProof:     part(min(b.Drain, b.Evacuate), 1-wayPart),
+		RepeatRatio:   b.RepeatRatio * repeatPart,
+		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
+	}
+}
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -38,6 +38,18 @@
 	assert.NotEmpty(t, response.Header.Get("Retry-After"), "it has not run and may come again")
 }
 
+// onceConnected does something when a connection to a replica has been opened, before
+// the request is written.
+func (r *rig) onceConnected(do func()) {
+	r.front.pool = upstream.New(upstream.Options{
+		IDHeader:       "Try",
+		DialTimeout:    time.Second,
+		SilenceTimeout: 10 * time.Second,
+		IdleTime:       time.Minute,
+		Opened:         func(string) { do() },
+	})
+}
+
 func TestNothingIsSentByAListThatIsTooOld(t *testing.T) {
 	address, arrivals := replica(t, answerOK)
 	r := newAgedRig(t, testListAge, address)
@@ -52,15 +64,9 @@
 	address, arrivals := replica(t, answerOK)
 	r := newAgedRig(t, testListAge, address)
 	r.setListProof(2 * testListAge)
-	r.front.pool = upstream.New(upstream.Options{
-		IDHeader:       "Try",
-		DialTimeout:    time.Second,
-		SilenceTimeout: 10 * time.Second,
-		IdleTime:       time.Minute,
-		Opened: func(string) {
-			r.source.fallSilent()
-			r.setListProof(testListProof)
-		},
+	r.onceConnected(func() {
+		r.source.fallSilent()
+		r.setListProof(testListProof)
 	})
 	r.wantNotRun(t)
 	assert.Zero(t, arrivals.Load())
@@ -98,17 +104,11 @@
 func TestTheAgeOfTheKeysProofIsLookedAtAgainOnceConnected(t *testing.T) {
 	address, arrivals := replica(t, answerOK)
 	r := newAgedRig(t, testListAge, address)
-	r.front.pool = upstream.New(upstream.Options{
-		IDHeader:       "Try",
-		DialTimeout:    time.Second,
-		SilenceTimeout: 10 * time.Second,
-		IdleTime:       time.Minute,
-		Opened: func(string) {
-			limits := *r.front.limits.Load()
-			limits.KeyProof, limits.AbsenceProof = testListProof, testListProof
-			r.front.SetLimits(limits)
-			r.source.fail(assert.AnError)
-		},
+	r.onceConnected(func() {
+		limits := *r.front.limits.Load()
+		limits.KeyProof, limits.AbsenceProof = testListProof, testListProof
+		r.front.SetLimits(limits)
+		r.source.fail(assert.AnError)
 	})
 	r.wantNotRun(t)
 	assert.Zero(t, arrivals.Load())
@@ -176,15 +176,9 @@
 				others := []directory.Replica{{ID: "a", Service: "t"}, {ID: "b", Service: "t"}}
 				newer = others
 			}
-			r.front.pool = upstream.New(upstream.Options{
-				IDHeader:       "Try",
-				DialTimeout:    time.Second,
-				SilenceTimeout: 10 * time.Second,
-				IdleTime:       time.Minute,
-				Opened: func(string) {
-					r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: newer}, time.Now())
-					r.setListProof(testListProof)
-				},
+			r.onceConnected(func() {
+				r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: newer}, time.Now())
+				r.setListProof(testListProof)
 			})
 			r.wantNotRun(t)
 			assert.Zero(t, arrivals.Load())
--- /dev/null
+++ b/internal/upstream/answer.go
@@ -0,0 +1,75 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Answer is a replica's answer whose head has arrived. Body must be read to its
+// end or closed. Close must be called.
+type Answer struct {
+	*http.Response
+	pool  *Pool
+	conn  *conn
+	stop  func() bool
+	wrote chan error
+	ended bool
+}
+
+// Close ends the answer. The connection is kept if the body was read to its
+// end and nothing else came, else it is closed.
+func (a *Answer) Close() {
+	if !a.stop() || !a.ended || !a.reusable() {
+		a.conn.Close()
+		return
+	}
+	a.conn.expires = time.Now().Add(a.keepTime())
+	a.pool.put(a.conn)
+}
+
+// Read reads the body and notes its end.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Body.Read(p)
+	if err == io.EOF {
+		a.ended = true
+	}
+	return n, err
+}
+
+func (a *Answer) reusable() bool {
+	if a.Response.Close || !delimited(a.Response) && a.bodyAllowed() || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	if a.wrote == nil {
+		return true
+	}
+	select {
+	case err := <-a.wrote:
+		return err == nil
+	default:
+		// The replica answered before it had read the request: what it reads
+		// next would be the rest of that request.
+		return false
+	}
+}
+
+func (a *Answer) bodyAllowed() bool {
+	return a.StatusCode != http.StatusNoContent && a.StatusCode != http.StatusNotModified
+}
+
+// keepTime is how long the connection may rest: less than the replica keeps it.
+func (a *Answer) keepTime() time.Duration {
+	const margin = time.Second
+	keep := a.pool.options.IdleTime
+	for _, field := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		seconds, err := strconv.Atoi(value)
+		if found && err == nil {
+			keep = min(keep, time.Duration(seconds)*time.Second-margin)
+		}
+	}
+	return keep
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,15 +13,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,35 +83,6 @@
 	expires time.Time
 }
 
-// Request is what is sent.
-type Request struct {
-	Method string
-	// URI is the path with its query, unaltered.
-	URI    string
-	Host   string
-	Header http.Header
-	Body   []byte
-	// ID must come back in the answer.
-	ID string
-	// Check is called when there is a connection, right before the first byte is
-	// written; an error leaves the request unsent. It may be nil.
-	Check func() error
-	// Unacked is called, beside Do, if the request was written on a kept connection and
-	// its arrival was not confirmed in time. It may be nil.
-	Unacked func()
-}
-
-// Answer is a replica's answer whose head has arrived. Body must be read to its
-// end or closed. Close must be called.
-type Answer struct {
-	*http.Response
-	pool  *Pool
-	conn  *conn
-	stop  func() bool
-	wrote chan error
-	ended bool
-}
-
 // Do sends a request and waits for the head of its answer. When ctx ends the
 // connection is closed, which tells the replica to stop the work.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
@@ -151,13 +119,6 @@
 	p.put(c)
 }
 
-func (r *Request) check() error {
-	if r.Check == nil {
-		return nil
-	}
-	return r.Check()
-}
-
 func (p *Pool) connect(ctx context.Context, address string) (c *conn, reused bool, err error) {
 	for {
 		c := p.take(address)
@@ -236,40 +197,6 @@
 	return &Answer{Response: response, pool: p, conn: c, stop: stop, wrote: wrote}, written, nil
 }
 
-// smallRequest is the size up to which a request is written before the answer
-// is read. A replica may answer a larger one before it has read it.
-const smallRequest = 32 << 10
-
-// send writes the request. A large one is still being written when send
-// returns; wrote then tells the outcome.
-func (c *conn) send(r *Request) (wrote chan error, written int, err error) {
-	wire := r.encode()
-	if len(wire) <= smallRequest {
-		written, err = c.Write(wire)
-		return nil, written, err
-	}
-	wrote = make(chan error, 1)
-	go func() {
-		_, err := c.Write(wire)
-		wrote <- err
-	}()
-	return wrote, len(wire), nil
-}
-
-func (r *Request) encode() []byte {
-	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
-	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// The error is that of the buffer, which has none.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
-}
-
 // readHead reads heads until one is this request's.
 func (p *Pool) readHead(c *conn, r *Request) (*http.Response, error) {
 	const maxSkipped = 4
@@ -299,61 +226,6 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
-// Close ends the answer. The connection is kept if the body was read to its
-// end and nothing else came, else it is closed.
-func (a *Answer) Close() {
-	if !a.stop() || !a.ended || !a.reusable() {
-		a.conn.Close()
-		return
-	}
-	a.conn.expires = time.Now().Add(a.keepTime())
-	a.pool.put(a.conn)
-}
-
-// Read reads the body and notes its end.
-func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.Body.Read(p)
-	if err == io.EOF {
-		a.ended = true
-	}
-	return n, err
-}
-
-func (a *Answer) reusable() bool {
-	if a.Response.Close || !delimited(a.Response) && a.bodyAllowed() || a.conn.reader.Buffered() > 0 {
-		return false
-	}
-	if a.wrote == nil {
-		return true
-	}
-	select {
-	case err := <-a.wrote:
-		return err == nil
-	default:
-		// The replica answered before it had read the request: what it reads
-		// next would be the rest of that request.
-		return false
-	}
-}
-
-func (a *Answer) bodyAllowed() bool {
-	return a.StatusCode != http.StatusNoContent && a.StatusCode != http.StatusNotModified
-}
-
-// keepTime is how long the connection may rest: less than the replica keeps it.
-func (a *Answer) keepTime() time.Duration {
-	const margin = time.Second
-	keep := a.pool.options.IdleTime
-	for _, field := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
-		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
-		seconds, err := strconv.Atoi(value)
-		if found && err == nil {
-			keep = min(keep, time.Duration(seconds)*time.Second-margin)
-		}
-	}
-	return keep
-}
-
 // CloseIdle closes the connections that rested too long.
 func (p *Pool) CloseIdle() { closeAll(p.takeExpired(time.Now())) }
 
