--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,7 +11,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -48,12 +47,15 @@
 	conns  *conns.Set
 	// stopping: each further answer is the last of its connection.
 	stopping atomic.Bool
+	// listener is what Serve serves, accepted is closed once it has ended.
+	listener atomic.Pointer[net.Listener]
+	accepted chan struct{}
 }
 
 // New returns an edge for a router.
 func New(r *router.Router, limits settings.Limits) *Edge {
 	const headerTimeout = 10 * time.Second
-	e := &Edge{router: r, limits: limits, conns: conns.NewSet()}
+	e := &Edge{router: r, limits: limits, conns: conns.NewSet(), accepted: make(chan struct{})}
 	e.server = &http.Server{
 		Handler:           e.announceEnd(e.handler()),
 		ConnState:         e.conns.ConnState,
@@ -65,36 +67,6 @@
 	return e
 }
 
-// Serve serves callers on a listener until Shutdown.
-func (e *Edge) Serve(l net.Listener) error {
-	err := e.server.Serve(e.conns.Listener(l))
-	if errors.Is(err, http.ErrServerClosed) || e.stopping.Load() && errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
-// Stopping makes each further answer the last of its connection.
-func (e *Edge) Stopping() { e.stopping.Store(true) }
-
-// announceEnd tells callers of a stopping router not to use the connection again.
-func (e *Edge) announceEnd(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// Shutdown closes the callers' connections, each once nothing of a request is in
-// it, and returns when none is left. Who served the listener has closed it.
-func (e *Edge) Shutdown(ctx context.Context) error {
-	e.Stopping()
-	_, err := e.conns.Drain(ctx)
-	return err
-}
-
 // Close ends everything at once.
 func (e *Edge) Close() {
 	e.server.Close()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -166,7 +166,6 @@
 		return fmt.Errorf("%w: %v", ErrCut, err)
 	}
 	// The router is idle, so this only closes connections that rest.
-	i.callers.Close()
 	if err := i.edge.Shutdown(ctx); err != nil {
 		return fmt.Errorf("%w: %v", ErrCut, err)
 	}
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -264,6 +264,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes: the answer announces the end of its connection.
+	closes bool
 	// err is set when the body did not end cleanly.
 	err error
 }
@@ -296,7 +298,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}, nil
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), closes: resp.Close, err: err}, nil
 }
 
 func chatBody(message string, stream bool) string {
--- a/test/integration/kept_test.go
+++ b/test/integration/kept_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/standin"
 )
 
 // A router that is told to stop while it has no processor finds requests in the sockets
@@ -59,3 +61,22 @@
 	<-stopping.exited
 	assert.Zero(t, stopping.cmd.ProcessState.ExitCode(), stopping.stderr.String())
 }
+
+// What is under way when a router is told to stop ends with word that its connection
+// does, too.
+func TestAnAnswerThatBeginsAfterTheStopIsTheLastOfItsConnection(t *testing.T) {
+	c := newCluster(t, 0, 1)
+	c.addEngine("slow", standin.EngineOptions{TokenTime: 300 * time.Millisecond, CacheTokens: 1 << 20})
+	c.waitReady()
+	stopping := c.routers[0]
+	answer := make(chan reply, 1)
+	go func() {
+		r, _ := stopping.tryPost(chatPath, chatBody("boat", false))
+		answer <- r
+	}()
+	c.eventually("it runs", func() bool { return c.engines[0].Running() == 1 })
+	require.NoError(t, stopping.cmd.Process.Signal(syscall.SIGTERM))
+	r := <-answer
+	assert.Equal(t, http.StatusOK, r.status, r.body)
+	assert.True(t, r.closes, "the caller is told not to use the connection again")
+}
