--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -177,6 +177,7 @@
 		medians:  make(map[string]median),
 		outcomes: make(map[string]*evidence),
 		recalled: true,
+		cold:     coldShares{held: make(map[string]bool)},
 
 		loadFactor: defaultLoadFactor,
 	}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -41,6 +41,8 @@
 	others []uint64
 	// since is when the routers were first told.
 	since time.Time
+	// held are the services whose cold replicas are held back.
+	held map[string]bool
 }
 
 // bucket holds requests that may be sent, up to coldBurst.
@@ -123,6 +125,7 @@
 		switch {
 		case slices.Contains(q.Tried, r.ID):
 		case isCold(r.Replica, q, now):
+			b.cold.held[q.Service] = true
 			cold = append(cold, r)
 		default:
 			left = append(left, r)
@@ -154,14 +157,14 @@
 // strainedPart is the part of the replicas beyond which idle ones strain the others.
 const strainedPart = 0.1
 
-// Strained tells whether many replicas are idle, being evacuated or cold, so that the
-// others are nearer to the users' bound: routers are to know sooner what each runs.
+// Strained tells whether many replicas are idle, being evacuated or held back while they
+// are cold, so that the others are nearer to the users' bound: routers are to know sooner what each runs.
 func (b *Balancer) Strained(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	idle := 0
 	for _, r := range b.replicas {
-		if r.Evacuated || now.Before(r.ColdUntil) {
+		if r.Evacuated || b.cold.held[r.Service] && now.Before(r.ColdUntil) {
 			idle++
 		}
 	}
