--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -204,3 +204,32 @@
 	set.Listen.Peers = "10.0.0.3:1"
 	assert.Equal(t, firstReadWait, firstRead(set))
 }
+
+func TestAShortTimeToEvacuateHasTheListReadMoreOften(t *testing.T) {
+	b := settings.Default().Bounds
+	period, proof := readPeriod(b), frontLimits(b).ListProof
+	b.Evacuate = min(b.Apply, b.Drain) / 2
+	assert.Equal(t, period/2, readPeriod(b))
+	assert.Equal(t, proof/2, frontLimits(b).ListProof)
+	b.Evacuate = time.Hour
+	assert.Equal(t, period, readPeriod(b))
+	assert.Equal(t, proof, frontLimits(b).ListProof)
+}
+
+// Settings that are reloaded bound a stop from then on: the platform kills by them.
+func TestAStopGoesByTheNewestSettings(t *testing.T) {
+	e := start(t, &source{snapshot: served("127.0.0.1:1")}, time.Hour)
+	until(e.Ready)
+	changed := e.settings
+	changed.Bounds.Grace = 100 * time.Millisecond
+	changed.Bounds.RevokeAlways, changed.Bounds.Revoke = true, time.Nanosecond
+	e.Reload(changed)
+	assert.False(t, e.Ready(), "no proof is as new as keys ask for now")
+	e.Stop()
+	select {
+	case <-e.done:
+		assert.NoError(t, e.Wait())
+	case <-time.After(30 * time.Second):
+		assert.Fail(t, "it goes by the grace time of its start")
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,7 @@
 	LogLevel          ID = 107
 	SettingsReloaded  ID = 108
 	SettingsRejected  ID = 109
+	CallersEnded      ID = 110
 	ConfigAdopted     ID = 201
 	ConfigRejected    ID = 202
 	ConfigFromPeer    ID = 203
@@ -42,6 +43,9 @@
 	ProofOld          ID = 311
 	ProofNew          ID = 312
 	CentreHeard       ID = 313
+	ConnsSilent       ID = 314
+	CentreEvacuated   ID = 315
+	CentreReturned    ID = 316
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -78,6 +82,7 @@
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
 	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names or addresses changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
+	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
 	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
 	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
@@ -88,13 +93,16 @@
 	LayoutChanged:     {logrus.DebugLevel, "engines divided anew", "None needed."},
 	PeerLost:          {logrus.WarnLevel, "peer does not answer", "If it lasts for many peers, look at the network between instances."},
 	PeerBack:          {logrus.InfoLevel, "peer answers again", "None needed."},
-	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains or is gone", "None needed."},
+	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains, is cold, warm or gone", "None needed."},
 	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
 	CentreSilent:      {logrus.WarnLevel, "no router of a data centre is heard", "Its replicas get no work from here until one is. Look at the network between data centres."},
 	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
 	ProofOld:          {logrus.WarnLevel, "configuration not proven new enough for keys", "Requests with keys are refused. Look at the platform and at the peers."},
 	ProofNew:          {logrus.InfoLevel, "configuration proven new enough again", "None needed."},
 	CentreHeard:       {logrus.InfoLevel, "a router of a silent data centre is heard again", "None needed."},
+	ConnsSilent:       {logrus.WarnLevel, "kept connections went silent, dropped", "If frequent, look at what stands between: a firewall or proxy that forgets connections."},
+	CentreEvacuated:   {logrus.WarnLevel, "data centre evacuated, nothing more is sent to its replicas", "None needed. It holds until the operator takes it back."},
+	CentreReturned:    {logrus.InfoLevel, "evacuated data centre taken back", "None needed. Its replicas get little until they are warm."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
@@ -110,7 +118,7 @@
 	BudgetSpent:       {logrus.WarnLevel, "no repeat left in the budget", "Look at the replicas that fail; the budget keeps them from being asked twice as often."},
 	CallerConnExpired: {logrus.DebugLevel, "caller's connection rested too long, closed", "None needed. The configuration's limits say how long it may rest."},
 	HandlerFailed:     {logrus.ErrorLevel, "the HTTP server reports a fault", "A fault in croftyard or a caller's broken request: report it with the text."},
-	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down; else see why its answers are slow. Requests go by the list at hand."},
+	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down: requests go by the list at hand. Else see why its answers are slow: past its greatest age (`drain`) requests go only to replicas whose own answers show that they stay."},
 	ListNew:           {logrus.InfoLevel, "list of replicas was renewed", "None needed."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -46,6 +46,8 @@
 	// errored names the replicas that answered with an error of their own and
 	// are not yet blamed for it.
 	errored []string
+	// held counts how often it was held back once connected.
+	held int
 	// mayHaveRun: a replica may have begun to work on it.
 	mayHaveRun bool
 	// begun: the head of an answer went out.
@@ -86,6 +88,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.front.endsInTime(c.route, c.end, c.arrival); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	if refused := c.readBody(); refused != nil {
 		c.refuse(refused)
 		return
@@ -94,6 +100,8 @@
 	c.front.repeats.Earn()
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.end)
 	defer cancel()
+	// Not the request's own: that it ends means that the caller left.
+	defer context.AfterFunc(c.front.cutting, cancel)()
 	c.dispatch(ctx)
 }
 
@@ -108,8 +116,24 @@
 		limit = min(limit, time.Duration(milliseconds*float64(time.Millisecond)))
 	}
 	c.end = c.arrival.Add(limit)
+	c.boundWrites()
+}
+
+// answerTime is how long after the end of a request's time what is then said of it
+// may take to be written.
+const answerTime = time.Second
+
+// boundWrites sees to it that a caller that does not read its answer is not waited
+// for when its time is over: a write to it ends by nothing else. The server takes
+// the bound off after the answer.
+func (c *call) boundWrites() {
+	// A writer that knows no deadlines has none to set.
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.end.Add(answerTime))
 }
 
+// left tells whether nobody waits for the answer any more.
+func (c *call) left() bool { return callerLeft(c.request.Context()) }
+
 // readBody reads the whole body: it may have to be sent again, and the caller's
 // leaving is seen only after its end.
 func (c *call) readBody() *refusal {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,7 +23,7 @@
 
 // atOnce is how many known seeds are played at a time: a run mostly waits, and too many
 // would disturb each other.
-const atOnce = 2
+const atOnce = 3
 
 // logs is the folder of all runs; a run that holds leaves nothing in it.
 func logs(t *testing.T) string {
