--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,6 +34,11 @@
 	}
 	dir, err := os.MkdirTemp("", "croftyard-soak-")
 	require.NoError(t, err)
+	t.Cleanup(func() {
+		if !t.Failed() {
+			assert.NoError(t, os.RemoveAll(dir))
+		}
+	})
 	return dir
 }
 
