--- a/test/soak/crowd.go
+++ b/test/soak/crowd.go
@@ -13,15 +13,17 @@
 const (
 	// crowdSize is how many connections a crowd holds at one router.
 	crowdSize = 64
-	// closePart of the grace time is when the router closes what rests. Source:
-	// docs/design/platform.md, the balancer asks each second and needs two misses.
-	closePart = 0.375
 	// around is how far from that moment most of the crowd call.
 	around = 8 * time.Millisecond
 	// anyTime: one in so many of the crowd calls at any time of the stop.
 	anyTime = 4
 )
 
+// closeParts of the grace time are when a router closes what rests: those of today's
+// stop, by turns with the moment at which routers once did (docs/design/platform.md, the
+// balancer asks each second and needs two misses).
+var closeParts = [...]float64{0.375, 0.8}
+
 // crowd opens connections at a router and uses each once. The function returned uses
 // each once more while the router stops, and returns when all are answered.
 func (u *users) crowd(r *router, rnd *rand.Rand) func() {
@@ -41,8 +43,8 @@
 		told := time.Now()
 		grace := u.record.h.Bounds.Grace
 		var all sync.WaitGroup
-		for _, c := range open {
-			at := time.Duration(closePart*float64(grace)) + between(rnd, -around, around)
+		for n, c := range open {
+			at := time.Duration(closeParts[n%len(closeParts)]*float64(grace)) + between(rnd, -around, around)
 			if rnd.IntN(anyTime) == 0 {
 				at = between(rnd, 0, grace/2)
 			}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -37,11 +37,14 @@
 	case kindTermFrozen:
 		s.term(r, rnd, a.For)
 	case kindRoll:
-		s.each(func(r *router) { s.term(r, rnd, 0) }, seriesPause)
+		s.each(func(r *router, n int) {
+			// Stops overlap; a random source is for one of them.
+			s.term(r, rand.New(rand.NewPCG(uint64(n), uint64(a.At))), 0)
+		}, seriesPause)
 	case kindKill:
 		s.kill(r)
 	case kindKillAll:
-		s.each(s.kill, 0)
+		s.each(func(r *router, _ int) { s.kill(r) }, 0)
 	case kindFreeze:
 		s.freeze(r, a.For)
 	case kindHangUp:
@@ -66,9 +69,9 @@
 }
 
 // each does something to all routers, one after another.
-func (s *soak) each(do func(*router), pause time.Duration) {
-	for _, r := range s.routers {
-		s.work.Go(func() { do(r) })
+func (s *soak) each(do func(r *router, n int), pause time.Duration) {
+	for n, r := range s.routers {
+		s.work.Go(func() { do(r, n) })
 		time.Sleep(pause)
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,7 +23,7 @@
 
 // atOnce is how many known seeds are played at a time: a run mostly waits, and too many
 // would disturb each other.
-const atOnce = 2
+const atOnce = 3
 
 // logs is the folder of all runs; a run that holds leaves nothing in it.
 func logs(t *testing.T) string {
@@ -34,6 +34,11 @@
 	}
 	dir, err := os.MkdirTemp("", "croftyard-soak-")
 	require.NoError(t, err)
+	t.Cleanup(func() {
+		if !t.Failed() {
+			assert.NoError(t, os.RemoveAll(dir))
+		}
+	})
 	return dir
 }
 
@@ -85,31 +90,44 @@
 	program, err := buildProgram(dir)
 	require.NoError(t, err)
 	slots := make(chan struct{}, atOnce)
-	for _, seed := range knownSeeds(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+	for _, known := range knownSeeds(t) {
+		t.Run(fmt.Sprint(known.seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			play(t, program, dir, seed, seconds(t, shortRun))
+			play(t, program, dir, known.seed, seconds(t, known.faults))
 		})
 	}
 }
 
-// knownSeeds reads seeds.txt: a seed a line, and why it stands there.
-func knownSeeds(t *testing.T) []uint64 {
+// knownSeed is a seed with how long its faults lasted when it showed a fault: the
+// schedule that is drawn depends on both.
+type knownSeed struct {
+	seed   uint64
+	faults time.Duration
+}
+
+// knownSeeds reads seeds.txt: a seed a line, its seconds, and why it stands there.
+func knownSeeds(t *testing.T) []knownSeed {
 	t.Helper()
 	file, err := os.Open("seeds.txt")
 	require.NoError(t, err)
 	defer file.Close()
-	var out []uint64
+	var out []knownSeed
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		text, _, _ := strings.Cut(lines.Text(), "#")
-		if text = strings.TrimSpace(text); text == "" {
+		fields := strings.Fields(text)
+		if len(fields) == 0 {
 			continue
 		}
-		seed, err := strconv.ParseUint(text, 10, 64)
+		known := knownSeed{faults: shortRun}
+		known.seed, err = strconv.ParseUint(fields[0], 10, 64)
 		require.NoError(t, err)
-		out = append(out, seed)
+		if len(fields) > 1 {
+			known.faults, err = time.ParseDuration(fields[1])
+			require.NoError(t, err)
+		}
+		out = append(out, known)
 	}
 	require.NotEmpty(t, out)
 	return out
