--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -22,7 +23,10 @@
 	// next request that it read along with the last one.
 	reading bool
 	// heard: something of the next request was read.
-	heard  bool
+	heard bool
+	// room is the size of a read by which the server fills its buffer when that holds
+	// nothing, as at the start of a connection.
+	room   int
 	closed bool
 	// since is when the connection began to rest.
 	since time.Time
@@ -43,7 +47,7 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	c.setReading(true)
+	c.beginRead(len(p))
 	defer c.setReading(false)
 	if c.raw == nil {
 		n, err = c.Conn.Read(p)
@@ -96,6 +100,19 @@
 	c.heard = c.heard || n > 0 && c.next(size)
 }
 
+// beginRead notes that a read of a size waits for bytes. One at rest that leaves out a
+// part of the server's buffer goes on behind bytes of the next request, which came with
+// those of the last one.
+func (c *Conn) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	if !c.serving {
+		c.room = max(c.room, size)
+		c.heard = c.heard || size < c.room
+	}
+}
+
 func (c *Conn) setReading(reading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -144,8 +161,10 @@
 
 // The outcomes.
 const (
-	// Closed: it was at rest, or closed before.
+	// Closed: it was at rest.
 	Closed Outcome = iota
+	// Gone: it was closed before.
+	Gone
 	// Unread: a request lies in the socket.
 	Unread
 	// Serving: a request, or a part of one, was read.
@@ -169,37 +188,39 @@
 func (c *Conn) endRest() Outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch waiting, _ := c.look(); {
+	switch {
 	case c.closed:
-		return Closed
+		return Gone
 	case c.serving || c.heard || !c.reading:
 		return Serving
-	case waiting:
+	case c.unread():
 		return Unread
 	}
 	c.closed = true
 	return Closed
 }
 
-// CallerLeft tells whether the caller has closed the connection, also if the
-// server has not come to read that yet.
-func (c *Conn) CallerLeft() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ended := c.look()
-	return ended
+// SyscallConn implements syscall.Conn, for those who ask the system what it knows of
+// the connection. Nothing is to be read by it.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if c.raw == nil {
+		return nil, errNoSocket
+	}
+	return c.raw, nil
 }
 
-// look tells what a read would find now, without reading it: bytes, or the end.
-func (c *Conn) look() (waiting, ended bool) {
+var errNoSocket = errors.New("conns: no socket")
+
+// unread tells whether a read would find bytes now, without reading them.
+func (c *Conn) unread() (waiting bool) {
 	if c.raw == nil || c.closed {
-		return false, c.closed
+		return false
 	}
-	err := c.raw.Control(func(fd uintptr) {
+	// One that is closed meanwhile holds nothing.
+	_ = c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waiting = err == nil && n > 0
-		ended = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
-	return waiting, ended || err != nil
+	return waiting
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,13 +102,13 @@
 	keyProofPart = 0.8
 	// absencePart of the time within which a configuration must be in force.
 	absencePart = 0.8
-	// readPart of the same time, or of the time to drain if that is shorter, is the
-	// pause between two reads of the source.
+	// readPart of the same time, or of the time to drain or to evacuate if that is
+	// shorter, is the pause between two reads of the source.
 	readPart = 0.4
-	// listPart of the time to drain is the age of the list of replicas at which a
-	// request asks for a newer one: what is left is for the way to the replica, a
-	// connection that fails first (0.3 s) included.
-	listPart = 0.7
+	// wayPart of the time to drain, or to evacuate if that is shorter, is for the way to a replica of a request that is
+	// written: 0.4 s of 2 s. By the users' rules a link on which packets wait over
+	// half a second is out of the ordinary.
+	wayPart = 0.2
 	// relistBeats is for how many heartbeats a replica that vanished with its list
 	// keeps its work, from the first read after the outage. By the users' word
 	// those that live are listed again within about two seconds (two beats).
@@ -129,23 +129,27 @@
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(time.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(b))
 	e.balancer.SetWithout(e.settings.Without)
 	period := readPeriod(b)
 	e.follower = follow.New(e.outside.Source(e.settings), e.followOptions(e.settings),
 		directory.New(2*period, relistBeats*b.Heartbeat), e.holder, e.balancer, e.log)
-	var err error
-	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
-		e.follower, e.balancer, e.log)
-	if err != nil {
-		return fmt.Errorf("entry: %w", err)
-	}
 	e.pool = upstream.New(upstream.Options{
 		IDHeader:       e.outside.Dialect.Attempt,
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: e.settings.Routes.Silence,
 		IdleTime:       e.settings.Routes.Keep,
 		Opened:         func(string) { e.metrics.Opened.Inc(1) },
+		Silenced: func(address string, dropped int) {
+			e.log.Write(event.ConnsSilent, event.F("address", address), event.F("dropped", dropped))
+		},
 	})
+	var err error
+	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
+		e.follower, e.balancer, e.log)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
 	e.front = front.New(front.Options{
 		Dialect:    e.outside.Dialect,
 		DataCentre: e.settings.DataCentre,
@@ -173,7 +177,7 @@
 
 // readPeriod is the pause between two reads of the source.
 func readPeriod(b settings.Bounds) time.Duration {
-	return part(min(b.Apply, b.Drain), readPart)
+	return part(min(b.Apply, b.Drain, b.Evacuate), readPart)
 }
 
 func (e *Entry) followOptions(s settings.Settings) follow.Options {
@@ -203,11 +207,15 @@
 	return part(b.Revoke, keyProofPart)
 }
 
+func coldBounds(b settings.Bounds) balance.ColdBounds {
+	return balance.ColdBounds{Overage: b.ColdOverage, Allowance: b.ColdAllowance}
+}
+
 func frontLimits(b settings.Bounds) front.Limits {
 	return front.Limits{
 		KeyProof:      keyProof(b),
 		AbsenceProof:  part(b.Apply, absencePart),
-		ListProof:     part(b.Drain, listPart),
+		ListProof:     part(min(b.Drain, b.Evacuate), 1-wayPart),
 		RepeatRatio:   b.RepeatRatio * repeatPart,
 		RepeatReserve: max(b.RepeatAllowance/reserveParts, 1),
 	}
@@ -220,6 +228,7 @@
 	e.follower.Set(e.outside.Source(s), e.followOptions(s))
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
+	e.balancer.SetColdBounds(coldBounds(s.Bounds))
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -25,7 +25,7 @@
 
 // RenewList returns once the list of replicas is newer than a time, or with an error
 // when ctx ends or the source does not answer. All who wait share one read, of the
-// replicas only: a large configuration takes longer over a narrow link than a request
+// replicas and evacuations only: a large configuration takes longer over a narrow link than a request
 // can wait.
 func (f *Follower) RenewList(ctx context.Context, since time.Time) error {
 	f.mu.Lock()
@@ -42,7 +42,12 @@
 		go f.renewList()
 	}
 	renewing := f.renewing
+	began := f.outage.began[listRead]
 	f.mu.Unlock()
+	if !began.IsZero() && time.Since(began) >= silentAfter {
+		// Those that came before have waited for this read in vain.
+		return ErrNotRenewed
+	}
 	select {
 	case <-renewing:
 	case <-ctx.Done():
@@ -61,15 +66,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), f.options.Load().Timeout)
 	defer cancel()
 	sent := time.Now()
+	f.began(listRead, sent)
 	snapshot, err := (*f.source.Load()).Replicas(ctx)
 	f.reads.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.outage.end(listRead, err, time.Now())
 	if err != nil {
 		f.failed.Add(1)
 		f.renewFailed = time.Now()
 	} else {
-		f.changed(f.directory.Replace(snapshot.Replicas, sent))
+		f.changed(f.directory.Take(snapshot.listing(), sent))
 		for _, id := range snapshot.BadReplicas {
 			f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
 		}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -95,6 +95,7 @@
 	if answer.ContentLength >= 0 && !resumable {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	c.front.announceEnd(c.writer)
 	c.writer.WriteHeader(answer.StatusCode)
 	c.begun = true
 	c.firstByte = time.Now()
@@ -164,9 +165,11 @@
 }
 
 // callerGone ends a call whose caller left. The connection to the replica is
-// closed on the way out, which stops the work.
+// closed on the way out, which stops the work, and the caller's as well: one that
+// closed its sending side only must not take what it has for a whole answer.
 func (c *call) callerGone() {
 	c.finished(outcomeGone, 0, c.outcome.reason)
+	panic(http.ErrAbortHandler)
 }
 
 // giveUp tells the caller that there will be no answer, at once. Only what
@@ -200,6 +203,7 @@
 	if r.closes {
 		header.Set("Connection", "close")
 	}
+	c.front.announceEnd(c.writer)
 	header.Set(c.front.options.Dialect.Attempt, c.id)
 	http.Error(c.writer, r.reason, r.status)
 	name := outcomeRefused
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
 
@@ -63,6 +64,10 @@
 	defer l.mu.Unlock()
 	conn := &callerConn{}
 	l.conns[c] = conn
+	ctx = context.WithValue(ctx, leftKey{}, func() bool {
+		state, known := socket.Look(c)
+		return known && state.Left
+	})
 	return context.WithValue(ctx, connKey{}, func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -70,6 +75,17 @@
 	})
 }
 
+// leftKey is the context's key of what tells whether a caller closed its connection.
+type leftKey struct{}
+
+// callerLeft tells whether the caller of a request has closed its connection, also
+// if the server has not come to read that: a request that lay unread may have been
+// given up before it was read.
+func callerLeft(ctx context.Context) bool {
+	told, found := ctx.Value(leftKey{}).(func() bool)
+	return ctx.Err() != nil || found && told()
+}
+
 // expired tells whether the connection of a request was closed for its limit.
 func expired(ctx context.Context) bool {
 	told, found := ctx.Value(connKey{}).(func() bool)
@@ -111,7 +127,7 @@
 		conn.timer.Reset(left)
 		return
 	}
-	if resting, can := c.(restingCloser); can && !conn.late && resting.CloseIfResting() != conns.Closed {
+	if resting, can := c.(restingCloser); can && !conn.late && inUse(resting.CloseIfResting()) {
 		// A request lies in it, at least in part: the head has the time of one.
 		conn.late = true
 		conn.timer.Reset(l.headerTime() + idleMargin)
@@ -122,6 +138,8 @@
 	c.Close()
 }
 
+func inUse(o conns.Outcome) bool { return o == conns.Unread || o == conns.Serving }
+
 // restingCloser is a connection that can tell whether a request lies in it unread.
 type restingCloser interface {
 	CloseIfResting() conns.Outcome
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -66,8 +66,8 @@
 	// AbsenceProof is the greatest age of the proof at which an unknown route or
 	// key is said to be unknown.
 	AbsenceProof time.Duration
-	// ListProof is the greatest age of the list of replicas by which requests are
-	// sent without asking for a newer one first.
+	// ListProof is the greatest age of the list of replicas by which a request is
+	// written to a replica. Zero: none.
 	ListProof time.Duration
 	// RepeatRatio is how many repeats each request earns, RepeatReserve how many
 	// there are in store.
@@ -92,6 +92,8 @@
 	spent    atomic.Bool
 	// listOld: the list of replicas could not be renewed when it was last asked for.
 	listOld atomic.Bool
+	// stayed is what replicas themselves showed of not leaving.
+	stayed stayed
 	// stopping is nil while no stop was asked for.
 	stopping atomic.Pointer[stop]
 	// cutting ends the calls that are in flight.
@@ -136,7 +138,6 @@
 	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	f.announceEnd(w)
 	c := newCall(f, w, r, time.Now())
 	defer c.finish()
 	c.serve()
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -22,7 +23,7 @@
 	}()
 	asked := time.Now()
 	var reply *gossippb.Freshness
-	err := g.client.Control(ctx, address, callTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := g.client.Control(ctx, address, peer.Bound{Call: callTimeout, Kept: keptTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Exchange(ctx, digest)
 		return err
 	})
@@ -43,6 +44,7 @@
 		return
 	}
 	proven := asked.Add(-milliseconds(reply.GetProofMs()))
+	g.follower.Told(asked, proven)
 	newer := g.follower.ProvenBy(reply.Version, reply.Mark, proven)
 	if newer || !g.recalled.Load() {
 		g.learn(ctx, address)
@@ -83,7 +85,7 @@
 	asked := time.Now()
 	version, mark := g.follower.Version()
 	var reply *gossippb.KnowledgeReply
-	err := g.client.Control(ctx, address, learnTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := g.client.Control(ctx, address, peer.Bound{Call: learnTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, &gossippb.KnowledgeRequest{Version: version, Mark: mark, Holders: !g.recalled.Load()})
 		return err
 	})
@@ -97,8 +99,8 @@
 		err = unpack(reply.Configuration, knowledge.Config)
 	}
 	if err == nil && len(reply.Replicas) > 0 {
-		knowledge.Replicas = []directory.Replica{}
-		err = unpack(reply.Replicas, &knowledge.Replicas)
+		knowledge.Listing = &directory.Listing{}
+		err = unpack(reply.Replicas, knowledge.Listing)
 	}
 	if err != nil {
 		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
