--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -36,7 +36,9 @@
 	conn := &Conn{Conn: c, since: now}
 	if socket, ok := c.(syscall.Conn); ok {
 		// One without a descriptor is read in the ordinary way.
-		conn.raw, _ = socket.SyscallConn()
+		if raw, err := socket.SyscallConn(); err == nil {
+			conn.raw = raw
+		}
 	}
 	return conn
 }
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -26,6 +26,8 @@
 	idle, resume chan struct{}
 	begun        chan struct{}
 	finish       chan struct{}
+	// closes holds the server where it would note the end of a connection, for a while.
+	closes time.Duration
 }
 
 func newRig(t *testing.T) *rig {
@@ -43,6 +45,9 @@
 			fmt.Fprint(w, "ok")
 		}),
 		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				time.Sleep(r.closes)
+			}
 			r.set.ConnState(c, state)
 			if state == http.StateIdle {
 				r.idle <- struct{}{}
@@ -265,6 +270,7 @@
 // nothing. Each connection is closed, and counted, once.
 func TestAKillOfAServerAtRestCutsNothing(t *testing.T) {
 	r := newRig(t)
+	r.closes = 3 * drainPause
 	await(r.conn(t).waits)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -286,3 +292,28 @@
 	r.resume <- struct{}{}
 	r.answer(t)
 }
+
+// A connection that its server has not come to accept may bring a request.
+func TestWhatLiesInTheQueueIsWaitedFor(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	set := NewSet()
+	listener := set.Listener(raw)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, set.Wait(ctx))
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	await(set.Queued)
+	assert.ErrorIs(t, set.Wait(ctx), context.Canceled)
+	assert.ErrorIs(t, set.WaitAccepted(ctx), context.Canceled)
+	served, err := listener.Accept()
+	require.NoError(t, err)
+	defer served.Close()
+	assert.NoError(t, set.WaitAccepted(ctx))
+	assert.ErrorIs(t, set.Wait(ctx), context.Canceled, "it is open")
+	listener.Close()
+	assert.NoError(t, set.WaitAccepted(ctx))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,8 @@
 // Entry is a running router.
 type Entry struct {
 	settings settings.Settings
+	// bounds are the users' by the newest settings.
+	bounds   atomic.Pointer[settings.Bounds]
 	outside  Outside
 	log      *event.Log
 	holder   *freshness.Holder
@@ -70,6 +72,11 @@
 	readiness *http.Server
 	operators *admin.Admin
 	listeners []net.Listener
+	// taker takes callers' connections.
+	taker *taker
+
+	// accepted is closed once no further callers are accepted.
+	accepted chan struct{}
 
 	started  time.Time
 	stopping atomic.Bool
@@ -83,7 +90,8 @@
 
 // Start opens the listeners and begins to serve.
 func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
-	e := &Entry{settings: s, started: time.Now(), outside: outside, log: log, stop: make(chan struct{}), done: make(chan struct{})}
+	e := &Entry{settings: s, started: time.Now(), outside: outside, log: log, accepted: make(chan struct{}), stop: make(chan struct{}), done: make(chan struct{})}
+	e.bounds.Store(&s.Bounds)
 	e.killed, e.kill = context.WithCancel(context.Background())
 	if err := e.build(); err != nil {
 		return nil, err
@@ -226,6 +234,7 @@
 func (e *Entry) Reload(s settings.Settings) {
 	restart := s.Name != e.settings.Name || s.DataCentre != e.settings.DataCentre || s.Listen != e.settings.Listen
 	e.follower.Set(e.outside.Source(s), e.followOptions(s))
+	e.bounds.Store(&s.Bounds)
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
 	e.balancer.SetColdBounds(coldBounds(s.Bounds))
@@ -254,6 +263,7 @@
 		}
 		e.listeners = append(e.listeners, l)
 	}
+	e.taker = &taker{Listener: e.listeners[0], relieve: e.relieve}
 	return nil
 }
 
@@ -264,15 +274,24 @@
 
 // Ready tells whether the router should get new connections.
 func (e *Entry) Ready() bool {
-	if e.stopping.Load() || !e.follower.Known() {
+	if e.stopping.Load() || !e.follower.Known() || e.taker.starved(time.Now()) {
 		return false
 	}
 	return e.proven()
 }
 
+// relieve makes room for callers when there is no descriptor left.
+func (e *Entry) relieve(err error, first bool) {
+	dropped := e.pool.DropIdle()
+	if !first {
+		return
+	}
+	e.log.Write(event.Exhausted, event.F("error", err), event.F("dropped", dropped), event.F("in_flight", e.front.Active()))
+}
+
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
-	return e.follower.ProofAge(time.Now()) < keyProof(e.settings.Bounds)
+	return e.follower.ProofAge(time.Now()) < keyProof(*e.bounds.Load())
 }
 
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
@@ -338,7 +357,8 @@
 
 // serveCallers ends without an error once a stop closes the listener.
 func (e *Entry) serveCallers() error {
-	err := serve(e.callers, e.conns.Listener(e.listeners[0]))
+	defer close(e.accepted)
+	err := serve(e.callers, e.conns.Listener(e.taker))
 	if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -42,7 +43,7 @@
 		c.renewList(ctx)
 		barred := c.front.barred(time.Now())
 		choice, found := c.front.balancer.Pick(c.question(barred), time.Now())
-		if !found && len(barred) > 0 {
+		if !found && c.holdsBack(barred) {
 			c.giveUp(unproven("list of replicas too old"))
 			return
 		}
@@ -74,6 +75,15 @@
 // evacuated tells whether all replicas of the service are: there is nothing to wait for.
 func (c *call) evacuated() bool { return c.front.balancer.Evacuated(c.service.Name) }
 
+// holdsBack tells whether the request would have a replica, were none barred.
+func (c *call) holdsBack(barred []string) bool {
+	if len(barred) == 0 {
+		return false
+	}
+	_, found := c.front.balancer.Pick(c.question(nil), time.Now())
+	return found
+}
+
 // question asks for a replica that was not tried and is not barred.
 func (c *call) question(barred []string) balance.Question {
 	tried := slices.Concat(c.tried, barred)
@@ -163,16 +173,30 @@
 }
 
 // moveOn returns what ends an attempt if the request may be repeated and there is
-// time for it. What it needs is read here: later it runs beside the call.
+// time for it. What it needs is read here: later it runs beside the call. The repeat is
+// taken before the attempt is ended: a sound stream was cut since the last one in store
+// went to another request in between.
 func (c *call) moveOn(limit time.Duration, cancel context.CancelCauseFunc) func() {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
 	return func() {
-		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.front.repeats.Left() {
+		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.reserveRepeat() {
 			cancel(errHung)
 		}
 	}
 }
 
+// reserveRepeat takes a repeat from the budget for the next attempt, once.
+func (c *call) reserveRepeat() bool {
+	if !c.reserved.CompareAndSwap(false, true) {
+		return false
+	}
+	if c.front.spendRepeat(c.id) {
+		return true
+	}
+	c.reserved.Store(false)
+	return false
+}
+
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, id string, err error) verdict {
 	c.outcome.reason = "no answer: " + err.Error()
@@ -184,7 +208,8 @@
 		return c.heldBack(id, err)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		if c.request.Context().Err() == nil && ctx.Err() == nil {
+		// That this router has no descriptor left is not the replica's fault.
+		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) {
 			c.front.fail(c.id, id, dialFailure(err))
 		}
 		// Nothing reached the replica, so this was no attempt.
@@ -245,7 +270,10 @@
 	if c.mayHaveRun && c.route.RunsOnce() {
 		return over
 	}
-	if int(c.sent.Load()) >= c.route.Attempts || !c.front.spendRepeat(c.id) {
+	if int(c.sent.Load()) >= c.route.Attempts {
+		return over
+	}
+	if !c.reserved.Swap(false) && !c.front.spendRepeat(c.id) {
 		return over
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
--- a/internal/front/moveon_test.go
+++ b/internal/front/moveon_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -37,3 +42,47 @@
 		})
 	}
 }
+
+// A stream that seemed silent was ended while one repeat was left; another request took
+// that before the stream did, and its caller was cut off from an engine that was sound.
+func TestAnAttemptThatMovesOnHasItsRepeat(t *testing.T) {
+	r := newRig(t)
+	r.front.repeats.Set(0, 1)
+	one := &call{front: r.front, route: &route.Route{Kind: route.Repeatable, Attempts: 2}, end: time.Now().Add(time.Hour), mayHaveRun: true}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	moveOn := one.moveOn(time.Minute, cancel)
+	moveOn()
+	moveOn()
+	assert.Equal(t, errHung, context.Cause(ctx))
+	one.sent.Store(1)
+	assert.False(t, r.front.spendRepeat("another"), "it is taken")
+	assert.Equal(t, again, one.repeat("stream fell silent"))
+	assert.Equal(t, over, one.repeat("once more"), "it was one")
+}
+
+func TestAReplicaIsBlamedOnlyForWhatIsItsFault(t *testing.T) {
+	tests := map[string]struct {
+		err    error
+		blamed bool
+	}{
+		"it can't be reached":             {syscall.EHOSTUNREACH, true},
+		"it refuses":                      {syscall.ECONNREFUSED, true},
+		"this router has no descriptor":   {syscall.EMFILE, false},
+		"this machine has no descriptor":  {syscall.ENFILE, false},
+		"nobody waits for the answer now": {errCallerGone, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "127.0.0.1:1")
+			c := newCall(r.front, nil, httptest.NewRequest(http.MethodGet, "/", nil), time.Now())
+			func() {
+				// A call whose caller has left ends so.
+				defer func() { _ = recover() }()
+				c.failed(context.Background(), "r0", fmt.Errorf("%w: %w", upstream.ErrNotSent, test.err))
+			}()
+			assert.Equal(t, test.blamed, r.front.balancer.Suspected("r0", time.Now()))
+			assert.False(t, c.mayHaveRun)
+		})
+	}
+}
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -92,7 +92,12 @@
 	if len(unlisted) == 0 {
 		return nil
 	}
-	if f.follower.ListAge(now) >= limit && f.follower.Silent(limit, now) {
+	if f.follower.ListAge(now) < limit {
+		// A list that is young enough names them no more: some that leave say nothing of
+		// it themselves and go on answering.
+		return unlisted
+	}
+	if f.follower.Silent(limit, now) {
 		return nil
 	}
 	return slices.DeleteFunc(unlisted, func(id string) bool { return f.stayed.since(id, since) })
@@ -104,6 +109,11 @@
 	if c.left() {
 		return errCallerGone
 	}
+	if !c.front.follower.Ready(id) {
+		// A newer list came meanwhile. That the old one is not needed any more does not
+		// make the choice by it young.
+		return fmt.Errorf("%w: replica leaves", errHeldBack)
+	}
 	if slices.Contains(c.front.barred(now), id) {
 		return fmt.Errorf("%w: list of replicas too old", errHeldBack)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,7 +49,9 @@
 	// helloRounds is after how many rounds members are told again.
 	helloRounds = 8
 	// largeRounds is how many rounds of a small fleet make one of a large one, in
-	// which a router has more partners and tells them of its line.
+	// which a router has more partners and tells them of its line. While many replicas
+	// are idle each round is one: the others are nearer to the users' bound then, and
+	// what is counted 1.2 s late piles up beyond it.
 	largeRounds = 2
 	// largeHelloRounds is helloRounds of a large fleet, in which more are told.
 	largeHelloRounds = 32
@@ -108,6 +110,11 @@
 		missed:   make(map[string]*gossippb.Digest),
 		centres:  make(map[string]string),
 	}
+	// Others that know this router's address call as soon as it listens, and its table
+	// of members has that address in it: they wait. One that started among four others
+	// met a call without a table, and ended.
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	server, err := peer.ListenWith(o.Address, func(mux *drpcmux.Mux) error {
 		return gossippb.DRPCRegisterGossip(mux, g)
 	})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -95,6 +99,35 @@
 	}
 }
 
+// A router that starts again is known to others, which call it as soon as it listens.
+func TestACallThatComesWithTheStartFindsTheMembers(t *testing.T) {
+	for range 20 {
+		g := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
+		g.follower = follow.New(g.source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), g.holder, g.balancer, event.Discard())
+		held, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := held.Addr().String()
+		client := peer.NewClient(&peer.Meter{})
+		called := make(chan struct{})
+		go func() {
+			defer close(called)
+			until(t, func() bool {
+				return client.Control(t.Context(), address, peer.Bound{Call: time.Minute}, func(ctx context.Context, conn drpc.Conn) error {
+					_, err := gossippb.NewDRPCGossipClient(conn).Exchange(ctx, &gossippb.Digest{Sender: "127.0.0.2:1"})
+					return err
+				}) == nil
+			})
+		}()
+		held.Close()
+		g.gossip, err = Start(Options{Address: address, Period: time.Hour}, g.follower, g.balancer, event.Discard())
+		require.NoError(t, err)
+		<-called
+		assert.Equal(t, 2, g.gossip.Members())
+		client.Close()
+		g.gossip.stop()
+	}
+}
+
 func TestARouterThatTheSourceTurnsAwayLearnsFromItsPeers(t *testing.T) {
 	first := newRouter(t, &source{})
 	second := newRouter(t, &source{err: errors.New("turned away")}, first.gossip.Address())
@@ -235,3 +268,44 @@
 		assert.Equal(t, 1, mine, task)
 	}
 }
+
+// An answer says how old the proof was when it was given. What it refutes goes by the
+// youngest that the proof may be: the way there, which is long over a choked link, is not
+// taken for age.
+func TestAnotherRoutersWordIsNotMadeOlderByItsWay(t *testing.T) {
+	const age, limit = 55 * time.Minute, time.Hour
+	first := newRestingRouter(t, &source{})
+	first.follower.Take(follow.Snapshot{Config: config(1)}, time.Now().Add(-age))
+	second := newRestingRouter(t, &source{err: errors.New("down")})
+	second.follower.Take(follow.Snapshot{Config: config(1)}, time.Now().Add(-limit))
+	require.Error(t, second.follower.RenewList(t.Context(), time.Now()))
+	second.gossip.exchange(t.Context(), slowWay(t, first.gossip.Address()), &gossippb.Digest{Sender: second.gossip.Address()})
+	// At this moment the proof is just young enough; counted from the asking it is not.
+	now := first.holder.Current().Proven.Add(limit - 2*time.Millisecond)
+	assert.False(t, second.follower.Silent(limit, now), "another router was answered within the limit")
+}
+
+// slowWay passes on what comes to it, a while later, and what comes back at once.
+func slowWay(t *testing.T, to string) string {
+	t.Helper()
+	const delay = 50 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		caller, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer caller.Close()
+		called, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		defer called.Close()
+		time.Sleep(delay)
+		go func() { _, _ = io.Copy(called, caller) }()
+		_, _ = io.Copy(caller, called)
+	}()
+	return listener.Addr().String()
+}
