--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -180,6 +180,7 @@
 		outcomes: make(map[string]*evidence),
 		probed:   make(map[string]time.Time),
 		recalled: true,
+		cold:     coldShares{held: make(map[string]bool)},
 
 		loadFactor: defaultLoadFactor,
 	}
