--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/socket"
@@ -46,6 +48,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn: a stop looks into the listener's queue.
+func (t *taker) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := t.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // failed notes a failure and tells whether it is the first of a run.
 func (t *taker) failed(now time.Time) (first bool) {
 	t.mu.Lock()
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -104,6 +104,11 @@
 	if c.left() {
 		return errCallerGone
 	}
+	if !c.front.follower.Ready(id) {
+		// A newer list came meanwhile. That the old one is not needed any more does not
+		// make the choice by it young.
+		return fmt.Errorf("%w: replica leaves", errHeldBack)
+	}
 	if slices.Contains(c.front.barred(now), id) {
 		return fmt.Errorf("%w: list of replicas too old", errHeldBack)
 	}
