A list that is confirmed is not taken anew

Cause: each exchange with another router that knows a newer proof confirmed the list of replicas by copying, sorting and taking it as from a new read: some 55 times a second at 295 routers, and a third of all that a router allocated. Ruled out: keeping the sorted copy (the taking itself is most of the rest), and confirming less often (the age of the list bounds what may be sent). Change: where no replica is in doubt nothing can change but the times.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -260,8 +260,32 @@
 
 // Confirm notes that a read that was sent at a time would have returned the same
 // list as Listed, and returns what changed.
+//
+// Mostly nothing can change by it, and all that is left to do is to note the time: a
+// router hears of a new proof some times a second, and taking 240 replicas as from a
+// new read takes 0.2 ms.
 func (d *Directory) Confirm(sent time.Time) []Change {
-	return d.Replace(d.Listed(), sent)
+	if d.doubts() {
+		return d.Replace(d.Listed(), sent)
+	}
+	if sent.Before(d.read) {
+		return nil
+	}
+	d.read, d.oldest = sent, sent
+	for _, e := range d.entries {
+		e.listed = sent
+	}
+	return nil
+}
+
+// doubts tells whether replicas are kept that the last read did not list.
+func (d *Directory) doubts() bool {
+	for _, e := range d.entries {
+		if !e.doubtedSince.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 // Listed returns the replicas that the last read listed, sorted by id: without
