Whom a router talks to is worked out when the members change

Cause: each round sorted all members some times, and hashed each other one's address with each mate's; a look for silent data centres, 13 times a second, sorted them again. At 295 routers that was a fifth of what gossip took. Ruled out: fewer looks (a cut is to be noticed within 0.8 s). Change: members carry their hash; the sorted list, the lines and whom this router relays to are kept until members or suspects change. The rendezvous is over both hashes instead of the joined text. New, used by what comes next: members learned of lately, and three bytes for each that is alive.

--- /dev/null
+++ b/internal/gossip/fleet_bench_test.go
@@ -0,0 +1,119 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// The users' pause between two rounds, and how many engines the largest sites list.
+const (
+	benchPeriod   = 300 * time.Millisecond
+	benchReplicas = 240
+	// benchSettle is how long a fleet that starts at once is left to meet.
+	benchSettle = 6 * time.Second
+	// benchTime is for how long it is then measured.
+	benchTime = 5 * time.Second
+)
+
+// BenchmarkIdleFleet tells what it costs a router that others are there: real
+// routers, all in this process, which list engines and serve nobody. One of them
+// reads the store once a second.
+func BenchmarkIdleFleet(b *testing.B) {
+	for _, routers := range []int{9, 30, 100, 295} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, routers)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, routers int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	fleet := make([]*router, routers)
+	var seeds []string
+	for i := range fleet {
+		fleet[i] = startBenchRouter(b, fmt.Sprintf("dc%d", i%5), seeds)
+		if i < 3 {
+			seeds = append(seeds, fleet[i].gossip.Address())
+		}
+		done.Go(func() { fleet[i].gossip.Run(ctx) })
+	}
+	reader := fleet[routers/2]
+	done.Go(func() { readEachSecond(ctx, reader) })
+	time.Sleep(benchSettle)
+	used, bytes := processorTime(b), sentBytes(fleet)
+	time.Sleep(benchTime)
+	perRouter := 1 / (benchTime.Seconds() * float64(routers))
+	b.ReportMetric(float64(processorTime(b)-used)/1e6*perRouter, "cpu-ms/router/s")
+	b.ReportMetric(float64(sentBytes(fleet)-bytes)*perRouter, "B-sent/router/s")
+	known, oldest := 0, time.Duration(0)
+	for _, r := range fleet {
+		known += r.gossip.Members()
+		oldest = max(oldest, r.follower.Age(time.Now()))
+	}
+	b.ReportMetric(float64(known)/float64(routers), "known")
+	b.ReportMetric(float64(oldest.Milliseconds()), "oldest-proof-ms")
+	cancel()
+	done.Wait()
+}
+
+func startBenchRouter(b *testing.B, centre string, seeds []string) *router {
+	b.Helper()
+	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
+	r.follower = follow.New(r.source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
+	var err error
+	r.gossip, err = Start(Options{Address: "127.0.0.1:0", DataCentre: centre, Seeds: seeds, Period: benchPeriod}, r.follower, r.balancer, event.Discard())
+	require.NoError(b, err)
+	r.gossip.SetRecalled()
+	return r
+}
+
+func readEachSecond(ctx context.Context, r *router) {
+	var list []directory.Replica
+	for i := range benchReplicas {
+		id := fmt.Sprintf("engine-%d", i)
+		list = append(list, directory.Replica{ID: id, Service: "s", Address: id + ":1", DataCentre: fmt.Sprintf("dc%d", i%5), Slots: 32})
+	}
+	snapshot := follow.Snapshot{Config: &route.Config{Version: 1, Routes: config(1).Routes}, Replicas: list}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		r.follower.Take(snapshot, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// processorTime is what this process has used, in nanoseconds.
+func processorTime(b *testing.B) int64 {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+func sentBytes(fleet []*router) uint64 {
+	var total uint64
+	for _, r := range fleet {
+		sent, _ := r.gossip.Bytes()
+		total += sent
+	}
+	return total
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -91,7 +91,9 @@
 	missed map[string]*gossippb.Digest
 	// centres are the members' data centres, as they told.
 	centres map[string]string
-	round   int
+	// routersAt is the count of changes of the members that the balancer was told of.
+	routersAt uint64
+	round     int
 	hellos  int
 	stopped bool
 }
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -17,12 +17,16 @@
 	lost := g.members.Expire(now)
 	large := g.members.Large()
 	partners := g.members.Partners(now)
-	known := g.members.Known()
+	known, changes := g.members.Known(), g.members.Changes()
+	news := changes != g.routersAt
+	g.routersAt = changes
 	g.round++
 	round := g.round
 	g.mu.Unlock()
 	g.balancer.SetLarge(large)
-	g.balancer.SetRouters(g.server.Address(), known, now)
+	if news {
+		g.balancer.SetRouters(g.server.Address(), known, now)
+	}
 	g.balancer.SetRecalled(g.recalled.Load())
 	g.noteLost(lost)
 	if large && round%largeRounds != 0 && !g.balancer.Strained(now) {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -14,14 +14,14 @@
 //	line 2: c f i      member that comes first for it by rendezvous hashing
 //
 // What all routers count thus reaches each in two steps, once, over some
-// 2 x sqrt(n) connections a router.
+// 2 x sqrt(n) partners a router. Whom a router talks to is worked out anew only when
+// the members change.
 //
 // The package does no I/O; time comes from the caller and is steady.
 package membership
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -34,9 +34,6 @@
 	// largeLifetime is the same in a large fleet, where most are heard of through
 	// others only, a part of them at a time.
 	largeLifetime = 3 * Lifetime
-	// suspectAfter is how long a member of the line may be silent before another one
-	// does its work.
-	suspectAfter = 1500 * time.Millisecond
 	// lostLifetime is for how long a member that fell silent is looked for, one of
 	// them in each round: both sides of a cut forget each other, and the seeds may
 	// be gone by the time it is over.
@@ -45,19 +42,49 @@
 
 // Table is one router's view of the others. It is not safe for concurrent use.
 type Table struct {
-	own   string
-	seeds []string
-	most  int
-	heard map[string]time.Time
-	// direct is when each spoke to this router itself.
-	direct map[string]time.Time
-	left   map[string]time.Time
-	// unanswered is since when a partner is asked without an answer.
-	unanswered map[string]time.Time
+	own     string
+	ownHash uint64
+	seeds   []string
+	most    int
+	members map[string]*member
+	left    map[string]time.Time
 	// lost is when members that fell silent were forgotten, and next whom of them
 	// to look for.
 	lost map[string]time.Time
 	next int
+	// fresh are the members that were learned of since Fresh was last asked.
+	fresh []string
+	// changes counts the changes of members and lost; the rest holds for one count.
+	changes uint64
+	sorted  cached[[]*member]
+	known   cached[[]string]
+	byShort cached[map[uint32]*member]
+	plan    cached[plan]
+}
+
+// member is one router other than the own one.
+type member struct {
+	address string
+	hash    uint64
+	// heard is when it was last heard of, direct when it last spoke to this router
+	// itself as one that does so in each round.
+	heard, direct time.Time
+	// unanswered is since when it is told without being heard; zero if it was heard.
+	unanswered time.Time
+}
+
+// cached is a value that is worked out anew when the members have changed.
+type cached[T any] struct {
+	value T
+	at    uint64
+}
+
+// get returns the value as of a count of changes, which starts at 1.
+func (c *cached[T]) get(changes uint64, work func() T) T {
+	if c.at != changes {
+		c.value, c.at = work(), changes
+	}
+	return c.value
 }
 
 // Row is a member with the time since it was heard.
@@ -70,19 +97,19 @@
 // are all partners.
 func New(own string, seeds []string, most int) *Table {
 	return &Table{
-		own:        own,
-		seeds:      seeds,
-		most:       most,
-		heard:      make(map[string]time.Time),
-		direct:     make(map[string]time.Time),
-		left:       make(map[string]time.Time),
-		unanswered: make(map[string]time.Time),
-		lost:       make(map[string]time.Time),
+		own:     own,
+		ownHash: xxhash.Sum64String(own),
+		seeds:   seeds,
+		most:    most,
+		members: make(map[string]*member),
+		left:    make(map[string]time.Time),
+		lost:    make(map[string]time.Time),
+		changes: 1,
 	}
 }
 
 // Large tells whether there are more members than partners.
-func (t *Table) Large() bool { return len(t.heard) > t.most }
+func (t *Table) Large() bool { return len(t.members) > t.most }
 
 func (t *Table) lifetime() time.Duration {
 	if t.Large() {
@@ -91,26 +118,62 @@
 	return Lifetime
 }
 
-// Heard notes that a member spoke just now, and tells whether it is new.
+// Heard notes that a member spoke just now, as it does in each round, and tells
+// whether it is new.
 func (t *Table) Heard(address string, now time.Time) bool {
+	fresh := t.Met(address, now)
+	if m := t.members[address]; m != nil {
+		m.direct = now
+	}
+	return fresh
+}
+
+// Met notes that a member spoke just now, though it does not in each round, and
+// tells whether it is new.
+func (t *Table) Met(address string, now time.Time) bool {
 	if address == t.own || address == "" {
 		return false
 	}
-	_, known := t.heard[address]
-	t.heard[address] = now
-	t.direct[address] = now
+	m, fresh := t.member(address)
+	m.heard = now
+	m.unanswered = time.Time{}
 	delete(t.left, address)
-	delete(t.unanswered, address)
-	delete(t.lost, address)
-	return !known
+	t.find(address)
+	return fresh
+}
+
+// member returns a member, which is added if it is not there.
+func (t *Table) member(address string) (m *member, added bool) {
+	if m := t.members[address]; m != nil {
+		return m, false
+	}
+	m = &member{address: address, hash: xxhash.Sum64String(address)}
+	t.members[address] = m
+	t.fresh = append(t.fresh, address)
+	t.changes++
+	return m, true
+}
+
+// find ends the search for a member that was lost.
+func (t *Table) find(address string) {
+	if _, lost := t.lost[address]; lost {
+		delete(t.lost, address)
+		t.changes++
+	}
+}
+
+func (t *Table) remove(address string) {
+	delete(t.members, address)
+	t.changes++
 }
 
 // Left notes that a member said that it stops. Rows of others that are older
 // than that do not bring it back.
 func (t *Table) Left(address string, now time.Time) {
-	delete(t.heard, address)
-	delete(t.direct, address)
-	delete(t.lost, address)
+	if t.members[address] != nil {
+		t.remove(address)
+	}
+	t.find(address)
 	t.left[address] = now
 }
 
@@ -118,31 +181,31 @@
 func (t *Table) Merge(rows []Row, now time.Time) {
 	for _, r := range rows {
 		at := now.Add(-r.Age)
-		if r.Address == t.own || r.Age > t.lifetime() || at.Before(t.left[r.Address]) {
+		if r.Address == t.own || r.Address == "" || r.Age > t.lifetime() || at.Before(t.left[r.Address]) {
 			continue
 		}
-		if known, found := t.heard[r.Address]; !found || at.After(known) {
-			t.heard[r.Address] = at
+		if m, _ := t.member(r.Address); at.After(m.heard) {
+			m.heard = at
 		}
 	}
 }
 
 // Expire forgets who was silent for too long and returns them, sorted.
 func (t *Table) Expire(now time.Time) []string {
-	var lost []string
+	var silent []string
 	lifetime := t.lifetime()
-	for address, at := range t.heard {
-		if now.Sub(at) > lifetime {
-			lost = append(lost, address)
-			t.lost[address] = now
-			delete(t.heard, address)
-			delete(t.direct, address)
-			delete(t.unanswered, address)
+	for _, m := range t.list() {
+		if now.Sub(m.heard) > lifetime {
+			silent = append(silent, m.address)
 		}
 	}
+	for _, address := range silent {
+		t.lost[address] = now
+		t.remove(address)
+	}
 	for address, at := range t.lost {
 		if now.Sub(at) > lostLifetime {
-			delete(t.lost, address)
+			t.find(address)
 		}
 	}
 	for address, at := range t.left {
@@ -150,144 +213,78 @@
 			delete(t.left, address)
 		}
 	}
-	slices.Sort(lost)
-	return lost
+	return silent
 }
 
-// Rows returns all members, sorted by address.
-func (t *Table) Rows(now time.Time) []Row { return sorted(t.heard, now) }
-
-// Direct returns the members that spoke to this router itself within Lifetime,
-// with the time since, sorted by address.
-func (t *Table) Direct(now time.Time) []Row {
-	return slices.DeleteFunc(sorted(t.direct, now), func(r Row) bool { return r.Age > Lifetime })
+// list returns the members, sorted by address.
+func (t *Table) list() []*member {
+	return t.sorted.get(t.changes, func() []*member {
+		list := make([]*member, 0, len(t.members))
+		for _, m := range t.members {
+			list = append(list, m)
+		}
+		slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.address, b.address) })
+		return list
+	})
 }
 
-func sorted(heard map[string]time.Time, now time.Time) []Row {
-	rows := make([]Row, 0, len(heard))
-	for address, at := range heard {
-		rows = append(rows, Row{address, now.Sub(at)})
+// Rows returns all members, sorted by address.
+func (t *Table) Rows(now time.Time) []Row {
+	rows := make([]Row, 0, len(t.members))
+	for _, m := range t.list() {
+		rows = append(rows, Row{m.address, now.Sub(m.heard)})
 	}
-	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Address, b.Address) })
 	return rows
 }
 
-// Partners are whom a router talks to in a round.
-type Partners struct {
-	// Line is all members in a small fleet, and those of the own line in a large
-	// one.
-	Line []string
-	// Relayed are the members outside of the line that hear of it from this router.
-	Relayed []string
-	// Seeds are those that are no members, and one member that was lost, so that
-	// parts of a fleet that lost each other meet again.
-	Seeds []string
-}
-
-// All returns all partners.
-func (p Partners) All() []string { return slices.Concat(p.Line, p.Relayed, p.Seeds) }
-
-// Partners returns whom to talk to.
-func (t *Table) Partners(now time.Time) Partners {
-	var p Partners
-	var awake []string
-	for _, r := range t.Rows(now) {
-		if !t.Large() || t.lineOf(r.Address) == t.lineOf(t.own) {
-			p.Line = append(p.Line, r.Address)
-			if !t.suspected(r.Address, now) {
-				awake = append(awake, r.Address)
-			}
-		}
-	}
-	for address := range t.heard {
-		if t.Large() && t.lineOf(address) != t.lineOf(t.own) && t.relaysTo(address, awake) {
-			p.Relayed = append(p.Relayed, address)
-		}
-	}
-	slices.Sort(p.Relayed)
-	for _, address := range p.Line {
-		if _, waiting := t.unanswered[address]; !waiting {
-			t.unanswered[address] = now
-		}
-	}
-	for _, seed := range t.seeds {
-		_, member := t.heard[seed]
-		if seed != t.own && !member {
-			p.Seeds = append(p.Seeds, seed)
-		}
-	}
-	if lost := t.nextLost(); lost != "" && !slices.Contains(p.Seeds, lost) {
-		p.Seeds = append(p.Seeds, lost)
-	}
-	return p
-}
-
-// nextLost returns a member that was lost, another one each time, or an empty
-// text.
-func (t *Table) nextLost() string {
-	var lost []string
-	for address := range t.lost {
-		if _, member := t.heard[address]; !member {
-			lost = append(lost, address)
+// Direct returns the members that spoke to this router itself within Lifetime, as
+// those do that do so in each round, with the time since, sorted by address.
+func (t *Table) Direct(now time.Time) []Row {
+	var rows []Row
+	for _, m := range t.list() {
+		if age := now.Sub(m.direct); age <= Lifetime {
+			rows = append(rows, Row{m.address, age})
 		}
 	}
-	if len(lost) == 0 {
-		return ""
-	}
-	slices.Sort(lost)
-	t.next++
-	return lost[t.next%len(lost)]
-}
-
-// Line returns the number of this router's line, and how many there are.
-func (t *Table) Line() (line, lines int) { return t.lineOf(t.own), t.lines() }
-
-// lines returns in how many lines the fleet is divided: the power of two next to
-// the square root of its size, so that it rarely changes.
-func (t *Table) lines() int {
-	return 1 << int(math.Round(math.Log2(math.Sqrt(float64(t.Len())))))
-}
-
-func (t *Table) lineOf(address string) int {
-	return int(xxhash.Sum64String(address) % uint64(t.lines()))
-}
-
-// relaysTo tells whether this router comes first for another, of its line.
-func (t *Table) relaysTo(address string, line []string) bool {
-	own := xxhash.Sum64String(t.own + address)
-	return !slices.ContainsFunc(line, func(mate string) bool {
-		return xxhash.Sum64String(mate+address) > own
-	})
-}
-
-// suspected tells whether a member has not answered for so long that another one
-// does its work.
-func (t *Table) suspected(address string, now time.Time) bool {
-	since, waiting := t.unanswered[address]
-	return waiting && now.Sub(since) >= suspectAfter
+	return rows
 }
 
 // Sample returns a part of the members, another one each time, sorted by
 // address: all in some rounds, in messages that don't grow with the fleet.
 func (t *Table) Sample(round, most int, now time.Time) []Row {
-	rows := t.Rows(now)
-	if len(rows) <= most {
-		return rows
+	list := t.list()
+	rows := make([]Row, 0, min(most, len(list)))
+	for i := range cap(rows) {
+		m := list[i]
+		if len(list) > most {
+			m = list[(round*most+i)%len(list)]
+		}
+		rows = append(rows, Row{m.address, now.Sub(m.heard)})
 	}
-	part := make([]Row, most)
-	for i := range part {
-		part[i] = rows[(round*most+i)%len(rows)]
+	return rows
+}
+
+// Fresh returns members that were learned of since it was last asked, most of them at
+// a time, the first to come first. Told at once, they are known everywhere two rounds
+// after a router knows them.
+func (t *Table) Fresh(most int, now time.Time) []Row {
+	var rows []Row
+	n := min(most, len(t.fresh))
+	for _, address := range t.fresh[:n] {
+		if m := t.members[address]; m != nil {
+			rows = append(rows, Row{address, now.Sub(m.heard)})
+		}
 	}
-	return part
+	t.fresh = t.fresh[n:]
+	return rows
 }
 
 // Rank returns how many members come before this router in an order that is the
 // same everywhere. Whoever is first acts first; the others act if it does not.
 func (t *Table) Rank() int {
 	rank := 0
-	own := xxhash.Sum64String(t.own)
-	for address := range t.heard {
-		if xxhash.Sum64String(address) < own {
+	for _, m := range t.list() {
+		if m.hash < t.ownHash {
 			rank++
 		}
 	}
@@ -298,8 +295,8 @@
 // know the same members agree.
 func (t *Table) Mine(task string) bool {
 	own := xxhash.Sum64String(t.own + task)
-	for address := range t.heard {
-		if xxhash.Sum64String(address+task) > own {
+	for _, m := range t.list() {
+		if xxhash.Sum64String(m.address+task) > own {
 			return false
 		}
 	}
@@ -307,18 +304,24 @@
 }
 
 // Known returns all routers that are members or were a while ago, this one included,
-// sorted. Those that fell silent may be at work behind a cut.
+// sorted. Those that fell silent may be at work behind a cut. The list is not to be
+// changed; it is the same one while Changes is.
 func (t *Table) Known() []string {
-	known := []string{t.own}
-	for address := range t.heard {
-		known = append(known, address)
-	}
-	for address := range t.lost {
-		known = append(known, address)
-	}
-	slices.Sort(known)
-	return slices.Compact(known)
+	return t.known.get(t.changes, func() []string {
+		known := []string{t.own}
+		for address := range t.members {
+			known = append(known, address)
+		}
+		for address := range t.lost {
+			known = append(known, address)
+		}
+		slices.Sort(known)
+		return slices.Compact(known)
+	})
 }
 
+// Changes counts the changes of the members and of those that were lost.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Len returns the number of routers, this one included.
-func (t *Table) Len() int { return len(t.heard) + 1 }
+func (t *Table) Len() int { return len(t.members) + 1 }
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -163,7 +163,8 @@
 	later := now.Add(suspectAfter)
 	taken := make(map[string]int)
 	for address, table := range tables {
-		if address == dead || table.lineOf(address) != tables[dead].lineOf(dead) {
+		line, _ := table.Line()
+		if deadLine, _ := tables[dead].Line(); address == dead || line != deadLine {
 			continue
 		}
 		for mate := range tables {
