--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -94,8 +94,8 @@
 	// routersAt is the count of changes of the members that the balancer was told of.
 	routersAt uint64
 	round     int
-	hellos  int
-	stopped bool
+	hellos    int
+	stopped   bool
 }
 
 // Start listens for other routers.
