Large fleets tell each other in datagrams, and answer only news

Cause: at 295 routers each made 55 calls a second and took as many, each with a stream, goroutines and timers of its own, for an answer that mostly said what the caller knew. Ruled out: streams that are kept open (the connections and their goroutines stay, and they go silent for good); three steps over n^(1/3) partners (counts would be 0.6 s older); a longer period (the same, and data centres that are cut off would be noticed later). Change: beyond twelve routers a round goes in datagrams, encoded once, from one socket. A datagram tells how new its sender's knowledge seems; who knows less asks, and the answer dates the proof as before. Two partners a round are asked besides, all in fleets of up to 32. Members that are new are told at once, those of a line that live by three bytes. Small fleets exchange by calls as before.

--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -29,6 +29,33 @@
 	return version, f.mark
 }
 
+// worthAsking is how much newer another router's proof must seem to be than the own
+// one to be asked for: proofs are renewed each second or so by one router, and what a
+// datagram was under way makes one seem newer than it is.
+const worthAsking = 150 * time.Millisecond
+
+// Behind tells whether another router seems to know more, by its word that a version
+// and a mark were the newest at a time. It proves nothing: what it told may have been
+// under way for long.
+func (f *Follower) Behind(version, mark uint64, proven time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.holder.Current()
+	switch {
+	case held.Table == nil || version > held.Table.Version():
+		return true
+	case version < held.Table.Version():
+		return false
+	case mark != f.mark:
+		return proven.After(f.directory.Read())
+	}
+	own := held.Proven
+	if read := f.directory.Read(); read.Before(own) {
+		own = read
+	}
+	return proven.Sub(own) >= worthAsking
+}
+
 // ProvenBy takes another router's word that a version and a mark were the newest
 // at a time, and tells whether it has something newer to pass on.
 func (f *Follower) ProvenBy(version, mark uint64, proven time.Time) (newer bool) {
--- /dev/null
+++ b/internal/gossip/ask_test.go
@@ -0,0 +1,182 @@
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/pkg/balance"
+)
+
+// largeFleet starts so many routers that they tell each other in datagrams. The source
+// turns all away; seeds are the first two.
+func largeFleet(t *testing.T, routers int) []*router {
+	t.Helper()
+	var fleet []*router
+	var seeds []string
+	for range routers {
+		r := newRouter(t, &source{err: errors.New("turned away")}, seeds...)
+		r.gossip.SetRecalled()
+		if fleet = append(fleet, r); len(seeds) < 2 {
+			seeds = append(seeds, r.gossip.Address())
+		}
+	}
+	return fleet
+}
+
+func TestALargeFleetLearnsFromTheOneThatReads(t *testing.T) {
+	fleet := largeFleet(t, 2*maxPartners)
+	for _, r := range fleet {
+		until(t, func() bool { return r.gossip.Members() == len(fleet) })
+	}
+	for i, list := range [][]string{{"a", "b"}, {"b"}} {
+		version, read := uint64(4+i), time.Now()
+		fleet[7].follower.Take(follow.Snapshot{Config: config(version), Replicas: replicas(list...)}, read)
+		for _, r := range fleet {
+			until(t, func() bool {
+				table := r.holder.Current().Table
+				return r.balancer.Ready("s") == len(list) && table != nil && table.Version() == version
+			})
+			assert.False(t, r.holder.Current().Proven.After(read), "a proof gains nothing on its way")
+			assert.Zero(t, r.source.reads)
+		}
+	}
+}
+
+// Each is told what all others run: by those of its line, and by one of each other line.
+func TestALargeFleetKnowsWhatAllRun(t *testing.T) {
+	fleet := largeFleet(t, 2*maxPartners)
+	for _, r := range fleet {
+		until(t, func() bool { return r.gossip.Members() == len(fleet) })
+		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+		r.balancer.Started("a")
+	}
+	for _, r := range fleet {
+		until(t, func() bool {
+			choice, found := r.balancer.Pick(balance.Question{Service: "s", Tried: []string{"b"}}, time.Now())
+			return found && choice.Load == float64(len(fleet))
+		})
+	}
+}
+
+// What a datagram tells may have been under way for long: it proves nothing.
+func TestWhatIsToldProvesNothing(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	read := time.Now().Add(-time.Minute)
+	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, read)
+	version, mark := r.follower.Version()
+	now, proofMs := time.Now(), uint32(0)
+	told := &gossippb.Digest{Sender: "127.0.0.1:9", DataCentre: "there", Version: version, Mark: mark, ProofMs: &proofMs}
+	r.gossip.takeTold(told, now)
+	assert.Equal(t, read, r.holder.Current().Proven)
+	require.Len(t, r.gossip.questions, 1, "it asks")
+	asked := now.Add(-50 * time.Millisecond)
+	for number := range r.gossip.questions {
+		r.gossip.takeAnswer(&gossippb.Freshness{Ask: number + 1, Version: version, Mark: mark, ProofMs: &proofMs}, now)
+		assert.Equal(t, read, r.holder.Current().Proven, "an answer to nothing")
+		r.gossip.questions[number] = question{address: told.Sender, at: asked}
+		r.gossip.takeAnswer(&gossippb.Freshness{Ask: number, Version: version, Mark: mark, ProofMs: &proofMs}, now)
+	}
+	assert.Equal(t, asked, r.holder.Current().Proven, "from when it was asked")
+	assert.Empty(t, r.gossip.questions)
+}
+
+// All partners tell of the same news within a round.
+func TestFewAreAskedForTheSameNews(t *testing.T) {
+	cases := map[string]struct {
+		version uint64
+		age     time.Duration
+		asked   int
+	}{
+		"a newer version":            {version: 5, age: time.Hour, asked: maxAsked},
+		"a newer proof":              {version: 4, age: 0, asked: maxAsked},
+		"hardly a newer proof":       {version: 4, age: time.Minute - 100*time.Millisecond, asked: 0},
+		"an older version":           {version: 3, age: 0, asked: 0},
+		"an older proof of the same": {version: 4, age: time.Hour, asked: 0},
+		"another list that is older": {version: 4, age: time.Hour, asked: 0},
+		"another list that is newer": {version: 4, age: 0, asked: maxAsked},
+		"somebody who knows nothing": {version: 0, age: -1, asked: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRestingRouter(t, &source{})
+			r.gossip.SetRecalled()
+			now := time.Now()
+			r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(-time.Minute))
+			_, mark := r.follower.Version()
+			if name == "another list that is older" || name == "another list that is newer" {
+				mark++
+			}
+			for i := range 10 {
+				told := &gossippb.Digest{Sender: fmt.Sprintf("127.0.0.1:%d", i+1), DataCentre: "there", Version: c.version, Mark: mark}
+				if age := uint32(c.age.Milliseconds()); c.age >= 0 {
+					told.ProofMs = &age
+				}
+				r.gossip.takeTold(told, now)
+			}
+			assert.Len(t, r.gossip.questions, c.asked)
+		})
+	}
+}
+
+func TestWhoDoesNotAnswerIsAskedAgainAndForgotten(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	now := time.Now()
+	for range maxAsked {
+		r.gossip.ask("127.0.0.1:1", false, now)
+	}
+	assert.False(t, r.gossip.mayAsk("127.0.0.1:1", now), "it is asked")
+	assert.False(t, r.gossip.mayAsk("127.0.0.1:2", now), "so many are asked")
+	assert.True(t, r.gossip.mayAsk("127.0.0.1:1", now.Add(askAgain)))
+	r.gossip.dropQuestions(now.Add(answerTime + 1))
+	assert.Empty(t, r.gossip.questions)
+}
+
+func TestEachPartnerIsAskedInTurn(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	first, asks := r.gossip.turn(5)
+	assert.Equal(t, []int{0, 5}, []int{first, asks}, "a fleet in which few are heard")
+	for i := range askAll {
+		r.gossip.members.Heard(fmt.Sprintf("127.0.0.1:%d", i+1), time.Now())
+	}
+	asked := make(map[int]int)
+	for range 33 {
+		first, asks := r.gossip.turn(33)
+		for i := range asks {
+			asked[(first+i)%33]++
+		}
+	}
+	for i := range 33 {
+		assert.Equal(t, asksARound, asked[i], i)
+	}
+	_, asks = r.gossip.turn(0)
+	assert.Zero(t, asks)
+}
+
+// What is no datagram of a router, or asks for nothing, changes nothing.
+func TestDamagedDatagramsChangeNothing(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	whole := encodeDigest(&gossippb.Digest{Alive: []byte{1, 2}, Member: []string{"127.0.0.1:8"}})
+	for _, packet := range [][]byte{nil, []byte("GET / HTTP/1.1"), whole[:len(whole)-1]} {
+		r.gossip.takeDatagram(from, packet)
+		assert.Equal(t, 1, r.gossip.Members())
+	}
+	r.gossip.takeDatagram(from, whole)
+	assert.Equal(t, 2, r.gossip.Members(), "its sender is where it came from; a row without an age is none")
+}
+
+func TestWhatCanNotBeSentIsCounted(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	r.gossip.send("127.0.0.1:9", make([]byte, peer.MaxDatagram+1))
+	r.gossip.send("router-1:7000", []byte("x"))
+	assert.EqualValues(t, 2, r.gossip.Unsent())
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -31,30 +31,43 @@
 		return
 	}
 	g.meter.Called(digest, reply)
-	now := time.Now()
-	if reply.Stopping {
+	if g.takeFreshness(address, reply, asked, time.Now()) {
+		g.learn(ctx, address)
+	}
+}
+
+// takeFreshness takes what a router that was asked at a time knows, and tells whether
+// that is to be learned.
+func (g *Gossip) takeFreshness(address string, r *gossippb.Freshness, asked, now time.Time) bool {
+	if r.Stopping {
 		g.left(address, now)
 	} else {
-		g.heard(address, reply.DataCentre, now)
+		g.mu.Lock()
+		regular := g.asksAll()
+		g.mu.Unlock()
+		g.heard(address, r.DataCentre, regular, now)
 	}
 	g.mu.Lock()
-	g.members.Merge(decodeRows(reply.Member, reply.HeardMs), now)
+	g.members.Merge(decodeRows(r.Member, r.HeardMs), now)
 	g.mu.Unlock()
-	if reply.ProofMs == nil {
-		return
+	if r.ProofMs == nil {
+		return false
 	}
-	proven := asked.Add(-milliseconds(reply.GetProofMs()))
+	proven := asked.Add(-milliseconds(r.GetProofMs()))
 	// Whether the source answers somebody goes by the youngest that the proof may be.
-	g.follower.Told(asked, now.Add(-milliseconds(reply.GetProofMs())))
-	newer := g.follower.ProvenBy(reply.Version, reply.Mark, proven)
-	if newer || !g.recalled.Load() {
-		g.learn(ctx, address)
-	}
+	g.follower.Told(asked, now.Add(-milliseconds(r.GetProofMs())))
+	newer := g.follower.ProvenBy(r.Version, r.Mark, proven)
+	return newer || !g.recalled.Load()
 }
 
-func (g *Gossip) heard(address, dataCentre string, now time.Time) {
+// heard notes that a member spoke, regularly if it does so in each round.
+func (g *Gossip) heard(address, dataCentre string, regularly bool, now time.Time) {
 	g.mu.Lock()
-	fresh := g.members.Heard(address, now)
+	note := g.members.Met
+	if regularly {
+		note = g.members.Heard
+	}
+	fresh := note(address, now)
 	if dataCentre != "" {
 		g.centres[address] = dataCentre
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,6 +5,9 @@
 //	Exchange   what I run and saw  ->  how new your knowledge is
 //	Knowledge  my version and mark ->  the configuration and replicas, if newer
 //
+// A small fleet exchanges by calls, each with each. In a large one the same is told in
+// datagrams, and only some of it is answered (ask.go).
+//
 // Everything told is a hint but for the proof of the configuration, which is
 // dated from the time of asking less the age that was answered. A router that is
 // told nothing works on by itself.
@@ -13,6 +16,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,8 +57,9 @@
 	// are idle each round is one: the others are nearer to the users' bound then, and
 	// what is counted 1.2 s late piles up beyond it.
 	largeRounds = 2
-	// largeHelloRounds is helloRounds of a large fleet, in which more are told.
-	largeHelloRounds = 32
+	// largeHelloRounds is helloRounds of a large fleet, where members that are new and
+	// those that live are told besides.
+	largeHelloRounds = 8
 	// callTimeout bounds an exchange, and learnTimeout the taking of another
 	// router's knowledge, which may be large and come over a narrow link.
 	callTimeout  = 500 * time.Millisecond
@@ -76,6 +81,9 @@
 	meter    *peer.Meter
 	client   *peer.Client
 	server   *peer.Server
+	// datagrams carry what is told in a large fleet; unsent counts those that were not.
+	datagrams *peer.Datagrams
+	unsent    atomic.Uint64
 
 	// recalled: the holders of parts are known, from a peer or from the engines.
 	recalled atomic.Bool
@@ -96,36 +104,68 @@
 	round     int
 	hellos    int
 	stopped   bool
+	// questions are those that were not answered, by number; turns counts the partners
+	// that were asked in turn.
+	questions    map[uint32]question
+	lastQuestion uint32
+	turns        int
+	// life ends with the gossip.
+	life   context.Context
+	cancel context.CancelFunc
 }
 
 // Start listens for other routers.
 func Start(o Options, f *follow.Follower, b *balance.Balancer, log *event.Log) (*Gossip, error) {
 	meter := &peer.Meter{}
 	g := &Gossip{
-		options:  o,
-		log:      log,
-		follower: f,
-		balancer: b,
-		meter:    meter,
-		client:   peer.NewClient(meter),
-		busy:     make(map[string]bool),
-		missed:   make(map[string]*gossippb.Digest),
-		centres:  make(map[string]string),
+		options:   o,
+		log:       log,
+		follower:  f,
+		balancer:  b,
+		meter:     meter,
+		client:    peer.NewClient(meter),
+		busy:      make(map[string]bool),
+		missed:    make(map[string]*gossippb.Digest),
+		centres:   make(map[string]string),
+		questions: make(map[uint32]question),
+	}
+	g.life, g.cancel = context.WithCancel(context.Background())
+	err := g.listen()
+	for attempt := 1; err != nil && strings.HasSuffix(o.Address, ":0") && attempt < portAttempts; attempt++ {
+		err = g.listen()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	// Others that know this router's address call as soon as it listens, and its table
-	// of members has that address in it: they wait. One that started among four others
-	// met a call without a table, and ended.
+	return g, nil
+}
+
+// portAttempts is how often a port is drawn, where the settings leave it to the system:
+// one that is free for connections may be taken for datagrams.
+const portAttempts = 5
+
+// listen opens the address for connections and for datagrams.
+//
+// Others that know this router's address call as soon as it listens, and its table
+// of members has that address in it: they wait. One that started among four others
+// met a call without a table, and ended.
+func (g *Gossip) listen() error {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	server, err := peer.ListenWith(o.Address, func(mux *drpcmux.Mux) error {
+	server, err := peer.ListenWith(g.options.Address, func(mux *drpcmux.Mux) error {
 		return gossippb.DRPCRegisterGossip(mux, g)
 	})
 	if err != nil {
-		return nil, fmt.Errorf("gossip: %w", err)
+		g.mu.Unlock()
+		return err
 	}
 	g.server = server
-	g.members = membership.New(server.Address(), o.Seeds, maxPartners)
-	return g, nil
+	g.members = membership.New(server.Address(), g.options.Seeds, maxPartners)
+	g.datagrams, err = peer.ListenDatagrams(server.Address(), g.meter, g.takeDatagram)
+	g.mu.Unlock()
+	if err != nil {
+		server.Close()
+	}
+	return err
 }
 
 // Address returns where the others reach this router.
@@ -183,6 +223,8 @@
 }
 
 func (g *Gossip) stop() {
+	g.cancel()
+	g.datagrams.Close()
 	g.client.Close()
 	g.server.Close()
 }
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -10,7 +10,7 @@
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 )
 
-// tick is one round: it tells the partners, each in an exchange of its own.
+// tick is one round: it tells the partners.
 func (g *Gossip) tick(ctx context.Context) {
 	now := time.Now()
 	g.mu.Lock()
@@ -33,22 +33,25 @@
 		return
 	}
 	d := g.digests(now, large)
-	own, line := d.own, d.line
-	switch {
-	case large && round%largeHelloRounds == 0:
-		own, line = d.with(own), d.with(line)
-	case !large && round%helloRounds == 0:
-		own = d.with(own)
-	}
-	for _, address := range partners.Line {
-		g.start(ctx, address, own, d)
-	}
-	for _, address := range partners.Relayed {
-		g.start(ctx, address, line, d)
+	if large {
+		g.tell(partners, d, round%largeHelloRounds == 0, now)
+	} else {
+		g.call(ctx, partners.Line, d, round%helloRounds == 0)
 	}
 	for _, address := range partners.Seeds {
 		// Whose line a seed is of is not known.
-		g.start(ctx, address, &gossippb.Digest{Sender: own.Sender, Stopping: own.Stopping}, d)
+		g.start(ctx, address, &gossippb.Digest{Sender: g.server.Address(), Stopping: d.own.Stopping, AsksOnly: true}, d)
+	}
+}
+
+// call exchanges with all others, in a small fleet.
+func (g *Gossip) call(ctx context.Context, partners []string, d digests, hello bool) {
+	own := d.own
+	if hello {
+		own = d.with(own)
+	}
+	for _, address := range partners {
+		g.start(ctx, address, own, d)
 	}
 }
 
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -12,27 +12,50 @@
 // Exchange implements the generated interface.
 func (g *Gossip) Exchange(_ context.Context, d *gossippb.Digest) (*gossippb.Freshness, error) {
 	now := time.Now()
+	g.take(d, now)
+	reply := g.answer(d, now)
+	g.meter.Received(d, reply)
+	return reply, nil
+}
+
+// take takes what a router tells.
+func (g *Gossip) take(d *gossippb.Digest, now time.Time) {
 	if d.Stopping {
 		g.left(d.Sender, now)
 	} else {
-		g.heard(d.Sender, d.DataCentre, now)
+		g.heard(d.Sender, d.DataCentre, !d.AsksOnly, now)
+	}
+	if !d.Stopping && !d.AsksOnly {
 		g.merge(d, now)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
+	g.members.MergeAlive(d.Alive, now)
+}
+
+// answer tells a router how new this one's knowledge is.
+func (g *Gossip) answer(d *gossippb.Digest, now time.Time) *gossippb.Freshness {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	reply := &gossippb.Freshness{Stopping: g.stopped}
 	if d.Hello {
 		reply.DataCentre = g.options.DataCentre
 		reply.Member, reply.HeardMs = g.rows(now)
 	}
-	version, mark := g.follower.Version()
-	if g.follower.Known() {
-		age := uint32(g.follower.Age(now).Milliseconds()) + 1
-		reply.Version, reply.Mark, reply.ProofMs = version, mark, &age
+	reply.Version, reply.Mark, reply.ProofMs = g.knows(now)
+	return reply
+}
+
+// knows returns what this router knows and how old the proof is, which is nil before
+// there is one.
+func (g *Gossip) knows(now time.Time) (version, mark uint64, proofMs *uint32) {
+	if !g.follower.Known() {
+		return 0, 0, nil
 	}
-	g.meter.Received(d, reply)
-	return reply, nil
+	version, mark = g.follower.Version()
+	age := uint32(g.follower.Age(now).Milliseconds()) + 1
+	return version, mark, &age
 }
 
 // merge takes what a router tells of itself or of its line.
--- a/internal/gossip/silence.go
+++ b/internal/gossip/silence.go
@@ -12,6 +12,10 @@
 	// it asks and when it answers, so that is several times missed already; and
 	// the first that is heard ends it.
 	silentRounds = 1.3
+	// fewSilentRounds is the same for a data centre of which only fewMembers are heard,
+	// where each is heard once a round: one datagram of each may be lost.
+	fewSilentRounds = 2.2
+	fewMembers      = 2
 	// silenceLooks is how often in a round that is looked at.
 	silenceLooks = 4
 )
@@ -30,24 +34,32 @@
 // g.mu is held.
 func (g *Gossip) silentCentres(now time.Time) []string {
 	limit := time.Duration(silentRounds * float64(g.period()))
-	members, silent := make(map[string]int), make(map[string]int)
+	fewLimit := limit
+	if !g.asksAll() {
+		fewLimit = time.Duration(fewSilentRounds * float64(g.period()))
+	}
+	members := make(map[string]int)
+	// youngest is how long ago a member of each was heard last.
+	youngest := make(map[string]time.Duration)
 	anyone := false
-	rows := g.members.Rows(now)
+	look := g.members.Rows
 	if g.members.Large() {
-		rows = g.members.Direct(now)
+		look = g.members.Direct
 	}
-	for _, row := range rows {
+	for _, row := range look(now) {
 		centre := g.centres[row.Address]
-		members[centre]++
-		if row.Age > limit {
-			silent[centre]++
-		} else {
-			anyone = true
+		if members[centre]++; members[centre] == 1 || row.Age < youngest[centre] {
+			youngest[centre] = row.Age
 		}
+		anyone = anyone || row.Age <= limit
 	}
 	var names []string
-	for centre, n := range silent {
-		if anyone && centre != "" && centre != g.options.DataCentre && n == members[centre] && n > 1 {
+	for centre, n := range members {
+		silentFor := limit
+		if n <= fewMembers {
+			silentFor = fewLimit
+		}
+		if anyone && centre != "" && centre != g.options.DataCentre && n > 1 && youngest[centre] > silentFor {
 			names = append(names, centre)
 		}
 	}
--- /dev/null
+++ b/internal/gossip/tell.go
@@ -0,0 +1,119 @@
+package gossip
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/pkg/membership"
+)
+
+// aliveRounds is how often the members of a line that live are told, in rounds of a
+// large fleet: each is so heard of in 2.4 s, an eighth of the time after which it would
+// be forgotten, for 0.8 KB a second at 295 routers.
+const aliveRounds = 2
+
+// tell tells the partners in a large fleet, each in a datagram, and asks some of them.
+// The datagrams that ask nothing are all alike, and encoded once.
+func (g *Gossip) tell(partners membership.Partners, d digests, hello bool, now time.Time) {
+	g.dropQuestions(now)
+	all := len(partners.Line) + len(partners.Relayed)
+	first, asks := g.turn(all)
+	own, line := encodeDigest(d.own), encodeDigest(d.line)
+	for i := range all {
+		address, digest, packet := "", d.own, own
+		if i < len(partners.Line) {
+			address = partners.Line[i]
+		} else {
+			address, digest, packet = partners.Relayed[i-len(partners.Line)], d.line, line
+		}
+		unmet := g.unmet(address)
+		if unmet || (i-first+all)%all < asks {
+			packet = encodeDigest(g.asking(address, digest, d, unmet || hello, now))
+		}
+		g.send(address, packet)
+	}
+}
+
+// asking returns a digest that asks for an answer, with a hello or without.
+func (g *Gossip) asking(address string, digest *gossippb.Digest, d digests, hello bool, now time.Time) *gossippb.Digest {
+	if hello {
+		digest = d.with(digest)
+	} else {
+		digest = proto.CloneOf(digest)
+	}
+	digest.Ask = g.noteQuestion(question{address: address, at: now})
+	return digest
+}
+
+// unmet tells whether a member has not said which data centre it is of.
+func (g *Gossip) unmet(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.centres[address] == ""
+}
+
+func encodeDigest(d *gossippb.Digest) []byte { return encodeDatagram(&gossippb.Datagram{Digest: d}) }
+
+// encodeDatagram returns nil for what can't be encoded, a text that is no UTF-8: names
+// and addresses are checked when the settings are read.
+func encodeDatagram(d *gossippb.Datagram) []byte {
+	packet, err := proto.Marshal(d)
+	if err != nil {
+		return nil
+	}
+	return packet
+}
+
+// send sends a datagram to a member, whose address is one it listens at.
+func (g *Gossip) send(address string, packet []byte) {
+	to, err := netip.ParseAddrPort(address)
+	if err == nil && len(packet) <= peer.MaxDatagram {
+		err = g.datagrams.Send(to, packet)
+	}
+	if err != nil || len(packet) > peer.MaxDatagram {
+		g.unsent.Add(1)
+	}
+}
+
+// Unsent returns how many datagrams could not be sent.
+func (g *Gossip) Unsent() uint64 { return g.unsent.Load() }
+
+// takeDatagram takes what another router sent.
+func (g *Gossip) takeDatagram(from netip.AddrPort, packet []byte) {
+	var d gossippb.Datagram
+	if proto.Unmarshal(packet, &d) != nil {
+		return
+	}
+	now := time.Now()
+	switch {
+	case d.Digest != nil:
+		if d.Digest.Sender == "" {
+			d.Digest.Sender = from.String()
+		}
+		g.takeTold(d.Digest, now)
+	case d.Answer != nil:
+		g.takeAnswer(d.Answer, now)
+	}
+}
+
+// takeTold takes a digest that came in a datagram, answers it if it asks, and asks
+// back if its sender seems to know more.
+func (g *Gossip) takeTold(d *gossippb.Digest, now time.Time) {
+	g.take(d, now)
+	if d.Ask != 0 {
+		answer := g.answer(d, now)
+		answer.Ask = d.Ask
+		g.send(d.Sender, encodeDatagram(&gossippb.Datagram{Answer: answer}))
+	}
+	if d.Stopping {
+		return
+	}
+	unmet := g.unmet(d.Sender)
+	if (unmet || g.seemsNewer(d, now)) && g.mayAsk(d.Sender, now) {
+		g.ask(d.Sender, unmet, now)
+	}
+}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -25,7 +25,12 @@
 	told := g.balancer.Tell(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	rumors := &gossippb.Digest{Sender: g.server.Address(), Stopping: g.stopped}
+	rumors := &gossippb.Digest{Stopping: g.stopped}
+	if !large {
+		rumors.Sender = g.server.Address()
+	}
+	rumors.Version, rumors.Mark, rumors.ProofMs = g.knows(now)
+	encodeRows(rumors, g.members.Fresh(maxRows, now))
 	for _, f := range told.Failures {
 		rumors.Failed = append(rumors.Failed, f.Replica)
 		rumors.Failure = append(rumors.Failure, uint32(f.Failure))
@@ -45,6 +50,9 @@
 		}
 	}
 	d.hello.Member, d.hello.HeardMs = g.rows(now)
+	if large && g.hellos%aliveRounds == 0 {
+		d.line.Alive = g.members.Alive(now)
+	}
 	return d
 }
 
@@ -62,6 +70,13 @@
 	}
 }
 
+func encodeRows(d *gossippb.Digest, rows []membership.Row) {
+	for _, r := range rows {
+		d.Member = append(d.Member, r.Address)
+		d.HeardMs = append(d.HeardMs, uint32(r.Age.Milliseconds()))
+	}
+}
+
 func encodeHolders(list []balance.Holding) (parts []uint64, replicas []uint32) {
 	for _, h := range list {
 		parts = append(parts, h.Part)
@@ -74,11 +89,9 @@
 // g.mu is held.
 func (g *Gossip) rows(now time.Time) (addresses []string, ages []uint32) {
 	g.hellos++
-	for _, r := range g.members.Sample(g.hellos, maxRows, now) {
-		addresses = append(addresses, r.Address)
-		ages = append(ages, uint32(r.Age.Milliseconds()))
-	}
-	return addresses, ages
+	var d gossippb.Digest
+	encodeRows(&d, g.members.Sample(g.hellos, maxRows, now))
+	return d.Member, d.HeardMs
 }
 
 func decodeRows(addresses []string, ages []uint32) []membership.Row {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -52,7 +52,8 @@
 	// to look for.
 	lost map[string]time.Time
 	next int
-	// fresh are the members that were learned of since Fresh was last asked.
+	// fresh are members that came to this router before it knew of them, and that it
+	// has told nobody of.
 	fresh []string
 	// changes counts the changes of members and lost; the rest holds for one count.
 	changes uint64
@@ -135,6 +136,9 @@
 		return false
 	}
 	m, fresh := t.member(address)
+	if fresh {
+		t.fresh = append(t.fresh, address)
+	}
 	m.heard = now
 	m.unanswered = time.Time{}
 	delete(t.left, address)
@@ -149,7 +153,6 @@
 	}
 	m = &member{address: address, hash: xxhash.Sum64String(address)}
 	t.members[address] = m
-	t.fresh = append(t.fresh, address)
 	t.changes++
 	return m, true
 }
@@ -264,9 +267,9 @@
 	return rows
 }
 
-// Fresh returns members that were learned of since it was last asked, most of them at
-// a time, the first to come first. Told at once, they are known everywhere two rounds
-// after a router knows them.
+// Fresh returns members that came to this router before it knew of them, most of them
+// at a time, the first to come first, each once. A router that starts comes to some of
+// each line, so that all know it when these have told their partners.
 func (t *Table) Fresh(most int, now time.Time) []Row {
 	var rows []Row
 	n := min(most, len(t.fresh))
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -324,3 +324,51 @@
 	table.Expire(now.Add(lostLifetime + 2*Lifetime + time.Second))
 	assert.Equal(t, []string{"b", "c"}, table.Known())
 }
+
+// A router that starts comes to some of each line, which tell their partners of it once.
+func TestWhoComesUnknownIsToldOfOnce(t *testing.T) {
+	now := time.Now()
+	table := New("me", nil, most)
+	table.Merge([]Row{{"heard of", 0}}, now)
+	for _, address := range []string{"a", "b", "heard of", "c", "a"} {
+		table.Heard(address, now)
+	}
+	table.Left("b", now)
+	assert.Equal(t, []Row{{"a", time.Second}}, table.Fresh(2, now.Add(time.Second)), "b has left")
+	assert.Equal(t, []Row{{"c", time.Second}}, table.Fresh(2, now.Add(time.Second)))
+	assert.Empty(t, table.Fresh(2, now))
+}
+
+func TestALineTellsWhoOfItLives(t *testing.T) {
+	const routers = 74
+	now := time.Now()
+	tables := full(routers, now)
+	dead := "7"
+	later := now.Add(aliveWithin + time.Millisecond)
+	for address, table := range tables {
+		for other := range tables {
+			if other != dead && other != address {
+				table.Heard(other, later)
+			}
+		}
+	}
+	listener := New("listener", nil, most)
+	for address := range tables {
+		listener.Merge([]Row{{address, 0}}, now)
+	}
+	later = later.Add(10 * time.Second)
+	for address, table := range tables {
+		if address != dead {
+			for other := range tables {
+				if other != dead {
+					table.Heard(other, later)
+				}
+			}
+			listener.MergeAlive(append(table.Alive(later), 1), later)
+		}
+	}
+	for _, row := range listener.Rows(later) {
+		assert.Equal(t, row.Address == dead, row.Age > aliveWithin, row.Address)
+	}
+	assert.Equal(t, routers+1, listener.Len(), "nobody is added by it")
+}
