Each state is packed once, with writers that are used again

Ruled out: a cache of the encoded list without its time (how long replicas stay cold counts from the read). Change: the configuration by version and the list by mark and read are kept as packed; compressors are pooled.

--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -16,6 +16,8 @@
 	// Config and Listing are nil where the other has the same.
 	Config  *route.Config
 	Listing *directory.Listing
+	// ListRead is when the list was read last that Listing is, by this router's clock.
+	ListRead time.Time
 }
 
 // Version returns the version of the configuration and the mark of the replicas
@@ -123,6 +125,6 @@
 	state := f.holder.Current()
 	config := state.Table.Config()
 	listing := f.directory.Listing()
-	k := Knowledge{Version: config.Version, Mark: f.mark, Config: &config, Listing: &listing}
+	k := Knowledge{Version: config.Version, Mark: f.mark, Config: &config, Listing: &listing, ListRead: f.directory.Read()}
 	return k, f.age(now)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -89,8 +89,9 @@
 	recalled atomic.Bool
 	// learning: another router is being asked for its knowledge.
 	learning atomic.Bool
-	// encoded is the configuration as it was passed on last.
-	encoded atomic.Pointer[encodedConfig]
+	// config and listing are what was passed on last.
+	config  atomic.Pointer[packed[uint64]]
+	listing atomic.Pointer[packed[listKey]]
 
 	mu      sync.Mutex
 	members *membership.Table
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // ErrPacked: a packed value can't be read.
@@ -15,12 +16,18 @@
 // maxUnpacked bounds what a packed value may grow to, in bytes.
 const maxUnpacked = 64 << 20
 
+// writers are used again: each takes some 800 KB, more than all else that a router
+// allocates for what it passes on.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
 // pack encodes a value for another router. A configuration of a thousand routes
 // is some 300 KB of JSON, of which much is alike, and a link may be narrow: it
 // packs to a tenth or less.
 func pack(value any) ([]byte, error) {
 	var out bytes.Buffer
-	writer := gzip.NewWriter(&out)
+	writer := writers.Get().(*gzip.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&out)
 	if err := json.NewEncoder(writer).Encode(value); err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
--- a/internal/gossip/pack_test.go
+++ b/internal/gossip/pack_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -34,3 +36,25 @@
 	require.NoError(t, err)
 	assert.Less(t, len(packed), 40_000)
 }
+
+// When something is new, all routers that hear of it ask those that told them.
+func TestEachStateIsPackedOnce(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	read := time.Now()
+	ask := func() *gossippb.KnowledgeReply {
+		reply, err := r.gossip.Knowledge(t.Context(), &gossippb.KnowledgeRequest{})
+		require.NoError(t, err)
+		return reply
+	}
+	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a", "b")}, read)
+	first, again := ask(), ask()
+	assert.Same(t, &first.Configuration[0], &again.Configuration[0])
+	assert.Same(t, &first.Replicas[0], &again.Replicas[0])
+
+	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("b")}, read.Add(time.Second))
+	changed := ask()
+	assert.Same(t, &first.Configuration[0], &changed.Configuration[0])
+	assert.NotEqual(t, first.Replicas, changed.Replicas)
+	r.follower.Take(follow.Snapshot{Config: config(5), Replicas: replicas("b")}, read.Add(2*time.Second))
+	assert.NotEqual(t, first.Configuration, ask().Configuration)
+}
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/pkg/balance"
 )
@@ -69,22 +69,29 @@
 	g.balancer.Merge(d.Sender, told, now)
 }
 
-// encodedConfig is one version of the configuration in the wire form.
-type encodedConfig struct {
-	version uint64
-	text    []byte
+// packed is one state of a value in the wire form.
+type packed[K comparable] struct {
+	key  K
+	text []byte
 }
 
-// encodeConfig encodes each version once: it is passed on many times.
-func (g *Gossip) encodeConfig(k follow.Knowledge) ([]byte, error) {
-	if last := g.encoded.Load(); last != nil && last.version == k.Version {
-		return last.text, nil
+// listKey names a list as it is passed on: how long replicas stay cold counts from
+// the read.
+type listKey struct {
+	mark uint64
+	read time.Time
+}
+
+// packOnce packs each state of a value once: when something is new, many ask for it.
+func packOnce[K comparable](last *atomic.Pointer[packed[K]], key K, value any) ([]byte, error) {
+	if p := last.Load(); p != nil && p.key == key {
+		return p.text, nil
 	}
-	text, err := pack(k.Config)
+	text, err := pack(value)
 	if err != nil {
 		return nil, err
 	}
-	g.encoded.Store(&encodedConfig{version: k.Version, text: text})
+	last.Store(&packed[K]{key, text})
 	return text, nil
 }
 
@@ -98,12 +105,12 @@
 	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
 	var err error
 	if k.Version > r.Version {
-		if reply.Configuration, err = g.encodeConfig(k); err != nil {
+		if reply.Configuration, err = packOnce(&g.config, k.Version, k.Config); err != nil {
 			return nil, err
 		}
 	}
 	if k.Mark != r.Mark {
-		if reply.Replicas, err = pack(k.Listing); err != nil {
+		if reply.Replicas, err = packOnce(&g.listing, listKey{k.Mark, k.ListRead}, k.Listing); err != nil {
 			return nil, err
 		}
 	}
