News is told at once in a large fleet

Cause: a change of the configuration or of the list waited for a round at each of two steps, up to 1.2 s after the read that found it. Ruled out: shorter rounds (they tell counts, which are most of the bytes). Change: 20 ms after a change a router tells its partners, in one datagram each, what it knows; who knows less asks at once. Conclusion: kept for now.

--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -180,3 +180,16 @@
 	r.gossip.send("router-1:7000", []byte("x"))
 	assert.EqualValues(t, 2, r.gossip.Unsent())
 }
+
+// A change is not kept until the next round.
+func TestNewsIsToldAtOnce(t *testing.T) {
+	teller, told := newRestingRouter(t, &source{}), newRestingRouter(t, &source{err: errors.New("turned away")})
+	for i := range maxPartners + 1 {
+		teller.gossip.members.Heard(fmt.Sprintf("127.0.0.1:%d", i+1), time.Now())
+	}
+	teller.gossip.partners.Relayed = []string{told.gossip.Address()}
+	teller.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now())
+	teller.gossip.tellNews(time.Now())
+	until(t, told.follower.Known)
+	assert.Zero(t, told.source.reads)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -95,7 +95,9 @@
 
 	mu      sync.Mutex
 	members *membership.Table
-	busy    map[string]bool
+	// partners are those of the last round.
+	partners membership.Partners
+	busy     map[string]bool
 	// missed are the rumors for partners that were busy.
 	missed map[string]*gossippb.Digest
 	// centres are the members' data centres, as they told.
@@ -210,11 +212,21 @@
 	look := time.NewTicker(g.options.Period / silenceLooks)
 	defer look.Stop()
 	g.tick(ctx)
+	var told <-chan time.Time
 	for {
+		news, _ := g.follower.News()
+		if told != nil {
+			news = nil
+		}
 		select {
 		case <-ctx.Done():
 			g.stop()
 			return
+		case <-news:
+			told = time.After(newsPause)
+		case <-told:
+			told = nil
+			g.tellNews(time.Now())
 		case <-round.C:
 			g.tick(ctx)
 		case <-look.C:
--- /dev/null
+++ b/internal/gossip/news.go
@@ -0,0 +1,32 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+)
+
+// newsPause is how long after a change of the configuration or of the list it is told:
+// changes come several at a time, and two steps of it are nothing to what a round takes.
+const newsPause = 20 * time.Millisecond
+
+// tellNews tells the partners of a large fleet that this router knows something new,
+// beside the rounds: waiting for two of them, 1.2 s, sends requests to replicas that
+// leave, and holds up what the operator has changed.
+func (g *Gossip) tellNews(now time.Time) {
+	g.mu.Lock()
+	large, partners := g.members.Large(), g.partners
+	d := &gossippb.Digest{AsksOnly: true, Stopping: g.stopped}
+	d.Version, d.Mark, d.ProofMs = g.knows(now)
+	g.mu.Unlock()
+	if !large {
+		return
+	}
+	packet := encodeDigest(d)
+	for _, address := range partners.Line {
+		g.send(address, packet)
+	}
+	for _, address := range partners.Relayed {
+		g.send(address, packet)
+	}
+}
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -20,6 +20,7 @@
 	known, changes := g.members.Known(), g.members.Changes()
 	news := changes != g.routersAt
 	g.routersAt = changes
+	g.partners = partners
 	g.round++
 	round := g.round
 	g.mu.Unlock()
