--- a/internal/gossip/fleet_bench_test.go
+++ b/internal/gossip/fleet_bench_test.go
@@ -55,8 +55,11 @@
 	}
 	reader := fleet[routers/2]
 	done.Go(func() { readEachSecond(ctx, reader) })
+	started := processorTime(b)
 	time.Sleep(benchSettle)
 	used, bytes := processorTime(b), sentBytes(fleet)
+	b.ReportMetric(float64(used-started)/1e6/float64(routers), "start-cpu-ms/router")
+	b.ReportMetric(float64(bytes)/float64(routers), "start-B-sent/router")
 	time.Sleep(benchTime)
 	perRouter := 1 / (benchTime.Seconds() * float64(routers))
 	b.ReportMetric(float64(processorTime(b)-used)/1e6*perRouter, "cpu-ms/router/s")
