--- a/Makefile
+++ b/Makefile
@@ -44,9 +44,10 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
 	$(GO) test -run '^$$' -bench . -benchmem ./test/integration/
 
-# What each mechanism is worth on a site: make ablation BENCH=... SITE=... DAYS=a,b
+# What each mechanism is worth on a site: make ablation BENCH=... SITE=... DAYS=a,b,
+# SMALL=1 for the small twins of large days.
 ablation:
-	$(GO) run ./test/ablation --bench $(BENCH) --site $(SITE) --days $(DAYS)
+	$(GO) run ./test/ablation --bench $(BENCH) --site $(SITE) --days $(DAYS) $(if $(SMALL),--small)
 
 # The policies side by side; FULL=1 adds 1,520 engines, JSON=1 prints objects.
 measure:
--- a/test/ablation/main.go
+++ b/test/ablation/main.go
@@ -31,6 +31,7 @@
 	Seeds   []int64  `default:"11,12" help:"Seeds of each day."`
 	Without []string `help:"Mechanisms to leave out, one at a time; all by default."`
 	Jobs    int      `default:"4" help:"Plays at a time."`
+	Small   bool     `help:"Play the small twins of large days."`
 }
 
 // report is what is read of a play's report.
@@ -124,7 +125,11 @@
 	if without != "" {
 		why = "ablation: " + without + " left out"
 	}
-	if err := bench(a, folder, "run", a.Site, day, "--seed", strconv.FormatInt(seed, 10), "--no-cpu", "--report", path, "--why", why); err != nil {
+	words := []string{"run", a.Site, day, "--seed", strconv.FormatInt(seed, 10), "--no-cpu", "--report", path, "--why", why}
+	if a.Small {
+		words = append(words, "--small")
+	}
+	if err := bench(a, folder, words...); err != nil {
 		return err
 	}
 	text, err := os.ReadFile(path)
