What is diverted in a large fleet is spread over further homes

Cause: routers whose counts of each other are up to 1.2 s old pass over a home that is above its bound, and all take the next one until they hear that it is above it too. Ruled out: telling loads at once (engines above the bound are met 35 times a second in the fleet, each a flood of 9,700 datagrams). Change: by how far the homes before are above the bound a router knows how much came unseen, and draws one of as many further homes, eight at most. The near homes are looked for among the engines of the data centre only, which is the same choice.

--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -61,12 +61,17 @@
 		own := b.boundOver(left, now)
 		fits = func(r *replica) bool { return b.load(r, now) < own }
 	}
-	nearFits := func(r *replica) bool { return r.DataCentre == q.DataCentre && fits(r) }
-	chosen, held := b.firstOf(left, key, nearFits, now)
+	var near []*replica
+	for _, r := range left {
+		if r.DataCentre == q.DataCentre {
+			near = append(near, r)
+		}
+	}
+	chosen, held := b.firstOf(near, key, fits, bound, now)
 	if (held || chosen != nil && keptNear(q.Parts)) && !b.without.Has(mechanism.Near) {
 		return chosen, home, reasonFor(chosen, home, Near, lastResort)
 	}
-	chosen, held = b.firstOf(left, key, fits, now)
+	chosen, held = b.firstOf(left, key, fits, bound, now)
 	if held {
 		return chosen, home, reasonFor(chosen, home, Holder, lastResort)
 	}
@@ -78,14 +83,14 @@
 //
 // A part of which no holder is known goes to its first home only: at a second one
 // it would be read again, which costs more than waiting for the first reading.
-func (b *Balancer) firstOf(list []*replica, key uint64, fits func(*replica) bool, now time.Time) (first *replica, held bool) {
+func (b *Balancer) firstOf(list []*replica, key uint64, fits func(*replica) bool, bound float64, now time.Time) (first *replica, held bool) {
 	first = firstByHome(list, key, func(r *replica) bool {
 		return b.holders.holds(key, r.ID, now) && fits(r)
 	})
 	if first != nil {
 		return first, true
 	}
-	return firstByHome(list, key, fits), false
+	return b.spread(list, key, fits, firstByHome(list, key, fits), bound, now), false
 }
 
 // leastLoaded returns the replica with the least load.
--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,16 +11,9 @@
 )
 
 // plainFleet plays a large fleet of routers before a plain service whose replicas work
-// on some requests, queue some more and turn the rest away. What routers run reaches
-// the others by lines, as in a large fleet: each tells its line each 0.6 s, and each
-// line's sum reaches each router each 0.6 s.
+// on some requests, queue some more and turn the rest away.
 type plainFleet struct {
-	random   *rand.Rand
-	now      time.Time
-	events   eventQueue
-	routers  []*Balancer
-	told     []map[uint32]int
-	lines    int
+	*tellingFleet
 	replicas map[string]*plainReplica
 	// perSecond are the requests of all callers, by when.
 	perSecond func(at time.Duration) float64
@@ -37,8 +28,6 @@
 	plainRate  = 410.0
 	plainWork  = 60 * time.Millisecond
 	plainAim   = 300 * time.Millisecond
-	// plainRound is a round of telling in a large fleet.
-	plainRound = 600 * time.Millisecond
 	// plainSpread is the standard deviation of the logarithm of the work.
 	plainSpread = 0.47
 )
@@ -63,41 +52,16 @@
 	sent, shed int
 }
 
-type fleetEvent struct {
-	at time.Time
-	do func()
-}
-
-type eventQueue []fleetEvent
-
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(fleetEvent)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newPlainFleet(seed uint64, routers, replicas int) *plainFleet {
 	f := &plainFleet{
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		now:       start,
-		lines:     16,
-		replicas:  make(map[string]*plainReplica),
-		perSecond: func(time.Duration) float64 { return plainRate },
+		tellingFleet: newTellingFleet(seed, routers, 16),
+		replicas:     make(map[string]*plainReplica),
+		perSecond:    func(time.Duration) float64 { return plainRate },
 	}
 	for i := range replicas {
 		id := fmt.Sprintf("p-%d", i)
 		f.replicas[id] = &plainReplica{id: id}
 	}
-	for i := range routers {
-		b := New(seed + uint64(i))
-		b.SetLarge(true)
-		f.routers = append(f.routers, b)
-		f.told = append(f.told, nil)
-	}
 	f.list()
 	return f
 }
@@ -135,63 +99,13 @@
 	f.list()
 }
 
-func (f *plainFleet) after(d time.Duration, do func()) {
-	heap.Push(&f.events, fleetEvent{f.now.Add(d), do})
-}
-
-// each repeats something once a round, from a random moment on.
-func (f *plainFleet) each(do func()) {
-	var again func()
-	again = func() {
-		do()
-		f.after(plainRound, again)
-	}
-	f.after(time.Duration(f.random.Float64()*float64(plainRound)), again)
-}
-
 // play plays for a time and returns what callers got.
 func (f *plainFleet) play(length time.Duration) plainStats {
-	end := f.now.Add(length)
-	for router := range f.routers {
-		f.each(func() { f.tell(router) })
-		for line := range f.lines {
-			f.each(func() { f.relay(line, router) })
-		}
-	}
 	f.after(0, f.arrive)
-	for len(f.events) > 0 && f.events[0].at.Before(end) {
-		next := heap.Pop(&f.events).(fleetEvent)
-		f.now = next.at
-		next.do()
-	}
+	f.run(length)
 	return f.stats
 }
 
-func (f *plainFleet) tell(router int) {
-	counts := make(map[uint32]int)
-	for _, c := range f.routers[router].Tell(f.now).Running {
-		counts[c.Replica] = c.Running
-	}
-	f.told[router] = counts
-}
-
-func (f *plainFleet) relay(line, router int) {
-	sums := make(map[uint32]int)
-	for other := line; other < len(f.routers); other += f.lines {
-		if other != router {
-			for replica, n := range f.told[other] {
-				sums[replica] += n
-			}
-		}
-	}
-	var told LineTold
-	for replica, n := range sums {
-		told.Named = append(told.Named, Count{replica, n})
-	}
-	slices.SortFunc(told.Named, func(a, b Count) int { return cmp.Compare(a.Replica, b.Replica) })
-	f.routers[router].MergeLine(Line{line, f.lines}, told, Rumors{}, f.now)
-}
-
 func (f *plainFleet) arrive() {
 	rate := f.perSecond(f.now.Sub(start))
 	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), f.arrive)
