--- a/pkg/balance/enginefleet_test.go
+++ b/pkg/balance/enginefleet_test.go
@@ -53,8 +53,6 @@
 	tokenPauseMore  = 0.029e-3
 	// capFactor and capSlack are what the users allow an engine above the mean.
 	capFactor, capSlack = 2.0, 3.0
-	// againWithin is how long after its last use a part counts as read again.
-	againWithin = 10 * time.Second
 )
 
 type simEngine struct {
