Event 301 says what happened; datagrams not sent are told; Retries.Left goes

Event 301 said that a target was set aside also where a failure was only evidence (open in docs/findings.md); it says that the target failed a request, and that 410 tells whether it is passed over. croftyard_peers_unsent counts datagrams that could not be sent. admission.Retries.Left had no caller.

--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -82,6 +82,7 @@
 		{Name: "croftyard_peers_routers", Value: float64(e.gossip.Members())},
 		{Name: "croftyard_peers_sent_bytes", Value: float64(sent)},
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
+		{Name: "croftyard_peers_unsent", Value: float64(e.gossip.Unsent())},
 		{Name: "croftyard_front_active", Value: float64(e.front.Active())},
 		{Name: "croftyard_front_connections_idle", Value: float64(e.pool.Idle())},
 		{Name: "croftyard_log_lines_dropped", Value: float64(e.outside.LogDropped())},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,7 +89,7 @@
 	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
 	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
 	ConfigAbsent:      {logrus.WarnLevel, "no configuration found yet", "Apply one with croftyardctl apply; the process is not ready before."},
-	EngineSuspect:     {logrus.WarnLevel, "target does not answer, set aside", "If it lasts, look at the target. It is tried again by itself."},
+	EngineSuspect:     {logrus.WarnLevel, "target failed a request", "If it lasts, look at the target. It is passed over only where that stands out against the others; 410 tells."},
 	EngineBack:        {logrus.InfoLevel, "target answers again", "None needed."},
 	TargetLeaving:     {logrus.InfoLevel, "target leaves, no new work for it", "None needed."},
 	LayoutChanged:     {logrus.DebugLevel, "engines divided anew", "None needed."},
--- a/internal/why/why_test.go
+++ b/internal/why/why_test.go
@@ -11,8 +11,8 @@
 )
 
 const lines = `router r1: some other text
-  12.1 r1 {"event":301,"instance":"r1","msg":"target does not answer, set aside","replica":"a","kind":"broke","time":"2026-01-02T00:00:01Z"}
-  12.2 r1 {"event":301,"instance":"r1","msg":"target does not answer, set aside","replica":"b","kind":"broke","time":"2026-01-02T00:00:01.1Z"}
+  12.1 r1 {"event":301,"instance":"r1","msg":"target failed a request","replica":"a","kind":"broke","time":"2026-01-02T00:00:01Z"}
+  12.2 r1 {"event":301,"instance":"r1","msg":"target failed a request","replica":"b","kind":"broke","time":"2026-01-02T00:00:01.1Z"}
 {"event":501,"instance":"r1","msg":"platform's service does not answer","time":"2026-01-02T00:00:01.5Z"}
 {"event":403,"instance":"r1","msg":"answer broken off","request":"x","replica":"a","status":502,"reason":"no answer","time":"2026-01-02T00:00:03Z"}
 {"event":410,"instance":"r1","msg":"replica chosen","request":"x","replica":"a","why":"home","copy_from":"","time":"2026-01-02T00:00:02Z"}
@@ -35,7 +35,7 @@
   +1.000 s  r1  403 answer broken off  replica=a  reason=no answer  status=502
 
 what its routers came to believe, from 5s before
-  -1.000 s  r1  301 target does not answer, set aside  replica=a  kind=broke
+  -1.000 s  r1  301 target failed a request  replica=a  kind=broke
   -0.500 s  r1  501 platform's service does not answer
 `, out.String())
 }
--- a/pkg/admission/retries.go
+++ b/pkg/admission/retries.go
@@ -43,13 +43,6 @@
 	r.left = min(r.left+r.earned, r.reserve)
 }
 
-// Left tells whether there is a retry in the budget.
-func (r *Retries) Left() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.left >= 1
-}
-
 // Spend takes one retry from the budget and tells whether there was one.
 func (r *Retries) Spend() bool {
 	r.mu.Lock()
