--- a/pkg/balance/engineload_test.go
+++ b/pkg/balance/engineload_test.go
@@ -69,3 +69,17 @@
 	assert.Less(t, got.worstOver(), 0.03)
 	assert.GreaterOrEqual(t, float64(got.inAim)/float64(got.asked), 0.99)
 }
+
+// The same of the largest prompts: some 73 a second at one home, each for 0.3 s, so that
+// they come and go between two tellings. 20 in 1,000 requests come before anybody can
+// know of it. A home that is seen to be full is passed over by all, empties, and gets
+// all again: 50 in 1,000 of the worst five seconds come to engines above what the users
+// allow.
+func TestASessionThatDrawsAPartOfTheLargestPromptsIsSpread(t *testing.T) {
+	const warm, length = 8 * time.Second, 7 * time.Second
+	f := newEngineFleet(1, 148, 8, 120)
+	f.hot(0, 0.28, warm, warm+length)
+	got := f.play(warm, length)
+	t.Logf("above %.4f, asked %d, in time %d, copied %d", got.worstOver(), got.asked, got.inAim, got.copied)
+	assert.Less(t, got.worstOver(), 0.03)
+}
--- a/pkg/balance/spread.go
+++ b/pkg/balance/spread.go
@@ -40,7 +40,7 @@
 		}
 	}
 	most := min(1+int(above/(spreadRoom*bound)), spreadMost, len(homes))
-	if most == 1 {
+	if most <= 1 {
 		return first
 	}
 	slices.SortFunc(homes, func(x, y *replica) int { return cmp.Compare(homeRank(y, key), homeRank(x, key)) })
