--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -50,7 +50,7 @@
 		}
 	}
 	d.hello.Member, d.hello.HeardMs = g.rows(now)
-	if large && g.hellos%aliveRounds == 0 {
+	if large && g.round/largeRounds%aliveRounds == 0 {
 		d.line.Alive = g.members.Alive(now)
 	}
 	return d
