The wait of a request is explained by its caller

The comment gave what holding is charged as the reason for an eighth of the target. The reason is what coming back takes; the figure stays. No other change.

--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -9,9 +9,10 @@
 )
 
 // A request waits only for something that is expected to change, and no longer than
-// it costs little: by the users' prices holding a request that is then not served
-// costs nothing up to an eighth of its target time, and its whole worth at three
-// quarters of its time.
+// its caller would take to come back: a refusal brings it to another router, which may
+// serve it at once, after retryElsewhere and a new connection, some 60 ms. An eighth of
+// the users' targets, 300 to 600 ms, is 38 to 75 ms; where the target is longer the
+// caller has more time to lose by a second way.
 const (
 	waitPart = 8
 	// proofPart is for a proof: one that comes within half the target leaves the time
