Soak: an address is handed out to one router only

Runs are played three at a time in one process, and each drew its routers' addresses by opening and closing listeners: until a router has started, or while it is restarted, its address is free and may be drawn for a router of another run. That router then finds it taken for as long as the other one runs. Ruled out: datagrams of routers (another host number of the loopback is used by nobody else); outgoing connections (they come from 127.0.0.1). Change: addresses that were handed out are not handed out again; what a router wrote last is told with its unasked end, so that the next such line names its cause.

--- a/test/soak/router.go
+++ b/test/soak/router.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -65,11 +66,21 @@
 	defer r.mu.Unlock()
 	life.Ended = time.Now()
 	if !r.asked {
-		r.record.problem("%s life %d ended by itself: %v", r.name, life.Number, err)
+		r.record.problem("%s life %d ended by itself: %v, after: %s", r.name, life.Number, err, r.lastWords())
 	}
 	close(ended)
 }
 
+// lastWords is the last line that the processes of this place have written.
+func (r *router) lastWords() string {
+	text, err := os.ReadFile(r.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal. One that ends the process is noted before.
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -126,20 +126,42 @@
 	return fmt.Sprintf("127.%d.%d.%d:0", lowest+pid/perByte%usable, pid%perByte, host)
 }
 
-// freeAddresses returns addresses for processes that are to be started, each another.
+// given are the addresses that were handed out for routers. Runs play beside each other,
+// and an address is free while its router has not started or is restarted: one that was
+// given to a router of another run then keeps this one from ever being ready.
+var given = struct {
+	sync.Mutex
+	addresses map[string]bool
+}{addresses: make(map[string]bool)}
+
+// freeAddresses returns addresses for processes that are to be started, each another
+// and none that was returned before.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
+	for len(out) < n {
 		l, err := net.Listen("tcp", ownAddress(routerHost))
 		if err != nil {
 			return nil, fmt.Errorf("soak: %w", err)
 		}
 		defer l.Close()
-		out = append(out, l.Addr().String())
+		if address := l.Addr().String(); give(address) {
+			out = append(out, address)
+		}
 	}
 	return out, nil
 }
 
+// give tells whether an address is handed out for the first time.
+func give(address string) bool {
+	given.Lock()
+	defer given.Unlock()
+	if given.addresses[address] {
+		return false
+	}
+	given.addresses[address] = true
+	return true
+}
+
 // open starts the next incarnation at a seat and lists it.
 func (w *world) open(s *seat, address string, linked bool) error {
 	s.mu.Lock()
