Front: a request that comes after the cut is not sent

Cause: TestCallersAreToldOfACut failed once: after a cut a request got 502 where 503, not run, is due, since it had reached its replica. The end of a request at a cut was told by context.AfterFunc, which runs in a goroutine of its own even if the cut has been: on a kept connection the request was written before it. Ruled out: the test's own order (the first answer is read, so the cut has been). Change: a request that begins after the cut is ended before it is dispatched. Shown by TestNothingIsSentAfterACut: 500 requests after a cut; on the code before it failed in three of three runs, now in none of three.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -104,6 +104,10 @@
 	defer cancel()
 	// Not the request's own: that it ends means that the caller left.
 	defer context.AfterFunc(c.front.cutting, cancel)()
+	if c.front.cutting.Err() != nil {
+		// That is told in a goroutine of its own, which a request may be ahead of.
+		cancel()
+	}
 	c.dispatch(ctx)
 }
 
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -66,6 +66,24 @@
 	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "it has not run")
 }
 
+// What comes after the cut is refused before it is sent: it was sent first where the
+// request's end was only told to it by another goroutine.
+func TestNothingIsSentAfterACut(t *testing.T) {
+	const requests = 500
+	address, arrivals := replica(t, func(http.ResponseWriter, *http.Request) {})
+	r := newRig(t, address)
+	response, _, err := r.send(t, "POST", "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode, "the connection to the replica rests")
+	r.front.Cut()
+	for range requests {
+		response, _, err := r.send(t, "POST", "/once/", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	}
+	assert.EqualValues(t, 1, arrivals.Load())
+}
+
 // An answer may begin long after its request came: the stop is told in the head of each
 // answer that begins after it, not only of those whose request came after it.
 func TestAnAnswerThatBeginsAfterTheStopIsTheLastOfItsConnection(t *testing.T) {
