Gossip: who knows passes on no more than its link carries

All were answered: 99 lists of 3,000 replicas are 5.6 MB, 2.3 s over 20 Mbit/s, and each asking router gives up after 1 s, so none has it, asks again, and after 1.5 s reads the store itself, as all others do. Ruled out: a longer time for learning alone (the answers are still all late, and a teacher that died is noticed later); choosing teachers by name (who knows changes). Change: a router answers at most 0.3 s ahead of 1 MB a second; who is not answered asks whoever it hears from next, of whom there are soon more. croftyard_peers_refused counts them. Tests: TestWhatIsPassedOnLeavesInTime, TestWhoIsNotAnsweredLearnsLater.

--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -83,6 +83,7 @@
 		{Name: "croftyard_peers_sent_bytes", Value: float64(sent)},
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
 		{Name: "croftyard_peers_unsent", Value: float64(e.gossip.Unsent())},
+		{Name: "croftyard_peers_refused", Value: float64(e.gossip.Refused())},
 		{Name: "croftyard_front_active", Value: float64(e.front.Active())},
 		{Name: "croftyard_front_connections_idle", Value: float64(e.pool.Idle())},
 		{Name: "croftyard_log_lines_dropped", Value: float64(e.outside.LogDropped())},
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -89,6 +89,9 @@
 	recalled atomic.Bool
 	// learning: another router is being asked for its knowledge.
 	learning atomic.Bool
+	// teaching bounds what is passed on; refused counts who was not answered for it.
+	teaching teaching
+	refused  atomic.Uint64
 	// config and listing are what was passed on last.
 	config  atomic.Pointer[packed[uint64]]
 	listing atomic.Pointer[packed[listKey]]
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -110,6 +112,11 @@
 	if r.Holders && g.recalled.Load() {
 		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(time.Now()))
 	}
+	if !g.teaching.take(proto.Size(reply), time.Now()) {
+		// The caller goes on with what it has, and asks whoever it hears from next.
+		g.refused.Add(1)
+		return &gossippb.KnowledgeReply{}, nil
+	}
 	g.meter.Received(r, reply)
 	return reply, nil
 }
--- /dev/null
+++ b/internal/gossip/teach.go
@@ -0,0 +1,46 @@
+package gossip
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// teachRate is how much knowledge a router passes on, in bytes a second: most of a
+	// link of 10 Mbit/s, the narrowest that the users have.
+	teachRate = 1 << 20
+	// teachAhead is how much may be on its way, as time at teachRate. What is answered
+	// last so comes well within learnTimeout.
+	teachAhead = 300 * time.Millisecond
+)
+
+// teaching bounds what a router passes on. When a large fleet starts, or the operator
+// changes much, some hundred ask the few that know at once. If all were answered none
+// would have its answer in time: 99 lists of 3,000 replicas, 5.6 MB, take 2.3 s over
+// 20 Mbit/s, and a second is all that the asking router waits. So a few are answered at
+// a time, and those can answer the others.
+//
+// It is safe for concurrent use.
+type teaching struct {
+	mu sync.Mutex
+	// until is when all that was answered has left, by teachRate.
+	until time.Time
+}
+
+// take tells whether an answer of some bytes may leave now.
+func (t *teaching) take(bytes int, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.until.Sub(now) > teachAhead {
+		return false
+	}
+	if t.until.Before(now) {
+		t.until = now
+	}
+	t.until = t.until.Add(time.Duration(float64(bytes) / teachRate * float64(time.Second)))
+	return true
+}
+
+// Refused returns how many questions for knowledge were not answered since too much was
+// on its way.
+func (g *Gossip) Refused() uint64 { return g.refused.Load() }
--- /dev/null
+++ b/internal/gossip/teach_test.go
@@ -0,0 +1,45 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/follow"
+)
+
+func TestWhatIsPassedOnLeavesInTime(t *testing.T) {
+	var taught teaching
+	now := time.Now()
+	const list = 57 << 10
+	answered := 0
+	for range 99 {
+		if taught.take(list, now) {
+			answered++
+		}
+	}
+	assert.Equal(t, 6, answered, "at once")
+	assert.Less(t, float64(answered*list)/teachRate, learnTimeout.Seconds()/2)
+	for ms := range 1000 {
+		if taught.take(list, now.Add(time.Duration(ms)*time.Millisecond)) {
+			answered++
+		}
+	}
+	assert.InDelta(t, teachRate/list+6, answered, 1, "then as many as the link carries")
+	assert.True(t, taught.take(64<<20, now.Add(time.Minute)), "what is larger than all that goes alone")
+}
+
+// Who is not answered goes on with what it has, and learns later.
+func TestWhoIsNotAnsweredLearnsLater(t *testing.T) {
+	teacher, learner := newRestingRouter(t, &source{}), newRestingRouter(t, &source{})
+	teacher.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
+	require.True(t, teacher.gossip.teaching.take(1<<30, time.Now()))
+	learner.gossip.learn(t.Context(), teacher.gossip.Address())
+	assert.False(t, learner.follower.Known(), "a refusal says nothing")
+	assert.EqualValues(t, 1, teacher.gossip.Refused())
+	teacher.gossip.teaching.until = time.Time{}
+	learner.gossip.learn(t.Context(), teacher.gossip.Address())
+	assert.True(t, learner.follower.Known())
+}
