Soak: a request names the replica it is for

Cause: of 16 broken builds the soak did not catch the one that names no replica in its requests: an address that is used again is told from what stood there before only by that name, and that seldom happens within a run. Change: the stand-in of a replica notes the name that a request carries, and one without it, or with another, is UNASKED. This adds a check; no other changed.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -50,6 +50,8 @@
 type ReplicaRun struct {
 	Attempt  string
 	Instance string
+	// Expected is the instance that the request named, empty if none.
+	Expected string
 	Service  string
 	Method   string
 	Path     string
@@ -200,6 +202,7 @@
 	run := &ReplicaRun{
 		Attempt:  request.Header.Get(names.Attempt),
 		Instance: r.ID,
+		Expected: request.Header.Get(names.Expect),
 		Service:  r.Options.Service,
 		Method:   request.Method,
 		Path:     request.URL.RequestURI(),
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -218,6 +218,9 @@
 		c.add(Unasked, a.ID, "ran as %s %s %s, sent as %s %s %s", run.Method, run.Path, run.BodySum, a.Method, a.Path, a.BodySum)
 	case !a.Whole:
 		c.add(Unasked, a.ID, "ran at %s before its caller had sent all of it", run.Instance)
+	case run.Expected != run.Instance:
+		// An address that is used again is told from what stood there by the name only.
+		c.add(Unasked, a.ID, "ran at %s, named %q", run.Instance, run.Expected)
 	}
 	if run.Deadline <= 0 || run.Deadline > a.Deadline+deadlineSlack {
 		c.add(Budget, a.ID, "a replica was handed %s, the caller gave %s", run.Deadline, a.Deadline)
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -42,13 +42,13 @@
 			Whole: true, Sent: at(calm + i), LastByte: at(calm + i), End: at(calm + 100),
 		}
 		run := standin.ReplicaRun{
-			Attempt: id, Instance: "plain-0.1", Service: plain, Method: a.Method, Path: a.Path, Tenant: "north", BodySum: "sum",
+			Attempt: id, Instance: "plain-0.1", Expected: "plain-0.1", Service: plain, Method: a.Method, Path: a.Path, Tenant: "north", BodySum: "sum",
 			Deadline: 4 * time.Second, At: at(calm + i + 1), Ended: at(calm + 90), Status: http.StatusOK, Signature: "sig-" + id,
 		}
 		a.Status, a.EchoedID, a.Signature, a.Complete = http.StatusOK, id, run.Signature, true
 		a.Body = standin.Reply(id, a.Method, a.Path, a.BodySum)
 		if id == streamID || id == resumeID {
-			run.Service, run.Instance, a.Events, a.Body = engines, "engines-0.1", streamEvents, ""
+			run.Service, run.Instance, run.Expected, a.Events, a.Body = engines, "engines-0.1", "engines-0.1", streamEvents, ""
 			for n := 1; n <= streamEvents; n++ {
 				a.Seen = append(a.Seen, Event{ID: fmt.Sprint(n), Data: standin.Piece(id, n, streamEvents)})
 			}
@@ -85,7 +85,7 @@
 // again adds another run of a request.
 func (h *History) again(id string, change func(*standin.ReplicaRun)) {
 	run := *h.run(id)
-	run.Instance, run.Signature = "plain-1.1", run.Signature+"-again"
+	run.Instance, run.Expected, run.Signature = "plain-1.1", "plain-1.1", run.Signature+"-again"
 	change(&run)
 	h.Runs = append(h.Runs, run)
 }
@@ -154,6 +154,8 @@
 		"a changed method":                {Unasked, func(h *History) { h.run(repeatID).Method = http.MethodGet }},
 		"a changed body":                  {Unasked, func(h *History) { h.run(repeatID).BodySum = "other" }},
 		"a run of half a request":         {Unasked, func(h *History) { h.attempt(repeatID).Whole = false }},
+		"a replica that is not named":     {Unasked, func(h *History) { h.run(repeatID).Expected = "" }},
+		"a replica of another name":       {Unasked, func(h *History) { h.run(repeatID).Expected = "plain-0.2" }},
 		"a tenant that the key is not of": {Unasked, func(h *History) { h.run(repeatID).Tenant = "south" }},
 		"a second run of what runs once":  {Twice, func(h *History) { h.again(onceID, func(*standin.ReplicaRun) {}) }},
 		"a second run of a stream that may not go on": {Twice, func(h *History) {
@@ -174,7 +176,7 @@
 		"a late request to a replica that drains": {Drain, func(h *History) {
 			h.Departures = []Departure{{Instance: "plain-0.1", Acked: at(calm - 2100)}}
 			h.Runs[0].Instance = "plain-0.1"
-			h.Runs[1].Instance = "plain-1.1"
+			h.Runs[1].Instance, h.Runs[1].Expected = "plain-1.1", "plain-1.1"
 		}},
 		"a run that no configuration allows": {Astray, func(h *History) { h.run(repeatID).Service = engines }},
 		"a run under a key that never was":   {Astray, func(h *History) { h.attempt(repeatID).Key = "never" }},
