Revert: a router that starts waits for the others before it reads a long list to its end

Ruled out, as far as a rig of real routers in one process goes: that knowledge does not spread (all know after 5 s with it, 10 s without). What stays: a whole read may take ten periods, each of its calls one; the bound on what is passed on; a list of replicas that was read alone is kept.

--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -58,7 +58,7 @@
 
 func (e *Entry) followOptions(s settings.Settings) follow.Options {
 	period := readPeriod(s.Bounds)
-	return follow.Options{Period: period, Timeout: readPeriods * period, FirstRead: firstRead(s), FirstMore: firstMore(s), Rank: e.rank}
+	return follow.Options{Period: period, Timeout: readPeriods * period, FirstRead: firstRead(s), Rank: e.rank}
 }
 
 // firstReadWait is how long routers wait for the seeds to tell them what they
@@ -75,16 +75,6 @@
 	return firstReadWait
 }
 
-// firstMore is how long a router that starts waits for the others once it finds that
-// all it has to read is long: as in a first start, but for the seeds, which all others
-// ask.
-func firstMore(s settings.Settings) time.Duration {
-	if slices.Contains(s.Peers.Seeds, s.Listen.Peers) {
-		return 0
-	}
-	return firstReadWait
-}
-
 // keyProof is the greatest age of the proof at which keys are believed.
 func keyProof(b settings.Bounds) time.Duration {
 	if !b.RevokeAlways {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -47,9 +47,7 @@
 // Source is where the configuration and the list of replicas are kept. Read
 // must be answered by the newest state, or fail.
 type Source interface {
-	// A read that takes several calls asks more before each but the first, and ends with
-	// its error. more may be nil.
-	Read(ctx context.Context, more func(context.Context) error) (Snapshot, error)
+	Read(ctx context.Context) (Snapshot, error)
 	// Replicas is Read without the configuration, for which Snapshot.Config is nil:
 	// the replicas and the evacuations.
 	// It may run beside Read.
@@ -64,9 +62,6 @@
 	Timeout time.Duration
 	// FirstRead is how long the first read waits for what other routers tell.
 	FirstRead time.Duration
-	// FirstMore is how long a router that knows nothing yet, and finds that all is more
-	// than one call's answer, waits for what other routers tell before it goes on.
-	FirstMore time.Duration
 	// Rank returns how many routers read before this one. It may be nil.
 	Rank func() int
 }
@@ -168,12 +163,8 @@
 	defer cancel()
 	sent := time.Now()
 	f.began(wholeRead, sent)
-	snapshot, err := (*f.source.Load()).Read(ctx, f.more())
+	snapshot, err := (*f.source.Load()).Read(ctx)
 	f.reads.Add(1)
-	if errors.Is(err, errTold) {
-		f.noteSource(nil, sent)
-		return nil
-	}
 	if err != nil {
 		f.failed.Add(1)
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -26,12 +26,12 @@
 }
 
 func (s *fakeSource) Replicas(ctx context.Context) (Snapshot, error) {
-	snapshot, err := s.Read(ctx, nil)
+	snapshot, err := s.Read(ctx)
 	snapshot.Config = nil
 	return snapshot, err
 }
 
-func (s *fakeSource) Read(ctx context.Context, _ func(context.Context) error) (Snapshot, error) {
+func (s *fakeSource) Read(ctx context.Context) (Snapshot, error) {
 	s.reads.Add(1)
 	select {
 	case <-time.After(s.delay):
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -53,12 +53,12 @@
 }
 
 func (s *fakeSource) Replicas(ctx context.Context) (follow.Snapshot, error) {
-	snapshot, err := s.Read(ctx, nil)
+	snapshot, err := s.Read(ctx)
 	snapshot.Config = nil
 	return snapshot, err
 }
 
-func (s *fakeSource) Read(ctx context.Context, _ func(context.Context) error) (follow.Snapshot, error) {
+func (s *fakeSource) Read(ctx context.Context) (follow.Snapshot, error) {
 	s.mu.Lock()
 	s.reads++
 	snapshot, err, silent := s.snapshot, s.err, s.silent
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -33,12 +33,12 @@
 }
 
 func (s *source) Replicas(ctx context.Context) (follow.Snapshot, error) {
-	snapshot, err := s.Read(ctx, nil)
+	snapshot, err := s.Read(ctx)
 	snapshot.Config = nil
 	return snapshot, err
 }
 
-func (s *source) Read(context.Context, func(context.Context) error) (follow.Snapshot, error) {
+func (s *source) Read(context.Context) (follow.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
--- a/internal/standin/store_test.go
+++ b/internal/standin/store_test.go
@@ -31,7 +31,7 @@
 	read := func() (int, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
-		snapshot, err := platform.NewStore("http://"+server.Address, time.Second, time.Minute).Read(ctx, nil)
+		snapshot, err := platform.NewStore("http://"+server.Address, time.Second, time.Minute).Read(ctx)
 		if err == nil {
 			assert.EqualValues(t, 7, snapshot.Config.Version)
 		}
