--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -64,6 +64,7 @@
 	HandlerFailed     ID = 415
 	ListOld           ID = 416
 	ListNew           ID = 417
+	ReplicaEnded      ID = 418
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	OrderLease        ID = 601
@@ -122,6 +123,7 @@
 	HandlerFailed:     {logrus.ErrorLevel, "the HTTP server reports a fault", "A fault in croftyard or a caller's broken request: report it with the text."},
 	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down: requests go by the list at hand. Else see why its answers are slow: past its greatest age (`drain`) requests go only to replicas whose own answers show that they stay."},
 	ListNew:           {logrus.InfoLevel, "list of replicas was renewed", "None needed."},
+	ReplicaEnded:      {logrus.WarnLevel, "replica ended while it ran a request", "Look whether one digest stands in such lines of several replicas: that request may be what ends them."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -157,7 +157,7 @@
 		return over
 	}
 	c.outcome.reason = "answer broken off: " + err.Error()
-	c.front.fail(c.id, choice.Replica.ID, balance.Broke)
+	c.broke(choice)
 	if resumable && time.Until(c.end) > 0 {
 		return c.repeat("stream broken off")
 	}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -48,6 +49,10 @@
 	// errored names the replicas that answered with an error of their own and
 	// are not yet blamed for it.
 	errored []string
+	// sentAt is when it was last sent to a replica.
+	sentAt time.Time
+	// named is the digest of the request, once it was asked for.
+	named *poison.Digest
 	// held counts how often it was held back once connected.
 	held int
 	// mayHaveRun: a replica may have begun to work on it.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -133,6 +133,7 @@
 	hung := c.whenSilent(c.hangTime(), id, cancel)
 	defer hung.Stop()
 	sent := time.Now()
+	c.sentAt = sent
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
 	request.Check = func() error { return c.mayWrite(id, time.Now()) }
@@ -140,7 +141,7 @@
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
 	if err != nil {
-		return c.failed(ctx, id, err)
+		return c.failed(ctx, choice, err)
 	}
 	defer answer.Close()
 	if hung.Stop() && c.service.Engine == nil {
@@ -198,7 +199,8 @@
 }
 
 // failed turns an attempt without an answer into a verdict.
-func (c *call) failed(ctx context.Context, id string, err error) verdict {
+func (c *call) failed(ctx context.Context, choice balance.Choice, err error) verdict {
+	id := choice.Replica.ID
 	c.outcome.reason = "no answer: " + err.Error()
 	if errors.Is(err, errCallerGone) {
 		c.callerGone()
@@ -226,7 +228,7 @@
 		return over
 	}
 	if !hung {
-		c.front.fail(c.id, id, balance.Broke)
+		c.broke(choice)
 	}
 	return c.repeat("broken")
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/upstream"
@@ -100,6 +102,8 @@
 	cutting context.Context
 	cut     context.CancelFunc
 	longest *admission.Longest
+	// looks are those that find out whether a replica has ended.
+	looks singleflight.Group
 }
 
 // New returns a front.
--- a/internal/front/moveon_test.go
+++ b/internal/front/moveon_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -79,7 +81,7 @@
 			func() {
 				// A call whose caller has left ends so.
 				defer func() { _ = recover() }()
-				c.failed(context.Background(), "r0", fmt.Errorf("%w: %w", upstream.ErrNotSent, test.err))
+				c.failed(context.Background(), balance.Choice{Replica: directory.Replica{ID: "r0"}}, fmt.Errorf("%w: %w", upstream.ErrNotSent, test.err))
 			}()
 			assert.Equal(t, test.blamed, r.front.balancer.Suspected("r0", time.Now()))
 			assert.False(t, c.mayHaveRun)
--- /dev/null
+++ b/internal/upstream/ended_test.go
@@ -0,0 +1,52 @@
+package upstream
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOnlyWhatListensNoMoreHasEnded(t *testing.T) {
+	tests := map[string]struct {
+		// serve is what befalls each connection, in order.
+		serve func(n int, l net.Listener, c net.Conn)
+		ended bool
+	}{
+		"it serves on":                               {serve: func(int, net.Listener, net.Conn) {}},
+		"it resets what is too much for it":          {serve: func(_ int, _ net.Listener, c net.Conn) { c.Close() }},
+		"it took one more connection while it ended": {serve: func(_ int, l net.Listener, c net.Conn) { l.Close(); c.Close() }, ended: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				for n := 0; ; n++ {
+					c, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					test.serve(n, listener, c)
+				}
+			}()
+			pool := New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTime: time.Minute})
+			assert.Equal(t, test.ended, pool.Ended(t.Context(), listener.Addr().String()))
+			if !test.ended && name == "it serves on" {
+				assert.Equal(t, 1, pool.Idle(), "the look's connection is kept")
+			}
+		})
+	}
+}
+
+func TestNothingListensWhereAProcessEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	pool := New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTime: time.Minute})
+	assert.True(t, pool.Ended(t.Context(), address))
+}
--- /dev/null
+++ b/pkg/poison/poison.go
@@ -0,0 +1,2 @@
+// Package poison recognises requests that crash the replicas which run them.
+package poison
