Failing test: a request that crashes replicas is sent on and on, callers beside it starve

Cause: a router knows a request by its attempt's id, which is new at each try; what it did to a replica is forgotten with the try and told to nobody. By the test, not yet mended.

Stand-in replicas take what crashes them as an option.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -25,6 +25,9 @@
 	// Without pieces answers are plain.
 	Pieces int
 	Gap    time.Duration
+	// Deadly tells whether a request crashes the replica, and how long it runs before. It
+	// may be nil.
+	Deadly func(body []byte) (after time.Duration, deadly bool)
 }
 
 // Replica is the stand-in of a replica: one incarnation of it. Its answer names the
@@ -121,6 +124,9 @@
 	}
 }
 
+// Ended returns a channel that is closed when the replica has crashed or left.
+func (r *Replica) Ended() <-chan struct{} { return r.ended }
+
 // EndedAt returns when it crashed; it is asked of one that did.
 func (r *Replica) EndedAt() time.Time {
 	<-r.ended
@@ -179,6 +185,11 @@
 	}
 	run := r.begin(request, body)
 	defer r.end(run, request)
+	if r.Options.Deadly != nil {
+		if after, deadly := r.Options.Deadly(body); deadly {
+			r.die(after, w, request, run)
+		}
+	}
 	if fault := r.nextFault(); fault != "" {
 		r.fail(fault, w, request, run)
 		return
--- a/internal/standin/replica_faults.go
+++ b/internal/standin/replica_faults.go
@@ -102,6 +102,20 @@
 	panic(http.ErrAbortHandler)
 }
 
+// die runs a request that crashes the replica after a time, with the head of an answer
+// and half of its body out if the replica answers plainly, or the events that are due.
+func (r *Replica) die(after time.Duration, w http.ResponseWriter, request *http.Request, run *ReplicaRun) {
+	r.change(run, func() { run.Broken = true })
+	begun := time.Now()
+	if r.Options.Pieces > 0 {
+		r.stream(w, request, run, run.After+2)
+	}
+	if r.pause(request, after-time.Since(begun)) {
+		r.Crash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // raw writes bytes that a server of the library would not.
 func (r *Replica) raw(fault ReplicaFault, w http.ResponseWriter, run *ReplicaRun) {
 	conn, _, err := http.NewResponseController(w).Hijack()
