A request that crashes replicas is known again, held after the third, and refused at once

Cause: routers knew a request by its attempt's id only and forgot with the try what it had done to its replica; nobody told another router.

Ruled out: counting broken answers as crashes (a lost answer, a reset and a cut link look the same); telling marks with the rumors to some partners (the rule counts from the third crash); an owner a request that counts alone (it may be the router that died); holding at the second crash (not measured: every request that was beside two crashes would be refused).

Change: pkg/poison keeps a mark per request and crashed replica. A mark is made by each request in flight when nothing listens at the replica's address after the break; a whole answer takes all earlier ones back. Marks are told to all partners at once, in each round for 2 s, and with each hello. At two in a row a request runs once at a time at a router and is not repeated, at three it is refused with 503 and the time for which it is held, [routes] crash_hold; one router tries it then. It is looked at before each send and again when the connection is there.

The class is: what is tried again elsewhere without a memory of what it did there.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/poison"
 )
 
 // ErrCut: the stop's limit was reached with requests in flight.
@@ -60,6 +61,7 @@
 	log      *event.Log
 	holder   *freshness.Holder
 	balancer *balance.Balancer
+	poison   *poison.Memory
 	follower *follow.Follower
 	pool     *upstream.Pool
 	front    *front.Front
@@ -124,8 +126,9 @@
 			e.log.Write(event.ConnsSilent, event.F("address", address), event.F("dropped", dropped))
 		},
 	})
+	e.poison = newPoison(e.settings.Routes, e.log)
 	var err error
-	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period},
+	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period, Poison: e.poison},
 		e.follower, e.balancer, e.log)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
@@ -134,6 +137,8 @@
 		Dialect:    e.outside.Dialect,
 		DataCentre: e.settings.DataCentre,
 		Limits:     frontLimits(b),
+		Poison:     e.poison,
+		Mine:       e.gossip.Mine,
 		Without:    e.settings.Without,
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	limits := front.NewConnLimits(e.holder, e.log)
@@ -162,6 +167,7 @@
 	e.follower.Set(e.source(s), e.followOptions(s))
 	e.bounds.Store(&s.Bounds)
 	e.front.SetLimits(frontLimits(s.Bounds))
+	e.poison.SetLimits(poisonLimits(s.Routes))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
 	e.balancer.SetColdBounds(coldBounds(s.Bounds))
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
--- /dev/null
+++ b/internal/entry/poison.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/pkg/poison"
+)
+
+func poisonLimits(r settings.Routes) poison.Limits {
+	return poison.Limits{Crashes: r.Crashes, Hold: r.CrashHold}
+}
+
+// newPoison returns a memory of marks against requests whose changes are logged.
+func newPoison(r settings.Routes, log *event.Log) *poison.Memory {
+	return poison.New(poison.Options{
+		Limits: poisonLimits(r),
+		Held: func(d poison.Digest, crashes int, hold time.Duration) {
+			log.Write(event.RequestHeld, event.F("digest", d.String()), event.F("crashes", crashes), event.F("hold_ms", hold.Milliseconds()))
+		},
+		Cleared: func(d poison.Digest) { log.Write(event.RequestCleared, event.F("digest", d.String())) },
+	})
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -65,6 +65,8 @@
 	ListOld           ID = 416
 	ListNew           ID = 417
 	ReplicaEnded      ID = 418
+	RequestHeld       ID = 419
+	RequestCleared    ID = 420
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	OrderLease        ID = 601
@@ -124,6 +126,8 @@
 	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down: requests go by the list at hand. Else see why its answers are slow: past its greatest age (`drain`) requests go only to replicas whose own answers show that they stay."},
 	ListNew:           {logrus.InfoLevel, "list of replicas was renewed", "None needed."},
 	ReplicaEnded:      {logrus.WarnLevel, "replica ended while it ran a request", "Look whether one digest stands in such lines of several replicas: that request may be what ends them."},
+	RequestHeld:       {logrus.WarnLevel, "request is taken to crash what runs it, refused from now on", "Its 418 lines, by digest, name requests, route and replicas: tell who sends it. It is tried again when its hold (`crash_hold`) is over."},
+	RequestCleared:    {logrus.InfoLevel, "request that was held was answered whole, served again", "None needed."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -63,6 +63,7 @@
 		err = c.passBytes(answer)
 	}
 	if err == nil {
+		c.endedWell(answer.StatusCode)
 		c.notePace(choice.Replica.ID)
 		c.front.longest.Took(c.route.Name, time.Since(c.arrival), time.Now())
 		c.finished(outcomeServed, answer.StatusCode, "")
@@ -226,6 +227,9 @@
 	f := c.front
 	took := time.Since(c.arrival)
 	f.metrics.Ended(c.name(), c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
+	if c.alone {
+		f.poison.End(c.digest())
+	}
 	id, written := c.endEvent()
 	if !written {
 		return
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -53,6 +53,11 @@
 	sentAt time.Time
 	// named is the digest of the request, once it was asked for.
 	named *poison.Digest
+	// looked is closed when it is known whether the replica that broke it off has ended.
+	looked <-chan struct{}
+	// alone: no other try of it is sent by this router meanwhile. trial: it was held
+	// before.
+	alone, trial bool
 	// held counts how often it was held back once connected.
 	held int
 	// mayHaveRun: a replica may have begun to work on it.
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -9,6 +10,15 @@
 	"github.com/croftyard/croftyard/pkg/poison"
 )
 
+// A request may crash what runs it, and come again at any router under a new id:
+//
+//	broke ── nothing listens there any more ──> a mark against the request, told to all
+//	answered whole ──> no mark is left
+//	before it is sent ──> held at marks of so many replicas, refused at once
+//
+// Without this one body in 150 ms crashed some twenty of twelve replicas within 7 s, each
+// with all that ran there, and one in seven of the ordinary requests was served.
+
 // digest returns the digest of the request, the same for each of its tries.
 func (c *call) digest() poison.Digest {
 	if c.named == nil {
@@ -22,8 +32,52 @@
 	return *c.named
 }
 
-// lookTime bounds the look whether a replica has ended: a way that is cut tells nothing.
-const lookTime = time.Second
+// busyAfter is when to come back with a request that runs alone, while it runs: most
+// requests that crash their replica do so within some tenths of a second.
+const busyAfter = 500 * time.Millisecond
+
+// suspicion refuses a request that is taken to crash what runs it. It is true to call
+// it not run as long as no replica had it in this try.
+func (c *call) suspicion(now time.Time) *refusal {
+	memory := c.front.poison
+	if !memory.Any() {
+		return nil
+	}
+	v := memory.Ask(c.digest(), now)
+	switch {
+	case c.trial, v.State == poison.Sound:
+		return nil
+	case v.State == poison.Held:
+		return c.poisoned(v.After)
+	case c.sent.Load() > 0:
+		return c.poisoned(busyAfter)
+	case c.alone:
+		return nil
+	case v.State == poison.Trial && !c.front.mine(c.digest()), !memory.Begin(c.digest(), v.State, now):
+		return c.poisoned(busyAfter)
+	}
+	c.alone, c.trial = true, v.State == poison.Trial
+	return nil
+}
+
+func (c *call) poisoned(after time.Duration) *refusal {
+	c.front.metrics.Poisoned.Inc(1)
+	return &refusal{status: http.StatusServiceUnavailable, reason: "crashes what runs it", retryAfter: after}
+}
+
+// mine tells whether, of all routers, this one is to try a request that was held.
+func (f *Front) mine(d poison.Digest) bool {
+	return f.options.Mine == nil || f.options.Mine(d.String())
+}
+
+const (
+	// lookTime bounds the look whether a replica has ended: a way that is cut tells
+	// nothing.
+	lookTime = time.Second
+	// lookWait is how long a repeat waits for it: the way there and back, and the look
+	// after a connection that was opened.
+	lookWait = 60 * time.Millisecond
+)
 
 // broke notes that a replica broke the request off, and finds out beside the call whether
 // it has ended: a lost answer, a reset and a cut way look alike from here. One that leaves
@@ -34,13 +88,19 @@
 	if !f.follower.Ready(id) {
 		return
 	}
-	broke := time.Now()
-	fields := []event.Field{event.F("request", c.id), event.F("replica", id), event.F("digest", c.digest().String()),
+	broke, digest := time.Now(), c.digest()
+	fields := []event.Field{event.F("request", c.id), event.F("replica", id), event.F("digest", digest.String()),
 		event.F("route", c.route.Name), event.F("ran_ms", broke.Sub(c.sentAt).Milliseconds())}
+	looked := make(chan struct{})
+	c.looked = looked
 	go func() {
-		if f.ended(id, address) {
-			f.log.Write(event.ReplicaEnded, append(fields, event.F("seen_after_ms", time.Since(broke).Milliseconds()))...)
+		defer close(looked)
+		if !f.ended(id, address) {
+			return
 		}
+		now := time.Now()
+		f.poison.Crashed(digest, balance.Hash(id), broke, now)
+		f.log.Write(event.ReplicaEnded, append(fields, event.F("seen_after_ms", now.Sub(broke).Milliseconds()))...)
 	}()
 }
 
@@ -54,3 +114,26 @@
 	})
 	return ended == true
 }
+
+// awaitLook waits a moment until it is known what the last run did to its replica, so
+// that the next one is not sent in spite of it.
+func (c *call) awaitLook(ctx context.Context) {
+	if c.looked == nil {
+		return
+	}
+	timer := time.NewTimer(lookWait)
+	defer timer.Stop()
+	select {
+	case <-c.looked:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.looked = nil
+}
+
+// endedWell notes that a replica ran the request to its end.
+func (c *call) endedWell(status int) {
+	if status < http.StatusInternalServerError && c.front.poison.Any() {
+		c.front.poison.Served(c.digest(), time.Now())
+	}
+}
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -1,15 +1,20 @@
 package front
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/poison"
 )
 
 // ends serves requests with a handler on a listener that the handler may close.
@@ -57,3 +62,120 @@
 		})
 	}
 }
+
+// mark notes crashes against the request that send makes to a path with a body.
+func (r *rig) mark(path, body string, crashes int) poison.Digest {
+	digest := poison.Of("acme", http.MethodPost, "h", path, []byte(body))
+	r.front.poison.SetLimits(poison.Limits{Crashes: 3, Hold: time.Minute})
+	for n := range crashes {
+		r.front.poison.Crashed(digest, uint32(n+1), time.Now(), time.Now())
+	}
+	return digest
+}
+
+func TestARequestThatCrashesReplicasIsRefusedAtOnceAndToldForHowLong(t *testing.T) {
+	address, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whole")) })
+	r := newRig(t, address)
+	r.mark("/repeat/x", "deadly", 3)
+	answer, _, err := r.send(t, http.MethodPost, "/repeat/x", "deadly")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	after, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	assert.InDelta(t, time.Minute.Seconds(), after, 5)
+	assert.Zero(t, arrivals.Load())
+	for name, sent := range map[string][2]string{"another body": {"/repeat/x", "other"}, "another path": {"/repeat/y", "deadly"}, "no organisation": {"/open/x", "deadly"}} {
+		answer, _, err := r.send(t, http.MethodPost, sent[0], sent[1])
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.StatusCode, name)
+	}
+}
+
+// That it is held became known while it was connecting.
+func TestARequestThatCrashesReplicasIsNotWritten(t *testing.T) {
+	r := newRig(t, "127.0.0.1:1")
+	c := newCall(r.front, nil, httptest.NewRequest(http.MethodPost, "http://h/single/x", nil), time.Now())
+	require.NoError(t, c.mayWrite("r0", time.Now()))
+	digest := c.digest()
+	r.front.poison.SetLimits(poison.Limits{Crashes: 1, Hold: time.Minute})
+	r.front.poison.Crashed(digest, 1, time.Now(), time.Now())
+	assert.ErrorIs(t, c.mayWrite("r0", time.Now()), errHeldBack)
+}
+
+// Under one of its tries the last replica that it may crash ended: what ran may not be
+// called not run, and no further replica gets it.
+func TestARequestIsNotRepeatedOnceItIsHeld(t *testing.T) {
+	deadly := ends(t, func(l net.Listener, _ http.ResponseWriter) { l.Close() })
+	r := newRig(t, deadly)
+	for n := range 3 {
+		r.source.snapshot.Replicas = append(r.source.snapshot.Replicas, directory.Replica{ID: fmt.Sprint("s", n), Service: "s", DataCentre: "here",
+			Address: ends(t, func(l net.Listener, _ http.ResponseWriter) { l.Close() })})
+	}
+	r.follower.Take(r.source.snapshot, time.Now())
+	r.mark("/repeat/x", "deadly", 1)
+	answer, _, err := r.send(t, http.MethodPost, "/repeat/x", "deadly")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, answer.StatusCode)
+	assert.EqualValues(t, 1, r.log.Count(event.ReplicaEnded), "it was not repeated after the second crash")
+	answer, _, err = r.send(t, http.MethodPost, "/repeat/x", "deadly")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, answer.StatusCode)
+	answer, _, err = r.send(t, http.MethodPost, "/repeat/x", "deadly")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	assert.EqualValues(t, 2, r.log.Count(event.ReplicaEnded))
+}
+
+func TestAWholeAnswerClearsARequestAndItsFirstBytesDoNot(t *testing.T) {
+	broken := false
+	address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("half"))
+		if broken {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	r := newRig(t, address)
+	digest := r.mark("/single/x", "body", 2)
+	broken = true
+	_, _, _ = r.send(t, http.MethodPost, "/single/x", "body")
+	assert.Equal(t, poison.Alone, r.front.poison.Ask(digest, time.Now()).State)
+	broken = false
+	_, _, err := r.send(t, http.MethodPost, "/single/x", "body")
+	require.NoError(t, err)
+	for r.front.poison.Ask(digest, time.Now()).State != poison.Sound {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestASuspectRunsOnceAtATimeAndATrialAtOneRouterOnly(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-finish
+	})
+	r := newRig(t, address)
+	r.mark("/single/x", "body", 2)
+	first := make(chan int)
+	go func() {
+		answer, _, err := r.send(t, http.MethodPost, "/single/x", "body")
+		if err != nil {
+			first <- 0
+			return
+		}
+		first <- answer.StatusCode
+	}()
+	<-begun
+	answer, _, err := r.send(t, http.MethodPost, "/single/x", "body")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	close(finish)
+	assert.Equal(t, http.StatusOK, <-first)
+
+	digest := r.mark("/single/y", "body", 3)
+	r.front.poison.SetLimits(poison.Limits{Crashes: 3})
+	r.front.options.Mine = func(task string) bool { return task != digest.String() }
+	answer, _, err = r.send(t, http.MethodPost, "/single/y", "body")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, "another router tries it")
+}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -36,6 +36,7 @@
 			c.callerGone()
 			return
 		}
+		c.awaitLook(ctx)
 		if refused := c.mayStillSend(ctx); refused != nil {
 			c.giveUp(refused)
 			return
@@ -100,7 +101,10 @@
 	if ctx.Err() != nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
 	}
-	return c.admit(ctx)
+	if refused := c.admit(ctx); refused != nil {
+		return refused
+	}
+	return c.suspicion(time.Now())
 }
 
 // noteList writes when the list of replicas could not be renewed, and when it was
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/poison"
 )
 
 // Dialect holds the names and forms in which callers, routers and replicas
@@ -57,6 +58,10 @@
 	// DataCentre is the router's.
 	DataCentre string
 	Limits     Limits
+	// Poison holds the marks against requests; nil: marks of its own.
+	Poison *poison.Memory
+	// Mine tells whether, of all routers, this one is to do a task; nil: it is.
+	Mine func(task string) bool
 	// Without are mechanisms that an experiment leaves out.
 	Without mechanism.Set
 }
@@ -83,6 +88,7 @@
 	follower *follow.Follower
 	holder   *freshness.Holder
 	balancer *balance.Balancer
+	poison   *poison.Memory
 	pool     *upstream.Pool
 	log      *event.Log
 	metrics  *Metrics
@@ -108,11 +114,15 @@
 
 // New returns a front.
 func New(o Options, f *follow.Follower, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
+	if o.Poison == nil {
+		o.Poison = poison.New(poison.Options{})
+	}
 	front := &Front{
 		options:  o,
 		follower: f,
 		holder:   h,
 		balancer: b,
+		poison:   o.Poison,
 		pool:     p,
 		log:      log,
 		metrics:  m,
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -10,9 +10,11 @@
 // Metrics are the figures of a front. Times are in milliseconds. Names follow
 // croftyard.PART.WHAT[_UNIT][.LABEL]; docs/METRICS.md lists them.
 type Metrics struct {
-	Registry  gometrics.Registry
-	Repeats   gometrics.Counter
-	Opened    gometrics.Counter
+	Registry gometrics.Registry
+	Repeats  gometrics.Counter
+	Opened   gometrics.Counter
+	// Poisoned counts refusals of requests that are taken to crash what runs them.
+	Poisoned  gometrics.Counter
 	FirstByte gometrics.Histogram
 	Whole     gometrics.Histogram
 
@@ -38,6 +40,7 @@
 		Registry:  r,
 		Repeats:   gometrics.NewRegisteredCounter("croftyard.front.repeats", r),
 		Opened:    gometrics.NewRegisteredCounter("croftyard.front.connections_opened", r),
+		Poisoned:  gometrics.NewRegisteredCounter("croftyard.front.refused_as_poison", r),
 		FirstByte: gometrics.NewRegisteredHistogram("croftyard.front.first_byte_ms", r, gometrics.NewUniformSample(sampleSize)),
 		Whole:     gometrics.NewRegisteredHistogram("croftyard.front.whole_ms", r, gometrics.NewUniformSample(sampleSize)),
 		routes:    make(map[string]bool),
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -10,6 +10,7 @@
 
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/poison"
 )
 
 // errHeldBack: a request was not written, since by then it was no longer allowed.
@@ -114,6 +115,9 @@
 		// make the choice by it young.
 		return fmt.Errorf("%w: replica leaves", errHeldBack)
 	}
+	if !c.trial && c.front.poison.Any() && c.front.poison.Ask(c.digest(), now).State == poison.Held {
+		return fmt.Errorf("%w: crashes what runs it", errHeldBack)
+	}
 	if slices.Contains(c.front.barred(now), id) {
 		return fmt.Errorf("%w: list of replicas too old", errHeldBack)
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -51,6 +51,7 @@
 	g.mu.Lock()
 	g.members.Merge(decodeRows(r.Member, r.HeardMs), now)
 	g.mu.Unlock()
+	g.takeMarks(r.Marks, now)
 	if r.ProofMs == nil {
 		return false
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,6 +29,7 @@
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/membership"
+	"github.com/croftyard/croftyard/pkg/poison"
 )
 
 // Options of a gossip.
@@ -40,6 +41,8 @@
 	Seeds      []string
 	// Period is the pause between two rounds.
 	Period time.Duration
+	// Poison holds the marks against requests; nil: marks of its own.
+	Poison *poison.Memory
 }
 
 const (
@@ -78,6 +81,7 @@
 	log      *event.Log
 	follower *follow.Follower
 	balancer *balance.Balancer
+	poison   *poison.Memory
 	meter    *peer.Meter
 	client   *peer.Client
 	server   *peer.Server
@@ -122,12 +126,16 @@
 
 // Start listens for other routers.
 func Start(o Options, f *follow.Follower, b *balance.Balancer, log *event.Log) (*Gossip, error) {
+	if o.Poison == nil {
+		o.Poison = poison.New(poison.Options{})
+	}
 	meter := &peer.Meter{}
 	g := &Gossip{
 		options:   o,
 		log:       log,
 		follower:  f,
 		balancer:  b,
+		poison:    o.Poison,
 		meter:     meter,
 		client:    peer.NewClient(meter),
 		busy:      make(map[string]bool),
@@ -215,7 +223,7 @@
 	look := time.NewTicker(g.options.Period / silenceLooks)
 	defer look.Stop()
 	g.tick(ctx)
-	var told <-chan time.Time
+	var told, marked <-chan time.Time
 	for {
 		news, _ := g.follower.News()
 		if told != nil {
@@ -230,6 +238,13 @@
 		case <-told:
 			told = nil
 			g.tellNews(time.Now())
+		case <-g.poison.News():
+			if marked == nil {
+				marked = time.After(marksPause)
+			}
+		case <-marked:
+			marked = nil
+			g.tellMarks(ctx, time.Now())
 		case <-round.C:
 			g.tick(ctx)
 		case <-look.C:
--- /dev/null
+++ b/internal/gossip/marks.go
@@ -0,0 +1,95 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/pkg/poison"
+)
+
+const (
+	// marksPause is how long after the first mark others are told: all requests that a
+	// crash broke off end within some milliseconds.
+	marksPause = 5 * time.Millisecond
+	// sampleRequests is of how many requests a hello tells the marks: some 5 KB at most,
+	// and nothing as long as no replica crashes.
+	sampleRequests = 64
+)
+
+// tellMarks tells all partners of marks against requests, beside the rounds: until all
+// know, each router sends a request that crashes replicas to one more.
+func (g *Gossip) tellMarks(ctx context.Context, now time.Time) {
+	marks := encodeMarks(g.poison.Untold(), now)
+	if marks == nil {
+		return
+	}
+	g.mu.Lock()
+	large, partners := g.members.Large(), g.partners
+	g.mu.Unlock()
+	d := &gossippb.Digest{AsksOnly: true, Marks: marks}
+	if large {
+		packet := encodeDigest(d)
+		for _, address := range partners.Line {
+			g.send(address, packet)
+		}
+		for _, address := range partners.Relayed {
+			g.send(address, packet)
+		}
+		return
+	}
+	d.Sender = g.server.Address()
+	g.mu.Lock()
+	hello := digests{hello: g.hello(now)}
+	g.mu.Unlock()
+	for _, address := range partners.Line {
+		g.start(ctx, address, d, hello)
+	}
+}
+
+// takeMarks takes marks that another router told.
+func (g *Gossip) takeMarks(m *gossippb.Marks, now time.Time) {
+	marks := decodeMarks(m, now)
+	if len(marks) == 0 {
+		return
+	}
+	g.mu.Lock()
+	large := g.members.Large()
+	g.mu.Unlock()
+	g.poison.Merge(marks, large, now)
+}
+
+// encodeMarks returns nil for no marks.
+func encodeMarks(marks []poison.Mark, now time.Time) *gossippb.Marks {
+	if len(marks) == 0 {
+		return nil
+	}
+	m := &gossippb.Marks{}
+	for _, mark := range marks {
+		digest, age := mark.Digest[:], uint32(max(now.Sub(mark.At).Milliseconds(), 0))
+		if mark.Served {
+			m.Served, m.ServedAgeMs = append(m.Served, digest), append(m.ServedAgeMs, age)
+			continue
+		}
+		m.Crashed, m.Replica, m.CrashedAgeMs = append(m.Crashed, digest), append(m.Replica, mark.Replica), append(m.CrashedAgeMs, age)
+	}
+	return m
+}
+
+// decodeMarks reads marks. Columns of unequal length are read as far as they all go, and
+// digests of another size left out.
+func decodeMarks(m *gossippb.Marks, now time.Time) []poison.Mark {
+	var marks []poison.Mark
+	add := func(digest []byte, replica, ageMs uint32, served bool) {
+		if len(digest) == poison.DigestSize {
+			marks = append(marks, poison.Mark{Digest: poison.Digest(digest), Replica: replica, At: now.Add(-milliseconds(ageMs)), Served: served})
+		}
+	}
+	for i := range min(len(m.GetCrashed()), len(m.GetReplica()), len(m.GetCrashedAgeMs())) {
+		add(m.Crashed[i], m.Replica[i], m.CrashedAgeMs[i], false)
+	}
+	for i := range min(len(m.GetServed()), len(m.GetServedAgeMs())) {
+		add(m.Served[i], 0, m.ServedAgeMs[i], true)
+	}
+	return marks
+}
--- /dev/null
+++ b/internal/gossip/marks_test.go
@@ -0,0 +1,115 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/pkg/poison"
+)
+
+var (
+	deadly   = poison.Of("acme", "POST", "h", "/", []byte("deadly"))
+	askedFor = poison.Limits{Crashes: 3, Hold: time.Minute}
+)
+
+// held tells whether all routers hold a request.
+func held(fleet []*router) bool {
+	for _, r := range fleet {
+		if r.gossip.poison.Ask(deadly, time.Now()).State != poison.Held {
+			return false
+		}
+	}
+	return true
+}
+
+// Three replicas crashed as three routers saw, each of them one.
+func crashAtThree(fleet []*router) {
+	for n, r := range fleet {
+		r.gossip.poison.SetLimits(askedFor)
+		if n < 3 {
+			r.gossip.poison.Crashed(deadly, uint32(n+1), time.Now(), time.Now())
+		}
+	}
+}
+
+func TestCrashesThatThreeRoutersSawAreCountedByAll(t *testing.T) {
+	first := newRouter(t, &source{})
+	fleet := []*router{first}
+	for range 4 {
+		fleet = append(fleet, newRouter(t, &source{}, first.gossip.Address()))
+	}
+	for _, r := range fleet {
+		until(t, func() bool { return r.gossip.Members() == len(fleet) })
+	}
+	crashAtThree(fleet)
+	until(t, func() bool { return held(fleet) })
+	fleet[4].gossip.poison.Served(deadly, time.Now())
+	until(t, func() bool {
+		for _, r := range fleet {
+			if r.gossip.poison.Ask(deadly, time.Now()).State != poison.Sound {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestMarksReachAllOfALargeFleet(t *testing.T) {
+	fleet := largeFleet(t, 20)
+	crashAtThree(fleet)
+	until(t, func() bool { return held(fleet) })
+}
+
+// A router that starts, or was cut off, was told of nothing.
+func TestWhoSaysHelloLearnsWhatIsHeld(t *testing.T) {
+	first := newRouter(t, &source{})
+	crashAtThree([]*router{first})
+	for replica := range uint32(3) {
+		first.gossip.poison.Crashed(deadly, replica, time.Now(), time.Now())
+	}
+	first.gossip.poison.Untold()
+	second := newRouter(t, &source{}, first.gossip.Address())
+	second.gossip.poison.SetLimits(askedFor)
+	until(t, func() bool { return held([]*router{first, second}) })
+}
+
+func TestMarksForABusyPartnerAreKept(t *testing.T) {
+	first, second := newRestingRouter(t, &source{}), newRouter(t, &source{})
+	first.gossip.poison.SetLimits(askedFor)
+	second.gossip.poison.SetLimits(askedFor)
+	address := second.gossip.Address()
+	first.gossip.heard(address, "", true, time.Now())
+	first.gossip.tick(t.Context())
+	first.gossip.mu.Lock()
+	first.gossip.busy[address] = true
+	first.gossip.mu.Unlock()
+	for replica := range uint32(3) {
+		first.gossip.poison.Crashed(deadly, replica, time.Now(), time.Now())
+	}
+	first.gossip.tellMarks(t.Context(), time.Now())
+	assert.Empty(t, first.gossip.poison.Untold())
+	first.gossip.mu.Lock()
+	delete(first.gossip.busy, address)
+	// What is told again in each round is not what this is about.
+	missed := proto.CloneOf(first.gossip.missed[address])
+	first.gossip.mu.Unlock()
+	assert.Len(t, missed.GetMarks().GetCrashed(), 3)
+	first.gossip.tick(t.Context())
+	until(t, func() bool { return held([]*router{second}) })
+}
+
+func TestMarksCrossTheWire(t *testing.T) {
+	now := time.Now()
+	marks := []poison.Mark{{Digest: deadly, Replica: 7, At: now.Add(-time.Second)}, {Digest: deadly, At: now.Add(-time.Minute), Served: true}}
+	assert.Equal(t, marks, decodeMarks(encodeMarks(marks, now), now))
+	assert.Nil(t, encodeMarks(nil, now))
+	assert.Empty(t, decodeMarks(nil, now))
+	assert.Empty(t, decodeMarks(&gossippb.Marks{Crashed: [][]byte{deadly[:3]}, Replica: []uint32{1}, CrashedAgeMs: []uint32{1}}, now))
+	assert.Len(t, decodeMarks(&gossippb.Marks{Crashed: [][]byte{deadly[:], deadly[:]}, Replica: []uint32{1, 2}, CrashedAgeMs: []uint32{1}}, now), 1)
+	ahead := encodeMarks([]poison.Mark{{Digest: deadly, Replica: 7, At: now.Add(time.Second)}}, now)
+	assert.Equal(t, []uint32{0}, ahead.CrashedAgeMs)
+}
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -92,7 +92,7 @@
 	go g.exchange(ctx, address, digest)
 }
 
-// maxMissed bounds the failures that are kept for a partner that is busy.
+// maxMissed bounds the failures, and the marks, that are kept for a partner that is busy.
 const maxMissed = 64
 
 // miss keeps the rumors of a digest for a partner. g.mu is held.
@@ -102,11 +102,11 @@
 		missed = &gossippb.Digest{}
 		g.missed[address] = missed
 	}
-	if len(missed.Failed) >= maxMissed || len(missed.Part) >= maxMissed {
+	if len(missed.Failed) >= maxMissed || len(missed.Part) >= maxMissed || len(missed.Marks.GetCrashed()) >= maxMissed {
 		return
 	}
 	proto.Merge(missed, &gossippb.Digest{
 		Failed: digest.Failed, Failure: digest.Failure, FailedAgeMs: digest.FailedAgeMs,
-		Part: digest.Part, Holder: digest.Holder,
+		Part: digest.Part, Holder: digest.Holder, Marks: digest.Marks,
 	})
 }
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -35,6 +35,7 @@
 	default:
 		g.merge(d, now)
 	}
+	g.takeMarks(d.Marks, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
@@ -49,6 +50,7 @@
 	if d.Hello {
 		reply.DataCentre = g.options.DataCentre
 		reply.Member, reply.HeardMs = g.rows(now)
+		reply.Marks = encodeMarks(g.poison.Sample(sampleRequests), now)
 	}
 	reply.Version, reply.Mark, reply.ProofMs = g.knows(now)
 	return reply
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -32,7 +32,8 @@
 	rumors.Version, rumors.Mark, rumors.ProofMs = g.knows(now)
 	encodeRows(rumors, g.members.Fresh(maxRows, now))
 	encodeRumors(rumors, told.Rumors, now)
-	d := digests{own: proto.CloneOf(rumors), hello: &gossippb.Digest{Hello: true, DataCentre: g.options.DataCentre}}
+	rumors.Marks = encodeMarks(g.poison.Recent(now), now)
+	d := digests{own: proto.CloneOf(rumors), hello: g.hello(now)}
 	encodeCounts(d.own, told.Running)
 	if large {
 		d.line = rumors
@@ -44,13 +45,20 @@
 			d.line.Singles = binary.LittleEndian.AppendUint16(d.line.Singles, single)
 		}
 	}
-	d.hello.Member, d.hello.HeardMs = g.rows(now)
 	if large && g.round/largeRounds%aliveRounds == 0 {
 		d.line.Alive = g.members.Alive(now)
 	}
 	return d
 }
 
+// hello returns what a hello adds to a digest. g.mu is held.
+func (g *Gossip) hello(now time.Time) *gossippb.Digest {
+	d := &gossippb.Digest{Hello: true, DataCentre: g.options.DataCentre}
+	d.Member, d.HeardMs = g.rows(now)
+	d.Marks = encodeMarks(g.poison.Sample(sampleRequests), now)
+	return d
+}
+
 // with returns a digest with a hello.
 func (d digests) with(digest *gossippb.Digest) *gossippb.Digest {
 	both := proto.CloneOf(digest)
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -37,6 +37,10 @@
 	Silence time.Duration
 	// Keep is how long a connection to a replica rests before it is closed.
 	Keep time.Duration
+	// Crashes is how many replicas in a row a request may crash before it is not sent
+	// any more for CrashHold; 0: requests are sent whatever they crash.
+	Crashes   int
+	CrashHold time.Duration
 	// FirstStart: the whole fleet starts for the first time, so that no engine
 	// holds anything yet.
 	FirstStart bool
@@ -75,7 +79,7 @@
 }
 
 func defaultRoutes() Routes {
-	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute}
+	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute, Crashes: 3, CrashHold: 10 * time.Minute}
 }
 
 func defaultPeers() Peers { return Peers{Period: 300 * time.Millisecond} }
@@ -117,6 +121,8 @@
 	r.duration("dial", &t.Dial, time.Millisecond, time.Minute)
 	r.duration("silence", &t.Silence, time.Millisecond, time.Hour)
 	r.duration("keep", &t.Keep, time.Millisecond, time.Hour)
+	r.int("crashes", &t.Crashes, 0, 1000)
+	r.duration("crash_hold", &t.CrashHold, time.Second, 24*time.Hour)
 	r.bool("first_start", &t.FirstStart)
 }
 
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -1,2 +1,273 @@
-// Package poison recognises requests that crash the replicas which run them.
+// Package poison recognises requests that crash the replicas which run them, so that the
+// fleet stops sending them while all others are served.
+//
+//	Of        names a request by what it asks for, the same for each of its tries
+//	Crashed   a replica crashed while it ran a request: one mark against it, and one
+//	          against each other request that ran there
+//	Served    a replica answered it whole: all marks against it go
+//	Ask       may it be sent? Held after marks of so many replicas in a row
+//	Begin     it is sent though suspected, at most once at a time
+//	Untold, Recent, Sample, Merge
+//	          what routers tell each other, so that marks of all of them count
+//
+// Marks name a request, a replica and a time, and are only ever added or taken away by a
+// later whole answer, so routers agree in whatever order they hear. A request that is
+// sound gathers marks by chance, beside one that is not; it sheds them with the next
+// answer, which the other one never gets.
+//
+// The package does no I/O; time comes from the caller and is steady.
 package poison
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Mark says that a replica crashed while it ran a request, or that one answered it.
+type Mark struct {
+	Digest Digest
+	// Replica is the hash of the replica's id, 0 in a mark of an answer.
+	Replica uint32
+	// At is when the replica crashed, or when it had answered, by the holder's clock.
+	At time.Time
+	// Served: the replica answered whole.
+	Served bool
+}
+
+// Limits can change while the memory is used.
+type Limits struct {
+	// Crashes is how many replicas in a row a request may crash before it is held;
+	// 0: requests are never held.
+	Crashes int
+	// Hold is for how long it is then not sent. One try is made after it; each further
+	// crash doubles it.
+	Hold time.Duration
+}
+
+// Options of a memory. Its functions are called without a lock and may be nil.
+type Options struct {
+	Limits Limits
+	// Held is told when a request is held, Cleared when one that was held ended well.
+	Held    func(d Digest, crashes int, hold time.Duration)
+	Cleared func(d Digest)
+}
+
+const (
+	// maxSuspects is how many requests with marks are remembered, the latest: at ten a
+	// crash those of the last four hundred crashes. Some 200 bytes each, 1 MB.
+	maxSuspects = 4096
+	// maxHeld is the same for those that are held, which the others are not to push out:
+	// each cost three replicas.
+	maxHeld = 1024
+	// life is how long marks hold: a request that comes once an hour is known in time.
+	life = 24 * time.Hour
+	// maxTrials is how often a held request is tried again in life.
+	maxTrials = 3
+	// oneCrash is within what time marks of one replica are of one crash, as several
+	// routers saw it. A replica is back after some seconds at the earliest.
+	oneCrash = 1500 * time.Millisecond
+)
+
+// Memory is what a router knows of requests that crash replicas. It is safe for
+// concurrent use.
+type Memory struct {
+	options Options
+	news    chan struct{}
+
+	mu       sync.Mutex
+	limits   Limits
+	suspects *simplelru.LRU[Digest, *suspect]
+	held     *simplelru.LRU[Digest, *suspect]
+	untold   []Mark
+	recent   []learned
+	next     int
+}
+
+// suspect is a request that marks were made against.
+type suspect struct {
+	crashes []crash
+	// served is when it was last answered whole.
+	served time.Time
+	// trial is when it was last tried though held, trials how often.
+	trial  time.Time
+	trials int
+	// running: a run that is to be the only one from this router is under way.
+	running bool
+}
+
+// crash is one replica's.
+type crash struct {
+	replica uint32
+	at      time.Time
+}
+
+// New returns an empty memory.
+func New(o Options) *Memory {
+	m := &Memory{options: o, limits: o.Limits, news: make(chan struct{}, 1)}
+	m.suspects, m.held = newStore(maxSuspects), newStore(maxHeld)
+	return m
+}
+
+func newStore(size int) *simplelru.LRU[Digest, *suspect] {
+	store, err := simplelru.NewLRU[Digest, *suspect](size, nil)
+	if err != nil {
+		// The sizes are constants above zero.
+		panic(err)
+	}
+	return store
+}
+
+// SetLimits changes the limits.
+func (m *Memory) SetLimits(l Limits) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limits = l
+}
+
+// Any tells whether there are marks at all: if not, no request needs a digest.
+func (m *Memory) Any() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.suspects.Len()+m.held.Len() > 0
+}
+
+// Len returns how many requests have marks, and how many of them are held.
+func (m *Memory) Len() (marked, held int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.suspects.Len() + m.held.Len(), m.held.Len()
+}
+
+// Crashed notes that a replica crashed at a time while it ran a request.
+func (m *Memory) Crashed(d Digest, replica uint32, at, now time.Time) {
+	m.learn([]Mark{{Digest: d, Replica: replica, At: at}}, true, now)
+}
+
+// Served notes that a replica answered a request whole.
+func (m *Memory) Served(d Digest, now time.Time) {
+	m.mu.Lock()
+	s := m.find(d)
+	marked := s != nil && len(s.crashes) > 0
+	m.mu.Unlock()
+	if marked {
+		m.learn([]Mark{{Digest: d, At: now, Served: true}}, true, now)
+	}
+}
+
+// find returns what is known of a request, or nil. m.mu is held.
+func (m *Memory) find(d Digest) *suspect {
+	if s, found := m.held.Get(d); found {
+		return s
+	}
+	s, _ := m.suspects.Get(d)
+	return s
+}
+
+// learn takes marks, those that are new to be told on if asked for.
+func (m *Memory) learn(marks []Mark, tell bool, now time.Time) {
+	var told []func()
+	fresh := false
+	m.mu.Lock()
+	for _, mark := range marks {
+		if !m.take(mark, now) {
+			continue
+		}
+		m.noteRecent(mark, now)
+		if tell {
+			m.untold = append(m.untold, mark)
+			fresh = true
+		}
+		if tellOperator := m.sort(mark.Digest, now); tellOperator != nil {
+			told = append(told, tellOperator)
+		}
+	}
+	if over := len(m.untold) - maxTold; over > 0 {
+		m.untold = m.untold[over:]
+	}
+	m.mu.Unlock()
+	if fresh {
+		m.wake()
+	}
+	for _, tell := range told {
+		tell()
+	}
+}
+
+// take takes one mark and tells whether it was new. m.mu is held.
+func (m *Memory) take(mark Mark, now time.Time) bool {
+	if now.Sub(mark.At) > life {
+		return false
+	}
+	s := m.find(mark.Digest)
+	if s == nil {
+		if mark.Served {
+			return false
+		}
+		s = &suspect{}
+		m.suspects.Add(mark.Digest, s)
+	}
+	if mark.Served {
+		return s.serve(mark.At)
+	}
+	return s.add(crash{mark.Replica, mark.At})
+}
+
+// serve takes an answer and tells whether it was news.
+func (s *suspect) serve(at time.Time) bool {
+	if !at.After(s.served) {
+		return false
+	}
+	s.served, s.trials, s.trial = at, 0, time.Time{}
+	var left []crash
+	for _, c := range s.crashes {
+		if c.at.After(at) {
+			left = append(left, c)
+		}
+	}
+	s.crashes = left
+	return true
+}
+
+// add takes a crash and tells whether it is another one.
+func (s *suspect) add(c crash) bool {
+	if !c.at.After(s.served) {
+		return false
+	}
+	for _, known := range s.crashes {
+		if known.replica == c.replica && known.at.Sub(c.at).Abs() < oneCrash {
+			return false
+		}
+	}
+	s.crashes = append(s.crashes, c)
+	return true
+}
+
+// sort puts a request among those that are held, or takes it from them, and returns who
+// is to be told of it, or nil. m.mu is held.
+func (m *Memory) sort(d Digest, now time.Time) func() {
+	s := m.find(d)
+	was := m.held.Contains(d)
+	is := m.limits.Crashes > 0 && len(s.crashes) >= m.limits.Crashes
+	if was == is {
+		return nil
+	}
+	if is {
+		m.suspects.Remove(d)
+		m.held.Add(d, s)
+		crashes, hold := len(s.crashes), m.heldUntil(s).Sub(now)
+		return func() {
+			if m.options.Held != nil {
+				m.options.Held(d, crashes, hold)
+			}
+		}
+	}
+	m.held.Remove(d)
+	m.suspects.Add(d, s)
+	return func() {
+		if m.options.Cleared != nil {
+			m.options.Cleared(d)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/poison/poison_test.go
@@ -0,0 +1,194 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var (
+	begin  = time.Now()
+	limits = Limits{Crashes: 3, Hold: 10 * time.Minute}
+	body   = Of("acme", "POST", "h", "/", []byte("body"))
+)
+
+func at(s float64) time.Time { return begin.Add(time.Duration(s * float64(time.Second))) }
+
+// step is a crash of a replica, or a whole answer for replica 0.
+type step struct {
+	replica uint32
+	at      float64
+}
+
+func (m *Memory) play(steps []step) {
+	for _, s := range steps {
+		if s.replica == 0 {
+			m.Served(body, at(s.at))
+			continue
+		}
+		m.Crashed(body, s.replica, at(s.at), at(s.at))
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	tests := map[string]struct {
+		steps []step
+		at    float64
+		want  Verdict
+	}{
+		"nothing known":                          {want: Verdict{}},
+		"one crash":                              {[]step{{1, 0}}, 1, Verdict{Sound, 1, 0}},
+		"two":                                    {[]step{{1, 0}, {2, 5}}, 6, Verdict{Alone, 2, 0}},
+		"three":                                  {[]step{{1, 0}, {2, 5}, {3, 10}}, 11, Verdict{Held, 3, 599 * time.Second}},
+		"three, long ago each":                   {[]step{{1, 0}, {2, 3600}, {3, 7200}}, 7201, Verdict{Held, 3, 599 * time.Second}},
+		"three are of one, as three routers saw": {[]step{{1, 0}, {1, 0.1}, {1, 1}}, 2, Verdict{Sound, 1, 0}},
+		"one replica crashes each time it starts":                   {[]step{{1, 0}, {1, 4}, {1, 8}}, 9, Verdict{Held, 3, 599 * time.Second}},
+		"answered whole in between":                                 {[]step{{1, 0}, {2, 5}, {0, 6}, {3, 10}}, 11, Verdict{Sound, 1, 0}},
+		"answered whole after it was held":                          {[]step{{1, 0}, {2, 5}, {3, 10}, {0, 20}}, 21, Verdict{}},
+		"a mark that comes after an answer is of a crash before it": {[]step{{1, 0}, {0, 6}, {2, 5}}, 7, Verdict{}},
+		"the hold is over":                                          {[]step{{1, 0}, {2, 0}, {3, 0}}, 601, Verdict{Trial, 3, -time.Second}},
+		"each further crash doubles it":                             {[]step{{1, 0}, {2, 0}, {3, 0}, {4, 600}}, 700, Verdict{Held, 4, 1100 * time.Second}},
+		"after three further ones, for a day":                       {[]step{{1, 0}, {2, 0}, {3, 0}, {4, 1}, {5, 2}, {6, 3}}, 3, Verdict{Held, 6, 24 * time.Hour}},
+		"a day later nothing is left":                               {[]step{{1, 0}, {2, 0}, {3, 0}}, 25 * 3600, Verdict{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := New(Options{Limits: limits})
+			m.play(test.steps)
+			assert.Equal(t, test.want, m.Ask(body, at(test.at)))
+		})
+	}
+}
+
+func TestNothingIsHeldWithoutALimit(t *testing.T) {
+	m := New(Options{})
+	m.play([]step{{1, 0}, {2, 0}, {3, 0}})
+	assert.Equal(t, Verdict{}, m.Ask(body, at(1)))
+	m.SetLimits(limits)
+	m.play([]step{{4, 1}})
+	assert.Equal(t, Held, m.Ask(body, at(2)).State)
+}
+
+func TestASuspectRunsOnceAtATime(t *testing.T) {
+	m := New(Options{Limits: limits})
+	m.play([]step{{1, 0}, {2, 5}})
+	assert.True(t, m.Begin(body, Alone, at(6)))
+	assert.False(t, m.Begin(body, Alone, at(6)))
+	m.End(body)
+	assert.True(t, m.Begin(body, Alone, at(6)))
+}
+
+// A trial whose caller leaves shows nothing, and is not to be followed by one after the
+// other: each comes to a replica.
+func TestATrialIsTheOnlyOneOfItsHold(t *testing.T) {
+	m := New(Options{Limits: limits})
+	m.play([]step{{1, 0}, {2, 0}, {3, 0}})
+	trials := 0
+	for s := 0.0; s < 20*3600; s += 10 {
+		if m.Ask(body, at(s)).State == Trial && m.Begin(body, Trial, at(s)) {
+			trials++
+			m.End(body)
+		}
+	}
+	assert.Equal(t, maxTrials, trials)
+}
+
+// Marks come in any order, more than once, on any way.
+func TestRoutersAgreeInWhateverOrderTheyHear(t *testing.T) {
+	source := New(Options{Limits: limits})
+	var marks []Mark
+	for n := range 6 {
+		d := Of("acme", "POST", "h", "/", fmt.Append(nil, n))
+		for replica := range uint32(4) {
+			source.Crashed(d, replica+1, at(float64(n)+10*float64(replica)), at(50))
+		}
+		if n%2 == 0 {
+			source.Served(d, at(float64(25)))
+		}
+		marks = append(marks, source.Untold()...)
+	}
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, seed))
+		other := New(Options{Limits: limits})
+		for range 3 {
+			rnd.Shuffle(len(marks), func(i, j int) { marks[i], marks[j] = marks[j], marks[i] })
+			other.Merge(marks, false, at(51))
+		}
+		for n := range 6 {
+			d := Of("acme", "POST", "h", "/", fmt.Append(nil, n))
+			assert.Equal(t, source.Ask(d, at(52)).State, other.Ask(d, at(52)).State, "seed %d, body %d", seed, n)
+		}
+		assert.Empty(t, other.Untold(), "nothing is told on in a small fleet")
+	}
+}
+
+func TestWhatIsNewIsToldOnOnce(t *testing.T) {
+	m := New(Options{Limits: limits})
+	mark := Mark{Digest: body, Replica: 1, At: at(0)}
+	m.Merge([]Mark{mark}, true, at(1))
+	<-m.News()
+	assert.Equal(t, []Mark{mark}, m.Untold())
+	m.Merge([]Mark{mark}, true, at(1))
+	assert.Empty(t, m.Untold())
+	select {
+	case <-m.News():
+		assert.Fail(t, "no news")
+	default:
+	}
+	assert.Equal(t, []Mark{mark}, m.Recent(at(2)))
+	assert.Empty(t, m.Recent(at(10)))
+	assert.Equal(t, []Mark{mark}, m.Sample(5))
+}
+
+func TestOperatorsAreToldOfAHoldAndItsEnd(t *testing.T) {
+	var told []string
+	m := New(Options{Limits: limits,
+		Held: func(_ Digest, crashes int, hold time.Duration) {
+			told = append(told, fmt.Sprint("held ", crashes, " ", hold))
+		},
+		Cleared: func(Digest) { told = append(told, "cleared") },
+	})
+	m.play([]step{{1, 0}, {2, 0}, {0, 1}, {1, 2}, {2, 2}, {3, 2}, {4, 3}, {0, 4}})
+	assert.Equal(t, []string{"held 3 10m0s", "cleared"}, told)
+}
+
+// A flood of marks against others does not bring a held request back.
+func TestMemoryIsBoundedAndKeepsWhatIsHeld(t *testing.T) {
+	m := New(Options{Limits: limits})
+	m.play([]step{{1, 0}, {2, 0}, {3, 0}})
+	for n := range 3 * maxSuspects {
+		m.Crashed(Of("acme", "POST", "h", "/", fmt.Append(nil, n)), 9, at(1), at(1))
+	}
+	marked, held := m.Len()
+	assert.Equal(t, maxSuspects+1, marked)
+	assert.Equal(t, 1, held)
+	assert.Equal(t, Held, m.Ask(body, at(2)).State)
+	assert.LessOrEqual(t, len(m.Untold()), maxTold)
+	assert.LessOrEqual(t, len(m.Recent(at(1))), maxTold)
+	assert.Equal(t, body, m.Sample(1)[0].Digest, "held requests are told first")
+}
+
+// A lookup that everybody sends runs on each replica that crashes for another reason,
+// and is answered in between.
+func TestARequestThatManySendIsNotHeldForCrashesBesideIt(t *testing.T) {
+	m := New(Options{Limits: limits})
+	now := 0.0
+	for replica := range uint32(100) {
+		m.Crashed(body, replica+1, at(now), at(now))
+		now += 0.2
+		m.Served(body, at(now))
+		now += 0.2
+		assert.Equal(t, Sound, m.Ask(body, at(now)).State)
+	}
+}
+
+func BenchmarkAskSound(b *testing.B) {
+	m := New(Options{Limits: limits})
+	m.Crashed(Of("other", "", "", "", nil), 1, at(0), at(0))
+	for b.Loop() {
+		m.Ask(body, at(1))
+	}
+}
