--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -74,6 +74,7 @@
 	version, _ := e.follower.Version()
 	made, failed := e.follower.Reads()
 	sent, received := e.gossip.Bytes()
+	marked, held := e.poison.Len()
 	return []admin.Gauge{
 		{Name: "croftyard_config_version", Value: float64(version)},
 		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(time.Now()).Milliseconds())},
@@ -84,6 +85,8 @@
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
 		{Name: "croftyard_peers_unsent", Value: float64(e.gossip.Unsent())},
 		{Name: "croftyard_peers_refused", Value: float64(e.gossip.Refused())},
+		{Name: "croftyard_poison_marked", Value: float64(marked)},
+		{Name: "croftyard_poison_held", Value: float64(held)},
 		{Name: "croftyard_front_active", Value: float64(e.front.Active())},
 		{Name: "croftyard_front_connections_idle", Value: float64(e.pool.Idle())},
 		{Name: "croftyard_log_lines_dropped", Value: float64(e.outside.LogDropped())},
--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -15,6 +15,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
 )
 
 // Errors of this package.
@@ -96,6 +98,9 @@
 	Request string `json:"request"`
 	// Lines are those that name the request, in order.
 	Lines []Line `json:"lines"`
+	// Alike are the lines, of any time and router, on requests of the same content: which
+	// replicas crashed beside them, and whether such requests are held for it.
+	Alike []Line `json:"alike,omitempty"`
 	// Beliefs are what the routers concerned came to believe shortly before and
 	// meanwhile: of the replicas concerned, the configuration, the platform, the
 	// other routers, and of starts and stops.
@@ -121,16 +126,44 @@
 	}
 	sortByTime(s.Lines)
 	from, to := s.Lines[0].Time.Add(-before), s.Lines[len(s.Lines)-1].Time
+	digests := digestsOf(s.Lines)
 	for _, line := range l.lines {
+		if line.Request != request && tellsOfCrashes(line) && digests[line.digest()] {
+			s.Alike = append(s.Alike, line)
+			continue
+		}
 		within := !line.Time.Before(from) && !line.Time.After(to)
 		if within && instances[line.Instance] && line.Request != request && isBelief(line, replicas) {
 			s.Beliefs = append(s.Beliefs, line)
 		}
 	}
+	sortByTime(s.Alike)
 	sortByTime(s.Beliefs)
 	return s, nil
 }
 
+// digest returns what names the content of the line's request, or an empty text.
+func (l Line) digest() string { return strings.Trim(string(l.Fields["digest"]), `"`) }
+
+// tellsOfCrashes tells whether a line says what requests of one content did to replicas.
+func tellsOfCrashes(line Line) bool {
+	switch event.ID(line.Event) {
+	case event.ReplicaEnded, event.RequestHeld, event.RequestCleared:
+		return true
+	}
+	return false
+}
+
+func digestsOf(lines []Line) map[string]bool {
+	digests := make(map[string]bool)
+	for _, line := range lines {
+		if d := line.digest(); d != "" {
+			digests[d] = true
+		}
+	}
+	return digests
+}
+
 // Groups of events, by hundreds.
 const (
 	group        = 100
@@ -155,6 +188,10 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "request %s, %d lines\n", s.Request, len(s.Lines))
 	writeLines(&b, s.Lines, s.Lines[0].Time)
+	if len(s.Alike) > 0 {
+		b.WriteString("\nof requests with the same content\n")
+		writeLines(&b, s.Alike, s.Lines[0].Time)
+	}
 	if len(s.Beliefs) > 0 {
 		fmt.Fprintf(&b, "\nwhat its routers came to believe, from %s before\n", before)
 		writeLines(&b, s.Beliefs, s.Lines[0].Time)
--- a/internal/why/why_test.go
+++ b/internal/why/why_test.go
@@ -40,6 +40,29 @@
 `, out.String())
 }
 
+// A request that crashes what runs it is refused where nothing else was seen of it.
+func TestTheStoryTellsWhatRequestsOfTheSameContentDid(t *testing.T) {
+	const lines = `{"event":418,"instance":"r1","msg":"replica ended","request":"w","replica":"a","digest":"d1","time":"2026-01-01T23:00:00Z"}
+{"event":418,"instance":"r1","msg":"replica ended","request":"v","replica":"a","digest":"d2","time":"2026-01-01T23:00:00Z"}
+{"event":402,"instance":"r1","msg":"request refused","request":"v","digest":"d1","time":"2026-01-01T23:30:00Z"}
+{"event":419,"instance":"r2","msg":"request held","digest":"d1","time":"2026-01-01T23:30:00Z"}
+{"event":402,"instance":"r2","msg":"request refused","request":"x","digest":"d1","time":"2026-01-02T00:00:00Z"}
+`
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(lines)))
+	story, err := log.Of("x")
+	require.NoError(t, err)
+	var out strings.Builder
+	require.NoError(t, story.Write(&out))
+	assert.Equal(t, `request x, 1 lines
+  +0.000 s  r2  402 request refused  digest=d1
+
+of requests with the same content
+-3600.000 s  r1  418 replica ended  replica=a  digest=d1
+-1800.000 s  r2  419 request held  digest=d1
+`, out.String())
+}
+
 func TestErrors(t *testing.T) {
 	var log Log
 	_, err := log.Of("x")
