Two lives under one id, and entries of other writers

Cause: a replica's id stood for one life of it, so load, holders, health, pace and connections of an earlier one were kept; nobody read born.

Ruled out: leaving bad entries out of the list (all of a service spoilt at once look like a lost list and keep their work); ignoring an older born for good (a replica whose clock was set back would never be listed again); the counts in the sums of the list (only who reads the store knows them, lists of two routers would never be equal).

A later born, or a count that starts anew, is a restart: holders, health, load, pace, resting connections and what showed that the replica stays are dropped; requests that it broke off within 8 s before get their marks. Born goes with the list; a restart that only counts tell goes as a rumor of a kind that older routers pass over. An older born changes nothing for two heartbeats.

Conclusion: bad entries name nobody and spoil nothing else; what is known goes by id and start.

--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,9 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/settings
 	$(GO) test -run '^$$' -fuzz FuzzChat -fuzztime $(FUZZTIME) ./internal/edge
 	$(GO) test -run '^$$' -fuzz FuzzDigest -fuzztime $(FUZZTIME) ./internal/peer
+	$(GO) test -run '^$$' -fuzz FuzzEntry -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzConfiguration -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzEvacuation -fuzztime $(FUZZTIME) ./platform
 
 # Generated code is committed; this makes it anew.
 generate:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -141,6 +141,13 @@
 		Mine:       e.gossip.Mine,
 		Without:    e.settings.Without,
 	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
+	e.balancer.SetEnds(balance.Ends{
+		Restarted: func(id, address string) {
+			e.pool.Drop(address)
+			e.front.Restarted(id, time.Now())
+		},
+		Gone: func(id string) { e.front.Gone(id, time.Now()) },
+	})
 	limits := front.NewConnLimits(e.holder, e.log)
 	e.conns = conns.NewSet()
 	e.callers = &http.Server{
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,7 +99,7 @@
 	PeerLost:          {logrus.WarnLevel, "peer does not answer", "If it lasts for many peers, look at the network between instances."},
 	PeerBack:          {logrus.InfoLevel, "peer answers again", "None needed."},
 	ReplicaChanged:    {logrus.InfoLevel, "replica joined, drains, is cold, warm or gone", "None needed."},
-	ReplicaUnreadable: {logrus.WarnLevel, "replica's entry not readable, left out", "Look at the entry named; the replica gets no work."},
+	ReplicaUnreadable: {logrus.WarnLevel, "entry is not a replica's, left out", "Look at who wrote the key named; the replica, if there is one, gets no work until it writes its entry again."},
 	CentreSilent:      {logrus.WarnLevel, "no router of a data centre is heard", "Its replicas get no work from here until one is. Look at the network between data centres."},
 	EngineAsked:       {logrus.InfoLevel, "engine asked what it holds", "None needed. Seen after a start of all routers."},
 	ProofOld:          {logrus.WarnLevel, "configuration not proven new enough for keys", "Requests with keys are refused. Look at the platform and at the peers."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -32,13 +32,22 @@
 	// Config is nil if it could not be decoded; Problem then tells why.
 	Config  *route.Config
 	Problem error
-	// Replicas are those whose entries could be decoded; BadReplicas the others.
+	// Replicas are all that are listed, BadReplicas those of them whose entries say
+	// nothing that can be used.
 	Replicas    []directory.Replica
-	BadReplicas []string
+	BadReplicas []BadEntry
 	// Evacuated are the data centres to whose replicas nothing is to be sent.
 	Evacuated []string
 }
 
+// BadEntry is an entry that was not written by a replica.
+type BadEntry struct {
+	Key string
+	// Revision rises when the entry is written anew.
+	Revision uint64
+	Problem  error
+}
+
 // listing is what the snapshot lists.
 func (s *Snapshot) listing() directory.Listing {
 	return directory.Listing{Replicas: s.Replicas, Evacuated: s.Evacuated}
@@ -92,6 +101,8 @@
 	renewing    chan struct{}
 	renewFailed time.Time
 	outage      outage
+	// bad are the revisions of the entries that were told to be bad, by key.
+	bad map[string]uint64
 }
 
 // New returns a follower that feeds a holder and a balancer.
@@ -204,12 +215,22 @@
 	defer f.mu.Unlock()
 	f.takeConfig(s, sent)
 	f.changed(f.directory.Take(s.listing(), sent))
-	for _, id := range s.BadReplicas {
-		f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
-	}
+	f.noteBad(s.BadReplicas)
 	f.newProof()
 }
 
+// noteBad writes of each bad entry once. f.mu is held.
+func (f *Follower) noteBad(entries []BadEntry) {
+	bad := make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		bad[e.Key] = e.Revision
+		if f.bad[e.Key] != e.Revision {
+			f.log.Write(event.ReplicaUnreadable, event.F("key", e.Key), event.F("revision", e.Revision), event.F("error", e.Problem))
+		}
+	}
+	f.bad = bad
+}
+
 // newProof wakes who waits for a proof. f.mu is held.
 func (f *Follower) newProof() {
 	close(f.read)
@@ -225,6 +246,13 @@
 	f.mark = f.directory.Mark()
 	f.tellNews()
 	for _, c := range changes {
+		switch c.What {
+		case directory.Restarted:
+			// Who is told the list knows it from when the replica says that it started.
+			f.balancer.Restarted(c.Replica.ID, c.Replica.Born == 0, time.Now())
+		case directory.Left:
+			f.balancer.Gone(c.Replica.ID)
+		}
 		if c.Centre != "" {
 			f.log.Write(centreEvent(c.What), event.F("data_centre", c.Centre))
 			continue
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"time"
-
-	"github.com/croftyard/croftyard/internal/event"
 )
 
 // ErrNotRenewed: the list of replicas could not be read.
@@ -77,9 +75,7 @@
 		f.renewFailed = time.Now()
 	} else {
 		f.changed(f.directory.Take(snapshot.listing(), sent))
-		for _, id := range snapshot.BadReplicas {
-			f.log.Write(event.ReplicaUnreadable, event.F("replica", id))
-		}
+		f.noteBad(snapshot.BadReplicas)
 	}
 	close(f.renewing)
 	f.renewing = nil
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
@@ -95,24 +96,29 @@
 	c.looked = looked
 	go func() {
 		defer close(looked)
-		if !f.ended(id, address) {
+		b := brokenOff{digest: digest, at: broke, fields: fields}
+		if b.fate = f.fate(id, address); b.fate != upstream.Ended {
+			f.breaks.note(id, b, time.Now())
 			return
 		}
-		now := time.Now()
-		f.poison.Crashed(digest, balance.Hash(id), broke, now)
-		f.log.Write(event.ReplicaEnded, append(fields, event.F("seen_after_ms", now.Sub(broke).Milliseconds()))...)
+		f.crashed(id, b, time.Now())
 	}()
 }
 
-// ended tells whether a replica has ended. Calls that it broke off together share one
-// look.
-func (f *Front) ended(id, address string) bool {
-	ended, _, _ := f.looks.Do(id, func() (any, error) {
+// crashed makes a mark against a request under which a replica crashed.
+func (f *Front) crashed(id string, b brokenOff, now time.Time) {
+	f.poison.Crashed(b.digest, balance.Hash(id), b.at, now)
+	f.log.Write(event.ReplicaEnded, append(b.fields, event.F("seen_after_ms", now.Sub(b.at).Milliseconds()))...)
+}
+
+// fate looks what became of a replica. Calls that it broke off together share one look.
+func (f *Front) fate(id, address string) upstream.Fate {
+	fate, _, _ := f.looks.Do(id, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), lookTime)
 		defer cancel()
-		return f.pool.Ended(ctx, address), nil
+		return f.pool.FateOf(ctx, address), nil
 	})
-	return ended == true
+	return fate.(upstream.Fate)
 }
 
 // awaitLook waits a moment until it is known what the last run did to its replica, so
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
@@ -57,7 +58,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			assert.Equal(t, test.ended, r.front.ended("r0", r.source.snapshot.Replicas[0].Address))
+			assert.Equal(t, test.ended, r.front.fate("r0", r.source.snapshot.Replicas[0].Address) == upstream.Ended)
 			assert.Equal(t, test.ended, r.log.Count(event.ReplicaEnded) == 1)
 		})
 	}
@@ -179,3 +180,40 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, "another router tries it")
 }
+
+// What stands before a replica takes connections still, or the replica is back at once:
+// what it says of its start, or the end of its entry, tells later that it had crashed.
+func TestACrashThatWasNotSeenIsToldByWhatFollows(t *testing.T) {
+	tests := map[string]struct {
+		fate  upstream.Fate
+		after time.Duration
+		tell  func(f *Front, now time.Time)
+		marks int
+	}{
+		"it started again":                  {upstream.Lives, time.Second, func(f *Front, now time.Time) { f.Restarted("a", now) }, 1},
+		"another one started again":         {upstream.Lives, time.Second, func(f *Front, now time.Time) { f.Restarted("b", now) }, 0},
+		"it started again much later":       {upstream.Lives, time.Minute, func(f *Front, now time.Time) { f.Restarted("a", now) }, 0},
+		"its entry went":                    {upstream.Unknown, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 1},
+		"it lived, and left a little later": {upstream.Lives, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newStillRig(t)
+			r.front.poison.SetLimits(poison.Limits{Crashes: 3, Hold: time.Minute})
+			now := time.Now()
+			digest := poison.Of("acme", "POST", "h", "/", nil)
+			r.front.breaks.note("a", brokenOff{digest: digest, at: now, fate: test.fate}, now)
+			test.tell(r.front, now.Add(test.after))
+			test.tell(r.front, now.Add(test.after))
+			assert.Equal(t, test.marks, r.front.poison.Ask(digest, now).Crashes)
+		})
+	}
+}
+
+func TestWhatAReplicaShowedBeforeItStartedAgainIsForgotten(t *testing.T) {
+	r := newStillRig(t)
+	now := time.Now()
+	r.front.stayed.note("a", now)
+	r.front.Restarted("a", now)
+	assert.False(t, r.front.stayed.since("a", now.Add(-time.Second)))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -109,7 +109,8 @@
 	cut     context.CancelFunc
 	longest *admission.Longest
 	// looks are those that find out whether a replica has ended.
-	looks singleflight.Group
+	looks  singleflight.Group
+	breaks breaks
 }
 
 // New returns a front.
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -14,15 +14,30 @@
 // endedLooks is how often that is looked at.
 const endedLooks = 2
 
-// Ended tells whether the process at an address has ended, as far as can be seen
-// from here: nothing listens there any more. A way that is cut, and a replica that
-// resets what is too much for it, do not show that. A connection that was opened for the
-// look is kept for requests.
-func (p *Pool) Ended(ctx context.Context, address string) bool {
+// Fate is what can be seen from here of the process at an address.
+type Fate uint8
+
+// The fates.
+const (
+	// Unknown: the way is cut, or what listens there takes connections and closes them: a
+	// replica for which one more is too much, or something that stands before it.
+	Unknown Fate = iota
+	// Lives: it takes connections.
+	Lives
+	// Ended: nothing listens there any more.
+	Ended
+)
+
+// FateOf looks what became of the process at an address. A connection that was opened
+// for the look is kept for requests.
+func (p *Pool) FateOf(ctx context.Context, address string) Fate {
 	for range endedLooks {
 		c, err := p.dial(ctx, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return Ended
+		}
 		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
+			return Unknown
 		}
 		select {
 		case <-time.After(endedLook):
@@ -30,9 +45,18 @@
 		}
 		if c.quiet() {
 			p.keepUnused(c)
-			return false
+			return Lives
 		}
 		c.Close()
 	}
-	return false
+	return Unknown
+}
+
+// Drop closes the connections to an address that rest: what they led to has ended.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	closeAll(idle)
 }
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -13,11 +13,11 @@
 	tests := map[string]struct {
 		// serve is what befalls each connection, in order.
 		serve func(n int, l net.Listener, c net.Conn)
-		ended bool
+		fate  Fate
 	}{
-		"it serves on":                               {serve: func(int, net.Listener, net.Conn) {}},
+		"it serves on":                               {serve: func(int, net.Listener, net.Conn) {}, fate: Lives},
 		"it resets what is too much for it":          {serve: func(_ int, _ net.Listener, c net.Conn) { c.Close() }},
-		"it took one more connection while it ended": {serve: func(_ int, l net.Listener, c net.Conn) { l.Close(); c.Close() }, ended: true},
+		"it took one more connection while it ended": {serve: func(_ int, l net.Listener, c net.Conn) { l.Close(); c.Close() }, fate: Ended},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -34,10 +34,10 @@
 				}
 			}()
 			pool := New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTime: time.Minute})
-			assert.Equal(t, test.ended, pool.Ended(t.Context(), listener.Addr().String()))
-			if !test.ended && name == "it serves on" {
-				assert.Equal(t, 1, pool.Idle(), "the look's connection is kept")
-			}
+			assert.Equal(t, test.fate, pool.FateOf(t.Context(), listener.Addr().String()))
+			assert.Equal(t, test.fate == Lives, pool.Idle() == 1, "the look's connection is kept")
+			pool.Drop(listener.Addr().String())
+			assert.Zero(t, pool.Idle())
 		})
 	}
 }
@@ -48,5 +48,5 @@
 	address := listener.Addr().String()
 	listener.Close()
 	pool := New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTime: time.Minute})
-	assert.True(t, pool.Ended(t.Context(), address))
+	assert.Equal(t, Ended, pool.FateOf(t.Context(), address))
 }
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -16,6 +16,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/directory"
@@ -142,6 +143,9 @@
 	// evacuated are the replicas of services that are left out with their data centre.
 	evacuated map[string][]*replica
 	cold      coldShares
+	ends      atomic.Pointer[Ends]
+	// restartsToTell are those that a rumor told of, for ends.
+	restartsToTell []directory.Replica
 }
 
 // replica is one replica with what was seen of it.
@@ -162,6 +166,8 @@
 	// answered is when it last answered well, hung when it last left a request
 	// without an answer.
 	answered, hung time.Time
+	// restarted is when it started again under its id, as far as this router saw.
+	restarted time.Time
 }
 
 // New returns a balancer without replicas. Its choices are a function of seed
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -23,11 +23,13 @@
 	Refused
 	// Unreachable: opening a connection took too long.
 	Unreachable
+	// Restart: it started again under its id. No failure of this life.
+	Restart
 )
 
 // String implements fmt.Stringer.
 func (f Failure) String() string {
-	return [...]string{"shed", "errored", "broke", "hung", "refused", "unreachable"}[f]
+	return [...]string{"shed", "errored", "broke", "hung", "refused", "unreachable", "restart"}[f]
 }
 
 // soft tells whether sound replicas show the failure too, now and then.
--- a/pkg/balance/holders.go
+++ b/pkg/balance/holders.go
@@ -49,6 +49,19 @@
 	h.parts.Add(key, list[:min(len(list), maxHolders)])
 }
 
+// forget drops an engine from all lists.
+func (h *holders) forget(id string) {
+	for _, key := range h.parts.Keys() {
+		list, _ := h.parts.Peek(key)
+		if !slices.ContainsFunc(list, func(x holding) bool { return x.id == id }) {
+			continue
+		}
+		// Others may still read the list that is replaced.
+		left := slices.DeleteFunc(slices.Clone(list), func(x holding) bool { return x.id == id })
+		h.parts.Add(key, left)
+	}
+}
+
 func (h *holders) holds(key uint64, id string, now time.Time) bool {
 	list, _ := h.parts.Peek(key)
 	return slices.ContainsFunc(list, func(x holding) bool { return x.id == id && now.Sub(x.at) < holderLife })
--- a/pkg/balance/left.go
+++ b/pkg/balance/left.go
@@ -41,7 +41,7 @@
 	if l, left := b.leavers[id]; r == nil && left && now.Sub(l.at) <= leftLife {
 		r = l.replica
 	}
-	if r == nil || b.unreachable(r, now) {
+	if r == nil || !r.usable() || b.unreachable(r, now) {
 		return nil
 	}
 	return r
--- a/pkg/balance/lines.go
+++ b/pkg/balance/lines.go
@@ -45,7 +45,6 @@
 // MergeLine takes what a router told of its line, with its rumors.
 func (b *Balancer) MergeLine(line Line, told LineTold, rumors Rumors, now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	counts := newPeerCounts(told.Named, now)
 	for _, single := range told.Singles {
 		for _, r := range b.bySingle[single] {
@@ -55,4 +54,5 @@
 	b.lines[line] = counts
 	b.totals = nil
 	b.mergeRumors(rumors, now)
+	b.unlockAndTell()
 }
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -70,10 +70,10 @@
 // fleet.
 func (b *Balancer) Merge(router string, t Told, now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.peers[router] = newPeerCounts(t.Running, now)
 	b.totals = nil
 	b.mergeRumors(t.Rumors, now)
+	b.unlockAndTell()
 }
 
 // Forget drops what a router told that is no longer there.
--- /dev/null
+++ b/pkg/balance/restart_test.go
@@ -0,0 +1,84 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+func twoEngines(now time.Time) *Balancer {
+	b := New(1)
+	b.Replace([]directory.Replica{{ID: "a", Service: "s", Address: "a:1"}, {ID: "b", Service: "s", Address: "b:1"}}, now)
+	return b
+}
+
+// sharedPrompt is one with a shared part.
+func sharedPrompt() []Part { return []Part{{ID: 5, Tokens: 100}, {ID: 6, Tokens: 1}} }
+
+func TestNothingOfAnEarlierLifeIsKept(t *testing.T) {
+	now := time.Now()
+	b := twoEngines(now)
+	b.Answered("a", sharedPrompt(), now)
+	b.Failed("a", Refused, "", now)
+	b.Reported("a", 50, now)
+	assert.True(t, b.Suspected("a", now))
+	var told []string
+	b.SetEnds(Ends{Restarted: func(id, address string) { told = append(told, id+" "+address) }})
+	b.Restarted("a", false, now)
+	assert.Equal(t, []string{"a a:1"}, told)
+	assert.False(t, b.Suspected("a", now))
+	assert.Empty(t, b.Holders(now))
+	b.mu.Lock()
+	load := b.load(b.replicas["a"], now)
+	b.mu.Unlock()
+	assert.Zero(t, load)
+	assert.Len(t, b.TellRumors().Failures, 1, "what the list tells is no rumor")
+}
+
+func TestARestartReachesRoutersThatTheListDoesNotTell(t *testing.T) {
+	now := time.Now()
+	reader, other := twoEngines(now), twoEngines(now)
+	other.Answered("a", sharedPrompt(), now)
+	other.TellRumors()
+	var told []string
+	other.SetEnds(Ends{Restarted: func(id, _ string) { told = append(told, id) }})
+	reader.Restarted("a", true, now)
+	rumors := reader.TellRumors()
+	other.MergeRumors(rumors, now)
+	assert.Empty(t, other.Holders(now))
+	other.MergeRumors(rumors, now)
+	assert.Equal(t, []string{"a"}, told, "once")
+	// What comes late of the earlier life changes nothing.
+	other.MergeRumors(Rumors{
+		Failures: []SeenFailure{{Hash("a"), Refused, now.Add(-time.Second)}},
+		Holders:  []Holding{{5, Hash("a")}},
+	}, now.Add(100*time.Millisecond))
+	assert.Empty(t, other.Holders(now.Add(100*time.Millisecond)))
+	assert.False(t, other.Suspected("a", now.Add(100*time.Millisecond)))
+	other.Answered("a", sharedPrompt(), now.Add(time.Second))
+	assert.NotEmpty(t, other.Holders(now.Add(time.Second)), "its own answer tells what it holds now")
+}
+
+// Who knows nothing of restarts passes over a failure of a kind that it does not know.
+func TestAFailureOfAnUnknownKindChangesNothing(t *testing.T) {
+	now := time.Now()
+	b := twoEngines(now)
+	b.MergeRumors(Rumors{Failures: []SeenFailure{{Hash("a"), Restart + 1, now}}}, now)
+	assert.False(t, b.Suspected("a", now))
+}
+
+func TestWhatHasASpoiltEntryIsNeitherChosenNorCopiedFrom(t *testing.T) {
+	now := time.Now()
+	b := twoEngines(now)
+	b.Answered("a", sharedPrompt(), now)
+	b.Replace([]directory.Replica{{ID: "a", State: directory.Unusable}, {ID: "b", Service: "s", Address: "b:1"}}, now)
+	for range 20 {
+		choice, found := b.Pick(Question{Service: "s", Parts: sharedPrompt()}, now)
+		assert.True(t, found)
+		assert.Equal(t, "b", choice.Replica.ID)
+		assert.Empty(t, choice.Source)
+	}
+}
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -42,8 +42,8 @@
 // MergeRumors takes what another router saw or was told.
 func (b *Balancer) MergeRumors(r Rumors, now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.mergeRumors(r, now)
+	b.unlockAndTell()
 }
 
 // rumorLife is how long a failure is worth passing on.
@@ -100,7 +100,19 @@
 // mergeFailure takes a failure that another router saw. b.mu is held.
 func (b *Balancer) mergeFailure(f SeenFailure, now time.Time) {
 	r := b.byHash[f.Replica]
-	if r == nil || f.Failure > Unreachable || b.without.Has(mechanism.Rumors) {
+	if r == nil || f.Failure > Restart || b.without.Has(mechanism.Rumors) {
+		return
+	}
+	if f.Failure == Restart {
+		if b.mergeRestart(r, f.At) {
+			b.restartsToTell = append(b.restartsToTell, r.Replica)
+			if b.large {
+				b.tellFailure(r, f.Failure, f.At)
+			}
+		}
+		return
+	}
+	if f.At.Before(r.restarted) {
 		return
 	}
 	if b.large {
@@ -119,7 +131,7 @@
 // mergeHolder takes a holder that another router saw. b.mu is held.
 func (b *Balancer) mergeHolder(h Holding, now time.Time) {
 	r := b.byHash[h.Replica]
-	if r == nil {
+	if r == nil || now.Sub(r.restarted) < lateHolders {
 		return
 	}
 	if b.large && !b.holders.holds(h.Part, r.ID, now) {
@@ -146,7 +158,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, h := range list {
-		if r := b.byHash[h.Replica]; r != nil && !b.holders.holds(h.Part, r.ID, now) {
+		if r := b.byHash[h.Replica]; r != nil && now.Sub(r.restarted) >= lateHolders && !b.holders.holds(h.Part, r.ID, now) {
 			b.holders.note(h.Part, r.ID, now)
 		}
 	}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -31,11 +31,13 @@
 const (
 	Ready State = iota
 	Draining
+	// Unusable: its entry is not a replica's. It names nobody to send to.
+	Unusable
 )
 
 // Replica is one entry of the list.
 type Replica struct {
-	// ID names one incarnation; it is never used again.
+	// ID names the replica, which may start again under it.
 	ID         string
 	Service    string
 	Address    string
@@ -54,6 +56,12 @@
 	ColdUntil time.Time `json:"-"`
 	// Evacuated: nothing is to be sent to its data centre.
 	Evacuated bool `json:"-"`
+	// Born is when it started, in Unix milliseconds by its own clock, so that a later
+	// one is a later start; 0 if it is not known.
+	Born int64 `json:",omitempty"`
+	// Counted is one more than how far it says that it has counted since its start, known
+	// to who read the list itself; 0 if it is not known.
+	Counted uint64 `json:"-"`
 }
 
 // Listing is what one read lists.
@@ -84,6 +92,11 @@
 	Back    What = "listed again"
 	Cooled  What = "cold"
 	Warmed  What = "warm"
+	// Restarted: it started again under its id, and holds and knows nothing of before.
+	Restarted What = "started again"
+	// Spoilt and Usable: its entry is another writer's, and its own again.
+	Spoilt What = "entry spoilt"
+	Usable What = "entry usable again"
 	// Evacuated and Returned are of a data centre.
 	Evacuated What = "evacuated"
 	Returned  What = "taken back"
@@ -109,6 +122,8 @@
 	listed time.Time
 	// doubtedSince is when the entry was first missing after an outage.
 	doubtedSince time.Time
+	// lateSince is since when an earlier start is listed than the one known.
+	lateSince time.Time
 }
 
 // New returns an empty directory. A pause of more than outage between two reads
@@ -187,15 +202,35 @@
 	if !known {
 		r.ColdUntil = d.coldUntil(r)
 		d.entries[r.ID] = &entry{replica: r, idHash: idHash(r.ID), sum: sumOf(&r), listed: d.read}
-		return append(changes, Change{Replica: r, What: Joined})
+		what := Joined
+		if r.State == Unusable {
+			what = Spoilt
+		}
+		return append(changes, Change{Replica: r, What: what})
+	}
+	if d.isLate(&r, old) {
+		r = old.replica
 	}
 	what := d.warmth(&r, old.replica)
 	switch {
+	case r.State == Unusable:
+		// When it started and how far it counted holds on, for its own next entry.
+		r.Born, r.Counted = old.replica.Born, old.replica.Counted
+		if what = ""; old.replica.State != Unusable {
+			what = Spoilt
+		}
+	case restarted(&r, &old.replica):
+		what = Restarted
 	case r.State == Draining && old.replica.State != Draining:
 		what = Drains
+	case old.replica.State == Unusable:
+		what = Usable
 	case !old.doubtedSince.IsZero():
 		what = Back
 	}
+	if r.Counted == 0 {
+		r.Counted = old.replica.Counted
+	}
 	if what != "" {
 		changes = append(changes, Change{Replica: r, What: what})
 	}
@@ -208,6 +243,29 @@
 	return changes
 }
 
+// isLate tells whether an entry is of an earlier start than the one known: a write of it
+// may come late. The replica's own next one follows within the grace; if none does, the
+// clock by which it says when it started was set back.
+func (d *Directory) isLate(r *Replica, known *entry) bool {
+	if r.Born == 0 || r.Born >= known.replica.Born {
+		known.lateSince = time.Time{}
+		return false
+	}
+	if known.lateSince.IsZero() {
+		known.lateSince = d.read
+	}
+	return d.read.Sub(known.lateSince) < d.grace
+}
+
+// restarted tells whether a replica started again between two of its entries: by when
+// it says that it started, else by a count that starts anew.
+func restarted(r, old *Replica) bool {
+	if r.Born != 0 && old.Born != 0 {
+		return r.Born != old.Born
+	}
+	return r.Counted != 0 && r.Counted < old.Counted
+}
+
 func (d *Directory) missing(id string, e *entry, lost bool, changes []Change) []Change {
 	if e.doubtedSince.IsZero() && lost && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
 		e.doubtedSince = d.read
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -41,13 +41,26 @@
 // sumOf names the content of an entry, but for how long the replica stays cold, which
 // is another time at each read.
 func sumOf(r *Replica) uint64 {
-	return xxhash.Sum64(fmt.Appendf(nil, "%q %q %q %q %d %d %t", r.ID, r.Service, r.Address, r.DataCentre, r.Slots, r.State, r.Cold))
+	if r.State == Unusable {
+		// What its earlier entry said is known to some routers only.
+		return xxhash.Sum64(fmt.Appendf(nil, "%q %d", r.ID, r.State))
+	}
+	text := fmt.Appendf(nil, "%q %q %q %q %d %d %t", r.ID, r.Service, r.Address, r.DataCentre, r.Slots, r.State, r.Cold)
+	if r.Born != 0 {
+		// Routers that know nothing of it still have the same sums as others where no
+		// replica says when it started.
+		text = fmt.Appendf(text, " %d", r.Born)
+	}
+	return xxhash.Sum64(text)
 }
 
 // sameContent tells whether two entries of one replica have the same sumOf.
 func sameContent(a, b *Replica) bool {
+	if a.State == Unusable && b.State == Unusable {
+		return true
+	}
 	return a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre &&
-		a.Slots == b.Slots && a.State == b.State && a.Cold == b.Cold
+		a.Slots == b.Slots && a.State == b.State && a.Cold == b.Cold && a.Born == b.Born
 }
 
 // told is what tells an entry from that of another list. An entry of a cold replica
--- /dev/null
+++ b/pkg/directory/restart_test.go
@@ -0,0 +1,96 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// A replica's entries, one after the other, a second apart; changes are those of it.
+func TestLivesOfAReplica(t *testing.T) {
+	const grace = 2500 * time.Millisecond
+	entry := func(born int64, counted uint64, state State) Replica {
+		r := Replica{ID: "a", Service: "s", Address: "10.0.0.1:1", State: state, Born: born, Counted: counted}
+		if state == Unusable {
+			r = Replica{ID: "a", State: Unusable}
+		}
+		return r
+	}
+	tests := map[string]struct {
+		entries []Replica
+		want    []What
+	}{
+		"a later start":                        {[]Replica{entry(1000, 0, Ready), entry(1000, 0, Ready), entry(2000, 0, Ready)}, []What{Joined, "", Restarted}},
+		"an older start that comes late":       {[]Replica{entry(2000, 0, Ready), entry(1000, 0, Ready), entry(2000, 0, Ready)}, []What{Joined, "", ""}},
+		"its clock was set back":               {[]Replica{entry(2000, 0, Ready), entry(1000, 0, Ready), entry(1000, 0, Ready), entry(1000, 0, Ready), entry(1000, 0, Ready)}, []What{Joined, "", "", "", Restarted}},
+		"it says from now on when it started":  {[]Replica{entry(0, 5, Ready), entry(1000, 6, Ready)}, []What{Joined, ""}},
+		"counts that start anew":               {[]Replica{entry(0, 5, Ready), entry(0, 1, Ready), entry(0, 2, Ready)}, []What{Joined, Restarted, ""}},
+		"counts that start anew, told by none": {[]Replica{entry(0, 5, Ready), entry(0, 0, Ready), entry(0, 1, Ready)}, []What{Joined, "", Restarted}},
+		"the start decides before the counts":  {[]Replica{entry(1000, 5, Ready), entry(1000, 1, Ready)}, []What{Joined, ""}},
+		"spoilt and written again":             {[]Replica{entry(1000, 5, Ready), entry(0, 0, Unusable), entry(0, 0, Unusable), entry(1000, 6, Ready)}, []What{Joined, Spoilt, "", Usable}},
+		"started again behind a spoilt entry":  {[]Replica{entry(1000, 5, Ready), entry(0, 0, Unusable), entry(2000, 1, Ready)}, []What{Joined, Spoilt, Restarted}},
+		"spoilt from the first":                {[]Replica{entry(0, 0, Unusable), entry(1000, 1, Ready)}, []What{Spoilt, Usable}},
+		"draining again after a restart":       {[]Replica{entry(1000, 1, Draining), entry(2000, 1, Ready), entry(2000, 2, Draining)}, []What{Joined, Restarted, Drains}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := New(time.Hour, grace)
+			begin := time.Now()
+			var got []What
+			for n, r := range test.entries {
+				what := What("")
+				for _, c := range d.Replace([]Replica{r}, begin.Add(time.Duration(n)*time.Second)) {
+					what = c.What
+				}
+				got = append(got, what)
+
+			}
+			assert.Equal(t, test.want, got)
+			last := test.entries[len(test.entries)-1]
+			assert.Equal(t, last.State == Ready, d.Ready("a"))
+		})
+	}
+}
+
+// All entries of a service that are overwritten at once were not lost with the list.
+func TestSpoiltEntriesGetNothingAndNoDoubt(t *testing.T) {
+	begin := time.Now()
+	d := New(time.Hour, time.Hour)
+	var good, bad []Replica
+	for _, id := range []string{"a", "b", "c"} {
+		good = append(good, Replica{ID: id, Service: "s", Address: id + ":1"})
+		bad = append(bad, Replica{ID: id, State: Unusable})
+	}
+	d.Replace(good, begin)
+	d.Replace(bad, begin.Add(time.Second))
+	for _, id := range []string{"a", "b", "c"} {
+		assert.False(t, d.Ready(id))
+	}
+	assert.Empty(t, d.Unlisted(begin.Add(time.Second/2), time.Time{}))
+	d.Replace(good, begin.Add(2*time.Second))
+	assert.True(t, d.Ready("a"))
+}
+
+// One router saw what stood there before, the other did not.
+func TestSpoiltEntriesHaveTheSameSumsEverywhere(t *testing.T) {
+	begin := time.Now()
+	saw, other := New(time.Hour, time.Hour), New(time.Hour, time.Hour)
+	saw.Replace([]Replica{{ID: "a", Service: "s", Address: "a:1", Born: 1000, Counted: 3}}, begin)
+	for _, d := range []*Directory{saw, other} {
+		d.Replace([]Replica{{ID: "a", State: Unusable, Entry: 5}}, begin.Add(time.Second))
+	}
+	assert.Equal(t, other.Mark(), saw.Mark())
+	assert.Equal(t, other.Sums(), saw.Sums())
+}
+
+func TestAListWithoutStartsHasTheMarkItAlwaysHad(t *testing.T) {
+	d := New(time.Hour, time.Hour)
+	d.Replace([]Replica{{ID: "a", Service: "s", Address: "a:1"}}, time.Now())
+	before := d.Mark()
+	later := New(time.Hour, time.Hour)
+	later.Replace([]Replica{{ID: "a", Service: "s", Address: "a:1", Counted: 9}}, time.Now())
+	assert.Equal(t, before, later.Mark())
+	later.Replace([]Replica{{ID: "a", Service: "s", Address: "a:1", Born: 9}}, time.Now())
+	assert.NotEqual(t, before, later.Mark())
+}
