--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -21,6 +21,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // Set holds the open connections of one listener. It is safe for concurrent use.
@@ -104,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(raw, time.Now())
+	c := newConn(raw, steady.Now())
 	l.set.mu.Lock()
 	l.set.open[c] = struct{}{}
 	l.set.mu.Unlock()
@@ -121,7 +123,7 @@
 	case http.StateActive:
 		c.serves()
 	case http.StateIdle:
-		c.rests(time.Now())
+		c.rests(steady.Now())
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.open, c)
@@ -183,7 +185,7 @@
 	defer ticker.Stop()
 	var all Ended
 	for {
-		look := s.CloseResting(time.Now())
+		look := s.CloseResting(steady.Now())
 		all.add(look)
 		if s.Open() == 0 {
 			return all, nil
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -11,6 +11,7 @@
 	"unicode/utf8"
 
 	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
@@ -170,7 +171,7 @@
 		}
 		deadline = d
 	}
-	job.Deadline = time.Now().Add(deadline)
+	job.Deadline = steady.Now().Add(deadline)
 	job.Priority = group.PriorityMin
 	if text := r.Header.Get(PriorityHeader); text != "" {
 		n, err := strconv.Atoi(text)
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/socket"
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 const (
@@ -43,7 +44,7 @@
 		if err == nil || !socket.IsExhausted(err) {
 			return c, err
 		}
-		t.relieve(err, t.failed(time.Now()))
+		t.relieve(err, t.failed(steady.Now()))
 		time.Sleep(acceptPause)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
@@ -91,7 +92,7 @@
 
 // Start opens the listeners and begins to serve.
 func Start(s settings.Settings, outside Outside, log *event.Log) (*Entry, error) {
-	e := &Entry{settings: s, started: time.Now(), outside: outside, log: log, accepted: make(chan struct{}), stop: make(chan struct{}), done: make(chan struct{})}
+	e := &Entry{settings: s, started: steady.Now(), outside: outside, log: log, accepted: make(chan struct{}), stop: make(chan struct{}), done: make(chan struct{})}
 	e.bounds.Store(&s.Bounds)
 	e.killed, e.kill = context.WithCancel(context.Background())
 	if err := e.build(); err != nil {
@@ -109,7 +110,7 @@
 	b := e.settings.Bounds
 	e.metrics = front.NewMetrics()
 	e.holder = freshness.NewHolder()
-	e.balancer = balance.New(uint64(time.Now().UnixNano()))
+	e.balancer = balance.New(uint64(steady.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
 	e.balancer.SetColdBounds(coldBounds(b))
 	e.balancer.SetWithout(e.settings.Without)
@@ -144,9 +145,9 @@
 	e.balancer.SetEnds(balance.Ends{
 		Restarted: func(id, address string) {
 			e.pool.Drop(address)
-			e.front.Restarted(id, time.Now())
+			e.front.Restarted(id, steady.Now())
 		},
-		Gone: func(id string) { e.front.Gone(id, time.Now()) },
+		Gone: func(id string) { e.front.Gone(id, steady.Now()) },
 	})
 	limits := front.NewConnLimits(e.holder, e.log)
 	e.conns = conns.NewSet()
@@ -213,7 +214,7 @@
 
 // Ready tells whether the router should get new connections.
 func (e *Entry) Ready() bool {
-	if e.stopping.Load() || !e.follower.Known() || e.taker.starved(time.Now()) {
+	if e.stopping.Load() || !e.follower.Known() || e.taker.starved(steady.Now()) {
 		return false
 	}
 	return e.proven()
@@ -230,7 +231,7 @@
 
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
-	return e.follower.ProofAge(time.Now()) < keyProof(*e.bounds.Load())
+	return e.follower.ProofAge(steady.Now()) < keyProof(*e.bounds.Load())
 }
 
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
@@ -276,6 +277,10 @@
 		e.tidy(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		steady.Watch(ctx, e.woke)
+		return nil
+	})
 	select {
 	case <-e.stop:
 		e.err = e.shutDown()
@@ -290,7 +295,7 @@
 	}
 	sent, received := e.gossip.Bytes()
 	reads, failed := e.follower.Reads()
-	e.log.Write(event.Stopped, event.F("in_flight", e.front.Active()), event.F("ran_ms", time.Since(e.started).Milliseconds()),
+	e.log.Write(event.Stopped, event.F("in_flight", e.front.Active()), event.F("ran_ms", steady.Since(e.started).Milliseconds()),
 		event.F("peers_sent", sent), event.F("peers_received", received), event.F("reads", reads), event.F("reads_failed", failed))
 }
 
@@ -311,6 +316,16 @@
 	return nil
 }
 
+// woke is called after the machine was suspended. What was known is old by then, by the
+// steady time, and is not acted on until it is proven again; connections that rested may
+// have ended meanwhile without a word.
+func (e *Entry) woke(slept time.Duration) {
+	e.log.Write(event.Woke, event.F("slept_ms", slept.Milliseconds()), event.F("in_flight", e.front.Active()))
+	e.front.Woke()
+	e.pool.DropIdle()
+	e.follower.ReadSoon()
+}
+
 // tidy writes when the router is first ready and closes connections that
 // rested too long.
 func (e *Entry) tidy(ctx context.Context) {
@@ -326,7 +341,7 @@
 		}
 		if now := e.Ready(); now != ready {
 			ready = now
-			e.log.Write(event.Ready, event.F("ready", ready), event.F("proof_ms", e.follower.ProofAge(time.Now()).Milliseconds()))
+			e.log.Write(event.Ready, event.F("ready", ready), event.F("proof_ms", e.follower.ProofAge(steady.Now()).Milliseconds()))
 		}
 		if now := e.proven(); now != proven && e.follower.Known() {
 			proven = now
@@ -334,7 +349,7 @@
 			if proven {
 				id = event.ProofNew
 			}
-			e.log.Write(id, event.F("proof_ms", e.follower.ProofAge(time.Now()).Milliseconds()))
+			e.log.Write(id, event.F("proof_ms", e.follower.ProofAge(steady.Now()).Milliseconds()))
 		}
 		e.pool.CloseIdle()
 	}
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/mechanism"
 )
@@ -57,7 +58,7 @@
 	defer cancel()
 	parts, err := e.outside.Held(ctx, r.Address)
 	e.log.Write(event.EngineAsked, event.F("replica", r.ID), event.F("parts", len(parts)), event.F("error", err))
-	e.balancer.Held(r.ID, parts, time.Now())
+	e.balancer.Held(r.ID, parts, steady.Now())
 }
 
 // waitUntil waits for a condition and tells whether it came before ctx ended.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // Parts of the grace time of a planned stop.
@@ -26,13 +27,13 @@
 
 // shutDown ends the service within the users' grace time.
 func (e *Entry) shutDown() error {
-	asked := time.Now()
+	asked := steady.Now()
 	grace := e.bounds.Load().Grace
 	e.log.Write(event.Draining, event.F("in_flight", e.front.Active()), event.F("connections", e.conns.Open()))
 	e.stopping.Store(true)
 	e.front.Stopping(asked.Add(part(grace, serveOnPart)), asked.Add(part(grace, cutPart)))
 	e.gossip.Leave()
-	limit, cancel := context.WithDeadline(e.killed, asked.Add(part(grace, cutPart)))
+	limit, cancel := context.WithTimeout(e.killed, steady.Until(asked.Add(part(grace, cutPart))))
 	defer cancel()
 	select {
 	case <-time.After(part(grace, serveOnPart)):
@@ -42,7 +43,7 @@
 	e.endListening(limit)
 	ended, err := e.conns.Drain(limit)
 	e.log.Write(event.CallersEnded, event.F("closed_at_rest", ended.Closed), event.F("found_unread", ended.Unread),
-		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", time.Since(asked).Milliseconds()))
+		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", steady.Since(asked).Milliseconds()))
 	if err == nil {
 		return nil
 	}
@@ -52,7 +53,7 @@
 // waitForCallers serves on until no connection is open, or until a time. A
 // connection ends with its next answer, so callers leave by themselves.
 func (e *Entry) waitForCallers(limit context.Context, until time.Time) {
-	ctx, cancel := context.WithDeadline(limit, until)
+	ctx, cancel := context.WithTimeout(limit, steady.Until(until))
 	defer cancel()
 	// What is left then is closed as it comes to rest.
 	_ = e.conns.Wait(ctx)
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/admin"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -32,7 +33,7 @@
 
 // State returns the state dump.
 func (e *Entry) State() State {
-	now := time.Now()
+	now := steady.Now()
 	version, _ := e.follower.Version()
 	s := State{
 		Name:       e.settings.Name,
@@ -77,7 +78,7 @@
 	marked, held := e.poison.Len()
 	return []admin.Gauge{
 		{Name: "croftyard_config_version", Value: float64(version)},
-		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(time.Now()).Milliseconds())},
+		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(steady.Now()).Milliseconds())},
 		{Name: "croftyard_source_reads", Value: float64(made)},
 		{Name: "croftyard_source_reads_failed", Value: float64(failed)},
 		{Name: "croftyard_peers_routers", Value: float64(e.gossip.Members())},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -27,6 +27,7 @@
 	SettingsRejected  ID = 109
 	CallersEnded      ID = 110
 	Exhausted         ID = 111
+	Woke              ID = 112
 	ConfigAdopted     ID = 201
 	ConfigRejected    ID = 202
 	ConfigFromPeer    ID = 203
@@ -88,6 +89,7 @@
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
 	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
 	Exhausted:         {logrus.ErrorLevel, "no file descriptor left, resting connections to replicas closed", "Raise the limit of open files, or look at who opens so many connections."},
+	Woke:              {logrus.WarnLevel, "the machine was suspended", "None needed: what was known is proven anew before it is acted on. If it recurs, look why the machine is suspended."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
 	ConfigRejected:    {logrus.ErrorLevel, "configuration not usable, the one in force stays", "Look at the head with croftyardctl history; apply a correct version."},
 	ConfigFromPeer:    {logrus.InfoLevel, "configuration taken from a peer", "None needed. Seen while the platform's service is slow or down."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -140,7 +141,7 @@
 		case <-f.wake:
 			woken = true
 		}
-		if rest := f.readAfter() - f.Age(time.Now()); rest > 0 && !woken {
+		if rest := f.readAfter() - f.Age(steady.Now()); rest > 0 && !woken {
 			timer.Reset(rest)
 			continue
 		}
@@ -154,6 +155,14 @@
 	}
 }
 
+// ReadSoon has the source read at once.
+func (f *Follower) ReadSoon() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // readAfterParts are the parts of the period after which a router reads, by its
 // rank: the first reads for all while it can, the next two step in for it. To the
 // others a proof may come over two more routers, some rounds of telling later.
@@ -172,7 +181,7 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Load().Timeout)
 	defer cancel()
-	sent := time.Now()
+	sent := steady.Now()
 	f.began(wholeRead, sent)
 	snapshot, err := (*f.source.Load()).Read(ctx)
 	f.reads.Add(1)
@@ -199,7 +208,7 @@
 	f.mu.Lock()
 	was := f.lost
 	f.lost = err != nil
-	f.outage.end(wholeRead, err, time.Now())
+	f.outage.end(wholeRead, err, steady.Now())
 	f.mu.Unlock()
 	switch {
 	case err != nil && !was:
@@ -249,7 +258,7 @@
 		switch c.What {
 		case directory.Restarted:
 			// Who is told the list knows it from when the replica says that it started.
-			f.balancer.Restarted(c.Replica.ID, c.Replica.Born == 0, time.Now())
+			f.balancer.Restarted(c.Replica.ID, c.Replica.Born == 0, steady.Now())
 		case directory.Left:
 			f.balancer.Gone(c.Replica.ID)
 		}
@@ -345,10 +354,7 @@
 		if !f.holder.Current().Proven.Before(since) {
 			return nil
 		}
-		select {
-		case f.wake <- struct{}{}:
-		default:
-		}
+		f.ReadSoon()
 		select {
 		case <-read:
 		case <-ctx.Done():
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // ErrNotRenewed: the list of replicas could not be read.
@@ -32,7 +34,7 @@
 		return nil
 	}
 	if f.renewing == nil {
-		if time.Since(f.renewFailed) < renewPause {
+		if steady.Since(f.renewFailed) < renewPause {
 			f.mu.Unlock()
 			return ErrNotRenewed
 		}
@@ -42,7 +44,7 @@
 	renewing := f.renewing
 	began := f.outage.began[listRead]
 	f.mu.Unlock()
-	if !began.IsZero() && time.Since(began) >= silentAfter {
+	if !began.IsZero() && steady.Since(began) >= silentAfter {
 		// Those that came before have waited for this read in vain.
 		return ErrNotRenewed
 	}
@@ -63,16 +65,16 @@
 func (f *Follower) renewList() {
 	ctx, cancel := context.WithTimeout(context.Background(), f.options.Load().Timeout)
 	defer cancel()
-	sent := time.Now()
+	sent := steady.Now()
 	f.began(listRead, sent)
 	snapshot, err := (*f.source.Load()).Replicas(ctx)
 	f.reads.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.outage.end(listRead, err, time.Now())
+	f.outage.end(listRead, err, steady.Now())
 	if err != nil {
 		f.failed.Add(1)
-		f.renewFailed = time.Now()
+		f.renewFailed = steady.Now()
 	} else {
 		f.changed(f.directory.Take(snapshot.listing(), sent))
 		f.noteBad(snapshot.BadReplicas)
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -4,8 +4,8 @@
 	"context"
 	"net/http"
 	"net/url"
-	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
 
@@ -15,7 +15,7 @@
 func (c *call) admit(ctx context.Context) *refusal {
 	state := c.firstState(ctx)
 	if state.Table == nil {
-		return c.front.notYet(time.Now())
+		return c.front.notYet(steady.Now())
 	}
 	if limit := state.Table.Limits().HeaderBytes; limit > 0 && headerBytes(c.request) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large", closes: true}
@@ -24,7 +24,7 @@
 	if refused == nil {
 		return c.checkProof(ctx, state)
 	}
-	if state.Age(time.Now()) < c.front.limits.Load().AbsenceProof {
+	if state.Age(steady.Now()) < c.front.limits.Load().AbsenceProof {
 		return refused
 	}
 	if !c.prove(ctx, c.arrival) {
@@ -47,11 +47,11 @@
 
 // checkProof refuses a request with a key whose revocation might be unknown.
 func (c *call) checkProof(ctx context.Context, state *freshness.State) *refusal {
-	if c.organisation == nil || state.Age(time.Now()) < c.front.limits.Load().KeyProof {
+	if c.organisation == nil || state.Age(steady.Now()) < c.front.limits.Load().KeyProof {
 		return nil
 	}
 	// Any proof that is young enough will do; one that is asked for now is.
-	if !c.prove(ctx, time.Now().Add(-c.front.limits.Load().AbsenceProof)) {
+	if !c.prove(ctx, steady.Now().Add(-c.front.limits.Load().AbsenceProof)) {
 		return unproven("proof too old for keys")
 	}
 	return c.resolve(c.front.holder.Current())
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -65,7 +66,7 @@
 	if err == nil {
 		c.endedWell(answer.StatusCode)
 		c.notePace(choice.Replica.ID)
-		c.front.longest.Took(c.route.Name, time.Since(c.arrival), time.Now())
+		c.front.longest.Took(c.route.Name, steady.Since(c.arrival), steady.Now())
 		c.finished(outcomeServed, answer.StatusCode, "")
 		return done
 	}
@@ -77,7 +78,7 @@
 func (c *call) notePace(id string) {
 	const enough = 4
 	if c.service.Engine != nil && c.chunks >= enough {
-		c.front.balancer.Paced(id, time.Since(c.firstByte)/time.Duration(c.chunks-1))
+		c.front.balancer.Paced(id, steady.Since(c.firstByte)/time.Duration(c.chunks-1))
 	}
 }
 
@@ -99,7 +100,7 @@
 	c.front.announceEnd(c.writer)
 	c.writer.WriteHeader(answer.StatusCode)
 	c.begun = true
-	c.firstByte = time.Now()
+	c.firstByte = steady.Now()
 }
 
 // How calls end.
@@ -159,7 +160,7 @@
 	}
 	c.outcome.reason = "answer broken off: " + err.Error()
 	c.broke(choice)
-	if resumable && time.Until(c.end) > 0 {
+	if resumable && steady.Until(c.end) > 0 {
 		return c.repeat("stream broken off")
 	}
 	return over
@@ -187,7 +188,7 @@
 	}
 	if c.mayHaveRun {
 		status := http.StatusBadGateway
-		if !time.Now().Before(c.end) {
+		if !steady.Now().Before(c.end) {
 			status = http.StatusGatewayTimeout
 		}
 		r = &refusal{status: status, reason: r.reason}
@@ -225,7 +226,7 @@
 // repeated or late always has its line; the others are sampled.
 func (c *call) finish() {
 	f := c.front
-	took := time.Since(c.arrival)
+	took := steady.Since(c.arrival)
 	f.metrics.Ended(c.name(), c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
 	if c.alone {
 		f.poison.End(c.digest())
@@ -241,7 +242,7 @@
 	f.log.Write(id, event.F("request", c.id), event.F("digest", digest), event.F("route", c.name()), event.F("outcome", c.outcome.name), event.F("status", c.outcome.status),
 		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent.Load()),
 		event.F("may_have_run", c.mayHaveRun), event.F("first_byte_ms", c.firstByteTime().Milliseconds()), event.F("took_ms", took.Milliseconds()),
-		event.F("version", c.version), event.F("proof_ms", f.follower.ProofAge(time.Now()).Milliseconds()))
+		event.F("version", c.version), event.F("proof_ms", f.follower.ProofAge(steady.Now()).Milliseconds()))
 }
 
 // name is that of the route, if one was found.
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/route"
@@ -110,8 +111,9 @@
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.Parts))
 	c.front.repeats.Earn()
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.end)
+	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.end))
 	defer cancel()
+	defer c.front.inFlight.add(c.end, cancel)()
 	// Not the request's own: that it ends means that the caller left.
 	defer context.AfterFunc(c.front.cutting, cancel)()
 	if c.front.cutting.Err() != nil {
@@ -144,7 +146,7 @@
 // the bound off after the answer.
 func (c *call) boundWrites() {
 	// A writer that knows no deadlines has none to set.
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.end.Add(answerTime))
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(steady.OfDay(c.end.Add(answerTime)))
 }
 
 // left tells whether nobody waits for the answer any more.
@@ -163,7 +165,7 @@
 	}
 	// A writer that knows no deadlines has none to set.
 	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.end)
+	_ = control.SetReadDeadline(steady.OfDay(c.end))
 	body, err := io.ReadAll(reader)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -10,6 +10,7 @@
 	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/socket"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/freshness"
 )
 
@@ -106,7 +107,7 @@
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		conn.since = time.Now()
+		conn.since = steady.Now()
 		conn.timer = time.AfterFunc(l.limit(), func() { l.expire(c) })
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
@@ -123,7 +124,7 @@
 	if conn == nil || conn.serving || conn.expired {
 		return
 	}
-	if left := l.limit() - time.Since(conn.since); left > 0 {
+	if left := l.limit() - steady.Since(conn.since); left > 0 {
 		conn.timer.Reset(left)
 		return
 	}
@@ -134,7 +135,7 @@
 		return
 	}
 	conn.expired = true
-	l.log.Write(event.CallerConnExpired, event.F("caller", c.RemoteAddr().String()), event.F("rested_ms", time.Since(conn.since).Milliseconds()))
+	l.log.Write(event.CallerConnExpired, event.F("caller", c.RemoteAddr().String()), event.F("rested_ms", steady.Since(conn.since).Milliseconds()))
 	c.Close()
 }
 
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/poison"
@@ -89,7 +90,7 @@
 	if !f.follower.Ready(id) {
 		return
 	}
-	broke, digest := time.Now(), c.digest()
+	broke, digest := steady.Now(), c.digest()
 	fields := []event.Field{event.F("request", c.id), event.F("replica", id), event.F("digest", digest.String()),
 		event.F("route", c.route.Name), event.F("ran_ms", broke.Sub(c.sentAt).Milliseconds())}
 	looked := make(chan struct{})
@@ -98,10 +99,10 @@
 		defer close(looked)
 		b := brokenOff{digest: digest, at: broke, fields: fields}
 		if b.fate = f.fate(id, address); b.fate != upstream.Ended {
-			f.breaks.note(id, b, time.Now())
+			f.breaks.note(id, b, steady.Now())
 			return
 		}
-		f.crashed(id, b, time.Now())
+		f.crashed(id, b, steady.Now())
 	}()
 }
 
@@ -140,6 +141,6 @@
 // endedWell notes that a replica ran the request to its end.
 func (c *call) endedWell(status int) {
 	if status < http.StatusInternalServerError && c.front.poison.Any() {
-		c.front.poison.Served(c.digest(), time.Now())
+		c.front.poison.Served(c.digest(), steady.Now())
 	}
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/socket"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -42,8 +43,8 @@
 			return
 		}
 		c.renewList(ctx)
-		barred := c.front.barred(time.Now())
-		choice, found := c.front.balancer.Pick(c.question(barred), time.Now())
+		barred := c.front.barred(steady.Now())
+		choice, found := c.front.balancer.Pick(c.question(barred), steady.Now())
 		if !found && c.holdsBack(barred) {
 			c.giveUp(unproven("list of replicas too old"))
 			return
@@ -81,7 +82,7 @@
 	if len(barred) == 0 {
 		return false
 	}
-	_, found := c.front.balancer.Pick(c.question(nil), time.Now())
+	_, found := c.front.balancer.Pick(c.question(nil), steady.Now())
 	return found
 }
 
@@ -104,7 +105,7 @@
 	if refused := c.admit(ctx); refused != nil {
 		return refused
 	}
-	return c.suspicion(time.Now())
+	return c.suspicion(steady.Now())
 }
 
 // noteList writes when the list of replicas could not be renewed, and when it was
@@ -117,7 +118,7 @@
 	if err != nil {
 		id = event.ListOld
 	}
-	f.log.Write(id, event.F("age_ms", f.follower.ListAge(time.Now()).Milliseconds()), event.F("error", err))
+	f.log.Write(id, event.F("age_ms", f.follower.ListAge(steady.Now()).Milliseconds()), event.F("error", err))
 }
 
 // attempt sends the request to one replica.
@@ -129,18 +130,18 @@
 		event.F("part", fmt.Sprintf("%x", choice.Part)), event.F("holders", choice.Holders),
 		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent.Load()),
 		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
-		event.F("proof_ms", c.front.follower.ProofAge(time.Now()).Milliseconds()))
+		event.F("proof_ms", c.front.follower.ProofAge(steady.Now()).Milliseconds()))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.front.balancer.Started(id)
 	defer c.front.balancer.Finished(id)
 	hung := c.whenSilent(c.hangTime(), id, cancel)
 	defer hung.Stop()
-	sent := time.Now()
+	sent := steady.Now()
 	c.sentAt = sent
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
-	request.Check = func() error { return c.mayWrite(id, time.Now()) }
+	request.Check = func() error { return c.mayWrite(id, steady.Now()) }
 	request.Unacked = c.moveOn(c.hangTime(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
@@ -149,7 +150,7 @@
 	}
 	defer answer.Close()
 	if hung.Stop() && c.service.Engine == nil {
-		c.front.balancer.Paced(id, time.Since(sent))
+		c.front.balancer.Paced(id, steady.Since(sent))
 	}
 	c.sent.Add(1)
 	c.front.noteStay(id, sent, answer)
@@ -184,7 +185,7 @@
 func (c *call) moveOn(limit time.Duration, cancel context.CancelCauseFunc) func() {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
 	return func() {
-		if repeatable && c.asked() < attempts && time.Until(end) > limit && c.reserveRepeat() {
+		if repeatable && c.asked() < attempts && steady.Until(end) > limit && c.reserveRepeat() {
 			cancel(errHung)
 		}
 	}
@@ -283,7 +284,7 @@
 		return over
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
-		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", time.Since(c.arrival).Milliseconds()))
+		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()))
 	c.front.metrics.Repeats.Inc(1)
 	return again
 }
@@ -305,7 +306,7 @@
 	d := &c.front.options.Dialect
 	id := choice.Replica.ID
 	if load, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
-		c.front.balancer.Reported(id, load, time.Now())
+		c.front.balancer.Reported(id, load, steady.Now())
 	}
 	if answer.Header.Get(d.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
 		drain(answer)
@@ -317,7 +318,7 @@
 	if answer.StatusCode >= http.StatusInternalServerError {
 		return c.replicaError(ctx, cancel, choice, answer)
 	}
-	if c.front.balancer.Answered(id, c.parts, time.Now()) {
+	if c.front.balancer.Answered(id, c.parts, steady.Now()) {
 		c.front.log.Write(event.EngineBack, event.F("replica", id), event.F("request", c.id))
 	}
 	c.blame()
@@ -339,7 +340,7 @@
 		drain(answer)
 		return c.repeat(c.outcome.reason)
 	}
-	if !c.route.RunsOnce() && time.Until(c.end) > c.route.Target/2 && c.repeat(c.outcome.reason) == again {
+	if !c.route.RunsOnce() && steady.Until(c.end) > c.route.Target/2 && c.repeat(c.outcome.reason) == again {
 		c.errored = append(c.errored, choice.Replica.ID)
 		drain(answer)
 		return again
@@ -375,6 +376,6 @@
 
 // fail notes a failure at a replica.
 func (f *Front) fail(request, id string, kind balance.Failure) {
-	f.balancer.Failed(id, kind, f.options.DataCentre, time.Now())
+	f.balancer.Failed(id, kind, f.options.DataCentre, steady.Now())
 	f.log.Write(event.EngineSuspect, event.F("request", request), event.F("replica", id), event.F("kind", kind.String()))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -111,6 +112,8 @@
 	// looks are those that find out whether a replica has ended.
 	looks  singleflight.Group
 	breaks breaks
+	// inFlight are the calls under way.
+	inFlight inFlight
 }
 
 // New returns a front.
@@ -127,7 +130,7 @@
 		pool:     p,
 		log:      log,
 		metrics:  m,
-		started:  time.Now(),
+		started:  steady.Now(),
 		repeats:  admission.NewRetries(o.Limits.RepeatRatio, o.Limits.RepeatReserve),
 		longest:  admission.NewLongest(),
 	}
@@ -153,7 +156,7 @@
 	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	c := newCall(f, w, r, time.Now())
+	c := newCall(f, w, r, steady.Now())
 	defer c.finish()
 	c.serve()
 }
--- a/internal/front/outgoing.go
+++ b/internal/front/outgoing.go
@@ -2,8 +2,8 @@
 
 import (
 	"strconv"
-	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -22,7 +22,7 @@
 	if c.organisation != nil {
 		header.Set(d.Organisation, c.organisation.Name)
 	}
-	header.Set(d.Deadline, strconv.FormatInt(max(time.Until(c.end).Milliseconds(), 1), 10))
+	header.Set(d.Deadline, strconv.FormatInt(max(steady.Until(c.end).Milliseconds(), 1), 10))
 	header.Set(d.Expect, choice.Replica.ID)
 	if c.service.Engine != nil {
 		if !c.front.options.Without.Has(mechanism.Priority) {
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // refusal is an answer of the router's own.
@@ -45,7 +47,7 @@
 // first of them is to be given work again; if none is known, when the list of them has
 // been read anew.
 func (c *call) notTaken(reason string) *refusal {
-	after, known := c.front.balancer.Opens(c.service.Name, time.Now())
+	after, known := c.front.balancer.Opens(c.service.Name, steady.Now())
 	if !known {
 		after = c.front.nextRead()
 	}
@@ -54,7 +56,7 @@
 
 // nextRead is when this router is to know more, as a time to come back.
 func (f *Front) nextRead() time.Duration {
-	return boundRetry(f.follower.NextRead(time.Now()))
+	return boundRetry(f.follower.NextRead(steady.Now()))
 }
 
 func boundRetry(after time.Duration) time.Duration {
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/mechanism"
 	"github.com/croftyard/croftyard/pkg/poison"
@@ -76,7 +77,7 @@
 		return
 	}
 	f.stayed.note(id, sent)
-	f.stayed.prune(f.limits.Load().ListProof, time.Now())
+	f.stayed.prune(f.limits.Load().ListProof, steady.Now())
 }
 
 // barred returns the replicas that get nothing now, since they may have said too long
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
 )
@@ -46,12 +47,12 @@
 // waitForReplica waits while a replica is expected to be there soon, and tells whether
 // to look again.
 func (c *call) waitForReplica(ctx context.Context) bool {
-	left := c.within(waitPart, maxTime) - time.Since(c.arrival)
+	left := c.within(waitPart, maxTime) - steady.Since(c.arrival)
 	if c.sent.Load() > 0 || c.evacuated() || left <= 0 {
 		return false
 	}
 	news, expected := c.front.follower.News()
-	opens, known := c.front.balancer.Opens(c.service.Name, time.Now())
+	opens, known := c.front.balancer.Opens(c.service.Name, steady.Now())
 	opening := known && opens > 0 && opens <= left
 	if !opening && !expected {
 		return false
@@ -85,7 +86,7 @@
 func (c *call) renewList(ctx context.Context) {
 	f := c.front
 	limit := time.Duration(float64(f.limits.Load().ListProof) * renewPart)
-	now := time.Now()
+	now := steady.Now()
 	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
 		return
 	}
--- /dev/null
+++ b/internal/front/woke_test.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/steady"
+)
+
+// A machine was suspended for ten seconds: what its router had known before counted as new.
+func TestNothingIsSentByWhatWasKnownBeforeASuspension(t *testing.T) {
+	address, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) {})
+	r := newRig(t, address)
+	limits := *r.front.limits.Load()
+	limits.KeyProof, limits.AbsenceProof, limits.ListProof = 4*time.Second, 1600*time.Millisecond, 1600*time.Millisecond
+	r.front.SetLimits(limits)
+	r.source.fallSilent()
+	defer steady.Pretend(10 * time.Second)()
+	for _, path := range []string{"/single/x", "/open/x", "/unknown/x"} {
+		answer, _, err := r.send(t, http.MethodPost, path, "body")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, path)
+	}
+	assert.Zero(t, arrivals.Load())
+	r.source.mu.Lock()
+	r.source.silent = false
+	r.source.mu.Unlock()
+	require.NoError(t, r.follower.Prove(t.Context(), steady.Now().Add(-time.Second)))
+	answer, _, err := r.send(t, http.MethodPost, "/single/x", "body")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.StatusCode, "proven again")
+}
+
+func TestARequestWhoseTimeRanOutMeanwhileIsAnsweredAtOnce(t *testing.T) {
+	begun := make(chan struct{})
+	address, _ := replica(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+	})
+	r := newRig(t, address)
+	answered := make(chan int)
+	go func() {
+		answer, _, err := r.send(t, http.MethodPost, "/single/x", "body", "Left", "30000")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- answer.StatusCode
+	}()
+	<-begun
+	defer steady.Pretend(40 * time.Second)()
+	r.front.Woke()
+	assert.Equal(t, http.StatusGatewayTimeout, <-answered)
+}
+
+func TestARequestThatStillHasTimeIsNotEndedByASuspension(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	address, _ := replica(t, func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-finish
+	})
+	r := newRig(t, address)
+	answered := make(chan int)
+	go func() {
+		answer, _, err := r.send(t, http.MethodPost, "/single/x", "body", "Left", "30000")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- answer.StatusCode
+	}()
+	<-begun
+	defer steady.Pretend(5 * time.Second)()
+	r.front.Woke()
+	close(finish)
+	assert.Equal(t, http.StatusOK, <-answered)
+	assert.Empty(t, r.front.inFlight.calls)
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -22,7 +23,7 @@
 		delete(g.busy, address)
 		g.mu.Unlock()
 	}()
-	asked := time.Now()
+	asked := steady.Now()
 	var reply *gossippb.Freshness
 	err := g.client.Control(ctx, address, peer.Bound{Call: callTimeout, Kept: keptTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Exchange(ctx, digest)
@@ -32,7 +33,7 @@
 		return
 	}
 	g.meter.Called(digest, reply)
-	if g.takeFreshness(address, reply, asked, time.Now()) {
+	if g.takeFreshness(address, reply, asked, steady.Now()) {
 		g.learn(ctx, address)
 	}
 }
@@ -98,7 +99,7 @@
 		return
 	}
 	defer g.learning.Store(false)
-	asked := time.Now()
+	asked := steady.Now()
 	have := g.follower.Have()
 	request := &gossippb.KnowledgeRequest{Version: have.Version, Mark: have.Mark, Sums: have.Sums, Holders: !g.recalled.Load()}
 	var reply *gossippb.KnowledgeReply
@@ -117,7 +118,7 @@
 	}
 	g.follower.Learn(knowledge, asked.Add(-milliseconds(reply.GetProofMs())), address)
 	if len(reply.Part) > 0 && g.follower.Known() {
-		g.balancer.Recall(decodeHolders(reply.Part, reply.Holder), time.Now())
+		g.balancer.Recall(decodeHolders(reply.Part, reply.Holder), steady.Now())
 		g.recalled.Store(true)
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,6 +27,7 @@
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/membership"
 	"github.com/croftyard/croftyard/pkg/poison"
@@ -237,18 +238,18 @@
 			told = time.After(newsPause)
 		case <-told:
 			told = nil
-			g.tellNews(time.Now())
+			g.tellNews(steady.Now())
 		case <-g.poison.News():
 			if marked == nil {
 				marked = time.After(marksPause)
 			}
 		case <-marked:
 			marked = nil
-			g.tellMarks(ctx, time.Now())
+			g.tellMarks(ctx, steady.Now())
 		case <-round.C:
 			g.tick(ctx)
 		case <-look.C:
-			g.noteSilence(time.Now())
+			g.noteSilence(steady.Now())
 		}
 	}
 }
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // tick is one round: it tells the partners.
 func (g *Gossip) tick(ctx context.Context) {
-	now := time.Now()
+	now := steady.Now()
 	g.mu.Lock()
 	lost := g.members.Expire(now)
 	large := g.members.Large()
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -9,12 +9,13 @@
 
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 )
 
 // Exchange implements the generated interface.
 func (g *Gossip) Exchange(_ context.Context, d *gossippb.Digest) (*gossippb.Freshness, error) {
-	now := time.Now()
+	now := steady.Now()
 	g.take(d, now)
 	reply := g.answer(d, now)
 	g.meter.Received(d, reply)
@@ -109,16 +110,16 @@
 	if !g.follower.Known() {
 		return &gossippb.KnowledgeReply{}, nil
 	}
-	k, age := g.follower.Knowledge(follow.Have{Version: r.Version, Mark: r.Mark, Sums: r.Sums}, time.Now())
+	k, age := g.follower.Knowledge(follow.Have{Version: r.Version, Mark: r.Mark, Sums: r.Sums}, steady.Now())
 	milliseconds := uint32(age.Milliseconds()) + 1
 	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
 	if err := g.encodeKnowledge(reply, k); err != nil {
 		return nil, err
 	}
 	if r.Holders && g.recalled.Load() {
-		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(time.Now()))
+		reply.Part, reply.Holder = encodeHolders(g.balancer.Holders(steady.Now()))
 	}
-	if !g.teaching.take(proto.Size(reply), time.Now()) {
+	if !g.teaching.take(proto.Size(reply), steady.Now()) {
 		// The caller goes on with what it has, and asks whoever it hears from next.
 		g.refused.Add(1)
 		return &gossippb.KnowledgeReply{}, nil
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/membership"
 )
 
@@ -88,7 +89,7 @@
 	if proto.Unmarshal(packet, &d) != nil {
 		return
 	}
-	now := time.Now()
+	now := steady.Now()
 	switch {
 	case d.Digest != nil:
 		if d.Digest.Sender == "" {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/once"
 )
@@ -99,7 +100,7 @@
 	defer cancel()
 	err := r.claims.Peek(ctx, claimKey(job.Key))
 	// Long after the deadline the record may have been forgotten.
-	timely := time.Since(job.Deadline) < once.Retention/2
+	timely := steady.Since(job.Deadline) < once.Retention/2
 	switch {
 	case err == nil && timely:
 		return refusal
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -9,6 +9,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
 )
@@ -33,7 +34,7 @@
 func (r *Router) tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	r.board.Forget(now)
 	r.view.Age(now)
 	for name, seen := range r.leavingSeen {
@@ -119,7 +120,7 @@
 // and before, while views of the owners differ; usually there are none.
 func (r *Router) handoverMessages(peers map[uint64]fleet.Instance) []message {
 	counts := make(map[uint64][]fleet.EngineCount)
-	now := time.Now()
+	now := steady.Now()
 	for hash, e := range r.engines {
 		if e.InFlight == 0 {
 			continue
@@ -150,7 +151,7 @@
 		}
 	}
 	demands := make(map[fleet.ID]float64)
-	r.limits.Pressing(time.Now(), r.fleetSize(), func(organisation string, demand float64) {
+	r.limits.Pressing(steady.Now(), r.fleetSize(), func(organisation string, demand float64) {
 		demands[shortName(organisation)] = demand
 	})
 	d := fleet.Digest{
@@ -191,7 +192,7 @@
 	d := peer.DecodeDigest(m)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	if len(d.Engines) > 0 {
 		r.takeCounts(d, now)
 		return &peerpb.DigestReply{Version: r.version()}
--- a/internal/router/forwarded.go
+++ b/internal/router/forwarded.go
@@ -7,6 +7,7 @@
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -32,7 +33,7 @@
 	}
 	defer end()
 	job := r.decodeJob(m)
-	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, steady.Until(job.Deadline))
 	defer cancel()
 	r.mu.Lock()
 	p := r.pools[poolName{DataCentre: r.settings.DataCentre, Model: m.Model}]
@@ -65,7 +66,7 @@
 		Body:         m.Body,
 		Stream:       m.Stream,
 		Priority:     int(m.Priority),
-		Deadline:     time.Now().Add(time.Duration(m.DeadlineMs) * time.Millisecond),
+		Deadline:     steady.Now().Add(time.Duration(m.DeadlineMs) * time.Millisecond),
 		PromptTokens: int(m.PromptTokens),
 		OutputTokens: int(m.OutputTokens),
 		FreshTokens:  int(m.FreshTokens),
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -12,6 +12,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
 )
@@ -77,7 +78,7 @@
 		return nil
 	}
 	key := placement.Hash(listReadersKey)
-	now := time.Now()
+	now := steady.Now()
 	var peers []fleet.Instance
 	for _, other := range r.routers {
 		if near(other) && r.view.Health(other.Name, now) == fleet.Live {
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/owner"
@@ -63,7 +64,7 @@
 	t := &ticket{Request: r.ownerRequest(job, hopsLeft), Payload: make(chan verdict, 1)}
 	r.mu.Lock()
 	group := p.group(id, r.settings.Limits.Queue, r.engine)
-	refusal := group.Enter(t, time.Now())
+	refusal := group.Enter(t, steady.Now())
 	r.mu.Unlock()
 	if refusal != nil {
 		return nil, refusal
@@ -114,7 +115,7 @@
 func (r *Router) impatient(group *owner.Group[chan verdict], t *ticket) *admission.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return group.Impatient(t, time.Now())
+	return group.Impatient(t, steady.Now())
 }
 
 // leave takes out a request whose caller left or whose deadline passed. It
@@ -146,7 +147,7 @@
 func (r *Router) finish(group *owner.Group[chan verdict], t *ticket, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	group.Finish(t, whole, time.Now())
+	group.Finish(t, whole, steady.Now())
 }
 
 // visit sends the request to the engine that it was granted.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -15,7 +16,7 @@
 func (r *Router) takeList(list []fleet.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.view.Replace(list, time.Now())
+	r.view.Replace(list, steady.Now())
 	r.routers = r.routers[:0]
 	for _, i := range list {
 		if i.Role == fleet.RoleRouter && i.Name != r.settings.Name && i.State == fleet.StateLive {
@@ -36,7 +37,7 @@
 // Engines stay in the layout while they are suspect: taking them out would
 // move other engines between groups each time one flaps. They are only closed.
 func (r *Router) refreshView() {
-	now := time.Now()
+	now := steady.Now()
 	owners := r.ownersByCentre(now)
 	if mark := markOf(owners); r.listChanged || mark != r.ownersMark {
 		r.listChanged = false
@@ -125,7 +126,7 @@
 	for name, p := range r.pools {
 		if _, listed := engines[name]; !listed {
 			p.lay(nil, nil, groupSize, r.engine)
-			p.pump(time.Now())
+			p.pump(steady.Now())
 			delete(r.pools, name)
 		}
 	}
@@ -134,7 +135,7 @@
 // noteOwners tells the handover who owns the pool's engines now, and has those
 // that are new to this router asked what they run.
 func (r *Router) noteOwners(p *pool) {
-	now := time.Now()
+	now := steady.Now()
 	for _, g := range p.layout.Groups {
 		if g.Owner == placement.None {
 			continue
@@ -211,7 +212,7 @@
 // the live routers that among allows. A role is thus held by few without a
 // message; views that differ make it a few more for a while.
 func (r *Router) chosen(key string, n int, among func(fleet.Instance) bool) bool {
-	now := time.Now()
+	now := steady.Now()
 	hash := placement.Hash(key)
 	own := placement.Rank(hash, r.selfHash)
 	before := 0
@@ -237,7 +238,7 @@
 func (r *Router) failed(name string, what event.ID, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	if r.view.Health(name, now) != fleet.Live {
 		return
 	}
@@ -250,7 +251,7 @@
 func (r *Router) reached(name string, what event.ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	if r.view.Health(name, now) == fleet.Suspect {
 		r.log.Write(what, event.F("name", name))
 		r.view.Reached(name, now)
@@ -262,7 +263,7 @@
 func (r *Router) leaving(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	if _, known := r.leavingSeen[name]; !known {
 		r.log.Write(event.TargetLeaving, event.F("name", name))
 	}
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/orders"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -122,7 +123,7 @@
 			loads = append(loads, r.missingLoads(p, adapter, s.Fleet.AdapterCopies)...)
 		}
 	}
-	now := time.Now()
+	now := steady.Now()
 	loads = slices.DeleteFunc(loads, func(l load) bool { return now.Sub(sent[l.name()]) < orderAgain })
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Compare(a.name(), b.name()) })
 	return loads
@@ -161,8 +162,8 @@
 		r.log.Write(event.OrderHeldBack, event.F("engine", l.engine.Name), event.F("error", err))
 		return false
 	}
-	sent[l.name()] = time.Now()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), order.Before.Add(orderMargin))
+	sent[l.name()] = steady.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), steady.Until(order.Before.Add(orderMargin)))
 	defer cancel()
 	err = sendOrder(ctx, l, order.Token)
 	r.log.Write(event.OrderSent, event.F("engine", l.engine.Name), event.F("adapter", l.adapter), event.F("token", order.Token), event.F("error", err))
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -28,7 +29,7 @@
 		return r.confirmed(ctx, &call.Job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
 	}
 	defer end()
-	ctx, cancel := context.WithDeadline(ctx, call.Job.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, steady.Until(call.Job.Deadline))
 	defer cancel()
 	refusal := r.admit(&call.Job)
 	if refusal == nil {
@@ -109,7 +110,7 @@
 	var best fleet.Instance
 	found := false
 	seen := 0
-	r.view.Instances(time.Now(), func(i fleet.Instance, health fleet.Health) {
+	r.view.Instances(steady.Now(), func(i fleet.Instance, health fleet.Health) {
 		if i.Role != fleet.RoleService || i.Service != service || health != fleet.Live || tried[i.Name] {
 			return
 		}
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
 )
@@ -49,7 +50,7 @@
 	r.reached(e.Name, event.EngineBack)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.engine(e).Reported(running, time.Now())
+	r.engine(e).Reported(running, steady.Now())
 }
 
 func (r *Router) ownEngines() []fleet.Instance {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,6 +36,7 @@
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/once"
@@ -171,7 +172,7 @@
 	r.announceStop(ctx)
 	r.mu.Lock()
 	for _, p := range r.pools {
-		p.drain(admission.Stopping, time.Now())
+		p.drain(admission.Stopping, steady.Now())
 	}
 	r.mu.Unlock()
 	return r.waitIdle(ctx)
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -10,6 +10,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -60,8 +61,8 @@
 		return r.confirmed(ctx, job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
 	}
 	defer end()
-	started := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	started := steady.Now()
+	ctx, cancel := context.WithTimeout(ctx, steady.Until(job.Deadline))
 	defer cancel()
 	refusal := r.admit(job)
 	if refusal == nil {
@@ -73,7 +74,7 @@
 		return refusal
 	}
 	r.metrics.Served.Inc(1)
-	observe(r.metrics.Total, time.Since(started))
+	observe(r.metrics.Total, steady.Since(started))
 	r.log.Write(event.RequestServed, event.F("request", job.ID), event.F("group", job.Group.Name))
 	return nil
 }
@@ -90,7 +91,7 @@
 	defer r.mu.Unlock()
 	limit := admission.Limit{Rate: job.Group.Rate, Burst: job.Group.Burst}
 	r.retries.Earn()
-	return r.limits.Admit(time.Now(), job.Group.Organisation, limit, job.work(), 1/float64(r.fleetSize()))
+	return r.limits.Admit(steady.Now(), job.Group.Organisation, limit, job.work(), 1/float64(r.fleetSize()))
 }
 
 // work estimates the request's work: with a token the engine holds all but the
@@ -195,7 +196,7 @@
 	return placement.Request{
 		Chat:        job.Chat,
 		Prefix:      job.Prefix,
-		PrefixShare: r.traffic.Seen(job.Prefix, time.Now()),
+		PrefixShare: r.traffic.Seen(job.Prefix, steady.Now()),
 		Engine:      r.tokenEngine(p, job.Engine),
 		Only:        p.eligible(job.Adapter),
 	}
@@ -311,7 +312,7 @@
 		Body:         job.Body,
 		Stream:       job.Stream,
 		Priority:     int32(job.Priority),
-		DeadlineMs:   max(time.Until(job.Deadline).Milliseconds(), 1),
+		DeadlineMs:   max(steady.Until(job.Deadline).Milliseconds(), 1),
 		PromptTokens: int64(job.PromptTokens),
 		OutputTokens: int64(job.OutputTokens),
 		FreshTokens:  int64(job.FreshTokens),
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
 )
@@ -81,7 +81,7 @@
 	sent, received := r.meter.Bytes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := steady.Now()
 	s := State{
 		Name:          r.settings.Name,
 		DataCentre:    r.settings.DataCentre,
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // Answer is a replica's answer whose head has arrived. Body must be read to its
@@ -26,7 +28,7 @@
 		a.conn.Close()
 		return
 	}
-	a.conn.expires = time.Now().Add(a.keepTime())
+	a.conn.expires = steady.Now().Add(a.keepTime())
 	a.pool.put(a.conn)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/socket"
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // Errors of this package.
@@ -114,7 +115,7 @@
 // keepUnused keeps a connection on which nothing was sent.
 func (p *Pool) keepUnused(c *conn) {
 	if c.expires.IsZero() {
-		c.expires = time.Now().Add(p.options.IdleTime)
+		c.expires = steady.Now().Add(p.options.IdleTime)
 	}
 	p.put(c)
 }
@@ -125,7 +126,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && c.quiet() {
+		if steady.Now().Before(c.expires) && c.quiet() {
 			return c, true, nil
 		}
 		c.Close()
@@ -227,7 +228,7 @@
 }
 
 // CloseIdle closes the connections that rested too long.
-func (p *Pool) CloseIdle() { closeAll(p.takeExpired(time.Now())) }
+func (p *Pool) CloseIdle() { closeAll(p.takeExpired(steady.Now())) }
 
 func (p *Pool) takeExpired(now time.Time) (expired []*conn) {
 	p.mu.Lock()
