Chats: one that crashes its engines is refused after the third

Cause: the same class as the incident: internal/router sends a chat to an engine with nothing in mind of what its content did to the last one; a repeatable call of a plain service went on to the next replica after each crash. Ruled out: telling marks among chat routers (not built: chats of one group come to its owner; their digests go to routers of one data centre; open). Change: pkg/poison at the one place where a target is sent anything, refusal crashes_target, not run. A target has ended if nothing listens at its address after a break. Claims go by the steady time. Conclusion: both paths remember what a request did, by one package.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/admission"
@@ -121,6 +122,21 @@
 	return &Dispatcher{client: client, idle: idle}
 }
 
+// endedTimeout bounds the look whether a target has ended: a way that is cut tells
+// nothing, and a refusal comes in some ms.
+const endedTimeout = 200 * time.Millisecond
+
+// Ended tells whether nothing listens at a target's address any more.
+func Ended(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: endedTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.Close()
+	return false
+}
+
 // NewAttempt returns 128 random bits in hexadecimal.
 func NewAttempt() string {
 	var b [16]byte
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -184,9 +184,13 @@
 // dispatchOnce sends a request to a target. One with a key is claimed first,
 // so that it runs at most once whatever else holds the same key.
 func (r *Router) dispatchOnce(ctx context.Context, job *Job, target fleet.Instance, request dispatch.Request, sink dispatch.Sink) (dispatch.Outcome, *admission.Refusal) {
+	if refusal := r.suspicion(job, &request); refusal != nil {
+		return dispatch.Outcome{NotRun: true}, refusal
+	}
 	request.Attempt = dispatch.NewAttempt()
 	if job.Key == "" {
 		outcome := r.targets.Run(ctx, request, sink)
+		r.noteFate(ctx, job, target, &request, outcome)
 		return outcome, r.settle(ctx, job, target, outcome)
 	}
 	request.Key = callersKey(job.Key)
@@ -199,6 +203,7 @@
 		return dispatch.Outcome{}, admission.Refuse(admission.DeadlineMiss, time.Second, "the deadline passed while the key was claimed")
 	}
 	outcome := r.targets.Run(ctx, request, sink)
+	r.noteFate(ctx, job, target, &request, outcome)
 	refusal := r.settle(ctx, job, target, outcome)
 	switch {
 	case outcome.NotRun:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,6 +42,7 @@
 	"github.com/croftyard/croftyard/pkg/once"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
+	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -89,6 +90,8 @@
 	// leavingSeen holds the targets that said themselves that they leave.
 	leavingSeen map[string]time.Time
 	sequence    uint32
+	// poison holds the marks against requests that crash their targets.
+	poison *poison.Memory
 }
 
 // gainedAtMost bounds the engines that wait to be asked; one that finds no place
@@ -116,11 +119,12 @@
 		gained:      make(chan fleet.Instance, gainedAtMost),
 		services:    make(map[string]int),
 		leavingSeen: make(map[string]time.Time),
+		poison:      newPoison(log),
 		sequence:    rand.Uint32(),
 	}
 	r.selfID = fleet.Short(r.selfHash)
 	r.board = fleet.NewBoard(r.selfID)
-	r.claims = once.NewClaims(r.platform, time.Now)
+	r.claims = once.NewClaims(r.platform, steady.Now)
 	r.peers = peer.NewClient(r.meter)
 	r.config = newConfig(r)
 	r.list = &list{router: r}
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -53,6 +53,7 @@
 	CallerGone   Reason = 15
 	GroupFull    Reason = 16
 	Leaving      Reason = 17
+	Poisoned     Reason = 18
 )
 
 var reasonNames = map[Reason]string{
@@ -74,6 +75,7 @@
 	CallerGone:   "caller_gone",
 	GroupFull:    "group_full",
 	Leaving:      "target_leaving",
+	Poisoned:     "crashes_target",
 }
 
 // String returns the name used in answers, metrics and logs.
