Gossip: a datagram causes no stream of datagrams

Cause: who has not said its data centre is asked for it with each datagram, and the question is one itself; a datagram could name as sender whom it liked. Change: asked once in a round, at most 64 routers; a datagram's sender is where it came from. Ruled out: dropping routers without a data centre (an embedder's fleet has none). An answer to a hello may still be larger than the hello: open. Conclusion: a datagram causes one question a round.

--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -107,6 +107,29 @@
 	return open < maxAsked
 }
 
+// mayGreet tells whether a router that has not said which data centre it is of may be
+// asked for it: once in a round. One that has none to say would be asked with each datagram
+// of its own, the question being one itself: two such routers asked each other as fast as
+// the network went, for 0.17 to 0.32 of a core each.
+func (g *Gossip) mayGreet(address string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pause := largeRounds * g.options.Period
+	for other, at := range g.greeted {
+		if now.Sub(at) >= pause {
+			delete(g.greeted, other)
+		}
+	}
+	if _, lately := g.greeted[address]; lately || len(g.greeted) >= maxGreeted {
+		return false
+	}
+	g.greeted[address] = now
+	return true
+}
+
+// maxGreeted bounds the routers that are greeted in a round, forged senders among them.
+const maxGreeted = 64
+
 // ask asks a router for what it knows. Who has not met it says hello.
 func (g *Gossip) ask(address string, hello bool, now time.Time) {
 	d := &gossippb.Digest{AsksOnly: true, Ask: g.noteQuestion(question{address, now, true})}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -120,6 +120,8 @@
 	questions    map[uint32]question
 	lastQuestion uint32
 	turns        int
+	// greeted are the routers that were asked lately of which data centre they are.
+	greeted map[string]time.Time
 	// life ends with the gossip.
 	life   context.Context
 	cancel context.CancelFunc
@@ -143,6 +145,7 @@
 		missed:    make(map[string]*gossippb.Digest),
 		centres:   make(map[string]string),
 		questions: make(map[uint32]question),
+		greeted:   make(map[string]time.Time),
 	}
 	g.life, g.cancel = context.WithCancel(context.Background())
 	err := g.listen()
--- /dev/null
+++ b/internal/gossip/greet_test.go
@@ -0,0 +1,56 @@
+package gossip
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+)
+
+// newSlowRouter returns a resting router whose rounds are an hour apart.
+func newSlowRouter(t *testing.T) *router {
+	t.Helper()
+	r := newRestingRouter(t, &source{})
+	slow, err := Start(Options{Address: "127.0.0.1:0", Period: time.Hour}, r.follower, r.balancer, event.Discard())
+	require.NoError(t, err)
+	t.Cleanup(slow.stop)
+	r.gossip = slow
+	return r
+}
+
+// Two routers that name no data centre asked each other as fast as the network went.
+func TestADatagramCausesNoStreamOfDatagrams(t *testing.T) {
+	first, second := newSlowRouter(t), newSlowRouter(t)
+	to, err := netip.ParseAddrPort(second.gossip.Address())
+	require.NoError(t, err)
+	const told = 50
+	for range told {
+		require.NoError(t, first.gossip.datagrams.Send(to, encodeDigest(&gossippb.Digest{AsksOnly: true})))
+	}
+	questions := func(r *router) int {
+		r.gossip.mu.Lock()
+		defer r.gossip.mu.Unlock()
+		return int(r.gossip.lastQuestion)
+	}
+	until(t, func() bool { return questions(second) > 0 && questions(first) > 0 })
+	// All that one causes follows within milliseconds; without a bound it is some 10,000.
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, 1, questions(second))
+	assert.Equal(t, 1, questions(first))
+}
+
+func TestADatagramNamesNoOtherSender(t *testing.T) {
+	first, second, victim := newRestingRouter(t, &source{}), newRestingRouter(t, &source{}), newRestingRouter(t, &source{})
+	first.gossip.takeDatagram(netip.MustParseAddrPort(second.gossip.Address()),
+		encodeDigest(&gossippb.Digest{AsksOnly: true, Sender: victim.gossip.Address(), Ask: 7, Hello: true}))
+	first.gossip.mu.Lock()
+	defer first.gossip.mu.Unlock()
+	for _, row := range first.gossip.members.Rows(time.Now()) {
+		assert.NotEqual(t, victim.gossip.Address(), row.Address)
+	}
+}
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -92,9 +92,8 @@
 	now := steady.Now()
 	switch {
 	case d.Digest != nil:
-		if d.Digest.Sender == "" {
-			d.Digest.Sender = from.String()
-		}
+		// A datagram that names another sender would have this router send to whom it names.
+		d.Digest.Sender = from.String()
 		g.takeTold(d.Digest, now)
 	case d.Answer != nil:
 		g.takeAnswer(d.Answer, now)
@@ -113,7 +112,7 @@
 	if d.Stopping {
 		return
 	}
-	unmet := g.unmet(d.Sender)
+	unmet := g.unmet(d.Sender) && g.mayGreet(d.Sender, now)
 	if (unmet || g.seemsNewer(d, now)) && g.mayAsk(d.Sender, now) {
 		g.ask(d.Sender, unmet, now)
 	}
