Soak: requests that crash engines, replicas that start again under their id, entries of other writers, long freezes

Change: five kinds of faults, drawn from a random source of their own, so that the seeds that once failed keep their schedules; a check of the rule on requests that crash replicas, broken on purpose in TestEachRuleIsSeenBroken. Stand-in replicas say when they were born. Conclusion: open are relays between routers, steps of the time of day, forged heads.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -38,6 +38,7 @@
 	Options ReplicaOptions
 
 	server *Server
+	born   time.Time
 	// ended is closed when it crashed or left.
 	ended      chan struct{}
 	endedAt    time.Time
@@ -74,13 +75,15 @@
 	Signature string
 	// Broken: the replica itself broke off or never answered.
 	Broken bool
+	// Fatal: it crashed the replica.
+	Fatal bool
 	// Left: the router closed the connection meanwhile.
 	Left bool
 }
 
 // StartReplica starts an incarnation at an address.
 func StartReplica(id, address string, o ReplicaOptions) (*Replica, error) {
-	r := &Replica{ID: id, Options: o, ended: make(chan struct{})}
+	r := &Replica{ID: id, Options: o, born: time.Now(), ended: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.Handle("/-/", platform.HeldHandler())
 	mux.HandleFunc("/", r.serve)
@@ -94,7 +97,7 @@
 
 // Entry returns what the replica writes of itself into the store.
 func (r *Replica) Entry(address, state string) platform.ReplicaEntry {
-	return platform.ReplicaEntry{Service: r.Options.Service, Address: address, Zone: r.Options.Zone, Slots: r.Options.Slots, State: state}
+	return platform.ReplicaEntry{Service: r.Options.Service, Address: address, Zone: r.Options.Zone, Slots: r.Options.Slots, State: state, Born: r.born.UnixMilli()}
 }
 
 // Leave makes each further answer the last of its connection.
--- a/internal/standin/replica_faults.go
+++ b/internal/standin/replica_faults.go
@@ -111,6 +111,7 @@
 		r.stream(w, request, run, run.After+2)
 	}
 	if r.pause(request, after-time.Since(begun)) {
+		r.change(run, func() { run.Fatal = true })
 		r.Crash()
 	}
 	panic(http.ErrAbortHandler)
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -68,6 +68,7 @@
 		c.asked(&h.Runs[i])
 	}
 	c.drain()
+	c.deadly()
 	c.gone()
 	c.configurations()
 	c.revoked()
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -150,6 +150,16 @@
 		"a run that nobody asked for": {Unasked, func(h *History) {
 			h.again(repeatID, func(r *standin.ReplicaRun) { r.Attempt = "nobody's" })
 		}},
+		"a deadly body that is sent on": {Budget, func(h *History) {
+			h.attempt(repeatID).Deadly = true
+			for n := range 3 + 5 {
+				h.again(repeatID, func(r *standin.ReplicaRun) {
+					r.Broken, r.Fatal = true, true
+					r.At = r.At.Add(time.Duration(n) * 2 * time.Second)
+					r.Ended = r.At
+				})
+			}
+		}},
 		"a changed path":                  {Unasked, func(h *History) { h.run(repeatID).Path = "/repeat/y" }},
 		"a changed method":                {Unasked, func(h *History) { h.run(repeatID).Method = http.MethodGet }},
 		"a changed body":                  {Unasked, func(h *History) { h.run(repeatID).BodySum = "other" }},
@@ -336,6 +346,7 @@
 	for seed := range uint64(100) {
 		p := planOf(seed, time.Minute)
 		assert.Equal(t, p, planOf(seed, time.Minute))
+		assert.Equal(t, planWithMore(seed, time.Minute), planWithMore(seed, time.Minute))
 		for _, a := range p.Actions {
 			drawn[a.Kind] = true
 		}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -63,6 +63,16 @@
 		s.crash(place, rnd)
 	case kindLink:
 		s.harm(place, rnd, a.For)
+	case kindReborn:
+		s.reborn(place, rnd)
+	case kindForeign:
+		s.foreign(a, rnd)
+	case kindSpoil:
+		s.spoil(place, a, rnd)
+	case kindDeadly:
+		s.deadly(a)
+	case kindLongFreeze:
+		s.freeze(r, s.bounds.Revoke+a.For)
 	default:
 		s.strikeStore(a.Kind, r, a.For)
 	}
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -76,6 +76,8 @@
 	Events int
 	// Reused: the connection had served before.
 	Reused bool
+	// Deadly: its body crashes what runs it.
+	Deadly bool
 	// Whole: the whole request was written.
 	Whole    bool
 	Sent     time.Time
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -49,8 +50,20 @@
 	kindStoreSlow   = "store-slow"
 	kindStoreSilent = "store-silent"
 	kindStoreLoses  = "store-loses-answers"
+	kindReborn      = "replica-starts-again"
+	kindForeign     = "foreign-entry"
+	kindSpoil       = "entry-spoilt"
+	kindDeadly      = "deadly-request"
+	kindLongFreeze  = "long-freeze"
 )
 
+// moreKinds come besides, in runs that have more. The schedule of a seed is the same
+// with them but for what is added, so that the seeds that once failed stay as they were.
+var moreKinds = []string{kindReborn, kindReborn, kindForeign, kindSpoil, kindDeadly, kindDeadly, kindLongFreeze}
+
+// morePart is how many of the others come for one that is added.
+const morePart = 3
+
 // plan is what a seed draws.
 type plan struct {
 	Seed    uint64
@@ -74,6 +87,25 @@
 // the seeds has none, and a third none of routers and store.
 var profiles = []string{"planned", "planned+replicas", "all"}
 
+// planWithMore is planOf with actions of moreKinds between the others. A long freeze is
+// of the profile that strikes routers.
+func planWithMore(seed uint64, length time.Duration) plan {
+	p := planOf(seed, length)
+	rnd := rand.New(rand.NewPCG(seed, seed+1))
+	if p.Profile == profiles[0] {
+		return p
+	}
+	for range 1 + len(p.Actions)/morePart {
+		kind := pick(rnd, moreKinds)
+		if kind == kindLongFreeze && p.Profile != profiles[2] {
+			continue
+		}
+		p.Actions = append(p.Actions, action{At: between(rnd, 0, length), Kind: kind, Target: rnd.Int(), For: between(rnd, shortestFault, longestFault)})
+	}
+	slices.SortStableFunc(p.Actions, func(a, b action) int { return cmp.Compare(a.At, b.At) })
+	return p
+}
+
 // planOf draws the schedule of a seed: the same for the same seed.
 func planOf(seed uint64, length time.Duration) plan {
 	rnd := rand.New(rand.NewPCG(seed, seed))
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -42,9 +42,9 @@
 	Kinds map[string]int
 }
 
-// Run plays a seed in a folder that takes all logs.
-func Run(program, dir string, seed uint64, length time.Duration) (Result, error) {
-	s := &soak{plan: planOf(seed, length), dir: dir, bounds: SheetBounds, record: newRecorder(), listen: make(map[string][listeners]string), stores: make(map[string]string)}
+// Run plays a plan in a folder that takes all logs.
+func Run(program, dir string, p plan, length time.Duration) (Result, error) {
+	s := &soak{plan: p, dir: dir, bounds: SheetBounds, record: newRecorder(), listen: make(map[string][listeners]string), stores: make(map[string]string)}
 	if err := s.keep("schedule.txt", []byte(s.plan.String())); err != nil {
 		return Result{}, err
 	}
@@ -147,6 +147,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var calling sync.WaitGroup
 	calling.Go(func() { s.users.run(ctx) })
+	calling.Go(func() { s.revive(ctx) })
 	time.Sleep(s.bounds.Contact)
 	begun := time.Now()
 	for _, a := range s.plan.Actions {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,11 +43,12 @@
 }
 
 // play runs a seed and judges it.
-func play(t *testing.T, program, dir string, seed uint64, length time.Duration) {
+func play(t *testing.T, program, dir string, p plan, length time.Duration) {
 	t.Helper()
+	seed := p.Seed
 	own := filepath.Join(dir, fmt.Sprint("seed-", seed))
 	require.NoError(t, os.MkdirAll(own, 0o700))
-	result, err := Run(program, own, seed, length)
+	result, err := Run(program, own, p, length)
 	require.NoError(t, err, "seed %d, logs in %s", seed, own)
 	t.Logf("%s%s", result.Plan, tally(result.Kinds))
 	for _, v := range result.Violations {
@@ -95,7 +96,12 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			play(t, program, dir, known.seed, seconds(t, known.faults))
+			length := seconds(t, known.faults)
+			p := planOf(known.seed, length)
+			if known.more {
+				p = planWithMore(known.seed, length)
+			}
+			play(t, program, dir, p, length)
 		})
 	}
 }
@@ -105,6 +111,8 @@
 type knownSeed struct {
 	seed   uint64
 	faults time.Duration
+	// more: with the kinds that came later.
+	more bool
 }
 
 // knownSeeds reads seeds.txt: a seed a line, its seconds, and why it stands there.
@@ -127,6 +135,7 @@
 			known.faults, err = time.ParseDuration(fields[1])
 			require.NoError(t, err)
 		}
+		known.more = len(fields) > 2 && fields[2] == "more"
 		out = append(out, known)
 	}
 	require.NotEmpty(t, out)
@@ -146,7 +155,10 @@
 	require.NoError(t, err)
 	const byDefault = 20 * time.Second
 	for _, seed := range freshSeeds(t, n) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, program, dir, seed, seconds(t, byDefault)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			length := seconds(t, byDefault)
+			play(t, program, dir, planWithMore(seed, length), length)
+		})
 	}
 }
 
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -96,7 +96,7 @@
 		{engines, engineReplicas, standin.ReplicaOptions{Work: firstEvent, Pieces: streamEvents, Gap: eventGap}},
 		{long, longReplicas, standin.ReplicaOptions{Work: firstEvent, Pieces: longEvents, Gap: eventGap}},
 	} {
-		s.o.Service, s.o.Zone, s.o.Slots = s.service, zone, replicaSlots
+		s.o.Service, s.o.Zone, s.o.Slots, s.o.Deadly = s.service, zone, replicaSlots, isDeadly
 		for n := range s.n {
 			place := &seat{name: fmt.Sprintf("%s-%d", s.service, n), options: s.o}
 			// Every other replica stands behind a link that can fail.
