--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -153,6 +153,7 @@
 		return done
 	case errors.Is(context.Cause(ctx), errHung):
 		c.outcome.reason = "stream fell silent"
+		c.abandoned(choice)
 		return c.repeat(c.outcome.reason)
 	case ctx.Err() != nil:
 		c.outcome.reason = "time is over"
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -91,8 +91,7 @@
 		return
 	}
 	broke, digest := steady.Now(), c.digest()
-	fields := []event.Field{event.F("request", c.id), event.F("replica", id), event.F("digest", digest.String()),
-		event.F("route", c.route.Name), event.F("ran_ms", broke.Sub(c.sentAt).Milliseconds())}
+	fields := c.crashFields(choice, broke)
 	looked := make(chan struct{})
 	c.looked = looked
 	go func() {
@@ -106,6 +105,19 @@
 	}()
 }
 
+// abandoned notes that the request was taken from a replica that was silent, and may go
+// on working on it: if it starts again or goes soon, it crashed under the request.
+func (c *call) abandoned(choice balance.Choice) {
+	now := steady.Now()
+	c.front.breaks.note(choice.Replica.ID, brokenOff{digest: c.digest(), at: now, fate: upstream.Unknown, fields: c.crashFields(choice, now)}, now)
+}
+
+// crashFields are what is written if a replica crashed under the request.
+func (c *call) crashFields(choice balance.Choice, now time.Time) []event.Field {
+	return []event.Field{event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("digest", c.digest().String()),
+		event.F("route", c.route.Name), event.F("ran_ms", now.Sub(c.sentAt).Milliseconds())}
+}
+
 // crashed makes a mark against a request under which a replica crashed.
 func (f *Front) crashed(id string, b brokenOff, now time.Time) {
 	f.poison.Crashed(b.digest, balance.Hash(id), b.at, now)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -17,11 +17,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // State is what the list says of a replica.
@@ -83,25 +80,6 @@
 // What says how a replica changed.
 type What string
 
-// The changes.
-const (
-	Joined  What = "joined"
-	Drains  What = "draining"
-	Left    What = "gone"
-	Doubted What = "vanished with its list"
-	Back    What = "listed again"
-	Cooled  What = "cold"
-	Warmed  What = "warm"
-	// Restarted: it started again under its id, and holds and knows nothing of before.
-	Restarted What = "started again"
-	// Spoilt and Usable: its entry is another writer's, and its own again.
-	Spoilt What = "entry spoilt"
-	Usable What = "entry usable again"
-	// Evacuated and Returned are of a data centre.
-	Evacuated What = "evacuated"
-	Returned  What = "taken back"
-)
-
 // Directory is not safe for concurrent use.
 type Directory struct {
 	outage  time.Duration
@@ -243,29 +221,6 @@
 	return changes
 }
 
-// isLate tells whether an entry is of an earlier start than the one known: a write of it
-// may come late. The replica's own next one follows within the grace; if none does, the
-// clock by which it says when it started was set back.
-func (d *Directory) isLate(r *Replica, known *entry) bool {
-	if r.Born == 0 || r.Born >= known.replica.Born {
-		known.lateSince = time.Time{}
-		return false
-	}
-	if known.lateSince.IsZero() {
-		known.lateSince = d.read
-	}
-	return d.read.Sub(known.lateSince) < d.grace
-}
-
-// restarted tells whether a replica started again between two of its entries: by when
-// it says that it started, else by a count that starts anew.
-func restarted(r, old *Replica) bool {
-	if r.Born != 0 && old.Born != 0 {
-		return r.Born != old.Born
-	}
-	return r.Counted != 0 && r.Counted < old.Counted
-}
-
 func (d *Directory) missing(id string, e *entry, lost bool, changes []Change) []Change {
 	if e.doubtedSince.IsZero() && lost && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
 		e.doubtedSince = d.read
@@ -287,23 +242,6 @@
 	}
 }
 
-// Unlisted returns the ids of the replicas that no read named which was sent since a
-// time. One that vanished with its list is left out if the list was seen to be lost
-// after it was last named.
-func (d *Directory) Unlisted(since, lost time.Time) []string {
-	if !d.oldest.Before(since) {
-		return nil
-	}
-	var ids []string
-	for id, e := range d.entries {
-		excused := !e.doubtedSince.IsZero() && lost.After(e.listed)
-		if e.listed.Before(since) && !excused {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Ready tells whether a replica may have new work: it is listed as ready, or keeps its
 // work for a while after an outage, and its data centre is not evacuated.
 func (d *Directory) Ready(id string) bool {
@@ -351,12 +289,6 @@
 	return false
 }
 
-// Listed returns the replicas that the last read listed, sorted by id: without
-// those that vanished after an outage. How long they stay cold is as of that read.
-func (d *Directory) Listed() []Replica {
-	return d.listed(func(*entry) bool { return true })
-}
-
 // listed returns those of Listed that are wanted.
 func (d *Directory) listed(wanted func(*entry) bool) []Replica {
 	list := d.list(func(e *entry) bool { return e.doubtedSince.IsZero() && wanted(e) })
@@ -366,24 +298,6 @@
 	return list
 }
 
-// Listing returns what the last read listed, to be passed on.
-func (d *Directory) Listing() Listing {
-	return Listing{Replicas: d.Listed(), Evacuated: slices.Clone(d.evacuated)}
-}
-
-// Mark names the list by its content, in whatever order that is kept: it is worked out
-// at each change, where the replicas of the users' aim take 12 ms to be sorted and
-// written out.
-func (d *Directory) Mark() uint64 {
-	var replicas uint64
-	for _, e := range d.entries {
-		if e.doubtedSince.IsZero() {
-			replicas += e.sum
-		}
-	}
-	return xxhash.Sum64(fmt.Appendf(nil, "%d %q", replicas, d.evacuated))
-}
-
 // Read returns when the read that the directory rests on was sent; zero before
 // the first.
 func (d *Directory) Read() time.Time { return d.read }
--- /dev/null
+++ b/pkg/directory/told.go
@@ -0,0 +1,69 @@
+package directory
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Listed returns the replicas that the last read listed, sorted by id: without
+// those that vanished after an outage. How long they stay cold is as of that read.
+func (d *Directory) Listed() []Replica {
+	return d.listed(func(*entry) bool { return true })
+}
+
+// The changes.
+const (
+	Joined  What = "joined"
+	Drains  What = "draining"
+	Left    What = "gone"
+	Doubted What = "vanished with its list"
+	Back    What = "listed again"
+	Cooled  What = "cold"
+	Warmed  What = "warm"
+	// Restarted: it started again under its id, and holds and knows nothing of before.
+	Restarted What = "started again"
+	// Spoilt and Usable: its entry is another writer's, and its own again.
+	Spoilt What = "entry spoilt"
+	Usable What = "entry usable again"
+	// Evacuated and Returned are of a data centre.
+	Evacuated What = "evacuated"
+	Returned  What = "taken back"
+)
+
+// Listing returns what the last read listed, to be passed on.
+func (d *Directory) Listing() Listing {
+	return Listing{Replicas: d.Listed(), Evacuated: slices.Clone(d.evacuated)}
+}
+
+// Mark names the list by its content, in whatever order that is kept: it is worked out
+// at each change, where the replicas of the users' aim take 12 ms to be sorted and
+// written out.
+func (d *Directory) Mark() uint64 {
+	var replicas uint64
+	for _, e := range d.entries {
+		if e.doubtedSince.IsZero() {
+			replicas += e.sum
+		}
+	}
+	return xxhash.Sum64(fmt.Appendf(nil, "%d %q", replicas, d.evacuated))
+}
+
+// Unlisted returns the ids of the replicas that no read named which was sent since a
+// time. One that vanished with its list is left out if the list was seen to be lost
+// after it was last named.
+func (d *Directory) Unlisted(since, lost time.Time) []string {
+	if !d.oldest.Before(since) {
+		return nil
+	}
+	var ids []string
+	for id, e := range d.entries {
+		excused := !e.doubtedSince.IsZero() && lost.After(e.listed)
+		if e.listed.Before(since) && !excused {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
