Front: an entry that lapses behind a cut tells of no crash

Cause: what a cut broke off was kept as of unknown fate, and an entry that lapsed within 8 s, as it does where the replica is cut off from the store too, made marks against all of it. Change: only what takes connections and closes them counts as ended when its entry goes. Conclusion: a cut is no crash.

--- a/internal/front/breaks.go
+++ b/internal/front/breaks.go
@@ -74,10 +74,10 @@
 }
 
 // Gone notes that a replica is listed no more. One that was there after it broke a
-// request off has left.
+// request off has left, and behind a cut entries lapse too.
 func (f *Front) Gone(id string, now time.Time) {
 	for _, b := range f.breaks.take(id, now) {
-		if b.fate != upstream.Lives {
+		if b.fate == upstream.Closes {
 			f.crashed(id, b, now)
 		}
 	}
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -19,9 +19,11 @@
 
 // The fates.
 const (
-	// Unknown: the way is cut, or what listens there takes connections and closes them: a
-	// replica for which one more is too much, or something that stands before it.
+	// Unknown: the way is cut.
 	Unknown Fate = iota
+	// Closes: what listens there takes connections and closes them, a replica for which one
+	// more is too much, or something that stands before one that has ended.
+	Closes
 	// Lives: it takes connections.
 	Lives
 	// Ended: nothing listens there any more.
@@ -49,7 +51,7 @@
 		}
 		c.Close()
 	}
-	return Unknown
+	return Closes
 }
 
 // Drop closes the connections to an address that rest: what they led to has ended.
