--- a/test/soak/more.go
+++ b/test/soak/more.go
@@ -30,7 +30,7 @@
 	const pause = 60 * time.Millisecond
 	rnd := rand.New(rand.NewPCG(uint64(a.Target), 1))
 	body := fmt.Appendf(nil, "%s%d", deadlyBody, a.Target)
-	for begun := time.Now(); time.Since(begun) < s.bounds.Contact+a.For; time.Sleep(pause) {
+	for begun := time.Now(); time.Since(begun) < 2*s.bounds.Contact+a.For; time.Sleep(pause) {
 		r := s.routers[rnd.IntN(len(s.routers))]
 		s.work.Go(func() { s.users.sendDeadly(r, body) })
 	}
