--- /dev/null
+++ b/pkg/poison/example_test.go
@@ -0,0 +1,26 @@
+package poison_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/poison"
+)
+
+// Two routers see three crashes between them; then no router sends the request.
+func Example() {
+	limits := poison.Limits{Crashes: 3, Hold: 15 * time.Second}
+	one, other := poison.New(poison.Options{Limits: limits}), poison.New(poison.Options{Limits: limits})
+	request := poison.Of("acme", "POST", "api.example", "/chat", []byte("the same body, under a new id each time"))
+
+	now := time.Now()
+	one.Crashed(request, 1, now, now)
+	one.Crashed(request, 2, now, now)
+	other.Crashed(request, 3, now, now)
+	one.Merge(other.Untold(), false, now)
+	other.Merge(one.Untold(), false, now)
+
+	verdict := other.Ask(request, now)
+	fmt.Println(verdict.State == poison.Held, verdict.Crashes, verdict.After)
+	// Output: true 3 15s
+}
--- /dev/null
+++ b/pkg/poison/memory_bench_test.go
@@ -0,0 +1,32 @@
+package poison
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkMemory is what a full memory takes, in bytes.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := New(Options{Limits: limits})
+		for n := range maxProven {
+			m.Served(Of("served", "", "", "", fmt.Append(nil, n)), at(0))
+		}
+		for n := range maxSuspects {
+			m.Crashed(Of("suspect", "", "", "", fmt.Append(nil, n)), 1, at(0), at(0))
+		}
+		for n := range maxHeld {
+			for replica := range uint32(3) {
+				m.Crashed(Of("held", "", "", "", fmt.Append(nil, n)), replica, at(0), at(0))
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "bytes")
+		runtime.KeepAlive(m)
+	}
+}
