Test of the watch waits for the watcher before it reads what that wrote

By the report of the race detector. Change: the test waits for the bubble to rest; its assertion is as it was.

--- a/internal/steady/steady_test.go
+++ b/internal/steady/steady_test.go
@@ -43,6 +43,7 @@
 		time.Sleep(time.Second)
 		back := Pretend(5 * time.Second)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		assert.Equal(t, []time.Duration{5 * time.Second}, slept)
 		cancel()
 		back()
