Holds of a request that crashes replicas begin with two minutes

Cause: a hold of 15 s ends while the callers of such a request still come, a burst or two later; its trial costs a replica and one of the three further retries that the users allow. A restart of all routers, which forgets the marks, may need all three. Ruled out: ten minutes (a sound request that was unlucky three times, and never answered before, waits as long); writing what is held to the platform's store, which a restart would not forget (larger; open). Change: the default of crash_hold, and the chats' constant.

--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -15,11 +15,11 @@
 )
 
 // What a request that crashes its targets may cost: the third one has it refused, for
-// a quarter of a minute and six times as long after each further crash. The marks are this router's own:
+// two minutes and six times as long after each further crash. The marks are this router's own:
 // chats of one group come to its owner, so that most of their crashes are seen by one.
 const (
 	poisonCrashes = 3
-	poisonHold    = 15 * time.Second
+	poisonHold    = 2 * time.Minute
 )
 
 func newPoison(log *event.Log) *poison.Memory {
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -79,7 +79,7 @@
 }
 
 func defaultRoutes() Routes {
-	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute, Crashes: 3, CrashHold: 15 * time.Second}
+	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute, Crashes: 3, CrashHold: 2 * time.Minute}
 }
 
 func defaultPeers() Peers { return Peers{Period: 300 * time.Millisecond} }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -67,8 +67,8 @@
 	// life is how long marks hold: a request that comes once an hour is known in time.
 	life = 24 * time.Hour
 	// maxTrials is how often a held request is tried again in life: as often as the users
-	// allow it to reach replicas. By the default of 15 s that is after 15 s, 90 s and nine
-	// minutes, so that one that is sound is soon free.
+	// allow it to reach replicas. By the default of two minutes that is after 2, 12 and
+	// 72 minutes: each costs those beside it a replica if the request is what it seems.
 	maxTrials  = 3
 	holdGrowth = 6
 	// provenTimes is how many times as many crashes hold a request that was answered whole
