--- /dev/null
+++ b/pkg/balance/answered.go
@@ -0,0 +1,64 @@
+package balance
+
+import "time"
+
+// Started counts a request that is about to be sent to a replica.
+func (b *Balancer) Started(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		r.running++
+	}
+}
+
+// Finished ends what Started began.
+func (b *Balancer) Finished(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil && r.running > 0 {
+		r.running--
+	}
+}
+
+// Answered notes that a replica answered well and now holds the parts of the
+// prompt, and tells whether that cleared it of earlier failures.
+func (b *Balancer) Answered(id string, parts []Part, now time.Time) (cleared bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return false
+	}
+	doubted := r.health.failures > 0
+	r.health.succeeded(now)
+	b.own(r.Service).succeeded(now)
+	r.answered = now
+	if c := b.centres[r.DataCentre]; c != nil {
+		c.succeeded(now)
+	}
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		if !b.holders.holdsFresh(part.ID, id, now) && b.worthTelling(r, part.ID, parts) {
+			b.tellHolder(part.ID, r)
+		}
+		b.holders.note(part.ID, id, now)
+	}
+	return doubted && r.health.failures == 0
+}
+
+// worthTelling tells whether others can't guess that an engine holds a part. In
+// a large fleet they take a prompt's last shared part to be at its first home,
+// and soon know some holder of an opening that many prompts share.
+func (b *Balancer) worthTelling(r *replica, part uint64, parts []Part) bool {
+	if !b.large {
+		return true
+	}
+	if part != homeKey(parts) {
+		return false
+	}
+	for _, other := range b.services[r.Service] {
+		if homeRank(other, part) > homeRank(r, part) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -194,18 +194,6 @@
 	}
 }
 
-const (
-	// newLife is for how long an engine that joined is taken to lack the parts
-	// whose home it became.
-	newLife = 15 * time.Second
-	// settleTime is for how long after the first list replicas that join may have
-	// been there before: entries come one by one when all start together.
-	settleTime = 5 * time.Second
-)
-
-// isNew tells whether an engine joined a moment ago.
-func (r *replica) isNew(now time.Time) bool { return now.Sub(r.joined) < newLife }
-
 // SetLarge tells whether the fleet is too large for each router to tell each
 // other one what it runs and what it saw.
 func (b *Balancer) SetLarge(large bool) {
@@ -241,47 +229,6 @@
 // heard of.
 func (b *Balancer) holdersUnknown() bool { return b.large || !b.recalled }
 
-// Replace takes the replicas of the directory, as they were at a time. Those
-// that drain or are evacuated get no new work, but may still be copied from: the
-// one that copies asks them, no router.
-func (b *Balancer) Replace(list []directory.Replica, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.listed.IsZero() {
-		b.listed = now
-	}
-	replicas := make(map[string]*replica, len(list))
-	services := make(map[string][]*replica)
-	evacuated := make(map[string][]*replica)
-	byHash := make(map[uint32]*replica, len(list))
-	for _, r := range list {
-		known := b.replicas[r.ID]
-		if known == nil {
-			known = &replica{hash: hashText(r.ID), short: Hash(r.ID)}
-			if now.Sub(b.listed) > settleTime {
-				known.joined = now
-			}
-		}
-		known.Replica = r
-		replicas[r.ID] = known
-		byHash[known.short] = known
-		switch {
-		case r.State != directory.Ready:
-		case r.Evacuated:
-			evacuated[r.Service] = append(evacuated[r.Service], known)
-		default:
-			services[r.Service] = append(services[r.Service], known)
-		}
-	}
-	b.keepLeavers(replicas, now)
-	b.replicas, b.services, b.byHash, b.evacuated = replicas, services, byHash, evacuated
-	b.bySingle = make(map[uint16][]*replica, len(replicas))
-	for _, r := range replicas {
-		b.bySingle[uint16(r.short)] = append(b.bySingle[uint16(r.short)], r)
-	}
-	clear(b.medians)
-}
-
 // Pick chooses a replica, or returns false if the service has none that is left.
 func (b *Balancer) Pick(q Question, now time.Time) (Choice, bool) {
 	b.mu.Lock()
@@ -312,79 +259,3 @@
 	}
 	return choice, true
 }
-
-// Started counts a request that is about to be sent to a replica.
-func (b *Balancer) Started(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.replicas[id]; r != nil {
-		r.running++
-	}
-}
-
-// Finished ends what Started began.
-func (b *Balancer) Finished(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.replicas[id]; r != nil && r.running > 0 {
-		r.running--
-	}
-}
-
-// Answered notes that a replica answered well and now holds the parts of the
-// prompt, and tells whether that cleared it of earlier failures.
-func (b *Balancer) Answered(id string, parts []Part, now time.Time) (cleared bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := b.replicas[id]
-	if r == nil {
-		return false
-	}
-	doubted := r.health.failures > 0
-	r.health.succeeded(now)
-	b.own(r.Service).succeeded(now)
-	r.answered = now
-	if c := b.centres[r.DataCentre]; c != nil {
-		c.succeeded(now)
-	}
-	for _, part := range parts[:max(len(parts)-1, 0)] {
-		if !b.holders.holdsFresh(part.ID, id, now) && b.worthTelling(r, part.ID, parts) {
-			b.tellHolder(part.ID, r)
-		}
-		b.holders.note(part.ID, id, now)
-	}
-	return doubted && r.health.failures == 0
-}
-
-// worthTelling tells whether others can't guess that an engine holds a part. In
-// a large fleet they take a prompt's last shared part to be at its first home,
-// and soon know some holder of an opening that many prompts share.
-func (b *Balancer) worthTelling(r *replica, part uint64, parts []Part) bool {
-	if !b.large {
-		return true
-	}
-	if part != homeKey(parts) {
-		return false
-	}
-	for _, other := range b.services[r.Service] {
-		if homeRank(other, part) > homeRank(r, part) {
-			return true
-		}
-	}
-	return false
-}
-
-// Evacuated tells whether a service has no replica that may get work because its data
-// centres are evacuated.
-func (b *Balancer) Evacuated(service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.evacuated[service]) > 0 && len(b.services[service]) == 0
-}
-
-// Ready returns how many replicas of a service may get work.
-func (b *Balancer) Ready(service string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.services[service])
-}
