Gossip, tests: what was written twice is written once

Cause: a datagram to all partners was sent by two loops of their own; two tests of a suspension shared their body, and one read the calls in flight without their lock. Conclusion: nothing else changes.

--- a/internal/front/woke_test.go
+++ b/internal/front/woke_test.go
@@ -36,14 +36,21 @@
 	assert.Equal(t, http.StatusOK, answer.StatusCode, "proven again")
 }
 
-func TestARequestWhoseTimeRanOutMeanwhileIsAnsweredAtOnce(t *testing.T) {
+// inFlightWhile has a request in flight at a replica, with half a minute of time, while
+// the machine seems to be suspended, and returns how it is answered. finish lets the
+// replica answer; without it that waits until it is left.
+func inFlightWhile(t *testing.T, suspended time.Duration, finish chan struct{}) (status int, r *rig) {
+	t.Helper()
 	begun := make(chan struct{})
 	address, _ := replica(t, func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		close(begun)
-		<-r.Context().Done()
+		select {
+		case <-finish:
+		case <-r.Context().Done():
+		}
 	})
-	r := newRig(t, address)
+	r = newRig(t, address)
 	answered := make(chan int)
 	go func() {
 		answer, _, err := r.send(t, http.MethodPost, "/single/x", "body", "Left", "30000")
@@ -54,31 +61,30 @@
 		answered <- answer.StatusCode
 	}()
 	<-begun
-	defer steady.Pretend(40 * time.Second)()
+	defer steady.Pretend(suspended)()
 	r.front.Woke()
-	assert.Equal(t, http.StatusGatewayTimeout, <-answered)
+	if finish != nil {
+		close(finish)
+	}
+	return <-answered, r
+}
+
+func TestARequestWhoseTimeRanOutMeanwhileIsAnsweredAtOnce(t *testing.T) {
+	status, _ := inFlightWhile(t, 40*time.Second, nil)
+	assert.Equal(t, http.StatusGatewayTimeout, status)
 }
 
 func TestARequestThatStillHasTimeIsNotEndedByASuspension(t *testing.T) {
-	begun, finish := make(chan struct{}), make(chan struct{})
-	address, _ := replica(t, func(http.ResponseWriter, *http.Request) {
-		close(begun)
-		<-finish
-	})
-	r := newRig(t, address)
-	answered := make(chan int)
-	go func() {
-		answer, _, err := r.send(t, http.MethodPost, "/single/x", "body", "Left", "30000")
-		if err != nil {
-			answered <- 0
+	status, r := inFlightWhile(t, 5*time.Second, make(chan struct{}))
+	assert.Equal(t, http.StatusOK, status)
+	// The call is taken out when its handler has returned, a moment after the answer.
+	for {
+		r.front.inFlight.mu.Lock()
+		left := len(r.front.inFlight.calls)
+		r.front.inFlight.mu.Unlock()
+		if left == 0 {
 			return
 		}
-		answered <- answer.StatusCode
-	}()
-	<-begun
-	defer steady.Pretend(5 * time.Second)()
-	r.front.Woke()
-	close(finish)
-	assert.Equal(t, http.StatusOK, <-answered)
-	assert.Empty(t, r.front.inFlight.calls)
+		time.Sleep(time.Millisecond)
+	}
 }
--- a/internal/gossip/marks.go
+++ b/internal/gossip/marks.go
@@ -29,13 +29,7 @@
 	g.mu.Unlock()
 	d := &gossippb.Digest{AsksOnly: true, Marks: marks}
 	if large {
-		packet := encodeDigest(d)
-		for _, address := range partners.Line {
-			g.send(address, packet)
-		}
-		for _, address := range partners.Relayed {
-			g.send(address, packet)
-		}
+		g.sendAll(partners, encodeDigest(d))
 		return
 	}
 	d.Sender = g.server.Address()
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/pkg/membership"
 )
 
 // newsPause is how long after a change of the configuration or of the list it is told:
@@ -22,7 +23,11 @@
 	if !large {
 		return
 	}
-	packet := encodeDigest(d)
+	g.sendAll(partners, encodeDigest(d))
+}
+
+// sendAll sends a datagram to all partners in a large fleet.
+func (g *Gossip) sendAll(partners membership.Partners, packet []byte) {
 	for _, address := range partners.Line {
 		g.send(address, packet)
 	}
