Poison: a mark that comes back late is no news

Cause: what is told on in a large fleet comes back over other ways a little later, so that its time by the receiver's clock is a little later too; an answer was taken for a newer one and told on by all, without end. A crash taken back counted again. Change: an answer that clears nothing within 5 s of the known one is the known one; crashes of one life within 10 s are one, also after an answer took them back; a replica's life goes by its start too; rounds of a large fleet repeat no marks.

--- a/internal/front/breaks.go
+++ b/internal/front/breaks.go
@@ -14,6 +14,8 @@
 	digest poison.Digest
 	at     time.Time
 	fate   upstream.Fate
+	// life is which of the replica's lives it was sent to.
+	life   string
 	fields []event.Field
 }
 
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -96,7 +97,7 @@
 	c.looked = looked
 	go func() {
 		defer close(looked)
-		b := brokenOff{digest: digest, at: broke, fields: fields}
+		b := brokenOff{digest: digest, at: broke, life: lifeOf(choice), fields: fields}
 		if b.fate = f.fate(id, address); b.fate != upstream.Ended {
 			f.breaks.note(id, b, steady.Now())
 			return
@@ -109,7 +110,15 @@
 // on working on it: if it starts again or goes soon, it crashed under the request.
 func (c *call) abandoned(choice balance.Choice) {
 	now := steady.Now()
-	c.front.breaks.note(choice.Replica.ID, brokenOff{digest: c.digest(), at: now, fate: upstream.Unknown, fields: c.crashFields(choice, now)}, now)
+	c.front.breaks.note(choice.Replica.ID, brokenOff{digest: c.digest(), at: now, fate: upstream.Unknown, life: lifeOf(choice), fields: c.crashFields(choice, now)}, now)
+}
+
+// lifeOf tells a replica's life from others under its id, where it says when it started.
+func lifeOf(choice balance.Choice) string {
+	if choice.Replica.Born == 0 {
+		return ""
+	}
+	return "@" + strconv.FormatInt(choice.Replica.Born, 10)
 }
 
 // crashFields are what is written if a replica crashed under the request.
@@ -120,7 +129,7 @@
 
 // crashed makes a mark against a request under which a replica crashed.
 func (f *Front) crashed(id string, b brokenOff, now time.Time) {
-	f.poison.Crashed(b.digest, balance.Hash(id), b.at, now)
+	f.poison.Crashed(b.digest, balance.Hash(id+b.life), b.at, now)
 	f.log.Write(event.ReplicaEnded, append(b.fields, event.F("seen_after_ms", now.Sub(b.at).Milliseconds()))...)
 }
 
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -32,7 +32,11 @@
 	rumors.Version, rumors.Mark, rumors.ProofMs = g.knows(now)
 	encodeRows(rumors, g.members.Fresh(maxRows, now))
 	encodeRumors(rumors, told.Rumors, now)
-	rumors.Marks = encodeMarks(g.poison.Recent(now), now)
+	if !large {
+		// In a large fleet each mark comes over many ways at once, and what is told again
+		// would go to some twenty partners of each router.
+		rumors.Marks = encodeMarks(g.poison.Recent(now), now)
+	}
 	d := digests{own: proto.CloneOf(rumors), hello: g.hello(now)}
 	encodeCounts(d.own, told.Running)
 	if large {
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -22,6 +22,7 @@
 package poison
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -79,8 +80,10 @@
 	// maxCrashes bounds what is kept of one request, where none is ever held.
 	maxCrashes = 64
 	// oneCrash is within what time marks of one replica are of one crash, as several
-	// routers saw it. A replica is back after some seconds at the earliest.
-	oneCrash = 1500 * time.Millisecond
+	// routers saw it and as it comes over ways of different length; a replica that starts
+	// again within it is told from before by its start. oneAnswer is the same for answers.
+	oneCrash  = 10 * time.Second
+	oneAnswer = 5 * time.Second
 )
 
 // Memory is what a router knows of requests that crash replicas. It is safe for
@@ -103,6 +106,8 @@
 // suspect is a request that marks were made against.
 type suspect struct {
 	crashes []crash
+	// past are crashes that an answer took back: they may be told of again.
+	past []crash
 	// served is when it was last answered whole.
 	served time.Time
 	// trial is when it was last tried though held, trials how often.
@@ -250,17 +255,22 @@
 
 // serve takes an answer and tells whether it was news.
 func (s *suspect) serve(at time.Time) bool {
-	if !at.After(s.served) {
-		return false
-	}
-	s.served, s.trials, s.trial = at, 0, time.Time{}
-	var left []crash
+	var left, cleared []crash
 	for _, c := range s.crashes {
 		if c.at.After(at) {
 			left = append(left, c)
+		} else {
+			cleared = append(cleared, c)
 		}
 	}
-	s.crashes = left
+	// It comes over several ways, each a little later than the last: what clears nothing is
+	// the answer that is known.
+	if len(cleared) == 0 && at.Sub(s.served) < oneAnswer {
+		return false
+	}
+	s.crashes, s.past = left, append(s.past, cleared...)
+	s.past = s.past[max(len(s.past)-maxCrashes, 0):]
+	s.served, s.trials, s.trial = at, 0, time.Time{}
 	return true
 }
 
@@ -269,7 +279,7 @@
 	if !c.at.After(s.served) {
 		return false
 	}
-	for _, known := range s.crashes {
+	for _, known := range slices.Concat(s.crashes, s.past) {
 		if known.replica == c.replica && known.at.Sub(c.at).Abs() < oneCrash {
 			return false
 		}
