--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -34,12 +34,11 @@
 // State returns the state dump.
 func (e *Entry) State() State {
 	now := steady.Now()
-	version, _ := e.follower.Version()
 	s := State{
 		Name:       e.settings.Name,
 		DataCentre: e.settings.DataCentre,
 		Ready:      e.Ready(),
-		Version:    version,
+		Version:    e.follower.Word().Version,
 		ProofMS:    e.proofAge(now).Milliseconds(),
 		Active:     e.front.Active(),
 		Routers:    e.gossip.Members(),
@@ -72,15 +71,18 @@
 }
 
 func (e *Entry) gauges() []admin.Gauge {
-	version, _ := e.follower.Version()
+	generation, returns, facts := e.follower.Lives(steady.Now())
 	made, failed := e.follower.Reads()
 	sent, received := e.gossip.Bytes()
 	marked, held := e.poison.Len()
 	return []admin.Gauge{
-		{Name: "croftyard_config_version", Value: float64(version)},
+		{Name: "croftyard_config_version", Value: float64(e.follower.Word().Version)},
 		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(steady.Now()).Milliseconds())},
 		{Name: "croftyard_source_reads", Value: float64(made)},
 		{Name: "croftyard_source_reads_failed", Value: float64(failed)},
+		{Name: "croftyard_source_generation", Value: float64(generation)},
+		{Name: "croftyard_source_returns", Value: float64(returns)},
+		{Name: "croftyard_source_held", Value: float64(len(facts.Replicas) + len(facts.Evacuated))},
 		{Name: "croftyard_peers_routers", Value: float64(e.gossip.Members())},
 		{Name: "croftyard_peers_sent_bytes", Value: float64(sent)},
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,6 +70,9 @@
 	RequestCleared    ID = 420
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
+	SourceRewound     ID = 503
+	SourcePast        ID = 504
+	SourceUntold      ID = 505
 	OrderLease        ID = 601
 	OrderSent         ID = 602
 	OrderHeldBack     ID = 603
@@ -132,6 +135,9 @@
 	RequestCleared:    {logrus.InfoLevel, "request that was held was answered whole, served again", "None needed."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
+	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
+	SourcePast:        {logrus.WarnLevel, "answer of a store that was replaced by a copy, left out", "None if it is one that came late. If it lasts, some of the store's machines are still the earlier one's."},
+	SourceUntold:      {logrus.WarnLevel, "platform's store no longer tells its era", "None at once: a copy is then known by revisions that fall. Look at what was changed in the store."},
 	OrderLease:        {logrus.InfoLevel, "lease for orders taken or lost", "None needed."},
 	OrderSent:         {logrus.InfoLevel, "order sent to a target", "None needed."},
 	OrderHeldBack:     {logrus.DebugLevel, "order held back", "None needed; the lease's margin or the weight store's rate does not allow it yet."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,13 @@
 	BadReplicas []BadEntry
 	// Evacuated are the data centres to whose replicas nothing is to be sent.
 	Evacuated []string
+	// Generation is which of the source's lives answered: it rises when the source comes
+	// back from a copy, without what was written since. 0: it does not say.
+	Generation uint64
+	// Falls counts how often the source was seen to come back without saying so; Untold:
+	// it said before which life it is in, and does no more.
+	Falls  uint64
+	Untold bool
 }
 
 // BadEntry is an entry that was not written by a replica.
@@ -102,6 +109,7 @@
 	renewing    chan struct{}
 	renewFailed time.Time
 	outage      outage
+	life        life
 	// bad are the revisions of the entries that were told to be bad, by key.
 	bad map[string]uint64
 }
@@ -192,8 +200,7 @@
 	if err != nil {
 		return err
 	}
-	f.Take(snapshot, sent)
-	return nil
+	return f.Take(snapshot, sent)
 }
 
 // began notes that a read was sent.
@@ -218,14 +225,18 @@
 	}
 }
 
-// Take takes what a read returned that was sent at a time.
-func (f *Follower) Take(s Snapshot, sent time.Time) {
+// Take takes what a read returned that was sent at a time, or returns ErrPast.
+func (f *Follower) Take(s Snapshot, sent time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.enter(&s, sent); err != nil {
+		return err
+	}
 	f.takeConfig(s, sent)
 	f.changed(f.directory.Take(s.listing(), sent))
 	f.noteBad(s.BadReplicas)
 	f.newProof()
+	return nil
 }
 
 // noteBad writes of each bad entry once. f.mu is held.
@@ -289,6 +300,12 @@
 		f.holder.Prove(s.Config.Version, sent)
 		return
 	}
+	if f.life.rewound && held.Table != nil && s.Config.Version < held.Table.Version() {
+		// The operator has not written again what the copy lacks. Nothing newer is there,
+		// and what is held is never taken back.
+		f.holder.Prove(held.Table.Version(), sent)
+		return
+	}
 	table, err := route.Compile(*s.Config)
 	if err != nil {
 		f.log.Write(event.ConfigRejected, event.F("error", err), event.F("version", s.Config.Version))
@@ -318,9 +335,10 @@
 	return f.age(now)
 }
 
-// age is Age with f.mu held.
+// age is Age with f.mu held. What a copy does not prove is passed on all the same, and
+// its receivers doubt it as long.
 func (f *Follower) age(now time.Time) time.Duration {
-	return max(f.holder.Current().Age(now), now.Sub(f.directory.Read()))
+	return max(now.Sub(f.holder.Current().Seen), now.Sub(f.directory.Read()))
 }
 
 // Known tells whether a configuration and a list of replicas were ever read.
@@ -345,9 +363,13 @@
 }
 
 // Prove asks for a proof of the configuration that is newer than a time and returns
-// once there is one, or with an error when ctx ends.
+// once there is one, or with an error when ctx ends, or at once if a read would prove
+// nothing now.
 func (f *Follower) Prove(ctx context.Context, since time.Time) error {
 	for {
+		if f.holder.Doubted(steady.Now()) && f.holder.Current().Proven.Before(since) {
+			return ErrDoubted
+		}
 		f.mu.Lock()
 		read := f.read
 		f.mu.Unlock()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -64,8 +64,7 @@
 		go f.Run(ctx)
 		for range 50 {
 			time.Sleep(200 * time.Millisecond)
-			version, mark := f.Version()
-			f.ProvenBy(version, mark, time.Now())
+			f.ProvenBy(f.Word(), time.Now())
 		}
 		assert.EqualValues(t, 1, source.reads.Load(), "others prove what it knows")
 		time.Sleep(1400 * time.Millisecond)
@@ -88,7 +87,7 @@
 				assert.Zero(t, source.reads.Load())
 				if told {
 					c := config(1)
-					f.Learn(Knowledge{Version: 1, Config: c, Listing: &directory.Listing{Replicas: replicas("a")}}, time.Now(), "peer")
+					f.Learn(Knowledge{Version: 1, Config: c, Listing: &directory.Listing{Replicas: replicas("a")}}, time.Now(), time.Now(), "peer")
 				}
 				time.Sleep(200 * time.Millisecond)
 				assert.Equal(t, !told, source.reads.Load() == 1)
@@ -134,7 +133,7 @@
 	bad := config(5)
 	bad.Routes = []route.Route{{Name: "r"}}
 	f.Take(Snapshot{Config: bad, Replicas: replicas("a", "b")}, now.Add(2*time.Second))
-	version, _ := f.Version()
+	version := f.Word().Version
 	assert.EqualValues(t, 4, version)
 	assert.Len(t, f.Replicas(), 2, "the replicas are still followed")
 	assert.Equal(t, 3*time.Second, f.ProofAge(now.Add(3*time.Second)), "what was not understood proves nothing")
@@ -148,14 +147,14 @@
 	f := newFollower(&fakeSource{}, 0)
 	now := time.Now()
 	f.Take(Snapshot{Config: config(4), Replicas: replicas("a", "b")}, now)
-	_, old := f.Version()
+	old := f.Word().Mark
 	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(time.Second))
-	f.Learn(Knowledge{Version: 4, Mark: old}, now.Add(3*time.Second), "peer")
+	f.Learn(Knowledge{Version: 4, Mark: old}, now.Add(3*time.Second), now.Add(3*time.Second), "peer")
 	assert.Equal(t, 4*time.Second, f.Age(now.Add(5*time.Second)))
 	assert.Equal(t, 4*time.Second, f.ProofAge(now.Add(5*time.Second)))
 
-	_, mark := f.Version()
-	f.Learn(Knowledge{Version: 4, Mark: mark}, now.Add(3*time.Second), "peer")
+	mark := f.Word().Mark
+	f.Learn(Knowledge{Version: 4, Mark: mark}, now.Add(3*time.Second), now.Add(3*time.Second), "peer")
 	assert.Equal(t, 2*time.Second, f.Age(now.Add(5*time.Second)))
 }
 
@@ -166,17 +165,17 @@
 	f, other := newFollower(&fakeSource{}, 0), newFollower(&fakeSource{}, 1)
 	f.Take(Snapshot{Config: config(4), Replicas: list}, now)
 	known, _ := f.Knowledge(Have{}, now)
-	other.Learn(known, now, "peer")
+	other.Learn(known, now, now, "peer")
 	assert.Equal(t, 2, other.balancer.Ready("s"))
 
 	f.Take(Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, now.Add(time.Second))
 	assert.Equal(t, 1, f.balancer.Ready("s"))
-	version, mark := f.Version()
-	assert.True(t, other.ProvenBy(version, mark, now.Add(time.Second)), "it is news")
+	word := f.Word()
+	assert.True(t, other.ProvenBy(word, now.Add(time.Second)), "it is news")
 	known, _ = f.Knowledge(Have{}, now.Add(time.Second))
-	other.Learn(known, now.Add(time.Second), "peer")
+	other.Learn(known, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Equal(t, 1, other.balancer.Ready("s"))
-	assert.False(t, other.ProvenBy(version, mark, now.Add(2*time.Second)), "both know it")
+	assert.False(t, other.ProvenBy(word, now.Add(2*time.Second)), "both know it")
 	assert.Equal(t, 1, other.balancer.Ready("s"), "a proof takes nothing back")
 	assert.EqualValues(t, 1, other.log.Count(event.CentreEvacuated), "logged once")
 
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -22,32 +22,30 @@
 	From    uint64
 	// ListRead is when the list was read last that Listing is, by this router's clock.
 	ListRead time.Time
+	// Generation is the source's, and GenerationAge for how long it has been known: who
+	// learns of it long after has nothing to hold against it any more.
+	Generation    uint64
+	GenerationAge time.Duration
+	// Facts are what is held against a copy that the source came back from; nil where
+	// nothing is, or the other holds the same.
+	Facts *directory.Facts
 }
 
 // Have is what a router has that asks another one for its knowledge.
 type Have struct {
 	Version, Mark uint64
+	// Facts names what it holds against a copy.
+	Facts uint32
 	// Sums are of the parts of its list; without them it takes the whole one.
 	Sums []uint32
 }
 
-// Version returns the version of the configuration and the mark of the replicas
-// that are known.
-func (f *Follower) Version() (version, mark uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if table := f.holder.Current().Table; table != nil {
-		version = table.Version()
-	}
-	return version, f.mark
-}
-
 // Have returns what is known, for another router to tell only what is not.
 func (f *Follower) Have() Have {
-	version, mark := f.Version()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	have := Have{Version: version, Mark: mark}
+	word := f.word()
+	have := Have{Version: word.Version, Mark: word.Mark, Facts: word.Facts}
 	if !f.whole && !f.directory.Read().IsZero() {
 		have.Sums = f.directory.Sums()
 	}
@@ -59,61 +57,70 @@
 // datagram was under way makes one seem newer than it is.
 const worthAsking = 150 * time.Millisecond
 
-// Behind tells whether another router seems to know more, by its word that a version
-// and a mark were the newest at a time. It proves nothing: what it told may have been
-// under way for long.
-func (f *Follower) Behind(version, mark uint64, proven time.Time) bool {
+// Behind tells whether another router seems to know more, by its word of what was the
+// newest at a time. It proves nothing: what it told may have been under way for long.
+func (f *Follower) Behind(w Word, proven time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	held := f.holder.Current()
 	switch {
-	case held.Table == nil || version > held.Table.Version():
+	case held.Table == nil || f.hasMore(w):
 		return true
-	case version < held.Table.Version():
+	case f.past(w.Generation) || w.Version < held.Table.Version():
 		return false
-	case mark != f.mark:
+	case w.Mark != f.mark:
 		return proven.After(f.directory.Read())
 	}
-	own := held.Proven
+	own := held.Seen
 	if read := f.directory.Read(); read.Before(own) {
 		own = read
 	}
 	return proven.Sub(own) >= worthAsking
 }
 
-// ProvenBy takes another router's word that a version and a mark were the newest
-// at a time, and tells whether it has something newer to pass on.
-func (f *Follower) ProvenBy(version, mark uint64, proven time.Time) (newer bool) {
+// hasMore tells whether who says a word has what is to be taken whenever it was proven: a
+// newer version, a later life of the source, or other facts against its copy. f.mu is held.
+func (f *Follower) hasMore(w Word) bool {
+	own := f.word()
+	facts := w.Facts != 0 && w.Facts != own.Facts && w.Generation >= own.Generation && f.takesFacts()
+	return w.Version > own.Version || w.Generation > own.Generation || facts
+}
+
+// ProvenBy takes another router's word of what was the newest at a time, and tells
+// whether it has something newer to pass on.
+func (f *Follower) ProvenBy(w Word, proven time.Time) (newer bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	held := f.holder.Current()
-	if held.Table == nil || version > held.Table.Version() {
+	if held.Table == nil || f.hasMore(w) {
 		return true
 	}
-	if version < held.Table.Version() {
+	if f.past(w.Generation) || w.Version < held.Table.Version() {
 		return false
 	}
-	if mark != f.mark {
+	if w.Mark != f.mark {
 		return proven.After(f.directory.Read())
 	}
 	// A list that was read alone may be newer than the proof; the configuration is
 	// proven all the same.
 	f.changed(f.directory.Confirm(proven))
-	if f.holder.Prove(version, proven) {
+	if f.holder.Prove(w.Version, proven) {
 		f.newProof()
 	}
 	return false
 }
 
-// Learn takes what another router passed on, which was the newest at a time.
-func (f *Follower) Learn(k Knowledge, proven time.Time, from string) {
+// Learn takes what another router passed on, asked for at a time, which was the newest
+// at another.
+func (f *Follower) Learn(k Knowledge, asked, proven time.Time, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	current := f.hear(&k, asked)
 	if k.Config != nil {
 		f.learnConfig(k.Config, proven, from)
 	}
 	held := f.holder.Current()
-	if held.Table == nil || held.Table.Version() != k.Version || !proven.After(f.directory.Read()) {
+	if !current || held.Table == nil || held.Table.Version() != k.Version || !proven.After(f.directory.Read()) {
 		return
 	}
 	switch {
@@ -161,7 +168,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := f.holder.Current()
-	k := Knowledge{Version: state.Table.Version(), Mark: f.mark, From: have.Mark, ListRead: f.directory.Read()}
+	k := Knowledge{Version: state.Table.Version(), Mark: f.mark, From: have.Mark, ListRead: f.directory.Read(), Generation: f.life.generation}
+	if k.Generation != 0 {
+		k.GenerationAge = now.Sub(f.life.since)
+	}
+	if facts, held := f.directory.Facts(now); held && f.directory.FactsSum(now) != have.Facts {
+		k.Facts = &facts
+	}
 	if k.Version > have.Version {
 		config := state.Table.Config()
 		k.Config = &config
--- a/internal/follow/knowledge_test.go
+++ b/internal/follow/knowledge_test.go
@@ -33,7 +33,7 @@
 	require.NotNil(t, k.Excerpt)
 	assert.Nil(t, k.Listing)
 	assert.Nil(t, k.Config)
-	learner.Learn(k, now.Add(time.Second), "peer")
+	learner.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
 	k, _ = teacher.Knowledge(learner.Have(), now)
 	assert.Nil(t, k.Excerpt, "both know the same")
@@ -58,7 +58,7 @@
 	teacher, learner := teacherAndLearner(now)
 	k, _ := teacher.Knowledge(learner.Have(), now)
 	learner.Take(Snapshot{Config: config(4), Replicas: replicas(manyIDs(99)...)}, now.Add(500*time.Millisecond))
-	learner.Learn(k, now.Add(time.Second), "peer")
+	learner.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Len(t, learner.Replicas(), 99)
 	assert.Equal(t, now.Add(500*time.Millisecond), learner.holder.Current().Proven, "it proves nothing")
 }
@@ -69,10 +69,10 @@
 	teacher, learner := teacherAndLearner(now)
 	k, _ := teacher.Knowledge(learner.Have(), now)
 	k.Excerpt.Differ, k.Excerpt.Replicas = nil, nil
-	learner.Learn(k, now.Add(time.Second), "peer")
+	learner.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	k, _ = teacher.Knowledge(learner.Have(), now)
 	require.NotNil(t, k.Listing)
-	learner.Learn(k, now.Add(2*time.Second), "peer")
+	learner.Learn(k, now.Add(2*time.Second), now.Add(2*time.Second), "peer")
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
 	assert.NotEmpty(t, learner.Have().Sums)
 }
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		f.failed.Add(1)
 		f.renewFailed = steady.Now()
-	} else {
+	} else if f.enter(&snapshot, sent) == nil {
 		f.changed(f.directory.Take(snapshot.listing(), sent))
 		f.noteBad(snapshot.BadReplicas)
 	}
--- a/internal/follow/list_test.go
+++ b/internal/follow/list_test.go
@@ -71,10 +71,11 @@
 		require.NoError(t, f.readOnce(t.Context()))
 		time.Sleep(2 * time.Second)
 		require.NoError(t, f.RenewList(t.Context(), time.Now().Add(-time.Second)))
-		version, mark := f.Version()
-		assert.False(t, f.ProvenBy(version, mark, time.Now().Add(-500*time.Millisecond)))
+		word := f.Word()
+		assert.False(t, f.ProvenBy(word, time.Now().Add(-500*time.Millisecond)))
 		assert.Equal(t, 500*time.Millisecond, f.ProofAge(time.Now()))
 		assert.Zero(t, f.ListAge(time.Now()))
-		assert.False(t, f.ProvenBy(version, mark+1, time.Now().Add(-400*time.Millisecond)), "an older list is not newer")
+		word.Mark++
+		assert.False(t, f.ProvenBy(word, time.Now().Add(-400*time.Millisecond)), "an older list is not newer")
 	})
 }
--- a/internal/follow/news_test.go
+++ b/internal/follow/news_test.go
@@ -45,8 +45,8 @@
 
 		time.Sleep(time.Millisecond)
 		news, _ = f.News()
-		_, mark := f.Version()
-		f.Learn(Knowledge{Config: config(3), Version: 3, Mark: mark}, time.Now(), "other")
+		mark := f.Word().Mark
+		f.Learn(Knowledge{Config: config(3), Version: 3, Mark: mark}, time.Now(), time.Now(), "other")
 		assert.True(t, closed(news), "from another router")
 	})
 }
--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -85,7 +85,7 @@
 	}
 	proven := now.Add(-milliseconds(d.GetProofMs()))
 	g.follower.Told(time.Time{}, proven)
-	return !g.recalled.Load() || g.follower.Behind(d.Version, d.Mark, proven)
+	return !g.recalled.Load() || g.follower.Behind(wordOf(d), proven)
 }
 
 // mayAsk tells whether a router may be asked for news beside those that are asked now.
--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -87,7 +87,8 @@
 	r := newRestingRouter(t, &source{})
 	read := time.Now().Add(-time.Minute)
 	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, read)
-	version, mark := r.follower.Version()
+	word := r.follower.Word()
+	version, mark := word.Version, word.Mark
 	now, proofMs := time.Now(), uint32(0)
 	told := &gossippb.Digest{Sender: "127.0.0.1:9", DataCentre: "there", Version: version, Mark: mark, ProofMs: &proofMs}
 	r.gossip.takeTold(told, now)
@@ -126,7 +127,7 @@
 			r.gossip.SetRecalled()
 			now := time.Now()
 			r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(-time.Minute))
-			_, mark := r.follower.Version()
+			mark := r.follower.Word().Mark
 			if name == "another list that is older" || name == "another list that is newer" {
 				mark++
 			}
--- a/internal/gossip/excerpt_test.go
+++ b/internal/gossip/excerpt_test.go
@@ -29,8 +29,8 @@
 	teacher.follower.Take(follow.Snapshot{Config: config(1), Replicas: after}, read.Add(time.Second))
 	sent, received := learner.gossip.Bytes()
 	learner.gossip.learn(t.Context(), teacher.gossip.Address())
-	_, mark := teacher.follower.Version()
-	_, learned := learner.follower.Version()
+	mark := teacher.follower.Word().Mark
+	learned := learner.follower.Word().Mark
 	require.Equal(t, mark, learned)
 	sentNow, receivedNow := learner.gossip.Bytes()
 	assert.Less(t, sentNow-sent+receivedNow-received, uint64(mostBytes))
--- a/internal/gossip/learn_bench_test.go
+++ b/internal/gossip/learn_bench_test.go
@@ -47,7 +47,7 @@
 				require.NoError(b, err)
 				bytes += len(text) + len(have.Sums)*4
 				require.NoError(b, unpack(text, &k.Excerpt.Listing))
-				learner.Learn(k, now, "peer")
+				learner.Learn(k, now, now, "peer")
 			}
 			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
 		})
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -18,7 +18,7 @@
 	g.mu.Lock()
 	large, partners := g.members.Large(), g.partners
 	d := &gossippb.Digest{AsksOnly: true, Stopping: g.stopped}
-	d.Version, d.Mark, d.ProofMs = g.knows(now)
+	g.tellsKnown(d, now)
 	g.mu.Unlock()
 	if !large {
 		return
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -53,19 +53,35 @@
 		reply.Member, reply.HeardMs = g.rows(now)
 		reply.Marks = encodeMarks(g.poison.Sample(sampleRequests), now)
 	}
-	reply.Version, reply.Mark, reply.ProofMs = g.knows(now)
+	word, age := g.knows(now)
+	reply.Version, reply.Mark, reply.Generation, reply.Facts, reply.ProofMs = word.Version, word.Mark, word.Generation, word.Facts, age
 	return reply
 }
 
 // knows returns what this router knows and how old the proof is, which is nil before
 // there is one.
-func (g *Gossip) knows(now time.Time) (version, mark uint64, proofMs *uint32) {
+func (g *Gossip) knows(now time.Time) (word follow.Word, proofMs *uint32) {
 	if !g.follower.Known() {
-		return 0, 0, nil
+		return word, nil
 	}
-	version, mark = g.follower.Version()
 	age := uint32(g.follower.Age(now).Milliseconds()) + 1
-	return version, mark, &age
+	return g.follower.Word(), &age
+}
+
+// tellsKnown adds to a digest what this router knows.
+func (g *Gossip) tellsKnown(d *gossippb.Digest, now time.Time) {
+	word, age := g.knows(now)
+	d.Version, d.Mark, d.Generation, d.Facts, d.ProofMs = word.Version, word.Mark, word.Generation, word.Facts, age
+}
+
+// wordOf is what a digest or an answer says that its sender knows.
+func wordOf(m interface {
+	GetVersion() uint64
+	GetMark() uint64
+	GetGeneration() uint64
+	GetFacts() uint32
+}) follow.Word {
+	return follow.Word{Version: m.GetVersion(), Mark: m.GetMark(), Generation: m.GetGeneration(), Facts: m.GetFacts()}
 }
 
 // merge takes what a router tells of itself or of its line.
@@ -105,14 +121,18 @@
 	return text, nil
 }
 
+// maxGenerationAge is the greatest age of a generation that is told: long past any hold.
+const maxGenerationAge = time.Hour
+
 // Knowledge implements the generated interface.
 func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
 	if !g.follower.Known() {
 		return &gossippb.KnowledgeReply{}, nil
 	}
-	k, age := g.follower.Knowledge(follow.Have{Version: r.Version, Mark: r.Mark, Sums: r.Sums}, steady.Now())
+	k, age := g.follower.Knowledge(follow.Have{Version: r.Version, Mark: r.Mark, Facts: r.Facts, Sums: r.Sums}, steady.Now())
 	milliseconds := uint32(age.Milliseconds()) + 1
-	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, ProofMs: &milliseconds}
+	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, Generation: k.Generation, ProofMs: &milliseconds}
+	reply.GenerationAgeMs = uint32(min(k.GenerationAge, maxGenerationAge).Milliseconds())
 	if err := g.encodeKnowledge(reply, k); err != nil {
 		return nil, err
 	}
@@ -135,6 +155,11 @@
 			return err
 		}
 	}
+	if k.Facts != nil {
+		if reply.Facts, err = pack(k.Facts); err != nil {
+			return err
+		}
+	}
 	switch {
 	case k.Excerpt != nil:
 		reply.Parts, reply.Differ = uint32(k.Excerpt.Parts), k.Excerpt.Differ
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -29,7 +29,7 @@
 	if !large {
 		rumors.Sender = g.server.Address()
 	}
-	rumors.Version, rumors.Mark, rumors.ProofMs = g.knows(now)
+	g.tellsKnown(rumors, now)
 	encodeRows(rumors, g.members.Fresh(maxRows, now))
 	encodeRumors(rumors, told.Rumors, now)
 	if !large {
--- a/internal/gossip/woke_test.go
+++ b/internal/gossip/woke_test.go
@@ -29,7 +29,8 @@
 	r := newRestingRouter(t, &source{})
 	asked := steady.Now()
 	r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a")}, asked.Add(-time.Minute))
-	version, mark := r.follower.Version()
+	word := r.follower.Word()
+	version, mark := word.Version, word.Mark
 	defer steady.Pretend(10 * time.Second)()
 	age := uint32(1)
 	r.gossip.takeFreshness("127.0.0.2:1", &gossippb.Freshness{Version: version, Mark: mark, ProofMs: &age}, asked, steady.Now())
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,9 +1,12 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,9 +27,12 @@
 	// changes are all since the revision forgotten.
 	changes   []platform.Change
 	forgotten uint64
-	faults    StoreFaults
-	refused   map[string]int
-	calls     int
+	// era counts the copies that it came back from; tells is what its answers say of it.
+	era     int
+	tells   func(era int) string
+	faults  StoreFaults
+	refused map[string]int
+	calls   int
 }
 
 // StoreFaults are what befalls all calls of routers. The operator's and the
@@ -44,7 +50,87 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]platform.Item), refused: make(map[string]int)}
+	return &Store{items: make(map[string]platform.Item), refused: make(map[string]int), tells: strconv.Itoa}
+}
+
+// Copy is what the store held at a moment.
+type Copy struct {
+	items    map[string]platform.Item
+	revision uint64
+}
+
+// Copy copies the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.items), s.revision}
+}
+
+// Has tells whether a copy holds a key.
+func (c Copy) Has(key string) bool {
+	_, has := c.items[key]
+	return has
+}
+
+// Return has the store come back from a copy: what was written since is gone, and its
+// revisions are given out again. Of the changes before, it tells those that the copy has.
+// What it held until then is returned.
+func (s *Store) Return(c Copy) (before Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before = Copy{s.items, s.revision}
+	s.items, s.revision = maps.Clone(c.items), c.revision
+	s.changes = slices.DeleteFunc(s.changes, func(change platform.Change) bool { return change.Revision > c.revision })
+	s.era++
+	return before
+}
+
+// WriteAgain writes an item as its writer knows it, who learns that the store came back from
+// a copy: what a key held before, unless it was written or taken away since. It does
+// nothing to keys that the copy has as they were.
+func (s *Store) WriteAgain(key string, before, copied Copy) {
+	s.mu.Lock()
+	since := slices.ContainsFunc(s.changes, func(c platform.Change) bool { return c.Key == key && c.Revision > copied.revision })
+	s.mu.Unlock()
+	known, was := before.items[key]
+	old, has := copied.items[key]
+	switch {
+	case since || was == has && bytes.Equal(known.Value, old.Value):
+	case was:
+		s.Put(key, json.RawMessage(known.Value))
+	default:
+		s.Remove(key)
+	}
+}
+
+// Differing returns the keys that two copies hold differently.
+func Differing(a, b Copy) []string {
+	var keys []string
+	for key := range a.items {
+		if other, has := b.items[key]; !has || !bytes.Equal(other.Value, a.items[key].Value) {
+			keys = append(keys, key)
+		}
+	}
+	for key := range b.items {
+		if _, has := a.items[key]; !has {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// TellEra changes what answers say of the era.
+func (s *Store) TellEra(tells func(era int) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tells = tells
+}
+
+func (s *Store) eraNow() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tells(s.era)
 }
 
 // Put writes a value as JSON and returns when it was acknowledged: whatever is read
@@ -107,7 +193,7 @@
 
 // Handler returns the store's face to one router.
 func (s *Store) Handler(router string) http.Handler {
-	answer := platform.StoreHandler(s.list, s.changed)
+	answer := platform.StoreHandler(s.eraNow, s.list, s.changed)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		faults, refused := s.called(router)
 		switch {
@@ -151,7 +237,7 @@
 func (s *Store) changed(since uint64) (platform.Changes, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since < s.forgotten {
+	if since < s.forgotten || since > s.revision {
 		return platform.Changes{}, false
 	}
 	answer := platform.Changes{At: s.revision}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -6,6 +6,7 @@
 //	evacuated          -> gets nothing new while its data centre is listed as such
 //	cold               -> listed with how long it will be; those who send count
 //	                      it down by their steady clocks
+//	listed by a copy   -> what was known before holds against it for a while
 //	no longer listed   -> gets nothing new, unless the list itself was lost: when
 //	                      most of a service vanish at once, or a third after a
 //	                      pause between reads, they keep their work for a time,
@@ -90,6 +91,10 @@
 	oldest time.Time
 	// evacuated are the data centres to which nothing is to be sent, sorted.
 	evacuated []string
+	// departed are those that left lately, by id.
+	departed map[string]departed
+	// rewind is what is known against a list that came back from a copy.
+	rewind rewind
 }
 
 type entry struct {
@@ -109,7 +114,7 @@
 // entries may lag behind what they tell: a replica that vanished in an outage keeps
 // its work so long, and those of a data centre that is taken back count as cold.
 func New(outage, grace time.Duration) *Directory {
-	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry)}
+	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry), departed: make(map[string]departed)}
 }
 
 // Replace is Take of a read that says nothing new of data centres.
@@ -124,6 +129,7 @@
 	if sent.Before(d.read) {
 		return nil
 	}
+	l = d.heed(l, sent)
 	changes := d.takeReplicas(l.Replicas, sent)
 	return append(d.takeCentres(l.Evacuated), changes...)
 }
@@ -154,8 +160,9 @@
 // release and no scaling, but a list that lost its entries: most of them, since an
 // outage may have been too short to be seen here, or a third after a pause between two
 // reads. A pause alone says little: it may be this router's reads that came late,
-// while the others saw those replicas drain and leave.
+// while the others saw those replicas drain and leave. A copy lacks all that joined since.
 func (d *Directory) lost(seen map[string]bool, pause bool) map[string]bool {
+	rewound := d.rewound(d.read)
 	listed, vanished := make(map[string]int), make(map[string]int)
 	for id, e := range d.entries {
 		if e.replica.State != Ready || !e.doubtedSince.IsZero() {
@@ -170,7 +177,7 @@
 	for service, n := range vanished {
 		most := n > 1 && 2*n > listed[service]
 		third := n == listed[service] || n > 1 && 3*n >= listed[service]
-		lost[service] = most || pause && third
+		lost[service] = most || pause && third || rewound
 	}
 	return lost
 }
@@ -184,6 +191,7 @@
 		if r.State == Unusable {
 			what = Spoilt
 		}
+		delete(d.departed, r.ID)
 		return append(changes, Change{Replica: r, What: what})
 	}
 	if d.isLate(&r, old) {
@@ -197,17 +205,19 @@
 		if what = ""; old.replica.State != Unusable {
 			what = Spoilt
 		}
-	case restarted(&r, &old.replica):
+	case d.restarted(&r, &old.replica):
 		what = Restarted
 	case r.State == Draining && old.replica.State != Draining:
 		what = Drains
 	case old.replica.State == Unusable:
 		what = Usable
+	case r.State == Ready && old.replica.State == Draining:
+		what = Back
 	case !old.doubtedSince.IsZero():
 		what = Back
 	}
-	if r.Counted == 0 {
-		r.Counted = old.replica.Counted
+	if r.Counted == 0 || d.rewound(d.read) {
+		r.Counted = max(r.Counted, old.replica.Counted)
 	}
 	if what != "" {
 		changes = append(changes, Change{Replica: r, What: what})
@@ -222,7 +232,8 @@
 }
 
 func (d *Directory) missing(id string, e *entry, lost bool, changes []Change) []Change {
-	if e.doubtedSince.IsZero() && lost && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
+	fact, _ := d.fact(&e.replica)
+	if e.doubtedSince.IsZero() && lost && !fact.Gone && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
 		e.doubtedSince = d.read
 		return append(changes, Change{Replica: e.replica, What: Doubted})
 	}
@@ -230,6 +241,7 @@
 		return changes
 	}
 	delete(d.entries, id)
+	d.depart(&e.replica)
 	return append(changes, Change{Replica: e.replica, What: Left})
 }
 
--- a/pkg/directory/lives.go
+++ b/pkg/directory/lives.go
@@ -17,10 +17,10 @@
 }
 
 // restarted tells whether a replica started again between two of its entries: by when
-// it says that it started, else by a count that starts anew.
-func restarted(r, old *Replica) bool {
+// it says that it started, else by a count that starts anew. A copy shows an earlier count.
+func (d *Directory) restarted(r, old *Replica) bool {
 	if r.Born != 0 && old.Born != 0 {
 		return r.Born != old.Born
 	}
-	return r.Counted != 0 && r.Counted < old.Counted
+	return r.Counted != 0 && r.Counted < old.Counted && !d.rewound(d.read)
 }
--- a/pkg/directory/warmth.go
+++ b/pkg/directory/warmth.go
@@ -19,7 +19,7 @@
 // counts down.
 func (d *Directory) warmth(r *Replica, old Replica) What {
 	r.ColdUntil = old.ColdUntil
-	if r.Entry == old.Entry {
+	if r.Entry == old.Entry && r.Cold == old.Cold {
 		return ""
 	}
 	until := d.coldUntil(*r)
@@ -27,6 +27,9 @@
 	case r.Cold && until.After(old.ColdUntil):
 		r.ColdUntil = until
 		return Cooled
+	case !r.Cold && d.rewound(d.read):
+		// A copy may be of before it turned cold.
+		return ""
 	case !r.Cold && (old.Cold || !old.ColdUntil.IsZero()):
 		r.ColdUntil = until
 		return Warmed
--- a/pkg/freshness/freshness.go
+++ b/pkg/freshness/freshness.go
@@ -3,7 +3,9 @@
 //
 // A proof is the steady time at which a read was sent that was answered by the
 // newest state there was: whatever was accepted before that time is known. A
-// watch proves nothing, since it may be silent, and neither does a stale read.
+// watch proves nothing, since it may be silent, and neither does a stale read. Nor does
+// a read of a copy that came in the place of what was lost, until the operator has
+// written again what was accepted and is not in it.
 // Proofs cross routers as ages, so that no two clocks are compared: the asker's
 // proof dates from the time it asked, less the age that it was told.
 package freshness
@@ -22,6 +24,8 @@
 	Table *route.Table
 	// Proven is the steady time at which Table was the newest.
 	Proven time.Time
+	// Seen is when a read was sent last that found nothing newer, which may prove nothing.
+	Seen time.Time
 }
 
 // Age returns how old the proof is.
@@ -31,6 +35,8 @@
 type Holder struct {
 	mu    sync.Mutex
 	state atomic.Pointer[State]
+	// doubted is until when reads must have been sent that prove nothing.
+	doubted time.Time
 }
 
 // NewHolder returns a holder that knows nothing.
@@ -53,15 +59,40 @@
 	if old.Table == nil || table.Version() > old.Table.Version() {
 		// A proof for an older version says nothing of this one's age, so the
 		// new version's own proof counts.
-		h.state.Store(&State{Table: table, Proven: later(old.Proven, proven)})
+		h.state.Store(h.after(old, table, proven))
 		return true
 	}
 	if table.Version() == old.Table.Version() {
-		h.state.Store(&State{Table: old.Table, Proven: later(old.Proven, proven)})
+		h.state.Store(h.after(old, old.Table, proven))
 	}
 	return false
 }
 
+// after returns the state after a read that was sent at a time and found a table. h.mu is
+// held.
+func (h *Holder) after(old *State, table *route.Table, sent time.Time) *State {
+	s := &State{Table: table, Proven: old.Proven, Seen: later(old.Seen, sent)}
+	if !sent.Before(h.doubted) {
+		s.Proven = later(old.Proven, sent)
+	}
+	return s
+}
+
+// Doubt has reads prove nothing that are sent before a time: what was accepted may be
+// lost, and is written again until then.
+func (h *Holder) Doubt(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.doubted = later(h.doubted, until)
+}
+
+// Doubted tells whether a read that is sent at a time would prove nothing.
+func (h *Holder) Doubted(sent time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return sent.Before(h.doubted)
+}
+
 // Prove notes that the version held was still the newest at a time.
 func (h *Holder) Prove(version uint64, proven time.Time) bool {
 	h.mu.Lock()
@@ -70,7 +101,7 @@
 	if old.Table == nil || old.Table.Version() != version {
 		return false
 	}
-	h.state.Store(&State{Table: old.Table, Proven: later(old.Proven, proven)})
+	h.state.Store(h.after(old, old.Table, proven))
 	return true
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -188,6 +188,12 @@
 			h.Runs[0].Instance = "plain-0.1"
 			h.Runs[1].Instance, h.Runs[1].Expected = "plain-1.1", "plain-1.1"
 		}},
+		"a request to a replica that was known to drain, after the store came back from a copy": {Drain, func(h *History) {
+			h.Departures = []Departure{{Instance: "plain-0.1", Acked: at(calm - 3000)}}
+			h.Runs[0].Instance = "plain-0.1"
+			h.Runs[1].Instance, h.Runs[1].Expected = "plain-1.1", "plain-1.1"
+			h.disturb("", "", calm-900, calm+500)
+		}},
 		"a run that no configuration allows": {Astray, func(h *History) { h.run(repeatID).Service = engines }},
 		"a run under a key that never was":   {Astray, func(h *History) { h.attempt(repeatID).Key = "never" }},
 		"a 404 for a route of all versions": {Denied, func(h *History) {
@@ -346,12 +352,19 @@
 	for seed := range uint64(100) {
 		p := planOf(seed, time.Minute)
 		assert.Equal(t, p, planOf(seed, time.Minute))
-		assert.Equal(t, planWithMore(seed, time.Minute), planWithMore(seed, time.Minute))
 		for _, a := range p.Actions {
 			drawn[a.Kind] = true
 		}
+		for _, extras := range allExtras {
+			with := planWith(extras, seed, time.Minute)
+			assert.Equal(t, with, planWith(extras, seed, time.Minute))
+			assert.Subset(t, with.Actions, p.Actions, extras)
+			for _, a := range with.Actions {
+				drawn[a.Kind] = true
+			}
+		}
 	}
-	for _, kinds := range [][]string{plannedKinds, replicaKinds, hardKinds} {
+	for _, kinds := range [][]string{plannedKinds, replicaKinds, hardKinds, moreKinds, {kindDrill, kindOtherBuild, kindRollBuild}} {
 		for _, kind := range kinds {
 			assert.True(t, drawn[kind], kind)
 		}
--- a/test/soak/check_times.go
+++ b/test/soak/check_times.go
@@ -22,12 +22,26 @@
 		if !left || a == nil || run.At.Sub(at) <= c.Bounds.Drain {
 			continue
 		}
-		if c.inTouch(a.Life.Router, run.At.Add(-c.Bounds.Contact), run.At) && c.storeStable(at) {
+		bound := c.inTouch(a.Life.Router, run.At.Add(-c.Bounds.Contact), run.At) && c.storeStable(at)
+		if bound || c.knewAll(a.Life.Router, at, run.At) {
 			c.add(Drain, a.ID, "came to %s %s after it said that it leaves", run.Instance, run.At.Sub(at))
 		}
 	}
 }
 
+// knewAll tells whether a router must have known of a leaving before anything befell the
+// store, and nothing has befallen the router since: what it knew binds it whatever the
+// store says later.
+func (c *checker) knewAll(router string, at, now time.Time) bool {
+	for _, d := range c.Disturbances {
+		own := d.Router == router && d.Instance == ""
+		if own && d.overlaps(at.Add(-c.Bounds.Contact), now) || d.ofStore() && d.overlaps(at.Add(-c.Bounds.Contact), at.Add(c.Bounds.Drain)) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *checker) storeStable(at time.Time) bool {
 	for _, d := range c.Disturbances {
 		if d.ofStore() && d.overlaps(at.Add(-c.Bounds.Contact), at) {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -71,6 +71,14 @@
 		s.spoil(place, a, rnd)
 	case kindDeadly:
 		s.deadly(a)
+	case kindDrill:
+		s.drill(a, rnd)
+	case kindOtherBuild:
+		s.exchangeBuild(r, rnd)
+	case kindRollBuild:
+		s.each(func(r *router, n int) {
+			s.exchangeBuild(r, rand.New(rand.NewPCG(uint64(n), uint64(a.At))))
+		}, seriesPause)
 	case kindLongFreeze:
 		s.freeze(r, s.bounds.Revoke+a.For)
 	default:
@@ -94,8 +102,15 @@
 		return
 	}
 	defer r.handling.Unlock()
+	s.stop(r, rnd, frozen)
+	s.restart(r)
+}
+
+// stop stops a router as planned. r.handling is held.
+func (s *soak) stop(r *router, rnd *rand.Rand, frozen time.Duration) {
 	crowd := s.users.crowd(r, rnd)
 	over := s.record.disturb(Disturbance{Router: r.name, What: kindTerm, Planned: true})
+	defer over()
 	if frozen > 0 {
 		thawed := s.record.disturb(Disturbance{Router: r.name, What: kindTermFrozen})
 		r.signal(syscall.SIGSTOP)
@@ -112,8 +127,6 @@
 		}
 		r.kill()
 	}
-	over()
-	s.restart(r)
 }
 
 func (s *soak) kill(r *router) {
--- a/test/soak/router.go
+++ b/test/soak/router.go
@@ -19,8 +19,9 @@
 	readiness string
 	settings  string
 	log       string
-	program   string
-	record    *recorder
+	// program is that of the next process, other one of another build.
+	program, other string
+	record         *recorder
 	// handling is held while a fault that stops the process is under way.
 	handling sync.Mutex
 
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -55,6 +55,9 @@
 	kindSpoil       = "entry-spoilt"
 	kindDeadly      = "deadly-request"
 	kindLongFreeze  = "long-freeze"
+	kindDrill       = "store-back-from-copy"
+	kindOtherBuild  = "other-build"
+	kindRollBuild   = "other-build-all-in-series"
 )
 
 // moreKinds come besides, in runs that have more. The schedule of a seed is the same
@@ -64,12 +67,63 @@
 // morePart is how many of the others come for one that is added.
 const morePart = 3
 
+// extras name what a plan has besides the kinds of its profile. Each has the schedule of
+// the one before, with what it adds between.
+const (
+	noExtras = ""
+	// extraMore has moreKinds, extraDrills a store that comes back from copies too.
+	extraMore   = "more"
+	extraDrills = "drills"
+	// extraBuilds has moreKinds, and routers that are replaced by those of another build
+	// and back; extraOldest the same with the oldest build, without moreKinds, some of
+	// which it does not know.
+	extraBuilds = "builds"
+	extraOldest = "oldest"
+)
+
+// planWith is the plan of a seed with extras.
+func planWith(extras string, seed uint64, length time.Duration) plan {
+	var p plan
+	switch extras {
+	case noExtras:
+		return planOf(seed, length)
+	case extraMore:
+		return planWithMore(seed, length)
+	case extraOldest:
+		p = planOf(seed, length)
+	default:
+		p = planWithMore(seed, length)
+	}
+	p.Extras = extras
+	kinds := []string{kindDrill}
+	if extras != extraDrills {
+		kinds = []string{kindOtherBuild, kindOtherBuild, kindRollBuild}
+	}
+	rnd := rand.New(rand.NewPCG(seed, seed+2))
+	for range 1 + len(p.Actions)/morePart {
+		p.Actions = append(p.Actions, drawn(rnd, pick(rnd, kinds), length))
+	}
+	p.sort()
+	return p
+}
+
+// drawn is an action of a kind at some time.
+func drawn(rnd *rand.Rand, kind string, length time.Duration) action {
+	return action{At: between(rnd, 0, length), Kind: kind, Target: rnd.Int(), For: between(rnd, shortestFault, longestFault)}
+}
+
+func (p *plan) sort() {
+	slices.SortStableFunc(p.Actions, func(a, b action) int { return cmp.Compare(a.At, b.At) })
+}
+
 // plan is what a seed draws.
 type plan struct {
 	Seed    uint64
 	Routers int
 	// Profile names which kinds of faults there are.
 	Profile string
+	// Extras names what comes besides.
+	Extras  string
 	Actions []action
 }
 
@@ -100,9 +154,9 @@
 		if kind == kindLongFreeze && p.Profile != profiles[2] {
 			continue
 		}
-		p.Actions = append(p.Actions, action{At: between(rnd, 0, length), Kind: kind, Target: rnd.Int(), For: between(rnd, shortestFault, longestFault)})
+		p.Actions = append(p.Actions, drawn(rnd, kind, length))
 	}
-	slices.SortStableFunc(p.Actions, func(a, b action) int { return cmp.Compare(a.At, b.At) })
+	p.sort()
 	return p
 }
 
@@ -131,7 +185,7 @@
 // String tells the schedule.
 func (p plan) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d, %d routers, %s\n", p.Seed, p.Routers, p.Profile)
+	fmt.Fprintf(&b, "seed %d, %d routers, %s %s\n", p.Seed, p.Routers, p.Profile, p.Extras)
 	for _, a := range p.Actions {
 		fmt.Fprintf(&b, "%8s %s, target %d, for %s\n", a.At.Round(time.Millisecond), a.Kind, a.Target, a.For.Round(time.Millisecond))
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -42,8 +42,9 @@
 	Kinds map[string]int
 }
 
-// Run plays a plan in a folder that takes all logs.
-func Run(program, dir string, p plan, length time.Duration) (Result, error) {
+// Run plays a plan in a folder that takes all logs. other is a program of another build, for
+// plans that exchange builds.
+func Run(program, other, dir string, p plan, length time.Duration) (Result, error) {
 	s := &soak{plan: p, dir: dir, bounds: SheetBounds, record: newRecorder(), listen: make(map[string][listeners]string), stores: make(map[string]string)}
 	if err := s.keep("schedule.txt", []byte(s.plan.String())); err != nil {
 		return Result{}, err
@@ -54,7 +55,7 @@
 	}
 	defer s.world.close()
 	defer s.endAll()
-	if err := s.startRouters(program); err != nil {
+	if err := s.startRouters(program, other); err != nil {
 		return Result{}, err
 	}
 	s.play(length)
@@ -68,13 +69,16 @@
 const listeners = 4
 
 // placeRouters finds where the routers are to stand.
-func (s *soak) placeRouters(program string) error {
+func (s *soak) placeRouters(program, other string) error {
 	addresses, err := freeAddresses(listeners * s.plan.Routers)
 	if err != nil {
 		return err
 	}
 	for n := range s.plan.Routers {
-		r := &router{name: fmt.Sprintf("r%d", n), program: program, record: s.record}
+		r := &router{name: fmt.Sprintf("r%d", n), program: program, other: other, record: s.record}
+		if n%2 == 1 && other != "" {
+			r.program, r.other = other, program
+		}
 		r.settings, r.log = filepath.Join(s.dir, r.name+".ini"), filepath.Join(s.dir, r.name+".log")
 		store, err := standin.Serve(ownAddress(standInHost), s.world.store.Handler(r.name))
 		if err != nil {
@@ -90,8 +94,8 @@
 }
 
 // startRouters starts all routers and waits until they are ready.
-func (s *soak) startRouters(program string) error {
-	if err := s.placeRouters(program); err != nil {
+func (s *soak) startRouters(program, other string) error {
+	if err := s.placeRouters(program, other); err != nil {
 		return err
 	}
 	const repeats = 30
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -11,11 +13,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/test/builds"
 )
 
 // shortRun is how long the faults of a run in CI last.
@@ -42,13 +47,41 @@
 	return dir
 }
 
+// earlier builds the programs of earlier commits, each once.
+var earlier = struct {
+	sync.Mutex
+	programs map[string]string
+}{programs: make(map[string]string)}
+
+// otherBuild returns the program of an earlier build that a plan has, empty if it has none.
+func otherBuild(t *testing.T, dir string, p plan) string {
+	t.Helper()
+	commits := p.buildsOf()
+	if len(commits) == 0 {
+		return ""
+	}
+	earlier.Lock()
+	defer earlier.Unlock()
+	commit := commits[p.Seed%uint64(len(commits))]
+	if earlier.programs[commit] == "" {
+		program, err := builds.Program(commit, dir)
+		if errors.Is(err, builds.ErrNoHistory) {
+			t.Skipf("seed %d wants a build of %s: %v", p.Seed, commit, err)
+		}
+		require.NoError(t, err)
+		earlier.programs[commit] = program
+	}
+	return earlier.programs[commit]
+}
+
 // play runs a seed and judges it.
 func play(t *testing.T, program, dir string, p plan, length time.Duration) {
 	t.Helper()
 	seed := p.Seed
+	other := otherBuild(t, dir, p)
 	own := filepath.Join(dir, fmt.Sprint("seed-", seed))
 	require.NoError(t, os.MkdirAll(own, 0o700))
-	result, err := Run(program, own, p, length)
+	result, err := Run(program, other, own, p, length)
 	require.NoError(t, err, "seed %d, logs in %s", seed, own)
 	t.Logf("%s%s", result.Plan, tally(result.Kinds))
 	for _, v := range result.Violations {
@@ -97,11 +130,7 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			length := seconds(t, known.faults)
-			p := planOf(known.seed, length)
-			if known.more {
-				p = planWithMore(known.seed, length)
-			}
-			play(t, program, dir, p, length)
+			play(t, program, dir, planWith(known.extras, known.seed, length), length)
 		})
 	}
 }
@@ -111,8 +140,8 @@
 type knownSeed struct {
 	seed   uint64
 	faults time.Duration
-	// more: with the kinds that came later.
-	more bool
+	// extras are with what came later.
+	extras string
 }
 
 // knownSeeds reads seeds.txt: a seed a line, its seconds, and why it stands there.
@@ -135,14 +164,21 @@
 			known.faults, err = time.ParseDuration(fields[1])
 			require.NoError(t, err)
 		}
-		known.more = len(fields) > 2 && fields[2] == "more"
+		if len(fields) > 2 {
+			known.extras = fields[2]
+			require.Contains(t, allExtras, known.extras)
+		}
 		out = append(out, known)
 	}
 	require.NotEmpty(t, out)
 	return out
 }
 
-// As many seeds as SOAK_SEEDS says, from SOAK_FIRST on or drawn afresh.
+// allExtras are those of fresh seeds, one seed each in turn.
+var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest}
+
+// As many seeds as SOAK_SEEDS says, from SOAK_FIRST on or drawn afresh. SOAK_EXTRAS names
+// what they have besides; else each extra has its turn.
 func TestFreshSeeds(t *testing.T) {
 	text := os.Getenv("SOAK_SEEDS")
 	if text == "" {
@@ -154,10 +190,11 @@
 	program, err := buildProgram(dir)
 	require.NoError(t, err)
 	const byDefault = 20 * time.Second
-	for _, seed := range freshSeeds(t, n) {
+	for i, seed := range freshSeeds(t, n) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			length := seconds(t, byDefault)
-			play(t, program, dir, planWithMore(seed, length), length)
+			extras := cmp.Or(os.Getenv("SOAK_EXTRAS"), allExtras[i%len(allExtras)])
+			play(t, program, dir, planWith(extras, seed, length), length)
 		})
 	}
 }
