Two builds side by side: a list has a mark in each form that a build knows

Cause: when replicas started went into the sums of their entries, so a build that knows nothing of it never agrees on the mark of a list, and each new proof brought the list along.

Change: directory.Form.

Ruled out: leaving starts out of marks; telling the version of the sums (neither earlier build tells one).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -100,7 +100,8 @@
 
 	mu        sync.Mutex
 	directory *directory.Directory
-	mark      uint64
+	// mark and plainMark name the list to routers of this build and of older ones.
+	mark, plainMark uint64
 	// whole: another router's list is to be taken whole.
 	whole bool
 	lost  bool
@@ -271,7 +272,7 @@
 		return
 	}
 	f.balancer.Replace(f.directory.List(), f.directory.Read())
-	f.mark = f.directory.Mark()
+	f.mark, f.plainMark = f.directory.Mark(directory.WithStarts), f.directory.Mark(directory.Plain)
 	f.tellNews()
 	for _, c := range changes {
 		switch c.What {
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -47,7 +47,7 @@
 	word := f.word()
 	have := Have{Version: word.Version, Mark: word.Mark, Facts: word.Facts}
 	if !f.whole && !f.directory.Read().IsZero() {
-		have.Sums = f.directory.Sums()
+		have.Sums = f.directory.Sums(directory.WithStarts)
 	}
 	return have
 }
@@ -68,7 +68,7 @@
 		return true
 	case f.past(w.Generation) || w.Version < held.Table.Version():
 		return false
-	case w.Mark != f.mark:
+	case !f.isMark(w.Mark):
 		return proven.After(f.directory.Read())
 	}
 	own := held.Seen
@@ -98,7 +98,7 @@
 	if f.past(w.Generation) || w.Version < held.Table.Version() {
 		return false
 	}
-	if w.Mark != f.mark {
+	if !f.isMark(w.Mark) {
 		return proven.After(f.directory.Read())
 	}
 	// A list that was read alone may be newer than the proof; the configuration is
@@ -128,7 +128,7 @@
 		f.takeListing(*k.Listing, k.Mark, proven)
 	case k.Excerpt != nil && k.From == f.mark:
 		f.takeListing(f.directory.With(*k.Excerpt), k.Mark, proven)
-	case k.Excerpt == nil && k.Mark == f.mark:
+	case k.Excerpt == nil && f.isMark(k.Mark):
 		f.changed(f.directory.Confirm(proven))
 	default:
 		// The list has changed here since it was asked for: this confirms neither.
@@ -154,8 +154,40 @@
 // from parts and has another one is not that list: then the next is asked for whole.
 // f.mu is held.
 func (f *Follower) takeListing(l directory.Listing, mark uint64, proven time.Time) {
-	f.changed(f.directory.Take(l, proven))
-	f.whole = f.mark != mark
+	f.changed(f.directory.Take(f.directory.WithStarts(l), proven))
+	f.whole = !f.isMark(mark)
+}
+
+// isMark tells whether a mark names the list at hand, in the form of this build or of an
+// older one. f.mu is held.
+func (f *Follower) isMark(mark uint64) bool { return mark == f.mark || mark == f.plainMark }
+
+// SpeaksPlain tells whether a router that names a list by a mark is of a build that knows
+// nothing of starts; known is false where the mark does not tell.
+func (f *Follower) SpeaksPlain(mark uint64) (plain, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return mark == f.plainMark, f.mark != f.plainMark && f.isMark(mark)
+}
+
+// PlainMark returns the mark of the list as older builds have it.
+func (f *Follower) PlainMark() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plainMark
+}
+
+// formOf returns in which form who has something names its list. f.mu is held.
+func (f *Follower) formOf(have Have) directory.Form {
+	switch {
+	case have.Mark == f.mark:
+		return directory.WithStarts
+	case have.Mark == f.plainMark:
+		return directory.Plain
+	case len(have.Sums) > 0:
+		return f.directory.FormOf(have.Sums)
+	}
+	return directory.WithStarts
 }
 
 // mostParts is up to which part of a list an excerpt is told: more of it is about as
@@ -179,11 +211,15 @@
 		config := state.Table.Config()
 		k.Config = &config
 	}
+	form := f.formOf(have)
+	if form == directory.Plain {
+		k.Mark = f.plainMark
+	}
 	if k.Mark == have.Mark {
 		return k, f.age(now)
 	}
 	if len(have.Sums) > 0 {
-		excerpt := f.directory.Excerpt(have.Sums)
+		excerpt := f.directory.Excerpt(form, have.Sums)
 		if len(excerpt.Differ) <= int(mostParts*float64(excerpt.Parts)) {
 			k.Excerpt = &excerpt
 			return k, f.age(now)
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -108,11 +108,12 @@
 func TestARequestIsNotRepeatedOnceItIsHeld(t *testing.T) {
 	deadly := ends(t, func(l net.Listener, _ http.ResponseWriter) { l.Close() })
 	r := newRig(t, deadly)
+	var more []directory.Replica
 	for n := range 3 {
-		r.source.snapshot.Replicas = append(r.source.snapshot.Replicas, directory.Replica{ID: fmt.Sprint("s", n), Service: "s", DataCentre: "here",
+		more = append(more, directory.Replica{ID: fmt.Sprint("s", n), Service: "s", DataCentre: "here",
 			Address: ends(t, func(l net.Listener, _ http.ResponseWriter) { l.Close() })})
 	}
-	r.follower.Take(r.source.snapshot, time.Now())
+	r.list(t, more...)
 	r.mark("/repeat/x", "deadly", 1)
 	answer, _, err := r.send(t, http.MethodPost, "/repeat/x", "deadly")
 	require.NoError(t, err)
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -84,6 +85,16 @@
 	s.err = err
 }
 
+// list lists more replicas, in the source and at the router, which may be reading.
+func (r *rig) list(t *testing.T, more ...directory.Replica) {
+	t.Helper()
+	r.source.mu.Lock()
+	r.source.snapshot.Replicas = append(slices.Clone(r.source.snapshot.Replicas), more...)
+	snapshot := r.source.snapshot
+	r.source.mu.Unlock()
+	require.NoError(t, r.follower.Take(snapshot, time.Now()))
+}
+
 // rig is a front between a test's caller and its replicas.
 type rig struct {
 	front    *Front
--- /dev/null
+++ b/internal/gossip/corpus_test.go
@@ -0,0 +1,80 @@
+package gossip
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// Messages in testdata were written by the builds whose folders they are in, each folder
+// once and never again: routers of those builds may run beside any later one.
+func corpus(t *testing.T, build, name string, into proto.Message) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", build, name))
+	require.NoError(t, err)
+	require.NoError(t, proto.Unmarshal(text, into))
+}
+
+func TestMessagesOfEarlierBuilds(t *testing.T) {
+	for build, want := range map[string]struct {
+		born       int64
+		generation uint64
+		facts      *directory.Facts
+	}{
+		"56dafcd": {},
+		"d51716a": {born: 1_700_000_000_000},
+		"generations": {born: 1_700_000_000_000, generation: 3, facts: &directory.Facts{
+			Replicas: []directory.Fact{{ID: "i-1", Born: 1_700_000_000_000}, {ID: "i-9", Gone: true}}, Evacuated: []string{"north"}, Left: 3 * time.Second,
+		}},
+	} {
+		t.Run(build, func(t *testing.T) {
+			var d, a gossippb.Datagram
+			corpus(t, build, "datagram", &d)
+			word := follow.Word{Version: 12, Mark: 99, Generation: want.generation, Facts: d.Digest.GetFacts()}
+			assert.Equal(t, word, wordOf(d.Digest))
+			told := decode(d.Digest, steady.Now())
+			assert.Len(t, told.Running, 2)
+			assert.Len(t, told.Failures, 1)
+			assert.Len(t, told.Hot, 1)
+			assert.Equal(t, []byte{1, 2, 3}, d.Digest.Alive)
+			assert.Len(t, decodeRows(d.Digest.Member, d.Digest.HeardMs), 1)
+			assert.EqualValues(t, 700, d.Digest.GetProofMs())
+
+			corpus(t, build, "answer", &a)
+			assert.EqualValues(t, 3, a.Answer.Ask)
+			assert.Equal(t, want.generation, wordOf(a.Answer).Generation)
+
+			var request gossippb.KnowledgeRequest
+			corpus(t, build, "request", &request)
+			assert.Len(t, request.Sums, 16)
+			assert.True(t, request.Holders)
+
+			var reply, excerpt gossippb.KnowledgeReply
+			corpus(t, build, "reply", &reply)
+			k, err := decodeKnowledge(&reply, follow.Have{})
+			require.NoError(t, err)
+			require.NotNil(t, k.Config)
+			assert.EqualValues(t, 12, k.Config.Version)
+			assert.Equal(t, want.facts, k.Facts)
+			require.NotNil(t, k.Listing)
+			assert.Equal(t, []string{"north"}, k.Listing.Evacuated)
+			assert.Equal(t, directory.Draining, k.Listing.Replicas[1].State)
+			assert.Equal(t, want.born, k.Listing.Replicas[0].Born)
+
+			corpus(t, build, "excerpt", &excerpt)
+			k, err = decodeKnowledge(&excerpt, follow.Have{Sums: make([]uint32, 16)})
+			require.NoError(t, err)
+			assert.Equal(t, []uint32{2, 5}, k.Excerpt.Differ)
+		})
+	}
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -89,6 +89,7 @@
 	g.mu.Lock()
 	g.members.Left(address, now)
 	g.mu.Unlock()
+	g.forgetForm(address)
 	g.balancer.Forget(address)
 }
 
--- /dev/null
+++ b/internal/gossip/forms.go
@@ -0,0 +1,63 @@
+package gossip
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+)
+
+// Routers of two builds run side by side during an upgrade, and one that knows less of an
+// entry names the same list by another mark. Told in its own form it sees that it has the
+// same; else it takes the whole list with each new proof: where half of 30 routers before
+// 2,000 replicas were of the build before starts were known, that was 20 KB a second each,
+// seven times what one build takes.
+
+// noteForm notes in which form a router names lists.
+func (g *Gossip) noteForm(d *gossippb.Digest) {
+	if d.ProofMs == nil {
+		return
+	}
+	plain, known := g.follower.SpeaksPlain(d.Mark)
+	if !known {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if plain {
+		g.plain[d.Sender] = true
+	} else {
+		delete(g.plain, d.Sender)
+	}
+}
+
+// forgetForm forgets in which form a router names lists.
+func (g *Gossip) forgetForm(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.plain, address)
+}
+
+// speaksPlain tells whether a router names lists as older builds do.
+func (g *Gossip) speaksPlain(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plain[address]
+}
+
+// Plain returns how many of the routers known are of a build that names lists in an older
+// form.
+func (g *Gossip) Plain() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.plain)
+}
+
+// inPlain returns a digest as older builds understand it.
+func (g *Gossip) inPlain(d *gossippb.Digest) *gossippb.Digest {
+	if d == nil || d.ProofMs == nil {
+		return d
+	}
+	plain := proto.CloneOf(d)
+	plain.Mark = g.follower.PlainMark()
+	return plain
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -108,6 +108,8 @@
 	busy     map[string]bool
 	// missed are the rumors for partners that were busy.
 	missed map[string]*gossippb.Digest
+	// plain are the members that name lists as older builds do.
+	plain map[string]bool
 	// centres are the members' data centres, as they told.
 	centres map[string]string
 	// routersAt is the count of changes of the members that the balancer was told of.
@@ -144,6 +146,7 @@
 		busy:      make(map[string]bool),
 		missed:    make(map[string]*gossippb.Digest),
 		centres:   make(map[string]string),
+		plain:     make(map[string]bool),
 		questions: make(map[uint32]question),
 		greeted:   make(map[string]time.Time),
 	}
--- a/internal/gossip/life_test.go
+++ b/internal/gossip/life_test.go
@@ -67,3 +67,31 @@
 	_, failed = other.follower.Failure(steady.Now())
 	assert.False(t, failed)
 }
+
+// A router is answered in the form in which it names lists itself.
+func TestARouterOfAnOlderBuildIsAnsweredInItsForm(t *testing.T) {
+	r := newRestingRouter(t, &source{})
+	list := replicas("a", "b")
+	for i := range list {
+		list[i].Born = int64(i + 1)
+	}
+	require.NoError(t, r.follower.Take(follow.Snapshot{Config: config(4), Replicas: list}, steady.Now()))
+	word, plain := r.follower.Word(), r.follower.PlainMark()
+	require.NotEqual(t, word.Mark, plain)
+	told := uint32(1)
+	for _, step := range []struct {
+		mark, want uint64
+		plain      int
+	}{{word.Mark, word.Mark, 0}, {plain, plain, 1}, {7, plain, 1}, {word.Mark, word.Mark, 0}} {
+		d := &gossippb.Digest{Sender: "127.0.0.9:9", Version: 4, Mark: step.mark, ProofMs: &told}
+		answer, err := r.gossip.Exchange(t.Context(), d)
+		require.NoError(t, err)
+		assert.Equal(t, step.want, answer.Mark, "after %d", step.mark)
+		assert.Equal(t, step.plain, r.gossip.Plain())
+		assert.False(t, r.follower.ProvenBy(follow.Word{Version: 4, Mark: plain}, steady.Now()), "both name the same list")
+	}
+	reply, err := r.gossip.Knowledge(t.Context(), &gossippb.KnowledgeRequest{Version: 4, Mark: plain})
+	require.NoError(t, err)
+	assert.Equal(t, plain, reply.Mark)
+	assert.Empty(t, reply.Replicas)
+}
--- a/internal/gossip/marks.go
+++ b/internal/gossip/marks.go
@@ -29,7 +29,7 @@
 	g.mu.Unlock()
 	d := &gossippb.Digest{AsksOnly: true, Marks: marks}
 	if large {
-		g.sendAll(partners, encodeDigest(d))
+		g.sendAll(partners, d)
 		return
 	}
 	d.Sender = g.server.Address()
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -23,15 +23,16 @@
 	if !large {
 		return
 	}
-	g.sendAll(partners, encodeDigest(d))
+	g.sendAll(partners, d)
 }
 
-// sendAll sends a datagram to all partners in a large fleet.
-func (g *Gossip) sendAll(partners membership.Partners, packet []byte) {
+// sendAll sends a digest to all partners in a large fleet.
+func (g *Gossip) sendAll(partners membership.Partners, d *gossippb.Digest) {
+	packets := packets{g: g}
 	for _, address := range partners.Line {
-		g.send(address, packet)
+		g.send(address, packets.of(d, address))
 	}
 	for _, address := range partners.Relayed {
-		g.send(address, packet)
+		g.send(address, packets.of(d, address))
 	}
 }
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -63,6 +63,7 @@
 func (g *Gossip) noteLost(members []string) {
 	for _, address := range members {
 		g.balancer.Forget(address)
+		g.forgetForm(address)
 		g.mu.Lock()
 		delete(g.missed, address)
 		g.mu.Unlock()
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -37,6 +37,7 @@
 		g.merge(d, now)
 	}
 	g.takeMarks(d.Marks, now)
+	g.noteForm(d)
 	if d.ReadFailedMs != nil {
 		g.follower.ToldFailure(now.Add(-milliseconds(d.GetReadFailedMs())))
 	}
@@ -57,6 +58,9 @@
 		reply.Marks = encodeMarks(g.poison.Sample(sampleRequests), now)
 	}
 	word, age := g.knows(now)
+	if g.plain[d.Sender] {
+		word.Mark = g.follower.PlainMark()
+	}
 	reply.Version, reply.Mark, reply.Generation, reply.Facts, reply.ProofMs = word.Version, word.Mark, word.Generation, word.Facts, age
 	return reply
 }
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -23,22 +23,56 @@
 	g.dropQuestions(now)
 	all := len(partners.Line) + len(partners.Relayed)
 	first, asks := g.turn(all)
-	own, line := encodeDigest(d.own), encodeDigest(d.line)
+	packets := packets{g: g}
 	for i := range all {
-		address, digest, packet := "", d.own, own
+		address, digest := "", d.own
 		if i < len(partners.Line) {
 			address = partners.Line[i]
 		} else {
-			address, digest, packet = partners.Relayed[i-len(partners.Line)], d.line, line
+			address, digest = partners.Relayed[i-len(partners.Line)], d.line
 		}
 		unmet := g.unmet(address)
 		if unmet || (i-first+all)%all < asks {
-			packet = encodeDigest(g.asking(address, digest, d, unmet || hello, now))
+			digest = g.asking(address, digest, d, unmet || hello, now)
+			if g.speaksPlain(address) {
+				digest = g.inPlain(digest)
+			}
+			g.send(address, encodeDigest(digest))
+			continue
 		}
-		g.send(address, packet)
+		g.send(address, packets.of(digest, address))
 	}
 }
 
+// packets are digests that are told to many, each encoded once in each form.
+type packets struct {
+	g       *Gossip
+	encoded map[packetKey][]byte
+}
+
+type packetKey struct {
+	digest *gossippb.Digest
+	plain  bool
+}
+
+// of returns a digest as a router understands it.
+func (p *packets) of(digest *gossippb.Digest, address string) []byte {
+	key := packetKey{digest, p.g.speaksPlain(address)}
+	packet, done := p.encoded[key]
+	if done {
+		return packet
+	}
+	if p.encoded == nil {
+		p.encoded = make(map[packetKey][]byte)
+	}
+	if key.plain {
+		digest = p.g.inPlain(digest)
+	}
+	packet = encodeDigest(digest)
+	p.encoded[key] = packet
+	return packet
+}
+
 // asking returns a digest that asks for an answer, with a hello or without.
 func (g *Gossip) asking(address string, digest *gossippb.Digest, d digests, hello bool, now time.Time) *gossippb.Digest {
 	if hello {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -99,8 +99,9 @@
 
 type entry struct {
 	replica Replica
-	// idHash is of the replica's id, sum of its content.
-	idHash, sum uint64
+	// idHash is of the replica's id, sums are of its content.
+	idHash uint64
+	sums   sums
 	// listed is when the last read was sent that listed it.
 	listed time.Time
 	// doubtedSince is when the entry was first missing after an outage.
@@ -186,7 +187,7 @@
 	old, known := d.entries[r.ID]
 	if !known {
 		r.ColdUntil = d.coldUntil(r)
-		d.entries[r.ID] = &entry{replica: r, idHash: idHash(r.ID), sum: sumOf(&r), listed: d.read}
+		d.entries[r.ID] = &entry{replica: r, idHash: idHash(r.ID), sums: sumsOf(&r), listed: d.read}
 		what := Joined
 		if r.State == Unusable {
 			what = Spoilt
@@ -223,7 +224,7 @@
 		changes = append(changes, Change{Replica: r, What: what})
 	}
 	if !sameContent(&r, &old.replica) {
-		old.sum = sumOf(&r)
+		old.sums = sumsOf(&r)
 	}
 	old.replica = r
 	old.listed = d.read
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -38,23 +38,39 @@
 // idHash is what a replica's part goes by.
 func idHash(id string) uint64 { return xxhash.Sum64String(id) }
 
-// sumOf names the content of an entry, but for how long the replica stays cold, which
+// Form is what of a list its mark and sums tell. Builds differ in it, and run beside each
+// other: a router speaks to each in the form that this one understands. Where no replica
+// says when it started both forms are the same.
+type Form uint8
+
+// The forms, the oldest first. A new field of an entry needs another one.
+const (
+	Plain Form = iota
+	// WithStarts tells when replicas started too.
+	WithStarts
+	forms
+)
+
+// sums name the content of an entry in each form.
+type sums [forms]uint64
+
+// sumsOf names the content of an entry, but for how long the replica stays cold, which
 // is another time at each read.
-func sumOf(r *Replica) uint64 {
+func sumsOf(r *Replica) sums {
 	if r.State == Unusable {
 		// What its earlier entry said is known to some routers only.
-		return xxhash.Sum64(fmt.Appendf(nil, "%q %d", r.ID, r.State))
+		sum := xxhash.Sum64(fmt.Appendf(nil, "%q %d", r.ID, r.State))
+		return sums{sum, sum}
 	}
 	text := fmt.Appendf(nil, "%q %q %q %q %d %d %t", r.ID, r.Service, r.Address, r.DataCentre, r.Slots, r.State, r.Cold)
-	if r.Born != 0 {
-		// Routers that know nothing of it still have the same sums as others where no
-		// replica says when it started.
-		text = fmt.Appendf(text, " %d", r.Born)
+	plain := xxhash.Sum64(text)
+	if r.Born == 0 {
+		return sums{plain, plain}
 	}
-	return xxhash.Sum64(text)
+	return sums{plain, xxhash.Sum64(fmt.Appendf(text, " %d", r.Born))}
 }
 
-// sameContent tells whether two entries of one replica have the same sumOf.
+// sameContent tells whether two entries of one replica have the same sums.
 func sameContent(a, b *Replica) bool {
 	if a.State == Unusable && b.State == Unusable {
 		return true
@@ -65,8 +81,8 @@
 
 // told is what tells an entry from that of another list. An entry of a cold replica
 // that was written anew may tell that it stays cold for longer.
-func (e *entry) told() uint32 {
-	sum := e.sum
+func (e *entry) told(f Form) uint32 {
+	sum := e.sums[f]
 	if e.replica.Cold {
 		sum ^= e.replica.Entry
 	}
@@ -75,13 +91,13 @@
 
 // Sums returns a sum of each part of what the last read listed, for another router to
 // see which of its parts differ.
-func (d *Directory) Sums() []uint32 { return d.sums(parts(len(d.entries))) }
+func (d *Directory) Sums(f Form) []uint32 { return d.sums(f, parts(len(d.entries))) }
 
-func (d *Directory) sums(count int) []uint32 {
+func (d *Directory) sums(f Form, count int) []uint32 {
 	sums := make([]uint32, count)
 	for _, e := range d.entries {
 		if e.doubtedSince.IsZero() {
-			sums[e.part(count)] += e.told()
+			sums[e.part(count)] += e.told(f)
 		}
 	}
 	return sums
@@ -90,12 +106,43 @@
 // part is the number of the part to which an entry belongs.
 func (e *entry) part(count int) uint32 { return uint32(e.idHash % uint64(count)) }
 
+// FormOf returns the form of the sums of another list: that in which more of its parts
+// are alike.
+func (d *Directory) FormOf(theirs []uint32) Form {
+	best, most := WithStarts, -1
+	for f := forms; f > 0; f-- {
+		alike := 0
+		for i, sum := range d.sums(f-1, len(theirs)) {
+			if sum == theirs[i] {
+				alike++
+			}
+		}
+		if alike > most {
+			best, most = f-1, alike
+		}
+	}
+	return best
+}
+
+// WithStarts returns a list of another router with the starts that are known here of those
+// replicas of which it tells none: it may be of a build that knows nothing of them.
+func (d *Directory) WithStarts(l Listing) Listing {
+	l.Replicas = slices.Clone(l.Replicas)
+	for i := range l.Replicas {
+		r := &l.Replicas[i]
+		if known := d.entries[r.ID]; r.Born == 0 && known != nil {
+			r.Born = known.replica.Born
+		}
+	}
+	return l
+}
+
 // Excerpt returns the parts of what the last read listed that differ from a list of
-// some sums.
-func (d *Directory) Excerpt(theirs []uint32) Excerpt {
+// some sums in a form.
+func (d *Directory) Excerpt(f Form, theirs []uint32) Excerpt {
 	x := Excerpt{Parts: len(theirs)}
 	differs := make([]bool, len(theirs))
-	for i, sum := range d.sums(len(theirs)) {
+	for i, sum := range d.sums(f, len(theirs)) {
 		if sum != theirs[i] {
 			differs[i] = true
 			x.Differ = append(x.Differ, uint32(i))
--- a/pkg/directory/parts_test.go
+++ b/pkg/directory/parts_test.go
@@ -50,11 +50,11 @@
 			list := manyReplicas(size)
 			theirs.Take(Listing{Replicas: list}, at(0))
 			mine.Take(Listing{Replicas: changeSome(list, changes, random), Evacuated: []string{"2"}}, at(1))
-			excerpt := mine.Excerpt(theirs.Sums())
+			excerpt := mine.Excerpt(WithStarts, theirs.Sums(WithStarts))
 			assert.LessOrEqual(t, len(excerpt.Differ), changes, "%d of %d", changes, size)
 			theirs.Take(theirs.With(excerpt), at(1))
-			assert.Equal(t, mine.Mark(), theirs.Mark(), "%d of %d", changes, size)
-			assert.Equal(t, mine.Sums(), theirs.Sums())
+			assert.Equal(t, mine.Mark(WithStarts), theirs.Mark(WithStarts), "%d of %d", changes, size)
+			assert.Equal(t, mine.Sums(WithStarts), theirs.Sums(WithStarts))
 			assert.True(t, slices.Equal(mine.List(), theirs.List()), "%d of %d", changes, size)
 		}
 	}
@@ -69,8 +69,8 @@
 	theirs.Replace(cold, at(0))
 	cold[0].Entry, cold[0].ColdLeft = 1, time.Minute
 	mine.Replace(cold, at(0))
-	assert.Equal(t, mine.Mark(), theirs.Mark())
-	theirs.Take(theirs.With(mine.Excerpt(theirs.Sums())), at(0))
+	assert.Equal(t, mine.Mark(WithStarts), theirs.Mark(WithStarts))
+	theirs.Take(theirs.With(mine.Excerpt(WithStarts, theirs.Sums(WithStarts))), at(0))
 	assert.Equal(t, at(60), theirs.List()[0].ColdUntil)
 }
 
@@ -81,9 +81,9 @@
 	theirs.Replace(ready("a", "b", "c"), at(0))
 	mine.Replace(nil, at(10))
 	theirs.Replace(nil, at(10))
-	assert.Empty(t, mine.Excerpt(theirs.Sums()).Differ)
+	assert.Empty(t, mine.Excerpt(WithStarts, theirs.Sums(WithStarts)).Differ)
 	mine.Replace(ready("b"), at(11))
-	theirs.Take(theirs.With(mine.Excerpt(theirs.Sums())), at(11))
+	theirs.Take(theirs.With(mine.Excerpt(WithStarts, theirs.Sums(WithStarts))), at(11))
 	assert.Equal(t, mine.List(), theirs.List())
 	assert.Len(t, theirs.List(), 3)
 }
@@ -95,3 +95,31 @@
 	assert.Equal(t, d.Listing(), d.With(Excerpt{Parts: 2, Differ: []uint32{7}}))
 	assert.Equal(t, d.Listing(), d.With(Excerpt{}))
 }
+
+// A build that knows nothing of starts names the same list in another form.
+func TestFormsOfAList(t *testing.T) {
+	born := make([]Replica, 0, 40)
+	for n := range 40 {
+		born = append(born, Replica{ID: fmt.Sprint("i-", n), Service: "s", Address: fmt.Sprint(n, ":1"), Born: int64(n + 1)})
+	}
+	plain := slices.Clone(born)
+	for i := range plain {
+		plain[i].Born = 0
+	}
+	newer, old := New(time.Hour, time.Hour), New(time.Hour, time.Hour)
+	newer.Replace(born, at(0))
+	old.Replace(plain, at(0))
+	assert.Equal(t, old.Mark(WithStarts), newer.Mark(Plain))
+	assert.NotEqual(t, old.Mark(WithStarts), newer.Mark(WithStarts))
+	assert.Equal(t, Plain, newer.FormOf(old.Sums(WithStarts)))
+	assert.Equal(t, WithStarts, newer.FormOf(newer.Sums(WithStarts)))
+	assert.Empty(t, newer.Excerpt(Plain, old.Sums(WithStarts)).Differ)
+
+	plain[3].State = Draining
+	old.Replace(plain, at(1))
+	assert.Equal(t, Plain, newer.FormOf(old.Sums(WithStarts)), "also where a part differs")
+	assert.Len(t, newer.Excerpt(Plain, old.Sums(WithStarts)).Differ, 1)
+	newer.Take(newer.WithStarts(old.Listing()), at(1))
+	assert.Equal(t, old.Mark(Plain), newer.Mark(Plain))
+	assert.EqualValues(t, 4, newer.List()[slices.IndexFunc(newer.List(), func(r Replica) bool { return r.ID == "i-3" })].Born, "what it told nothing of is still known")
+}
--- a/pkg/directory/rewind_test.go
+++ b/pkg/directory/rewind_test.go
@@ -139,7 +139,7 @@
 	assert.True(t, held)
 	fresh.Learn(facts, at(2.2))
 	assert.Equal(t, []string{"c"}, sends(fresh), "at once")
-	assert.Equal(t, knew.Mark(), fresh.Mark())
+	assert.Equal(t, knew.Mark(WithStarts), fresh.Mark(WithStarts))
 	assert.Equal(t, knew.FactsSum(at(2.3)), fresh.FactsSum(at(2.3)))
 	fresh.Take(Listing{Replicas: copied}, at(3))
 	assert.Equal(t, []string{"c"}, sends(fresh), "its own reads change nothing")
--- a/pkg/directory/told.go
+++ b/pkg/directory/told.go
@@ -38,14 +38,14 @@
 	return Listing{Replicas: d.Listed(), Evacuated: slices.Clone(d.evacuated)}
 }
 
-// Mark names the list by its content, in whatever order that is kept: it is worked out
+// Mark names the list by its content in a form, in whatever order that is kept: it is worked out
 // at each change, where the replicas of the users' aim take 12 ms to be sorted and
 // written out.
-func (d *Directory) Mark() uint64 {
+func (d *Directory) Mark(f Form) uint64 {
 	var replicas uint64
 	for _, e := range d.entries {
 		if e.doubtedSince.IsZero() {
-			replicas += e.sum
+			replicas += e.sums[f]
 		}
 	}
 	return xxhash.Sum64(fmt.Appendf(nil, "%d %q", replicas, d.evacuated))
--- a/pkg/turns/turns_test.go
+++ b/pkg/turns/turns_test.go
@@ -19,8 +19,6 @@
 	step       = 10 * time.Millisecond
 	round      = 600 * time.Millisecond
 	listAge    = 2100 * time.Millisecond
-	// readTime is how long an answer takes, and a refusal.
-	readTime = 10 * time.Millisecond
 )
 
 var begin = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
