--- a/internal/front/admit_test.go
+++ b/internal/front/admit_test.go
@@ -40,7 +40,7 @@
 			r := newRig(t, address)
 			if c.stale {
 				r.source.mu.Lock()
-				r.source.fail(errors.New("down"))
+				r.source.err = errors.New("down")
 				r.source.mu.Unlock()
 				r.front.SetLimits(Limits{KeyProof: time.Nanosecond, AbsenceProof: time.Nanosecond, RepeatReserve: 1})
 			}
@@ -106,7 +106,7 @@
 func TestWhileTheSourceIsLostNobodyWaitsForAProof(t *testing.T) {
 	r := newRig(t)
 	r.source.mu.Lock()
-	r.source.fail(errors.New("down"))
+	r.source.err = errors.New("down")
 	r.source.mu.Unlock()
 	r.front.SetLimits(Limits{KeyProof: time.Nanosecond, AbsenceProof: time.Nanosecond, RepeatReserve: 1})
 	for !r.follower.Lost() {
