Follow: when it reads and what it takes have files of their own

Cause: follow.go had grown to 391 lines, with reading, taking and the follower's state in one file. Change: read.go and take.go, moved as they were. No decision changes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,14 +12,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -140,192 +138,6 @@
 	f.turns.SetPeriod(o.Period)
 }
 
-// Run reads until ctx ends: as soon as the newest proof, own or told, is older
-// than readAfter, or sooner for who wants to know more; in turns while the source
-// answers nobody.
-func (f *Follower) Run(ctx context.Context) {
-	timer := time.NewTimer(f.options.Load().FirstRead)
-	defer timer.Stop()
-	for {
-		woken := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-f.wake:
-			woken = true
-		}
-		rest := f.turns.Wait(f.place(), steady.Now())
-		if !woken {
-			rest = max(rest, f.readAfter()-f.Age(steady.Now()))
-		}
-		if rest <= 0 {
-			// How it ended is noted; the rest follows from that.
-			_ = f.readOnce(ctx)
-			rest = f.readAfter()
-			if wait := f.turns.Wait(f.place(), steady.Now()); wait > 0 {
-				rest = wait
-			}
-		}
-		// Who was heard until now may be heard no more.
-		timer.Reset(min(rest, f.options.Load().Period))
-	}
-}
-
-// ReadSoon has the source read at once, unless it is known to answer nobody.
-func (f *Follower) ReadSoon() {
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
-}
-
-// place is this router's among those that read for each other. Who tells asks what is known
-// under its own lock, so f.mu is not held here.
-func (f *Follower) place() turns.Place {
-	if place := f.options.Load().Place; place != nil {
-		return place()
-	}
-	return turns.Place{Routers: 1}
-}
-
-// readAfter is how old the proof may get before this router reads.
-func (f *Follower) readAfter() time.Duration {
-	return f.turns.ReadAfter(f.place(), steady.Now())
-}
-
-func (f *Follower) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Load().Timeout)
-	defer cancel()
-	sent := steady.Now()
-	f.began(wholeRead, sent)
-	snapshot, err := (*f.source.Load()).Read(ctx)
-	f.reads.Add(1)
-	if err != nil {
-		f.failed.Add(1)
-	}
-	f.noteSource(err, sent)
-	if err != nil {
-		return err
-	}
-	return f.Take(snapshot, sent)
-}
-
-// began notes that a read was sent.
-func (f *Follower) began(kind readKind, sent time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.outage.begin(kind, sent)
-}
-
-// noteSource writes when the source was lost and regained.
-func (f *Follower) noteSource(err error, sent time.Time) {
-	f.mu.Lock()
-	was := f.lost
-	f.lost = err != nil
-	f.ended(wholeRead, err, sent)
-	f.mu.Unlock()
-	switch {
-	case err != nil && !was:
-		f.log.Write(event.PlatformDown, event.F("error", err), event.F("proof_ms", f.ProofAge(sent).Milliseconds()))
-	case err == nil && was:
-		f.log.Write(event.PlatformBack, event.F("proof_ms", f.ProofAge(sent).Milliseconds()))
-	}
-}
-
-// Take takes what a read returned that was sent at a time, or returns ErrPast.
-func (f *Follower) Take(s Snapshot, sent time.Time) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err := f.enter(&s, sent); err != nil {
-		return err
-	}
-	f.takeConfig(s, sent)
-	f.changed(f.directory.Take(s.listing(), sent))
-	f.noteBad(s.BadReplicas)
-	f.newProof()
-	return nil
-}
-
-// noteBad writes of each bad entry once. f.mu is held.
-func (f *Follower) noteBad(entries []BadEntry) {
-	bad := make(map[string]uint64, len(entries))
-	for _, e := range entries {
-		bad[e.Key] = e.Revision
-		if f.bad[e.Key] != e.Revision {
-			f.log.Write(event.ReplicaUnreadable, event.F("key", e.Key), event.F("revision", e.Revision), event.F("error", e.Problem))
-		}
-	}
-	f.bad = bad
-}
-
-// newProof wakes who waits for a proof. f.mu is held.
-func (f *Follower) newProof() {
-	f.turns.Answered(f.holder.Current().Seen)
-	close(f.read)
-	f.read = make(chan struct{})
-}
-
-// changed takes changes of the directory. f.mu is held.
-func (f *Follower) changed(changes []directory.Change) {
-	if len(changes) == 0 {
-		return
-	}
-	f.balancer.Replace(f.directory.List(), f.directory.Read())
-	f.mark, f.plainMark = f.directory.Mark(directory.WithStarts), f.directory.Mark(directory.Plain)
-	f.tellNews()
-	for _, c := range changes {
-		switch c.What {
-		case directory.Restarted:
-			// Who is told the list knows it from when the replica says that it started.
-			f.balancer.Restarted(c.Replica.ID, c.Replica.Born == 0, steady.Now())
-		case directory.Left:
-			f.balancer.Gone(c.Replica.ID)
-		}
-		if c.Centre != "" {
-			f.log.Write(centreEvent(c.What), event.F("data_centre", c.Centre))
-			continue
-		}
-		f.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
-			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
-	}
-}
-
-// centreEvent is the event of a change of a data centre.
-func centreEvent(what directory.What) event.ID {
-	if what == directory.Evacuated {
-		return event.CentreEvacuated
-	}
-	return event.CentreReturned
-}
-
-func (f *Follower) takeConfig(s Snapshot, sent time.Time) {
-	if s.Problem != nil {
-		f.log.Write(event.ConfigRejected, event.F("error", s.Problem))
-		return
-	}
-	held := f.holder.Current()
-	if held.Table != nil && s.Config.Version == held.Table.Version() {
-		f.holder.Prove(s.Config.Version, sent)
-		return
-	}
-	if f.life.rewound && held.Table != nil && s.Config.Version < held.Table.Version() {
-		// The operator has not written again what the copy lacks. Nothing newer is there,
-		// and what is held is never taken back.
-		f.holder.Prove(held.Table.Version(), sent)
-		return
-	}
-	table, err := route.Compile(*s.Config)
-	if err != nil {
-		f.log.Write(event.ConfigRejected, event.F("error", err), event.F("version", s.Config.Version))
-		return
-	}
-	if f.holder.Offer(table, sent) {
-		f.tellNews()
-		f.log.Write(event.ConfigAdopted, event.F("version", table.Version()), event.F("routes", len(s.Config.Routes)))
-	}
-}
-
 // Reads returns how many reads were made, and how many of them failed.
 func (f *Follower) Reads() (made, failed uint64) {
 	return f.reads.Load(), f.failed.Load()
@@ -366,26 +178,3 @@
 
 // Lost tells whether the last read failed, and no other router had an answer since.
 func (f *Follower) Lost() bool { return f.turns.Lost() }
-
-// Prove asks for a proof of the configuration that is newer than a time and returns
-// once there is one, or with an error when ctx ends, or at once if a read would prove
-// nothing now.
-func (f *Follower) Prove(ctx context.Context, since time.Time) error {
-	for {
-		if f.holder.Doubted(steady.Now()) && f.holder.Current().Proven.Before(since) {
-			return ErrDoubted
-		}
-		f.mu.Lock()
-		read := f.read
-		f.mu.Unlock()
-		if !f.holder.Current().Proven.Before(since) {
-			return nil
-		}
-		f.ReadSoon()
-		select {
-		case <-read:
-		case <-ctx.Done():
-			return fmt.Errorf("follow: no proof: %w", ctx.Err())
-		}
-	}
-}
