Turns are counted on only while others tell of theirs

A router that knows turns waits for n eighths of a period between its tries of a store that is away, and believes what others tell meanwhile; routers of an earlier build tell of no failures, so that the first ones of an upgrade would take the store for merely late after 2.4 s and hold requests back until their own next turn, some 12 s of 78 routers. Ruled out: older builds telling it. Change: where no failure was told for two periods, a router tries each quarter period.

--- a/pkg/turns/turns.go
+++ b/pkg/turns/turns.go
@@ -40,6 +40,11 @@
 // alone: three rounds of a large fleet.
 const aloneAfter = 2 * time.Second
 
+// untoldAfter is for how many periods no other router must have told of a failure for
+// their turns not to be counted on: routers of a build that knows no turns tell of none.
+// Where all do, each hears of one within a round or two, and there are eight a period.
+const untoldAfter = 2
+
 // Place is a router's among those that it knows.
 type Place struct {
 	// Rank is how many others read before it, Routers how many there are with it.
@@ -61,6 +66,8 @@
 	// lost: all lose it at the same moment. tries counts the failures since.
 	first float64
 	tries int
+	// since is when the source was lost.
+	since time.Time
 }
 
 // New returns the turns of a router. Seeds differ between routers.
@@ -90,6 +97,12 @@
 // alone tells whether no other router is heard. t.mu is held.
 func (t *Turns) alone(now time.Time) bool { return now.Sub(t.heard) > aloneAfter }
 
+// shared tells whether others try in turns too. t.mu is held.
+func (t *Turns) shared(now time.Time) bool {
+	untold := now.Sub(later(t.since, t.told)) > untoldAfter*t.period
+	return !t.alone(now) && !untold
+}
+
 // Heard notes that another router answered that was asked at a time.
 func (t *Turns) Heard(asked time.Time) {
 	t.mu.Lock()
@@ -109,7 +122,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.lost() {
-		t.first, t.tries = t.random.Float64(), 0
+		t.first, t.tries, t.since = t.random.Float64(), 0, now
 	}
 	t.failed = now
 	t.tries++
@@ -143,7 +156,7 @@
 		return 0
 	}
 	turn := t.period / aloneTries
-	if !t.alone(now) {
+	if t.shared(now) {
 		turn = max(turn, t.period*time.Duration(p.Routers)/triesAPeriod)
 		if t.tries == 1 {
 			turn = time.Duration(float64(turn) * t.first)
--- a/pkg/turns/turns_test.go
+++ b/pkg/turns/turns_test.go
@@ -179,6 +179,28 @@
 	assert.Less(t, alone.ReadAfter(alone.place, f.now), 2*testPeriod)
 }
 
+// Routers of an earlier build ask as often as they did, and tell of no failure: one that
+// relied on them would know for a dozen seconds nothing of what becomes of the source.
+func TestAmongRoutersThatTellNothingOneTriesForItself(t *testing.T) {
+	r := New(1)
+	r.SetPeriod(testPeriod)
+	p := Place{Rank: 40, Routers: 78}
+	own := 0
+	var last time.Time
+	for now := begin; now.Before(begin.Add(20 * time.Second)); now = now.Add(step) {
+		r.Heard(now)
+		if r.Wait(p, now) == 0 {
+			r.Failed(now)
+			own++
+			if now.Sub(begin) > 4*testPeriod {
+				assert.LessOrEqual(t, now.Sub(last), testPeriod/aloneTries+step)
+			}
+			last = now
+		}
+	}
+	assert.Greater(t, own, 40)
+}
+
 func TestLostAndFoundAgain(t *testing.T) {
 	r := New(1)
 	r.SetPeriod(testPeriod)
