Facts: that a replica is gone is another fact than that it drains

Cause: read again as a newcomer, the sum by which routers see whether they hold the same facts left out that a replica is gone. Of two routers that know one of each neither would ask the other; both send it nothing, but their lists differ for the hold. Ruled out: more than that, since both facts bar it. Change: the sum tells them apart. TestThatItIsGoneIsMoreThanThatItDrains failed without it (equal sums).

--- a/pkg/directory/rewind.go
+++ b/pkg/directory/rewind.go
@@ -110,6 +110,9 @@
 	return f, true
 }
 
+// gone stands in a sum of facts where a state does else.
+const gone = 0xff
+
 // FactsSum names what Facts returns by its content: 0 for nothing.
 func (d *Directory) FactsSum(now time.Time) uint32 {
 	f, held := d.Facts(now)
@@ -118,9 +121,13 @@
 	}
 	sum := xxhash.New()
 	for _, r := range f.Replicas {
+		state := byte(Draining)
+		if r.Gone {
+			state = gone
+		}
 		// A hash's Write returns no error.
 		_, _ = sum.WriteString(r.ID)
-		_, _ = sum.Write(binary.LittleEndian.AppendUint64([]byte{0}, uint64(r.Born)))
+		_, _ = sum.Write(binary.LittleEndian.AppendUint64([]byte{0, state}, uint64(r.Born)))
 	}
 	for _, centre := range f.Evacuated {
 		_, _ = sum.WriteString("\x01" + centre)
--- a/pkg/directory/rewind_test.go
+++ b/pkg/directory/rewind_test.go
@@ -168,6 +168,23 @@
 	assert.NotZero(t, one.FactsSum(at(3)))
 }
 
+// Two who know of one replica that it drains, and that it is gone, have to hear each other.
+func TestThatItIsGoneIsMoreThanThatItDrains(t *testing.T) {
+	list := ready("a", "b", "c")
+	drained, left := newRewound(list), newRewound(list)
+	drained.Replace(with(list, "a", drains), at(1))
+	left.Replace(list[1:], at(1))
+	for _, d := range []*Directory{drained, left} {
+		d.Rewind(at(2), d.Hold())
+		d.Replace(list, at(2))
+	}
+	assert.NotEqual(t, drained.FactsSum(at(2)), left.FactsSum(at(2)))
+	facts, _ := left.Facts(at(2))
+	drained.Learn(facts, at(2))
+	assert.Equal(t, left.FactsSum(at(2)), drained.FactsSum(at(2)))
+	assert.Equal(t, left.Mark(WithStarts), drained.Mark(WithStarts))
+}
+
 func TestWhoLeftLongAgoIsForgotten(t *testing.T) {
 	d := newRewound(ready("a", "b"))
 	d.Replace(ready("b"), at(1))
