--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -19,6 +19,15 @@
 	return now.Sub(f.directory.Read())
 }
 
+// Doubt returns for how long a replica has been missing from the list that keeps its work
+// since the list may have been lost; false if it is no such one.
+func (f *Follower) Doubt(id string, now time.Time) (age time.Duration, doubted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.directory.DoubtedSince(id)
+	return now.Sub(since), !since.IsZero()
+}
+
 // RenewList returns once the list of replicas is newer than a time, or with an error
 // when ctx ends or the source does not answer. All who wait share one read, of the
 // replicas and evacuations only: a large configuration takes longer over a narrow link than a request
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -124,11 +124,7 @@
 	id := choice.Replica.ID
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
-	c.front.log.Write(event.ReplicaChosen, event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
-		event.F("part", fmt.Sprintf("%x", choice.Part)), event.F("holders", choice.Holders),
-		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent.Load()),
-		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
-		event.F("proof_ms", c.front.follower.ProofAge(steady.Now()).Milliseconds()))
+	c.noteChoice(choice)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.front.balancer.Started(id)
@@ -155,6 +151,22 @@
 	return c.answered(ctx, cancel, choice, answer)
 }
 
+// noteChoice writes which replica was chosen, why, and by what.
+func (c *call) noteChoice(choice balance.Choice) {
+	id, now := choice.Replica.ID, steady.Now()
+	fields := []event.Field{
+		event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
+		event.F("part", fmt.Sprintf("%x", choice.Part)), event.F("holders", choice.Holders),
+		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent.Load()),
+		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
+		event.F("proof_ms", c.front.follower.ProofAge(now).Milliseconds()),
+	}
+	if age, doubted := c.front.follower.Doubt(id, now); doubted {
+		fields = append(fields, event.F("doubt_ms", age.Milliseconds()))
+	}
+	c.front.log.Write(event.ReplicaChosen, fields...)
+}
+
 // failed turns an attempt without an answer into a verdict.
 func (c *call) failed(ctx context.Context, choice balance.Choice, err error) verdict {
 	id := choice.Replica.ID
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -1,17 +1,21 @@
 package front
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -185,3 +189,20 @@
 		})
 	}
 }
+
+// That a request goes to a replica which no list names any more is told with the choice.
+func TestAChoiceInDoubtIsToldSo(t *testing.T) {
+	r := newStillRig(t, "one:1", "two:1")
+	var written bytes.Buffer
+	r.front.log = event.New(&written, "here", logrus.InfoLevel)
+	c := &call{front: r.front, id: "id-1"}
+	choice := balance.Choice{Replica: r.source.snapshot.Replicas[0]}
+	listed, unlisted := r.source.snapshot, r.source.snapshot
+	unlisted.Replicas = nil
+	r.follower.Take(listed, time.Now().Add(-2*testListAge))
+	c.noteChoice(choice)
+	assert.NotContains(t, written.String(), "doubt_ms")
+	r.follower.Take(unlisted, time.Now().Add(-testListAge))
+	c.noteChoice(choice)
+	assert.Regexp(t, `"doubt_ms":6\d{4},.*"event":410`, written.String())
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -262,6 +262,15 @@
 	return known && e.replica.State == Ready && !slices.Contains(d.evacuated, e.replica.DataCentre)
 }
 
+// DoubtedSince returns when the first read was sent that did not list a replica which keeps
+// its work since its list may have been lost; zero if it is no such one.
+func (d *Directory) DoubtedSince(id string) time.Time {
+	if e, known := d.entries[id]; known {
+		return e.doubtedSince
+	}
+	return time.Time{}
+}
+
 // addressTaken tells whether another replica stands at the address now.
 func (d *Directory) addressTaken(id, address string) bool {
 	for other, e := range d.entries {
