Failing test: a replica that leaves behind a cut is used in doubt past the bound

By doubt_ms all late requests went to replicas that the first list after the cut did not name, 2.81 to 3.24 s after it, while the proof was 0.6 to 0.9 s old. The other side, entries that are written again after the cut, passes.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -47,6 +47,13 @@
 		directory.New(2*time.Second, 2*time.Second), freshness.NewHolder(), balance.New(1), event.Discard())
 }
 
+// newDoubtingFollower returns a follower alone, with the times of a deployment that lets
+// replicas drain for two seconds.
+func newDoubtingFollower(s Source) *Follower {
+	return New(s, Options{Period: cutPeriod, Timeout: cutPeriod},
+		directory.New(2*cutPeriod, cutGrace), freshness.NewHolder(), balance.New(1), event.Discard())
+}
+
 func config(version uint64) *route.Config { return &route.Config{Version: version} }
 
 func replicas(ids ...string) []directory.Replica {
