A replica in doubt that closes its connections gets nothing more

Behind a cut, a replica that leaves and one whose entry lapsed both vanish from the list, and for 1.6 s both keep their work. A router that hears of the first list late after its return may then still send to one whose leaving has been acknowledged for longer than is allowed.

Who knows which it was: the replica. So the first answer that closes ends the doubt; one that closed for another reason is back as soon as it is listed.

--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -28,6 +28,13 @@
 	return now.Sub(since), !since.IsZero()
 }
 
+// Leaves takes a replica's own sign that it leaves.
+func (f *Follower) Leaves(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changed(f.directory.Leaves(id))
+}
+
 // RenewList returns once the list of replicas is newer than a time, or with an error
 // when ctx ends or the source does not answer. All who wait share one read, of the
 // replicas and evacuations only: a large configuration takes longer over a narrow link than a request
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -190,6 +190,42 @@
 	}
 }
 
+// Behind a cut, a replica that leaves and one whose entry lapsed both vanish from the list. That
+// it closes its connections tells the first from the second.
+func TestAReplicaInDoubtThatClosesItsConnectionsGetsNothingMore(t *testing.T) {
+	tests := map[string]struct {
+		closes bool
+		want   int
+	}{
+		"stays":  {false, http.StatusOK},
+		"leaves": {true, http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+				if test.closes {
+					w.Header().Set("Connection", "close")
+				}
+				fmt.Fprint(w, "ok")
+			})
+			r := newStillRig(t, address, "gone:1")
+			r.setListProof(testListProof)
+			config := r.source.snapshot.Config
+			r.follower.Take(r.source.snapshot, time.Now().Add(-testListAge))
+			r.source.fail(assert.AnError)
+			require.Error(t, r.follower.RenewList(t.Context(), time.Now()))
+			require.True(t, r.follower.Silent(testListProof, time.Now()))
+			r.follower.Take(follow.Snapshot{Config: config}, time.Now())
+			response, text, err := r.send(t, "POST", "/repeat/x", "")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode, text)
+			response, text, err = r.send(t, "POST", "/repeat/x", "")
+			require.NoError(t, err)
+			assert.Equal(t, test.want, response.StatusCode, text)
+		})
+	}
+}
+
 // That a request goes to a replica which no list names any more is told with the choice.
 func TestAChoiceInDoubtIsToldSo(t *testing.T) {
 	r := newStillRig(t, "one:1", "two:1")
--- a/internal/front/stay.go
+++ b/internal/front/stay.go
@@ -71,6 +71,7 @@
 func (f *Front) noteStay(id string, sent time.Time, answer *upstream.Answer) {
 	if answer.Response.Close {
 		f.stayed.forget(id)
+		f.follower.Leaves(id)
 		return
 	}
 	if answer.StatusCode >= http.StatusInternalServerError || answer.StatusCode == http.StatusMisdirectedRequest {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -246,6 +246,19 @@
 	return append(changes, Change{Replica: e.replica, What: Left})
 }
 
+// Leaves takes a replica's own sign that it leaves, and returns what changes by it. One that is
+// listed is believed as listed; one in doubt has no other word for it, and the lists to come
+// may never name it.
+func (d *Directory) Leaves(id string) []Change {
+	e, known := d.entries[id]
+	if !known || e.doubtedSince.IsZero() {
+		return nil
+	}
+	delete(d.entries, id)
+	d.depart(&e.replica)
+	return []Change{{Replica: e.replica, What: Closes}}
+}
+
 func (d *Directory) noteOldest() {
 	d.oldest = d.read
 	for _, e := range d.entries {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -119,3 +119,20 @@
 	d.Replace(ready("a", "b", "c"), at(2))
 	assert.Empty(t, d.Unlisted(at(2), time.Time{}))
 }
+
+// A replica's own sign that it leaves counts for one that no list names; what is listed is
+// believed as listed.
+func TestAReplicaInDoubtIsGoneByItsOwnSign(t *testing.T) {
+	d := New(10*time.Second, 10*time.Second)
+	d.Replace(ready("a", "b", "c"), at(0))
+	d.Replace(ready("a"), at(1))
+	assert.Empty(t, d.Leaves("a"))
+	changes := d.Leaves("b")
+	if assert.Len(t, changes, 1) {
+		assert.Equal(t, Closes, changes[0].What)
+	}
+	assert.Empty(t, d.Leaves("b"))
+	assert.Equal(t, []bool{true, false, true}, []bool{d.Ready("a"), d.Ready("b"), d.Ready("c")})
+	d.Replace(ready("a", "b"), at(2))
+	assert.True(t, d.Ready("b"), "listed again, it had closed for another reason")
+}
--- a/pkg/directory/told.go
+++ b/pkg/directory/told.go
@@ -21,8 +21,10 @@
 	Left    What = "gone"
 	Doubted What = "vanished with its list"
 	Back    What = "listed again"
-	Cooled  What = "cold"
-	Warmed  What = "warm"
+	// Closes: in doubt, it showed that it leaves.
+	Closes What = "closes its connections"
+	Cooled What = "cold"
+	Warmed What = "warm"
 	// Restarted: it started again under its id, and holds and knows nothing of before.
 	Restarted What = "started again"
 	// Spoilt and Usable: its entry is another writer's, and its own again.
