A replica whose clock was set back and that leaves is heeded at once

A replica that started again with its clock set back and then leaves was so used up to 3.2 s after its word was acknowledged.

That it leaves is now heeded at once, whichever start says so. If the write was late, the replica's own next entry, a heartbeat later, takes it back.

Looked at and left: what is known against a copy, evacuations and who departed hold until the first read after their time, which sends less, not more; cold replicas warm by the clock; a silent source goes by when a read failed last.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -196,7 +196,7 @@
 		return append(changes, Change{Replica: r, What: what})
 	}
 	if d.isLate(&r, old) {
-		r = old.replica
+		r = late(r, old.replica)
 	}
 	what := d.warmth(&r, old.replica)
 	switch {
--- a/pkg/directory/lives.go
+++ b/pkg/directory/lives.go
@@ -16,6 +16,16 @@
 	return d.read.Sub(known.lateSince) < d.grace
 }
 
+// late returns what an entry of an earlier start says of the replica that is known. That it
+// leaves is heeded all the same: if the clock was set back it is the replica's own word, which
+// binds before the grace is over, and else its next entry takes it back.
+func late(entry, known Replica) Replica {
+	if entry.State == Draining {
+		known.State = Draining
+	}
+	return known
+}
+
 // restarted tells whether a replica started again between two of its entries: by when
 // it says that it started, else by a count that starts anew. A copy shows an earlier count.
 func (d *Directory) restarted(r, old *Replica) bool {
