What is given up on a replica's connection is taken back from the system

Closing a connection leaves what was not delivered yet with the system, which goes on sending it. Class: what is given up and delivered all the same; a repeat would count twice, an unsafe request run though its caller was told 502, a caller who left be served.

Change: a connection that is closed after something was written on it, and before anything came back, is closed with a reset. Weighed: a reset at each close (one that is lost is not sent again, so a replica at work hears of a caller's leaving only with its next bytes; once an answer has begun the request has arrived and nothing is left to take back), and asking the system whether bytes are unacknowledged (it does not count what it has not sent at all).

Shown by TestARequestThatWasGivenUpIsNotDeliveredLater and TestWhatWasNotAnsweredIsTakenBack (a far side with little room holds the bytes back); the first failed before, the whole body was delivered.

--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"syscall"
 	"time"
 )
@@ -28,7 +27,7 @@
 // quiet tells whether nothing came on a resting connection: neither its end nor
 // bytes that nobody asked for.
 func (c *conn) quiet() bool {
-	socket, known := c.Conn.(*net.TCPConn)
+	socket, known := c.Conn.(syscall.Conn)
 	if !known || c.reader.Buffered() > 0 {
 		return false
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -176,8 +176,9 @@
 		Control:         controlSocket(o.SilenceTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.SilenceTimeout, Interval: time.Second, Count: 2},
 	}
+	dial := socket.TakesBack(dialer.DialContext)
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
+		return dial(ctx, "tcp", address)
 	}
 }
 
