Chats and what routers hand on are taken back too when they are given up

Both dials take back now what was not answered.

TestAChatThatWasGivenUpIsNotDeliveredLater and TestARequestThatWasGivenUpIsNotHandedOnLater failed before. Left as they are: reads of the store, which do no harm late, and the key-value service's writes, which are conditional and read back.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/pkg/admission"
 )
 
@@ -109,7 +110,7 @@
 	const idleConnections = 256
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         socket.TakesBack(dialer.DialContext),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -9,12 +9,14 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/faulty"
 	"github.com/croftyard/croftyard/pkg/admission"
 )
 
@@ -142,6 +144,21 @@
 	assert.False(t, out.NotRun)
 }
 
+func TestAChatThatWasGivenUpIsNotDeliveredLater(t *testing.T) {
+	target, err := faulty.NewNarrow()
+	require.NoError(t, err)
+	defer target.Close()
+	ctx, giveUp := context.WithCancel(t.Context())
+	go func() {
+		target.Begun()
+		giveUp()
+	}()
+	request := Request{Method: http.MethodPost, Address: target.Address(), Path: "/", Attempt: "a", Body: make([]byte, 1<<17)}
+	out := New(time.Minute).Run(ctx, request, &record{})
+	assert.False(t, out.NotRun)
+	assert.ErrorIs(t, target.Rest(), syscall.ECONNRESET)
+}
+
 func TestEventsArePassedWhole(t *testing.T) {
 	text := "data: a\n\n: note\r\n\r\ndata: " + strings.Repeat("x", 40_000) + "\n\ndata: [DONE]\n\n"
 	address := target(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/socket"
 )
 
 // Client calls other routers. It is safe for concurrent use.
@@ -33,7 +34,7 @@
 			KeyCapacity: idlePerPeer,
 		}),
 		meter: meter,
-		dial:  dialer.DialContext,
+		dial:  socket.TakesBack(dialer.DialContext),
 	}
 }
 
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -88,3 +89,20 @@
 	assert.Equal(t, 1, tried)
 	assert.Equal(t, 3, relay.Opened())
 }
+
+func TestARequestThatWasGivenUpIsNotHandedOnLater(t *testing.T) {
+	other, err := faulty.NewNarrow()
+	require.NoError(t, err)
+	defer other.Close()
+	ctx, giveUp := context.WithCancel(t.Context())
+	go func() {
+		other.Begun()
+		giveUp()
+	}()
+	client := NewClient(&Meter{})
+	defer client.Close()
+	request := &peerpb.ForwardRequest{Body: make([]byte, 1<<17)}
+	err = client.Forward(ctx, other.Address(), request, func(*peerpb.ForwardEvent) error { return nil })
+	require.ErrorIs(t, err, ErrBroken)
+	assert.ErrorIs(t, other.Rest(), syscall.ECONNRESET)
+}
