A lost answer is told to a large fleet as what it is taken for

One answer that does not come is a break, two within two seconds and none in between are a hang. In a large fleet the first was told as a hang all the same and believed as told, so that all routers avoided its replica for a second, longer than who had seen it. Told is now what it is taken for; TestALostAnswerIsToldAsABreak failed before.

--- a/pkg/balance/evidence_test.go
+++ b/pkg/balance/evidence_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // serve lets each engine answer some requests well.
@@ -101,3 +104,20 @@
 	other.Merge("b", Told{Rumors: Rumors{Failures: []SeenFailure{{Hash("i-4"), Errored, start}}}}, start)
 	assert.Empty(t, other.Tell(start).Failures)
 }
+
+// One answer that was lost is no hang, here or at the routers that are told of it.
+func TestALostAnswerIsToldAsABreak(t *testing.T) {
+	b := New(1)
+	b.SetLarge(true)
+	b.Replace([]directory.Replica{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, start)
+	b.Failed("a", Hung, "", start)
+	told := b.TellRumors().Failures
+	require.Len(t, told, 1)
+	assert.Equal(t, Broke, told[0].Failure)
+	for range 2 {
+		b.Failed("b", Hung, "", start.Add(time.Second))
+	}
+	told = b.TellRumors().Failures
+	require.NotEmpty(t, told)
+	assert.Equal(t, Hung, told[len(told)-1].Failure)
+}
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -154,7 +154,8 @@
 	if kind.soft() {
 		b.own(r.Service).failed(now)
 	}
-	if b.doubt(r, kind, now) || !b.large {
+	kind, speaks := b.doubt(r, kind, now)
+	if speaks || !b.large {
 		b.tellFailure(r, kind, now)
 	}
 	if kind == Unreachable && r.DataCentre != ownDataCentre {
@@ -179,20 +180,20 @@
 	return !r.answered.After(at.Add(-aliveLook)) && at.Sub(before) < hungLook && !r.answered.After(before)
 }
 
-// doubt takes a failure that this router or another one saw at a time, and tells
-// whether it speaks against the replica.
-func (b *Balancer) doubt(r *replica, kind Failure, at time.Time) bool {
+// doubt takes a failure that this router or another one saw at a time, and returns what it is
+// taken for, and whether it speaks against the replica.
+func (b *Balancer) doubt(r *replica, kind Failure, at time.Time) (taken Failure, speaks bool) {
 	if kind == Hung && !b.without.Has(mechanism.Evidence) && !r.hangs(at) {
 		kind = Broke
 	}
 	if kind.soft() && !b.without.Has(mechanism.Evidence) {
 		r.bad.failed(at)
 		if !b.speaks(r, at) {
-			return false
+			return kind, false
 		}
 	}
 	r.health.failed(kind, at)
-	return true
+	return kind, true
 }
 
 // centreUnreachable avoids a data centre once two of its replicas could not be
