A large fleet avoids at most a fourth of a service for failures that sound replicas show

Cause: from second 19 to 25 one request in seven broke or lost its answer, at most engines. In a large fleet each such failure had its engine avoided by all routers, unless the one who saw it saw a fifth of its own requests fail: up to 63 of 89 engines were avoided, 44 in 100 choices passed over their home, and what they would have had filled the others, by counts up to 1.2 s old.

Change: a break or an error speaks against none more once a fourth of the service is avoided for such, own or told.

--- a/pkg/balance/enginefleet_test.go
+++ b/pkg/balance/enginefleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -23,6 +24,11 @@
 	stats engineStats
 	// shifted is the part of the callers that come to the first data centre.
 	shifted float64
+	// breaking is the part of the requests that break at the engines that do so.
+	breaking float64
+	// readPerSecond and pause are the engines' tokens read in a second, and the seconds
+	// between two tokens of one that is alone.
+	readPerSecond, pause float64
 }
 
 // requestKind is one of the users' kinds of request: a common opening, one of so many
@@ -64,12 +70,13 @@
 	// reading is until when it reads what it was given.
 	reading time.Time
 	keeps   map[uint64]bool
-	gone    bool
+	// gone: it refuses. drains: it is listed no more. breaks: some of what it runs breaks.
+	gone, drains, breaks bool
 }
 
 // engineStats are what callers got and what it took.
 type engineStats struct {
-	asked, inAim, late, failed int
+	asked, inAim, late, failed, broken int
 	// over are when requests arrived at an engine above what the users allow, arrivals
 	// when any did.
 	over, arrivals []time.Time
@@ -96,6 +103,16 @@
 	}
 }
 
+// palletKinds are those of users with many short requests, at 89 fast engines that run two
+// each in the mean.
+func palletKinds() []requestKind {
+	return []requestKind{
+		{perSecond: 346, openings: 4, opening: 2520, sessions: 505, session: 6100, prompt: 580, tokens: 52, aim: 400 * time.Millisecond},
+		{perSecond: 370, openings: 40, opening: 341, sessions: 1218, session: 1700, prompt: 360, tokens: 22, aim: 400 * time.Millisecond},
+		{perSecond: 84, openings: 80, opening: 103, sessions: 183, session: 500, prompt: 110, tokens: 280, aim: 300 * time.Millisecond},
+	}
+}
+
 // newEngineFleet has so much asked of the engines as the users ask of theirs.
 func newEngineFleet(seed uint64, routers, lines, engines int) *engineFleet {
 	f := &engineFleet{
@@ -104,6 +121,9 @@
 		once:         make(map[uint64]bool),
 		kinds:        userKinds(),
 		times:        func(time.Duration) float64 { return 1 },
+
+		readPerSecond: readPerSecond,
+		pause:         tokenPause,
 	}
 	for i := range f.kinds {
 		f.kinds[i].perSecond *= float64(engines) / usualEngines
@@ -124,7 +144,7 @@
 func (f *engineFleet) list() {
 	var list []directory.Replica
 	for id, e := range f.engines {
-		if !e.gone {
+		if !e.gone && !e.drains {
 			list = append(list, directory.Replica{ID: id, Service: "llm", Address: id, DataCentre: e.centre, Slots: 32})
 		}
 	}
@@ -175,6 +195,31 @@
 	f.after(at+listed, f.list)
 }
 
+// release replaces some engines from a time on, one after the other: the new one is listed
+// first.
+func (f *engineFleet) release(from, gap time.Duration, engines int) {
+	for i := range engines {
+		f.after(from+time.Duration(i)*gap, func() {
+			old := f.engines[fmt.Sprintf("e-%d", i)]
+			f.add(fmt.Sprintf("new-%d", i), old.centre)
+			old.drains = true
+			f.list()
+		})
+	}
+}
+
+// breakOff has a part of the requests break at a part of the engines for a time.
+func (f *engineFleet) breakOff(from, to time.Duration, engines, requests float64) {
+	f.after(from, func() {
+		f.breaking = requests
+		ids := slices.Sorted(maps.Keys(f.engines))
+		for n, id := range ids {
+			f.engines[id].breaks = float64(n) < engines*float64(len(ids))
+		}
+	})
+	f.after(to, func() { f.breaking = 0 })
+}
+
 // router draws one for a request.
 func (f *engineFleet) router() int {
 	router := f.random.IntN(len(f.routers))
@@ -243,10 +288,18 @@
 		b.Reported(e.id, e.running, f.now)
 	})
 	made := float64(k.tokens) * f.random.ExpFloat64()
-	pause := tokenPause + tokenPauseMore*float64(e.running)
+	broken := e.breaks && f.breaking > 0 && f.random.Float64() < f.breaking
+	if broken {
+		made *= f.random.Float64()
+	}
+	pause := f.pause + tokenPauseMore*float64(e.running)
 	f.after(first+time.Duration(made*pause*float64(time.Second)), func() {
 		e.running--
 		b.Finished(e.id)
+		if broken {
+			f.stats.broken++
+			b.Failed(e.id, Broke, e.centre, f.now)
+		}
 	})
 }
 
@@ -278,7 +331,7 @@
 			seconds += float64(p.Tokens) / copiedPerSecond
 		} else {
 			f.stats.read += p.Tokens
-			seconds += float64(p.Tokens) / readPerSecond
+			seconds += float64(p.Tokens) / f.readPerSecond
 			if shared && f.kept(p.ID) {
 				f.stats.again += p.Tokens
 				if i == 0 {
@@ -297,7 +350,7 @@
 		begins = e.reading
 	}
 	e.reading = begins.Add(time.Duration(seconds * float64(time.Second)))
-	return e.reading.Sub(f.now) + time.Duration(math.Ceil(tokenPause*float64(time.Second)))
+	return e.reading.Sub(f.now) + time.Duration(math.Ceil(f.pause*float64(time.Second)))
 }
 
 // kept tells whether some engine keeps a part.
--- a/pkg/balance/engineload_test.go
+++ b/pkg/balance/engineload_test.go
@@ -45,6 +45,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newEngineFleet(1, routers, lines, engines)
 			c.change(f)
 			got := f.play(warm, length)
@@ -61,6 +62,7 @@
 // full bring 36 in 1,000 requests of some five seconds to engines above what the users
 // allow (mean of six seeds), 15 since what a session takes is remembered and told.
 func TestASessionThatDrawsAPartOfAKindIsSpreadBeforeAllKnow(t *testing.T) {
+	t.Parallel()
 	const warm, length = 6 * time.Second, 8 * time.Second
 	f := newEngineFleet(1, 295, 16, usualEngines)
 	f.hot(2, 0.28, warm, warm+length)
@@ -76,6 +78,7 @@
 // engines above what the users allow (mean of six seeds), 16 since what the session
 // takes is remembered and told. What comes before anybody can know of it is most of that.
 func TestASessionThatDrawsAPartOfTheLargestPromptsIsSpread(t *testing.T) {
+	t.Parallel()
 	const warm, length = 8 * time.Second, 7 * time.Second
 	f := newEngineFleet(1, 148, 8, 120)
 	f.hot(0, 0.28, warm, warm+length)
--- a/pkg/balance/evidence.go
+++ b/pkg/balance/evidence.go
@@ -21,6 +21,10 @@
 	standsOut = 0.1
 	// standsOutLeast is the least number of failures that say something.
 	standsOutLeast = 1.5
+	// crowdPart is the part of a large fleet's service that is avoided at most for failures
+	// which sound replicas show as well: more than fail by themselves at a time, and so few
+	// that the others bear what is passed over.
+	crowdPart = 0.25
 	// calm is the share of failures of the others up to which one more failure
 	// speaks against a replica that failed a moment ago.
 	calm = 0.1
@@ -66,7 +70,8 @@
 	if b.large {
 		// Failures are told of late and in part, so only a service that fails as a
 		// whole is taken for sound.
-		return own.bad < standsOut*2*(own.good+own.bad) || own.bad < standsOutLeast
+		whole := own.bad >= standsOut*2*(own.good+own.bad) && own.bad >= standsOutLeast
+		return !whole && !b.crowded(r.Service, now)
 	}
 	list := b.services[r.Service]
 	others := 0.0
@@ -86,3 +91,17 @@
 	}
 	return r.bad.bad >= standsOutLeast && share > 2*usual+standsOut
 }
+
+// crowded tells whether so many replicas of a service are avoided for failures that sound ones
+// show as well, that one more speaks against none: what is passed over has to be carried by the
+// others, by counts that are old in a large fleet.
+func (b *Balancer) crowded(service string, now time.Time) bool {
+	list := b.services[service]
+	avoided := 0
+	for _, r := range list {
+		if r.health.kind.soft() && r.health.avoided(now) {
+			avoided++
+		}
+	}
+	return float64(avoided) >= crowdPart*float64(len(list))
+}
--- a/pkg/balance/plainload_test.go
+++ b/pkg/balance/plainload_test.go
@@ -64,6 +64,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newPlainFleet(1, routers, replicas)
 			c.change(f)
 			got := f.play(length)
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -118,7 +118,7 @@
 	if b.large {
 		// Who is avoided already was told of already, on a quicker way or by another
 		// router: what comes late must not go round again.
-		if r.health.avoided(now) || now.Sub(f.At) > rumorLife {
+		if r.health.avoided(now) || now.Sub(f.At) > rumorLife || f.Failure.soft() && b.crowded(r.Service, now) {
 			return
 		}
 		b.tellFailure(r, f.Failure, f.At)
--- a/pkg/balance/shifted_test.go
+++ b/pkg/balance/shifted_test.go
@@ -42,6 +42,7 @@
 	for name, c := range cases {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(name, ", seed ", seed+1), func(t *testing.T) {
+				t.Parallel()
 				f := newShiftedFleet(seed + 1)
 				c.change(f)
 				got := f.play(0, 14*time.Second)
