--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -20,9 +20,8 @@
 	// readPart of the same time, or of the time to drain or to evacuate if that is
 	// shorter, is the pause between two reads of the source.
 	readPart = 0.4
-	// wayPart of the time to drain, or to evacuate if that is shorter, is for the way to a replica of a request that is
-	// written: 0.4 s of 2 s. By the users' rules a link on which packets wait over
-	// half a second is out of the ordinary.
+	// wayPart of the time to drain, or to evacuate if that is shorter, is for the way of a
+	// request that is written to its replica.
 	wayPart = 0.2
 	// relistBeats is for how many heartbeats a replica that vanished with its list
 	// keeps its work, from the first read after the outage. By the users' word
@@ -39,9 +38,8 @@
 }
 
 // readPeriods bounds a whole read, in periods: a list of many pages takes as long as the
-// link and the store take, and one that was cut short would begin anew with the first
-// page. Worked out: 300 routers that start at once and read 3,000 replicas each take 300 MB
-// over the store's 1,000 Mbit/s, 2.4 s, where one period of 1.6 s is too short for all.
+// link and the store take while a whole fleet starts, and one that was cut short would
+// begin anew with the first page.
 const readPeriods = 10
 
 // source returns a client of where knowledge is kept. Each call is given up after a
--- a/internal/follow/outage.go
+++ b/internal/follow/outage.go
@@ -9,13 +9,12 @@
 )
 
 // silentAfter is how long a read may go unanswered before it counts as one that
-// failed: the users' store answers in some 4 ms, and 200 KB of replicas take 160 ms
-// over 10 Mbit/s.
+// failed: longer than a list of some hundred replicas takes over a narrow link.
 const silentAfter = 200 * time.Millisecond
 
 // toldPart of the greatest age of the list is how long ago another router may have
-// been asked for its word to count: 0.8 s of 1.6 s, where a round of a large fleet takes
-// 0.6 s. A store that is back has been so for longer than that before its word binds.
+// been asked for its word to count: longer than a round of a large fleet, so that it holds
+// from one to the next, and shorter than a store has been back before its word binds.
 const toldPart = 2
 
 // outage is what tells a source that answers nobody from a router whose reads are
--- a/internal/front/breaks.go
+++ b/internal/front/breaks.go
@@ -29,8 +29,8 @@
 
 const (
 	// breakLife is how long after a break a restart, or the end of the replica's entry,
-	// tells that the replica had crashed: an entry goes after three heartbeats of 1.2 s, a
-	// replica is back after some seconds, and the list is read each second or so.
+	// tells that the replica had crashed: its entry goes after three heartbeats, a replica is
+	// back after some seconds, and the list may be read late.
 	breakLife = 8 * time.Second
 	// maxBreaks bounds what is kept of one replica.
 	maxBreaks = 64
--- a/internal/front/connlimits.go
+++ b/internal/front/connlimits.go
@@ -146,8 +146,8 @@
 	CloseIfResting() conns.Outcome
 }
 
-// limit is how long a connection may rest and then send a head. A new one may
-// rest as well: of 15 s that new ones once had, callers left 0.2 s.
+// limit is how long a connection may rest and then send a head. A new one may rest as long
+// before its first, and callers do.
 func (l *ConnLimits) limit() time.Duration {
 	idle := defaultIdle
 	if table := l.holder.Current().Table; table != nil && table.Limits().Idle > 0 {
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -19,8 +19,8 @@
 //	answered whole ──> no mark is left
 //	before it is sent ──> held at marks of so many replicas, refused at once
 //
-// Without this one body in 150 ms crashed some twenty of twelve replicas within 7 s, each
-// with all that ran there, and one in seven of the ordinary requests was served.
+// Without this one body that comes again and again crashes all replicas within seconds, each
+// with all that runs there.
 
 // digest returns the digest of the request, the same for each of its tries.
 func (c *call) digest() poison.Digest {
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -27,8 +27,8 @@
 	retryLater = 500 * time.Millisecond
 )
 
-// startTime is how long a start takes until there is a configuration, when all routers
-// start: with 2,185 routes over 10 Mbit/s it took 0.56 to 0.70 s.
+// startTime is how long a start takes until there is a configuration, when all routers start
+// and it is a large one over narrow links.
 const startTime = 650 * time.Millisecond
 
 func unproven(reason string) *refusal {
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -32,9 +32,8 @@
 	}
 }
 
-// How much longer than the longest of late a request of a route may take. Streams of
-// a route differ much in length: at 1.25 eight of some 300 that a stopping fleet took
-// were cut, the shortest 2.2 s after it began.
+// How much longer than the longest of late a request of a route may take: its streams differ
+// much in length, and what takes longer than this says is cut.
 const (
 	stopMargin = 1.5
 	lateMargin = 4
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -11,9 +11,8 @@
 
 // A request waits only for something that is expected to change, and no longer than
 // its caller would take to come back: a refusal brings it to another router, which may
-// serve it at once, after retryElsewhere and a new connection, some 60 ms. An eighth of
-// the users' targets, 300 to 600 ms, is 38 to 75 ms; where the target is longer the
-// caller has more time to lose by a second way.
+// serve it at once, after retryElsewhere and a new connection. A part of the target is about
+// as long, and where the target is longer the caller has more time to lose by a second way.
 const (
 	waitPart = 8
 	// proofPart is for a proof: one that comes within half the target leaves the time
@@ -24,15 +23,14 @@
 
 // Bounds of waits whatever the target.
 const (
-	// untoldWait is for routes without a target: an eighth of the users' longest.
+	// untoldWait is for routes without a target.
 	untoldWait = 75 * time.Millisecond
-	// startWait is for the first configuration, before which no route is known: a
-	// small one is there after some 15 ms.
+	// startWait is for the first configuration, before which no route is known.
 	startWait = 60 * time.Millisecond
 	// proofWait is for a proof that is new enough to say no by: a read of the largest
 	// configuration over the narrowest link.
 	proofWait = 400 * time.Millisecond
-	// listWait is for a newer list of replicas: the users' store answers in some 4 ms.
+	// listWait is for a newer list of replicas, one call of a store that is well.
 	listWait = 60 * time.Millisecond
 )
 
@@ -77,7 +75,7 @@
 }
 
 // renewPart of the greatest age of the list is the age at which a request asks for a
-// newer one: what is left is for the answer, 0.2 s of 1.6 s.
+// newer one: what is left is for the answer.
 const renewPart = 0.875
 
 // renewList asks for a newer list of replicas if the one at hand is nearly so old that
--- a/internal/gossip/forms.go
+++ b/internal/gossip/forms.go
@@ -8,9 +8,7 @@
 
 // Routers of two builds run side by side during an upgrade, and one that knows less of an
 // entry names the same list by another mark. Told in its own form it sees that it has the
-// same; else it takes the whole list with each new proof: where half of 30 routers before
-// 2,000 replicas were of the build before starts were known, that was 20 KB a second each,
-// seven times what one build takes.
+// same; else it would take the whole list with each new proof.
 
 // noteForm notes in which form a router names lists.
 func (g *Gossip) noteForm(d *gossippb.Digest) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -47,10 +47,9 @@
 }
 
 const (
-	// maxPartners is up to how many members are all partners: with a round each
-	// 300 ms and some 130 bytes sent in each exchange, about 4 KB a second at nine
-	// routers. There is room for as many more that were replaced and not yet
-	// forgotten, so that a fleet of nine does not change its manner for it.
+	// maxPartners is up to how many members are all partners: what that takes grows with
+	// their square. There is room for some that were replaced and not yet forgotten, so
+	// that a small fleet does not change its manner for it.
 	maxPartners = 11
 	// maxRows bounds the members that one hello tells.
 	maxRows = 16
@@ -58,8 +57,8 @@
 	helloRounds = 8
 	// largeRounds is how many rounds of a small fleet make one of a large one, in
 	// which a router has more partners and tells them of its line. While many replicas
-	// are idle each round is one: the others are nearer to the users' bound then, and
-	// what is counted 1.2 s late piles up beyond it.
+	// are idle each round is one: the others are nearer to the bound then, and what is
+	// counted late piles up beyond it.
 	largeRounds = 2
 	// largeHelloRounds is helloRounds of a large fleet, where members that are new and
 	// those that live are told besides.
--- a/internal/gossip/marks.go
+++ b/internal/gossip/marks.go
@@ -12,8 +12,8 @@
 	// marksPause is how long after the first mark others are told: all requests that a
 	// crash broke off end within some milliseconds.
 	marksPause = 5 * time.Millisecond
-	// sampleRequests is of how many requests a hello tells the marks: some 5 KB at most,
-	// and nothing as long as no replica crashes.
+	// sampleRequests is of how many requests a hello tells the marks, so that it fits a
+	// datagram; it tells nothing as long as no replica crashes.
 	sampleRequests = 64
 )
 
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -12,8 +12,8 @@
 const newsPause = 20 * time.Millisecond
 
 // tellNews tells the partners of a large fleet that this router knows something new,
-// beside the rounds: waiting for two of them, 1.2 s, sends requests to replicas that
-// leave, and holds up what the operator has changed.
+// beside the rounds: waiting for two of them sends requests to replicas that leave, and holds
+// up what the operator has changed.
 func (g *Gossip) tellNews(now time.Time) {
 	g.mu.Lock()
 	large, partners := g.members.Large(), g.partners
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -16,13 +16,12 @@
 // maxUnpacked bounds what a packed value may grow to, in bytes.
 const maxUnpacked = 64 << 20
 
-// writers are used again: each takes some 800 KB, more than all else that a router
-// allocates for what it passes on.
+// writers are used again: one takes more memory than all else that a router allocates for
+// what it passes on.
 var writers = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
 
-// pack encodes a value for another router. A configuration of a thousand routes
-// is some 300 KB of JSON, of which much is alike, and a link may be narrow: it
-// packs to a tenth or less.
+// pack encodes a value for another router: in a large configuration much is alike, and a link
+// may be narrow.
 func pack(value any) ([]byte, error) {
 	var out bytes.Buffer
 	writer := writers.Get().(*gzip.Writer)
--- a/internal/gossip/rumors.go
+++ b/internal/gossip/rumors.go
@@ -10,12 +10,9 @@
 )
 
 // rumorPartners is how many partners of a large fleet are told a rumor, others each
-// time, in each round of 0.3 s. Each of them passes on what is new to it.
-//
-// To tell all of them, 18 to 33, in each round of 0.6 s took one and a half to nearly
-// three times the bytes a rumor (worked out), and of the shared tokens that some engine
-// had 30 in 100 more were read again: 164 against 126 thousand in seven seconds of 148 routers as usual (mean of four seeds
-// of the played fleet in pkg/balance; 127 with eight partners, 162 with four).
+// time, in each round of a small one. Each of them passes on what is new to it, so that a
+// rumor is sooner with all, and takes fewer bytes, than if all were told in each round of a
+// large one.
 const rumorPartners = 12
 
 // tellRumors tells some partners in a large fleet what this router saw or was told
--- a/internal/gossip/teach.go
+++ b/internal/gossip/teach.go
@@ -15,11 +15,9 @@
 )
 
 // teaching bounds what a router passes on. When a large fleet starts, or the operator
-// changes much, some hundred ask the few that know at once. If all were answered none
-// would have its answer in time: 99 lists of 3,000 replicas, 5.6 MB, take 2.3 s over
-// 20 Mbit/s, and a second is all that the asking router waits. So a few are answered at
-// a time, and those can answer the others. This is worked out: no measurement shows yet
-// what it buys.
+// changes much, some hundred ask the few that know at once. If all were answered over a
+// narrow link none would have its answer in time. So a few are answered at a time, and those
+// can answer the others.
 //
 // It is safe for concurrent use.
 type teaching struct {
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -13,8 +13,7 @@
 )
 
 // aliveRounds is how often the members of a line that live are told, in rounds of a
-// large fleet: each is so heard of in 2.4 s, an eighth of the time after which it would
-// be forgotten, for some 0.6 KB a second at 295 routers.
+// large fleet: each is so heard of some times before it would be forgotten.
 const aliveRounds = 2
 
 // tell tells the partners in a large fleet, each in a datagram, and asks some of them.
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -13,7 +13,7 @@
 //
 // What is told over and over needs no connection: a datagram costs one call of the
 // system at either end and keeps nothing, where a call of drpc takes a stream, two
-// goroutines and two timers, and a connection some 37 KB an end.
+// goroutines, two timers and a connection.
 type Datagrams struct {
 	conn  *net.UDPConn
 	meter *Meter
--- a/internal/peer/meter.go
+++ b/internal/peer/meter.go
@@ -9,8 +9,8 @@
 )
 
 // CallOverhead is what one control call costs on the wire beside its two
-// messages: frame headers, the method's name, the closing frames. Measured on
-// the socket; TestMeterMatchesSocket fails if it is off.
+// messages, in bytes: frame headers, the method's name, the closing frames.
+// TestMeterMatchesSocket fails if it is off.
 const CallOverhead = 42
 
 // Meter counts the bytes of control calls, of both directions.
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -8,9 +8,8 @@
 //
 // The first answer is the newest, as each of the store's is that is not asked to be
 // stale: all that was accepted before it was sent is in the changes up to its revision.
-// So both together prove what a whole read does. Of 3,000 replicas, 1 MB in seven calls,
-// a reader takes one small answer while nothing changes: where 300 routers are before
-// them, the busiest moves 150 KB a second instead of 600, requests included.
+// So both together prove what a whole read does, and while nothing changes a reader takes one
+// small answer instead of the pages of the whole list.
 //
 // The store may come back from a copy that is some seconds old, in a new generation: its
 // revisions are given out again, so that nothing of one generation is compared with
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -91,8 +91,8 @@
 
 // The bound on a replica's requests: a multiple of the mean and some more, below
 // what the users allow, since counts lag by a round of gossip (two more in a large
-// fleet). The parts are of their multiple, the slacks of the 3 requests that they
-// allow above it; measured at a multiple of 2 in docs/design/large-fleet.md.
+// fleet). The parts are of their multiple, the slacks of the requests that they allow
+// above it.
 const (
 	boundPart        = 0.85
 	boundSlack       = 2.5
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -27,7 +27,7 @@
 	coldViews = 2
 	// settleRouters is for how long after its start a router sends nothing to cold
 	// replicas, since it does not know the others: twice what the members take to be
-	// told after a start (1.85 s, the waits of a recall).
+	// told after a start.
 	settleRouters = 4 * time.Second
 	// coldBurst is what a router may save up for a cold replica, in requests.
 	coldBurst = 1
--- a/pkg/balance/evidence.go
+++ b/pkg/balance/evidence.go
@@ -12,8 +12,8 @@
 }
 
 const (
-	// evidenceLife is the time after which an outcome weighs 1/e: in it an engine
-	// gets some ten to twenty requests of all routers at the users' rates.
+	// evidenceLife is the time after which an outcome weighs 1/e: enough for an engine to
+	// get some requests of all routers, so that a share of them says something.
 	evidenceLife = 1500 * time.Millisecond
 	// standsOut is how much higher a replica's share of failures must be than
 	// twice that of the others before it is avoided for them. What is avoided has to
--- a/pkg/balance/left.go
+++ b/pkg/balance/left.go
@@ -9,7 +9,6 @@
 // leftLife is how long a replica that is listed no more may still be copied from.
 // Many serve on for seconds after their entry is gone; from one that has ended
 // nothing comes, and the prompt is read as it would have been without a source.
-// Measured with 0, 5 and 10 s in docs/design/decisions.md.
 const leftLife = 5 * time.Second
 
 // leaver is a replica that is listed no more.
--- a/pkg/balance/near.go
+++ b/pkg/balance/near.go
@@ -2,8 +2,7 @@
 
 // smallTokens is up to how many shared tokens a prompt's parts are kept in each
 // data centre: a copy of them costs less than what a cut makes late or breaks of
-// the streams that cross it. Measured with 0, 1,024 and 3,000 tokens, and with two
-// data centres for larger parts, in docs/design/decisions.md.
+// the streams that cross it.
 const smallTokens = 1024
 
 // sharedTokens is the size of the parts of a prompt that others have too.
--- a/pkg/balance/spread.go
+++ b/pkg/balance/spread.go
@@ -10,7 +10,7 @@
 	"github.com/croftyard/croftyard/pkg/mechanism"
 )
 
-// In a large fleet what others run is told up to 1.2 s late. When one session draws a
+// In a large fleet what others run is told late. When one session draws a
 // part of all prompts, its home fills before anybody hears of it. Then all routers pass
 // over it and fill the next one; and requests that last no longer than what is told is
 // old have left the first one meanwhile, which looks empty and is filled again.
@@ -19,10 +19,7 @@
 // takes. That is remembered and told: a router hardly sees two requests of one session
 // in a second, and most would find the home that has just emptied.
 //
-// One session that draws 28 in 100 of the largest prompts of 148 routers brings 16 in
-// 1,000 requests of the worst five seconds to engines above what the users allow, which
-// is 30, and 75 if nothing is spread; of the live chats of 295 routers 15 and 36 (means
-// of six seeds of the tests' engineFleet). It costs 30 and 12 in 100 more copies.
+// It costs more copies of the part, and keeps its homes within what the users allow.
 const (
 	// spreadRoom is the part of the bound that one more home takes: homes have half of
 	// it free in the mean.
@@ -32,7 +29,7 @@
 	spreadMost = 8
 	// spreadLife is for how long a part is spread once it was seen to need it: some ten
 	// rounds of telling, so that the homes are seen to be calm, or not, before all go
-	// back to one. With three seconds it is about the same.
+	// back to one.
 	spreadLife = 6 * time.Second
 	// maxSpread is how many parts are remembered. A fleet has a handful at a time.
 	maxSpread = 1000
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -298,8 +298,8 @@
 // list as Listed, and returns what changed.
 //
 // Mostly nothing can change by it, and all that is left to do is to note the time: a
-// router hears of a new proof some times a second, and taking 240 replicas as from a
-// new read takes 0.2 ms.
+// router hears of a new proof some times a second, and taking all replicas as from a new
+// read is dear.
 func (d *Directory) Confirm(sent time.Time) []Change {
 	if d.doubts() {
 		return d.Replace(d.Listed(), sent)
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -9,9 +9,9 @@
 
 const (
 	// partReplicas is how many replicas a part of a list has in the mean, or up to
-	// twice as many. What changed is told with the others of its part, some 20 bytes
-	// each when packed, and each part is asked for with a sum of four: in a list of
-	// 3,000 a part is 160 bytes, and all sums are 1 KB, where the whole list is 57 KB.
+	// twice as many. What changed is told with the others of its part, and each part is
+	// asked for with a sum: a list of few parts has much told beside what changed, one
+	// of many has more sums than replicas that changed.
 	partReplicas = 8
 	// leastParts is for lists of which all is small.
 	leastParts = 16
--- a/pkg/directory/rewind.go
+++ b/pkg/directory/rewind.go
@@ -30,9 +30,7 @@
 const (
 	// goneKept is for how long it is remembered who left: copies are some seconds old.
 	goneKept = 30 * time.Second
-	// maxGone bounds those that are remembered, 64 bytes each: the users' aim is 3,000
-	// starts a day, and a release of all of 7,600 replicas within half a minute would
-	// forget the earlier half of them.
+	// maxGone bounds those that are remembered: more than a release replaces in goneKept.
 	maxGone = 4096
 )
 
--- a/pkg/directory/told.go
+++ b/pkg/directory/told.go
@@ -41,8 +41,7 @@
 }
 
 // Mark names the list by its content in a form, in whatever order that is kept: it is worked out
-// at each change, where the replicas of the users' aim take 12 ms to be sorted and
-// written out.
+// at each change, and to sort and write out a long list takes longer than the change.
 func (d *Directory) Mark(f Form) uint64 {
 	var replicas uint64
 	for _, e := range d.entries {
--- a/pkg/fleet/digest.go
+++ b/pkg/fleet/digest.go
@@ -66,9 +66,8 @@
 //
 // Figures of different digests add up: two routers that both believe that they
 // own a group each tell the part that they dispatched. Where views of the grid
-// differ a router may come by two ways and count twice for a moment, which
-// costs exactness only; carrying the routers' names to avoid it was measured
-// at half a kilobyte a second (docs/design/digests.md).
+// differ a router may come by two ways and count twice for a moment, which costs
+// exactness only; carrying the routers' names would cost bytes (docs/design/digests.md).
 type Board struct {
 	self     ID
 	digests  map[source]entry
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -80,8 +80,8 @@
 // ListHistory holds a list and its last changes, so that a peer that holds an
 // earlier version is told only what changed. It is not safe for concurrent use.
 //
-//	Most routers read the list from a peer: the whole is a megabyte at 8,000
-//	rows and changes every quarter of a minute, a change is some 140 bytes.
+//	Most routers read the list from a peer: the whole is long and changes often,
+//	a change is short.
 type ListHistory struct {
 	list  []Instance
 	mark  Mark
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -13,9 +13,8 @@
 // needed to agree on them. Ownership is a hint for exactness: two routers that
 // both believe they own a group are safe, and each just sees part of its load.
 //
-// The alternative, in which every edge picks engines by reported load, was
-// measured and herds: all edges read the same lagged report and pick the same
-// engine (docs/design/placement.md).
+// Edges that each pick engines by reported load herd: all read the same lagged report
+// and pick the same engine (docs/design/placement.md).
 //
 // The package does no I/O. Time and randomness come from the caller.
 package placement
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -14,9 +14,8 @@
 // later whole answer, so routers agree in whatever order they hear. A request that is
 // sound gathers marks by chance, beside one that is not; it sheds them with the next
 // answer, which the other one never gets. One that was answered lately, as a look-up that
-// everybody sends, is held after provenTimes as many crashes: while six bodies crashed
-// eighteen of twelve replicas within seconds, such a one was held as a seventh and 16 of
-// 269 callers were served.
+// everybody sends, is held after provenTimes as many crashes: it runs beside each of those
+// that crash replicas, and would be held with them.
 //
 // The package does no I/O; time comes from the caller and is steady.
 package poison
@@ -60,7 +59,7 @@
 
 const (
 	// maxSuspects is how many requests with marks are remembered, the latest: at ten a
-	// crash those of the last four hundred crashes. Some 200 bytes each, 1 MB.
+	// crash those of the last four hundred crashes.
 	maxSuspects = 4096
 	// maxHeld is the same for those that are held, which the others are not to push out:
 	// each cost three replicas.
@@ -73,7 +72,7 @@
 	maxTrials  = 3
 	holdGrowth = 6
 	// provenTimes is how many times as many crashes hold a request that was answered whole
-	// in provenLife, and maxProven how many of them are remembered: 1 MB.
+	// in provenLife, and maxProven how many of them are remembered.
 	provenTimes = 4
 	provenLife  = 10 * time.Minute
 	maxProven   = 8192
--- a/pkg/turns/turns.go
+++ b/pkg/turns/turns.go
@@ -8,10 +8,8 @@
 //	                      who finds it back tells the others
 //	no router is heard    as if it were alone
 //
-// A source that is down comes back into the questions of all who miss it. Where each
-// router asked four times a period, and its requests twice a second besides, 78 routers
-// made 3,600 calls in 15 s of outages, where a day without one needs 300; 680 would make
-// 2,000 a second.
+// A source that is down comes back into the questions of all who miss it: if each asked for
+// itself, and its requests besides, a large fleet would keep it down.
 //
 // The package does no I/O; time comes from the caller and is steady.
 package turns
@@ -23,9 +21,8 @@
 )
 
 const (
-	// triesAPeriod is how often the fleet tries a source that answers nobody. With a
-	// period of 0.8 to 1.2 s it is found back within 0.1 to 0.15 s in the mean, half of
-	// what a round of gossip takes, by some seven calls a second.
+	// triesAPeriod is how often the fleet tries a source that answers nobody, so that it is
+	// found back sooner than the next round of gossip tells of it.
 	triesAPeriod = 8
 	// aloneTries is the same of a router that hears no other.
 	aloneTries = 4
