Test of marks for a busy partner waits for the exchange of the round before

Cause: the test marks its partner as busy while the round's own exchange may be under way, whose end frees the partner; the marks are then sent and not kept. What is asserted stays.

--- a/internal/gossip/marks_test.go
+++ b/internal/gossip/marks_test.go
@@ -84,6 +84,13 @@
 	address := second.gossip.Address()
 	first.gossip.heard(address, "", true, time.Now())
 	first.gossip.tick(t.Context())
+	isBusy := func() bool {
+		first.gossip.mu.Lock()
+		defer first.gossip.mu.Unlock()
+		return first.gossip.busy[address]
+	}
+	// The round's own exchange would end amid the test, and the partner be free again.
+	until(t, func() bool { return !isBusy() })
 	first.gossip.mu.Lock()
 	first.gossip.busy[address] = true
 	first.gossip.mu.Unlock()
