--- a/pkg/balance/evidence_test.go
+++ b/pkg/balance/evidence_test.go
@@ -105,7 +105,9 @@
 	assert.Empty(t, other.Tell(start).Failures)
 }
 
-// One answer that was lost is no hang, here or at the routers that are told of it.
+// One answer that was lost is no hang, here or at the routers of a large fleet, which believe
+// what they are told. Those of a small one judge for themselves: of two such answers that two
+// routers saw, each makes a hang.
 func TestALostAnswerIsToldAsABreak(t *testing.T) {
 	b := New(1)
 	b.SetLarge(true)
@@ -120,4 +122,9 @@
 	told = b.TellRumors().Failures
 	require.NotEmpty(t, told)
 	assert.Equal(t, Hung, told[len(told)-1].Failure)
+	b.SetLarge(false)
+	b.Failed("a", Hung, "", start.Add(time.Minute))
+	told = b.TellRumors().Failures
+	require.NotEmpty(t, told)
+	assert.Equal(t, Hung, told[len(told)-1].Failure)
 }
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -154,9 +154,13 @@
 	if kind.soft() {
 		b.own(r.Service).failed(now)
 	}
-	kind, speaks := b.doubt(r, kind, now)
-	if speaks || !b.large {
+	taken, speaks := b.doubt(r, kind, now)
+	switch {
+	case !b.large:
+		// All others judge it by what they have seen and heard themselves.
 		b.tellFailure(r, kind, now)
+	case speaks:
+		b.tellFailure(r, taken, now)
 	}
 	if kind == Unreachable && r.DataCentre != ownDataCentre {
 		b.centreUnreachable(r.DataCentre, now)
