A router of chats counts requests in and out under one lock while it stops

Cause: a WaitGroup may not be added to, from zero, while it is waited for. Made to come again without a network: TestRequestsThatComeWithAStopAreCountedInOrRefused fails on the code before with the race and with a panic of the WaitGroup, which would end the process amid a planned stop.

Requests are counted in and out under a lock now, and the stop is told when none is left; claims that are still being written count too. Routers of routes count theirs otherwise and are not concerned.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,7 +64,7 @@
 	selfID   fleet.ID
 	listed   atomic.Bool
 	draining atomic.Bool
-	inFlight sync.WaitGroup
+	inFlight inFlight
 	active   atomic.Int64
 
 	mu      sync.Mutex
@@ -171,7 +171,7 @@
 // Drain ends what waits here and waits for what is in flight, as long as ctx
 // allows. New requests are refused from the first moment.
 func (r *Router) Drain(ctx context.Context) error {
-	r.draining.Store(true)
+	r.refuseNew()
 	r.log.Write(event.Draining)
 	r.announceStop(ctx)
 	r.mu.Lock()
@@ -182,14 +182,15 @@
 	return r.waitIdle(ctx)
 }
 
+// refuseNew refuses the requests that come from now on.
+func (r *Router) refuseNew() {
+	r.draining.Store(true)
+	r.inFlight.stop()
+}
+
 func (r *Router) waitIdle(ctx context.Context) error {
-	idle := make(chan struct{})
-	go func() {
-		r.inFlight.Wait()
-		close(idle)
-	}()
 	select {
-	case <-idle:
+	case <-r.inFlight.stop():
 		return nil
 	case <-ctx.Done():
 		r.log.Write(event.DrainCut, event.F("active", r.active.Load()))
@@ -205,15 +206,12 @@
 
 // begin counts a request in, unless the router is stopping.
 func (r *Router) begin() (end func(), accepted bool) {
-	r.inFlight.Add(1)
-	r.active.Add(1)
-	end = func() {
-		r.active.Add(-1)
-		r.inFlight.Done()
-	}
-	if r.draining.Load() {
-		end()
+	if !r.inFlight.begin() {
 		return nil, false
 	}
-	return end, true
+	r.active.Add(1)
+	return func() {
+		r.active.Add(-1)
+		r.inFlight.end()
+	}, true
 }
