Test of a rumor in a large fleet waits until its routers act as one

By those it waits for a router that never hears of the rumor. By reading: a router acts as one of a large fleet from its next round on, and the test gives the rumor to one as soon as that knows all others; one that has made no round since passes nothing on. The test waits for such a round now; what is asserted stays. Inferred, not made to come again.

--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -75,6 +75,9 @@
 		until(t, func() bool { return r.gossip.Members() == len(fleet) })
 		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	}
+	for _, r := range fleet {
+		r.awaitRound(t)
+	}
 	holding := balance.Holding{Part: 7, Replica: balance.Hash("b")}
 	fleet[5].balancer.MergeRumors(balance.Rumors{Holders: []balance.Holding{holding}}, time.Now())
 	for _, r := range fleet {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -67,6 +67,19 @@
 	return r
 }
 
+// awaitRound waits for a round that began after now to end: from it on the router acts by whom it
+// knows now, as one of a large fleet or of a small one.
+func (r *router) awaitRound(t *testing.T) {
+	t.Helper()
+	round := func() int {
+		r.gossip.mu.Lock()
+		defer r.gossip.mu.Unlock()
+		return int(r.gossip.round)
+	}
+	begun := round()
+	until(t, func() bool { return round() >= begun+2 })
+}
+
 // newRestingRouter answers others but makes no rounds by itself.
 func newRestingRouter(t *testing.T, s *source, seeds ...string) *router {
 	t.Helper()
