What replicas say of themselves in answers is recorded and logged

Cause of the change: neither logs nor metrics could tell whether a router had been told that a replica leaves (Server-Leaving) or wants no requests for a time (503 with Retry-After), so the hypotheses of the incident could not be told apart. Only how an announcement or a rest is recorded comes here, with the ends of both; no decision uses it yet, so nothing is served otherwise.

Lines 317 and 318 when a replica says so first, draining_ms and rest_left_ms in line 410 for the chosen replica, two counters. Statements end with a later start of the replica, by when its entry says that it started, by a rumor of a restart, or by how long its entry was missing; not by an older list. Retry-After is read as seconds, fractions included, or a date, at most an hour.

Tests of directory, front, event, entry and platform pass.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -48,6 +48,8 @@
 	ConnsSilent       ID = 314
 	CentreEvacuated   ID = 315
 	CentreReturned    ID = 316
+	ReplicaDraining   ID = 317
+	ReplicaResting    ID = 318
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -113,6 +115,8 @@
 	ConnsSilent:       {logrus.WarnLevel, "kept connections went silent, dropped", "If frequent, look at what stands between: a firewall or proxy that forgets connections."},
 	CentreEvacuated:   {logrus.WarnLevel, "data centre evacuated, nothing more is sent to its replicas", "None needed. It holds until the operator takes it back."},
 	CentreReturned:    {logrus.InfoLevel, "evacuated data centre taken back", "None needed. Its replicas get little until they are warm."},
+	ReplicaDraining:   {logrus.InfoLevel, "replica announced its shutdown in an answer", "None needed. It holds until the replica starts again, whatever the list says."},
+	ReplicaResting:    {logrus.InfoLevel, "replica asked for no requests for a time", "None if it ends. rest_ms is how long; one of hours is a fault of the replica's: restart it."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // ErrNotRenewed: the list of replicas could not be read.
@@ -28,6 +29,9 @@
 	return now.Sub(since), !since.IsZero()
 }
 
+// Statements returns what replicas said of themselves.
+func (f *Follower) Statements() *directory.Statements { return f.directory.Statements() }
+
 // Leaves takes a replica's own sign that it leaves.
 func (f *Follower) Leaves(id string) {
 	f.mu.Lock()
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -147,6 +147,7 @@
 	}
 	c.sent.Add(1)
 	c.front.noteStay(id, sent, answer)
+	c.noteStatements(id, sent, answer)
 	return c.answered(ctx, cancel, choice, answer)
 }
 
@@ -163,7 +164,7 @@
 	if age, doubted := c.front.follower.Doubt(id, now); doubted {
 		fields = append(fields, event.F("doubt_ms", age.Milliseconds()))
 	}
-	c.front.log.Write(event.ReplicaChosen, fields...)
+	c.front.log.Write(event.ReplicaChosen, append(fields, c.front.statementFields(id, now)...)...)
 }
 
 // failed turns an attempt without an answer into a verdict.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,6 +48,8 @@
 	// Headers of a replica's answer.
 	NotRun string
 	Load   string
+	// Leaving announces the replica's shutdown.
+	Leaving string
 	// ParseParts reads the value of Parts, ParseLoad that of Load.
 	ParseParts func(string) []balance.Part
 	ParseLoad  func(string) (requests int, ok bool)
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -14,7 +14,11 @@
 	Repeats  gometrics.Counter
 	Opened   gometrics.Counter
 	// Poisoned counts refusals of requests that are taken to crash what runs them.
-	Poisoned  gometrics.Counter
+	Poisoned gometrics.Counter
+	// Draining and Resting count answers by which replicas announced their shutdown and
+	// asked for rest.
+	Draining  gometrics.Counter
+	Resting   gometrics.Counter
 	FirstByte gometrics.Histogram
 	Whole     gometrics.Histogram
 
@@ -41,6 +45,8 @@
 		Repeats:   gometrics.NewRegisteredCounter("croftyard.front.repeats", r),
 		Opened:    gometrics.NewRegisteredCounter("croftyard.front.connections_opened", r),
 		Poisoned:  gometrics.NewRegisteredCounter("croftyard.front.refused_as_poison", r),
+		Draining:  gometrics.NewRegisteredCounter("croftyard.front.answers_draining", r),
+		Resting:   gometrics.NewRegisteredCounter("croftyard.front.answers_resting", r),
 		FirstByte: gometrics.NewRegisteredHistogram("croftyard.front.first_byte_ms", r, gometrics.NewUniformSample(sampleSize)),
 		Whole:     gometrics.NewRegisteredHistogram("croftyard.front.whole_ms", r, gometrics.NewUniformSample(sampleSize)),
 		routes:    make(map[string]bool),
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -32,7 +32,7 @@
 		Attempt: "Try", Deadline: "Left", Parts: "Parts", Key: "Authorization", KeyScheme: "Key ",
 		Organisation: "Org", Expect: "Want", Priority: "Rank", CopyFrom: "Copy",
 		Own:    []string{"Org", "Want", "Rank", "Copy"},
-		NotRun: "Not-Run", Load: "Load",
+		NotRun: "Not-Run", Load: "Load", Leaving: "Leaving",
 		ParseParts: func(s string) []balance.Part {
 			if s == "" {
 				return nil
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -95,6 +95,8 @@
 	departed map[string]departed
 	// rewind is what is known against a list that came back from a copy.
 	rewind rewind
+	// statements are what replicas said of themselves.
+	statements *Statements
 }
 
 type entry struct {
@@ -108,6 +110,8 @@
 	doubtedSince time.Time
 	// lateSince is since when an earlier start is listed than the one known.
 	lateSince time.Time
+	// declared: an entry of the replica's own said that it drains.
+	declared bool
 }
 
 // New returns an empty directory. A pause of more than outage between two reads
@@ -115,9 +119,12 @@
 // entries may lag behind what they tell: a replica that vanished in an outage keeps
 // its work so long, and those of a data centre that is taken back count as cold.
 func New(outage, grace time.Duration) *Directory {
-	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry), departed: make(map[string]departed)}
+	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry), departed: make(map[string]departed), statements: NewStatements()}
 }
 
+// Statements returns what replicas said of themselves.
+func (d *Directory) Statements() *Statements { return d.statements }
+
 // Replace is Take of a read that says nothing new of data centres.
 func (d *Directory) Replace(list []Replica, sent time.Time) []Change {
 	return d.Take(Listing{Replicas: list, Evacuated: d.evacuated}, sent)
@@ -161,7 +168,8 @@
 	old, known := d.entries[r.ID]
 	if !known {
 		r.ColdUntil = d.coldUntil(r)
-		d.entries[r.ID] = &entry{replica: r, idHash: idHash(r.ID), sums: sumsOf(&r), listed: d.read}
+		d.entries[r.ID] = &entry{replica: r, idHash: idHash(r.ID), sums: sumsOf(&r), listed: d.read, declared: d.declares(&r)}
+		d.statements.joined(&r, d.read, d.grace)
 		what := Joined
 		if r.State == Unusable {
 			what = Spoilt
@@ -171,6 +179,8 @@
 	}
 	if d.isLate(&r, old) {
 		r = late(r, old.replica)
+	} else {
+		old.declared = old.declared || d.declares(&r)
 	}
 	what := d.warmth(&r, old.replica)
 	switch {
@@ -182,12 +192,18 @@
 		}
 	case d.restarted(&r, &old.replica):
 		what = Restarted
+		old.declared = d.declares(&r)
+		d.statements.Restarted(r.ID, d.read)
 	case r.State == Draining && old.replica.State != Draining:
 		what = Drains
 	case old.replica.State == Unusable:
 		what = Usable
 	case r.State == Ready && old.replica.State == Draining:
 		what = Back
+		if old.declared && !d.rewound(d.read) {
+			old.declared = false
+			d.statements.withdrawn(r.ID, d.read)
+		}
 	case !old.doubtedSince.IsZero():
 		what = Back
 	}
@@ -206,6 +222,10 @@
 	return changes
 }
 
+// declares tells whether an entry of a replica's own says that it drains. While what was
+// known holds against a copy, an entry may say so for that only.
+func (d *Directory) declares(r *Replica) bool { return r.State == Draining && !d.rewound(d.read) }
+
 func (d *Directory) noteOldest() {
 	d.oldest = d.read
 	for _, e := range d.entries {
--- a/pkg/directory/rewind.go
+++ b/pkg/directory/rewind.go
@@ -199,6 +199,7 @@
 		d.forgetDeparted()
 	}
 	d.departed[r.ID] = departed{born: r.Born, at: d.read}
+	d.statements.missing(r, d.read)
 }
 
 // forgetDeparted forgets who left long ago, and the earlier half of all if that is not
