--- /dev/null
+++ b/internal/front/statements_test.go
@@ -0,0 +1,290 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// statingReplica answers 200, or as the test sets, and counts arrivals.
+type statingReplica struct {
+	address  string
+	arrivals *atomic.Int32
+	answer   atomic.Pointer[http.HandlerFunc]
+}
+
+func newStatingReplica(t *testing.T) *statingReplica {
+	t.Helper()
+	r := &statingReplica{}
+	r.does(answerOK)
+	r.address, r.arrivals = replica(t, func(w http.ResponseWriter, q *http.Request) { (*r.answer.Load())(w, q) })
+	return r
+}
+
+func (r *statingReplica) does(answer http.HandlerFunc) { r.answer.Store(&answer) }
+
+func answerLeaving(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Leaving", "1")
+	fmt.Fprint(w, "ok")
+}
+
+// answerResting turns a request away and asks for rest, with the mark of not having run
+// or without.
+func answerResting(retryAfter string, marked bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", retryAfter)
+		if marked {
+			w.Header().Set("Not-Run", "resting")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// later lets so much time seem to pass until the test ends.
+func later(t *testing.T, d time.Duration) {
+	t.Helper()
+	t.Cleanup(steady.Pretend(d))
+}
+
+// sendMany sends requests and returns how many were served.
+func (r *rig) sendMany(t *testing.T, n int) (served int) {
+	t.Helper()
+	for range n {
+		response, _, err := r.send(t, "POST", "/repeat/x", "")
+		require.NoError(t, err)
+		if response.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// sendUntil sends requests until a replica has had one.
+func (r *rig) sendUntil(t *testing.T, has *statingReplica) {
+	t.Helper()
+	for has.arrivals.Load() == 0 {
+		r.sendMany(t, 1)
+	}
+	has.arrivals.Store(0)
+}
+
+const manyRequests = 40
+
+// Guards against work for a replica whose answer announced its shutdown, past the time to
+// drain, whatever the list says of it and whether or not a list can be read.
+func TestAReplicaThatAnnouncedItsShutdownGetsNothingPastTheBound(t *testing.T) {
+	tests := map[string]func(t *testing.T, r *rig){
+		"listed as ready": func(t *testing.T, r *rig) { r.list(t) },
+		"listed by an older read": func(t *testing.T, r *rig) {
+			require.NoError(t, r.follower.Take(r.source.snapshot, steady.Now().Add(-time.Millisecond)))
+		},
+		"the store answers nobody": func(t *testing.T, r *rig) {
+			r.source.fail(assert.AnError)
+			require.Error(t, r.follower.RenewList(t.Context(), steady.Now()))
+		},
+		"its entry lapsed and came back": func(t *testing.T, r *rig) {
+			all := r.source.snapshot
+			without := all
+			without.Replicas = all.Replicas[1:]
+			require.NoError(t, r.follower.Take(without, steady.Now()))
+			require.NoError(t, r.follower.Take(all, steady.Now()))
+		},
+	}
+	for name, happens := range tests {
+		t.Run(name, func(t *testing.T) {
+			leaves, stays := newStatingReplica(t), newStatingReplica(t)
+			r := newRig(t, leaves.address, stays.address)
+			r.setListProof(testListProof)
+			leaves.does(answerLeaving)
+			r.sendUntil(t, leaves)
+			later(t, testListProof)
+			happens(t, r)
+			assert.Equal(t, manyRequests, r.sendMany(t, manyRequests))
+			assert.Zero(t, leaves.arrivals.Load())
+		})
+	}
+}
+
+// Guards against refusing what the last replica of a service can still serve, and against
+// sending to it past the time to drain.
+func TestTheLastReplicaServesOnAfterItsAnnouncementUntilTheBound(t *testing.T) {
+	leaves := newStatingReplica(t)
+	r := newRig(t, leaves.address)
+	r.setListProof(testListProof)
+	leaves.does(answerLeaving)
+	r.sendUntil(t, leaves)
+	later(t, testListProof/2)
+	assert.Equal(t, manyRequests, r.sendMany(t, manyRequests), "within the bound")
+	leaves.arrivals.Store(0)
+	later(t, testListProof/2)
+	r.wantNotRun(t)
+	assert.Zero(t, leaves.arrivals.Load())
+}
+
+// Guards against leaving out a replica that started again under its id after it had
+// announced its shutdown, or asked for rest.
+func TestAReplicaThatStartedAgainIsNotBoundByItsEarlierStatements(t *testing.T) {
+	for name, says := range map[string]http.HandlerFunc{"shutdown": answerLeaving, "rest": answerResting("1e9", true)} {
+		t.Run(name, func(t *testing.T) {
+			leaves, stays := newStatingReplica(t), newStatingReplica(t)
+			r := newRig(t, leaves.address, stays.address)
+			r.setListProof(testListProof)
+			started := func(born int64) {
+				snapshot := r.source.snapshot
+				snapshot.Replicas = append([]directory.Replica(nil), snapshot.Replicas...)
+				snapshot.Replicas[0].Born = born
+				require.NoError(t, r.follower.Take(snapshot, steady.Now()))
+			}
+			started(1)
+			leaves.does(says)
+			r.sendUntil(t, leaves)
+			leaves.does(answerOK)
+			later(t, testListProof)
+			started(2)
+			r.sendUntil(t, leaves)
+		})
+	}
+}
+
+// Guards against what a replica of another id says at an address that was given to it.
+func TestAnAnswerThatIsMisdirectedSaysNothingOfTheReplicaMeant(t *testing.T) {
+	other := newStatingReplica(t)
+	r := newRig(t, other.address)
+	other.does(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Leaving", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	r.wantNotRun(t)
+	assert.Zero(t, r.follower.Statements().Of("r0"))
+}
+
+// Guards against requests to a replica during a rest that it asked for, and against none
+// after it.
+func TestAReplicaThatAskedForRestIsLeftAloneUntilItsEnd(t *testing.T) {
+	tests := map[string]struct {
+		retryAfter string
+		marked     bool
+		rest       time.Duration
+	}{
+		"seconds":                       {"100", true, 100 * time.Second},
+		"seconds, without the mark":     {"100", false, 100 * time.Second},
+		"a fraction":                    {"99.5", true, 99500 * time.Millisecond},
+		"more than the longest allowed": {"1e300", true, maxRest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			rests, serves := newStatingReplica(t), newStatingReplica(t)
+			r := newRig(t, rests.address, serves.address)
+			rests.does(answerResting(test.retryAfter, test.marked))
+			r.sendUntil(t, rests)
+			later(t, test.rest-time.Second)
+			r.list(t)
+			assert.Equal(t, manyRequests, r.sendMany(t, manyRequests), "the other replica serves")
+			assert.Zero(t, rests.arrivals.Load())
+			rests.does(answerOK)
+			later(t, 2*time.Second)
+			r.sendUntil(t, rests)
+		})
+	}
+}
+
+// Guards against a replica's rest that a shorter one ends which was asked for later.
+func TestOfSeveralRestsTheLatestEndHolds(t *testing.T) {
+	now := steady.Now()
+	s := directory.NewStatements()
+	assert.True(t, s.MarkResting("a", now, now.Add(5*time.Second), now))
+	assert.False(t, s.MarkResting("a", now, now.Add(2*time.Second), now.Add(time.Second)))
+	assert.Equal(t, now.Add(5*time.Second), s.Of("a").RestUntil)
+}
+
+// Guards against holding a request, or telling its caller a wrong time to come back, while
+// all replicas of its service rest, and against all callers coming back at one moment.
+func TestWhileAllReplicasRestCallersAreToldTheFirstEnd(t *testing.T) {
+	first, second := newStatingReplica(t), newStatingReplica(t)
+	r := newRig(t, first.address, second.address)
+	first.does(answerResting("40", true))
+	second.does(answerResting("80", true))
+	for first.arrivals.Load() == 0 || second.arrivals.Load() == 0 {
+		r.sendMany(t, 1)
+	}
+	first.arrivals.Store(0)
+	second.arrivals.Store(0)
+	later(t, 10*time.Second)
+	told := make(map[string]bool)
+	for range manyRequests {
+		response, _, err := r.send(t, "POST", "/repeat/x", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		assert.Greater(t, after, 25.0)
+		assert.Less(t, after, 40.0)
+		told[response.Header.Get("Retry-After")] = true
+	}
+	assert.Greater(t, len(told), manyRequests/2, "they are spread")
+	assert.Zero(t, first.arrivals.Load()+second.arrivals.Load())
+}
+
+// Guards against a request that waits for its connection while the replica says that it
+// leaves, or asks for rest.
+func TestAStatementThatComesWhileARequestIsConnectedHoldsItBack(t *testing.T) {
+	for name, says := range map[string]func(s *directory.Statements){
+		"shutdown": func(s *directory.Statements) { s.MarkDraining("r0", steady.Now(), steady.Now()) },
+		"rest": func(s *directory.Statements) {
+			s.MarkResting("r0", steady.Now(), steady.Now().Add(maxRest), steady.Now())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replica, other := newStatingReplica(t), newStatingReplica(t)
+			r := newRig(t, replica.address, other.address)
+			r.setListProof(testListProof)
+			r.onceConnected(func() {
+				if replica.arrivals.Load()+other.arrivals.Load() == 0 {
+					says(r.follower.Statements())
+				}
+			})
+			assert.Equal(t, manyRequests, r.sendMany(t, manyRequests))
+			assert.Zero(t, replica.arrivals.Load())
+		})
+	}
+}
+
+func TestRestAsked(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	tests := map[string]struct {
+		status int
+		header http.Header
+		want   time.Duration
+	}{
+		"none":                     {503, http.Header{}, 0},
+		"seconds":                  {503, http.Header{"Retry-After": {" 3 "}}, 3 * time.Second},
+		"a fraction":               {503, http.Header{"Retry-After": {"0.25"}}, 250 * time.Millisecond},
+		"zero":                     {503, http.Header{"Retry-After": {"0"}}, 0},
+		"negative":                 {503, http.Header{"Retry-After": {"-3"}}, 0},
+		"no number":                {503, http.Header{"Retry-After": {"NaN"}}, 0},
+		"unreadable":               {503, http.Header{"Retry-After": {"soon"}}, 0},
+		"without end":              {503, http.Header{"Retry-After": {"Inf"}}, maxRest},
+		"many years":               {503, http.Header{"Retry-After": {"999999999999999999"}}, maxRest},
+		"too many digits":          {503, http.Header{"Retry-After": {"1e999"}}, maxRest},
+		"the longest of several":   {503, http.Header{"Retry-After": {"1", "4", "2"}}, 4 * time.Second},
+		"a date, by the answer's":  {503, http.Header{"Retry-After": {"Fri, 02 Jan 2026 10:00:07 GMT"}, "Date": {"Fri, 02 Jan 2026 10:00:00 GMT"}}, 7 * time.Second},
+		"a date, by the own clock": {503, http.Header{"Retry-After": {"Fri, 02 Jan 2026 03:04:09 GMT"}}, 4 * time.Second},
+		"a date that is over":      {503, http.Header{"Retry-After": {"Fri, 02 Jan 2026 03:04:01 GMT"}}, 0},
+		"another status":           {429, http.Header{"Retry-After": {"3"}}, 0},
+		"a success":                {200, http.Header{"Retry-After": {"3"}}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.want, restAsked(&http.Response{StatusCode: test.status, Header: test.header}, now))
+		})
+	}
+}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -45,6 +45,8 @@
 	endOnce    sync.Once
 	mu         sync.Mutex
 	leaving    bool
+	announcing bool
+	rest       rest
 	faults     []ReplicaFault
 	runs       []*ReplicaRun
 	lastAnswer string
@@ -70,6 +72,10 @@
 	Ended time.Time
 	// Refused: it was turned away with the mark of not having run.
 	Refused bool
+	// Rest is for how long its answer asked for no further requests; 0: it did not.
+	Rest time.Duration
+	// Started is when the replica's process started, which may be one of several of its id.
+	Started time.Time
 	// Status and Signature are those of the answer; 0 if none was begun.
 	Status    int
 	Signature string
@@ -107,6 +113,47 @@
 	r.leaving = true
 }
 
+// Announce makes each further answer announce the replica's shutdown.
+func (r *Replica) Announce() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announcing = true
+}
+
+// rest is a time in which requests are turned away.
+type rest struct {
+	until time.Time
+	// asked is for how long each answer asks for no further requests.
+	asked time.Duration
+}
+
+// Rest turns all requests away for a while, each with an answer that asks for no further
+// ones for a time, which may end before the while does or after it.
+func (r *Replica) Rest(d, asked time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest = rest{until: time.Now().Add(d), asked: asked}
+}
+
+// restAsked returns for how long a request's answer is to ask for no further ones; 0 if
+// the request is taken.
+func (r *Replica) restAsked() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().After(r.rest.until) {
+		return 0
+	}
+	return r.rest.asked
+}
+
+// turnAway answers that a request is not run, and asks for rest.
+func (r *Replica) turnAway(w http.ResponseWriter, run *ReplicaRun, asked time.Duration) {
+	r.change(run, func() { run.Refused, run.Rest = true, asked })
+	w.Header().Set(platform.Dialect().NotRun, "resting")
+	w.Header().Set("Retry-After", strconv.FormatFloat(asked.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // crashedAnswers is how long before a crash an answer may have ended that did not
 // get out any more.
 const crashedAnswers = 100 * time.Millisecond
@@ -182,12 +229,19 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.isAnnouncing() {
+		w.Header().Set(names.Leaving, "1")
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
 	}
 	run := r.begin(request, body)
 	defer r.end(run, request)
+	if asked := r.restAsked(); asked > 0 {
+		r.turnAway(w, run, asked)
+		return
+	}
 	if r.Options.Deadly != nil {
 		if after, deadly := r.Options.Deadly(body); deadly {
 			r.die(after, w, request, run)
@@ -225,6 +279,7 @@
 		Deadline: time.Duration(milliseconds * float64(time.Millisecond)),
 		After:    after,
 		At:       time.Now(),
+		Started:  r.born,
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -301,6 +356,12 @@
 	return r.leaving
 }
 
+func (r *Replica) isAnnouncing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.announcing
+}
+
 // Fail makes the next requests meet faults, one each.
 func (r *Replica) Fail(faults ...ReplicaFault) {
 	r.mu.Lock()
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -157,6 +157,7 @@
 	a.Status = response.StatusCode
 	a.EchoedID = response.Header.Get(platform.Dialect().Attempt)
 	a.Signature = response.Header.Get(platform.SignatureHeader)
+	a.HeadAt, a.Leaving = time.Now(), response.Header.Get(platform.Dialect().Leaving) != ""
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		err = readEvents(a, response.Body)
 	} else {
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -69,6 +69,8 @@
 	}
 	c.drain()
 	c.deadly()
+	c.announced()
+	c.rested()
 	c.gone()
 	c.configurations()
 	c.revoked()
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -79,6 +79,12 @@
 		s.each(func(r *router, n int) {
 			s.exchangeBuild(r, rand.New(rand.NewPCG(uint64(n), uint64(a.At))))
 		}, seriesPause)
+	case kindAnnounce:
+		s.announce(place, rnd, a.For)
+	case kindRest:
+		s.rest(place, rnd, a.For)
+	case kindRestAll:
+		s.restAll(place.options.Service, rnd, a.For)
 	case kindLongFreeze:
 		s.freeze(r, s.bounds.Revoke+a.For)
 	default:
@@ -192,6 +198,9 @@
 	defer place.handling.Unlock()
 	replica, link, listed := place.now()
 	replica.Leave()
+	if s.plan.Extras == extraStatements {
+		replica.Announce()
+	}
 	key := platform.ReplicaKey(replica.ID)
 	if declared {
 		s.record.departure(replica.ID, s.world.store.Put(key, replica.Entry(listed, platform.ReplicaDraining)))
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -94,6 +94,9 @@
 	Status    int
 	EchoedID  string
 	Signature string
+	// HeadAt is when the head came; Leaving: it announced the replica's shutdown.
+	HeadAt  time.Time
+	Leaving bool
 	// Body is that of a plain answer, Seen are the events of a stream.
 	Body string
 	Seen []Event
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -58,6 +58,9 @@
 	kindDrill       = "store-back-from-copy"
 	kindOtherBuild  = "other-build"
 	kindRollBuild   = "other-build-all-in-series"
+	kindAnnounce    = "replica-announces-shutdown"
+	kindRest        = "replica-asks-for-rest"
+	kindRestAll     = "all-replicas-of-a-service-ask-for-rest"
 )
 
 // moreKinds come besides, in runs that have more. The schedule of a seed is the same
@@ -79,6 +82,9 @@
 	// which it does not know.
 	extraBuilds = "builds"
 	extraOldest = "oldest"
+	// extraStatements has moreKinds, and replicas that say in their answers that they leave
+	// or want no requests for a time.
+	extraStatements = "statements"
 )
 
 // planWith is the plan of a seed with extras.
@@ -95,9 +101,12 @@
 		p = planWithMore(seed, length)
 	}
 	p.Extras = extras
-	kinds := []string{kindDrill}
-	if extras != extraDrills {
-		kinds = []string{kindOtherBuild, kindOtherBuild, kindRollBuild}
+	kinds := []string{kindOtherBuild, kindOtherBuild, kindRollBuild}
+	switch extras {
+	case extraDrills:
+		kinds = []string{kindDrill}
+	case extraStatements:
+		kinds = []string{kindAnnounce, kindAnnounce, kindRest, kindRest, kindRestAll}
 	}
 	rnd := rand.New(rand.NewPCG(seed, seed+2))
 	for range 1 + len(p.Actions)/morePart {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,6 +26,10 @@
 // shortRun is how long the faults of a run in CI last.
 const shortRun = 4 * time.Second
 
+// statementsRun is how long the faults last of a run with statements of replicas: longer
+// than what they bind.
+const statementsRun = 8 * time.Second
+
 // atOnce is how many known seeds are played at a time: a run mostly waits, and too many
 // would disturb each other.
 const atOnce = 3
@@ -135,6 +139,24 @@
 	}
 }
 
+// Guards against routers that send on to replicas which say in their answers that they
+// leave, or want no requests for a time, among all other troubles.
+func TestRoutersActOnWhatReplicasSayOfThemselves(t *testing.T) {
+	if os.Getenv("SOAK_SEEDS") != "" {
+		t.Skip("fresh seeds are asked for")
+	}
+	dir := logs(t)
+	program, err := buildProgram(dir)
+	require.NoError(t, err)
+	for _, seed := range []uint64{8, 24, 11} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			length := seconds(t, statementsRun)
+			play(t, program, dir, planWith(extraStatements, seed, length), length)
+		})
+	}
+}
+
 // knownSeed is a seed with how long its faults lasted when it showed a fault: the
 // schedule that is drawn depends on both.
 type knownSeed struct {
@@ -175,7 +197,7 @@
 }
 
 // allExtras are those of fresh seeds, one seed each in turn.
-var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest}
+var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements}
 
 // As many seeds as SOAK_SEEDS says, from SOAK_FIRST on or drawn afresh. SOAK_EXTRAS names
 // what they have besides; else each extra has its turn.
