A replica that announced its shutdown in an answer gets nothing past the bound

A router knew of a shutdown by the list alone; while the store answered nobody, the bound on the list's age was off and all replicas of it were used. The class: what a replica says of itself is first-hand and was weighed by what others say of it, at one of four places that each knew a part.

Change: pkg/directory has one question, whether a replica may have a new request, over the list, the replica's own statements and the list's age with their precedence, and typed reasons. The front asks it when it chooses and again before it writes; directory .Ready, barred and stayed are no longer asked there. A replica that is the last of its service serves on until the bound. It works as a later start of the replica, or its own entry, ends the statement, and no list does.

The two tests that named stayed and mayWrite name what replaced them; what they assert stays.

--- a/internal/follow/outage.go
+++ b/internal/follow/outage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // silentAfter is how long a read may go unanswered before it counts as one that
@@ -110,6 +111,11 @@
 func (f *Follower) Silent(limit time.Duration, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.storeUnavailable(limit, now)
+}
+
+// storeUnavailable is Silent with f.mu held.
+func (f *Follower) storeUnavailable(limit time.Duration, now time.Time) bool {
 	o := &f.outage
 	since := now.Add(-limit)
 	unanswered, late := f.unanswered(since, now)
@@ -134,6 +140,31 @@
 	return f.directory.Unlisted(since, f.outage.seen)
 }
 
+// Exclusions returns those of the replicas that are listed as ready which get no new
+// requests, by a greatest age of the list.
+func (f *Follower) Exclusions(limit time.Duration, now time.Time) []directory.Exclusion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Exclusions(f.conditions(limit, now))
+}
+
+// Exclusion tells whether a replica gets no new requests, and why.
+func (f *Follower) Exclusion(id string, limit time.Duration, now time.Time) (directory.Exclusion, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Exclusion(id, f.conditions(limit, now))
+}
+
+// conditions are those of now. f.mu is held.
+func (f *Follower) conditions(limit time.Duration, now time.Time) directory.Conditions {
+	return directory.Conditions{
+		Now:              now,
+		Limit:            limit,
+		StoreUnavailable: func() bool { return f.storeUnavailable(limit, now) },
+		SeenUnavailable:  f.outage.seen,
+	}
+}
+
 // Ready tells whether a replica may have new work by the list at hand.
 func (f *Follower) Ready(id string) bool {
 	f.mu.Lock()
--- a/internal/front/breaks.go
+++ b/internal/front/breaks.go
@@ -69,7 +69,7 @@
 // Restarted notes that a replica started again under its id: what it broke off lately it
 // crashed under, and what it showed before says nothing any more.
 func (f *Front) Restarted(id string, now time.Time) {
-	f.stayed.forget(id)
+	f.follower.Statements().Restarted(id, now)
 	for _, b := range f.breaks.take(id, now) {
 		f.crashed(id, b, now)
 	}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -59,8 +59,10 @@
 	// alone: no other try of it is sent by this router meanwhile. trial: it was held
 	// before.
 	alone, trial bool
-	// held counts how often it was held back once connected.
-	held int
+	// unwritten counts how often it was not written once connected.
+	unwritten int
+	// lastResort: the replica chosen may have it only since its service has no other.
+	lastResort bool
 	// mayHaveRun: a replica may have begun to work on it.
 	mayHaveRun bool
 	// begun: the head of an answer went out.
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -96,11 +96,11 @@
 func TestARequestThatCrashesReplicasIsNotWritten(t *testing.T) {
 	r := newRig(t, "127.0.0.1:1")
 	c := newCall(r.front, nil, httptest.NewRequest(http.MethodPost, "http://h/single/x", nil), time.Now())
-	require.NoError(t, c.mayWrite("r0", time.Now()))
+	require.NoError(t, c.checkBeforeWrite("r0", time.Now()))
 	digest := c.digest()
 	r.front.poison.SetLimits(poison.Limits{Crashes: 1, Hold: time.Minute})
 	r.front.poison.Crashed(digest, 1, time.Now(), time.Now())
-	assert.ErrorIs(t, c.mayWrite("r0", time.Now()), errHeldBack)
+	assert.ErrorIs(t, c.checkBeforeWrite("r0", time.Now()), errNotAllowed)
 }
 
 // Under one of its tries the last replica that it may crash ended: what ran may not be
@@ -216,7 +216,7 @@
 func TestWhatAReplicaShowedBeforeItStartedAgainIsForgotten(t *testing.T) {
 	r := newStillRig(t)
 	now := time.Now()
-	r.front.stayed.note("a", now)
+	r.follower.Statements().MarkServing("a", now, now)
 	r.front.Restarted("a", now)
-	assert.False(t, r.front.stayed.since("a", now.Add(-time.Second)))
+	assert.Zero(t, r.follower.Statements().Of("a"))
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // verdict is what one attempt at a replica leads to.
@@ -40,9 +41,14 @@
 			return
 		}
 		c.renewList(ctx)
-		barred := c.front.barred(steady.Now())
-		choice, found := c.front.balancer.Pick(c.question(barred), steady.Now())
-		if !found && c.holdsBack(barred) {
+		now := steady.Now()
+		excluded := c.front.exclusions(now)
+		choice, found := c.choose(excluded, now)
+		x, allExcluded := directory.Exclusion{}, false
+		if !found {
+			x, allExcluded = c.exclusionOf(excluded)
+		}
+		if allExcluded && x.Reason == directory.ListTooOld {
 			c.giveUp(unproven("list of replicas too old"))
 			return
 		}
@@ -50,7 +56,7 @@
 			if c.waitForReplica(ctx) {
 				continue
 			}
-			c.giveUp(c.noReplica())
+			c.giveUp(c.noReplica(x))
 			return
 		}
 		switch c.attempt(ctx, choice) {
@@ -63,29 +69,24 @@
 	}
 }
 
-// noReplica refuses a request for which there is no replica.
-func (c *call) noReplica() *refusal {
+// noReplica refuses a request for which there is no replica, or only excluded ones, for
+// a reason.
+func (c *call) noReplica(x directory.Exclusion) *refusal {
 	if c.evacuated() {
 		return c.notTaken("evacuated")
 	}
+	if x.Reason != "" {
+		return c.notTaken("no replica: " + string(x.Reason))
+	}
 	return c.notTaken("no replica")
 }
 
 // evacuated tells whether all replicas of the service are: there is nothing to wait for.
 func (c *call) evacuated() bool { return c.front.balancer.Evacuated(c.service.Name) }
 
-// holdsBack tells whether the request would have a replica, were none barred.
-func (c *call) holdsBack(barred []string) bool {
-	if len(barred) == 0 {
-		return false
-	}
-	_, found := c.front.balancer.Pick(c.question(nil), steady.Now())
-	return found
-}
-
-// question asks for a replica that was not tried and is not barred.
-func (c *call) question(barred []string) balance.Question {
-	tried := slices.Concat(c.tried, barred)
+// question asks for a replica that was not tried and is not excluded.
+func (c *call) question(excluded []string) balance.Question {
+	tried := slices.Concat(c.tried, excluded)
 	q := balance.Question{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate}
 	if c.service.Engine != nil {
 		q.Parts = c.parts
@@ -134,7 +135,7 @@
 	c.sentAt = sent
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
-	request.Check = func() error { return c.mayWrite(id, steady.Now()) }
+	request.Check = func() error { return c.checkBeforeWrite(id, steady.Now()) }
 	request.Unacked = c.moveOn(c.hangTime(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
@@ -146,8 +147,7 @@
 		c.front.balancer.Paced(id, steady.Since(sent))
 	}
 	c.sent.Add(1)
-	c.front.noteStay(id, sent, answer)
-	c.noteStatements(id, sent, answer)
+	c.front.noteStatements(c.id, id, sent, answer.Response)
 	return c.answered(ctx, cancel, choice, answer)
 }
 
@@ -175,8 +175,8 @@
 		c.callerGone()
 		return done
 	}
-	if errors.Is(err, errHeldBack) {
-		return c.heldBack(id, err)
+	if errors.Is(err, errNotAllowed) {
+		return c.notWritten(id, err)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		// That this router has no descriptor left is not the replica's fault.
@@ -204,16 +204,16 @@
 	return c.repeat("broken")
 }
 
-// maxHeldBack is how often a request may be held back once connected. Then its way
+// maxNotWritten is how often a request may be not written once connected. Then its way
 // takes longer than what allows it stays new.
-const maxHeldBack = 2
+const maxNotWritten = 2
 
-// heldBack turns an attempt that was held back into a verdict. It says nothing of the
+// notWritten turns an attempt that was not written into a verdict. It says nothing of the
 // replica, which may be asked if all is well again.
-func (c *call) heldBack(id string, err error) verdict {
+func (c *call) notWritten(id string, err error) verdict {
 	c.outcome.reason = err.Error()
-	c.held++
-	if c.held >= maxHeldBack {
+	c.unwritten++
+	if c.unwritten >= maxNotWritten {
 		return over
 	}
 	c.tried = slices.DeleteFunc(c.tried, func(tried string) bool { return tried == id })
--- /dev/null
+++ b/internal/front/eligible.go
@@ -0,0 +1,91 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/poison"
+)
+
+// errNotAllowed: a request was not written, since by then it was no longer allowed.
+var errNotAllowed = errors.New("front: request no longer allowed")
+
+// listLimit is the greatest age of the list of replicas by which requests are sent.
+func (f *Front) listLimit() time.Duration {
+	if f.options.Without.Has(mechanism.Renew) {
+		return 0
+	}
+	return f.limits.Load().ListProof
+}
+
+// exclusions returns the replicas that get no new requests although the list says that
+// they are ready.
+func (f *Front) exclusions(now time.Time) []directory.Exclusion {
+	return f.follower.Exclusions(f.listLimit(), now)
+}
+
+// choose asks for a replica: one that is not excluded, else one that may still have a
+// request as the last of its service.
+func (c *call) choose(excluded []directory.Exclusion, now time.Time) (balance.Choice, bool) {
+	c.lastResort = false
+	choice, found := c.front.balancer.Pick(c.question(idsOf(excluded)), now)
+	if found || !slices.ContainsFunc(excluded, func(x directory.Exclusion) bool { return x.LastResort }) {
+		return choice, found
+	}
+	c.lastResort = true
+	strict := slices.DeleteFunc(slices.Clone(excluded), func(x directory.Exclusion) bool { return x.LastResort })
+	return c.front.balancer.Pick(c.question(idsOf(strict)), now)
+}
+
+func idsOf(excluded []directory.Exclusion) []string {
+	ids := make([]string, len(excluded))
+	for i, x := range excluded {
+		ids[i] = x.ID
+	}
+	return ids
+}
+
+// checkBeforeWrite looks, when a connection to a replica is there, whether the request
+// may still be written to it: opening the connection may have taken its time.
+func (c *call) checkBeforeWrite(id string, now time.Time) error {
+	if c.left() {
+		return errCallerGone
+	}
+	x, excluded := c.front.follower.Exclusion(id, c.front.listLimit(), now)
+	if excluded && !(c.lastResort && x.LastResort) {
+		return fmt.Errorf("%w: replica %s: %s", errNotAllowed, id, x.Reason)
+	}
+	if !c.trial && c.front.poison.Any() && c.front.poison.Ask(c.digest(), now).State == poison.Held {
+		return fmt.Errorf("%w: request crashes what runs it", errNotAllowed)
+	}
+	limits := c.front.limits.Load()
+	age := c.front.holder.Current().Age(now)
+	// By AbsenceProof a proof that was asked for at admission is young enough.
+	if c.organisation != nil && age >= max(limits.KeyProof, limits.AbsenceProof) {
+		return fmt.Errorf("%w: configuration proven %v ago, too long for keys", errNotAllowed, age)
+	}
+	return nil
+}
+
+// exclusionOf returns why all replicas of the service are excluded that the request could
+// have else; false if there are none, or others.
+func (c *call) exclusionOf(excluded []directory.Exclusion) (x directory.Exclusion, all bool) {
+	if len(excluded) == 0 {
+		return directory.Exclusion{}, false
+	}
+	choice, found := c.front.balancer.Pick(c.question(nil), steady.Now())
+	if !found {
+		return directory.Exclusion{}, false
+	}
+	i := slices.IndexFunc(excluded, func(x directory.Exclusion) bool { return x.ID == choice.Replica.ID })
+	if i < 0 {
+		return directory.Exclusion{}, false
+	}
+	return excluded[i], true
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -103,8 +103,6 @@
 	spent    atomic.Bool
 	// listOld: the list of replicas could not be renewed when it was last asked for.
 	listOld atomic.Bool
-	// stayed is what replicas themselves showed of not leaving.
-	stayed stayed
 	// stopping is nil while no stop was asked for.
 	stopping atomic.Pointer[stop]
 	// cutting ends the calls that are in flight.
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -158,7 +158,7 @@
 	take(0)
 	require.Len(t, r.follower.Replicas(), len(list), "they are doubted")
 	for _, gone := range list {
-		r.front.stayed.note(gone.ID, time.Now())
+		r.follower.Statements().MarkServing(gone.ID, time.Now(), time.Now())
 	}
 	r.setListProof(testListProof)
 	r.wantNotRun(t)
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -6,30 +6,41 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/steady"
-	"github.com/croftyard/croftyard/internal/upstream"
 )
 
 // noteStatements records what an answer to a request sent at a time says of its replica.
-func (c *call) noteStatements(id string, sent time.Time, answer *upstream.Answer) {
+func (f *Front) noteStatements(request, id string, sent time.Time, answer *http.Response) {
+	now, statements := steady.Now(), f.follower.Statements()
+	if answer.Close {
+		statements.ForgetServing(id)
+		f.follower.Leaves(id)
+	}
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		// Another replica stands at the address now.
 		return
 	}
-	f, now := c.front, steady.Now()
-	statements := f.follower.Statements()
-	if announcesShutdown(answer.Header.Get(f.options.Dialect.Leaving)) {
+	leaves := announcesShutdown(answer.Header.Get(f.options.Dialect.Leaving))
+	if leaves {
 		f.metrics.Draining.Inc(1)
 		if statements.MarkDraining(id, sent, now) {
-			f.log.Write(event.ReplicaDraining, event.F("replica", id), event.F("request", c.id), event.F("status", answer.StatusCode))
+			f.log.Write(event.ReplicaDraining, event.F("replica", id), event.F("request", request), event.F("status", answer.StatusCode))
 		}
 	}
-	rest := restAsked(answer.Response, time.Now())
-	if rest == 0 {
-		return
+	if rest := restAsked(answer, time.Now()); rest > 0 {
+		f.noteRest(request, id, sent, rest)
+	}
+	if !leaves && !answer.Close && answer.StatusCode < http.StatusInternalServerError {
+		statements.MarkServing(id, sent, now)
 	}
+}
+
+// noteRest records that an answer asks for no further requests for a time.
+func (f *Front) noteRest(request, id string, sent time.Time, rest time.Duration) {
 	f.metrics.Resting.Inc(1)
-	if statements.MarkResting(id, sent, now.Add(rest), now) {
-		f.log.Write(event.ReplicaResting, event.F("replica", id), event.F("request", c.id), event.F("rest_ms", rest.Milliseconds()))
+	now := steady.Now()
+	until := now.Add(rest)
+	if f.follower.Statements().MarkResting(id, sent, until, now) {
+		f.log.Write(event.ReplicaResting, event.F("replica", id), event.F("request", request), event.F("rest_ms", rest.Milliseconds()))
 	}
 }
 
--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -14,8 +14,10 @@
 // They are first-hand, so a list of replicas, which may be older, ends none of them. They
 // are safe for concurrent use.
 type Statements struct {
-	mu     sync.Mutex
-	of     map[string]*statement
+	mu sync.Mutex
+	of map[string]*statement
+	// bind are the ids of those that announced a shutdown or asked for a rest.
+	bind   map[string]struct{}
 	pruned time.Time
 }
 
@@ -52,7 +54,9 @@
 )
 
 // NewStatements returns an empty set.
-func NewStatements() *Statements { return &Statements{of: make(map[string]*statement)} }
+func NewStatements() *Statements {
+	return &Statements{of: make(map[string]*statement), bind: make(map[string]struct{})}
+}
 
 // statement returns that of a replica, for a request sent at a time; nil if the replica
 // may have started again since. s.mu is held.
@@ -82,6 +86,7 @@
 		return false
 	}
 	one.DrainingSince = now
+	s.bind[id] = struct{}{}
 	return true
 }
 
@@ -97,6 +102,7 @@
 	}
 	news = !one.RestUntil.After(now)
 	one.changed = now
+	s.bind[id] = struct{}{}
 	if until.After(one.RestUntil) {
 		one.RestUntil = until
 	}
@@ -135,6 +141,38 @@
 	return Statement{}
 }
 
+// binding returns the statements that exclude replicas at a time, by id; nil for none.
+func (s *Statements) binding(now time.Time) map[string]Statement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out map[string]Statement
+	for id := range s.bind {
+		one := s.of[id]
+		if one.DrainingSince.IsZero() && !now.Before(one.RestUntil) {
+			delete(s.bind, id)
+			continue
+		}
+		if out == nil {
+			out = make(map[string]Statement, len(s.bind))
+		}
+		out[id] = one.Statement
+	}
+	return out
+}
+
+// Binding returns how many replicas announced their shutdown, and how many more are at
+// a rest that they asked for.
+func (s *Statements) Binding(now time.Time) (draining, resting int) {
+	for _, said := range s.binding(now) {
+		if !said.DrainingSince.IsZero() {
+			draining++
+			continue
+		}
+		resting++
+	}
+	return draining, resting
+}
+
 // Restarted ends all statements of a replica: it started again, as a report of a time
 // says.
 func (s *Statements) Restarted(id string, at time.Time) {
@@ -148,6 +186,7 @@
 		return
 	}
 	s.of[id] = &statement{startListed: at, changed: at}
+	delete(s.bind, id)
 }
 
 // withdrawn ends an announced shutdown that the replica's entry took back, in a read sent
@@ -200,6 +239,7 @@
 		binding := now.Before(one.RestUntil) || listed && !one.DrainingSince.IsZero()
 		if !binding && now.Sub(one.changed) > statementKept {
 			delete(s.of, id)
+			delete(s.bind, id)
 		}
 	}
 }
