A replica that asked for rest gets nothing until its end, then its share gradually

Cause: Retry-After of a replica was not read. A 503 with the mark of not having run counted as full: avoided for 150 ms, not longer when it recurs, and as a preference only, so that where all are avoided the least bad got the request all the same.

Change: asked for rest is a reason of the same question, with its end. It is asked at the choice and before the write; the latest of several ends holds. While all replicas rest a request is refused at once with the first end as Retry-After, spread over a quarter of it and 2 s at most, so that callers do not come back at one moment.

Not told to other routers: a rest was asked of one.

--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -73,6 +74,41 @@
 	return nil
 }
 
+// opening is when a service's first replica may have new requests.
+type opening struct {
+	after time.Duration
+	// known: there is such a time. promised: it is the end of a rest that was asked for.
+	known, promised bool
+}
+
+// opens returns when a replica of the service is first to be given work again.
+func (c *call) opens(now time.Time) opening {
+	excluded := c.front.exclusions(now)
+	var o opening
+	o.after, o.known = c.front.balancer.Opens(c.service.Name, idsOf(excluded), now)
+	for _, x := range excluded {
+		if x.Service != c.service.Name || x.Until.IsZero() {
+			continue
+		}
+		if in := x.Until.Sub(now); !o.known || in < o.after {
+			o = opening{after: in, known: true, promised: true}
+		}
+	}
+	return o
+}
+
+// Bounds of the time over which callers are spread that are told the end of a rest, so
+// that they do not come back at one moment.
+const (
+	spreadPart    = 4
+	longestSpread = 2 * time.Second
+)
+
+// spread returns a time to come back, at the earliest after one.
+func spread(after time.Duration) time.Duration {
+	return after + time.Duration(rand.Float64()*float64(min(after/spreadPart, longestSpread)))
+}
+
 // exclusionOf returns why all replicas of the service are excluded that the request could
 // have else; false if there are none, or others.
 func (c *call) exclusionOf(excluded []directory.Exclusion) (x directory.Exclusion, all bool) {
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -47,11 +47,15 @@
 // first of them is to be given work again; if none is known, when the list of them has
 // been read anew.
 func (c *call) notTaken(reason string) *refusal {
-	after, known := c.front.balancer.Opens(c.service.Name, steady.Now())
-	if !known {
+	first := c.opens(steady.Now())
+	after := boundRetry(first.after)
+	switch {
+	case first.promised:
+		after = max(spread(first.after), retryElsewhere)
+	case !first.known:
 		after = c.front.nextRead()
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: boundRetry(after)}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after}
 }
 
 // nextRead is when this router is to know more, as a time to come back.
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -42,6 +42,7 @@
 	if f.follower.Statements().MarkResting(id, sent, until, now) {
 		f.log.Write(event.ReplicaResting, event.F("replica", id), event.F("request", request), event.F("rest_ms", rest.Milliseconds()))
 	}
+	f.balancer.Rests(id, until)
 }
 
 // announcesShutdown tells whether the value of the header says so.
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -50,13 +50,13 @@
 		return false
 	}
 	news, expected := c.front.follower.News()
-	opens, known := c.front.balancer.Opens(c.service.Name, steady.Now())
-	opening := known && opens > 0 && opens <= left
+	first := c.opens(steady.Now())
+	opening := first.known && first.after > 0 && first.after <= left
 	if !opening && !expected {
 		return false
 	}
 	if opening {
-		left = opens
+		left = first.after
 	}
 	timer := time.NewTimer(left)
 	defer timer.Stop()
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -166,6 +166,8 @@
 	// answered is when it last answered well, hung when it last left a request
 	// without an answer.
 	answered, hung time.Time
+	// restUntil is the latest end of a rest that it asked for.
+	restUntil time.Time
 	// restarted is when it started again under its id, as far as this router saw.
 	restarted time.Time
 }
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -118,7 +118,7 @@
 // badness orders replicas that should be avoided: 0 is sound.
 func (b *Balancer) badness(r *replica, now time.Time) int {
 	bad := 0
-	if b.slow(r, now) {
+	if b.slow(r, now) || r.resumes(now) {
 		bad = badSlow
 	}
 	if r.health.avoided(now) {
--- a/pkg/balance/opens.go
+++ b/pkg/balance/opens.go
@@ -1,16 +1,19 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Opens tells in what time a replica of a service is first to be given work again: 0
 // if one may have it now. It returns false if no such time is known: none is listed,
-// or all are in data centres that are silent.
-func (b *Balancer) Opens(service string, now time.Time) (time.Duration, bool) {
+// or all are in data centres that are silent, or excluded.
+func (b *Balancer) Opens(service string, excluded []string, now time.Time) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	first, known := time.Duration(0), false
 	for _, r := range b.services[service] {
-		if b.silent[r.DataCentre] {
+		if b.silent[r.DataCentre] || slices.Contains(excluded, r.ID) {
 			continue
 		}
 		if in := b.avoidedFor(r, now); !known || in < first {
--- a/pkg/directory/eligibility.go
+++ b/pkg/directory/eligibility.go
@@ -8,7 +8,7 @@
 // Whether a replica may have a new request is one question. These speak to it, in order:
 //
 //	the list: not listed, unusable, draining, evacuated
-//	the replica's own statements: announced its shutdown
+//	the replica's own statements: announced its shutdown, asked for rest
 //	the age of the list: the replica may have left since, unless it was seen serving
 //
 // Whoever chooses a replica asks before, and again before bytes are written to it.
@@ -23,6 +23,7 @@
 	ListedDraining    Reason = "listed as draining"
 	CentreEvacuated   Reason = "data centre evacuated"
 	ShutdownAnnounced Reason = "announced its shutdown"
+	RestAsked         Reason = "asked for rest"
 	ListTooOld        Reason = "not listed lately"
 )
 
@@ -31,8 +32,8 @@
 	ID      string
 	Service string
 	Reason  Reason
-	// Since is when the reason began; zero: not known.
-	Since time.Time
+	// Since is when the reason began, Until when it ends; zero: not known.
+	Since, Until time.Time
 	// LastResort: it may still have a request for which there is no other replica.
 	LastResort bool
 }
@@ -111,11 +112,16 @@
 // byStatement excludes by what a replica said of itself.
 func byStatement(r *Replica, said Statement, c Conditions) (Exclusion, bool) {
 	x := Exclusion{ID: r.ID, Service: r.Service}
-	if said.DrainingSince.IsZero() {
+	rests := c.Now.Before(said.RestUntil)
+	switch {
+	case !said.DrainingSince.IsZero():
+		x.Reason, x.Since = ShutdownAnnounced, said.DrainingSince
+		x.LastResort = !rests && c.Now.Sub(said.DrainingSince) < c.Limit
+	case rests:
+		x.Reason, x.Until = RestAsked, said.RestUntil
+	default:
 		return Exclusion{}, false
 	}
-	x.Reason, x.Since = ShutdownAnnounced, said.DrainingSince
-	x.LastResort = c.Now.Sub(said.DrainingSince) < c.Limit
 	return x, true
 }
 
