Statements end with each later start that a list shows, also two close together

Cause: the time within which a list's and another router's report are of one restart was applied to lists too, which tell of each start.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -193,7 +193,7 @@
 	case d.restarted(&r, &old.replica):
 		what = Restarted
 		old.declared = d.declares(&r)
-		d.statements.Restarted(r.ID, d.read)
+		d.statements.listedStart(r.ID, d.read)
 	case r.State == Draining && old.replica.State != Draining:
 		what = Drains
 	case old.replica.State == Unusable:
--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -45,7 +45,7 @@
 }
 
 const (
-	// sameRestart is within what time two reports of a restart are of one.
+	// sameRestart is within what time a list and another router tell of one restart.
 	sameRestart = 2 * time.Second
 	// statementKept is for how long statements of a replica are kept that is listed no more.
 	statementKept = 10 * time.Minute
@@ -173,18 +173,27 @@
 	return draining, resting
 }
 
-// Restarted ends all statements of a replica: it started again, as a report of a time
-// says.
+// Restarted ends all statements of a replica: it started again, as another router said at
+// a time. Of a restart that a list has just shown nothing is new.
 func (s *Statements) Restarted(id string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.restarted(id, at)
-}
-
-func (s *Statements) restarted(id string, at time.Time) {
 	if one := s.of[id]; one != nil && at.Sub(one.startListed) < sameRestart {
 		return
 	}
+	s.started(id, at)
+}
+
+// listedStart ends all statements of a replica: a read sent at a time is the first to list
+// a later start.
+func (s *Statements) listedStart(id string, read time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started(id, read)
+}
+
+// started begins the statements of a replica anew. s.mu is held.
+func (s *Statements) started(id string, at time.Time) {
 	s.of[id] = &statement{startListed: at, changed: at}
 	delete(s.bind, id)
 }
@@ -224,7 +233,7 @@
 	}
 	one.missingSince = time.Time{}
 	if started {
-		s.restarted(r.ID, read)
+		s.started(r.ID, read)
 	}
 }
 
