Questions of a router's own respect what replicas say; logs, metrics and dump tell it

The same cause elsewhere: after a start of all routers engines are asked what they hold. The question went to replicas that rest or leave, and a 503 with Retry-After to it was dropped. It is asked of none that is excluded, and a rest asked for in its answer holds. An announced shutdown is not taken from there: the question does not name the replica that is meant, and another may stand at the address.

Tests: TestARestAskedInAnAnswerToTheRoutersOwnQuestionHolds, TestAChoiceTellsWhichReplicasAreExcluded, TestHeld, TestTheStateDump. The test of a later start looped for ten minutes once, under the race detector: its source told no start, the test's own lists did, and a read between them hid the later start.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,8 +48,8 @@
 	Source    func(s settings.Settings, call time.Duration) follow.Source
 	Dialect   front.Dialect
 	ReadyPath string
-	// Held asks an engine what it holds. It may be nil.
-	Held func(ctx context.Context, address string) ([]balance.Part, error)
+	// Held asks an engine what it holds, and tells the head of its answer. It may be nil.
+	Held func(ctx context.Context, address string, answered func(*http.Response)) ([]balance.Part, error)
 	// LogDropped returns how many log lines found no room.
 	LogDropped func() uint64
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
@@ -193,6 +194,12 @@
 	assert.EqualValues(t, 1, state.Version)
 	assert.True(t, state.Ready)
 	assert.Equal(t, "a", state.Replicas[0].ID)
+	assert.Empty(t, state.Replicas[0].Excluded)
+	now := steady.Now()
+	e.follower.Statements().MarkResting("a", now, now.Add(time.Hour), now)
+	state = e.State()
+	assert.Equal(t, string(directory.RestAsked), state.Replicas[0].Excluded)
+	assert.Positive(t, state.Replicas[0].ExcludedMS)
 }
 
 func TestOnAFirstStartOnlyTheSeedsReadAtOnce(t *testing.T) {
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -47,7 +48,10 @@
 	table := e.holder.Current().Table
 	for _, r := range e.follower.Replicas() {
 		service := table.Service(r.Service)
-		if service != nil && service.Engine != nil && r.State == directory.Ready && !r.Evacuated && e.gossip.Mine(r.ID) {
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		if _, excluded := e.front.Exclusion(r.ID, steady.Now()); !excluded && e.gossip.Mine(r.ID) {
 			go e.askHeld(ctx, r)
 		}
 	}
@@ -56,7 +60,8 @@
 func (e *Entry) askHeld(ctx context.Context, r directory.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
 	defer cancel()
-	parts, err := e.outside.Held(ctx, r.Address)
+	sent := steady.Now()
+	parts, err := e.outside.Held(ctx, r.Address, func(answer *http.Response) { e.front.NoteRest(r.ID, sent, answer) })
 	e.log.Write(event.EngineAsked, event.F("replica", r.ID), event.F("parts", len(parts)), event.F("error", err))
 	e.balancer.Held(r.ID, parts, steady.Now())
 }
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -29,6 +29,10 @@
 	DataCentre string `json:"data_centre"`
 	Draining   bool   `json:"draining"`
 	Suspected  bool   `json:"suspected"`
+	// Excluded is why it gets no new requests, empty if it may get some; ExcludedMS for how
+	// long on, 0 if that is not known.
+	Excluded   string `json:"excluded,omitempty"`
+	ExcludedMS int64  `json:"excluded_ms,omitempty"`
 }
 
 // State returns the state dump.
@@ -45,14 +49,19 @@
 		Rank:       e.gossip.Rank(),
 	}
 	for _, r := range e.follower.Replicas() {
-		s.Replicas = append(s.Replicas, ReplicaState{
+		state := ReplicaState{
 			ID:         r.ID,
 			Service:    r.Service,
 			Address:    r.Address,
 			DataCentre: r.DataCentre,
 			Draining:   r.State == directory.Draining,
 			Suspected:  e.balancer.Suspected(r.ID, now),
-		})
+		}
+		if x, excluded := e.front.Exclusion(r.ID, now); excluded {
+			state.Excluded = string(x.Reason)
+			state.ExcludedMS = max(x.Until.Sub(now).Milliseconds(), 0)
+		}
+		s.Replicas = append(s.Replicas, state)
 	}
 	return s
 }
@@ -75,6 +84,7 @@
 	made, failed := e.follower.Reads()
 	sent, received := e.gossip.Bytes()
 	marked, held := e.poison.Len()
+	draining, resting := e.follower.Statements().Binding(steady.Now())
 	return []admin.Gauge{
 		{Name: "croftyard_config_version", Value: float64(e.follower.Word().Version)},
 		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(steady.Now()).Milliseconds())},
@@ -89,6 +99,8 @@
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
 		{Name: "croftyard_peers_unsent", Value: float64(e.gossip.Unsent())},
 		{Name: "croftyard_peers_refused", Value: float64(e.gossip.Refused())},
+		{Name: "croftyard_replicas_draining", Value: float64(draining)},
+		{Name: "croftyard_replicas_resting", Value: float64(resting)},
 		{Name: "croftyard_poison_marked", Value: float64(marked)},
 		{Name: "croftyard_poison_held", Value: float64(held)},
 		{Name: "croftyard_front_active", Value: float64(e.front.Active())},
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -61,6 +62,8 @@
 	alone, trial bool
 	// unwritten counts how often it was not written once connected.
 	unwritten int
+	// excluded are the replicas that got nothing when one was last chosen.
+	excluded []directory.Exclusion
 	// lastResort: the replica chosen may have it only since its service has no other.
 	lastResort bool
 	// mayHaveRun: a replica may have begun to work on it.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -164,7 +164,8 @@
 	if age, doubted := c.front.follower.Doubt(id, now); doubted {
 		fields = append(fields, event.F("doubt_ms", age.Milliseconds()))
 	}
-	c.front.log.Write(event.ReplicaChosen, append(fields, c.front.statementFields(id, now)...)...)
+	fields = append(fields, c.front.statementFields(id, now)...)
+	c.front.log.Write(event.ReplicaChosen, append(fields, c.exclusionFields()...)...)
 }
 
 // failed turns an attempt without an answer into a verdict.
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -31,10 +31,15 @@
 	return f.follower.Exclusions(f.listLimit(), now)
 }
 
+// Exclusion tells whether a replica gets no new requests, and why.
+func (f *Front) Exclusion(id string, now time.Time) (directory.Exclusion, bool) {
+	return f.follower.Exclusion(id, f.listLimit(), now)
+}
+
 // choose asks for a replica: one that is not excluded, else one that may still have a
 // request as the last of its service.
 func (c *call) choose(excluded []directory.Exclusion, now time.Time) (balance.Choice, bool) {
-	c.lastResort = false
+	c.lastResort, c.excluded = false, excluded
 	choice, found := c.front.balancer.Pick(c.question(idsOf(excluded)), now)
 	if found || !slices.ContainsFunc(excluded, func(x directory.Exclusion) bool { return x.LastResort }) {
 		return choice, found
@@ -58,7 +63,7 @@
 	if c.left() {
 		return errCallerGone
 	}
-	x, excluded := c.front.follower.Exclusion(id, c.front.listLimit(), now)
+	x, excluded := c.front.Exclusion(id, now)
 	if excluded && !(c.lastResort && x.LastResort) {
 		return fmt.Errorf("%w: replica %s: %s", errNotAllowed, id, x.Reason)
 	}
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -26,16 +26,25 @@
 			f.log.Write(event.ReplicaDraining, event.F("replica", id), event.F("request", request), event.F("status", answer.StatusCode))
 		}
 	}
-	if rest := restAsked(answer, time.Now()); rest > 0 {
-		f.noteRest(request, id, sent, rest)
-	}
+	f.noteRest(request, id, sent, answer)
 	if !leaves && !answer.Close && answer.StatusCode < http.StatusInternalServerError {
 		statements.MarkServing(id, sent, now)
 	}
 }
 
+// NoteRest records a rest that an answer to a question of the router's own asks for. That
+// the answer is the replica's own is less certain than that of a request that names it, so
+// an announced shutdown, which binds for as long as the replica runs, is not taken from it.
+func (f *Front) NoteRest(id string, sent time.Time, answer *http.Response) {
+	f.noteRest("", id, sent, answer)
+}
+
 // noteRest records that an answer asks for no further requests for a time.
-func (f *Front) noteRest(request, id string, sent time.Time, rest time.Duration) {
+func (f *Front) noteRest(request, id string, sent time.Time, answer *http.Response) {
+	rest := restAsked(answer, time.Now())
+	if rest == 0 {
+		return
+	}
 	f.metrics.Resting.Inc(1)
 	now := steady.Now()
 	until := now.Add(rest)
@@ -48,6 +57,23 @@
 // announcesShutdown tells whether the value of the header says so.
 func announcesShutdown(value string) bool { return value != "" && value != "0" }
 
+// maxLogged is how many of the replicas that were passed over a line names.
+const maxLogged = 4
+
+// exclusionFields tell which replicas of the service got nothing, and why.
+func (c *call) exclusionFields() []event.Field {
+	var excluded []string
+	for _, x := range c.excluded {
+		if x.Service == c.service.Name && len(excluded) < maxLogged {
+			excluded = append(excluded, x.ID+": "+string(x.Reason))
+		}
+	}
+	if excluded == nil {
+		return nil
+	}
+	return []event.Field{event.F("excluded", excluded)}
+}
+
 // statementFields tell what a replica said of itself before it was chosen.
 func (f *Front) statementFields(id string, now time.Time) []event.Field {
 	var fields []event.Field
--- a/internal/front/statements_test.go
+++ b/internal/front/statements_test.go
@@ -1,16 +1,20 @@
 package front
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -71,7 +75,9 @@
 // sendUntil sends requests until a replica has had one.
 func (r *rig) sendUntil(t *testing.T, has *statingReplica) {
 	t.Helper()
-	for has.arrivals.Load() == 0 {
+	const most = 1000
+	for n := 0; has.arrivals.Load() == 0; n++ {
+		require.Less(t, n, most, "it gets no request")
 		r.sendMany(t, 1)
 	}
 	has.arrivals.Store(0)
@@ -139,9 +145,11 @@
 			r := newRig(t, leaves.address, stays.address)
 			r.setListProof(testListProof)
 			started := func(born int64) {
+				r.source.mu.Lock()
+				r.source.snapshot.Replicas = slices.Clone(r.source.snapshot.Replicas)
+				r.source.snapshot.Replicas[0].Born = born
 				snapshot := r.source.snapshot
-				snapshot.Replicas = append([]directory.Replica(nil), snapshot.Replicas...)
-				snapshot.Replicas[0].Born = born
+				r.source.mu.Unlock()
 				require.NoError(t, r.follower.Take(snapshot, steady.Now()))
 			}
 			started(1)
@@ -213,11 +221,8 @@
 	r := newRig(t, first.address, second.address)
 	first.does(answerResting("40", true))
 	second.does(answerResting("80", true))
-	for first.arrivals.Load() == 0 || second.arrivals.Load() == 0 {
-		r.sendMany(t, 1)
-	}
-	first.arrivals.Store(0)
-	second.arrivals.Store(0)
+	r.sendUntil(t, first)
+	r.sendUntil(t, second)
 	later(t, 10*time.Second)
 	told := make(map[string]bool)
 	for range manyRequests {
@@ -258,6 +263,34 @@
 	}
 }
 
+// Guards against requests to a replica that asked for rest where the router asked it a
+// question of its own, and against taking its announcement of a shutdown from there.
+func TestARestAskedInAnAnswerToTheRoutersOwnQuestionHolds(t *testing.T) {
+	rests, serves := newStatingReplica(t), newStatingReplica(t)
+	r := newRig(t, rests.address, serves.address)
+	header := http.Header{"Retry-After": {"100"}, "Leaving": {"1"}}
+	r.front.NoteRest("r0", steady.Now(), &http.Response{StatusCode: http.StatusServiceUnavailable, Header: header})
+	assert.Equal(t, manyRequests, r.sendMany(t, manyRequests))
+	assert.Zero(t, rests.arrivals.Load())
+	later(t, 101*time.Second)
+	r.sendUntil(t, rests)
+}
+
+// Guards against a log that does not tell which replicas were passed over, and why.
+func TestAChoiceTellsWhichReplicasAreExcluded(t *testing.T) {
+	serves := newStatingReplica(t)
+	r := newRig(t, "127.0.0.1:1", serves.address, "127.0.0.1:2")
+	var written bytes.Buffer
+	r.front.log = event.New(&written, "here", logrus.InfoLevel)
+	r.setListProof(testListProof)
+	now := steady.Now()
+	r.follower.Statements().MarkDraining("r0", now, now)
+	r.follower.Statements().MarkResting("r2", now, now.Add(time.Hour), now)
+	require.Equal(t, 1, r.sendMany(t, 1))
+	assert.Contains(t, written.String(), "r0: announced its shutdown")
+	assert.Contains(t, written.String(), "r2: asked for rest")
+}
+
 func TestRestAsked(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	tests := map[string]struct {
