Chat targets that announce their shutdown or ask for rest get nothing meanwhile

A target whose answers say that it leaves while it takes requests got 30 of 30 further ones; one that asked for an hour of rest was asked by each router again and again.

Both are taken from every answer now, and closed engines and services are asked again before a request is written. A rest is a health of its own in pkg/fleet: nothing new and no question for the load meanwhile, no orders (they go to open engines only), and the share comes back over ten seconds as after failures. A rest isn't told to others. Reading Retry-After has a package of its own, which front and chats share.

Left as it was: a leaving holds for a minute in the chats, since their list does not tell when a target started.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/retryafter"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/pkg/admission"
 )
@@ -35,7 +36,8 @@
 const (
 	AttemptHeader = "Croftyard-Attempt"
 	ResumeHeader  = "Croftyard-Resume-From"
-	// LeavingHeader on a 503 tells that the target leaves and did not run it.
+	// LeavingHeader tells that the target leaves; on a 503 also that it did not run the
+	// request.
 	LeavingHeader = "Croftyard-Leaving"
 	KeyHeader     = "Idempotency-Key"
 	AdapterHeader = "Croftyard-Adapter"
@@ -80,9 +82,10 @@
 	NotRun bool
 	// Begun: the sink got at least the head, so that no other attempt can serve it.
 	Begun bool
-	// Leaving: the target said that it leaves. Unreachable: it did not accept a
-	// connection.
+	// Leaving: the target said that it leaves. Rest is for how long it asked for no
+	// further requests. Unreachable: it did not accept a connection.
 	Leaving     bool
+	Rest        time.Duration
 	Unreachable bool
 	// Resumed counts how often a broken stream was taken up again.
 	Resumed int
@@ -200,10 +203,18 @@
 		// before its end closes it.
 		return Outcome{Begun: a.begun, Reason: admission.Crossed, Err: errCrossed}
 	}
+	out := a.answered(resp, &watched{body: resp.Body, silence: silence, idle: a.dispatcher.idle})
+	out.Leaving = resp.Header.Get(LeavingHeader) != ""
+	out.Rest = retryafter.Rest(resp, time.Now())
+	return out
+}
+
+// answered hands an answer to the sink, unless the target did not take the request since
+// it leaves.
+func (a *attempt) answered(resp *http.Response, body io.Reader) Outcome {
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(LeavingHeader) != "" {
-		return Outcome{NotRun: !a.begun, Begun: a.begun, Leaving: true, Reason: admission.Leaving}
+		return Outcome{NotRun: !a.begun, Begun: a.begun, Reason: admission.Leaving}
 	}
-	body := &watched{body: resp.Body, silence: silence, idle: a.dispatcher.idle}
 	return a.pass(resp, body)
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -74,6 +74,12 @@
 	}{
 		{"another attempt's answer", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(AttemptHeader, "other") },
 			false, record{}, Outcome{Reason: admission.Crossed}},
+		{"served, and leaving", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(LeavingHeader, "true") },
+			false, record{}, Outcome{Whole: true, Begun: true, Leaving: true}},
+		{"asks for rest", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, false, record{}, Outcome{Whole: true, Begun: true, Rest: 3 * time.Second}},
 		{"leaving", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(LeavingHeader, "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/retryafter"
 	"github.com/croftyard/croftyard/internal/steady"
 )
 
@@ -41,7 +42,7 @@
 
 // noteRest records that an answer asks for no further requests for a time.
 func (f *Front) noteRest(request, id string, sent time.Time, answer *http.Response) {
-	rest := restAsked(answer, time.Now())
+	rest := retryafter.Rest(answer, time.Now())
 	if rest == 0 {
 		return
 	}
--- a/internal/front/statements_test.go
+++ b/internal/front/statements_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/retryafter"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -186,7 +187,7 @@
 		"seconds":                       {"100", true, 100 * time.Second},
 		"seconds, without the mark":     {"100", false, 100 * time.Second},
 		"a fraction":                    {"99.5", true, 99500 * time.Millisecond},
-		"more than the longest allowed": {"1e300", true, maxRest},
+		"more than the longest allowed": {"1e300", true, retryafter.MaxRest},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -245,7 +246,7 @@
 	for name, says := range map[string]func(s *directory.Statements){
 		"shutdown": func(s *directory.Statements) { s.MarkDraining("r0", steady.Now(), steady.Now()) },
 		"rest": func(s *directory.Statements) {
-			s.MarkResting("r0", steady.Now(), steady.Now().Add(maxRest), steady.Now())
+			s.MarkResting("r0", steady.Now(), steady.Now().Add(retryafter.MaxRest), steady.Now())
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -290,34 +291,3 @@
 	assert.Contains(t, written.String(), "r0: announced its shutdown")
 	assert.Contains(t, written.String(), "r2: asked for rest")
 }
-
-func TestRestAsked(t *testing.T) {
-	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	tests := map[string]struct {
-		status int
-		header http.Header
-		want   time.Duration
-	}{
-		"none":                     {503, http.Header{}, 0},
-		"seconds":                  {503, http.Header{"Retry-After": {" 3 "}}, 3 * time.Second},
-		"a fraction":               {503, http.Header{"Retry-After": {"0.25"}}, 250 * time.Millisecond},
-		"zero":                     {503, http.Header{"Retry-After": {"0"}}, 0},
-		"negative":                 {503, http.Header{"Retry-After": {"-3"}}, 0},
-		"no number":                {503, http.Header{"Retry-After": {"NaN"}}, 0},
-		"unreadable":               {503, http.Header{"Retry-After": {"soon"}}, 0},
-		"without end":              {503, http.Header{"Retry-After": {"Inf"}}, maxRest},
-		"many years":               {503, http.Header{"Retry-After": {"999999999999999999"}}, maxRest},
-		"too many digits":          {503, http.Header{"Retry-After": {"1e999"}}, maxRest},
-		"the longest of several":   {503, http.Header{"Retry-After": {"1", "4", "2"}}, 4 * time.Second},
-		"a date, by the answer's":  {503, http.Header{"Retry-After": {"Fri, 02 Jan 2026 10:00:07 GMT"}, "Date": {"Fri, 02 Jan 2026 10:00:00 GMT"}}, 7 * time.Second},
-		"a date, by the own clock": {503, http.Header{"Retry-After": {"Fri, 02 Jan 2026 03:04:09 GMT"}}, 4 * time.Second},
-		"a date that is over":      {503, http.Header{"Retry-After": {"Fri, 02 Jan 2026 03:04:01 GMT"}}, 0},
-		"another status":           {429, http.Header{"Retry-After": {"3"}}, 0},
-		"a success":                {200, http.Header{"Retry-After": {"3"}}, 0},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, test.want, restAsked(&http.Response{StatusCode: test.status, Header: test.header}, now))
-		})
-	}
-}
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -187,6 +187,9 @@
 	if refusal := r.suspicion(job, &request); refusal != nil {
 		return dispatch.Outcome{NotRun: true}, refusal
 	}
+	if refusal := r.excludes(target.Name); refusal != nil {
+		return dispatch.Outcome{NotRun: true}, refusal
+	}
 	request.Attempt = dispatch.NewAttempt()
 	if job.Key == "" {
 		outcome := r.targets.Run(ctx, request, sink)
@@ -221,12 +224,17 @@
 		r.metrics.Resumed.Inc(int64(outcome.Resumed))
 		r.log.Write(event.StreamResumed, event.F("request", job.ID), event.F("target", target.Name), event.F("times", outcome.Resumed))
 	}
+	if outcome.Leaving {
+		r.leaving(target.Name)
+	}
+	if outcome.Rest > 0 {
+		r.resting(target.Name, outcome.Rest)
+	}
 	if outcome.Whole {
 		return nil
 	}
 	switch {
-	case outcome.Leaving:
-		r.leaving(target.Name)
+	case outcome.Reason == admission.Leaving:
 	case outcome.Unreachable:
 		r.failed(target.Name, event.EngineSuspect, outcome.Err)
 	case outcome.Reason == admission.Crossed:
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -39,6 +39,9 @@
 }
 
 func (r *Router) pollLoad(ctx context.Context, client *http.Client, e fleet.Instance) {
+	if r.excludes(e.Name) != nil {
+		return
+	}
 	running, err := loadOf(ctx, client, e.Address)
 	if ctx.Err() != nil {
 		return
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,6 +35,12 @@
 
 	running atomic.Int64
 	leaving atomic.Bool
+	// announcing: answers say that the engine leaves, and requests run. rest is for how long
+	// each request is turned away with a wish for no further ones; 0: it is taken.
+	announcing atomic.Bool
+	rest       atomic.Int64
+	// turnedAway counts them.
+	turnedAway atomic.Int64
 	// breakAfter is the number of events after which the next stream breaks; 0: none.
 	breakAfter atomic.Int64
 	// crossed makes the next answer carry another attempt's id.
@@ -70,6 +76,16 @@
 // SetLeaving makes the engine refuse new requests as one that leaves.
 func (e *Engine) SetLeaving(leaving bool) { e.leaving.Store(leaving) }
 
+// Announce makes the engine's answers say that it leaves, while it takes requests.
+func (e *Engine) Announce() { e.announcing.Store(true) }
+
+// Rest makes the engine turn requests away, and ask for no further ones for a time; 0 ends
+// that.
+func (e *Engine) Rest(d time.Duration) { e.rest.Store(int64(d)) }
+
+// TurnedAway returns how many requests were.
+func (e *Engine) TurnedAway() int { return int(e.turnedAway.Load()) }
+
 // BreakNext breaks the next stream after n events; with resume false the
 // engine also refuses to resume it.
 func (e *Engine) BreakNext(n int, resume bool) {
@@ -153,6 +169,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if e.announcing.Load() {
+		w.Header().Set(dispatch.LeavingHeader, "true")
+	}
+	if rest := time.Duration(e.rest.Load()); rest > 0 {
+		e.turnedAway.Add(1)
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var req chatRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Messages) == 0 {
 		http.Error(w, "not a chat request", http.StatusBadRequest)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -176,3 +176,16 @@
 	b.Forget(start.Add(StaleAfter + time.Second))
 	assert.False(t, b.Stopping(1))
 }
+
+// Guards against work for an instance in a rest that it asked for, and against its whole
+// share at the end of it.
+func TestAnInstanceThatAskedForRest(t *testing.T) {
+	v := newTestView()
+	v.Resting("e1", start.Add(5*time.Second))
+	v.Resting("e1", start.Add(time.Second))
+	assert.Equal(t, Resting, v.Health("e1", start.Add(4*time.Second)))
+	v.Age(start.Add(6 * time.Second))
+	assert.Equal(t, Live, v.Health("e1", start.Add(6*time.Second)))
+	assert.InDelta(t, 0.1, v.Ramp("e1", start.Add(6*time.Second)), 0.001)
+	assert.InDelta(t, 1, v.Ramp("e1", start.Add(5*time.Second).Add(rampTime)), 0.001)
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -35,6 +35,8 @@
 	lastFailure  time.Time
 	suspectUntil time.Time
 	leavingUntil time.Time
+	// restUntil is the latest end of a rest that it asked for.
+	restUntil time.Time
 }
 
 // NewView returns an empty view.
@@ -63,7 +65,7 @@
 }
 
 func (n *note) aged(now time.Time) bool {
-	return now.After(n.suspectUntil) && now.After(n.leavingUntil) && now.Sub(n.lastFailure) > forgiveAfter
+	return now.After(n.suspectUntil) && now.After(n.leavingUntil) && now.After(n.restUntil.Add(rampTime)) && now.Sub(n.lastFailure) > forgiveAfter
 }
 
 // Failed notes that an instance could not be reached. It is set aside for
@@ -99,6 +101,14 @@
 	v.note(name).leavingUntil = now.Add(leavingFor)
 }
 
+// Resting notes that an instance asked for no requests until a time. Of several the latest
+// holds.
+func (v *View) Resting(name string, until time.Time) {
+	if n := v.note(name); until.After(n.restUntil) {
+		n.restUntil = until
+	}
+}
+
 func (v *View) note(name string) *note {
 	n := v.notes[name]
 	if n == nil {
@@ -121,9 +131,11 @@
 	Suspect
 	// Departing: leaving; must get no new work.
 	Departing
+	// Resting: asked for no requests for a time.
+	Resting
 )
 
-var healthNames = [...]string{"unknown", "live", "suspect", "leaving"}
+var healthNames = [...]string{"unknown", "live", "suspect", "leaving", "resting"}
 
 // String returns the name used in the state dump.
 func (h Health) String() string { return healthNames[h] }
@@ -142,6 +154,8 @@
 		return Live
 	case now.Before(n.leavingUntil):
 		return Departing
+	case now.Before(n.restUntil):
+		return Resting
 	case now.Before(n.suspectUntil):
 		return Suspect
 	}
@@ -149,14 +163,18 @@
 }
 
 // Ramp returns the part of its full share that an instance should get, above
-// 0 to 1: one that came back after failures is loaded gradually.
+// 0 to 1: one that came back after failures or a rest is loaded gradually.
 func (v *View) Ramp(name string, now time.Time) float64 {
 	const least = 0.1
 	n := v.notes[name]
-	if n == nil || n.failures == 0 {
+	if n == nil || n.failures == 0 && n.restUntil.IsZero() {
 		return 1
 	}
-	back := now.Sub(n.suspectUntil)
+	from := n.restUntil
+	if n.failures > 0 && n.suspectUntil.After(from) {
+		from = n.suspectUntil
+	}
+	back := now.Sub(from)
 	if back < 0 {
 		return least
 	}
--- a/test/integration/failure_test.go
+++ b/test/integration/failure_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -288,3 +289,34 @@
 	c.eventually("ready", func() bool { s, err := p.state(); return err == nil && s.Ready && len(s.Pools) == 1 })
 	expectWhole(t, p.post(t, chatPath, chatBody("x", true)), "x")
 }
+
+// Guards against new work for an engine whose answers say that it leaves, though it
+// takes requests.
+func TestAnEngineThatAnnouncesItsShutdownInItsAnswersGetsNoNewWork(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.engines[0].Announce()
+	c.eventually("it answered once", func() bool {
+		expectWhole(t, c.routers[0].post(t, chatPath, chatBody("x", true)), "x")
+		return c.engines[0].Runs.Total() > 0
+	})
+	had := c.engines[0].Runs.Total()
+	for range 30 {
+		expectWhole(t, c.routers[0].post(t, chatPath, chatBody("x", true)), "x")
+	}
+	assert.Equal(t, had, c.engines[0].Runs.Total())
+}
+
+// Guards against requests to an engine in a rest that it asked for, and against none after
+// it.
+func TestAnEngineThatAsksForRestIsLeftAloneUntilItsEnd(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.engines[0].Rest(time.Hour)
+	c.eventually("it asked for rest", func() bool {
+		c.routers[0].post(t, chatPath, chatBody("x", true))
+		return c.engines[0].TurnedAway() > 0
+	})
+	for range 30 {
+		expectWhole(t, c.routers[0].post(t, chatPath, chatBody("x", true)), "x")
+	}
+	assert.Equal(t, 1, c.engines[0].TurnedAway())
+}
