A replica that ends after it announced its shutdown marks no request

One that announces its shutdown in its answers while it is listed as ready, and then ends with requests in flight, made a mark against each of them; with the third a request of any caller is refused by all routers. The same for requests that were taken from it as silent.

Both ask the one question now. A replica that rests and ends has crashed, as before. TestAPlannedEndAfterAnAnnouncementMarksNoRequest fails on the commit before.

--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -10,6 +10,7 @@
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
 
@@ -88,7 +89,7 @@
 func (c *call) broke(choice balance.Choice) {
 	f, id, address := c.front, choice.Replica.ID, choice.Replica.Address
 	f.fail(c.id, id, balance.Broke)
-	if !f.follower.Ready(id) {
+	if f.leavesAsPlanned(id) {
 		return
 	}
 	broke, digest := steady.Now(), c.digest()
@@ -106,9 +107,19 @@
 	}()
 }
 
+// leavesAsPlanned tells whether a replica that ends now does so since it leaves, by the
+// list or by its own statement.
+func (f *Front) leavesAsPlanned(id string) bool {
+	x, excluded := f.Exclusion(id, steady.Now())
+	return excluded && x.Reason != directory.RestAsked && x.Reason != directory.ListTooOld
+}
+
 // abandoned notes that the request was taken from a replica that was silent, and may go
 // on working on it: if it starts again or goes soon, it crashed under the request.
 func (c *call) abandoned(choice balance.Choice) {
+	if c.front.leavesAsPlanned(choice.Replica.ID) {
+		return
+	}
 	now := steady.Now()
 	c.front.breaks.note(choice.Replica.ID, brokenOff{digest: c.digest(), at: now, fate: upstream.Unknown, life: lifeOf(choice), fields: c.crashFields(choice, now)}, now)
 }
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -13,9 +13,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/route"
 )
 
 // ends serves requests with a handler on a listener that the handler may close.
@@ -220,3 +223,27 @@
 	r.front.Restarted("a", now)
 	assert.Zero(t, r.follower.Statements().Of("a"))
 }
+
+// Guards against a mark against an innocent request that is in flight when a replica ends
+// after it announced its shutdown: the third would have the request refused everywhere.
+func TestAPlannedEndAfterAnAnnouncementMarksNoRequest(t *testing.T) {
+	for name, marks := range map[string]bool{"announced": false, "at rest": true, "neither": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "127.0.0.1:1")
+			now := steady.Now()
+			switch name {
+			case "announced":
+				r.follower.Statements().MarkDraining("r0", now, now)
+			case "at rest":
+				r.follower.Statements().MarkResting("r0", now, now.Add(time.Hour), now)
+			}
+			request := httptest.NewRequest(http.MethodPost, "/repeat/x", nil)
+			c := &call{front: r.front, request: request, route: &route.Route{}, sentAt: now}
+			c.broke(balance.Choice{Replica: r.source.snapshot.Replicas[0]})
+			if c.looked != nil {
+				<-c.looked
+			}
+			assert.Equal(t, marks, r.front.poison.Any())
+		})
+	}
+}
