--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -322,7 +322,7 @@
 // have ended meanwhile without a word.
 func (e *Entry) woke(slept time.Duration) {
 	e.log.Write(event.Woke, event.F("slept_ms", slept.Milliseconds()), event.F("in_flight", e.front.Active()))
-	e.front.Woke()
+	e.front.Resumed()
 	e.pool.DropIdle()
 	e.follower.ReadSoon()
 }
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -10,12 +10,12 @@
 )
 
 // admit finds the route and the organisation of the request in the newest
-// configuration, or says why there are none. What is not found is looked for
+// configuration, or says why there are none. What is not found is looked up
 // again once the configuration is proven to be new.
 func (c *call) admit(ctx context.Context) *refusal {
-	state := c.firstState(ctx)
+	state := c.initialState(ctx)
 	if state.Table == nil {
-		return c.front.notYet(steady.Now())
+		return c.front.refuseUnconfigured(steady.Now())
 	}
 	if limit := state.Table.Limits().HeaderBytes; limit > 0 && headerBytes(c.request) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large", closes: true}
@@ -27,8 +27,8 @@
 	if state.Age(steady.Now()) < c.front.limits.Load().AbsenceProof {
 		return refused
 	}
-	if !c.prove(ctx, c.arrival) {
-		return unproven("cannot tell: " + refused.reason)
+	if !c.waitFresh(ctx, c.arrival) {
+		return refuseStale("cannot tell: " + refused.reason)
 	}
 	return c.resolve(c.front.holder.Current())
 }
@@ -51,8 +51,8 @@
 		return nil
 	}
 	// Any proof that is young enough will do; one that is asked for now is.
-	if !c.prove(ctx, steady.Now().Add(-c.front.limits.Load().AbsenceProof)) {
-		return unproven("proof too old for keys")
+	if !c.waitFresh(ctx, steady.Now().Add(-c.front.limits.Load().AbsenceProof)) {
+		return refuseStale("proof too old for keys")
 	}
 	return c.resolve(c.front.holder.Current())
 }
@@ -71,7 +71,7 @@
 	c.route = found
 	c.service = state.Table.Service(found.Service(c.draw))
 	if c.service == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "service not configured", retryAfter: c.front.nextRead()}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "service not configured", retryAfter: c.front.untilNextRead()}
 	}
 	c.organisation = nil
 	if state.Table.Keyed() && !found.Public {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -23,8 +23,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 }
 
-// forwarded returns a copy of a header without what pertains to one connection.
-func forwarded(h http.Header) http.Header {
+// forwardedHeader returns a copy of a header without what pertains to one connection.
+func forwardedHeader(h http.Header) http.Header {
 	out := h.Clone()
 	for _, value := range h["Connection"] {
 		for _, name := range strings.Split(value, ",") {
@@ -44,38 +44,38 @@
 	_, _ = io.CopyN(io.Discard, answer, most)
 }
 
-// pass hands a replica's answer to the caller.
-func (c *call) pass(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) verdict {
+// forward sends a replica's answer to the caller.
+func (c *call) forward(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
 	resumable := c.route.Resumable && !c.front.options.Without.Has(mechanism.Resume) && answer.StatusCode == http.StatusOK
 	if c.begun && !isEventStream(answer.Response) {
 		c.outcome.reason = "replica does not resume"
 		drain(answer)
-		return c.repeat(c.outcome.reason)
+		return c.retry(c.outcome.reason)
 	}
 	if c.begun {
 		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.lastEvent))
 	} else {
-		c.passHead(answer, resumable)
+		c.forwardHead(answer, resumable)
 	}
 	var err error
 	if resumable && isEventStream(answer.Response) {
-		err = c.passResumable(choice.Replica.ID, answer, cancel)
+		err = c.forwardResumable(choice.Replica.ID, answer, cancel)
 	} else {
-		err = c.passBytes(answer)
+		err = c.forwardBody(answer)
 	}
 	if err == nil {
-		c.endedWell(answer.StatusCode)
-		c.notePace(choice.Replica.ID)
+		c.noteServed(answer.StatusCode)
+		c.observePace(choice.Replica.ID)
 		c.front.longest.Took(c.route.Name, steady.Since(c.arrival), steady.Now())
-		c.finished(outcomeServed, answer.StatusCode, "")
-		return done
+		c.setOutcome(outcomeServed, answer.StatusCode, "")
+		return attemptFinished
 	}
-	return c.brokenOff(ctx, choice, err, resumable)
+	return c.handleBrokenAnswer(ctx, choice, err, resumable)
 }
 
-// notePace tells the balancer how fast an engine made a stream. The first event
+// observePace reports to the balancer how fast an engine generated a stream. The first event
 // depends on the prompt; those after it on the engine.
-func (c *call) notePace(id string) {
+func (c *call) observePace(id string) {
 	const enough = 4
 	if c.service.Engine != nil && c.chunks >= enough {
 		c.front.balancer.Paced(id, steady.Since(c.firstByte)/time.Duration(c.chunks-1))
@@ -86,9 +86,9 @@
 	return strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
 }
 
-func (c *call) passHead(answer *upstream.Answer, resumable bool) {
+func (c *call) forwardHead(answer *upstream.Answer, resumable bool) {
 	header := c.writer.Header()
-	for name, values := range forwarded(answer.Header) {
+	for name, values := range forwardedHeader(answer.Header) {
 		header[name] = values
 	}
 	if _, told := answer.Header["Date"]; !told {
@@ -97,7 +97,7 @@
 	if answer.ContentLength >= 0 && !resumable {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
-	c.front.announceEnd(c.writer)
+	c.front.announceClose(c.writer)
 	c.writer.WriteHeader(answer.StatusCode)
 	c.begun = true
 	c.firstByte = steady.Now()
@@ -114,8 +114,8 @@
 
 var errCallerGone = errors.New("front: caller gone")
 
-// passBytes passes a body as it comes.
-func (c *call) passBytes(answer *upstream.Answer) error {
+// forwardBody forwards a body as it arrives.
+func (c *call) forwardBody(answer *upstream.Answer) error {
 	const size = 16 << 10
 	buffer := make([]byte, size)
 	for {
@@ -145,33 +145,33 @@
 	return nil
 }
 
-// brokenOff handles an answer that ended early.
-func (c *call) brokenOff(ctx context.Context, choice balance.Choice, err error, resumable bool) verdict {
+// handleBrokenAnswer handles an answer that ended early.
+func (c *call) handleBrokenAnswer(ctx context.Context, choice balance.Choice, err error, resumable bool) attemptResult {
 	switch {
 	case errors.Is(err, errCallerGone), c.request.Context().Err() != nil:
 		c.callerGone()
-		return done
-	case errors.Is(context.Cause(ctx), errHung):
+		return attemptFinished
+	case errors.Is(context.Cause(ctx), errSilent):
 		c.outcome.reason = "stream fell silent"
-		c.abandoned(choice)
-		return c.repeat(c.outcome.reason)
+		c.noteAbandoned(choice)
+		return c.retry(c.outcome.reason)
 	case ctx.Err() != nil:
 		c.outcome.reason = "time is over"
-		return over
+		return attemptGiveUp
 	}
 	c.outcome.reason = "answer broken off: " + err.Error()
-	c.broke(choice)
+	c.noteBroken(choice)
 	if resumable && steady.Until(c.end) > 0 {
-		return c.repeat("stream broken off")
+		return c.retry("stream broken off")
 	}
-	return over
+	return attemptGiveUp
 }
 
 // callerGone ends a call whose caller left. The connection to the replica is
 // closed on the way out, which stops the work, and the caller's as well: one that
 // closed its sending side only must not take what it has for a whole answer.
 func (c *call) callerGone() {
-	c.finished(outcomeGone, 0, c.outcome.reason)
+	c.setOutcome(outcomeGone, 0, c.outcome.reason)
 	panic(http.ErrAbortHandler)
 }
 
@@ -183,7 +183,7 @@
 		return
 	}
 	if c.begun {
-		c.finished(outcomeCut, 0, r.reason)
+		c.setOutcome(outcomeCut, 0, r.reason)
 		// The answer must not look complete.
 		panic(http.ErrAbortHandler)
 	}
@@ -206,30 +206,30 @@
 	if r.closes {
 		header.Set("Connection", "close")
 	}
-	c.front.announceEnd(c.writer)
+	c.front.announceClose(c.writer)
 	header.Set(c.front.options.Dialect.Attempt, c.id)
 	http.Error(c.writer, r.reason, r.status)
 	name := outcomeRefused
 	if c.mayHaveRun {
 		name = outcomeFailed
 	}
-	c.finished(name, r.status, r.reason)
+	c.setOutcome(name, r.status, r.reason)
 }
 
-func (c *call) finished(name string, status int, reason string) {
+func (c *call) setOutcome(name string, status int, reason string) {
 	c.outcome.name, c.outcome.status, c.outcome.reason = name, status, reason
 }
 
-// sampled is one in how many requests that were served in time have a line.
-const sampled = 64
+// sampleEvery is how many requests that were served in time share one line.
+const sampleEvery = 64
 
-// finish counts and logs the call's end. A request that was refused, failed,
+// recordEnd counts and logs the call's end. A request that was refused, failed,
 // repeated or late always has its line; the others are sampled.
-func (c *call) finish() {
+func (c *call) recordEnd() {
 	f := c.front
 	took := steady.Since(c.arrival)
 	f.metrics.Ended(c.name(), c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
-	if c.alone {
+	if c.exclusive {
 		f.poison.End(c.digest())
 	}
 	id, written := c.endEvent()
@@ -275,5 +275,5 @@
 	if late || c.sent.Load() > 1 || c.outcome.status >= http.StatusBadRequest {
 		return event.RequestLate, true
 	}
-	return event.RequestSampled, c.front.served.Add(1)%sampled == 0
+	return event.RequestSampled, c.front.served.Add(1)%sampleEvery == 0
 }
--- a/internal/front/breaks.go
+++ b/internal/front/broken.go
@@ -10,77 +10,77 @@
 )
 
 // brokenOff is a request that a replica broke off.
-type brokenOff struct {
+type brokenRequest struct {
 	digest poison.Digest
 	at     time.Time
-	fate   upstream.Fate
+	state  upstream.ProcessState
 	// life is which of the replica's lives it was sent to.
-	life   string
-	fields []event.Field
+	incarnation string
+	fields      []event.Field
 }
 
 // breaks keeps requests that were broken off while it was not seen that their replica
 // ended: it may be back already, or something that stands before it takes connections
 // still. What it says of its start, or that its entry goes, tells later.
-type breaks struct {
+type brokenRequests struct {
 	mu   sync.Mutex
-	kept map[string][]brokenOff
+	kept map[string][]brokenRequest
 }
 
 const (
-	// breakLife is how long after a break a restart, or the end of the replica's entry,
+	// brokenKept is how long after a break a restart, or the end of the replica's entry,
 	// tells that the replica had crashed: its entry goes after three heartbeats, a replica is
 	// back after some seconds, and the list may be read late.
-	breakLife = 8 * time.Second
-	// maxBreaks bounds what is kept of one replica.
-	maxBreaks = 64
+	brokenKept = 8 * time.Second
+	// maxBrokenKept bounds what is kept of one replica.
+	maxBrokenKept = 64
 )
 
-func (b *breaks) note(id string, one brokenOff, now time.Time) {
+func (b *brokenRequests) note(id string, one brokenRequest, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.kept == nil {
-		b.kept = make(map[string][]brokenOff)
+		b.kept = make(map[string][]brokenRequest)
 	}
 	for other, list := range b.kept {
-		if now.Sub(list[len(list)-1].at) > breakLife {
+		if now.Sub(list[len(list)-1].at) > brokenKept {
 			delete(b.kept, other)
 		}
 	}
-	if len(b.kept[id]) < maxBreaks {
+	if len(b.kept[id]) < maxBrokenKept {
 		b.kept[id] = append(b.kept[id], one)
 	}
 }
 
-// take returns the requests that a replica broke off lately, which are then forgotten.
-func (b *breaks) take(id string, now time.Time) []brokenOff {
+// take returns the requests that a replica broke off recently, which are then forgotten.
+func (b *brokenRequests) take(id string, now time.Time) []brokenRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var lately []brokenOff
+	var recent []brokenRequest
 	for _, one := range b.kept[id] {
-		if now.Sub(one.at) <= breakLife {
-			lately = append(lately, one)
+		if now.Sub(one.at) <= brokenKept {
+			recent = append(recent, one)
 		}
 	}
 	delete(b.kept, id)
-	return lately
+	return recent
 }
 
-// Restarted notes that a replica started again under its id: what it broke off lately it
-// crashed under, and what it showed before says nothing any more.
+// Restarted notes that a replica started again under its id: what it broke off recently it
+// crashed under, and its earlier statements end.
 func (f *Front) Restarted(id string, now time.Time) {
 	f.follower.Statements().Restarted(id, now)
-	for _, b := range f.breaks.take(id, now) {
-		f.crashed(id, b, now)
+	for _, b := range f.broken.take(id, now) {
+		f.noteCrash(id, b, now)
 	}
 }
 
 // Gone notes that a replica is listed no more. One that was there after it broke a
 // request off has left, and behind a cut entries lapse too.
 func (f *Front) Gone(id string, now time.Time) {
-	for _, b := range f.breaks.take(id, now) {
-		if b.fate == upstream.Closes {
-			f.crashed(id, b, now)
+	for _, b := range f.broken.take(id, now) {
+		if b.state == upstream.Rejecting {
+			f.noteCrash(id, b, now)
 		}
 	}
 }
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -46,20 +46,20 @@
 	// waiting: a replica was asked and its head has not come. It is not yet
 	// counted as sent. Timers read it.
 	waiting atomic.Bool
-	// reserved: a repeat was taken from the budget and not yet made.
+	// reserved: a retry was taken from the budget and not yet made.
 	reserved atomic.Bool
-	// errored names the replicas that answered with an error of their own and
+	// failedReplicas are the replicas that answered with an error of their own and
 	// are not yet blamed for it.
-	errored []string
+	failedReplicas []string
 	// sentAt is when it was last sent to a replica.
 	sentAt time.Time
 	// named is the digest of the request, once it was asked for.
 	named *poison.Digest
-	// looked is closed when it is known whether the replica that broke it off has ended.
-	looked <-chan struct{}
-	// alone: no other try of it is sent by this router meanwhile. trial: it was held
+	// probed is closed when it is known whether the replica that broke it off has ended.
+	probed <-chan struct{}
+	// exclusive: no other try of it is sent by this router meanwhile. trial: it was held
 	// before.
-	alone, trial bool
+	exclusive, trial bool
 	// unwritten counts how often it was not written once connected.
 	unwritten int
 	// excluded are the replicas that got nothing when one was last chosen.
@@ -106,7 +106,7 @@
 		c.refuse(refused)
 		return
 	}
-	if refused := c.front.endsInTime(c.route, c.end, c.arrival); refused != nil {
+	if refused := c.front.checkStop(c.route, c.end, c.arrival); refused != nil {
 		c.refuse(refused)
 		return
 	}
@@ -115,7 +115,7 @@
 		return
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.Parts))
-	c.front.repeats.Earn()
+	c.front.retries.Earn()
 	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.end))
 	defer cancel()
 	defer c.front.inFlight.add(c.end, cancel)()
@@ -154,8 +154,8 @@
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(steady.OfDay(c.end.Add(answerTime)))
 }
 
-// left tells whether nobody waits for the answer any more.
-func (c *call) left() bool { return callerLeft(c.request.Context()) }
+// callerLeft reports whether nobody waits for the answer any more.
+func (c *call) callerLeft() bool { return callerLeft(c.request.Context()) }
 
 // readBody reads the whole body: it may have to be sent again, and the caller's
 // leaving is seen only after its end.
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -40,9 +40,9 @@
 // requests that crash their replica do so within some tenths of a second.
 const busyAfter = 500 * time.Millisecond
 
-// suspicion refuses a request that is taken to crash what runs it. It is true to call
+// checkPoison refuses a request that is taken to crash what runs it. It is true to call
 // it not run as long as no replica had it in this try.
-func (c *call) suspicion(now time.Time) *refusal {
+func (c *call) checkPoison(now time.Time) *refusal {
 	memory := c.front.poison
 	if !memory.Any() {
 		return nil
@@ -52,19 +52,19 @@
 	case c.trial, v.State == poison.Sound:
 		return nil
 	case v.State == poison.Held:
-		return c.poisoned(v.After)
+		return c.refusePoisoned(v.After)
 	case c.sent.Load() > 0:
-		return c.poisoned(busyAfter)
-	case c.alone:
+		return c.refusePoisoned(busyAfter)
+	case c.exclusive:
 		return nil
 	case v.State == poison.Trial && !c.front.mine(c.digest()), !memory.Begin(c.digest(), v.State, now):
-		return c.poisoned(busyAfter)
+		return c.refusePoisoned(busyAfter)
 	}
-	c.alone, c.trial = true, v.State == poison.Trial
+	c.exclusive, c.trial = true, v.State == poison.Trial
 	return nil
 }
 
-func (c *call) poisoned(after time.Duration) *refusal {
+func (c *call) refusePoisoned(after time.Duration) *refusal {
 	c.front.metrics.Poisoned.Inc(1)
 	return &refusal{status: http.StatusServiceUnavailable, reason: "crashes what runs it", retryAfter: after}
 }
@@ -75,35 +75,34 @@
 }
 
 const (
-	// lookTime bounds the look whether a replica has ended: a way that is cut tells
-	// nothing.
-	lookTime = time.Second
-	// lookWait is how long a repeat waits for it: the way there and back, and the look
-	// after a connection that was opened.
-	lookWait = 60 * time.Millisecond
+	// probeTimeout bounds the probe whether a replica has ended: a cut link answers nothing.
+	probeTimeout = time.Second
+	// probeWait is how long a retry waits for it: a round trip, and the observation of a
+	// connection that was opened.
+	probeWait = 60 * time.Millisecond
 )
 
-// broke notes that a replica broke the request off, and finds out beside the call whether
-// it has ended: a lost answer, a reset and a cut way look alike from here. One that leaves
-// as planned may end with requests in flight.
-func (c *call) broke(choice balance.Choice) {
+// noteBroken records that a replica broke the request off, and probes concurrently whether
+// its process has ended: a lost answer, a reset and a cut link look alike from here. A
+// replica that leaves as planned may end with requests in flight.
+func (c *call) noteBroken(choice balance.Choice) {
 	f, id, address := c.front, choice.Replica.ID, choice.Replica.Address
-	f.fail(c.id, id, balance.Broke)
+	f.reportFailure(c.id, id, balance.Broke)
 	if f.leavesAsPlanned(id) {
 		return
 	}
 	broke, digest := steady.Now(), c.digest()
 	fields := c.crashFields(choice, broke)
-	looked := make(chan struct{})
-	c.looked = looked
+	probed := make(chan struct{})
+	c.probed = probed
 	go func() {
-		defer close(looked)
-		b := brokenOff{digest: digest, at: broke, life: lifeOf(choice), fields: fields}
-		if b.fate = f.fate(id, address); b.fate != upstream.Ended {
-			f.breaks.note(id, b, steady.Now())
+		defer close(probed)
+		b := brokenRequest{digest: digest, at: broke, incarnation: incarnation(choice), fields: fields}
+		if b.state = f.processState(id, address); b.state != upstream.Ended {
+			f.broken.note(id, b, steady.Now())
 			return
 		}
-		f.crashed(id, b, steady.Now())
+		f.noteCrash(id, b, steady.Now())
 	}()
 }
 
@@ -114,18 +113,18 @@
 	return excluded && x.Reason != directory.RestAsked && x.Reason != directory.ListTooOld
 }
 
-// abandoned notes that the request was taken from a replica that was silent, and may go
-// on working on it: if it starts again or goes soon, it crashed under the request.
-func (c *call) abandoned(choice balance.Choice) {
+// noteAbandoned records that the request was taken from a silent replica, which may go on
+// working on it: if it restarts or disappears soon, it crashed under the request.
+func (c *call) noteAbandoned(choice balance.Choice) {
 	if c.front.leavesAsPlanned(choice.Replica.ID) {
 		return
 	}
 	now := steady.Now()
-	c.front.breaks.note(choice.Replica.ID, brokenOff{digest: c.digest(), at: now, fate: upstream.Unknown, life: lifeOf(choice), fields: c.crashFields(choice, now)}, now)
+	c.front.broken.note(choice.Replica.ID, brokenRequest{digest: c.digest(), at: now, state: upstream.Unreachable, incarnation: incarnation(choice), fields: c.crashFields(choice, now)}, now)
 }
 
-// lifeOf tells a replica's life from others under its id, where it says when it started.
-func lifeOf(choice balance.Choice) string {
+// incarnation identifies one process of a replica id; empty if its start is not known.
+func incarnation(choice balance.Choice) string {
 	if choice.Replica.Born == 0 {
 		return ""
 	}
@@ -138,40 +137,41 @@
 		event.F("route", c.route.Name), event.F("ran_ms", now.Sub(c.sentAt).Milliseconds())}
 }
 
-// crashed makes a mark against a request under which a replica crashed.
-func (f *Front) crashed(id string, b brokenOff, now time.Time) {
-	f.poison.Crashed(b.digest, balance.Hash(id+b.life), b.at, now)
+// noteCrash records a crash against the request under which a replica crashed.
+func (f *Front) noteCrash(id string, b brokenRequest, now time.Time) {
+	f.poison.Crashed(b.digest, balance.Hash(id+b.incarnation), b.at, now)
 	f.log.Write(event.ReplicaEnded, append(b.fields, event.F("seen_after_ms", now.Sub(b.at).Milliseconds()))...)
 }
 
-// fate looks what became of a replica. Calls that it broke off together share one look.
-func (f *Front) fate(id, address string) upstream.Fate {
-	fate, _, _ := f.looks.Do(id, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), lookTime)
+// processState probes a replica's process. Calls that it broke off together share one
+// probe.
+func (f *Front) processState(id, address string) upstream.ProcessState {
+	state, _, _ := f.probes.Do(id, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		return f.pool.FateOf(ctx, address), nil
+		return f.pool.Probe(ctx, address), nil
 	})
-	return fate.(upstream.Fate)
+	return state.(upstream.ProcessState)
 }
 
-// awaitLook waits a moment until it is known what the last run did to its replica, so
-// that the next one is not sent in spite of it.
-func (c *call) awaitLook(ctx context.Context) {
-	if c.looked == nil {
+// waitForProbe waits a moment until it is known whether the last attempt crashed its
+// replica.
+func (c *call) waitForProbe(ctx context.Context) {
+	if c.probed == nil {
 		return
 	}
-	timer := time.NewTimer(lookWait)
+	timer := time.NewTimer(probeWait)
 	defer timer.Stop()
 	select {
-	case <-c.looked:
+	case <-c.probed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	c.looked = nil
+	c.probed = nil
 }
 
-// endedWell notes that a replica ran the request to its end.
-func (c *call) endedWell(status int) {
+// noteServed records that a replica ran the request to its end.
+func (c *call) noteServed(status int) {
 	if status < http.StatusInternalServerError {
 		c.front.poison.Served(c.digest(), steady.Now())
 	}
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -61,7 +61,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			assert.Equal(t, test.ended, r.front.fate("r0", r.source.snapshot.Replicas[0].Address) == upstream.Ended)
+			assert.Equal(t, test.ended, r.front.processState("r0", r.source.snapshot.Replicas[0].Address) == upstream.Ended)
 			assert.Equal(t, test.ended, r.log.Count(event.ReplicaEnded) == 1)
 		})
 	}
@@ -189,18 +189,18 @@
 // what it says of its start, or the end of its entry, tells later that it had crashed.
 func TestACrashThatWasNotSeenIsToldByWhatFollows(t *testing.T) {
 	tests := map[string]struct {
-		fate  upstream.Fate
+		state upstream.ProcessState
 		after time.Duration
 		tell  func(f *Front, now time.Time)
 		marks int
 	}{
-		"it started again":                  {upstream.Lives, time.Second, func(f *Front, now time.Time) { f.Restarted("a", now) }, 1},
-		"another one started again":         {upstream.Lives, time.Second, func(f *Front, now time.Time) { f.Restarted("b", now) }, 0},
-		"it started again much later":       {upstream.Lives, time.Minute, func(f *Front, now time.Time) { f.Restarted("a", now) }, 0},
-		"its entry went":                    {upstream.Closes, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 1},
-		"its entry lapsed behind a cut":     {upstream.Unknown, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 0},
-		"it started again behind a cut":     {upstream.Unknown, 4 * time.Second, func(f *Front, now time.Time) { f.Restarted("a", now) }, 1},
-		"it lived, and left a little later": {upstream.Lives, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 0},
+		"it started again":                  {upstream.Listening, time.Second, func(f *Front, now time.Time) { f.Restarted("a", now) }, 1},
+		"another one started again":         {upstream.Listening, time.Second, func(f *Front, now time.Time) { f.Restarted("b", now) }, 0},
+		"it started again much later":       {upstream.Listening, time.Minute, func(f *Front, now time.Time) { f.Restarted("a", now) }, 0},
+		"its entry went":                    {upstream.Rejecting, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 1},
+		"its entry lapsed behind a cut":     {upstream.Unreachable, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 0},
+		"it started again behind a cut":     {upstream.Unreachable, 4 * time.Second, func(f *Front, now time.Time) { f.Restarted("a", now) }, 1},
+		"it lived, and left a little later": {upstream.Listening, 4 * time.Second, func(f *Front, now time.Time) { f.Gone("a", now) }, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -208,7 +208,7 @@
 			r.front.poison.SetLimits(poison.Limits{Crashes: 3, Hold: time.Minute})
 			now := time.Now()
 			digest := poison.Of("acme", "POST", "h", "/", nil)
-			r.front.breaks.note("a", brokenOff{digest: digest, at: now, fate: test.fate}, now)
+			r.front.broken.note("a", brokenRequest{digest: digest, at: now, state: test.state}, now)
 			test.tell(r.front, now.Add(test.after))
 			test.tell(r.front, now.Add(test.after))
 			assert.Equal(t, test.marks, r.front.poison.Ask(digest, now).Crashes)
@@ -239,9 +239,9 @@
 			}
 			request := httptest.NewRequest(http.MethodPost, "/repeat/x", nil)
 			c := &call{front: r.front, request: request, route: &route.Route{}, sentAt: now}
-			c.broke(balance.Choice{Replica: r.source.snapshot.Replicas[0]})
-			if c.looked != nil {
-				<-c.looked
+			c.noteBroken(balance.Choice{Replica: r.source.snapshot.Replicas[0]})
+			if c.probed != nil {
+				<-c.probed
 			}
 			assert.Equal(t, marks, r.front.poison.Any())
 		})
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -15,32 +15,32 @@
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
-// verdict is what one attempt at a replica leads to.
-type verdict uint8
+// attemptResult is what one attempt at a replica leads to.
+type attemptResult uint8
 
 const (
-	// done: the caller has its answer, or is gone.
-	done verdict = iota
-	// again: another replica may be asked.
-	again
-	// over: no further replica may be asked; the caller must be told.
-	over
+	// attemptFinished: the caller has its answer, or is gone.
+	attemptFinished attemptResult = iota
+	// attemptRetry: another replica may be asked.
+	attemptRetry
+	// attemptGiveUp: no further replica may be asked; the caller must be told.
+	attemptGiveUp
 )
 
 // dispatch sends the request to replicas until one of them answers it or none
 // may be asked any more.
 func (c *call) dispatch(ctx context.Context) {
 	for {
-		if c.left() {
+		if c.callerLeft() {
 			c.callerGone()
 			return
 		}
-		c.awaitLook(ctx)
-		if refused := c.mayStillSend(ctx); refused != nil {
+		c.waitForProbe(ctx)
+		if refused := c.checkAdmission(ctx); refused != nil {
 			c.giveUp(refused)
 			return
 		}
-		c.renewList(ctx)
+		c.refreshList(ctx)
 		now := steady.Now()
 		excluded := c.front.exclusions(now)
 		choice, found := c.choose(excluded, now)
@@ -49,21 +49,21 @@
 			x, allExcluded = c.exclusionOf(excluded)
 		}
 		if allExcluded && x.Reason == directory.ListTooOld {
-			c.giveUp(unproven("list of replicas too old"))
+			c.giveUp(refuseStale("list of replicas too old"))
 			return
 		}
 		if !found || choice.Hopeless {
 			if c.waitForReplica(ctx) {
 				continue
 			}
-			c.giveUp(c.noReplica(x))
+			c.giveUp(c.refuseNoReplica(x))
 			return
 		}
 		switch c.attempt(ctx, choice) {
-		case done:
+		case attemptFinished:
 			return
-		case over:
-			c.giveUp(c.notTaken(c.outcome.reason))
+		case attemptGiveUp:
+			c.giveUp(c.unavailable(c.outcome.reason))
 			return
 		}
 	}
@@ -71,14 +71,14 @@
 
 // noReplica refuses a request for which there is no replica, or only excluded ones, for
 // a reason.
-func (c *call) noReplica(x directory.Exclusion) *refusal {
+func (c *call) refuseNoReplica(x directory.Exclusion) *refusal {
 	if c.evacuated() {
-		return c.notTaken("evacuated")
+		return c.unavailable("evacuated")
 	}
 	if x.Reason != "" {
-		return c.notTaken("no replica: " + string(x.Reason))
+		return c.unavailable("no replica: " + string(x.Reason))
 	}
-	return c.notTaken("no replica")
+	return c.unavailable("no replica")
 }
 
 // evacuated tells whether all replicas of the service are: there is nothing to wait for.
@@ -94,22 +94,21 @@
 	return q
 }
 
-// mayStillSend looks once more whether the configuration allows the request:
-// it may have changed while the body came or while another replica was tried.
-func (c *call) mayStillSend(ctx context.Context) *refusal {
+// checkAdmission checks again that the configuration allows the request: it may have
+// changed while the body came or while another replica was tried.
+func (c *call) checkAdmission(ctx context.Context) *refusal {
 	if ctx.Err() != nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
 	}
 	if refused := c.admit(ctx); refused != nil {
 		return refused
 	}
-	return c.suspicion(steady.Now())
+	return c.checkPoison(steady.Now())
 }
 
-// noteList writes when the list of replicas could not be renewed, and when it was
-// again.
-func (f *Front) noteList(err error) {
-	if was := f.listOld.Swap(err != nil); was == (err != nil) {
+// logListAge logs when the list of replicas could not be refreshed, and when it was again.
+func (f *Front) logListAge(err error) {
+	if was := f.listStale.Swap(err != nil); was == (err != nil) {
 		return
 	}
 	id := event.ListNew
@@ -120,27 +119,27 @@
 }
 
 // attempt sends the request to one replica.
-func (c *call) attempt(ctx context.Context, choice balance.Choice) verdict {
+func (c *call) attempt(ctx context.Context, choice balance.Choice) attemptResult {
 	id := choice.Replica.ID
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
-	c.noteChoice(choice)
+	c.logChoice(choice)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.front.balancer.Started(id)
 	defer c.front.balancer.Finished(id)
-	hung := c.whenSilent(c.hangTime(), id, cancel)
+	hung := c.startSilenceTimer(c.silenceLimit(), id, cancel)
 	defer hung.Stop()
 	sent := steady.Now()
 	c.sentAt = sent
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
 	request.Check = func() error { return c.checkBeforeWrite(id, steady.Now()) }
-	request.Unacked = c.moveOn(c.hangTime(), cancel)
+	request.Unacked = c.failover(c.silenceLimit(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
 	if err != nil {
-		return c.failed(ctx, choice, err)
+		return c.handleFailure(ctx, choice, err)
 	}
 	defer answer.Close()
 	if hung.Stop() && c.service.Engine == nil {
@@ -148,11 +147,11 @@
 	}
 	c.sent.Add(1)
 	c.front.noteStatements(c.id, id, sent, answer.Response)
-	return c.answered(ctx, cancel, choice, answer)
+	return c.handleAnswer(ctx, cancel, choice, answer)
 }
 
-// noteChoice writes which replica was chosen, why, and by what.
-func (c *call) noteChoice(choice balance.Choice) {
+// logChoice logs which replica was chosen, and by which figures.
+func (c *call) logChoice(choice balance.Choice) {
 	id, now := choice.Replica.ID, steady.Now()
 	fields := []event.Field{
 		event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
@@ -168,13 +167,13 @@
 	c.front.log.Write(event.ReplicaChosen, append(fields, c.exclusionFields()...)...)
 }
 
-// failed turns an attempt without an answer into a verdict.
-func (c *call) failed(ctx context.Context, choice balance.Choice, err error) verdict {
+// handleFailure turns an attempt without an answer into a result.
+func (c *call) handleFailure(ctx context.Context, choice balance.Choice, err error) attemptResult {
 	id := choice.Replica.ID
 	c.outcome.reason = "no answer: " + err.Error()
 	if errors.Is(err, errCallerGone) {
 		c.callerGone()
-		return done
+		return attemptFinished
 	}
 	if errors.Is(err, errNotAllowed) {
 		return c.notWritten(id, err)
@@ -182,48 +181,48 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		// That this router has no descriptor left is not the replica's fault.
 		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) {
-			c.front.fail(c.id, id, dialFailure(err))
+			c.front.reportFailure(c.id, id, dialFailure(err))
 		}
 		// Nothing reached the replica, so this was no attempt.
-		return again
+		return attemptRetry
 	}
 	c.sent.Add(1)
 	c.mayHaveRun = true
 	if c.request.Context().Err() != nil {
 		c.callerGone()
-		return done
+		return attemptFinished
 	}
-	hung := errors.Is(context.Cause(ctx), errHung)
+	hung := errors.Is(context.Cause(ctx), errSilent)
 	if ctx.Err() != nil && !hung {
-		return over
+		return attemptGiveUp
 	}
 	if hung {
-		c.abandoned(choice)
+		c.noteAbandoned(choice)
 	} else {
-		c.broke(choice)
+		c.noteBroken(choice)
 	}
-	return c.repeat("broken")
+	return c.retry("broken")
 }
 
 // maxNotWritten is how often a request may be not written once connected. Then its way
 // takes longer than what allows it stays new.
 const maxNotWritten = 2
 
-// notWritten turns an attempt that was not written into a verdict. It says nothing of the
-// replica, which may be asked if all is well again.
-func (c *call) notWritten(id string, err error) verdict {
+// notWritten turns an attempt that was not written into a result. It is no failure of the
+// replica, which may be asked again.
+func (c *call) notWritten(id string, err error) attemptResult {
 	c.outcome.reason = err.Error()
 	c.unwritten++
 	if c.unwritten >= maxNotWritten {
-		return over
+		return attemptGiveUp
 	}
 	c.tried = slices.DeleteFunc(c.tried, func(tried string) bool { return tried == id })
-	return again
+	return attemptRetry
 }
 
-// asked returns how many replicas were asked, the one included whose answer is
-// waited for.
-func (c *call) asked() int {
+// sentCount returns how many replicas the request was sent to, including one that has not
+// answered yet.
+func (c *call) sentCount() int {
 	sent := int(c.sent.Load())
 	if c.waiting.Load() {
 		sent++
@@ -238,27 +237,27 @@
 	return balance.Unreachable
 }
 
-// repeat decides whether another replica may be asked after one that may have
-// run the request.
-func (c *call) repeat(why string) verdict {
+// retry decides whether another replica may be asked after one that may have run the
+// request.
+func (c *call) retry(why string) attemptResult {
 	if c.mayHaveRun && c.route.RunsOnce() {
-		return over
+		return attemptGiveUp
 	}
 	if int(c.sent.Load()) >= c.route.Attempts {
-		return over
+		return attemptGiveUp
 	}
-	if !c.reserved.Swap(false) && !c.front.spendRepeat(c.id) {
-		return over
+	if !c.reserved.Swap(false) && !c.front.spendRetry(c.id) {
+		return attemptGiveUp
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
 		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()))
-	c.front.metrics.Repeats.Inc(1)
-	return again
+	c.front.metrics.Retries.Inc(1)
+	return attemptRetry
 }
 
-// spendRepeat takes a repeat from the budget, and notes when there is none.
-func (f *Front) spendRepeat(request string) bool {
-	spent := !f.repeats.Spend()
+// spendRetry takes a retry from the budget, and logs when there is none.
+func (f *Front) spendRetry(request string) bool {
+	spent := !f.retries.Spend()
 	if spent && !f.spent.Swap(true) {
 		f.log.Write(event.BudgetSpent, event.F("request", request))
 	}
@@ -268,8 +267,8 @@
 	return !spent
 }
 
-// fail notes a failure at a replica.
-func (f *Front) fail(request, id string, kind balance.Failure) {
+// reportFailure reports a replica's failure to the balancer.
+func (f *Front) reportFailure(request, id string, kind balance.Failure) {
 	f.balancer.Failed(id, kind, f.options.DataCentre, steady.Now())
 	f.log.Write(event.EngineSuspect, event.F("request", request), event.F("replica", id), event.F("kind", kind.String()))
 }
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -60,7 +60,7 @@
 // checkBeforeWrite looks, when a connection to a replica is there, whether the request
 // may still be written to it: opening the connection may have taken its time.
 func (c *call) checkBeforeWrite(id string, now time.Time) error {
-	if c.left() {
+	if c.callerLeft() {
 		return errCallerGone
 	}
 	x, excluded := c.front.Exclusion(id, now)
--- a/internal/front/moveon_test.go
+++ b/internal/front/failover_test.go
@@ -39,8 +39,8 @@
 			c.waiting.Store(true)
 			ctx, cancel := context.WithCancelCause(context.Background())
 			defer cancel(nil)
-			c.moveOn(time.Minute, cancel)()
-			assert.Equal(t, test.moves, context.Cause(ctx) == errHung)
+			c.failover(time.Minute, cancel)()
+			assert.Equal(t, test.moves, context.Cause(ctx) == errSilent)
 		})
 	}
 }
@@ -49,18 +49,18 @@
 // that before the stream did, and its caller was cut off from an engine that was sound.
 func TestAnAttemptThatMovesOnHasItsRepeat(t *testing.T) {
 	r := newRig(t)
-	r.front.repeats.Set(0, 1)
+	r.front.retries.Set(0, 1)
 	one := &call{front: r.front, route: &route.Route{Kind: route.Repeatable, Attempts: 2}, end: time.Now().Add(time.Hour), mayHaveRun: true}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	moveOn := one.moveOn(time.Minute, cancel)
-	moveOn()
-	moveOn()
-	assert.Equal(t, errHung, context.Cause(ctx))
+	failover := one.failover(time.Minute, cancel)
+	failover()
+	failover()
+	assert.Equal(t, errSilent, context.Cause(ctx))
 	one.sent.Store(1)
-	assert.False(t, r.front.spendRepeat("another"), "it is taken")
-	assert.Equal(t, again, one.repeat("stream fell silent"))
-	assert.Equal(t, over, one.repeat("once more"), "it was one")
+	assert.False(t, r.front.spendRetry("another"), "it is taken")
+	assert.Equal(t, attemptRetry, one.retry("stream fell silent"))
+	assert.Equal(t, attemptGiveUp, one.retry("once more"), "it was one")
 }
 
 func TestAReplicaIsBlamedOnlyForWhatIsItsFault(t *testing.T) {
@@ -81,7 +81,7 @@
 			func() {
 				// A call whose caller has left ends so.
 				defer func() { _ = recover() }()
-				c.failed(context.Background(), balance.Choice{Replica: directory.Replica{ID: "r0"}}, fmt.Errorf("%w: %w", upstream.ErrNotSent, test.err))
+				c.handleFailure(context.Background(), balance.Choice{Replica: directory.Replica{ID: "r0"}}, fmt.Errorf("%w: %w", upstream.ErrNotSent, test.err))
 			}()
 			assert.Equal(t, test.blamed, r.front.balancer.Suspected("r0", time.Now()))
 			assert.False(t, c.mayHaveRun)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -79,10 +79,10 @@
 	// ListProof is the greatest age of the list of replicas by which a request is
 	// written to a replica. Zero: none.
 	ListProof time.Duration
-	// RepeatRatio is how many repeats each request earns, RepeatReserve how many
+	// RetryRatio is how many retries each request earns, RetryReserve how many
 	// there are in store.
-	RepeatRatio   float64
-	RepeatReserve float64
+	RetryRatio   float64
+	RetryReserve float64
 }
 
 // Front is an http.Handler.
@@ -97,21 +97,21 @@
 	metrics  *Metrics
 	started  time.Time
 	limits   atomic.Pointer[Limits]
-	repeats  *admission.Retries
+	retries  *admission.Retries
 	active   atomic.Int64
 	served   atomic.Uint64
 	spent    atomic.Bool
-	// listOld: the list of replicas could not be renewed when it was last asked for.
-	listOld atomic.Bool
+	// listStale: the list of replicas could not be refreshed at the last attempt.
+	listStale atomic.Bool
 	// stopping is nil while no stop was asked for.
 	stopping atomic.Pointer[stop]
 	// cutting ends the calls that are in flight.
 	cutting context.Context
 	cut     context.CancelFunc
 	longest *admission.Longest
-	// looks are those that find out whether a replica has ended.
-	looks  singleflight.Group
-	breaks breaks
+	// probes find out whether a replica has ended.
+	probes singleflight.Group
+	broken brokenRequests
 	// inFlight are the calls under way.
 	inFlight inFlight
 }
@@ -131,7 +131,7 @@
 		log:      log,
 		metrics:  m,
 		started:  steady.Now(),
-		repeats:  admission.NewRetries(o.Limits.RepeatRatio, o.Limits.RepeatReserve),
+		retries:  admission.NewRetries(o.Limits.RetryRatio, o.Limits.RetryReserve),
 		longest:  admission.NewLongest(),
 	}
 	front.limits.Store(&o.Limits)
@@ -142,7 +142,7 @@
 // SetLimits changes the limits.
 func (f *Front) SetLimits(l Limits) {
 	f.limits.Store(&l)
-	f.repeats.Set(l.RepeatRatio, l.RepeatReserve)
+	f.retries.Set(l.RetryRatio, l.RetryReserve)
 }
 
 // Active returns the number of requests that are served now.
@@ -157,6 +157,6 @@
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	c := newCall(f, w, r, steady.Now())
-	defer c.finish()
+	defer c.recordEnd()
 	c.serve()
 }
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -11,7 +11,7 @@
 // croftyard.PART.WHAT[_UNIT][.LABEL]; docs/METRICS.md lists them.
 type Metrics struct {
 	Registry gometrics.Registry
-	Repeats  gometrics.Counter
+	Retries  gometrics.Counter
 	Opened   gometrics.Counter
 	// Poisoned counts refusals of requests that are taken to crash what runs them.
 	Poisoned gometrics.Counter
@@ -42,7 +42,7 @@
 	r := gometrics.NewRegistry()
 	return &Metrics{
 		Registry:  r,
-		Repeats:   gometrics.NewRegisteredCounter("croftyard.front.repeats", r),
+		Retries:   gometrics.NewRegisteredCounter("croftyard.front.repeats", r),
 		Opened:    gometrics.NewRegisteredCounter("croftyard.front.connections_opened", r),
 		Poisoned:  gometrics.NewRegisteredCounter("croftyard.front.refused_as_poison", r),
 		Draining:  gometrics.NewRegisteredCounter("croftyard.front.answers_draining", r),
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -112,7 +112,7 @@
 		limits := *r.front.limits.Load()
 		limits.KeyProof, limits.AbsenceProof = testListProof, testListProof
 		r.front.SetLimits(limits)
-		r.source.fail(assert.AnError)
+		r.source.reportFailure(assert.AnError)
 	})
 	r.wantNotRun(t)
 	assert.Zero(t, arrivals.Load())
@@ -212,7 +212,7 @@
 			r.setListProof(testListProof)
 			config := r.source.snapshot.Config
 			r.follower.Take(r.source.snapshot, time.Now().Add(-testListAge))
-			r.source.fail(assert.AnError)
+			r.source.reportFailure(assert.AnError)
 			require.Error(t, r.follower.RenewList(t.Context(), time.Now()))
 			require.True(t, r.follower.Silent(testListProof, time.Now()))
 			r.follower.Take(follow.Snapshot{Config: config}, time.Now())
@@ -236,9 +236,9 @@
 	listed, unlisted := r.source.snapshot, r.source.snapshot
 	unlisted.Replicas = nil
 	r.follower.Take(listed, time.Now().Add(-2*testListAge))
-	c.noteChoice(choice)
+	c.logChoice(choice)
 	assert.NotContains(t, written.String(), "doubt_ms")
 	r.follower.Take(unlisted, time.Now().Add(-testListAge))
-	c.noteChoice(choice)
+	c.logChoice(choice)
 	assert.Regexp(t, `"doubt_ms":6\d{4},.*"event":410`, written.String())
 }
--- a/internal/front/outgoing.go
+++ b/internal/front/outgoing.go
@@ -12,7 +12,7 @@
 // outgoing builds the request for a replica.
 func (c *call) outgoing(choice balance.Choice) *upstream.Request {
 	d := &c.front.options.Dialect
-	header := forwarded(c.request.Header)
+	header := forwardedHeader(c.request.Header)
 	for _, name := range d.Own {
 		header.Del(name)
 	}
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -31,38 +31,37 @@
 // and it is a large one over narrow links.
 const startTime = 650 * time.Millisecond
 
-func unproven(reason string) *refusal {
+func refuseStale(reason string) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryElsewhere, closes: true}
 }
 
-// notYet refuses a request that comes before there is a configuration. The caller is
-// told to come back when the start is over: many come back once only.
-func (f *Front) notYet(now time.Time) *refusal {
-	r := unproven("no configuration yet")
+// refuseUnconfigured refuses a request that comes before there is a configuration, until
+// the start is over: many callers retry once only.
+func (f *Front) refuseUnconfigured(now time.Time) *refusal {
+	r := refuseStale("no configuration yet")
 	r.retryAfter = max(startTime-now.Sub(f.started), retryElsewhere)
 	return r
 }
 
-// notTaken refuses a request that no replica took. The caller is best back when the
-// first of them is to be given work again; if none is known, when the list of them has
-// been read anew.
-func (c *call) notTaken(reason string) *refusal {
+// unavailable refuses a request that no replica took, until the first of them may have
+// requests again; if that is not known, until the list has been read again.
+func (c *call) unavailable(reason string) *refusal {
 	first := c.opens(steady.Now())
-	after := boundRetry(first.after)
+	after := boundRetryAfter(first.after)
 	switch {
 	case first.promised:
 		after = max(spread(first.after), retryElsewhere)
 	case !first.known:
-		after = c.front.nextRead()
+		after = c.front.untilNextRead()
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after}
 }
 
-// nextRead is when this router is to know more, as a time to come back.
-func (f *Front) nextRead() time.Duration {
-	return boundRetry(f.follower.NextRead(steady.Now()))
+// untilNextRead is the time until this router reads its source again, as a Retry-After.
+func (f *Front) untilNextRead() time.Duration {
+	return boundRetryAfter(f.follower.NextRead(steady.Now()))
 }
 
-func boundRetry(after time.Duration) time.Duration {
+func boundRetryAfter(after time.Duration) time.Duration {
 	return min(max(after, retryElsewhere), retryLater)
 }
--- a/internal/front/renew_test.go
+++ b/internal/front/renew_test.go
@@ -77,7 +77,7 @@
 			if test.silent {
 				r.source.fallSilent()
 			} else {
-				r.source.fail(assert.AnError)
+				r.source.reportFailure(assert.AnError)
 			}
 			// The read is known to have no answer before the request comes.
 			require.Error(t, r.follower.RenewList(t.Context(), time.Now()))
@@ -94,7 +94,7 @@
 				assert.Equal(t, http.StatusOK, response.StatusCode)
 			}
 			assert.Equal(t, test.served, arrivals.Load() > 0)
-			assert.True(t, r.front.listOld.Load(), "it is noted")
+			assert.True(t, r.front.listStale.Load(), "it is noted")
 		})
 	}
 }
--- /dev/null
+++ b/internal/front/result.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+)
+
+// handleAnswer handles an answer whose head has come.
+func (c *call) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
+	d := &c.front.options.Dialect
+	id := choice.Replica.ID
+	if load, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
+		c.front.balancer.Reported(id, load, steady.Now())
+	}
+	if answer.Header.Get(d.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
+		drain(answer)
+		c.outcome.reason = "not taken: " + strconv.Itoa(answer.StatusCode)
+		c.front.reportFailure(c.id, id, rejectionKind(answer.StatusCode))
+		return c.retry(c.outcome.reason)
+	}
+	c.mayHaveRun = true
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return c.handleReplicaError(ctx, cancel, choice, answer)
+	}
+	if c.front.balancer.Answered(id, c.parts, steady.Now()) {
+		c.front.log.Write(event.EngineBack, event.F("replica", id), event.F("request", c.id))
+	}
+	c.blameReplicas()
+	return c.forward(ctx, cancel, choice, answer)
+}
+
+func rejectionKind(status int) balance.Failure {
+	if status == http.StatusMisdirectedRequest {
+		return balance.Refused
+	}
+	return balance.Shed
+}
+
+// handleReplicaError handles a replica's own 5xx: what it did is not known.
+func (c *call) handleReplicaError(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
+	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
+	if c.begun {
+		c.front.reportFailure(c.id, choice.Replica.ID, balance.Errored)
+		drain(answer)
+		return c.retry(c.outcome.reason)
+	}
+	if !c.route.RunsOnce() && steady.Until(c.end) > c.route.Target/2 && c.retry(c.outcome.reason) == attemptRetry {
+		c.failedReplicas = append(c.failedReplicas, choice.Replica.ID)
+		drain(answer)
+		return attemptRetry
+	}
+	if len(c.failedReplicas) == 0 {
+		c.front.reportFailure(c.id, choice.Replica.ID, balance.Errored)
+	}
+	if impliesNotRun(answer.StatusCode) {
+		// Without the mark of not having run, its promise may not be passed on.
+		drain(answer)
+		return attemptGiveUp
+	}
+	return c.forward(ctx, cancel, choice, answer)
+}
+
+// blameReplicas reports the replicas that failed a request which another one answered.
+// A request that fails at each replica is itself at fault.
+func (c *call) blameReplicas() {
+	for _, id := range c.failedReplicas {
+		c.front.reportFailure(c.id, id, balance.Errored)
+	}
+	c.failedReplicas = nil
+}
+
+// impliesNotRun tells whether a status says that a request has not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -79,7 +79,7 @@
 }
 
 // fail answers all reads with an error from now on.
-func (s *fakeSource) fail(err error) {
+func (s *fakeSource) reportFailure(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.err = err
@@ -168,7 +168,7 @@
 	balancer := balance.New(1)
 	f := follow.New(source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), holder, balancer, log)
 	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: 10 * time.Second, IdleTime: time.Minute})
-	limits := Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RepeatRatio: 1, RepeatReserve: 100}
+	limits := Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RetryRatio: 1, RetryReserve: 100}
 	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits}, f, holder, balancer, pool, NewMetrics(), log)
 	r := &rig{front: front, source: source, follower: f, holder: holder, server: httptest.NewServer(front), log: log}
 	t.Cleanup(r.server.Close)
--- /dev/null
+++ b/internal/front/silence.go
@@ -0,0 +1,57 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/mechanism"
+)
+
+// errSilent is the cause with which an attempt is cancelled that got no answer in
+// a time in which others do.
+var errSilent = errors.New("front: no answer in time")
+
+// silenceLimit is how long a replica may be silent before it is reported as hung.
+func (c *call) silenceLimit() time.Duration {
+	const targets = 2
+	const least = 500 * time.Millisecond
+	return max(targets*c.route.Target, least)
+}
+
+// startSilenceTimer starts a timer that reports a replica as hung when it fires, and fails
+// over if the request may be retried.
+func (c *call) startSilenceTimer(limit time.Duration, id string, cancel context.CancelCauseFunc) *time.Timer {
+	failover := c.failover(limit, cancel)
+	return time.AfterFunc(limit, func() {
+		c.front.reportFailure(c.id, id, balance.Hung)
+		failover()
+	})
+}
+
+// failover returns a function that ends an attempt if the request may be retried and there
+// is time for it. It runs concurrently with the call, so what it needs is read here. The
+// retry is reserved first: otherwise another request could take the last one and this
+// one's attempt would be ended for nothing.
+func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() {
+	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.end
+	return func() {
+		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && c.reserveRetry() {
+			cancel(errSilent)
+		}
+	}
+}
+
+// reserveRetry takes a retry from the budget for the next attempt, once.
+func (c *call) reserveRetry() bool {
+	if !c.reserved.CompareAndSwap(false, true) {
+		return false
+	}
+	if c.front.spendRetry(c.id) {
+		return true
+	}
+	c.reserved.Store(false)
+	return false
+}
--- a/internal/front/statements_test.go
+++ b/internal/front/statements_test.go
@@ -95,7 +95,7 @@
 			require.NoError(t, r.follower.Take(r.source.snapshot, steady.Now().Add(-time.Millisecond)))
 		},
 		"the store answers nobody": func(t *testing.T, r *rig) {
-			r.source.fail(assert.AnError)
+			r.source.reportFailure(assert.AnError)
 			require.Error(t, r.follower.RenewList(t.Context(), steady.Now()))
 		},
 		"its entry lapsed and came back": func(t *testing.T, r *rig) {
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -25,8 +25,8 @@
 // the others are broken off.
 func (f *Front) Cut() { f.cut() }
 
-// announceEnd tells a caller of a stopping router not to use the connection again.
-func (f *Front) announceEnd(w http.ResponseWriter) {
+// announceClose tells a caller of a stopping router not to use the connection again.
+func (f *Front) announceClose(w http.ResponseWriter) {
 	if f.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -39,10 +39,10 @@
 	lateMargin = 4
 )
 
-// endsInTime refuses a request that a stopping router would have to cut, while it
+// checkStop refuses a request that a stopping router would have to cut, while it
 // has not run: another router can serve it whole. A stream that is cut has lost what
 // its caller has read of it; the caller of any other request is told.
-func (f *Front) endsInTime(r *route.Route, end, now time.Time) *refusal {
+func (f *Front) checkStop(r *route.Route, end, now time.Time) *refusal {
 	s := f.stopping.Load()
 	if s == nil || !end.After(s.cut) {
 		return nil
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -17,11 +17,11 @@
 // maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 1 << 20
 
-// passEvents passes whole events only, so that a stream that breaks off within
+// forwardEvents passes whole events only, so that a stream that breaks off within
 // one can go on at another replica with the next.
 //
 // heard is called each time a whole event came.
-func (c *call) passEvents(answer *upstream.Answer, heard func()) error {
+func (c *call) forwardEvents(answer *upstream.Answer, heard func()) error {
 	reader := bufio.NewReader(answer)
 	var one []byte
 	for {
@@ -43,14 +43,14 @@
 			continue
 		}
 		heard()
-		if err := c.passEvent(one); err != nil {
+		if err := c.forwardEvent(one); err != nil {
 			return err
 		}
 		one = one[:0]
 	}
 }
 
-func (c *call) passEvent(one []byte) error {
+func (c *call) forwardEvent(one []byte) error {
 	if id, found := eventID(one); found {
 		c.lastEvent = id
 	}
@@ -67,18 +67,18 @@
 	return "", false
 }
 
-// silenceTime is how long a resumable stream may be silent before it goes on
+// streamSilenceLimit is how long a resumable stream may be silent before it goes on
 // elsewhere: well over its pauses, and before its caller gives up.
-func (c *call) silenceTime() time.Duration {
+func (c *call) streamSilenceLimit() time.Duration {
 	const gaps = 3
 	const least = 700 * time.Millisecond
 	return max(gaps*c.route.Gap, least)
 }
 
-// passResumable passes the events of a stream and breaks it off when it falls
+// forwardResumable passes the events of a stream and breaks it off when it falls
 // silent while it can go on elsewhere.
-func (c *call) passResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
-	silence := c.whenSilent(c.silenceTime(), id, cancel)
+func (c *call) forwardResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
+	silence := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
 	defer silence.Stop()
-	return c.passEvents(answer, func() { silence.Reset(c.silenceTime()) })
+	return c.forwardEvents(answer, func() { silence.Reset(c.streamSilenceLimit()) })
 }
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -23,8 +23,8 @@
 
 // Bounds of waits whatever the target.
 const (
-	// untoldWait is for routes without a target.
-	untoldWait = 75 * time.Millisecond
+	// defaultWait is for routes without a target.
+	defaultWait = 75 * time.Millisecond
 	// startWait is for the first configuration, before which no route is known.
 	startWait = 60 * time.Millisecond
 	// proofWait is for a proof that is new enough to say no by: a read of the largest
@@ -34,10 +34,10 @@
 	listWait = 60 * time.Millisecond
 )
 
-// within is a part of the request's target, but no more than most.
-func (c *call) within(part, most time.Duration) time.Duration {
+// boundedWait is a part of the request's target, at most a limit.
+func (c *call) boundedWait(part, most time.Duration) time.Duration {
 	if c.route == nil || c.route.Target == 0 {
-		return min(untoldWait, most)
+		return min(defaultWait, most)
 	}
 	return min(c.route.Target/part, most)
 }
@@ -45,7 +45,7 @@
 // waitForReplica waits while a replica is expected to be there soon, and tells whether
 // to look again.
 func (c *call) waitForReplica(ctx context.Context) bool {
-	left := c.within(waitPart, maxTime) - steady.Since(c.arrival)
+	left := c.boundedWait(waitPart, maxTime) - steady.Since(c.arrival)
 	if c.sent.Load() > 0 || c.evacuated() || left <= 0 {
 		return false
 	}
@@ -74,28 +74,27 @@
 	return true
 }
 
-// renewPart of the greatest age of the list is the age at which a request asks for a
-// newer one: what is left is for the answer.
-const renewPart = 0.875
+// refreshPart of the greatest age of the list is the age at which a request has it read
+// again: the rest is for the answer.
+const refreshPart = 0.875
 
-// renewList asks for a newer list of replicas if the one at hand is nearly so old that
-// requests may no longer be sent by it. Others read the list for this router as a
-// rule; a request is not to pay for one of them being late.
-func (c *call) renewList(ctx context.Context) {
+// refreshList reads the list of replicas again if it is about to exceed its greatest age.
+// Other routers usually read it for this one; a request must not pay for one being late.
+func (c *call) refreshList(ctx context.Context) {
 	f := c.front
-	limit := time.Duration(float64(f.limits.Load().ListProof) * renewPart)
+	limit := time.Duration(float64(f.limits.Load().ListProof) * refreshPart)
 	now := steady.Now()
 	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.within(waitPart, listWait))
+	ctx, cancel := context.WithTimeout(ctx, c.boundedWait(waitPart, listWait))
 	defer cancel()
-	f.noteList(f.follower.RenewList(ctx, now.Add(-limit)))
+	f.logListAge(f.follower.RenewList(ctx, now.Add(-limit)))
 }
 
-// firstState returns the state by which a request is served. One that comes right
-// after the start waits a moment for the first configuration.
-func (c *call) firstState(ctx context.Context) *freshness.State {
+// initialState returns the state by which a request is served. Right after the start it
+// waits a moment for the first configuration.
+func (c *call) initialState(ctx context.Context) *freshness.State {
 	f := c.front
 	state := f.holder.Current()
 	if state.Table != nil || f.follower.Lost() {
@@ -108,13 +107,13 @@
 	return f.holder.Current()
 }
 
-// prove waits for a proof that is newer than a time. While the source is known
-// to be lost there is none to wait for.
-func (c *call) prove(ctx context.Context, since time.Time) bool {
+// waitFresh waits until the configuration was read after a time, and reports whether it
+// was. While the source is unavailable it does not wait.
+func (c *call) waitFresh(ctx context.Context, since time.Time) bool {
 	if c.front.follower.Lost() {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.within(proofPart, proofWait))
+	ctx, cancel := context.WithTimeout(ctx, c.boundedWait(proofPart, proofWait))
 	defer cancel()
 	return c.front.follower.Prove(ctx, since) == nil
 }
--- a/internal/front/wait_test.go
+++ b/internal/front/wait_test.go
@@ -92,13 +92,13 @@
 		{150 * time.Millisecond, 75 * time.Millisecond},
 		{600 * time.Millisecond, 300 * time.Millisecond},
 		{2 * time.Second, proofWait},
-		{0, untoldWait},
+		{0, defaultWait},
 	} {
 		t.Run(c.target.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				_, one := idle(c.target, &fakeSource{})
 				begun := time.Now()
-				assert.False(t, one.prove(t.Context(), begun))
+				assert.False(t, one.waitFresh(t.Context(), begun))
 				assert.Equal(t, c.waited, time.Since(begun))
 			})
 		})
@@ -121,11 +121,11 @@
 		t.Run(c.target.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f, one := idle(c.target, &slowSource{})
-				f.SetLimits(Limits{ListProof: time.Second, RepeatReserve: 1})
+				f.SetLimits(Limits{ListProof: time.Second, RetryReserve: 1})
 				list(f, "r0")
 				time.Sleep(2 * time.Second)
 				begun := time.Now()
-				one.renewList(t.Context())
+				one.refreshList(t.Context())
 				assert.Equal(t, c.waited, time.Since(begun))
 				// The read that was asked for ends by its own limit.
 				time.Sleep(2 * time.Second)
@@ -162,7 +162,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f, one := idle(600*time.Millisecond, &fakeSource{err: errors.New("down")})
 				c.prepare(f)
-				refused := one.notTaken("no replica")
+				refused := one.unavailable("no replica")
 				assert.Equal(t, c.after, refused.retryAfter)
 				assert.Equal(t, http.StatusServiceUnavailable, refused.status)
 			})
@@ -181,7 +181,7 @@
 		}
 		replicas := []directory.Replica{{ID: "r0", Service: "s", DataCentre: "there"}}
 		f.follower.Take(follow.Snapshot{Config: &config, Replicas: replicas}, time.Now())
-		f.SetLimits(Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RepeatReserve: 1})
+		f.SetLimits(Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RetryReserve: 1})
 		f.balancer.Failed("r0", balance.Unreachable, "here", time.Now())
 		_, _ = f.balancer.Pick(balance.Question{Service: "s"}, time.Now())
 		begun := time.Now()
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -7,51 +7,51 @@
 	"time"
 )
 
-// endedLook is how long a connection that was just opened is looked after: a process
-// that ends may still take one while its others are closed already.
-const endedLook = 30 * time.Millisecond
+// probeHold is how long a connection that was just opened is observed: a process that ends
+// may still accept one while its others are closed already.
+const probeHold = 30 * time.Millisecond
 
-// endedLooks is how often that is looked at.
-const endedLooks = 2
+// probeTries is how many connections are opened at most.
+const probeTries = 2
 
-// Fate is what can be seen from here of the process at an address.
-type Fate uint8
+// ProcessState is what can be seen from here of the process at an address.
+type ProcessState uint8
 
-// The fates.
+// The states.
 const (
-	// Unknown: the way is cut.
-	Unknown Fate = iota
-	// Closes: what listens there takes connections and closes them, a replica for which one
+	// Unreachable: no connection could be opened, and none was refused.
+	Unreachable ProcessState = iota
+	// Rejecting: what listens there takes connections and closes them, a replica for which one
 	// more is too much, or something that stands before one that has ended.
-	Closes
-	// Lives: it takes connections.
-	Lives
+	Rejecting
+	// Listening: it takes connections.
+	Listening
 	// Ended: nothing listens there any more.
 	Ended
 )
 
-// FateOf looks what became of the process at an address. A connection that was opened
-// for the look is kept for requests.
-func (p *Pool) FateOf(ctx context.Context, address string) Fate {
-	for range endedLooks {
+// Probe finds the state of the process at an address. A connection that was opened for it
+// is kept for requests.
+func (p *Pool) Probe(ctx context.Context, address string) ProcessState {
+	for range probeTries {
 		c, err := p.dial(ctx, address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return Ended
 		}
 		if err != nil {
-			return Unknown
+			return Unreachable
 		}
 		select {
-		case <-time.After(endedLook):
+		case <-time.After(probeHold):
 		case <-ctx.Done():
 		}
 		if c.quiet() {
 			p.keepUnused(c)
-			return Lives
+			return Listening
 		}
 		c.Close()
 	}
-	return Closes
+	return Rejecting
 }
 
 // Drop closes the connections to an address that rest: what they led to has ended.
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -13,11 +13,11 @@
 	tests := map[string]struct {
 		// serve is what befalls each connection, in order.
 		serve func(n int, l net.Listener, c net.Conn)
-		fate  Fate
+		state ProcessState
 	}{
-		"it serves on":                               {serve: func(int, net.Listener, net.Conn) {}, fate: Lives},
-		"it resets what is too much for it":          {serve: func(_ int, _ net.Listener, c net.Conn) { c.Close() }, fate: Closes},
-		"it took one more connection while it ended": {serve: func(_ int, l net.Listener, c net.Conn) { l.Close(); c.Close() }, fate: Ended},
+		"it serves on":                               {serve: func(int, net.Listener, net.Conn) {}, state: Listening},
+		"it resets what is too much for it":          {serve: func(_ int, _ net.Listener, c net.Conn) { c.Close() }, state: Rejecting},
+		"it took one more connection while it ended": {serve: func(_ int, l net.Listener, c net.Conn) { l.Close(); c.Close() }, state: Ended},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -34,8 +34,8 @@
 				}
 			}()
 			pool := New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTime: time.Minute})
-			assert.Equal(t, test.fate, pool.FateOf(t.Context(), listener.Addr().String()))
-			assert.Equal(t, test.fate == Lives, pool.Idle() == 1, "the look's connection is kept")
+			assert.Equal(t, test.state, pool.Probe(t.Context(), listener.Addr().String()))
+			assert.Equal(t, test.state == Listening, pool.Idle() == 1, "the look's connection is kept")
 			pool.Drop(listener.Addr().String())
 			assert.Zero(t, pool.Idle())
 		})
@@ -48,5 +48,5 @@
 	address := listener.Addr().String()
 	listener.Close()
 	pool := New(Options{DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTime: time.Minute})
-	assert.Equal(t, Ended, pool.FateOf(t.Context(), address))
+	assert.Equal(t, Ended, pool.Probe(t.Context(), address))
 }
