--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// noReplica refuses a request for which there is no replica, or only excluded ones, for
+// refuseNoReplica refuses a request for which there is no replica, or only excluded ones, for
 // a reason.
 func (c *call) refuseNoReplica(x directory.Exclusion) *refusal {
 	if c.evacuated() {
