--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzSplit -fuzztime $(FUZZTIME) ./pkg/policy
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/settings
 	$(GO) test -run '^$$' -fuzz FuzzChat -fuzztime $(FUZZTIME) ./internal/edge
+	$(GO) test -run '^$$' -fuzz FuzzRest -fuzztime $(FUZZTIME) ./internal/retryafter
 	$(GO) test -run '^$$' -fuzz FuzzDigest -fuzztime $(FUZZTIME) ./internal/peer
 	$(GO) test -run '^$$' -fuzz FuzzEntry -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzConfiguration -fuzztime $(FUZZTIME) ./platform
--- a/internal/retryafter/retryafter_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -38,3 +38,17 @@
 		})
 	}
 }
+
+// No value asks for less than nothing, or for longer than the bound.
+func FuzzRest(f *testing.F) {
+	for _, value := range []string{"3", "0.25", "-1", "Inf", "NaN", "1e999", "soon", "Fri, 02 Jan 2026 03:04:09 GMT", "Sunday, 06-Nov-94 08:49:37 GMT"} {
+		f.Add(value, "Fri, 02 Jan 2026 03:04:05 GMT")
+	}
+	f.Fuzz(func(t *testing.T, value, date string) {
+		header := http.Header{"Retry-After": {value}, "Date": {date}}
+		rest := Rest(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: header}, time.Unix(0, 0))
+		if rest < 0 || rest > MaxRest {
+			t.Fatalf("%q at %q: %v", value, date, rest)
+		}
+	})
+}
