--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -10,8 +10,8 @@
 
 	"github.com/croftyard/croftyard/internal/entry"
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/platform"
 )
 
@@ -24,7 +24,7 @@
 	// and keeps the peak low.
 	debug.SetGCPercent(heapGrowth)
 	e, err := entry.Start(read, entry.Outside{
-		Source: func(s settings.Settings, call time.Duration) follow.Source {
+		Source: func(s settings.Settings, call time.Duration) watch.Source {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
 		Dialect:   platform.Dialect(),
@@ -48,9 +48,9 @@
 	return err
 }
 
-// watch reads a settings file again when it changed: at SIGHUP, or without any
+// settingsWatch reads a settings file again when it changed: at SIGHUP, or without any
 // signal.
-type watch struct {
+type settingsWatch struct {
 	path   string
 	log    *event.Log
 	reload func(settings.Settings)
@@ -60,8 +60,8 @@
 // watchPeriod is the pause between two looks at the file.
 const watchPeriod = 2 * time.Second
 
-func newWatch(path string, log *event.Log, reload func(settings.Settings)) *watch {
-	w := &watch{path: path, log: log, reload: reload}
+func newWatch(path string, log *event.Log, reload func(settings.Settings)) *settingsWatch {
+	w := &settingsWatch{path: path, log: log, reload: reload}
 	// What can't be read now is read when it changes.
 	w.text, _ = os.ReadFile(path)
 	return w
@@ -69,7 +69,7 @@
 
 // run handles signals until done is closed: the first SIGTERM or SIGINT stops,
 // the second kills.
-func (w *watch) run(signals <-chan os.Signal, done <-chan struct{}, stop, kill func()) {
+func (w *settingsWatch) run(signals <-chan os.Signal, done <-chan struct{}, stop, kill func()) {
 	ticker := time.NewTicker(watchPeriod)
 	defer ticker.Stop()
 	stopped := false
@@ -94,7 +94,7 @@
 }
 
 // look reads the file and reloads if it changed or was said to have.
-func (w *watch) look(asked bool) {
+func (w *settingsWatch) look(asked bool) {
 	text, err := os.ReadFile(w.path)
 	if err != nil {
 		if asked {
--- a/internal/demo/routes.go
+++ b/internal/demo/routes.go
@@ -15,9 +15,9 @@
 
 	"github.com/croftyard/croftyard/internal/entry"
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/standin"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/platform"
 )
 
@@ -198,7 +198,7 @@
 	s.Listen = settings.Listen{Callers: f.address(first), Readiness: f.address(first + 1), Peers: f.address(first + 2), Admin: f.address(first + 3)}
 	s.Peers.Seeds = []string{f.address(2)}
 	e, err := entry.Start(s, entry.Outside{
-		Source: func(s settings.Settings, call time.Duration) follow.Source {
+		Source: func(s settings.Settings, call time.Duration) watch.Source {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
 		Dialect:   platform.Dialect(),
--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 )
 
@@ -44,7 +44,7 @@
 
 // source returns a client of where knowledge is kept. Each call is given up after a
 // period, so that a store that is silent is noticed as soon as one of a single page.
-func (e *Entry) source(s settings.Settings) follow.Source {
+func (e *Entry) source(s settings.Settings) watch.Source {
 	return e.outside.Source(s, readPeriod(s.Bounds))
 }
 
@@ -53,9 +53,9 @@
 	return part(min(b.Apply, b.Drain, b.Evacuate), readPart)
 }
 
-func (e *Entry) followOptions(s settings.Settings) follow.Options {
+func (e *Entry) followOptions(s settings.Settings) watch.Options {
 	period := readPeriod(s.Bounds)
-	return follow.Options{Period: period, Timeout: readPeriods * period, FirstRead: firstRead(s), Place: e.place}
+	return watch.Options{Period: period, Timeout: readPeriods * period, FirstRead: firstRead(s), Place: e.place}
 }
 
 // firstReadWait is how long routers wait for the seeds to tell them what they
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,12 +23,12 @@
 	"github.com/croftyard/croftyard/internal/admin"
 	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -45,7 +45,7 @@
 type Outside struct {
 	// Source returns a client of where knowledge is kept, by the settings, that gives
 	// each of its calls a time.
-	Source    func(s settings.Settings, call time.Duration) follow.Source
+	Source    func(s settings.Settings, call time.Duration) watch.Source
 	Dialect   front.Dialect
 	ReadyPath string
 	// Held asks an engine what it holds, and tells the head of its answer. It may be nil.
@@ -64,7 +64,7 @@
 	holder   *freshness.Holder
 	balancer *balance.Balancer
 	poison   *poison.Memory
-	follower *follow.Follower
+	watcher  *watch.Watcher
 	pool     *upstream.Pool
 	front    *front.Front
 	metrics  *front.Metrics
@@ -116,7 +116,7 @@
 	e.balancer.SetColdBounds(coldBounds(b))
 	e.balancer.SetWithout(e.settings.Without)
 	period := readPeriod(b)
-	e.follower = follow.New(e.source(e.settings), e.followOptions(e.settings),
+	e.watcher = watch.New(e.source(e.settings), e.followOptions(e.settings),
 		directory.New(2*period, relistBeats*b.Heartbeat), e.holder, e.balancer, e.log)
 	e.pool = upstream.New(upstream.Options{
 		IDHeader:       e.outside.Dialect.Attempt,
@@ -131,7 +131,7 @@
 	e.poison = newPoison(e.settings.Routes, e.log)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period, Poison: e.poison},
-		e.follower, e.balancer, e.log)
+		e.watcher, e.balancer, e.log)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
@@ -142,7 +142,7 @@
 		Poison:     e.poison,
 		Mine:       e.gossip.Mine,
 		Without:    e.settings.Without,
-	}, e.follower, e.holder, e.balancer, e.pool, e.metrics, e.log)
+	}, e.watcher, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	e.balancer.SetEnds(balance.Ends{
 		Restarted: func(id, address string) {
 			e.pool.Drop(address)
@@ -173,7 +173,7 @@
 // as they are; a change of them is logged as waiting for the next start.
 func (e *Entry) Reload(s settings.Settings) {
 	restart := s.Name != e.settings.Name || s.DataCentre != e.settings.DataCentre || s.Listen != e.settings.Listen
-	e.follower.Set(e.source(s), e.followOptions(s))
+	e.watcher.Set(e.source(s), e.followOptions(s))
 	e.bounds.Store(&s.Bounds)
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.poison.SetLimits(poisonLimits(s.Routes))
@@ -215,7 +215,7 @@
 
 // Ready tells whether the router should get new connections.
 func (e *Entry) Ready() bool {
-	if e.stopping.Load() || !e.follower.Known() || e.taker.starved(steady.Now()) {
+	if e.stopping.Load() || !e.watcher.Known() || e.taker.starved(steady.Now()) {
 		return false
 	}
 	return e.proven()
@@ -232,7 +232,7 @@
 
 // proven tells whether the configuration is proven to be new enough for keys.
 func (e *Entry) proven() bool {
-	return e.follower.ProofAge(steady.Now()) < keyProof(*e.bounds.Load())
+	return e.watcher.Staleness(steady.Now()) < keyProof(*e.bounds.Load())
 }
 
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
@@ -263,7 +263,7 @@
 	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
 	work.Go(func() error { return e.operators.Serve(e.listeners[2]) })
 	work.Go(func() error {
-		e.follower.Run(ctx)
+		e.watcher.Run(ctx)
 		return nil
 	})
 	work.Go(func() error {
@@ -295,7 +295,7 @@
 		e.err = fmt.Errorf("entry: %w", err)
 	}
 	sent, received := e.gossip.Bytes()
-	reads, failed := e.follower.Reads()
+	reads, failed := e.watcher.Reads()
 	e.log.Write(event.Stopped, event.F("in_flight", e.front.Active()), event.F("ran_ms", steady.Since(e.started).Milliseconds()),
 		event.F("peers_sent", sent), event.F("peers_received", received), event.F("reads", reads), event.F("reads_failed", failed))
 }
@@ -324,7 +324,7 @@
 	e.log.Write(event.Woke, event.F("slept_ms", slept.Milliseconds()), event.F("in_flight", e.front.Active()))
 	e.front.Resumed()
 	e.pool.DropIdle()
-	e.follower.ReadSoon()
+	e.watcher.ReadSoon()
 }
 
 // tidy writes when the router is first ready and closes connections that
@@ -342,15 +342,15 @@
 		}
 		if now := e.Ready(); now != ready {
 			ready = now
-			e.log.Write(event.Ready, event.F("ready", ready), event.F("proof_ms", e.follower.ProofAge(steady.Now()).Milliseconds()))
+			e.log.Write(event.Ready, event.F("ready", ready), event.F("proof_ms", e.watcher.Staleness(steady.Now()).Milliseconds()))
 		}
-		if now := e.proven(); now != proven && e.follower.Known() {
+		if now := e.proven(); now != proven && e.watcher.Known() {
 			proven = now
 			id := event.ProofOld
 			if proven {
 				id = event.ProofNew
 			}
-			e.log.Write(id, event.F("proof_ms", e.follower.ProofAge(steady.Now()).Milliseconds()))
+			e.log.Write(id, event.F("proof_ms", e.watcher.Staleness(steady.Now()).Milliseconds()))
 		}
 		e.pool.CloseIdle()
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -16,10 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
@@ -27,17 +27,17 @@
 
 type source struct {
 	mu       sync.Mutex
-	snapshot follow.Snapshot
+	snapshot watch.Snapshot
 	err      error
 }
 
-func (s *source) Replicas(ctx context.Context) (follow.Snapshot, error) {
+func (s *source) Replicas(ctx context.Context) (watch.Snapshot, error) {
 	snapshot, err := s.Read(ctx)
 	snapshot.Config = nil
 	return snapshot, err
 }
 
-func (s *source) Read(context.Context) (follow.Snapshot, error) {
+func (s *source) Read(context.Context) (watch.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.snapshot, s.err
@@ -51,7 +51,7 @@
 	set.Bounds.Apply = 100 * time.Millisecond
 	set.Bounds.Grace = grace
 	e, err := Start(set, Outside{
-		Source: func(settings.Settings, time.Duration) follow.Source { return s },
+		Source: func(settings.Settings, time.Duration) watch.Source { return s },
 		Dialect: front.Dialect{Attempt: "Try", Key: "Authorization", ParseParts: func(string) []balance.Part { return nil },
 			ParseLoad: func(string) (int, bool) { return 0, false }},
 		ReadyPath:  "/ready",
@@ -80,8 +80,8 @@
 	}
 }
 
-func served(address string) follow.Snapshot {
-	return follow.Snapshot{
+func served(address string) watch.Snapshot {
+	return watch.Snapshot{
 		Config: &route.Config{Version: 1, Services: []route.Service{{Name: "s"}}, Routes: []route.Route{
 			{Name: "r", Host: "h", Prefix: "/", Attempts: 1, Timeout: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}}}},
 		Replicas: []directory.Replica{{ID: "a", Service: "s", Address: address}},
@@ -89,7 +89,7 @@
 }
 
 func TestReadyOnlyWithProvenKnowledge(t *testing.T) {
-	s := &source{err: follow.ErrNoConfig}
+	s := &source{err: watch.ErrNoConfig}
 	e := start(t, s, time.Second)
 	callers, readiness := e.Addresses()
 	assert.Equal(t, http.StatusServiceUnavailable, status(t, "http://"+readiness+"/ready"))
@@ -196,7 +196,7 @@
 	assert.Equal(t, "a", state.Replicas[0].ID)
 	assert.Empty(t, state.Replicas[0].Excluded)
 	now := steady.Now()
-	e.follower.Statements().MarkResting("a", now, now.Add(time.Hour), now)
+	e.watcher.Statements().MarkResting("a", now, now.Add(time.Hour), now)
 	state = e.State()
 	assert.Equal(t, string(directory.RestAsked), state.Replicas[0].Excluded)
 	assert.Positive(t, state.Replicas[0].ExcludedMS)
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -30,7 +30,7 @@
 		e.gossip.SetRecalled()
 		return
 	}
-	if !e.waitUntil(ctx, e.follower.Known) {
+	if !e.waitUntil(ctx, e.watcher.Known) {
 		return
 	}
 	meeting, cancel := context.WithTimeout(ctx, peerWait)
@@ -46,7 +46,7 @@
 	}
 	e.gossip.SetRecalled()
 	table := e.holder.Current().Table
-	for _, r := range e.follower.Replicas() {
+	for _, r := range e.watcher.Replicas() {
 		service := table.Service(r.Service)
 		if service == nil || service.Engine == nil {
 			continue
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -42,13 +42,13 @@
 		Name:       e.settings.Name,
 		DataCentre: e.settings.DataCentre,
 		Ready:      e.Ready(),
-		Version:    e.follower.Word().Version,
+		Version:    e.watcher.Digest().Version,
 		ProofMS:    e.proofAge(now).Milliseconds(),
 		Active:     e.front.Active(),
 		Routers:    e.gossip.Members(),
 		Rank:       e.gossip.Rank(),
 	}
-	for _, r := range e.follower.Replicas() {
+	for _, r := range e.watcher.Replicas() {
 		state := ReplicaState{
 			ID:         r.ID,
 			Service:    r.Service,
@@ -68,10 +68,10 @@
 
 // proofAge is the age of the proof, or -1 ms while nothing is known.
 func (e *Entry) proofAge(now time.Time) time.Duration {
-	if !e.follower.Known() {
+	if !e.watcher.Known() {
 		return -time.Millisecond
 	}
-	return e.follower.ProofAge(now)
+	return e.watcher.Staleness(now)
 }
 
 // subject shows the router to its operators.
@@ -80,13 +80,13 @@
 }
 
 func (e *Entry) gauges() []admin.Gauge {
-	generation, returns, facts := e.follower.Lives(steady.Now())
-	made, failed := e.follower.Reads()
+	generation, returns, facts := e.watcher.Generation(steady.Now())
+	made, failed := e.watcher.Reads()
 	sent, received := e.gossip.Bytes()
 	marked, held := e.poison.Len()
-	draining, resting := e.follower.Statements().Binding(steady.Now())
+	draining, resting := e.watcher.Statements().Binding(steady.Now())
 	return []admin.Gauge{
-		{Name: "croftyard_config_version", Value: float64(e.follower.Word().Version)},
+		{Name: "croftyard_config_version", Value: float64(e.watcher.Digest().Version)},
 		{Name: "croftyard_config_proof_ms", Value: float64(e.proofAge(steady.Now()).Milliseconds())},
 		{Name: "croftyard_source_reads", Value: float64(made)},
 		{Name: "croftyard_source_reads_failed", Value: float64(failed)},
--- a/internal/front/admit_test.go
+++ b/internal/front/admit_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -109,15 +109,15 @@
 	r.source.err = errors.New("down")
 	r.source.mu.Unlock()
 	r.front.SetLimits(Limits{KeyProof: time.Nanosecond, AbsenceProof: time.Nanosecond, RetryReserve: 1})
-	for !r.follower.Lost() {
+	for !r.watcher.SourceFailing() {
 		_, _, err := r.send(t, "GET", "/none/", "")
 		require.NoError(t, err)
 	}
-	before, _ := r.follower.Reads()
+	before, _ := r.watcher.Reads()
 	response, _, err := r.send(t, "GET", "/none/", "")
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	after, _ := r.follower.Reads()
+	after, _ := r.watcher.Reads()
 	assert.Equal(t, before, after)
 }
 
@@ -140,7 +140,7 @@
 	r := newRig(t, address)
 	start := func() *Front {
 		holder := freshness.NewHolder()
-		f := follow.New(r.source, follow.Options{Period: time.Hour, Timeout: time.Second, FirstRead: time.Hour},
+		f := watch.New(r.source, watch.Options{Period: time.Hour, Timeout: time.Second, FirstRead: time.Hour},
 			directory.New(time.Hour, time.Hour), holder, balance.New(1), r.log)
 		return New(r.front.options, f, holder, r.front.balancer, r.front.pool, NewMetrics(), r.log)
 	}
@@ -162,8 +162,8 @@
 	soon := start()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go soon.follower.Run(ctx)
-	// The follower's own first read is an hour away, so that only a request that
+	go soon.watcher.Run(ctx)
+	// The watcher's own first read is an hour away, so that only a request that
 	// asks for it gets one. A busy machine may need more than one wait.
 	served := false
 	for range 100 {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -243,7 +243,7 @@
 	f.log.Write(id, event.F("request", c.id), event.F("digest", digest), event.F("route", c.name()), event.F("outcome", c.outcome.name), event.F("status", c.outcome.status),
 		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent.Load()),
 		event.F("may_have_run", c.mayHaveRun), event.F("first_byte_ms", c.firstByteTime().Milliseconds()), event.F("took_ms", took.Milliseconds()),
-		event.F("version", c.version), event.F("proof_ms", f.follower.ProofAge(steady.Now()).Milliseconds()))
+		event.F("version", c.version), event.F("proof_ms", f.watcher.Staleness(steady.Now()).Milliseconds()))
 }
 
 // name is that of the route, if one was found.
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -219,9 +219,9 @@
 func TestWhatAReplicaShowedBeforeItStartedAgainIsForgotten(t *testing.T) {
 	r := newStillRig(t)
 	now := time.Now()
-	r.follower.Statements().MarkServing("a", now, now)
+	r.watcher.Statements().MarkServing("a", now, now)
 	r.front.Restarted("a", now)
-	assert.Zero(t, r.follower.Statements().Of("a"))
+	assert.Zero(t, r.watcher.Statements().Get("a"))
 }
 
 // Guards against a mark against an innocent request that is in flight when a replica ends
@@ -233,9 +233,9 @@
 			now := steady.Now()
 			switch name {
 			case "announced":
-				r.follower.Statements().MarkDraining("r0", now, now)
+				r.watcher.Statements().MarkDraining("r0", now, now)
 			case "at rest":
-				r.follower.Statements().MarkResting("r0", now, now.Add(time.Hour), now)
+				r.watcher.Statements().MarkResting("r0", now, now.Add(time.Hour), now)
 			}
 			request := httptest.NewRequest(http.MethodPost, "/repeat/x", nil)
 			c := &call{front: r.front, request: request, route: &route.Route{}, sentAt: now}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		id = event.ListOld
 	}
-	f.log.Write(id, event.F("age_ms", f.follower.ListAge(steady.Now()).Milliseconds()), event.F("error", err))
+	f.log.Write(id, event.F("age_ms", f.watcher.ListAge(steady.Now()).Milliseconds()), event.F("error", err))
 }
 
 // attempt sends the request to one replica.
@@ -158,10 +158,10 @@
 		event.F("part", fmt.Sprintf("%x", choice.Part)), event.F("holders", choice.Holders),
 		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.Source), event.F("sent", c.sent.Load()),
 		event.F("passed", choice.Passed), event.F("passed_load", choice.PassedLoad), event.F("passed_bad", choice.PassedBad),
-		event.F("proof_ms", c.front.follower.ProofAge(now).Milliseconds()),
+		event.F("proof_ms", c.front.watcher.Staleness(now).Milliseconds()),
 	}
-	if age, doubted := c.front.follower.Doubt(id, now); doubted {
-		fields = append(fields, event.F("doubt_ms", age.Milliseconds()))
+	if age, doubted := c.front.watcher.Unconfirmed(id, now); doubted {
+		fields = append(fields, event.F("unconfirmed_ms", age.Milliseconds()))
 	}
 	fields = append(fields, c.front.statementFields(id, now)...)
 	c.front.log.Write(event.ReplicaChosen, append(fields, c.exclusionFields()...)...)
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -28,12 +28,12 @@
 // exclusions returns the replicas that get no new requests although the list says that
 // they are ready.
 func (f *Front) exclusions(now time.Time) []directory.Exclusion {
-	return f.follower.Exclusions(f.listLimit(), now)
+	return f.watcher.Exclusions(f.listLimit(), now)
 }
 
 // Exclusion tells whether a replica gets no new requests, and why.
 func (f *Front) Exclusion(id string, now time.Time) (directory.Exclusion, bool) {
-	return f.follower.Exclusion(id, f.listLimit(), now)
+	return f.watcher.Exclusion(id, f.listLimit(), now)
 }
 
 // choose asks for a replica: one that is not excluded, else one that may still have a
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,9 +18,9 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -88,7 +88,7 @@
 // Front is an http.Handler.
 type Front struct {
 	options  Options
-	follower *follow.Follower
+	watcher  *watch.Watcher
 	holder   *freshness.Holder
 	balancer *balance.Balancer
 	poison   *poison.Memory
@@ -117,13 +117,13 @@
 }
 
 // New returns a front.
-func New(o Options, f *follow.Follower, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
+func New(o Options, f *watch.Watcher, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
 	if o.Poison == nil {
 		o.Poison = poison.New(poison.Options{})
 	}
 	front := &Front{
 		options:  o,
-		follower: f,
+		watcher:  f,
 		holder:   h,
 		balancer: b,
 		poison:   o.Poison,
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -130,7 +130,7 @@
 	assert.False(t, waits.evacuated(), "one may come")
 	snapshot := changed(r, func(*route.Config) {})
 	snapshot.Evacuated = []string{"here"}
-	r.follower.Take(snapshot, time.Now())
+	r.watcher.ApplySnapshot(snapshot, time.Now())
 	assert.True(t, waits.evacuated())
 	assert.False(t, waits.waitForReplica(t.Context()), "none will")
 	response, body, err := r.send(t, "POST", "/repeat/x", "")
@@ -140,7 +140,7 @@
 	assert.NotEmpty(t, response.Header.Get("Retry-After"))
 	assert.Zero(t, arrivals.Load())
 	snapshot.Evacuated = nil
-	r.follower.Take(snapshot, time.Now())
+	r.watcher.ApplySnapshot(snapshot, time.Now())
 	response, _, err = r.send(t, "POST", "/repeat/x", "")
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.StatusCode)
@@ -157,7 +157,7 @@
 		if cold {
 			snapshot.Replicas[0].ColdLeft = time.Hour
 		}
-		r.follower.Take(snapshot, time.Now())
+		r.watcher.ApplySnapshot(snapshot, time.Now())
 		response, _, err := r.send(t, "POST", "/repeat/x", "")
 		require.NoError(t, err)
 		assert.Equal(t, cold, response.StatusCode == http.StatusServiceUnavailable, "no router is known to share with")
@@ -166,13 +166,13 @@
 }
 
 // changed returns the rig's snapshot with another configuration.
-func changed(r *rig, change func(c *route.Config)) follow.Snapshot {
+func changed(r *rig, change func(c *route.Config)) watch.Snapshot {
 	config := *r.source.snapshot.Config
 	config.Version++
 	config.Routes = slices.Clone(config.Routes)
 	config.Services = slices.Clone(config.Services)
 	change(&config)
-	return follow.Snapshot{Config: &config, Replicas: r.source.snapshot.Replicas}
+	return watch.Snapshot{Config: &config, Replicas: r.source.snapshot.Replicas}
 }
 
 func TestARequestThatFailsAtEachReplicaBlamesNone(t *testing.T) {
--- a/internal/front/oldlist_test.go
+++ b/internal/front/oldlist_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -126,14 +126,14 @@
 	own, foreign := r.source.snapshot.Replicas[0], r.source.snapshot.Replicas[1:]
 	foreign[0].Service, foreign[1].Service = "t", "t"
 	take := func(age time.Duration, list ...directory.Replica) {
-		r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: list}, time.Now().Add(-age))
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: r.source.snapshot.Config, Replicas: list}, time.Now().Add(-age))
 	}
 	// Both of the other service vanished with the list: they keep their work for a while,
 	// but were last listed long ago.
 	take(testListAge, foreign...)
 	take(0)
 	r.setListProof(testListProof)
-	require.Len(t, r.follower.Unlisted(time.Now().Add(-testListProof)), 2)
+	require.Len(t, r.watcher.Unlisted(time.Now().Add(-testListProof)), 2)
 	response, text, err := r.send(t, "POST", "/single/x", "")
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
@@ -152,13 +152,13 @@
 	r := newStillRig(t, first, second)
 	list := r.source.snapshot.Replicas
 	take := func(age time.Duration, list ...directory.Replica) {
-		r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: list}, time.Now().Add(-age))
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: r.source.snapshot.Config, Replicas: list}, time.Now().Add(-age))
 	}
 	take(testListAge, list...)
 	take(0)
-	require.Len(t, r.follower.Replicas(), len(list), "they are doubted")
+	require.Len(t, r.watcher.Replicas(), len(list), "they are doubted")
 	for _, gone := range list {
-		r.follower.Statements().MarkServing(gone.ID, time.Now(), time.Now())
+		r.watcher.Statements().MarkServing(gone.ID, time.Now(), time.Now())
 	}
 	r.setListProof(testListProof)
 	r.wantNotRun(t)
@@ -181,7 +181,7 @@
 				newer = others
 			}
 			r.onceConnected(func() {
-				r.follower.Take(follow.Snapshot{Config: r.source.snapshot.Config, Replicas: newer}, time.Now())
+				r.watcher.ApplySnapshot(watch.Snapshot{Config: r.source.snapshot.Config, Replicas: newer}, time.Now())
 				r.setListProof(testListProof)
 			})
 			r.wantNotRun(t)
@@ -192,7 +192,7 @@
 
 // Behind a cut, a replica that leaves and one whose entry lapsed both vanish from the list. That
 // it closes its connections tells the first from the second.
-func TestAReplicaInDoubtThatClosesItsConnectionsGetsNothingMore(t *testing.T) {
+func TestAnUnconfirmedReplicaThatClosesItsConnectionsGetsNothingMore(t *testing.T) {
 	tests := map[string]struct {
 		closes bool
 		want   int
@@ -211,11 +211,11 @@
 			r := newStillRig(t, address, "gone:1")
 			r.setListProof(testListProof)
 			config := r.source.snapshot.Config
-			r.follower.Take(r.source.snapshot, time.Now().Add(-testListAge))
+			r.watcher.ApplySnapshot(r.source.snapshot, time.Now().Add(-testListAge))
 			r.source.reportFailure(assert.AnError)
-			require.Error(t, r.follower.RenewList(t.Context(), time.Now()))
-			require.True(t, r.follower.Silent(testListProof, time.Now()))
-			r.follower.Take(follow.Snapshot{Config: config}, time.Now())
+			require.Error(t, r.watcher.RefreshList(t.Context(), time.Now()))
+			require.True(t, r.watcher.StoreUnavailable(testListProof, time.Now()))
+			r.watcher.ApplySnapshot(watch.Snapshot{Config: config}, time.Now())
 			response, text, err := r.send(t, "POST", "/repeat/x", "")
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, response.StatusCode, text)
@@ -227,7 +227,7 @@
 }
 
 // That a request goes to a replica which no list names any more is told with the choice.
-func TestAChoiceInDoubtIsToldSo(t *testing.T) {
+func TestAChoiceOfAnUnconfirmedReplicaIsLoggedAsSuch(t *testing.T) {
 	r := newStillRig(t, "one:1", "two:1")
 	var written bytes.Buffer
 	r.front.log = event.New(&written, "here", logrus.InfoLevel)
@@ -235,10 +235,10 @@
 	choice := balance.Choice{Replica: r.source.snapshot.Replicas[0]}
 	listed, unlisted := r.source.snapshot, r.source.snapshot
 	unlisted.Replicas = nil
-	r.follower.Take(listed, time.Now().Add(-2*testListAge))
+	r.watcher.ApplySnapshot(listed, time.Now().Add(-2*testListAge))
 	c.logChoice(choice)
-	assert.NotContains(t, written.String(), "doubt_ms")
-	r.follower.Take(unlisted, time.Now().Add(-testListAge))
+	assert.NotContains(t, written.String(), "unconfirmed_ms")
+	r.watcher.ApplySnapshot(unlisted, time.Now().Add(-testListAge))
 	c.logChoice(choice)
-	assert.Regexp(t, `"doubt_ms":6\d{4},.*"event":410`, written.String())
+	assert.Regexp(t, `"event":410,.*"unconfirmed_ms":6\d{4}`, written.String())
 }
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -59,7 +59,7 @@
 
 // untilNextRead is the time until this router reads its source again, as a Retry-After.
 func (f *Front) untilNextRead() time.Duration {
-	return boundRetryAfter(f.follower.NextRead(steady.Now()))
+	return boundRetryAfter(f.watcher.NextRead(steady.Now()))
 }
 
 func boundRetryAfter(after time.Duration) time.Duration {
--- a/internal/front/renew_test.go
+++ b/internal/front/renew_test.go
@@ -33,7 +33,7 @@
 	r.source.mu.Lock()
 	defer r.source.mu.Unlock()
 	assert.Greater(t, r.source.reads, before)
-	for _, known := range r.follower.Replicas() {
+	for _, known := range r.watcher.Replicas() {
 		assert.Equal(t, known.ID == "r0", known.State == directory.Draining, "the list is the newest")
 	}
 }
@@ -49,23 +49,23 @@
 	}{
 		"fails, no other router is known": {served: true},
 		"fails, others have nothing newer": {
-			told:   func(r *rig) { r.follower.Told(time.Now(), longAgo()) },
+			told:   func(r *rig) { r.watcher.ObservePeerProof(time.Now(), longAgo()) },
 			served: true,
 		},
 		"fails, another has something newer": {
-			told: func(r *rig) { r.follower.Told(time.Now(), time.Now()) },
+			told: func(r *rig) { r.watcher.ObservePeerProof(time.Now(), time.Now()) },
 		},
 		"fails, others were not heard for long": {
-			told: func(r *rig) { r.follower.Told(longAgo(), longAgo()) },
+			told: func(r *rig) { r.watcher.ObservePeerProof(longAgo(), longAgo()) },
 		},
 		"silent, no other router is known": {silent: true},
 		"silent, another has something newer": {
 			silent: true,
-			told:   func(r *rig) { r.follower.Told(time.Now(), time.Now()) },
+			told:   func(r *rig) { r.watcher.ObservePeerProof(time.Now(), time.Now()) },
 		},
 		"silent, others have nothing newer": {
 			silent: true,
-			told:   func(r *rig) { r.follower.Told(time.Now(), longAgo()) },
+			told:   func(r *rig) { r.watcher.ObservePeerProof(time.Now(), longAgo()) },
 			served: true,
 		},
 	}
@@ -80,7 +80,7 @@
 				r.source.reportFailure(assert.AnError)
 			}
 			// The read is known to have no answer before the request comes.
-			require.Error(t, r.follower.RenewList(t.Context(), time.Now()))
+			require.Error(t, r.watcher.RefreshList(t.Context(), time.Now()))
 			if test.told != nil {
 				test.told(r)
 			}
--- a/internal/front/resumed_test.go
+++ b/internal/front/resumed_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 )
 
 // A machine was suspended for ten seconds: what its router had known before counted as new.
@@ -22,7 +22,7 @@
 	r.front.SetLimits(limits)
 	r.source.fallSilent()
 	// A source that answers nobody is asked again when the router's turn has come.
-	r.follower.Set(r.source, follow.Options{Period: 200 * time.Millisecond, Timeout: time.Second})
+	r.watcher.Set(r.source, watch.Options{Period: 200 * time.Millisecond, Timeout: time.Second})
 	defer steady.Pretend(10 * time.Second)()
 	for _, path := range []string{"/single/x", "/open/x", "/unknown/x"} {
 		answer, _, err := r.send(t, http.MethodPost, path, "body")
@@ -33,7 +33,7 @@
 	r.source.mu.Lock()
 	r.source.silent = false
 	r.source.mu.Unlock()
-	require.NoError(t, r.follower.Prove(t.Context(), steady.Now().Add(-time.Second)))
+	require.NoError(t, r.watcher.WaitFresh(t.Context(), steady.Now().Add(-time.Second)))
 	answer, _, err := r.send(t, http.MethodPost, "/single/x", "body")
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, answer.StatusCode, "proven again")
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -18,8 +18,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -46,27 +46,27 @@
 // fakeSource returns what a test put into it, or an error.
 type fakeSource struct {
 	mu       sync.Mutex
-	snapshot follow.Snapshot
+	snapshot watch.Snapshot
 	err      error
 	reads    int
 	// silent: a read is answered by nothing until its time is over.
 	silent bool
 }
 
-func (s *fakeSource) Replicas(ctx context.Context) (follow.Snapshot, error) {
+func (s *fakeSource) Replicas(ctx context.Context) (watch.Snapshot, error) {
 	snapshot, err := s.Read(ctx)
 	snapshot.Config = nil
 	return snapshot, err
 }
 
-func (s *fakeSource) Read(ctx context.Context) (follow.Snapshot, error) {
+func (s *fakeSource) Read(ctx context.Context) (watch.Snapshot, error) {
 	s.mu.Lock()
 	s.reads++
 	snapshot, err, silent := s.snapshot, s.err, s.silent
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return follow.Snapshot{}, ctx.Err()
+		return watch.Snapshot{}, ctx.Err()
 	}
 	return snapshot, err
 }
@@ -92,17 +92,17 @@
 	r.source.snapshot.Replicas = append(slices.Clone(r.source.snapshot.Replicas), more...)
 	snapshot := r.source.snapshot
 	r.source.mu.Unlock()
-	require.NoError(t, r.follower.Take(snapshot, time.Now()))
+	require.NoError(t, r.watcher.ApplySnapshot(snapshot, time.Now()))
 }
 
 // rig is a front between a test's caller and its replicas.
 type rig struct {
-	front    *Front
-	source   *fakeSource
-	follower *follow.Follower
-	holder   *freshness.Holder
-	server   *httptest.Server
-	log      *event.Log
+	front   *Front
+	source  *fakeSource
+	watcher *watch.Watcher
+	holder  *freshness.Holder
+	server  *httptest.Server
+	log     *event.Log
 }
 
 func testConfig() route.Config {
@@ -130,8 +130,8 @@
 	r := newStillRig(t, replicas...)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go r.follower.Run(ctx)
-	require.NoError(t, r.follower.Prove(ctx, time.Now().Add(-time.Hour)))
+	go r.watcher.Run(ctx)
+	require.NoError(t, r.watcher.WaitFresh(ctx, time.Now().Add(-time.Hour)))
 	return r
 }
 
@@ -140,7 +140,7 @@
 func newAgedRig(t *testing.T, age time.Duration, replicas ...string) *rig {
 	t.Helper()
 	r := newStillRig(t, replicas...)
-	r.follower.Take(r.source.snapshot, time.Now().Add(-age))
+	r.watcher.ApplySnapshot(r.source.snapshot, time.Now().Add(-age))
 	return r
 }
 
@@ -158,7 +158,7 @@
 	for i := range config.Routes {
 		config.Routes[i].Shares = []route.Share{{Service: "s", Weight: 1}}
 	}
-	source := &fakeSource{snapshot: follow.Snapshot{Config: &config}}
+	source := &fakeSource{snapshot: watch.Snapshot{Config: &config}}
 	for i, address := range replicas {
 		source.snapshot.Replicas = append(source.snapshot.Replicas,
 			directory.Replica{ID: fmt.Sprintf("r%d", i), Service: "s", Address: address, DataCentre: "here"})
@@ -166,11 +166,11 @@
 	log := event.Discard()
 	holder := freshness.NewHolder()
 	balancer := balance.New(1)
-	f := follow.New(source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), holder, balancer, log)
+	f := watch.New(source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), holder, balancer, log)
 	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: 10 * time.Second, IdleTime: time.Minute})
 	limits := Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RetryRatio: 1, RetryReserve: 100}
 	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits}, f, holder, balancer, pool, NewMetrics(), log)
-	r := &rig{front: front, source: source, follower: f, holder: holder, server: httptest.NewServer(front), log: log}
+	r := &rig{front: front, source: source, watcher: f, holder: holder, server: httptest.NewServer(front), log: log}
 	t.Cleanup(r.server.Close)
 	return r
 }
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -11,10 +11,10 @@
 
 // noteStatements records what an answer to a request sent at a time says of its replica.
 func (f *Front) noteStatements(request, id string, sent time.Time, answer *http.Response) {
-	now, statements := steady.Now(), f.follower.Statements()
+	now, statements := steady.Now(), f.watcher.Statements()
 	if answer.Close {
 		statements.ForgetServing(id)
-		f.follower.Leaves(id)
+		f.watcher.MarkDraining(id)
 	}
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		// Another replica stands at the address now.
@@ -49,7 +49,7 @@
 	f.metrics.Resting.Inc(1)
 	now := steady.Now()
 	until := now.Add(rest)
-	if f.follower.Statements().MarkResting(id, sent, until, now) {
+	if f.watcher.Statements().MarkResting(id, sent, until, now) {
 		f.log.Write(event.ReplicaResting, event.F("replica", id), event.F("request", request), event.F("rest_ms", rest.Milliseconds()))
 	}
 	f.balancer.Rests(id, until)
@@ -78,7 +78,7 @@
 // statementFields tell what a replica said of itself before it was chosen.
 func (f *Front) statementFields(id string, now time.Time) []event.Field {
 	var fields []event.Field
-	said := f.follower.Statements().Of(id)
+	said := f.watcher.Statements().Get(id)
 	if !said.DrainingSince.IsZero() {
 		fields = append(fields, event.F("draining_ms", now.Sub(said.DrainingSince).Milliseconds()))
 	}
--- a/internal/front/statements_test.go
+++ b/internal/front/statements_test.go
@@ -92,18 +92,18 @@
 	tests := map[string]func(t *testing.T, r *rig){
 		"listed as ready": func(t *testing.T, r *rig) { r.list(t) },
 		"listed by an older read": func(t *testing.T, r *rig) {
-			require.NoError(t, r.follower.Take(r.source.snapshot, steady.Now().Add(-time.Millisecond)))
+			require.NoError(t, r.watcher.ApplySnapshot(r.source.snapshot, steady.Now().Add(-time.Millisecond)))
 		},
 		"the store answers nobody": func(t *testing.T, r *rig) {
 			r.source.reportFailure(assert.AnError)
-			require.Error(t, r.follower.RenewList(t.Context(), steady.Now()))
+			require.Error(t, r.watcher.RefreshList(t.Context(), steady.Now()))
 		},
 		"its entry lapsed and came back": func(t *testing.T, r *rig) {
 			all := r.source.snapshot
 			without := all
 			without.Replicas = all.Replicas[1:]
-			require.NoError(t, r.follower.Take(without, steady.Now()))
-			require.NoError(t, r.follower.Take(all, steady.Now()))
+			require.NoError(t, r.watcher.ApplySnapshot(without, steady.Now()))
+			require.NoError(t, r.watcher.ApplySnapshot(all, steady.Now()))
 		},
 	}
 	for name, happens := range tests {
@@ -151,7 +151,7 @@
 				r.source.snapshot.Replicas[0].Born = born
 				snapshot := r.source.snapshot
 				r.source.mu.Unlock()
-				require.NoError(t, r.follower.Take(snapshot, steady.Now()))
+				require.NoError(t, r.watcher.ApplySnapshot(snapshot, steady.Now()))
 			}
 			started(1)
 			leaves.does(says)
@@ -173,7 +173,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	})
 	r.wantNotRun(t)
-	assert.Zero(t, r.follower.Statements().Of("r0"))
+	assert.Zero(t, r.watcher.Statements().Get("r0"))
 }
 
 // Guards against requests to a replica during a rest that it asked for, and against none
@@ -212,7 +212,7 @@
 	s := directory.NewStatements()
 	assert.True(t, s.MarkResting("a", now, now.Add(5*time.Second), now))
 	assert.False(t, s.MarkResting("a", now, now.Add(2*time.Second), now.Add(time.Second)))
-	assert.Equal(t, now.Add(5*time.Second), s.Of("a").RestUntil)
+	assert.Equal(t, now.Add(5*time.Second), s.Get("a").RestUntil)
 }
 
 // Guards against holding a request, or telling its caller a wrong time to come back, while
@@ -255,7 +255,7 @@
 			r.setListProof(testListProof)
 			r.onceConnected(func() {
 				if replica.arrivals.Load()+other.arrivals.Load() == 0 {
-					says(r.follower.Statements())
+					says(r.watcher.Statements())
 				}
 			})
 			assert.Equal(t, manyRequests, r.sendMany(t, manyRequests))
@@ -285,8 +285,8 @@
 	r.front.log = event.New(&written, "here", logrus.InfoLevel)
 	r.setListProof(testListProof)
 	now := steady.Now()
-	r.follower.Statements().MarkDraining("r0", now, now)
-	r.follower.Statements().MarkResting("r2", now, now.Add(time.Hour), now)
+	r.watcher.Statements().MarkDraining("r0", now, now)
+	r.watcher.Statements().MarkResting("r2", now, now.Add(time.Hour), now)
 	require.Equal(t, 1, r.sendMany(t, 1))
 	assert.Contains(t, written.String(), "r0: announced its shutdown")
 	assert.Contains(t, written.String(), "r2: asked for rest")
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -49,7 +49,7 @@
 	if c.sent.Load() > 0 || c.evacuated() || left <= 0 {
 		return false
 	}
-	news, expected := c.front.follower.News()
+	news, expected := c.front.watcher.Updates()
 	first := c.opens(steady.Now())
 	opening := first.known && first.after > 0 && first.after <= left
 	if !opening && !expected {
@@ -84,12 +84,12 @@
 	f := c.front
 	limit := time.Duration(float64(f.limits.Load().ListProof) * refreshPart)
 	now := steady.Now()
-	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.follower.ListAge(now) < limit {
+	if limit == 0 || f.options.Without.Has(mechanism.Renew) || f.watcher.ListAge(now) < limit {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.boundedWait(waitPart, listWait))
 	defer cancel()
-	f.logListAge(f.follower.RenewList(ctx, now.Add(-limit)))
+	f.logListAge(f.watcher.RefreshList(ctx, now.Add(-limit)))
 }
 
 // initialState returns the state by which a request is served. Right after the start it
@@ -97,23 +97,23 @@
 func (c *call) initialState(ctx context.Context) *freshness.State {
 	f := c.front
 	state := f.holder.Current()
-	if state.Table != nil || f.follower.Lost() {
+	if state.Table != nil || f.watcher.SourceFailing() {
 		return state
 	}
 	ctx, cancel := context.WithTimeout(ctx, startWait)
 	defer cancel()
 	// Without a proof in time the state is as it was.
-	_ = f.follower.Prove(ctx, f.started)
+	_ = f.watcher.WaitFresh(ctx, f.started)
 	return f.holder.Current()
 }
 
 // waitFresh waits until the configuration was read after a time, and reports whether it
 // was. While the source is unavailable it does not wait.
 func (c *call) waitFresh(ctx context.Context, since time.Time) bool {
-	if c.front.follower.Lost() {
+	if c.front.watcher.SourceFailing() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.boundedWait(proofPart, proofWait))
 	defer cancel()
-	return c.front.follower.Prove(ctx, since) == nil
+	return c.front.watcher.WaitFresh(ctx, since) == nil
 }
--- a/internal/front/wait_test.go
+++ b/internal/front/wait_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -20,12 +20,12 @@
 )
 
 // idle is a front that nothing is read for, and a call of it that has just come.
-func idle(target time.Duration, source follow.Source) (*Front, *call) {
+func idle(target time.Duration, source watch.Source) (*Front, *call) {
 	log := event.Discard()
 	holder, balancer := freshness.NewHolder(), balance.New(1)
-	follower := follow.New(source, follow.Options{Period: time.Second, Timeout: time.Second},
+	watcher := watch.New(source, watch.Options{Period: time.Second, Timeout: time.Second},
 		directory.New(time.Hour, time.Hour), holder, balancer, log)
-	f := New(Options{Dialect: testDialect(), DataCentre: "here"}, follower, holder, balancer, nil, NewMetrics(), log)
+	f := New(Options{Dialect: testDialect(), DataCentre: "here"}, watcher, holder, balancer, nil, NewMetrics(), log)
 	c := &call{front: f, arrival: time.Now(), route: &route.Route{Target: target}, service: &route.Service{Name: "s"}}
 	c.tried = []string{"r0"}
 	return f, c
@@ -33,11 +33,11 @@
 
 // list gives a front replicas.
 func list(f *Front, ids ...string) {
-	snapshot := follow.Snapshot{Config: &route.Config{Version: 1}}
+	snapshot := watch.Snapshot{Config: &route.Config{Version: 1}}
 	for _, id := range ids {
 		snapshot.Replicas = append(snapshot.Replicas, directory.Replica{ID: id, Service: "s", DataCentre: "here"})
 	}
-	f.follower.Take(snapshot, time.Now())
+	f.watcher.ApplySnapshot(snapshot, time.Now())
 }
 
 func TestARequestWaitsOnlyForWhatIsExpectedToChange(t *testing.T) {
@@ -108,9 +108,9 @@
 // slowSource answers when its reader has given up.
 type slowSource struct{ fakeSource }
 
-func (*slowSource) Replicas(ctx context.Context) (follow.Snapshot, error) {
+func (*slowSource) Replicas(ctx context.Context) (watch.Snapshot, error) {
 	<-ctx.Done()
-	return follow.Snapshot{}, ctx.Err()
+	return watch.Snapshot{}, ctx.Err()
 }
 
 func TestANewerListIsWaitedForWithinTheTarget(t *testing.T) {
@@ -180,7 +180,7 @@
 			config.Routes[i].Shares = []route.Share{{Service: "s", Weight: 1}}
 		}
 		replicas := []directory.Replica{{ID: "r0", Service: "s", DataCentre: "there"}}
-		f.follower.Take(follow.Snapshot{Config: &config, Replicas: replicas}, time.Now())
+		f.watcher.ApplySnapshot(watch.Snapshot{Config: &config, Replicas: replicas}, time.Now())
 		f.SetLimits(Limits{KeyProof: time.Hour, AbsenceProof: time.Hour, RetryReserve: 1})
 		f.balancer.Failed("r0", balance.Unreachable, "here", time.Now())
 		_, _ = f.balancer.Pick(balance.Question{Service: "s"}, time.Now())
--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -84,8 +84,8 @@
 		return false
 	}
 	proven := now.Add(-milliseconds(d.GetProofMs()))
-	g.follower.Told(time.Time{}, proven)
-	return !g.recalled.Load() || g.follower.Behind(wordOf(d), proven)
+	g.watcher.ObservePeerProof(time.Time{}, proven)
+	return !g.recalled.Load() || g.watcher.Behind(wordOf(d), proven)
 }
 
 // mayAsk tells whether a router may be asked for news beside those that are asked now.
--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -11,9 +11,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 )
 
@@ -40,7 +40,7 @@
 	}
 	for i, list := range [][]string{{"a", "b"}, {"b"}} {
 		version, read := uint64(4+i), time.Now()
-		fleet[7].follower.Take(follow.Snapshot{Config: config(version), Replicas: replicas(list...)}, read)
+		fleet[7].watcher.ApplySnapshot(watch.Snapshot{Config: config(version), Replicas: replicas(list...)}, read)
 		for _, r := range fleet {
 			until(t, func() bool {
 				table := r.holder.Current().Table
@@ -57,7 +57,7 @@
 	fleet := largeFleet(t, 2*maxPartners)
 	for _, r := range fleet {
 		until(t, func() bool { return r.gossip.Members() == len(fleet) })
-		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 		r.balancer.Started("a")
 	}
 	for _, r := range fleet {
@@ -73,7 +73,7 @@
 	fleet := largeFleet(t, 2*maxPartners)
 	for _, r := range fleet {
 		until(t, func() bool { return r.gossip.Members() == len(fleet) })
-		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	}
 	for _, r := range fleet {
 		r.awaitRound(t)
@@ -89,8 +89,8 @@
 func TestWhatIsToldProvesNothing(t *testing.T) {
 	r := newRestingRouter(t, &source{})
 	read := time.Now().Add(-time.Minute)
-	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, read)
-	word := r.follower.Word()
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("a")}, read)
+	word := r.watcher.Digest()
 	version, mark := word.Version, word.Mark
 	now, proofMs := time.Now(), uint32(0)
 	told := &gossippb.Digest{Sender: "127.0.0.1:9", DataCentre: "there", Version: version, Mark: mark, ProofMs: &proofMs}
@@ -129,8 +129,8 @@
 			r := newRestingRouter(t, &source{})
 			r.gossip.SetRecalled()
 			now := time.Now()
-			r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(-time.Minute))
-			mark := r.follower.Word().Mark
+			r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(-time.Minute))
+			mark := r.watcher.Digest().Mark
 			if name == "another list that is older" || name == "another list that is newer" {
 				mark++
 			}
@@ -207,8 +207,8 @@
 		teller.gossip.members.Heard(fmt.Sprintf("127.0.0.1:%d", i+1), time.Now())
 	}
 	teller.gossip.partners.Relayed = []string{told.gossip.Address()}
-	teller.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now())
+	teller.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now())
 	teller.gossip.tellNews(time.Now())
-	until(t, told.follower.Known)
+	until(t, told.watcher.Known)
 	assert.Zero(t, told.source.reads)
 }
--- a/internal/gossip/corpus_test.go
+++ b/internal/gossip/corpus_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -40,7 +40,7 @@
 		t.Run(build, func(t *testing.T) {
 			var d, a gossippb.Datagram
 			corpus(t, build, "datagram", &d)
-			word := follow.Word{Version: 12, Mark: 99, Generation: want.generation, Facts: d.Digest.GetFacts()}
+			word := watch.Digest{Version: 12, Mark: 99, Generation: want.generation, Facts: d.Digest.GetFacts()}
 			assert.Equal(t, word, wordOf(d.Digest))
 			told := decode(d.Digest, steady.Now())
 			assert.Len(t, told.Running, 2)
@@ -61,7 +61,7 @@
 
 			var reply, excerpt gossippb.KnowledgeReply
 			corpus(t, build, "reply", &reply)
-			k, err := decodeKnowledge(&reply, follow.Have{})
+			k, err := decodeKnowledge(&reply, watch.Have{})
 			require.NoError(t, err)
 			require.NotNil(t, k.Config)
 			assert.EqualValues(t, 12, k.Config.Version)
@@ -72,7 +72,7 @@
 			assert.Equal(t, want.born, k.Listing.Replicas[0].Born)
 
 			corpus(t, build, "excerpt", &excerpt)
-			k, err = decodeKnowledge(&excerpt, follow.Have{Sums: make([]uint32, 16)})
+			k, err = decodeKnowledge(&excerpt, watch.Have{Sums: make([]uint32, 16)})
 			require.NoError(t, err)
 			assert.Equal(t, []uint32{2, 5}, k.Excerpt.Differ)
 		})
--- a/internal/gossip/excerpt_test.go
+++ b/internal/gossip/excerpt_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -20,28 +20,28 @@
 	teacher, learner := newRestingRouter(t, &source{}), newRestingRouter(t, &source{})
 	for _, r := range []*router{teacher, learner} {
 		r.gossip.SetRecalled()
-		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: list.Replicas}, read)
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: list.Replicas}, read)
 	}
 	after := append([]directory.Replica(nil), list.Replicas...)
 	for i := range changed {
 		after[i*replicas/changed].State = directory.Draining
 	}
-	teacher.follower.Take(follow.Snapshot{Config: config(1), Replicas: after}, read.Add(time.Second))
+	teacher.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: after}, read.Add(time.Second))
 	sent, received := learner.gossip.Bytes()
 	learner.gossip.learn(t.Context(), teacher.gossip.Address())
-	mark := teacher.follower.Word().Mark
-	learned := learner.follower.Word().Mark
+	mark := teacher.watcher.Digest().Mark
+	learned := learner.watcher.Digest().Mark
 	require.Equal(t, mark, learned)
 	sentNow, receivedNow := learner.gossip.Bytes()
 	assert.Less(t, sentNow-sent+receivedNow-received, uint64(mostBytes))
-	assert.Equal(t, teacher.follower.Replicas(), learner.follower.Replicas())
+	assert.Equal(t, teacher.watcher.Replicas(), learner.watcher.Replicas())
 }
 
 // Parts that are not those that were asked for can't be put together with the own list.
 func TestAnExcerptOfOtherPartsIsRefused(t *testing.T) {
 	text, err := pack(directory.Listing{})
 	require.NoError(t, err)
-	have := follow.Have{Mark: 7, Sums: make([]uint32, 16)}
+	have := watch.Have{Mark: 7, Sums: make([]uint32, 16)}
 	k, err := decodeKnowledge(&gossippb.KnowledgeReply{Replicas: text, Parts: 16, Differ: []uint32{3}}, have)
 	require.NoError(t, err)
 	assert.Equal(t, &directory.Excerpt{Parts: 16, Differ: []uint32{3}}, k.Excerpt)
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -8,10 +8,10 @@
 	"storj.io/drpc"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -58,8 +58,8 @@
 	}
 	proven := asked.Add(-milliseconds(r.GetProofMs()))
 	// Whether the source answers somebody goes by the youngest that the proof may be.
-	g.follower.Told(asked, now.Add(-milliseconds(r.GetProofMs())))
-	newer := g.follower.ProvenBy(wordOf(r), proven)
+	g.watcher.ObservePeerProof(asked, now.Add(-milliseconds(r.GetProofMs())))
+	newer := g.watcher.ApplyPeerProof(wordOf(r), proven)
 	return newer || !g.recalled.Load()
 }
 
@@ -101,7 +101,7 @@
 	}
 	defer g.learning.Store(false)
 	asked := steady.Now()
-	have := g.follower.Have()
+	have := g.watcher.Have()
 	request := &gossippb.KnowledgeRequest{Version: have.Version, Mark: have.Mark, Facts: have.Facts, Sums: have.Sums, Holders: !g.recalled.Load()}
 	var reply *gossippb.KnowledgeReply
 	err := g.client.Control(ctx, address, peer.Bound{Call: learnTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
@@ -117,16 +117,16 @@
 		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
 		return
 	}
-	g.follower.Learn(knowledge, asked, asked.Add(-milliseconds(reply.GetProofMs())), address)
-	if len(reply.Part) > 0 && g.follower.Known() {
+	g.watcher.ApplyKnowledge(knowledge, asked, asked.Add(-milliseconds(reply.GetProofMs())), address)
+	if len(reply.Part) > 0 && g.watcher.Known() {
 		g.balancer.Recall(decodeHolders(reply.Part, reply.Holder), steady.Now())
 		g.recalled.Store(true)
 	}
 }
 
 // decodeKnowledge reads what was answered to a router that has something.
-func decodeKnowledge(reply *gossippb.KnowledgeReply, have follow.Have) (follow.Knowledge, error) {
-	k := follow.Knowledge{Version: reply.Version, Mark: reply.Mark, From: have.Mark, Generation: reply.Generation, GenerationAge: milliseconds(reply.GenerationAgeMs)}
+func decodeKnowledge(reply *gossippb.KnowledgeReply, have watch.Have) (watch.Knowledge, error) {
+	k := watch.Knowledge{Version: reply.Version, Mark: reply.Mark, From: have.Mark, Generation: reply.Generation, GenerationAge: milliseconds(reply.GenerationAgeMs)}
 	if len(reply.Facts) > 0 {
 		k.Facts = &directory.Facts{}
 		if err := unpack(reply.Facts, k.Facts); err != nil {
--- a/internal/gossip/fleet_bench_test.go
+++ b/internal/gossip/fleet_bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -67,7 +67,7 @@
 	known, oldest := 0, time.Duration(0)
 	for _, r := range fleet {
 		known += r.gossip.Members()
-		oldest = max(oldest, r.follower.Age(time.Now()))
+		oldest = max(oldest, r.watcher.Age(time.Now()))
 	}
 	b.ReportMetric(float64(known)/float64(routers), "known")
 	b.ReportMetric(float64(oldest.Milliseconds()), "oldest-proof-ms")
@@ -78,9 +78,9 @@
 func startBenchRouter(b *testing.B, centre string, seeds []string) *router {
 	b.Helper()
 	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
-	r.follower = follow.New(r.source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
+	r.watcher = watch.New(r.source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
 	var err error
-	r.gossip, err = Start(Options{Address: "127.0.0.1:0", DataCentre: centre, Seeds: seeds, Period: benchPeriod}, r.follower, r.balancer, event.Discard())
+	r.gossip, err = Start(Options{Address: "127.0.0.1:0", DataCentre: centre, Seeds: seeds, Period: benchPeriod}, r.watcher, r.balancer, event.Discard())
 	require.NoError(b, err)
 	r.gossip.SetRecalled()
 	return r
@@ -92,11 +92,11 @@
 		id := fmt.Sprintf("engine-%d", i)
 		list = append(list, directory.Replica{ID: id, Service: "s", Address: id + ":1", DataCentre: fmt.Sprintf("dc%d", i%5), Slots: 32})
 	}
-	snapshot := follow.Snapshot{Config: &route.Config{Version: 1, Routes: config(1).Routes}, Replicas: list}
+	snapshot := watch.Snapshot{Config: &route.Config{Version: 1, Routes: config(1).Routes}, Replicas: list}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
-		r.follower.Take(snapshot, time.Now())
+		r.watcher.ApplySnapshot(snapshot, time.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -24,10 +24,10 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/membership"
 	"github.com/croftyard/croftyard/pkg/poison"
@@ -79,7 +79,7 @@
 type Gossip struct {
 	options  Options
 	log      *event.Log
-	follower *follow.Follower
+	watcher  *watch.Watcher
 	balancer *balance.Balancer
 	poison   *poison.Memory
 	meter    *peer.Meter
@@ -129,7 +129,7 @@
 }
 
 // Start listens for other routers.
-func Start(o Options, f *follow.Follower, b *balance.Balancer, log *event.Log) (*Gossip, error) {
+func Start(o Options, f *watch.Watcher, b *balance.Balancer, log *event.Log) (*Gossip, error) {
 	if o.Poison == nil {
 		o.Poison = poison.New(poison.Options{})
 	}
@@ -137,7 +137,7 @@
 	g := &Gossip{
 		options:   o,
 		log:       log,
-		follower:  f,
+		watcher:   f,
 		balancer:  b,
 		poison:    o.Poison,
 		meter:     meter,
@@ -231,7 +231,7 @@
 	g.tick(ctx)
 	var told, marked <-chan time.Time
 	for {
-		news, _ := g.follower.News()
+		news, _ := g.watcher.Updates()
 		if told != nil {
 			news = nil
 		}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -14,9 +14,9 @@
 	"storj.io/drpc"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -27,18 +27,18 @@
 // source returns what a test put into it, or an error.
 type source struct {
 	mu       sync.Mutex
-	snapshot follow.Snapshot
+	snapshot watch.Snapshot
 	err      error
 	reads    int
 }
 
-func (s *source) Replicas(ctx context.Context) (follow.Snapshot, error) {
+func (s *source) Replicas(ctx context.Context) (watch.Snapshot, error) {
 	snapshot, err := s.Read(ctx)
 	snapshot.Config = nil
 	return snapshot, err
 }
 
-func (s *source) Read(context.Context) (follow.Snapshot, error) {
+func (s *source) Read(context.Context) (watch.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -48,7 +48,7 @@
 // router is what gossip needs of one.
 type router struct {
 	gossip   *Gossip
-	follower *follow.Follower
+	watcher  *watch.Watcher
 	holder   *freshness.Holder
 	balancer *balance.Balancer
 	source   *source
@@ -84,9 +84,9 @@
 func newRestingRouter(t *testing.T, s *source, seeds ...string) *router {
 	t.Helper()
 	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: s}
-	r.follower = follow.New(s, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
+	r.watcher = watch.New(s, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
 	var err error
-	r.gossip, err = Start(Options{Address: "127.0.0.1:0", Seeds: seeds, Period: 5 * time.Millisecond}, r.follower, r.balancer, event.Discard())
+	r.gossip, err = Start(Options{Address: "127.0.0.1:0", Seeds: seeds, Period: 5 * time.Millisecond}, r.watcher, r.balancer, event.Discard())
 	require.NoError(t, err)
 	t.Cleanup(r.gossip.stop)
 	return r
@@ -116,7 +116,7 @@
 func TestACallThatComesWithTheStartFindsTheMembers(t *testing.T) {
 	for range 20 {
 		g := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
-		g.follower = follow.New(g.source, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), g.holder, g.balancer, event.Discard())
+		g.watcher = watch.New(g.source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), g.holder, g.balancer, event.Discard())
 		held, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		address := held.Addr().String()
@@ -132,7 +132,7 @@
 			})
 		}()
 		held.Close()
-		g.gossip, err = Start(Options{Address: address, Period: time.Hour}, g.follower, g.balancer, event.Discard())
+		g.gossip, err = Start(Options{Address: address, Period: time.Hour}, g.watcher, g.balancer, event.Discard())
 		require.NoError(t, err)
 		<-called
 		assert.Equal(t, 2, g.gossip.Members())
@@ -146,9 +146,9 @@
 	second := newRouter(t, &source{err: errors.New("turned away")}, first.gossip.Address())
 	third := newRouter(t, &source{err: errors.New("turned away")}, second.gossip.Address())
 	read := time.Now()
-	first.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a", "b")}, read)
+	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("a", "b")}, read)
 	for _, r := range []*router{second, third} {
-		until(t, r.follower.Known)
+		until(t, r.watcher.Known)
 		assert.EqualValues(t, 4, r.holder.Current().Table.Version())
 		until(t, func() bool { return r.balancer.Ready("s") == 2 })
 		assert.False(t, r.holder.Current().Proven.After(read), "a proof gains nothing on its way")
@@ -157,7 +157,7 @@
 	until(t, func() bool { return first.gossip.Members() == 3 && third.gossip.Members() == 3 })
 
 	later := time.Now()
-	first.follower.Take(follow.Snapshot{Config: config(5), Replicas: replicas("b")}, later)
+	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(5), Replicas: replicas("b")}, later)
 	until(t, func() bool { return third.holder.Current().Table.Version() == 5 && third.balancer.Ready("s") == 1 })
 	assert.False(t, third.holder.Current().Proven.After(later))
 }
@@ -168,9 +168,9 @@
 	first := newRouter(t, &source{})
 	second := newRouter(t, &source{err: errors.New("turned away")}, first.gossip.Address())
 	third := newRouter(t, &source{err: errors.New("turned away")}, second.gossip.Address())
-	first.follower.Take(follow.Snapshot{Config: config(4), Replicas: list}, time.Now())
+	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: list}, time.Now())
 	until(t, func() bool { return third.balancer.Ready("s") == 2 })
-	first.follower.Take(follow.Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, time.Now())
+	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, time.Now())
 	for _, r := range []*router{second, third} {
 		until(t, func() bool { return r.balancer.Ready("s") == 1 })
 		assert.Zero(t, r.source.reads)
@@ -182,7 +182,7 @@
 	r.balancer.SetColdBounds(balance.ColdBounds{Overage: 1.5, Allowance: 5})
 	list := replicas("a")
 	list[0].Cold, list[0].ColdLeft = true, time.Hour
-	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: list}, time.Now())
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: list}, time.Now())
 	until(t, func() bool {
 		// Long after the start, but long before it is warm.
 		_, found := r.balancer.Pick(balance.Question{Service: "s", ColdRate: 1}, time.Now().Add(time.Minute))
@@ -192,20 +192,20 @@
 
 func TestAnOlderPeerTakesNothingBack(t *testing.T) {
 	old := newRouter(t, &source{})
-	old.follower.Take(follow.Snapshot{Config: config(3), Replicas: replicas("gone")}, time.Now())
+	old.watcher.ApplySnapshot(watch.Snapshot{Config: config(3), Replicas: replicas("gone")}, time.Now())
 	r := newRouter(t, &source{}, old.gossip.Address())
 	proven := time.Now()
-	r.follower.Take(follow.Snapshot{Config: config(8), Replicas: replicas("a")}, proven)
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(8), Replicas: replicas("a")}, proven)
 	until(t, func() bool { return old.holder.Current().Table.Version() == 8 })
 	assert.EqualValues(t, 8, r.holder.Current().Table.Version())
-	assert.Equal(t, "a", r.follower.Replicas()[0].ID)
+	assert.Equal(t, "a", r.watcher.Replicas()[0].ID)
 }
 
 func TestWhatRoutersRunAndSeeReachesTheOthers(t *testing.T) {
 	first := newRouter(t, &source{})
 	second := newRouter(t, &source{}, first.gossip.Address())
 	for _, r := range []*router{first, second} {
-		r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	}
 	until(t, func() bool { return first.gossip.Members() == 2 && second.gossip.Members() == 2 })
 	first.balancer.Failed("a", balance.Refused, "", time.Now())
@@ -252,10 +252,10 @@
 func TestARouterThatStartsRecallsHoldersFromOneThatKnows(t *testing.T) {
 	parts := []balance.Part{{ID: 7, Tokens: 100}, {ID: 8, Tokens: 5}}
 	first := newRouter(t, &source{})
-	first.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	first.balancer.Held("a", parts, time.Now())
 	second := newRouter(t, &source{}, first.gossip.Address())
-	second.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
+	second.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	until(t, func() bool { return first.gossip.Members() == 2 && second.gossip.Members() == 2 })
 	assert.False(t, second.gossip.Recalled(), "the first one knows no more than it happened to see")
 	first.gossip.SetRecalled()
@@ -288,14 +288,14 @@
 func TestAnotherRoutersWordIsNotMadeOlderByItsWay(t *testing.T) {
 	const age, limit = 55 * time.Minute, time.Hour
 	first := newRestingRouter(t, &source{})
-	first.follower.Take(follow.Snapshot{Config: config(1)}, time.Now().Add(-age))
+	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(1)}, time.Now().Add(-age))
 	second := newRestingRouter(t, &source{err: errors.New("down")})
-	second.follower.Take(follow.Snapshot{Config: config(1)}, time.Now().Add(-limit))
-	require.Error(t, second.follower.RenewList(t.Context(), time.Now()))
+	second.watcher.ApplySnapshot(watch.Snapshot{Config: config(1)}, time.Now().Add(-limit))
+	require.Error(t, second.watcher.RefreshList(t.Context(), time.Now()))
 	second.gossip.exchange(t.Context(), slowWay(t, first.gossip.Address()), &gossippb.Digest{Sender: second.gossip.Address()})
 	// At this moment the proof is just young enough; counted from the asking it is not.
 	now := first.holder.Current().Proven.Add(limit - 2*time.Millisecond)
-	assert.False(t, second.follower.Silent(limit, now), "another router was answered within the limit")
+	assert.False(t, second.watcher.StoreUnavailable(limit, now), "another router was answered within the limit")
 }
 
 // slowWay passes on what comes to it, a while later, and what comes back at once.
--- a/internal/gossip/learn_bench_test.go
+++ b/internal/gossip/learn_bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -27,27 +27,27 @@
 // BenchmarkLearn is what two routers spend on one change of the list that one passes on
 // to the other: the one for taking a list that was read, the other for the rest.
 func BenchmarkLearn(b *testing.B) {
-	newFollower := func() *follow.Follower {
-		return follow.New(&source{}, follow.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), freshness.NewHolder(), balance.New(1), event.Discard())
+	newWatcher := func() *watch.Watcher {
+		return watch.New(&source{}, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), freshness.NewHolder(), balance.New(1), event.Discard())
 	}
 	for _, replicas := range []int{240, 1520, 7600} {
 		b.Run(fmt.Sprintf("list of %d", replicas), func(b *testing.B) {
-			teacher, learner := newFollower(), newFollower()
+			teacher, learner := newWatcher(), newWatcher()
 			listing, now := benchListing(replicas), time.Now()
-			learner.Take(follow.Snapshot{Config: &route.Config{Version: 1}, Replicas: listing.Replicas}, now)
+			learner.ApplySnapshot(watch.Snapshot{Config: &route.Config{Version: 1}, Replicas: listing.Replicas}, now)
 			b.ReportAllocs()
 			bytes := 0
 			for i := 0; b.Loop(); i++ {
 				listing.Replicas[0].ID = fmt.Sprintf("i-%d", i)
 				now = now.Add(time.Second)
-				teacher.Take(follow.Snapshot{Config: &route.Config{Version: 1}, Replicas: listing.Replicas}, now)
+				teacher.ApplySnapshot(watch.Snapshot{Config: &route.Config{Version: 1}, Replicas: listing.Replicas}, now)
 				have := learner.Have()
 				k, _ := teacher.Knowledge(have, now)
 				text, err := pack(&k.Excerpt.Listing)
 				require.NoError(b, err)
 				bytes += len(text) + len(have.Sums)*4
 				require.NoError(b, unpack(text, &k.Excerpt.Listing))
-				learner.Learn(k, now, now, "peer")
+				learner.ApplyKnowledge(k, now, now, "peer")
 			}
 			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
 		})
--- a/internal/gossip/life_test.go
+++ b/internal/gossip/life_test.go
@@ -7,9 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -32,39 +32,39 @@
 	copied[2].DataCentre = "north"
 	drained := append(replicas("a", "b"), copied[2])
 	drained[0].State = directory.Draining
-	snapshot := func(generation uint64, list []directory.Replica) follow.Snapshot {
-		return follow.Snapshot{Config: config(4), Generation: generation, Replicas: list}
+	snapshot := func(generation uint64, list []directory.Replica) watch.Snapshot {
+		return watch.Snapshot{Config: config(4), Generation: generation, Replicas: list}
 	}
 	before := snapshot(1, drained)
 	before.Evacuated = []string{"north"}
-	require.NoError(t, knew.follower.Take(before, steady.Now()))
-	require.NoError(t, knew.follower.Take(snapshot(2, copied), steady.Now()))
-	require.NoError(t, fresh.follower.Take(snapshot(2, copied), steady.Now()))
-	assert.True(t, fresh.follower.Ready("a"))
+	require.NoError(t, knew.watcher.ApplySnapshot(before, steady.Now()))
+	require.NoError(t, knew.watcher.ApplySnapshot(snapshot(2, copied), steady.Now()))
+	require.NoError(t, fresh.watcher.ApplySnapshot(snapshot(2, copied), steady.Now()))
+	assert.True(t, fresh.watcher.Ready("a"))
 	fresh.hears(t, knew)
 	for id, ready := range map[string]bool{"a": false, "b": true, "c": false} {
-		assert.Equal(t, ready, fresh.follower.Ready(id), id)
+		assert.Equal(t, ready, fresh.watcher.Ready(id), id)
 	}
-	assert.Equal(t, knew.follower.Word(), fresh.follower.Word())
+	assert.Equal(t, knew.watcher.Digest(), fresh.watcher.Digest())
 
 	late := newRestingRouter(t, &source{})
 	late.gossip.SetRecalled()
-	require.NoError(t, late.follower.Take(snapshot(1, copied), steady.Now()))
+	require.NoError(t, late.watcher.ApplySnapshot(snapshot(1, copied), steady.Now()))
 	late.hears(t, fresh)
-	assert.Equal(t, knew.follower.Word(), late.follower.Word(), "over a router that did not know it by itself")
+	assert.Equal(t, knew.watcher.Digest(), late.watcher.Digest(), "over a router that did not know it by itself")
 }
 
 func TestAReadThatFailedIsTold(t *testing.T) {
 	lost, other := newRestingRouter(t, &source{}), newRestingRouter(t, &source{})
-	lost.follower.ToldFailure(steady.Now().Add(-time.Minute))
+	lost.watcher.ObservePeerFailure(steady.Now().Add(-time.Minute))
 	lost.hears(t, other)
-	age, failed := other.follower.Failure(steady.Now())
+	age, failed := other.watcher.Failure(steady.Now())
 	assert.True(t, failed)
 	assert.GreaterOrEqual(t, age, time.Minute)
 	assert.Less(t, age, 2*time.Minute)
-	require.NoError(t, other.follower.Take(follow.Snapshot{Config: config(4)}, steady.Now()))
+	require.NoError(t, other.watcher.ApplySnapshot(watch.Snapshot{Config: config(4)}, steady.Now()))
 	other.hears(t, lost)
-	_, failed = other.follower.Failure(steady.Now())
+	_, failed = other.watcher.Failure(steady.Now())
 	assert.False(t, failed)
 }
 
@@ -75,8 +75,8 @@
 	for i := range list {
 		list[i].Born = int64(i + 1)
 	}
-	require.NoError(t, r.follower.Take(follow.Snapshot{Config: config(4), Replicas: list}, steady.Now()))
-	word, plain := r.follower.Word(), r.follower.PlainMark()
+	require.NoError(t, r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: list}, steady.Now()))
+	word, plain := r.watcher.Digest(), r.watcher.PlainMark()
 	require.NotEqual(t, word.Mark, plain)
 	told := uint32(1)
 	for _, step := range []struct {
@@ -88,7 +88,7 @@
 		require.NoError(t, err)
 		assert.Equal(t, step.want, answer.Mark, "after %d", step.mark)
 		assert.Equal(t, step.plain, r.gossip.Plain())
-		assert.False(t, r.follower.ProvenBy(follow.Word{Version: 4, Mark: plain}, steady.Now()), "both name the same list")
+		assert.False(t, r.watcher.ApplyPeerProof(watch.Digest{Version: 4, Mark: plain}, steady.Now()), "both name the same list")
 	}
 	reply, err := r.gossip.Knowledge(t.Context(), &gossippb.KnowledgeRequest{Version: 4, Mark: plain})
 	require.NoError(t, err)
--- a/internal/gossip/pack_test.go
+++ b/internal/gossip/pack_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -46,15 +46,15 @@
 		require.NoError(t, err)
 		return reply
 	}
-	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("a", "b")}, read)
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("a", "b")}, read)
 	first, again := ask(), ask()
 	assert.Same(t, &first.Configuration[0], &again.Configuration[0])
 	assert.Same(t, &first.Replicas[0], &again.Replicas[0])
 
-	r.follower.Take(follow.Snapshot{Config: config(4), Replicas: replicas("b")}, read.Add(time.Second))
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("b")}, read.Add(time.Second))
 	changed := ask()
 	assert.Same(t, &first.Configuration[0], &changed.Configuration[0])
 	assert.NotEqual(t, first.Replicas, changed.Replicas)
-	r.follower.Take(follow.Snapshot{Config: config(5), Replicas: replicas("b")}, read.Add(2*time.Second))
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(5), Replicas: replicas("b")}, read.Add(2*time.Second))
 	assert.NotEqual(t, first.Configuration, ask().Configuration)
 }
--- a/internal/gossip/round_test.go
+++ b/internal/gossip/round_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 )
 
@@ -49,7 +49,7 @@
 			r := newRestingRouter(t, &source{})
 			list := replicas("a", "b")
 			list[0].DataCentre = "north"
-			r.follower.Take(follow.Snapshot{Config: config(4), Replicas: list, Evacuated: evacuated}, time.Now())
+			r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: list, Evacuated: evacuated}, time.Now())
 			for port := range maxPartners + 1 {
 				r.gossip.members.Heard(fmt.Sprintf("127.0.0.1:%d", port+1), time.Now())
 			}
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -7,9 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 )
 
@@ -39,7 +39,7 @@
 	g.takeMarks(d.Marks, now)
 	g.noteForm(d)
 	if d.ReadFailedMs != nil {
-		g.follower.ToldFailure(now.Add(-milliseconds(d.GetReadFailedMs())))
+		g.watcher.ObservePeerFailure(now.Add(-milliseconds(d.GetReadFailedMs())))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -59,7 +59,7 @@
 	}
 	word, age := g.knows(now)
 	if g.plain[d.Sender] {
-		word.Mark = g.follower.PlainMark()
+		word.Mark = g.watcher.PlainMark()
 	}
 	reply.Version, reply.Mark, reply.Generation, reply.Facts, reply.ProofMs = word.Version, word.Mark, word.Generation, word.Facts, age
 	return reply
@@ -67,17 +67,17 @@
 
 // knows returns what this router knows and how old the proof is, which is nil before
 // there is one.
-func (g *Gossip) knows(now time.Time) (word follow.Word, proofMs *uint32) {
-	if !g.follower.Known() {
+func (g *Gossip) knows(now time.Time) (word watch.Digest, proofMs *uint32) {
+	if !g.watcher.Known() {
 		return word, nil
 	}
-	age := uint32(g.follower.Age(now).Milliseconds()) + 1
-	return g.follower.Word(), &age
+	age := uint32(g.watcher.Age(now).Milliseconds()) + 1
+	return g.watcher.Digest(), &age
 }
 
 // tellsKnown adds to a digest what this router knows.
 func (g *Gossip) tellsKnown(d *gossippb.Digest, now time.Time) {
-	if age, failed := g.follower.Failure(now); failed {
+	if age, failed := g.watcher.Failure(now); failed {
 		milliseconds := uint32(age.Milliseconds())
 		d.ReadFailedMs = &milliseconds
 	}
@@ -91,8 +91,8 @@
 	GetMark() uint64
 	GetGeneration() uint64
 	GetFacts() uint32
-}) follow.Word {
-	return follow.Word{Version: m.GetVersion(), Mark: m.GetMark(), Generation: m.GetGeneration(), Facts: m.GetFacts()}
+}) watch.Digest {
+	return watch.Digest{Version: m.GetVersion(), Mark: m.GetMark(), Generation: m.GetGeneration(), Facts: m.GetFacts()}
 }
 
 // merge takes what a router tells of itself or of its line.
@@ -137,10 +137,10 @@
 
 // Knowledge implements the generated interface.
 func (g *Gossip) Knowledge(_ context.Context, r *gossippb.KnowledgeRequest) (*gossippb.KnowledgeReply, error) {
-	if !g.follower.Known() {
+	if !g.watcher.Known() {
 		return &gossippb.KnowledgeReply{}, nil
 	}
-	k, age := g.follower.Knowledge(follow.Have{Version: r.Version, Mark: r.Mark, Facts: r.Facts, Sums: r.Sums}, steady.Now())
+	k, age := g.watcher.Knowledge(watch.Have{Version: r.Version, Mark: r.Mark, Facts: r.Facts, Sums: r.Sums}, steady.Now())
 	milliseconds := uint32(age.Milliseconds()) + 1
 	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.Mark, Generation: k.Generation, ProofMs: &milliseconds}
 	reply.GenerationAgeMs = uint32(min(k.GenerationAge, maxGenerationAge).Milliseconds())
@@ -160,7 +160,7 @@
 }
 
 // encodeKnowledge adds the configuration and the list, or what of it is told.
-func (g *Gossip) encodeKnowledge(reply *gossippb.KnowledgeReply, k follow.Knowledge) (err error) {
+func (g *Gossip) encodeKnowledge(reply *gossippb.KnowledgeReply, k watch.Knowledge) (err error) {
 	if k.Config != nil {
 		if reply.Configuration, err = packOnce(&g.config, k.Version, k.Config); err != nil {
 			return err
--- a/internal/gossip/teach_test.go
+++ b/internal/gossip/teach_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/croftyard/croftyard/internal/follow"
+	"github.com/croftyard/croftyard/internal/watch"
 )
 
 func TestWhatIsPassedOnLeavesInTime(t *testing.T) {
@@ -34,12 +34,12 @@
 // Who is not answered goes on with what it has, and learns later.
 func TestWhoIsNotAnsweredLearnsLater(t *testing.T) {
 	teacher, learner := newRestingRouter(t, &source{}), newRestingRouter(t, &source{})
-	teacher.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
+	teacher.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
 	require.True(t, teacher.gossip.teaching.take(1<<30, time.Now()))
 	learner.gossip.learn(t.Context(), teacher.gossip.Address())
-	assert.False(t, learner.follower.Known(), "a refusal says nothing")
+	assert.False(t, learner.watcher.Known(), "a refusal says nothing")
 	assert.EqualValues(t, 1, teacher.gossip.Refused())
 	teacher.gossip.teaching.until = time.Time{}
 	learner.gossip.learn(t.Context(), teacher.gossip.Address())
-	assert.True(t, learner.follower.Known())
+	assert.True(t, learner.watcher.Known())
 }
--- a/internal/gossip/woke_test.go
+++ b/internal/gossip/woke_test.go
@@ -6,15 +6,15 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 )
 
 // A proof travels as its age: from a router that was suspended it looked as new as before.
 func TestAProofFromBeforeASuspensionIsToldAsOld(t *testing.T) {
 	r := newRestingRouter(t, &source{})
-	r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a")}, steady.Now())
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a")}, steady.Now())
 	defer steady.Pretend(10 * time.Second)()
 	answer, err := r.gossip.Exchange(t.Context(), &gossippb.Digest{Sender: "127.0.0.2:1"})
 	assert.NoError(t, err)
@@ -28,11 +28,11 @@
 func TestAnAnswerToAQuestionFromBeforeASuspensionProvesNothingSince(t *testing.T) {
 	r := newRestingRouter(t, &source{})
 	asked := steady.Now()
-	r.follower.Take(follow.Snapshot{Config: config(1), Replicas: replicas("a")}, asked.Add(-time.Minute))
-	word := r.follower.Word()
+	r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a")}, asked.Add(-time.Minute))
+	word := r.watcher.Digest()
 	version, mark := word.Version, word.Mark
 	defer steady.Pretend(10 * time.Second)()
 	age := uint32(1)
 	r.gossip.takeFreshness("127.0.0.2:1", &gossippb.Freshness{Version: version, Mark: mark, ProofMs: &age}, asked, steady.Now())
-	assert.GreaterOrEqual(t, r.follower.Age(steady.Now()), 10*time.Second)
+	assert.GreaterOrEqual(t, r.watcher.Age(steady.Now()), 10*time.Second)
 }
--- /dev/null
+++ b/internal/watch/apply.go
@@ -0,0 +1,103 @@
+package watch
+
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// ApplySnapshot applies the result of a read that was sent at a time, or returns ErrPast.
+func (w *Watcher) ApplySnapshot(s Snapshot, sent time.Time) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.acceptGeneration(&s, sent); err != nil {
+		return err
+	}
+	w.applyConfig(s, sent)
+	w.handleChanges(w.directory.Apply(s.listing(), sent))
+	w.noteBad(s.BadReplicas)
+	w.notifyRead()
+	return nil
+}
+
+// noteBad logs each bad entry once. w.mu is held.
+func (w *Watcher) noteBad(entries []BadEntry) {
+	bad := make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		bad[e.Key] = e.Revision
+		if w.bad[e.Key] != e.Revision {
+			w.log.Write(event.ReplicaUnreadable, event.F("key", e.Key), event.F("revision", e.Revision), event.F("error", e.Problem))
+		}
+	}
+	w.bad = bad
+}
+
+// notifyRead wakes the waiters for a read. w.mu is held.
+func (w *Watcher) notifyRead() {
+	w.turns.Answered(w.holder.Current().Seen)
+	close(w.read)
+	w.read = make(chan struct{})
+}
+
+// handleChanges passes changes of the directory to the balancer and the log. w.mu is held.
+func (w *Watcher) handleChanges(changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	w.balancer.Replace(w.directory.List(), w.directory.Read())
+	w.mark, w.plainMark = w.directory.Mark(directory.WithStarts), w.directory.Mark(directory.Plain)
+	w.notifyUpdate()
+	for _, c := range changes {
+		switch c.What {
+		case directory.Restarted:
+			// Routers that receive the list see it by the start in the replica's entry.
+			w.balancer.Restarted(c.Replica.ID, c.Replica.Born == 0, steady.Now())
+		case directory.Left:
+			w.balancer.Gone(c.Replica.ID)
+		}
+		if c.Centre != "" {
+			w.log.Write(centreEvent(c.What), event.F("data_centre", c.Centre))
+			continue
+		}
+		w.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
+			event.F("address", c.Replica.Address), event.F("change", string(c.What)))
+	}
+}
+
+// centreEvent is the event of a change of a data centre.
+func centreEvent(what directory.What) event.ID {
+	if what == directory.Evacuated {
+		return event.CentreEvacuated
+	}
+	return event.CentreReturned
+}
+
+func (w *Watcher) applyConfig(s Snapshot, sent time.Time) {
+	if s.Problem != nil {
+		w.log.Write(event.ConfigRejected, event.F("error", s.Problem))
+		return
+	}
+	held := w.holder.Current()
+	if held.Table != nil && s.Config.Version == held.Table.Version() {
+		w.holder.Prove(s.Config.Version, sent)
+		return
+	}
+	if w.life.rewound && held.Table != nil && s.Config.Version < held.Table.Version() {
+		// The operator has not written again what the copy lacks. Nothing newer is there,
+		// and what is held is never taken back.
+		w.holder.Prove(held.Table.Version(), sent)
+		return
+	}
+	table, err := route.Compile(*s.Config)
+	if err != nil {
+		w.log.Write(event.ConfigRejected, event.F("error", err), event.F("version", s.Config.Version))
+		return
+	}
+	if w.holder.Offer(table, sent) {
+		w.notifyUpdate()
+		w.log.Write(event.ConfigAdopted, event.F("version", table.Version()), event.F("routes", len(s.Config.Routes)))
+	}
+}
--- a/internal/follow/bad_test.go
+++ b/internal/watch/bad_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"context"
@@ -30,7 +30,7 @@
 		for _, revision := range revisions {
 			s.BadReplicas = append(s.BadReplicas, BadEntry{Key: "k", Revision: revision, Problem: errors.New("spoilt")})
 		}
-		f.Take(s, time.Now().Add(time.Duration(n)*time.Millisecond))
+		f.ApplySnapshot(s, time.Now().Add(time.Duration(n)*time.Millisecond))
 	}
 	steps := []struct {
 		replicas []directory.Replica
--- a/internal/follow/life_test.go
+++ b/internal/watch/generation_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
-// The directory of newFollower has a grace of 2 s: facts hold for 4 s, and reads prove
+// The directory of newWatcher has a grace of 2 s: facts hold for 4 s, and reads prove
 // nothing of the configuration for 2 s.
 
 func listOf(generation, version uint64, list []directory.Replica) Snapshot {
@@ -39,11 +39,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				list := replicas("a", "b")
-				f := newFollower(&fakeSource{}, 0)
+				f := newWatcher(&fakeSource{}, 0)
 				start := time.Now()
-				require.NoError(t, f.Take(listOf(1, 4, list), start))
+				require.NoError(t, f.ApplySnapshot(listOf(1, 4, list), start))
 				read := func() {
-					require.NoError(t, f.Take(test.snapshot(list), time.Now()))
+					require.NoError(t, f.ApplySnapshot(test.snapshot(list), time.Now()))
 				}
 				time.Sleep(time.Second)
 				for range 4 {
@@ -52,13 +52,13 @@
 					assert.Zero(t, f.ListAge(time.Now()), "the list is read all the same")
 					assert.Zero(t, f.Age(time.Now()))
 					ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
-					assert.ErrorIs(t, f.Prove(ctx, time.Now()), ErrDoubted, "told at once")
+					assert.ErrorIs(t, f.WaitFresh(ctx, time.Now()), ErrDoubted, "told at once")
 					cancel()
 					time.Sleep(500 * time.Millisecond)
 				}
 				read()
 				assert.Equal(t, time.Now(), f.holder.Current().Proven)
-				assert.GreaterOrEqual(t, f.Word().Version, uint64(4), "never goes back")
+				assert.GreaterOrEqual(t, f.Digest().Version, uint64(4), "never goes back")
 				assert.EqualValues(t, 1, f.log.Count(event.SourceRewound))
 			})
 		})
@@ -69,38 +69,38 @@
 	list := replicas("a", "b")
 	now := time.Now()
 	source := &fakeSource{snapshot: listOf(1, 9, list)}
-	f := newFollower(source, 0)
-	require.NoError(t, f.Take(listOf(2, 4, draining(list, 0)), now.Add(-time.Hour)))
-	assert.ErrorIs(t, f.Take(listOf(1, 9, list), now), ErrPast)
+	f := newWatcher(source, 0)
+	require.NoError(t, f.ApplySnapshot(listOf(2, 4, draining(list, 0)), now.Add(-time.Hour)))
+	assert.ErrorIs(t, f.ApplySnapshot(listOf(1, 9, list), now), ErrPast)
 	assert.ErrorIs(t, f.readOnce(t.Context()), ErrPast)
-	assert.ErrorIs(t, f.RenewList(t.Context(), now), ErrNotRenewed)
-	assert.EqualValues(t, 4, f.Word().Version)
+	assert.ErrorIs(t, f.RefreshList(t.Context(), now), ErrNotRefreshed)
+	assert.EqualValues(t, 4, f.Digest().Version)
 	assert.False(t, f.Ready("a"))
 	assert.EqualValues(t, 3, f.log.Count(event.SourcePast))
-	require.NoError(t, f.Take(Snapshot{Config: config(4), Replicas: list}, now), "who tells no generation is believed")
+	require.NoError(t, f.ApplySnapshot(Snapshot{Config: config(4), Replicas: list}, now), "who tells no generation is believed")
 	assert.True(t, f.Ready("a"))
 }
 
 func TestAnEraNoLongerToldIsWrittenOnce(t *testing.T) {
-	f := newFollower(&fakeSource{}, 0)
+	f := newWatcher(&fakeSource{}, 0)
 	for n, untold := range []bool{false, true, true, false, true} {
 		s := listOf(3, 4, nil)
 		s.Untold = untold
-		require.NoError(t, f.Take(s, time.Now().Add(time.Duration(n)*time.Second)))
+		require.NoError(t, f.ApplySnapshot(s, time.Now().Add(time.Duration(n)*time.Second)))
 	}
 	assert.EqualValues(t, 2, f.log.Count(event.SourceUntold))
 }
 
 // exchange has each of two learn from the other what it lacks, as routers do.
-func exchange(t *testing.T, routers ...*Follower) {
+func exchange(t *testing.T, routers ...*Watcher) {
 	t.Helper()
 	for _, learner := range routers {
 		for _, teacher := range routers {
 			now := time.Now()
 			proven := now.Add(-teacher.Age(now))
-			if learner != teacher && learner.ProvenBy(teacher.Word(), proven) {
+			if learner != teacher && learner.ApplyPeerProof(teacher.Digest(), proven) {
 				k, age := teacher.Knowledge(learner.Have(), now)
-				learner.Learn(k, now, now.Add(-age), "peer")
+				learner.ApplyKnowledge(k, now, now.Add(-age), "peer")
 			}
 		}
 	}
@@ -114,46 +114,46 @@
 		copied[3].DataCentre = "north"
 		known := listOf(1, 4, draining(copied[1:], 0))
 		known.Evacuated = []string{"north"}
-		old := []*Follower{newFollower(&fakeSource{}, 1), newFollower(&fakeSource{}, 2), newFollower(&fakeSource{}, 3)}
+		old := []*Watcher{newWatcher(&fakeSource{}, 1), newWatcher(&fakeSource{}, 2), newWatcher(&fakeSource{}, 3)}
 		for _, f := range old {
-			require.NoError(t, f.Take(listOf(1, 3, copied), time.Now()))
+			require.NoError(t, f.ApplySnapshot(listOf(1, 3, copied), time.Now()))
 		}
 		time.Sleep(time.Second)
 		for _, f := range old {
-			require.NoError(t, f.Take(known, time.Now()))
+			require.NoError(t, f.ApplySnapshot(known, time.Now()))
 		}
 		time.Sleep(time.Second)
-		fresh := newFollower(&fakeSource{}, 0)
+		fresh := newWatcher(&fakeSource{}, 0)
 		copy := listOf(2, 3, copied)
-		require.NoError(t, fresh.Take(copy, time.Now()))
+		require.NoError(t, fresh.ApplySnapshot(copy, time.Now()))
 		all := append(old, fresh)
-		require.NoError(t, old[0].Take(copy, time.Now()))
+		require.NoError(t, old[0].ApplySnapshot(copy, time.Now()))
 		exchange(t, old[1], fresh)
 		assert.False(t, old[1].Ready("b"), "who knows nothing says nothing against what others know")
 		for range 3 {
 			exchange(t, all...)
 		}
 		for _, f := range all {
-			assert.EqualValues(t, 4, f.Word().Version)
-			assert.EqualValues(t, 2, f.Word().Generation)
+			assert.EqualValues(t, 4, f.Digest().Version)
+			assert.EqualValues(t, 2, f.Digest().Generation)
 			for id, ready := range map[string]bool{"a": false, "b": false, "c": true, "d": false} {
 				assert.Equal(t, ready, f.Ready(id), id)
 			}
-			assert.Equal(t, fresh.Word(), f.Word(), "all hold the same, and ask no more")
+			assert.Equal(t, fresh.Digest(), f.Digest(), "all hold the same, and ask no more")
 			assert.True(t, f.holder.Doubted(time.Now()))
 		}
 		// The operator and the replicas write again, and the fourth reads on.
 		time.Sleep(1900 * time.Millisecond)
 		known.Generation = 2
 		for range 8 {
-			require.NoError(t, fresh.Take(known, time.Now()))
+			require.NoError(t, fresh.ApplySnapshot(known, time.Now()))
 			exchange(t, all...)
 			time.Sleep(500 * time.Millisecond)
 		}
 		for _, f := range all {
-			assert.Zero(t, f.Word().Facts)
-			assert.LessOrEqual(t, f.ProofAge(time.Now()), time.Second)
-			assert.Equal(t, fresh.Word(), f.Word())
+			assert.Zero(t, f.Digest().Facts)
+			assert.LessOrEqual(t, f.Staleness(time.Now()), time.Second)
+			assert.Equal(t, fresh.Digest(), f.Digest())
 			assert.False(t, f.Ready("b"))
 			assert.True(t, f.Ready("c"))
 		}
@@ -165,26 +165,26 @@
 func TestWhoComesBackLongAfterTheCopyHoldsNothingAgainstIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := replicas("a", "b")
-		f, cut := newFollower(&fakeSource{}, 0), newFollower(&fakeSource{}, 1)
-		require.NoError(t, f.Take(listOf(1, 4, list), time.Now()))
-		require.NoError(t, cut.Take(listOf(1, 4, draining(list, 0)), time.Now()))
+		f, cut := newWatcher(&fakeSource{}, 0), newWatcher(&fakeSource{}, 1)
+		require.NoError(t, f.ApplySnapshot(listOf(1, 4, list), time.Now()))
+		require.NoError(t, cut.ApplySnapshot(listOf(1, 4, draining(list, 0)), time.Now()))
 		time.Sleep(time.Second)
-		require.NoError(t, f.Take(listOf(2, 4, list), time.Now()))
+		require.NoError(t, f.ApplySnapshot(listOf(2, 4, list), time.Now()))
 		time.Sleep(10 * time.Second)
-		require.NoError(t, f.Take(listOf(2, 4, list), time.Now()))
+		require.NoError(t, f.ApplySnapshot(listOf(2, 4, list), time.Now()))
 
-		reads := newFollower(&fakeSource{}, 2)
-		require.NoError(t, reads.Take(listOf(1, 4, draining(list, 0)), time.Now()))
-		require.NoError(t, reads.Take(listOf(2, 4, list), time.Now()), "it reads for itself before it hears others")
+		reads := newWatcher(&fakeSource{}, 2)
+		require.NoError(t, reads.ApplySnapshot(listOf(1, 4, draining(list, 0)), time.Now()))
+		require.NoError(t, reads.ApplySnapshot(listOf(2, 4, list), time.Now()), "it reads for itself before it hears others")
 		assert.True(t, reads.holder.Doubted(time.Now()))
 		for range 2 {
 			exchange(t, f, cut, reads)
 		}
-		for _, r := range []*Follower{f, cut} {
+		for _, r := range []*Watcher{f, cut} {
 			assert.True(t, r.Ready("a"))
 			assert.False(t, r.holder.Doubted(time.Now()))
 		}
-		assert.EqualValues(t, 2, cut.Word().Generation)
+		assert.EqualValues(t, 2, cut.Digest().Generation)
 		assert.Zero(t, cut.log.Count(event.SourceRewound), "others say that all has been written again")
 	})
 }
@@ -193,16 +193,16 @@
 func TestProofsOfTwoLivesCross(t *testing.T) {
 	now := time.Now()
 	list := replicas("a", "b")
-	late, f := newFollower(&fakeSource{}, 1), newFollower(&fakeSource{}, 0)
-	require.NoError(t, late.Take(listOf(1, 4, list), now))
-	require.NoError(t, f.Take(listOf(1, 4, draining(list, 0)), now.Add(-time.Second)))
-	require.NoError(t, f.Take(listOf(2, 4, draining(list, 0)), now.Add(-time.Second)))
-	assert.False(t, f.ProvenBy(late.Word(), now.Add(time.Second)), "a later proof of an earlier life")
-	assert.False(t, f.Behind(late.Word(), now.Add(time.Second)))
+	late, f := newWatcher(&fakeSource{}, 1), newWatcher(&fakeSource{}, 0)
+	require.NoError(t, late.ApplySnapshot(listOf(1, 4, list), now))
+	require.NoError(t, f.ApplySnapshot(listOf(1, 4, draining(list, 0)), now.Add(-time.Second)))
+	require.NoError(t, f.ApplySnapshot(listOf(2, 4, draining(list, 0)), now.Add(-time.Second)))
+	assert.False(t, f.ApplyPeerProof(late.Digest(), now.Add(time.Second)), "a later proof of an earlier life")
+	assert.False(t, f.Behind(late.Digest(), now.Add(time.Second)))
 	k, _ := late.Knowledge(Have{}, now)
-	f.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
+	f.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.False(t, f.Ready("a"))
-	assert.EqualValues(t, 2, f.Word().Generation)
-	assert.True(t, late.ProvenBy(f.Word(), now.Add(-time.Hour)), "an earlier proof of a later life is worth asking for")
-	assert.True(t, late.Behind(f.Word(), now.Add(-time.Hour)))
+	assert.EqualValues(t, 2, f.Digest().Generation)
+	assert.True(t, late.ApplyPeerProof(f.Digest(), now.Add(-time.Hour)), "an earlier proof of a later life is worth asking for")
+	assert.True(t, late.Behind(f.Digest(), now.Add(-time.Hour)))
 }
--- /dev/null
+++ b/internal/watch/knowledge.go
@@ -0,0 +1,231 @@
+package watch
+
+import (
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// Knowledge is what one router can pass on to another.
+type Knowledge struct {
+	Version uint64
+	// Mark names the list of replicas by its content.
+	Mark uint64
+	// Config is nil where the other has the same, and so are Listing and Excerpt, of
+	// which one is sent otherwise.
+	Config  *route.Config
+	Listing *directory.Listing
+	// Excerpt is what the other's list lacks that has the mark From.
+	Excerpt *directory.Excerpt
+	From    uint64
+	// ListRead is when the list was read last that Listing is, by this router's clock.
+	ListRead time.Time
+	// Generation is the source's, and GenerationAge for how long it has been known: who
+	// learns of it long after has nothing to hold against it any more.
+	Generation    uint64
+	GenerationAge time.Duration
+	// Facts are what is held against a copy that the source came back from; nil where
+	// nothing is, or the other holds the same.
+	Facts *directory.Facts
+}
+
+// Have is what a router has that asks another one for its knowledge.
+type Have struct {
+	Version, Mark uint64
+	// Facts names what it holds against a copy.
+	Facts uint32
+	// Sums are of the parts of its list; without them it takes the whole one.
+	Sums []uint32
+}
+
+// Have returns what is known, so that another router sends only what is not.
+func (w *Watcher) Have() Have {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	digest := w.digest()
+	have := Have{Version: digest.Version, Mark: digest.Mark, Facts: digest.Facts}
+	if !w.whole && !w.directory.Read().IsZero() {
+		have.Sums = w.directory.Sums(directory.WithStarts)
+	}
+	return have
+}
+
+// worthAsking is how much newer another router's proof must seem to be than the own
+// one to be asked for: proofs are renewed each second or so by one router, and what a
+// datagram was under way makes one seem newer than it is.
+const worthAsking = 150 * time.Millisecond
+
+// Behind reports whether another router seems to know more, by its digest of what was the
+// newest at a time. It proves nothing: the digest may have been in transit for long.
+func (w *Watcher) Behind(d Digest, proven time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held := w.holder.Current()
+	switch {
+	case held.Table == nil || w.isNewer(d):
+		return true
+	case w.isPastGeneration(d.Generation) || d.Version < held.Table.Version():
+		return false
+	case !w.isMark(d.Mark):
+		return proven.After(w.directory.Read())
+	}
+	own := held.Seen
+	if read := w.directory.Read(); read.Before(own) {
+		own = read
+	}
+	return proven.Sub(own) >= worthAsking
+}
+
+// isNewer reports whether a digest's sender has something to apply whenever it was proven:
+// a newer version, a later generation of the source, or other facts against its copy. w.mu is held.
+func (w *Watcher) isNewer(d Digest) bool {
+	own := w.digest()
+	facts := d.Facts != 0 && d.Facts != own.Facts && d.Generation >= own.Generation && w.takesFacts()
+	return d.Version > own.Version || d.Generation > own.Generation || facts
+}
+
+// ApplyPeerProof applies another router's digest of what was the newest at a time, and
+// reports whether it has something newer to pass on.
+func (w *Watcher) ApplyPeerProof(d Digest, proven time.Time) (newer bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held := w.holder.Current()
+	if held.Table == nil || w.isNewer(d) {
+		return true
+	}
+	if w.isPastGeneration(d.Generation) || d.Version < held.Table.Version() {
+		return false
+	}
+	if !w.isMark(d.Mark) {
+		return proven.After(w.directory.Read())
+	}
+	// A list that was read alone may be newer than the proof; the configuration is
+	// proven all the same.
+	w.handleChanges(w.directory.Confirm(proven))
+	if w.holder.Prove(d.Version, proven) {
+		w.notifyRead()
+	}
+	return false
+}
+
+// ApplyKnowledge applies another router's knowledge, which was requested at one time and
+// the newest at another.
+func (w *Watcher) ApplyKnowledge(k Knowledge, asked, proven time.Time, from string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	current := w.applyGeneration(&k, asked)
+	if k.Config != nil {
+		w.applyPeerConfig(k.Config, proven, from)
+	}
+	held := w.holder.Current()
+	if !current || held.Table == nil || held.Table.Version() != k.Version || !proven.After(w.directory.Read()) {
+		return
+	}
+	switch {
+	case k.Listing != nil:
+		w.applyListing(*k.Listing, k.Mark, proven)
+	case k.Excerpt != nil && k.From == w.mark:
+		w.applyListing(w.directory.With(*k.Excerpt), k.Mark, proven)
+	case k.Excerpt == nil && w.isMark(k.Mark):
+		w.handleChanges(w.directory.Confirm(proven))
+	default:
+		// The list has changed here since it was asked for: this confirms neither.
+		return
+	}
+	w.holder.Prove(k.Version, proven)
+	w.notifyRead()
+}
+
+func (w *Watcher) applyPeerConfig(c *route.Config, proven time.Time, from string) {
+	table, err := route.Compile(*c)
+	if err != nil {
+		w.log.Write(event.ConfigRejected, event.F("error", err), event.F("version", c.Version), event.F("peer", from))
+		return
+	}
+	if w.holder.Offer(table, proven) {
+		w.notifyUpdate()
+		w.log.Write(event.ConfigFromPeer, event.F("version", c.Version), event.F("peer", from))
+	}
+}
+
+// applyListing applies another router's list, named by a mark. A list assembled from parts
+// whose mark differs is another one: the next is then requested whole.
+// w.mu is held.
+func (w *Watcher) applyListing(l directory.Listing, mark uint64, proven time.Time) {
+	w.handleChanges(w.directory.Apply(w.directory.WithStarts(l), proven))
+	w.whole = !w.isMark(mark)
+}
+
+// isMark reports whether a mark names the list at hand, in the form of this build or of an
+// older one. w.mu is held.
+func (w *Watcher) isMark(mark uint64) bool { return mark == w.mark || mark == w.plainMark }
+
+// UsesPlainForm reports whether a router that names a list by a mark is of a build that
+// knows no starts; known is false where the mark does not show it.
+func (w *Watcher) UsesPlainForm(mark uint64) (plain, known bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return mark == w.plainMark, w.mark != w.plainMark && w.isMark(mark)
+}
+
+// PlainMark returns the mark of the list as older builds have it.
+func (w *Watcher) PlainMark() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.plainMark
+}
+
+// formOf returns in which form who has something names its list. w.mu is held.
+func (w *Watcher) formOf(have Have) directory.Form {
+	switch {
+	case have.Mark == w.mark:
+		return directory.WithStarts
+	case have.Mark == w.plainMark:
+		return directory.Plain
+	case len(have.Sums) > 0:
+		return w.directory.FormOf(have.Sums)
+	}
+	return directory.WithStarts
+}
+
+// mostParts is up to which part of a list an excerpt is sent: beyond, the whole list is
+// about as long, and is packed once for all who request it.
+const mostParts = 0.5
+
+// Knowledge returns what is known and another router has not, with the age of its
+// proof.
+func (w *Watcher) Knowledge(have Have, now time.Time) (Knowledge, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	state := w.holder.Current()
+	k := Knowledge{Version: state.Table.Version(), Mark: w.mark, From: have.Mark, ListRead: w.directory.Read(), Generation: w.life.generation}
+	if k.Generation != 0 {
+		k.GenerationAge = now.Sub(w.life.since)
+	}
+	if facts, held := w.directory.Facts(now); held && w.directory.FactsSum(now) != have.Facts {
+		k.Facts = &facts
+	}
+	if k.Version > have.Version {
+		config := state.Table.Config()
+		k.Config = &config
+	}
+	form := w.formOf(have)
+	if form == directory.Plain {
+		k.Mark = w.plainMark
+	}
+	if k.Mark == have.Mark {
+		return k, w.age(now)
+	}
+	if len(have.Sums) > 0 {
+		excerpt := w.directory.Excerpt(form, have.Sums)
+		if len(excerpt.Differ) <= int(mostParts*float64(excerpt.Parts)) {
+			k.Excerpt = &excerpt
+			return k, w.age(now)
+		}
+	}
+	listing := w.directory.Listing()
+	k.Listing = &listing
+	return k, w.age(now)
+}
--- a/internal/follow/knowledge_test.go
+++ b/internal/watch/knowledge_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"fmt"
@@ -17,12 +17,12 @@
 	return ids
 }
 
-// teacherAndLearner returns two followers of which one knows of a replica less.
-func teacherAndLearner(now time.Time) (teacher, learner *Follower) {
+// teacherAndLearner returns two watchers of which one knows of a replica less.
+func teacherAndLearner(now time.Time) (teacher, learner *Watcher) {
 	ids := manyIDs(100)
-	teacher, learner = newFollower(&fakeSource{}, 0), newFollower(&fakeSource{}, 1)
-	learner.Take(Snapshot{Config: config(4), Replicas: replicas(ids...)}, now)
-	teacher.Take(Snapshot{Config: config(4), Replicas: replicas(ids[1:]...)}, now.Add(time.Second))
+	teacher, learner = newWatcher(&fakeSource{}, 0), newWatcher(&fakeSource{}, 1)
+	learner.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(ids...)}, now)
+	teacher.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(ids[1:]...)}, now.Add(time.Second))
 	return teacher, learner
 }
 
@@ -33,7 +33,7 @@
 	require.NotNil(t, k.Excerpt)
 	assert.Nil(t, k.Listing)
 	assert.Nil(t, k.Config)
-	learner.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
+	learner.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
 	k, _ = teacher.Knowledge(learner.Have(), now)
 	assert.Nil(t, k.Excerpt, "both know the same")
@@ -41,13 +41,13 @@
 
 func TestAListThatDiffersInMostIsPassedOnWhole(t *testing.T) {
 	now := time.Now()
-	teacher, learner := newFollower(&fakeSource{}, 0), newFollower(&fakeSource{}, 1)
-	learner.Take(Snapshot{Config: config(4), Replicas: replicas(manyIDs(10)...)}, now)
-	teacher.Take(Snapshot{Config: config(4), Replicas: replicas(manyIDs(100)...)}, now.Add(time.Second))
+	teacher, learner := newWatcher(&fakeSource{}, 0), newWatcher(&fakeSource{}, 1)
+	learner.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(manyIDs(10)...)}, now)
+	teacher.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(manyIDs(100)...)}, now.Add(time.Second))
 	k, _ := teacher.Knowledge(learner.Have(), now)
 	assert.Nil(t, k.Excerpt)
 	require.NotNil(t, k.Listing)
-	k, _ = teacher.Knowledge(newFollower(&fakeSource{}, 1).Have(), now)
+	k, _ = teacher.Knowledge(newWatcher(&fakeSource{}, 1).Have(), now)
 	assert.NotNil(t, k.Listing, "who has nothing takes all")
 	assert.NotNil(t, k.Config)
 }
@@ -57,8 +57,8 @@
 	now := time.Now()
 	teacher, learner := teacherAndLearner(now)
 	k, _ := teacher.Knowledge(learner.Have(), now)
-	learner.Take(Snapshot{Config: config(4), Replicas: replicas(manyIDs(99)...)}, now.Add(500*time.Millisecond))
-	learner.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
+	learner.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(manyIDs(99)...)}, now.Add(500*time.Millisecond))
+	learner.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Len(t, learner.Replicas(), 99)
 	assert.Equal(t, now.Add(500*time.Millisecond), learner.holder.Current().Proven, "it proves nothing")
 }
@@ -69,10 +69,10 @@
 	teacher, learner := teacherAndLearner(now)
 	k, _ := teacher.Knowledge(learner.Have(), now)
 	k.Excerpt.Differ, k.Excerpt.Replicas = nil, nil
-	learner.Learn(k, now.Add(time.Second), now.Add(time.Second), "peer")
+	learner.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	k, _ = teacher.Knowledge(learner.Have(), now)
 	require.NotNil(t, k.Listing)
-	learner.Learn(k, now.Add(2*time.Second), now.Add(2*time.Second), "peer")
+	learner.ApplyKnowledge(k, now.Add(2*time.Second), now.Add(2*time.Second), "peer")
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
 	assert.NotEmpty(t, learner.Have().Sums)
 }
--- /dev/null
+++ b/internal/watch/list.go
@@ -0,0 +1,101 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// ErrNotRefreshed: the list of replicas could not be read.
+var ErrNotRefreshed = errors.New("follow: list not renewed")
+
+// ListAge returns how old the list of replicas is.
+func (w *Watcher) ListAge(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.directory.Read())
+}
+
+// Unconfirmed returns for how long a replica has been missing from a list that may be
+// incomplete; false if it is listed or removed.
+func (w *Watcher) Unconfirmed(id string, now time.Time) (age time.Duration, unconfirmed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	since := w.directory.UnconfirmedSince(id)
+	return now.Sub(since), !since.IsZero()
+}
+
+// Statements returns what replicas said of themselves.
+func (w *Watcher) Statements() *directory.Statements { return w.directory.Statements() }
+
+// MarkDraining records that a replica closed its connection, as one that leaves does.
+func (w *Watcher) MarkDraining(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handleChanges(w.directory.MarkDraining(id))
+}
+
+// RefreshList returns once the list of replicas is newer than a time, or with an error
+// when ctx ends or the source does not answer. All who wait share one read, of the
+// replicas and evacuations only: a large configuration takes longer over a narrow link than a request
+// can wait.
+func (w *Watcher) RefreshList(ctx context.Context, since time.Time) error {
+	wait := w.turns.Wait(w.place(), steady.Now())
+	w.mu.Lock()
+	if w.directory.Read().After(since) {
+		w.mu.Unlock()
+		return nil
+	}
+	if w.refreshing == nil {
+		if wait > 0 {
+			// While the source is down requests must not each wait for it.
+			w.mu.Unlock()
+			return ErrNotRefreshed
+		}
+		w.refreshing = make(chan struct{})
+		go w.refreshList()
+	}
+	renewing := w.refreshing
+	began := w.outage.began[listRead]
+	w.mu.Unlock()
+	if !began.IsZero() && steady.Since(began) >= silentAfter {
+		// Those that came before have waited for this read in vain.
+		return ErrNotRefreshed
+	}
+	select {
+	case <-renewing:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNotRefreshed, ctx.Err())
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.directory.Read().After(since) {
+		return nil
+	}
+	return ErrNotRefreshed
+}
+
+// refreshList reads the list once.
+func (w *Watcher) refreshList() {
+	ctx, cancel := context.WithTimeout(context.Background(), w.options.Load().Timeout)
+	defer cancel()
+	sent := steady.Now()
+	w.began(listRead, sent)
+	snapshot, err := (*w.source.Load()).Replicas(ctx)
+	w.reads.Add(1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended(listRead, err, sent)
+	if err != nil {
+		w.failed.Add(1)
+	} else if w.acceptGeneration(&snapshot, sent) == nil {
+		w.handleChanges(w.directory.Apply(snapshot.listing(), sent))
+		w.noteBad(snapshot.BadReplicas)
+	}
+	close(w.refreshing)
+	w.refreshing = nil
+}
--- a/internal/follow/list_test.go
+++ b/internal/watch/list_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 func TestTheListIsRenewedWithoutTheConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: []directory.Replica{{ID: "a", Service: "s"}}}}
-		f := newFollower(s, 0)
+		f := newWatcher(s, 0)
 		require.NoError(t, f.readOnce(t.Context()))
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, 3*time.Second, f.ListAge(time.Now()))
@@ -26,7 +26,7 @@
 		s.delay = 20 * time.Millisecond
 		results := make(chan error, 5)
 		for range 5 {
-			go func() { results <- f.RenewList(t.Context(), time.Now().Add(-time.Second)) }()
+			go func() { results <- f.RefreshList(t.Context(), time.Now().Add(-time.Second)) }()
 		}
 		for range 5 {
 			require.NoError(t, <-results)
@@ -34,22 +34,22 @@
 		assert.EqualValues(t, 2, s.reads.Load(), "one read for all that wait")
 		assert.Equal(t, directory.Draining, f.Replicas()[0].State)
 		assert.Equal(t, 20*time.Millisecond, f.ListAge(time.Now()))
-		assert.Equal(t, 3020*time.Millisecond, f.ProofAge(time.Now()), "the configuration is not proven by it")
+		assert.Equal(t, 3020*time.Millisecond, f.Staleness(time.Now()), "the configuration is not proven by it")
 	})
 }
 
 func TestAListThatCannotBeRenewedIsNotAskedForByEachRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeSource{err: errors.New("down")}
-		f := newFollower(s, 0)
+		f := newWatcher(s, 0)
 		since := time.Now()
 		for range 5 {
-			require.ErrorIs(t, f.RenewList(t.Context(), since), ErrNotRenewed)
+			require.ErrorIs(t, f.RefreshList(t.Context(), since), ErrNotRefreshed)
 		}
 		assert.EqualValues(t, 1, s.reads.Load())
 		// Its turn comes within half of a period, as long as no other router is heard.
 		time.Sleep(500 * time.Millisecond)
-		require.ErrorIs(t, f.RenewList(t.Context(), since), ErrNotRenewed)
+		require.ErrorIs(t, f.RefreshList(t.Context(), since), ErrNotRefreshed)
 		assert.EqualValues(t, 2, s.reads.Load())
 
 		s.delay = time.Minute
@@ -57,7 +57,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
 		defer cancel()
 		begun := time.Now()
-		require.ErrorIs(t, f.RenewList(ctx, since), ErrNotRenewed)
+		require.ErrorIs(t, f.RefreshList(ctx, since), ErrNotRefreshed)
 		assert.Equal(t, 60*time.Millisecond, time.Since(begun))
 		synctest.Wait()
 		time.Sleep(time.Second)
@@ -68,15 +68,15 @@
 func TestAPeerProvesTheConfigurationBesideANewerList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: []directory.Replica{{ID: "a", Service: "s"}}}}
-		f := newFollower(s, 0)
+		f := newWatcher(s, 0)
 		require.NoError(t, f.readOnce(t.Context()))
 		time.Sleep(2 * time.Second)
-		require.NoError(t, f.RenewList(t.Context(), time.Now().Add(-time.Second)))
-		word := f.Word()
-		assert.False(t, f.ProvenBy(word, time.Now().Add(-500*time.Millisecond)))
-		assert.Equal(t, 500*time.Millisecond, f.ProofAge(time.Now()))
+		require.NoError(t, f.RefreshList(t.Context(), time.Now().Add(-time.Second)))
+		word := f.Digest()
+		assert.False(t, f.ApplyPeerProof(word, time.Now().Add(-500*time.Millisecond)))
+		assert.Equal(t, 500*time.Millisecond, f.Staleness(time.Now()))
 		assert.Zero(t, f.ListAge(time.Now()))
 		word.Mark++
-		assert.False(t, f.ProvenBy(word, time.Now().Add(-400*time.Millisecond)), "an older list is not newer")
+		assert.False(t, f.ApplyPeerProof(word, time.Now().Add(-400*time.Millisecond)), "an older list is not newer")
 	})
 }
--- a/internal/follow/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"errors"
@@ -35,14 +35,14 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFollower(&fakeSource{err: test.err, delay: test.delay, snapshot: Snapshot{Config: config(1)}}, 0)
+				f := newWatcher(&fakeSource{err: test.err, delay: test.delay, snapshot: Snapshot{Config: config(1)}}, 0)
 				_ = f.readOnce(t.Context())
 				now := time.Now()
 				if test.told > 0 {
-					f.Told(now.Add(-test.asked), now.Add(-test.told))
+					f.ObservePeerProof(now.Add(-test.asked), now.Add(-test.told))
 				}
-				assert.Equal(t, test.want, f.Silent(testLimit, now))
-				assert.False(t, f.Silent(testLimit, now.Add(testLimit)), "what was seen so long ago shows nothing")
+				assert.Equal(t, test.want, f.StoreUnavailable(testLimit, now))
+				assert.False(t, f.StoreUnavailable(testLimit, now.Add(testLimit)), "what was seen so long ago shows nothing")
 			})
 		})
 	}
@@ -52,15 +52,15 @@
 // then does not wait for it.
 func TestAReadWithoutAnAnswerCountsBeforeItsTimeIsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollower(&fakeSource{delay: time.Minute}, 0)
-		go func() { _ = f.RenewList(t.Context(), time.Now()) }()
+		f := newWatcher(&fakeSource{delay: time.Minute}, 0)
+		go func() { _ = f.RefreshList(t.Context(), time.Now()) }()
 		synctest.Wait()
-		f.Told(time.Now(), time.Now().Add(-time.Minute))
-		assert.False(t, f.Silent(testLimit, time.Now()))
+		f.ObservePeerProof(time.Now(), time.Now().Add(-time.Minute))
+		assert.False(t, f.StoreUnavailable(testLimit, time.Now()))
 		time.Sleep(silentAfter)
-		assert.True(t, f.Silent(testLimit, time.Now()))
+		assert.True(t, f.StoreUnavailable(testLimit, time.Now()))
 		begun := time.Now()
-		require.ErrorIs(t, f.RenewList(t.Context(), time.Now()), ErrNotRenewed)
+		require.ErrorIs(t, f.RefreshList(t.Context(), time.Now()), ErrNotRefreshed)
 		assert.Zero(t, time.Since(begun))
 		time.Sleep(time.Minute)
 	})
@@ -71,12 +71,12 @@
 func TestWhatALargeFleetToldHoldsUntilItsNextRound(t *testing.T) {
 	const limit, round = 1600 * time.Millisecond, 600 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollower(&fakeSource{err: errors.New("down"), snapshot: Snapshot{Config: config(1)}}, 0)
+		f := newWatcher(&fakeSource{err: errors.New("down"), snapshot: Snapshot{Config: config(1)}}, 0)
 		_ = f.readOnce(t.Context())
 		asked := time.Now()
-		f.Told(asked, asked.Add(-time.Minute))
-		assert.True(t, f.Silent(limit, asked.Add(round/2)))
-		assert.True(t, f.Silent(limit, asked.Add(round)))
+		f.ObservePeerProof(asked, asked.Add(-time.Minute))
+		assert.True(t, f.StoreUnavailable(limit, asked.Add(round/2)))
+		assert.True(t, f.StoreUnavailable(limit, asked.Add(round)))
 	})
 }
 
@@ -84,29 +84,29 @@
 // grows old. Those of others that try meanwhile keep it true.
 func TestFailuresOfOthersKeepASourceSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollower(&fakeSource{err: errors.New("down"), snapshot: Snapshot{Config: config(1)}}, 0)
+		f := newWatcher(&fakeSource{err: errors.New("down"), snapshot: Snapshot{Config: config(1)}}, 0)
 		_ = f.readOnce(t.Context())
 		begin := time.Now()
 		hear := func(failed time.Time) {
-			f.Told(time.Now(), begin.Add(-time.Second))
-			f.ToldFailure(failed)
+			f.ObservePeerProof(time.Now(), begin.Add(-time.Second))
+			f.ObservePeerFailure(failed)
 		}
 		time.Sleep(2 * testLimit)
 		hear(begin)
-		assert.False(t, f.Silent(testLimit, time.Now()))
+		assert.False(t, f.StoreUnavailable(testLimit, time.Now()))
 		hear(time.Now().Add(-time.Second))
-		assert.True(t, f.Silent(testLimit, time.Now()))
+		assert.True(t, f.StoreUnavailable(testLimit, time.Now()))
 		age, failed := f.Failure(time.Now())
 		assert.True(t, failed)
 		assert.Equal(t, time.Second, age, "what is passed on grows old on its way")
 
-		other := newFollower(&fakeSource{}, 1)
-		other.Told(time.Now(), begin)
-		other.ToldFailure(time.Now())
-		assert.False(t, other.Silent(testLimit, time.Now()), "each tries for itself before it believes it")
-		require.NoError(t, f.Take(Snapshot{Config: config(1)}, time.Now().Add(time.Millisecond)))
+		other := newWatcher(&fakeSource{}, 1)
+		other.ObservePeerProof(time.Now(), begin)
+		other.ObservePeerFailure(time.Now())
+		assert.False(t, other.StoreUnavailable(testLimit, time.Now()), "each tries for itself before it believes it")
+		require.NoError(t, f.ApplySnapshot(Snapshot{Config: config(1)}, time.Now().Add(time.Millisecond)))
 		_, failed = f.Failure(time.Now())
 		assert.False(t, failed, "another was answered")
-		assert.False(t, f.Lost())
+		assert.False(t, f.SourceFailing())
 	})
 }
--- a/internal/follow/doubt_test.go
+++ b/internal/watch/unconfirmed_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"errors"
@@ -37,17 +37,17 @@
 
 // behindACut returns a router that was cut off from its source for a while, and is back.
 // The first list that it reads names only those that are told.
-func behindACut(t *testing.T, before, after []string) (*Follower, *fakeSource) {
+func behindACut(t *testing.T, before, after []string) (*Watcher, *fakeSource) {
 	t.Helper()
 	source := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: addressed(before...)}}
-	f := newDoubtingFollower(source)
+	f := newUnconfirmingWatcher(source)
 	require.NoError(t, f.readOnce(t.Context()))
 	source.err = errors.New("cut off")
 	for cut := time.Now(); time.Since(cut) < cutLength; {
 		time.Sleep(cutPeriod / 4)
 		require.Error(t, f.readOnce(t.Context()))
 		if time.Since(cut) > cutLimit {
-			require.True(t, f.Silent(cutLimit, time.Now()))
+			require.True(t, f.StoreUnavailable(cutLimit, time.Now()))
 		}
 	}
 	source.err = nil
@@ -66,7 +66,7 @@
 }
 
 // kept tells whether a replica may be used by what is known of the list.
-func kept(f *Follower, id string) bool {
+func kept(f *Watcher, id string) bool {
 	return f.Ready(id) && !slices.Contains(f.Unlisted(time.Now().Add(-cutLimit)), id)
 }
 
--- a/internal/follow/news_test.go
+++ b/internal/watch/updates_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"testing"
@@ -10,7 +10,7 @@
 
 func TestNewsComesWithEachChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollower(&fakeSource{}, 0)
+		f := newWatcher(&fakeSource{}, 0)
 		closed := func(c <-chan struct{}) bool {
 			select {
 			case <-c:
@@ -19,15 +19,15 @@
 				return false
 			}
 		}
-		news, expected := f.News()
+		news, expected := f.Updates()
 		assert.True(t, expected, "there is no list yet")
-		f.Take(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
+		f.ApplySnapshot(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
 		assert.True(t, closed(news))
 
 		time.Sleep(time.Millisecond)
-		news, expected = f.News()
+		news, expected = f.Updates()
 		assert.False(t, expected)
-		f.Take(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
+		f.ApplySnapshot(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
 		assert.False(t, closed(news), "nothing has changed")
 
 		for _, change := range []struct {
@@ -38,15 +38,15 @@
 			{"list", Snapshot{Config: config(2), Replicas: replicas("a", "b")}},
 		} {
 			time.Sleep(time.Millisecond)
-			news, _ = f.News()
-			f.Take(change.snapshot, time.Now())
+			news, _ = f.Updates()
+			f.ApplySnapshot(change.snapshot, time.Now())
 			assert.True(t, closed(news), change.name)
 		}
 
 		time.Sleep(time.Millisecond)
-		news, _ = f.News()
-		mark := f.Word().Mark
-		f.Learn(Knowledge{Config: config(3), Version: 3, Mark: mark}, time.Now(), time.Now(), "other")
+		news, _ = f.Updates()
+		mark := f.Digest().Mark
+		f.ApplyKnowledge(Knowledge{Config: config(3), Version: 3, Mark: mark}, time.Now(), time.Now(), "other")
 		assert.True(t, closed(news), "from another router")
 	})
 }
@@ -54,25 +54,25 @@
 func TestNewsIsExpectedWhileAListIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{snapshot: Snapshot{Replicas: replicas("a", "b")}, delay: 10 * time.Millisecond}
-		f := newFollower(source, 0)
-		f.Take(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
+		f := newWatcher(source, 0)
+		f.ApplySnapshot(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
 		time.Sleep(time.Second)
 		done := make(chan error)
-		go func() { done <- f.RenewList(t.Context(), time.Now().Add(-time.Millisecond)) }()
+		go func() { done <- f.RefreshList(t.Context(), time.Now().Add(-time.Millisecond)) }()
 		synctest.Wait()
-		news, expected := f.News()
+		news, expected := f.Updates()
 		assert.True(t, expected)
 		<-news
 		assert.NoError(t, <-done)
-		_, expected = f.News()
+		_, expected = f.Updates()
 		assert.False(t, expected)
 	})
 }
 
 func TestWhenTheSourceIsReadNext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFollower(&fakeSource{}, 0)
-		f.Take(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
+		f := newWatcher(&fakeSource{}, 0)
+		f.ApplySnapshot(Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
 		f.Set(&fakeSource{}, Options{Period: time.Second, Timeout: time.Second})
 		assert.Equal(t, 850*time.Millisecond, f.NextRead(time.Now()))
 		time.Sleep(time.Second)
--- a/internal/follow/follow.go
+++ b/internal/watch/watch.go
@@ -1,13 +1,13 @@
-// Package follow keeps a router's knowledge of the configuration and of the
+// Package watch keeps a router's knowledge of the configuration and of the
 // replicas up to date.
 //
-//	Source ──Read, each Period──> Follower ──> freshness.Holder (configuration, proof)
-//	                                      └──> directory, balancer (replicas)
+//	Source ──Read, each Period──> Watcher ──> freshness.Holder (configuration, proof)
+//	                                     └──> directory, balancer (replicas)
 //
 // Each read is answered by the newest state there was, so it proves that
-// whatever was accepted before it was sent is known. That is why the source is
-// read rather than watched: a watch can be silent while changes are made.
-package follow
+// whatever was accepted before it was sent is known. That is why the source is polled: a
+// watch call of it can be silent while changes are made.
+package watch
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 )
 
 // ErrNoConfig: the source holds no configuration yet.
-var ErrNoConfig = errors.New("follow: no configuration")
+var ErrNoConfig = errors.New("watch: no configuration")
 
 // Snapshot is what one read of a source returned.
 type Snapshot struct {
@@ -71,21 +71,21 @@
 	Replicas(ctx context.Context) (Snapshot, error)
 }
 
-// Options of a follower.
+// Options of a watcher.
 type Options struct {
 	// Period is the pause between two reads.
 	Period time.Duration
 	// Timeout bounds one read.
 	Timeout time.Duration
-	// FirstRead is how long the first read waits for what other routers tell.
+	// FirstRead is how long the first read waits for knowledge of other routers.
 	FirstRead time.Duration
 	// Place returns this router's place among those that read for each other; nil: it is
 	// the only one.
 	Place func() turns.Place
 }
 
-// Follower is safe for concurrent use.
-type Follower struct {
+// Watcher is safe for concurrent use.
+type Watcher struct {
 	source   atomic.Pointer[Source]
 	options  atomic.Pointer[Options]
 	log      *event.Log
@@ -100,24 +100,24 @@
 	directory *directory.Directory
 	// mark and plainMark name the list to routers of this build and of older ones.
 	mark, plainMark uint64
-	// whole: another router's list is to be taken whole.
+	// whole: another router's list is to be requested whole.
 	whole bool
 	lost  bool
-	// read is closed and renewed with each read that succeeded, news with each change
+	// read is closed and renewed with each read that succeeded, updates with each change
 	// of the configuration or of the list.
-	read chan struct{}
-	news chan struct{}
-	// renewing is closed when the renewal of the list that is under way has ended.
-	renewing chan struct{}
-	outage   outage
-	life     life
-	// bad are the revisions of the entries that were told to be bad, by key.
+	read    chan struct{}
+	updates chan struct{}
+	// refreshing is closed when the renewal of the list that is under way has ended.
+	refreshing chan struct{}
+	outage     outage
+	life       life
+	// bad are the revisions of the entries that were logged as bad, by key.
 	bad map[string]uint64
 }
 
-// New returns a follower that feeds a holder and a balancer.
-func New(s Source, o Options, d *directory.Directory, h *freshness.Holder, b *balance.Balancer, log *event.Log) *Follower {
-	f := &Follower{
+// New returns a watcher that feeds a holder and a balancer.
+func New(s Source, o Options, d *directory.Directory, h *freshness.Holder, b *balance.Balancer, log *event.Log) *Watcher {
+	w := &Watcher{
 		log:       log,
 		holder:    h,
 		balancer:  b,
@@ -125,56 +125,56 @@
 		turns:     turns.New(rand.Uint64()),
 		directory: d,
 		read:      make(chan struct{}),
-		news:      make(chan struct{}),
+		updates:   make(chan struct{}),
 	}
-	f.Set(s, o)
-	return f
+	w.Set(s, o)
+	return w
 }
 
-// Set changes the source and the options while the follower runs.
-func (f *Follower) Set(s Source, o Options) {
-	f.source.Store(&s)
-	f.options.Store(&o)
-	f.turns.SetPeriod(o.Period)
+// Set changes the source and the options while the watcher runs.
+func (w *Watcher) Set(s Source, o Options) {
+	w.source.Store(&s)
+	w.options.Store(&o)
+	w.turns.SetPeriod(o.Period)
 }
 
 // Reads returns how many reads were made, and how many of them failed.
-func (f *Follower) Reads() (made, failed uint64) {
-	return f.reads.Load(), f.failed.Load()
+func (w *Watcher) Reads() (made, failed uint64) {
+	return w.reads.Load(), w.failed.Load()
 }
 
-// ProofAge returns how old the proof of the configuration is.
-func (f *Follower) ProofAge(now time.Time) time.Duration {
-	return f.holder.Current().Age(now)
+// Staleness returns how old the proof of the configuration is.
+func (w *Watcher) Staleness(now time.Time) time.Duration {
+	return w.holder.Current().Age(now)
 }
 
 // Age returns how old all knowledge is: the older of the configuration's proof
-// and of the list of replicas. It is what other routers are told.
-func (f *Follower) Age(now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.age(now)
+// and of the list of replicas. It is what gossip carries to other routers.
+func (w *Watcher) Age(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.age(now)
 }
 
-// age is Age with f.mu held. What a copy does not prove is passed on all the same, and
-// its receivers doubt it as long.
-func (f *Follower) age(now time.Time) time.Duration {
-	return max(now.Sub(f.holder.Current().Seen), now.Sub(f.directory.Read()))
+// age is Age with w.mu held. What a copy does not prove is passed on all the same; its
+// receivers distrust it for as long.
+func (w *Watcher) age(now time.Time) time.Duration {
+	return max(now.Sub(w.holder.Current().Seen), now.Sub(w.directory.Read()))
 }
 
 // Known tells whether a configuration and a list of replicas were ever read.
-func (f *Follower) Known() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.holder.Current().Table != nil && !f.directory.Read().IsZero()
+func (w *Watcher) Known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holder.Current().Table != nil && !w.directory.Read().IsZero()
 }
 
 // Replicas returns the replicas that are known.
-func (f *Follower) Replicas() []directory.Replica {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.directory.List()
+func (w *Watcher) Replicas() []directory.Replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.directory.List()
 }
 
-// Lost tells whether the last read failed, and no other router had an answer since.
-func (f *Follower) Lost() bool { return f.turns.Lost() }
+// SourceFailing reports whether the last read failed and no other router had an answer since.
+func (w *Watcher) SourceFailing() bool { return w.turns.Lost() }
--- a/internal/follow/follow_test.go
+++ b/internal/watch/watch_test.go
@@ -1,4 +1,4 @@
-package follow
+package watch
 
 import (
 	"context"
@@ -42,14 +42,14 @@
 	return s.snapshot, s.err
 }
 
-func newFollower(s Source, rank int) *Follower {
+func newWatcher(s Source, rank int) *Watcher {
 	return New(s, Options{Period: time.Second, Timeout: time.Second, Place: func() turns.Place { return turns.Place{Rank: rank, Routers: 3} }},
 		directory.New(2*time.Second, 2*time.Second), freshness.NewHolder(), balance.New(1), event.Discard())
 }
 
-// newDoubtingFollower returns a follower alone, with the times of a deployment that lets
+// newUnconfirmingWatcher returns a watcher alone, with the times of a deployment that lets
 // replicas drain for two seconds.
-func newDoubtingFollower(s Source) *Follower {
+func newUnconfirmingWatcher(s Source) *Watcher {
 	return New(s, Options{Period: cutPeriod, Timeout: cutPeriod},
 		directory.New(2*cutPeriod, cutGrace), freshness.NewHolder(), balance.New(1), event.Discard())
 }
@@ -68,11 +68,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		source := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: replicas("a")}}
-		f := newFollower(source, 2)
+		f := newWatcher(source, 2)
 		go f.Run(ctx)
 		for range 50 {
 			time.Sleep(200 * time.Millisecond)
-			f.ProvenBy(f.Word(), time.Now())
+			f.ApplyPeerProof(f.Digest(), time.Now())
 		}
 		assert.EqualValues(t, 1, source.reads.Load(), "others prove what it knows")
 		time.Sleep(1400 * time.Millisecond)
@@ -88,14 +88,14 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				source := &fakeSource{snapshot: Snapshot{Config: config(1), Replicas: replicas("a")}}
-				f := newFollower(source, 2)
+				f := newWatcher(source, 2)
 				f.Set(source, Options{Period: time.Second, Timeout: time.Second, FirstRead: time.Second})
 				go f.Run(ctx)
 				time.Sleep(900 * time.Millisecond)
 				assert.Zero(t, source.reads.Load())
 				if told {
 					c := config(1)
-					f.Learn(Knowledge{Version: 1, Config: c, Listing: &directory.Listing{Replicas: replicas("a")}}, time.Now(), time.Now(), "peer")
+					f.ApplyKnowledge(Knowledge{Version: 1, Config: c, Listing: &directory.Listing{Replicas: replicas("a")}}, time.Now(), time.Now(), "peer")
 				}
 				time.Sleep(200 * time.Millisecond)
 				assert.Equal(t, !told, source.reads.Load() == 1)
@@ -109,11 +109,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		source := &fakeSource{snapshot: Snapshot{Config: config(1)}, delay: 300 * time.Millisecond}
-		f := newFollower(source, 0)
+		f := newWatcher(source, 0)
 		go f.Run(ctx)
 		time.Sleep(300 * time.Millisecond)
 		synctest.Wait()
-		assert.Equal(t, 300*time.Millisecond, f.ProofAge(time.Now()))
+		assert.Equal(t, 300*time.Millisecond, f.Staleness(time.Now()))
 		cancel()
 	})
 }
@@ -122,11 +122,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		source := &fakeSource{err: errors.New("down")}
-		f := newFollower(source, 0)
+		f := newWatcher(source, 0)
 		go f.Run(ctx)
 		time.Sleep(2100 * time.Millisecond)
 		synctest.Wait()
-		assert.True(t, f.Lost())
+		assert.True(t, f.SourceFailing())
 		assert.EqualValues(t, 9, source.reads.Load())
 		assert.False(t, f.Known())
 		cancel()
@@ -134,17 +134,17 @@
 }
 
 func TestABadConfigurationChangesNothing(t *testing.T) {
-	f := newFollower(&fakeSource{}, 0)
+	f := newWatcher(&fakeSource{}, 0)
 	now := time.Now()
-	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now)
-	f.Take(Snapshot{Problem: errors.New("no JSON"), Replicas: replicas("a", "b")}, now.Add(time.Second))
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas("a")}, now)
+	f.ApplySnapshot(Snapshot{Problem: errors.New("no JSON"), Replicas: replicas("a", "b")}, now.Add(time.Second))
 	bad := config(5)
 	bad.Routes = []route.Route{{Name: "r"}}
-	f.Take(Snapshot{Config: bad, Replicas: replicas("a", "b")}, now.Add(2*time.Second))
-	version := f.Word().Version
+	f.ApplySnapshot(Snapshot{Config: bad, Replicas: replicas("a", "b")}, now.Add(2*time.Second))
+	version := f.Digest().Version
 	assert.EqualValues(t, 4, version)
 	assert.Len(t, f.Replicas(), 2, "the replicas are still followed")
-	assert.Equal(t, 3*time.Second, f.ProofAge(now.Add(3*time.Second)), "what was not understood proves nothing")
+	assert.Equal(t, 3*time.Second, f.Staleness(now.Add(3*time.Second)), "what was not understood proves nothing")
 }
 
 // The grown site of hrs-croftyard, trouble-1: DRAIN (finding 3). Knowledge of
@@ -152,17 +152,17 @@
 // was asked for, came after they had changed here; it proved the configuration,
 // and with it a list that it did not confirm.
 func TestKnowledgeThatDoesNotFitProvesNothing(t *testing.T) {
-	f := newFollower(&fakeSource{}, 0)
+	f := newWatcher(&fakeSource{}, 0)
 	now := time.Now()
-	f.Take(Snapshot{Config: config(4), Replicas: replicas("a", "b")}, now)
-	old := f.Word().Mark
-	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(time.Second))
-	f.Learn(Knowledge{Version: 4, Mark: old}, now.Add(3*time.Second), now.Add(3*time.Second), "peer")
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas("a", "b")}, now)
+	old := f.Digest().Mark
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas("a")}, now.Add(time.Second))
+	f.ApplyKnowledge(Knowledge{Version: 4, Mark: old}, now.Add(3*time.Second), now.Add(3*time.Second), "peer")
 	assert.Equal(t, 4*time.Second, f.Age(now.Add(5*time.Second)))
-	assert.Equal(t, 4*time.Second, f.ProofAge(now.Add(5*time.Second)))
+	assert.Equal(t, 4*time.Second, f.Staleness(now.Add(5*time.Second)))
 
-	mark := f.Word().Mark
-	f.Learn(Knowledge{Version: 4, Mark: mark}, now.Add(3*time.Second), now.Add(3*time.Second), "peer")
+	mark := f.Digest().Mark
+	f.ApplyKnowledge(Knowledge{Version: 4, Mark: mark}, now.Add(3*time.Second), now.Add(3*time.Second), "peer")
 	assert.Equal(t, 2*time.Second, f.Age(now.Add(5*time.Second)))
 }
 
@@ -170,44 +170,44 @@
 	now := time.Now()
 	list := replicas("a", "b")
 	list[0].DataCentre = "north"
-	f, other := newFollower(&fakeSource{}, 0), newFollower(&fakeSource{}, 1)
-	f.Take(Snapshot{Config: config(4), Replicas: list}, now)
+	f, other := newWatcher(&fakeSource{}, 0), newWatcher(&fakeSource{}, 1)
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: list}, now)
 	known, _ := f.Knowledge(Have{}, now)
-	other.Learn(known, now, now, "peer")
+	other.ApplyKnowledge(known, now, now, "peer")
 	assert.Equal(t, 2, other.balancer.Ready("s"))
 
-	f.Take(Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, now.Add(time.Second))
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: list, Evacuated: []string{"north"}}, now.Add(time.Second))
 	assert.Equal(t, 1, f.balancer.Ready("s"))
-	word := f.Word()
-	assert.True(t, other.ProvenBy(word, now.Add(time.Second)), "it is news")
+	word := f.Digest()
+	assert.True(t, other.ApplyPeerProof(word, now.Add(time.Second)), "it is news")
 	known, _ = f.Knowledge(Have{}, now.Add(time.Second))
-	other.Learn(known, now.Add(time.Second), now.Add(time.Second), "peer")
+	other.ApplyKnowledge(known, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Equal(t, 1, other.balancer.Ready("s"))
-	assert.False(t, other.ProvenBy(word, now.Add(2*time.Second)), "both know it")
+	assert.False(t, other.ApplyPeerProof(word, now.Add(2*time.Second)), "both know it")
 	assert.Equal(t, 1, other.balancer.Ready("s"), "a proof takes nothing back")
 	assert.EqualValues(t, 1, other.log.Count(event.CentreEvacuated), "logged once")
 
-	f.Take(Snapshot{Config: config(4), Replicas: list}, now.Add(3*time.Second))
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: list}, now.Add(3*time.Second))
 	assert.Equal(t, 2, f.balancer.Ready("s"))
 	assert.EqualValues(t, 1, f.log.Count(event.CentreReturned))
 }
 
 func TestARenewedListBringsEvacuations(t *testing.T) {
 	source := &fakeSource{snapshot: Snapshot{Config: config(4), Replicas: replicas("a"), Evacuated: []string{""}}}
-	f := newFollower(source, 0)
-	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now().Add(-time.Second))
+	f := newWatcher(source, 0)
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now().Add(-time.Second))
 	assert.False(t, f.balancer.Evacuated("s"))
-	assert.NoError(t, f.RenewList(t.Context(), time.Now().Add(-500*time.Millisecond)))
+	assert.NoError(t, f.RefreshList(t.Context(), time.Now().Add(-500*time.Millisecond)))
 	assert.True(t, f.balancer.Evacuated("s"), "replicas of the test are in the data centre without a name")
 }
 
 func TestAgeIsThatOfTheOlderOfBoth(t *testing.T) {
-	f := newFollower(&fakeSource{}, 0)
+	f := newWatcher(&fakeSource{}, 0)
 	now := time.Now()
-	f.Take(Snapshot{Config: config(4), Replicas: replicas("a")}, now)
+	f.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas("a")}, now)
 	f.holder.Prove(4, now.Add(time.Second))
-	assert.Equal(t, time.Second, f.ProofAge(now.Add(2*time.Second)))
+	assert.Equal(t, time.Second, f.Staleness(now.Add(2*time.Second)))
 	assert.Equal(t, 2*time.Second, f.Age(now.Add(2*time.Second)))
-	f.Take(Snapshot{Problem: errors.New("no JSON"), Replicas: replicas("a")}, now.Add(3*time.Second))
+	f.ApplySnapshot(Snapshot{Problem: errors.New("no JSON"), Replicas: replicas("a")}, now.Add(3*time.Second))
 	assert.Equal(t, 3*time.Second, f.Age(now.Add(4*time.Second)))
 }
--- a/pkg/directory/confirm_test.go
+++ b/pkg/directory/confirm_test.go
@@ -26,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			confirmed, again := New(3*time.Second, 2*time.Second), New(3*time.Second, 2*time.Second)
 			for _, d := range []*Directory{confirmed, again} {
-				d.Take(Listing{Replicas: c.list, Evacuated: c.evacuated}, at(0))
+				d.Apply(Listing{Replicas: c.list, Evacuated: c.evacuated}, at(0))
 			}
 			for _, seconds := range []float64{1, 9, 8, 30} {
 				assert.Equal(t, again.Replace(again.Listed(), at(seconds)), confirmed.Confirm(at(seconds)), "at %v", seconds)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -7,9 +7,9 @@
 //	cold               -> listed with how long it will be; those who send count
 //	                      it down by their steady clocks
 //	listed by a copy   -> what was known before holds against it for a while
-//	no longer listed   -> gets nothing new, unless the list itself was lost: when
-//	                      most of a service vanish at once, or a third after a
-//	                      pause between reads, they keep their work for a time,
+//	no longer listed   -> gets nothing new, unless the list may be incomplete: when
+//	                      most of a service are missing at once, or a third after
+//	                      a pause between reads, they stay unconfirmed for a time,
 //	                      since their entries may have lapsed while they could
 //	                      not renew them
 //
@@ -91,7 +91,7 @@
 	oldest time.Time
 	// evacuated are the data centres to which nothing is to be sent, sorted.
 	evacuated []string
-	// departed are those that left lately, by id.
+	// departed are those that left recently, by id.
 	departed map[string]departed
 	// rewind is what is known against a list that came back from a copy.
 	rewind rewind
@@ -106,18 +106,18 @@
 	sums   sums
 	// listed is when the last read was sent that listed it.
 	listed time.Time
-	// doubtedSince is when the entry was first missing after an outage.
-	doubtedSince time.Time
-	// lateSince is since when an earlier start is listed than the one known.
-	lateSince time.Time
+	// unconfirmedSince is when the entry was first missing after an outage.
+	unconfirmedSince time.Time
+	// earlierStartSince is since when an earlier start is listed than the one known.
+	earlierStartSince time.Time
 	// declared: an entry of the replica's own said that it drains.
 	declared bool
 }
 
 // New returns an empty directory. A pause of more than outage between two reads
-// may have been an outage of the list; grace is for how long
-// entries may lag behind what they tell: a replica that vanished in an outage keeps
-// its work so long, and those of a data centre that is taken back count as cold.
+// may have been an outage of the list; grace is for how long entries may lag behind the
+// state of their replicas: one that is missing after an outage stays unconfirmed for so
+// long, and those of a data centre that is taken back count as cold.
 func New(outage, grace time.Duration) *Directory {
 	return &Directory{outage: outage, grace: grace, entries: make(map[string]*entry), departed: make(map[string]departed), statements: NewStatements()}
 }
@@ -125,38 +125,37 @@
 // Statements returns what replicas said of themselves.
 func (d *Directory) Statements() *Statements { return d.statements }
 
-// Replace is Take of a read that says nothing new of data centres.
+// Replace is Apply of a read that leaves the data centres as they are.
 func (d *Directory) Replace(list []Replica, sent time.Time) []Change {
-	return d.Take(Listing{Replicas: list, Evacuated: d.evacuated}, sent)
+	return d.Apply(Listing{Replicas: list, Evacuated: d.evacuated}, sent)
 }
 
-// Take takes a full read that was sent at a time, and returns what changed, data
-// centres first, then replicas by id. Reads that were sent before the last one taken
-// are ignored.
-func (d *Directory) Take(l Listing, sent time.Time) []Change {
+// Apply applies a full read that was sent at a time, and returns what changed, data
+// centres first, then replicas by id. Reads sent before the last one applied are ignored.
+func (d *Directory) Apply(l Listing, sent time.Time) []Change {
 	if sent.Before(d.read) {
 		return nil
 	}
-	l = d.heed(l, sent)
-	changes := d.takeReplicas(l.Replicas, sent)
+	l = d.applyFacts(l, sent)
+	changes := d.applyReplicas(l.Replicas, sent)
 	return append(d.takeCentres(l.Evacuated), changes...)
 }
 
-func (d *Directory) takeReplicas(list []Replica, sent time.Time) []Change {
+func (d *Directory) applyReplicas(list []Replica, sent time.Time) []Change {
 	outage := !d.read.IsZero() && sent.Sub(d.read) > d.outage
 	d.read = sent
 	seen := make(map[string]bool, len(list))
 	for _, r := range list {
 		seen[r.ID] = true
 	}
-	lost := d.lost(seen, outage)
+	lost := d.incomplete(seen, outage)
 	var changes []Change
 	for _, r := range list {
-		changes = d.take(r, changes)
+		changes = d.applyEntry(r, changes)
 	}
 	for id, e := range d.entries {
 		if !seen[id] {
-			changes = d.missing(id, e, lost[e.replica.Service], changes)
+			changes = d.handleMissing(id, e, lost[e.replica.Service], changes)
 		}
 	}
 	d.noteOldest()
@@ -164,7 +163,7 @@
 	return changes
 }
 
-func (d *Directory) take(r Replica, changes []Change) []Change {
+func (d *Directory) applyEntry(r Replica, changes []Change) []Change {
 	old, known := d.entries[r.ID]
 	if !known {
 		r.ColdUntil = d.coldUntil(r)
@@ -177,8 +176,8 @@
 		delete(d.departed, r.ID)
 		return append(changes, Change{Replica: r, What: what})
 	}
-	if d.isLate(&r, old) {
-		r = late(r, old.replica)
+	if d.listsEarlierStart(&r, old) {
+		r = keepLaterStart(r, old.replica)
 	} else {
 		old.declared = old.declared || d.declares(&r)
 	}
@@ -204,7 +203,7 @@
 			old.declared = false
 			d.statements.withdrawn(r.ID, d.read)
 		}
-	case !old.doubtedSince.IsZero():
+	case !old.unconfirmedSince.IsZero():
 		what = Back
 	}
 	if r.Counted == 0 || d.rewound(d.read) {
@@ -218,11 +217,11 @@
 	}
 	old.replica = r
 	old.listed = d.read
-	old.doubtedSince = time.Time{}
+	old.unconfirmedSince = time.Time{}
 	return changes
 }
 
-// declares tells whether an entry of a replica's own says that it drains. While what was
+// declares reports whether an entry of a replica's own says that it drains. While what was
 // known holds against a copy, an entry may say so for that only.
 func (d *Directory) declares(r *Replica) bool { return r.State == Draining && !d.rewound(d.read) }
 
@@ -235,8 +234,8 @@
 	}
 }
 
-// Ready tells whether a replica may have new work: it is listed as ready, or keeps its
-// work for a while after an outage, and its data centre is not evacuated.
+// Ready reports whether a replica may have new work by the list: it is listed as ready, or
+// unconfirmed, and its data centre is not evacuated.
 func (d *Directory) Ready(id string) bool {
 	e, known := d.entries[id]
 	return known && e.replica.State == Ready && !slices.Contains(d.evacuated, e.replica.DataCentre)
@@ -245,11 +244,10 @@
 // Confirm notes that a read that was sent at a time would have returned the same
 // list as Listed, and returns what changed.
 //
-// Mostly nothing can change by it, and all that is left to do is to note the time: a
-// router hears of a new proof some times a second, and taking all replicas as from a new
-// read is dear.
+// Mostly nothing can change by it, and only the time is recorded: a router receives a new
+// proof some times a second, and applying all replicas as of a new read is expensive.
 func (d *Directory) Confirm(sent time.Time) []Change {
-	if d.doubts() {
+	if d.hasUnconfirmed() {
 		return d.Replace(d.Listed(), sent)
 	}
 	if sent.Before(d.read) {
@@ -264,7 +262,7 @@
 
 // listed returns those of Listed that are wanted.
 func (d *Directory) listed(wanted func(*entry) bool) []Replica {
-	list := d.list(func(e *entry) bool { return e.doubtedSince.IsZero() && wanted(e) })
+	list := d.list(func(e *entry) bool { return e.unconfirmedSince.IsZero() && wanted(e) })
 	for i := range list {
 		list[i].ColdLeft = max(list[i].ColdUntil.Sub(d.read), 0)
 	}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -44,7 +44,7 @@
 func TestReplicasThatVanishInAnOutageKeepTheirWorkForAWhile(t *testing.T) {
 	d := New(3*time.Second, 2*time.Second)
 	d.Replace(ready("a", "b"), at(0))
-	assert.Equal(t, map[string]What{"a": Doubted, "b": Doubted}, changes(d.Replace(nil, at(10))))
+	assert.Equal(t, map[string]What{"a": Unconfirmed, "b": Unconfirmed}, changes(d.Replace(nil, at(10))))
 	assert.Len(t, d.List(), 2)
 	assert.Empty(t, d.Listed(), "what is doubted is not passed on")
 	empty := d.Mark(WithStarts)
@@ -84,7 +84,7 @@
 	d := New(3*time.Second, 2*time.Second)
 	d.Replace(ready("a", "b", "c", "d", "e"), at(0))
 	assert.Equal(t, map[string]What{"a": Left, "b": Left}, changes(d.Replace(ready("c", "d", "e"), at(1))), "two of five may leave")
-	assert.Equal(t, map[string]What{"c": Doubted, "d": Doubted}, changes(d.Replace(ready("e"), at(2))))
+	assert.Equal(t, map[string]What{"c": Unconfirmed, "d": Unconfirmed}, changes(d.Replace(ready("e"), at(2))))
 	assert.Equal(t, map[string]What{"c": Back}, changes(d.Replace(ready("c", "e"), at(3))))
 	assert.Equal(t, map[string]What{"d": Left}, changes(d.Replace(ready("c", "e"), at(4))))
 }
@@ -97,10 +97,10 @@
 	ids := []string{"a", "b", "c", "d", "e", "f", "g"}
 	d.Replace(ready(ids...), at(0))
 	assert.Equal(t, map[string]What{"a": Left, "b": Left}, changes(d.Replace(ready(ids[2:]...), at(10))), "two of seven")
-	assert.Equal(t, map[string]What{"c": Doubted, "d": Doubted}, changes(d.Replace(ready(ids[4:]...), at(20))), "two of five")
+	assert.Equal(t, map[string]What{"c": Unconfirmed, "d": Unconfirmed}, changes(d.Replace(ready(ids[4:]...), at(20))), "two of five")
 	alone := New(3*time.Second, 2*time.Second)
 	alone.Replace(ready("a"), at(0))
-	assert.Equal(t, map[string]What{"a": Doubted}, changes(alone.Replace(nil, at(10))), "all there were")
+	assert.Equal(t, map[string]What{"a": Unconfirmed}, changes(alone.Replace(nil, at(10))), "all there were")
 }
 
 // Whether a replica may have said long ago that it leaves goes by when it was listed
@@ -126,12 +126,12 @@
 	d := New(10*time.Second, 10*time.Second)
 	d.Replace(ready("a", "b", "c"), at(0))
 	d.Replace(ready("a"), at(1))
-	assert.Empty(t, d.Leaves("a"))
-	changes := d.Leaves("b")
+	assert.Empty(t, d.MarkDraining("a"))
+	changes := d.MarkDraining("b")
 	if assert.Len(t, changes, 1) {
 		assert.Equal(t, Closes, changes[0].What)
 	}
-	assert.Empty(t, d.Leaves("b"))
+	assert.Empty(t, d.MarkDraining("b"))
 	assert.Equal(t, []bool{true, false, true}, []bool{d.Ready("a"), d.Ready("b"), d.Ready("c")})
 	d.Replace(ready("a", "b"), at(2))
 	assert.True(t, d.Ready("b"), "listed again, it had closed for another reason")
--- a/pkg/directory/eligibility.go
+++ b/pkg/directory/eligibility.go
@@ -62,7 +62,7 @@
 	if x, excluded = d.byList(e); excluded {
 		return x, true
 	}
-	x, excluded = byStatement(&e.replica, d.statements.Of(id), c)
+	x, excluded = byStatement(&e.replica, d.statements.Get(id), c)
 	if excluded && !x.LastResort {
 		return x, true
 	}
@@ -145,7 +145,7 @@
 	}
 	var list []Exclusion
 	for _, id := range unlisted {
-		if !byYoungList && d.statements.Of(id).ServingAt.After(since) {
+		if !byYoungList && d.statements.Get(id).ServingAt.After(since) {
 			continue
 		}
 		e := d.entries[id]
--- a/pkg/directory/eligibility_test.go
+++ b/pkg/directory/eligibility_test.go
@@ -43,7 +43,7 @@
 
 // list takes a read that was sent a while ago.
 func (e *events) list(ago time.Duration, replicas ...Replica) *events {
-	e.d.Take(Listing{Replicas: append(replicas, Replica{ID: "other", Service: "s"})}, e.now.Add(-ago))
+	e.d.Apply(Listing{Replicas: append(replicas, Replica{ID: "other", Service: "s"})}, e.now.Add(-ago))
 	return e
 }
 
--- a/pkg/directory/told.go
+++ b/pkg/directory/listing.go
@@ -9,19 +9,19 @@
 )
 
 // Listed returns the replicas that the last read listed, sorted by id: without
-// those that vanished after an outage. How long they stay cold is as of that read.
+// unconfirmed ones. How long they stay cold is as of that read.
 func (d *Directory) Listed() []Replica {
 	return d.listed(func(*entry) bool { return true })
 }
 
 // The changes.
 const (
-	Joined  What = "joined"
-	Drains  What = "draining"
-	Left    What = "gone"
-	Doubted What = "vanished with its list"
-	Back    What = "listed again"
-	// Closes: in doubt, it showed that it leaves.
+	Joined      What = "joined"
+	Drains      What = "draining"
+	Left        What = "gone"
+	Unconfirmed What = "missing from a list that may be incomplete"
+	Back        What = "listed again"
+	// Closes: unconfirmed, it closed its connection as one that leaves does.
 	Closes What = "closes its connections"
 	Cooled What = "cold"
 	Warmed What = "warm"
@@ -45,24 +45,24 @@
 func (d *Directory) Mark(f Form) uint64 {
 	var replicas uint64
 	for _, e := range d.entries {
-		if e.doubtedSince.IsZero() {
+		if e.unconfirmedSince.IsZero() {
 			replicas += e.sums[f]
 		}
 	}
 	return xxhash.Sum64(fmt.Appendf(nil, "%d %q", replicas, d.evacuated))
 }
 
-// Unlisted returns the ids of the replicas that no read named which was sent since a
-// time. One that vanished with its list is left out if the list was seen to be lost
-// after it was last named, and the first read without it was sent since that time: behind a
-// cut, who leaves looks like who lapsed, and from that read on a leaving has to be heeded in time.
+// Unlisted returns the ids of the replicas that no read sent since a time names. An
+// unconfirmed one is left out if the list was seen to be unavailable after it was last
+// named, and the first read without it was sent since that time: behind a partition, one
+// that leaves looks like one whose entry lapsed, and the time to drain runs from that read.
 func (d *Directory) Unlisted(since, lost time.Time) []string {
 	if !d.oldest.Before(since) {
 		return nil
 	}
 	var ids []string
 	for id, e := range d.entries {
-		excused := e.doubtedSince.After(since) && lost.After(e.listed)
+		excused := e.unconfirmedSince.After(since) && lost.After(e.listed)
 		if e.listed.Before(since) && !excused {
 			ids = append(ids, id)
 		}
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -9,9 +9,9 @@
 
 const (
 	// partReplicas is how many replicas a part of a list has in the mean, or up to
-	// twice as many. What changed is told with the others of its part, and each part is
-	// asked for with a sum: a list of few parts has much told beside what changed, one
-	// of many has more sums than replicas that changed.
+	// twice as many. What changed is sent with the others of its part, and each part is
+	// requested with a sum: with few parts much is sent beside what changed, with many
+	// there are more sums than replicas that changed.
 	partReplicas = 8
 	// leastParts is for lists of which all is small.
 	leastParts = 16
@@ -20,7 +20,7 @@
 // Excerpt is what one list has that another has not: some of its parts, whole.
 type Excerpt struct {
 	// Parts is into how many parts both lists were divided, Differ the numbers of those
-	// that are told.
+	// that are sent.
 	Parts  int
 	Differ []uint32
 	Listing
@@ -79,9 +79,9 @@
 		a.Slots == b.Slots && a.State == b.State && a.Cold == b.Cold && a.Born == b.Born
 }
 
-// told is what tells an entry from that of another list. An entry of a cold replica
+// sum distinguishes an entry from that of another list. An entry of a cold replica
 // that was written anew may tell that it stays cold for longer.
-func (e *entry) told(f Form) uint32 {
+func (e *entry) sum(f Form) uint32 {
 	sum := e.sums[f]
 	if e.replica.Cold {
 		sum ^= e.replica.Entry
@@ -96,8 +96,8 @@
 func (d *Directory) sums(f Form, count int) []uint32 {
 	sums := make([]uint32, count)
 	for _, e := range d.entries {
-		if e.doubtedSince.IsZero() {
-			sums[e.part(count)] += e.told(f)
+		if e.unconfirmedSince.IsZero() {
+			sums[e.part(count)] += e.sum(f)
 		}
 	}
 	return sums
@@ -156,12 +156,12 @@
 // With returns what the last read listed, with the parts of an excerpt in the place of
 // its own.
 func (d *Directory) With(x Excerpt) Listing {
-	told := make([]bool, x.Parts)
+	differ := make([]bool, x.Parts)
 	for _, part := range x.Differ {
-		if int(part) < len(told) {
-			told[part] = true
+		if int(part) < len(differ) {
+			differ[part] = true
 		}
 	}
-	own := d.listed(func(e *entry) bool { return len(told) == 0 || !told[e.part(len(told))] })
+	own := d.listed(func(e *entry) bool { return len(differ) == 0 || !differ[e.part(len(differ))] })
 	return Listing{Replicas: append(own, x.Replicas...), Evacuated: x.Evacuated}
 }
--- a/pkg/directory/parts_test.go
+++ b/pkg/directory/parts_test.go
@@ -48,11 +48,11 @@
 		for _, changes := range []int{0, 1, 10, size} {
 			theirs, mine := New(time.Hour, time.Hour), New(time.Hour, time.Hour)
 			list := manyReplicas(size)
-			theirs.Take(Listing{Replicas: list}, at(0))
-			mine.Take(Listing{Replicas: changeSome(list, changes, random), Evacuated: []string{"2"}}, at(1))
+			theirs.Apply(Listing{Replicas: list}, at(0))
+			mine.Apply(Listing{Replicas: changeSome(list, changes, random), Evacuated: []string{"2"}}, at(1))
 			excerpt := mine.Excerpt(WithStarts, theirs.Sums(WithStarts))
 			assert.LessOrEqual(t, len(excerpt.Differ), changes, "%d of %d", changes, size)
-			theirs.Take(theirs.With(excerpt), at(1))
+			theirs.Apply(theirs.With(excerpt), at(1))
 			assert.Equal(t, mine.Mark(WithStarts), theirs.Mark(WithStarts), "%d of %d", changes, size)
 			assert.Equal(t, mine.Sums(WithStarts), theirs.Sums(WithStarts))
 			assert.True(t, slices.Equal(mine.List(), theirs.List()), "%d of %d", changes, size)
@@ -70,7 +70,7 @@
 	cold[0].Entry, cold[0].ColdLeft = 1, time.Minute
 	mine.Replace(cold, at(0))
 	assert.Equal(t, mine.Mark(WithStarts), theirs.Mark(WithStarts))
-	theirs.Take(theirs.With(mine.Excerpt(WithStarts, theirs.Sums(WithStarts))), at(0))
+	theirs.Apply(theirs.With(mine.Excerpt(WithStarts, theirs.Sums(WithStarts))), at(0))
 	assert.Equal(t, at(60), theirs.List()[0].ColdUntil)
 }
 
@@ -83,7 +83,7 @@
 	theirs.Replace(nil, at(10))
 	assert.Empty(t, mine.Excerpt(WithStarts, theirs.Sums(WithStarts)).Differ)
 	mine.Replace(ready("b"), at(11))
-	theirs.Take(theirs.With(mine.Excerpt(WithStarts, theirs.Sums(WithStarts))), at(11))
+	theirs.Apply(theirs.With(mine.Excerpt(WithStarts, theirs.Sums(WithStarts))), at(11))
 	assert.Equal(t, mine.List(), theirs.List())
 	assert.Len(t, theirs.List(), 3)
 }
@@ -119,7 +119,7 @@
 	old.Replace(plain, at(1))
 	assert.Equal(t, Plain, newer.FormOf(old.Sums(WithStarts)), "also where a part differs")
 	assert.Len(t, newer.Excerpt(Plain, old.Sums(WithStarts)).Differ, 1)
-	newer.Take(newer.WithStarts(old.Listing()), at(1))
+	newer.Apply(newer.WithStarts(old.Listing()), at(1))
 	assert.Equal(t, old.Mark(Plain), newer.Mark(Plain))
 	assert.EqualValues(t, 4, newer.List()[slices.IndexFunc(newer.List(), func(r Replica) bool { return r.ID == "i-3" })].Born, "what it told nothing of is still known")
 }
--- a/pkg/directory/rewind.go
+++ b/pkg/directory/rewind.go
@@ -19,8 +19,8 @@
 //	not in the copy           -> keeps its work for the grace, as after an outage
 //	evacuated in the copy     -> evacuated: the operator may have asked again
 //
-// What one router knew is told to the others as facts, so that one that started after
-// the copy, and knows nothing, heeds them too.
+// What one router knew reaches the others as facts, so that one that started after the
+// copy, and knows nothing, applies them too.
 
 // holdGraces is for how many graces facts hold: the grace is the two heartbeats within
 // which a replica that lives has written again, and the entry of one that is gone lapses
@@ -144,7 +144,7 @@
 	if d.read.IsZero() || !d.rewound(d.read) {
 		return nil
 	}
-	return d.Take(d.Listing(), d.read)
+	return d.Apply(d.Listing(), d.read)
 }
 
 // add adds a fact. Of two of a replica that which tells more holds: the later start, and
@@ -166,14 +166,14 @@
 // rewound tells whether facts are held against a list that was read at a time.
 func (d *Directory) rewound(read time.Time) bool { return read.Before(d.rewind.until) }
 
-// heed returns a list that was read at a time as it is in the light of what was known,
+// applyFacts returns a list that was read at a time as it is in the light of what was known,
 // or as it is once the hold is over.
-func (d *Directory) heed(l Listing, read time.Time) Listing {
+func (d *Directory) applyFacts(l Listing, read time.Time) Listing {
 	if !d.rewound(read) {
 		d.rewind = rewind{}
 		return l
 	}
-	heeded := Listing{Replicas: make([]Replica, 0, len(l.Replicas)), Evacuated: slices.Concat(l.Evacuated, d.rewind.evacuated)}
+	filtered := Listing{Replicas: make([]Replica, 0, len(l.Replicas)), Evacuated: slices.Concat(l.Evacuated, d.rewind.evacuated)}
 	for _, r := range l.Replicas {
 		fact, known := d.fact(&r)
 		if known && fact.Gone {
@@ -182,9 +182,9 @@
 		if known && r.State == Ready {
 			r.State = Draining
 		}
-		heeded.Replicas = append(heeded.Replicas, r)
+		filtered.Replicas = append(filtered.Replicas, r)
 	}
-	return heeded
+	return filtered
 }
 
 // fact returns what is known of a replica that has not started again since.
@@ -193,8 +193,8 @@
 	return f, known && (r.Born == 0 || r.Born <= f.Born)
 }
 
-// depart notes who left.
-func (d *Directory) depart(r *Replica) {
+// noteDeparted notes who left.
+func (d *Directory) noteDeparted(r *Replica) {
 	if len(d.departed) >= maxGone {
 		d.forgetDeparted()
 	}
--- a/pkg/directory/rewind_test.go
+++ b/pkg/directory/rewind_test.go
@@ -82,7 +82,7 @@
 func TestAnEvacuationHoldsAgainstACopy(t *testing.T) {
 	north := with(ready("a", "b"), "a", func(r *Replica) { r.DataCentre = "north" })
 	read := func(d *Directory, second float64, evacuated ...string) []string {
-		d.Take(Listing{Replicas: north, Evacuated: evacuated}, at(second))
+		d.Apply(Listing{Replicas: north, Evacuated: evacuated}, at(second))
 		return sends(d)
 	}
 	d := newRewound(north)
@@ -125,11 +125,11 @@
 func TestFactsMakeOneListOfTwo(t *testing.T) {
 	copied := with(ready("a", "b", "c", "d"), "d", func(r *Replica) { r.DataCentre = "north" })
 	knew := newRewound(copied)
-	knew.Take(Listing{Replicas: with(copied[1:], "b", drains), Evacuated: []string{"north"}}, at(1))
+	knew.Apply(Listing{Replicas: with(copied[1:], "b", drains), Evacuated: []string{"north"}}, at(1))
 	knew.Rewind(at(2), knew.Hold())
 	knew.Replace(copied, at(2))
 	fresh := newRewound(nil)
-	fresh.Take(Listing{Replicas: copied}, at(2.1))
+	fresh.Apply(Listing{Replicas: copied}, at(2.1))
 	assert.Equal(t, []string{"a", "b", "c", "d"}, sends(fresh))
 
 	_, held := fresh.Facts(at(2.2))
@@ -141,10 +141,10 @@
 	assert.Equal(t, []string{"c"}, sends(fresh), "at once")
 	assert.Equal(t, knew.Mark(WithStarts), fresh.Mark(WithStarts))
 	assert.Equal(t, knew.FactsSum(at(2.3)), fresh.FactsSum(at(2.3)))
-	fresh.Take(Listing{Replicas: copied}, at(3))
+	fresh.Apply(Listing{Replicas: copied}, at(3))
 	assert.Equal(t, []string{"c"}, sends(fresh), "its own reads change nothing")
 	assert.Empty(t, fresh.Learn(facts, at(3.1)), "what is known is no news")
-	fresh.Take(Listing{Replicas: copied}, at(7.2))
+	fresh.Apply(Listing{Replicas: copied}, at(7.2))
 	assert.Equal(t, []string{"a", "b", "c", "d"}, sends(fresh), "no longer than theirs, but for the way")
 	assert.Zero(t, fresh.FactsSum(at(7.2)))
 }
--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// Of returns what a replica said.
-func (s *Statements) Of(id string) Statement {
+// Get returns what a replica said.
+func (s *Statements) Get(id string) Statement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if one := s.of[id]; one != nil {
--- a/pkg/directory/warmth.go
+++ b/pkg/directory/warmth.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// coldUntil is when a replica that was just listed is warm. Its entry told how long
+// coldUntil is when a replica that was just listed is warm. Its entry said how long
 // it stays cold when it was written, so that this is rather late than early.
 func (d *Directory) coldUntil(r Replica) time.Time {
 	if r.ColdLeft <= 0 {
@@ -51,7 +51,7 @@
 	}
 	for _, centre := range d.evacuated {
 		if !slices.Contains(now, centre) {
-			d.doubtWarmth(centre)
+			d.assumeCold(centre)
 			changes = append(changes, Change{Centre: centre, What: Returned})
 		}
 	}
@@ -59,9 +59,9 @@
 	return changes
 }
 
-// doubtWarmth takes the replicas of a data centre for cold until their entries must
-// have told whether they are.
-func (d *Directory) doubtWarmth(centre string) {
+// assumeCold takes the replicas of a data centre for cold until their entries must have
+// said whether they are.
+func (d *Directory) assumeCold(centre string) {
 	until := d.read.Add(d.grace)
 	for _, e := range d.entries {
 		if e.replica.DataCentre == centre && until.After(e.replica.ColdUntil) {
--- a/pkg/directory/warmth_test.go
+++ b/pkg/directory/warmth_test.go
@@ -70,12 +70,12 @@
 	first.Replace([]Replica{cold("a", 1, 3*time.Second)}, at(0))
 	first.Confirm(at(1))
 	// The other router's clock is another one: what was read at 1 here was read at 501 there.
-	second.Take(passed(t, first.Listing()), at(501))
+	second.Apply(passed(t, first.Listing()), at(501))
 	assert.Equal(t, at(503), second.List()[0].ColdUntil)
 	assert.Equal(t, first.Mark(WithStarts), second.Mark(WithStarts))
 	first.Confirm(at(4))
 	third := New(9*time.Second, 2*time.Second)
-	third.Take(passed(t, first.Listing()), at(504))
+	third.Apply(passed(t, first.Listing()), at(504))
 	assert.Zero(t, third.List()[0].ColdUntil, "the time is over")
 	assert.Equal(t, first.Mark(WithStarts), third.Mark(WithStarts), "the entry still says cold: both know the same list")
 }
@@ -92,25 +92,25 @@
 	}
 	d := New(9*time.Second, 2*time.Second)
 	list := []Replica{cold("a", 1, 0), {ID: "b", Service: "s", DataCentre: "south"}}
-	d.Take(Listing{Replicas: list}, at(0))
+	d.Apply(Listing{Replicas: list}, at(0))
 	before := d.Mark(WithStarts)
-	assert.Equal(t, map[string]What{"north": Evacuated}, centres(d.Take(Listing{list, []string{"north"}}, at(1))))
+	assert.Equal(t, map[string]What{"north": Evacuated}, centres(d.Apply(Listing{list, []string{"north"}}, at(1))))
 	assert.NotEqual(t, before, d.Mark(WithStarts))
 	assert.True(t, d.List()[0].Evacuated)
 	assert.False(t, d.List()[1].Evacuated)
 
 	assert.Empty(t, d.Confirm(at(2)))
-	assert.Empty(t, d.Take(Listing{list, nil}, at(1.5)), "an older read says nothing")
+	assert.Empty(t, d.Apply(Listing{list, nil}, at(1.5)), "an older read says nothing")
 	assert.Equal(t, []string{"north"}, d.Listing().Evacuated)
 	joined := append(list, Replica{ID: "c", DataCentre: "north"})
-	assert.Empty(t, centres(d.Take(Listing{joined, []string{"north", "north"}}, at(3))))
+	assert.Empty(t, centres(d.Apply(Listing{joined, []string{"north", "north"}}, at(3))))
 	assert.True(t, d.List()[2].Evacuated, "one that joins there is evacuated as well")
 
 	other := New(9*time.Second, 2*time.Second)
-	assert.Equal(t, map[string]What{"north": Evacuated}, centres(other.Take(passed(t, d.Listing()), at(3))))
+	assert.Equal(t, map[string]What{"north": Evacuated}, centres(other.Apply(passed(t, d.Listing()), at(3))))
 	assert.Equal(t, d.Mark(WithStarts), other.Mark(WithStarts))
 
-	assert.Equal(t, map[string]What{"north": Returned}, centres(d.Take(Listing{list, nil}, at(4))))
+	assert.Equal(t, map[string]What{"north": Returned}, centres(d.Apply(Listing{list, nil}, at(4))))
 	assert.Equal(t, before, d.Mark(WithStarts))
 	assert.False(t, d.List()[0].Evacuated)
 }
@@ -118,14 +118,14 @@
 func TestWhatIsTakenBackCountsAsColdUntilItsEntriesTell(t *testing.T) {
 	d := New(9*time.Second, 2*time.Second)
 	list := []Replica{cold("a", 1, 0), cold("b", 1, 0), cold("c", 1, 0), {ID: "d", DataCentre: "south"}}
-	d.Take(Listing{list, []string{"north"}}, at(0))
+	d.Apply(Listing{list, []string{"north"}}, at(0))
 	list[1] = cold("b", 2, 3*time.Second)
-	d.Take(Listing{list, nil}, at(1))
+	d.Apply(Listing{list, nil}, at(1))
 	assert.Equal(t, at(3), d.List()[0].ColdUntil)
 	assert.Equal(t, at(4), d.List()[1].ColdUntil, "its entry tells of more")
 	assert.Zero(t, d.List()[3].ColdUntil)
 	list[0], list[2] = cold("a", 2, 3*time.Second), cold("c", 2, 0)
-	d.Take(Listing{list, nil}, at(2))
+	d.Apply(Listing{list, nil}, at(2))
 	assert.Equal(t, at(5), d.List()[0].ColdUntil, "cold by its entry")
 	assert.Zero(t, d.List()[2].ColdUntil, "warm by its entry")
 }
--- a/test/crash/rig_test.go
+++ b/test/crash/rig_test.go
@@ -19,9 +19,9 @@
 
 	"github.com/croftyard/croftyard/internal/entry"
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/follow"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/standin"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/platform"
 )
 
@@ -144,7 +144,7 @@
 	s.Peers.Seeds = f.peers[:min(len(f.peers), 2)]
 	log := event.Discard()
 	e, err := entry.Start(s, entry.Outside{
-		Source: func(s settings.Settings, call time.Duration) follow.Source {
+		Source: func(s settings.Settings, call time.Duration) watch.Source {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
 		Dialect:    platform.Dialect(),
