Which replicas are excluded is asked of one service, and of those that are listed

The question names the service; statements bind while their replica is listed and do so again if its entry comes back; the age of the list is looked at for the one replica that is about to be written.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -42,7 +42,7 @@
 		}
 		c.refreshList(ctx)
 		now := steady.Now()
-		excluded := c.front.exclusions(now)
+		excluded := c.exclusions(now)
 		choice, found := c.choose(excluded, now)
 		x, allExcluded := directory.Exclusion{}, false
 		if !found {
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -25,10 +25,10 @@
 	return f.limits.Load().ListProof
 }
 
-// exclusions returns the replicas that get no new requests although the list says that
-// they are ready.
-func (f *Front) exclusions(now time.Time) []directory.Exclusion {
-	return f.watcher.Exclusions(f.listLimit(), now)
+// exclusions returns the replicas of the service that get no new requests although the
+// list says that they are ready.
+func (c *call) exclusions(now time.Time) []directory.Exclusion {
+	return c.front.watcher.Exclusions(c.service.Name, c.front.listLimit(), now)
 }
 
 // Exclusion tells whether a replica gets no new requests, and why.
@@ -88,11 +88,11 @@
 
 // opens returns when a replica of the service is first to be given work again.
 func (c *call) opens(now time.Time) opening {
-	excluded := c.front.exclusions(now)
+	excluded := c.exclusions(now)
 	var o opening
 	o.after, o.known = c.front.balancer.Opens(c.service.Name, idsOf(excluded), now)
 	for _, x := range excluded {
-		if x.Service != c.service.Name || x.Until.IsZero() {
+		if x.Until.IsZero() {
 			continue
 		}
 		if in := x.Until.Sub(now); !o.known || in < o.after {
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -65,7 +65,7 @@
 func (c *call) exclusionFields() []event.Field {
 	var excluded []string
 	for _, x := range c.excluded {
-		if x.Service == c.service.Name && len(excluded) < maxLogged {
+		if len(excluded) < maxLogged {
 			excluded = append(excluded, x.ID+": "+string(x.Reason))
 		}
 	}
--- a/internal/watch/outage.go
+++ b/internal/watch/outage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/steady"
@@ -140,12 +141,12 @@
 	return w.directory.Unlisted(since, w.outage.seen)
 }
 
-// Exclusions returns those of the replicas that are listed as ready which get no new
+// Exclusions returns those of a service's replicas that are listed as ready and get no new
 // requests, by a greatest age of the list.
-func (w *Watcher) Exclusions(limit time.Duration, now time.Time) []directory.Exclusion {
+func (w *Watcher) Exclusions(service string, limit time.Duration, now time.Time) []directory.Exclusion {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.directory.Exclusions(w.conditions(limit, now))
+	return w.directory.Exclusions(service, w.conditions(limit, now))
 }
 
 // Exclusion tells whether a replica gets no new requests, and why.
@@ -160,7 +161,7 @@
 	return directory.Conditions{
 		Now:              now,
 		Limit:            limit,
-		StoreUnavailable: func() bool { return w.storeUnavailable(limit, now) },
+		StoreUnavailable: sync.OnceValue(func() bool { return w.storeUnavailable(limit, now) }),
 		SeenUnavailable:  w.outage.seen,
 	}
 }
--- a/pkg/directory/eligibility.go
+++ b/pkg/directory/eligibility.go
@@ -29,9 +29,8 @@
 
 // Exclusion tells that a replica gets no new requests, and why.
 type Exclusion struct {
-	ID      string
-	Service string
-	Reason  Reason
+	ID     string
+	Reason Reason
 	// Since is when the reason began, Until when it ends; zero: not known.
 	Since, Until time.Time
 	// LastResort: it may still have a request for which there is no other replica.
@@ -66,36 +65,45 @@
 	if excluded && !x.LastResort {
 		return x, true
 	}
-	for _, old := range d.byAge(c) {
-		if old.ID == id {
-			return old, true
-		}
+	if old, excluded := d.byAge(e, c); excluded {
+		return old, true
 	}
 	return x, excluded
 }
 
-// Exclusions returns those of the replicas that are listed as ready which get no new
+// Exclusions returns those of a service's replicas that are listed as ready and get no new
 // requests. One that is excluded for two reasons may stand in it twice.
-func (d *Directory) Exclusions(c Conditions) []Exclusion {
+func (d *Directory) Exclusions(service string, c Conditions) []Exclusion {
 	var list []Exclusion
-	for id, said := range d.statements.binding(c.Now) {
+	d.statements.eachBinding(c.Now, func(id string, said Statement) {
 		e, known := d.entries[id]
-		if !known {
-			continue
+		if !known || e.replica.Service != service {
+			return
 		}
 		if _, excluded := d.byList(e); excluded {
-			continue
+			return
 		}
 		if x, excluded := byStatement(&e.replica, said, c); excluded {
 			list = append(list, x)
 		}
+	})
+	if !d.oldest.Before(c.Now.Add(-c.Limit)) {
+		return list
+	}
+	for _, e := range d.entries {
+		if e.replica.Service != service {
+			continue
+		}
+		if x, excluded := d.byAge(e, c); excluded {
+			list = append(list, x)
+		}
 	}
-	return append(list, d.byAge(c)...)
+	return list
 }
 
 // byList excludes by what the list says.
 func (d *Directory) byList(e *entry) (Exclusion, bool) {
-	x := Exclusion{ID: e.replica.ID, Service: e.replica.Service}
+	x := Exclusion{ID: e.replica.ID}
 	switch {
 	case e.replica.State == Unusable:
 		x.Reason = EntryUnusable
@@ -111,7 +119,7 @@
 
 // byStatement excludes by what a replica said of itself.
 func byStatement(r *Replica, said Statement, c Conditions) (Exclusion, bool) {
-	x := Exclusion{ID: r.ID, Service: r.Service}
+	x := Exclusion{ID: r.ID}
 	rests := c.Now.Before(said.RestUntil)
 	switch {
 	case !said.DrainingSince.IsZero():
@@ -125,31 +133,23 @@
 	return x, true
 }
 
-// byAge excludes the replicas that may have announced that they drain too long ago: no
-// list named them within the limit, and neither were they seen serving. While the store
-// is unavailable nobody can have heard more, and all may be used.
-func (d *Directory) byAge(c Conditions) []Exclusion {
-	if c.Limit == 0 {
-		return nil
-	}
+// byAge excludes a replica that may have announced its shutdown too long ago: no list named
+// it within the limit, and neither was it seen serving. While the store is unavailable
+// nobody can know more, and all may be used.
+func (d *Directory) byAge(e *entry, c Conditions) (Exclusion, bool) {
 	since := c.Now.Add(-c.Limit)
-	unlisted := d.Unlisted(since, c.SeenUnavailable)
-	if len(unlisted) == 0 {
-		return nil
-	}
-	// A list that is young enough names them no more: some that leave say nothing of it
-	// themselves and go on answering.
-	byYoungList := d.read.After(since)
-	if !byYoungList && c.StoreUnavailable != nil && c.StoreUnavailable() {
-		return nil
+	if c.Limit == 0 || !e.unlisted(since, c.SeenUnavailable) {
+		return Exclusion{}, false
 	}
-	var list []Exclusion
-	for _, id := range unlisted {
-		if !byYoungList && d.statements.Get(id).ServingAt.After(since) {
-			continue
+	// A list that is young enough decides: some replicas that leave announce nothing and go
+	// on answering.
+	if !d.read.After(since) {
+		if c.StoreUnavailable != nil && c.StoreUnavailable() {
+			return Exclusion{}, false
+		}
+		if d.statements.Get(e.replica.ID).ServingAt.After(since) {
+			return Exclusion{}, false
 		}
-		e := d.entries[id]
-		list = append(list, Exclusion{ID: id, Service: e.replica.Service, Reason: ListTooOld, Since: e.listed})
 	}
-	return list
+	return Exclusion{ID: e.replica.ID, Reason: ListTooOld, Since: e.listed}, true
 }
--- a/pkg/directory/eligibility_test.go
+++ b/pkg/directory/eligibility_test.go
@@ -76,7 +76,7 @@
 
 // among tells whether the replica is one of all that are excluded.
 func (e *events) among(unavailable bool) bool {
-	for _, x := range e.d.Exclusions(Conditions{Now: e.now, Limit: testLimit, StoreUnavailable: func() bool { return unavailable }}) {
+	for _, x := range e.d.Exclusions("s", Conditions{Now: e.now, Limit: testLimit, StoreUnavailable: func() bool { return unavailable }}) {
 		if x.ID == "a" {
 			return true
 		}
--- a/pkg/directory/listing.go
+++ b/pkg/directory/listing.go
@@ -62,10 +62,15 @@
 	}
 	var ids []string
 	for id, e := range d.entries {
-		excused := e.unconfirmedSince.After(since) && lost.After(e.listed)
-		if e.listed.Before(since) && !excused {
+		if e.unlisted(since, lost) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
+
+// unlisted reports whether no read sent since a time names the entry, see Unlisted.
+func (e *entry) unlisted(since, lost time.Time) bool {
+	excused := e.unconfirmedSince.After(since) && lost.After(e.listed)
+	return e.listed.Before(since) && !excused
+}
--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -16,7 +16,7 @@
 type Statements struct {
 	mu sync.Mutex
 	of map[string]*statement
-	// bind are the ids of those that announced a shutdown or asked for a rest.
+	// bind are the ids of listed replicas that announced a shutdown or asked for a rest.
 	bind   map[string]struct{}
 	pruned time.Time
 }
@@ -141,35 +141,35 @@
 	return Statement{}
 }
 
-// binding returns the statements that exclude replicas at a time, by id; nil for none.
-func (s *Statements) binding(now time.Time) map[string]Statement {
+// eachBinding calls visit for the statements that exclude listed replicas at a time.
+func (s *Statements) eachBinding(now time.Time, visit func(id string, said Statement)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out map[string]Statement
 	for id := range s.bind {
 		one := s.of[id]
-		if one.DrainingSince.IsZero() && !now.Before(one.RestUntil) {
+		if !one.binds(now) {
 			delete(s.bind, id)
 			continue
 		}
-		if out == nil {
-			out = make(map[string]Statement, len(s.bind))
-		}
-		out[id] = one.Statement
+		visit(id, one.Statement)
 	}
-	return out
 }
 
-// Binding returns how many replicas announced their shutdown, and how many more are at
-// a rest that they asked for.
+// binds reports whether a statement excludes its replica at a time.
+func (s *Statement) binds(now time.Time) bool {
+	return !s.DrainingSince.IsZero() || now.Before(s.RestUntil)
+}
+
+// Binding returns how many listed replicas announced their shutdown, and how many more are
+// at a rest that they asked for.
 func (s *Statements) Binding(now time.Time) (draining, resting int) {
-	for _, said := range s.binding(now) {
+	s.eachBinding(now, func(_ string, said Statement) {
 		if !said.DrainingSince.IsZero() {
 			draining++
-			continue
+			return
 		}
 		resting++
-	}
+	})
 	return draining, resting
 }
 
@@ -214,6 +214,7 @@
 	defer s.mu.Unlock()
 	if one := s.of[r.ID]; one != nil {
 		one.born, one.missingSince = r.Born, read
+		delete(s.bind, r.ID)
 	}
 }
 
@@ -232,8 +233,11 @@
 		started = r.Born > one.born
 	}
 	one.missingSince = time.Time{}
-	if started {
+	switch {
+	case started:
 		s.started(r.ID, read)
+	case one.binds(read):
+		s.bind[r.ID] = struct{}{}
 	}
 }
 
@@ -245,8 +249,7 @@
 	s.pruned = now
 	for id, one := range s.of {
 		listed := one.missingSince.IsZero()
-		binding := now.Before(one.RestUntil) || listed && !one.DrainingSince.IsZero()
-		if !binding && now.Sub(one.changed) > statementKept {
+		if !(listed && one.binds(now)) && now.Sub(one.changed) > statementKept {
 			delete(s.of, id)
 			delete(s.bind, id)
 		}
