Comments of the question before a request, and nothing looked through without a limit

Without a greatest age of the list each request looked through all replicas of it to find none too old. Comments only, else; the reason of a stale entry is not listed recently.

--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -36,8 +36,8 @@
 	return f.watcher.Exclusion(id, f.listLimit(), now)
 }
 
-// choose asks for a replica: one that is not excluded, else one that may still have a
-// request as the last of its service.
+// choose picks a replica that is not excluded, else one that may still have a request as
+// the last of its service.
 func (c *call) choose(excluded []directory.Exclusion, now time.Time) (balance.Choice, bool) {
 	c.lastResort, c.excluded = false, excluded
 	choice, found := c.front.balancer.Pick(c.question(idsOf(excluded)), now)
@@ -57,8 +57,8 @@
 	return ids
 }
 
-// checkBeforeWrite looks, when a connection to a replica is there, whether the request
-// may still be written to it: opening the connection may have taken its time.
+// checkBeforeWrite checks, once a connection to a replica is open, that the request may
+// still be written to it: opening the connection may have taken time.
 func (c *call) checkBeforeWrite(id string, now time.Time) error {
 	if c.callerLeft() {
 		return errCallerGone
@@ -102,20 +102,20 @@
 	return o
 }
 
-// Bounds of the time over which callers are spread that are told the end of a rest, so
-// that they do not come back at one moment.
+// Bounds of the time over which refused callers are spread after the end of a rest, so that
+// they do not all retry at one moment.
 const (
 	spreadPart    = 4
 	longestSpread = 2 * time.Second
 )
 
-// spread returns a time to come back, at the earliest after one.
+// spread returns a Retry-After of at least a time.
 func spread(after time.Duration) time.Duration {
 	return after + time.Duration(rand.Float64()*float64(min(after/spreadPart, longestSpread)))
 }
 
-// exclusionOf returns why all replicas of the service are excluded that the request could
-// have else; false if there are none, or others.
+// exclusionOf returns why the replicas are excluded that the request could have otherwise;
+// false if there are none.
 func (c *call) exclusionOf(excluded []directory.Exclusion) (x directory.Exclusion, all bool) {
 	if len(excluded) == 0 {
 		return directory.Exclusion{}, false
--- a/pkg/directory/eligibility.go
+++ b/pkg/directory/eligibility.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// Whether a replica may have a new request is one question. These speak to it, in order:
+// Whether a replica may have a new request is decided by, in this order:
 //
 //	the list: not listed, unusable, draining, evacuated
 //	the replica's own statements: announced its shutdown, asked for rest
 //	the age of the list: the replica may have left since, unless it was seen serving
 //
-// Whoever chooses a replica asks before, and again before bytes are written to it.
+// It is asked when a replica is chosen, and again before bytes are written to it.
 
 // Reason tells why a replica gets no new requests.
 type Reason string
@@ -24,7 +24,7 @@
 	CentreEvacuated   Reason = "data centre evacuated"
 	ShutdownAnnounced Reason = "announced its shutdown"
 	RestAsked         Reason = "asked for rest"
-	ListTooOld        Reason = "not listed lately"
+	ListTooOld        Reason = "not listed recently"
 )
 
 // Exclusion tells that a replica gets no new requests, and why.
@@ -87,7 +87,7 @@
 			list = append(list, x)
 		}
 	})
-	if !d.oldest.Before(c.Now.Add(-c.Limit)) {
+	if c.Limit == 0 || !d.oldest.Before(c.Now.Add(-c.Limit)) {
 		return list
 	}
 	for _, e := range d.entries {
--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -34,7 +34,7 @@
 type statement struct {
 	Statement
 	// startListed is when the read was sent that first listed the replica's present start.
-	// What earlier requests were told may be of the start before; zero: no other is known.
+	// Answers to earlier requests may be of the start before; zero: no other is known.
 	startListed time.Time
 	// born is when a replica started that is listed no more, in its own words; 0: not known.
 	born int64
@@ -45,7 +45,7 @@
 }
 
 const (
-	// sameRestart is within what time a list and another router tell of one restart.
+	// sameRestart is within what time a list and another router report one restart.
 	sameRestart = 2 * time.Second
 	// statementKept is for how long statements of a replica are kept that is listed no more.
 	statementKept = 10 * time.Minute
@@ -122,7 +122,7 @@
 	one.changed, one.ServingAt = now, sent
 }
 
-// ForgetServing takes back that a replica was seen serving: it may be leaving.
+// ForgetServing removes that a replica was seen serving: it may be leaving.
 func (s *Statements) ForgetServing(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,8 +173,8 @@
 	return draining, resting
 }
 
-// Restarted ends all statements of a replica: it started again, as another router said at
-// a time. Of a restart that a list has just shown nothing is new.
+// Restarted ends all statements of a replica that started again, as another router reported
+// at a time. A restart that a list has just shown is not counted twice.
 func (s *Statements) Restarted(id string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,7 +241,7 @@
 	}
 }
 
-// prune forgets statements that say nothing any more. s.mu is held.
+// prune removes old statements that exclude no listed replica. s.mu is held.
 func (s *Statements) prune(now time.Time) {
 	if now.Sub(s.pruned) < prunePause {
 		return
