Soak: programs are built into a folder that lasts for all tests of a run

Cause: the program is built once, into the folder of the first test, which goes with that test; the test that came with the failing tests is the second. It was only run by itself before. Nothing of what is checked changed.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,6 +34,24 @@
 // would disturb each other.
 const atOnce = 3
 
+// programs is the folder of the programs, which are built once for all tests.
+var programs string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "croftyard-soak-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	programs = dir
+	code := m.Run()
+	if err := os.RemoveAll(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = max(code, 1)
+	}
+	os.Exit(code)
+}
+
 // logs is the folder of all runs; a run that holds leaves nothing in it.
 func logs(t *testing.T) string {
 	t.Helper()
@@ -58,7 +76,7 @@
 }{programs: make(map[string]string)}
 
 // otherBuild returns the program of an earlier build that a plan has, empty if it has none.
-func otherBuild(t *testing.T, dir string, p plan) string {
+func otherBuild(t *testing.T, p plan) string {
 	t.Helper()
 	commits := p.buildsOf()
 	if len(commits) == 0 {
@@ -68,7 +86,7 @@
 	defer earlier.Unlock()
 	commit := commits[p.Seed%uint64(len(commits))]
 	if earlier.programs[commit] == "" {
-		program, err := builds.Program(commit, dir)
+		program, err := builds.Program(commit, programs)
 		if errors.Is(err, builds.ErrNoHistory) {
 			t.Skipf("seed %d wants a build of %s: %v", p.Seed, commit, err)
 		}
@@ -82,7 +100,7 @@
 func play(t *testing.T, program, dir string, p plan, length time.Duration) {
 	t.Helper()
 	seed := p.Seed
-	other := otherBuild(t, dir, p)
+	other := otherBuild(t, p)
 	own := filepath.Join(dir, fmt.Sprint("seed-", seed))
 	require.NoError(t, os.MkdirAll(own, 0o700))
 	result, err := Run(program, other, own, p, length)
@@ -125,7 +143,7 @@
 		t.Skip("fresh seeds are asked for")
 	}
 	dir := logs(t)
-	program, err := buildProgram(dir)
+	program, err := buildProgram(programs)
 	require.NoError(t, err)
 	slots := make(chan struct{}, atOnce)
 	for _, known := range knownSeeds(t) {
@@ -146,7 +164,7 @@
 		t.Skip("fresh seeds are asked for")
 	}
 	dir := logs(t)
-	program, err := buildProgram(dir)
+	program, err := buildProgram(programs)
 	require.NoError(t, err)
 	for _, seed := range []uint64{8, 24, 11} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -209,7 +227,7 @@
 	n, err := strconv.Atoi(text)
 	require.NoError(t, err)
 	dir := logs(t)
-	program, err := buildProgram(dir)
+	program, err := buildProgram(programs)
 	require.NoError(t, err)
 	const byDefault = 20 * time.Second
 	for i, seed := range freshSeeds(t, n) {
