A stand-in replica may crash while it starts

Cause: a replica that starts again at its address gets requests before StartReplica returns. The crash waits until the server is set.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -37,8 +37,10 @@
 	ID      string
 	Options ReplicaOptions
 
-	server *Server
-	born   time.Time
+	// server is set once listening is closed: requests may come before.
+	server    *Server
+	listening chan struct{}
+	born      time.Time
 	// ended is closed when it crashed or left.
 	ended      chan struct{}
 	endedAt    time.Time
@@ -89,12 +91,13 @@
 
 // StartReplica starts an incarnation at an address.
 func StartReplica(id, address string, o ReplicaOptions) (*Replica, error) {
-	r := &Replica{ID: id, Options: o, born: time.Now(), ended: make(chan struct{})}
+	r := &Replica{ID: id, Options: o, born: time.Now(), ended: make(chan struct{}), listening: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.Handle("/-/", platform.HeldHandler())
 	mux.HandleFunc("/", r.serve)
 	var err error
 	r.server, err = Serve(address, mux)
+	close(r.listening)
 	return r, err
 }
 
@@ -123,6 +126,7 @@
 		r.endedAt = time.Now()
 		close(r.ended)
 	})
+	<-r.listening
 	r.server.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
