An operator's order to stop is answered before the stop begins

What operators saw: croftyardctl drain failed with EOF though the router stopped as ordered. The answer, with its length, is flushed first. internal/admin TestAnOrderToStopIsAnsweredBeforeTheRouterEnds fails on the commit before with that error and holds 20 times of 20 with the race detector.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -125,6 +125,11 @@
 }
 
 func (a *Admin) startDrain(w http.ResponseWriter, _ *http.Request) {
+	// The answer goes out first: a router with nothing in flight ends at once.
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusAccepted)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		a.log.Write(event.HandlerFailed, event.F("error", err))
+	}
 	a.drain()
 }
