--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -50,6 +50,10 @@
 	CentreReturned    ID = 316
 	ReplicaDraining   ID = 317
 	ReplicaResting    ID = 318
+	ReplicasChanged   ID = 319
+	RolloutChanged    ID = 320
+	RolloutPhase      ID = 321
+	RolloutWritten    ID = 322
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -117,6 +121,10 @@
 	CentreReturned:    {logrus.InfoLevel, "evacuated data centre taken back", "None needed. Its replicas get little until they are warm."},
 	ReplicaDraining:   {logrus.InfoLevel, "replica announced its shutdown in an answer", "None needed. It holds until the replica starts again, whatever the list says."},
 	ReplicaResting:    {logrus.InfoLevel, "replica asked for no requests for a time", "None if it ends. rest_ms is how long; one of hours is a fault of the replica's: restart it."},
+	ReplicasChanged:   {logrus.InfoLevel, "many replicas changed at once", "None needed. Seen at a start, in a release, and when a data centre is lost; change and replicas tell what and how many."},
+	RolloutChanged:    {logrus.InfoLevel, "order or status of a roll-out was written or deleted", "None needed. croftyardctl rollout shows what is held."},
+	RolloutPhase:      {logrus.WarnLevel, "roll-out of a version goes on or ends", "None if it shifts or completes. If it is rolled back, reason tells by which evidence."},
+	RolloutWritten:    {logrus.InfoLevel, "status of a roll-out written to the platform's store", "None needed. With an error: it is read and tried again."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -150,6 +150,6 @@
 	delete(g.queries, r.Ask)
 	g.mu.Unlock()
 	if found && g.applyFreshness(q.address, r, q.at, now) && !g.fetching.Load() {
-		go g.fetchKnowledge(g.ctx, q.address)
+		go g.fetchKnowledge(g.ctx, q.address, r.ListRevision != 0)
 	}
 }
--- a/internal/gossip/excerpt_test.go
+++ b/internal/gossip/excerpt_test.go
@@ -28,7 +28,7 @@
 	}
 	teacher.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: after}, read.Add(time.Second))
 	sent, received := learner.gossip.Bytes()
-	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address())
+	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address(), false)
 	mark := teacher.watcher.Digest().ListHash
 	learned := learner.watcher.Digest().ListHash
 	require.Equal(t, mark, learned)
@@ -37,6 +37,28 @@
 	assert.Equal(t, teacher.watcher.Replicas(), learner.watcher.Replicas())
 }
 
+// While the replicas of a fleet start, some hundred are listed between two reads. Nearly all
+// parts of the list differ then, and each router fetched the whole list at each read.
+func TestGrowthOfTheListIsSentOnce(t *testing.T) {
+	const replicas, joined, mostBytes = 3000, 400, 20000
+	list, read := benchListing(replicas+joined).Replicas, time.Now().Add(-time.Minute)
+	for i := range list {
+		list[i].Entry = uint64(i + 1)
+	}
+	teacher, learner := newIdleRouter(t, &source{}), newIdleRouter(t, &source{})
+	for _, r := range []*router{teacher, learner} {
+		r.gossip.SetHoldersKnown()
+		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: list[:replicas], Revision: replicas}, read)
+	}
+	teacher.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: list, Revision: replicas + joined}, read.Add(time.Second))
+	sent, received := learner.gossip.Bytes()
+	learner.gossip.exchange(t.Context(), teacher.gossip.Address(), &gossippb.Digest{AsksOnly: true})
+	require.Equal(t, teacher.watcher.Digest(), learner.watcher.Digest())
+	sentNow, receivedNow := learner.gossip.Bytes()
+	assert.Less(t, sentNow-sent+receivedNow-received, uint64(mostBytes))
+	assert.Equal(t, teacher.watcher.Replicas(), learner.watcher.Replicas())
+}
+
 // Parts other than the requested ones cannot be merged with the router's own list.
 func TestExcerptWithOtherPartsIsRejected(t *testing.T) {
 	text, err := pack(directory.Listing{})
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -34,7 +34,7 @@
 	}
 	g.meter.Called(digest, reply)
 	if g.applyFreshness(address, reply, asked, steady.Now()) {
-		g.fetchKnowledge(ctx, address)
+		g.fetchKnowledge(ctx, address, reply.ListRevision != 0)
 	}
 }
 
@@ -96,15 +96,18 @@
 }
 
 // fetchKnowledge fetches the knowledge of another router, from one at a time: when
-// something is new, many routers have it.
-func (g *Gossip) fetchKnowledge(ctx context.Context, address string) {
+// something is new, many routers have it. deltas is set if that router sends deltas.
+func (g *Gossip) fetchKnowledge(ctx context.Context, address string, deltas bool) {
 	if !g.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	defer g.fetching.Store(false)
 	asked := steady.Now()
-	have := g.watcher.KnowledgeRequest()
-	request := &gossippb.KnowledgeRequest{Version: have.Version, Mark: have.ListHash, Facts: have.FactsHash, Sums: have.PartHashes, Holders: !g.holdersKnown.Load()}
+	have := g.watcher.KnowledgeRequest(deltas)
+	request := &gossippb.KnowledgeRequest{
+		Version: have.Version, Mark: have.ListHash, Facts: have.FactsHash, Sums: have.PartHashes, Holders: !g.holdersKnown.Load(),
+		ListRevision: have.Revision, Generation: have.Generation,
+	}
 	var reply *gossippb.KnowledgeReply
 	err := g.client.Control(ctx, address, peer.Bound{Call: knowledgeTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, request)
@@ -128,7 +131,7 @@
 
 // decodeKnowledge decodes the reply to a router that already has some knowledge.
 func decodeKnowledge(reply *gossippb.KnowledgeReply, have watch.KnowledgeRequest) (watch.Knowledge, error) {
-	k := watch.Knowledge{Version: reply.Version, ListHash: reply.Mark, BaseHash: have.ListHash, Generation: reply.Generation, GenerationAge: milliseconds(reply.GenerationAgeMs)}
+	k := watch.Knowledge{Version: reply.Version, ListHash: reply.Mark, BaseHash: have.ListHash, Generation: reply.Generation, GenerationAge: milliseconds(reply.GenerationAgeMs), Since: reply.Since, Revision: reply.ListRevision}
 	if len(reply.Facts) > 0 {
 		k.Facts = &directory.Facts{}
 		if err := unpack(reply.Facts, k.Facts); err != nil {
@@ -149,6 +152,8 @@
 		return k, err
 	}
 	switch {
+	case reply.Since != 0:
+		k.Delta = &directory.Delta{Listing: listing, Removed: reply.Removed}
 	case reply.Parts == 0:
 		k.Listing = &listing
 	case int(reply.Parts) == len(have.PartHashes):
--- a/internal/gossip/fleet_bench_test.go
+++ b/internal/gossip/fleet_bench_test.go
@@ -36,13 +36,28 @@
 	for _, routers := range []int{9, 30, 100, 295} {
 		b.Run(fmt.Sprint(routers), func(b *testing.B) {
 			for b.Loop() {
-				measureFleet(b, routers)
+				measureFleet(b, routers, 0)
 			}
 		})
 	}
 }
 
-func measureFleet(b *testing.B, routers int) {
+// BenchmarkGrowingFleet measures the same while the replicas of a large fleet start: some
+// hundred more are listed at each read.
+func BenchmarkGrowingFleet(b *testing.B) {
+	const joinedPerRead = 400
+	for _, routers := range []int{100, 295} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, routers, joinedPerRead)
+			}
+		})
+	}
+}
+
+// measureFleet runs a fleet. Each read of the list has some replicas more than the one
+// before.
+func measureFleet(b *testing.B, routers, joinedPerRead int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	fleet := make([]*router, routers)
@@ -55,7 +70,7 @@
 		done.Go(func() { fleet[i].gossip.Run(ctx) })
 	}
 	reader := fleet[routers/2]
-	done.Go(func() { readEachSecond(ctx, reader) })
+	done.Go(func() { readEachSecond(ctx, reader, joinedPerRead) })
 	started := cpuTime(b)
 	time.Sleep(benchSettle)
 	used, bytes := cpuTime(b), sentBytes(fleet)
@@ -87,17 +102,21 @@
 	return r
 }
 
-func readEachSecond(ctx context.Context, r *router) {
+func readEachSecond(ctx context.Context, r *router, joinedPerRead int) {
 	var list []directory.Replica
-	for i := range benchReplicas {
-		id := fmt.Sprintf("engine-%d", i)
-		list = append(list, directory.Replica{ID: id, Service: "s", Address: id + ":1", DataCentre: fmt.Sprintf("dc%d", i%5), Slots: 32})
+	join := func(replicas int) {
+		for range replicas {
+			id := fmt.Sprintf("engine-%d", len(list))
+			list = append(list, directory.Replica{ID: id, Service: "s", Address: id + ":1", DataCentre: fmt.Sprintf("dc%d", len(list)%5), Slots: 32, Entry: uint64(len(list) + 1)})
+		}
 	}
-	snapshot := watch.Snapshot{Config: &route.Config{Version: 1, Routes: config(1).Routes}, Replicas: list}
+	join(benchReplicas)
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
+		snapshot := watch.Snapshot{Config: &route.Config{Version: 1, Routes: config(1).Routes}, Replicas: list, Revision: uint64(len(list))}
 		r.watcher.ApplySnapshot(snapshot, time.Now())
+		join(joinedPerRead)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -99,9 +100,9 @@
 	// it.
 	budget  sendBudget
 	refused atomic.Uint64
-	// config and listing cache the encoded values that were sent last.
-	config  atomic.Pointer[packed[uint64]]
-	listing atomic.Pointer[packed[listKey]]
+	// config and lists cache the encoded values that were sent last.
+	config atomic.Pointer[packed[uint64]]
+	lists  *lru.Cache[listKey, []byte]
 
 	mu      sync.Mutex
 	members *membership.Table
@@ -154,7 +155,11 @@
 		recentHellos: make(map[string]time.Time),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	err := g.listen()
+	var err error
+	if g.lists, err = lru.New[listKey, []byte](maxPackedLists); err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	err = g.listen()
 	for attempt := 1; err != nil && strings.HasSuffix(o.Address, ":0") && attempt < portAttempts; attempt++ {
 		err = g.listen()
 	}
@@ -216,6 +221,13 @@
 	return g.members.OwnsTask(task)
 }
 
+// TaskRank returns how many routers precede this one for a task.
+func (g *Gossip) TaskRank(task string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.TaskRank(task)
+}
+
 // Bytes returns the bytes sent to and received from the others.
 func (g *Gossip) Bytes() (sent, received uint64) { return g.meter.Bytes() }
 
--- a/internal/gossip/learn_bench_test.go
+++ b/internal/gossip/learn_bench_test.go
@@ -41,7 +41,7 @@
 				listing.Replicas[0].ID = fmt.Sprintf("i-%d", i)
 				now = now.Add(time.Second)
 				teacher.ApplySnapshot(watch.Snapshot{Config: &route.Config{Version: 1}, Replicas: listing.Replicas}, now)
-				have := learner.KnowledgeRequest()
+				have := learner.KnowledgeRequest(false)
 				k, _ := teacher.Knowledge(have, now)
 				text, err := pack(&k.Excerpt.Listing)
 				require.NoError(b, err)
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -11,6 +11,7 @@
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // Exchange implements the generated interface.
@@ -35,6 +36,7 @@
 		g.balancer.MergeRumors(decodeDigest(d, now).Rumors, now)
 	default:
 		g.mergeCounts(d, now)
+		g.mergeRollouts(d)
 	}
 	g.mergeMarks(d.Marks, now)
 	g.recordForm(d)
@@ -62,6 +64,7 @@
 		word.ListHash = g.watcher.PlainHash()
 	}
 	reply.Version, reply.Mark, reply.Generation, reply.Facts, reply.ProofMs = word.Version, word.ListHash, word.Generation, word.FactsHash, age
+	reply.ListRevision = word.Revision
 	return reply
 }
 
@@ -92,7 +95,11 @@
 	GetGeneration() uint64
 	GetFacts() uint32
 }) watch.Digest {
-	return watch.Digest{Version: m.GetVersion(), ListHash: m.GetMark(), Generation: m.GetGeneration(), FactsHash: m.GetFacts()}
+	d := watch.Digest{Version: m.GetVersion(), ListHash: m.GetMark(), Generation: m.GetGeneration(), FactsHash: m.GetFacts()}
+	if answer, is := m.(*gossippb.Freshness); is {
+		d.Revision = answer.ListRevision
+	}
+	return d
 }
 
 // mergeCounts merges the counts that a router sends for itself or for its line.
@@ -112,11 +119,14 @@
 	text []byte
 }
 
-// listKey identifies an encoded list. It includes the time of the read, from which the
-// remaining cold time of replicas counts.
+// listKey identifies an encoded list or delta.
 type listKey struct {
 	mark uint64
-	read time.Time
+	// since is the revision that a delta starts from; 0 for a whole list.
+	since uint64
+	// second is when the list was read. Up to a second later the remaining cold times count
+	// as the same.
+	second int64
 }
 
 // packOnce packs each state of a value once: when something is new, many routers request
@@ -133,6 +143,22 @@
 	return text, nil
 }
 
+// maxPackedLists is how many encoded lists and deltas are kept: routers request what has
+// changed since the few last reads.
+const maxPackedLists = 8
+
+// packList packs a list once for all routers that request it.
+func (g *Gossip) packList(key listKey, list *directory.Listing) ([]byte, error) {
+	if text, known := g.lists.Get(key); known {
+		return text, nil
+	}
+	text, err := pack(list)
+	if err == nil {
+		g.lists.Add(key, text)
+	}
+	return text, err
+}
+
 // maxGenerationAge caps the age of a generation that is sent. It is far above any hold.
 const maxGenerationAge = time.Hour
 
@@ -141,9 +167,11 @@
 	if !g.watcher.Initialized() {
 		return &gossippb.KnowledgeReply{}, nil
 	}
-	k, age := g.watcher.Knowledge(watch.KnowledgeRequest{Version: r.Version, ListHash: r.Mark, FactsHash: r.Facts, PartHashes: r.Sums}, steady.Now())
+	k, age := g.watcher.Knowledge(watch.KnowledgeRequest{
+		Version: r.Version, ListHash: r.Mark, FactsHash: r.Facts, PartHashes: r.Sums, Revision: r.ListRevision, Generation: r.Generation,
+	}, steady.Now())
 	milliseconds := uint32(age.Milliseconds()) + 1
-	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.ListHash, Generation: k.Generation, ProofMs: &milliseconds}
+	reply := &gossippb.KnowledgeReply{Version: k.Version, Mark: k.ListHash, Generation: k.Generation, ProofMs: &milliseconds, ListRevision: k.Revision}
 	reply.GenerationAgeMs = uint32(min(k.GenerationAge, maxGenerationAge).Milliseconds())
 	if err := g.encodeKnowledge(reply, k); err != nil {
 		return nil, err
@@ -176,8 +204,11 @@
 	case k.Excerpt != nil:
 		reply.Parts, reply.Differ = uint32(k.Excerpt.PartCount), k.Excerpt.DifferingParts
 		reply.Replicas, err = pack(&k.Excerpt.Listing)
+	case k.Delta != nil:
+		reply.Since, reply.Removed = k.Since, k.Delta.Removed
+		reply.Replicas, err = g.packList(listKey{k.ListHash, k.Since, k.ListRead.Unix()}, &k.Delta.Listing)
 	case k.Listing != nil:
-		reply.Replicas, err = packOnce(&g.listing, listKey{k.ListHash, k.ListRead}, k.Listing)
+		reply.Replicas, err = g.packList(listKey{k.ListHash, 0, k.ListRead.Unix()}, k.Listing)
 	}
 	return err
 }
--- a/internal/gossip/teach_test.go
+++ b/internal/gossip/teach_test.go
@@ -36,10 +36,10 @@
 	teacher, learner := newIdleRouter(t, &source{}), newIdleRouter(t, &source{})
 	teacher.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a")}, time.Now())
 	require.True(t, teacher.gossip.budget.allow(1<<30, time.Now()))
-	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address())
+	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address(), false)
 	assert.False(t, learner.watcher.Initialized(), "a refusal contains no knowledge")
 	assert.EqualValues(t, 1, teacher.gossip.RefusedRequests())
 	teacher.gossip.budget.drained = time.Time{}
-	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address())
+	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address(), false)
 	assert.True(t, learner.watcher.Initialized())
 }
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -39,8 +39,10 @@
 	}
 	d := digests{own: proto.CloneOf(rumors), hello: g.hello(now)}
 	encodeCounts(d.own, update.Running)
+	d.own.Rollouts = encodeRollouts(g.balancer.Rollouts().Reports())
 	if large {
 		d.line = rumors
+		d.line.Rollouts = encodeRollouts(g.balancer.Rollouts().GroupReports(g.partners.Line))
 		line, lines := g.members.Line()
 		d.line.Line, d.line.Lines = uint32(line), uint32(lines)
 		sum := g.balancer.SumLine(now)
--- a/internal/watch/apply.go
+++ b/internal/watch/apply.go
@@ -18,12 +18,20 @@
 		return err
 	}
 	w.applyConfig(s, sent)
-	w.handleChanges(w.directory.Apply(s.listing(), sent))
+	w.handleChanges(w.applyRead(s.listing(), s.Revision, sent))
 	w.logBadEntries(s.BadReplicas)
 	w.notifyRead()
 	return nil
 }
 
+// applyRead applies a list that was read from the source as of a revision. w.mu is held.
+func (w *Watcher) applyRead(l directory.Listing, revision uint64, sent time.Time) []directory.Change {
+	if !sent.Before(w.directory.ReadTime()) {
+		w.directory.SetRevision(revision)
+	}
+	return w.directory.Apply(l, sent)
+}
+
 // logBadEntries logs each revision of a bad entry once. w.mu is held.
 func (w *Watcher) logBadEntries(entries []BadEntry) {
 	bad := make(map[string]uint64, len(entries))
@@ -46,11 +54,11 @@
 // handleChanges passes changes of the directory to the balancer and the log. w.mu is
 // held.
 func (w *Watcher) handleChanges(changes []directory.Change) {
+	w.listHash, w.plainHash = w.directory.Hash(directory.HashWithStarts), w.directory.Hash(directory.HashPlain)
 	if len(changes) == 0 {
 		return
 	}
-	w.balancer.SetReplicas(w.directory.List(), w.directory.ReadTime())
-	w.listHash, w.plainHash = w.directory.Hash(directory.HashWithStarts), w.directory.Hash(directory.HashPlain)
+	w.updateBalancer(changes)
 	w.notifyUpdate()
 	for _, c := range changes {
 		switch c.Kind {
@@ -61,15 +69,75 @@
 		case directory.Left:
 			w.balancer.ReplicaRemoved(c.Replica.ID)
 		}
-		if c.DataCentre != "" {
+	}
+	w.logChanges(changes)
+}
+
+// updateBalancer passes changed replicas to the balancer, all of them if a data centre has
+// changed.
+func (w *Watcher) updateBalancer(changes []directory.Change) {
+	var changed []directory.Replica
+	var removed []string
+	rollouts := false
+	for _, c := range changes {
+		switch {
+		case c.Rollout != "":
+			rollouts = true
+		case isCentreChange(c.Kind):
+			w.balancer.SetReplicas(w.directory.List(), w.directory.ReadTime())
+			changed, removed = nil, nil
+		case c.Kind == directory.Left || c.Kind == directory.ConnectionsClosed:
+			removed = append(removed, c.Replica.ID)
+		default:
+			changed = append(changed, c.Replica)
+		}
+	}
+	if len(changed)+len(removed) > 0 {
+		w.balancer.UpdateReplicas(w.directory.WithEvacuated(changed), removed, w.directory.ReadTime())
+	}
+	if rollouts {
+		w.balancer.Rollouts().SetRecords(w.directory.Rollouts())
+	}
+}
+
+// maxLoggedChanges is how many changes of replicas are logged one by one at a time. Of
+// more, a line for each kind is logged: the whole fleet logs each of them.
+const maxLoggedChanges = 16
+
+// logChanges logs changes of the directory.
+func (w *Watcher) logChanges(changes []directory.Change) {
+	replicas := 0
+	counts := make(map[directory.ChangeKind]int)
+	for _, c := range changes {
+		switch {
+		case c.Rollout != "":
+			w.log.Write(event.RolloutChanged, event.F("service", c.Rollout))
+		case isCentreChange(c.Kind):
 			w.log.Write(centreEvent(c.Kind), event.F("data_centre", c.DataCentre))
-			continue
+		default:
+			replicas++
+			counts[c.Kind]++
+		}
+	}
+	if replicas > maxLoggedChanges {
+		for kind, n := range counts {
+			w.log.Write(event.ReplicasChanged, event.F("change", string(kind)), event.F("replicas", n))
+		}
+		return
+	}
+	for _, c := range changes {
+		if c.Rollout == "" && !isCentreChange(c.Kind) {
+			w.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
+				event.F("address", c.Replica.Address), event.F("change", string(c.Kind)))
 		}
-		w.log.Write(event.ReplicaChanged, event.F("replica", c.Replica.ID), event.F("service", c.Replica.Service),
-			event.F("address", c.Replica.Address), event.F("change", string(c.Kind)))
 	}
 }
 
+// isCentreChange reports whether a change is one of a data centre.
+func isCentreChange(kind directory.ChangeKind) bool {
+	return kind == directory.Evacuated || kind == directory.EvacuationEnded
+}
+
 // centreEvent returns the event for a change of a data centre.
 func centreEvent(kind directory.ChangeKind) event.ID {
 	if kind == directory.Evacuated {
--- a/internal/watch/generation.go
+++ b/internal/watch/generation.go
@@ -53,6 +53,8 @@
 	Generation uint64
 	// FactsHash is the hash of the facts that override a restored list, or 0 for none.
 	FactsHash uint32
+	// Revision is the source's revision that the list reflects at least; 0 if unknown.
+	Revision uint64
 }
 
 // Digest returns a summary of what this router knows.
@@ -64,7 +66,7 @@
 
 // digest is Digest with w.mu held.
 func (w *Watcher) digest() Digest {
-	d := Digest{ListHash: w.listHash, Generation: w.sourceState.generation, FactsHash: w.directory.FactsHash(steady.Now())}
+	d := Digest{ListHash: w.listHash, Generation: w.sourceState.generation, FactsHash: w.directory.FactsHash(steady.Now()), Revision: w.directory.Revision()}
 	if table := w.holder.Current().Table; table != nil {
 		d.Version = table.Version()
 	}
@@ -85,6 +87,9 @@
 		return fmt.Errorf("%w: generation %d, known %d", ErrStaleGeneration, s.Generation, w.sourceState.generation)
 	}
 	later := s.Generation > w.sourceState.generation
+	if later || restored {
+		w.directory.SetRevision(0)
+	}
 	if later {
 		w.sourceState.generation, w.sourceState.knownSince = s.Generation, steady.Now()
 	}
@@ -139,6 +144,9 @@
 	}
 	since := asked.Add(-k.GenerationAge)
 	later := k.Generation > w.sourceState.generation
+	if later {
+		w.directory.SetRevision(0)
+	}
 	if later || k.Generation == w.sourceState.generation && since.Before(w.sourceState.knownSince) {
 		w.sourceState.generation, w.sourceState.knownSince = k.Generation, since
 	}
--- a/internal/watch/generation_test.go
+++ b/internal/watch/generation_test.go
@@ -104,7 +104,7 @@
 			now := time.Now()
 			proven := now.Add(-teacher.Age(now))
 			if learner != teacher && learner.ApplyPeerProof(teacher.Digest(), proven) {
-				k, age := teacher.Knowledge(learner.KnowledgeRequest(), now)
+				k, age := teacher.Knowledge(learner.KnowledgeRequest(false), now)
 				learner.ApplyKnowledge(k, now, now.Add(-age), "peer")
 			}
 		}
--- a/internal/watch/knowledge.go
+++ b/internal/watch/knowledge.go
@@ -13,10 +13,14 @@
 	Version uint64
 	// ListHash is the hash of the list of replicas.
 	ListHash uint64
-	// Config is nil if the other router has the same version. Listing and Excerpt are
-	// both nil if its list is the same, and otherwise one of them is set.
+	// Config is nil if the other router has the same version. Listing, Delta and Excerpt
+	// are all nil if its list is the same, and otherwise one of them is set.
 	Config  *route.Config
 	Listing *directory.Listing
+	// Delta is what has changed since the revision Since, which the other router's list
+	// reflects. Revision is the one that this router's list reflects; 0 if unknown.
+	Delta           *directory.Delta
+	Since, Revision uint64
 	// Excerpt is the difference to the other router's list, whose hash is BaseHash.
 	Excerpt  *directory.Excerpt
 	BaseHash uint64
@@ -36,19 +40,26 @@
 	Version, ListHash uint64
 	// FactsHash is the hash of the facts that the requester holds.
 	FactsHash uint32
-	// PartHashes are the hashes of the parts of its list. Without them it receives the
-	// whole list.
+	// PartHashes are the hashes of the parts of its list. Without them, and without a
+	// revision, it receives the whole list.
 	PartHashes []uint32
+	// Revision is the source's revision that its list reflects, of the generation; 0 if
+	// unknown.
+	Revision, Generation uint64
 }
 
 // KnowledgeRequest returns what this router has, so that another router sends only what
-// it lacks.
-func (w *Watcher) KnowledgeRequest() KnowledgeRequest {
+// it lacks. deltas is set if that router sends deltas between revisions.
+func (w *Watcher) KnowledgeRequest(deltas bool) KnowledgeRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	digest := w.digest()
-	have := KnowledgeRequest{Version: digest.Version, ListHash: digest.ListHash, FactsHash: digest.FactsHash}
-	if !w.needsWholeList && !w.directory.ReadTime().IsZero() {
+	have := KnowledgeRequest{Version: digest.Version, ListHash: digest.ListHash, FactsHash: digest.FactsHash, Generation: digest.Generation}
+	switch {
+	case w.needsWholeList || w.directory.ReadTime().IsZero():
+	case deltas && digest.Revision != 0:
+		have.Revision = digest.Revision
+	default:
 		have.PartHashes = w.directory.PartHashes(directory.HashWithStarts)
 	}
 	return have
@@ -107,6 +118,9 @@
 	}
 	// A list that was read separately may be newer than the proof, which still applies to
 	// the configuration.
+	if d.Revision != 0 && d.Generation == w.sourceState.generation {
+		w.directory.SetRevision(d.Revision)
+	}
 	w.handleChanges(w.directory.Confirm(proven))
 	if w.holder.ConfirmVersion(d.Version, proven) {
 		w.notifyRead()
@@ -129,9 +143,14 @@
 	}
 	switch {
 	case k.Listing != nil:
+		w.directory.SetRevision(0)
+		w.directory.SetRevision(k.Revision)
 		w.applyListing(*k.Listing, k.ListHash, proven)
+	case k.Delta != nil && k.Since == w.directory.Revision():
+		w.directory.SetRevision(k.Revision)
+		w.applyDelta(*k.Delta, k.ListHash, proven)
 	case k.Excerpt != nil && k.BaseHash == w.listHash:
-		w.applyListing(w.directory.MergeExcerpt(*k.Excerpt), k.ListHash, proven)
+		w.applyExcerpt(*k.Excerpt, k.ListHash, proven)
 	case k.Excerpt == nil && w.matchesListHash(k.ListHash):
 		w.handleChanges(w.directory.Confirm(proven))
 	default:
@@ -158,10 +177,26 @@
 // applyListing applies another router's list with the given hash. If a list assembled
 // from parts has another hash, the next one is requested whole. w.mu is held.
 func (w *Watcher) applyListing(l directory.Listing, listHash uint64, proven time.Time) {
-	w.handleChanges(w.directory.Apply(w.directory.FillStartTimes(l), proven))
+	w.handleChanges(w.directory.Apply(w.directory.FillUnknown(l), proven))
+	w.needsWholeList = !w.matchesListHash(listHash)
+}
+
+// applyExcerpt is applyListing for the parts of a list that differ from this router's.
+func (w *Watcher) applyExcerpt(x directory.Excerpt, listHash uint64, proven time.Time) {
+	x.Listing = w.directory.FillUnknown(x.Listing)
+	w.handleChanges(w.directory.ApplyExcerpt(x, proven))
 	w.needsWholeList = !w.matchesListHash(listHash)
 }
 
+// applyDelta is applyListing for what has changed since this router's list.
+func (w *Watcher) applyDelta(x directory.Delta, listHash uint64, proven time.Time) {
+	x.Listing = w.directory.FillUnknown(x.Listing)
+	w.handleChanges(w.directory.ApplyDelta(x, proven))
+	if w.needsWholeList = !w.matchesListHash(listHash); w.needsWholeList {
+		w.directory.SetRevision(0)
+	}
+}
+
 // matchesListHash reports whether a hash is that of the current list, in the format of
 // this build or of an older one. w.mu is held.
 func (w *Watcher) matchesListHash(listHash uint64) bool {
@@ -207,7 +242,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	state := w.holder.Current()
-	k := Knowledge{Version: state.Table.Version(), ListHash: w.listHash, BaseHash: have.ListHash, ListRead: w.directory.ReadTime(), Generation: w.sourceState.generation}
+	k := Knowledge{Version: state.Table.Version(), ListHash: w.listHash, BaseHash: have.ListHash, ListRead: w.directory.ReadTime(), Generation: w.sourceState.generation, Revision: w.directory.Revision()}
 	if k.Generation != 0 {
 		k.GenerationAge = now.Sub(w.sourceState.knownSince)
 	}
@@ -225,6 +260,12 @@
 	if k.ListHash == have.ListHash {
 		return k, w.age(now)
 	}
+	if have.Generation == k.Generation {
+		if delta, known := w.directory.Delta(have.Revision); known {
+			k.Delta, k.Since = &delta, have.Revision
+			return k, w.age(now)
+		}
+	}
 	if len(have.PartHashes) > 0 {
 		excerpt := w.directory.Excerpt(form, have.PartHashes)
 		if len(excerpt.DifferingParts) <= int(maxExcerptFraction*float64(excerpt.PartCount)) {
--- a/internal/watch/knowledge_test.go
+++ b/internal/watch/knowledge_test.go
@@ -29,13 +29,13 @@
 func TestKnowledgeHasOnlyDifferences(t *testing.T) {
 	now := time.Now()
 	teacher, learner := teacherAndLearner(now)
-	k, _ := teacher.Knowledge(learner.KnowledgeRequest(), now)
+	k, _ := teacher.Knowledge(learner.KnowledgeRequest(false), now)
 	require.NotNil(t, k.Excerpt)
 	assert.Nil(t, k.Listing)
 	assert.Nil(t, k.Config)
 	learner.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
-	k, _ = teacher.Knowledge(learner.KnowledgeRequest(), now)
+	k, _ = teacher.Knowledge(learner.KnowledgeRequest(false), now)
 	assert.Nil(t, k.Excerpt, "both have the same list")
 }
 
@@ -44,10 +44,10 @@
 	teacher, learner := newWatcher(&fakeSource{}, 0), newWatcher(&fakeSource{}, 1)
 	learner.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(manyIDs(10)...)}, now)
 	teacher.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(manyIDs(100)...)}, now.Add(time.Second))
-	k, _ := teacher.Knowledge(learner.KnowledgeRequest(), now)
+	k, _ := teacher.Knowledge(learner.KnowledgeRequest(false), now)
 	assert.Nil(t, k.Excerpt)
 	require.NotNil(t, k.Listing)
-	k, _ = teacher.Knowledge(newWatcher(&fakeSource{}, 1).KnowledgeRequest(), now)
+	k, _ = teacher.Knowledge(newWatcher(&fakeSource{}, 1).KnowledgeRequest(false), now)
 	assert.NotNil(t, k.Listing, "a router without a list receives all of it")
 	assert.NotNil(t, k.Config)
 }
@@ -56,7 +56,7 @@
 func TestExcerptOfAChangedListIsIgnored(t *testing.T) {
 	now := time.Now()
 	teacher, learner := teacherAndLearner(now)
-	k, _ := teacher.Knowledge(learner.KnowledgeRequest(), now)
+	k, _ := teacher.Knowledge(learner.KnowledgeRequest(false), now)
 	learner.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas(manyIDs(99)...)}, now.Add(500*time.Millisecond))
 	learner.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
 	assert.Len(t, learner.Replicas(), 99)
@@ -67,12 +67,12 @@
 func TestWholeListIsRequestedAfterAHashMismatch(t *testing.T) {
 	now := time.Now()
 	teacher, learner := teacherAndLearner(now)
-	k, _ := teacher.Knowledge(learner.KnowledgeRequest(), now)
+	k, _ := teacher.Knowledge(learner.KnowledgeRequest(false), now)
 	k.Excerpt.DifferingParts, k.Excerpt.Replicas = nil, nil
 	learner.ApplyKnowledge(k, now.Add(time.Second), now.Add(time.Second), "peer")
-	k, _ = teacher.Knowledge(learner.KnowledgeRequest(), now)
+	k, _ = teacher.Knowledge(learner.KnowledgeRequest(false), now)
 	require.NotNil(t, k.Listing)
 	learner.ApplyKnowledge(k, now.Add(2*time.Second), now.Add(2*time.Second), "peer")
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
-	assert.NotEmpty(t, learner.KnowledgeRequest().PartHashes)
+	assert.NotEmpty(t, learner.KnowledgeRequest(false).PartHashes)
 }
--- a/internal/watch/list.go
+++ b/internal/watch/list.go
@@ -94,7 +94,9 @@
 	if err != nil {
 		w.failedReads.Add(1)
 	} else if w.acceptGeneration(&snapshot, sent) == nil {
-		w.handleChanges(w.directory.Apply(snapshot.listing(), sent))
+		listing := snapshot.listing()
+		listing.Rollouts = w.directory.ListedRollouts()
+		w.handleChanges(w.applyRead(listing, snapshot.Revision, sent))
 		w.logBadEntries(snapshot.BadReplicas)
 	}
 	close(w.refreshing)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -21,6 +21,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
+	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/pkg/route"
 	"github.com/croftyard/croftyard/pkg/turns"
 )
@@ -39,6 +40,10 @@
 	BadReplicas []BadEntry
 	// Evacuated are the data centres whose replicas must receive no requests.
 	Evacuated []string
+	// Rollouts are the roll-outs of services.
+	Rollouts []rollout.Record
+	// Revision is the source's revision that the replicas reflect at least; 0 if unknown.
+	Revision uint64
 	// Generation rises when the source is restored from a copy, without what was written
 	// since. 0 means that the source does not report it.
 	Generation uint64
@@ -57,17 +62,17 @@
 	Err      error
 }
 
-// listing returns the replicas and evacuations of the snapshot.
+// listing returns the replicas, evacuations and roll-outs of the snapshot.
 func (s *Snapshot) listing() directory.Listing {
-	return directory.Listing{Replicas: s.Replicas, Evacuated: s.Evacuated}
+	return directory.Listing{Replicas: s.Replicas, Evacuated: s.Evacuated, Rollouts: s.Rollouts}
 }
 
 // Source stores the configuration and the list of replicas. Read must return the newest
 // state or fail.
 type Source interface {
 	Read(ctx context.Context) (Snapshot, error)
-	// Replicas reads the replicas and evacuations but not the configuration, so
-	// Snapshot.Config is nil. It may run concurrently with Read.
+	// Replicas reads the replicas and evacuations but neither the configuration, so
+	// Snapshot.Config is nil, nor the roll-outs. It may run concurrently with Read.
 	Replicas(ctx context.Context) (Snapshot, error)
 }
 
--- a/pkg/balance/answered.go
+++ b/pkg/balance/answered.go
@@ -8,6 +8,7 @@
 	defer b.mu.Unlock()
 	if r := b.replicas[id]; r != nil {
 		r.running++
+		b.busy[r] = true
 	}
 }
 
@@ -16,7 +17,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.replicas[id]; r != nil && r.running > 0 {
-		r.running--
+		if r.running--; r.running == 0 {
+			delete(b.busy, r)
+		}
 	}
 }
 
@@ -33,9 +36,7 @@
 	r.health.recordSuccess(now)
 	b.serviceOutcomes(r.Service).addSuccess(now)
 	r.lastSuccess = now
-	if c := b.centreHealth[r.DataCentre]; c != nil {
-		c.recordSuccess(now)
-	}
+	r.centre.health.recordSuccess(now)
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		if !b.holders.heardRecently(part.ID, id, now) && b.shouldAnnounceHolder(r, part.ID, parts) {
 			b.queueHolder(part.ID, r)
--- a/pkg/balance/available.go
+++ b/pkg/balance/available.go
@@ -13,7 +13,7 @@
 	defer b.mu.Unlock()
 	first, known := time.Duration(0), false
 	for _, r := range b.services[service] {
-		if b.silentCentres[r.DataCentre] || slices.Contains(excluded, r.ID) {
+		if r.centre.silent || slices.Contains(excluded, r.ID) {
 			continue
 		}
 		if in := b.remainingAvoidance(r, now); !known || in < first {
@@ -26,8 +26,8 @@
 // remainingAvoidance returns how long a replica or its data centre is still avoided.
 func (b *Balancer) remainingAvoidance(r *replica, now time.Time) time.Duration {
 	until := r.health.avoidUntil
-	if c := b.centreHealth[r.DataCentre]; c != nil && c.avoidUntil.After(until) {
-		until = c.avoidUntil
+	if c := r.centre.health.avoidUntil; c.After(until) {
+		until = c
 	}
 	return max(until.Sub(now), 0)
 }
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -21,6 +21,7 @@
 
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/rollout"
 )
 
 // Part is a piece of a prompt, identified by its content.
@@ -109,18 +110,23 @@
 	random   *rand.Rand
 	replicas map[string]*replica
 	// departed holds replicas that are no longer listed but may still be copied from.
-	departed      map[string]departedReplica
-	services      map[string][]*replica
-	centreHealth  map[string]*health
-	silentCentres map[string]bool
-	holders       *holders
-	hotParts      *hotPartCache
-	peers         map[string]peerCounts
+	departed map[string]departedReplica
+	// services holds the replicas of each service that may get work, sorted by id.
+	services map[string][]*replica
+	centres  map[string]*centre
+	// busy holds the replicas at which this router runs requests, cold those that may be
+	// cold.
+	busy     map[*replica]bool
+	cold     map[*replica]bool
+	holders  *holders
+	hotParts *hotPartCache
+	peers    map[string]peerCounts
 	// lines holds the sums reported by other lines of a large fleet.
 	lines map[Line]peerCounts
-	// peerTotals is the sum over peers and lines, computed at peerTotalsAt.
-	peerTotals   map[uint32]ReplicaCount
+	// peerTotalsAt is when the sum over peers and lines was last computed, zero if it must
+	// be computed again. peerBusy holds the replicas at which the sum is not zero.
 	peerTotalsAt time.Time
+	peerBusy     []*replica
 	byShortHash  map[uint32]*replica
 	// byTinyHash maps the 16-bit hashes of LineCounts.Singles to replicas.
 	byTinyHash    map[uint16][]*replica
@@ -143,8 +149,11 @@
 	// evacuated holds the replicas of each service that are excluded with their data
 	// centre.
 	evacuated map[string][]*replica
-	cold      coldShares
-	hooks     atomic.Pointer[ReplicaHooks]
+	// evacuatedCount is how many replicas are excluded with their data centre.
+	evacuatedCount int
+	coldShares     coldShares
+	rollouts       *rollout.Controller
+	hooks          atomic.Pointer[ReplicaHooks]
 	// pendingRestarts holds restarts learned from rumors, to be passed to hooks.
 	pendingRestarts []directory.Replica
 }
@@ -154,11 +163,14 @@
 	directory.Replica
 	rankHash  uint64
 	shortHash uint32
-	running   int
-	joinedAt  time.Time
-	report    loadReport
-	health    health
-	pace      pace
+	centre    *centre
+	// running is what this router runs at the replica, peersRun what the others do, as
+	// last summed up.
+	running, peersRun int
+	joinedAt          time.Time
+	report            loadReport
+	health            health
+	pace              pace
 	// allowance limits what this router may send to the replica while it is cold.
 	allowance tokenBucket
 	// softOutcomes counts, over all routers, the failures that count against the replica
@@ -182,8 +194,9 @@
 		replicas:      make(map[string]*replica),
 		departed:      make(map[string]departedReplica),
 		services:      make(map[string][]*replica),
-		centreHealth:  make(map[string]*health),
-		silentCentres: make(map[string]bool),
+		centres:       make(map[string]*centre),
+		busy:          make(map[*replica]bool),
+		cold:          make(map[*replica]bool),
 		holders:       newHolders(),
 		hotParts:      newHotPartCache(),
 		peers:         make(map[string]peerCounts),
@@ -192,12 +205,19 @@
 		outcomes:      make(map[string]*outcomeCounts),
 		lastProbe:     make(map[string]time.Time),
 		holdersSynced: true,
-		cold:          coldShares{heldBack: make(map[string]bool)},
+		byShortHash:   make(map[uint32]*replica),
+		byTinyHash:    make(map[uint16][]*replica),
+		evacuated:     make(map[string][]*replica),
+		coldShares:    coldShares{heldBack: make(map[string]bool)},
+		rollouts:      rollout.NewController(),
 
 		loadFactor: defaultLoadFactor,
 	}
 }
 
+// Rollouts returns the roll-outs of new versions, which limit what their replicas get.
+func (b *Balancer) Rollouts() *rollout.Controller { return b.rollouts }
+
 // SetLargeFleet sets whether the fleet is too large for each router to tell every other
 // router what it runs and observes.
 func (b *Balancer) SetLargeFleet(large bool) {
@@ -237,12 +257,11 @@
 func (b *Balancer) Pick(q Request, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := b.services[q.Service]
-	if len(all) == 0 {
+	if len(b.services[q.Service]) == 0 {
 		return Choice{}, false
 	}
 	bound := b.serviceBound(q.Service, now)
-	left := b.candidates(q, all, bound, now)
+	left := b.eligibleCandidates(q, bound, now)
 	if len(left) == 0 {
 		return Choice{}, false
 	}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -67,21 +67,21 @@
 func (b *Balancer) SetColdBounds(bounds ColdBounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cold.bounds = bounds
+	b.coldShares.bounds = bounds
 }
 
 // SetRouters sets the addresses of all known routers, including this one.
 func (b *Balancer) SetRouters(own string, known []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.cold.knownSince.IsZero() {
-		b.cold.knownSince = now
+	if b.coldShares.knownSince.IsZero() {
+		b.coldShares.knownSince = now
 	}
-	b.cold.own = hashString(own)
-	b.cold.others = b.cold.others[:0]
+	b.coldShares.own = hashString(own)
+	b.coldShares.others = b.coldShares.others[:0]
 	for _, address := range known {
 		if address != own {
-			b.cold.others = append(b.cold.others, hashString(address))
+			b.coldShares.others = append(b.coldShares.others, hashString(address))
 		}
 	}
 }
@@ -126,7 +126,7 @@
 		switch {
 		case slices.Contains(q.Tried, r.ID):
 		case isCold(r.Replica, q, now):
-			b.cold.heldBack[q.Service] = true
+			b.coldShares.heldBack[q.Service] = true
 			cold = append(cold, r)
 		default:
 			left = append(left, r)
@@ -136,9 +136,9 @@
 	if len(cold) == 0 || slices.ContainsFunc(left, hasRoom) {
 		return left
 	}
-	rate := b.cold.rate(q.ColdRate)
+	rate := b.coldShares.rate(q.ColdRate)
 	for _, r := range cold {
-		if r.allowance.available(rate, now) >= 1 && b.cold.isSender(r, now) {
+		if r.allowance.available(rate, now) >= 1 && b.coldShares.isSender(r, now) {
 			left = append(left, r)
 		}
 	}
@@ -151,7 +151,7 @@
 	if !isCold(chosen.Replica, q, now) {
 		return reason
 	}
-	chosen.allowance.take(b.cold.rate(q.ColdRate), now)
+	chosen.allowance.take(b.coldShares.rate(q.ColdRate), now)
 	return Cold
 }
 
@@ -159,15 +159,18 @@
 // strained.
 const maxIdleFraction = 0.1
 
-// CapacityReduced reports whether many replicas are idle because they are evacuated or
-// held back while cold. The others are then closer to the users' bound, so routers must
+// CapacityReduced reports whether many replicas are idle because they are evacuated, held
+// back while cold, or of a version that gets little. The others are then closer to the users' bound, so routers must
 // exchange their counts sooner.
 func (b *Balancer) CapacityReduced(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	idle := 0
-	for _, r := range b.replicas {
-		if r.Evacuated || b.cold.heldBack[r.Service] && now.Before(r.ColdUntil) {
+	idle := b.evacuatedCount + b.idleVersions(now)
+	for r := range b.cold {
+		switch {
+		case !now.Before(r.ColdUntil):
+			delete(b.cold, r)
+		case !r.Evacuated && b.coldShares.heldBack[r.Service]:
 			idle++
 		}
 	}
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -205,5 +205,5 @@
 // a badness of at least badUnreachable, but it is evaluated for all replicas of a service
 // on each choice.
 func (b *Balancer) isUnreachable(r *replica, now time.Time) bool {
-	return r.health.kind >= Refused && r.health.isAvoided(now) || b.isCutOff(r.DataCentre, now)
+	return r.health.kind >= Refused && r.health.isAvoided(now) || r.isCutOff(now)
 }
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -129,19 +129,15 @@
 			degree = badAbsent
 		}
 	}
-	if b.isCutOff(r.DataCentre, now) {
+	if r.isCutOff(now) {
 		degree = max(degree, badUnreachable)
 	}
 	return degree
 }
 
-// isCutOff reports whether a data centre appears to be unreachable.
-func (b *Balancer) isCutOff(centre string, now time.Time) bool {
-	if b.silentCentres[centre] {
-		return true
-	}
-	c := b.centreHealth[centre]
-	return c != nil && c.isAvoided(now)
+// isCutOff reports whether a replica's data centre appears to be unreachable.
+func (r *replica) isCutOff(now time.Time) bool {
+	return r.centre.silent || r.centre.health.isAvoided(now)
 }
 
 // RequestFailed records a failure at a replica. A replica in another data centre that
@@ -218,12 +214,7 @@
 	if unreachable < 2 {
 		return
 	}
-	c := b.centreHealth[name]
-	if c == nil {
-		c = &health{}
-		b.centreHealth[name] = c
-	}
-	c.recordFailure(Unreachable, now)
+	b.centre(name).health.recordFailure(Unreachable, now)
 }
 
 // SetCentreSilent sets whether the routers of a data centre have fallen silent and
@@ -232,10 +223,11 @@
 func (b *Balancer) SetCentreSilent(name string, silent bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.silentCentres[name] == silent || b.disabled.Has(mechanism.Silence) {
+	c := b.centre(name)
+	if c.silent == silent || b.disabled.Has(mechanism.Silence) {
 		return false
 	}
-	b.silentCentres[name] = silent
+	c.silent = silent
 	return true
 }
 
--- a/pkg/balance/left.go
+++ b/pkg/balance/left.go
@@ -17,21 +17,20 @@
 	removedAt time.Time
 }
 
-// retainDeparted keeps replicas that are no longer listed as copy sources.
-func (b *Balancer) retainDeparted(listed map[string]*replica, now time.Time) {
+// retainDeparted keeps a replica that is no longer listed as a copy source.
+func (b *Balancer) retainDeparted(r *replica, now time.Time) {
+	if !b.disabled.Has(mechanism.Leavers) {
+		b.departed[r.ID] = departedReplica{r, now}
+	}
+}
+
+// pruneDeparted forgets the replicas that left too long ago to be copied from.
+func (b *Balancer) pruneDeparted(now time.Time) {
 	for id, l := range b.departed {
-		if listed[id] != nil || now.Sub(l.removedAt) > departedLifetime {
+		if now.Sub(l.removedAt) > departedLifetime {
 			delete(b.departed, id)
 		}
 	}
-	if b.disabled.Has(mechanism.Leavers) {
-		return
-	}
-	for id, r := range b.replicas {
-		if listed[id] == nil {
-			b.departed[id] = departedReplica{r, now}
-		}
-	}
 }
 
 // copyableReplica returns the replica with an id if it may be copied from.
--- a/pkg/balance/lines.go
+++ b/pkg/balance/lines.go
@@ -21,12 +21,10 @@
 	for _, p := range b.peers {
 		p.addTo(sums, now)
 	}
-	for _, r := range b.replicas {
-		if r.running > 0 {
-			own := sums[r.shortHash]
-			own.Running += r.running
-			sums[r.shortHash] = own
-		}
+	for r := range b.busy {
+		own := sums[r.shortHash]
+		own.Running += r.running
+		sums[r.shortHash] = own
 	}
 	var told LineCounts
 	for short, sum := range sums {
@@ -53,7 +51,7 @@
 		}
 	}
 	b.lines[line] = counts
-	b.peerTotals = nil
+	b.peerTotalsAt = time.Time{}
 	b.mergeRumors(rumors, now)
 	b.unlockAndNotify()
 }
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -21,7 +21,7 @@
 
 // load estimates how many requests of all routers a replica has.
 func (b *Balancer) load(r *replica, now time.Time) float64 {
-	load := float64(r.running + b.peerCount(r.shortHash, now).Running)
+	load := float64(r.running + b.peersRun(r, now))
 	if now.Sub(r.report.at) < reportLifetime {
 		load = max(load, r.report.load+float64(r.running-r.report.running))
 	}
@@ -46,7 +46,13 @@
 	if reached == 0 {
 		return b.boundAmong(all, now)
 	}
-	return b.boundForMean(total / float64(reached))
+	bound := b.boundForMean(total / float64(reached))
+	if idle := b.idleVersionsOf(service, now); idle > 0 {
+		// The users' mean counts the idle replicas too, so that the others are nearer to
+		// what users allow than at the same bound in other times.
+		bound -= b.boundSlack() * float64(idle) / float64(len(all))
+	}
+	return bound
 }
 
 // boundAmong is the bound for a set of replicas.
@@ -63,11 +69,18 @@
 	if b.disabled.Has(mechanism.Bound) {
 		return math.Inf(1)
 	}
-	part, slack := boundFraction, boundSlack
+	part := boundFraction
+	if b.largeFleet {
+		part = largeBoundFraction
+	}
+	return max(part*b.loadFactor, minBoundFactor)*mean + b.boundSlack()
+}
+
+func (b *Balancer) boundSlack() float64 {
 	if b.largeFleet {
-		part, slack = largeBoundFraction, largeBoundSlack
+		return largeBoundSlack
 	}
-	return max(part*b.loadFactor, minBoundFactor)*mean + slack
+	return boundSlack
 }
 
 // LoadReported records the load that a replica reported, in requests running and waiting.
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -59,10 +59,8 @@
 	defer b.mu.Unlock()
 	told := PeerUpdate{Rumors: b.pendingRumors}
 	b.pendingRumors = Rumors{}
-	for _, r := range b.replicas {
-		if r.running > 0 {
-			told.Running = append(told.Running, ReplicaCount{r.shortHash, r.running})
-		}
+	for r := range b.busy {
+		told.Running = append(told.Running, ReplicaCount{r.shortHash, r.running})
 	}
 	return told
 }
@@ -72,7 +70,7 @@
 func (b *Balancer) MergePeer(router string, t PeerUpdate, now time.Time) {
 	b.mu.Lock()
 	b.peers[router] = newPeerCounts(t.Running, now)
-	b.peerTotals = nil
+	b.peerTotalsAt = time.Time{}
 	b.mergeRumors(t.Rumors, now)
 	b.unlockAndNotify()
 }
@@ -82,34 +80,45 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.peers, router)
-	b.peerTotals = nil
+	b.peerTotalsAt = time.Time{}
 }
 
 // peerTotalsLifetime is how long the sum over the other routers is reused while none of
 // them sends an update.
 const peerTotalsLifetime = 50 * time.Millisecond
 
-// peerCount returns what the other routers run at a replica.
-func (b *Balancer) peerCount(hash uint32, now time.Time) ReplicaCount {
-	if b.peerTotals == nil || now.Sub(b.peerTotalsAt) > peerTotalsLifetime || now.Before(b.peerTotalsAt) {
+// peersRun returns what the other routers run at a replica.
+func (b *Balancer) peersRun(r *replica, now time.Time) int {
+	if now.Sub(b.peerTotalsAt) > peerTotalsLifetime || now.Before(b.peerTotalsAt) {
 		b.sumPeerCounts(now)
 	}
-	return b.peerTotals[hash]
+	return r.peersRun
 }
 
 // sumPeerCounts adds up what the other routers recently reported.
 func (b *Balancer) sumPeerCounts(now time.Time) {
-	b.peerTotals, b.peerTotalsAt = make(map[uint32]ReplicaCount), now
+	totals := make(map[uint32]ReplicaCount)
 	for _, p := range b.peers {
-		p.addTo(b.peerTotals, now)
+		p.addTo(totals, now)
 	}
 	for line, p := range b.lines {
 		if now.Sub(p.at) >= peerLifetime {
 			delete(b.lines, line)
 			continue
 		}
-		p.addTo(b.peerTotals, now)
+		p.addTo(totals, now)
+	}
+	for _, r := range b.peerBusy {
+		r.peersRun = 0
+	}
+	b.peerBusy = b.peerBusy[:0]
+	for hash, c := range totals {
+		if r := b.byShortHash[hash]; r != nil {
+			r.peersRun = c.Running
+			b.peerBusy = append(b.peerBusy, r)
+		}
 	}
+	b.peerTotalsAt = now
 }
 
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
--- a/pkg/balance/reach.go
+++ b/pkg/balance/reach.go
@@ -14,8 +14,7 @@
 	if noSuccessSinceFailure(&r.health, r, now) && r.health.kind == Unreachable {
 		return true
 	}
-	centre := b.centreHealth[r.DataCentre]
-	return centre != nil && noSuccessSinceFailure(centre, r, now)
+	return noSuccessSinceFailure(&r.centre.health, r, now)
 }
 
 // noSuccessSinceFailure reports whether a replica is avoided for a failure and has not
--- a/pkg/balance/replicas.go
+++ b/pkg/balance/replicas.go
@@ -1,52 +1,155 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
+// centre is what is known about a data centre.
+type centre struct {
+	// silent is set while none of its routers is heard.
+	silent bool
+	health health
+}
+
+// centre returns the state of a data centre. b.mu is held.
+func (b *Balancer) centre(name string) *centre {
+	c := b.centres[name]
+	if c == nil {
+		c = &centre{}
+		b.centres[name] = c
+	}
+	return c
+}
+
 // SetReplicas sets the replicas of the directory, as of now. Draining and evacuated
 // replicas get no new work but may still be copied from, since the copying engine asks
 // them, not a router.
 func (b *Balancer) SetReplicas(list []directory.Replica, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.firstListedAt.IsZero() {
-		b.firstListedAt = now
-	}
-	replicas := make(map[string]*replica, len(list))
-	services := make(map[string][]*replica)
-	evacuated := make(map[string][]*replica)
-	byHash := make(map[uint32]*replica, len(list))
+	listed := make(map[string]bool, len(list))
 	for _, r := range list {
-		known := b.replicas[r.ID]
-		if known == nil {
-			known = &replica{rankHash: hashString(r.ID), shortHash: ReplicaHash(r.ID)}
-			if now.Sub(b.firstListedAt) > startupPeriod {
-				known.joinedAt = now
-			}
+		listed[r.ID] = true
+	}
+	for id, r := range b.replicas {
+		if !listed[id] {
+			b.removeReplica(r, now)
 		}
-		known.Replica = r
-		replicas[r.ID] = known
-		byHash[known.shortHash] = known
-		switch {
-		case r.State != directory.Ready:
-		case r.Evacuated:
-			evacuated[r.Service] = append(evacuated[r.Service], known)
-		default:
-			services[r.Service] = append(services[r.Service], known)
+	}
+	for _, r := range list {
+		b.setReplica(r, now)
+	}
+	b.afterReplicaChange(now)
+}
+
+// UpdateReplicas adds or changes some replicas and removes others, as of now. Its cost
+// grows with their number, and little with that of all replicas.
+func (b *Balancer) UpdateReplicas(changed []directory.Replica, removed []string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range removed {
+		if r := b.replicas[id]; r != nil {
+			b.removeReplica(r, now)
 		}
 	}
-	b.retainDeparted(replicas, now)
-	b.replicas, b.services, b.byShortHash, b.evacuated = replicas, services, byHash, evacuated
-	b.byTinyHash = make(map[uint16][]*replica, len(replicas))
-	for _, r := range replicas {
-		b.byTinyHash[uint16(r.shortHash)] = append(b.byTinyHash[uint16(r.shortHash)], r)
+	for _, r := range changed {
+		b.setReplica(r, now)
 	}
+	b.afterReplicaChange(now)
+}
+
+func (b *Balancer) afterReplicaChange(now time.Time) {
+	if b.firstListedAt.IsZero() {
+		b.firstListedAt = now
+	}
+	b.pruneDeparted(now)
+	b.peerTotalsAt = time.Time{}
 	clear(b.medians)
 }
 
+// setReplica adds a replica or changes what the list says of it.
+func (b *Balancer) setReplica(listed directory.Replica, now time.Time) {
+	r := b.replicas[listed.ID]
+	if r == nil {
+		r = &replica{rankHash: hashString(listed.ID), shortHash: ReplicaHash(listed.ID)}
+		if !b.firstListedAt.IsZero() && now.Sub(b.firstListedAt) > startupPeriod {
+			r.joinedAt = now
+		}
+		b.replicas[listed.ID] = r
+		b.byShortHash[r.shortHash] = r
+		b.byTinyHash[uint16(r.shortHash)] = append(b.byTinyHash[uint16(r.shortHash)], r)
+		delete(b.departed, listed.ID)
+	} else {
+		b.withdraw(r)
+	}
+	r.Replica = listed
+	r.centre = b.centre(listed.DataCentre)
+	b.offer(r)
+}
+
+// offer adds a replica to those that may get work, if it may.
+func (b *Balancer) offer(r *replica) {
+	if !r.ColdUntil.IsZero() {
+		b.cold[r] = true
+	}
+	if r.Evacuated {
+		b.evacuatedCount++
+	}
+	switch {
+	case r.State != directory.Ready:
+	case r.Evacuated:
+		b.evacuated[r.Service] = insertReplica(b.evacuated[r.Service], r)
+	default:
+		b.services[r.Service] = insertReplica(b.services[r.Service], r)
+	}
+}
+
+// withdraw reverts offer.
+func (b *Balancer) withdraw(r *replica) {
+	delete(b.cold, r)
+	if r.Evacuated {
+		b.evacuatedCount--
+	}
+	switch {
+	case r.State != directory.Ready:
+	case r.Evacuated:
+		b.evacuated[r.Service] = deleteReplica(b.evacuated[r.Service], r)
+	default:
+		b.services[r.Service] = deleteReplica(b.services[r.Service], r)
+	}
+}
+
+func (b *Balancer) removeReplica(r *replica, now time.Time) {
+	b.withdraw(r)
+	delete(b.replicas, r.ID)
+	delete(b.busy, r)
+	if b.byShortHash[r.shortHash] == r {
+		delete(b.byShortHash, r.shortHash)
+	}
+	tiny := uint16(r.shortHash)
+	if b.byTinyHash[tiny] = deleteReplica(b.byTinyHash[tiny], r); len(b.byTinyHash[tiny]) == 0 {
+		delete(b.byTinyHash, tiny)
+	}
+	b.retainDeparted(r, now)
+}
+
+// insertReplica inserts a replica into a list that is sorted by id.
+func insertReplica(list []*replica, r *replica) []*replica {
+	i, _ := slices.BinarySearchFunc(list, r, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.Insert(list, i, r)
+}
+
+func deleteReplica(list []*replica, r *replica) []*replica {
+	if i := slices.Index(list, r); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
 // ServiceEvacuated reports whether a service has no replica that may get work because its
 // data centres are evacuated.
 func (b *Balancer) ServiceEvacuated(service string) bool {
--- a/pkg/balance/restart.go
+++ b/pkg/balance/restart.go
@@ -59,7 +59,7 @@
 // resetReplica drops what was known of a replica's earlier life. Requests that this
 // router still runs there end on their own. b.mu is held.
 func (b *Balancer) resetReplica(r *replica, at time.Time) {
-	*r = replica{Replica: r.Replica, rankHash: r.rankHash, shortHash: r.shortHash, running: r.running, joinedAt: at, restartedAt: at}
+	*r = replica{Replica: r.Replica, rankHash: r.rankHash, shortHash: r.shortHash, centre: r.centre, running: r.running, peersRun: r.peersRun, joinedAt: at, restartedAt: at}
 	b.holders.removeReplica(r.ID)
 	clear(b.medians)
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -21,6 +21,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/croftyard/croftyard/pkg/rollout"
 )
 
 // State is the state of a replica according to the list.
@@ -42,6 +44,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Version is that of the replica's software; empty if unknown.
+	Version string `json:",omitempty"`
 	// Slots is the maximum number of requests that the replica runs concurrently.
 	Slots int
 	State State
@@ -70,6 +74,8 @@
 	Replicas []Replica
 	// Evacuated are the data centres that must receive no requests.
 	Evacuated []string
+	// Rollouts are the roll-outs of services, sorted by service.
+	Rollouts []rollout.Record `json:",omitempty"`
 }
 
 // Change is a difference between two reads.
@@ -78,7 +84,9 @@
 	Replica Replica
 	// DataCentre is the data centre that changed. It is empty if a replica changed.
 	DataCentre string
-	Kind       ChangeKind
+	// Rollout is the service whose roll-out changed. It is empty otherwise.
+	Rollout string
+	Kind    ChangeKind
 }
 
 // ChangeKind says how a replica or a data centre changed.
@@ -90,11 +98,26 @@
 	outageThreshold time.Duration
 	gracePeriod     time.Duration
 	entries         map[string]*entry
-	readTime        time.Time
+	// unconfirmed are the entries that are kept although the last read lacked them.
+	unconfirmed map[string]*entry
+	// addresses counts the entries at each address.
+	addresses map[string]int
+	// sums are the sums of the hashes of all confirmed entries, ready counts those of each
+	// service that are ready.
+	sums  contentHashes
+	ready map[string]int
+	// partSums caches the hashes of the parts of the list until an entry changes.
+	partSums map[partsKey][]uint32
+	readTime time.Time
 	// oldestListed is the earliest lastListed time of all entries.
 	oldestListed time.Time
 	// evacuated are the data centres that must receive no requests, sorted.
 	evacuated []string
+	// rollouts are the roll-outs of services, sorted by service.
+	rollouts []rollout.Record
+	// revision is the revision of the store that the list reflects at least, deltasSince the
+	// first one since which all departures are known.
+	revision, deltasSince uint64
 	// departures are the replicas that left recently, by ID.
 	departures map[string]departure
 	// heldFacts override a list that was restored from a copy.
@@ -108,7 +131,8 @@
 	// idHash is the hash of the replica's ID, hashes are those of its content.
 	idHash uint64
 	hashes contentHashes
-	// lastListed is when the last read that listed the replica was sent.
+	// lastListed is when the last read that listed an unconfirmed replica was sent. A
+	// confirmed one was listed by the last read of all.
 	lastListed time.Time
 	// unconfirmedSince is when the first read was sent that lacked the entry of an
 	// unconfirmed replica.
@@ -116,6 +140,8 @@
 	// earlierStartSince is since when the list has shown an earlier start than the known
 	// one.
 	earlierStartSince time.Time
+	// changedAt is the revision of the read that last added or changed the entry.
+	changedAt uint64
 	// declaredDraining reports that an entry written by the replica itself said it
 	// drains.
 	declaredDraining bool
@@ -126,7 +152,8 @@
 // replicas: a replica that is missing after an outage stays unconfirmed for that long,
 // and replicas of a data centre whose evacuation ends count as cold for that long.
 func New(outage, grace time.Duration) *Directory {
-	return &Directory{outageThreshold: outage, gracePeriod: grace, entries: make(map[string]*entry), departures: make(map[string]departure), statements: NewStatements()}
+	return &Directory{outageThreshold: outage, gracePeriod: grace, entries: make(map[string]*entry), unconfirmed: make(map[string]*entry), addresses: make(map[string]int), ready: make(map[string]int), partSums: make(map[partsKey][]uint32),
+		departures: make(map[string]departure), statements: NewStatements()}
 }
 
 // Statements returns what replicas said about themselves.
@@ -134,7 +161,7 @@
 
 // Replace applies a read that leaves the evacuated data centres unchanged.
 func (d *Directory) Replace(list []Replica, sent time.Time) []Change {
-	return d.Apply(Listing{Replicas: list, Evacuated: d.evacuated}, sent)
+	return d.Apply(Listing{Replicas: list, Evacuated: d.evacuated, Rollouts: d.rollouts}, sent)
 }
 
 // Apply applies a full read that was sent at the given time and returns the changes: data
@@ -144,37 +171,50 @@
 		return nil
 	}
 	l = d.applyFacts(l, sent)
-	changes := d.applyReplicas(l.Replicas, sent)
-	return append(d.applyEvacuations(l.Evacuated), changes...)
+	changes := d.applyReplicas(l.Replicas, sent, d.missing(l.Replicas, func(*entry) bool { return true }))
+	changes = append(d.applyEvacuations(l.Evacuated), changes...)
+	return append(changes, d.applyRollouts(l.Rollouts)...)
 }
 
-func (d *Directory) applyReplicas(list []Replica, sent time.Time) []Change {
+// applyReplicas applies a read that lists some entries and lacks the missing ones. The rest
+// of the list is unchanged.
+func (d *Directory) applyReplicas(list []Replica, sent time.Time, missing map[string]*entry) []Change {
 	outage := !d.readTime.IsZero() && sent.Sub(d.readTime) > d.outageThreshold
+	before := d.readTime
 	d.readTime = sent
-	seen := make(map[string]bool, len(list))
-	for _, r := range list {
-		seen[r.ID] = true
-	}
-	lost := d.servicesWithLostEntries(seen, outage)
+	lost := d.servicesWithLostEntries(missing, outage)
 	var changes []Change
 	for _, r := range list {
 		changes = d.applyEntry(r, changes)
 	}
-	for id, e := range d.entries {
-		if !seen[id] {
-			changes = d.handleMissing(id, e, lost[e.replica.Service], changes)
-		}
+	for _, e := range missing {
+		changes = d.handleMissing(e, before, lost[e.replica.Service], changes)
 	}
 	d.updateOldestListed()
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
 	return changes
 }
 
+// missing returns the covered entries that a read did not list.
+func (d *Directory) missing(list []Replica, covered func(*entry) bool) map[string]*entry {
+	seen := make(map[string]bool, len(list))
+	for _, r := range list {
+		seen[r.ID] = true
+	}
+	missing := make(map[string]*entry)
+	for id, e := range d.entries {
+		if !seen[id] && covered(e) {
+			missing[id] = e
+		}
+	}
+	return missing
+}
+
 func (d *Directory) applyEntry(r Replica, changes []Change) []Change {
 	old, known := d.entries[r.ID]
 	if !known {
 		r.ColdUntil = d.coldUntil(r)
-		d.entries[r.ID] = &entry{replica: r, idHash: idHash(r.ID), hashes: hashContent(&r), lastListed: d.readTime, declaredDraining: d.declaresDraining(&r)}
+		d.add(&entry{replica: r, idHash: idHash(r.ID), hashes: hashContent(&r), changedAt: d.revision, declaredDraining: d.declaresDraining(&r)})
 		d.statements.markJoined(&r, d.readTime, d.gracePeriod)
 		kind := Joined
 		if r.State == Unusable {
@@ -217,15 +257,22 @@
 	if r.NextSequence == 0 || d.holdsFacts(d.readTime) {
 		r.NextSequence = max(r.NextSequence, old.replica.NextSequence)
 	}
+	changed := !sameContent(&r, &old.replica)
+	if kind == "" && r.sendsElsewhere(&old.replica) {
+		kind = Rewritten
+	}
 	if kind != "" {
 		changes = append(changes, Change{Replica: r, Kind: kind})
 	}
-	if !sameContent(&r, &old.replica) {
-		old.hashes = hashContent(&r)
+	d.confirm(old)
+	if changed {
+		d.replaceContent(old, r)
+	}
+	if changed || r.Entry != old.replica.Entry {
+		old.changedAt = d.revision
+		clear(d.partSums)
 	}
 	old.replica = r
-	old.lastListed = d.readTime
-	old.unconfirmedSince = time.Time{}
 	return changes
 }
 
@@ -238,7 +285,7 @@
 
 func (d *Directory) updateOldestListed() {
 	d.oldestListed = d.readTime
-	for _, e := range d.entries {
+	for _, e := range d.unconfirmed {
 		if e.lastListed.Before(d.oldestListed) {
 			d.oldestListed = e.lastListed
 		}
@@ -259,16 +306,13 @@
 // router receives a new proof several times a second, and applying all replicas as a new
 // read is expensive.
 func (d *Directory) Confirm(sent time.Time) []Change {
-	if d.hasUnconfirmed() {
+	if len(d.unconfirmed) > 0 {
 		return d.Replace(d.Listed(), sent)
 	}
 	if sent.Before(d.readTime) {
 		return nil
 	}
 	d.readTime, d.oldestListed = sent, sent
-	for _, e := range d.entries {
-		e.lastListed = sent
-	}
 	return nil
 }
 
@@ -289,6 +333,15 @@
 	return d.list(func(*entry) bool { return true })
 }
 
+// WithEvacuated returns replicas of the list with Evacuated set for those whose data centre
+// is evacuated.
+func (d *Directory) WithEvacuated(list []Replica) []Replica {
+	for i := range list {
+		list[i].Evacuated = slices.Contains(d.evacuated, list[i].DataCentre)
+	}
+	return list
+}
+
 func (d *Directory) list(wanted func(*entry) bool) []Replica {
 	list := make([]Replica, 0, len(d.entries))
 	for _, e := range d.entries {
--- a/pkg/directory/eligibility.go
+++ b/pkg/directory/eligibility.go
@@ -140,7 +140,7 @@
 // is unavailable no router can know more, so all replicas may be used.
 func (d *Directory) byAge(e *entry, c Conditions) (Exclusion, bool) {
 	since := c.Now.Add(-c.MaxListAge)
-	if c.MaxListAge == 0 || !e.notListedSince(since, c.LastUnavailable) {
+	if c.MaxListAge == 0 || !d.notListedSince(e, since, c.LastUnavailable) {
 		return Exclusion{}, false
 	}
 	// A recent list decides alone, because some replicas that leave announce nothing and
@@ -153,5 +153,5 @@
 			return Exclusion{}, false
 		}
 	}
-	return Exclusion{ID: e.replica.ID, Reason: NotListedRecently, Since: e.lastListed}, true
+	return Exclusion{ID: e.replica.ID, Reason: NotListedRecently, Since: d.lastListed(e)}, true
 }
--- a/pkg/directory/listing.go
+++ b/pkg/directory/listing.go
@@ -32,6 +32,10 @@
 	// entry, and the replica wrote it again.
 	EntryInvalidated ChangeKind = "entry spoilt"
 	EntryUsableAgain ChangeKind = "entry usable again"
+	// Rewritten: the replica's entry says something else than before.
+	Rewritten ChangeKind = "entry rewritten"
+	// RolloutChanged: the order or the status of a roll-out was written or deleted.
+	RolloutChanged ChangeKind = "roll-out changed"
 	// Evacuated and EvacuationEnded describe a data centre.
 	Evacuated       ChangeKind = "evacuated"
 	EvacuationEnded ChangeKind = "taken back"
@@ -39,20 +43,17 @@
 
 // Listing returns the result of the last read, to pass on to other routers.
 func (d *Directory) Listing() Listing {
-	return Listing{Replicas: d.Listed(), Evacuated: slices.Clone(d.evacuated)}
+	return Listing{Replicas: d.Listed(), Evacuated: slices.Clone(d.evacuated), Rollouts: d.ListedRollouts()}
 }
 
-// Hash returns an order-independent hash of the list's content in a format. It is
-// computed at each change, and sorting and encoding a long list would take longer than
-// the change.
+// Hash returns an order-independent hash of the list's content in a format. Builds that do
+// not know roll-outs compute the same hash while there are none.
 func (d *Directory) Hash(f HashFormat) uint64 {
-	var replicas uint64
-	for _, e := range d.entries {
-		if e.unconfirmedSince.IsZero() {
-			replicas += e.hashes[f]
-		}
+	text := fmt.Appendf(nil, "%d %q", d.sums[f], d.evacuated)
+	if len(d.rollouts) > 0 {
+		text = fmt.Appendf(text, " %+v", rolloutIdentity(d.rollouts))
 	}
-	return xxhash.Sum64(fmt.Appendf(nil, "%d %q", replicas, d.evacuated))
+	return xxhash.Sum64(text)
 }
 
 // NotListedSince returns the IDs of the replicas that no read sent since the given time
@@ -66,7 +67,7 @@
 	}
 	var ids []string
 	for id, e := range d.entries {
-		if e.notListedSince(since, lastUnavailable) {
+		if d.notListedSince(e, since, lastUnavailable) {
 			ids = append(ids, id)
 		}
 	}
@@ -75,7 +76,8 @@
 
 // notListedSince reports whether no read sent since the given time lists the entry; see
 // Directory.NotListedSince.
-func (e *entry) notListedSince(since, lastUnavailable time.Time) bool {
-	excused := e.unconfirmedSince.After(since) && lastUnavailable.After(e.lastListed)
-	return e.lastListed.Before(since) && !excused
+func (d *Directory) notListedSince(e *entry, since, lastUnavailable time.Time) bool {
+	listed := d.lastListed(e)
+	excused := e.unconfirmedSince.After(since) && lastUnavailable.After(listed)
+	return listed.Before(since) && !excused
 }
--- a/pkg/directory/parts.go
+++ b/pkg/directory/parts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -95,16 +96,35 @@
 	return d.partHashes(f, countParts(len(d.entries)))
 }
 
+// partsKey identifies the hashes of a list's parts: in a format, divided into a number.
+type partsKey struct {
+	format HashFormat
+	count  int
+}
+
+// partHashes returns the hashes of the parts, which callers must not change.
 func (d *Directory) partHashes(f HashFormat, count int) []uint32 {
+	key := partsKey{f, count}
+	if known := d.partSums[key]; known != nil {
+		return known
+	}
+	if len(d.partSums) >= maxPartSums {
+		clear(d.partSums)
+	}
 	hashes := make([]uint32, count)
 	for _, e := range d.entries {
 		if e.unconfirmedSince.IsZero() {
 			hashes[e.partIndex(count)] += e.partTerm(f)
 		}
 	}
+	d.partSums[key] = hashes
 	return hashes
 }
 
+// maxPartSums bounds the divisions of the list that are cached: others ask for the one of
+// their own lists, which are about as long.
+const maxPartSums = 4
+
 // partIndex returns the index of the part that the entry belongs to.
 func (e *entry) partIndex(count int) uint32 { return uint32(e.idHash % uint64(count)) }
 
@@ -126,15 +146,22 @@
 	return best
 }
 
-// FillStartTimes returns another router's list with known start times filled in where it
-// has none, because that router's build may not support them.
-func (d *Directory) FillStartTimes(l Listing) Listing {
+// FillUnknown returns another router's list with known start times and versions filled in
+// where it has none, because that router's build may not support them.
+func (d *Directory) FillUnknown(l Listing) Listing {
 	l.Replicas = slices.Clone(l.Replicas)
 	for i := range l.Replicas {
 		r := &l.Replicas[i]
-		if known := d.entries[r.ID]; r.Born == 0 && known != nil {
+		known := d.entries[r.ID]
+		if known == nil {
+			continue
+		}
+		if r.Born == 0 {
 			r.Born = known.replica.Born
 		}
+		if r.Version == "" {
+			r.Version = known.replica.Version
+		}
 	}
 	return l
 }
@@ -151,18 +178,40 @@
 		}
 	}
 	x.Replicas = d.listed(func(e *entry) bool { return differs[e.partIndex(len(theirs))] })
-	x.Evacuated = slices.Clone(d.evacuated)
+	x.Evacuated, x.Rollouts = slices.Clone(d.evacuated), d.ListedRollouts()
 	return x
 }
 
 // MergeExcerpt returns the last read with the parts of an excerpt replacing its own.
 func (d *Directory) MergeExcerpt(x Excerpt) Listing {
+	covered := x.covers()
+	own := d.listed(func(e *entry) bool { return !covered(e) })
+	return Listing{Replicas: append(own, x.Replicas...), Evacuated: x.Evacuated, Rollouts: x.Rollouts}
+}
+
+// covers returns a function that reports whether an entry belongs to a part in the excerpt.
+func (x *Excerpt) covers() func(*entry) bool {
 	differ := make([]bool, x.PartCount)
 	for _, part := range x.DifferingParts {
 		if int(part) < len(differ) {
 			differ[part] = true
 		}
 	}
-	own := d.listed(func(e *entry) bool { return len(differ) == 0 || !differ[e.partIndex(len(differ))] })
-	return Listing{Replicas: append(own, x.Replicas...), Evacuated: x.Evacuated}
+	return func(e *entry) bool { return len(differ) > 0 && differ[e.partIndex(len(differ))] }
+}
+
+// ApplyExcerpt is Apply for a read that differs from the last one in the parts of an
+// excerpt only. Its cost grows with the excerpt, and little with the list.
+func (d *Directory) ApplyExcerpt(x Excerpt, sent time.Time) []Change {
+	if len(d.unconfirmed) > 0 || d.holdsFacts(sent) {
+		// Both need the whole list.
+		return d.Apply(d.MergeExcerpt(x), sent)
+	}
+	if sent.Before(d.readTime) {
+		return nil
+	}
+	d.heldFacts = heldFacts{}
+	changes := d.applyReplicas(x.Replicas, sent, d.missing(x.Replicas, x.covers()))
+	changes = append(d.applyEvacuations(x.Evacuated), changes...)
+	return append(changes, d.applyRollouts(x.Rollouts)...)
 }
--- a/pkg/directory/parts_test.go
+++ b/pkg/directory/parts_test.go
@@ -118,7 +118,7 @@
 	old.Replace(plain, at(1))
 	assert.Equal(t, HashPlain, newer.DetectHashFormat(old.PartHashes(HashWithStarts)), "also if a part differs")
 	assert.Len(t, newer.Excerpt(HashPlain, old.PartHashes(HashWithStarts)).DifferingParts, 1)
-	newer.Apply(newer.FillStartTimes(old.Listing()), at(1))
+	newer.Apply(newer.FillUnknown(old.Listing()), at(1))
 	assert.Equal(t, old.Hash(HashPlain), newer.Hash(HashPlain))
 	assert.EqualValues(t, 4, newer.List()[slices.IndexFunc(newer.List(), func(r Replica) bool { return r.ID == "i-3" })].Born, "the start time that the other list lacks is kept")
 }
--- a/pkg/directory/rewind.go
+++ b/pkg/directory/rewind.go
@@ -69,12 +69,15 @@
 type departure struct {
 	born int64
 	at   time.Time
+	// revision is that of the read that lacked the replica.
+	revision uint64
 }
 
 // NoteRewind records that the list was restored from a copy, at the given time at the
 // latest. Everything known so far overrides the list for the hold period.
 func (d *Directory) NoteRewind(by time.Time, hold time.Duration) {
 	d.extendHold(by, hold)
+	d.SetRevision(0)
 	for id, e := range d.entries {
 		if e.replica.State == Draining {
 			d.heldFacts.add(Fact{ID: id, Born: e.replica.Born})
@@ -176,7 +179,7 @@
 		d.heldFacts = heldFacts{}
 		return l
 	}
-	filtered := Listing{Replicas: make([]Replica, 0, len(l.Replicas)), Evacuated: slices.Concat(l.Evacuated, d.heldFacts.evacuated)}
+	filtered := Listing{Replicas: make([]Replica, 0, len(l.Replicas)), Evacuated: slices.Concat(l.Evacuated, d.heldFacts.evacuated), Rollouts: l.Rollouts}
 	for _, r := range l.Replicas {
 		fact, known := d.factFor(&r)
 		if known && fact.Gone {
@@ -201,7 +204,7 @@
 	if len(d.departures) >= maxDepartures {
 		d.pruneDepartures()
 	}
-	d.departures[r.ID] = departure{born: r.Born, at: d.readTime}
+	d.departures[r.ID] = departure{born: r.Born, at: d.readTime, revision: d.revision}
 	d.statements.markMissing(r, d.readTime)
 }
 
@@ -209,6 +212,7 @@
 // enough.
 func (d *Directory) pruneDepartures() {
 	maps.DeleteFunc(d.departures, func(_ string, left departure) bool { return d.readTime.Sub(left.at) > departureRetention })
+	d.deltasSince = max(d.deltasSince, d.revision)
 	if len(d.departures) < maxDepartures {
 		return
 	}
--- a/pkg/directory/unconfirmed.go
+++ b/pkg/directory/unconfirmed.go
@@ -18,38 +18,35 @@
 // reads. A pause alone is weak evidence: this router's reads may have been late, while
 // other routers saw those replicas drain and leave. A restored list lacks every replica
 // that joined after the copy.
-func (d *Directory) servicesWithLostEntries(seen map[string]bool, pause bool) map[string]bool {
-	rewound := d.holdsFacts(d.readTime)
-	listed, vanished := make(map[string]int), make(map[string]int)
-	for id, e := range d.entries {
-		if e.replica.State != Ready || !e.unconfirmedSince.IsZero() {
-			continue
-		}
-		listed[e.replica.Service]++
-		if !seen[id] {
+func (d *Directory) servicesWithLostEntries(missing map[string]*entry, pause bool) map[string]bool {
+	vanished := make(map[string]int)
+	for _, e := range missing {
+		if e.replica.State == Ready && e.unconfirmedSince.IsZero() {
 			vanished[e.replica.Service]++
 		}
 	}
+	rewound := d.holdsFacts(d.readTime)
 	lost := make(map[string]bool)
 	for service, n := range vanished {
-		most := n > 1 && 2*n > listed[service]
-		third := n == listed[service] || n > 1 && 3*n >= listed[service]
+		most := n > 1 && 2*n > d.ready[service]
+		third := n == d.ready[service] || n > 1 && 3*n >= d.ready[service]
 		lost[service] = most || pause && third || rewound
 	}
 	return lost
 }
 
 // handleMissing marks a replica that a read does not list as unconfirmed, or removes it.
-func (d *Directory) handleMissing(id string, e *entry, lost bool, changes []Change) []Change {
+// before is when the read before was sent.
+func (d *Directory) handleMissing(e *entry, before time.Time, lost bool, changes []Change) []Change {
 	fact, _ := d.factFor(&e.replica)
-	if e.unconfirmedSince.IsZero() && lost && !fact.Gone && e.replica.State == Ready && !d.addressTaken(id, e.replica.Address) {
-		e.unconfirmedSince = d.readTime
+	if e.unconfirmedSince.IsZero() && lost && !fact.Gone && e.replica.State == Ready && !d.addressTaken(e.replica.Address) {
+		d.markUnconfirmed(e, before)
 		return append(changes, Change{Replica: e.replica, Kind: Unconfirmed})
 	}
 	if !e.unconfirmedSince.IsZero() && d.readTime.Sub(e.unconfirmedSince) < d.gracePeriod {
 		return changes
 	}
-	delete(d.entries, id)
+	d.remove(e)
 	d.recordDeparture(&e.replica)
 	return append(changes, Change{Replica: e.replica, Kind: Left})
 }
@@ -62,7 +59,7 @@
 	if !known || e.unconfirmedSince.IsZero() {
 		return nil
 	}
-	delete(d.entries, id)
+	d.remove(e)
 	d.recordDeparture(&e.replica)
 	return []Change{{Replica: e.replica, Kind: ConnectionsClosed}}
 }
@@ -76,22 +73,5 @@
 	return time.Time{}
 }
 
-// addressTaken reports whether another replica has the address.
-func (d *Directory) addressTaken(id, address string) bool {
-	for other, e := range d.entries {
-		if other != id && e.replica.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
-// hasUnconfirmed reports whether any replica is kept that the last read did not list.
-func (d *Directory) hasUnconfirmed() bool {
-	for _, e := range d.entries {
-		if !e.unconfirmedSince.IsZero() {
-			return true
-		}
-	}
-	return false
-}
+// addressTaken reports whether more than one replica is listed at an address.
+func (d *Directory) addressTaken(address string) bool { return d.addresses[address] > 1 }
--- a/pkg/directory/warmth_test.go
+++ b/pkg/directory/warmth_test.go
@@ -94,23 +94,23 @@
 	list := []Replica{cold("a", 1, 0), {ID: "b", Service: "s", DataCentre: "south"}}
 	d.Apply(Listing{Replicas: list}, at(0))
 	before := d.Hash(HashWithStarts)
-	assert.Equal(t, map[string]ChangeKind{"north": Evacuated}, centres(d.Apply(Listing{list, []string{"north"}}, at(1))))
+	assert.Equal(t, map[string]ChangeKind{"north": Evacuated}, centres(d.Apply(Listing{Replicas: list, Evacuated: []string{"north"}}, at(1))))
 	assert.NotEqual(t, before, d.Hash(HashWithStarts))
 	assert.True(t, d.List()[0].Evacuated)
 	assert.False(t, d.List()[1].Evacuated)
 
 	assert.Empty(t, d.Confirm(at(2)))
-	assert.Empty(t, d.Apply(Listing{list, nil}, at(1.5)), "an older read is ignored")
+	assert.Empty(t, d.Apply(Listing{Replicas: list, Evacuated: nil}, at(1.5)), "an older read is ignored")
 	assert.Equal(t, []string{"north"}, d.Listing().Evacuated)
 	joined := append(list, Replica{ID: "c", DataCentre: "north"})
-	assert.Empty(t, centres(d.Apply(Listing{joined, []string{"north", "north"}}, at(3))))
+	assert.Empty(t, centres(d.Apply(Listing{Replicas: joined, Evacuated: []string{"north", "north"}}, at(3))))
 	assert.True(t, d.List()[2].Evacuated, "a replica that joins the data centre is evacuated as well")
 
 	other := New(9*time.Second, 2*time.Second)
 	assert.Equal(t, map[string]ChangeKind{"north": Evacuated}, centres(other.Apply(roundTrip(t, d.Listing()), at(3))))
 	assert.Equal(t, d.Hash(HashWithStarts), other.Hash(HashWithStarts))
 
-	assert.Equal(t, map[string]ChangeKind{"north": EvacuationEnded}, centres(d.Apply(Listing{list, nil}, at(4))))
+	assert.Equal(t, map[string]ChangeKind{"north": EvacuationEnded}, centres(d.Apply(Listing{Replicas: list, Evacuated: nil}, at(4))))
 	assert.Equal(t, before, d.Hash(HashWithStarts))
 	assert.False(t, d.List()[0].Evacuated)
 }
@@ -118,14 +118,14 @@
 func TestReplicasAreColdAfterAnEvacuationUntilRewritten(t *testing.T) {
 	d := New(9*time.Second, 2*time.Second)
 	list := []Replica{cold("a", 1, 0), cold("b", 1, 0), cold("c", 1, 0), {ID: "d", DataCentre: "south"}}
-	d.Apply(Listing{list, []string{"north"}}, at(0))
+	d.Apply(Listing{Replicas: list, Evacuated: []string{"north"}}, at(0))
 	list[1] = cold("b", 2, 3*time.Second)
-	d.Apply(Listing{list, nil}, at(1))
+	d.Apply(Listing{Replicas: list, Evacuated: nil}, at(1))
 	assert.Equal(t, at(3), d.List()[0].ColdUntil)
 	assert.Equal(t, at(4), d.List()[1].ColdUntil, "its entry says longer")
 	assert.Zero(t, d.List()[3].ColdUntil)
 	list[0], list[2] = cold("a", 2, 3*time.Second), cold("c", 2, 0)
-	d.Apply(Listing{list, nil}, at(2))
+	d.Apply(Listing{Replicas: list, Evacuated: nil}, at(2))
 	assert.Equal(t, at(5), d.List()[0].ColdUntil, "cold by its entry")
 	assert.Zero(t, d.List()[2].ColdUntil, "warm by its entry")
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -297,14 +297,18 @@
 
 // OwnsTask reports whether a task belongs to this router by rendezvous hashing. Routers
 // that know the same members agree.
-func (t *Table) OwnsTask(task string) bool {
+func (t *Table) OwnsTask(task string) bool { return t.TaskRank(task) == 0 }
+
+// TaskRank returns how many routers precede this one for a task by rendezvous hashing.
+func (t *Table) TaskRank(task string) int {
 	own := xxhash.Sum64String(t.own + task)
+	rank := 0
 	for _, m := range t.list() {
 		if xxhash.Sum64String(m.address+task) > own {
-			return false
+			rank++
 		}
 	}
-	return true
+	return rank
 }
 
 // KnownAddresses returns all routers that are or lately were members, this one included,
