entry: serve roll-outs of versions

Change: the share of pkg/rollout is applied where a replica is chosen; canaries are few and carry as much each as the old replicas; outcomes of requests are counted by version; the router first in rank writes the status by compare-and-swap; croftyardctl rollout and the state dump show it; settings have the exposure bound. While replicas of one version are idle the users' mean counts them, so that the others are nearer to the limit: rounds of a small fleet, and a bound that is tighter by the idle part.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -3,6 +3,7 @@
 //
 //	config.go  validate, diff, apply, history, rollback
 //	fleet.go   status, state, explain, drain
+//	rollout.go rollout
 //	key.go     key new
 //	why.go     why
 package ctl
@@ -38,17 +39,18 @@
 type commands struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Validate validate   `cmd:"" help:"Check a configuration file. Example: croftyardctl validate fleet.ini"`
-	Diff     diff       `cmd:"" help:"Show what a file would change. Example: croftyardctl diff fleet.ini"`
-	Apply    apply      `cmd:"" help:"Bring a file's segments into force. Example: croftyardctl apply fleet.ini --note 'larger share'"`
-	History  history    `cmd:"" help:"List the last edits."`
-	Rollback rollback   `cmd:"" help:"Bring the content of an earlier version into force, as a new version."`
-	Status   status     `cmd:"" help:"Show the version in force on routers, and wait for one. Example: croftyardctl status --instance 127.0.0.1:8082 --wait 5s"`
-	State    state      `cmd:"" help:"Print a router's state dump."`
-	Explain  explain    `cmd:"" help:"Tell where a request would go, and why. Example: croftyardctl explain --instance 127.0.0.1:8082 --group agents --model drafting"`
-	Key      key        `cmd:"" help:"Make keys."`
-	Drain    drain      `cmd:"" help:"Begin the planned stop of a router."`
-	Why      whyCommand `cmd:"" help:"Tell the story of one request from the routers' logs. Example: croftyardctl why 9c41d07be2a35f68 router-*.log"`
+	Validate validate       `cmd:"" help:"Check a configuration file. Example: croftyardctl validate fleet.ini"`
+	Diff     diff           `cmd:"" help:"Show what a file would change. Example: croftyardctl diff fleet.ini"`
+	Apply    apply          `cmd:"" help:"Bring a file's segments into force. Example: croftyardctl apply fleet.ini --note 'larger share'"`
+	History  history        `cmd:"" help:"List the last edits."`
+	Rollback rollback       `cmd:"" help:"Bring the content of an earlier version into force, as a new version."`
+	Status   status         `cmd:"" help:"Show the version in force on routers, and wait for one. Example: croftyardctl status --instance 127.0.0.1:8082 --wait 5s"`
+	State    state          `cmd:"" help:"Print a router's state dump."`
+	Explain  explain        `cmd:"" help:"Tell where a request would go, and why. Example: croftyardctl explain --instance 127.0.0.1:8082 --group agents --model drafting"`
+	Rollout  rolloutCommand `cmd:"" help:"Show the roll-outs of versions that a router knows, and by which evidence they go on or end."`
+	Key      key            `cmd:"" help:"Make keys."`
+	Drain    drain          `cmd:"" help:"Begin the planned stop of a router."`
+	Why      whyCommand     `cmd:"" help:"Tell the story of one request from the routers' logs. Example: croftyardctl why 9c41d07be2a35f68 router-*.log"`
 }
 
 // Main runs the command line and returns the exit code: 0 done, 1 failed, 2
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
 	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/pkg/turns"
 )
 
@@ -45,9 +46,11 @@
 type Environment struct {
 	// Source returns a client of the store that holds the configuration and the replicas.
 	// Each of its calls times out after call.
-	Source    func(s settings.Settings, call time.Duration) watch.Source
-	Dialect   front.Dialect
-	ReadyPath string
+	Source func(s settings.Settings, call time.Duration) watch.Source
+	// StatusWriter returns a client that writes the status of roll-outs. It may be nil.
+	StatusWriter func(s settings.Settings, call time.Duration) rollout.Writer
+	Dialect      front.Dialect
+	ReadyPath    string
 	// HeldParts asks an engine which parts of prompts it holds and passes the head of its
 	// answer to answered. It may be nil.
 	HeldParts func(ctx context.Context, address string, answered func(*http.Response)) ([]balance.Part, error)
@@ -71,6 +74,8 @@
 	metrics  *front.Metrics
 	gossip   *gossip.Gossip
 
+	statusWriter atomic.Pointer[rollout.Writer]
+
 	callers   *http.Server
 	conns     *conns.Set
 	readiness *http.Server
@@ -115,6 +120,8 @@
 	e.balancer = balance.New(uint64(steady.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
 	e.balancer.SetColdBounds(coldBounds(b))
+	e.balancer.Rollouts().SetExposure(b.Exposure)
+	e.setStatusWriter(e.settings)
 	e.balancer.DisableMechanisms(e.settings.Without)
 	period := readPeriod(b)
 	e.watcher = watch.New(e.source(e.settings), e.followOptions(e.settings),
@@ -180,6 +187,8 @@
 	e.poison.SetLimits(poisonLimits(s.Routes))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
 	e.balancer.SetColdBounds(coldBounds(s.Bounds))
+	e.balancer.Rollouts().SetExposure(s.Bounds.Exposure)
+	e.setStatusWriter(s)
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
@@ -279,6 +288,10 @@
 		e.maintain(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.runRollouts(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		steady.Watch(ctx, e.handleResume)
 		return nil
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -6,6 +6,7 @@
 	"github.com/croftyard/croftyard/internal/admin"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/rollout"
 )
 
 // State is the state dump of a router that serves routes.
@@ -19,6 +20,7 @@
 	Routers    int            `json:"routers"`
 	Rank       int            `json:"rank"`
 	Replicas   []ReplicaState `json:"replicas"`
+	Rollouts   []rollout.View `json:"rollouts,omitempty"`
 }
 
 // ReplicaState is what the router believes of one replica.
@@ -26,6 +28,7 @@
 	ID         string `json:"id"`
 	Service    string `json:"service"`
 	Address    string `json:"address"`
+	Version    string `json:"version,omitempty"`
 	DataCentre string `json:"data_centre"`
 	Draining   bool   `json:"draining"`
 	Suspected  bool   `json:"suspected"`
@@ -47,12 +50,14 @@
 		Active:     e.front.ActiveRequests(),
 		Routers:    e.gossip.MemberCount(),
 		Rank:       e.gossip.Rank(),
+		Rollouts:   e.balancer.Rollouts().Views(now),
 	}
 	for _, r := range e.watcher.Replicas() {
 		state := ReplicaState{
 			ID:         r.ID,
 			Service:    r.Service,
 			Address:    r.Address,
+			Version:    r.Version,
 			DataCentre: r.DataCentre,
 			Draining:   r.State == directory.Draining,
 			Suspected:  e.balancer.Suspected(r.ID, now),
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -60,6 +60,8 @@
 	// exclusive is set while this router runs no other copy of the request, trial if the
 	// request was held before.
 	exclusive, trial bool
+	// trialOfVersion measures the attempt in progress.
+	trialOfVersion versionTrial
 	// unwritten counts the attempts that were cancelled between connect and write.
 	unwritten int
 	// excluded are the replicas that were ineligible at the last choice.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -133,6 +133,8 @@
 	defer hung.Stop()
 	sent := steady.Now()
 	c.sentAt = sent
+	c.trialOfVersion = versionTrial{sent: sent, chunks: c.chunks}
+	defer c.observeVersion(choice)
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
 	request.Check = func() error { return c.checkBeforeWrite(id, steady.Now()) }
@@ -143,6 +145,7 @@
 		return c.handleFailure(ctx, choice, err)
 	}
 	defer answer.Close()
+	c.trialOfVersion.headAt = steady.Now()
 	if hung.Stop() && c.service.Engine == nil {
 		c.front.balancer.RecordDuration(id, steady.Since(sent))
 	}
@@ -158,7 +161,7 @@
 		event.F("request", c.id), event.F("replica", id), event.F("why", string(choice.Reason)),
 		event.F("part", fmt.Sprintf("%x", choice.Part)), event.F("holders", choice.Holders),
 		event.F("load", choice.Load), event.F("bound", choice.Bound), event.F("copy_from", choice.CopySource), event.F("sent", c.sent.Load()),
-		event.F("passed", choice.PassedOver), event.F("passed_load", choice.PassedOverLoad), event.F("passed_bad", choice.PassedOverBadness),
+		event.F("replica_version", choice.Replica.Version), event.F("passed", choice.PassedOver), event.F("passed_load", choice.PassedOverLoad), event.F("passed_bad", choice.PassedOverBadness),
 		event.F("proof_ms", c.front.watcher.Staleness(now).Milliseconds()),
 	}
 	if age, doubted := c.front.watcher.Unconfirmed(id, now); doubted {
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -20,6 +21,8 @@
 	}
 	if answer.Header.Get(d.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
 		drainBody(answer)
+		// The replica did not run the request.
+		c.trialOfVersion.headAt = time.Time{}
 		c.outcome.reason = "not taken: " + strconv.Itoa(answer.StatusCode)
 		c.front.reportFailure(c.id, id, rejectionKind(answer.StatusCode))
 		return c.retry(c.outcome.reason)
@@ -46,6 +49,7 @@
 // did.
 func (c *call) handleReplicaError(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
 	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
+	c.trialOfVersion.failed = true
 	if c.headSent {
 		c.front.reportFailure(c.id, choice.Replica.ID, balance.Errored)
 		drainBody(answer)
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -67,6 +67,9 @@
 	ColdAllowance float64
 	// LoadFactor is how many times the mean of its service a replica may carry.
 	LoadFactor float64
+	// Exposure is the part of a service's requests that a bad version may get until the
+	// deadline of its roll-out.
+	Exposure float64
 	// Grace is the time from the order to stop until the kill.
 	Grace time.Duration
 	// Heartbeat is how often replicas renew their entries.
@@ -94,6 +97,7 @@
 		ColdOverage:     1.5,
 		ColdAllowance:   5,
 		LoadFactor:      2,
+		Exposure:        0.1,
 		Grace:           8 * time.Second,
 		Heartbeat:       1200 * time.Millisecond,
 		RepeatRatio:     0.1,
@@ -136,6 +140,7 @@
 	r.float("cold_overage", &b.ColdOverage, 0, 100)
 	r.float("cold_allowance", &b.ColdAllowance, 1, 1e6)
 	r.float("load_factor", &b.LoadFactor, 1, 100)
+	r.float("exposure", &b.Exposure, 0, 1)
 	r.duration("grace", &b.Grace, 10*time.Millisecond, time.Hour)
 	r.duration("heartbeat", &b.Heartbeat, time.Millisecond, time.Hour)
 	r.float("repeat_ratio", &b.RepeatRatio, 0, 10)
