watch: readers start from the list that they learned from others

What grows: pages times readers. Ruled out: more readers, longer periods (the same later), a larger bound on the answers of changes alone (each new reader still reads all pages). Change: a source may start from the list and revision that the router learned (ListUser); changes are fetched as long as they are fewer than the records.

--- a/internal/records/cache.go
+++ b/internal/records/cache.go
@@ -23,6 +23,13 @@
 	return k.asOf, k.records != nil
 }
 
+// len returns the number of cached records.
+func (k *recordCache) len() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.records)
+}
+
 // drop clears the cache if it is still at the given origin, whose later changes are no
 // longer available.
 func (k *recordCache) drop(origin Origin) {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -104,6 +104,19 @@
 	return r.tracker.anomalies()
 }
 
+// Seed makes the reader start from a list that was learned elsewhere, if that is newer than
+// what it holds itself and longer than one page. list is called only then. Only what has
+// changed since is read then, as long as the store's history reaches back.
+func (r *Reader) Seed(origin Origin, onePage int, list func() (Origin, []*Record)) {
+	had, known := r.cache.origin()
+	if known && (had.Generation != origin.Generation || had.At >= origin.At) {
+		return
+	}
+	if origin, records := list(); len(records) > onePage {
+		r.cache.replace(records, origin)
+	}
+}
+
 // All returns all records, except that a cached list that a call to Some started may lack
 // some of them.
 func (r *Reader) All(ctx context.Context) (*List, error) {
@@ -206,9 +219,8 @@
 	return p, nil
 }
 
-// maxChangePages limits the responses that one refresh fetches. If more are needed, the
-// list is read again in full.
-const maxChangePages = 8
+// errTooManyChanges means that reading the list in full takes fewer responses.
+var errTooManyChanges = fmt.Errorf("%w: more changes than records", ErrHistoryUnavailable)
 
 // refresh brings the cached list up to date and returns it. It returns
 // ErrHistoryUnavailable if nothing is cached or the changes are not available.
@@ -225,7 +237,7 @@
 		r.cache.drop(had)
 		return nil, fmt.Errorf("%w: cached origin %v, store is at %v", ErrHistoryUnavailable, had, now.Origin)
 	}
-	for range maxChangePages {
+	for fetched := 0; ; {
 		since, _ := r.cache.origin()
 		if since.Generation != now.Generation {
 			return nil, ErrMixedGenerations
@@ -233,23 +245,30 @@
 		if since.At >= now.At {
 			return r.cache.list(), nil
 		}
-		if err := r.fetchChanges(ctx, since); err != nil {
+		count, err := r.fetchChanges(ctx, since)
+		if err != nil {
 			return nil, err
 		}
+		if fetched += count; fetched > max(r.cache.len(), minChanges) {
+			return nil, errTooManyChanges
+		}
 	}
-	return nil, fmt.Errorf("%w: more than %d responses needed", ErrHistoryUnavailable, maxChangePages)
 }
 
-// fetchChanges fetches the changes since an origin and applies them to the cache.
-func (r *Reader) fetchChanges(ctx context.Context, since Origin) error {
+// minChanges is how many changes are fetched for short lists too, which may grow.
+const minChanges = 2000
+
+// fetchChanges fetches the changes since an origin, applies them to the cache, and returns
+// their number.
+func (r *Reader) fetchChanges(ctx context.Context, since Origin) (count int, err error) {
 	c, err := r.store.Changes(ctx, since.At)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	c.Generation = r.tracker.resolveGeneration(c.Generation)
 	if c.Generation != since.Generation || c.At <= since.At {
-		return fmt.Errorf("%w: received %v after %v", ErrHistoryUnavailable, c.Origin, since)
+		return 0, fmt.Errorf("%w: received %v after %v", ErrHistoryUnavailable, c.Origin, since)
 	}
 	r.cache.apply(c.Changes, c.Origin)
-	return nil
+	return len(c.Changes), nil
 }
--- a/internal/watch/knowledge.go
+++ b/internal/watch/knowledge.go
@@ -143,8 +143,7 @@
 	}
 	switch {
 	case k.Listing != nil:
-		w.directory.SetRevision(0)
-		w.directory.SetRevision(k.Revision)
+		w.directory.ReplaceRevision(k.Revision)
 		w.applyListing(*k.Listing, k.ListHash, proven)
 	case k.Delta != nil && k.Since == w.directory.Revision():
 		w.directory.SetRevision(k.Revision)
--- a/internal/watch/list.go
+++ b/internal/watch/list.go
@@ -98,6 +98,7 @@
 		listing.Rollouts = w.directory.ListedRollouts()
 		w.handleChanges(w.applyRead(listing, snapshot.Revision, sent))
 		w.logBadEntries(snapshot.BadReplicas)
+		w.notifyOwnRead()
 	}
 	close(w.refreshing)
 	w.refreshing = nil
--- a/internal/watch/read.go
+++ b/internal/watch/read.go
@@ -80,7 +80,11 @@
 	if err != nil {
 		return err
 	}
-	return w.ApplySnapshot(snapshot, sent)
+	err = w.ApplySnapshot(snapshot, sent)
+	if err == nil {
+		w.notifyOwnRead()
+	}
+	return err
 }
 
 // noteReadStart records that a read was sent.
--- a/internal/watch/updates.go
+++ b/internal/watch/updates.go
@@ -17,6 +17,18 @@
 	return w.updates, w.directory.ReadTime().IsZero() || w.refreshing != nil
 }
 
+// notifyOwnRead records that this router read the source.
+func (w *Watcher) notifyOwnRead() {
+	select {
+	case w.ownReads <- struct{}{}:
+	default:
+	}
+}
+
+// OwnReads returns a channel that receives a value after each successful read of this
+// router, for one receiver.
+func (w *Watcher) OwnReads() <-chan struct{} { return w.ownReads }
+
 // NextRead returns how long it is until this router reads the source itself.
 func (w *Watcher) NextRead(now time.Time) time.Duration {
 	return max(w.readAfter()-w.Age(now), 0)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -76,6 +76,21 @@
 	Replicas(ctx context.Context) (Snapshot, error)
 }
 
+// KnownList is the list of replicas that a router knows.
+type KnownList struct {
+	directory.Listing
+	// Revision is the source's revision that the list reflects, of a generation.
+	Revision, Generation uint64
+}
+
+// ListUser is a Source that can read what has changed since a list which the router learned
+// from others, so that not each router that reads has to read the whole list once.
+type ListUser interface {
+	// UseList sets a function that returns the newest list. Its first result is the list's
+	// revision and generation, 0 if it has none; list is expensive.
+	UseList(known func() (revision, generation uint64, list func() KnownList))
+}
+
 // Options configure a Watcher.
 type Options struct {
 	// Period is the pause between two reads.
@@ -114,6 +129,8 @@
 	// of the configuration or of the list.
 	readDone chan struct{}
 	updates  chan struct{}
+	// ownReads holds a value after each successful read of this router.
+	ownReads chan struct{}
 	// refreshing is closed when the refresh of the list in progress has ended; nil if
 	// none is.
 	refreshing  chan struct{}
@@ -134,6 +151,7 @@
 		directory: d,
 		readDone:  make(chan struct{}),
 		updates:   make(chan struct{}),
+		ownReads:  make(chan struct{}, 1),
 	}
 	w.Reconfigure(s, o)
 	return w
@@ -141,11 +159,28 @@
 
 // Reconfigure changes the source and the options while the Watcher runs.
 func (w *Watcher) Reconfigure(s Source, o Options) {
+	if user, uses := s.(ListUser); uses {
+		user.UseList(w.knownList)
+	}
 	w.source.Store(&s)
 	w.options.Store(&o)
 	w.turns.SetPeriod(o.Period)
 }
 
+// knownList implements the function that ListUser uses.
+func (w *Watcher) knownList() (revision, generation uint64, list func() KnownList) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.needsWholeList {
+		return 0, 0, nil
+	}
+	return w.directory.Revision(), w.sourceState.generation, func() KnownList {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return KnownList{Listing: w.directory.Listing(), Revision: w.directory.Revision(), Generation: w.sourceState.generation}
+	}
+}
+
 // Reads returns the number of reads, and how many of them failed.
 func (w *Watcher) Reads() (made, failed uint64) {
 	return w.reads.Load(), w.failedReads.Load()
