gossip: stretch the rounds of a fleet whose messages exceed the control budget

Cause: 62 partners of 985 routers get a datagram each 0.6 s: what a router sends grows with the square root of the fleet, some 100 datagrams and by reckoning 8 to 11 KB a second with headers, where 4 are allowed, though nobody near a bound needs the counts. Also: who asks which engine for what it holds cost a hash of each member for each replica. Weighed: a third level of partners (half the datagrams, counts a round older), fixed longer rounds (LIMIT in smaller fleets), rounds by what is sent and needed (chosen). Change: rounds are stretched to the budget, twice at most so that counts arrive within their lifetime, unless more than one in a hundred requests in flight are at replicas above their bound, or capacity is reduced. Silence, suspicion and life signs follow the round. A task's owner is looked for in one line.

--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -11,20 +11,29 @@
 	"github.com/croftyard/croftyard/pkg/rollout"
 )
 
-// rolloutPeriod is the pause between two judgements of the roll-outs in progress.
-const rolloutPeriod = 250 * time.Millisecond
+const (
+	// rolloutPeriod is the pause between two judgements of the roll-outs in progress, and
+	// idleRolloutPeriod the pause between two looks whether there are any.
+	rolloutPeriod     = 250 * time.Millisecond
+	idleRolloutPeriod = time.Second
+)
 
 // runRollouts judges the roll-outs in progress and writes their status until ctx ends.
 func (e *Entry) runRollouts(ctx context.Context) {
-	ticker := time.NewTicker(rolloutPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleRolloutPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		if len(e.balancer.Rollouts().Services()) == 0 {
+			timer.Reset(idleRolloutPeriod)
+			continue
 		}
 		e.advanceRollouts(ctx)
+		timer.Reset(rolloutPeriod)
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -119,8 +119,11 @@
 	// balancer.
 	announcedChanges uint64
 	round            int
-	hellos           int
-	stopped          bool
+	// largeRounds counts the rounds of a large fleet, pace decides when they are due.
+	largeRounds int
+	pace        roundPace
+	hellos      int
+	stopped     bool
 	// queries holds the unanswered queries by number; queryOffset counts the partners
 	// that were queried in turn.
 	queries     map[uint32]query
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,6 +24,7 @@
 	g.partners = partners
 	g.round++
 	round := g.round
+	g.members.SetRound(g.longestRound())
 	g.mu.Unlock()
 	g.balancer.SetLargeFleet(large)
 	if changed {
@@ -33,12 +35,12 @@
 	if large {
 		g.sendRumors(partners, now)
 	}
-	if large && round%largeRoundFactor != 0 && !g.balancer.CapacityReduced(now) {
+	if large && !g.largeRoundDue(now) {
 		return
 	}
 	d := g.digests(now, large)
 	if large {
-		g.sendRound(partners, d, round%largeHelloRounds == 0, now)
+		g.sendRound(partners, d, g.largeRounds%largeHelloRounds == 0, now)
 	} else {
 		g.exchangeAll(ctx, partners.Line, d, round%helloRounds == 0)
 	}
@@ -48,6 +50,18 @@
 	}
 }
 
+// largeRoundDue reports whether a round of a large fleet is due.
+func (g *Gossip) largeRoundDue(now time.Time) bool {
+	soon, urgent := g.balancer.CapacityReduced(now), g.balancer.CountsUrgent(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	due := g.pace.due(g.options.Period, soon, urgent)
+	if due {
+		g.largeRounds++
+	}
+	return due
+}
+
 // exchangeAll exchanges with all partners of a small fleet.
 func (g *Gossip) exchangeAll(ctx context.Context, partners []string, d digests, hello bool) {
 	own := d.own
--- a/internal/gossip/silence.go
+++ b/internal/gossip/silence.go
@@ -20,23 +20,15 @@
 	silenceChecks = 4
 )
 
-// period is the time between two rounds of this router. g.mu is held.
-func (g *Gossip) period() time.Duration {
-	if g.members.Large() {
-		return largeRoundFactor * g.options.Period
-	}
-	return g.options.Period
-}
-
 // silentCentres returns the other data centres of which no member was heard lately, while
 // some router was. A data centre with one member is left out, since that may have died.
 // In a large fleet only members that contact this router itself count: it hears late of
 // the others. g.mu is held.
 func (g *Gossip) silentCentres(now time.Time) []string {
-	limit := time.Duration(silentRounds * float64(g.period()))
+	limit := time.Duration(silentRounds * float64(g.longestRound()))
 	fewLimit := limit
 	if !g.queriesAll() {
-		fewLimit = time.Duration(fewSilentRounds * float64(g.period()))
+		fewLimit = time.Duration(fewSilentRounds * float64(g.longestRound()))
 	}
 	members := make(map[string]int)
 	// youngest is the time since a member of each data centre was last heard.
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -20,9 +20,10 @@
 // datagrams without a query are identical, and encoded once.
 func (g *Gossip) sendRound(partners membership.Partners, d digests, hello bool, now time.Time) {
 	g.expireQueries(now)
-	all := len(partners.Line) + len(partners.RelayTo)
+	all := partnerCount(partners)
 	first, asks := g.nextQueried(all)
 	packets := packetCache{g: g}
+	bytes := 0
 	for i := range all {
 		address, digest := "", d.own
 		if i < len(partners.Line) {
@@ -36,11 +37,18 @@
 			if g.usesPlainForm(address) {
 				digest = g.inPlainForm(digest)
 			}
-			g.send(address, encodeDigest(digest))
+			packet := encodeDigest(digest)
+			bytes += len(packet)
+			g.send(address, packet)
 			continue
 		}
-		g.send(address, packets.get(digest, address))
+		packet := packets.get(digest, address)
+		bytes += len(packet)
+		g.send(address, packet)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pace.noteRound(all, bytes)
 }
 
 // packetCache holds digests that are sent to many routers, each encoded once in each
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -51,7 +51,7 @@
 			d.line.Singles = binary.LittleEndian.AppendUint16(d.line.Singles, single)
 		}
 	}
-	if large && g.round/largeRoundFactor%aliveInterval == 0 {
+	if large && g.largeRounds%aliveInterval == 0 {
 		d.line.Alive = g.members.AliveHashes(now)
 	}
 	return d
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -89,12 +89,16 @@
 
 // peersRun returns what the other routers run at a replica.
 func (b *Balancer) peersRun(r *replica, now time.Time) int {
-	if now.Sub(b.peerTotalsAt) > peerTotalsLifetime || now.Before(b.peerTotalsAt) {
+	if b.peerTotalsExpired(now) {
 		b.sumPeerCounts(now)
 	}
 	return r.peersRun
 }
 
+func (b *Balancer) peerTotalsExpired(now time.Time) bool {
+	return now.Sub(b.peerTotalsAt) > peerTotalsLifetime || now.Before(b.peerTotalsAt)
+}
+
 // sumPeerCounts adds up what the other routers recently reported.
 func (b *Balancer) sumPeerCounts(now time.Time) {
 	totals := make(map[uint32]ReplicaCount)
--- a/pkg/directory/applyexcerpt_test.go
+++ b/pkg/directory/applyexcerpt_test.go
@@ -121,6 +121,22 @@
 	})
 }
 
+// A router that was sent a whole list once answered others with whole lists from then on.
+func TestWholeListKeepsTheDeltasSinceTheFirstOne(t *testing.T) {
+	d := New(time.Minute, time.Second)
+	d.SetRevision(20)
+	d.Replace([]Replica{{ID: "a"}, {ID: "b"}}, at(0))
+	d.ReplaceRevision(30)
+	d.Replace([]Replica{{ID: "a"}, {ID: "c"}}, at(1))
+	delta, known := d.Delta(20)
+	assert.True(t, known)
+	assert.Equal(t, []Replica{{ID: "c"}}, delta.Replicas)
+	assert.Equal(t, []string{"b"}, delta.Removed)
+	d.ReplaceRevision(10)
+	_, known = d.Delta(20)
+	assert.False(t, known, "the list is an earlier one")
+}
+
 // Deltas that may lack a departure, or that start from another generation, are not given out.
 func TestDeltaNeedsAllDeparturesSinceItsRevision(t *testing.T) {
 	d := New(time.Minute, time.Second)
--- a/pkg/directory/delta.go
+++ b/pkg/directory/delta.go
@@ -40,6 +40,16 @@
 	d.revision = max(d.revision, revision)
 }
 
+// ReplaceRevision records that the list is replaced by one that reflects a revision, which
+// may be lower than that known.
+func (d *Directory) ReplaceRevision(revision uint64) {
+	d.revision = 0
+	if revision == 0 || revision < d.deltasSince {
+		d.deltasSince = 0
+	}
+	d.SetRevision(revision)
+}
+
 // Delta returns what has changed since a revision, or false if that is not known.
 func (d *Directory) Delta(since uint64) (Delta, bool) {
 	if since == 0 || since < d.deltasSince || since > d.revision {
--- a/pkg/membership/lines.go
+++ b/pkg/membership/lines.go
@@ -9,9 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// suspectAfter is how long a member of the line may be silent before another one relays
-// for it.
-const suspectAfter = 1500 * time.Millisecond
+// suspectRounds is for how many rounds a member of the line may be silent before another
+// one relays for it.
+const suspectRounds = 2.5
 
 // Partners lists the routers to contact in a round. Callers must not change the lists.
 type Partners struct {
@@ -34,6 +34,8 @@
 	lineMembers []*member
 	addresses   []string
 	others      []*member
+	// byLine are the members of each line.
+	byLine map[int][]*member
 	// relayed are those of the others to which this router sends its line's sum, given
 	// the line members that are not suspects; computed is set once it is valid.
 	relayed  []string
@@ -46,7 +48,10 @@
 	t.plan.get(t.changes, func() plan {
 		p := plan{lines: lineCount(t.Len())}
 		p.line = int(t.ownHash % uint64(p.lines))
+		p.byLine = make(map[int][]*member, p.lines)
 		for _, m := range t.list() {
+			line := int(m.hash % uint64(p.lines))
+			p.byLine[line] = append(p.byLine[line], m)
 			if !t.Large() || int(m.hash%uint64(p.lines)) == p.line {
 				p.lineMembers = append(p.lineMembers, m)
 				p.addresses = append(p.addresses, m.address)
@@ -71,7 +76,7 @@
 	p := t.currentPlan()
 	var suspects []*member
 	for _, m := range p.lineMembers {
-		if !m.unanswered.IsZero() && now.Sub(m.unanswered) >= suspectAfter {
+		if !m.unanswered.IsZero() && now.Sub(m.unanswered) >= t.rounds(suspectRounds) {
 			suspects = append(suspects, m)
 		}
 		if m.unanswered.IsZero() {
@@ -147,8 +152,8 @@
 	// routers two share them in one of 70 fleets; then one that died counts as alive
 	// while the other is.
 	shortHashBytes = 3
-	// aliveWithin is how recently the members in AliveHashes were heard: two rounds.
-	aliveWithin = 1200 * time.Millisecond
+	// aliveRounds is within how many rounds the members in AliveHashes were heard.
+	aliveRounds = 2
 )
 
 // AliveHashes returns short hashes of the line's members that contacted this router
@@ -157,7 +162,7 @@
 func (t *Table) AliveHashes(now time.Time) []byte {
 	var short []byte
 	for _, m := range t.currentPlan().lineMembers {
-		if now.Sub(m.direct) <= aliveWithin {
+		if now.Sub(m.direct) <= t.rounds(aliveRounds) {
 			short = append(short, byte(m.hash), byte(m.hash>>8), byte(m.hash>>16))
 		}
 	}
@@ -174,7 +179,7 @@
 		}
 		return all
 	})
-	at := now.Add(-aliveWithin)
+	at := now.Add(-t.rounds(aliveRounds))
 	for ; len(short) >= shortHashBytes; short = short[shortHashBytes:] {
 		if m := members[shortHash(short[0], short[1], short[2])]; m != nil && at.After(m.heard) {
 			m.heard = at
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -45,8 +45,10 @@
 	ownHash     uint64
 	seeds       []string
 	maxPartners int
-	members     map[string]*member
-	left        map[string]time.Time
+	// round is the time between two rounds of a large fleet.
+	round   time.Duration
+	members map[string]*member
+	left    map[string]time.Time
 	// lost holds when silent members were forgotten, and lostIndex selects the one to try
 	// next.
 	lost      map[string]time.Time
@@ -103,6 +105,7 @@
 		ownHash:     xxhash.Sum64String(own),
 		seeds:       seeds,
 		maxPartners: maxPartners,
+		round:       defaultRound,
 		members:     make(map[string]*member),
 		left:        make(map[string]time.Time),
 		lost:        make(map[string]time.Time),
@@ -110,6 +113,19 @@
 	}
 }
 
+// defaultRound applies until SetRound is called.
+const defaultRound = 600 * time.Millisecond
+
+// SetRound sets the time between two rounds of a large fleet.
+func (t *Table) SetRound(round time.Duration) {
+	if t.Large() {
+		t.round = round
+	}
+}
+
+// rounds returns how long some rounds of a large fleet take.
+func (t *Table) rounds(n float64) time.Duration { return time.Duration(n * float64(t.round)) }
+
 // Large reports whether there are more members than can all be partners.
 func (t *Table) Large() bool { return len(t.members) > t.maxPartners }
 
@@ -295,9 +311,23 @@
 	return rank
 }
 
-// OwnsTask reports whether a task belongs to this router by rendezvous hashing. Routers
-// that know the same members agree.
-func (t *Table) OwnsTask(task string) bool { return t.TaskRank(task) == 0 }
+// OwnsTask reports whether a task belongs to this router. Routers that know the same members
+// agree. A hash of the task selects a line, and rendezvous hashing a member of it, since
+// there may be a task for each of thousands of replicas.
+func (t *Table) OwnsTask(task string) bool {
+	p := t.currentPlan()
+	if p.lines < 2 || !t.Large() {
+		return t.TaskRank(task) == 0
+	}
+	line := int(xxhash.Sum64String(task) % uint64(p.lines))
+	owners := p.byLine[line]
+	if line != p.line {
+		// A line without members leaves its tasks to all.
+		return len(owners) == 0 && t.TaskRank(task) == 0
+	}
+	own := xxhash.Sum64String(t.own + task)
+	return !slices.ContainsFunc(owners, func(m *member) bool { return xxhash.Sum64String(m.address+task) > own })
+}
 
 // TaskRank returns how many routers precede this one for a task by rendezvous hashing.
 func (t *Table) TaskRank(task string) int {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -161,7 +161,7 @@
 		}
 	}
 	orphans := tables[dead].Partners(now).RelayTo
-	later := now.Add(suspectAfter)
+	later := now.Add(time.Duration(suspectRounds * float64(defaultRound)))
 	taken := make(map[string]int)
 	for address, table := range tables {
 		line, _ := table.Line()
@@ -346,7 +346,7 @@
 	now := time.Now()
 	tables := fullTables(routers, now)
 	dead := "7"
-	later := now.Add(aliveWithin + time.Millisecond)
+	later := now.Add(aliveRounds*defaultRound + time.Millisecond)
 	for address, table := range tables {
 		for other := range tables {
 			if other != dead && other != address {
@@ -370,7 +370,7 @@
 		}
 	}
 	for _, row := range listener.Rows(later) {
-		assert.Equal(t, row.Address == dead, row.Age > aliveWithin, row.Address)
+		assert.Equal(t, row.Address == dead, row.Age > aliveRounds*defaultRound, row.Address)
 	}
 	assert.Equal(t, routers+1, listener.Len(), "it adds no member")
 }
