gossip: a read travels by the line of its reader, beside the rounds

Cause: a proof aged by two rounds on its way, 2.4 s once rounds are stretched, and each router that learned a change told all its partners: 62 datagrams of each of 985 routers at each read that found one. That grows with n sqrt(n) a read. Change: who read the store tells its partners; members of its line ask it, fetch, and tell those to whom they relay the line's sums. Each router is told once. The rounds make up for what is lost. Ruled out: telling proofs (they can't be dated without a query), a tree that is agreed on. Test: TestLineOfTheReaderPassesItsReadOn.

--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/steady"
 )
 
 // In a large fleet digests are sent in datagrams that need no answer. A proof must be
@@ -35,8 +36,9 @@
 type query struct {
 	address string
 	at      time.Time
-	// forNews is set if the queried router seems to know more.
-	forNews bool
+	// forNews is set if the queried router seems to know more, relayed if what it knows is
+	// passed on.
+	forNews, relayed bool
 }
 
 // nextQueried returns the first of a number of partners to query in this round, and how
@@ -135,8 +137,8 @@
 
 // sendQuery queries a router for the state of its knowledge, with a hello if it may not
 // know this one.
-func (g *Gossip) sendQuery(address string, hello bool, now time.Time) {
-	d := &gossippb.Digest{AsksOnly: true, Ask: g.addQuery(query{address, now, true})}
+func (g *Gossip) sendQuery(address string, hello, relayed bool, now time.Time) {
+	d := &gossippb.Digest{AsksOnly: true, Ask: g.addQuery(query{address, now, true, relayed})}
 	if hello {
 		d.Hello, d.DataCentre = true, g.options.DataCentre
 	}
@@ -149,7 +151,19 @@
 	q, found := g.queries[r.Ask]
 	delete(g.queries, r.Ask)
 	g.mu.Unlock()
-	if found && g.applyFreshness(q.address, r, q.at, now) && !g.fetching.Load() {
-		go g.fetchKnowledge(g.ctx, q.address, r.ListRevision != 0)
+	if !found {
+		return
+	}
+	newer := g.applyFreshness(q.address, r, q.at, now)
+	switch {
+	case newer && !g.fetching.Load():
+		go func() {
+			g.fetchKnowledge(g.ctx, q.address, r.ListRevision != 0)
+			if q.relayed {
+				g.relayProof(steady.Now())
+			}
+		}()
+	case !newer && q.relayed:
+		g.relayProof(now)
 	}
 }
--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -15,6 +15,7 @@
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/membership"
 )
 
 // largeFleet starts enough routers that they communicate in datagrams. The source refuses
@@ -151,7 +152,7 @@
 	r := newIdleRouter(t, &source{})
 	now := time.Now()
 	for range maxNewsQueries {
-		r.gossip.sendQuery("127.0.0.1:1", false, now)
+		r.gossip.sendQuery("127.0.0.1:1", false, false, now)
 	}
 	assert.False(t, r.gossip.mayQuery("127.0.0.1:1", now), "it has an open query")
 	assert.False(t, r.gossip.mayQuery("127.0.0.1:2", now), "the number of open queries is bounded")
@@ -209,7 +210,44 @@
 	}
 	sender.gossip.partners.RelayTo = []string{receiver.gossip.Address()}
 	sender.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: replicas("a")}, time.Now())
-	sender.gossip.sendNews(time.Now())
+	sender.gossip.sendProof(time.Now())
 	waitUntil(t, receiver.watcher.Initialized)
 	assert.Zero(t, receiver.source.reads)
 }
+
+// joinLine makes a router of a large fleet one that has a member in its line and relays to
+// others.
+func joinLine(r *router, line, relayTo []string) {
+	for i := range maxPartners + 1 {
+		r.gossip.members.RecordHeartbeat(fmt.Sprintf("127.0.0.1:%d", i+1), time.Now())
+	}
+	r.gossip.partners = membership.Partners{Line: line, RelayTo: relayTo}
+}
+
+// Proofs aged by two rounds on their way, and each router that learned something new told
+// all its partners: 62 datagrams of each of 985 routers at each change of the list.
+func TestLineOfTheReaderPassesItsReadOn(t *testing.T) {
+	reader, mate, third, fourth := newIdleRouter(t, &source{}), newIdleRouter(t, &source{}), newIdleRouter(t, &source{}), newIdleRouter(t, &source{})
+	for _, r := range []*router{reader, mate, third, fourth} {
+		r.gossip.SetHoldersKnown()
+	}
+	joinLine(reader, []string{mate.gossip.Address()}, nil)
+	joinLine(mate, []string{reader.gossip.Address()}, []string{third.gossip.Address()})
+	joinLine(third, nil, []string{fourth.gossip.Address()})
+	read := time.Now().Add(-time.Minute)
+	for i := range 3 {
+		proven := read.Add(time.Duration(i) * time.Second)
+		reader.watcher.ApplySnapshot(watch.Snapshot{Config: config(uint64(4 + i/2)), Replicas: replicas("a")}, proven)
+		reader.gossip.sendProof(time.Now())
+		for _, r := range []*router{mate, third} {
+			waitUntil(t, func() bool {
+				state := r.holder.Current()
+				return state.Table != nil && state.Table.Version() == uint64(4+i/2) && proven.Sub(state.ProvenAt) < minLead
+			})
+		}
+	}
+	assert.False(t, fourth.watcher.Initialized(), "only the reader's line passes it on")
+}
+
+// minLead is how much older a proof becomes on its way at most, since ages are rounded up.
+const minLead = 500 * time.Millisecond
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -248,21 +248,14 @@
 	silenceTicker := time.NewTicker(g.options.Period / silenceChecks)
 	defer silenceTicker.Stop()
 	g.runRound(ctx)
-	var newsTimer, marksTimer <-chan time.Time
+	var marksTimer <-chan time.Time
 	for {
-		news, _ := g.watcher.Updates()
-		if newsTimer != nil {
-			news = nil
-		}
 		select {
 		case <-ctx.Done():
 			g.stop()
 			return
-		case <-news:
-			newsTimer = time.After(newsDelay)
-		case <-newsTimer:
-			newsTimer = nil
-			g.sendNews(steady.Now())
+		case <-g.watcher.OwnReads():
+			g.sendProof(steady.Now())
 		case <-g.poison.Updates():
 			if marksTimer == nil {
 				marksTimer = time.After(marksDelay)
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -157,6 +157,6 @@
 	}
 	unmet := g.centreUnknown(d.Sender) && g.maySayHello(d.Sender, now)
 	if (unmet || g.seemsNewer(d, now)) && g.mayQuery(d.Sender, now) {
-		g.sendQuery(d.Sender, unmet, now)
+		g.sendQuery(d.Sender, unmet, g.relaysProofOf(d), now)
 	}
 }
