--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -245,8 +245,8 @@
 func (g *Gossip) Run(ctx context.Context) {
 	roundTicker := time.NewTicker(g.options.Period)
 	defer roundTicker.Stop()
-	silenceTicker := time.NewTicker(g.options.Period / silenceChecks)
-	defer silenceTicker.Stop()
+	silenceTimer := time.NewTimer(g.silencePause())
+	defer silenceTimer.Stop()
 	g.runRound(ctx)
 	var marksTimer <-chan time.Time
 	for {
@@ -265,8 +265,9 @@
 			g.sendMarks(ctx, steady.Now())
 		case <-roundTicker.C:
 			g.runRound(ctx)
-		case <-silenceTicker.C:
+		case <-silenceTimer.C:
 			g.reportSilentCentres(steady.Now())
+			silenceTimer.Reset(g.silencePause())
 		}
 	}
 }
--- a/internal/gossip/silence.go
+++ b/internal/gossip/silence.go
@@ -58,6 +58,13 @@
 	return names
 }
 
+// silencePause returns the time between two checks.
+func (g *Gossip) silencePause() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.longestRound() / silenceChecks
+}
+
 // reportSilentCentres reports the data centres that fell silent. The next message from
 // one ends that at once.
 func (g *Gossip) reportSilentCentres(now time.Time) {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -149,6 +149,8 @@
 	// evacuated holds the replicas of each service that are excluded with their data
 	// centre.
 	evacuated map[string][]*replica
+	// appending is set while lists of replicas are extended and not sorted yet.
+	appending bool
 	// evacuatedCount is how many replicas are excluded with their data centre.
 	evacuatedCount int
 	coldShares     coldShares
--- a/pkg/balance/replicas.go
+++ b/pkg/balance/replicas.go
@@ -40,12 +40,30 @@
 			b.removeReplica(r, now)
 		}
 	}
+	b.setReplicas(list, now)
+	b.afterReplicaChange(now)
+}
+
+// setReplicas adds or changes replicas. Lists of services that change by many replicas are
+// sorted once, since each insertion moves half of a list.
+func (b *Balancer) setReplicas(list []directory.Replica, now time.Time) {
+	const few = 16
+	b.appending = len(list) > few
 	for _, r := range list {
 		b.setReplica(r, now)
 	}
-	b.afterReplicaChange(now)
+	if b.appending {
+		b.appending = false
+		for _, lists := range []map[string][]*replica{b.services, b.evacuated} {
+			for _, of := range lists {
+				slices.SortFunc(of, byID)
+			}
+		}
+	}
 }
 
+func byID(x, y *replica) int { return cmp.Compare(x.ID, y.ID) }
+
 // UpdateReplicas adds or changes some replicas and removes others, as of now. Its cost
 // grows with their number, and little with that of all replicas.
 func (b *Balancer) UpdateReplicas(changed []directory.Replica, removed []string, now time.Time) {
@@ -56,9 +74,7 @@
 			b.removeReplica(r, now)
 		}
 	}
-	for _, r := range changed {
-		b.setReplica(r, now)
-	}
+	b.setReplicas(changed, now)
 	b.afterReplicaChange(now)
 }
 
@@ -102,9 +118,9 @@
 	switch {
 	case r.State != directory.Ready:
 	case r.Evacuated:
-		b.evacuated[r.Service] = insertReplica(b.evacuated[r.Service], r)
+		b.evacuated[r.Service] = b.insertReplica(b.evacuated[r.Service], r)
 	default:
-		b.services[r.Service] = insertReplica(b.services[r.Service], r)
+		b.services[r.Service] = b.insertReplica(b.services[r.Service], r)
 	}
 }
 
@@ -137,9 +153,13 @@
 	b.retainDeparted(r, now)
 }
 
-// insertReplica inserts a replica into a list that is sorted by id.
-func insertReplica(list []*replica, r *replica) []*replica {
-	i, _ := slices.BinarySearchFunc(list, r, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
+// insertReplica inserts a replica into a list that is sorted by id, or appends it if the
+// list is sorted later.
+func (b *Balancer) insertReplica(list []*replica, r *replica) []*replica {
+	if b.appending {
+		return append(list, r)
+	}
+	i, _ := slices.BinarySearchFunc(list, r, byID)
 	return slices.Insert(list, i, r)
 }
 
