--- a/pkg/balance/bench_test.go
+++ b/pkg/balance/bench_test.go
@@ -26,7 +26,7 @@
 
 // BenchmarkPickLarge measures one choice in a large fleet, with the sums of its lines.
 func BenchmarkPickLarge(b *testing.B) {
-	for _, n := range []int{150, 1520} {
+	for _, n := range []int{150, 1520, 9600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			balancer := newBalancer(engines(n))
 			balancer.SetLargeFleet(true)
