watch: of two lists the one of the higher revision stays

A read that takes long holds more than had been written when it was sent, so a later quick one has less: 1,001 replicas went and 1,100 came again at one router within half a second, and each list was fetched and rebuilt anew. Change: a list that reflects no more than one's own is not fetched; that it was read later proves one's own. What a record says is kept with the record, since two reads that run beside each other replaced one table of it. Test: TestListOfALowerRevisionIsNotTaken.

--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -36,6 +36,8 @@
 	Key      string
 	Value    []byte
 	Revision uint64
+	// Decoded is for the store's user, who may keep there what the value says.
+	Decoded any
 }
 
 // Change is a written record or a deleted key.
--- a/internal/watch/knowledge.go
+++ b/internal/watch/knowledge.go
@@ -113,12 +113,13 @@
 	if w.isPastGeneration(d.Generation) || d.Version < held.Table.Version() {
 		return false
 	}
-	if !w.matchesListHash(d.ListHash) {
+	matches := w.matchesListHash(d.ListHash)
+	if !matches && !w.reflects(d.Revision, d.Generation) {
 		return proven.After(w.directory.ReadTime())
 	}
 	// A list that was read separately may be newer than the proof, which still applies to
 	// the configuration.
-	if d.Revision != 0 && d.Generation == w.sourceState.generation {
+	if matches && d.Revision != 0 && d.Generation == w.sourceState.generation {
 		w.directory.SetRevision(d.Revision)
 	}
 	w.handleChanges(w.directory.Confirm(proven))
@@ -142,6 +143,8 @@
 		return
 	}
 	switch {
+	case w.reflects(k.Revision, k.Generation) && !w.matchesListHash(k.ListHash):
+		w.handleChanges(w.directory.Confirm(proven))
 	case k.Listing != nil:
 		w.directory.ReplaceRevision(k.Revision)
 		w.applyListing(*k.Listing, k.ListHash, proven)
@@ -187,6 +190,13 @@
 	w.needsWholeList = !w.matchesListHash(listHash)
 }
 
+// reflects reports whether this router's list reflects a revision that another router's list
+// reflects, so that it is no older than that one, whichever was read later: a read that
+// takes long reflects more than what had been written when it was sent.
+func (w *Watcher) reflects(revision, generation uint64) bool {
+	return revision != 0 && generation == w.sourceState.generation && revision <= w.directory.Revision()
+}
+
 // applyDelta is applyListing for what has changed since this router's list.
 func (w *Watcher) applyDelta(x directory.Delta, listHash uint64, proven time.Time) {
 	x.Listing = w.directory.FillUnknown(x.Listing)
--- a/internal/watch/knowledge_test.go
+++ b/internal/watch/knowledge_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 func manyIDs(n int) []string {
@@ -76,3 +78,19 @@
 	assert.Equal(t, teacher.Replicas(), learner.Replicas())
 	assert.NotEmpty(t, learner.KnowledgeRequest(false).PartHashes)
 }
+
+// While a list grows, a read that took long held more than a later one that was quick. Lists
+// were taken by when their reads were sent, so that a thousand replicas went and came again.
+func TestListOfALowerRevisionIsNotTaken(t *testing.T) {
+	w, now := newWatcher(&fakeSource{}, 0), time.Now()
+	require.NoError(t, w.ApplySnapshot(Snapshot{Config: config(4), Replicas: replicas("a", "b", "c"), Revision: 30}, now.Add(-3*time.Second)))
+	later := now.Add(-time.Second)
+	newer := w.ApplyPeerProof(Digest{Version: 4, ListHash: 1, Revision: 20}, later)
+	assert.False(t, newer, "this list reflects all that the other one does")
+	assert.Equal(t, later, w.directory.ReadTime(), "so that it is as new")
+	other := directory.Listing{Replicas: replicas("a", "b")}
+	w.ApplyKnowledge(Knowledge{Version: 4, ListHash: 1, Listing: &other, Revision: 20}, now, now.Add(-time.Second/2), "peer")
+	assert.Len(t, w.Replicas(), 3)
+	assert.True(t, w.ApplyPeerProof(Digest{Version: 4, ListHash: 1, Revision: 40}, now))
+	assert.True(t, w.ApplyPeerProof(Digest{Version: 4, ListHash: 1, Revision: 20, Generation: 1}, now), "revisions of another generation")
+}
