--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -224,8 +224,8 @@
 	r.gossip.partners = membership.Partners{Line: line, RelayTo: relayTo}
 }
 
-// Proofs aged by two rounds on their way, and each router that learned something new told
-// all its partners: 62 datagrams of each of 985 routers at each change of the list.
+// Proofs aged by two rounds on their way, and each router that learned something new sent it
+// to all its partners: 62 datagrams of each of 985 routers at each change of the list.
 func TestLineOfTheReaderPassesItsReadOn(t *testing.T) {
 	reader, mate, third, fourth := newIdleRouter(t, &source{}), newIdleRouter(t, &source{}), newIdleRouter(t, &source{}), newIdleRouter(t, &source{})
 	for _, r := range []*router{reader, mate, third, fourth} {
--- a/internal/gossip/pace.go
+++ b/internal/gossip/pace.go
@@ -8,8 +8,8 @@
 )
 
 // The partners of a router grow with the square root of the fleet, and so does what it sends
-// in a round. Beyond a budget, the rounds of a large fleet are stretched as long as nobody
-// needs new counts: no further than that counts still arrive within their lifetime.
+// in a round. Beyond a budget, the rounds of a large fleet are stretched while new counts are
+// not urgent, but only so far that counts still arrive within their lifetime.
 //
 //	what a round sends / its time <= controlBudget  -> largeRoundFactor
 //	more, counts not urgent                          -> up to maxStretch times as long
@@ -60,8 +60,8 @@
 // noteRound records the datagrams of a round.
 func (p *roundPace) noteRound(datagrams, bytes int) { p.bytes = bytes + datagrams*datagramOverhead }
 
-// longestRound is how long rounds may become, at this router and, as far as it can tell, at
-// the others. g.mu is held.
+// longestRound is how long rounds may become at this router, and so about as long at the
+// others. g.mu is held.
 func (g *Gossip) longestRound() time.Duration {
 	if !g.members.Large() {
 		return g.options.Period
--- a/internal/gossip/proof.go
+++ b/internal/gossip/proof.go
@@ -9,18 +9,18 @@
 )
 
 // One router reads the store for a large fleet. If what it reads travelled with the rounds,
-// it would age by two rounds on the way, and if each router that learns it told all its
+// it would age by two rounds on the way, and if each router that learns it notified all its
 // partners, their messages would grow faster than the fleet. So it travels beside the
 // rounds, by the same two hops as counts:
 //
-//	reader                tells its line, and one member of each other line
-//	member of its line    asks the reader, fetches what has changed, and tells those to
-//	                      which it relays the sums of the line
+//	reader                notifies its line, and one member of each other line
+//	member of its line    queries the reader, fetches what has changed, and notifies the
+//	                      routers to which it relays the sums of the line
 //
-// Each router is told once. It asks the router that told it, since a proof must be dated
-// from the time of a query. The rounds make up for what is lost.
+// Each router is notified once. It queries the sender, since a proof must be dated from the
+// time of a query. The rounds make up for what is lost.
 
-// sendProof tells the partners of a large fleet that this router has read the store.
+// sendProof notifies the partners of a large fleet that this router has read the store.
 func (g *Gossip) sendProof(now time.Time) {
 	g.mu.Lock()
 	large, partners := g.members.Large(), g.partners
@@ -40,7 +40,8 @@
 	}
 }
 
-// relayProof tells the routers outside of its line that this router has newer knowledge.
+// relayProof notifies the routers to which the line's sums are relayed that this router has
+// newer knowledge.
 func (g *Gossip) relayProof(now time.Time) {
 	g.mu.Lock()
 	partners := g.partners
--- a/pkg/balance/replicas.go
+++ b/pkg/balance/replicas.go
@@ -10,7 +10,7 @@
 
 // centre is what is known about a data centre.
 type centre struct {
-	// silent is set while none of its routers is heard.
+	// silent is set while no message from its routers arrives.
 	silent bool
 	health health
 }
--- a/pkg/membership/lines.go
+++ b/pkg/membership/lines.go
@@ -152,7 +152,7 @@
 	// routers two share them in one of 70 fleets; then one that died counts as alive
 	// while the other is.
 	shortHashBytes = 3
-	// aliveRounds is within how many rounds the members in AliveHashes were heard.
+	// aliveRounds is within how many rounds the members in AliveHashes sent a heartbeat.
 	aliveRounds = 2
 )
 
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -59,21 +59,6 @@
 	Excluded []string
 }
 
-// run is the roll-out of one service.
-type run struct {
-	record  Record
-	phase   Phase
-	reason  string
-	own     Evidence
-	sources map[string]Evidence
-	// excluded holds versions that were never found good.
-	excluded map[string]bool
-	// wantedAt is since when the wanted status has not been written, triedAt when this
-	// router last tried.
-	wanted            State
-	wantedAt, triedAt time.Time
-}
-
 // Controller holds the roll-outs of all services as one router knows them. It is safe for
 // concurrent use.
 type Controller struct {
@@ -142,19 +127,6 @@
 	}
 }
 
-// replaceOrder starts a new roll-out, or ends the one in progress if there is no order.
-func (r *run) replaceOrder(next Record) {
-	if r.record.Order.Version != "" && r.phase != Finished {
-		r.excluded[r.record.Order.Version] = true
-	}
-	delete(r.excluded, next.Order.Version)
-	excluded := r.excluded
-	*r = run{record: next, excluded: excluded}
-	if next.Order.Revision != 0 {
-		r.phase, r.own, r.sources = Canary, make(Evidence), make(map[string]Evidence)
-	}
-}
-
 // enter changes the phase. An outcome that was written is final, and so is the verdict that
 // a version is bad unless another router wrote that it is not.
 func (c *Controller) enter(r *run, phase Phase, reason string) {
@@ -208,14 +180,6 @@
 	return canary + (1-canary)*min(max(done, 0), 1)
 }
 
-// progress returns the part of the order's duration that is over.
-func (r *run) progress(now time.Time) float64 {
-	if r.record.Order.Duration <= 0 {
-		return 1
-	}
-	return float64(now.Sub(r.record.SeenAt)) / float64(r.record.Order.Duration)
-}
-
 // Observe counts how a request of this router ended at a replica of a version.
 func (c *Controller) Observe(service, route, version, replica string, o Outcome) {
 	c.mu.Lock()
@@ -260,16 +224,6 @@
 	}
 }
 
-// allEvidence returns the evidence of all routers, as far as it is known here.
-func (r *run) allEvidence() Evidence {
-	sum := make(Evidence)
-	sum.add(r.own)
-	for _, other := range r.sources {
-		sum.add(other)
-	}
-	return sum
-}
-
 // Pending returns the statuses that this router is to write now. rank returns how many
 // routers come before this one for a service.
 func (c *Controller) Pending(now time.Time, rank func(service string) int) []Write {
@@ -295,19 +249,6 @@
 	return list
 }
 
-// wantedState returns what the status should say, or "" if there is no order.
-func (r *run) wantedState(now time.Time) State {
-	switch {
-	case r.phase == "":
-		return ""
-	case r.phase == Abandoned:
-		return RolledBack
-	case r.phase == Finished, r.phase == Shifting && r.progress(now) >= completeAt:
-		return Completed
-	}
-	return InProgress
-}
-
 // Written records that a status was written with a revision.
 func (c *Controller) Written(w Write, revision uint64) {
 	c.mu.Lock()
@@ -321,47 +262,3 @@
 		c.enter(r, Finished, "outcome written")
 	}
 }
-
-// View is what a router knows about one roll-out, for operators.
-type View struct {
-	Service string  `json:"service"`
-	Version string  `json:"version"`
-	Phase   Phase   `json:"phase"`
-	Reason  string  `json:"reason"`
-	Written State   `json:"written"`
-	Share   float64 `json:"share"`
-	// Answers and Failures are those of the new version and of the old ones.
-	Answers     uint32 `json:"answers"`
-	Failures    uint32 `json:"failures"`
-	OldAnswers  uint32 `json:"old_answers"`
-	OldFailures uint32 `json:"old_failures"`
-}
-
-// Views returns all roll-outs that have an order, sorted by service.
-func (c *Controller) Views(now time.Time) []View {
-	c.mu.Lock()
-	names := slices.Sorted(maps.Keys(c.runs))
-	c.mu.Unlock()
-	var list []View
-	for _, service := range names {
-		if v, ordered := c.view(service, now); ordered {
-			list = append(list, v)
-		}
-	}
-	return list
-}
-
-func (c *Controller) view(service string, now time.Time) (View, bool) {
-	plan, _ := c.Plan(service, now)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.runs[service]
-	if r == nil || r.phase == "" {
-		return View{}, false
-	}
-	total := r.allEvidence().total()
-	return View{
-		Service: service, Version: r.record.Order.Version, Phase: r.phase, Reason: r.reason, Written: r.record.Outcome(), Share: plan.Share,
-		Answers: total.New.Answered, Failures: total.New.Failed, OldAnswers: total.Old.Answered, OldFailures: total.Old.Failed,
-	}, true
-}
