--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -218,6 +218,8 @@
 // joinLine makes a router of a large fleet one that has a member in its line and relays to
 // others.
 func joinLine(r *router, line, relayTo []string) {
+	r.gossip.mu.Lock()
+	defer r.gossip.mu.Unlock()
 	for i := range maxPartners + 1 {
 		r.gossip.members.RecordHeartbeat(fmt.Sprintf("127.0.0.1:%d", i+1), time.Now())
 	}
--- a/internal/standin/replica_test.go
+++ b/internal/standin/replica_test.go
@@ -21,7 +21,7 @@
 	first.Crash()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 50 {
-		sent := make(chan struct{})
+		sent, ended := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(sent)
 			for {
@@ -29,8 +29,11 @@
 				if err == nil {
 					response.Body.Close()
 				}
-				if err != nil && !strings.Contains(err.Error(), "refused") {
+				select {
+				case <-ended:
 					return
+				default:
+					// Refused, or reset by the listener of the replica before.
 				}
 			}
 		}()
@@ -42,6 +45,7 @@
 		require.NoError(t, err)
 		<-replica.Ended()
 		replica.Crash()
+		close(ended)
 		<-sent
 	}
 }
