--- a/internal/gossip/learn_bench_test.go
+++ b/internal/gossip/learn_bench_test.go
@@ -30,7 +30,7 @@
 	newWatcher := func() *watch.Watcher {
 		return watch.New(&source{}, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), freshness.NewHolder(), balance.New(1), event.Discard())
 	}
-	for _, replicas := range []int{240, 1520, 7600} {
+	for _, replicas := range []int{240, 1520, 7600, 20000} {
 		b.Run(fmt.Sprintf("list of %d", replicas), func(b *testing.B) {
 			teacher, learner := newWatcher(), newWatcher()
 			listing, now := benchListing(replicas), time.Now()
