--- a/internal/front/rollout.go
+++ b/internal/front/rollout.go
@@ -8,7 +8,7 @@
 	"github.com/croftyard/croftyard/pkg/rollout"
 )
 
-// minEvents is the least number of pieces of a stream by which its pace is measured.
+// minEvents is the least number of pieces of a stream from which its pace is computed.
 const minEvents = 3
 
 // versionTrial measures one attempt at a replica, for the comparison of versions.
--- a/pkg/balance/versions.go
+++ b/pkg/balance/versions.go
@@ -14,7 +14,7 @@
 // these then carry as much each as the others do, and show faults that need load.
 
 // minCanaries is the least number of replicas that a share goes to, so that a fault of one
-// replica can be told from one of the version.
+// replica can be distinguished from one of the version.
 const minCanaries = 2
 
 // eligibleCandidates returns the candidates for a request of the version that it goes to.
