Tests: two builds at rest are compared with what either sends by itself

This build stretches its rounds when they exceed the control budget, and rounds are whole numbers of periods: a fleet at the budget sends every second or every third period, so one build measured 1,994, 2,603, 2,989 and 2,542 in four runs (1,994 is two thirds of 2,989). Earlier builds do not stretch and sent 5,197, 4,220 and 3,987 by themselves. Two builds together sent 2,663 to 3,762. So the check compared with the cheaper build only. Change: each earlier build is measured by itself too, and both together may send 1.25 times the mean of the two (it was 1.5 times this build). Result: not yet run in this form.

--- a/test/upgrade/rest_test.go
+++ b/test/upgrade/rest_test.go
@@ -31,8 +31,9 @@
 	settle = 15 * time.Second
 	// watched is for how long bytes are counted: twenty rounds of a large fleet.
 	watched = 12 * time.Second
-	// most is how many times the bytes of one build two builds may tell at rest.
-	most = 1.5
+	// most is how many times the mean of what either build sends by itself two builds may
+	// send at rest.
+	most = 1.25
 )
 
 // ports are what each router listens on: callers, readiness, peers, operators.
@@ -165,9 +166,10 @@
 	return program
 }
 
-// Routers of two builds tell each other little more than those of one, though one knows
-// less of an entry than the other: 20.5 KB a second each, where one build takes 2.9, would
-// be half of a day's whole traffic.
+// Routers of two builds send each other hardly more than either build by itself, though one
+// does not read all of an entry: 20.5 KB a second each, where one build sends 2.9, would be
+// half of a day's whole traffic. Either build is measured, since builds differ in how often
+// they send.
 func TestTwoBuildsAtRest(t *testing.T) {
 	dir := t.TempDir()
 	this := thisBuild(t, dir)
@@ -178,14 +180,18 @@
 	})
 	for _, commit := range builds.All {
 		t.Run(commit[:7], func(t *testing.T) {
-			earlier, err := builds.Program(commit, dir)
+			program, err := builds.Program(commit, dir)
 			if errors.Is(err, builds.ErrNoHistory) {
 				t.Skipf("not run beside %s: %v", commit, err)
 			}
 			require.NoError(t, err)
-			two := newFleet(t, this, earlier).atRest(t)
-			t.Logf("%.0f bytes a second and router", two)
-			assert.LessOrEqual(t, two, most*one)
+			earlier := 0.0
+			t.Run("by itself", func(t *testing.T) { earlier = newFleet(t, program).atRest(t) })
+			t.Run("beside this build", func(t *testing.T) {
+				two := newFleet(t, this, program).atRest(t)
+				t.Logf("%.0f bytes a second and router, %.0f by itself", two, earlier)
+				assert.LessOrEqual(t, two, most*(one+earlier)/2)
+			})
 		})
 	}
 }
