--- /dev/null
+++ b/pkg/overload/decide.go
@@ -0,0 +1,85 @@
+package overload
+
+import "time"
+
+const (
+	// minAdmission is the part of a share's requests that is admitted at least, so that wrong
+	// figures shut nobody out. It exceeds the fair share only of callers that ask for more
+	// than a hundred times as much.
+	minAdmission = 0.01
+	// minRetryAfter and maxRetryAfter bound what callers are told. Rates change little in less
+	// than a tenth of their window, and beyond two windows nothing is known.
+	minRetryAfter = window / 10
+	maxRetryAfter = 2 * window
+	// retryPart is the part of their remaining time that callers are prepared to wait: one
+	// in retryPart.
+	retryPart = 3
+)
+
+// Decide admits or refuses a request.
+func (c *Controller) Decide(q Request, now time.Time) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweep(now)
+	s := c.service(q.Service, now)
+	if s == nil {
+		return Decision{Admitted: true}
+	}
+	p := c.plan(s, q.Target, q.Usable, now)
+	key := keyOf(s, q.Share)
+	d := Decision{Admitted: true, Status: p.status, Offered: c.offered(key)}
+	d.Granted = p.granted(key, d.Offered)
+	switch {
+	case p.tooLate(q.Left):
+		d.Admitted, d.Reason = false, TooLate
+	case !c.draw(d.Granted, d.Offered):
+		d.Admitted, d.Reason = false, OverShare
+	}
+	if !d.Admitted {
+		d.RetryAfter = c.retryAfter(p.status, q.Left)
+	}
+	return d
+}
+
+// offered returns the demand of a share, or of all uncounted shares if it is one of them.
+func (c *Controller) offered(key shareKey) float64 {
+	if offered, ok := c.sums.shares[key]; ok {
+		return offered
+	}
+	return c.sums.shares[overflowKey(key)]
+}
+
+// granted returns the rate that a share may have.
+func (p *plan) granted(key shareKey, offered float64) float64 {
+	if !p.status.Limiting {
+		return offered
+	}
+	return min(offered, max(p.level*weightOf(key.priority), offered*minAdmission))
+}
+
+// tooLate reports whether an answer is expected after the deadline because requests wait.
+// A request that is too late without waiting is not refused: that no queue is left while
+// replicas still reject is due to figures of the past.
+func (p *plan) tooLate(left time.Duration) bool {
+	return p.contended && p.status.Wait > 0 && left > 0 && p.status.Wait+p.status.Took > left
+}
+
+// draw admits a request with the probability granted / offered.
+func (c *Controller) draw(granted, offered float64) bool {
+	return granted >= offered || c.random.Float64()*offered < granted
+}
+
+// retryAfter returns when capacity is expected. The excess drains at the limit; the time is
+// spread so that callers return as capacity becomes available.
+func (c *Controller) retryAfter(s Status, left time.Duration) time.Duration {
+	longest := maxRetryAfter
+	if left > 0 {
+		longest = min(longest, left/retryPart)
+	}
+	excess := min(s.Demand/s.Limit-1, maxRetryAfter.Seconds())
+	base := max(s.Wait+seconds(excess*window.Seconds()), minRetryAfter)
+	if 2*base > longest {
+		base = longest / 2
+	}
+	return base + time.Duration(c.random.Float64()*float64(base))
+}
