--- /dev/null
+++ b/pkg/overload/overload_test.go
@@ -0,0 +1,216 @@
+package overload
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const target = 300 * time.Millisecond
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	usable = []Replica{{Hash: 1, Slots: 6}, {Hash: 2, Slots: 6}, {Hash: 3, Slots: 6}}
+)
+
+// loaded is a report of 100 answers per second of each replica after the given time, and of
+// what the organisations "a", "b", ... offer.
+func loaded(took time.Duration, offered ...float64) Report {
+	var r Report
+	for _, replica := range usable {
+		r.Replicas = append(r.Replicas, ReplicaReport{replica.Hash, 100, 0, 100 * took.Seconds()})
+	}
+	for i, o := range offered {
+		r.Shares = append(r.Shares, ShareReport{hash32("s"), hash32(organisation(i)), 0, o})
+	}
+	return r
+}
+
+func organisation(i int) string { return string(rune('a' + i)) }
+
+func request(i int) Request {
+	return Request{Service: "s", Share: Share{Organisation: organisation(i)}, Target: target, Left: 4 * time.Second, Usable: usable}
+}
+
+// refused returns the part of an organisation's requests that is refused.
+func refused(c *Controller, i int, now time.Time) float64 {
+	d := c.Decide(request(i), now)
+	if d.Offered == 0 {
+		return 0
+	}
+	return 1 - d.Granted/d.Offered
+}
+
+// Guards against refusals that are not based on requests that wait or are rejected.
+func TestRefusesOnlyContended(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		took     time.Duration
+		rejected float64
+		offered  float64
+		refuses  bool
+	}{
+		{"nothing waits, demand of ten times the capacity", 60 * time.Millisecond, 0, 3000, false},
+		{"a wait below the gate", 97 * time.Millisecond, 0, 3000, false},
+		{"a wait above the gate", 98 * time.Millisecond, 0, 3000, true},
+		{"a wait above the gate, demand within the limit", 98 * time.Millisecond, 0, 310, false},
+		{"one in a hundred rejected", 60 * time.Millisecond, 1, 3000, false},
+		{"one in ten rejected", 60 * time.Millisecond, 11, 3000, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(1)
+			r := loaded(tc.took, tc.offered)
+			for i := range r.Replicas {
+				r.Replicas[i].Rejected = tc.rejected
+			}
+			c.MergeReport("r", r, start)
+			assert.Equal(t, tc.refuses, refused(c, 0, start) > 0)
+			assert.Equal(t, tc.refuses, c.Status("s", target, usable, start).Limiting)
+		})
+	}
+}
+
+// Guards against shares that are shut out, and against more for callers that offer more.
+func TestSharesOfDecisions(t *testing.T) {
+	for _, surge := range []float64{100, 800, 2400} {
+		c := New(1)
+		r := loaded(200*time.Millisecond, 10, surge, 90, 90)
+		r.Shares[3].Priority = 3
+		c.MergeReport("r", r, start)
+		granted := [4]float64{}
+		for i := range granted {
+			q := request(i)
+			q.Share.Priority = r.Shares[i].Priority
+			admitted, d := 0, Decision{}
+			for range 4000 {
+				if d = c.Decide(q, start); d.Admitted {
+					admitted++
+				}
+			}
+			granted[i] = d.Granted
+			assert.InDelta(t, d.Granted/d.Offered, float64(admitted)/4000, 0.03)
+		}
+		limit := 300 * (1 + 0.075 - 0.14)
+		level := (limit - 10 - 90) / 1.125
+		assert.InDeltaSlice(t, []float64{10, min(level, surge), 90, limit - 100 - min(level, surge)}, granted[:], 1e-6, "offered %v", surge)
+	}
+}
+
+// Guards against callers that retry too late, too early, or all at once.
+func TestRetryAfter(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tc := range []struct {
+		name              string
+		status            Status
+		left              time.Duration
+		shortest, longest time.Duration
+	}{
+		{"the wait and the excess", Status{Wait: 75 * ms, Demand: 150, Limit: 100}, 6 * time.Second, 575 * ms, 1150 * ms},
+		{"at least the minimum", Status{Wait: 10 * ms, Demand: 50, Limit: 100}, 6 * time.Second, 100 * ms, 200 * ms},
+		{"at most a third of what is left", Status{Wait: 75 * ms, Demand: 150, Limit: 100}, 900 * ms, 150 * ms, 300 * ms},
+		{"hardly any time left", Status{Wait: 75 * ms, Demand: 150, Limit: 100}, 60 * ms, 10 * ms, 20 * ms},
+		{"a huge excess", Status{Demand: 1e9, Limit: 1}, time.Hour, time.Second, 2 * time.Second},
+		{"no deadline", Status{Demand: 1e9, Limit: 1}, 0, time.Second, 2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(1)
+			least, most := time.Hour, time.Duration(0)
+			for range 1000 {
+				d := c.retryAfter(tc.status, tc.left)
+				least, most = min(least, d), max(most, d)
+			}
+			spread := float64(tc.longest-tc.shortest) / 50
+			assert.GreaterOrEqual(t, least, tc.shortest)
+			assert.LessOrEqual(t, most, tc.longest)
+			assert.InDelta(t, tc.shortest, least, spread)
+			assert.InDelta(t, tc.longest, most, spread)
+		})
+	}
+}
+
+// Guards against requests that are sent although they can't be answered in time, and against
+// refusing for time where nothing waits.
+func TestTooLate(t *testing.T) {
+	for _, tc := range []struct {
+		took, left time.Duration
+		reason     Reason
+	}{
+		{200 * time.Millisecond, 350 * time.Millisecond, ""}, // 140 ms + 200 ms
+		{200 * time.Millisecond, 330 * time.Millisecond, TooLate},
+		{60 * time.Millisecond, 30 * time.Millisecond, ""},
+	} {
+		c := New(1)
+		c.MergeReport("r", loaded(tc.took, 10), start)
+		q := request(0)
+		q.Left = tc.left
+		d := c.Decide(q, start)
+		assert.Equal(t, tc.reason, d.Reason)
+		assert.LessOrEqual(t, d.RetryAfter, tc.left/3)
+	}
+}
+
+// Guards against memory that grows with what callers send, and against figures that stay.
+func TestMemoryIsBounded(t *testing.T) {
+	c := New(1)
+	for i := range 5_000 {
+		name := fmt.Sprint(i)
+		c.Arrived(name, Share{}, start)
+		c.Arrived("0", Share{Organisation: name}, start)
+		c.Decide(Request{Service: name, Usable: usable}, start)
+		c.Answered(uint32(i), time.Second, start)
+		c.MergeReport(name, loaded(time.Second, 1), start)
+	}
+	assert.LessOrEqual(t, len(c.services), maxServices)
+	assert.LessOrEqual(t, len(c.shares), maxOwnShares+1+maxPriority)
+	assert.LessOrEqual(t, len(c.replicas), maxOwnReplicas)
+	assert.Len(t, c.sources, maxSources)
+	later := start.Add(30 * time.Second)
+	assert.Empty(t, c.Report(later))
+	assert.Zero(t, len(c.services)+len(c.shares)+len(c.replicas)+len(c.sources))
+}
+
+// Guards against decisions that cost a small router more than its processor allows.
+func TestDecideAllocatesNothing(t *testing.T) {
+	c := New(1)
+	c.MergeReport("r", loaded(200*time.Millisecond, 100, 400), start)
+	now, q := start, request(0)
+	assert.Zero(t, testing.AllocsPerRun(100, func() {
+		now = now.Add(sumsExpiry + 1)
+		c.MergeReport("r", Report{}, now)
+		c.Arrived("s", Share{Organisation: "a"}, now)
+		c.Decide(q, now)
+		c.Estimate(usable[0], usable, now)
+	}))
+}
+
+// Guards against races between the request path, gossip and the state dump, and against
+// decisions that differ between runs with one seed.
+func TestConcurrentUseAndSeed(t *testing.T) {
+	c, twin := New(7), New(7)
+	var group sync.WaitGroup
+	for i := range 4 {
+		group.Go(func() {
+			for n := range 200 {
+				now := start.Add(time.Duration(n) * 20 * time.Millisecond)
+				c.Arrived("s", Share{}, now)
+				c.Answered(1, time.Second, now)
+				c.Rejected(2, now)
+				c.Decide(request(i), now)
+				c.MergeReport(organisation(i), c.GroupReport(nil, now), now)
+				c.RemoveSource(organisation(i + 1))
+				c.Status("s", target, usable, now)
+			}
+		})
+	}
+	group.Wait()
+	other := New(7)
+	for _, d := range []*Controller{twin, other} {
+		d.MergeReport("r", loaded(200*time.Millisecond, 400, 400), start)
+	}
+	for range 200 {
+		assert.Equal(t, twin.Decide(request(0), start), other.Decide(request(0), start))
+	}
+}
