gossip: reports for admission control, their settings and the switch

Cause: a router sees less than one request of a plain service a second, so admission control needs the rates of all routers. Nothing carried them, and nothing said where a deployment asks for it.

Change: a digest has a field for the report of its sender (Controller.Report), or of its line (Controller.GroupReport): columns of replicas and shares, rates in hundredths, at most 64 rows of each kind written and read. A large fleet takes only reports that add up, since a router counted twice would cause refusals for demand that does not exist; rounds are not stretched while a report has shares. Nothing is sent while the report is empty or admission control off. Settings [overload] admission (default off) and [platform] contracts; Entry builds one controller unless it is off, and a switch that the contracts or the pace in a replica's load header turn on. ParseLoad returns that pace. The state dump lists plain services while the switch is on.

The controller is a stub: tests of gossip use a fake one.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -31,9 +31,10 @@
 		StatusWriter: func(s settings.Settings, call time.Duration) rollout.Writer {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
-		Dialect:   platform.Dialect(),
-		ReadyPath: platform.ReadyPath,
-		HeldParts: platform.Held,
+		Dialect:         platform.Dialect(),
+		ReadyPath:       platform.ReadyPath,
+		HeldParts:       platform.Held,
+		LimitsAdmission: platform.LimitsAdmission,
 
 		LogDropped: sink.Dropped,
 	}, log)
--- a/internal/demo/routes.go
+++ b/internal/demo/routes.go
@@ -201,9 +201,10 @@
 		Source: func(s settings.Settings, call time.Duration) watch.Source {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
-		Dialect:   platform.Dialect(),
-		ReadyPath: platform.ReadyPath,
-		HeldParts: platform.Held,
+		Dialect:         platform.Dialect(),
+		ReadyPath:       platform.ReadyPath,
+		HeldParts:       platform.Held,
+		LimitsAdmission: platform.LimitsAdmission,
 	}, event.New(log, name, f.options.Level))
 	if err != nil {
 		return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/overload"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/pkg/turns"
@@ -54,6 +55,9 @@
 	// HeldParts asks an engine which parts of prompts it holds and passes the head of its
 	// answer to answered. It may be nil.
 	HeldParts func(ctx context.Context, address string, answered func(*http.Response)) ([]balance.Part, error)
+	// LimitsAdmission reports whether the contracts of the platform, as in the settings, call
+	// for admission control. If nil, none does.
+	LimitsAdmission func(contracts []string) bool
 	// LogDropped returns how many log lines were dropped because the buffer was full.
 	LogDropped func() uint64
 }
@@ -73,6 +77,10 @@
 	front    *front.Front
 	metrics  *front.Metrics
 	gossip   *gossip.Gossip
+	// overload decides on requests to services without engines; nil if the settings turn
+	// admission control off. admission tells whether its decisions apply.
+	overload  *overload.Controller
+	admission *admissionSwitch
 
 	statusWriter atomic.Pointer[rollout.Writer]
 
@@ -137,9 +145,16 @@
 		},
 	})
 	e.poison = newPoison(e.settings.Routes, e.log)
+	e.buildOverload()
 	var err error
-	e.gossip, err = gossip.Start(gossip.Options{Address: e.settings.Listen.Peers, DataCentre: e.settings.DataCentre, Seeds: e.settings.Peers.Seeds, Period: e.settings.Peers.Period, Poison: e.poison},
-		e.watcher, e.balancer, e.log)
+	e.gossip, err = gossip.Start(gossip.Options{
+		Address:    e.settings.Listen.Peers,
+		DataCentre: e.settings.DataCentre,
+		Seeds:      e.settings.Peers.Seeds,
+		Period:     e.settings.Peers.Period,
+		Poison:     e.poison,
+		Overload:   e.overloadReports(),
+	}, e.watcher, e.balancer, e.log)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
@@ -178,9 +193,10 @@
 }
 
 // Reload applies changed settings. Names and addresses of a running process stay as they
-// are; a change of them is logged as needing a restart.
+// are, and so does admission control; a change of them is logged as needing a restart.
 func (e *Entry) Reload(s settings.Settings) {
-	restart := s.Name != e.settings.Name || s.DataCentre != e.settings.DataCentre || s.Listen != e.settings.Listen
+	restart := s.Name != e.settings.Name || s.DataCentre != e.settings.DataCentre || s.Listen != e.settings.Listen ||
+		s.Overload != e.settings.Overload || e.contractsLimitAdmission(s) != e.contractsLimitAdmission(e.settings)
 	e.watcher.Reconfigure(e.source(s), e.followOptions(s))
 	e.bounds.Store(&s.Bounds)
 	e.front.SetLimits(frontLimits(s.Bounds))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -53,7 +53,7 @@
 	e, err := Start(set, Environment{
 		Source: func(settings.Settings, time.Duration) watch.Source { return s },
 		Dialect: front.Dialect{AttemptID: "Try", Key: "Authorization", ParseParts: func(string) []balance.Part { return nil },
-			ParseLoad: func(string) (int, bool) { return 0, false }},
+			ParseLoad: func(string) (int, int, bool) { return 0, 0, false }},
 		ReadyPath:  "/ready",
 		LogDropped: func() uint64 { return 0 },
 	}, event.Discard())
--- /dev/null
+++ b/internal/entry/overload.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/gossip"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/overload"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// admissionSwitch tells whether admission control is on. Once on it stays on until the
+// router ends: replicas that report a pace may be absent for a while. It is safe for
+// concurrent use, and off if nil.
+type admissionSwitch struct {
+	on atomic.Bool
+	// auto is set if a reported pace turns it on.
+	auto bool
+}
+
+// newAdmissionSwitch returns the switch as the settings say.
+func (e *Entry) newAdmissionSwitch(s settings.Settings) *admissionSwitch {
+	if s.Overload.Admission == settings.AdmissionOff {
+		return nil
+	}
+	a := &admissionSwitch{auto: s.Overload.Admission == settings.AdmissionAuto}
+	a.on.Store(!a.auto || e.contractsLimitAdmission(s))
+	return a
+}
+
+// contractsLimitAdmission reports whether the platform's contracts call for admission
+// control.
+func (e *Entry) contractsLimitAdmission(s settings.Settings) bool {
+	return e.env.LimitsAdmission != nil && e.env.LimitsAdmission(s.Platform.Contracts)
+}
+
+// Enabled reports whether requests may be refused for lack of capacity.
+func (a *admissionSwitch) Enabled() bool { return a != nil && a.on.Load() }
+
+// ObservePace records the pace in a replica's load header, 0 if it had none. A replica that
+// reports one shares its machine.
+func (a *admissionSwitch) ObservePace(pace int) {
+	if a == nil || !a.auto || pace <= 0 || a.on.Load() {
+		return
+	}
+	a.on.Store(true)
+}
+
+// buildOverload creates the controller unless admission control is off.
+func (e *Entry) buildOverload() {
+	e.admission = e.newAdmissionSwitch(e.settings)
+	if e.admission != nil {
+		e.overload = overload.New(uint64(steady.Now().UnixNano()))
+	}
+}
+
+// overloadReports returns what gossip is given: nil, not a nil controller, if admission
+// control is off.
+func (e *Entry) overloadReports() gossip.OverloadReports {
+	if e.overload == nil {
+		return nil
+	}
+	return e.overload
+}
+
+// ServiceState is what the router believes of a service without engines. Rates are in
+// requests per second.
+type ServiceState struct {
+	Service  string  `json:"service"`
+	WaitMS   int64   `json:"wait_ms"`
+	TookMS   int64   `json:"took_ms"`
+	Capacity float64 `json:"capacity"`
+	Limit    float64 `json:"limit"`
+	Demand   float64 `json:"demand"`
+	Limiting bool    `json:"limiting"`
+}
+
+// serviceStates returns the state of each service without engines while admission control
+// is on.
+func (e *Entry) serviceStates(now time.Time) []ServiceState {
+	table := e.holder.Current().Table
+	if !e.admission.Enabled() || table == nil {
+		return nil
+	}
+	var list []ServiceState
+	config := table.Config()
+	for i := range config.Services {
+		service := &config.Services[i]
+		if service.Engine != nil {
+			continue
+		}
+		s := e.overload.Status(service.Name, shortestTarget(config.Routes, service.Name), e.usableReplicas(service.Name, now), now)
+		list = append(list, ServiceState{
+			Service:  service.Name,
+			WaitMS:   s.Wait.Milliseconds(),
+			TookMS:   s.Took.Milliseconds(),
+			Capacity: finite(s.Capacity),
+			Limit:    finite(s.Limit),
+			Demand:   finite(s.Demand),
+			Limiting: s.Limiting,
+		})
+	}
+	return list
+}
+
+// shortestTarget returns the shortest target of the routes to a service, 0 if none has one.
+func shortestTarget(routes []route.Route, service string) time.Duration {
+	var shortest time.Duration
+	for i := range routes {
+		r := &routes[i]
+		leads := slices.ContainsFunc(r.Shares, func(s route.Share) bool { return s.Service == service })
+		if leads && r.Target > 0 && (shortest == 0 || r.Target < shortest) {
+			shortest = r.Target
+		}
+	}
+	return shortest
+}
+
+// usableReplicas returns the replicas of a service that new requests may be sent to.
+func (e *Entry) usableReplicas(service string, now time.Time) []overload.Replica {
+	var usable []overload.Replica
+	for _, r := range e.watcher.Replicas() {
+		if r.Service != service || r.State != directory.Ready || r.Evacuated || e.balancer.Suspected(r.ID, now) {
+			continue
+		}
+		if _, excluded := e.front.Exclusion(r.ID, now); !excluded {
+			usable = append(usable, overload.Replica{Hash: balance.ReplicaHash(r.ID), Slots: r.Slots})
+		}
+	}
+	return usable
+}
+
+// finite returns a rate that JSON can represent.
+func finite(rate float64) float64 {
+	if math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return 0
+	}
+	return rate
+}
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -21,6 +21,8 @@
 	Rank       int            `json:"rank"`
 	Replicas   []ReplicaState `json:"replicas"`
 	Rollouts   []rollout.View `json:"rollouts,omitempty"`
+	// Services are those without engines, while admission control is on.
+	Services []ServiceState `json:"services,omitempty"`
 }
 
 // ReplicaState is what the router believes of one replica.
@@ -51,6 +53,7 @@
 		Routers:    e.gossip.MemberCount(),
 		Rank:       e.gossip.Rank(),
 		Rollouts:   e.balancer.Rollouts().Views(now),
+		Services:   e.serviceStates(now),
 	}
 	for _, r := range e.watcher.Replicas() {
 		state := ReplicaState{
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -94,7 +94,7 @@
 	DrainCut:          {logrus.WarnLevel, "drain limit reached, requests cut", "Raise drain in [limits] if answers take longer than it allows."},
 	Failed:            {logrus.ErrorLevel, "process cannot go on", "Read the error; the process ends with exit code 1."},
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
-	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names or addresses changed: restart the process."},
+	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names, addresses or admission control changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
 	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
 	Exhausted:         {logrus.ErrorLevel, "no file descriptor left, resting connections to replicas closed", "Raise the limit of open files, or look at who opens so many connections."},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,9 +48,10 @@
 	Load        string
 	// ShuttingDown announces the replica's shutdown.
 	ShuttingDown string
-	// ParseParts parses the value of PromptParts, ParseLoad that of Load.
+	// ParseParts parses the value of PromptParts, ParseLoad that of Load. The pace is that
+	// of the replica's machine in percent of the usual, 0 if it is not reported.
 	ParseParts func(string) []balance.Part
-	ParseLoad  func(string) (requests int, ok bool)
+	ParseLoad  func(string) (requests, pace int, ok bool)
 }
 
 // Options configures a Front.
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -16,7 +16,7 @@
 func (c *call) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
 	d := &c.front.options.Dialect
 	id := choice.Replica.ID
-	if load, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
+	if load, _, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
 		c.front.balancer.LoadReported(id, load, steady.Now())
 	}
 	if answer.Header.Get(d.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -39,7 +39,7 @@
 			}
 			return []balance.Part{{ID: 7, Tokens: 100}, {ID: 8, Tokens: 10}}
 		},
-		ParseLoad: func(string) (int, bool) { return 0, false },
+		ParseLoad: func(string) (int, int, bool) { return 0, 0, false },
 	}
 }
 
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -93,6 +93,7 @@
 	g.mu.Unlock()
 	g.forgetForm(address)
 	g.balancer.RemovePeer(address)
+	g.removeReport(address)
 }
 
 // fetchKnowledge fetches the knowledge of another router, from one at a time: when
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -45,6 +45,9 @@
 	Period time.Duration
 	// Poison holds the marks against requests; if nil, Start creates one.
 	Poison *poison.Tracker
+	// Overload holds the rates for admission control. Nil means that it is off: nothing is
+	// sent of them and what others send is ignored.
+	Overload OverloadReports
 }
 
 const (
@@ -108,7 +111,12 @@
 	members *membership.Table
 	// partners are those of the last round.
 	partners membership.Partners
-	busy     map[string]bool
+	// view is the division of the fleet of the last round, reportSources are the sources of
+	// overload reports, and contended is set while this router's reports contain shares.
+	view          lineView
+	reportSources map[string]bool
+	contended     bool
+	busy          map[string]bool
 	// deferred holds the rumors for partners that were busy.
 	deferred map[string]*gossippb.Digest
 	// plain holds the members that hash lists as older builds do.
@@ -156,6 +164,8 @@
 		plain:        make(map[string]bool),
 		queries:      make(map[uint32]query),
 		recentHellos: make(map[string]time.Time),
+
+		reportSources: make(map[string]bool),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	var err error
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -26,6 +26,7 @@
 	round := g.round
 	g.members.SetRound(g.longestRound())
 	g.mu.Unlock()
+	g.updateView(large)
 	g.balancer.SetLargeFleet(large)
 	if changed {
 		g.balancer.SetRouters(g.server.Address(), known, now)
@@ -55,7 +56,9 @@
 	soon, urgent := g.balancer.CapacityReduced(now), g.balancer.CountsUrgent(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	due := g.pace.due(g.options.Period, soon, urgent)
+	// Reports lose weight with a time constant of 1 s, so rounds are not stretched while a
+	// service is contended.
+	due := g.pace.due(g.options.Period, soon, urgent || g.contended)
 	if due {
 		g.largeRounds++
 	}
@@ -77,6 +80,7 @@
 func (g *Gossip) forgetLost(members []string) {
 	for _, address := range members {
 		g.balancer.RemovePeer(address)
+		g.removeReport(address)
 		g.forgetForm(address)
 		g.mu.Lock()
 		delete(g.deferred, address)
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -37,6 +37,7 @@
 	default:
 		g.mergeCounts(d, now)
 		g.mergeRollouts(d)
+		g.mergeReport(d, now)
 	}
 	g.mergeMarks(d.Marks, now)
 	g.recordForm(d)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -51,6 +51,7 @@
 			d.line.Singles = binary.LittleEndian.AppendUint16(d.line.Singles, single)
 		}
 	}
+	g.addReports(d, now)
 	if large && g.largeRounds%aliveInterval == 0 {
 		d.line.Alive = g.members.AliveHashes(now)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	Peers      Peers
 	Routes     Routes
 	Bounds     Bounds
+	Overload   Overload
 	// Without are the mechanisms that an experiment leaves out.
 	Without mechanism.Set
 }
@@ -64,6 +65,8 @@
 	Rate float64
 	// Poll is the pause between two reads of the instance list.
 	Poll time.Duration
+	// Contracts are the names of what the platform holds routers to on this site.
+	Contracts []string
 }
 
 // Limits of what the process accepts and how long it waits.
@@ -92,6 +95,7 @@
 		Peers:    defaultPeers(),
 		Routes:   defaultRoutes(),
 		Bounds:   defaultBounds(),
+		Overload: defaultOverload(),
 		Limits: Limits{
 			Body:         8 << 20,
 			Header:       32 << 10,
@@ -143,6 +147,7 @@
 	r.duration("timeout", &s.Platform.Timeout, time.Millisecond, time.Minute)
 	r.float("rate", &s.Platform.Rate, 0.1, 2000)
 	r.duration("poll", &s.Platform.Poll, 10*time.Millisecond, time.Minute)
+	r.words("contracts", &s.Platform.Contracts)
 
 	r.section("limits")
 	r.integer("body", &s.Limits.Body, 1<<10, 1<<30)
@@ -156,6 +161,7 @@
 	r.peers(&s.Peers)
 	r.routes(&s.Routes)
 	r.bounds(&s.Bounds)
+	r.overload(&s.Overload)
 	r.experiments(&s.Without)
 
 	r.rejectUnknown()
@@ -292,7 +298,7 @@
 	for _, section := range r.file.Sections() {
 		keys, known := r.known[section.Name()]
 		if !known && section.Name() != ini.DefaultSection {
-			r.problems = append(r.problems, fmt.Errorf("%w: %s: [%s]: no such section; allowed are instance, listen, platform, limits, peers, routes, bounds, experiments", ErrInvalid, r.path, section.Name()))
+			r.problems = append(r.problems, fmt.Errorf("%w: %s: [%s]: no such section; allowed are instance, listen, platform, limits, peers, routes, bounds, overload, experiments", ErrInvalid, r.path, section.Name()))
 			continue
 		}
 		for _, key := range section.KeyStrings() {
--- a/test/crash/rig_test.go
+++ b/test/crash/rig_test.go
@@ -147,10 +147,11 @@
 		Source: func(s settings.Settings, call time.Duration) watch.Source {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
-		Dialect:    platform.Dialect(),
-		ReadyPath:  platform.ReadyPath,
-		HeldParts:  platform.Held,
-		LogDropped: func() uint64 { return 0 },
+		Dialect:         platform.Dialect(),
+		ReadyPath:       platform.ReadyPath,
+		HeldParts:       platform.Held,
+		LimitsAdmission: platform.LimitsAdmission,
+		LogDropped:      func() uint64 { return 0 },
 	}, log)
 	require.NoError(f.t, err)
 	f.routers, f.logs = append(f.routers, e), append(f.logs, log)
