front: refuse calls of plain services that have no capacity for them

Cause: a call of a service without engines was sent to a replica however long requests waited there, and was refused only after full replicas had rejected it. Change: Options.Overload decides once a call, before the first attempt; a refused call gets 503 with Retry-After and nothing is sent. Events 421 and 422 once per change and service, fields offered and granted in line 402 and a sentence in croftyardctl why, counters by reason and service. Without Options.Overload nothing changes; the daemon does not set it yet. The test of the metrics page records one refusal, as it does one request, so that the counter by service exists.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,7 @@
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/overload"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -169,6 +170,7 @@
 	e := start(t, &source{snapshot: served("127.0.0.1:1")}, time.Second)
 	until(e.Ready)
 	e.metrics.RecordRequest("r", "served", time.Millisecond, time.Millisecond, true)
+	e.metrics.RecordOverload("s", overload.OverShare)
 	response, err := http.Get("http://" + e.listeners[2].Addr().String() + "/metrics")
 	require.NoError(t, err)
 	defer response.Body.Close()
@@ -182,6 +184,9 @@
 		if strings.HasPrefix(name, "croftyard_front_route_") {
 			name = strings.TrimSuffix(name, "_r") + "_ROUTE"
 		}
+		if strings.HasPrefix(name, "croftyard_front_service_") {
+			name = strings.TrimSuffix(name, "_s") + "_SERVICE"
+		}
 		seen[name] = true
 	}
 	assert.Equal(t, listed, seen)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -74,6 +74,8 @@
 	ReplicaEnded      ID = 418
 	RequestHeld       ID = 419
 	RequestCleared    ID = 420
+	ServiceOverloaded ID = 421
+	ServiceHasRoom    ID = 422
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -145,6 +147,8 @@
 	ReplicaEnded:      {logrus.WarnLevel, "replica ended while it ran a request", "Look whether one digest stands in such lines of several replicas: that request may be what ends them."},
 	RequestHeld:       {logrus.WarnLevel, "request is taken to crash what runs it, refused from now on", "Its 418 lines, by digest, name requests, route and replicas: tell who sends it. It is tried again when its hold (`crash_hold`) is over."},
 	RequestCleared:    {logrus.InfoLevel, "request that was held was answered whole, served again", "None needed."},
+	ServiceOverloaded: {logrus.WarnLevel, "service overloaded, requests refused", "A service is overloaded, in OPERATIONS.md, tells what to look at. demand is what all callers ask for, limit what is admitted."},
+	ServiceHasRoom:    {logrus.InfoLevel, "service has room again", "None needed."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -240,10 +240,11 @@
 	if c.cachedDigest != nil {
 		digest = c.cachedDigest.String()
 	}
-	f.log.Write(id, event.F("request", c.id), event.F("digest", digest), event.F("route", c.routeName()), event.F("outcome", c.outcome.name), event.F("status", c.outcome.status),
+	fields := []event.Field{event.F("request", c.id), event.F("digest", digest), event.F("route", c.routeName()), event.F("outcome", c.outcome.name), event.F("status", c.outcome.status),
 		event.F("reason", c.outcome.reason), event.F("replica", c.outcome.replica), event.F("sent", c.sent.Load()),
 		event.F("may_have_run", c.mayHaveRun), event.F("first_byte_ms", c.firstByteTime().Milliseconds()), event.F("took_ms", took.Milliseconds()),
-		event.F("version", c.version), event.F("proof_ms", f.watcher.Staleness(steady.Now()).Milliseconds()))
+		event.F("version", c.version), event.F("proof_ms", f.watcher.Staleness(steady.Now()).Milliseconds())}
+	f.log.Write(id, append(fields, c.overloadFields()...)...)
 }
 
 // routeName returns the name of the route, or "" if none was found.
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -53,6 +53,12 @@
 	failedReplicas []string
 	// sentAt is when the last attempt started.
 	sentAt time.Time
+	// writtenAt is when the last attempt had a connection to write to.
+	writtenAt time.Time
+	// counted is set once admission control has counted the request, decided once it has
+	// decided on it; overloaded is set if it refused it.
+	counted, decided bool
+	overloaded       *overloadRefusal
 	// cachedDigest is the digest of the request, computed on first use.
 	cachedDigest *poison.Digest
 	// probed is closed once the replica that broke the request off has been probed.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -43,6 +43,10 @@
 		c.refreshList(ctx)
 		now := steady.Now()
 		excluded := c.exclusions(now)
+		if refused := c.checkOverload(excluded, now); refused != nil {
+			c.giveUp(refused)
+			return
+		}
 		choice, found := c.choose(excluded, now)
 		x, allExcluded := directory.Exclusion{}, false
 		if !found {
@@ -137,7 +141,10 @@
 	defer c.observeVersion(choice)
 	c.waiting.Store(true)
 	request := c.outgoing(choice)
-	request.Check = func() error { return c.checkBeforeWrite(id, steady.Now()) }
+	request.Check = func() error {
+		c.writtenAt = steady.Now()
+		return c.checkBeforeWrite(id, c.writtenAt)
+	}
 	request.Unacked = c.failover(c.silenceLimit(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
@@ -150,6 +157,7 @@
 		c.front.balancer.RecordDuration(id, steady.Since(sent))
 	}
 	c.sent.Add(1)
+	c.recordLoad(id, answer.Response)
 	c.front.recordStatements(c.id, id, sent, answer.Response)
 	return c.handleAnswer(ctx, cancel, choice, answer)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -66,6 +66,10 @@
 	OwnsTask func(task string) bool
 	// Without are the mechanisms that an experiment disables.
 	Without mechanism.Set
+	// Overload decides which requests a service without engines takes. If nil, all.
+	Overload Overload
+	// AdmissionEnabled reports whether requests may be refused by Overload. If nil, they may.
+	AdmissionEnabled func() bool
 }
 
 // Limits are the settings that can change while a Front runs.
@@ -114,6 +118,8 @@
 	broken brokenRequests
 	// inFlight are the calls in progress.
 	inFlight inFlightCalls
+	// overloaded are the services for which requests are refused.
+	overloaded overloadedServices
 }
 
 // New returns a Front.
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"strings"
 	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/croftyard/croftyard/pkg/overload"
 )
 
 // Metrics are the metrics of a Front. Times are in milliseconds. Names follow
@@ -22,8 +25,9 @@
 	TimeToFirstByte gometrics.Histogram
 	Duration        gometrics.Histogram
 
-	mu     sync.Mutex
-	routes map[string]bool
+	mu sync.Mutex
+	// routes and services have metrics of their own.
+	routes, services map[string]bool
 }
 
 const (
@@ -31,16 +35,16 @@
 	sampleSize = 512
 	// routeSampleSize is the same for the histograms of a single route.
 	routeSampleSize = 64
-	// maxRoutes bounds the number of routes with histograms of their own. The others share
-	// one.
-	maxRoutes   = 32
-	otherRoutes = "other"
+	// maxLabels bounds the number of routes, and that of services, with metrics of their own.
+	// The others share one.
+	maxLabels  = 32
+	otherLabel = "other"
 )
 
 // NewMetrics returns metrics in a new registry.
 func NewMetrics() *Metrics {
 	r := gometrics.NewRegistry()
-	return &Metrics{
+	m := &Metrics{
 		Registry:          r,
 		Retries:           gometrics.NewRegisteredCounter("croftyard.front.repeats", r),
 		ConnectionsOpened: gometrics.NewRegisteredCounter("croftyard.front.connections_opened", r),
@@ -50,14 +54,31 @@
 		TimeToFirstByte:   gometrics.NewRegisteredHistogram("croftyard.front.first_byte_ms", r, gometrics.NewUniformSample(sampleSize)),
 		Duration:          gometrics.NewRegisteredHistogram("croftyard.front.whole_ms", r, gometrics.NewUniformSample(sampleSize)),
 		routes:            make(map[string]bool),
+		services:          make(map[string]bool),
+	}
+	for _, reason := range []overload.Reason{overload.OverShare, overload.TooLate} {
+		m.refusedOverloaded(reason)
 	}
+	return m
+}
+
+// refusedOverloaded returns the counter of requests that admission control refused for a
+// reason.
+func (m *Metrics) refusedOverloaded(reason overload.Reason) gometrics.Counter {
+	return gometrics.GetOrRegisterCounter("croftyard.front.refused_overloaded."+strings.ReplaceAll(string(reason), " ", "_"), m.Registry)
+}
+
+// RecordOverload counts a request that admission control refused.
+func (m *Metrics) RecordOverload(service string, reason overload.Reason) {
+	m.refusedOverloaded(reason).Inc(1)
+	gometrics.GetOrRegisterCounter("croftyard.front.service_refused_overloaded."+m.label(m.services, service), m.Registry).Inc(1)
 }
 
 // RecordRequest counts a request by its route and outcome.
 func (m *Metrics) RecordRequest(route, outcome string, took, first time.Duration, begun bool) {
 	gometrics.GetOrRegisterCounter("croftyard.front.requests."+outcome, m.Registry).Inc(1)
 	m.Duration.Update(took.Milliseconds())
-	label := m.label(route)
+	label := m.label(m.routes, route)
 	m.histogram("croftyard.front.route_whole_ms." + label).Update(took.Milliseconds())
 	if begun {
 		m.TimeToFirstByte.Update(first.Milliseconds())
@@ -71,12 +92,14 @@
 	}).(gometrics.Histogram)
 }
 
-func (m *Metrics) label(route string) string {
+// label returns a name if it has metrics of its own, and otherLabel otherwise. known holds
+// those that have.
+func (m *Metrics) label(known map[string]bool, name string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if route == "" || !m.routes[route] && len(m.routes) >= maxRoutes {
-		return otherRoutes
+	if name == "" || !known[name] && len(known) >= maxLabels {
+		return otherLabel
 	}
-	m.routes[route] = true
-	return route
+	known[name] = true
+	return name
 }
--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -173,7 +173,7 @@
 // isBelief tells whether a line is of interest beside a request: those on
 // replicas only if they are concerned, those on other requests never.
 func isBelief(line Line, replicas map[string]bool) bool {
-	if line.Event/group == requestGroup {
+	if line.Event/group == requestGroup && !tellsOfOverload(line) {
 		return false
 	}
 	return line.Replica == "" || replicas[line.Replica]
@@ -210,6 +210,9 @@
 			fmt.Fprintf(b, "  %s=%s", name, strings.Trim(string(line.Fields[name]), `"`))
 		}
 		b.WriteByte('\n')
+		if text := line.overloadText(); text != "" {
+			fmt.Fprintf(b, "            %s\n", text)
+		}
 	}
 }
 
--- a/internal/why/why_test.go
+++ b/internal/why/why_test.go
@@ -82,3 +82,23 @@
 		_, _ = log.Of("x")
 	})
 }
+
+// Guards against a refusal for overload of which the story tells neither whose share was used up nor since when.
+func TestTheStoryOfARefusalForOverload(t *testing.T) {
+	const lines = `{"event":421,"instance":"r1","msg":"service overloaded","service":"ops","limit":27,"time":"2026-01-02T00:00:01Z"}
+{"event":402,"instance":"r1","msg":"request refused","request":"x","service":"ops","organisation":"acme","priority":2,"offered":12.35,"granted":4,"demand":40,"limit":27,"wait_ms":90,"time":"2026-01-02T00:00:02Z"}
+`
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(lines)))
+	story, err := log.Of("x")
+	require.NoError(t, err)
+	var out strings.Builder
+	require.NoError(t, story.Write(&out))
+	assert.Equal(t, `request x, 1 lines
+  +0.000 s  r1  402 request refused  demand=40  granted=4  limit=27  offered=12.35  organisation=acme  priority=2  service=ops  wait_ms=90
+            service ops is overloaded: 40 requests/s asked for, 27 admitted, 90 ms of waiting; organisation acme at priority 2 asked for 12.35 and may have 4
+
+what its routers came to believe, from 5s before
+  -1.000 s  r1  421 service overloaded  limit=27  service=ops
+`, out.String())
+}
