balance: placement of plain calls by rate

Cause: calls of plain services are drawn by counts of running requests that are up to 1.2 s old, although a call takes 60 ms, and a slower or a full replica is not told from a busy one. The mechanism switches admission and rates.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -43,6 +43,9 @@
 	// ColdRate is how many requests a second a cold replica of the service can take; 0 if
 	// it takes as many as a warm one.
 	ColdRate float64
+	// Target is the time within which the caller wants an answer from a plain service; 0
+	// for the default.
+	Target time.Duration
 }
 
 // Reason says why a replica was chosen.
@@ -60,6 +63,8 @@
 	Diverted Reason = "diverted"
 	// LeastLoaded: the least loaded replica of a plain service.
 	LeastLoaded Reason = "least loaded"
+	// ByRate: a replica of a plain service, drawn by the rate that it should get.
+	ByRate Reason = "by rate"
 	// LastResort: all remaining replicas are suspected or above the bound.
 	LastResort Reason = "last resort"
 	// Cold: a cold replica, within this router's share of its rate, since no warm replica
@@ -156,6 +161,8 @@
 	coldShares     coldShares
 	rollouts       *rollout.Controller
 	hooks          atomic.Pointer[ReplicaHooks]
+	// estimator estimates the replicas of plain services; nil if there is none.
+	estimator Estimator
 	// pendingRestarts holds restarts learned from rumors, to be passed to hooks.
 	pendingRestarts []directory.Replica
 }
--- a/pkg/balance/mechanisms_test.go
+++ b/pkg/balance/mechanisms_test.go
@@ -82,6 +82,10 @@
 			b.RequestStarted(home.ID)
 			return pickFrom(b, "dc0", prompt(5)).Replica.ID
 		},
+		"rates": func(b *Balancer) any {
+			b.SetEstimator(fixedEstimates{})
+			return pickFrom(b, "dc0", nil).Reason
+		},
 	}
 	for name, decide := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/balance/plain.go
+++ b/pkg/balance/plain.go
@@ -15,14 +15,19 @@
 	// A random order lets routers with the same information choose differently.
 	b.random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
 	sound := b.leastBad(left, now)
-	chosen := b.leastPlainLoad(q, sound, now)
-	if b.largeFleet {
-		chosen = b.drawByLoad(q, sound, now)
+	reason := ByRate
+	chosen, known := b.drawByRate(q, sound, now)
+	switch {
+	case known:
+	case b.largeFleet:
+		chosen, reason = b.drawByLoad(q, sound, now), LeastLoaded
+	default:
+		chosen, reason = b.leastPlainLoad(q, sound, now), LeastLoaded
 	}
 	if b.isSuspect(chosen, now) {
-		return chosen, LastResort
+		reason = LastResort
 	}
-	return chosen, LeastLoaded
+	return chosen, reason
 }
 
 // leastBad returns the replicas with the lowest badness.
@@ -60,10 +65,17 @@
 // least loaded replica, they would fill it, turn to the next, and fill that.
 func (b *Balancer) drawByLoad(q Request, list []*replica, now time.Time) *replica {
 	weights := make([]float64, len(list))
-	total := 0.0
 	for i, r := range list {
 		weights[i] = 1 / (1 + b.plainLoad(q, r, now))
-		total += weights[i]
+	}
+	return b.draw(list, weights)
+}
+
+// draw draws a replica at random by weight.
+func (b *Balancer) draw(list []*replica, weights []float64) *replica {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
 	}
 	point := b.random.Float64() * total
 	for i, weight := range weights {
--- a/pkg/mechanism/mechanism.go
+++ b/pkg/mechanism/mechanism.go
@@ -49,6 +49,10 @@
 	Renew
 	// Spread: a part that draws more than its home takes is spread over several.
 	Spread
+	// Admission: a plain service without capacity for all requests refuses some at once.
+	Admission
+	// PlainRates: replicas of plain services are drawn by the rates that they can take.
+	PlainRates
 )
 
 // ErrUnknown: there is no such mechanism.
@@ -58,6 +62,7 @@
 var names = []string{
 	"holders", "copies", "near", "leavers", "bound", "silence", "pace", "evidence", "rumors",
 	"last_resort", "resume", "hang", "recall", "priority", "rank", "renew", "spread",
+	"admission", "rates",
 }
 
 // Names returns the names of all mechanisms.
