entry: admission control of plain services is wired to front, gossip and placement

Cause: the parts were built side by side and nothing connected them. Change: one controller, with its switch, is given to gossip, the balancer and the front. Where admission control is off nothing is recorded, reported or estimated, so that other deployments send and decide as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,14 +158,16 @@
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
-	e.front = front.New(front.Options{
+	options := front.Options{
 		Dialect:    e.env.Dialect,
 		DataCentre: e.settings.DataCentre,
 		Limits:     frontLimits(b),
 		Poison:     e.poison,
 		OwnsTask:   e.gossip.OwnsTask,
 		Without:    e.settings.Without,
-	}, e.watcher, e.holder, e.balancer, e.pool, e.metrics, e.log)
+	}
+	e.connectOverload(&options)
+	e.front = front.New(options, e.watcher, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	e.balancer.SetReplicaHooks(balance.ReplicaHooks{
 		Restarted: func(id, address string) {
 			e.pool.DropIdleTo(address)
--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -60,13 +61,59 @@
 	}
 }
 
+// switchedOverload is the controller where admission control is on. Where it is off, nothing is
+// recorded, reported or estimated, so that a deployment without it sends and decides as if
+// there were no controller.
+type switchedOverload struct {
+	*overload.Controller
+	admission *admissionSwitch
+}
+
+// switchedOverload returns the controller with its switch.
+func (e *Entry) switchedOverload() switchedOverload {
+	return switchedOverload{e.overload, e.admission}
+}
+
+// Report implements gossip.OverloadReports.
+func (o switchedOverload) Report(now time.Time) overload.Report {
+	if !o.admission.Enabled() {
+		return overload.Report{}
+	}
+	return o.Controller.Report(now)
+}
+
+// GroupReport implements gossip.OverloadReports.
+func (o switchedOverload) GroupReport(sources []string, now time.Time) overload.Report {
+	if !o.admission.Enabled() {
+		return overload.Report{}
+	}
+	return o.Controller.GroupReport(sources, now)
+}
+
+// Estimate implements balance.Estimator.
+func (o switchedOverload) Estimate(replica overload.Replica, usable []overload.Replica, now time.Time) (overload.Estimate, bool) {
+	if !o.admission.Enabled() {
+		return overload.Estimate{}, false
+	}
+	return o.Controller.Estimate(replica, usable, now)
+}
+
 // overloadReports returns what gossip is given: nil, not a nil controller, if admission
 // control is off.
 func (e *Entry) overloadReports() gossip.OverloadReports {
 	if e.overload == nil {
 		return nil
 	}
-	return e.overload
+	return e.switchedOverload()
+}
+
+// connectOverload gives the controller to the balancer and, by the options, to the front.
+func (e *Entry) connectOverload(o *front.Options) {
+	if e.overload == nil {
+		return
+	}
+	e.balancer.SetEstimator(e.switchedOverload())
+	o.Overload, o.AdmissionEnabled, o.ObservePace = e.overload, e.admission.Enabled, e.admission.ObservePace
 }
 
 // ServiceState is what the router believes of a service without engines. Rates are in
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -92,7 +92,7 @@
 // question returns the balancer's query for a replica that is neither tried nor excluded.
 func (c *call) question(excluded []string) balance.Request {
 	tried := slices.Concat(c.tried, excluded)
-	q := balance.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate}
+	q := balance.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate, Target: c.route.Target}
 	if c.service.Engine != nil {
 		q.Parts = c.parts
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,6 +71,9 @@
 	Overload Overload
 	// AdmissionEnabled reports whether requests may be refused by Overload. If nil, they may.
 	AdmissionEnabled func() bool
+	// ObservePace is called with the pace in a replica's load header, 0 if it had none. It
+	// may be nil.
+	ObservePace func(pace int)
 }
 
 // Limits are the settings that can change while a Front runs.
--- a/pkg/balance/usable.go
+++ b/pkg/balance/usable.go
@@ -7,23 +7,39 @@
 	"github.com/croftyard/croftyard/pkg/overload"
 )
 
-// UsableReplicas returns the replicas of a service that this router may send requests to now.
-// excluded holds ids that it must not use. A replica that is avoided only because it was full
-// is included: it is alive, and how long requests wait there is what admission is decided by.
+// UsableReplicas returns the replicas of a plain service that this router may send requests
+// to now. excluded holds ids that it must not use. A replica that is avoided only because
+// it was full is included, as it works at its capacity. If all are suspected, the least bad
+// ones within reach are returned, since requests go there. A share of a roll-out does not
+// matter: the rest of the requests uses the rest of the replicas.
 func (b *Balancer) UsableReplicas(service string, excluded []string, now time.Time) []overload.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.usableReplicas(service, excluded, now)
-}
-
-// usableReplicas is UsableReplicas with b.mu held.
-func (b *Balancer) usableReplicas(service string, excluded []string, now time.Time) []overload.Replica {
-	list := make([]overload.Replica, 0, len(b.services[service]))
-	for _, r := range b.services[service] {
-		if slices.Contains(excluded, r.ID) || r.isCutOff(now) || r.health.isAvoided(now) && r.health.kind != Shed {
+	all := b.services[service]
+	if plan, limited := b.rollouts.Plan(service, now); limited {
+		current, updated := divideByVersion(all, plan)
+		all = slices.Concat(current, updated)
+	}
+	var usable, reached []*replica
+	for _, r := range all {
+		if b.isUnreachable(r, now) || slices.Contains(excluded, r.ID) {
 			continue
 		}
-		list = append(list, overload.Replica{Hash: r.shortHash, Slots: r.Slots})
+		reached = append(reached, r)
+		if !r.health.isAvoided(now) || r.health.kind == Shed {
+			usable = append(usable, r)
+		}
+	}
+	if len(usable) == 0 {
+		usable = b.leastBad(reached, now)
+	}
+	return overloadReplicas(usable)
+}
+
+func overloadReplicas(list []*replica) []overload.Replica {
+	replicas := make([]overload.Replica, len(list))
+	for i, r := range list {
+		replicas[i] = overload.Replica{Hash: r.shortHash, Slots: r.Slots}
 	}
-	return list
+	return replicas
 }
