--- a/internal/front/overload.go
+++ b/internal/front/overload.go
@@ -23,6 +23,8 @@
 	Decide(q overload.Request, now time.Time) overload.Decision
 }
 
+var _ Overload = (*overload.Controller)(nil)
+
 // admissionControl returns the admission control of the call's service, or nil if it has
 // none. Engines have queues and bounds of their own.
 func (c *call) admissionControl() Overload {
@@ -47,6 +49,8 @@
 		control.Arrived(q.Service, q.Share, now)
 	}
 	if enabled := c.front.options.AdmissionEnabled; enabled != nil && !enabled() {
+		// Ends the overload of a service whose requests were refused until this was switched off.
+		c.front.recordDecision(q.Service, overload.Decision{Admitted: true}, now)
 		return nil
 	}
 	q.Usable = c.front.balancer.UsableReplicas(q.Service, idsOf(excluded), now)
