--- a/pkg/overload/failures_test.go
+++ b/pkg/overload/failures_test.go
@@ -126,6 +126,9 @@
 	assert.InDelta(t, once.Demand*math.Exp(-1.2), lost.Demand, 1e-6)
 	c.MergeReport("x", contended(), start.Add(2*round))
 	assert.Equal(t, once, c.Status("s", target, usable, start.Add(2*round)))
+	expiry := start.Add(2*round + 2500*time.Millisecond)
+	assert.NotZero(t, c.Status("s", target, usable, expiry.Add(-sumsExpiry-1)))
+	assert.Zero(t, c.Status("s", target, usable, expiry.Add(1)))
 }
 
 // Guards against invalid figures that reach an estimate, shut an organisation out or take memory.
@@ -137,7 +140,7 @@
 			var r Report
 			for i := range 100_000 {
 				r.Replicas = append(r.Replicas, ReplicaReport{uint32(i), 1, figure, figure}, ReplicaReport{uint32(i), figure, 0, 1})
-				r.Shares = append(r.Shares, ShareReport{hash32("s"), hash32(organisation(i)), i % 3, figure}, ShareReport{hash32("s"), 1, int(int32(i)) - 50, 1})
+				r.Shares = append(r.Shares, ShareReport{hash32("s"), hash32(organisation(i)), i % 3, figure}, ShareReport{hash32("s"), 1, i - 50, 1})
 			}
 			c.MergeReport("bad", r, start)
 			assert.LessOrEqual(t, len(c.sources[1].replicas), maxRows)
@@ -189,6 +192,8 @@
 	c.MergeReport("x", contended(), start)
 	assert.Equal(t, []ShareReport{{hash32("s"), hash32("a"), 0, 1}}, c.Report(start).Shares)
 	assert.Empty(t, c.Report(start).Replicas, "own figures only")
+	c.Status("s", time.Minute, usable, start)
+	assert.NotEmpty(t, c.Report(start).Shares, "the smallest target counts")
 	group := c.GroupReport([]string{"x"}, start)
 	assert.Len(t, group.Replicas, 3)
 	assert.InDelta(t, 301, group.Shares[0].Offered, 1e-9)
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -47,24 +47,25 @@
 // Guards against refusals that are not based on requests that wait or are rejected.
 func TestRefusesOnlyContended(t *testing.T) {
 	for _, tc := range []struct {
-		name     string
-		took     time.Duration
-		rejected float64
-		offered  float64
-		refuses  bool
+		name            string
+		took            time.Duration
+		rejected, scale float64
+		offered         float64
+		refuses         bool
 	}{
-		{"nothing waits, demand of ten times the capacity", 60 * time.Millisecond, 0, 3000, false},
-		{"a wait below the gate", 97 * time.Millisecond, 0, 3000, false},
-		{"a wait above the gate", 98 * time.Millisecond, 0, 3000, true},
-		{"a wait above the gate, demand within the limit", 98 * time.Millisecond, 0, 310, false},
-		{"one in a hundred rejected", 60 * time.Millisecond, 1, 3000, false},
-		{"one in ten rejected", 60 * time.Millisecond, 11, 3000, true},
+		{"nothing waits, demand of ten times the capacity", 60 * time.Millisecond, 0, 1, 3000, false},
+		{"a wait below the gate", 97 * time.Millisecond, 0, 1, 3000, false},
+		{"a wait above the gate", 98 * time.Millisecond, 0, 1, 3000, true},
+		{"a wait above the gate, demand within the limit", 98 * time.Millisecond, 0, 1, 310, false},
+		{"one in a hundred rejected", 60 * time.Millisecond, 1, 1, 3000, false},
+		{"one in ten rejected", 60 * time.Millisecond, 11, 1, 3000, true},
+		{"one in ten rejected, seconds ago", 60 * time.Millisecond, 11, 0.005, 3000, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := New(1)
 			r := loaded(tc.took, tc.offered)
-			for i := range r.Replicas {
-				r.Replicas[i].Rejected = tc.rejected
+			for i, row := range r.Replicas {
+				r.Replicas[i] = ReplicaReport{row.Replica, row.Answered * tc.scale, tc.rejected * tc.scale, row.Busy * tc.scale}
 			}
 			c.MergeReport("r", r, start)
 			assert.Equal(t, tc.refuses, refused(c, 0, start) > 0)
@@ -136,14 +137,18 @@
 func TestTooLate(t *testing.T) {
 	for _, tc := range []struct {
 		took, left time.Duration
+		rejected   float64
 		reason     Reason
 	}{
-		{200 * time.Millisecond, 350 * time.Millisecond, ""}, // 140 ms + 200 ms
-		{200 * time.Millisecond, 330 * time.Millisecond, TooLate},
-		{60 * time.Millisecond, 30 * time.Millisecond, ""},
+		{200 * time.Millisecond, 350 * time.Millisecond, 0, ""}, // 140 ms + 200 ms
+		{200 * time.Millisecond, 330 * time.Millisecond, 0, TooLate},
+		{90 * time.Millisecond, 100 * time.Millisecond, 0, ""}, // not contended
+		{60 * time.Millisecond, 30 * time.Millisecond, 50, ""}, // contended, nothing waits
 	} {
 		c := New(1)
-		c.MergeReport("r", loaded(tc.took, 10), start)
+		r := loaded(tc.took, 10)
+		r.Replicas[0].Rejected = tc.rejected
+		c.MergeReport("r", r, start)
 		q := request(0)
 		q.Left = tc.left
 		d := c.Decide(q, start)
