entry: nothing of admission control takes effect until it is on

Cause: with admission = auto, which deploy/settings.ini sets everywhere, the controller counts before anything turns admission control on, so its reports would be sent in deployments that do not ask for it. A pace in a load header reached nobody.

Change: gossip and the balancer get the controller through a gate: no reports until the switch is on or another router reports, no estimates until it is on. The front passes each pace that it reads to the switch (Options.ObservePace).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,7 +33,6 @@
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
-	"github.com/croftyard/croftyard/pkg/overload"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/pkg/turns"
@@ -79,7 +78,7 @@
 	gossip   *gossip.Gossip
 	// overload decides on requests to services without engines; nil if the settings turn
 	// admission control off. admission tells whether its decisions apply.
-	overload  *overload.Controller
+	overload  *gatedController
 	admission *admissionSwitch
 
 	statusWriter atomic.Pointer[rollout.Writer]
@@ -165,6 +164,8 @@
 		Poison:     e.poison,
 		OwnsTask:   e.gossip.OwnsTask,
 		Without:    e.settings.Without,
+
+		ObservePace: e.admission.ObservePace,
 	}, e.watcher, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	e.balancer.SetReplicaHooks(balance.ReplicaHooks{
 		Restarted: func(id, address string) {
--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -52,16 +52,27 @@
 	a.on.Store(true)
 }
 
+// gatedController is the controller as gossip and the balancer get it: without effect until
+// admission control is on, so that nothing changes in a deployment that does not ask for it.
+//
+// It also reports from when another router did. One that was just restarted and has not yet
+// seen a pace thus passes on what its line reports.
+type gatedController struct {
+	*overload.Controller
+	admission *admissionSwitch
+	heard     atomic.Bool
+}
+
 // buildOverload creates the controller unless admission control is off.
 func (e *Entry) buildOverload() {
 	e.admission = e.newAdmissionSwitch(e.settings)
 	if e.admission != nil {
-		e.overload = overload.New(uint64(steady.Now().UnixNano()))
+		e.overload = &gatedController{Controller: overload.New(uint64(steady.Now().UnixNano())), admission: e.admission}
 	}
 }
 
-// overloadReports returns what gossip is given: nil, not a nil controller, if admission
-// control is off.
+// overloadReports returns what gossip is given: nil, not an interface that holds nil, if
+// admission control is off.
 func (e *Entry) overloadReports() gossip.OverloadReports {
 	if e.overload == nil {
 		return nil
@@ -69,6 +80,39 @@
 	return e.overload
 }
 
+func (g *gatedController) reports() bool { return g.admission.Enabled() || g.heard.Load() }
+
+// Report implements gossip.OverloadReports.
+func (g *gatedController) Report(now time.Time) overload.Report {
+	if !g.reports() {
+		return overload.Report{}
+	}
+	return g.Controller.Report(now)
+}
+
+// GroupReport implements gossip.OverloadReports.
+func (g *gatedController) GroupReport(sources []string, now time.Time) overload.Report {
+	if !g.reports() {
+		return overload.Report{}
+	}
+	return g.Controller.GroupReport(sources, now)
+}
+
+// MergeReport implements gossip.OverloadReports.
+func (g *gatedController) MergeReport(source string, r overload.Report, now time.Time) {
+	g.heard.Store(true)
+	g.Controller.MergeReport(source, r, now)
+}
+
+// Estimate returns what is known of a replica for placement, false while admission control
+// is not on.
+func (g *gatedController) Estimate(replica overload.Replica, usable []overload.Replica, now time.Time) (overload.Estimate, bool) {
+	if !g.admission.Enabled() {
+		return overload.Estimate{}, false
+	}
+	return g.Controller.Estimate(replica, usable, now)
+}
+
 // ServiceState is what the router believes of a service without engines. Rates are in
 // requests per second.
 type ServiceState struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,8 @@
 	Limits     Limits
 	// Poison records the requests that crash replicas. If nil, New creates one.
 	Poison *poison.Tracker
+	// ObservePace is called with the pace of each load header that has one. It may be nil.
+	ObservePace func(pace int)
 	// OwnsTask reports whether this router, of all routers, is responsible for a task. If
 	// nil, it is responsible for all.
 	OwnsTask func(task string) bool
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -16,8 +16,11 @@
 func (c *call) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
 	d := &c.front.options.Dialect
 	id := choice.Replica.ID
-	if load, _, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
+	if load, pace, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
 		c.front.balancer.LoadReported(id, load, steady.Now())
+		if observe := c.front.options.ObservePace; observe != nil && pace > 0 {
+			observe(pace)
+		}
 	}
 	if answer.Header.Get(d.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
 		drainBody(answer)
