--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -10,8 +10,6 @@
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
-	"github.com/croftyard/croftyard/pkg/balance"
-	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/overload"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -53,67 +51,96 @@
 	a.on.Store(true)
 }
 
+// gatedController is the controller as gossip, the balancer and the front get it: without
+// effect until admission control is on, so that nothing changes in a deployment that does not
+// ask for it.
+//
+// It also records and reports from when another router reported. One that was just restarted
+// and has not yet seen a pace thus passes on what its line reports.
+type gatedController struct {
+	*overload.Controller
+	admission *admissionSwitch
+	heard     atomic.Bool
+}
+
 // buildOverload creates the controller unless admission control is off.
 func (e *Entry) buildOverload() {
 	e.admission = e.newAdmissionSwitch(e.settings)
 	if e.admission != nil {
-		e.overload = overload.New(uint64(steady.Now().UnixNano()))
+		e.overload = &gatedController{Controller: overload.New(uint64(steady.Now().UnixNano())), admission: e.admission}
 	}
 }
 
-// switchedOverload is the controller where admission control is on. Where it is off, nothing is
-// recorded, reported or estimated, so that a deployment without it sends and decides as if
-// there were no controller.
-type switchedOverload struct {
-	*overload.Controller
-	admission *admissionSwitch
+// overloadReports returns what gossip is given: nil, not an interface that holds nil, if
+// admission control is off.
+func (e *Entry) overloadReports() gossip.OverloadReports {
+	if e.overload == nil {
+		return nil
+	}
+	return e.overload
 }
 
-// switchedOverload returns the controller with its switch.
-func (e *Entry) switchedOverload() switchedOverload {
-	return switchedOverload{e.overload, e.admission}
+// connectOverload gives the controller to the balancer and, by the options, to the front.
+func (e *Entry) connectOverload(o *front.Options) {
+	if e.overload == nil {
+		return
+	}
+	e.balancer.SetEstimator(e.overload)
+	o.Overload, o.AdmissionEnabled, o.ObservePace = e.overload, e.admission.Enabled, e.admission.ObservePace
 }
 
-// Report implements gossip.OverloadReports.
-func (o switchedOverload) Report(now time.Time) overload.Report {
-	if !o.admission.Enabled() {
-		return overload.Report{}
+func (g *gatedController) reports() bool { return g.admission.Enabled() || g.heard.Load() }
+
+// Arrived implements front.Overload.
+func (g *gatedController) Arrived(service string, share overload.Share, now time.Time) {
+	if g.reports() {
+		g.Controller.Arrived(service, share, now)
 	}
-	return o.Controller.Report(now)
 }
 
-// GroupReport implements gossip.OverloadReports.
-func (o switchedOverload) GroupReport(sources []string, now time.Time) overload.Report {
-	if !o.admission.Enabled() {
-		return overload.Report{}
+// Answered implements front.Overload.
+func (g *gatedController) Answered(replica uint32, took time.Duration, now time.Time) {
+	if g.reports() {
+		g.Controller.Answered(replica, took, now)
 	}
-	return o.Controller.GroupReport(sources, now)
 }
 
-// Estimate implements balance.Estimator.
-func (o switchedOverload) Estimate(replica overload.Replica, usable []overload.Replica, now time.Time) (overload.Estimate, bool) {
-	if !o.admission.Enabled() {
-		return overload.Estimate{}, false
+// Rejected implements front.Overload.
+func (g *gatedController) Rejected(replica uint32, now time.Time) {
+	if g.reports() {
+		g.Controller.Rejected(replica, now)
 	}
-	return o.Controller.Estimate(replica, usable, now)
 }
 
-// overloadReports returns what gossip is given: nil, not a nil controller, if admission
-// control is off.
-func (e *Entry) overloadReports() gossip.OverloadReports {
-	if e.overload == nil {
-		return nil
+// Report implements gossip.OverloadReports.
+func (g *gatedController) Report(now time.Time) overload.Report {
+	if !g.reports() {
+		return overload.Report{}
 	}
-	return e.switchedOverload()
+	return g.Controller.Report(now)
 }
 
-// connectOverload gives the controller to the balancer and, by the options, to the front.
-func (e *Entry) connectOverload(o *front.Options) {
-	if e.overload == nil {
-		return
+// GroupReport implements gossip.OverloadReports.
+func (g *gatedController) GroupReport(sources []string, now time.Time) overload.Report {
+	if !g.reports() {
+		return overload.Report{}
 	}
-	e.balancer.SetEstimator(e.switchedOverload())
-	o.Overload, o.AdmissionEnabled, o.ObservePace = e.overload, e.admission.Enabled, e.admission.ObservePace
+	return g.Controller.GroupReport(sources, now)
+}
+
+// MergeReport implements gossip.OverloadReports.
+func (g *gatedController) MergeReport(source string, r overload.Report, now time.Time) {
+	g.heard.Store(true)
+	g.Controller.MergeReport(source, r, now)
+}
+
+// Estimate returns what is known of a replica for placement, false while admission control
+// is not on.
+func (g *gatedController) Estimate(replica overload.Replica, usable []overload.Replica, now time.Time) (overload.Estimate, bool) {
+	if !g.admission.Enabled() {
+		return overload.Estimate{}, false
+	}
+	return g.Controller.Estimate(replica, usable, now)
 }
 
 // ServiceState is what the router believes of a service without engines. Rates are in
@@ -142,7 +169,7 @@
 		if service.Engine != nil {
 			continue
 		}
-		s := e.overload.Status(service.Name, shortestTarget(config.Routes, service.Name), e.usableReplicas(service.Name, now), now)
+		s := e.overload.Status(service.Name, shortestTarget(config.Routes, service.Name), e.balancer.UsableReplicas(service.Name, e.excludedReplicas(service.Name, now), now), now)
 		list = append(list, ServiceState{
 			Service:  service.Name,
 			WaitMS:   s.Wait.Milliseconds(),
@@ -169,18 +196,18 @@
 	return shortest
 }
 
-// usableReplicas returns the replicas of a service that new requests may be sent to.
-func (e *Entry) usableReplicas(service string, now time.Time) []overload.Replica {
-	var usable []overload.Replica
+// excludedReplicas returns the ids of the replicas of a service that get no new requests.
+func (e *Entry) excludedReplicas(service string, now time.Time) []string {
+	var excluded []string
 	for _, r := range e.watcher.Replicas() {
-		if r.Service != service || r.State != directory.Ready || r.Evacuated || e.balancer.Suspected(r.ID, now) {
+		if r.Service != service {
 			continue
 		}
-		if _, excluded := e.front.Exclusion(r.ID, now); !excluded {
-			usable = append(usable, overload.Replica{Hash: balance.ReplicaHash(r.ID), Slots: r.Slots})
+		if _, found := e.front.Exclusion(r.ID, now); found {
+			excluded = append(excluded, r.ID)
 		}
 	}
-	return usable
+	return excluded
 }
 
 // finite returns a rate that JSON can represent.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,8 @@
 	Limits     Limits
 	// Poison records the requests that crash replicas. If nil, New creates one.
 	Poison *poison.Tracker
+	// ObservePace is called with the pace of each load header that has one. It may be nil.
+	ObservePace func(pace int)
 	// OwnsTask reports whether this router, of all routers, is responsible for a task. If
 	// nil, it is responsible for all.
 	OwnsTask func(task string) bool
@@ -71,9 +73,6 @@
 	Overload Overload
 	// AdmissionEnabled reports whether requests may be refused by Overload. If nil, they may.
 	AdmissionEnabled func() bool
-	// ObservePace is called with the pace in a replica's load header, 0 if it had none. It
-	// may be nil.
-	ObservePace func(pace int)
 }
 
 // Limits are the settings that can change while a Front runs.
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -18,7 +18,7 @@
 	id := choice.Replica.ID
 	if load, pace, told := d.ParseLoad(answer.Header.Get(d.Load)); told {
 		c.front.balancer.LoadReported(id, load, steady.Now())
-		if observe := c.front.options.ObservePace; observe != nil {
+		if observe := c.front.options.ObservePace; observe != nil && pace > 0 {
 			observe(pace)
 		}
 	}
