front: bodies of all calls are charged against one memory budget

Each call held its body, up to the configured size, and nothing bounded their sum: some callers that send large bodies slowly could use up a router's memory.

pkg/membudget counts bytes against a limit without waiting. A body of known length is reserved before it is read, a chunked one before each step of growth; what does not fit is refused with 503 and Retry-After, not sent. Events 423 and 424, three gauges.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -147,6 +147,7 @@
 		Dialect:    e.env.Dialect,
 		DataCentre: e.settings.DataCentre,
 		Limits:     frontLimits(b),
+		HeldBytes:  e.settings.Limits.HeldBytes,
 		Poison:     e.poison,
 		OwnsTask:   e.gossip.OwnsTask,
 		Without:    e.settings.Without,
@@ -184,6 +185,7 @@
 	e.watcher.Reconfigure(e.source(s), e.followOptions(s))
 	e.bounds.Store(&s.Bounds)
 	e.front.SetLimits(frontLimits(s.Bounds))
+	e.front.SetHeldBytes(s.Limits.HeldBytes)
 	e.poison.SetLimits(poisonLimits(s.Routes))
 	e.balancer.SetLoadFactor(s.Bounds.LoadFactor)
 	e.balancer.SetColdBounds(coldBounds(s.Bounds))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -74,6 +74,8 @@
 	ReplicaEnded      ID = 418
 	RequestHeld       ID = 419
 	RequestCleared    ID = 420
+	MemoryFull        ID = 423
+	MemoryFree        ID = 424
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -145,6 +147,8 @@
 	ReplicaEnded:      {logrus.WarnLevel, "replica ended while it ran a request", "Look whether one digest stands in such lines of several replicas: that request may be what ends them."},
 	RequestHeld:       {logrus.WarnLevel, "request is taken to crash what runs it, refused from now on", "Its 418 lines, by digest, name requests, route and replicas: tell who sends it. It is tried again when its hold (`crash_hold`) is over."},
 	RequestCleared:    {logrus.InfoLevel, "request that was held was answered whole, served again", "None needed."},
+	MemoryFull:        {logrus.WarnLevel, "memory for callers used up, calls refused", "Look who sends large bodies or sends them slowly; raise held_bytes in [limits] if the machine has more memory."},
+	MemoryFree:        {logrus.InfoLevel, "half of the memory for callers is free again", "None needed. rejected counts since the start."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -30,6 +30,8 @@
 	// parts are those of the prompt; body is the complete body.
 	parts []balance.Part
 	body  []byte
+	// held is what the call has reserved of the router's memory budget, in bytes.
+	held int64
 	// shareDraw selects among the shares of a route, the same one for each attempt.
 	shareDraw float64
 
@@ -104,6 +106,7 @@
 const defaultTimeout = 10 * time.Minute
 
 func (c *call) serve() {
+	defer c.releaseHeld()
 	if refused := c.admit(c.request.Context()); refused != nil {
 		c.refuse(refused)
 		return
@@ -172,13 +175,15 @@
 	// The errors are ignored: some writers do not support deadlines.
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(steady.OfDay(c.deadline))
-	body, err := io.ReadAll(reader)
+	body, err := c.readHeld(reader, c.request.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		c.body = body
 		return nil
+	case errors.Is(err, errNoMemory):
+		return refuseNoMemory()
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
 
@@ -59,6 +60,8 @@
 	// DataCentre is the router's own.
 	DataCentre string
 	Limits     Limits
+	// HeldBytes is the maximum of the bytes held for all callers together. Zero means none.
+	HeldBytes int64
 	// Poison records the requests that crash replicas. If nil, New creates one.
 	Poison *poison.Tracker
 	// OwnsTask reports whether this router, of all routers, is responsible for a task. If
@@ -114,6 +117,10 @@
 	broken brokenRequests
 	// inFlight are the calls in progress.
 	inFlight inFlightCalls
+	// held counts the bytes held for callers; heldFull is set from the first refusal for lack
+	// of memory until there is room again.
+	held     membudget.Budget
+	heldFull atomic.Bool
 }
 
 // New returns a Front.
@@ -135,6 +142,7 @@
 		longestDurations: admission.NewMaxDurations(),
 	}
 	front.limits.Store(&o.Limits)
+	front.held.SetLimit(o.HeldBytes)
 	front.cutting, front.cut = context.WithCancel(context.Background())
 	return front
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,8 @@
 	Idle time.Duration
 	// Drain bounds a planned stop.
 	Drain time.Duration
+	// HeldBytes is the most that is held for all callers together; 0: no limit.
+	HeldBytes int64
 	// DigestPeriod is the pause between two load digests.
 	DigestPeriod time.Duration
 }
@@ -151,6 +153,7 @@
 	r.int("slots", &s.Limits.Slots, 1, 1<<16)
 	r.duration("idle", &s.Limits.Idle, 100*time.Millisecond, time.Hour)
 	r.duration("drain", &s.Limits.Drain, 0, time.Hour)
+	r.held(&s.Limits.HeldBytes)
 	r.duration("digest_period", &s.Limits.DigestPeriod, 50*time.Millisecond, time.Minute)
 
 	r.peers(&s.Peers)
@@ -288,6 +291,24 @@
 	*to = int(n)
 }
 
+// defaultHeldBytes is the most that is held for callers where `memory` is 0, not known.
+const defaultHeldBytes = 64 << 20
+
+// held reads how much may be held for callers: `held_bytes`, or else a quarter of `memory`.
+// Without either there is no limit.
+func (r *reader) held(to *int64) {
+	const unset, quarter = -1, 4
+	memory := int64(unset)
+	r.integer("memory", &memory, 0, 1<<24)
+	switch {
+	case memory > 0:
+		*to = memory << 20 / quarter
+	case memory == 0:
+		*to = defaultHeldBytes
+	}
+	r.integer("held_bytes", to, 1<<16, 1<<40)
+}
+
 func (r *reader) rejectUnknown() {
 	for _, section := range r.file.Sections() {
 		keys, known := r.known[section.Name()]
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// Guards against a limit where the settings name none, and against one that is not a quarter
+// of the memory that they name.
+func TestHeldBytes(t *testing.T) {
+	for limits, want := range map[string]int64{
+		"": 0, "memory = 136": 34 << 20, "memory = 0": 64 << 20, "held_bytes = 1000000": 1e6, "memory = 136\nheld_bytes = 1000000": 1e6,
+	} {
+		s, err := Parse("r.ini", []byte(good+"[limits]\n"+limits+"\n"))
+		require.NoError(t, err)
+		assert.Equal(t, want, s.Limits.HeldBytes, limits)
+	}
+	_, err := Parse("r.ini", []byte(good+"[limits]\nmemory = -1\n"))
+	assert.ErrorContains(t, err, "[limits] memory")
+}
+
 func TestRead(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "r.ini")
 	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
