--- a/internal/entry/overload_test.go
+++ b/internal/entry/overload_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/overload"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -97,8 +98,10 @@
 	state := e.State()
 	require.Len(t, state.Services, 1)
 	assert.Equal(t, "s", state.Services[0].Service)
-	assert.Len(t, e.usableReplicas("s", e.started), 1)
-	assert.Empty(t, e.usableReplicas("engines", e.started))
+	assert.Empty(t, e.excludedReplicas("s", steady.Now()))
+	e.watcher.Statements().MarkDraining("a", steady.Now(), steady.Now())
+	assert.Equal(t, []string{"a"}, e.excludedReplicas("s", steady.Now()))
+	assert.Empty(t, e.excludedReplicas("engines", steady.Now()))
 	_, err := json.Marshal(ServiceState{Capacity: finite(math.Inf(1)), Limit: finite(math.NaN())})
 	assert.NoError(t, err)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -76,6 +76,8 @@
 	RequestCleared    ID = 420
 	ServiceOverloaded ID = 421
 	ServiceHasRoom    ID = 422
+	MemoryFull        ID = 423
+	MemoryFree        ID = 424
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -149,6 +151,8 @@
 	RequestCleared:    {logrus.InfoLevel, "request that was held was answered whole, served again", "None needed."},
 	ServiceOverloaded: {logrus.WarnLevel, "service overloaded, requests refused", "A service is overloaded, in OPERATIONS.md, tells what to look at. demand is what all callers ask for, limit what is admitted."},
 	ServiceHasRoom:    {logrus.InfoLevel, "service has room again", "None needed."},
+	MemoryFull:        {logrus.WarnLevel, "memory for callers used up, calls refused", "Look who sends large bodies or sends them slowly; raise held_bytes in [limits] if the machine has more memory."},
+	MemoryFree:        {logrus.InfoLevel, "half of the memory for callers is free again", "None needed. rejected counts since the start."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
 
@@ -60,6 +61,8 @@
 	// DataCentre is the router's own.
 	DataCentre string
 	Limits     Limits
+	// HeldBytes is the maximum of the bytes held for all callers together. Zero means none.
+	HeldBytes int64
 	// Poison records the requests that crash replicas. If nil, New creates one.
 	Poison *poison.Tracker
 	// ObservePace is called with the pace of each load header that has one. It may be nil.
@@ -123,6 +126,10 @@
 	inFlight inFlightCalls
 	// overloaded are the services for which requests are refused.
 	overloaded overloadedServices
+	// held counts the bytes held for callers; heldFull is set from the first refusal for lack
+	// of memory until there is room again.
+	held     membudget.Budget
+	heldFull atomic.Bool
 }
 
 // New returns a Front.
@@ -144,6 +151,7 @@
 		longestDurations: admission.NewMaxDurations(),
 	}
 	front.limits.Store(&o.Limits)
+	front.held.SetLimit(o.HeldBytes)
 	front.cutting, front.cut = context.WithCancel(context.Background())
 	return front
 }
