overload: only shares that surge are refused, reports are held, work times are remembered

By the logs its capacity was 40 to 60 per second where some 150 were answered: reports were decayed by their age while slots are not, and durations with waiting in them lowered the capacity further, down to a replica that got 2 calls a second. Change: a report counts as it arrived until it expires; the capacity is from durations seen without a queue; while requests wait as allowed, the limit follows what is answered; a service stays contended for 5 s; Retry-After is the time in which the queue drains; shares are weighed by their usual demand, and refused only if they grew 1.5 times more than the others.

--- a/internal/gossip/overload.go
+++ b/internal/gossip/overload.go
@@ -29,6 +29,9 @@
 	// maxReportPriority bounds a priority: the weight of a share is a power of two.
 	maxReportPriority = 255
 	hundredths        = 100
+	// usualScale makes thousandths of the hundredths in which other rates are sent: one request
+	// in the last minute is 0.017 per second.
+	usualScale = 10
 )
 
 // encodeReport returns a report in wire form, nil if it says nothing. Of too many rows it
@@ -43,14 +46,14 @@
 		e.Replica = append(e.Replica, row.Replica)
 		e.Answered, e.Rejected, e.Busy = append(e.Answered, answered), append(e.Rejected, rejected), append(e.Busy, busy)
 	}
-	for _, row := range largestRows(r.Shares, func(row overload.ShareReport) float64 { return row.Offered }) {
-		offered := encodeRate(row.Offered)
-		if offered == 0 {
+	for _, row := range largestRows(r.Shares, func(row overload.ShareReport) float64 { return row.Offered + row.Usual }) {
+		offered, usual := encodeRate(row.Offered), encodeRate(row.Usual*usualScale)
+		if offered == 0 && usual == 0 {
 			continue
 		}
 		e.Service, e.Organisation = append(e.Service, row.Service), append(e.Organisation, row.Organisation)
 		e.Priority = append(e.Priority, uint32(min(max(row.Priority, 0), maxReportPriority)))
-		e.Offered = append(e.Offered, offered)
+		e.Offered, e.Usual = append(e.Offered, offered), append(e.Usual, usual)
 	}
 	if len(e.Replica) == 0 && len(e.Service) == 0 {
 		return nil
@@ -87,10 +90,10 @@
 			Replica: e.Replica[i], Answered: decodeRate(e.Answered[i]), Rejected: decodeRate(e.Rejected[i]), Busy: decodeRate(e.Busy[i]),
 		})
 	}
-	for i := range min(len(e.Service), len(e.Organisation), len(e.Priority), len(e.Offered), maxReportRows) {
+	for i := range min(len(e.Service), len(e.Organisation), len(e.Priority), len(e.Offered), len(e.Usual), maxReportRows) {
 		r.Shares = append(r.Shares, overload.ShareReport{
 			Service: e.Service[i], Organisation: e.Organisation[i],
-			Priority: int(min(e.Priority[i], maxReportPriority)), Offered: decodeRate(e.Offered[i]),
+			Priority: int(min(e.Priority[i], maxReportPriority)), Offered: decodeRate(e.Offered[i]), Usual: decodeRate(e.Usual[i]) / usualScale,
 		})
 	}
 	return r
--- a/pkg/overload/controller.go
+++ b/pkg/overload/controller.go
@@ -41,7 +41,9 @@
 	target   time.Duration
 	targetAt time.Time
 	lastUsed time.Time
-	plan     plan
+	// contendedUntil is when the service counts as contended no longer.
+	contendedUntil time.Time
+	plan           plan
 }
 
 // Controller is safe for concurrent use.
@@ -50,11 +52,12 @@
 	random   *rand.Rand
 	services map[string]*service
 	replicas map[uint32]*replicaCounter
-	shares   map[shareKey]*rate
+	shares   map[shareKey]*shareCounter
 	// sources is in order of arrival, so that sums are added up in the same order each time.
-	sources []*source
-	sums    sums
-	sweptAt time.Time
+	sources   []*source
+	sums      sums
+	workTimes workTimes
+	sweptAt   time.Time
 }
 
 // New returns a controller that knows nothing and admits everything. Its decisions depend
@@ -64,8 +67,10 @@
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		services: make(map[string]*service),
 		replicas: make(map[uint32]*replicaCounter),
-		shares:   make(map[shareKey]*rate),
+		shares:   make(map[shareKey]*shareCounter),
 		sums:     newSums(),
+
+		workTimes: make(workTimes),
 	}
 }
 
@@ -84,7 +89,7 @@
 	}
 	r := c.shares[key]
 	if r == nil {
-		r = &rate{}
+		r = &shareCounter{}
 		c.shares[key] = r
 	}
 	r.add(now)
@@ -152,7 +157,8 @@
 	c.sweptAt = now
 	maps.DeleteFunc(c.services, func(_ string, s *service) bool { return now.Sub(s.lastUsed) > serviceIdle })
 	maps.DeleteFunc(c.replicas, func(_ uint32, r *replicaCounter) bool { return r.ratesAt(now).negligible() })
-	maps.DeleteFunc(c.shares, func(_ shareKey, r *rate) bool { return r.valueAt(now) < minRate })
+	maps.DeleteFunc(c.shares, func(_ shareKey, r *shareCounter) bool { return r.ratesAt(now).negligible() })
+	c.workTimes.dropIdle(now)
 	c.dropExpired(now)
 }
 
--- a/pkg/overload/decide.go
+++ b/pkg/overload/decide.go
@@ -27,8 +27,8 @@
 	}
 	p := c.plan(s, q.Target, q.Usable, now)
 	key := keyOf(s, q.Share)
-	d := Decision{Admitted: true, Status: p.status, Offered: c.offered(key)}
-	d.Granted = p.granted(key, d.Offered)
+	share := c.share(key)
+	d := Decision{Admitted: true, Status: p.status, Offered: share.offered, Granted: p.granted(key, share)}
 	switch {
 	case p.tooLate(q.Left):
 		d.Admitted, d.Reason = false, TooLate
@@ -41,27 +41,31 @@
 	return d
 }
 
-// offered returns the demand of a share, or of all uncounted shares if it is one of them.
-func (c *Controller) offered(key shareKey) float64 {
-	if offered, ok := c.sums.shares[key]; ok {
-		return offered
+// share returns the demand of a share, or of all uncounted shares if it is one of them.
+func (c *Controller) share(key shareKey) shareRates {
+	if r, ok := c.sums.shares[key]; ok {
+		return r
 	}
 	return c.sums.shares[overflowKey(key)]
 }
 
 // granted returns the rate that a share may have.
-func (p *plan) granted(key shareKey, offered float64) float64 {
-	if !p.status.Limiting {
-		return offered
+func (p *plan) granted(key shareKey, r shareRates) float64 {
+	if !p.status.Limiting || !p.totals.surges(r) {
+		return r.offered
 	}
-	return min(offered, max(p.level*weightOf(key.priority), offered*minAdmission))
+	part := p.level * p.totals.weightOf(key, r)
+	if r.offered-part < minSurge*p.status.Limit {
+		return r.offered
+	}
+	return max(part, r.offered*minAdmission)
 }
 
 // tooLate reports whether an answer is expected after the deadline because requests wait.
 // A request that is too late without waiting is not refused: that no queue is left while
 // replicas still reject is due to figures of the past.
 func (p *plan) tooLate(left time.Duration) bool {
-	return p.contended && p.status.Wait > 0 && left > 0 && p.status.Wait+p.status.Took > left
+	return p.contended && p.status.Wait > 0 && left > 0 && p.status.Took > left
 }
 
 // draw admits a request with the probability granted / offered.
@@ -69,15 +73,16 @@
 	return granted >= offered || c.random.Float64()*offered < granted
 }
 
-// retryAfter returns when capacity is expected. The excess drains at the limit; the time is
-// spread so that callers return as capacity becomes available.
+// retryAfter returns when capacity is expected: the time in which the replicas answer what
+// waits there. It is spread so that callers return as capacity becomes available. The excess
+// of demand does not enter it: callers that return after their target displace others that
+// could still be served in time.
 func (c *Controller) retryAfter(s Status, left time.Duration) time.Duration {
 	longest := maxRetryAfter
 	if left > 0 {
 		longest = min(longest, left/retryPart)
 	}
-	excess := min(s.Demand/s.Limit-1, maxRetryAfter.Seconds())
-	base := max(s.Wait+seconds(excess*window.Seconds()), minRetryAfter)
+	base := max(s.Wait, minRetryAfter)
 	if 2*base > longest {
 		base = longest / 2
 	}
--- a/pkg/overload/estimate.go
+++ b/pkg/overload/estimate.go
@@ -14,6 +14,10 @@
 	// maxRejected is the part of the requests that replicas may reject before a service is
 	// contended.
 	maxRejected = 0.02
+	// contendedFor is how long a service stays contended after requests were last seen to wait.
+	// Without it the routers would stop reporting demand as soon as refusals empty the queues,
+	// and admit too much until they report it again.
+	contendedFor = 5 * time.Second
 	// minEvidence, per second, is the rate of answers and rejections below which a service is
 	// not contended. Ratios of rates do not decay: without this bound a service whose requests
 	// were all refused would stay contended by figures of the past.
@@ -31,13 +35,14 @@
 	// contended is set while requests are seen to wait or to be rejected.
 	contended bool
 	// level is the rate that a share of weight 1 may have.
-	level float64
+	level  float64
+	totals totals
 }
 
 // others holds the means over those replicas of a service that have figures.
 type others struct {
-	known          int
-	took, capacity float64
+	known              int
+	workTime, capacity float64
 }
 
 // load sums up the figures of a service's replicas.
@@ -53,16 +58,16 @@
 	c.refresh(now)
 	if r := c.sums.replicas[replica.Hash]; r.answered >= minRate {
 		return Estimate{
-			Capacity: capacity(r, replica.Slots),
+			Capacity: c.capacity(replica, r),
 			Wait:     seconds(queue(r, replica.Slots) / r.answered),
 			Took:     seconds(r.took()),
 		}, true
 	}
-	_, o := c.sums.load(usable)
+	_, o := c.load(usable)
 	if o.known == 0 {
 		return Estimate{}, false
 	}
-	return Estimate{Capacity: o.capacityOf(replica.Slots), Took: seconds(o.took)}, true
+	return Estimate{Capacity: o.capacityOf(replica.Slots), Took: seconds(o.workTime)}, true
 }
 
 // Status returns what is known of a service whose usable replicas are given.
@@ -92,68 +97,79 @@
 	if s.plan.version == c.sums.version && s.plan.target == target {
 		return &s.plan
 	}
-	s.plan = c.sums.plan(s, target)
+	s.plan = c.newPlan(s, target)
 	return &s.plan
 }
 
-func (s *sums) plan(svc *service, target time.Duration) plan {
-	demands := s.demands(svc.hash)
-	p := plan{version: s.version, target: target}
-	for _, d := range demands {
-		p.status.Demand += d.offered
-	}
-	l, o := s.load(svc.usable)
+func (c *Controller) newPlan(s *service, target time.Duration) plan {
+	p := plan{version: c.sums.version, target: target, totals: c.sums.totals(s.hash)}
+	p.status.Demand = p.totals.offered
+	l, o := c.load(s.usable)
 	if o.known == 0 {
 		return p
 	}
 	allowed := target.Seconds() / waitDivisor
 	wait := l.queue / l.answered
-	p.status.Wait, p.status.Took = seconds(wait), seconds(o.took)
+	p.status.Wait, p.status.Took = seconds(wait), seconds(l.busy/l.answered)
 	p.status.Capacity = l.capacity
-	p.status.Limit = l.capacity * max(1+(allowed-wait)/window.Seconds(), minLimit)
-	p.contended = l.answered+l.rejected >= minEvidence &&
-		(wait > allowed/gateDivisor || l.rejected >= maxRejected*(l.answered+l.rejected))
+	p.status.Limit = l.room(wait, allowed) * max(1+(allowed-wait)/window.Seconds(), minLimit)
+	evidence := l.answered+l.rejected >= minEvidence
+	if evidence && (wait > allowed/gateDivisor || l.rejected >= maxRejected*(l.answered+l.rejected)) {
+		s.contendedUntil = c.sums.at.Add(contendedFor)
+	}
+	p.contended = evidence && c.sums.at.Before(s.contendedUntil)
 	p.status.Limiting = p.contended && p.status.Demand > p.status.Limit
 	if p.status.Limiting {
-		p.level = fairLevel(p.status.Limit, demands)
+		p.level = fairLevel(p.status.Limit, c.sums.demands(s.hash, p.totals))
 	}
 	return p
 }
 
 // load sums up the figures of replicas. One without answers counts by the means of the
 // others.
-func (s *sums) load(usable []Replica) (l load, o others) {
+func (c *Controller) load(usable []Replica) (l load, o others) {
+	workTime := 0.0
 	for _, replica := range usable {
-		r := s.replicas[replica.Hash]
+		r := c.sums.replicas[replica.Hash]
 		l.rejected += r.rejected
 		if r.answered < minRate {
 			continue
 		}
+		c.workTimes.observe(replica, r, c.sums.at)
 		o.known++
 		l.answered += r.answered
 		l.busy += r.busy
 		l.queue += queue(r, replica.Slots)
-		l.capacity += capacity(r, replica.Slots)
+		l.capacity += c.capacity(replica, r)
+		workTime += c.workTimes.of(replica, r)
 	}
 	if o.known == 0 {
 		return l, o
 	}
-	o.took = max(l.busy/l.answered, minTook.Seconds())
+	o.workTime = workTime / float64(o.known)
 	o.capacity = l.capacity / float64(o.known)
 	for _, replica := range usable {
-		if s.replicas[replica.Hash].answered < minRate {
+		if c.sums.replicas[replica.Hash].answered < minRate {
 			l.capacity += o.capacityOf(replica.Slots)
 		}
 	}
 	return l, o
 }
 
+// room returns the rate that the replicas have room for. With requests waiting as long as
+// allowed it is what they answer now: some work slower when they are nearly full, and at the
+// capacity of calm times the queue would stay. With fewer waiting it approaches the capacity.
+func (l load) room(wait, allowed float64) float64 {
+	idle := max(1-wait/allowed, 0)
+	return l.answered + max(l.capacity-l.answered, 0)*idle
+}
+
 // capacityOf returns the capacity of a replica without figures.
 func (o others) capacityOf(slots int) float64 {
 	if slots <= 0 {
 		return o.capacity
 	}
-	return float64(slots) / o.took
+	return float64(slots) / o.workTime
 }
 
 // queue returns how many requests wait at a replica. It is 0 if its slots are unknown, since
@@ -165,6 +181,8 @@
 	return max(r.busy-float64(slots), 0)
 }
 
-func capacity(r replicaRates, slots int) float64 {
-	return max(r.answered, float64(max(slots, 0))/r.took())
+// capacity returns the rate that a replica can answer: what it answers, or what its slots do
+// in the time that it works on a request.
+func (c *Controller) capacity(replica Replica, r replicaRates) float64 {
+	return max(r.answered, float64(max(replica.Slots, 0))/c.workTimes.of(replica, r))
 }
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -114,4 +114,7 @@
 	Priority              int
 	// Offered is the requests per second, refused ones included.
 	Offered float64
+	// Usual is the same over the last minute. Both are sent, so that a surge of one share can
+	// be told from a rise of all.
+	Usual float64
 }
--- a/pkg/overload/rates.go
+++ b/pkg/overload/rates.go
@@ -9,6 +9,13 @@
 	// window is the time constant of all rates. Reports of other routers are up to 1.2 s old,
 	// so a shorter one would leave little of them, and a longer one outlasts a surge.
 	window = time.Second
+	// usualWindow is the time constant of what a share usually asks for: much longer than the
+	// surges of some seconds that are to be told from it, and short enough that one which
+	// grows is not held to its past for long.
+	usualWindow = time.Minute
+	// minUsual, per second, is the smallest usual demand that is kept: of a single request for
+	// two minutes.
+	minUsual = 0.002
 	// minRate, per second, is the smallest rate that is kept. Reports carry hundredths; a
 	// single event falls below it after 4.6 s.
 	minRate = 0.01
@@ -24,28 +31,43 @@
 	minTook = time.Millisecond
 )
 
-// decay returns the weight of what happened an age ago.
-func decay(age time.Duration) float64 {
+// decay returns the weight of what happened an age ago in a rate with a time constant.
+func decay(age, constant time.Duration) float64 {
 	if age <= 0 {
 		return 1
 	}
-	return math.Exp(-age.Seconds() / window.Seconds())
+	return math.Exp(-age.Seconds() / constant.Seconds())
 }
 
-// rate is an exponentially decayed number of events per second.
-type rate struct {
-	value float64
+// shareRates are the demand of a share per second, now and usually.
+type shareRates struct {
+	offered, usual float64
+}
+
+func (r shareRates) plus(s shareRates) shareRates {
+	return shareRates{r.offered + s.offered, r.usual + s.usual}
+}
+
+// negligible reports whether nothing is left of the rates.
+func (r shareRates) negligible() bool { return r.offered < minRate && r.usual < minUsual }
+
+// shareCounter holds the demand of a share that this router saw.
+type shareCounter struct {
+	rates shareRates
 	at    time.Time
 }
 
-func (r *rate) add(now time.Time) {
-	r.value = r.valueAt(now) + 1/window.Seconds()
-	if now.After(r.at) {
-		r.at = now
+func (c *shareCounter) add(now time.Time) {
+	c.rates = c.ratesAt(now).plus(shareRates{1 / window.Seconds(), 1 / usualWindow.Seconds()})
+	if now.After(c.at) {
+		c.at = now
 	}
 }
 
-func (r *rate) valueAt(now time.Time) float64 { return r.value * decay(now.Sub(r.at)) }
+func (c *shareCounter) ratesAt(now time.Time) shareRates {
+	age := now.Sub(c.at)
+	return shareRates{c.rates.offered * decay(age, window), c.rates.usual * decay(age, usualWindow)}
+}
 
 // replicaRates are the rates at one replica, per second.
 type replicaRates struct {
@@ -80,7 +102,7 @@
 }
 
 func (c *replicaCounter) ratesAt(now time.Time) replicaRates {
-	return c.rates.scaled(decay(now.Sub(c.at)))
+	return c.rates.scaled(decay(now.Sub(c.at), window))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/overload/reports.go
+++ b/pkg/overload/reports.go
@@ -36,23 +36,26 @@
 	// version increases with each computation.
 	version  uint64
 	replicas map[uint32]replicaRates
-	shares   map[shareKey]float64
+	shares   map[shareKey]shareRates
 	// buffer is reused by demands.
 	buffer []shareDemand
 }
 
 func newSums() sums {
-	return sums{replicas: make(map[uint32]replicaRates), shares: make(map[shareKey]float64)}
+	return sums{replicas: make(map[uint32]replicaRates), shares: make(map[shareKey]shareRates)}
 }
 
-func (s *sums) addSource(src *source, now time.Time) {
-	weight := decay(now.Sub(src.at))
+// addSource adds a report as it arrived. It is not decayed by its age: what happened since is
+// missing from it, so that decayed reports would show too few requests at replicas whose slots
+// do not decay, and hide waiting.
+func (s *sums) addSource(src *source) {
 	for _, r := range src.replicas {
 		rates := replicaRates{answered: r.Answered, rejected: r.Rejected, busy: r.Busy}
-		s.replicas[r.Replica] = s.replicas[r.Replica].plus(rates.scaled(weight))
+		s.replicas[r.Replica] = s.replicas[r.Replica].plus(rates)
 	}
 	for _, r := range src.shares {
-		s.shares[shareKey{r.Service, r.Organisation, uint8(r.Priority)}] += r.Offered * weight
+		key := shareKey{r.Service, r.Organisation, uint8(r.Priority)}
+		s.shares[key] = s.shares[key].plus(shareRates{r.Offered, r.Usual})
 	}
 }
 
@@ -69,11 +72,11 @@
 		c.sums.replicas[replica] = r.ratesAt(now)
 	}
 	for key, r := range c.shares {
-		c.sums.shares[key] = r.valueAt(now)
+		c.sums.shares[key] = r.ratesAt(now)
 	}
 	for _, s := range c.sources {
 		if !s.expired(now) {
-			c.sums.addSource(s, now)
+			c.sums.addSource(s)
 		}
 	}
 }
@@ -94,12 +97,12 @@
 	contended := c.contendedServices(now)
 	for key, r := range c.shares {
 		if slices.Contains(contended, key.service) {
-			group.shares[key] = r.valueAt(now)
+			group.shares[key] = r.ratesAt(now)
 		}
 	}
 	for _, s := range c.sources {
 		if !s.expired(now) && slices.Contains(sources, s.name) {
-			group.addSource(s, now)
+			group.addSource(s)
 		}
 	}
 	return group.report()
@@ -124,16 +127,16 @@
 			r.Replicas = append(r.Replicas, ReplicaReport{replica, rates.answered, rates.rejected, rates.busy})
 		}
 	}
-	for key, offered := range s.shares {
-		if offered >= minRate {
-			r.Shares = append(r.Shares, ShareReport{key.service, key.organisation, int(key.priority), offered})
+	for key, rates := range s.shares {
+		if !rates.negligible() {
+			r.Shares = append(r.Shares, ShareReport{key.service, key.organisation, int(key.priority), rates.offered, rates.usual})
 		}
 	}
 	slices.SortFunc(r.Replicas, func(a, b ReplicaReport) int {
 		return cmp.Or(cmp.Compare(b.Answered+b.Rejected, a.Answered+a.Rejected), cmp.Compare(a.Replica, b.Replica))
 	})
 	slices.SortFunc(r.Shares, func(a, b ShareReport) int {
-		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Service, b.Service),
+		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(b.Usual, a.Usual), cmp.Compare(a.Service, b.Service),
 			cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Priority, b.Priority))
 	})
 	r.Replicas = r.Replicas[:min(len(r.Replicas), maxRows)]
@@ -206,7 +209,7 @@
 }
 
 func (s *source) mergeShare(row ShareReport) {
-	if !valid(row.Offered) || row.Priority < 0 || row.Priority > maxPriority {
+	if !valid(row.Offered) || !valid(row.Usual) || row.Priority < 0 || row.Priority > maxPriority {
 		return
 	}
 	if slices.ContainsFunc(s.shares, func(r ShareReport) bool {
@@ -214,7 +217,7 @@
 	}) {
 		return
 	}
-	row.Offered = min(row.Offered, maxRate)
+	row.Offered, row.Usual = min(row.Offered, maxRate), min(row.Usual, maxRate)
 	s.shares = append(s.shares, row)
 }
 
--- a/pkg/overload/shares.go
+++ b/pkg/overload/shares.go
@@ -6,21 +6,69 @@
 	"slices"
 )
 
+const (
+	// surgeFactor is how many times more than the others a share's demand must have grown for
+	// its requests to be refused. While all ask for more in about the same proportion,
+	// refusals would serve nobody better: the replicas turn away what they can't queue, and
+	// an answer that is late is still worth something to its caller.
+	surgeFactor = 1.5
+	// minSurge is the least excess of a refused share over its part, as a part of the limit.
+	// A share that asks for a few requests per second exceeds its usual by chance.
+	minSurge = 0.05
+	// minUsualPart is the least usual demand that a share is taken for, as a part of the mean
+	// over all shares: one that is new has a right to some room too.
+	minUsualPart = 0.5
+)
+
 // shareDemand is what one share of a service asks for.
 type shareDemand struct {
 	offered, weight float64
 }
 
-// weightOf halves a share's part with each step of priority.
-func weightOf(priority uint8) float64 { return math.Exp2(-float64(priority)) }
+// totals are the sums over all shares of a service.
+type totals struct {
+	offered, usual float64
+	shares         int
+}
+
+// usualOf returns what a share usually asks for.
+func (t totals) usualOf(r shareRates) float64 {
+	return max(r.usual, minUsualPart*t.usual/float64(max(t.shares, 1)))
+}
+
+// surges reports whether the demand of a share has grown clearly more than that of the others.
+// Its part of the whole demand would not tell: that of a large organisation can hardly grow.
+func (t totals) surges(r shareRates) bool {
+	others := shareRates{t.offered - r.offered, t.usual - r.usual}
+	return r.offered*others.usual > surgeFactor*t.usualOf(r)*others.offered
+}
+
+// weightOf is proportional to what a share usually asks for, and halved with each step of
+// priority.
+func (t totals) weightOf(key shareKey, r shareRates) float64 {
+	return math.Exp2(-float64(key.priority)) * t.usualOf(r)
+}
+
+// totals returns the sums over all shares of a service.
+func (s *sums) totals(service uint32) totals {
+	var t totals
+	for key, r := range s.shares {
+		if key.service == service {
+			t.offered += r.offered
+			t.usual += r.usual
+			t.shares++
+		}
+	}
+	return t
+}
 
 // demands returns the demand of each share of a service, those that ask for least by their
 // weight first.
-func (s *sums) demands(service uint32) []shareDemand {
+func (s *sums) demands(service uint32, t totals) []shareDemand {
 	s.buffer = s.buffer[:0]
-	for key, offered := range s.shares {
-		if key.service == service {
-			s.buffer = append(s.buffer, shareDemand{offered, weightOf(key.priority)})
+	for key, r := range s.shares {
+		if key.service == service && r.offered > 0 {
+			s.buffer = append(s.buffer, shareDemand{r.offered, t.weightOf(key, r)})
 		}
 	}
 	slices.SortFunc(s.buffer, func(a, b shareDemand) int {
