balance: load tests of a plain service short of capacity

Cause: no test says what callers of a plain service with little room must get while one organisation surges, a replica is lost or routers know little. Change: the simulated fleet has organisations, callers that come back, slow replicas, a data centre that is cut off, and controllers whose reports travel as the counts do.

--- a/pkg/balance/gossipfleet_test.go
+++ b/pkg/balance/gossipfleet_test.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/croftyard/croftyard/pkg/overload"
 )
 
 const (
@@ -28,6 +31,10 @@
 	routers []*Balancer
 	lines   int
 	counts  []map[uint32]int
+	// controllers exchange reports if there are any, one for each router.
+	controllers []*overload.Controller
+	// connected tells whether two routers reach each other.
+	connected func(a, b int) bool
 }
 
 type fleetEvent struct {
@@ -49,6 +56,7 @@
 
 func newGossipFleet(seed uint64, routers, lines int) *gossipFleet {
 	f := &gossipFleet{random: rand.New(rand.NewPCG(seed, seed)), now: start, lines: lines}
+	f.connected = func(int, int) bool { return true }
 	for i := range routers {
 		b := New(seed + uint64(i))
 		b.SetLargeFleet(true)
@@ -95,6 +103,43 @@
 		counts[c.Replica] = c.Running
 	}
 	f.counts[router] = counts
+	f.sendReport(router)
+}
+
+// sendReport sends what a router saw to the routers of its line.
+func (f *gossipFleet) sendReport(router int) {
+	if f.controllers == nil {
+		return
+	}
+	report := f.controllers[router].Report(f.now)
+	for other := router % f.lines; other < len(f.routers); other += f.lines {
+		if other != router && f.connected(router, other) {
+			f.controllers[other].MergeReport(fmt.Sprint("router ", router), report, f.now)
+		}
+	}
+}
+
+// relayReports sends the sum of a line's reports to a router of another line, from the
+// first of the line that is connected to it.
+func (f *gossipFleet) relayReports(line, router int) {
+	if f.controllers == nil || line == router%f.lines {
+		return
+	}
+	var members []int
+	for other := line; other < len(f.routers); other += f.lines {
+		members = append(members, other)
+	}
+	for i := range members {
+		teller := members[(router/f.lines+i)%len(members)]
+		if f.connected(teller, router) {
+			var sources []string
+			for _, other := range members {
+				sources = append(sources, fmt.Sprint("router ", other))
+			}
+			f.controllers[router].MergeReport(fmt.Sprint("line ", line), f.controllers[teller].GroupReport(sources, f.now), f.now)
+			return
+		}
+	}
 }
 
 // forwardRumors sends a router's rumors to some of its partners: routers of its line, and
@@ -107,6 +152,9 @@
 	partners := f.partners(router)
 	f.random.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
 	for _, other := range partners[:rumorPartners] {
+		if !f.connected(router, other) {
+			continue
+		}
 		f.routers[other].MergeRumors(rumors, f.now)
 	}
 }
@@ -130,7 +178,7 @@
 func (f *gossipFleet) relayLine(line, router int) {
 	sums := make(map[uint32]int)
 	for other := line; other < len(f.routers); other += f.lines {
-		if other != router {
+		if other != router && f.connected(router, other) {
 			for replica, n := range f.counts[other] {
 				sums[replica] += n
 			}
@@ -142,4 +190,5 @@
 	}
 	slices.SortFunc(told.Counts, func(a, b ReplicaCount) int { return cmp.Compare(a.Replica, b.Replica) })
 	f.routers[router].MergeLine(Line{line, f.lines}, told, Rumors{}, f.now)
+	f.relayReports(line, router)
 }
--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/overload"
 )
 
 // plainFleet simulates a large fleet of routers in front of a plain service whose
@@ -18,6 +20,22 @@
 	// perSecond returns the request rate of all callers at a time.
 	perSecond func(at time.Duration) float64
 	stats     plainStats
+	// arrivals draws what callers do, so that it does not depend on what routers decide.
+	arrivals *rand.Rand
+	// ask sets what the callers of a request are, if they differ.
+	ask func(r *plainRequest)
+	// ended is called when a request was answered or finally refused.
+	ended func(r *plainRequest, served bool)
+	// centres is the number of data centres.
+	centres int
+	// admission: controllers decide on requests. Without, they only estimate.
+	admission bool
+	// timed: routers record how long requests take.
+	timed bool
+	// slowdown returns the multiple of its usual time that a replica takes now.
+	slowdown func(id string) float64
+	// isolated is the data centre that is cut off from the others; -1 for none.
+	isolated int
 }
 
 // The users' plain service: ten replicas with six slots and a queue of 24, and 410
@@ -28,6 +46,12 @@
 	plainRate     = 410.0
 	plainWorkTime = 60 * time.Millisecond
 	plainDeadline = 300 * time.Millisecond
+	// plainPatience is how long callers wait, and plainConnectTimeout how long a router
+	// waits for a connection.
+	plainPatience       = 4 * time.Second
+	plainConnectTimeout = 300 * time.Millisecond
+	// shedRetryAfter is what a caller is told if replicas did not take the request.
+	shedRetryAfter = 50 * time.Millisecond
 	// plainSpread is the standard deviation of the logarithm of the work time.
 	plainSpread = 0.47
 )
@@ -35,7 +59,7 @@
 type plainReplica struct {
 	id      string
 	running int
-	waiting []*plainRequest
+	waiting []func()
 	gone    bool
 }
 
@@ -43,21 +67,37 @@
 	router  int
 	arrived time.Time
 	tried   []string
+	// work is how long it takes at a replica, in seconds; 0 if that is drawn when it starts.
+	work float64
+	// attempts is how many replicas it may be sent to.
+	attempts int
+	// organisation asks; it repeats at once, this often, or once after Retry-After.
+	organisation, repeats int
+	impatient             bool
 }
 
 // plainStats counts what callers got.
 type plainStats struct {
 	asked, onTime, late, refused int
+	// limited counts refusals of controllers, also of requests that came back.
+	limited int
 	// sent counts requests sent to replicas, shed those that they turned away.
 	sent, shed int
 }
 
-func newPlainFleet(seed uint64, routers, replicas int) *plainFleet {
+func newPlainFleet(seed uint64, routers, lines, replicas int) *plainFleet {
 	f := &plainFleet{
-		gossipFleet: newGossipFleet(seed, routers, 16),
+		gossipFleet: newGossipFleet(seed, routers, lines),
 		replicas:    make(map[string]*plainReplica),
 		perSecond:   func(time.Duration) float64 { return plainRate },
+		ask:         func(*plainRequest) {},
+		ended:       func(*plainRequest, bool) {},
+		centres:     5,
+		slowdown:    func(string) float64 { return 1 },
+		isolated:    -1,
 	}
+	f.arrivals = f.random
+	f.connected = func(a, b int) bool { return f.sameSide(a%f.centres, b%f.centres) }
 	for i := range replicas {
 		id := fmt.Sprintf("p-%d", i)
 		f.replicas[id] = &plainReplica{id: id}
@@ -68,18 +108,34 @@
 
 // list sends the current replicas to all routers.
 func (f *plainFleet) list() {
+	list := f.listed()
+	for _, b := range f.routers {
+		b.SetReplicas(list, f.now)
+	}
+}
+
+func (f *plainFleet) listed() []directory.Replica {
 	var list []directory.Replica
 	for id, r := range f.replicas {
 		if !r.gone {
-			list = append(list, directory.Replica{ID: id, Service: "plain", Address: id, DataCentre: fmt.Sprintf("dc%d", hashString(id)%5), Slots: plainSlots})
+			list = append(list, directory.Replica{ID: id, Service: "plain", Address: id, DataCentre: fmt.Sprintf("dc%d", f.centreOf(id)), Slots: plainSlots})
 		}
 	}
 	slices.SortFunc(list, func(a, b directory.Replica) int { return cmp.Compare(a.ID, b.ID) })
-	for _, b := range f.routers {
-		b.SetReplicas(list, f.now)
+	return list
+}
+
+// centreOf returns the data centre of a replica.
+func (f *plainFleet) centreOf(id string) int {
+	if f.centres == 5 {
+		return int(hashString(id) % 5)
 	}
+	return int(id[len(id)-1]-'0') % f.centres
 }
 
+// sameSide tells whether two data centres reach each other.
+func (f *plainFleet) sameSide(a, b int) bool { return (a == f.isolated) == (b == f.isolated) }
+
 // burst multiplies the rate for a time.
 func (f *plainFleet) burst(from, to time.Duration, times float64) {
 	f.perSecond = func(at time.Duration) float64 {
@@ -108,52 +164,127 @@
 
 func (f *plainFleet) arrive() {
 	rate := f.perSecond(f.now.Sub(start))
-	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), f.arrive)
+	f.after(time.Duration(f.arrivals.ExpFloat64()/rate*float64(time.Second)), f.arrive)
 	f.stats.asked++
-	f.send(&plainRequest{router: f.random.IntN(len(f.routers)), arrived: f.now})
+	r := &plainRequest{arrived: f.now, attempts: 2}
+	f.ask(r)
+	r.router = f.arrivals.IntN(len(f.routers))
+	f.decide(r)
+}
+
+// decide sends a request to a replica unless the router's controller refuses it.
+func (f *plainFleet) decide(r *plainRequest) {
+	if f.controllers != nil {
+		c, share := f.controllers[r.router], overload.Share{Organisation: fmt.Sprint(r.organisation)}
+		c.Arrived("plain", share, f.now)
+		q := overload.Request{Service: "plain", Share: share, Target: plainDeadline, Left: r.arrived.Add(plainPatience).Sub(f.now)}
+		q.Usable = f.routers[r.router].UsableReplicas("plain", nil, f.now)
+		if d := c.Decide(q, f.now); f.admission && !d.Admitted {
+			f.stats.limited++
+			f.refuse(r, d.RetryAfter)
+			return
+		}
+	}
+	f.send(r)
+}
+
+// refuse ends a request, or lets its caller come back through another router.
+func (f *plainFleet) refuse(r *plainRequest, retryAfter time.Duration) {
+	if r.repeats == 0 {
+		f.stats.refused++
+		f.ended(r, false)
+		return
+	}
+	r.repeats--
+	if r.impatient {
+		retryAfter = time.Millisecond
+	}
+	f.after(min(retryAfter, r.arrived.Add(plainPatience).Sub(f.now)/3), func() {
+		r.tried = nil
+		r.router = f.random.IntN(len(f.routers))
+		f.decide(r)
+	})
 }
 
 // send picks a replica, and another one if that is full.
 func (f *plainFleet) send(r *plainRequest) {
 	router := f.routers[r.router]
-	choice, found := router.Pick(Request{Service: "plain", DataCentre: fmt.Sprintf("dc%d", r.router%5), Tried: r.tried}, f.now)
-	if !found || len(r.tried) == 2 {
-		f.stats.refused++
+	centre := r.router % f.centres
+	choice, found := router.Pick(Request{Service: "plain", DataCentre: fmt.Sprintf("dc%d", centre), Tried: r.tried, Target: plainDeadline}, f.now)
+	if !found || len(r.tried) == r.attempts {
+		f.refuse(r, shedRetryAfter)
 		return
 	}
 	id := choice.Replica.ID
+	if !f.sameSide(centre, f.centreOf(id)) {
+		// Nothing was sent, so it is not an attempt.
+		f.after(plainConnectTimeout, func() {
+			router.RequestFailed(id, Unreachable, fmt.Sprintf("dc%d", centre), f.now)
+			f.send(r)
+		})
+		return
+	}
 	r.tried = append(r.tried, id)
 	f.stats.sent++
 	replica := f.replicas[id]
 	if replica.gone || replica.running == plainSlots && len(replica.waiting) == plainQueue {
 		f.stats.shed++
+		if f.controllers != nil && !replica.gone {
+			f.controllers[r.router].Rejected(ReplicaHash(id), f.now)
+		}
 		router.RequestFailed(id, Shed, "", f.now)
 		f.send(r)
 		return
 	}
 	router.RequestStarted(id)
-	replica.waiting = append(replica.waiting, r)
+	replica.waiting = append(replica.waiting, f.runOf(r, replica))
 	f.startWork(replica)
 }
 
-// startWork starts queued requests while the replica has free slots.
-func (f *plainFleet) startWork(replica *plainReplica) {
-	for replica.running < plainSlots && len(replica.waiting) > 0 {
-		r := replica.waiting[0]
-		replica.waiting = replica.waiting[1:]
-		replica.running++
-		mean := plainWorkTime.Seconds() * math.Exp(-plainSpread*plainSpread/2)
-		took := time.Duration(mean * math.Exp(plainSpread*f.random.NormFloat64()) * float64(time.Second))
-		f.after(took, func() {
+// runOf returns what a replica does for a request: it starts the work.
+func (f *plainFleet) runOf(r *plainRequest, replica *plainReplica) func() {
+	sentAt, balancer := f.now, f.routers[r.router]
+	var controller *overload.Controller
+	if f.controllers != nil {
+		controller = f.controllers[r.router]
+	}
+	return func() {
+		if r.work == 0 {
+			r.work = drawWork(f.random)
+		}
+		f.after(time.Duration(r.work*f.slowdown(replica.id)*float64(time.Second)), func() {
 			replica.running--
-			f.routers[r.router].RequestFinished(replica.id)
-			f.routers[r.router].RequestSucceeded(replica.id, nil, f.now)
+			balancer.RequestFinished(replica.id)
+			balancer.RequestSucceeded(replica.id, nil, f.now)
+			if f.timed {
+				balancer.RecordDuration(replica.id, f.now.Sub(sentAt))
+			}
+			if controller != nil {
+				controller.Answered(ReplicaHash(replica.id), f.now.Sub(sentAt), f.now)
+			}
 			if f.now.Sub(r.arrived) <= plainDeadline {
 				f.stats.onTime++
 			} else {
 				f.stats.late++
 			}
+			f.ended(r, true)
 			f.startWork(replica)
 		})
 	}
 }
+
+// drawWork draws how long a request takes, in seconds.
+func drawWork(random *rand.Rand) float64 {
+	mean := plainWorkTime.Seconds() * math.Exp(-plainSpread*plainSpread/2)
+	return mean * math.Exp(plainSpread*random.NormFloat64())
+}
+
+// startWork starts queued requests while the replica has free slots.
+func (f *plainFleet) startWork(replica *plainReplica) {
+	for replica.running < plainSlots && len(replica.waiting) > 0 {
+		run := replica.waiting[0]
+		replica.waiting = replica.waiting[1:]
+		replica.running++
+		run()
+	}
+}
--- a/pkg/balance/plainload_test.go
+++ b/pkg/balance/plainload_test.go
@@ -68,7 +68,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newPlainFleet(1, routers, replicas)
+			f := newPlainFleet(1, routers, 16, replicas)
 			c.change(f)
 			got := f.simulate(length)
 			t.Logf("%+v", got)
