--- a/pkg/balance/overload_test.go
+++ b/pkg/balance/overload_test.go
@@ -336,6 +336,14 @@
 	"one at 8 times, one replica lost":                 {times: firstAt(8), change: loseOne, capacity: 2.0 / 3},
 	"one at 8 times repeats at once, one replica lost": {times: firstAt(8), impatient: true, change: loseOne, capacity: 2.0 / 3},
 	"all at four times":                                {times: allAt(4)},
+	"one at 8 times, a data centre cut off":            {times: firstAt(8), change: isolate},
+	"one at 8 times, one replica lost, half of the routers restarted": {
+		times: firstAt(8), capacity: 2.0 / 3,
+		change: func(f *overloadFleet) {
+			loseOne(f)
+			f.after(10*time.Second, func() { restartHalf(f) })
+		},
+	},
 }
 
 const overloadSeed = 1
