--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -179,7 +179,7 @@
 	// The errors are ignored: some writers do not support deadlines.
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(steady.OfDay(c.deadline))
-	body, err := c.readHeld(reader, c.request.ContentLength)
+	body, err := c.readHeld(reader, c.request.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -77,14 +77,19 @@
 }
 
 // readHeld reads a body, charging it to the call: before reading if its length is known, and
-// otherwise before each step of growth.
-func (c *call) readHeld(reader io.Reader, length int64) ([]byte, error) {
+// otherwise before each step of growth. limit is the largest size of a body, or 0.
+func (c *call) readHeld(reader io.Reader, length, limit int64) ([]byte, error) {
 	if length == 0 {
 		return nil, nil
 	}
 	if length > 0 && !c.reserve(length, length) {
 		return nil, errNoMemory
 	}
+	most := length
+	if length < 0 && limit > 0 {
+		// One byte more than the limit shows whether the body ends there.
+		most = limit + 1
+	}
 	var body []byte
 	if length > 0 && (length <= smallBody || c.front.held.Limit() > 0) {
 		body = make([]byte, length)
@@ -93,7 +98,7 @@
 	}
 	for {
 		if len(body) == cap(body) {
-			grown, err := c.grow(body, length)
+			grown, err := c.grow(body, most, length > 0)
 			if err != nil {
 				return nil, err
 			}
@@ -110,17 +115,20 @@
 	}
 }
 
-// grow returns a copy of a body with more capacity. Both are charged while both exist, unless
-// the whole length is charged already.
-func (c *call) grow(body []byte, length int64) ([]byte, error) {
+// grow returns a copy of a body with more capacity, up to most if that is not reached. Both are
+// charged while both exist, unless the whole length is charged already.
+func (c *call) grow(body []byte, most int64, charged bool) ([]byte, error) {
 	old := int64(cap(body))
 	size := max(2*old, firstStep)
-	if length < 0 && !c.reserve(size, size) {
+	if old < most {
+		size = min(size, most)
+	}
+	if !charged && !c.reserve(size, size) {
 		return nil, errNoMemory
 	}
 	grown := make([]byte, len(body), size)
 	copy(grown, body)
-	if length < 0 {
+	if !charged {
 		c.front.held.Release(old)
 		c.held -= old
 	}
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
@@ -163,11 +162,12 @@
 }
 
 // stuckReplica accepts requests and reads nothing of them.
-func stuckReplica(t *testing.T) string {
+func stuckReplica(t *testing.T) (address string, accepted chan struct{}) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
+	accepted = make(chan struct{}, 16)
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -177,9 +177,10 @@
 			// A small buffer, so that the body cannot end up in it.
 			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 			t.Cleanup(func() { c.Close() })
+			accepted <- struct{}{}
 		}
 	}()
-	return listener.Addr().String()
+	return listener.Addr().String(), accepted
 }
 
 // Guards against a call waiting until its deadline for a replica that stops reading its body,
@@ -191,12 +192,12 @@
 		status int
 	}{{"/repeat/x", http.StatusOK}, {"/short/x", http.StatusGatewayTimeout}} {
 		address, arrivals := replica(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
-		r := newRig(t, stuckReplica(t))
+		stuck, accepted := stuckReplica(t)
+		r := newRig(t, stuck)
 		r.front.SetHeldBytes(2 << 20)
 		done := make(chan int)
 		go func() { done <- r.post(t.Context(), test.path, strings.NewReader(body)).StatusCode }()
-		waitUntil(func() bool { return r.front.Held().Used() > 0 })
-		time.Sleep(50 * time.Millisecond)
+		<-accepted
 		listed := r.source.snapshot.Replicas[0]
 		listed.ID, listed.Address = "r1", address
 		r.addReplicas(t, listed)
