--- a/pkg/overload/shares.go
+++ b/pkg/overload/shares.go
@@ -10,11 +10,12 @@
 	// surgeFactor is how many times more than the others a share's demand must have grown for
 	// its requests to be refused. While all ask for more in about the same proportion,
 	// refusals would serve nobody better: the replicas turn away what they can't queue, and
-	// an answer that is late is still worth something to its caller.
-	surgeFactor = 1.5
+	// an answer that is late is still worth something to its caller. It is above two since
+	// refused callers return, which alone doubles the demand of a share.
+	surgeFactor = 2.5
 	// minSurge is the least excess of a refused share over its part, as a part of the limit.
 	// A share that asks for a few requests per second exceeds its usual by chance.
-	minSurge = 0.05
+	minSurge = 0.1
 	// minUsualPart is the least usual demand that a share is taken for, as a part of the mean
 	// over all shares: one that is new has a right to some room too.
 	minUsualPart = 0.5
