overload: usual demand is learned without contention, replicas with soft failures are usable

Cause: a surge became usual demand within seconds at routers that had just started, so that the largest organisation at 12 times its usual was hardly refused (44 refusals in nine seconds); and by logs of what the routers estimated, most counted one or two replicas of three, since one that had answered errors of its own was left out, so that the limit lay a third below the capacity.

--- a/pkg/balance/usable.go
+++ b/pkg/balance/usable.go
@@ -8,9 +8,10 @@
 )
 
 // UsableReplicas returns the replicas of a plain service that this router may send requests
-// to now. excluded holds ids that it must not use. A replica that is avoided only because
-// it was full is included, as it works at its capacity. If all are suspected, the least bad
-// ones within reach are returned, since requests go there. A share of a roll-out does not
+// to now. excluded holds ids that it must not use. A replica that is avoided because it was
+// full, or because it failed requests that it had run, is included: it answers other routers,
+// and its capacity would be missing from what they all share. If all are suspected, the least
+// bad ones within reach are returned, since requests go there. A share of a roll-out does not
 // matter: the rest of the requests uses the rest of the replicas.
 func (b *Balancer) UsableReplicas(service string, excluded []string, now time.Time) []overload.Replica {
 	b.mu.Lock()
@@ -26,7 +27,7 @@
 			continue
 		}
 		reached = append(reached, r)
-		if !r.health.isAvoided(now) || r.health.kind == Shed {
+		if !r.health.isAvoided(now) || r.health.kind <= Broke {
 			usable = append(usable, r)
 		}
 	}
--- a/pkg/overload/controller.go
+++ b/pkg/overload/controller.go
@@ -41,6 +41,8 @@
 	target   time.Duration
 	targetAt time.Time
 	lastUsed time.Time
+	// periodStart is when the current usual period started.
+	periodStart time.Time
 	// contendedUntil is when the service counts as contended no longer.
 	contendedUntil time.Time
 	plan           plan
@@ -83,6 +85,7 @@
 	if s == nil {
 		return
 	}
+	c.endPeriod(s, now)
 	key := keyOf(s, share)
 	if c.shares[key] == nil && len(c.shares) >= maxOwnShares {
 		key = overflowKey(key)
@@ -95,6 +98,20 @@
 	r.add(now)
 }
 
+// endPeriod ends the usual period of a service if it is over.
+func (c *Controller) endPeriod(s *service, now time.Time) {
+	if now.Sub(s.periodStart) < usualPeriod {
+		return
+	}
+	contended := s.contendedUntil.After(s.periodStart)
+	s.periodStart = now
+	for key, counter := range c.shares {
+		if key.service == s.hash {
+			counter.endPeriod(contended, now)
+		}
+	}
+}
+
 // Answered records that a replica ran a request and how long its answer took.
 func (c *Controller) Answered(replica uint32, took time.Duration, now time.Time) {
 	took = min(max(took, 0), maxTook)
@@ -157,7 +174,7 @@
 	c.sweptAt = now
 	maps.DeleteFunc(c.services, func(_ string, s *service) bool { return now.Sub(s.lastUsed) > serviceIdle })
 	maps.DeleteFunc(c.replicas, func(_ uint32, r *replicaCounter) bool { return r.ratesAt(now).negligible() })
-	maps.DeleteFunc(c.shares, func(_ shareKey, r *shareCounter) bool { return r.ratesAt(now).negligible() })
+	maps.DeleteFunc(c.shares, func(_ shareKey, r *shareCounter) bool { return r.pending == 0 && r.ratesAt(now).negligible() })
 	c.workTimes.dropIdle(now)
 	c.dropExpired(now)
 }
--- a/pkg/overload/rates.go
+++ b/pkg/overload/rates.go
@@ -13,6 +13,9 @@
 	// surges of some seconds that are to be told from it, and short enough that one which
 	// grows is not held to its past for long.
 	usualWindow = time.Minute
+	// usualPeriod is how long requests are collected before they count as usual demand. It is
+	// longer than it takes until all routers know that a service is contended.
+	usualPeriod = 5 * time.Second
 	// minUsual, per second, is the smallest usual demand that is kept: of a single request for
 	// two minutes.
 	minUsual = 0.002
@@ -55,10 +58,29 @@
 type shareCounter struct {
 	rates shareRates
 	at    time.Time
+	// pending counts the requests of the current usual period.
+	pending float64
 }
 
 func (c *shareCounter) add(now time.Time) {
-	c.rates = c.ratesAt(now).plus(shareRates{1 / window.Seconds(), 1 / usualWindow.Seconds()})
+	c.decayTo(now)
+	c.rates.offered += 1 / window.Seconds()
+	c.pending++
+}
+
+// endPeriod ends a usual period. Its requests count as usual demand unless the service was
+// contended meanwhile: what overloads a service must not become usual within seconds, least
+// of all at a router that has just started.
+func (c *shareCounter) endPeriod(contended bool, now time.Time) {
+	c.decayTo(now)
+	if !contended {
+		c.rates.usual += c.pending / usualWindow.Seconds()
+	}
+	c.pending = 0
+}
+
+func (c *shareCounter) decayTo(now time.Time) {
+	c.rates = c.ratesAt(now)
 	if now.After(c.at) {
 		c.at = now
 	}
