--- a/test/builds/builds.go
+++ b/test/builds/builds.go
@@ -23,10 +23,12 @@
 	Starts = "d51716a6dcdc3665f79833a8f9ef92faee44354c"
 	// Announcements also knows copies of the store and what replicas announce in answers.
 	Announcements = "dd8f9e06db1bf721451a65671c2d0d7714132dd0"
+	// Rollouts also knows roll-outs of versions, and lists as what changed since a revision.
+	Rollouts = "aba261bbe35bcfc70448ad487a7aced43dd0c047"
 )
 
 // All are all of them.
-var All = []string{Oldest, Starts, Announcements}
+var All = []string{Oldest, Starts, Announcements, Rollouts}
 
 // Program builds the daemon of a commit into a folder and returns its path.
 func Program(commit, dir string) (string, error) {
