Soak: routers run with admission control and a bound on held memory

Cause: the soak did not know the new parts. Change: settings of plans without earlier builds, which refuse them, name both.

--- a/test/soak/router.go
+++ b/test/soak/router.go
@@ -179,6 +179,14 @@
 `, name, zone, listen[0], listen[1], listen[2], listen[3], store, seeds, b.Apply, b.Revoke, b.Drain, b.Grace, repeats)
 }
 
+// newerSettings are those that earlier builds refuse: admission control of plain services, and
+// the bound on what a router holds for its callers.
+const newerSettings = `[overload]
+admission = on
+[limits]
+memory = 136
+`
+
 // zone is where all routers and replicas stand.
 const zone = "north"
 
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -120,7 +120,11 @@
 	for _, other := range s.routers[:min(seedRouters, len(s.routers))] {
 		seeds = append(seeds, s.listen[other.name][2])
 	}
-	return settingsText(r.name, s.listen[r.name], s.stores[r.name], strings.Join(seeds, ","), s.bounds, repeats)
+	text := settingsText(r.name, s.listen[r.name], s.stores[r.name], strings.Join(seeds, ","), s.bounds, repeats)
+	if r.other == "" {
+		text += newerSettings
+	}
+	return text
 }
 
 // readyPatience bounds the wait for a router that starts; it is no verdict.
