front: keep background reads out of two tests

TestColdReplicaLimitedByColdRate failed in about 15 of 1,000 runs. Cause: the rig starts watch.Watcher.Run, whose first timer and the wake-up by WaitFresh may each lead to a read. The source still lists the replica as warm, so the newer read correctly made it warm, and the request was sent. The code is right. Of 1,000 runs with a report of the reads 19 failed: all after a second read and with the replica listed as warm; 494 passed with one read, 487 with two.

Use a rig that reads the source only on a request that needs a newer list, which these tests never cause. The assertions are unchanged.

go test -race: cold rate test 0 of 1,000 runs failed, then both tests 0 of 500; internal/front passes.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -125,7 +125,8 @@
 
 func TestEvacuatedServiceRefusedAtOnce(t *testing.T) {
 	address, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
-	r := newRig(t, address)
+	// No read of the source may end the evacuation that is applied below.
+	r := newAgedRig(t, 0, address)
 	waits := &call{front: r.front, service: &route.Service{Name: "s"}, route: &route.Route{Target: time.Hour}, arrival: time.Now()}
 	assert.False(t, waits.evacuated(), "a replica may become available")
 	snapshot := changedSnapshot(r, func(*route.Config) {})
@@ -146,9 +147,12 @@
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 }
 
+// Guards against a cold replica that gets requests beyond its rate, and against a limit that
+// stays once the replica is warm.
 func TestColdReplicaLimitedByColdRate(t *testing.T) {
 	address, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
-	r := newRig(t, address)
+	// The source lists a warm replica, so that no read of it may follow the snapshots below.
+	r := newAgedRig(t, 0, address)
 	snapshot := changedSnapshot(r, func(c *route.Config) { c.Services[0].ColdRate = 1 })
 	for entry, cold := range []bool{true, false} {
 		snapshot.Replicas = slices.Clone(snapshot.Replicas)
