gossip: correct a comment on the age of reports

Reports are no longer weighted by their age since arrival but dropped after 2.5 s. Only the comment changes. TestHostileReportsAreBounded and TestReportsBetweenBuilds fail with and without this change: decodeReport expects the column of usual demand, which their messages lack.

--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -56,8 +56,8 @@
 	soon, urgent := g.balancer.CapacityReduced(now), g.balancer.CountsUrgent(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// Reports lose weight with a time constant of 1 s, so rounds are not stretched while a
-	// service is contended.
+	// A report is dropped 2.5 s after it arrived, so rounds are not stretched while a service
+	// is contended.
 	due := g.pace.due(g.options.Period, soon, urgent || g.contended)
 	if due {
 		g.largeRounds++
