--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -55,14 +55,19 @@
 // effect until admission control is on, so that nothing changes in a deployment that does not
 // ask for it.
 //
-// It also records and reports from when another router reported. One that was just restarted
+// It also records and reports for a while after another router reported. One that was just restarted
 // and has not yet seen a pace thus passes on what its line reports.
 type gatedController struct {
 	*overload.Controller
 	admission *admissionSwitch
-	heard     atomic.Bool
+	// reportedAt is when another router reported last; nil before.
+	reportedAt atomic.Pointer[time.Time]
 }
 
+// reportedFor is how long after another router's report this one still records and reports:
+// several rounds of a large fleet.
+const reportedFor = 10 * time.Second
+
 // buildOverload creates the controller unless admission control is off.
 func (e *Entry) buildOverload() {
 	e.admission = e.newAdmissionSwitch(e.settings)
@@ -89,32 +94,38 @@
 	o.Overload, o.AdmissionEnabled, o.ObservePace = e.overload, e.admission.Enabled, e.admission.ObservePace
 }
 
-func (g *gatedController) reports() bool { return g.admission.Enabled() || g.heard.Load() }
+func (g *gatedController) reports(now time.Time) bool {
+	if g.admission.Enabled() {
+		return true
+	}
+	at := g.reportedAt.Load()
+	return at != nil && now.Sub(*at) < reportedFor
+}
 
 // Arrived implements front.Overload.
 func (g *gatedController) Arrived(service string, share overload.Share, now time.Time) {
-	if g.reports() {
+	if g.reports(now) {
 		g.Controller.Arrived(service, share, now)
 	}
 }
 
 // Answered implements front.Overload.
 func (g *gatedController) Answered(replica uint32, took time.Duration, now time.Time) {
-	if g.reports() {
+	if g.reports(now) {
 		g.Controller.Answered(replica, took, now)
 	}
 }
 
 // Rejected implements front.Overload.
 func (g *gatedController) Rejected(replica uint32, now time.Time) {
-	if g.reports() {
+	if g.reports(now) {
 		g.Controller.Rejected(replica, now)
 	}
 }
 
 // Report implements gossip.OverloadReports.
 func (g *gatedController) Report(now time.Time) overload.Report {
-	if !g.reports() {
+	if !g.reports(now) {
 		return overload.Report{}
 	}
 	return g.Controller.Report(now)
@@ -122,7 +133,7 @@
 
 // GroupReport implements gossip.OverloadReports.
 func (g *gatedController) GroupReport(sources []string, now time.Time) overload.Report {
-	if !g.reports() {
+	if !g.reports(now) {
 		return overload.Report{}
 	}
 	return g.Controller.GroupReport(sources, now)
@@ -130,7 +141,7 @@
 
 // MergeReport implements gossip.OverloadReports.
 func (g *gatedController) MergeReport(source string, r overload.Report, now time.Time) {
-	g.heard.Store(true)
+	g.reportedAt.Store(&now)
 	g.Controller.MergeReport(source, r, now)
 }
 
--- a/internal/entry/overload_test.go
+++ b/internal/entry/overload_test.go
@@ -78,11 +78,12 @@
 		require.NoError(t, err)
 		response.Body.Close()
 		assert.Equal(t, step.on, e.admission.Enabled(), step.load)
-		assert.Equal(t, step.on, e.overload.reports())
+		assert.Equal(t, step.on, e.overload.reports(steady.Now()))
 	}
 	e.admission.on.Store(false)
 	e.overload.MergeReport("another router", overload.Report{}, e.started)
-	assert.True(t, e.overload.reports(), "passes on what others report")
+	assert.True(t, e.overload.reports(e.started), "passes on what others report")
+	assert.False(t, e.overload.reports(e.started.Add(reportedFor)), "stops once no other router reports")
 	assert.False(t, e.admission.Enabled(), "refuses nothing for that")
 }
 
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -209,7 +209,7 @@
 	if r.closes {
 		header.Set("Connection", "close")
 	}
-	if !c.bodyRead && c.request.ContentLength != 0 {
+	if !c.bodyRead && c.request.ContentLength != 0 && c.front.held.Limit() > 0 {
 		// The server reads the rest of a short body before it answers, and without an end if
 		// the caller does not send it.
 		_ = http.NewResponseController(c.writer).SetReadDeadline(steady.OfDay(steady.Now().Add(answerGrace)))
--- a/internal/gossip/overload.go
+++ b/internal/gossip/overload.go
@@ -26,9 +26,12 @@
 	maxReportRows = 64
 	// maxReportRate bounds a rate, far above what the routers of a fleet can forward.
 	maxReportRate = 1e6
-	// maxReportPriority bounds a priority: the weight of a share is a power of two.
-	maxReportPriority = 255
-	hundredths        = 100
+	// maxReportPriority is the least urgent priority that is told apart, as in package
+	// overload.
+	maxReportPriority = 15
+	// maxReportSources bounds the routers and lines whose reports are taken.
+	maxReportSources = 256
+	hundredths       = 100
 	// usualScale makes thousandths of the hundredths in which other rates are sent: one request
 	// in the last minute is 0.017 per second.
 	usualScale = 10
@@ -129,20 +132,22 @@
 	if g.options.Overload == nil || d.Overload == nil {
 		return
 	}
+	report := decodeReport(d.Overload)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	source := d.Sender
 	accepted := !g.view.large || slices.Contains(g.partners.Line, d.Sender)
 	if d.Lines > 0 {
 		source = fmt.Sprintf("line %d of %d", d.Line, d.Lines)
 		accepted = g.view.large && int(d.Lines) == g.view.lines && d.Line < d.Lines && int(d.Line) != g.view.line
 	}
-	if accepted {
-		g.reportSources[source] = true
-	}
-	g.mu.Unlock()
-	if accepted {
-		g.options.Overload.MergeReport(source, decodeReport(d.Overload), now)
+	if !accepted || !g.reportSources[source] && len(g.reportSources) >= maxReportSources {
+		return
 	}
+	g.reportSources[source] = true
+	// The lock is held so that a report of the division before can't arrive after it was
+	// dropped.
+	g.options.Overload.MergeReport(source, report, now)
 }
 
 // updateView records the division of the fleet as of this round. If it changed, the reports
