--- a/pkg/overload/controller.go
+++ b/pkg/overload/controller.go
@@ -19,8 +19,8 @@
 	maxOwnShares   = 1024
 	// maxPriority is the least urgent priority that is told apart: its weight is 1/32768.
 	maxPriority = 15
-	// serviceIdle is how long a service without requests is remembered; its figures have
-	// decayed by then.
+	// serviceIdle is how long a service without requests is remembered; it is contended no
+	// longer by then.
 	serviceIdle = 10 * time.Second
 	// sweepInterval is the time between two removals of what has decayed.
 	sweepInterval = time.Second
@@ -64,12 +64,11 @@
 // only on seed and on the calls made to it.
 func New(seed uint64) *Controller {
 	return &Controller{
-		random:   rand.New(rand.NewPCG(seed, seed)),
-		services: make(map[string]*service),
-		replicas: make(map[uint32]*replicaCounter),
-		shares:   make(map[shareKey]*shareCounter),
-		sums:     newSums(),
-
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		services:  make(map[string]*service),
+		replicas:  make(map[uint32]*replicaCounter),
+		shares:    make(map[shareKey]*shareCounter),
+		sums:      newSums(),
 		workTimes: make(workTimes),
 	}
 }
--- a/pkg/overload/decide.go
+++ b/pkg/overload/decide.go
@@ -4,8 +4,8 @@
 
 const (
 	// minAdmission is the part of a share's requests that is admitted at least, so that wrong
-	// figures shut nobody out. It exceeds the fair share only of callers that ask for more
-	// than a hundred times as much.
+	// figures shut nobody out. It exceeds the fair part only of a share that asks for more
+	// than a hundred times that part.
 	minAdmission = 0.01
 	// minRetryAfter and maxRetryAfter bound what callers are told. Rates change little in less
 	// than a tenth of their window, and beyond two windows nothing is known.
@@ -36,7 +36,7 @@
 		d.Admitted, d.Reason = false, OverShare
 	}
 	if !d.Admitted {
-		d.RetryAfter = c.retryAfter(p.status, q.Left)
+		d.RetryAfter = c.retryAfter(p.status.Wait, q.Left)
 	}
 	return d
 }
@@ -49,7 +49,7 @@
 	return c.sums.shares[overflowKey(key)]
 }
 
-// granted returns the rate that a share may have.
+// granted returns the rate that a share may have: what it asks for, unless it surges.
 func (p *plan) granted(key shareKey, r shareRates) float64 {
 	if !p.status.Limiting || !p.totals.surges(r) {
 		return r.offered
@@ -61,7 +61,8 @@
 	return max(part, r.offered*minAdmission)
 }
 
-// tooLate reports whether an answer is expected after the deadline because requests wait.
+// tooLate reports whether an answer is expected after the deadline because requests wait. The
+// mean duration of answers includes their wait.
 // A request that is too late without waiting is not refused: that no queue is left while
 // replicas still reject is due to figures of the past.
 func (p *plan) tooLate(left time.Duration) bool {
@@ -77,12 +78,12 @@
 // waits there. It is spread so that callers return as capacity becomes available. The excess
 // of demand does not enter it: callers that return after their target displace others that
 // could still be served in time.
-func (c *Controller) retryAfter(s Status, left time.Duration) time.Duration {
+func (c *Controller) retryAfter(wait, left time.Duration) time.Duration {
 	longest := maxRetryAfter
 	if left > 0 {
 		longest = min(longest, left/retryPart)
 	}
-	base := max(s.Wait, minRetryAfter)
+	base := max(wait, minRetryAfter)
 	if 2*base > longest {
 		base = longest / 2
 	}
--- a/pkg/overload/estimate.go
+++ b/pkg/overload/estimate.go
@@ -6,15 +6,17 @@
 	// defaultTarget stands in for a target that is not configured: requests may then wait
 	// for a quarter of a second, the time that a full replica queue adds.
 	defaultTarget = time.Second
-	// waitDivisor is the part of the target that requests may wait. The rest stays for the
-	// work, whose duration varies.
+	// waitDivisor is the part of the target that requests may wait: one in waitDivisor. The
+	// rest stays for the work, whose duration varies.
 	waitDivisor = 4
-	// gateDivisor is the part of the allowed wait above which a service is contended.
+	// gateDivisor is the part of the allowed wait above which a service is contended: one in
+	// gateDivisor.
 	gateDivisor = 2
 	// maxRejected is the part of the requests that replicas may reject before a service is
 	// contended.
 	maxRejected = 0.02
-	// contendedFor is how long a service stays contended after requests were last seen to wait.
+	// contendedFor is how long a service stays contended after requests were last seen to wait
+	// or to be rejected.
 	// Without it the routers would stop reporting demand as soon as refusals empty the queues,
 	// and admit too much until they report it again.
 	contendedFor = 5 * time.Second
@@ -22,7 +24,7 @@
 	// not contended. Ratios of rates do not decay: without this bound a service whose requests
 	// were all refused would stay contended by figures of the past.
 	minEvidence = 2
-	// minLimit is the smallest limit, as a part of the capacity.
+	// minLimit is the smallest limit, as a part of what the replicas have room for.
 	minLimit = 0.5
 )
 
@@ -32,7 +34,7 @@
 	version uint64
 	target  time.Duration
 	status  Status
-	// contended is set while requests are seen to wait or to be rejected.
+	// contended is set while requests wait or are rejected, and for contendedFor after that.
 	contended bool
 	// level is the rate that a share of weight 1 may have.
 	level  float64
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -8,11 +8,11 @@
 //
 // A router sees one request of such a service a second, so it decides by the sums over all
 // routers. They are exponentially decayed rates: those of several routers add up to the rate
-// of the fleet, and one that arrives late is decayed by its age. No router owns a service,
-// and each computes the same limit from about the same sums.
+// of the fleet. A report of another router counts as it arrived until it expires. No router
+// owns a service, and each computes the same limit from about the same sums.
 //
-// A request is refused only while requests are seen to wait at replicas that this router may
-// use. The package does no I/O; time comes from the caller, randomness from a seed.
+// A request is refused only while requests wait or are rejected at the service's replicas, or
+// did so some seconds ago, and for its share only if that surges. The package does no I/O; time comes from the caller, randomness from a seed.
 package overload
 
 import "time"
@@ -49,8 +49,8 @@
 
 // Reasons for a refusal.
 const (
-	// OverShare: the service has no room for all, and the share asked for more than its
-	// part.
+	// OverShare: the service has no room for all, and the demand of the share surges beyond
+	// its part.
 	OverShare Reason = "over its share"
 	// TooLate: the answer would come after the deadline.
 	TooLate Reason = "too late"
@@ -71,13 +71,14 @@
 
 // Status describes a service, in requests per second.
 type Status struct {
-	// Limiting is set while the service has less room than is asked for.
+	// Limiting is set while the service is contended and has less room than is asked for.
 	Limiting bool
 	// Wait is the mean time that requests wait at the usable replicas, Took the mean time
 	// that answers take, wait included.
 	Wait, Took time.Duration
-	// Capacity is what the usable replicas can answer, Limit what is admitted, Demand what
-	// all routers are asked for.
+	// Capacity is what the usable replicas can answer, Limit what they have room for now,
+	// Demand what all routers are asked for. More than the limit is admitted as far as no
+	// share surges.
 	Capacity, Limit, Demand float64
 }
 
@@ -114,7 +115,7 @@
 	Priority              int
 	// Offered is the requests per second, refused ones included.
 	Offered float64
-	// Usual is the same over the last minute. Both are sent, so that a surge of one share can
-	// be told from a rise of all.
+	// Usual is the same with a time constant of a minute. Both are sent, so that a surge of
+	// one share can be told from a rise of all.
 	Usual float64
 }
--- a/pkg/overload/rates.go
+++ b/pkg/overload/rates.go
@@ -6,15 +6,16 @@
 )
 
 const (
-	// window is the time constant of all rates. Reports of other routers are up to 1.2 s old,
-	// so a shorter one would leave little of them, and a longer one outlasts a surge.
+	// window is the time constant of all rates but the usual demand. Reports of other routers
+	// are up to 1.2 s old, so a shorter one would not make the sums more recent, and a longer
+	// one outlasts a surge.
 	window = time.Second
 	// usualWindow is the time constant of what a share usually asks for: much longer than the
 	// surges of some seconds that are to be told from it, and short enough that one which
 	// grows is not held to its past for long.
 	usualWindow = time.Minute
-	// minUsual, per second, is the smallest usual demand that is kept: of a single request for
-	// two minutes.
+	// minUsual, per second, is the smallest usual demand that is kept. A single request falls
+	// below it after two minutes.
 	minUsual = 0.002
 	// minRate, per second, is the smallest rate that is kept. Reports carry hundredths; a
 	// single event falls below it after 4.6 s.
--- a/pkg/overload/reports.go
+++ b/pkg/overload/reports.go
@@ -15,7 +15,8 @@
 	maxRows = 64
 	// maxSources bounds the memory for reports. The largest deployment has 143 routers.
 	maxSources = 256
-	// sumsExpiry is how long the sums over all sources are kept: they decay by 5 % in it.
+	// sumsExpiry is how long the sums over all sources are kept: this router's own figures
+	// decay by 5 % in it.
 	sumsExpiry = 50 * time.Millisecond
 )
 
@@ -37,7 +38,8 @@
 	version  uint64
 	replicas map[uint32]replicaRates
 	shares   map[shareKey]shareRates
-	// buffer is reused by demands.
+	// rates and buffer are reused by the methods totals and demands.
+	rates  []shareRates
 	buffer []shareDemand
 }
 
--- a/pkg/overload/shares.go
+++ b/pkg/overload/shares.go
@@ -16,8 +16,8 @@
 	// minSurge is the least excess of a refused share over its part, as a part of the limit.
 	// A share that asks for a few requests per second exceeds its usual by chance.
 	minSurge = 0.1
-	// minUsualPart is the least usual demand that a share is taken for, as a part of the mean
-	// over all shares: one that is new has a right to some room too.
+	// minUsualPart is the least usual demand that a share counts with, as a part of the mean
+	// over all shares: a new one has a right to some room too.
 	minUsualPart = 0.5
 )
 
@@ -32,7 +32,7 @@
 	shares         int
 }
 
-// usualOf returns what a share usually asks for.
+// usualOf returns what a share usually asks for, at least minUsualPart of the mean.
 func (t totals) usualOf(r shareRates) float64 {
 	return max(r.usual, minUsualPart*t.usual/float64(max(t.shares, 1)))
 }
@@ -50,16 +50,23 @@
 	return math.Exp2(-float64(key.priority)) * t.usualOf(r)
 }
 
-// totals returns the sums over all shares of a service.
+// totals returns the sums over all shares of a service. They are added up in the order of their
+// figures: the order of a map would change the last digits, and decisions with them.
 func (s *sums) totals(service uint32) totals {
-	var t totals
+	s.rates = s.rates[:0]
 	for key, r := range s.shares {
 		if key.service == service {
-			t.offered += r.offered
-			t.usual += r.usual
-			t.shares++
+			s.rates = append(s.rates, r)
 		}
 	}
+	slices.SortFunc(s.rates, func(a, b shareRates) int {
+		return cmp.Or(cmp.Compare(a.offered, b.offered), cmp.Compare(a.usual, b.usual))
+	})
+	t := totals{shares: len(s.rates)}
+	for _, r := range s.rates {
+		t.offered += r.offered
+		t.usual += r.usual
+	}
 	return t
 }
 
--- a/pkg/overload/worktime.go
+++ b/pkg/overload/worktime.go
@@ -25,14 +25,15 @@
 // waiting in them would fall as the queue grows.
 type workTimes map[uint32]*workTime
 
-// workTime is the mean duration of answers, in seconds, while no request waited.
 type workTime struct {
-	mean            float64
-	lastAt, spentAt time.Time
+	// mean is that of the durations of answers while no request waited, in seconds.
+	mean float64
+	// lastAt is the time of the last answers, updatedAt that of the last change of the mean.
+	lastAt, updatedAt time.Time
 }
 
 // observe takes the rates at a replica into account. It is called often; each call counts by
-// the time since the last one.
+// the time since the mean was last changed.
 func (w workTimes) observe(replica Replica, r replicaRates, now time.Time) {
 	t := w[replica.Hash]
 	if t != nil {
@@ -42,16 +43,16 @@
 		return
 	}
 	if t == nil {
-		w[replica.Hash] = &workTime{mean: r.took(), lastAt: now, spentAt: now}
+		w[replica.Hash] = &workTime{mean: r.took(), lastAt: now, updatedAt: now}
 		return
 	}
-	weight := 1 - math.Exp(-max(now.Sub(t.spentAt), 0).Seconds()/workWindow.Seconds())
+	weight := 1 - math.Exp(-max(now.Sub(t.updatedAt), 0).Seconds()/workWindow.Seconds())
 	t.mean += weight * (r.took() - t.mean)
-	t.spentAt = now
+	t.updatedAt = now
 }
 
-// of returns the work time of a replica whose answers take a mean duration now. Until it was
-// seen without waiting requests, that duration stands in for it.
+// of returns the work time of a replica in seconds. Until one was observed without waiting
+// requests, the mean duration of its present answers stands in for it.
 func (w workTimes) of(replica Replica, r replicaRates) float64 {
 	if t := w[replica.Hash]; t != nil {
 		return t.mean
