--- a/pkg/overload/controller.go
+++ b/pkg/overload/controller.go
@@ -19,8 +19,8 @@
 	maxOwnShares   = 1024
 	// maxPriority is the least urgent priority that is told apart: its weight is 1/32768.
 	maxPriority = 15
-	// serviceIdle is how long a service without requests is remembered; its figures have
-	// decayed by then.
+	// serviceIdle is how long a service without requests is remembered; it is contended no
+	// longer by then.
 	serviceIdle = 10 * time.Second
 	// sweepInterval is the time between two removals of what has decayed.
 	sweepInterval = time.Second
@@ -66,12 +66,11 @@
 // only on seed and on the calls made to it.
 func New(seed uint64) *Controller {
 	return &Controller{
-		random:   rand.New(rand.NewPCG(seed, seed)),
-		services: make(map[string]*service),
-		replicas: make(map[uint32]*replicaCounter),
-		shares:   make(map[shareKey]*shareCounter),
-		sums:     newSums(),
-
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		services:  make(map[string]*service),
+		replicas:  make(map[uint32]*replicaCounter),
+		shares:    make(map[shareKey]*shareCounter),
+		sums:      newSums(),
 		workTimes: make(workTimes),
 	}
 }
@@ -157,6 +156,8 @@
 	if !slices.Equal(s.usable, usable) {
 		s.usable = append(s.usable[:0], usable...)
 		s.plan = plan{}
+		// Waiting that was seen at a replica which may no longer be used refuses nothing.
+		s.contendedUntil = time.Time{}
 	}
 	if target <= 0 {
 		target = defaultTarget
@@ -172,6 +173,9 @@
 		return
 	}
 	c.sweptAt = now
+	for _, s := range c.services {
+		c.endPeriod(s, now)
+	}
 	maps.DeleteFunc(c.services, func(_ string, s *service) bool { return now.Sub(s.lastUsed) > serviceIdle })
 	maps.DeleteFunc(c.replicas, func(_ uint32, r *replicaCounter) bool { return r.ratesAt(now).negligible() })
 	maps.DeleteFunc(c.shares, func(_ shareKey, r *shareCounter) bool { return r.pending == 0 && r.ratesAt(now).negligible() })
