--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
@@ -57,6 +58,8 @@
 	// LimitsAdmission reports whether the contracts of the platform, as in the settings, call
 	// for admission control. If nil, none does.
 	LimitsAdmission func(contracts []string) bool
+	// DialReplica opens connections to replicas. If nil, the system's TCP is used.
+	DialReplica socket.Dial
 	// LogDropped returns how many log lines were dropped because the buffer was full.
 	LogDropped func() uint64
 }
@@ -138,6 +141,7 @@
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: e.settings.Routes.Silence,
 		IdleTime:       e.settings.Routes.Keep,
+		Dial:           e.env.DialReplica,
 		Opened:         func(string) { e.metrics.ConnectionsOpened.Inc(1) },
 		OnSilent: func(address string, dropped int) {
 			e.log.Write(event.ConnsSilent, event.F("address", address), event.F("dropped", dropped))
--- a/internal/faulty/relay.go
+++ b/internal/faulty/relay.go
@@ -56,6 +56,19 @@
 // SilenceNew makes connections silent that are opened from now on.
 func (r *Relay) SilenceNew() { r.silentNew.Store(true) }
 
+// Reset resets the connections that are open.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.links {
+		if tcp, is := l.caller.(*net.TCPConn); is {
+			// A connection that is closed already needs no reset.
+			_ = tcp.SetLinger(0)
+		}
+		l.close()
+	}
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	r.listener.Close()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -45,6 +45,9 @@
 	SilenceTimeout time.Duration
 	// IdleTime is the longest time that a connection stays idle before it is closed.
 	IdleTime time.Duration
+	// Dial opens a connection. If nil, the system's TCP is used, with SilenceTimeout as the
+	// limit on unacknowledged bytes.
+	Dial socket.Dial
 	// Opened is called for each connection that the pool opens. It may be nil.
 	Opened func(address string)
 	// OnSilent is called when a kept connection to an address proves silent, with the
@@ -177,7 +180,11 @@
 		Control:         controlSocket(o.SilenceTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.SilenceTimeout, Interval: time.Second, Count: 2},
 	}
-	dial := socket.TakesBack(dialer.DialContext)
+	open := o.Dial
+	if open == nil {
+		open = dialer.DialContext
+	}
+	dial := socket.TakesBack(open)
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return dial(ctx, "tcp", address)
 	}
