balance: what a router can't reach excludes no replica at the others

Cause: a connection that does not open was taken as a fault of the replica, whoever saw it. Half of the fleet reported all replicas as unreachable, and each report counted as if seen here. Ruled out: the list (proofs 0.1 to 0.8 s old), the store, silent data centres (all routers were heard).

A report of a failed connection makes a router open one of its own, at once and at most once a second for each replica; until that is done the replica is passed over, but counts as reachable. If it opens, the report is dropped. A router that reaches none of several replicas takes its own path to be lost: it does not send what it sees of them, and probes them, one of a service each 250 ms, until one answers, then up to eight, so that no request has to find out. A connection that opens ends the avoidance for failed ones, of the data centre too.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,6 +178,7 @@
 			e.front.ReplicaRestarted(id, steady.Now())
 		},
 		Removed: func(id string) { e.front.ReplicaRemoved(id, steady.Now()) },
+		Verify:  e.front.VerifyReplica,
 	})
 	limits := front.NewConnLimits(e.holder, e.log)
 	e.conns = conns.NewSet()
@@ -311,6 +312,10 @@
 		e.maintain(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.probeLostPaths(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		e.runRollouts(ctx)
 		return nil
@@ -364,6 +369,24 @@
 	e.watcher.TriggerRead()
 }
 
+// pathProbePause is the pause between two probes of a service that this router lost the
+// path to. A connection that does not open is given up after 0.3 s by default.
+const pathProbePause = 250 * time.Millisecond
+
+// probeLostPaths notices when replicas are within reach again.
+func (e *Entry) probeLostPaths(ctx context.Context) {
+	ticker := time.NewTicker(pathProbePause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.front.ProbeLostPaths()
+		}
+	}
+}
+
 // maintain logs changes of readiness and of the proof's freshness, and closes connections
 // that were idle too long.
 func (e *Entry) maintain(ctx context.Context) {
--- a/internal/gossip/rumors.go
+++ b/internal/gossip/rumors.go
@@ -18,7 +18,7 @@
 // sendRumors sends some partners of a large fleet what this router saw or received since
 // the last round of a small one.
 func (g *Gossip) sendRumors(partners membership.Partners, now time.Time) {
-	rumors := g.balancer.TakeRumors()
+	rumors := g.balancer.TakeRumors(now)
 	if rumors.Empty() {
 		return
 	}
--- a/pkg/balance/answered.go
+++ b/pkg/balance/answered.go
@@ -36,6 +36,7 @@
 	r.health.recordSuccess(now)
 	b.serviceOutcomes(r.Service).addSuccess(now)
 	r.lastSuccess = now
+	r.recordContact(now)
 	r.centre.health.recordSuccess(now)
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		if !b.holders.heardRecently(part.ID, id, now) && b.shouldAnnounceHolder(r, part.ID, parts) {
--- a/pkg/balance/available.go
+++ b/pkg/balance/available.go
@@ -26,6 +26,9 @@
 // remainingAvoidance returns how long a replica or its data centre is still avoided.
 func (b *Balancer) remainingAvoidance(r *replica, now time.Time) time.Duration {
 	until := r.health.avoidUntil
+	if r.reported.avoidUntil.After(until) {
+		until = r.reported.avoidUntil
+	}
 	if c := r.centre.health.avoidUntil; c.After(until) {
 		until = c
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -163,8 +163,10 @@
 	hooks          atomic.Pointer[ReplicaHooks]
 	// estimator estimates the replicas of plain services; nil if there is none.
 	estimator Estimator
-	// pendingRestarts holds restarts learned from rumors, to be passed to hooks.
+	// pendingRestarts holds restarts learned from rumors, pendingChecks replicas that others
+	// reported as out of reach, to be passed to hooks.
 	pendingRestarts []directory.Replica
+	pendingChecks   []directory.Replica
 }
 
 // replica is a replica with what this router knows about it.
@@ -179,7 +181,11 @@
 	joinedAt          time.Time
 	report            loadReport
 	health            health
-	pace              pace
+	// reported is the health by failures of the path that other routers saw and this one
+	// has not verified.
+	reported health
+	path     path
+	pace     pace
 	// allowance limits what this router may send to the replica while it is cold.
 	allowance tokenBucket
 	// softOutcomes counts, over all routers, the failures that count against the replica
--- a/pkg/balance/evidence_test.go
+++ b/pkg/balance/evidence_test.go
@@ -116,18 +116,18 @@
 	b.SetLargeFleet(true)
 	b.SetReplicas([]directory.Replica{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, start)
 	b.RequestFailed("a", Hung, "", start)
-	told := b.TakeRumors().Failures
+	told := b.TakeRumors(start).Failures
 	require.Len(t, told, 1)
 	assert.Equal(t, Broke, told[0].Failure)
 	for range 2 {
 		b.RequestFailed("b", Hung, "", start.Add(time.Second))
 	}
-	told = b.TakeRumors().Failures
+	told = b.TakeRumors(start).Failures
 	require.NotEmpty(t, told)
 	assert.Equal(t, Hung, told[len(told)-1].Failure)
 	b.SetLargeFleet(false)
 	b.RequestFailed("a", Hung, "", start.Add(time.Minute))
-	told = b.TakeRumors().Failures
+	told = b.TakeRumors(start).Failures
 	require.NotEmpty(t, told)
 	assert.Equal(t, Hung, told[len(told)-1].Failure)
 }
--- a/pkg/balance/gossipfleet_test.go
+++ b/pkg/balance/gossipfleet_test.go
@@ -145,7 +145,7 @@
 // forwardRumors sends a router's rumors to some of its partners: routers of its line, and
 // one in each other line.
 func (f *gossipFleet) forwardRumors(router int) {
-	rumors := f.routers[router].TakeRumors()
+	rumors := f.routers[router].TakeRumors(f.now)
 	if rumors.Empty() {
 		return
 	}
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -36,6 +36,14 @@
 // isSoft reports whether healthy replicas occasionally show the failure too.
 func (f Failure) isSoft() bool { return f == Errored || f == Broke }
 
+// isOfPath reports whether the failure may be that of the path between one router and the
+// replica.
+func (f Failure) isOfPath() bool { return f == Refused || f == Unreachable }
+
+// isOfConnection reports whether the failure was seen on a connection to the replica, and
+// not stated by the replica.
+func (f Failure) isOfConnection() bool { return f == Broke || f == Hung || f.isOfPath() }
+
 // baseAvoidance is how long a replica is avoided after one failure of the kind.
 func (f Failure) baseAvoidance() time.Duration {
 	switch f {
@@ -112,6 +120,7 @@
 // Degrees of badness. An engine that can't be reached can't be copied from.
 const (
 	badSlow = iota + 1
+	badReported
 	badFailing
 	badUnreachable
 	badAbsent
@@ -123,6 +132,9 @@
 	if b.isSlow(r, now) || r.atResumeLimit(now) {
 		degree = badSlow
 	}
+	if r.reported.isAvoided(now) {
+		degree = badReported
+	}
 	if r.health.isAvoided(now) {
 		degree = badFailing
 		if r.health.kind >= Refused {
@@ -153,6 +165,9 @@
 	if kind.isSoft() {
 		b.serviceOutcomes(r.Service).addFailure(now)
 	}
+	if kind.isOfPath() {
+		r.recordPathFailure(now)
+	}
 	taken, speaks := b.recordFailure(r, kind, now)
 	switch {
 	case !b.largeFleet:
--- /dev/null
+++ b/pkg/balance/path.go
@@ -0,0 +1,171 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// A connection to a replica fails because of the replica or because of the path from this
+// router. Whose fault it is shows in what else is reached:
+//
+//	one router, several replicas of a service, none reached since -> the router's path is
+//	    lost; what it sees of these replicas is not sent to other routers
+//	another router does not reach a replica -> avoided until this router has verified it
+//	    with a connection of its own
+
+// path is the state of the path from this router to a replica.
+type path struct {
+	// lostAt is the first failure since the last contact, zero if there was none.
+	lostAt time.Time
+	// failedAt is the last failure, contactAt the last answer or opened connection.
+	failedAt, contactAt time.Time
+	// checkedAt is when the replica was last to be verified.
+	checkedAt time.Time
+}
+
+const (
+	// pathFailureLifetime is how long a failure of the path speaks for its loss: several
+	// probes fall into it.
+	pathFailureLifetime = 2 * time.Second
+	// minLostReplicas is how many replicas must be out of reach for the path to be lost. A
+	// single one may have ended.
+	minLostReplicas = 2
+	// verificationLifetime is how long after a replica was verified further reports of
+	// other routers are ignored.
+	verificationLifetime = time.Second
+)
+
+func (r *replica) recordPathFailure(now time.Time) {
+	if r.path.lostAt.IsZero() {
+		r.path.lostAt = now
+	}
+	r.path.failedAt = now
+}
+
+// recordContact records that the replica answered this router.
+func (r *replica) recordContact(now time.Time) {
+	r.path.lostAt = time.Time{}
+	r.path.contactAt = now
+	r.reported = health{}
+}
+
+// Connected records that a new connection to a replica was opened. It ends the avoidance
+// for failures of the path, that of the replica's data centre too.
+func (b *Balancer) Connected(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return
+	}
+	r.recordContact(now)
+	if r.health.kind.isOfPath() {
+		r.health = health{}
+	}
+	r.centre.health = health{}
+}
+
+// isDisproved reports whether this router reached the replica after another one failed to,
+// or verified it recently.
+func (r *replica) isDisproved(failedAt, now time.Time) bool {
+	contact := r.path.contactAt
+	return contact.After(failedAt) || !contact.Before(r.path.checkedAt) && now.Sub(r.path.checkedAt) < verificationLifetime
+}
+
+// recordReport records that another router does not reach a replica, and has that verified.
+// b.mu is held.
+func (b *Balancer) recordReport(r *replica, f ObservedFailure, now time.Time) {
+	r.reported.recordFailure(f.Failure, f.At)
+	if now.Sub(r.path.checkedAt) >= verificationLifetime {
+		r.path.checkedAt = now
+		b.pendingChecks = append(b.pendingChecks, r.Replica)
+	}
+}
+
+// isPathLost reports whether this router recently failed to reach a replica and has not
+// reached it since.
+func (r *replica) isPathLost(now time.Time) bool {
+	return !r.path.lostAt.IsZero() && now.Sub(r.path.failedAt) < pathFailureLifetime
+}
+
+// pathLost reports whether this router seems to have lost the path to a service: several
+// of its replicas, or its only one, are out of reach, and none was reached since.
+func (b *Balancer) pathLost(service string, now time.Time) bool {
+	list := b.services[service]
+	var contact time.Time
+	for _, r := range list {
+		if r.path.contactAt.After(contact) {
+			contact = r.path.contactAt
+		}
+	}
+	lost := 0
+	for _, r := range list {
+		if r.isPathLost(now) && r.path.lostAt.After(contact) {
+			lost++
+		}
+	}
+	return lost > 0 && lost >= min(minLostReplicas, len(list))
+}
+
+// PathLost reports whether this router seems to have lost the path to a service.
+func (b *Balancer) PathLost(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pathLost(service, now)
+}
+
+// maxPathProbes bounds the replicas of a service that are probed at a time once one of
+// them was reached again.
+const maxPathProbes = 8
+
+// PathProbes returns the replicas to which a connection should be opened to notice that the
+// path is back: one of each service that lost several, the one tried least recently, and
+// more once the service is reached again.
+func (b *Balancer) PathProbes(now time.Time) []directory.Replica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var probes []directory.Replica
+	for service, list := range b.services {
+		var lost []*replica
+		for _, r := range list {
+			if !r.path.lostAt.IsZero() {
+				lost = append(lost, r)
+			}
+		}
+		if len(lost) < min(minLostReplicas, len(list)) {
+			continue
+		}
+		slices.SortFunc(lost, func(x, y *replica) int {
+			return cmp.Or(x.path.failedAt.Compare(y.path.failedAt), byID(x, y))
+		})
+		most := maxPathProbes
+		if b.pathLost(service, now) {
+			most = 1
+		}
+		for _, r := range lost[:min(most, len(lost))] {
+			probes = append(probes, r.Replica)
+		}
+	}
+	return probes
+}
+
+// probedAvoidance is how long a replica stays avoided after a probe failed: probes notice
+// its return, so that no request has to.
+const probedAvoidance = time.Second
+
+// ProbeFailed records that a connection for PathProbes did not open.
+func (b *Balancer) ProbeFailed(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil || r.path.lostAt.IsZero() {
+		return
+	}
+	r.path.failedAt = now
+	if until := now.Add(probedAvoidance); r.health.kind.isOfPath() && until.After(r.health.avoidUntil) {
+		r.health.avoidUntil = until
+	}
+}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -57,8 +57,7 @@
 func (b *Balancer) TakePeerUpdate(now time.Time) PeerUpdate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	told := PeerUpdate{Rumors: b.pendingRumors}
-	b.pendingRumors = Rumors{}
+	told := PeerUpdate{Rumors: b.takeRumors(now)}
 	for r := range b.busy {
 		told.Running = append(told.Running, ReplicaCount{r.shortHash, r.running})
 	}
--- a/pkg/balance/restart.go
+++ b/pkg/balance/restart.go
@@ -13,13 +13,16 @@
 // replica holds what it held before: rumors take two gossip rounds of a large fleet.
 const lateHolderWindow = 1500 * time.Millisecond
 
-// ReplicaHooks are called when a replica restarts or is removed, without a lock held.
-// Both may be nil.
+// ReplicaHooks are called when a replica restarts, is removed or must be verified, without
+// a lock held. All may be nil.
 type ReplicaHooks struct {
 	// Restarted: the replica with this id restarted, at this address.
 	Restarted func(id, address string)
 	// Removed: the replica is no longer listed.
 	Removed func(id string)
+	// Verify: other routers do not reach the replica at this address. The hook must not
+	// block; the result is reported with Connected or RequestFailed.
+	Verify func(id, address string)
 }
 
 // SetReplicaHooks sets the hooks.
@@ -74,15 +77,20 @@
 	return true
 }
 
-// unlockAndNotify releases b.mu, which is held, and then calls the hooks for restarts
+// unlockAndNotify releases b.mu, which is held, and then calls the hooks for what was
 // learned from rumors.
 func (b *Balancer) unlockAndNotify() {
-	restarts := b.pendingRestarts
-	b.pendingRestarts = nil
+	restarts, checks := b.pendingRestarts, b.pendingChecks
+	b.pendingRestarts, b.pendingChecks = nil, nil
 	b.mu.Unlock()
 	for _, r := range restarts {
 		b.notifyRestart(r.ID, r.Address)
 	}
+	if e := b.hooks.Load(); e != nil && e.Verify != nil {
+		for _, r := range checks {
+			e.Verify(r.ID, r.Address)
+		}
+	}
 }
 
 // restartDedupWindow is the time within which reports of a restart refer to the same one:
--- a/pkg/balance/restart_test.go
+++ b/pkg/balance/restart_test.go
@@ -35,18 +35,18 @@
 	load := b.load(b.replicas["a"], now)
 	b.mu.Unlock()
 	assert.Zero(t, load)
-	assert.Len(t, b.TakeRumors().Failures, 1, "only the failure is a rumor; the list shows the restart")
+	assert.Len(t, b.TakeRumors(start).Failures, 1, "only the failure is a rumor; the list shows the restart")
 }
 
 func TestRestartIsGossiped(t *testing.T) {
 	now := time.Now()
 	reader, other := twoEngines(now), twoEngines(now)
 	other.RequestSucceeded("a", sharedPrompt(), now)
-	other.TakeRumors()
+	other.TakeRumors(start)
 	var told []string
 	other.SetReplicaHooks(ReplicaHooks{Restarted: func(id, _ string) { told = append(told, id) }})
 	reader.ReplicaRestarted("a", true, now)
-	rumors := reader.TakeRumors()
+	rumors := reader.TakeRumors(start)
 	other.MergeRumors(rumors, now)
 	assert.Empty(t, other.Holders(now))
 	other.MergeRumors(rumors, now)
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -33,11 +34,21 @@
 
 // TakeRumors returns what the other routers need to know. It returns each failure, holder
 // and hot part once.
-func (b *Balancer) TakeRumors() Rumors {
+func (b *Balancer) TakeRumors(now time.Time) Rumors {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.takeRumors(now)
+}
+
+// takeRumors returns the queued rumors, without failures of services that this router has
+// lost the path to: its own path may be at fault. b.mu is held.
+func (b *Balancer) takeRumors(now time.Time) Rumors {
 	rumors := b.pendingRumors
 	b.pendingRumors = Rumors{}
+	rumors.Failures = slices.DeleteFunc(rumors.Failures, func(f ObservedFailure) bool {
+		r := b.byShortHash[f.Replica]
+		return r != nil && f.Failure.isOfConnection() && b.pathLost(r.Service, now)
+	})
 	return rumors
 }
 
@@ -114,21 +125,26 @@
 		}
 		return
 	}
-	if f.At.Before(r.restartedAt) {
+	if f.At.Before(r.restartedAt) || f.Failure.isOfPath() && r.isDisproved(f.At, now) {
 		return
 	}
 	if b.largeFleet {
 		// If the replica is avoided already, its failure has been forwarded already,
 		// having arrived by a faster path or from another router. A late rumor must not
 		// circulate again.
-		if r.health.isAvoided(now) || now.Sub(f.At) > rumorLifetime || f.Failure.isSoft() && b.tooManyAvoided(r.Service, now) {
+		if r.health.isAvoided(now) || r.reported.isAvoided(now) || now.Sub(f.At) > rumorLifetime || f.Failure.isSoft() && b.tooManyAvoided(r.Service, now) {
 			return
 		}
 		b.queueFailure(r, f.Failure, f.At)
+	}
+	switch {
+	case f.Failure.isOfPath():
+		b.recordReport(r, f, now)
+	case b.largeFleet:
 		r.health.recordFailure(f.Failure, f.At)
-		return
+	default:
+		b.recordFailure(r, f.Failure, f.At)
 	}
-	b.recordFailure(r, f.Failure, f.At)
 }
 
 // mergeHolder takes a holder that another router saw. b.mu is held.
