front: a lost path is no crash of replicas

Cause: after a broken answer the replica is probed, and a refused connection was proof of its end; a partition may refuse as well.

Change: before it is taken to have ended, another replica must have been reached since, or be reached now: two random ones of any service are probed. If the only replica refuses there is nothing to compare with, as before. If half of all replicas really ended at once, one mark in four is missed.

--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -99,7 +99,11 @@
 	go func() {
 		defer close(probed)
 		b := brokenRequest{digest: digest, at: broke, incarnation: incarnation(choice), fields: fields}
-		if b.state = f.processState(id, address); b.state != upstream.Ended {
+		b.state = f.probePath(id, address)
+		if b.state == upstream.Ended && !f.reachesOthers(id, broke) {
+			b.state = upstream.Unreachable
+		}
+		if b.state != upstream.Ended {
 			f.broken.note(id, b, steady.Now())
 			return
 		}
--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"time"
+
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -24,6 +26,26 @@
 // reported to be out of reach.
 func (f *Front) VerifyReplica(id, address string) { go f.probePath(id, address) }
 
+// controlProbes is how many other replicas are probed before one that refuses connections
+// is taken to have ended.
+const controlProbes = 2
+
+// reachesOthers reports whether this router reached another replica after a time, or reaches
+// one now. If it reaches none, its own path may be lost. Without other replicas there is
+// nothing to compare with, and the path is assumed to be sound.
+func (f *Front) reachesOthers(id string, since time.Time) bool {
+	if f.balancer.ReachedSince(since, id) {
+		return true
+	}
+	others := f.balancer.OtherReplicas(id, controlProbes)
+	for _, r := range others {
+		if f.probePath(r.ID, r.Address) == upstream.Listening {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // ProbeLostPaths opens connections to replicas that this router lost the path to, so that
 // its return is noticed without a request.
 func (f *Front) ProbeLostPaths() {
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -169,3 +170,32 @@
 		r.health.avoidUntil = until
 	}
 }
+
+// ReachedSince reports whether another replica answered this router, or took a connection
+// from it, after a time.
+func (b *Balancer) ReachedSince(since time.Time, except string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, r := range b.replicas {
+		if id != except && r.path.contactAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// OtherReplicas returns up to count random listed replicas of any service besides one.
+func (b *Balancer) OtherReplicas(except string, count int) []directory.Replica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var others []directory.Replica
+	for _, service := range slices.Sorted(maps.Keys(b.services)) {
+		for _, r := range b.services[service] {
+			if r.ID != except {
+				others = append(others, r.Replica)
+			}
+		}
+	}
+	b.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(count, len(others))]
+}
