balance: a full engine is no last resort

Cause, in two places. The last resort chose among the least bad engines only, whatever their load: the one whose avoidance had just ended got everything. And the bound is the mean over the engines that this router reaches: with a single one left it is a multiple of that one's own load, which is never above it.

Change: engines with more than 1.25 requests for each slot get nothing further; the last resort takes the least bad engines of which some are below the service's bound, else all within reach. Engines that other routers use count in the mean. If all are full the request is refused, which says not run, at once.

TestLastResortIsNoFullReplica failed for hung, refused and unreachable ones, and passes.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -286,6 +286,9 @@
 		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Unreachable: b.probePending(chosen, now)}, true
 	}
 	chosen, home, reason := b.pickEngine(q, left, bound, now)
+	if chosen == nil {
+		return Choice{}, false
+	}
 	reason = b.spendColdAllowance(chosen, q, reason, now)
 	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts), Unreachable: b.probePending(chosen, now)}
 	choice.Holders = len(b.holders.list(choice.Part, now))
--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -46,16 +45,18 @@
 // where they are when engines join. home is the first in rank order. A holder in the
 // router's own data centre comes first, and a small prompt is kept in each data centre.
 //
-// If no engine is both healthy and below the bound, the choice among the least bad ones
-// is made in the same way, with a bound of their own: parts spread over all of them by
-// load alone would have to be copied or read again.
+// If no engine is both healthy and below the bound, the choice among the engines of last
+// resort is made in the same way, with a bound of their own: parts spread over all of them
+// by load alone would have to be copied or read again. chosen is nil if all are full.
 func (b *Balancer) pickEngine(q Request, left []*replica, bound float64, now time.Time) (chosen, home *replica, reason Reason) {
 	key := homeKey(q.Parts)
 	home = firstByRank(left, key, func(*replica) bool { return true })
-	fits := func(r *replica) bool { return b.isEligible(r, bound, now) }
+	fits := func(r *replica) bool { return b.isEligible(r, bound, now) && !b.isFull(r, now) }
 	lastResort := !slices.ContainsFunc(left, fits)
 	if lastResort {
-		left = b.leastBadEngines(left, now)
+		if left = b.lastResortEngines(left, bound, now); len(left) == 0 {
+			return nil, home, LastResort
+		}
 		if b.disabled.Has(mechanism.LastResort) {
 			return b.leastLoaded(left, now), home, LastResort
 		}
@@ -115,20 +116,28 @@
 	return other
 }
 
-// leastBadEngines returns the replicas with the lowest badness.
-func (b *Balancer) leastBadEngines(list []*replica, now time.Time) []*replica {
-	var group []*replica
-	least := math.MaxInt
-	for _, r := range list {
-		bad := b.badness(r, now)
-		if bad < least {
-			least, group = bad, nil
-		}
-		if bad == least {
-			group = append(group, r)
-		}
+// lastResortEngines returns the engines to choose among if none is both healthy and below
+// the bound: the least bad ones of which some are below it, or else all that are within
+// reach, but none that is full.
+func (b *Balancer) lastResortEngines(list []*replica, bound float64, now time.Time) []*replica {
+	list = slices.DeleteFunc(slices.Clone(list), func(r *replica) bool { return b.isFull(r, now) })
+	below := slices.DeleteFunc(slices.Clone(list), func(r *replica) bool { return b.load(r, now) >= bound })
+	if group := b.leastBad(below, now); len(group) > 0 && b.badness(group[0], now) < badUnreachable {
+		return group
 	}
-	return group
+	if reached := slices.DeleteFunc(slices.Clone(list), func(r *replica) bool { return b.badness(r, now) >= badUnreachable }); len(reached) > 0 {
+		return reached
+	}
+	return b.leastBad(list, now)
+}
+
+// fullFactor is how many requests for each of its slots make an engine full: what waits
+// beyond that takes about as long to begin as a quarter of a request takes to run.
+const fullFactor = 1.25
+
+// isFull reports whether an engine has no room for a further request.
+func (b *Balancer) isFull(r *replica, now time.Time) bool {
+	return r.Slots > 0 && b.load(r, now) >= fullFactor*float64(r.Slots)
 }
 
 func (b *Balancer) isEligible(r *replica, bound float64, now time.Time) bool {
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -29,15 +29,15 @@
 }
 
 // serviceBound is the load up to which a replica of a service gets further requests.
-// Unreachable replicas carry none of this router's requests, so the mean is taken over
-// the others. The users' mean covers all replicas, including those that get nothing
+// Replicas that no router reaches carry no requests, so the mean is taken over the others;
+// those that only this router does not reach count. The users' mean covers all replicas, including those that get nothing
 // because they are evacuated or cold, and the others are held to it.
 func (b *Balancer) serviceBound(service string, now time.Time) float64 {
 	all := b.services[service]
 	total, reached := 0.0, 0
 	for _, list := range [][]*replica{all, b.evacuated[service]} {
 		for _, r := range list {
-			if !b.isUnreachable(r, now) {
+			if !b.isUnreachable(r, now) || b.peersRun(r, now) > 0 {
 				total += b.load(r, now)
 				reached++
 			}
