front: a router that does not reach a service relays its requests

Cause: a router could serve only by connections of its own.

When the path to a service is lost (several replicas out of reach, none reached since), half of it is and the choice is a last resort, or two replicas took no connection, the request goes to another router, in HTTP on a connection to the address of the gossip that a prefix and its answer open: a router of an earlier build never gets a request that it can't read. One hop; the other router looks route and key up by its own configuration, counts no demand and earns no retry, and gets what is left of time and attempts. Its refusals say whether the request has not run there, cannot be served there, or may have run. Which routers serve is learned from their answers (pkg/relay) and forgotten in 1 to 2 s, so nothing is exchanged at rest. Events 323, 324, 425, metrics, mechanism "relay".

TestCallersOfPartitionedRouterAreServed failed (hangs, resets, refuses), passes. Not yet: load of hundreds of relaying routers, the soak.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,9 +76,11 @@
 	poison   *poison.Tracker
 	watcher  *watch.Watcher
 	pool     *upstream.Pool
-	front    *front.Front
-	metrics  *front.Metrics
-	gossip   *gossip.Gossip
+	// relayPool keeps connections to other routers.
+	relayPool *upstream.Pool
+	front     *front.Front
+	metrics   *front.Metrics
+	gossip    *gossip.Gossip
 	// overload decides on requests to services without engines; nil if the settings turn
 	// admission control off. admission tells whether its decisions apply.
 	overload  *gatedController
@@ -86,11 +88,14 @@
 
 	statusWriter atomic.Pointer[rollout.Writer]
 
-	callers   *http.Server
-	conns     *conns.Set
-	readiness *http.Server
-	operators *admin.Admin
-	listeners []net.Listener
+	callers *http.Server
+	conns   *conns.Set
+	// relayed serves requests of routers that do not reach a service.
+	relayed      *http.Server
+	relayedConns *conns.Set
+	readiness    *http.Server
+	operators    *admin.Admin
+	listeners    []net.Listener
 	// callerListener accepts callers' connections.
 	callerListener *retryListener
 
@@ -171,6 +176,7 @@
 		Without:    e.settings.Without,
 	}
 	e.connectOverload(&options)
+	e.connectRelays(&options)
 	e.front = front.New(options, e.watcher, e.holder, e.balancer, e.pool, e.metrics, e.log)
 	e.balancer.SetReplicaHooks(balance.ReplicaHooks{
 		Restarted: func(id, address string) {
@@ -192,6 +198,7 @@
 		MaxHeaderBytes: e.settings.Limits.Header,
 		ErrorLog:       e.log.Faults(event.HandlerFailed),
 	}
+	e.buildRelayed()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.env.ReadyPath, e.answerReady)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
@@ -295,6 +302,7 @@
 	work, ctx := errgroup.WithContext(ctx)
 	work.Go(func() error { return e.serveCallers() })
 	work.Go(func() error { return serve(e.readiness, e.listeners[1]) })
+	work.Go(func() error { return e.serveRelayed() })
 	work.Go(func() error { return e.operators.Serve(e.listeners[2]) })
 	work.Go(func() error {
 		e.watcher.Run(ctx)
@@ -331,6 +339,7 @@
 	}
 	cancel()
 	e.callers.Close()
+	e.relayed.Close()
 	e.readiness.Close()
 	e.operators.Close()
 	if err := work.Wait(); err != nil && e.err == nil {
@@ -366,6 +375,7 @@
 	e.log.Write(event.Woke, event.F("slept_ms", slept.Milliseconds()), event.F("in_flight", e.front.ActiveRequests()))
 	e.front.RestartTimers()
 	e.pool.DropIdle()
+	e.relayPool.DropIdle()
 	e.watcher.TriggerRead()
 }
 
@@ -413,5 +423,6 @@
 			e.log.Write(id, event.F("proof_ms", e.watcher.Staleness(steady.Now()).Milliseconds()))
 		}
 		e.pool.CloseExpired()
+		e.relayPool.CloseExpired()
 	}
 }
--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -130,7 +130,7 @@
 		}
 		for _, kind := range []route.Kind{route.Repeatable, route.Once} {
 			snapshot.Config.Routes = append(snapshot.Config.Routes, route.Route{Name: fmt.Sprint(service, kind), Host: "h", Prefix: fmt.Sprintf("/%s/%d/", service, kind),
-				Kind: kind, Attempts: 2, Timeout: 10 * time.Second, Target: 100 * time.Millisecond, Shares: []route.Share{{Service: service, Weight: 1}}})
+				Kind: kind, Attempts: 2, Timeout: 2 * time.Second, Target: 100 * time.Millisecond, Shares: []route.Share{{Service: service, Weight: 1}}})
 		}
 	}
 	var seeds []string
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -43,6 +43,10 @@
 	ended, err := e.conns.Drain(limit)
 	e.log.Write(event.CallersEnded, event.F("closed_at_rest", ended.Closed), event.F("found_unread", ended.Unread),
 		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", steady.Since(asked).Milliseconds()))
+	if err == nil {
+		// Other routers were told of the stop with the first of these answers.
+		_, err = e.relayedConns.Drain(limit)
+	}
 	if err == nil {
 		return nil
 	}
@@ -75,5 +79,6 @@
 	defer cancel()
 	// Callers that have not received the error by then are cut without it.
 	_, _ = e.conns.Drain(ctx)
+	_, _ = e.relayedConns.Drain(ctx)
 	return fmt.Errorf("%w: %w", ErrCut, cause)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -54,6 +54,8 @@
 	RolloutChanged    ID = 320
 	RolloutPhase      ID = 321
 	RolloutWritten    ID = 322
+	ServiceLost       ID = 323
+	ServiceReached    ID = 324
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -78,6 +80,7 @@
 	ServiceHasRoom    ID = 422
 	MemoryFull        ID = 423
 	MemoryFree        ID = 424
+	RequestRelayed    ID = 425
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -129,6 +132,8 @@
 	RolloutChanged:    {logrus.InfoLevel, "order or status of a roll-out was written or deleted", "None needed. croftyardctl rollout shows what is held."},
 	RolloutPhase:      {logrus.WarnLevel, "roll-out of a version goes on or ends", "None if it shifts or completes. If it is rolled back, reason tells by which evidence."},
 	RolloutWritten:    {logrus.InfoLevel, "status of a roll-out written to the platform's store", "None needed. With an error: it is read and tried again."},
+	ServiceLost:       {logrus.WarnLevel, "replicas of a service are out of reach from here", "Its requests go to other routers. If it lasts, look at the network between this instance and the replicas."},
+	ServiceReached:    {logrus.InfoLevel, "replicas of a service are within reach again", "None needed."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
@@ -153,6 +158,7 @@
 	ServiceHasRoom:    {logrus.InfoLevel, "service has room again", "None needed."},
 	MemoryFull:        {logrus.WarnLevel, "memory for callers used up, calls refused", "Look who sends large bodies or sends them slowly; raise held_bytes in [limits] if the machine has more memory."},
 	MemoryFree:        {logrus.InfoLevel, "half of the memory for callers is free again", "None needed. rejected counts since the start."},
+	RequestRelayed:    {logrus.InfoLevel, "request relayed to another router", "None needed. result tells what became of it; 323 tells why. The other router's lines go on under the same request."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -98,6 +98,7 @@
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
 	c.front.announceClose(c.writer)
+	c.describeRelayed(header)
 	c.writer.WriteHeader(answer.StatusCode)
 	c.headSent = true
 	c.firstByte = steady.Now()
@@ -216,6 +217,9 @@
 	}
 	c.front.announceClose(c.writer)
 	header.Set(c.front.options.Dialect.AttemptID, c.id)
+	if c.relay != nil {
+		header.Set(relayResultHeader, c.relay.result(c, r))
+	}
 	http.Error(c.writer, r.reason, r.status)
 	name := outcomeRefused
 	if c.mayHaveRun {
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -74,6 +74,12 @@
 	trialOfVersion versionTrial
 	// unwritten counts the attempts that were cancelled between connect and write.
 	unwritten int
+	// relay is set if another router handed the request to this one.
+	relay *relayedCall
+	// unconnected counts the replicas to which no connection could be opened, relayTried
+	// lists the routers that the request was handed to.
+	unconnected int
+	relayTried  []string
 	// excluded are the replicas that were ineligible at the last choice.
 	excluded []directory.Exclusion
 	// lastResort is set if the chosen replica is used only because its service has no other.
@@ -130,7 +136,9 @@
 		return
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.PromptParts))
-	c.front.retries.Earn()
+	if c.relay == nil {
+		c.front.retries.Earn()
+	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.deadline))
 	defer cancel()
 	defer c.front.inFlight.add(c.deadline, cancel)()
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -56,6 +56,22 @@
 			c.giveUp(refuseStale("list of replicas too old"))
 			return
 		}
+		if c.outOfReach(choice, found) {
+			if c.relay != nil {
+				c.giveUp(c.refuseOutOfReach())
+				return
+			}
+			switch c.relayElsewhere(ctx) {
+			case relayFinished:
+				return
+			case relayRetry:
+				continue
+			}
+			if len(c.relayTried) > 0 && c.front.balancer.PathLost(c.service.Name, steady.Now()) {
+				c.giveUp(c.refuseUnavailable("service out of reach"))
+				return
+			}
+		}
 		if !found || choice.Unreachable {
 			if c.waitForReplica(ctx) {
 				continue
@@ -194,6 +210,7 @@
 		// If this router is out of file descriptors, the replica is not at fault.
 		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) {
 			c.front.reportFailure(c.id, id, dialFailure(err))
+			c.unconnected++
 		}
 		// Nothing reached the replica, so this does not count as an attempt.
 		return attemptRetry
@@ -255,7 +272,7 @@
 	if c.mayHaveRun && c.route.RunsOnce() {
 		return attemptGiveUp
 	}
-	if int(c.sent.Load()) >= c.route.Attempts {
+	if int(c.sent.Load()) >= c.maxAttempts() {
 		return attemptGiveUp
 	}
 	if !c.reserved.Swap(false) && !c.front.spendRetry(c.id) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/croftyard/croftyard/pkg/mechanism"
 	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/relay"
 )
 
 // Dialect holds the header names and value formats that callers, routers and replicas use.
@@ -74,6 +75,10 @@
 	Without mechanism.Set
 	// Overload decides which requests a service without engines takes. If nil, all.
 	Overload Overload
+	// Relays are the other routers that requests can be handed to. If nil, there are none.
+	Relays func() []relay.Router
+	// RelayPool keeps the connections to them.
+	RelayPool *upstream.Pool
 	// AdmissionEnabled reports whether requests may be refused by Overload. If nil, they may.
 	AdmissionEnabled func() bool
 }
@@ -130,6 +135,12 @@
 	// of memory until there is room again.
 	held     membudget.Budget
 	heldFull atomic.Bool
+	// relays remembers which routers reach which services, relayedHere counts the requests
+	// of other routers in progress.
+	relays      *relay.Selector
+	relayedHere atomic.Int64
+	// lostServices are the services that this router lost the path to, as last logged.
+	lostServices []string
 }
 
 // New returns a Front.
@@ -149,6 +160,7 @@
 		started:          steady.Now(),
 		retries:          admission.NewRetryBudget(o.Limits.RetryRatio, o.Limits.RetryBurst),
 		longestDurations: admission.NewMaxDurations(),
+		relays:           relay.New(uint64(steady.Now().UnixNano())),
 	}
 	front.limits.Store(&o.Limits)
 	front.held.SetLimit(o.HeldBytes)
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -22,6 +22,9 @@
 	// those that asked for a rest.
 	DrainingAnswers gometrics.Counter
 	RestingAnswers  gometrics.Counter
+	// Relayed counts requests handed to another router, RelayedHere those taken from one.
+	Relayed         gometrics.Counter
+	RelayedHere     gometrics.Counter
 	TimeToFirstByte gometrics.Histogram
 	Duration        gometrics.Histogram
 
@@ -51,6 +54,8 @@
 		PoisonRefusals:    gometrics.NewRegisteredCounter("croftyard.front.refused_as_poison", r),
 		DrainingAnswers:   gometrics.NewRegisteredCounter("croftyard.front.answers_draining", r),
 		RestingAnswers:    gometrics.NewRegisteredCounter("croftyard.front.answers_resting", r),
+		Relayed:           gometrics.NewRegisteredCounter("croftyard.front.relayed", r),
+		RelayedHere:       gometrics.NewRegisteredCounter("croftyard.front.relayed_here", r),
 		TimeToFirstByte:   gometrics.NewRegisteredHistogram("croftyard.front.first_byte_ms", r, gometrics.NewUniformSample(sampleSize)),
 		Duration:          gometrics.NewRegisteredHistogram("croftyard.front.whole_ms", r, gometrics.NewUniformSample(sampleSize)),
 		routes:            make(map[string]bool),
--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"slices"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -47,8 +49,10 @@
 }
 
 // ProbeLostPaths opens connections to replicas that this router lost the path to, so that
-// its return is noticed without a request.
+// its return is noticed without a request. It logs which services were lost or reached again
+// since the last call, and is not safe for concurrent use.
 func (f *Front) ProbeLostPaths() {
+	f.logLostServices(f.balancer.LostServices(steady.Now()))
 	for _, r := range f.balancer.PathProbes(steady.Now()) {
 		go func() {
 			if f.processState(r.ID, r.Address) == upstream.Listening {
@@ -59,3 +63,17 @@
 		}()
 	}
 }
+
+func (f *Front) logLostServices(lost []string) {
+	for _, name := range lost {
+		if !slices.Contains(f.lostServices, name) {
+			f.log.Write(event.ServiceLost, event.F("service", name))
+		}
+	}
+	for _, name := range f.lostServices {
+		if !slices.Contains(lost, name) {
+			f.log.Write(event.ServiceReached, event.F("service", name))
+		}
+	}
+	f.lostServices = lost
+}
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -15,6 +15,8 @@
 	retryAfter time.Duration
 	// closes is set if the connection is closed after the answer.
 	closes bool
+	// unable is set if another router may be able to serve the request now.
+	unable bool
 }
 
 // Bounds of Retry-After. Many callers retry only once, usually through another router, and
@@ -32,7 +34,7 @@
 const startupTime = 650 * time.Millisecond
 
 func refuseStale(reason string) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryElsewhere, closes: true}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryElsewhere, closes: true, unable: true}
 }
 
 // refuseUnconfigured refuses a request that arrives before there is a configuration. Since
--- /dev/null
+++ b/internal/front/relay.go
@@ -0,0 +1,346 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/upstream"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/mechanism"
+	"github.com/croftyard/croftyard/pkg/relay"
+)
+
+// A router that does not reach the replicas of a service hands its requests to one that may:
+//
+//	caller ──> router without a path ──HTTP──> other router ──> replica
+//
+// The other router treats the request as its own, with two differences: it never hands it
+// on, and it counts it neither as demand nor for the retry budget, since the first router
+// has. Its refusals say whether the request may have run, so that the promise of a 503
+// holds across both.
+
+// Headers between routers. relayAttemptsHeader is how many replicas the request may still be
+// sent to, relayShareHeader selects among the shares of its route. In an answer,
+// relayResultHeader stands in what a router generated itself, relaySentHeader is how many
+// replicas the request was sent to, relayReplicaHeader is the one that answered.
+const (
+	relayAttemptsHeader = "Relay-Attempts"
+	relayShareHeader    = "Relay-Share"
+	relayResultHeader   = "Relay-Result"
+	relaySentHeader     = "Relay-Sent"
+	relayReplicaHeader  = "Relay-Replica"
+)
+
+var relayHeaders = []string{relayAttemptsHeader, relayShareHeader, relayResultHeader, relaySentHeader, relayReplicaHeader}
+
+// Values of relayResultHeader.
+const (
+	// relayUnable: not run; another router may serve it.
+	relayUnable = "unable"
+	// relayRefused: not run; other routers would refuse it too.
+	relayRefused = "refused"
+	// relayFailed: it may have run.
+	relayFailed = "failed"
+)
+
+// relayResult is the outcome of handing a request to other routers.
+type relayResult uint8
+
+const (
+	// relayNone: no other router can serve it.
+	relayNone relayResult = iota
+	// relayFinished: the caller has its answer or has disconnected.
+	relayFinished
+	// relayRetry: it may be tried again.
+	relayRetry
+)
+
+const (
+	// maxRelayTries is how many routers are asked for one request. Each refuses within a
+	// round trip.
+	maxRelayTries = 4
+	// maxRelayedHere bounds the requests of other routers in progress.
+	maxRelayedHere = 256
+	// maxUnconnected is after how many replicas that take no connection another router is
+	// asked.
+	maxUnconnected = 2
+)
+
+// outOfReach reports whether the request should be handed to another router.
+func (c *call) outOfReach(choice balance.Choice, found bool) bool {
+	o := &c.front.options
+	if o.Without.Has(mechanism.Relay) || c.relay == nil && (o.Relays == nil || o.RelayPool == nil) {
+		return false
+	}
+	if c.unconnected >= maxUnconnected {
+		return true
+	}
+	if !found {
+		return c.unconnected > 0 || c.front.balancer.PathHalfLost(c.service.Name, steady.Now())
+	}
+	return choice.PathLost || choice.Unreachable
+}
+
+// relayElsewhere hands the request to one router after another until one serves it.
+func (c *call) relayElsewhere(ctx context.Context) relayResult {
+	if c.mayHaveRun && c.route.RunsOnce() || int(c.sent.Load()) >= c.maxAttempts() {
+		return relayNone
+	}
+	routers := c.front.options.Relays()
+	for range maxRelayTries {
+		if c.callerLeft() {
+			c.abortCallerGone()
+		}
+		router, found := c.front.relays.Choose(relay.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.relayTried}, routers, steady.Now())
+		if !found {
+			return relayNone
+		}
+		c.relayTried = append(c.relayTried, router.Address)
+		if result := c.relayTo(ctx, router.Address); result != relayNone {
+			return result
+		}
+	}
+	return relayNone
+}
+
+// relayAttempts is how many replicas the other router may send the request to. One is left
+// to this router if the request may be repeated, since the other one may break off.
+func (c *call) relayAttempts() int {
+	left := c.maxAttempts() - int(c.sent.Load())
+	if c.route.RunsOnce() {
+		return left
+	}
+	return max(left-1, 1)
+}
+
+// relayTo hands the request to one router. relayNone means that it has not run there.
+func (c *call) relayTo(ctx context.Context, address string) relayResult {
+	f := c.front
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	attempts := c.relayAttempts()
+	c.waiting.Store(true)
+	silence := time.AfterFunc(c.silenceLimit(), c.failover(c.silenceLimit(), cancel))
+	answer, err := f.options.RelayPool.Do(ctx, address, c.relayRequest(attempts, cancel))
+	silence.Stop()
+	c.waiting.Store(false)
+	if err != nil {
+		return c.handleRelayError(address, attempts, err, errors.Is(context.Cause(ctx), errSilent))
+	}
+	defer answer.Close()
+	result := answer.Header.Get(relayResultHeader)
+	f.log.Write(event.RequestRelayed, event.F("request", c.id), event.F("router", address), event.F("result", result), event.F("status", answer.StatusCode))
+	switch {
+	case result == relayFailed:
+		c.mayHaveRun = true
+		c.giveUp(&refusal{status: http.StatusBadGateway, reason: "failed at another router"})
+		return relayFinished
+	case result == relayRefused && impliesNotRun(answer.StatusCode):
+		c.giveUp(c.refuseAsRelayed(answer))
+		return relayFinished
+	case result != "":
+		f.relays.Unable(c.service.Name, address, steady.Now())
+		drainBody(answer)
+		return relayNone
+	}
+	f.metrics.Relayed.Inc(1)
+	f.relays.Served(c.service.Name, address, steady.Now())
+	return c.forwardRelayed(ctx, address, answer)
+}
+
+// relayRequest builds the request for another router: the caller's, with what is left of its
+// time and attempts.
+func (c *call) relayRequest(attempts int, cancel context.CancelCauseFunc) *upstream.Request {
+	d := &c.front.options.Dialect
+	header := forwardedHeader(c.request.Header)
+	header.Set(d.Deadline, strconv.FormatInt(max(steady.Until(c.deadline).Milliseconds(), 1), 10))
+	header.Set(relayAttemptsHeader, strconv.Itoa(attempts))
+	header.Set(relayShareHeader, strconv.FormatFloat(c.shareDraw, 'g', -1, 64))
+	if c.lastEvent != "" {
+		header.Set(lastEventHeader, c.lastEvent)
+	}
+	return &upstream.Request{
+		Method: c.request.Method,
+		URI:    c.request.RequestURI,
+		Host:   c.request.Host,
+		Header: header,
+		Body:   c.body,
+		ID:     c.id,
+		Check: func() error {
+			if c.callerLeft() {
+				return errCallerGone
+			}
+			return nil
+		},
+		Unacked: c.failover(c.silenceLimit(), cancel),
+	}
+}
+
+// handleRelayError decides how to go on after another router gave no answer.
+func (c *call) handleRelayError(address string, attempts int, err error, silent bool) relayResult {
+	f := c.front
+	f.log.Write(event.RequestRelayed, event.F("request", c.id), event.F("router", address), event.F("result", "error"), event.F("error", err))
+	f.relays.Unreachable(address, steady.Now())
+	if errors.Is(err, errCallerGone) {
+		c.abortCallerGone()
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		return relayNone
+	}
+	c.outcome.reason = "no answer of another router: " + err.Error()
+	c.sent.Add(int32(attempts))
+	c.mayHaveRun = true
+	if c.request.Context().Err() != nil {
+		c.abortCallerGone()
+	}
+	return c.retryRelay(silent || steady.Until(c.deadline) > 0)
+}
+
+// retryRelay goes on after the request may have run at another router, if it may be repeated,
+// and ends the call otherwise.
+func (c *call) retryRelay(possible bool) relayResult {
+	if possible && c.retry(c.outcome.reason) == attemptRetry {
+		return relayRetry
+	}
+	c.giveUp(c.refuseUnavailable(c.outcome.reason))
+	return relayFinished
+}
+
+// refuseAsRelayed refuses a request as another router did.
+func (c *call) refuseAsRelayed(answer *upstream.Answer) *refusal {
+	drainBody(answer)
+	r := &refusal{status: http.StatusServiceUnavailable, reason: "refused by another router", retryAfter: retryElsewhere}
+	seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	if err == nil && seconds > 0 {
+		r.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return r
+}
+
+// forwardRelayed sends the answer of a replica that came by another router to the caller.
+func (c *call) forwardRelayed(ctx context.Context, address string, answer *upstream.Answer) relayResult {
+	c.mayHaveRun = true
+	c.recordRelayed(answer)
+	resumable := c.route.Resumable && !c.front.options.Without.Has(mechanism.Resume) && answer.StatusCode == http.StatusOK
+	if c.headSent && !isEventStream(answer.Response) {
+		c.outcome.reason = "replica does not resume"
+		return c.retryRelay(true)
+	}
+	if !c.headSent {
+		c.forwardHead(answer, resumable)
+	}
+	var err error
+	if resumable && isEventStream(answer.Response) {
+		err = c.forwardEvents(answer, func() {})
+	} else {
+		err = c.forwardBody(answer)
+	}
+	switch {
+	case err == nil:
+		c.recordServed(answer.StatusCode)
+		c.front.longestDurations.Record(c.route.Name, steady.Since(c.arrival), steady.Now())
+		c.setOutcome(outcomeServed, answer.StatusCode, "")
+		return relayFinished
+	case errors.Is(err, errCallerGone), c.request.Context().Err() != nil:
+		c.abortCallerGone()
+	case ctx.Err() != nil:
+		c.outcome.reason = "time is over"
+		return c.retryRelay(false)
+	}
+	c.outcome.reason = "answer of another router broken off: " + err.Error()
+	c.front.relays.Unreachable(address, steady.Now())
+	return c.retryRelay(resumable && !c.withinEvent)
+}
+
+// recordRelayed records what an answer that came by another router says of its replica, and
+// removes what is not the replica's.
+func (c *call) recordRelayed(answer *upstream.Answer) {
+	sent, err := strconv.Atoi(answer.Header.Get(relaySentHeader))
+	if err != nil || sent < 1 {
+		sent = 1
+	}
+	c.sent.Add(int32(sent))
+	c.outcome.replica = answer.Header.Get(relayReplicaHeader)
+	for _, name := range relayHeaders {
+		answer.Header.Del(name)
+	}
+	// The end of the connection is the other router's.
+	stated := *answer.Response
+	stated.Close = false
+	if c.outcome.replica != "" {
+		c.front.recordStatements(c.id, c.outcome.replica, c.arrival, &stated)
+	}
+}
+
+// relayedCall is what a router that handed a request to this one said of it.
+type relayedCall struct {
+	attempts int
+}
+
+// ServeRelayed serves a request that another router handed to this one.
+func (f *Front) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	c := newCall(f, w, r, steady.Now())
+	defer c.recordEnd()
+	attempts, err := strconv.Atoi(r.Header.Get(relayAttemptsHeader))
+	if err != nil || attempts < 1 {
+		attempts = 1
+	}
+	c.relay = &relayedCall{attempts: attempts}
+	if share, err := strconv.ParseFloat(r.Header.Get(relayShareHeader), 64); err == nil && share >= 0 && share < 1 {
+		c.shareDraw = share
+	}
+	for _, name := range relayHeaders {
+		r.Header.Del(name)
+	}
+	f.metrics.RelayedHere.Inc(1)
+	defer f.relayedHere.Add(-1)
+	if f.relayedHere.Add(1) > maxRelayedHere {
+		c.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "too many requests of other routers", retryAfter: retryElsewhere, unable: true})
+		return
+	}
+	// The first router counted the request as demand.
+	c.counted = true
+	c.serve()
+}
+
+// result returns the value of relayResultHeader for an answer that this router generated.
+func (*relayedCall) result(c *call, r *refusal) string {
+	switch {
+	case c.mayHaveRun:
+		return relayFailed
+	case r.unable || !impliesNotRun(r.status):
+		return relayUnable
+	}
+	return relayRefused
+}
+
+// describeRelayed adds to the head of a replica's answer what the router that handed the
+// request to this one must know.
+func (c *call) describeRelayed(header http.Header) {
+	if c.relay == nil {
+		return
+	}
+	header.Set(relaySentHeader, strconv.Itoa(int(c.sent.Load())))
+	header.Set(relayReplicaHeader, c.outcome.replica)
+}
+
+// maxAttempts is how many replicas the request may be sent to.
+func (c *call) maxAttempts() int {
+	if c.relay == nil {
+		return c.route.Attempts
+	}
+	return min(c.route.Attempts, c.relay.attempts)
+}
+
+// refuseOutOfReach refuses a request of another router whose service this one does not reach
+// either.
+func (c *call) refuseOutOfReach() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "service out of reach", retryAfter: retryElsewhere, unable: true}
+}
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -36,7 +36,7 @@
 // reserves the retry first: otherwise another request could take the last one, and this
 // attempt would be ended for nothing.
 func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() {
-	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.route.Attempts, c.deadline
+	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
 	return func() {
 		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && c.reserveRetry() {
 			cancel(errSilent)
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -55,5 +55,5 @@
 	if known && now.Add(time.Duration(float64(longest)*margin)).Before(s.cutAt) {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryElsewhere, closes: true}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryElsewhere, closes: true, unable: true}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/membership"
 	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/relay"
 )
 
 // Options configures a Gossip.
@@ -241,6 +243,20 @@
 	return g.members.TaskRank(task)
 }
 
+// Routers returns the other routers that requests can be relayed to.
+func (g *Gossip) Routers() []relay.Router {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var routers []relay.Router
+	for _, address := range g.members.Alive() {
+		routers = append(routers, relay.Router{Address: address, DataCentre: g.centres[address]})
+	}
+	return routers
+}
+
+// Relayed returns the listener of connections that carry relayed requests.
+func (g *Gossip) Relayed() net.Listener { return g.server.Relayed() }
+
 // Bytes returns the bytes sent to and received from the others.
 func (g *Gossip) Bytes() (sent, received uint64) { return g.meter.Bytes() }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"storj.io/drpc/drpcmigrate"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -81,6 +82,7 @@
 // Server listens for other routers.
 type Server struct {
 	listener net.Listener
+	relayed  net.Listener
 	server   *drpcserver.Server
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -104,14 +106,18 @@
 		return nil, fmt.Errorf("peer: listen: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, server: drpcserver.New(mux), cancel: cancel}
-	s.done.Go(func() {
-		// The error is that of the closed listener.
-		_ = s.server.Serve(ctx, listener)
-	})
+	routes := drpcmigrate.NewListenMux(patientListener{listener}, len(relayPrefix))
+	s := &Server{listener: listener, relayed: relayListener{routes.Route(relayPrefix)}, server: drpcserver.New(mux), cancel: cancel}
+	// The errors are those of the closed listener.
+	s.done.Go(func() { _ = routes.Run(ctx) })
+	s.done.Go(func() { _ = s.server.Serve(ctx, routes.Default()) })
 	return s, nil
 }
 
+// Relayed returns the listener of connections that carry relayed requests. If nothing
+// accepts them, they wait until the server is closed.
+func (s *Server) Relayed() net.Listener { return s.relayed }
+
 // Address returns the host:port that the server listens on.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -176,13 +176,9 @@
 }
 
 func opener(o Options) func(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Control:         controlSocket(o.SilenceTimeout),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.SilenceTimeout, Interval: time.Second, Count: 2},
-	}
 	open := o.Dial
 	if open == nil {
-		open = dialer.DialContext
+		open = SystemDial(o.SilenceTimeout)
 	}
 	dial := socket.TakesBack(open)
 	return func(ctx context.Context, address string) (net.Conn, error) {
@@ -190,6 +186,16 @@
 	}
 }
 
+// SystemDial returns a dial of the system's TCP whose connections end once sent bytes, or
+// probes of an idle one, were not acknowledged for a time.
+func SystemDial(silence time.Duration) socket.Dial {
+	dialer := net.Dialer{
+		Control:         controlSocket(silence),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence, Interval: time.Second, Count: 2},
+	}
+	return dialer.DialContext
+}
+
 // exchange writes the request and reads the response head. It also returns the
 // number of bytes handed to the kernel.
 func (p *Pool) exchange(ctx context.Context, c *conn, r *Request) (*Answer, int, error) {
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -111,6 +111,32 @@
 	return lost > 0 && lost >= min(minLostReplicas, len(list))
 }
 
+// isPathLostFor reports whether a request should rather be handed to another router: the
+// path to the service is lost, or it is to half of the replicas and the choice is a last
+// resort.
+func (b *Balancer) isPathLostFor(service string, reason Reason, now time.Time) bool {
+	return b.pathLost(service, now) || reason == LastResort && b.isPathHalfLost(service, now)
+}
+
+// isPathHalfLost reports whether at least half of a service's replicas are out of reach.
+func (b *Balancer) isPathHalfLost(service string, now time.Time) bool {
+	lost, list := 0, b.services[service]
+	for _, r := range list {
+		if r.isPathLost(now) || r.health.kind.isOfPath() && r.health.isAvoided(now) {
+			lost++
+		}
+	}
+	return lost > 0 && 2*lost >= len(list)
+}
+
+// PathHalfLost reports whether at least half of a service's replicas are out of reach of
+// this router.
+func (b *Balancer) PathHalfLost(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isPathHalfLost(service, now)
+}
+
 // PathLost reports whether this router seems to have lost the path to a service.
 func (b *Balancer) PathLost(service string, now time.Time) bool {
 	b.mu.Lock()
@@ -118,6 +144,20 @@
 	return b.pathLost(service, now)
 }
 
+// LostServices returns the services that this router seems to have lost the path to, sorted.
+func (b *Balancer) LostServices(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lost []string
+	for service := range b.services {
+		if b.pathLost(service, now) {
+			lost = append(lost, service)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
 // maxPathProbes bounds the replicas of a service that are probed at a time once one of
 // them was reached again.
 const maxPathProbes = 8
--- a/pkg/mechanism/mechanism.go
+++ b/pkg/mechanism/mechanism.go
@@ -53,6 +53,8 @@
 	Admission
 	// PlainRates: replicas of plain services are drawn by the rates that they can take.
 	PlainRates
+	// Relay: requests of a service that a router does not reach are handed to another one.
+	Relay
 )
 
 // ErrUnknown: there is no such mechanism.
@@ -62,7 +64,7 @@
 var names = []string{
 	"holders", "copies", "near", "leavers", "bound", "silence", "pace", "evidence", "rumors",
 	"last_resort", "resume", "hang", "recall", "priority", "rank", "renew", "spread",
-	"admission", "rates",
+	"admission", "rates", "relay",
 }
 
 // Names returns the names of all mechanisms.
--- a/pkg/mechanism/mechanism_test.go
+++ b/pkg/mechanism/mechanism_test.go
@@ -19,5 +19,5 @@
 	_, err = Parse("holders,holder")
 	require.ErrorIs(t, err, ErrUnknown)
 	assert.ErrorContains(t, err, `"holder"; there are holders, copies`)
-	assert.Equal(t, PlainRates, Mechanism(1<<(len(Names())-1)))
+	assert.Equal(t, Relay, Mechanism(1<<(len(Names())-1)))
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -21,6 +21,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -341,6 +342,9 @@
 	return rank
 }
 
+// Alive returns the addresses of the other members, in no order.
+func (t *Table) Alive() []string { return slices.Collect(maps.Keys(t.members)) }
+
 // KnownAddresses returns all routers that are or lately were members, this one included,
 // sorted. Silent ones may be working behind a partition. Callers must not change the
 // list; it stays the same one while Changes does.
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,152 @@
+// Package relay chooses the router that a request is handed to by a router that does not
+// reach the replicas of its service.
+//
+//	Choose -> a router that is not known to be unable, in the own data centre first
+//	Served, Unable, Unreachable record what became of it
+//
+// Nothing is exchanged in advance: which routers reach a service is learned from their
+// answers and forgotten soon, so that a router that was cut off is asked again. The package
+// does no I/O; time and randomness come from the caller.
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Router is another router.
+type Router struct {
+	// Address is where it takes relayed requests.
+	Address string
+	// DataCentre is its data centre, empty if unknown.
+	DataCentre string
+}
+
+const (
+	// unableTime is how long a router that did not reach a service, or was not reached
+	// itself, is not asked again.
+	unableTime = time.Second
+	// servedTime is how long a router that served a request is preferred.
+	servedTime = 2 * time.Second
+	// enoughServing is how many routers must serve for the others not to be asked: fewer
+	// would carry all that this router relays.
+	enoughServing = 3
+)
+
+// Selector remembers which routers reach which services. It is safe for concurrent use.
+type Selector struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	// services holds what is known of routers by service, routers by address alone.
+	services map[string]map[string]record
+	routers  map[string]time.Time
+}
+
+// record is what became of the last requests that were handed to a router.
+type record struct {
+	unableUntil, servedUntil time.Time
+}
+
+// New returns a Selector. Its choices depend only on seed and on the calls made to it.
+func New(seed uint64) *Selector {
+	return &Selector{random: rand.New(rand.NewPCG(seed, seed)), services: make(map[string]map[string]record), routers: make(map[string]time.Time)}
+}
+
+// Request is a request that needs another router.
+type Request struct {
+	Service string
+	// DataCentre is that of the router that asks.
+	DataCentre string
+	// Tried holds the addresses that must not be asked again.
+	Tried []string
+}
+
+// Choose returns a router to hand a request to. It returns false if none is left.
+//
+// Routers of the own data centre come first, unless one of them was unable and none served:
+// what cuts a router off often strikes its whole data centre.
+func (s *Selector) Choose(q Request, routers []Router, now time.Time) (Router, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.services[q.Service]
+	var near, all []Router
+	nearUnable, nearServes := false, false
+	for _, r := range routers {
+		own := r.DataCentre == q.DataCentre
+		rec := known[r.Address]
+		if now.Before(rec.unableUntil) {
+			nearUnable = nearUnable || own
+			continue
+		}
+		nearServes = nearServes || own && now.Before(rec.servedUntil)
+		if now.Before(s.routers[r.Address]) || slices.Contains(q.Tried, r.Address) {
+			continue
+		}
+		all = append(all, r)
+		if own {
+			near = append(near, r)
+		}
+	}
+	if len(near) > 0 && (nearServes || !nearUnable) {
+		return s.draw(near, known, now), true
+	}
+	if len(all) == 0 {
+		return Router{}, false
+	}
+	return s.draw(all, known, now), true
+}
+
+// draw draws one of the routers that served lately, or any if there are few.
+func (s *Selector) draw(list []Router, known map[string]record, now time.Time) Router {
+	var serving []Router
+	for _, r := range list {
+		if now.Before(known[r.Address].servedUntil) {
+			serving = append(serving, r)
+		}
+	}
+	if len(serving) >= min(enoughServing, len(list)) {
+		list = serving
+	}
+	return list[s.random.IntN(len(list))]
+}
+
+// Served records that a router had a request of a service answered.
+func (s *Selector) Served(service, address string, now time.Time) {
+	s.change(service, address, now, record{servedUntil: now.Add(servedTime)})
+}
+
+// Unable records that a router could not serve a request of a service.
+func (s *Selector) Unable(service, address string, now time.Time) {
+	s.change(service, address, now, record{unableUntil: now.Add(unableTime)})
+}
+
+func (s *Selector) change(service, address string, now time.Time, rec record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.services[service]
+	if known == nil {
+		known = make(map[string]record)
+		s.services[service] = known
+	}
+	for other, r := range known {
+		if now.After(r.unableUntil) && now.After(r.servedUntil) {
+			delete(known, other)
+		}
+	}
+	known[address] = rec
+}
+
+// Unreachable records that a router was not reached, or broke off, and is not to be asked
+// for a time, for any service.
+func (s *Selector) Unreachable(address string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other, until := range s.routers {
+		if now.After(until) {
+			delete(s.routers, other)
+		}
+	}
+	s.routers[address] = now.Add(unableTime)
+}
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against requests that are handed to routers which do not reach the service either,
+// and against all of them going to one that does.
+func TestChoose(t *testing.T) {
+	start := time.Now()
+	all := []Router{{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"a4", "a"}, {"b1", "b"}, {"b2", "b"}}
+	served := func(addresses ...string) func(*Selector) {
+		return func(s *Selector) {
+			for _, address := range addresses {
+				s.Served("s", address, start)
+			}
+		}
+	}
+	unable := func(addresses ...string) func(*Selector) {
+		return func(s *Selector) {
+			for _, address := range addresses {
+				s.Unable("s", address, start)
+			}
+		}
+	}
+	cases := map[string]struct {
+		record func(*Selector)
+		tried  []string
+		after  time.Duration
+		want   []string
+	}{
+		"nothing is known":                   {served(), nil, 0, []string{"a1", "a2", "a3", "a4"}},
+		"tried":                              {served(), []string{"a1", "a2", "a3", "a4"}, 0, []string{"b1", "b2"}},
+		"one of the own data centre unable":  {unable("a1"), nil, 0, []string{"a2", "a3", "a4", "b1", "b2"}},
+		"all of the own data centre unable":  {unable("a1", "a2", "a3", "a4"), nil, 0, []string{"b1", "b2"}},
+		"unable some time ago":               {unable("a1", "a2", "a3", "a4"), nil, unableTime, []string{"a1", "a2", "a3", "a4"}},
+		"one near serves, another is unable": {func(s *Selector) { unable("a1")(s); served("a2")(s) }, nil, 0, []string{"a2", "a3", "a4"}},
+		"enough serve":                       {served("a1", "a2", "a3"), nil, 0, []string{"a1", "a2", "a3"}},
+		"enough served some time ago":        {served("a1", "a2", "a3"), nil, servedTime, []string{"a1", "a2", "a3", "a4"}},
+		"the only ones left serve":           {func(s *Selector) { unable("a1", "a2", "a3", "a4", "b1")(s); served("b2")(s) }, nil, 0, []string{"b2"}},
+		"unreachable for any service":        {func(s *Selector) { s.Unreachable("a1", start); s.Unreachable("a2", start) }, nil, 0, []string{"a3", "a4"}},
+		"none left":                          {unable("a1", "a2", "a3", "a4", "b1", "b2"), nil, 0, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := New(1)
+			c.record(s)
+			chosen := make(map[string]bool)
+			for range 200 {
+				r, found := s.Choose(Request{Service: "s", DataCentre: "a", Tried: c.tried}, all, start.Add(c.after))
+				assert.Equal(t, c.want != nil, found)
+				if found {
+					chosen[r.Address] = true
+				}
+			}
+			for _, address := range c.want {
+				assert.True(t, chosen[address], address)
+			}
+			assert.Len(t, chosen, len(c.want))
+		})
+	}
+}
+
+func TestWhatIsKnownOfOneServiceIsNotUsedForAnother(t *testing.T) {
+	s := New(1)
+	s.Unable("s", "a1", time.Now())
+	_, found := s.Choose(Request{Service: "other", DataCentre: "a"}, []Router{{"a1", "a"}}, time.Now())
+	assert.True(t, found)
+}
