balance: brittle replicas are not sent what they must turn away

Before: a full replica was told by its rejection, and all routers tried it again 150 ms later.

While a service is brittle routers count on slots, not on queues. With no more routers than slots each uses its part of each replica's. With more, each slot of the service belongs to one router by the order of their hashes; others use it while half of the replica is idle and nothing was turned away lately. A rejection costs this router the replica until its part of half of N allows for another one, and in a large fleet it is sent to the others. What finds no slot is refused at once, with a time to come back; known counts are not needed. Outside such times nothing changes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -50,6 +50,8 @@
 	Load        string
 	// ShuttingDown announces the replica's shutdown.
 	ShuttingDown string
+	// Brittle states how many requests the replica may turn away in a second before it ends.
+	Brittle string
 	// ParseParts parses the value of PromptParts, ParseLoad that of Load. The pace is that
 	// of the replica's machine in percent of the usual, 0 if it is not reported.
 	ParseParts func(string) []balance.Part
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -21,6 +22,7 @@
 		// The address now belongs to another replica.
 		return
 	}
+	f.recordBrittle(id, answer)
 	leaves := announcesShutdown(answer.Header.Get(f.options.Dialect.ShuttingDown))
 	if leaves {
 		f.metrics.DrainingAnswers.Inc(1)
@@ -34,6 +36,16 @@
 	}
 }
 
+// recordBrittle records whether an answer says that its replica is brittle.
+func (f *Front) recordBrittle(id string, answer *http.Response) {
+	rejections, err := strconv.Atoi(answer.Header.Get(f.options.Dialect.Brittle))
+	if err != nil || rejections < 0 {
+		f.balancer.SturdyReported(id)
+		return
+	}
+	f.balancer.BrittleReported(id, rejections, steady.Now())
+}
+
 // RecordRest records a rest that an answer to one of the router's own queries asks for. Such
 // an answer is less certain to come from the replica than that to a request which names it,
 // so an announced shutdown, which holds until the replica restarts, is not taken from it.
--- a/pkg/balance/available.go
+++ b/pkg/balance/available.go
@@ -32,5 +32,9 @@
 	if c := r.centre.health.avoidUntil; c.After(until) {
 		until = c
 	}
-	return max(until.Sub(now), 0)
+	least := time.Duration(0)
+	if b.mustSpare(r, now) {
+		least = sparePause
+	}
+	return max(until.Sub(now), least)
 }
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -164,6 +164,10 @@
 	coldShares     coldShares
 	rollouts       *rollout.Controller
 	hooks          atomic.Pointer[ReplicaHooks]
+	// brittle holds what replicas stated about the rejections that they bear, by service.
+	brittle map[string]brittleness
+	// slots caches the slots of services.
+	slots map[string]serviceSlots
 	// estimator estimates the replicas of plain services; nil if there is none.
 	estimator Estimator
 	// pendingRestarts holds restarts learned from rumors, pendingChecks replicas that others
@@ -191,6 +195,10 @@
 	pace     pace
 	// allowance limits what this router may send to the replica while it is cold.
 	allowance tokenBucket
+	// rejections limits the requests that this router may have turned away while the replica
+	// is brittle. lastRejection is when that last happened.
+	rejections    tokenBucket
+	lastRejection time.Time
 	// softOutcomes counts, over all routers, the failures that count against the replica
 	// only if it has more of them than the others.
 	softOutcomes outcomeCounts
@@ -222,6 +230,8 @@
 		medians:       make(map[string]median),
 		outcomes:      make(map[string]*outcomeCounts),
 		lastProbe:     make(map[string]time.Time),
+		brittle:       make(map[string]brittleness),
+		slots:         make(map[string]serviceSlots),
 		holdersSynced: true,
 		byShortHash:   make(map[uint32]*replica),
 		byTinyHash:    make(map[uint16][]*replica),
--- /dev/null
+++ b/pkg/balance/brittle.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"time"
+)
+
+// The replicas of a service may state that they are brittle: one that has to turn away more
+// requests in a second than it states ends. How many it lets wait meanwhile is not known,
+// so routers count on its slots only:
+//
+//	no more routers than slots -> each router uses its part of the slots of each replica
+//	more routers than slots    -> each slot of the service belongs to one router; others
+//	    use it too while the counts say that half of the replica is idle and nothing was
+//	    turned away lately
+//	after a rejection          -> the replica gets nothing from this router until its part
+//	    of the rejections that the replica bears allows for another one
+//
+// Counts of other routers are old, so no safety rests on them: without them a router uses
+// what belongs to it.
+
+const (
+	// brittleLifetime is how long a statement holds without a further one.
+	brittleLifetime = 5 * time.Second
+	// rejectionFraction is the part of the rejections that a replica bears that all routers
+	// together may cause. The rest is for counts of routers that differ.
+	rejectionFraction = 0.5
+	// strictTime is how long after a rejection routers use only the slots that belong to
+	// them: counts of a large fleet are up to 1.2 s old.
+	strictTime = 3 * time.Second
+	// idleFraction is the part of a replica's slots that must be idle for routers to use
+	// slots that belong to others.
+	idleFraction = 0.5
+	// sparePause is after what time a replica that is spared may have a free slot.
+	sparePause = 10 * time.Millisecond
+)
+
+// brittleness is what the replicas of a service stated last.
+type brittleness struct {
+	// bears is how many rejections in a second a replica survives.
+	bears float64
+	until time.Time
+	// strictUntil is until when routers use only slots that belong to them.
+	strictUntil time.Time
+}
+
+// BrittleReported records that an answer of a replica said that it is brittle, and how many
+// requests it may turn away in a second. It speaks for all replicas of the service.
+func (b *Balancer) BrittleReported(id string, rejections int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		stated := b.brittle[r.Service]
+		stated.bears, stated.until = float64(rejections), now.Add(brittleLifetime)
+		b.brittle[r.Service] = stated
+	}
+}
+
+// SturdyReported records that an answer of a replica did not say that it is brittle.
+func (b *Balancer) SturdyReported(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		delete(b.brittle, r.Service)
+	}
+}
+
+// brittleOf returns what the replicas of a service stated.
+func (b *Balancer) brittleOf(service string, now time.Time) (brittleness, bool) {
+	stated, found := b.brittle[service]
+	return stated, found && now.Before(stated.until)
+}
+
+// routerCount returns the number of routers that this router knows, itself included.
+func (b *Balancer) routerCount() int { return len(b.coldShares.others) + 1 }
+
+// rejectionRate returns how many rejections in a second this router may cause at a replica.
+func (b *Balancer) rejectionRate(stated brittleness) float64 {
+	return stated.bears * rejectionFraction / float64(b.routerCount())
+}
+
+// mustSpare reports whether this router must not send a request to a brittle replica, since
+// it might be turned away.
+func (b *Balancer) mustSpare(r *replica, now time.Time) bool {
+	stated, is := b.brittleOf(r.Service, now)
+	if !is {
+		return false
+	}
+	if !r.lastRejection.IsZero() && r.rejections.available(b.rejectionRate(stated), now) < 1 {
+		return true
+	}
+	if r.Slots == 0 {
+		return false
+	}
+	if routers := b.routerCount(); routers <= r.Slots {
+		return r.running >= r.Slots/routers
+	}
+	if r.running < b.ownSlots(r) {
+		return false
+	}
+	return now.Before(stated.strictUntil) || r.running > 0 || b.load(r, now) >= idleFraction*float64(r.Slots)
+}
+
+// ownSlots returns how many slots of a replica belong to this router. The slots of all
+// replicas of the service, in the order of their ids, are divided evenly among the routers,
+// in the order of the hashes of their addresses.
+func (b *Balancer) ownSlots(r *replica) int {
+	slots := b.slotsOf(r.Service)
+	before, routers, rank := slots.before[r], b.routerCount(), b.coldShares.ownRank
+	first, end := (rank*slots.total+routers-1)/routers, ((rank+1)*slots.total+routers-1)/routers
+	return max(min(end, before+r.Slots)-max(first, before), 0)
+}
+
+// serviceSlots are the slots of a service's replicas: before each of them, in the order of
+// their ids, and in total.
+type serviceSlots struct {
+	before map[*replica]int
+	total  int
+}
+
+// slotsOf returns the slots of a service, which are kept until its replicas change.
+func (b *Balancer) slotsOf(service string) serviceSlots {
+	slots, known := b.slots[service]
+	if known {
+		return slots
+	}
+	slots.before = make(map[*replica]int)
+	for _, r := range b.services[service] {
+		slots.before[r] = slots.total
+		slots.total += r.Slots
+	}
+	b.slots[service] = slots
+	return slots
+}
+
+// recordRejection records that a replica turned a request of this router away.
+func (b *Balancer) recordRejection(r *replica, now time.Time) {
+	stated, is := b.brittleOf(r.Service, now)
+	if !is {
+		return
+	}
+	r.rejections.take(b.rejectionRate(stated), now)
+	r.lastRejection = now
+	b.restrict(r.Service, now)
+}
+
+// restrict makes this router use only the slots that belong to it for a time.
+func (b *Balancer) restrict(service string, now time.Time) {
+	if stated, is := b.brittleOf(service, now); is {
+		stated.strictUntil = now.Add(strictTime)
+		b.brittle[service] = stated
+	}
+}
--- /dev/null
+++ b/pkg/balance/brittle_test.go
@@ -0,0 +1,129 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// brittlePlay plays a plain service whose replicas turn brittle: from 3 s after they said so
+// only few may wait, and one that turns away more in a second than it stated is gone for
+// some seconds.
+type brittlePlay struct {
+	*plainFleet
+	bears    int
+	rejected map[string][]time.Time
+	falls    int
+}
+
+const (
+	brittleFrom, brittleTo = 2 * time.Second, 14 * time.Second
+	// brittleNotice is how long after the first statement fewer may wait, brittleReturn how
+	// long a replica that fell is away.
+	brittleNotice = 3 * time.Second
+	brittleReturn = 3 * time.Second
+)
+
+func newBrittlePlay(seed uint64, routers, replicas, bears int) *brittlePlay {
+	p := &brittlePlay{plainFleet: newPlainFleet(seed, routers, max(routers/8, 1), replicas), bears: bears, rejected: make(map[string][]time.Time)}
+	var known []string
+	for n := range p.routers {
+		known = append(known, fmt.Sprint("r", n))
+	}
+	for n, b := range p.routers {
+		b.SetRouters(known[n], known, start)
+		b.SetLargeFleet(routers > 12)
+	}
+	p.queue = func() int {
+		if at := p.now.Sub(start); at >= brittleFrom+brittleNotice && at < brittleTo {
+			return 1
+		}
+		return plainQueue
+	}
+	p.answered = func(router int, id string, taken bool) {
+		at := p.now.Sub(start)
+		if at < brittleFrom || at >= brittleTo {
+			p.routers[router].SturdyReported(id)
+			return
+		}
+		p.routers[router].BrittleReported(id, p.bears, p.now)
+		if !taken && at >= brittleFrom+brittleNotice {
+			p.reject(id)
+		}
+	}
+	return p
+}
+
+// reject counts a rejection; the replica falls if there were too many in the last second.
+func (p *brittlePlay) reject(id string) {
+	list := append(p.rejected[id], p.now)
+	for p.now.Sub(list[0]) >= time.Second {
+		list = list[1:]
+	}
+	p.rejected[id] = list
+	if len(list) <= p.bears {
+		return
+	}
+	p.falls++
+	p.rejected[id] = nil
+	p.replicas[id].gone = true
+	p.after(brittleReturn, func() { p.replicas[id].gone = false })
+}
+
+// Guards against replicas that say they are brittle and are sent more than they have room
+// for until they end.
+func TestBrittleReplicasStayUp(t *testing.T) {
+	cases := map[string]struct {
+		routers, replicas, bears int
+		load                     float64
+	}{
+		"six routers, three replicas, three quarters of the slots": {6, 3, 5, 0.75},
+		"six routers, three replicas, three times the slots":       {6, 3, 5, 3},
+		"six routers, none may be turned away":                     {6, 3, 0, 1.5},
+		"nine routers, three replicas, twice the slots":            {9, 3, 5, 2},
+		"seventy routers, ten replicas, the slots":                 {70, 10, 10, 1},
+		"seventy routers, ten replicas, twice the slots":           {70, 10, 10, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newBrittlePlay(1, c.routers, c.replicas, c.bears)
+			full := float64(c.replicas*plainSlots) / plainWorkTime.Seconds()
+			p.perSecond = func(at time.Duration) float64 {
+				if at >= 6*time.Second && at < 12*time.Second {
+					return c.load * full
+				}
+				return 0.3 * full
+			}
+			got := p.simulate(18 * time.Second)
+			t.Logf("falls %d, %+v", p.falls, got)
+			assert.LessOrEqual(t, float64(p.falls), 2+0.1*float64(c.replicas))
+		})
+	}
+}
+
+// Guards against a statement that outlives the time of which it speaks.
+func TestBrittlenessEnds(t *testing.T) {
+	list := engines(1)
+	list[0].Slots = 4
+	b := newBalancer(list)
+	found := func(at time.Duration) bool {
+		_, found := b.Pick(Request{Service: "llm", Parts: prompt(1)}, start.Add(at))
+		return found
+	}
+	b.BrittleReported("i-0", 2, start)
+	b.RequestFailed("i-0", Shed, "", start)
+	assert.False(t, found(999*time.Millisecond), "half of two rejections a second, in one of one routers")
+	assert.True(t, found(time.Second))
+	for range 4 {
+		b.RequestStarted("i-0")
+	}
+	assert.False(t, found(time.Second), "its slots are taken")
+	assert.True(t, found(brittleLifetime), "it did not say so again")
+	b.BrittleReported("i-0", 2, start.Add(brittleLifetime))
+	assert.False(t, found(brittleLifetime))
+	b.SturdyReported("i-0")
+	assert.True(t, found(brittleLifetime))
+}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -40,6 +40,8 @@
 	// own and others are the hashes of the routers' addresses.
 	own    uint64
 	others []uint64
+	// ownRank is how many of the others have a lower hash.
+	ownRank int
 	// knownSince is when the routers were first set.
 	knownSince time.Time
 	// heldBack holds the services whose cold replicas are held back.
@@ -78,10 +80,15 @@
 		b.coldShares.knownSince = now
 	}
 	b.coldShares.own = hashString(own)
-	b.coldShares.others = b.coldShares.others[:0]
+	b.coldShares.others, b.coldShares.ownRank = b.coldShares.others[:0], 0
 	for _, address := range known {
-		if address != own {
-			b.coldShares.others = append(b.coldShares.others, hashString(address))
+		if address == own {
+			continue
+		}
+		hash := hashString(address)
+		b.coldShares.others = append(b.coldShares.others, hash)
+		if hash < b.coldShares.own {
+			b.coldShares.ownRank++
 		}
 	}
 }
@@ -124,7 +131,7 @@
 	var cold []*replica
 	for _, r := range all {
 		switch {
-		case slices.Contains(q.Tried, r.ID):
+		case slices.Contains(q.Tried, r.ID), b.mustSpare(r, now):
 		case isCold(r.Replica, q, now):
 			b.coldShares.heldBack[q.Service] = true
 			cold = append(cold, r)
--- a/pkg/balance/gossipfleet_test.go
+++ b/pkg/balance/gossipfleet_test.go
@@ -151,7 +151,7 @@
 	}
 	partners := f.partners(router)
 	f.random.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
-	for _, other := range partners[:rumorPartners] {
+	for _, other := range partners[:min(rumorPartners, len(partners))] {
 		if !f.connected(router, other) {
 			continue
 		}
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -168,6 +168,9 @@
 	if kind.isOfPath() {
 		r.recordPathFailure(now)
 	}
+	if kind == Shed {
+		b.recordRejection(r, now)
+	}
 	taken, speaks := b.recordFailure(r, kind, now)
 	switch {
 	case !b.largeFleet:
--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -34,6 +34,10 @@
 	timed bool
 	// slowdown returns the multiple of its usual time that a replica takes now.
 	slowdown func(id string) float64
+	// queue returns how many requests a replica lets wait now.
+	queue func() int
+	// answered is called with each answer of a replica, taken or turned away.
+	answered func(router int, id string, taken bool)
 	// isolated is the data centre that is cut off from the others; -1 for none.
 	isolated int
 }
@@ -95,6 +99,8 @@
 		centres:     5,
 		slowdown:    func(string) float64 { return 1 },
 		isolated:    -1,
+		queue:       func() int { return plainQueue },
+		answered:    func(int, string, bool) {},
 	}
 	f.arrivals = f.random
 	f.connected = func(a, b int) bool { return f.sameSide(a%f.centres, b%f.centres) }
@@ -227,8 +233,11 @@
 	r.tried = append(r.tried, id)
 	f.stats.sent++
 	replica := f.replicas[id]
-	if replica.gone || replica.running == plainSlots && len(replica.waiting) == plainQueue {
+	if replica.gone || replica.running == plainSlots && len(replica.waiting) >= f.queue() {
 		f.stats.shed++
+		if !replica.gone {
+			f.answered(r.router, id, false)
+		}
 		if f.controllers != nil && !replica.gone {
 			f.controllers[r.router].Rejected(ReplicaHash(id), f.now)
 		}
@@ -256,6 +265,7 @@
 			replica.running--
 			balancer.RequestFinished(replica.id)
 			balancer.RequestSucceeded(replica.id, nil, f.now)
+			f.answered(r.router, replica.id, true)
 			if f.timed {
 				balancer.RecordDuration(replica.id, f.now.Sub(sentAt))
 			}
--- a/pkg/balance/replicas.go
+++ b/pkg/balance/replicas.go
@@ -85,6 +85,7 @@
 	b.pruneDeparted(now)
 	b.peerTotalsAt = time.Time{}
 	clear(b.medians)
+	clear(b.slots)
 }
 
 // setReplica adds a replica or changes what the list says of it.
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -81,7 +81,7 @@
 
 // queueFailure and queueHolder queue a rumor for the next update. b.mu is held.
 func (b *Balancer) queueFailure(r *replica, kind Failure, now time.Time) {
-	if b.largeFleet && kind == Shed {
+	if _, brittle := b.brittleOf(r.Service, now); b.largeFleet && kind == Shed && !brittle {
 		// The avoidance ends before the rumor has spread.
 		return
 	}
@@ -125,6 +125,9 @@
 		}
 		return
 	}
+	if f.Failure == Shed {
+		b.restrict(r.Service, now)
+	}
 	if f.At.Before(r.restartedAt) || f.Failure.isOfPath() && r.isDisproved(f.At, now) {
 		return
 	}
