upstream: a replica may be silent for a second

Connections to replicas had it at 1.2 s, with probes after 1 s of rest, then each second, and a count of 2 that did not hold: one lost probe, or 1.2 s without an acknowledgement, ended a sound connection and with it what ran there once only. No other link sets it: the store's client, the calls between routers and Go's own dialer leave it alone (looked through the code); calls there have time-outs.

Now 3 s, with probes each third of it. What a silent connection tells about idle ones is still concluded after 1.2 s, and unacknowledged bytes after 0.25 s. On a path that is lost a request that must not be repeated ends 1.8 s later.

--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -33,7 +33,8 @@
 type Routes struct {
 	// Dial bounds the opening of a connection to a replica.
 	Dial time.Duration
-	// Silence is how long sent bytes may stay unacknowledged by a replica.
+	// Silence is how long sent bytes may stay unacknowledged by a replica. A sound replica may
+	// be silent for a second and more.
 	Silence time.Duration
 	// Keep is how long a connection to a replica rests before it is closed.
 	Keep time.Duration
@@ -82,7 +83,7 @@
 }
 
 func defaultRoutes() Routes {
-	return Routes{Dial: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Keep: time.Minute, Crashes: 3, CrashHold: 2 * time.Minute}
+	return Routes{Dial: 300 * time.Millisecond, Silence: 3 * time.Second, Keep: time.Minute, Crashes: 3, CrashHold: 2 * time.Minute}
 }
 
 func defaultPeers() Peers { return Peers{Period: 300 * time.Millisecond} }
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -16,11 +16,15 @@
 // An intermediary may acknowledge the bytes and forward nothing. A silent connection
 // then looks like a slow replica; only other connections to the address tell them apart:
 //
-//	opened A ---- heard A ---- sent A . . . . . . nothing for SilenceTimeout
+//	opened A ---- heard A ---- sent A . . . . . . nothing for answerTime
 //	opened B ------------------------- heard B    B works, so A is only slow
 //
 // Without such a B, the connections idle since before the request was sent are dropped.
 
+// answerTime is how long a request on a kept connection may go without an answer until the
+// idle connections to the same address are taken to be silent. The request itself goes on.
+const answerTime = 1200 * time.Millisecond
+
 // ackTime is how long the bytes of a request may stay unacknowledged on a kept
 // connection. TCP retransmits a lost packet after 200 ms at the earliest.
 const ackTime = 250 * time.Millisecond
@@ -70,7 +74,7 @@
 		at := sendTimes{lastHeard: c.heard.Load(), sent: clock()}
 		acked := time.AfterFunc(ackTime, func() { p.checkAcknowledged(c, at, r) })
 		defer acked.Stop()
-		answered := time.AfterFunc(p.options.SilenceTimeout, func() { p.dropSilent(c, at, false) })
+		answered := time.AfterFunc(min(p.options.SilenceTimeout, answerTime), func() { p.dropSilent(c, at, false) })
 		defer answered.Stop()
 	}
 	return p.exchange(ctx, c, r)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -186,12 +186,20 @@
 	}
 }
 
-// SystemDial returns a dial of the system's TCP whose connections end once sent bytes, or
-// probes of an idle one, were not acknowledged for a time.
+// keepAliveProbes is how many probes of a connection fit into the silence after which it
+// ends.
+const keepAliveProbes = 3
+
+// SystemDial returns a dial of the system's TCP whose connections end once nothing was
+// acknowledged for a time: neither sent bytes nor probes.
+//
+// On Linux that limit also decides when probes give up, whatever their count. The probes are
+// spread over it, so that a single lost one ends no connection.
 func SystemDial(silence time.Duration) socket.Dial {
+	pause := silence / keepAliveProbes
 	dialer := net.Dialer{
 		Control:         controlSocket(silence),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence, Interval: time.Second, Count: 2},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: pause, Interval: pause, Count: keepAliveProbes},
 	}
 	return dialer.DialContext
 }
