front: relayed requests are served only as both routers take them

The hop now names service and organisation; a router that finds others refuses, and another one is asked. TestCallersOfPartitionedRouterAreServed holds.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -82,5 +82,5 @@
 		}
 	}
 	c.setDeadline()
-	return nil
+	return c.checkRelayed()
 }
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -26,11 +26,7 @@
 // digest returns the digest of the request, the same for each of its attempts.
 func (c *call) digest() poison.Digest {
 	if c.cachedDigest == nil {
-		caller := ""
-		if c.organisation != nil {
-			caller = c.organisation.Name
-		}
-		digest := poison.NewDigest(caller, c.request.Method, c.request.Host, c.request.RequestURI, c.body)
+		digest := poison.NewDigest(c.organisationName(), c.request.Method, c.request.Host, c.request.RequestURI, c.body)
 		c.cachedDigest = &digest
 	}
 	return *c.cachedDigest
--- a/internal/front/overload.go
+++ b/internal/front/overload.go
@@ -71,11 +71,7 @@
 
 // overloadShare returns the share that the call competes in.
 func (c *call) overloadShare() overload.Share {
-	share := overload.Share{Priority: c.priority()}
-	if c.organisation != nil {
-		share.Organisation = c.organisation.Name
-	}
-	return share
+	return overload.Share{Priority: c.priority(), Organisation: c.organisationName()}
 }
 
 // recordLoad records what the head of an answer tells about its replica's load. A rejection
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -25,18 +25,25 @@
 // holds across both.
 
 // Headers between routers. relayAttemptsHeader is how many replicas the request may still be
-// sent to, relayShareHeader selects among the shares of its route. In an answer,
+// sent to, relayShareHeader selects among the shares of its route. relayServiceHeader and
+// relayOrganisationHeader are what the first router takes it for: the other one serves it only
+// if its configuration, which may be older or newer, says the same. In an answer,
 // relayResultHeader stands in what a router generated itself, relaySentHeader is how many
 // replicas the request was sent to, relayReplicaHeader is the one that answered.
 const (
-	relayAttemptsHeader = "Relay-Attempts"
-	relayShareHeader    = "Relay-Share"
-	relayResultHeader   = "Relay-Result"
-	relaySentHeader     = "Relay-Sent"
-	relayReplicaHeader  = "Relay-Replica"
+	relayAttemptsHeader     = "Relay-Attempts"
+	relayShareHeader        = "Relay-Share"
+	relayServiceHeader      = "Relay-Service"
+	relayOrganisationHeader = "Relay-Organisation"
+	relayResultHeader       = "Relay-Result"
+	relaySentHeader         = "Relay-Sent"
+	relayReplicaHeader      = "Relay-Replica"
 )
 
-var relayHeaders = []string{relayAttemptsHeader, relayShareHeader, relayResultHeader, relaySentHeader, relayReplicaHeader}
+var relayHeaders = []string{
+	relayAttemptsHeader, relayShareHeader, relayServiceHeader, relayOrganisationHeader,
+	relayResultHeader, relaySentHeader, relayReplicaHeader,
+}
 
 // Values of relayResultHeader.
 const (
@@ -161,6 +168,8 @@
 	header.Set(d.Deadline, strconv.FormatInt(max(steady.Until(c.deadline).Milliseconds(), 1), 10))
 	header.Set(relayAttemptsHeader, strconv.Itoa(attempts))
 	header.Set(relayShareHeader, strconv.FormatFloat(c.shareDraw, 'g', -1, 64))
+	header.Set(relayServiceHeader, c.service.Name)
+	header.Set(relayOrganisationHeader, c.organisationName())
 	if c.lastEvent != "" {
 		header.Set(lastEventHeader, c.lastEvent)
 	}
@@ -279,7 +288,8 @@
 
 // relayedCall is what a router that handed a request to this one said of it.
 type relayedCall struct {
-	attempts int
+	attempts              int
+	service, organisation string
 }
 
 // ServeRelayed serves a request that another router handed to this one.
@@ -292,7 +302,7 @@
 	if err != nil || attempts < 1 {
 		attempts = 1
 	}
-	c.relay = &relayedCall{attempts: attempts}
+	c.relay = &relayedCall{attempts: attempts, service: r.Header.Get(relayServiceHeader), organisation: r.Header.Get(relayOrganisationHeader)}
 	if share, err := strconv.ParseFloat(r.Header.Get(relayShareHeader), 64); err == nil && share >= 0 && share < 1 {
 		c.shareDraw = share
 	}
@@ -310,6 +320,23 @@
 	c.serve()
 }
 
+// checkRelayed refuses a request that the router which handed it to this one takes for another
+// one, by its own configuration.
+func (c *call) checkRelayed() *refusal {
+	if c.relay == nil || c.relay.service == c.service.Name && c.relay.organisation == c.organisationName() {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "configurations of routers differ", retryAfter: retryElsewhere, unable: true}
+}
+
+// organisationName returns the name of the caller's organisation, or "".
+func (c *call) organisationName() string {
+	if c.organisation == nil {
+		return ""
+	}
+	return c.organisation.Name
+}
+
 // result returns the value of relayResultHeader for an answer that this router generated.
 func (*relayedCall) result(c *call, r *refusal) string {
 	switch {
