relay: routers that are stopping take requests when no other is left

A stopping router serves for a time and refuses what it would not finish, so it is now the last choice. TestChoose has the case.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -73,6 +73,7 @@
 		record = g.members.RecordHeartbeat
 	}
 	added := record(address, now)
+	delete(g.leaving, address)
 	if dataCentre != "" {
 		g.centres[address] = dataCentre
 	}
@@ -90,6 +91,9 @@
 func (g *Gossip) recordLeave(address string, now time.Time) {
 	g.mu.Lock()
 	g.members.RecordLeave(address, now)
+	if _, known := g.leaving[address]; !known {
+		g.leaving[address] = now
+	}
 	g.mu.Unlock()
 	g.forgetForm(address)
 	g.balancer.RemovePeer(address)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -123,6 +123,8 @@
 	deferred map[string]*gossippb.Digest
 	// plain holds the members that hash lists as older builds do.
 	plain map[string]bool
+	// leaving holds when routers announced their stop.
+	leaving map[string]time.Time
 	// centres maps members to the data centres that they reported.
 	centres map[string]string
 	// announcedChanges is the change count of the members that were last passed to the
@@ -163,6 +165,7 @@
 		busy:         make(map[string]bool),
 		deferred:     make(map[string]*gossippb.Digest),
 		centres:      make(map[string]string),
+		leaving:      make(map[string]time.Time),
 		plain:        make(map[string]bool),
 		queries:      make(map[uint32]query),
 		recentHellos: make(map[string]time.Time),
@@ -251,9 +254,19 @@
 	for _, address := range g.members.Alive() {
 		routers = append(routers, relay.Router{Address: address, DataCentre: g.centres[address]})
 	}
+	for address, at := range g.leaving {
+		if steady.Since(at) >= leavingTime {
+			delete(g.leaving, address)
+			continue
+		}
+		routers = append(routers, relay.Router{Address: address, DataCentre: g.centres[address], Leaving: true})
+	}
 	return routers
 }
 
+// leavingTime is for how long a router that announced its stop may still serve requests.
+const leavingTime = 8 * time.Second
+
 // Relayed returns the listener of connections that carry relayed requests.
 func (g *Gossip) Relayed() net.Listener { return g.server.Relayed() }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -22,6 +22,8 @@
 	Address string
 	// DataCentre is its data centre, empty if unknown.
 	DataCentre string
+	// Leaving: it is stopping. It still serves for a time.
+	Leaving bool
 }
 
 const (
@@ -66,10 +68,19 @@
 // Choose returns a router to hand a request to. It returns false if none is left.
 //
 // Routers of the own data centre come first, unless one of them was unable and none served:
-// what cuts a router off often strikes its whole data centre.
+// what cuts a router off often strikes its whole data centre. Those that are stopping come
+// last.
 func (s *Selector) Choose(q Request, routers []Router, now time.Time) (Router, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	isLeaving := func(r Router) bool { return r.Leaving }
+	if r, found := s.choose(q, slices.DeleteFunc(slices.Clone(routers), isLeaving), now); found {
+		return r, true
+	}
+	return s.choose(q, slices.DeleteFunc(slices.Clone(routers), func(r Router) bool { return !r.Leaving }), now)
+}
+
+func (s *Selector) choose(q Request, routers []Router, now time.Time) (Router, bool) {
 	known := s.services[q.Service]
 	var near, all []Router
 	nearUnable, nearServes := false, false
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -11,7 +11,7 @@
 // and against all of them going to one that does.
 func TestChoose(t *testing.T) {
 	start := time.Now()
-	all := []Router{{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"a4", "a"}, {"b1", "b"}, {"b2", "b"}}
+	all := []Router{{"a1", "a", false}, {"a2", "a", false}, {"a3", "a", false}, {"a4", "a", false}, {"b1", "b", false}, {"b2", "b", false}, {"a5", "a", true}}
 	served := func(addresses ...string) func(*Selector) {
 		return func(s *Selector) {
 			for _, address := range addresses {
@@ -42,7 +42,8 @@
 		"enough served some time ago":        {served("a1", "a2", "a3"), nil, servedTime, []string{"a1", "a2", "a3", "a4"}},
 		"the only ones left serve":           {func(s *Selector) { unable("a1", "a2", "a3", "a4", "b1")(s); served("b2")(s) }, nil, 0, []string{"b2"}},
 		"unreachable for any service":        {func(s *Selector) { s.Unreachable("a1", start); s.Unreachable("a2", start) }, nil, 0, []string{"a3", "a4"}},
-		"none left":                          {unable("a1", "a2", "a3", "a4", "b1", "b2"), nil, 0, nil},
+		"only one that is stopping":          {unable("a1", "a2", "a3", "a4", "b1", "b2"), nil, 0, []string{"a5"}},
+		"none left":                          {unable("a1", "a2", "a3", "a4", "a5", "b1", "b2"), nil, 0, nil},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -67,6 +68,6 @@
 func TestWhatIsKnownOfOneServiceIsNotUsedForAnother(t *testing.T) {
 	s := New(1)
 	s.Unable("s", "a1", time.Now())
-	_, found := s.Choose(Request{Service: "other", DataCentre: "a"}, []Router{{"a1", "a"}}, time.Now())
+	_, found := s.Choose(Request{Service: "other", DataCentre: "a"}, []Router{{"a1", "a", false}}, time.Now())
 	assert.True(t, found)
 }
