front: requests do not try connections that do not open

Cause: an answer on a kept connection ended what a connection that did not open had shown, so the path was never taken to be lost, nothing was probed, and each request that found no idle connection opened one. What is written there may have run, so it can go nowhere else.

Change: only a connection that opens ends it. Replicas that are probed get requests on kept connections only; what finds none goes to another router, also if that is because the others have no room. Connections can be opened from an address that the settings name ([routes] source), by which a test tells routers apart.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,6 +146,7 @@
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: e.settings.Routes.Silence,
 		IdleTime:       e.settings.Routes.Keep,
+		Source:         e.settings.Routes.Source,
 		Dial:           e.env.DialReplica,
 		Opened:         func(string) { e.metrics.ConnectionsOpened.Inc(1) },
 		OnSilent: func(address string, dropped int) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -25,7 +25,7 @@
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: silence,
 		IdleTime:       relayIdleTime,
-		Dial:           peer.DialRelay(upstream.SystemDial(silence)),
+		Dial:           peer.DialRelay(upstream.SystemDial(silence, "")),
 	})
 	o.Relays, o.RelayPool = e.gossip.Routers, e.relayPool
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -208,7 +208,7 @@
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		// If this router is out of file descriptors, the replica is not at fault.
-		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) {
+		if c.request.Context().Err() == nil && ctx.Err() == nil && !socket.IsExhausted(err) && !errors.Is(err, upstream.ErrNoneKept) {
 			c.front.reportFailure(c.id, id, dialFailure(err))
 			c.unconnected++
 		}
--- a/internal/front/outgoing.go
+++ b/internal/front/outgoing.go
@@ -42,6 +42,8 @@
 		Header: header,
 		Body:   c.body,
 		ID:     c.id,
+		// Probes notice when connections open again.
+		KeptOnly: choice.KeptOnly,
 	}
 }
 
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -88,7 +88,7 @@
 		return true
 	}
 	if !found {
-		return c.unconnected > 0 || c.front.balancer.PathHalfLost(c.service.Name, steady.Now())
+		return c.unconnected > 0 || c.front.balancer.AnyOutOfReach(c.service.Name, steady.Now())
 	}
 	return choice.PathLost || choice.Unreachable
 }
@@ -137,7 +137,7 @@
 	silence.Stop()
 	c.waiting.Store(false)
 	if err != nil {
-		return c.handleRelayError(address, attempts, err, errors.Is(context.Cause(ctx), errSilent))
+		return c.handleRelayError(ctx, address, attempts, err)
 	}
 	defer answer.Close()
 	result := answer.Header.Get(relayResultHeader)
@@ -157,7 +157,7 @@
 	}
 	f.metrics.Relayed.Inc(1)
 	f.relays.Served(c.service.Name, address, steady.Now())
-	return c.forwardRelayed(ctx, address, answer)
+	return c.forwardRelayed(ctx, answer)
 }
 
 // relayRequest builds the request for another router: the caller's, with what is left of its
@@ -191,7 +191,7 @@
 }
 
 // handleRelayError decides how to go on after another router gave no answer.
-func (c *call) handleRelayError(address string, attempts int, err error, silent bool) relayResult {
+func (c *call) handleRelayError(ctx context.Context, address string, attempts int, err error) relayResult {
 	f := c.front
 	f.log.Write(event.RequestRelayed, event.F("request", c.id), event.F("router", address), event.F("result", "error"), event.F("error", err))
 	f.relays.Unreachable(address, steady.Now())
@@ -207,7 +207,7 @@
 	if c.request.Context().Err() != nil {
 		c.abortCallerGone()
 	}
-	return c.retryRelay(silent || steady.Until(c.deadline) > 0)
+	return c.retryRelay(errors.Is(context.Cause(ctx), errSilent) || steady.Until(c.deadline) > 0)
 }
 
 // retryRelay goes on after the request may have run at another router, if it may be repeated,
@@ -232,7 +232,7 @@
 }
 
 // forwardRelayed sends the answer of a replica that came by another router to the caller.
-func (c *call) forwardRelayed(ctx context.Context, address string, answer *upstream.Answer) relayResult {
+func (c *call) forwardRelayed(ctx context.Context, answer *upstream.Answer) relayResult {
 	c.mayHaveRun = true
 	c.recordRelayed(answer)
 	resumable := c.route.Resumable && !c.front.options.Without.Has(mechanism.Resume) && answer.StatusCode == http.StatusOK
@@ -261,8 +261,8 @@
 		c.outcome.reason = "time is over"
 		return c.retryRelay(false)
 	}
+	// A replica may have broken off as well as the router.
 	c.outcome.reason = "answer of another router broken off: " + err.Error()
-	c.front.relays.Unreachable(address, steady.Now())
 	return c.retryRelay(resumable && !c.withinEvent)
 }
 
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -37,6 +37,9 @@
 	if c.front.balancer.RequestSucceeded(id, c.parts, steady.Now()) {
 		c.front.log.Write(event.EngineBack, event.F("replica", id), event.F("request", c.id))
 	}
+	if answer.Fresh {
+		c.front.balancer.Connected(id, steady.Now())
+	}
 	c.reportFailedReplicas()
 	return c.forward(ctx, cancel, choice, answer)
 }
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -36,6 +36,9 @@
 	// Silence is how long sent bytes may stay unacknowledged by a replica. A sound replica may
 	// be silent for a second and more.
 	Silence time.Duration
+	// Source is the IP address from which connections to replicas are opened, empty if the
+	// system chooses it.
+	Source string
 	// Keep is how long a connection to a replica rests before it is closed.
 	Keep time.Duration
 	// Crashes is how many replicas in a row a request may crash before it is not sent
@@ -125,6 +128,11 @@
 	r.section("routes")
 	r.duration("dial", &t.Dial, time.Millisecond, time.Minute)
 	r.duration("silence", &t.Silence, time.Millisecond, time.Hour)
+	if v, set := r.value("source"); set && v != "" {
+		if t.Source = v; net.ParseIP(v) == nil {
+			r.reject("routes", "source", v, "must be an IP address")
+		}
+	}
 	r.duration("keep", &t.Keep, time.Millisecond, time.Hour)
 	r.int("crashes", &t.Crashes, 0, 1000)
 	r.duration("crash_hold", &t.CrashHold, time.Second, 24*time.Hour)
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -19,6 +19,8 @@
 	stop       func() bool
 	wrote      chan error
 	reachedEOF bool
+	// Fresh: the connection was opened for the request.
+	Fresh bool
 }
 
 // Close releases the connection. It is kept if the body was read to its end and
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -17,6 +17,8 @@
 	Body   []byte
 	// ID must be echoed in the response.
 	ID string
+	// KeptOnly: the request is sent on a connection that was kept, or not at all.
+	KeptOnly bool
 	// Check is called once a connection is available, right before the first byte is
 	// written; an error leaves the request unsent. It may be nil.
 	Check func() error
--- a/internal/upstream/socket_test.go
+++ b/internal/upstream/socket_test.go
@@ -19,9 +19,10 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
-	c, err := SystemDial(settings.Default().Routes.Silence)(t.Context(), "tcp", listener.Addr().String())
+	c, err := SystemDial(settings.Default().Routes.Silence, "127.0.0.5")(t.Context(), "tcp", listener.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
+	assert.Equal(t, "127.0.0.5", c.LocalAddr().(*net.TCPAddr).IP.String())
 	raw, err := c.(syscall.Conn).SyscallConn()
 	require.NoError(t, err)
 	option := func(number int) (value int) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,6 +33,8 @@
 	ErrNotSent = errors.New("upstream: not sent")
 	// ErrBroken: sent, but no response to this request arrived.
 	ErrBroken = errors.New("upstream: no answer")
+	// ErrNoneKept: there was no kept connection for a request that asked for one.
+	ErrNoneKept = errors.New("upstream: no connection kept")
 )
 
 // Options configures a Pool.
@@ -43,6 +45,9 @@
 	DialTimeout time.Duration
 	// SilenceTimeout is how long sent bytes may stay unacknowledged.
 	SilenceTimeout time.Duration
+	// Source is the IP address from which connections are opened, empty if the system chooses
+	// it.
+	Source string
 	// IdleTime is the longest time that a connection stays idle before it is closed.
 	IdleTime time.Duration
 	// Dial opens a connection. If nil, the system's TCP is used, with SilenceTimeout as the
@@ -92,7 +97,7 @@
 // connection is closed, which tells the replica to stop the work.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
 	for {
-		c, reused, err := p.connect(ctx, address)
+		c, reused, err := p.connect(ctx, address, r.KeptOnly)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
@@ -102,6 +107,7 @@
 		}
 		answer, written, err := p.exchangeMonitored(ctx, c, reused, r)
 		if err == nil {
+			answer.Fresh = !reused
 			return answer, nil
 		}
 		c.Close()
@@ -124,7 +130,7 @@
 	p.put(c)
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (c *conn, reused bool, err error) {
+func (p *Pool) connect(ctx context.Context, address string, keptOnly bool) (c *conn, reused bool, err error) {
 	for {
 		c := p.take(address)
 		if c == nil {
@@ -135,6 +141,9 @@
 		}
 		c.Close()
 	}
+	if keptOnly {
+		return nil, false, ErrNoneKept
+	}
 	c, err = p.dial(ctx, address)
 	if socket.IsExhausted(err) && p.DropIdle() > 0 {
 		// Closing idle connections freed descriptors, so dial again.
@@ -178,7 +187,7 @@
 func opener(o Options) func(ctx context.Context, address string) (net.Conn, error) {
 	open := o.Dial
 	if open == nil {
-		open = SystemDial(o.SilenceTimeout)
+		open = SystemDial(o.SilenceTimeout, o.Source)
 	}
 	dial := socket.TakesBack(open)
 	return func(ctx context.Context, address string) (net.Conn, error) {
@@ -195,12 +204,17 @@
 //
 // On Linux that limit also decides when probes give up, whatever their count. The probes are
 // spread over it, so that a single lost one ends no connection.
-func SystemDial(silence time.Duration) socket.Dial {
+//
+// source is the IP address that they are opened from, empty if the system chooses it.
+func SystemDial(silence time.Duration, source string) socket.Dial {
 	pause := silence / keepAliveProbes
 	dialer := net.Dialer{
 		Control:         controlSocket(silence),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: pause, Interval: pause, Count: keepAliveProbes},
 	}
+	if ip := net.ParseIP(source); ip != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	return dialer.DialContext
 }
 
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -93,6 +93,9 @@
 	// PathLost: this router seems to have lost the path to the service, or to half of its
 	// replicas while no other is fit.
 	PathLost bool
+	// KeptOnly: connections to the replica do not open, and probes will notice when they do.
+	// A connection that was kept may still work.
+	KeptOnly bool
 	// Unreachable: all remaining replicas were unreachable moments ago, and another
 	// request has just tried again.
 	Unreachable bool
@@ -296,14 +299,14 @@
 	if len(q.Parts) == 0 {
 		chosen, reason := b.pickPlain(q, left, now)
 		reason = b.spendColdAllowance(chosen, q, reason, now)
-		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, PathLost: b.isPathLostFor(q.Service, reason, now), Unreachable: b.probePending(chosen, now)}, true
+		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}, true
 	}
 	chosen, home, reason := b.pickEngine(q, left, bound, now)
 	if chosen == nil {
 		return Choice{}, false
 	}
 	reason = b.spendColdAllowance(chosen, q, reason, now)
-	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts), PathLost: b.isPathLostFor(q.Service, reason, now), Unreachable: b.probePending(chosen, now)}
+	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts), PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}
 	choice.Holders = len(b.holders.list(choice.Part, now))
 	if home != chosen {
 		choice.PassedOver, choice.PassedOverLoad, choice.PassedOverBadness = home.ID, b.load(home, now), b.badness(home, now)
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -19,7 +19,8 @@
 
 // path is the state of the path from this router to a replica.
 type path struct {
-	// lostAt is the first failure since the last contact, zero if there was none.
+	// lostAt is the first failure since a connection was last opened, zero if there was none:
+	// kept connections may live on while no new one opens.
 	lostAt time.Time
 	// failedAt is the last failure, contactAt the last answer or opened connection.
 	failedAt, contactAt time.Time
@@ -48,7 +49,6 @@
 
 // recordContact records that the replica answered this router.
 func (r *replica) recordContact(now time.Time) {
-	r.path.lostAt = time.Time{}
 	r.path.contactAt = now
 	r.reported = health{}
 }
@@ -63,6 +63,7 @@
 		return
 	}
 	r.recordContact(now)
+	r.path.lostAt = time.Time{}
 	if r.health.kind.isOfPath() {
 		r.health = health{}
 	}
@@ -92,8 +93,9 @@
 	return !r.path.lostAt.IsZero() && now.Sub(r.path.failedAt) < pathFailureLifetime
 }
 
-// pathLost reports whether this router seems to have lost the path to a service: several
-// of its replicas, or its only one, are out of reach, and none was reached since.
+// pathLost reports whether this router seems to have lost the path to a service: none of its
+// replicas was reached since several of them, or the only one, went out of reach, or since
+// several failed again and half of all are out of reach.
 func (b *Balancer) pathLost(service string, now time.Time) bool {
 	list := b.services[service]
 	var contact time.Time
@@ -102,13 +104,21 @@
 			contact = r.path.contactAt
 		}
 	}
-	lost := 0
+	lost, failed, all := 0, 0, 0
 	for _, r := range list {
-		if r.isPathLost(now) && r.path.lostAt.After(contact) {
+		if !r.isPathLost(now) {
+			continue
+		}
+		all++
+		if r.path.lostAt.After(contact) {
 			lost++
 		}
+		if r.path.failedAt.After(contact) {
+			failed++
+		}
 	}
-	return lost > 0 && lost >= min(minLostReplicas, len(list))
+	least := max(min(minLostReplicas, len(list)), 1)
+	return lost >= least || failed >= least && 2*all >= len(list)
 }
 
 // isPathLostFor reports whether a request should rather be handed to another router: the
@@ -120,21 +130,26 @@
 
 // isPathHalfLost reports whether at least half of a service's replicas are out of reach.
 func (b *Balancer) isPathHalfLost(service string, now time.Time) bool {
-	lost, list := 0, b.services[service]
-	for _, r := range list {
+	lost := b.outOfReach(service, now)
+	return lost > 0 && 2*lost >= len(b.services[service])
+}
+
+// outOfReach returns how many replicas of a service this router does not reach.
+func (b *Balancer) outOfReach(service string, now time.Time) int {
+	lost := 0
+	for _, r := range b.services[service] {
 		if r.isPathLost(now) || r.health.kind.isOfPath() && r.health.isAvoided(now) {
 			lost++
 		}
 	}
-	return lost > 0 && 2*lost >= len(list)
+	return lost
 }
 
-// PathHalfLost reports whether at least half of a service's replicas are out of reach of
-// this router.
-func (b *Balancer) PathHalfLost(service string, now time.Time) bool {
+// AnyOutOfReach reports whether this router does not reach some replica of a service.
+func (b *Balancer) AnyOutOfReach(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.isPathHalfLost(service, now)
+	return b.outOfReach(service, now) > 0
 }
 
 // PathLost reports whether this router seems to have lost the path to a service.
@@ -162,6 +177,21 @@
 // them was reached again.
 const maxPathProbes = 8
 
+// isProbed reports whether connections to a replica did not open lately and PathProbes
+// returns it until one does.
+func (b *Balancer) isProbed(r *replica, now time.Time) bool {
+	if !r.isPathLost(now) || !r.health.isAvoided(now) || !r.health.kind.isOfPath() {
+		return false
+	}
+	lost, list := 0, b.services[r.Service]
+	for _, other := range list {
+		if !other.path.lostAt.IsZero() {
+			lost++
+		}
+	}
+	return lost >= min(minLostReplicas, len(list))
+}
+
 // PathProbes returns the replicas to which a connection should be opened to notice that the
 // path is back: one of each service that lost several, the one tried least recently, and
 // more once the service is reached again.
