--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -194,7 +194,10 @@
 func (c *call) handleRelayError(ctx context.Context, address string, attempts int, err error) relayResult {
 	f := c.front
 	f.log.Write(event.RequestRelayed, event.F("request", c.id), event.F("router", address), event.F("result", "error"), event.F("error", err))
-	f.relays.Unreachable(address, steady.Now())
+	if ctx.Err() == nil {
+		// Otherwise it was this router that ended the exchange.
+		f.relays.Unreachable(address, steady.Now())
+	}
 	if errors.Is(err, errCallerGone) {
 		c.abortCallerGone()
 	}
