Soak: partitioned routers, brittle replicas, silence of a second

New extras "paths": some routers, never all, are cut off from all replicas for 4.6 to 7 s (new connections are reset, those that are open too in half of the cases, told apart by their source address); the plain service says that it is brittle, 3 s later lets none wait, and callers press; a link holds everything up for 1 to 1.5 s, which excuses nothing. A dead replica's link refuses, as its port would.

Faults of its own first forms, mended: routers told apart by their descriptors took so long that a partition of 7 s lasted 26; callers that press came back at once after a refusal; falls counted for routers that had just started.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -49,6 +49,7 @@
 	leaving    bool
 	announcing bool
 	rest       rest
+	brittle    *brittle
 	faults     []ReplicaFault
 	runs       []*ReplicaRun
 	lastAnswer string
@@ -205,6 +206,10 @@
 		r.turnAway(w, run, asked)
 		return
 	}
+	longer, taken := r.admitBrittle(w, run)
+	if !taken {
+		return
+	}
 	if r.Options.Deadly != nil {
 		if after, deadly := r.Options.Deadly(body); deadly {
 			r.die(after, w, request, run)
@@ -214,7 +219,7 @@
 		r.fail(fault, w, request, run)
 		return
 	}
-	if !r.pause(request, r.Options.Work) {
+	if !r.pause(request, r.Options.Work+longer) {
 		return
 	}
 	if r.Options.Pieces > 0 {
--- a/test/proxy/proxy.go
+++ b/test/proxy/proxy.go
@@ -17,6 +17,10 @@
 	mu     sync.Mutex
 	faults Faults
 	conns  map[net.Conn]bool
+	// gate tells whether a new connection from an address is reset; it may be nil.
+	gate func(from net.Addr) bool
+	// paused is not nil while nothing passes, and closed when it goes on.
+	paused chan struct{}
 }
 
 // Faults are what the proxy does to traffic. The zero value passes everything.
@@ -59,9 +63,63 @@
 	}
 }
 
+// Gate makes the proxy reset new connections from the addresses for which strikes is true.
+func (p *Proxy) Gate(strikes func(from net.Addr) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gate = strikes
+}
+
+// ResetWhere resets the open connections from the addresses for which strikes is true.
+func (p *Proxy) ResetWhere(strikes func(from net.Addr) bool) {
+	p.mu.Lock()
+	var open []net.Conn
+	for c := range p.conns {
+		open = append(open, c)
+	}
+	p.mu.Unlock()
+	for _, c := range open {
+		if strikes(c.RemoteAddr()) {
+			reset(c)
+		}
+	}
+}
+
+// Pause holds all traffic up, and lets it go on.
+func (p *Proxy) Pause(paused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused != nil {
+		close(p.paused)
+		p.paused = nil
+	}
+	if paused {
+		p.paused = make(chan struct{})
+	}
+}
+
+// awaitPause waits while traffic is held up.
+func (p *Proxy) awaitPause() {
+	p.mu.Lock()
+	paused := p.paused
+	p.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+// isStruck tells whether a new connection is to be reset.
+func (p *Proxy) isStruck(in net.Conn) bool {
+	p.mu.Lock()
+	gate := p.gate
+	p.mu.Unlock()
+	return gate != nil && gate(in.RemoteAddr())
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
+	p.Pause(false)
 	p.Set(Faults{Cut: true})
 }
 
@@ -86,6 +144,10 @@
 }
 
 func (p *Proxy) serve(in net.Conn) {
+	if p.isStruck(in) {
+		reset(in)
+		return
+	}
 	out, err := net.Dial("tcp", p.target)
 	if err != nil {
 		reset(in)
@@ -114,6 +176,7 @@
 	passed := 0
 	for {
 		n, err := from.Read(buffer)
+		p.awaitPause()
 		f := p.now()
 		for f.Silent {
 			time.Sleep(5 * time.Millisecond)
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -37,6 +37,7 @@
 	Budget  = "BUDGET"
 	Recover = "RECOVER"
 	Ended   = "ENDED"
+	Limit   = "LIMIT"
 )
 
 // checker holds a history with what is looked up often.
@@ -75,6 +76,8 @@
 	c.configurations()
 	c.revoked()
 	c.recovered()
+	c.partitions()
+	c.brittle()
 	for _, p := range h.Problems {
 		c.add(Ended, "", "%s", p)
 	}
--- /dev/null
+++ b/test/soak/check_partition.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Parts of the rule on partitioned routers. Source: the users' rules.
+const (
+	// leastServedShare is the share of the others' rate of success that callers of
+	// partitioned routers get at least, mostFailed and mostFailedShare how many first tries
+	// may fail there whatever that rate.
+	leastServedShare = 2.0 / 3
+	mostFailed       = 10
+	mostFailedShare  = 1.0 / 50
+)
+
+// share counts first tries.
+type share struct{ asked, served int }
+
+func (s share) rate() float64 { return float64(s.served) / float64(max(s.asked, 1)) }
+
+// partitions checks that routers which are cut off from all replicas serve their callers
+// nearly as well as the others do.
+func (c *checker) partitions() {
+	for _, p := range c.Partitions {
+		var cut, others share
+		for _, a := range c.Attempts {
+			if !c.countsInPartition(a, p) {
+				continue
+			}
+			of := &others
+			if slices.Contains(p.Routers, a.Life.Router) {
+				of = &cut
+			}
+			of.asked++
+			if a.Status == http.StatusOK && a.Complete {
+				of.served++
+			}
+		}
+		failed := cut.asked - cut.served
+		if float64(failed) > mostFailed+mostFailedShare*float64(cut.asked+others.asked) && cut.rate() < leastServedShare*others.rate() {
+			c.add(Recover, "", "partitioned from all replicas from %s to %s: %v served %d of %d requests, the others %d of %d",
+				p.From.Format(time.TimeOnly), p.To.Format(time.TimeOnly), p.Routers, cut.served, cut.asked, others.served, others.asked)
+		}
+	}
+}
+
+// countsInPartition tells whether an attempt is compared: one for which a route and a key
+// exist, of a caller that stayed, at a router that nothing else befell.
+func (c *checker) countsInPartition(a *Attempt, p Partition) bool {
+	if a.Sent.Before(p.From.Add(c.Bounds.Contact)) || a.Sent.After(p.To) || a.Deadly || !a.LeftAt.IsZero() {
+		return false
+	}
+	if a.Status == http.StatusUnauthorized || a.Status == http.StatusNotFound {
+		return false
+	}
+	return !slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
+		return d.Router == a.Life.Router && d.overlaps(a.Sent.Add(-c.Bounds.Contact), a.End)
+	})
+}
+
+// Brittle is a time in which the replicas of a service said that they are brittle, and Fall
+// the end of one of them.
+type (
+	Brittle struct {
+		Service  string
+		Replicas int
+		From, To time.Time
+	}
+	Fall struct {
+		Service, Instance string
+		At                time.Time
+	}
+)
+
+// brittle checks that few replicas fall over for what they had to turn away.
+func (c *checker) brittle() {
+	const few, part = 2, 0.1
+	for _, b := range c.BrittleTimes {
+		falls := 0
+		for _, f := range c.Falls {
+			if f.Service == b.Service && !f.At.Before(b.From) && !f.At.After(b.To) && c.fellInTouch(f) {
+				falls++
+			}
+		}
+		if float64(falls) > few+part*float64(b.Replicas) {
+			c.add(Limit, "", "%d of %d brittle replicas of %s fell over", falls, b.Replicas, b.Service)
+		}
+	}
+}
+
+// fellInTouch tells whether most of what a replica turned away before it fell came from
+// routers in touch.
+func (c *checker) fellInTouch(f Fall) bool {
+	inTouch, all := 0, 0
+	for i := range c.Runs {
+		run := &c.Runs[i]
+		a := c.attempts[run.Attempt]
+		if a == nil || !run.Refused || run.Instance != f.Instance || run.At.After(f.At) || f.At.Sub(run.At) > time.Second {
+			continue
+		}
+		all++
+		if c.inTouch(a.Life.Router, run.At.Add(-c.Bounds.Contact), run.At) {
+			inTouch++
+		}
+	}
+	return 2*inTouch > all
+}
--- a/test/soak/check_times.go
+++ b/test/soak/check_times.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/standin"
@@ -109,6 +110,11 @@
 
 // replicaAtFault tells whether a replica broke off, or its link was harmed.
 func (c *checker) replicaAtFault(a *Attempt, ran []*standin.ReplicaRun) bool {
+	for _, p := range c.Partitions {
+		if slices.Contains(p.Routers, a.Life.Router) && !p.From.After(a.End) && !p.To.Before(a.Sent) {
+			return true
+		}
+	}
 	for _, run := range ran {
 		if run.Broken {
 			return true
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -83,6 +83,12 @@
 		s.announce(place, rnd, a.For)
 	case kindRest:
 		s.rest(place, rnd, a.For)
+	case kindPartition:
+		s.partition(rnd, a.For)
+	case kindBrittle:
+		s.brittle(rnd)
+	case kindSilence:
+		s.silence(place, rnd)
 	case kindRestAll:
 		s.restAll(place.options.Service, rnd, a.For)
 	case kindLongFreeze:
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -26,6 +26,9 @@
 	Lives        []*Life
 	Departures   []Departure
 	Disturbances []Disturbance
+	Partitions   []Partition
+	BrittleTimes []Brittle
+	Falls        []Fall
 	// Recovered is how long each router took to serve again once all was well.
 	Recovered map[string]time.Duration
 	// Problems are what the harness itself saw: ends of their own, data races.
--- a/test/soak/recorder.go
+++ b/test/soak/recorder.go
@@ -64,6 +64,24 @@
 	}
 }
 
+func (r *recorder) partition(p Partition) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.Partitions = append(r.h.Partitions, p)
+}
+
+func (r *recorder) brittle(b Brittle) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.BrittleTimes = append(r.h.BrittleTimes, b)
+}
+
+func (r *recorder) fall(f Fall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.Falls = append(r.h.Falls, f)
+}
+
 func (r *recorder) recovered(router string, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -61,6 +61,9 @@
 	kindAnnounce    = "replica-announces-shutdown"
 	kindRest        = "replica-asks-for-rest"
 	kindRestAll     = "all-replicas-of-a-service-ask-for-rest"
+	kindPartition   = "routers-cut-from-all-replicas"
+	kindBrittle     = "brittle-replicas"
+	kindSilence     = "replica-silent-for-a-second"
 )
 
 // moreKinds come besides, in runs that have more. The schedule of a seed is the same
@@ -85,6 +88,9 @@
 	// extraStatements has moreKinds, and replicas that say in their answers that they leave
 	// or want no requests for a time.
 	extraStatements = "statements"
+	// extraPaths has moreKinds, routers that are cut off from all replicas, replicas that are
+	// brittle and say so, and replicas that are silent for a second.
+	extraPaths = "paths"
 )
 
 // planWith is the plan of a seed with extras.
@@ -107,6 +113,8 @@
 		kinds = []string{kindDrill}
 	case extraStatements:
 		kinds = []string{kindAnnounce, kindAnnounce, kindRest, kindRest, kindRestAll}
+	case extraPaths:
+		kinds = []string{kindPartition, kindPartition, kindBrittle, kindSilence}
 	}
 	rnd := rand.New(rand.NewPCG(seed, seed+2))
 	for range 1 + len(p.Actions)/morePart {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +33,8 @@
 	// work are the actions under way, striking is held while the store is struck.
 	work     sync.WaitGroup
 	striking sync.Mutex
+	// cutting is held during a partition, pressing while replicas are brittle.
+	cutting, pressing sync.Mutex
 }
 
 // Result is what a run gave.
@@ -50,7 +53,7 @@
 		return Result{}, err
 	}
 	var err error
-	if s.world, err = newWorld(s.record); err != nil {
+	if s.world, err = newWorld(s.record, p.Extras == extraPaths); err != nil {
 		return Result{}, err
 	}
 	defer s.world.close()
@@ -122,7 +125,7 @@
 	}
 	text := settingsText(r.name, s.listen[r.name], s.stores[r.name], strings.Join(seeds, ","), s.bounds, repeats)
 	if r.other == "" {
-		text += newerSettings
+		text += newerSettings + fmt.Sprintf("[routes]\nsource = %s\n", sourceOf(slices.Index(s.routers, r)))
 	}
 	return text
 }
@@ -177,6 +180,7 @@
 	for _, place := range s.world.seats {
 		replica, link, _ := place.now()
 		replica.Sound()
+		replica.Sturdy()
 		if link != nil {
 			link.Set(proxy.Faults{})
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -215,7 +215,7 @@
 }
 
 // allExtras are those of fresh seeds, one seed each in turn.
-var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements}
+var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements, extraPaths}
 
 // As many seeds as SOAK_SEEDS says, from SOAK_FIRST on or drawn afresh. SOAK_EXTRAS names
 // what they have besides; else each extra has its turn.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -54,6 +54,9 @@
 	oldMarkers []string
 	freed      []freedAddress
 	servers    []*standin.Server
+	// linked: there is a link before each replica, on which cuts strike.
+	linked bool
+	cuts   *cuts
 }
 
 // seat is where one incarnation of a replica follows another.
@@ -83,9 +86,10 @@
 	eventGap       = 25 * time.Millisecond
 )
 
-// newWorld starts store and replicas.
-func newWorld(record *recorder) (*world, error) {
-	w := &world{record: record, store: standin.NewStore(), keys: map[string]string{"north": "north-key-0", "south": "south-key-0"}}
+// newWorld starts store and replicas. linked is set if there is to be a link before each
+// replica, not only before every other one.
+func newWorld(record *recorder, linked bool) (*world, error) {
+	w := &world{record: record, linked: linked, cuts: &cuts{sources: make(map[string]bool)}, store: standin.NewStore(), keys: map[string]string{"north": "north-key-0", "south": "south-key-0"}}
 	for _, s := range []struct {
 		service string
 		n       int
@@ -100,7 +104,7 @@
 		for n := range s.n {
 			place := &seat{name: fmt.Sprintf("%s-%d", s.service, n), options: s.o}
 			// Every other replica stands behind a link that can fail.
-			if err := w.open(place, ownAddress(standInHost), n%2 == 1); err != nil {
+			if err := w.open(place, ownAddress(standInHost), linked || n%2 == 1); err != nil {
 				return nil, err
 			}
 			w.seats = append(w.seats, place)
@@ -181,12 +185,23 @@
 		if s.link, err = proxy.New(replica.Address()); err != nil {
 			return fmt.Errorf("soak: %w", err)
 		}
+		s.link.Gate(w.cuts.strikes)
+		if w.linked {
+			// Otherwise no router could see that a replica ended.
+			go closeWith(s.link, replica)
+		}
 		s.listed = s.link.Address()
 	}
 	w.store.Put(platform.ReplicaKey(replica.ID), replica.Entry(s.listed, platform.ReplicaReady))
 	return nil
 }
 
+// closeWith closes a link once its replica has ended, as the port of a dead process is.
+func closeWith(link *proxy.Proxy, replica *standin.Replica) {
+	<-replica.Ended()
+	link.Close()
+}
+
 // freedAddress is where a replica stood that has ended.
 type freedAddress struct {
 	address string
