--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -97,6 +97,45 @@
 	return a
 }
 
+// partitioned adds a partition of a router r1, with requests at r0 that are served and at r1,
+// of which some are.
+func (h *History) partitioned(asked, served, servedThere int) {
+	h.Recovered["r1"] = time.Second
+	h.Partitions = append(h.Partitions, Partition{Routers: []string{"r1"}, From: at(calm - 3000), To: at(calm + 1000)})
+	life := &Life{Router: "r1", Number: 1, Started: at(0)}
+	for n := range asked + served {
+		a := *h.attempt(repeatID)
+		a.ID = fmt.Sprint("cut-", n)
+		a.EchoedID, a.Signature, a.Body = a.ID, "sig-"+a.ID, standin.Reply(a.ID, a.Method, a.Path, a.BodySum)
+		run := *h.run(repeatID)
+		run.Attempt, run.Signature = a.ID, a.Signature
+		h.Runs, h.Attempts = append(h.Runs, run), append(h.Attempts, &a)
+		if n >= served {
+			a.Life = life
+		}
+		if n >= served+servedThere {
+			h.answered(a.ID, http.StatusServiceUnavailable)
+			h.unrun(a.ID)
+		}
+	}
+}
+
+// brittle adds a time in which replicas were brittle, and falls of some of them after they
+// turned a request of a router away.
+func (h *History) brittle(falls int, router string) {
+	h.Recovered[router] = time.Second
+	h.BrittleTimes = append(h.BrittleTimes, Brittle{Service: plain, Replicas: 3, From: at(calm - 3000), To: at(calm + 1000)})
+	for n := range falls {
+		a := *h.attempt(repeatID)
+		a.ID, a.Life = fmt.Sprint("brittle-", n), &Life{Router: router, Number: 1, Started: at(0)}
+		run := *h.run(repeatID)
+		run.Attempt, run.Instance, run.Expected, run.Refused = a.ID, fmt.Sprint("plain-", n), fmt.Sprint("plain-", n), true
+		h.Runs, h.Attempts = append(h.Runs, run), append(h.Attempts, &a)
+		h.answered(a.ID, http.StatusServiceUnavailable)
+		h.Falls = append(h.Falls, Fall{Service: plain, Instance: run.Instance, At: run.At.Add(time.Millisecond)})
+	}
+}
+
 // unrun takes the runs of a request away.
 func (h *History) unrun(id string) {
 	for i := range h.Runs {
@@ -252,10 +291,12 @@
 				h.again(repeatID, func(*standin.ReplicaRun) {})
 			}
 		}},
-		"more time than the caller gave":   {Budget, func(h *History) { h.run(repeatID).Deadline = 5 * time.Second }},
-		"no time told":                     {Budget, func(h *History) { h.run(repeatID).Deadline = 0 }},
-		"a router that does not come back": {Recover, func(h *History) { h.Recovered["r0"] = 13 * time.Second }},
-		"an end of its own":                {Ended, func(h *History) { h.Problems = []string{"r0 ended by itself"} }},
+		"more time than the caller gave":         {Budget, func(h *History) { h.run(repeatID).Deadline = 5 * time.Second }},
+		"no time told":                           {Budget, func(h *History) { h.run(repeatID).Deadline = 0 }},
+		"a router cut off from replicas refuses": {Recover, func(h *History) { h.partitioned(20, 10, 0) }},
+		"brittle replicas fall over":             {Limit, func(h *History) { h.brittle(3, "r0") }},
+		"a router that does not come back":       {Recover, func(h *History) { h.Recovered["r0"] = 13 * time.Second }},
+		"an end of its own":                      {Ended, func(h *History) { h.Problems = []string{"r0 ended by itself"} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := soundHistory()
@@ -276,6 +317,13 @@
 			h.cut(onceID)
 			h.disturb("r0", "", calm, calm+100)
 		},
+		"a router cut off from replicas serves two thirds": func(h *History) { h.partitioned(30, 30, 20) },
+		"few requests fail at a router that is cut off":    func(h *History) { h.partitioned(10, 10, 0) },
+		"two brittle replicas fall over":                   func(h *History) { h.brittle(2, "r0") },
+		"brittle replicas fall over for routers that have just started": func(h *History) {
+			h.brittle(3, "r1")
+			h.disturb("r1", "", calm, calm+100)
+		},
 		"a request that crosses a close": func(h *History) {
 			h.unrun(repeatID)
 			a := h.cut(repeatID)
