front: a silent attempt is ended only for a retry that can be made

Cause: whether a retry would be admitted, or found a replica, was asked only once the attempt had been ended.

Change: it is asked before, without changing the call; and a resumable stream may be silent for 1.5 s, since sound replicas are for a second (callers wait for two).

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -58,14 +58,18 @@
 	return c.resolve(c.front.holder.Current())
 }
 
+// path returns the escaped path of the request as the caller sent it.
+func (c *call) path() string {
+	if u, err := url.ParseRequestURI(c.request.RequestURI); err == nil {
+		return u.EscapedPath()
+	}
+	return c.request.URL.EscapedPath()
+}
+
 // resolve looks up the request's route, service and organisation in state.
 func (c *call) resolve(state *freshness.State) *refusal {
 	c.version = state.Table.Version()
-	path := c.request.URL.EscapedPath()
-	if u, err := url.ParseRequestURI(c.request.RequestURI); err == nil {
-		path = u.EscapedPath()
-	}
-	found := state.Table.Match(c.request.Host, path)
+	found := state.Table.Match(c.request.Host, c.path())
 	if found == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/steady"
@@ -37,13 +38,26 @@
 // attempt would be ended for nothing.
 func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
+	service, key, tried := c.service.Name, c.key(), slices.Clone(c.tried)
 	return func() {
-		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && c.reserveRetry() {
+		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && c.wouldRetry(service, key, tried) && c.reserveRetry() {
 			cancel(errSilent)
 		}
 	}
 }
 
+// wouldRetry reports whether the request would be admitted once more, as of now, and another
+// replica could take it. Otherwise an attempt that is only silent would be ended for nothing.
+// It does not change the call.
+func (c *call) wouldRetry(service, key string, tried []string) bool {
+	table := c.front.holder.Current().Table
+	found := table.Match(c.request.Host, c.path())
+	if found == nil || table.Keyed() && !found.Public && table.Organisation(key) == nil {
+		return false
+	}
+	return len(c.front.balancer.UsableReplicas(service, tried, steady.Now())) > 0
+}
+
 // reserveRetry takes one retry from the budget for the next attempt, unless it holds one.
 func (c *call) reserveRetry() bool {
 	if !c.reserved.CompareAndSwap(false, true) {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -87,7 +87,8 @@
 // another replica: well above its usual gaps, and before its caller gives up.
 func (c *call) streamSilenceLimit() time.Duration {
 	const gaps = 3
-	const least = 700 * time.Millisecond
+	// Sound replicas may be silent for a second, and callers wait for two at least.
+	const least = 1500 * time.Millisecond
 	return max(gaps*c.route.Gap, least)
 }
 
