front: a denial by another router speaks against its configuration only

Cause: they knew a key that others knew to be taken away; the others' 401 to a relayed request counted as being unable to serve the service.

Change: such answers have a result of their own. The next router is asked, and the configuration is read anew.

--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -17,6 +17,8 @@
 	closes bool
 	// unable is set if another router may be able to serve the request now.
 	unable bool
+	// differs is set if the router that relayed the request takes it for another one.
+	differs bool
 }
 
 // Bounds of Retry-After. Many callers retry only once, usually through another router, and
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -49,6 +49,8 @@
 const (
 	// relayUnable: not run; another router may serve it.
 	relayUnable = "unable"
+	// relayDiffers: not run; by the other router's configuration it is another request, or none.
+	relayDiffers = "differs"
 	// relayRefused: not run; other routers would refuse it too.
 	relayRefused = "refused"
 	// relayFailed: it may have run.
@@ -150,6 +152,10 @@
 	case result == relayRefused && impliesNotRun(answer.StatusCode):
 		c.giveUp(c.refuseAsRelayed(answer))
 		return relayFinished
+	case result == relayDiffers:
+		f.watcher.TriggerRead()
+		drainBody(answer)
+		return relayNone
 	case result != "":
 		f.relays.Unable(c.service.Name, address, steady.Now())
 		drainBody(answer)
@@ -329,7 +335,7 @@
 	if c.relay == nil || c.relay.service == c.service.Name && c.relay.organisation == c.organisationName() {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "configurations of routers differ", retryAfter: retryElsewhere, unable: true}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "configurations of routers differ", retryAfter: retryElsewhere, differs: true}
 }
 
 // organisationName returns the name of the caller's organisation, or "".
@@ -345,7 +351,9 @@
 	switch {
 	case c.mayHaveRun:
 		return relayFailed
-	case r.unable || !impliesNotRun(r.status):
+	case r.differs || !impliesNotRun(r.status):
+		return relayDiffers
+	case r.unable:
 		return relayUnable
 	}
 	return relayRefused
