overload: all shares are limited once the rest of them is too much

Cause: refusals were for shares that surge only. If all grow alike none surges, so the routers refuse one request, the queues of all replicas are full, and a full queue takes the whole 300 ms that callers have: capacity goes to late answers. Placement by rate was not it: it only spreads evenly over full queues.

Change: once the demand of the shares that do not surge exceeds the limit by more than a fifth, all shares get max-min parts of equal weight (halved with each step of priority), whatever they usually ask for: the smallest are served whole. Below that nothing changes, so a share's doubled callers or a slow replica do not limit.

--- a/pkg/overload/decide.go
+++ b/pkg/overload/decide.go
@@ -49,16 +49,20 @@
 	return c.sums.shares[overflowKey(key)]
 }
 
-// granted returns the rate that a share may have: what it asks for, unless it surges.
+// granted returns the rate that a share may have: what it asks for, unless it surges or the
+// demand is too large without those that do.
 func (p *plan) granted(key shareKey, r shareRates) float64 {
-	if !p.status.Limiting || !p.totals.surges(r) {
-		return r.offered
-	}
-	part := p.level * p.totals.weightOf(key, r)
-	if r.offered-part < minSurge*p.status.Limit {
-		return r.offered
+	part := r.offered
+	switch {
+	case !p.status.Limiting:
+	case p.limitsAll:
+		part = p.equalLevel * equalWeight(key, r)
+	case p.totals.surges(r):
+		if surged := p.level * p.totals.weightOf(key, r); r.offered-surged >= minSurge*p.status.Limit {
+			part = surged
+		}
 	}
-	return max(part, r.offered*minAdmission)
+	return min(max(part, r.offered*minAdmission), r.offered)
 }
 
 // tooLate reports whether an answer is expected after the deadline because requests wait. The
--- a/pkg/overload/estimate.go
+++ b/pkg/overload/estimate.go
@@ -39,6 +39,11 @@
 	// level is the rate that a share of weight 1 may have.
 	level  float64
 	totals totals
+	// limitsAll is set if the demand is too large even without the shares that surge. Then
+	// equalLevel is the rate that a share of the highest priority may have, whatever it
+	// usually asks for.
+	limitsAll  bool
+	equalLevel float64
 }
 
 // others holds the means over those replicas of a service that have figures.
@@ -122,7 +127,11 @@
 	p.contended = evidence && c.sums.at.Before(s.contendedUntil)
 	p.status.Limiting = p.contended && p.status.Demand > p.status.Limit
 	if p.status.Limiting {
-		p.level = fairLevel(p.status.Limit, c.sums.demands(s.hash, p.totals))
+		p.limitsAll = p.totals.steady(c.sums.ratesOf(s.hash)) > overloadFactor*p.status.Limit
+		if p.limitsAll {
+			p.equalLevel = fairLevel(p.status.Limit, c.sums.demands(s.hash, equalWeight))
+		}
+		p.level = fairLevel(p.status.Limit, c.sums.demands(s.hash, p.totals.weightOf))
 	}
 	return p
 }
--- a/pkg/overload/shares.go
+++ b/pkg/overload/shares.go
@@ -16,6 +16,10 @@
 	// minSurge is the least excess of a refused share over its part, as a part of the limit.
 	// A share that asks for a few requests per second exceeds its usual by chance.
 	minSurge = 0.1
+	// overloadFactor is how many times the limit the demand of shares that do not surge must
+	// be for them to be limited too. Below it the queues of the replicas take most of the
+	// excess; beyond it they are full, and most answers late.
+	overloadFactor = 1.2
 	// minUsualPart is the least usual demand that a share counts with, as a part of the mean
 	// over all shares: a new one has a right to some room too.
 	minUsualPart = 0.5
@@ -44,15 +48,27 @@
 	return r.offered*others.usual > surgeFactor*t.usualOf(r)*others.offered
 }
 
+// steady returns the demand of the shares that do not surge, according to a list of them.
+func (t totals) steady(rates []shareRates) float64 {
+	steady := 0.0
+	for _, r := range rates {
+		if !t.surges(r) {
+			steady += r.offered
+		}
+	}
+	return steady
+}
+
 // weightOf is proportional to what a share usually asks for, and halved with each step of
 // priority.
 func (t totals) weightOf(key shareKey, r shareRates) float64 {
-	return math.Exp2(-float64(key.priority)) * t.usualOf(r)
+	return equalWeight(key, r) * t.usualOf(r)
 }
 
-// totals returns the sums over all shares of a service. They are added up in the order of their
-// figures: the order of a map would change the last digits, and decisions with them.
-func (s *sums) totals(service uint32) totals {
+// ratesOf returns the rates of all shares of a service, in the order of their figures: the
+// order of a map would change the last digits of sums, and decisions with them. The list is
+// valid until the next call.
+func (s *sums) ratesOf(service uint32) []shareRates {
 	s.rates = s.rates[:0]
 	for key, r := range s.shares {
 		if key.service == service {
@@ -62,21 +78,30 @@
 	slices.SortFunc(s.rates, func(a, b shareRates) int {
 		return cmp.Or(cmp.Compare(a.offered, b.offered), cmp.Compare(a.usual, b.usual))
 	})
-	t := totals{shares: len(s.rates)}
-	for _, r := range s.rates {
+	return s.rates
+}
+
+// totals returns the sums over all shares of a service.
+func (s *sums) totals(service uint32) totals {
+	rates := s.ratesOf(service)
+	t := totals{shares: len(rates)}
+	for _, r := range rates {
 		t.offered += r.offered
 		t.usual += r.usual
 	}
 	return t
 }
 
+// equalWeight is halved with each step of priority.
+func equalWeight(key shareKey, _ shareRates) float64 { return math.Exp2(-float64(key.priority)) }
+
 // demands returns the demand of each share of a service, those that ask for least by their
 // weight first.
-func (s *sums) demands(service uint32, t totals) []shareDemand {
+func (s *sums) demands(service uint32, weightOf func(shareKey, shareRates) float64) []shareDemand {
 	s.buffer = s.buffer[:0]
 	for key, r := range s.shares {
 		if key.service == service && r.offered > 0 {
-			s.buffer = append(s.buffer, shareDemand{r.offered, t.weightOf(key, r)})
+			s.buffer = append(s.buffer, shareDemand{r.offered, weightOf(key, r)})
 		}
 	}
 	slices.SortFunc(s.buffer, func(a, b shareDemand) int {
