front, balance: a router without room is not taken for one without a path

It had no room, or two replicas had failed between two answers.

Change: for a relayed request only a lost path counts, not half of one; and a path is not lost while an answer is younger than 0.1 s.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -89,6 +89,10 @@
 	if c.unconnected >= maxUnconnected {
 		return true
 	}
+	if c.relay != nil {
+		// Replicas that are reached and have no room are no reason to ask yet another router.
+		return found && choice.Unreachable || c.front.balancer.PathLost(c.service.Name, steady.Now())
+	}
 	if !found {
 		return c.unconnected > 0 || c.front.balancer.AnyOutOfReach(c.service.Name, steady.Now())
 	}
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -35,6 +35,9 @@
 	// minLostReplicas is how many replicas must be out of reach for the path to be lost. A
 	// single one may have ended.
 	minLostReplicas = 2
+	// contactLifetime is how long an answer speaks against the loss of the path to a service,
+	// whatever failed since: two replicas may end in the moment between two answers.
+	contactLifetime = 100 * time.Millisecond
 	// verificationLifetime is how long after a replica was verified further reports of
 	// other routers are ignored.
 	verificationLifetime = time.Second
@@ -104,6 +107,9 @@
 			contact = r.path.contactAt
 		}
 	}
+	if now.Sub(contact) < contactLifetime {
+		return false
+	}
 	lost, failed, all := 0, 0, 0
 	for _, r := range list {
 		if !r.isPathLost(now) {
