--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,9 @@
 // than what they bind.
 const statementsRun = 8 * time.Second
 
+// pathsRun is how long the faults last of a run with partitions: longer than one of them.
+const pathsRun = 8 * time.Second
+
 // atOnce is how many known seeds are played at a time: a run mostly waits, and too many
 // would disturb each other.
 const atOnce = 3
@@ -175,6 +178,31 @@
 	}
 }
 
+// Guards against routers that lose the path to all replicas and serve their callers worse than
+// others do, against brittle replicas that fall over, and against requests lost to a replica
+// that is silent for a second, among all other troubles.
+func TestPartitionsBrittleReplicasAndSilence(t *testing.T) { playPaths(t, 101, 102, 106) }
+
+// Guards against a router that alone reaches brittle replicas and has too little room for the
+// callers of others.
+func TestPartitionAmidBrittleReplicas(t *testing.T) { playPaths(t, 323, 335) }
+
+func playPaths(t *testing.T, seeds ...uint64) {
+	if os.Getenv("SOAK_SEEDS") != "" {
+		t.Skip("fresh seeds are asked for")
+	}
+	dir := logs(t)
+	program, err := buildProgram(programs)
+	require.NoError(t, err)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			length := seconds(t, pathsRun)
+			play(t, program, dir, planWith(extraPaths, seed, length), length)
+		})
+	}
+}
+
 // knownSeed is a seed with how long its faults lasted when it showed a fault: the
 // schedule that is drawn depends on both.
 type knownSeed struct {
