balance: routers without a path lend their share of brittle replicas

Cause: slots of brittle replicas are divided among all routers, so two thirds stayed idle, and the third had the callers of all.

Change: a relayed request lends the share of the router that reaches no replica to the one that gets it, for a second, divided by how many serve its requests. What is lent is at most what the others have.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,6 +170,7 @@
 	options := front.Options{
 		Dialect:    e.env.Dialect,
 		DataCentre: e.settings.DataCentre,
+		Name:       e.gossip.Address(),
 		Limits:     frontLimits(b),
 		HeldBytes:  e.settings.Limits.HeldBytes,
 		Poison:     e.poison,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,7 +63,9 @@
 	Dialect Dialect
 	// DataCentre is the router's own.
 	DataCentre string
-	Limits     Limits
+	// Name identifies the router among routers.
+	Name   string
+	Limits Limits
 	// HeldBytes is the maximum of the bytes held for all callers together. Zero means none.
 	HeldBytes int64
 	// Poison records the requests that crash replicas. If nil, New creates one.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -27,7 +27,9 @@
 // Headers between routers. relayAttemptsHeader is how many replicas the request may still be
 // sent to, relayShareHeader selects among the shares of its route. relayServiceHeader and
 // relayOrganisationHeader are what the first router takes it for: the other one serves it only
-// if its configuration, which may be older or newer, says the same. In an answer,
+// if its configuration, which may be older or newer, says the same. relayLenderHeader names the
+// first router if it reaches no replica, and relayLentHeader is the part of its share of them
+// that it leaves to the other one. In an answer,
 // relayResultHeader stands in what a router generated itself, relaySentHeader is how many
 // replicas the request was sent to, relayReplicaHeader is the one that answered.
 const (
@@ -35,13 +37,15 @@
 	relayShareHeader        = "Relay-Share"
 	relayServiceHeader      = "Relay-Service"
 	relayOrganisationHeader = "Relay-Organisation"
+	relayLenderHeader       = "Relay-Lender"
+	relayLentHeader         = "Relay-Lent"
 	relayResultHeader       = "Relay-Result"
 	relaySentHeader         = "Relay-Sent"
 	relayReplicaHeader      = "Relay-Replica"
 )
 
 var relayHeaders = []string{
-	relayAttemptsHeader, relayShareHeader, relayServiceHeader, relayOrganisationHeader,
+	relayAttemptsHeader, relayShareHeader, relayServiceHeader, relayOrganisationHeader, relayLenderHeader, relayLentHeader,
 	relayResultHeader, relaySentHeader, relayReplicaHeader,
 }
 
@@ -180,6 +184,7 @@
 	header.Set(relayShareHeader, strconv.FormatFloat(c.shareDraw, 'g', -1, 64))
 	header.Set(relayServiceHeader, c.service.Name)
 	header.Set(relayOrganisationHeader, c.organisationName())
+	c.lendShare(header)
 	if c.lastEvent != "" {
 		header.Set(lastEventHeader, c.lastEvent)
 	}
@@ -200,6 +205,18 @@
 	}
 }
 
+// lendShare leaves this router's share of brittle replicas to those that serve its requests, if
+// it reaches none of them.
+func (c *call) lendShare(header http.Header) {
+	f, now := c.front, steady.Now()
+	if f.options.Name == "" || !f.balancer.PathLost(c.service.Name, now) {
+		return
+	}
+	part := 1 / float64(max(f.relays.Serving(c.service.Name, now), 1))
+	header.Set(relayLenderHeader, f.options.Name)
+	header.Set(relayLentHeader, strconv.FormatFloat(part, 'g', -1, 64))
+}
+
 // handleRelayError decides how to go on after another router gave no answer.
 func (c *call) handleRelayError(ctx context.Context, address string, attempts int, err error) relayResult {
 	f := c.front
@@ -319,6 +336,10 @@
 	if share, err := strconv.ParseFloat(r.Header.Get(relayShareHeader), 64); err == nil && share >= 0 && share < 1 {
 		c.shareDraw = share
 	}
+	part, err := strconv.ParseFloat(r.Header.Get(relayLentHeader), 64)
+	if lender := r.Header.Get(relayLenderHeader); err == nil && lender != "" {
+		f.balancer.ShareLent(c.relay.service, lender, part, steady.Now())
+	}
 	for _, name := range relayHeaders {
 		r.Header.Del(name)
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -169,6 +169,8 @@
 	hooks          atomic.Pointer[ReplicaHooks]
 	// brittle holds what replicas stated about the rejections that they bear, by service.
 	brittle map[string]brittleness
+	// lent holds what routers that reach no replica of a service leave to this one.
+	lent map[loan]lentShare
 	// slots caches the slots of services.
 	slots map[string]serviceSlots
 	// estimator estimates the replicas of plain services; nil if there is none.
@@ -235,6 +237,7 @@
 		lastProbe:     make(map[string]time.Time),
 		brittle:       make(map[string]brittleness),
 		slots:         make(map[string]serviceSlots),
+		lent:          make(map[loan]lentShare),
 		holdersSynced: true,
 		byShortHash:   make(map[uint32]*replica),
 		byTinyHash:    make(map[uint16][]*replica),
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 //	after a rejection          -> the replica gets nothing from this router until its part
 //	    of the rejections that the replica bears allows for another one
 //
+// A router that reaches no replica lends its part to those that serve its requests.
+//
 // Counts of other routers are old, so no safety rests on them: without them a router uses
 // what belongs to it.
 
@@ -91,10 +94,11 @@
 	if r.Slots == 0 {
 		return false
 	}
-	if routers := b.routerCount(); routers <= r.Slots {
-		return r.running >= r.Slots/routers
+	routers, lent := b.routerCount(), b.lentTo(r.Service, now)
+	if routers <= r.Slots {
+		return r.running >= int(float64(r.Slots)*(1+lent))/routers
 	}
-	if r.running < b.ownSlots(r) {
+	if r.running < b.ownSlots(r)+int(lent*float64(r.Slots)/float64(routers)) {
 		return false
 	}
 	return now.Before(stated.strictUntil) || r.running > 0 || b.load(r, now) >= idleFraction*float64(r.Slots)
@@ -110,6 +114,40 @@
 	return max(min(end, before+r.Slots)-max(first, before), 0)
 }
 
+// loan is what a router lends its share of, lentShare the part that it leaves to this router.
+type (
+	loan      struct{ service, router string }
+	lentShare struct {
+		part  float64
+		until time.Time
+	}
+)
+
+// loanTime is how long a share is lent with one request.
+const loanTime = time.Second
+
+// ShareLent records that a router which reaches no replica of a service, and relays a request of
+// it to this one, leaves a part of its share of brittle replicas to this one.
+func (b *Balancer) ShareLent(service, router string, part float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.lent, func(_ loan, l lentShare) bool { return !now.Before(l.until) })
+	if part > 0 && part <= 1 {
+		b.lent[loan{service, router}] = lentShare{part, now.Add(loanTime)}
+	}
+}
+
+// lentTo returns how many routers' shares of a service are lent to this one.
+func (b *Balancer) lentTo(service string, now time.Time) float64 {
+	sum := 0.0
+	for l, share := range b.lent {
+		if l.service == service && now.Before(share.until) {
+			sum += share.part
+		}
+	}
+	return min(sum, float64(b.routerCount()-1))
+}
+
 // serviceSlots are the slots of a service's replicas: before each of them, in the order of
 // their ids, and in total.
 type serviceSlots struct {
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -127,3 +127,40 @@
 	b.SturdyReported("i-0")
 	assert.True(t, found(brittleLifetime))
 }
+
+// Guards against slots that stay idle because the routers to which they belong do not reach
+// the replica, and against more being lent than there is.
+func TestLentSlots(t *testing.T) {
+	list := engines(1)
+	list[0].Slots = 9
+	for name, c := range map[string]struct {
+		parts []float64
+		at    time.Duration
+		want  int
+	}{
+		"none":                  {nil, 0, 3},
+		"of one router":         {[]float64{1}, 0, 6},
+		"half of two":           {[]float64{0.5, 0.5}, 0, 6},
+		"of all others":         {[]float64{1, 1}, 0, 9},
+		"of more than are":      {[]float64{1, 1, 1}, 0, 9},
+		"of one, some time ago": {[]float64{1}, loanTime, 3},
+		"invalid":               {[]float64{-1, 2}, 0, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(list)
+			b.SetRouters("r0", []string{"r0", "r1", "r2"}, start)
+			b.BrittleReported("i-0", 2, start)
+			for i, part := range c.parts {
+				b.ShareLent("llm", fmt.Sprint("r", 1+i), part, start)
+			}
+			taken := 0
+			for ; taken < 20; taken++ {
+				if _, found := b.Pick(Request{Service: "llm"}, start.Add(c.at)); !found {
+					break
+				}
+				b.RequestStarted("i-0")
+			}
+			assert.Equal(t, c.want, taken)
+		})
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -128,6 +128,19 @@
 	s.change(service, address, now, record{servedUntil: now.Add(servedTime)})
 }
 
+// Serving returns how many routers served requests of a service lately.
+func (s *Selector) Serving(service string, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	serving := 0
+	for _, r := range s.services[service] {
+		if now.Before(r.servedUntil) {
+			serving++
+		}
+	}
+	return serving
+}
+
 // Unable records that a router could not serve a request of a service.
 func (s *Selector) Unable(service, address string, now time.Time) {
 	s.change(service, address, now, record{unableUntil: now.Add(unableTime)})
