dispatch: a chat's engine that refuses connections is compared with others

An engine counts as ended if another one accepts a connection, or there is none. TestEnded; its case of a lost path fails without the comparison. test/crash passes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
@@ -130,15 +131,24 @@
 // nothing, and a refusal comes in some ms.
 const endedTimeout = 200 * time.Millisecond
 
-// Ended tells whether nothing listens at a target's address any more.
-func Ended(ctx context.Context, address string) bool {
+// Ended reports whether nothing listens at a target's address any more. A path that is lost
+// may refuse connections too, so one of the other addresses must accept one, if there are any.
+func Ended(ctx context.Context, address string, others []string) bool {
+	if !errors.Is(tryConnect(ctx, address), syscall.ECONNREFUSED) {
+		return false
+	}
+	accepts := func(other string) bool { return tryConnect(ctx, other) == nil }
+	return len(others) == 0 || slices.ContainsFunc(others, accepts)
+}
+
+func tryConnect(ctx context.Context, address string) error {
 	dialer := net.Dialer{Timeout: endedTimeout}
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.Close()
-	return false
+	return nil
 }
 
 // NewAttempt returns 128 random bits in hexadecimal.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -119,6 +119,26 @@
 	assert.True(t, out.Unreachable)
 }
 
+// Guards against a router whose own path is lost and that takes its targets to have ended.
+func TestEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	open := listener.Addr().String()
+	for name, c := range map[string]struct {
+		address string
+		others  []string
+		ended   bool
+	}{
+		"it listens":            {open, []string{open}, false},
+		"there is no other":     {"127.0.0.1:1", nil, true},
+		"another one listens":   {"127.0.0.1:1", []string{"127.0.0.1:2", open}, true},
+		"the others refuse too": {"127.0.0.1:1", []string{"127.0.0.1:2", "127.0.0.1:3"}, false},
+	} {
+		assert.Equal(t, c.ended, Ended(t.Context(), c.address, c.others), name)
+	}
+}
+
 // TestTheLibraryRepeatsNothing guards against net/http, which repeats a request
 // that carries an Idempotency-Key when a reused connection breaks.
 func TestTheLibraryRepeatsNothing(t *testing.T) {
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -60,9 +60,25 @@
 		r.poison.RecordSuccess(digestOf(job, request), steady.Now())
 	case outcome.NotRun || outcome.Leaving || ctx.Err() != nil:
 	case outcome.Reason != admission.TargetFailed && outcome.Reason != admission.StreamBroken:
-	case dispatch.Ended(ctx, target.Address):
+	case dispatch.Ended(ctx, target.Address, r.otherEngines(target)):
 		now, digest := steady.Now(), digestOf(job, request)
 		r.poison.RecordCrash(digest, uint32(placement.Hash(target.Name)), now, now)
 		r.log.Write(event.ReplicaEnded, event.F("request", job.ID), event.F("replica", target.Name), event.F("digest", digest.String()))
 	}
 }
+
+// comparedEngines is with how many other engines one that refuses connections is compared.
+const comparedEngines = 2
+
+// otherEngines returns the addresses of some engines besides one.
+func (r *Router) otherEngines(target fleet.Instance) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var others []string
+	r.view.ForEach(steady.Now(), func(i fleet.Instance, _ fleet.Health) {
+		if i.Role == fleet.RoleEngine && i.Name != target.Name && len(others) < comparedEngines {
+			others = append(others, i.Address)
+		}
+	})
+	return others
+}
