--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -27,6 +27,9 @@
 	// rejectionFraction is the part of the rejections that a replica bears that all routers
 	// together may cause. The rest is for counts of routers that differ.
 	rejectionFraction = 0.5
+	// slotFraction is the part of the slots that is divided: requests that were given up may
+	// take some for a moment longer.
+	slotFraction = 0.8
 	// strictTime is how long after a rejection routers use only the slots that belong to
 	// them: counts of a large fleet are up to 1.2 s old.
 	strictTime = 3 * time.Second
@@ -96,7 +99,7 @@
 	}
 	routers, lent := b.routerCount(), b.lentTo(r.Service, now)
 	if routers <= r.Slots {
-		return r.running >= int(float64(r.Slots)*(1+lent))/routers
+		return r.running >= max(int(slotFraction*float64(r.Slots)*(1+lent))/routers, 1)
 	}
 	if r.running < b.ownSlots(r)+int(lent*float64(r.Slots)/float64(routers)) {
 		return false
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,9 +27,12 @@
 }
 
 const (
-	// unableTime is how long a router that did not reach a service, or was not reached
-	// itself, is not asked again.
-	unableTime = time.Second
+	// unableTime is how long a router that did not reach a service is not asked again. It
+	// says so within a round trip, and may be the only one that reaches the service at times.
+	unableTime = 300 * time.Millisecond
+	// unreachableTime is the same for a router that was not reached itself, which takes as
+	// long to notice as a connection may take to open.
+	unreachableTime = time.Second
 	// servedTime is how long a router that served a request is preferred.
 	servedTime = 2 * time.Second
 	// enoughServing is how many routers must serve for the others not to be asked: fewer
@@ -172,5 +175,5 @@
 			delete(s.routers, other)
 		}
 	}
-	s.routers[address] = now.Add(unableTime)
+	s.routers[address] = now.Add(unreachableTime)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -187,6 +187,10 @@
 // callers of others.
 func TestPartitionAmidBrittleReplicas(t *testing.T) { playPaths(t, 323, 335) }
 
+// Guards against a router that is the only one to reach replicas which fall over, and serves its
+// own callers better than those of others.
+func TestPartitionWithOneRouterLeft(t *testing.T) { playPaths(t, 412) }
+
 func playPaths(t *testing.T, seeds ...uint64) {
 	if os.Getenv("SOAK_SEEDS") != "" {
 		t.Skip("fresh seeds are asked for")
