--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/steady"
 )
@@ -76,3 +77,12 @@
 	defer t.mu.Unlock()
 	return now.Sub(t.last) <= starvedRest && t.last.Sub(t.first) >= starvedTime
 }
+
+// freeDescriptors closes idle connections to replicas when no descriptor is left.
+func (e *Entry) freeDescriptors(err error, first bool) {
+	dropped := e.pool.DropIdle()
+	if !first {
+		return
+	}
+	e.log.Write(event.Exhausted, event.F("error", err), event.F("dropped", dropped), event.F("in_flight", e.front.ActiveRequests()))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -264,15 +264,6 @@
 	return e.proofFresh()
 }
 
-// freeDescriptors closes idle connections to replicas when no descriptor is left.
-func (e *Entry) freeDescriptors(err error, first bool) {
-	dropped := e.pool.DropIdle()
-	if !first {
-		return
-	}
-	e.log.Write(event.Exhausted, event.F("error", err), event.F("dropped", dropped), event.F("in_flight", e.front.ActiveRequests()))
-}
-
 // proofFresh reports whether the proof of the configuration is new enough for keys.
 func (e *Entry) proofFresh() bool {
 	return e.watcher.Staleness(steady.Now()) < keyProof(*e.bounds.Load())
@@ -381,24 +372,6 @@
 	e.watcher.TriggerRead()
 }
 
-// pathProbePause is the pause between two probes of a service that this router lost the
-// path to. A connection that does not open is given up after 0.3 s by default.
-const pathProbePause = 250 * time.Millisecond
-
-// probeLostPaths notices when replicas are within reach again.
-func (e *Entry) probeLostPaths(ctx context.Context) {
-	ticker := time.NewTicker(pathProbePause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.front.ProbeLostPaths()
-		}
-	}
-}
-
 // maintain logs changes of readiness and of the proof's freshness, and closes connections
 // that were idle too long.
 func (e *Entry) maintain(ctx context.Context) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -49,3 +50,21 @@
 	}
 	return err
 }
+
+// pathProbePause is the pause between two probes of a service that this router lost the
+// path to. A connection that does not open is given up after 0.3 s by default.
+const pathProbePause = 250 * time.Millisecond
+
+// probeLostPaths notices when replicas are within reach again.
+func (e *Entry) probeLostPaths(ctx context.Context) {
+	ticker := time.NewTicker(pathProbePause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.front.ProbeLostPaths()
+		}
+	}
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -44,7 +44,7 @@
 	e.log.Write(event.CallersEnded, event.F("closed_at_rest", ended.Closed), event.F("found_unread", ended.Unread),
 		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", steady.Since(asked).Milliseconds()))
 	if err == nil {
-		// Other routers were told of the stop with the first of these answers.
+		// Gossip announced the stop to the other routers when it began.
 		_, err = e.relayedConns.Drain(limit)
 	}
 	if err == nil {
--- /dev/null
+++ b/internal/front/relayed.go
@@ -0,0 +1,100 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/croftyard/croftyard/internal/steady"
+)
+
+// relayedCall is what a router that handed a request to this one said of it.
+type relayedCall struct {
+	attempts              int
+	service, organisation string
+}
+
+// ServeRelayed serves a request that another router handed to this one.
+func (f *Front) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	c := newCall(f, w, r, steady.Now())
+	defer c.recordEnd()
+	attempts, err := strconv.Atoi(r.Header.Get(relayAttemptsHeader))
+	if err != nil || attempts < 1 {
+		attempts = 1
+	}
+	c.relay = &relayedCall{attempts: attempts, service: r.Header.Get(relayServiceHeader), organisation: r.Header.Get(relayOrganisationHeader)}
+	if share, err := strconv.ParseFloat(r.Header.Get(relayShareHeader), 64); err == nil && share >= 0 && share < 1 {
+		c.shareDraw = share
+	}
+	part, err := strconv.ParseFloat(r.Header.Get(relayLentHeader), 64)
+	if lender := r.Header.Get(relayLenderHeader); err == nil && lender != "" {
+		f.balancer.ShareLent(c.relay.service, lender, part, steady.Now())
+	}
+	for _, name := range relayHeaders {
+		r.Header.Del(name)
+	}
+	f.metrics.RelayedHere.Inc(1)
+	defer f.relayedHere.Add(-1)
+	if f.relayedHere.Add(1) > maxRelayedHere {
+		c.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "too many requests of other routers", retryAfter: retryElsewhere, unable: true})
+		return
+	}
+	// The first router counted the request as demand.
+	c.counted = true
+	c.serve()
+}
+
+// checkRelayed refuses a request that the router which handed it to this one takes for another
+// one, by its own configuration.
+func (c *call) checkRelayed() *refusal {
+	if c.relay == nil || c.relay.service == c.service.Name && c.relay.organisation == c.organisationName() {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "configurations of routers differ", retryAfter: retryElsewhere, differs: true}
+}
+
+// organisationName returns the name of the caller's organisation, or "".
+func (c *call) organisationName() string {
+	if c.organisation == nil {
+		return ""
+	}
+	return c.organisation.Name
+}
+
+// result returns the value of relayResultHeader for an answer that this router generated.
+func (*relayedCall) result(c *call, r *refusal) string {
+	switch {
+	case c.mayHaveRun:
+		return relayFailed
+	case r.differs || !impliesNotRun(r.status):
+		return relayDiffers
+	case r.unable:
+		return relayUnable
+	}
+	return relayRefused
+}
+
+// describeRelayed adds to the head of a replica's answer what the router that handed the
+// request to this one must know.
+func (c *call) describeRelayed(header http.Header) {
+	if c.relay == nil {
+		return
+	}
+	header.Set(relaySentHeader, strconv.Itoa(int(c.sent.Load())))
+	header.Set(relayReplicaHeader, c.outcome.replica)
+}
+
+// maxAttempts is how many replicas the request may be sent to.
+func (c *call) maxAttempts() int {
+	if c.relay == nil {
+		return c.route.Attempts
+	}
+	return min(c.route.Attempts, c.relay.attempts)
+}
+
+// refuseOutOfReach refuses a request of another router whose service this one does not reach
+// either.
+func (c *call) refuseOutOfReach() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "service out of reach", retryAfter: retryElsewhere, unable: true}
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -13,7 +13,7 @@
 )
 
 // Connections that carry relayed requests, in HTTP, come to the same address as the calls
-// of drpc. Their first bytes tell them apart, and the answer to these shows that the other
+// of drpc. Their first bytes distinguish them, and the answer to these shows that the other
 // router knows them: one of an earlier build does not, and must not get a request that it
 // cannot read.
 const (
--- a/internal/standin/replica_brittle.go
+++ b/internal/standin/replica_brittle.go
@@ -36,7 +36,7 @@
 	r.brittle = nil
 }
 
-// admitBrittle tells whether a request is taken, and how long it takes longer than usual. One
+// admitBrittle reports whether a request is taken, and how long it takes longer than usual. One
 // that is not is answered.
 func (r *Replica) admitBrittle(w http.ResponseWriter, run *ReplicaRun) (longer time.Duration, taken bool) {
 	now := time.Now()
--- a/test/proxy/proxy.go
+++ b/test/proxy/proxy.go
@@ -17,7 +17,7 @@
 	mu     sync.Mutex
 	faults Faults
 	conns  map[net.Conn]bool
-	// gate tells whether a new connection from an address is reset; it may be nil.
+	// gate reports whether a new connection from an address is reset; it may be nil.
 	gate func(from net.Addr) bool
 	// paused is not nil while nothing passes, and closed when it goes on.
 	paused chan struct{}
@@ -108,7 +108,7 @@
 	}
 }
 
-// isStruck tells whether a new connection is to be reset.
+// isStruck reports whether a new connection is to be reset.
 func (p *Proxy) isStruck(in net.Conn) bool {
 	p.mu.Lock()
 	gate := p.gate
--- a/test/soak/brittle.go
+++ b/test/soak/brittle.go
@@ -66,7 +66,7 @@
 
 // pressOnce sends one request of the plain service.
 func (u *users) pressOnce(r *router, rnd *rand.Rand) {
-	// Callers whose request failed come back later than others send the next one.
+	// Callers whose request failed wait longer before the next one.
 	const pause, longPause = 20 * time.Millisecond, 100 * time.Millisecond
 	c, err := dial(r)
 	if err != nil {
--- a/test/soak/check_partition.go
+++ b/test/soak/check_partition.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// countsInPartition tells whether an attempt is compared: one for which a route and a key
+// countsInPartition reports whether an attempt is compared: one for which a route and a key
 // exist, of a caller that stayed, at a router that nothing else befell, while nothing befell
 // some router that is not cut off: without that there is none to serve it.
 func (c *checker) countsInPartition(a *Attempt, p Partition) bool {
@@ -63,7 +63,7 @@
 	})
 }
 
-// isLeftAlone tells whether nothing befell a router in a time.
+// isLeftAlone reports whether nothing befell a router in a time.
 func (c *checker) isLeftAlone(router string, from, to time.Time) bool {
 	return !slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
 		return d.Router == router && d.overlaps(from, to)
@@ -100,7 +100,7 @@
 	}
 }
 
-// fellInTouch tells whether most of what a replica turned away before it fell came from
+// fellInTouch reports whether most of what a replica turned away before it fell came from
 // routers in touch.
 func (c *checker) fellInTouch(f Fall) bool {
 	inTouch, all := 0, 0
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -97,45 +97,6 @@
 	return a
 }
 
-// partitioned adds a partition of a router r1, with requests at r0 that are served and at r1,
-// of which some are.
-func (h *History) partitioned(asked, served, servedThere int) {
-	h.Recovered["r1"] = time.Second
-	h.Partitions = append(h.Partitions, Partition{Routers: []string{"r1"}, From: at(calm - 3000), To: at(calm + 1000)})
-	life := &Life{Router: "r1", Number: 1, Started: at(0)}
-	for n := range asked + served {
-		a := *h.attempt(repeatID)
-		a.ID = fmt.Sprint("cut-", n)
-		a.EchoedID, a.Signature, a.Body = a.ID, "sig-"+a.ID, standin.Reply(a.ID, a.Method, a.Path, a.BodySum)
-		run := *h.run(repeatID)
-		run.Attempt, run.Signature = a.ID, a.Signature
-		h.Runs, h.Attempts = append(h.Runs, run), append(h.Attempts, &a)
-		if n >= served {
-			a.Life = life
-		}
-		if n >= served+servedThere {
-			h.answered(a.ID, http.StatusServiceUnavailable)
-			h.unrun(a.ID)
-		}
-	}
-}
-
-// brittle adds a time in which replicas were brittle, and falls of some of them after they
-// turned a request of a router away.
-func (h *History) brittle(falls int, router string) {
-	h.Recovered[router] = time.Second
-	h.BrittleTimes = append(h.BrittleTimes, Brittle{Service: plain, Replicas: 3, From: at(calm - 3000), To: at(calm + 1000)})
-	for n := range falls {
-		a := *h.attempt(repeatID)
-		a.ID, a.Life = fmt.Sprint("brittle-", n), &Life{Router: router, Number: 1, Started: at(0)}
-		run := *h.run(repeatID)
-		run.Attempt, run.Instance, run.Expected, run.Refused = a.ID, fmt.Sprint("plain-", n), fmt.Sprint("plain-", n), true
-		h.Runs, h.Attempts = append(h.Runs, run), append(h.Attempts, &a)
-		h.answered(a.ID, http.StatusServiceUnavailable)
-		h.Falls = append(h.Falls, Fall{Service: plain, Instance: run.Instance, At: run.At.Add(time.Millisecond)})
-	}
-}
-
 // unrun takes the runs of a request away.
 func (h *History) unrun(id string) {
 	for i := range h.Runs {
--- a/test/soak/partition.go
+++ b/test/soak/partition.go
@@ -22,7 +22,7 @@
 	}
 }
 
-// strikes tells whether a connection from an address is one of a router that is cut off.
+// strikes reports whether a connection from an address is one of a router that is cut off.
 func (c *cuts) strikes(from net.Addr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
