--- a/test/builds/builds.go
+++ b/test/builds/builds.go
@@ -25,10 +25,12 @@
 	Announcements = "dd8f9e06db1bf721451a65671c2d0d7714132dd0"
 	// Rollouts also knows roll-outs of versions, and lists as what changed since a revision.
 	Rollouts = "aba261bbe35bcfc70448ad487a7aced43dd0c047"
+	// Admission also knows rates of plain services, and nothing of relayed requests.
+	Admission = "43fd45203ab544a75328b5fb4f13a30565ba388d"
 )
 
 // All are all of them.
-var All = []string{Oldest, Starts, Announcements, Rollouts}
+var All = []string{Oldest, Starts, Announcements, Rollouts, Admission}
 
 // Program builds the daemon of a commit into a folder and returns its path.
 func Program(commit, dir string) (string, error) {
