--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -169,6 +169,8 @@
 	hooks          atomic.Pointer[ReplicaHooks]
 	// brittle holds what replicas stated about the rejections that they bear, by service.
 	brittle map[string]brittleness
+	// pathFailedAt is the last failure of a path to any replica.
+	pathFailedAt time.Time
 	// lent holds what routers that reach no replica of a service leave to this one.
 	lent map[loan]lentShare
 	// slots caches the slots of services.
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -72,6 +72,9 @@
 
 // brittleOf returns what the replicas of a service stated.
 func (b *Balancer) brittleOf(service string, now time.Time) (brittleness, bool) {
+	if len(b.brittle) == 0 {
+		return brittleness{}, false
+	}
 	stated, found := b.brittle[service]
 	return stated, found && now.Before(stated.until)
 }
--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -166,7 +166,7 @@
 		b.serviceOutcomes(r.Service).addFailure(now)
 	}
 	if kind.isOfPath() {
-		r.recordPathFailure(now)
+		b.recordPathFailure(r, now)
 	}
 	if kind == Shed {
 		b.recordRejection(r, now)
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -43,7 +43,8 @@
 	verificationLifetime = time.Second
 )
 
-func (r *replica) recordPathFailure(now time.Time) {
+func (b *Balancer) recordPathFailure(r *replica, now time.Time) {
+	b.pathFailedAt = now
 	if r.path.lostAt.IsZero() {
 		r.path.lostAt = now
 	}
@@ -100,6 +101,9 @@
 // replicas was reached since several of them, or the only one, went out of reach, or since
 // several failed again and half of all are out of reach.
 func (b *Balancer) pathLost(service string, now time.Time) bool {
+	if now.Sub(b.pathFailedAt) >= pathFailureLifetime {
+		return false
+	}
 	list := b.services[service]
 	var contact time.Time
 	for _, r := range list {
@@ -241,7 +245,7 @@
 	if r == nil || r.path.lostAt.IsZero() {
 		return
 	}
-	r.path.failedAt = now
+	b.pathFailedAt, r.path.failedAt = now, now
 	if until := now.Add(probedAvoidance); r.health.kind.isOfPath() && until.After(r.health.avoidUntil) {
 		r.health.avoidUntil = until
 	}
