front: a broken answer's probe speaks against a replica only if connections are reset

While requests crash replicas one after the other, which start again at once, two such are a lost path, and in another data centre all of it is avoided; requests were refused though replicas were up.

Change: such probes report only what they reach and what resets them.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -67,7 +67,8 @@
 			case relayRetry:
 				continue
 			}
-			if len(c.relayTried) > 0 && c.front.balancer.PathLost(c.service.Name, steady.Now()) {
+			// A replica that has not failed itself is tried: the others may have ended.
+			if len(c.relayTried) > 0 && (!found || choice.KeptOnly) && c.front.balancer.PathLost(c.service.Name, steady.Now()) {
 				c.giveUp(c.refuseUnavailable("service out of reach"))
 				return
 			}
--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -10,23 +10,32 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 )
 
-// probePath opens a connection to a replica and reports the result to the balancer.
+// probePath opens a connection to a replica and reports to the balancer if it stays open or is
+// reset. Other failures may be those of a replica that starts again.
 func (f *Front) probePath(id, address string) upstream.ProcessState {
 	state := f.processState(id, address)
 	switch state {
 	case upstream.Listening:
 		f.balancer.Connected(id, steady.Now())
-	case upstream.Unreachable:
-		f.reportFailure("", id, balance.Unreachable)
-	case upstream.Rejecting, upstream.Ended:
+	case upstream.Rejecting:
 		f.reportFailure("", id, balance.Refused)
+		f.balancer.ConnectionsReset(id)
 	}
 	return state
 }
 
 // VerifyReplica checks in the background whether this router reaches a replica that others
 // reported to be out of reach.
-func (f *Front) VerifyReplica(id, address string) { go f.probePath(id, address) }
+func (f *Front) VerifyReplica(id, address string) {
+	go func() {
+		switch f.probePath(id, address) {
+		case upstream.Unreachable:
+			f.reportFailure("", id, balance.Unreachable)
+		case upstream.Ended:
+			f.reportFailure("", id, balance.Refused)
+		}
+	}()
+}
 
 // controlProbes is how many other replicas are probed before one that refuses connections
 // is taken to have ended.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -95,7 +95,7 @@
 	}
 	if c.relay != nil {
 		// Replicas that are reached and have no room are no reason to ask yet another router.
-		return found && choice.Unreachable || c.front.balancer.PathLost(c.service.Name, steady.Now())
+		return found && (choice.Unreachable || choice.KeptOnly) || !found && c.front.balancer.PathLost(c.service.Name, steady.Now())
 	}
 	if !found {
 		return c.unconnected > 0 || c.front.balancer.AnyOutOfReach(c.service.Name, steady.Now())
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -26,6 +26,8 @@
 	failedAt, contactAt time.Time
 	// checkedAt is when the replica was last to be verified.
 	checkedAt time.Time
+	// resets: connections open and are reset.
+	resets bool
 }
 
 const (
@@ -67,13 +69,23 @@
 		return
 	}
 	r.recordContact(now)
-	r.path.lostAt = time.Time{}
+	r.path.lostAt, r.path.resets = time.Time{}, false
 	if r.health.kind.isOfPath() {
 		r.health = health{}
 	}
 	r.centre.health = health{}
 }
 
+// ConnectionsReset records that connections to a replica open and are reset, after
+// RequestFailed recorded that they fail. What is written on one may have run.
+func (b *Balancer) ConnectionsReset(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		r.path.resets = true
+	}
+}
+
 // isDisproved reports whether this router reached the replica after another one failed to,
 // or verified it recently.
 func (r *replica) isDisproved(failedAt, now time.Time) bool {
@@ -188,9 +200,10 @@
 const maxPathProbes = 8
 
 // isProbed reports whether connections to a replica did not open lately and PathProbes
-// returns it until one does.
+// returns it until one does. Those that are refused cost nothing to try.
 func (b *Balancer) isProbed(r *replica, now time.Time) bool {
-	if !r.isPathLost(now) || !r.health.isAvoided(now) || !r.health.kind.isOfPath() {
+	costly := r.health.kind == Unreachable || r.health.kind == Refused && r.path.resets
+	if !r.isPathLost(now) || !r.health.isAvoided(now) || !costly {
 		return false
 	}
 	lost, list := 0, b.services[r.Service]
