--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -9,7 +9,7 @@
 )
 
 // brittlePlay plays a plain service whose replicas turn brittle: from 3 s after they said so
-// only few may wait, and one that turns away more in a second than it stated is gone for
+// only few may wait, and one that rejects more in a second than it stated is down for
 // some seconds.
 type brittlePlay struct {
 	*plainFleet
