front: compare a crash with all other replicas of its service

Cause: a replica that refuses connections counted as crashed only if another one was reached, and two random ones were asked.

Change: up to 16 others are asked at the same time, those that answered last first, and the first one reached decides. They are of the same service, since a partition may separate a router from one service only; those of other services count if the replica is the only one of its own.

Partition tests of internal/entry pass.

--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -37,20 +37,24 @@
 	}()
 }
 
-// controlProbes is how many other replicas are probed before one that refuses connections
-// is taken to have ended.
-const controlProbes = 2
+// maxControlProbes bounds the other replicas that are probed before one that refuses
+// connections is taken to have ended.
+const maxControlProbes = 16
 
-// reachesOthers reports whether this router reached another replica after a time, or reaches
-// one now. If it reaches none, its own path may be lost. Without other replicas there is
-// nothing to compare with, and the path is assumed to be sound.
+// reachesOthers reports whether this router reached another replica of the same service after
+// a time, or reaches one now. If it reaches none, its own path may be lost. Without other
+// replicas there is nothing to compare with, and the path is assumed to be sound.
 func (f *Front) reachesOthers(id string, since time.Time) bool {
 	if f.balancer.ReachedSince(since, id) {
 		return true
 	}
-	others := f.balancer.OtherReplicas(id, controlProbes)
+	others := f.balancer.OtherReplicas(id, maxControlProbes)
+	reached := make(chan bool, len(others))
 	for _, r := range others {
-		if f.probePath(r.ID, r.Address) == upstream.Listening {
+		go func() { reached <- f.probePath(r.ID, r.Address) == upstream.Listening }()
+	}
+	for range others {
+		if <-reached {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/front/path_test.go
@@ -0,0 +1,56 @@
+package front
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/pkg/directory"
+)
+
+// endedReplica returns an address at which a replica refuses connections.
+func endedReplica(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close()
+	return l.Addr().String()
+}
+
+// Guards against crashes that are taken for a lost path because other replicas crashed too,
+// and against a path lost to one service that passes for crashes since another is reached.
+func TestCrashIsComparedWithOtherReplicas(t *testing.T) {
+	tests := map[string]struct {
+		// Replicas of the same and of another service that accept connections, and that refuse
+		// them.
+		sameLive, sameEnded, otherLive int
+		reached                        bool
+	}{
+		"only replica":                            {reached: true},
+		"most others ended":                       {sameLive: 1, sameEnded: 11, reached: true},
+		"all others ended":                        {sameEnded: 3},
+		"all others ended, other service reached": {sameEnded: 3, otherLive: 2},
+		"only one of its service":                 {otherLive: 2, reached: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			live, _ := replica(t, func(http.ResponseWriter, *http.Request) {})
+			r := newRig(t, endedReplica(t))
+			add := func(service, address string, count int) {
+				for n := range count {
+					id := fmt.Sprint(service, address, n)
+					r.addReplicas(t, directory.Replica{ID: id, Service: service, Address: address, DataCentre: "here"})
+				}
+			}
+			add("s", endedReplica(t), test.sameEnded)
+			add("s", live, test.sameLive)
+			add("other", live, test.otherLive)
+			assert.Equal(t, test.reached, r.front.reachesOthers("r0", time.Now()))
+		})
+	}
+}
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -264,31 +263,51 @@
 	}
 }
 
-// ReachedSince reports whether another replica answered this router, or took a connection
-// from it, after a time.
-func (b *Balancer) ReachedSince(since time.Time, except string) bool {
+// ReachedSince reports whether another replica of a replica's service answered this router, or
+// took a connection from it, after a time.
+func (b *Balancer) ReachedSince(since time.Time, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, r := range b.replicas {
-		if id != except && r.path.contactAt.After(since) {
+	for _, r := range b.othersOf(id) {
+		if r.path.contactAt.After(since) {
 			return true
 		}
 	}
 	return false
 }
 
-// OtherReplicas returns up to count random listed replicas of any service besides one.
-func (b *Balancer) OtherReplicas(except string, count int) []directory.Replica {
+// OtherReplicas returns up to count listed replicas of a replica's service besides itself, or
+// of any service if it is the only one. Those that were reached last come first.
+func (b *Balancer) OtherReplicas(id string, count int) []directory.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var others []directory.Replica
-	for _, service := range slices.Sorted(maps.Keys(b.services)) {
-		for _, r := range b.services[service] {
-			if r.ID != except {
-				others = append(others, r.Replica)
-			}
+	others := b.othersOf(id)
+	slices.SortFunc(others, func(x, y *replica) int {
+		return cmp.Or(y.path.contactAt.Compare(x.path.contactAt), byID(x, y))
+	})
+	var list []directory.Replica
+	for _, r := range others[:min(count, len(others))] {
+		list = append(list, r.Replica)
+	}
+	return list
+}
+
+// othersOf returns the replicas of a replica's service besides itself, or those of all services
+// if it is the only one. b.mu is held.
+func (b *Balancer) othersOf(id string) []*replica {
+	var same, all []*replica
+	own := b.replicas[id]
+	for _, r := range b.replicas {
+		if r == own {
+			continue
+		}
+		all = append(all, r)
+		if own != nil && r.Service == own.Service {
+			same = append(same, r)
 		}
 	}
-	b.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(count, len(others))]
+	if len(same) > 0 {
+		return same
+	}
+	return all
 }
