--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -30,6 +30,8 @@
 	// unableTime is how long a router that did not reach a service is not asked again. It
 	// says so within a round trip, and may be the only one that reaches the service at times.
 	unableTime = 300 * time.Millisecond
+	// unableRetryTime is the same while no other router is left.
+	unableRetryTime = 10 * time.Millisecond
 	// unreachableTime is the same for a router that was not reached itself, which takes as
 	// long to notice as a connection may take to open.
 	unreachableTime = time.Second
@@ -51,9 +53,12 @@
 
 // record is what became of the last requests that were handed to a router.
 type record struct {
-	unableUntil, servedUntil time.Time
+	// unableAt is when it was last unable, or was asked again since.
+	unableAt, servedUntil time.Time
 }
 
+func (r record) isUnable(now time.Time) bool { return now.Sub(r.unableAt) < unableTime }
+
 // New returns a Selector. Its choices depend only on seed and on the calls made to it.
 func New(seed uint64) *Selector {
 	return &Selector{random: rand.New(rand.NewPCG(seed, seed)), services: make(map[string]map[string]record), routers: make(map[string]time.Time)}
@@ -72,7 +77,7 @@
 //
 // Routers of the own data centre come first, unless one of them was unable and none served:
 // what cuts a router off often strikes its whole data centre. Those that are stopping come
-// last.
+// last, and after them the one that was unable longest ago.
 func (s *Selector) Choose(q Request, routers []Router, now time.Time) (Router, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +85,34 @@
 	if r, found := s.choose(q, slices.DeleteFunc(slices.Clone(routers), isLeaving), now); found {
 		return r, true
 	}
-	return s.choose(q, slices.DeleteFunc(slices.Clone(routers), func(r Router) bool { return !r.Leaving }), now)
+	if r, found := s.choose(q, slices.DeleteFunc(slices.Clone(routers), func(r Router) bool { return !r.Leaving }), now); found {
+		return r, true
+	}
+	return s.chooseUnable(q, routers, now)
+}
+
+// chooseUnable returns the router that was unable longest ago, for one request in
+// unableRetryTime.
+func (s *Selector) chooseUnable(q Request, routers []Router, now time.Time) (Router, bool) {
+	known := s.services[q.Service]
+	longest, found := Router{}, false
+	for _, r := range routers {
+		if s.isExcluded(q, r, now) || now.Sub(known[r.Address].unableAt) < unableRetryTime {
+			continue
+		}
+		if !found || known[r.Address].unableAt.Before(known[longest.Address].unableAt) {
+			longest, found = r, true
+		}
+	}
+	if found {
+		known[longest.Address] = record{unableAt: now}
+	}
+	return longest, found
+}
+
+// isExcluded reports whether a router was tried for the request or is not reached itself.
+func (s *Selector) isExcluded(q Request, r Router, now time.Time) bool {
+	return now.Before(s.routers[r.Address]) || slices.Contains(q.Tried, r.Address)
 }
 
 func (s *Selector) choose(q Request, routers []Router, now time.Time) (Router, bool) {
@@ -90,12 +122,12 @@
 	for _, r := range routers {
 		own := r.DataCentre == q.DataCentre
 		rec := known[r.Address]
-		if now.Before(rec.unableUntil) {
+		if rec.isUnable(now) {
 			nearUnable = nearUnable || own
 			continue
 		}
 		nearServes = nearServes || own && now.Before(rec.servedUntil)
-		if now.Before(s.routers[r.Address]) || slices.Contains(q.Tried, r.Address) {
+		if s.isExcluded(q, r, now) {
 			continue
 		}
 		all = append(all, r)
@@ -146,7 +178,7 @@
 
 // Unable records that a router could not serve a request of a service.
 func (s *Selector) Unable(service, address string, now time.Time) {
-	s.change(service, address, now, record{unableUntil: now.Add(unableTime)})
+	s.change(service, address, now, record{unableAt: now})
 }
 
 func (s *Selector) change(service, address string, now time.Time, rec record) {
@@ -158,7 +190,7 @@
 		s.services[service] = known
 	}
 	for other, r := range known {
-		if now.After(r.unableUntil) && now.After(r.servedUntil) {
+		if !r.isUnable(now) && now.After(r.servedUntil) {
 			delete(known, other)
 		}
 	}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -65,6 +65,24 @@
 	}
 }
 
+// Guards against routers that all were unable and one of which serves again, unnoticed.
+func TestOneOfRoutersThatAllWereUnableIsAskedAgain(t *testing.T) {
+	start := time.Now()
+	all := []Router{{"a1", "a", false}, {"b1", "b", false}}
+	s := New(1)
+	s.Unable("s", "b1", start)
+	s.Unable("s", "a1", start.Add(time.Millisecond))
+	q := Request{Service: "s", DataCentre: "a"}
+	asked := func(after time.Duration) string {
+		r, _ := s.Choose(q, all, start.Add(after))
+		return r.Address
+	}
+	assert.Equal(t, []string{"", "b1", "", "a1", ""}, []string{
+		asked(unableRetryTime - time.Millisecond), asked(unableRetryTime), asked(unableRetryTime),
+		asked(unableRetryTime + time.Millisecond), asked(unableRetryTime + time.Millisecond),
+	})
+}
+
 func TestWhatIsKnownOfOneServiceIsNotUsedForAnother(t *testing.T) {
 	s := New(1)
 	s.Unable("s", "a1", time.Now())
