front: a replica that rests gets nothing by another router either

Cause, by histories and logs: the requests were relayed. A replica asks for rest router by router.

Ruled out: rests lost when a replica is listed anew (both were known throughout at the routers that had got the answers).

TestReplicaThatRestsGetsNothingByAnotherRouter failed before, in both directions.

--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -227,6 +227,30 @@
 	}
 }
 
+// Guards against requests that reach, by another router, replicas which told the first one to
+// send them nothing.
+func TestReplicaThatRestsGetsNothingByAnotherRouter(t *testing.T) {
+	f := newPartitionedFleet(t, 2)
+	f.gates[0].set(refuses)
+	require.True(t, f.servedInARow(0, "plain", route.Once))
+	now := steady.Now()
+	for n := range replicasPerService {
+		assert.True(t, f.send(0, "plain", route.Once), "%d replicas rest", n)
+		f.routers[0].watcher.Statements().MarkResting(fmt.Sprint("plain", n), now, now.Add(time.Minute), now)
+	}
+	assert.False(t, f.send(0, "plain", route.Once), "all replicas rest")
+	assert.True(t, f.send(1, "plain", route.Once), "another router was told nothing")
+
+	for n := range replicasPerService {
+		f.routers[1].watcher.Statements().MarkResting(fmt.Sprint("engine", n), now, now.Add(time.Minute), now)
+	}
+	assert.False(t, f.send(0, "engine", route.Once), "all replicas rest for the router that serves")
+	for n := range replicasPerService {
+		said := f.routers[0].watcher.Statements().Get(fmt.Sprint("engine", n))
+		assert.WithinDuration(t, now.Add(time.Minute), said.RestUntil, time.Second, "told to the router that relays")
+	}
+}
+
 // Guards against failures on the path of some routers that exclude replicas, which they alone
 // do not reach, at the others.
 func TestPartitionedRoutersDoNotExcludeReplicasForOthers(t *testing.T) {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -219,6 +219,7 @@
 	header.Set(c.front.options.Dialect.AttemptID, c.id)
 	if c.relay != nil {
 		header.Set(relayResultHeader, c.relay.result(c, r))
+		c.setExclusions(header)
 	}
 	http.Error(c.writer, r.reason, r.status)
 	name := outcomeRefused
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -28,7 +28,16 @@
 // exclusions returns the replicas of the service that are listed as ready but get no new
 // requests.
 func (c *call) exclusions(now time.Time) []directory.Exclusion {
-	return c.front.watcher.Exclusions(c.service.Name, c.front.maxListAge(), now)
+	excluded := c.front.watcher.Exclusions(c.service.Name, c.front.maxListAge(), now)
+	if c.relay == nil {
+		return excluded
+	}
+	for _, x := range c.relay.excluded {
+		if x.Until.IsZero() || now.Before(x.Until) {
+			excluded = append(excluded, x)
+		}
+	}
+	return excluded
 }
 
 // Exclusion reports whether a replica gets no new requests, and why.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -29,9 +29,10 @@
 // relayOrganisationHeader are what the first router takes it for: the other one serves it only
 // if its configuration, which may be older or newer, says the same. relayLenderHeader names the
 // first router if it reaches no replica, and relayLentHeader is the part of its share of them
-// that it leaves to the other one. In an answer,
-// relayResultHeader stands in what a router generated itself, relaySentHeader is how many
-// replicas the request was sent to, relayReplicaHeader is the one that answered.
+// that it leaves to the other one. relayExcludedHeader names the replicas that told a router to
+// send them nothing, in a request and in a refusal. In an answer, relayResultHeader stands in
+// what a router generated itself, relaySentHeader is how many replicas the request was sent to,
+// relayReplicaHeader is the one that answered.
 const (
 	relayAttemptsHeader     = "Relay-Attempts"
 	relayShareHeader        = "Relay-Share"
@@ -39,13 +40,14 @@
 	relayOrganisationHeader = "Relay-Organisation"
 	relayLenderHeader       = "Relay-Lender"
 	relayLentHeader         = "Relay-Lent"
+	relayExcludedHeader     = "Relay-Excluded"
 	relayResultHeader       = "Relay-Result"
 	relaySentHeader         = "Relay-Sent"
 	relayReplicaHeader      = "Relay-Replica"
 )
 
 var relayHeaders = []string{
-	relayAttemptsHeader, relayShareHeader, relayServiceHeader, relayOrganisationHeader, relayLenderHeader, relayLentHeader,
+	relayAttemptsHeader, relayShareHeader, relayServiceHeader, relayOrganisationHeader, relayLenderHeader, relayLentHeader, relayExcludedHeader,
 	relayResultHeader, relaySentHeader, relayReplicaHeader,
 }
 
@@ -152,6 +154,9 @@
 	defer answer.Close()
 	result := answer.Header.Get(relayResultHeader)
 	f.log.Write(event.RequestRelayed, event.F("request", c.id), event.F("router", address), event.F("result", result), event.F("status", answer.StatusCode))
+	if result != "" {
+		f.recordRelayedRests(answer, c.arrival)
+	}
 	switch {
 	case result == relayFailed:
 		c.mayHaveRun = true
@@ -185,6 +190,7 @@
 	header.Set(relayServiceHeader, c.service.Name)
 	header.Set(relayOrganisationHeader, c.organisationName())
 	c.lendShare(header)
+	c.setExclusions(header)
 	if c.lastEvent != "" {
 		header.Set(lastEventHeader, c.lastEvent)
 	}
--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -5,12 +5,15 @@
 	"strconv"
 
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/directory"
 )
 
 // relayedCall is what a router that handed a request to this one said of it.
 type relayedCall struct {
 	attempts              int
 	service, organisation string
+	// excluded are replicas that told the other router to send them nothing.
+	excluded []directory.Exclusion
 }
 
 // ServeRelayed serves a request that another router handed to this one.
@@ -24,6 +27,7 @@
 		attempts = 1
 	}
 	c.relay = &relayedCall{attempts: attempts, service: r.Header.Get(relayServiceHeader), organisation: r.Header.Get(relayOrganisationHeader)}
+	c.relay.excluded = parseExclusions(r.Header, steady.Now())
 	if share, err := strconv.ParseFloat(r.Header.Get(relayShareHeader), 64); err == nil && share >= 0 && share < 1 {
 		c.shareDraw = share
 	}
