soak: a kill of the router that relays excuses a broken answer

Cause, by its history: the router had been cut off until 0.5 s before and still relayed; the one that served the request was killed with all others, so the retry found no router either. A kill cuts what is in flight; the check asked only what befell the caller's router.

Change: an answer may break off while another router is killed, at a router that is cut off or was so within the time to get in touch. Without a partition of its own a router is held to the rule as before (a case of TestEachRuleIsSeenBroken).

--- a/test/soak/check_partition_test.go
+++ b/test/soak/check_partition_test.go
@@ -44,6 +44,15 @@
 	h.disturb("r1", "", calm-2800, calm-2700)
 }
 
+// killedBeside has a request cut after a router was cut off from replicas, when another one is
+// killed.
+func (h *History) killedBeside(cutOff string) {
+	h.cut(onceID)
+	h.Partitions = append(h.Partitions, Partition{Routers: []string{cutOff}, From: at(calm - 3000), To: at(calm - 500)})
+	h.disturb("r1", "", calm+50, calm+60)
+	h.Disturbances[0].What = kindKill
+}
+
 // brittle adds a time in which replicas were brittle, and falls of some of them after they
 // turned a request of a router away.
 func (h *History) brittle(falls int, router string) {
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -252,12 +252,13 @@
 				h.again(repeatID, func(*standin.ReplicaRun) {})
 			}
 		}},
-		"more time than the caller gave":         {Budget, func(h *History) { h.run(repeatID).Deadline = 5 * time.Second }},
-		"no time told":                           {Budget, func(h *History) { h.run(repeatID).Deadline = 0 }},
-		"a router cut off from replicas refuses": {Recover, func(h *History) { h.partitioned(20, 10, 0) }},
-		"brittle replicas fall over":             {Limit, func(h *History) { h.brittle(3, "r0") }},
-		"a router that does not come back":       {Recover, func(h *History) { h.Recovered["r0"] = 13 * time.Second }},
-		"an end of its own":                      {Ended, func(h *History) { h.Problems = []string{"r0 ended by itself"} }},
+		"more time than the caller gave":             {Budget, func(h *History) { h.run(repeatID).Deadline = 5 * time.Second }},
+		"no time told":                               {Budget, func(h *History) { h.run(repeatID).Deadline = 0 }},
+		"another router is killed, none was cut off": {Lost, func(h *History) { h.killedBeside("r2") }},
+		"a router cut off from replicas refuses":     {Recover, func(h *History) { h.partitioned(20, 10, 0) }},
+		"brittle replicas fall over":                 {Limit, func(h *History) { h.brittle(3, "r0") }},
+		"a router that does not come back":           {Recover, func(h *History) { h.Recovered["r0"] = 13 * time.Second }},
+		"an end of its own":                          {Ended, func(h *History) { h.Problems = []string{"r0 ended by itself"} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := soundHistory()
@@ -278,8 +279,9 @@
 			h.cut(onceID)
 			h.disturb("r0", "", calm, calm+100)
 		},
-		"a router cut off from replicas serves two thirds": func(h *History) { h.partitioned(30, 30, 20) },
-		"few requests fail at a router that is cut off":    func(h *History) { h.partitioned(10, 10, 0) },
+		"a router cut off from replicas serves two thirds":          func(h *History) { h.partitioned(30, 30, 20) },
+		"few requests fail at a router that is cut off":             func(h *History) { h.partitioned(10, 10, 0) },
+		"another router is killed that may have served one cut off": func(h *History) { h.killedBeside("r0") },
 		"a router cut off is compared at other times": func(h *History) {
 			h.partitioned(20, 10, 0)
 			h.delayed()
--- a/test/soak/check_times.go
+++ b/test/soak/check_times.go
@@ -72,7 +72,7 @@
 	ran := c.ran(a.ID)
 	// What the process had not read whole, or only just, crosses its close.
 	crossed := len(ran) == 0 && (a.Reset || a.End.Sub(a.LastByte) <= c.Bounds.Crossing)
-	if crossed || c.unplanned(a) || c.outOfTime(a) || c.replicaAtFault(a, ran) || c.graceOver(a, ran) {
+	if crossed || c.unplanned(a) || c.outOfTime(a) || c.replicaAtFault(a, ran) || c.relayAtFault(a) || c.graceOver(a, ran) {
 		return
 	}
 	c.add(Lost, a.ID, "connection closed %s after its last byte, runs: %d, status %d, reused %v, %s after the order to stop: %s",
@@ -108,6 +108,17 @@
 	return a.End.Sub(a.Sent) >= limit-timeUp
 }
 
+// relayAtFault tells whether another router was killed while it may have served the attempt for
+// its own, which was cut off from replicas and may relay until a probe reaches them again.
+func (c *checker) relayAtFault(a *Attempt) bool {
+	relays := slices.ContainsFunc(c.Partitions, func(p Partition) bool {
+		return slices.Contains(p.Routers, a.Life.Router) && !p.From.After(a.End) && !p.To.Add(c.Bounds.Contact).Before(a.Sent)
+	})
+	return relays && slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
+		return d.What == kindKill && d.Router != a.Life.Router && d.overlaps(a.Sent, a.End)
+	})
+}
+
 // replicaAtFault tells whether a replica broke off, or its link was harmed.
 func (c *checker) replicaAtFault(a *Attempt, ran []*standin.ReplicaRun) bool {
 	for _, p := range c.Partitions {
