front: ask another router if one has no room for a relayed request

Cause, by its logs: the replicas of the plain service were brittle, so each router has a part of their slots. A router without room refused relayed requests, 13 to 39 of each router's in each quarter of a second, and that was final, as if all others would refuse too. Its own callers' requests, refused by a replica, were handed on and served by the second router, some 20 in each quarter.

Ruled out: lent shares (both routers served relayed requests throughout), routers taken to be unable.

Change: a refusal for want of room says "full". The first router asks the next one and passes the refusal on, with its Retry-After, if none has room.

TestRelayedRequestFindsRouterWithRoom failed before.

--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -103,7 +103,10 @@
 	release chan struct{}
 }
 
-const replicasPerService = 3
+const (
+	replicasPerService = 3
+	replicaSlots       = 64
+)
 
 func newPartitionedFleet(t *testing.T, routers int) *partitionedFleet {
 	t.Helper()
@@ -120,13 +123,13 @@
 		close(f.release)
 		replica.Close()
 	})
-	snapshot := watch.Snapshot{Config: &route.Config{Version: 1, Services: []route.Service{{Name: "plain"}, {Name: "engine", Engine: &route.Engine{Slots: 64, Capacity: 1 << 20, TokenBytes: 1}}}}}
+	snapshot := watch.Snapshot{Config: &route.Config{Version: 1, Services: []route.Service{{Name: "plain"}, {Name: "engine", Engine: &route.Engine{Slots: replicaSlots, Capacity: 1 << 20, TokenBytes: 1}}}}}
 	for _, service := range []string{"plain", "engine"} {
 		for n := range replicasPerService {
 			link, err := faulty.NewRelay(replica.Listener.Addr().String())
 			require.NoError(t, err)
 			t.Cleanup(link.Close)
-			snapshot.Replicas = append(snapshot.Replicas, directory.Replica{ID: fmt.Sprint(service, n), Service: service, Address: link.Address(), Slots: 64})
+			snapshot.Replicas = append(snapshot.Replicas, directory.Replica{ID: fmt.Sprint(service, n), Service: service, Address: link.Address(), Slots: replicaSlots})
 		}
 		for _, kind := range []route.Kind{route.Repeatable, route.Once} {
 			snapshot.Config.Routes = append(snapshot.Config.Routes, route.Route{Name: fmt.Sprint(service, kind), Host: "h", Prefix: fmt.Sprintf("/%s/%d/", service, kind),
@@ -251,6 +254,23 @@
 	}
 }
 
+// Guards against requests that are refused by a router which has no room left, while another one
+// has.
+func TestRelayedRequestFindsRouterWithRoom(t *testing.T) {
+	f := newPartitionedFleet(t, 3)
+	f.gates[0].set(refuses)
+	full := f.routers[1].balancer
+	for n := range replicasPerService {
+		id := fmt.Sprint("plain", n)
+		full.BrittleReported(id, 1, steady.Now())
+		for range replicaSlots {
+			full.RequestStarted(id)
+		}
+	}
+	assert.False(t, f.send(1, "plain", route.Once), "no room")
+	assert.True(t, f.servedInARow(0, "plain", route.Once))
+}
+
 // Guards against failures on the path of some routers that exclude replicas, which they alone
 // do not reach, at the others.
 func TestPartitionedRoutersDoNotExcludeReplicasForOthers(t *testing.T) {
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -80,6 +80,8 @@
 	// lists the routers that the request was handed to.
 	unconnected int
 	relayTried  []string
+	// relayRefusal is the refusal of the last router that had no room.
+	relayRefusal *refusal
 	// excluded are the replicas that were ineligible at the last choice.
 	excluded []directory.Exclusion
 	// lastResort is set if the chosen replica is used only because its service has no other.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -99,7 +99,9 @@
 	if x.Reason != "" {
 		return c.refuseUnavailable("no replica: " + string(x.Reason))
 	}
-	return c.refuseUnavailable("no replica")
+	r := c.refuseUnavailable("no replica")
+	r.full = true
+	return r
 }
 
 // evacuated reports whether all replicas of the service are evacuated, so that waiting is
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -17,6 +17,9 @@
 	closes bool
 	// unable is set if another router may be able to serve the request now.
 	unable bool
+	// full is set if this router's part of the replicas' room is taken and that of another
+	// router may not be.
+	full bool
 	// differs is set if the router that relayed the request takes it for another one.
 	differs bool
 }
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -57,6 +57,8 @@
 	relayUnable = "unable"
 	// relayDiffers: not run; by the other router's configuration it is another request, or none.
 	relayDiffers = "differs"
+	// relayFull: not run for want of room; another router may have some.
+	relayFull = "full"
 	// relayRefused: not run; other routers would refuse it too.
 	relayRefused = "refused"
 	// relayFailed: it may have run.
@@ -111,19 +113,24 @@
 		return relayNone
 	}
 	routers := c.front.options.Relays()
+	c.relayRefusal = nil
 	for range maxRelayTries {
 		if c.callerLeft() {
 			c.abortCallerGone()
 		}
 		router, found := c.front.relays.Choose(relay.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: c.relayTried}, routers, steady.Now())
 		if !found {
-			return relayNone
+			break
 		}
 		c.relayTried = append(c.relayTried, router.Address)
 		if result := c.relayTo(ctx, router.Address); result != relayNone {
 			return result
 		}
 	}
+	if c.relayRefusal != nil {
+		c.giveUp(c.relayRefusal)
+		return relayFinished
+	}
 	return relayNone
 }
 
@@ -165,6 +172,9 @@
 	case result == relayRefused && impliesNotRun(answer.StatusCode):
 		c.giveUp(c.refuseAsRelayed(answer))
 		return relayFinished
+	case result == relayFull:
+		c.relayRefusal = c.refuseAsRelayed(answer)
+		return relayNone
 	case result == relayDiffers:
 		f.watcher.TriggerRead()
 		drainBody(answer)
--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -75,6 +75,8 @@
 		return relayDiffers
 	case r.unable:
 		return relayUnable
+	case r.full:
+		return relayFull
 	}
 	return relayRefused
 }
