front: compare a crash with replicas of all services

Cause, by its history: it had crashed all four engines within 0.6 s. Since an end is compared with other replicas of the same service only, so the last one, and each that came back alone, counted as a lost path until its entry was removed, 5 s later.

Ruled out: marks that got lost between routers (each is known everywhere within 10 ms); that entries behind a proxy are marked late is as before (a proxy accepts for a replica that has ended).

Change: replicas of all services count again.

--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -41,9 +41,10 @@
 // connections is taken to have ended.
 const maxControlProbes = 16
 
-// reachesOthers reports whether this router reached another replica of the same service after
-// a time, or reaches one now. If it reaches none, its own path may be lost. Without other
-// replicas there is nothing to compare with, and the path is assumed to be sound.
+// reachesOthers reports whether this router reached another replica of any service after a
+// time, or reaches one now. If it reaches none, its own path may be lost. Other services count
+// too, since a request may crash all replicas of its own. Without other replicas there is
+// nothing to compare with, and the path is assumed to be sound.
 func (f *Front) reachesOthers(id string, since time.Time) bool {
 	if f.balancer.ReachedSince(since, id) {
 		return true
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -263,25 +263,30 @@
 	}
 }
 
-// ReachedSince reports whether another replica of a replica's service answered this router, or
-// took a connection from it, after a time.
-func (b *Balancer) ReachedSince(since time.Time, id string) bool {
+// ReachedSince reports whether another replica of any service answered this router, or took a
+// connection from it, after a time.
+func (b *Balancer) ReachedSince(since time.Time, except string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, r := range b.othersOf(id) {
-		if r.path.contactAt.After(since) {
+	for id, r := range b.replicas {
+		if id != except && r.path.contactAt.After(since) {
 			return true
 		}
 	}
 	return false
 }
 
-// OtherReplicas returns up to count listed replicas of a replica's service besides itself, or
-// of any service if it is the only one. Those that were reached last come first.
-func (b *Balancer) OtherReplicas(id string, count int) []directory.Replica {
+// OtherReplicas returns up to count listed replicas of any service besides one. Those that were
+// reached last come first.
+func (b *Balancer) OtherReplicas(except string, count int) []directory.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	others := b.othersOf(id)
+	var others []*replica
+	for id, r := range b.replicas {
+		if id != except {
+			others = append(others, r)
+		}
+	}
 	slices.SortFunc(others, func(x, y *replica) int {
 		return cmp.Or(y.path.contactAt.Compare(x.path.contactAt), byID(x, y))
 	})
@@ -291,23 +296,3 @@
 	}
 	return list
 }
-
-// othersOf returns the replicas of a replica's service besides itself, or those of all services
-// if it is the only one. b.mu is held.
-func (b *Balancer) othersOf(id string) []*replica {
-	var same, all []*replica
-	own := b.replicas[id]
-	for _, r := range b.replicas {
-		if r == own {
-			continue
-		}
-		all = append(all, r)
-		if own != nil && r.Service == own.Service {
-			same = append(same, r)
-		}
-	}
-	if len(same) > 0 {
-		return same
-	}
-	return all
-}
