balance: routers that are stopping keep their part of brittle replicas

Two routers had been told to stop. The others had dropped them from their count at once and used 6 to 7 slots, while callers still used open connections to the first two, of which one sent 3 to 8 requests at a time. The other one was cut off and lent its part whole to each router, until two had served requests of its.

Ruled out: counts of routers that differed after a start (all knew each other for 2 s), rejections beyond the routers' allowance before the first fall (at most 4).

Change: a router that announced its stop counts, for at most 8 s, until it starts again. A router that is cut off divides its part among the routers that may take its requests, not among those that have.

TestLentSlots and TestTakers have the cases.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -221,14 +221,14 @@
 	}
 }
 
-// lendShare leaves this router's share of brittle replicas to those that serve its requests, if
-// it reaches none of them.
+// lendShare leaves this router's share of brittle replicas to those that take its requests, a
+// part to each, if it reaches none of them.
 func (c *call) lendShare(header http.Header) {
 	f, now := c.front, steady.Now()
 	if f.options.Name == "" || !f.balancer.PathLost(c.service.Name, now) {
 		return
 	}
-	part := 1 / float64(max(f.relays.Serving(c.service.Name, now), 1))
+	part := 1 / float64(max(f.relays.Takers(c.service.Name, f.options.Relays(), now), 1))
 	header.Set(relayLenderHeader, f.options.Name)
 	header.Set(relayLentHeader, strconv.FormatFloat(part, 'g', -1, 64))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,7 +16,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -254,16 +256,19 @@
 	for _, address := range g.members.Alive() {
 		routers = append(routers, relay.Router{Address: address, DataCentre: g.centres[address]})
 	}
-	for address, at := range g.leaving {
-		if steady.Since(at) >= leavingTime {
-			delete(g.leaving, address)
-			continue
-		}
+	for _, address := range g.leavingAddresses() {
 		routers = append(routers, relay.Router{Address: address, DataCentre: g.centres[address], Leaving: true})
 	}
 	return routers
 }
 
+// leavingAddresses returns the addresses of the routers that announced their stop and may still
+// serve requests. g.mu is held.
+func (g *Gossip) leavingAddresses() []string {
+	maps.DeleteFunc(g.leaving, func(_ string, at time.Time) bool { return steady.Since(at) >= leavingTime })
+	return slices.Sorted(maps.Keys(g.leaving))
+}
+
 // leavingTime is for how long a router that announced its stop may still serve requests.
 const leavingTime = 8 * time.Second
 
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -19,6 +19,7 @@
 	large := g.members.Large()
 	partners := g.members.Partners(now)
 	known, changes := g.members.KnownAddresses(), g.members.Changes()
+	leaving := g.leavingAddresses()
 	changed := changes != g.announcedChanges
 	g.announcedChanges = changes
 	g.partners = partners
@@ -31,6 +32,7 @@
 	if changed {
 		g.balancer.SetRouters(g.server.Address(), known, now)
 	}
+	g.balancer.SetLeavingRouters(leaving)
 	g.balancer.SetHoldersSynced(g.holdersKnown.Load())
 	g.forgetLost(lost)
 	if large {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -173,6 +173,8 @@
 	pathFailedAt time.Time
 	// lent holds what routers that reach no replica of a service leave to this one.
 	lent map[loan]lentShare
+	// leavingRouters are the hashes of the addresses of routers that announced their stop.
+	leavingRouters []uint64
 	// slots caches the slots of services.
 	slots map[string]serviceSlots
 	// estimator estimates the replicas of plain services; nil if there is none.
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -79,8 +80,33 @@
 	return stated, found && now.Before(stated.until)
 }
 
-// routerCount returns the number of routers that this router knows, itself included.
-func (b *Balancer) routerCount() int { return len(b.coldShares.others) + 1 }
+// SetLeavingRouters sets the addresses of the routers that announced their stop. Callers use
+// open connections to them until they end, so their parts of brittle replicas stay theirs.
+func (b *Balancer) SetLeavingRouters(addresses []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leavingRouters = b.leavingRouters[:0]
+	for _, address := range addresses {
+		if hash := hashString(address); !slices.Contains(b.coldShares.others, hash) {
+			b.leavingRouters = append(b.leavingRouters, hash)
+		}
+	}
+}
+
+// routerCount returns the number of routers that share brittle replicas: those that this
+// router knows, itself included, and those that are leaving.
+func (b *Balancer) routerCount() int { return len(b.coldShares.others) + len(b.leavingRouters) + 1 }
+
+// routerRank returns how many of them come before this router.
+func (b *Balancer) routerRank() int {
+	rank := b.coldShares.ownRank
+	for _, hash := range b.leavingRouters {
+		if hash < b.coldShares.own {
+			rank++
+		}
+	}
+	return rank
+}
 
 // rejectionRate returns how many rejections in a second this router may cause at a replica.
 func (b *Balancer) rejectionRate(stated brittleness) float64 {
@@ -115,7 +141,7 @@
 // in the order of the hashes of their addresses.
 func (b *Balancer) ownSlots(r *replica) int {
 	slots := b.slotsOf(r.Service)
-	before, routers, rank := slots.before[r], b.routerCount(), b.coldShares.ownRank
+	before, routers, rank := slots.before[r], b.routerCount(), b.routerRank()
 	first, end := (rank*slots.total+routers-1)/routers, ((rank+1)*slots.total+routers-1)/routers
 	return max(min(end, before+r.Slots)-max(first, before), 0)
 }
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -129,26 +129,31 @@
 }
 
 // Guards against slots that stay idle because the routers to which they belong do not reach
-// the replica, and against more being lent than there is.
+// the replica, and against more being used than there is: lent, or still used by routers that
+// are leaving.
 func TestLentSlots(t *testing.T) {
 	list := engines(1)
 	list[0].Slots = 9
 	for name, c := range map[string]struct {
-		parts []float64
-		at    time.Duration
-		want  int
+		parts   []float64
+		at      time.Duration
+		leaving []string
+		want    int
 	}{
-		"none":                  {nil, 0, 2},
-		"of one router":         {[]float64{1}, 0, 4},
-		"half of two":           {[]float64{0.5, 0.5}, 0, 4},
-		"of all others":         {[]float64{1, 1}, 0, 7},
-		"of more than are":      {[]float64{1, 1, 1}, 0, 7},
-		"of one, some time ago": {[]float64{1}, loanTime, 2},
-		"invalid":               {[]float64{-1, 2}, 0, 2},
+		"none":                   {nil, 0, nil, 2},
+		"of one router":          {[]float64{1}, 0, nil, 4},
+		"half of two":            {[]float64{0.5, 0.5}, 0, nil, 4},
+		"of all others":          {[]float64{1, 1}, 0, nil, 7},
+		"of more than are":       {[]float64{1, 1, 1}, 0, nil, 7},
+		"of one, some time ago":  {[]float64{1}, loanTime, nil, 2},
+		"invalid":                {[]float64{-1, 2}, 0, nil, 2},
+		"none, others leave":     {nil, 0, []string{"r3", "r4"}, 1},
+		"none, one known leaves": {nil, 0, []string{"r2"}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBalancer(list)
 			b.SetRouters("r0", []string{"r0", "r1", "r2"}, start)
+			b.SetLeavingRouters(c.leaving)
 			b.BrittleReported("i-0", 2, start)
 			for i, part := range c.parts {
 				b.ShareLent("llm", fmt.Sprint("r", 1+i), part, start)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -163,17 +163,26 @@
 	s.change(service, address, now, record{servedUntil: now.Add(servedTime)})
 }
 
-// Serving returns how many routers served requests of a service lately.
-func (s *Selector) Serving(service string, now time.Time) int {
+// Takers returns among how many routers the requests of a service are spread: those that served
+// some lately, or all that may if these are few.
+func (s *Selector) Takers(service string, routers []Router, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	serving := 0
-	for _, r := range s.services[service] {
-		if now.Before(r.servedUntil) {
+	known := s.services[service]
+	serving, able := 0, 0
+	for _, r := range routers {
+		rec := known[r.Address]
+		if now.Before(rec.servedUntil) {
 			serving++
 		}
+		if !r.Leaving && !rec.isUnable(now) && !now.Before(s.routers[r.Address]) {
+			able++
+		}
+	}
+	if serving >= enoughServing {
+		return serving
 	}
-	return serving
+	return max(serving, able)
 }
 
 // Unable records that a router could not serve a request of a service.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -65,6 +65,25 @@
 	}
 }
 
+// Guards against a share that is left whole to each of several routers.
+func TestTakers(t *testing.T) {
+	now := time.Now()
+	all := []Router{{"a1", "a", false}, {"a2", "a", false}, {"a3", "a", false}, {"b1", "b", false}, {"b2", "b", true}}
+	s := New(1)
+	var got []int
+	add := func() { got = append(got, s.Takers("s", all, now)) }
+	add()
+	s.Served("s", "a1", now)
+	add()
+	s.Unable("s", "a2", now)
+	s.Unreachable("a3", now)
+	add()
+	s.Served("s", "b1", now)
+	s.Served("s", "b2", now)
+	add()
+	assert.Equal(t, []int{4, 4, 2, 3}, got)
+}
+
 // Guards against routers that all were unable and one of which serves again, unnoticed.
 func TestOneOfRoutersThatAllWereUnableIsAskedAgain(t *testing.T) {
 	start := time.Now()
