front: a relayed request that replicas turned away is refused for good

What the first had spent was not counted. "unable" after a rejection had the same gap.

Change: once it was sent to a replica, the refusal says "refused", as before.

--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -73,6 +73,9 @@
 		return relayFailed
 	case r.differs || !impliesNotRun(r.status):
 		return relayDiffers
+	case c.sent.Load() > 0:
+		// Replicas turned it away; the first router does not know how many.
+		return relayRefused
 	case r.unable:
 		return relayUnable
 	case r.full:
