--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -191,6 +191,9 @@
 // own callers better than those of others.
 func TestPartitionWithOneRouterLeft(t *testing.T) { playPaths(t, 412) }
 
+// Guards against brittle replicas that fall over, among all other troubles.
+func TestBrittleReplicasAmidOtherTroubles(t *testing.T) { playPaths(t, 913) }
+
 func playPaths(t *testing.T, seeds ...uint64) {
 	if os.Getenv("SOAK_SEEDS") != "" {
 		t.Skip("fresh seeds are asked for")
