--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -344,23 +344,6 @@
 		event.F("peers_sent", sent), event.F("peers_received", received), event.F("reads", reads), event.F("reads_failed", failed))
 }
 
-// serveCallers returns no error when a stop closes the listener.
-func (e *Entry) serveCallers() error {
-	defer close(e.accepted)
-	err := serve(e.callers, e.conns.Listener(e.callerListener))
-	if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
-func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // handleResume is called after the machine was suspended. By the steady time, knowledge is
 // old by then and not acted on until it is proven again; idle connections may have ended
 // meanwhile unnoticed.
--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -230,8 +230,8 @@
 	}
 }
 
-// Guards against requests that reach, by another router, replicas which told the first one to
-// send them nothing.
+// Guards against requests that are relayed to replicas which the first router excludes because
+// of their own statements.
 func TestReplicaThatRestsGetsNothingByAnotherRouter(t *testing.T) {
 	f := newPartitionedFleet(t, 2)
 	f.gates[0].set(refuses)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -29,8 +29,8 @@
 // relayOrganisationHeader are what the first router takes it for: the other one serves it only
 // if its configuration, which may be older or newer, says the same. relayLenderHeader names the
 // first router if it reaches no replica, and relayLentHeader is the part of its share of them
-// that it leaves to the other one. relayExcludedHeader names the replicas that told a router to
-// send them nothing, in a request and in a refusal. In an answer, relayResultHeader stands in
+// that it leaves to the other one. relayExcludedHeader lists the replicas that a router
+// excludes because of their own statements, in a request and in a refusal. In an answer, relayResultHeader stands in
 // what a router generated itself, relaySentHeader is how many replicas the request was sent to,
 // relayReplicaHeader is the one that answered.
 const (
--- a/internal/front/relay_exclusions.go
+++ b/internal/front/relay_exclusions.go
@@ -14,8 +14,8 @@
 // maxRelayedExclusions bounds the replicas named to another router.
 const maxRelayedExclusions = 32
 
-// setExclusions names the replicas that told this router to send them nothing, each with how
-// many milliseconds of a rest are left, or nothing if it shuts down. The other router has its
+// setExclusions lists the replicas that this router excludes because of their own statements,
+// each with the milliseconds left of a requested rest, or an empty value if it shuts down. The other router has its
 // own requests to send, and this one may have more of them.
 func (c *call) setExclusions(header http.Header) {
 	if c.service == nil {
--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -12,7 +12,7 @@
 type relayedCall struct {
 	attempts              int
 	service, organisation string
-	// excluded are replicas that told the other router to send them nothing.
+	// excluded are the replicas that the other router excludes because of their own statements.
 	excluded []directory.Exclusion
 }
 
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -16,8 +16,8 @@
 // An intermediary may acknowledge the bytes and forward nothing. A silent connection
 // then looks like a slow replica; only other connections to the address tell them apart:
 //
-//	opened A ---- heard A ---- sent A . . . . . . nothing for answerTime
-//	opened B ------------------------- heard B    B works, so A is only slow
+//	opened A ---- answer on A ---- sent on A . . . . . . nothing for answerTime
+//	opened B ------------------------------- answer on B    B works, so A is only slow
 //
 // Without such a B, the connections idle since before the request was sent are dropped.
 
--- a/test/soak/check_times.go
+++ b/test/soak/check_times.go
@@ -108,7 +108,7 @@
 	return a.End.Sub(a.Sent) >= limit-timeUp
 }
 
-// relayAtFault tells whether another router was killed while it may have served the attempt for
+// relayAtFault reports whether another router was killed while it may have served the attempt for
 // its own, which was cut off from replicas and may relay until a probe reaches them again.
 func (c *checker) relayAtFault(a *Attempt) bool {
 	relays := slices.ContainsFunc(c.Partitions, func(p Partition) bool {
