watch: log where a router's first list of replicas came from, and when

After a restart the logs told of a configuration taken from the store or from a peer (201, 203), but neither when the list of replicas came, without which nothing is served, nor from whom: whether all routers read it or few do and pass it on could not be told apart. Event 325 says both, once in a process's life.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -56,6 +56,7 @@
 	RolloutWritten    ID = 322
 	ServiceLost       ID = 323
 	ServiceReached    ID = 324
+	ListFirst         ID = 325
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -135,6 +136,7 @@
 	RolloutWritten:    {logrus.InfoLevel, "status of a roll-out written to the platform's store", "None needed. With an error: it is read and tried again."},
 	ServiceLost:       {logrus.WarnLevel, "replicas of a service are out of reach from here", "Its requests go to other routers. If it lasts, look at the network between this instance and the replicas."},
 	ServiceReached:    {logrus.InfoLevel, "replicas of a service are within reach again", "None needed."},
+	ListFirst:         {logrus.InfoLevel, "first list of replicas", "None needed. from is the peer that passed it on, or store; after_ms counts from the start. If it is from the store at most routers of a large fleet, look whether they reach each other."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/watch/apply.go
+++ b/internal/watch/apply.go
@@ -19,11 +19,24 @@
 	}
 	w.applyConfig(s, sent)
 	w.handleChanges(w.applyRead(s.listing(), s.Revision, sent))
+	w.logFirstList(fromStore)
 	w.logBadEntries(s.BadReplicas)
 	w.notifyRead()
 	return nil
 }
 
+// fromStore says in a log line that this router read the list itself.
+const fromStore = "store"
+
+// logFirstList logs where the first list came from. w.mu is held.
+func (w *Watcher) logFirstList(from string) {
+	if w.hasList || w.directory.ReadTime().IsZero() {
+		return
+	}
+	w.hasList = true
+	w.log.Write(event.ListFirst, event.F("from", from), event.F("replicas", len(w.directory.List())), event.F("after_ms", steady.Since(w.started).Milliseconds()))
+}
+
 // applyRead applies a list that was read from the source as of a revision. w.mu is held.
 func (w *Watcher) applyRead(l directory.Listing, revision uint64, sent time.Time) []directory.Change {
 	if !sent.Before(w.directory.ReadTime()) {
--- a/internal/watch/knowledge.go
+++ b/internal/watch/knowledge.go
@@ -160,6 +160,7 @@
 		// neither it nor the configuration.
 		return
 	}
+	w.logFirstList(from)
 	w.holder.ConfirmVersion(k.Version, proven)
 	w.notifyRead()
 }
--- a/internal/watch/list.go
+++ b/internal/watch/list.go
@@ -97,6 +97,7 @@
 		listing := snapshot.listing()
 		listing.Rollouts = w.directory.ListedRollouts()
 		w.handleChanges(w.applyRead(listing, snapshot.Revision, sent))
+		w.logFirstList(fromStore)
 		w.logBadEntries(snapshot.BadReplicas)
 		w.notifyOwnRead()
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/freshness"
@@ -116,6 +117,7 @@
 	turns       *turns.Scheduler
 	reads       atomic.Uint64
 	failedReads atomic.Uint64
+	started     time.Time
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -124,7 +126,9 @@
 	listHash, plainHash uint64
 	// needsWholeList makes the next request for knowledge ask for the whole list.
 	needsWholeList bool
-	sourceDown     bool
+	// hasList is set once the first list was applied.
+	hasList    bool
+	sourceDown bool
 	// readDone is closed and replaced after each successful read, updates at each change
 	// of the configuration or of the list.
 	readDone chan struct{}
@@ -148,6 +152,7 @@
 		balancer:  b,
 		wake:      make(chan struct{}, 1),
 		turns:     turns.New(rand.Uint64()),
+		started:   steady.Now(),
 		directory: d,
 		readDone:  make(chan struct{}),
 		updates:   make(chan struct{}),
