watch: few routers read a long list after a restart, the others learn it

Cause: only in the first start of a fleet routers wait for what the seeds read. One that starts again read the whole list, 20 pages or some 3.4 MB, by itself. 985 of these share the store's link of 1,000 Mbit/s, so that a page takes longer than the 2 s that a call may take; the call is given up and the read begins again with the first page, beside 984 others.

If there is more, or it is late, the router leaves the list to others: the seeds read it at once, the rest learn it by gossip and read in turn by rank, from a period after the start on, three in two periods; one that nobody answers waits 2 s. Requests refused meanwhile are told to come back later instead of at once, and do not each start a read of the list. No change on the wire.

--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -56,7 +56,7 @@
 
 func (e *Entry) followOptions(s settings.Settings) watch.Options {
 	period := readPeriod(s.Bounds)
-	return watch.Options{Period: period, Timeout: readTimeoutPeriods * period, FirstRead: firstReadDelay(s), Place: e.place}
+	return watch.Options{Period: period, Timeout: readTimeoutPeriods * period, FirstRead: firstReadDelay(s), ReadsFirst: readsFirst(s), Place: e.place}
 }
 
 // firstReadWait is how long routers wait for the seeds to pass on what they read when the
@@ -67,12 +67,19 @@
 // starts has time, and one read per router would be a large part of a day's reads. A router that
 // restarts is needed at once and reads for itself.
 func firstReadDelay(s settings.Settings) time.Duration {
-	if !s.Routes.FirstStart || slices.Contains(s.Peers.Seeds, s.Listen.Peers) {
+	if !s.Routes.FirstStart || isSeed(s) {
 		return 0
 	}
 	return firstReadWait
 }
 
+// isSeed reports whether other routers meet at this one when they start.
+func isSeed(s settings.Settings) bool { return slices.Contains(s.Peers.Seeds, s.Listen.Peers) }
+
+// readsFirst reports whether a router that starts reads a long list at once, for the others or
+// because it has nobody to learn it from.
+func readsFirst(s settings.Settings) bool { return isSeed(s) || len(s.Peers.Seeds) == 0 }
+
 // keyProof returns the greatest age of the proof at which keys are accepted.
 func keyProof(b settings.Bounds) time.Duration {
 	if !b.RevokeAlways {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// Head returns the first page of all records, and whether it holds all of them.
+func (r *Reader) Head(ctx context.Context) (list *List, complete bool, err error) {
+	p, err := r.fetchPage(ctx, "", "")
+	if err != nil {
+		return nil, false, err
+	}
+	return &List{Records: p.Records, Origin: p.Origin}, !p.More, nil
+}
+
 // All returns all records, except that a cached list that a call to Some started may lack
 // some of them.
 func (r *Reader) All(ctx context.Context) (*List, error) {
--- a/internal/watch/list.go
+++ b/internal/watch/list.go
@@ -45,7 +45,7 @@
 // replicas and evacuations, because a large configuration takes longer over a slow link
 // than a request can wait.
 func (w *Watcher) RefreshList(ctx context.Context, since time.Time) error {
-	wait := w.turns.Wait(w.place(), steady.Now())
+	wait := max(w.turns.Wait(w.place(), steady.Now()), w.untilFirstRead(steady.Now()))
 	w.mu.Lock()
 	if w.directory.ReadTime().After(since) {
 		w.mu.Unlock()
@@ -53,7 +53,8 @@
 	}
 	if w.refreshing == nil {
 		if wait > 0 {
-			// While the source is down, requests must not each wait for it.
+			// While the source is down, requests must not each wait for it, nor for a list
+			// that others are to pass on.
 			w.mu.Unlock()
 			return ErrNotRefreshed
 		}
--- a/internal/watch/read.go
+++ b/internal/watch/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -25,7 +26,7 @@
 		case <-w.wake:
 			woken = true
 		}
-		rest := w.turns.Wait(w.place(), steady.Now())
+		rest := max(w.turns.Wait(w.place(), steady.Now()), w.untilFirstRead(steady.Now()))
 		if !woken {
 			rest = max(rest, w.readAfter()-w.Age(steady.Now()))
 		}
@@ -33,7 +34,7 @@
 			// readOnce records its result, from which the next wait follows.
 			_ = w.readOnce(ctx)
 			rest = w.readAfter()
-			if wait := w.turns.Wait(w.place(), steady.Now()); wait > 0 {
+			if wait := max(w.turns.Wait(w.place(), steady.Now()), w.untilFirstRead(steady.Now())); wait > 0 {
 				rest = wait
 			}
 		}
@@ -71,7 +72,11 @@
 	defer cancel()
 	sent := steady.Now()
 	w.noteReadStart(fullRead, sent)
-	snapshot, err := (*w.source.Load()).Read(ctx)
+	snapshot, complete, err := w.readNext(ctx)
+	if errors.Is(err, errHeadLate) {
+		w.leaveToOthers(sent)
+		return err
+	}
 	w.reads.Add(1)
 	if err != nil {
 		w.failedReads.Add(1)
@@ -80,6 +85,9 @@
 	if err != nil {
 		return err
 	}
+	if !complete {
+		return w.applyHead(snapshot, sent)
+	}
 	err = w.ApplySnapshot(snapshot, sent)
 	if err == nil {
 		w.notifyOwnRead()
--- a/internal/watch/restart_test.go
+++ b/internal/watch/restart_test.go
@@ -35,6 +35,8 @@
 	restartTimeout = 2 * time.Second
 	restartPeriod  = 2 * time.Second
 	restartSeeds   = 3
+	// restartSpread is the time within which all routers start.
+	restartSpread = 300 * time.Millisecond
 	// restartMeet is how long routers know the seeds only, restartRound the pause between two
 	// rounds, restartAsked how many others are heard of in one, restartCopy what a router needs to pass the list on and restartApply what the
 	// other one needs to apply it, on a fifth of a core.
@@ -140,7 +142,7 @@
 			}
 			return turns.Place{Rank: rank, Routers: routers}
 		}
-		f.watchers = append(f.watchers, New(&sharedSource{sharedStore: f.store, rank: rank}, Options{Period: restartPeriod, Timeout: 10 * restartPeriod, Place: place},
+		f.watchers = append(f.watchers, New(&sharedSource{sharedStore: f.store, rank: rank}, Options{Period: restartPeriod, Timeout: 10 * restartPeriod, ReadsFirst: rank < restartSeeds, Place: place},
 			directory.New(2*restartPeriod, restartPeriod), freshness.NewHolder(), balance.New(uint64(rank)), event.Discard()))
 	}
 	return f
@@ -162,12 +164,15 @@
 		}
 		time.Sleep(restartRound)
 	}
-	f.ready[rank] = time.Since(f.started)
+	if w.Initialized() {
+		f.ready[rank] = time.Since(f.started)
+	}
 }
 
 // ask has a router ask another one for its knowledge, and reports whether it got some.
 func (f *restartFleet) ask(w *Watcher, from int) bool {
 	other, asked := f.watchers[from], time.Now()
+	w.ObservePeerAnswer(asked)
 	if other == w || !other.Initialized() || !f.sending[from].CompareAndSwap(false, true) {
 		return false
 	}
@@ -200,7 +205,10 @@
 				f := newRestartFleet(test.routers, test.refuses)
 				var running sync.WaitGroup
 				for rank, w := range f.watchers {
-					running.Go(func() { w.Run(ctx) })
+					running.Go(func() {
+						time.Sleep(time.Duration(rank) * restartSpread / time.Duration(test.routers))
+						w.Run(ctx)
+					})
 					running.Go(func() { f.learn(ctx, rank) })
 				}
 				time.Sleep(test.limit)
@@ -211,9 +219,9 @@
 					}
 				}
 				assert.Zero(t, late, "routers without a list")
-				t.Logf("%d whole reads; last ready after %v", f.store.reads.Load(), slices.Max(f.ready))
 				cancel()
 				running.Wait()
+				t.Logf("%d whole reads; last ready after %v", f.store.reads.Load(), slices.Max(f.ready))
 			})
 		})
 	}
--- a/internal/watch/updates.go
+++ b/internal/watch/updates.go
@@ -31,5 +31,5 @@
 
 // NextRead returns how long it is until this router reads the source itself.
 func (w *Watcher) NextRead(now time.Time) time.Duration {
-	return max(w.readAfter()-w.Age(now), 0)
+	return max(w.readAfter()-w.Age(now), w.untilFirstRead(now), 0)
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -77,6 +77,13 @@
 	Replicas(ctx context.Context) (Snapshot, error)
 }
 
+// HeadReader is a Source whose list may be too long for each router to read all of it.
+type HeadReader interface {
+	// ReadHead reads the configuration and the first page of the list. If complete is not set,
+	// the list has more pages, and the snapshot's replicas must not be used.
+	ReadHead(ctx context.Context) (s Snapshot, complete bool, err error)
+}
+
 // KnownList is the list of replicas that a router knows.
 type KnownList struct {
 	directory.Listing
@@ -100,6 +107,8 @@
 	Timeout time.Duration
 	// FirstRead is how long the first read waits for knowledge from other routers.
 	FirstRead time.Duration
+	// ReadsFirst: this router reads a long list at once when it starts, for the others.
+	ReadsFirst bool
 	// Place returns this router's place among the routers that read for each other. Nil
 	// means that it is the only one.
 	Place func() turns.Place
@@ -127,7 +136,9 @@
 	// needsWholeList makes the next request for knowledge ask for the whole list.
 	needsWholeList bool
 	// hasList is set once the first list was applied.
-	hasList    bool
+	hasList bool
+	// longSince is when the head of a long list was read that this router lacked.
+	longSince  time.Time
 	sourceDown bool
 	// readDone is closed and replaced after each successful read, updates at each change
 	// of the configuration or of the list.
--- a/pkg/turns/turns.go
+++ b/pkg/turns/turns.go
@@ -7,6 +7,7 @@
 //	                       the fleet's rate of attempts does not depend on its size; the one
 //	                       that succeeds tells the others
 //	no router is heard     each acts as if it were alone
+//	all lack a long list   seeds read it at once, the others by rank if none has passed it on
 //
 // A source that was down returns under the load of all routers that need it: if each read
 // for itself, and for its requests besides, a large fleet would keep it down.
@@ -59,8 +60,9 @@
 	// as it reports; succeeded is when the last read that is known to be answered was
 	// sent.
 	failed, peerFailed, succeeded time.Time
-	// peerHeard is when the last query was sent that another router answered.
-	peerHeard time.Time
+	// peerHeard is when the last query was sent that another router answered with a proof,
+	// peerAnswered the same with or without one.
+	peerHeard, peerAnswered time.Time
 	// firstTurn is the random fraction of a turn before the first one after the source
 	// was lost, since all routers lose it at the same moment. tries counts the failures
 	// since.
@@ -94,6 +96,36 @@
 	return time.Duration(float64(t.period) * parts)
 }
 
+const (
+	// firstTurn is after how many periods the first router reads a long list that all routers
+	// lack, and turnsPerPeriod how many follow in each period: a read takes about one, and
+	// more readers would share the source's link.
+	firstTurn      = 1.0
+	turnsPerPeriod = 1.5
+)
+
+// FirstRead returns how long a router that has lacked the list since a time waits before it
+// reads a long one: others that have it, or read it already, pass it on. A router that no
+// other has answered waits until it counts as alone.
+func (t *Scheduler) FirstRead(p Place, since, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	turn := since.Add(time.Duration(float64(t.period) * (firstTurn + float64(p.Rank)/turnsPerPeriod)))
+	alone := later(t.peerAnswered, since).Add(aloneTimeout)
+	if alone.Before(turn) {
+		turn = alone
+	}
+	return max(turn.Sub(now), 0)
+}
+
+// ObservePeerAnswer records that another router answered a query sent at the time asked,
+// whatever it knows.
+func (t *Scheduler) ObservePeerAnswer(asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peerAnswered = later(t.peerAnswered, asked)
+}
+
 // alone reports whether no other router is heard. t.mu is held.
 func (t *Scheduler) alone(now time.Time) bool { return now.Sub(t.peerHeard) > aloneTimeout }
 
--- a/pkg/turns/turns_test.go
+++ b/pkg/turns/turns_test.go
@@ -231,3 +231,32 @@
 	assert.Zero(t, r.Wait(p, epoch))
 	assert.True(t, r.LastFailure().IsZero())
 }
+
+// Guards against many routers that read a long list at once, and against one that waits for
+// others that are not there.
+func TestTurnsToReadALongList(t *testing.T) {
+	const few = 8
+	for _, routers := range []int{3, 30, 300, 985} {
+		for name, answered := range map[string]bool{"answered by others": true, "alone": false} {
+			t.Run(fmt.Sprintf("%d %s", routers, name), func(t *testing.T) {
+				begun := 0
+				for rank := range routers {
+					s := New(uint64(rank))
+					s.SetPeriod(testPeriod)
+					if answered {
+						s.ObservePeerAnswer(epoch.Add(3 * testPeriod))
+					}
+					place := Place{Rank: rank, Routers: routers}
+					if s.FirstRead(place, epoch, epoch.Add(testPeriod)) == 0 {
+						begun++
+					}
+					if !answered {
+						assert.LessOrEqual(t, s.FirstRead(place, epoch, epoch), aloneTimeout)
+					}
+				}
+				assert.Positive(t, begun, "a period after the start")
+				assert.LessOrEqual(t, begun, few)
+			})
+		}
+	}
+}
