balance: a large fleet verifies a reported replica only where it is wanted

Cause: a failed connection is reported, a report reaches all routers of a large fleet, and each opened a connection to verify it: 1,258 that failed at 15 routers in 5 s, beside 3 requests. A failed verification was reported as a new failure, so others verified it again; so was one that the replica reset, being over its cap. And two replicas that were looked at because they fail counted as the loss of the router's own path.

Change: in a large fleet a report only has the replica avoided, as before, and is verified when a request would go there, so that verifications are no more than requests. A failed one is neither reported nor evidence about the path. Small fleets do as they did: each router there is told once, and opens one connection.

TestReportedReplicaIsVerified expected the verification at the report in large fleets too; it now expects it at the first request that wants the replica, once, and none before.

--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -28,15 +28,25 @@
 // reported to be out of reach.
 func (f *Front) VerifyReplica(id, address string) {
 	go func() {
-		switch f.probePath(id, address) {
-		case upstream.Unreachable:
-			f.reportFailure("", id, balance.Unreachable)
+		switch f.processState(id, address) {
+		case upstream.Listening:
+			f.balancer.Connected(id, steady.Now())
+		case upstream.Rejecting:
+			f.verificationFailed(id, balance.Refused)
+			f.balancer.ConnectionsReset(id)
 		case upstream.Ended:
-			f.reportFailure("", id, balance.Refused)
+			f.verificationFailed(id, balance.Refused)
+		case upstream.Unreachable:
+			f.verificationFailed(id, balance.Unreachable)
 		}
 	}()
 }
 
+func (f *Front) verificationFailed(id string, kind balance.Failure) {
+	f.balancer.VerificationFailed(id, kind, f.options.DataCentre, steady.Now())
+	f.log.Write(event.EngineSuspect, event.F("request", ""), event.F("replica", id), event.F("kind", kind.String()))
+}
+
 // maxControlProbes bounds the other replicas that are probed before one that refuses
 // connections is taken to have ended.
 const maxControlProbes = 16
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -301,7 +301,7 @@
 // Pick chooses a replica. It returns false if the service has no replica left.
 func (b *Balancer) Pick(q Request, now time.Time) (Choice, bool) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	defer b.unlockAndNotify()
 	if len(b.services[q.Service]) == 0 {
 		return Choice{}, false
 	}
@@ -323,6 +323,7 @@
 	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts), PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}
 	choice.Holders = len(b.holders.list(choice.Part, now))
 	if home != chosen {
+		b.verifyWanted(home, now)
 		choice.PassedOver, choice.PassedOverLoad, choice.PassedOverBadness = home.ID, b.load(home, now), b.badness(home, now)
 	}
 	if len(q.Parts) > 1 && !b.disabled.Has(mechanism.Copies) {
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -14,7 +14,8 @@
 //	one router, several replicas of a service, none reached since -> the router's path is
 //	    lost; what it sees of these replicas is not sent to other routers
 //	another router does not reach a replica -> avoided until this router has verified it
-//	    with a connection of its own
+//	    with a connection of its own: at once in a small fleet, in a large one when it would
+//	    send the replica a request
 
 // path is the state of the path from this router to a replica.
 type path struct {
@@ -92,16 +93,48 @@
 	return contact.After(failedAt) || !contact.Before(r.path.checkedAt) && now.Sub(r.path.checkedAt) < verificationLifetime
 }
 
-// recordReport records that another router does not reach a replica, and has that verified.
-// b.mu is held.
+// recordReport records that another router does not reach a replica. b.mu is held.
+//
+// In a large fleet a report reaches every router. If each opened a connection because of it,
+// they would take up the connections that the replica accepts, and be reset.
 func (b *Balancer) recordReport(r *replica, f ObservedFailure, now time.Time) {
 	r.reported.recordFailure(f.Failure, f.At)
+	if !b.largeFleet {
+		b.requestCheck(r, now)
+	}
+}
+
+// verifyWanted has a replica verified that a request would go to if it was not reported. b.mu
+// is held.
+func (b *Balancer) verifyWanted(r *replica, now time.Time) {
+	if r.reported.isAvoided(now) {
+		b.requestCheck(r, now)
+	}
+}
+
+// requestCheck has a replica verified unless that was done recently. b.mu is held.
+func (b *Balancer) requestCheck(r *replica, now time.Time) {
 	if now.Sub(r.path.checkedAt) >= verificationLifetime {
 		r.path.checkedAt = now
 		b.pendingChecks = append(b.pendingChecks, r.Replica)
 	}
 }
 
+// VerificationFailed records that this router does not reach a replica that others reported. In
+// a large fleet that is no news to others, who would verify it again; and since the replica was
+// chosen by its failures, it tells nothing of this router's own path.
+func (b *Balancer) VerificationFailed(id string, kind Failure, ownDataCentre string, now time.Time) {
+	b.mu.Lock()
+	r, large := b.replicas[id], b.largeFleet
+	if r != nil && large {
+		r.health.recordFailure(kind, now)
+	}
+	b.mu.Unlock()
+	if !large {
+		b.RequestFailed(id, kind, ownDataCentre, now)
+	}
+}
+
 // isPathLost reports whether this router recently failed to reach a replica and has not
 // reached it since.
 func (r *replica) isPathLost(now time.Time) bool {
--- a/pkg/balance/path_test.go
+++ b/pkg/balance/path_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -61,6 +62,38 @@
 	}
 }
 
+// Guards against routers that all verify each reported replica, tell each other the results, and
+// take these for the loss of their own path.
+func TestReportsOpenFewConnectionsInALargeFleet(t *testing.T) {
+	const replicas, reported, requests = 400, 80, 10
+	tests := map[string][]Part{"plain": nil, "engines": {{ID: 1, Tokens: 100}, {ID: 2, Tokens: 10}}}
+	for name, parts := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(engines(replicas))
+			b.SetLargeFleet(true)
+			verified := 0
+			b.SetReplicaHooks(ReplicaHooks{Verify: func(id, _ string) {
+				verified++
+				b.VerificationFailed(id, Unreachable, "dc0", start)
+			}})
+			now := start
+			for n := range reported {
+				now = start.Add(time.Duration(n) * time.Millisecond)
+				failure := ObservedFailure{ReplicaHash(fmt.Sprint("i-", n)), Unreachable, now}
+				b.MergeRumors(Rumors{Failures: []ObservedFailure{failure}}, now)
+				assert.LessOrEqual(t, len(b.TakeRumors(now).Failures), 1, "passed on once")
+			}
+			assert.Zero(t, verified)
+			for range requests {
+				pick(t, b, parts, now)
+			}
+			assert.LessOrEqual(t, verified, requests)
+			assert.Empty(t, b.TakeRumors(now).Failures, "what others reported is no news")
+			assert.False(t, b.PathLost("llm", now.Add(contactLifetime)), "replicas that others do not reach tell nothing of the path")
+		})
+	}
+}
+
 // Guards against reports of routers whose own path is lost that exclude replicas here.
 func TestReportedReplicaIsVerified(t *testing.T) {
 	report := func(b *Balancer, id string, at time.Duration) {
@@ -79,6 +112,11 @@
 		report(b, "i-0", 4)
 		report(b, "i-0", 5)
 		assert.True(t, suspected(6), "until it is verified")
+		if large {
+			assert.Empty(t, verified, "no request would go there")
+			pick(t, b, nil, start.Add(6))
+			pick(t, b, nil, start.Add(6))
+		}
 		assert.Equal(t, []string{"i-0"}, verified, "once")
 		assert.Equal(t, LastResort, pick(t, b, nil, start.Add(6), "i-1", "i-2").Reason)
 		b.Connected("i-0", start.Add(7))
@@ -86,6 +124,9 @@
 		assert.False(t, suspected(9), "reports are ignored for a while after that")
 		report(b, "i-0", 10+verificationLifetime)
 		assert.True(t, suspected(11+verificationLifetime))
+		if large {
+			pick(t, b, nil, start.Add(11+verificationLifetime))
+		}
 		b.RequestFailed("i-0", Unreachable, "dc0", start.Add(12+verificationLifetime))
 		assert.True(t, suspected(13+verificationLifetime), "confirmed")
 		assert.Len(t, verified, 2)
--- a/pkg/balance/plain.go
+++ b/pkg/balance/plain.go
@@ -14,6 +14,9 @@
 func (b *Balancer) pickPlain(q Request, left []*replica, now time.Time) (*replica, Reason) {
 	// A random order lets routers with the same information choose differently.
 	b.random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+	if i := slices.IndexFunc(left, func(r *replica) bool { return r.reported.isAvoided(now) }); i >= 0 {
+		b.verifyWanted(left[i], now)
+	}
 	sound := b.leastBad(left, now)
 	reason := ByRate
 	chosen, known := b.drawByRate(q, sound, now)
