records: a long list is not read in full for a request

When the store has forgotten its history, or came back from a copy, while lists are too old to send by, each router that has a request read the whole list at once: the same storm, without any restart.

Change: a list of more than 1,000 records is read in full only by the router whose turn it is; for a request, a router reads what has changed, and if that is not to be had the request is refused, as it was when the read came too late. This is no failure of the store, so turns go on.

Lists of up to 1,000 records are read as they were.

--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -29,6 +29,8 @@
 	// ErrMixedGenerations means that the store was restored from a copy during a read, so
 	// that its responses are of two generations. The next read sees only one.
 	ErrMixedGenerations = errors.New("records: responses are of two generations")
+	// ErrLongList means that the list would have to be read in full, and is too long for that.
+	ErrLongList = errors.New("records: list too long to be read in full")
 )
 
 // Record is a key with its value.
@@ -150,11 +152,18 @@
 // with the most records comes first. A prefix longer than one page is cached: otherwise a
 // router that learned the full list from its peers would fetch everything again each time
 // a request needs a newer list.
+//
+// A list that was longer than maxOwnRead is not read in full. All routers may need a newer one
+// at the same time, so Some returns ErrLongList, and the router whose turn it is calls All.
 func (r *Reader) Some(ctx context.Context, prefixes ...string) (*List, error) {
+	before := r.cache.len()
 	list, err := r.refresh(ctx)
 	if !errors.Is(err, ErrHistoryUnavailable) {
 		return list, err
 	}
+	if before > maxOwnRead {
+		return nil, fmt.Errorf("%w: %w", ErrLongList, err)
+	}
 	list, maxPages := &List{}, 0
 	for i, prefix := range prefixes {
 		pages, part, err := r.readPrefix(ctx, prefix)
@@ -176,6 +185,10 @@
 	return list, nil
 }
 
+// maxOwnRead is the number of records up to which each of many routers may read them all: some
+// 300 KB, which a narrow link takes in a quarter of a second.
+const maxOwnRead = 1000
+
 // One returns the record of a key as of list or later, or nil if there is none.
 func (r *Reader) One(ctx context.Context, key string, list *List) (*Record, error) {
 	if record := list.Find(key); record != nil {
--- a/internal/watch/list.go
+++ b/internal/watch/list.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/records"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -91,7 +92,12 @@
 	w.reads.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.noteReadEnd(listRead, err, sent)
+	if errors.Is(err, records.ErrLongList) {
+		// The source has answered. Run reads the list in turn with other routers.
+		w.outage.end(listRead, nil)
+	} else {
+		w.noteReadEnd(listRead, err, sent)
+	}
 	if err != nil {
 		w.failedReads.Add(1)
 	} else if w.acceptGeneration(&snapshot, sent) == nil {
--- a/internal/watch/list_test.go
+++ b/internal/watch/list_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/records"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -80,3 +81,12 @@
 		assert.False(t, f.ApplyPeerProof(digest, time.Now().Add(-400*time.Millisecond)), "an older list is not newer")
 	})
 }
+
+// Guards against a source that counts as lost because it has more than a request may read.
+func TestLongListIsNoFailureOfTheSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWatcher(&fakeSource{err: records.ErrLongList}, 0)
+		require.ErrorIs(t, f.RefreshList(t.Context(), time.Now()), ErrNotRefreshed)
+		assert.False(t, f.SourceFailing())
+	})
+}
