gossip: a request for knowledge is refused before the reply is made

Hundreds ask the few that have the list, and what these could have sent went into refusals.

Change: a request that would be refused whatever its size is refused at once. A reply that fits is made as before.

--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -168,6 +168,11 @@
 	if !g.watcher.Initialized() {
 		return &gossippb.KnowledgeReply{}, nil
 	}
+	if g.budget.full(steady.Now()) {
+		// Making a reply of a long list takes longer than sending it.
+		g.refused.Add(1)
+		return &gossippb.KnowledgeReply{}, nil
+	}
 	k, age := g.watcher.Knowledge(watch.KnowledgeRequest{
 		Version: r.Version, ListHash: r.Mark, FactsHash: r.Facts, PartHashes: r.Sums, Revision: r.ListRevision, Generation: r.Generation,
 	}, steady.Now())
--- a/internal/gossip/teach.go
+++ b/internal/gossip/teach.go
@@ -40,6 +40,13 @@
 	return true
 }
 
+// full reports whether any reply would be refused now.
+func (t *sendBudget) full(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drained.Sub(now) > maxBacklog
+}
+
 // RefusedRequests returns how many requests for knowledge were refused because too much
 // was in transit.
 func (g *Gossip) RefusedRequests() uint64 { return g.refused.Load() }
--- a/internal/gossip/teach_test.go
+++ b/internal/gossip/teach_test.go
@@ -1,12 +1,15 @@
 package gossip
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/watch"
 )
 
@@ -43,3 +46,25 @@
 	learner.gossip.fetchKnowledge(t.Context(), teacher.gossip.Address(), false)
 	assert.True(t, learner.watcher.Initialized())
 }
+
+// Guards against a router that is kept from passing its list on by refusing it to others: after
+// a restart hundreds ask the few that have it.
+func TestRefusalMakesNoReply(t *testing.T) {
+	const count, refusals = 5000, 10
+	teacher := newIdleRouter(t, &source{})
+	var ids []string
+	for n := range count {
+		ids = append(ids, fmt.Sprint("i-", n))
+	}
+	require.NoError(t, teacher.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas(ids...)}, time.Now()))
+	require.True(t, teacher.gossip.budget.allow(1<<40, time.Now()))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range refusals {
+		reply, err := teacher.gossip.Knowledge(t.Context(), &gossippb.KnowledgeRequest{})
+		require.NoError(t, err)
+		require.Nil(t, reply.ProofMs)
+	}
+	runtime.ReadMemStats(&after)
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(refusals*count), "bytes")
+}
