--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -65,7 +65,7 @@
 
 // firstReadDelay returns how long a router waits before its first read. A fleet that
 // starts has time, and one read per router would be a large part of a day's reads. A router that
-// restarts is needed at once and reads for itself.
+// restarts is needed at once and reads for itself what fits one page.
 func firstReadDelay(s settings.Settings) time.Duration {
 	if !s.Routes.FirstStart || isSeed(s) {
 		return 0
