--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -76,8 +76,8 @@
 // isSeed reports whether other routers meet at this one when they start.
 func isSeed(s settings.Settings) bool { return slices.Contains(s.Peers.Seeds, s.Listen.Peers) }
 
-// readsFirst reports whether a router that starts reads a long list at once, for the others or
-// because it has nobody to learn it from.
+// readsFirst reports whether a router that starts reads a long list at once: it is a seed, which
+// others fetch the list from, or has no seeds to fetch it from.
 func readsFirst(s settings.Settings) bool { return isSeed(s) || len(s.Peers.Seeds) == 0 }
 
 // keyProof returns the greatest age of the proof at which keys are accepted.
--- a/internal/watch/first.go
+++ b/internal/watch/first.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// Routers that start together learn a long list from the few that read it: if each read all of
+// Routers that start together fetch a long list from the few that read it: if each read all of
 // it, they would share the source's link, calls would time out, and reads would begin again with
 // the first page.
 //
 //	the head is all there is   -> it is applied, as any read
 //	the list is long, or its
-//	head does not come soon    -> seeds read it, the others wait for one that has it, and read
-//	                              in turn while they hear of none
+//	head is late               -> seeds read it; the others fetch it by gossip, and those that
+//	                              still lack it at their turn read it
 
-// headTimeout bounds reading the head. While many routers start it does not come in time, and
-// is in the way of those that read the list.
+// headTimeout bounds reading the head. While many routers start it is late, and takes up the
+// link that those which read the list need.
 const headTimeout = 300 * time.Millisecond
 
 // errHeadLate means that the head of the list did not come in time.
--- a/internal/watch/restart_test.go
+++ b/internal/watch/restart_test.go
@@ -38,7 +38,7 @@
 	// restartSpread is the time within which all routers start.
 	restartSpread = 300 * time.Millisecond
 	// restartMeet is how long routers know the seeds only, restartRound the pause between two
-	// rounds, restartAsked how many others are heard of in one. restartCopy is what a router
+	// rounds, restartAsked how many others are asked in one. restartCopy is what a router
 	// needs to pass the list on, restartApply what the other one needs to apply it, on a fifth
 	// of a core.
 	restartMeet  = 1500 * time.Millisecond
--- a/pkg/balance/path.go
+++ b/pkg/balance/path.go
@@ -121,8 +121,8 @@
 }
 
 // VerificationFailed records that this router does not reach a replica that others reported. In
-// a large fleet that is no news to others, who would verify it again; and since the replica was
-// chosen by its failures, it tells nothing of this router's own path.
+// a large fleet it is not reported, since other routers would verify it again, and is no evidence
+// about this router's own path, since the replica was selected by its failures.
 func (b *Balancer) VerificationFailed(id string, kind Failure, ownDataCentre string, now time.Time) {
 	b.mu.Lock()
 	r, large := b.replicas[id], b.largeFleet
--- a/pkg/balance/path_test.go
+++ b/pkg/balance/path_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// Guards against routers that all verify each reported replica, tell each other the results, and
-// take these for the loss of their own path.
+// Guards against a large fleet in which every router verifies each reported replica, reports the
+// result again, and counts it as the loss of its own path.
 func TestReportsOpenFewConnectionsInALargeFleet(t *testing.T) {
 	const replicas, reported, requests = 400, 80, 10
 	tests := map[string][]Part{"plain": nil, "engines": {{ID: 1, Tokens: 100}, {ID: 2, Tokens: 10}}}
