directory: listing all replicas sorts pointers, and counting them lists none

Callers before a fleet that has all been killed wait until each router has the list, which few pass on at first. Their processor went, besides, into the list itself: each reply makes it anew (12 in 100 of the processor of 60 routers in a rig with 10,000 replicas), and a line of the log made one to count it (4 in 100).

A replica has some 200 bytes; sorting moved them. BenchmarkFirstList, one processor, 10,000 replicas: list 12.8 ms before, 5.3 ms after; apply 77 and 66 ms; unpack and pack are not touched (45 to 48 and 29 to 40 ms).

--- a/internal/watch/apply.go
+++ b/internal/watch/apply.go
@@ -34,7 +34,7 @@
 		return
 	}
 	w.hasList = true
-	w.log.Write(event.ListFirst, event.F("from", from), event.F("replicas", len(w.directory.List())), event.F("after_ms", steady.Since(w.started).Milliseconds()))
+	w.log.Write(event.ListFirst, event.F("from", from), event.F("replicas", w.directory.Len()), event.F("after_ms", steady.Since(w.started).Milliseconds()))
 }
 
 // applyRead applies a list that was read from the source as of a revision. w.mu is held.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -342,15 +342,22 @@
 	return list
 }
 
+// Len returns the number of all replicas, including draining ones.
+func (d *Directory) Len() int { return len(d.entries) }
+
 func (d *Directory) list(wanted func(*entry) bool) []Replica {
-	list := make([]Replica, 0, len(d.entries))
+	// Pointers are sorted, since a replica has some 200 bytes to move.
+	entries := make([]*entry, 0, len(d.entries))
 	for _, e := range d.entries {
 		if wanted(e) {
-			r := e.replica
-			r.Evacuated = slices.Contains(d.evacuated, r.DataCentre)
-			list = append(list, r)
+			entries = append(entries, e)
 		}
 	}
-	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.replica.ID, b.replica.ID) })
+	list := make([]Replica, len(entries))
+	for i, e := range entries {
+		list[i] = e.replica
+		list[i].Evacuated = slices.Contains(d.evacuated, list[i].DataCentre)
+	}
 	return list
 }
