membership: a router contacts the relay of a line that it hears nothing of

Callers after a restart of all wait for lists and proofs that travel over the lines of the fleet, and counts of replicas' load do the same.

Cause: by the hashes of the addresses lost, they are lines, not single members. A line's sum is sent to a router by the member that ranks first for it, and all others leave it to that one. If that one has not met the router, nobody sends it: rows of members are samples of 16, and new members are told once.

Ruled out: members whose short hashes collide (one in 70 fleets); relays that are silent, which a line replaces within 2.5 rounds.

Change: a router that hears nothing of a line for five rounds sends a hello to the member that ranks first by its own view; the answer to a hello names the member that relays to the sender by the other's view. Up to four hellos a round; none once all lines are heard. The messages are those of before.

--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -58,6 +58,10 @@
 	if d.Hello {
 		reply.DataCentre = g.options.DataCentre
 		reply.Member, reply.HeardMs = g.rows(now)
+		if relay, found := g.members.RelayFor(d.Sender, now); found {
+			reply.Member = append(reply.Member, relay.Address)
+			reply.HeardMs = append(reply.HeardMs, uint32(relay.Age.Milliseconds()))
+		}
 		reply.Marks = encodeMarks(g.poison.Sample(maxHelloMarks), now)
 	}
 	word, age := g.ownDigest(now)
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -46,11 +46,26 @@
 		bytes += len(packet)
 		g.send(address, packet)
 	}
+	g.sayHelloToSilentRelays(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pace.noteRound(all, bytes)
 }
 
+// sayHelloToSilentRelays sends a hello to members that may not know this router and should relay their
+// lines' sums to it.
+func (g *Gossip) sayHelloToSilentRelays(now time.Time) {
+	g.mu.Lock()
+	silent := g.members.SilentRelays(maxSilentRelays, now)
+	g.mu.Unlock()
+	for _, address := range silent {
+		g.send(address, encodeDigest(&gossippb.Digest{AsksOnly: true, Hello: true, DataCentre: g.options.DataCentre, Ask: g.addQuery(query{address: address, at: now})}))
+	}
+}
+
+// maxSilentRelays bounds the hellos to silent relays in a round.
+const maxSilentRelays = 4
+
 // packetCache holds digests that are sent to many routers, each encoded once in each
 // form.
 type packetCache struct {
--- a/pkg/membership/lines.go
+++ b/pkg/membership/lines.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -41,6 +42,8 @@
 	relayed  []string
 	suspects []*member
 	computed bool
+	// relays holds for each other line the member that relays the line's sum to this router.
+	relays map[int]*member
 }
 
 // currentPlan returns the plan for the current members.
@@ -103,6 +106,70 @@
 	return slices.Clip(relayed)
 }
 
+// silentLineRounds is for how many rounds nothing may arrive from a line before its relay is
+// contacted: longer than it takes the line to replace a relay that does not answer.
+const silentLineRounds = 5
+
+// SilentRelays returns up to most members that should relay the sum of their line to this router
+// while nothing arrives from that line, each once in a time. Their view of the fleet may lack
+// this router: rows of members are samples, and nobody else relays in their place.
+func (t *Table) SilentRelays(most int, now time.Time) []string {
+	p := t.currentPlan()
+	if !t.Large() || p.lines < 2 {
+		return nil
+	}
+	if p.relays == nil {
+		p.relays = t.relays(p)
+	}
+	var silent []string
+	for line, relay := range p.relays {
+		if now.Sub(relay.contacted) < t.rounds(silentLineRounds) || len(silent) == most {
+			continue
+		}
+		heard := slices.ContainsFunc(p.byLine[line], func(m *member) bool { return now.Sub(m.direct) < t.rounds(silentLineRounds) })
+		if !heard {
+			relay.contacted = now
+			silent = append(silent, relay.address)
+		}
+	}
+	return silent
+}
+
+// RelayFor returns the member of this router's line that relays the line's sum to the router at an
+// address, or false if this router does or if that one is of the same line. A router that contacts
+// this one as its relay may not know the other.
+func (t *Table) RelayFor(address string, now time.Time) (Row, bool) {
+	p := t.currentPlan()
+	other := &member{address: address, hash: xxhash.Sum64String(address)}
+	if !t.Large() || int(other.hash%uint64(p.lines)) == p.line {
+		return Row{}, false
+	}
+	relay, most := (*member)(nil), relayWeight(t.ownHash, other)
+	for _, mate := range p.lineMembers {
+		if weight := relayWeight(mate.hash, other); weight > most && !slices.Contains(p.suspects, mate) {
+			relay, most = mate, weight
+		}
+	}
+	if relay == nil {
+		return Row{}, false
+	}
+	return Row{relay.address, now.Sub(relay.heard)}, true
+}
+
+// relays returns the member of each other line that ranks first for this router.
+func (t *Table) relays(p *plan) map[int]*member {
+	own := &member{hash: t.ownHash}
+	relays := make(map[int]*member, p.lines)
+	for line, members := range p.byLine {
+		if line != p.line {
+			relays[line] = slices.MaxFunc(members, func(a, b *member) int {
+				return cmp.Compare(relayWeight(a.hash, own), relayWeight(b.hash, own))
+			})
+		}
+	}
+	return relays
+}
+
 // relayWeight ranks the members of a line for one of the others: the highest sends to it.
 func relayWeight(sender uint64, other *member) uint64 {
 	var pair [16]byte
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -76,6 +76,8 @@
 	// unanswered is when the first message without an answer was sent to it; zero if it
 	// answered.
 	unanswered time.Time
+	// contacted is when SilentRelays last returned the member.
+	contacted time.Time
 }
 
 // cached is a value that is computed again after the members have changed.
