--- a/pkg/membership/lines.go
+++ b/pkg/membership/lines.go
@@ -123,10 +123,11 @@
 	}
 	var silent []string
 	for line, relay := range p.relays {
-		if now.Sub(relay.contacted) < t.rounds(silentLineRounds) || len(silent) == most {
+		lately := now.Add(-t.rounds(silentLineRounds))
+		if len(silent) == most || relay.added.After(lately) || relay.contacted.After(lately) {
 			continue
 		}
-		heard := slices.ContainsFunc(p.byLine[line], func(m *member) bool { return now.Sub(m.direct) < t.rounds(silentLineRounds) })
+		heard := slices.ContainsFunc(p.byLine[line], func(m *member) bool { return m.direct.After(lately) })
 		if !heard {
 			relay.contacted = now
 			silent = append(silent, relay.address)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -76,8 +76,8 @@
 	// unanswered is when the first message without an answer was sent to it; zero if it
 	// answered.
 	unanswered time.Time
-	// contacted is when SilentRelays last returned the member.
-	contacted time.Time
+	// added is when the member was met, contacted when SilentRelays last returned it.
+	added, contacted time.Time
 }
 
 // cached is a value that is computed again after the members have changed.
@@ -155,7 +155,7 @@
 	if address == t.own || address == "" {
 		return false
 	}
-	m, added := t.member(address)
+	m, added := t.member(address, now)
 	if added {
 		t.newMembers = append(t.newMembers, address)
 	}
@@ -167,11 +167,11 @@
 }
 
 // member returns a member, and adds it if it is missing.
-func (t *Table) member(address string) (m *member, added bool) {
+func (t *Table) member(address string, now time.Time) (m *member, added bool) {
 	if m := t.members[address]; m != nil {
 		return m, false
 	}
-	m = &member{address: address, hash: xxhash.Sum64String(address)}
+	m = &member{address: address, hash: xxhash.Sum64String(address), added: now}
 	t.members[address] = m
 	t.changes++
 	return m, true
@@ -207,7 +207,7 @@
 		if r.Address == t.own || r.Address == "" || r.Age > t.lifetime() || at.Before(t.left[r.Address]) {
 			continue
 		}
-		if m, _ := t.member(r.Address); at.After(m.heard) {
+		if m, _ := t.member(r.Address, now); at.After(m.heard) {
 			m.heard = at
 		}
 	}
