balance: a router lends only what is free of its share of brittle replicas

Cause, shown by TestLentPartsAreWhatIsLeftOfAShare: a router that lends its share still has requests of its own at the replicas, whose slots the others then use too; and the part that it leaves to each changes with the number of routers that take its requests, while parts given before are still in use: two halves and then a whole to one of them were one and a half shares.

Ruled out: the share that was lent and used by its owner, mended before (TestLentShareIsNotUsedTwice).

Change: the lender knows which parts it has given and until when, and gives what they and its own requests leave. A part of none replaces an earlier one.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -169,7 +169,7 @@
 	attempts := c.relayAttempts()
 	c.waiting.Store(true)
 	silence := time.AfterFunc(c.silenceLimit(), c.failover(c.silenceLimit(), cancel))
-	answer, err := f.options.RelayPool.Do(ctx, address, c.relayRequest(attempts, cancel))
+	answer, err := f.options.RelayPool.Do(ctx, address, c.relayRequest(address, attempts, cancel))
 	silence.Stop()
 	c.waiting.Store(false)
 	if err != nil {
@@ -206,9 +206,9 @@
 	return c.forwardRelayed(ctx, answer)
 }
 
-// relayRequest builds the request for another router: the caller's, with what is left of its
-// time and attempts.
-func (c *call) relayRequest(attempts int, cancel context.CancelCauseFunc) *upstream.Request {
+// relayRequest builds the request for the router at an address: the caller's, with what is left
+// of its time and attempts.
+func (c *call) relayRequest(address string, attempts int, cancel context.CancelCauseFunc) *upstream.Request {
 	d := &c.front.options.Dialect
 	header := forwardedHeader(c.request.Header)
 	header.Set(d.Deadline, strconv.FormatInt(max(steady.Until(c.deadline).Milliseconds(), 1), 10))
@@ -216,7 +216,7 @@
 	header.Set(relayShareHeader, strconv.FormatFloat(c.shareDraw, 'g', -1, 64))
 	header.Set(relayServiceHeader, c.service.Name)
 	header.Set(relayOrganisationHeader, c.organisationName())
-	c.lendShare(header)
+	c.lendShare(header, address)
 	c.setExclusions(header)
 	c.setOrigin(header)
 	if c.lastEvent != "" {
@@ -239,15 +239,15 @@
 	}
 }
 
-// lendShare leaves this router's share of brittle replicas to those that take its requests, a
-// part to each, if it reaches none of them.
-func (c *call) lendShare(header http.Header) {
+// lendShare leaves a part of this router's share of brittle replicas to the router at an address,
+// if this one reaches none of them.
+func (c *call) lendShare(header http.Header, address string) {
 	f, now := c.front, steady.Now()
 	if f.options.Name == "" || !f.balancer.PathLost(c.service.Name, now) {
 		return
 	}
-	f.balancer.LendShare(c.service.Name, now)
 	part := 1 / float64(max(f.relays.Takers(c.service.Name, f.options.Relays(), now), 1))
+	part = f.balancer.LendShare(c.service.Name, address, part, now)
 	header.Set(relayLenderHeader, f.options.Name)
 	header.Set(relayLentHeader, strconv.FormatFloat(part, 'g', -1, 64))
 }
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -176,8 +176,10 @@
 	// pathFailedAt is the last failure of a path to any replica.
 	pathFailedAt time.Time
 	// lent holds what routers that reach no replica of a service leave to this one.
-	// lentUntil is until when this router's own share of a service is lent.
+	// lentUntil is until when this router's own share of a service is lent, lentOut which parts
+	// of it others have.
 	lent      map[loan]lentShare
+	lentOut   map[loan]lentShare
 	lentUntil map[string]time.Time
 	// leavingRouters are the hashes of the addresses of routers that announced their stop.
 	leavingRouters []uint64
@@ -248,6 +250,7 @@
 		brittle:       make(map[string]brittleness),
 		slots:         make(map[string]serviceSlots),
 		lent:          make(map[loan]lentShare),
+		lentOut:       make(map[loan]lentShare),
 		lentUntil:     make(map[string]time.Time),
 		holdersSynced: true,
 		byShortHash:   make(map[uint32]*replica),
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -129,13 +129,12 @@
 	if now.Before(b.lentUntil[r.Service]) {
 		return true
 	}
-	routers, lent := b.routerCount(), b.lentTo(r.Service, now)
-	if routers <= r.Slots {
-		return r.running >= max(int(slotFraction*float64(r.Slots)*(1+lent))/routers, 1)
-	}
-	if r.running < b.ownSlots(r)+int(lent*float64(r.Slots)/float64(routers)) {
+	if float64(r.running) < b.share(r, b.lentTo(r.Service, now)) {
 		return false
 	}
+	if b.routerCount() <= r.Slots {
+		return true
+	}
 	return now.Before(stated.strictUntil) || r.running > 0 || b.load(r, now) >= idleFraction*float64(r.Slots)
 }
 
@@ -149,7 +148,8 @@
 	return max(min(end, before+r.Slots)-max(first, before), 0)
 }
 
-// loan is what a router lends its share of, lentShare the part that it leaves to this router.
+// loan is what a router lends its share of: to the other router, or from it. lentShare is the
+// part of the share.
 type (
 	loan      struct{ service, router string }
 	lentShare struct {
@@ -167,21 +167,58 @@
 	loanMargin = 100 * time.Millisecond
 )
 
-// LendShare records that this router leaves its share of brittle replicas to others, with a
-// request that it relays.
-func (b *Balancer) LendShare(service string, now time.Time) {
+// LendShare records that this router leaves a part of its share of brittle replicas to another
+// one, with a request that it relays, and uses the share no more itself. It returns the part
+// that it can leave: its own requests that still run and the parts that others have take up
+// the rest.
+func (b *Balancer) LendShare(service, router string, part float64, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lentUntil[service] = now.Add(loanTime + loanMargin)
+	maps.DeleteFunc(b.lentOut, func(_ loan, l lentShare) bool { return !now.Before(l.until) })
+	free := b.unusedShare(service)
+	for l, share := range b.lentOut {
+		if l.service == service && l.router != router {
+			free -= share.part
+		}
+	}
+	part = min(part, max(free, 0))
+	until := now.Add(loanTime + loanMargin)
+	b.lentUntil[service] = until
+	b.lentOut[loan{service, router}] = lentShare{part, until}
+	return part
+}
+
+// unusedShare returns the part of this router's share that none of its requests uses, at the
+// replica where it uses most.
+func (b *Balancer) unusedShare(service string) float64 {
+	unused := 1.0
+	for _, r := range b.services[service] {
+		if r.running == 0 || r.Slots == 0 {
+			continue
+		}
+		unused = min(unused, 1-float64(r.running)/max(b.share(r, 0), float64(r.running)))
+	}
+	return unused
+}
+
+// share returns how many slots of a brittle replica this router may use, with a number of
+// shares that are lent to it.
+func (b *Balancer) share(r *replica, lent float64) float64 {
+	routers := b.routerCount()
+	if routers <= r.Slots {
+		return float64(max(int(slotFraction*float64(r.Slots)*(1+lent))/routers, 1))
+	}
+	return float64(b.ownSlots(r) + int(lent*float64(r.Slots)/float64(routers)))
 }
 
 // ShareLent records that a router which reaches no replica of a service, and relays a request of
-// it to this one, leaves a part of its share of brittle replicas to this one.
+// it to this one, leaves a part of its share of brittle replicas to this one. A later part
+// replaces it.
 func (b *Balancer) ShareLent(service, router string, part float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	maps.DeleteFunc(b.lent, func(_ loan, l lentShare) bool { return !now.Before(l.until) })
-	if part > 0 && part <= 1 {
+	if part >= 0 && part <= 1 {
 		b.lent[loan{service, router}] = lentShare{part, now.Add(loanTime)}
 	}
 }
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -155,7 +155,7 @@
 		b.SetRouters(fmt.Sprint("r", i), []string{"r0", "r1", "r2"}, start)
 		b.BrittleReported("i-0", 2, start)
 	}
-	lender.LendShare(service, start)
+	assert.Equal(t, 1.0, lender.LendShare(service, "r1", 1, start))
 	taker.ShareLent(service, "r0", 1, start.Add(5*time.Millisecond))
 	assert.Equal(t, 2*own, taken(taker, start.Add(10*time.Millisecond)))
 	for after := time.Duration(0); after < 2*time.Second; after += 10 * time.Millisecond {
@@ -163,10 +163,45 @@
 		assert.LessOrEqual(t, taken(lender, now)+taken(taker, now), 2*own, "after %s", after)
 	}
 	assert.Equal(t, own, taken(lender, start.Add(loanTime+loanMargin)))
-	lender.LendShare("other", start.Add(loanTime+loanMargin))
+	lender.LendShare("other", "r1", 1, start.Add(loanTime+loanMargin))
 	assert.Equal(t, own, taken(lender, start.Add(loanTime+loanMargin)))
 }
 
+// Guards against lending what the lender's own requests still use, and the same part to several
+// routers while their number changes: brittle replicas fell over.
+func TestLentPartsAreWhatIsLeftOfAShare(t *testing.T) {
+	type lent struct {
+		to    string
+		part  float64
+		after time.Duration
+		want  float64
+	}
+	third, end := 1.0/3, loanTime+loanMargin
+	for name, c := range map[string]struct {
+		running int
+		loans   []lent
+	}{
+		"to one":                      {0, []lent{{"r1", 1, 0, 1}, {"r1", 1, time.Millisecond, 1}}},
+		"half is used":                {1, []lent{{"r1", 0.25, 0, 0.25}, {"r2", 0.5, 0, 0.25}}},
+		"all is used":                 {2, []lent{{"r1", 1, 0, 0}}},
+		"more than all is used":       {3, []lent{{"r1", 1, 0, 0}}},
+		"fewer routers take requests": {0, []lent{{"r1", 0.5, 0, 0.5}, {"r2", 0.5, 0, 0.5}, {"r1", 1, end / 2, 0.5}, {"r1", 1, end, 1}, {"r2", third, end, 0}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := engines(2)
+			list[0].Slots, list[1].Slots = 9, 9
+			b := newBalancer(list)
+			b.SetRouters("r0", []string{"r0", "r1", "r2"}, start)
+			for range c.running {
+				b.RequestStarted("i-1")
+			}
+			for _, l := range c.loans {
+				assert.InDelta(t, l.want, b.LendShare("llm", l.to, l.part, start.Add(l.after)), 1e-9, "%v", l)
+			}
+		})
+	}
+}
+
 func TestLentSlots(t *testing.T) {
 	list := engines(1)
 	list[0].Slots = 9
