front: a relayed stream that begins as the wait for it ends goes on at another router

Traced: the router that relayed it ended the wait (an attempt that is silent for longer than usual, and whose retry is reserved) in the moment in which the answer began; the head and two events went to the caller, the rest was cancelled, and the router took that for the end of the request's time.

Change: an answer whose wait was ended is given up before its head is forwarded, at replicas too; a relayed stream that breaks off for it goes on as one that breaks off between events does.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -173,6 +173,11 @@
 	request.Unacked = c.failover(c.silenceLimit(), cancel)
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
+	if err == nil && errors.Is(context.Cause(ctx), errSilent) {
+		// The answer came as the wait for it ended, and breaks off.
+		answer.Close()
+		err = errSilent
+	}
 	if err != nil {
 		return c.handleFailure(ctx, choice, err)
 	}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -172,6 +172,11 @@
 	answer, err := f.options.RelayPool.Do(ctx, address, c.relayRequest(address, attempts, cancel))
 	silence.Stop()
 	c.waiting.Store(false)
+	if err == nil && errors.Is(context.Cause(ctx), errSilent) {
+		// The answer came as the wait for it ended, and breaks off.
+		answer.Close()
+		err = errSilent
+	}
 	if err != nil {
 		return c.handleRelayError(ctx, address, attempts, err)
 	}
@@ -330,6 +335,9 @@
 		return relayFinished
 	case errors.Is(err, errCallerGone), c.request.Context().Err() != nil:
 		c.abortCallerGone()
+	case errors.Is(context.Cause(ctx), errSilent):
+		c.outcome.reason = "another router fell silent"
+		return c.retryRelay(resumable && !c.withinEvent && c.origin.state != originUnknown)
 	case ctx.Err() != nil:
 		c.outcome.reason = "time is over"
 		return c.retryRelay(false)
