gossip: rounds that the budget stretches are as long as it says on average

A round's length was rounded to whole periods of 300 ms, so a router whose rounds have a few bytes more than 1.25 times the budget sent in each third period, and one with a few less in each second: half as much again, at fleets whose rounds are near the budget.

Change: what a round is late by counts towards the next one. TestRoundsAreStretchedToTheBudget has two lengths between periods, which fail without it: 30 rounds where the budget allows 27, 20 where it allows 24.

--- a/internal/gossip/pace.go
+++ b/internal/gossip/pace.go
@@ -29,8 +29,10 @@
 type roundPace struct {
 	// bytes is what the last round sent.
 	bytes int
-	// skipped counts the rounds of a small fleet since the last one of a large fleet.
-	skipped int
+	// elapsed is the time since the last round of a large fleet, in rounds of a small one. It
+	// begins with what the last round was late by: rounds fall on multiples of a period, and a
+	// length that is none must come true on average.
+	elapsed float64
 }
 
 // stretch returns by how much the budget stretches rounds of a given length.
@@ -42,7 +44,7 @@
 // as long as period. soon is set while many replicas are idle, urgent while new counts are
 // needed.
 func (p *roundPace) due(period time.Duration, soon, urgent bool) bool {
-	p.skipped++
+	p.elapsed++
 	wait := float64(largeRoundFactor)
 	switch {
 	case soon:
@@ -50,10 +52,10 @@
 	case !urgent:
 		wait *= p.stretch(largeRoundFactor * period)
 	}
-	if p.skipped < int(math.Round(wait)) {
+	if p.elapsed < wait {
 		return false
 	}
-	p.skipped = 0
+	p.elapsed = math.Mod(p.elapsed-wait, 1)
 	return true
 }
 
--- a/internal/gossip/pace_test.go
+++ b/internal/gossip/pace_test.go
@@ -8,7 +8,8 @@
 )
 
 // What a router sends in a round grows with the square root of the fleet: three times its
-// budget at 985 routers.
+// budget at 985 routers. Lengths between two periods hold on average: rounded to periods, a few
+// bytes more or less a round changed what is sent in a second by half.
 func TestRoundsAreStretchedToTheBudget(t *testing.T) {
 	const period = 300 * time.Millisecond
 	budget := int(controlBudget * (largeRoundFactor * period).Seconds())
@@ -18,6 +19,8 @@
 		rounds           int
 	}{
 		"within the budget":                  {10, budget / 4, false, false, 30},
+		"a tenth above the budget":           {0, budget * 11 / 10, false, false, 27},
+		"a quarter above the budget":         {0, budget * 5 / 4, false, false, 24},
 		"half above the budget":              {0, budget * 3 / 2, false, false, 20},
 		"headers count":                      {budget / datagramOverhead * 2, 0, false, false, 15},
 		"no further than counts are used":    {0, 10 * budget, false, false, 15},
