soak: a killed router excuses an answer that began without a framed end and went on with one

Traced by its history and logs: the router was killed from 04:21:13.708 to .718, the caller's answer ended at .7177. The replica that began the stream sent neither length nor chunks, so the caller's answer ends with its connection; another replica went on with chunks. That a kill ends such an answer as if complete is known and excused by the check, which looked only at the last replica's answer.

A row of what is excused, which fails without the change with the same message; a row that is still seen broken: no replica's answer was without an end.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -69,6 +69,11 @@
 		"a stream that ends early as complete":             {Order, func(h *History) { a := h.attempt(streamID); a.Seen = a.Seen[:4] }},
 		"a stream whose unknown end is framed as complete": {Order, func(h *History) { h.endUnknown(streamID).Undelimited = false }},
 		"a stream whose break was seen, closed":            {Order, func(h *History) { h.endUnknown(streamID); h.run(streamID).BreakSeen = true }},
+		"a kill ends a stream with its connection though no replica's did": {Order, func(h *History) {
+			h.endUnknown(streamID)
+			h.run(streamID).Undelimited = false
+			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
+		}},
 		"a sound stream that ends with its connection, early": {Order, func(h *History) {
 			h.endUnknown(streamID)
 			h.run(streamID).Undelimited, h.run(streamID).Broken = false, false
@@ -178,6 +183,14 @@
 			h.run(streamID).BreakSeen = true
 			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
 		},
+		"a kill ends one that went on at another replica": func(h *History) {
+			a := h.endUnknown(resumeID)
+			h.run(resumeID).BreakSeen = true
+			later := *h.run(resumeID)
+			later.At, later.Undelimited, later.Broken, later.After = later.At.Add(time.Millisecond), false, false, len(a.Seen)
+			h.Runs = append(h.Runs, later)
+			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
+		},
 		"answers with unknown ends are passed on as such": func(h *History) {
 			h.endUnknown(streamID)
 			h.endUnknown(onceID)
