--- a/internal/gossip/pace.go
+++ b/internal/gossip/pace.go
@@ -30,8 +30,8 @@
 	// bytes is what the last round sent.
 	bytes int
 	// elapsed is the time since the last round of a large fleet, in rounds of a small one. It
-	// begins with what the last round was late by: rounds fall on multiples of a period, and a
-	// length that is none must come true on average.
+	// begins with what the last round was late by, so that lengths between two multiples of a
+	// period hold on average.
 	elapsed float64
 }
 
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -53,8 +53,8 @@
 }
 
 // sayHelloToSilentRelays sends a hello to members that may not know this router and should relay their
-// lines' sums to it. A router that has no list yet sends none: the sooner it meets others, the more of
-// them it asks for the list, while few have one.
+// lines' sums to it. A router without a list sends none: each router that it learns of is one more that
+// it asks for the list, while few have one.
 func (g *Gossip) sayHelloToSilentRelays(now time.Time) {
 	if !g.watcher.Initialized() {
 		return
--- a/pkg/membership/lines.go
+++ b/pkg/membership/lines.go
@@ -106,13 +106,14 @@
 	return slices.Clip(relayed)
 }
 
-// silentLineRounds is for how many rounds nothing may arrive from a line before its relay is
-// contacted: longer than it takes the line to replace a relay that does not answer.
+// silentLineRounds is for how many rounds no message may arrive from a line before its relay is
+// contacted: longer than the line takes to replace a relay that does not answer.
 const silentLineRounds = 5
 
-// SilentRelays returns up to most members that should relay the sum of their line to this router
-// while nothing arrives from that line, each once in a time. Their view of the fleet may lack
-// this router: rows of members are samples, and nobody else relays in their place.
+// SilentRelays returns up to most members that should relay the sum of their line to this router,
+// if no message arrives from that line, each at most once in silentLineRounds. Their view of the
+// fleet may lack this router, since rows of members are samples, and no other member of the line
+// relays in their place.
 func (t *Table) SilentRelays(most int, now time.Time) []string {
 	p := t.currentPlan()
 	if !t.Large() || p.lines < 2 {
@@ -137,8 +138,8 @@
 }
 
 // RelayFor returns the member of this router's line that relays the line's sum to the router at an
-// address, or false if this router does or if that one is of the same line. A router that contacts
-// this one as its relay may not know the other.
+// address. It returns false if this router does so itself, or if the other one is of the same line.
+// A router that contacts this one as its relay may not know the member that is.
 func (t *Table) RelayFor(address string, now time.Time) (Row, bool) {
 	p := t.currentPlan()
 	other := &member{address: address, hash: xxhash.Sum64String(address)}
--- a/pkg/membership/silent_test.go
+++ b/pkg/membership/silent_test.go
@@ -85,8 +85,8 @@
 	return forgotten
 }
 
-// Guards against routers that hear nothing of a whole line because the member which should relay
-// it to them does not know them: they forgot some 37 of 984 members 18 s after a restart of all.
+// Guards against routers that receive nothing of a whole line, and remove its members, because the
+// member which should relay to them does not know them.
 func TestAllLinesAreHeardAfterARestartOfAll(t *testing.T) {
 	const settled, forgetting = 15, 45
 	for _, routers := range []int{30, 100, 200} {
