review: case 3 is a sound stream that is cut because it is silent

A model replica preempts a stream for 1.9 s, which its client bears, while the other replicas are full. The router ends the attempt to go on elsewhere, finds no replica with room and cuts the client off (LOST).

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -16,7 +16,7 @@
 var plays = map[string]play{
 	"stop":   playStop,
 	"kill":   playKill,
-	"refuse": playRefuse,
+	"silent": playSilent,
 }
 
 var errUsage = errors.New("usage: cases NAME RECORD")
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -112,10 +112,17 @@
 
 // Stream writes n events with a pause between two, until the router leaves.
 func (p *Replica) Stream(w io.Writer, flush func(), r *http.Request, run *Run, n int, gap time.Duration) {
+	p.StreamPaused(w, flush, r, run, n, func(int) time.Duration { return gap })
+}
+
+// StreamPaused writes n events, or those after Last-Event-Id, with the pause after each that a
+// function gives.
+func (p *Replica) StreamPaused(w io.Writer, flush func(), r *http.Request, run *Run, n int, gap func(event int) time.Duration) {
 	begun := time.Now()
-	for i := 1; i <= n; i++ {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= n; i++ {
 		if _, err := io.WriteString(w, Event(run.Attempt, i)); err != nil {
-			p.rig.Log("replica %s: the router left request %s after %d of %d events", p.ID, run.Attempt, i-1, n)
+			p.Note("lost the router of request %s after %d of %d events", run.Attempt, i-1, n)
 			return
 		}
 		flush()
@@ -123,13 +130,13 @@
 			break
 		}
 		select {
-		case <-time.After(gap):
+		case <-time.After(gap(i)):
 		case <-r.Context().Done():
-			p.rig.Log("replica %s: the connection of request %s was closed after %d of %d events", p.ID, run.Attempt, i, n)
+			p.Note("finds the connection of request %s closed after %d of %d events", run.Attempt, i, n)
 			return
 		}
 	}
-	p.rig.Log("replica %s has written all %d events of request %s in %.1f s", p.ID, n, run.Attempt, time.Since(begun).Seconds())
+	p.Note("has written all %d events of request %s in %.1f s", n, run.Attempt, time.Since(begun).Seconds())
 }
 
 // Note writes a line about the replica to the record.
