--- a/review/cases/kill.go
+++ b/review/cases/kill.go
@@ -12,12 +12,22 @@
 	"github.com/croftyard/croftyard/review/rig"
 )
 
-const killEvents = 40
+const (
+	killEvents = 40
+	// inChunks asks a replica for an answer in chunks, to compare with.
+	inChunks = "in chunks"
+)
 
 // playKill kills a router while it forwards an answer that carries no length and ends with its
 // connection. The client must not take what it got for the whole answer.
 func playKill(r *rig.Rig, trouble bool) (bool, error) {
 	_, err := r.Replicas(rig.LLM, 3, 64, func(p *rig.Replica, w http.ResponseWriter, q *http.Request, run *rig.Run) {
+		if run.Body == inChunks {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+			p.Stream(w, func() { _ = http.NewResponseController(w).Flush() }, q, run, killEvents, streamGap)
+			return
+		}
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
@@ -49,10 +59,19 @@
 	if err := client.Send(q); err != nil {
 		return false, err
 	}
+	other, err := r.Dial(routers[0])
+	if err != nil {
+		return false, err
+	}
+	compared := chat("c000", inChunks)
+	if err := other.Send(compared); err != nil {
+		return false, err
+	}
 	if trouble {
 		time.AfterFunc(time.Second, func() { routers[0].Signal(syscall.SIGKILL) })
 	}
 	a := client.Receive(q)
+	other.Receive(compared)
 	r.Log("request %s: status %d, signature %q, %d of %d events, looks complete %t", q.Attempt, a.Status, a.Signature, strings.Count(a.Body, "\n\n"), killEvents, a.Complete)
 	// MIXED: a success whose body is other than the replica's whole body; an answer that ended
 	// early looks complete.
