review: the stand-ins take the platform's names from its folder

TestNoPlatformNameStandsElsewhere failed: platform names stand in the platform's folder only. The stand-ins use its exported names and its store handler now; what they do is the same.

--- a/review/cases/kill.go
+++ b/review/cases/kill.go
@@ -33,13 +33,13 @@
 			return
 		}
 		defer conn.Close()
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Croftyard-Attempt-Id: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", run.Attempt, rig.SignatureHeader, run.Signature)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", rig.AttemptHeader, run.Attempt, rig.SignatureHeader, run.Signature)
 		p.Stream(conn, func() {}, q, run, killEvents, streamGap)
 	})
 	if err != nil {
 		return false, err
 	}
-	r.Store.Put("op/config", rig.Config(7))
+	r.Store.PutConfig(rig.Config(7))
 	routers, err := r.StartRouters(3)
 	if err != nil {
 		return false, err
--- a/review/cases/silent.go
+++ b/review/cases/silent.go
@@ -57,7 +57,7 @@
 		if !entered {
 			p.Note("is full and rejects request %s", run.Attempt)
 			w.Header().Del(rig.SignatureHeader)
-			w.Header().Set("X-Croftyard-Not-Executed", "1")
+			w.Header().Set(rig.NotExecutedHeader, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return false, err
 	}
-	r.Store.Put("op/config", rig.Config(7))
+	r.Store.PutConfig(rig.Config(7))
 	routers, err := r.StartRouters(3)
 	if err != nil {
 		return false, err
--- a/review/cases/stop.go
+++ b/review/cases/stop.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return false, err
 	}
-	r.Store.Put("op/config", rig.Config(7))
+	r.Store.PutConfig(rig.Config(7))
 	routers, err := r.StartRouters(3)
 	if err != nil {
 		return false, err
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -59,11 +59,12 @@
 // Send writes a request.
 func (c *Conn) Send(q Request) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Croftyard-Attempt-Id: %s\r\n", q.Method, q.Path, Host, q.Attempt)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", q.Method, q.Path, Host, names.AttemptID, q.Attempt)
 	if q.Prompt {
-		b.WriteString("X-Croftyard-Model: m\r\nX-Croftyard-Token-Usage: 1460,300\r\nX-Croftyard-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410," + q.Attempt + ":250\r\n")
+		fmt.Fprintf(&b, "%s: m\r\n%s: 1460,300\r\n", header("Model"), header("Token-Usage"))
+		fmt.Fprintf(&b, "%s: 5c1e07a2:800,91bd3f06:410,%s:250\r\n", names.PromptParts, q.Attempt)
 	}
-	fmt.Fprintf(&b, "X-Croftyard-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", q.Deadline.Milliseconds(), Key)
+	fmt.Fprintf(&b, "%s: %d\r\n%s: %s%s\r\n", names.Deadline, q.Deadline.Milliseconds(), names.Key, names.KeyScheme, Key)
 	if q.Method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.Body))
 	}
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -9,10 +9,9 @@
 	"strings"
 	"sync"
 	"time"
-)
 
-// SignatureHeader is that of a replica's answer.
-const SignatureHeader = "X-Croftyard-Server-Signature"
+	"github.com/croftyard/croftyard/platform"
+)
 
 // Replica is the stand-in of one replica.
 type Replica struct {
@@ -45,7 +44,7 @@
 		}
 		replica.server = &http.Server{Handler: replica}
 		go func() { _ = replica.server.Serve(l) }()
-		r.Store.Put("servers/"+replica.ID, map[string]any{
+		r.Store.Put(platform.ReplicaKey(replica.ID), map[string]any{
 			"service": service, "address": replica.Addr, "zone": "leeds-hall", "version": "v1", "slots": slots, "state": "ready",
 			"warmup_left_ms": 0, "phase": "mixed", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": 4,
 		})
@@ -69,26 +68,23 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	attempt := r.Header.Get("X-Croftyard-Attempt-Id")
+	attempt := r.Header.Get(names.AttemptID)
 	if attempt != "" {
-		w.Header().Set("X-Croftyard-Attempt-Id", attempt)
+		w.Header().Set(names.AttemptID, attempt)
 	}
 	switch {
 	case r.URL.Path == "/healthz":
-		w.Header().Set("X-Croftyard-Instance-Id", p.ID)
-		return
-	case r.URL.Path == "/-/kv-list":
-		reply(w, map[string]any{"epoch": "e", "next_token": 1, "held": []any{}})
+		w.Header().Set(header("Instance-Id"), p.ID)
 		return
 	case strings.HasPrefix(r.URL.Path, "/-/"):
-		w.WriteHeader(http.StatusNotFound)
+		platform.HeldHandler().ServeHTTP(w, r)
 		return
 	case attempt == "":
-		w.Header().Set("X-Croftyard-Not-Executed", "1")
+		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
-	case r.Header.Get("X-Croftyard-Expect-Instance") != "" && r.Header.Get("X-Croftyard-Expect-Instance") != p.ID:
-		w.Header().Set("X-Croftyard-Instance-Id", p.ID)
+	case r.Header.Get(names.ExpectReplica) != "" && r.Header.Get(names.ExpectReplica) != p.ID:
+		w.Header().Set(header("Instance-Id"), p.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/croftyard/croftyard/platform"
 )
 
 // Router is a place at which one process of the project after another serves.
@@ -146,7 +148,7 @@
 // IsReady asks the router as the platform does.
 func (r *Router) IsReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
-	answer, err := client.Get("http://" + r.Readiness + "/-/readyz")
+	answer, err := client.Get("http://" + r.Readiness + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
