--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -45,10 +45,9 @@
 
 // Answer is what a client saw on its connection.
 type Answer struct {
-	Status     int
-	Signature  string
-	RetryAfter string
-	Body       string
+	Status    int
+	Signature string
+	Body      string
 	// Complete: the body came to an end that the protocol marks. Err is what ended it otherwise.
 	Complete bool
 	// Framing is "length", "chunks" or "close".
@@ -82,7 +81,7 @@
 		c.rig.Log("client gets no answer to %s: %v", q.Attempt, err)
 		return Answer{Err: err}
 	}
-	a := Answer{Status: response.StatusCode, Signature: response.Header.Get(SignatureHeader), RetryAfter: response.Header.Get("Retry-After"), Framing: "length"}
+	a := Answer{Status: response.StatusCode, Signature: response.Header.Get(SignatureHeader), Framing: "length"}
 	switch {
 	case len(response.TransferEncoding) > 0:
 		a.Framing = "chunks"
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -68,9 +68,6 @@
 	return l.Addr().String()
 }
 
-// Since returns the seconds since the run began.
-func (r *Rig) Since() float64 { return time.Since(r.started).Seconds() }
-
 // Log writes a line to the record.
 func (r *Rig) Log(format string, args ...any) {
 	r.mu.Lock()
