--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -174,12 +174,20 @@
 	return nil
 }
 
-// StartRouters starts n routers and waits until all are ready.
+// leadTime is how long after the machines the traffic starts.
+const leadTime = 10 * time.Second
+
+// StartRouters starts n routers, and waits until all are ready and the traffic may start.
 func (r *Rig) StartRouters(n int) ([]*Router, error) {
 	for _, router := range r.Routers(n) {
 		if err := router.Start(); err != nil {
 			return nil, err
 		}
 	}
-	return r.routers, r.AwaitReady(20 * time.Second)
+	started := time.Now()
+	if err := r.AwaitReady(leadTime); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Until(started.Add(leadTime)))
+	return r.routers, nil
 }
