front, event: a request taken by estimate during a stop is logged

A router that stops takes requests that could outlast the stop if recent ones of their route were short.

Event 429 names the request, its route, the longest recent request, what is left until the cut and until the request's own end.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,6 +85,7 @@
 	AnswerUndelimited ID = 426
 	PartHeld          ID = 427
 	PartCleared       ID = 428
+	StopEstimate      ID = 429
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -167,6 +168,7 @@
 	AnswerUndelimited: {logrus.InfoLevel, "answer ended with its connection, without a length or chunks", "None needed. Whether it is complete cannot be told; within_event says that a stream was broken off. If a replica always answers so, let it send a length or chunks."},
 	PartHeld:          {logrus.WarnLevel, "part of prompts is taken to crash what runs it, refused from now on", "The 418 lines whose parts name it tell requests, routes and replicas: find out where it comes from. It is tried again when its hold (`crash_hold`) is over."},
 	PartCleared:       {logrus.InfoLevel, "part of prompts that was held was answered, served again", "None needed."},
+	StopEstimate:      {logrus.InfoLevel, "request taken by estimate while the process stops", "None needed. A 403 line of the same request tells that it took longer: left_ms was left until the cut, recent_ms is the longest recent request of its route."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -147,7 +147,7 @@
 		c.refuse(refused)
 		return
 	}
-	if refused := c.front.checkShutdown(c.route, c.deadline, c.arrival); refused != nil {
+	if refused := c.checkShutdown(c.arrival); refused != nil {
 		c.refuse(refused)
 		return
 	}
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -42,17 +43,19 @@
 // checkShutdown refuses, before it runs, a request that the shutdown would abort: another
 // router can serve it completely. The caller of an aborted stream loses what it has read; the
 // caller of any other request gets an error.
-func (f *Front) checkShutdown(r *route.Route, end, now time.Time) *refusal {
-	s := f.stopping.Load()
-	if s == nil || !end.After(s.cutAt) {
+func (c *call) checkShutdown(now time.Time) *refusal {
+	s := c.front.stopping.Load()
+	if s == nil || !c.deadline.After(s.cutAt) {
 		return nil
 	}
 	margin := shutdownMargin
-	if r.Kind == route.Stream && !now.Before(s.lateAt) {
+	if c.route.Kind == route.Stream && !now.Before(s.lateAt) {
 		margin = lateMargin
 	}
-	longest, known := f.longestDurations.Max(r.Name, now)
+	longest, known := c.front.longestDurations.Max(c.route.Name, now)
 	if known && now.Add(time.Duration(float64(longest)*margin)).Before(s.cutAt) {
+		c.front.log.Write(event.StopEstimate, event.F("request", c.id), event.F("route", c.route.Name), event.F("recent_ms", longest.Milliseconds()),
+			event.F("left_ms", s.cutAt.Sub(now).Milliseconds()), event.F("deadline_ms", c.deadline.Sub(now).Milliseconds()))
 		return nil
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryElsewhere, closes: true, unable: true}
