front: from when callers can know of a stop, only a request's own deadline admits it

Cause: the check let a request through if four times the longest recent one of its route would end before the cut. The check also stood only where the head arrives, so that a slow body, a rejected first attempt or a repeat went out later, unchecked.

From 0.25 of the grace time on the estimate no longer counts. The check is repeated before each attempt and before its first byte, of the router's own callers and of other routers' requests. A request that may have run is repeated only if recent ones were short enough; a silent attempt is not ended for a repeat that would be refused; a begun stream is always taken up.

Why it works: what is taken from then on ends by its deadline before the cut, and the rest is refused while that is still true to say.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -11,8 +11,11 @@
 
 // Fractions of the grace time of a planned stop.
 const (
-	// minServeFraction is the least time in which new connections are served: the
-	// balancer probes each second and needs two misses.
+	// announcedFraction is when callers can know of the stop: the balancer probes each second
+	// and needs two misses.
+	announcedFraction = 0.25
+	// minServeFraction is the least time in which new connections are served: those that the
+	// balancer opened last may be on their way.
 	minServeFraction = 0.375
 	// idleCloseFraction is how long idle connections are left open. A caller that uses one
 	// within this time is told in the answer not to use it again; one that sends a request just as
@@ -30,7 +33,7 @@
 	grace := e.bounds.Load().Grace
 	e.log.Write(event.Draining, event.F("in_flight", e.front.ActiveRequests()), event.F("connections", e.conns.Open()))
 	e.stopping.Store(true)
-	e.front.BeginShutdown(asked.Add(fraction(grace, minServeFraction)), asked.Add(fraction(grace, cutFraction)))
+	e.front.BeginShutdown(asked.Add(fraction(grace, announcedFraction)), asked.Add(fraction(grace, cutFraction)))
 	e.gossip.Leave()
 	limit, cancel := context.WithTimeout(e.killed, steady.Until(asked.Add(fraction(grace, cutFraction))))
 	defer cancel()
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -124,7 +124,7 @@
 }
 
 // checkAdmission repeats the admission checks: the configuration may have changed while the
-// body was read or while another replica was tried.
+// body was read or while another replica was tried, or a shutdown may have begun.
 func (c *call) checkAdmission(ctx context.Context) *refusal {
 	if ctx.Err() != nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
@@ -132,7 +132,11 @@
 	if refused := c.admit(ctx); refused != nil {
 		return refused
 	}
-	return c.checkPoison(steady.Now())
+	now := steady.Now()
+	if refused := c.checkShutdown(now); refused != nil {
+		return refused
+	}
+	return c.checkPoison(now)
 }
 
 // logListAge logs when refreshing the list of replicas starts to fail and when it works again.
@@ -154,6 +158,7 @@
 	c.outcome.replica = id
 	c.replicaVersion = softwareVersion{choice.Replica.Version, true}
 	c.logChoice(choice)
+	c.logStopEstimate(steady.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.front.balancer.RequestStarted(id)
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -72,6 +72,9 @@
 	if c.callerLeft() {
 		return errCallerGone
 	}
+	if !c.fitsShutdown(now) {
+		return fmt.Errorf("%w: the router is stopping", errNotAllowed)
+	}
 	x, excluded := c.front.Exclusion(id, now)
 	if excluded && !(c.lastResort && x.LastResort) {
 		return fmt.Errorf("%w: replica %s: %s", errNotAllowed, id, x.Reason)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -246,6 +247,9 @@
 			if c.callerLeft() {
 				return errCallerGone
 			}
+			if !c.fitsShutdown(steady.Now()) {
+				return fmt.Errorf("%w: the router is stopping", errNotAllowed)
+			}
 			return nil
 		},
 		Unacked: c.failover(c.silenceLimit(), cancel),
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -38,9 +38,10 @@
 // attempt would be ended for nothing.
 func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
-	service, key, tried := c.service.Name, c.key(), slices.Clone(c.tried)
+	service, key, tried, begun, name := c.service.Name, c.key(), slices.Clone(c.tried), c.headSent, c.route.Name
 	return func() {
-		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && c.wouldRetry(service, key, tried) && c.reserveRetry() {
+		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && (begun || c.front.retryFitsShutdown(name, end, steady.Now())) &&
+			c.wouldRetry(service, key, tried) && c.reserveRetry() {
 			cancel(errSilent)
 		}
 	}
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -5,21 +5,20 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/pkg/route"
 )
 
 // shutdown is a planned shutdown in progress.
 type shutdown struct {
-	// From lateAt on, streams must be expected to end well before cutAt, when requests in
-	// flight are aborted.
-	lateAt, cutAt time.Time
+	// announcedAt is when callers can know of the shutdown, cutAt when requests in flight are
+	// aborted.
+	announcedAt, cutAt time.Time
 }
 
 // BeginShutdown makes each further answer the last on its connection, and refuses requests
-// that would not end before cut, when those in flight are aborted. Until late, callers arrive
-// that cannot know of the shutdown yet.
-func (f *Front) BeginShutdown(late, cut time.Time) {
-	f.stopping.Store(&shutdown{lateAt: late, cutAt: cut})
+// that would not end before cut, when those in flight are aborted. Until announced, callers
+// arrive that cannot know of the shutdown yet. Further calls change the times.
+func (f *Front) BeginShutdown(announced, cut time.Time) {
+	f.stopping.Store(&shutdown{announcedAt: announced, cutAt: cut})
 }
 
 // CancelInFlight ends the requests in flight. Those whose answer has not begun get an error;
@@ -33,30 +32,57 @@
 	}
 }
 
-// Factors by which a request may take longer than the longest recent one of its route. Streams
-// vary widely in length, and a request that takes longer than estimated is aborted.
-const (
-	shutdownMargin = 1.5
-	lateMargin     = 4
-)
+// shutdownMargin is the factor by which a request may take longer than the longest recent one
+// of its route.
+const shutdownMargin = 1.5
 
-// checkShutdown refuses, before it runs, a request that the shutdown would abort: another
-// router can serve it completely. The caller of an aborted stream loses what it has read; the
-// caller of any other request gets an error.
+// checkShutdown refuses, before an attempt, a request that the shutdown could abort: another
+// router can serve it completely.
 func (c *call) checkShutdown(now time.Time) *refusal {
-	s := c.front.stopping.Load()
-	if s == nil || !c.deadline.After(s.cutAt) {
+	if c.fitsShutdown(now) {
 		return nil
 	}
-	margin := shutdownMargin
-	if c.route.Kind == route.Stream && !now.Before(s.lateAt) {
-		margin = lateMargin
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryElsewhere, closes: true, unable: true}
+}
+
+// fitsShutdown reports whether an attempt may start although the router is shutting down. Once
+// callers can know of the shutdown, only the request's own deadline shows that it ends in time.
+// Recent requests do not: a single longer one is aborted after its caller has read most of it.
+//
+// The refusal of a request that may have run promises nothing, and one whose answer has begun
+// would lose it. So the former is retried if recent requests were short enough, the latter
+// always.
+func (c *call) fitsShutdown(now time.Time) bool {
+	s := c.front.stopping.Load()
+	switch {
+	case s == nil || c.headSent || !c.deadline.After(s.cutAt):
+		return true
+	case !c.mayHaveRun && !now.Before(s.announcedAt):
+		return false
 	}
-	longest, known := c.front.longestDurations.Max(c.route.Name, now)
-	if known && now.Add(time.Duration(float64(longest)*margin)).Before(s.cutAt) {
-		c.front.log.Write(event.StopEstimate, event.F("request", c.id), event.F("route", c.route.Name), event.F("recent_ms", longest.Milliseconds()),
-			event.F("left_ms", s.cutAt.Sub(now).Milliseconds()), event.F("deadline_ms", c.deadline.Sub(now).Milliseconds()))
-		return nil
+	return c.front.endsBefore(c.route.Name, s.cutAt, now)
+}
+
+// retryFitsShutdown reports the same for a retry of a request that may have run.
+func (f *Front) retryFitsShutdown(route string, deadline, now time.Time) bool {
+	s := f.stopping.Load()
+	return s == nil || !deadline.After(s.cutAt) || f.endsBefore(route, s.cutAt, now)
+}
+
+// endsBefore reports whether a request of a route that starts now is expected to end before a
+// time, by the longest recent one.
+func (f *Front) endsBefore(route string, end, now time.Time) bool {
+	longest, known := f.longestDurations.Max(route, now)
+	return known && now.Add(time.Duration(float64(longest)*shutdownMargin)).Before(end)
+}
+
+// logStopEstimate logs an attempt that starts during a shutdown and could outlast it.
+func (c *call) logStopEstimate(now time.Time) {
+	s := c.front.stopping.Load()
+	if s == nil || !c.deadline.After(s.cutAt) {
+		return
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryElsewhere, closes: true, unable: true}
+	longest, _ := c.front.longestDurations.Max(c.route.Name, now)
+	c.front.log.Write(event.StopEstimate, event.F("request", c.id), event.F("route", c.route.Name), event.F("recent_ms", longest.Milliseconds()),
+		event.F("left_ms", s.cutAt.Sub(now).Milliseconds()), event.F("deadline_ms", c.deadline.Sub(now).Milliseconds()))
 }
