entry: a reload during a stop can shorten it

A stop read the grace time once, and only the time for the error of a cut request from the newest settings. A grace time that was shortened meanwhile had no effect: requests that end after it were still taken, and the platform would have killed the process with them in flight.

The stop in progress keeps its times, and a reload with a shorter grace time moves them. A longer one is not taken over: the platform may have set its kill already.

TestReloadOnlyShortensStop: before the change 'shorter' failed after 30 s with the stop still going by an hour; 'longer' held before and after.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,6 +106,8 @@
 
 	started  time.Time
 	stopping atomic.Bool
+	// planned is nil until the planned stop begins.
+	planned  atomic.Pointer[plannedStop]
 	stopOnce sync.Once
 	stop     chan struct{}
 	kill     context.CancelFunc
@@ -221,6 +223,7 @@
 		s.Overload != e.settings.Overload || e.contractsLimitAdmission(s) != e.contractsLimitAdmission(e.settings)
 	e.watcher.Reconfigure(e.source(s), e.followOptions(s))
 	e.bounds.Store(&s.Bounds)
+	e.shortenStop(s.Bounds.Grace)
 	e.front.SetLimits(frontLimits(s.Bounds))
 	e.front.SetHeldBytes(s.Limits.HeldBytes)
 	e.poison.SetLimits(poisonLimits(s.Routes))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -263,3 +263,43 @@
 		assert.Fail(t, "it goes by the grace time of its start")
 	}
 }
+
+// Guards against a stop that goes on past a grace time that a reload made shorter, until the
+// platform kills the process, and against one that a reload makes longer than the platform waits.
+func TestReloadOnlyShortensStop(t *testing.T) {
+	for name, test := range map[string]struct{ atStop, reloaded time.Duration }{
+		"shorter": {time.Hour, 50 * time.Millisecond},
+		"longer":  {500 * time.Millisecond, time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun := make(chan struct{})
+			replica := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				close(begun)
+				<-r.Context().Done()
+			}))
+			defer replica.Close()
+			e := start(t, &source{snapshot: served(strings.TrimPrefix(replica.URL, "http://"))}, test.atStop)
+			until(e.Ready)
+			callers, _ := e.Addresses()
+			go func() {
+				request, _ := http.NewRequest("GET", "http://"+callers+"/x", nil)
+				request.Host = "h"
+				if response, err := http.DefaultTransport.RoundTrip(request); err == nil {
+					response.Body.Close()
+				}
+			}()
+			<-begun
+			e.Stop()
+			until(e.stopping.Load)
+			changed := e.settings
+			changed.Bounds.Grace = test.reloaded
+			e.Reload(changed)
+			select {
+			case <-e.done:
+				assert.ErrorIs(t, e.Wait(), ErrCut)
+			case <-time.After(30 * time.Second):
+				assert.Fail(t, "it goes by the longer grace time")
+			}
+		})
+	}
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -27,25 +28,72 @@
 	notifyFraction = 0.03
 )
 
+// plannedStop is a stop in progress. Its grace time can only become shorter: a platform that
+// was told a longer one may already have set the time at which it kills the process.
+type plannedStop struct {
+	asked time.Time
+	mu    sync.Mutex
+	grace time.Duration
+	// cut ends the limit of the stop.
+	cut *time.Timer
+}
+
+// lasting returns a fraction of the grace time.
+func (p *plannedStop) lasting(share float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fraction(p.grace, share)
+}
+
+// at returns when a fraction of the grace time is over.
+func (p *plannedStop) at(share float64) time.Time { return p.asked.Add(p.lasting(share)) }
+
+// past returns a condition that holds once a fraction of the grace time is over.
+func (p *plannedStop) past(share float64) func() bool {
+	return func() bool { return !steady.Now().Before(p.at(share)) }
+}
+
+// beginStop returns a stop that starts now, and a context that ends when requests are cut.
+func (e *Entry) beginStop() (*plannedStop, context.Context, context.CancelFunc) {
+	limit, cancel := context.WithCancel(e.killed)
+	grace := e.bounds.Load().Grace
+	p := &plannedStop{asked: steady.Now(), grace: grace, cut: time.AfterFunc(fraction(grace, cutFraction), cancel)}
+	e.planned.Store(p)
+	// A reload that came before the stop was stored has changed the bounds only.
+	e.shortenStop(e.bounds.Load().Grace)
+	return p, limit, func() {
+		p.cut.Stop()
+		cancel()
+	}
+}
+
+// shortenStop applies a grace time to the stop in progress, if there is one.
+func (e *Entry) shortenStop(grace time.Duration) {
+	p := e.planned.Load()
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	p.grace = min(p.grace, grace)
+	p.mu.Unlock()
+	cutAt := p.at(cutFraction)
+	p.cut.Reset(steady.Until(cutAt))
+	e.front.BeginShutdown(p.at(announcedFraction), cutAt)
+}
+
 // shutDown stops serving within the users' grace time.
 func (e *Entry) shutDown() error {
-	asked := steady.Now()
-	grace := e.bounds.Load().Grace
+	p, limit, cancel := e.beginStop()
+	defer cancel()
 	e.log.Write(event.Draining, event.F("in_flight", e.front.ActiveRequests()), event.F("connections", e.conns.Open()))
 	e.stopping.Store(true)
-	e.front.BeginShutdown(asked.Add(fraction(grace, announcedFraction)), asked.Add(fraction(grace, cutFraction)))
 	e.gossip.Leave()
-	limit, cancel := context.WithTimeout(e.killed, steady.Until(asked.Add(fraction(grace, cutFraction))))
-	defer cancel()
-	select {
-	case <-time.After(fraction(grace, minServeFraction)):
-	case <-limit.Done():
-	}
-	e.waitForCallers(limit, asked.Add(fraction(grace, idleCloseFraction)))
+	e.waitUntil(limit, p.past(minServeFraction))
+	e.waitForCallers(limit, p.past(idleCloseFraction))
 	e.endListening(limit)
 	ended, err := e.conns.Drain(limit)
 	e.log.Write(event.CallersEnded, event.F("closed_at_rest", ended.Closed), event.F("found_unread", ended.Unread),
-		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", steady.Since(asked).Milliseconds()))
+		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", steady.Since(p.asked).Milliseconds()))
 	if err == nil {
 		// Gossip announced the stop to the other routers when it began.
 		_, err = e.relayedConns.Drain(limit)
@@ -53,14 +101,18 @@
 	if err == nil {
 		return nil
 	}
-	return e.cutCallers(err)
+	return e.cutCallers(p, err)
 }
 
-// waitForCallers keeps serving until no connection is open or the time until is reached. A
-// connection ends with its next answer, so callers leave by themselves.
-func (e *Entry) waitForCallers(limit context.Context, until time.Time) {
-	ctx, cancel := context.WithTimeout(limit, steady.Until(until))
+// waitForCallers keeps serving until no connection is open or closeIdle holds. A connection
+// ends with its next answer, so callers leave by themselves.
+func (e *Entry) waitForCallers(limit context.Context, closeIdle func() bool) {
+	ctx, cancel := context.WithCancel(limit)
 	defer cancel()
+	go func() {
+		e.waitUntil(ctx, closeIdle)
+		cancel()
+	}()
 	// Connections still open then are closed as they become idle.
 	_ = e.conns.Wait(ctx)
 }
@@ -75,10 +127,10 @@
 }
 
 // cutCallers cancels requests in flight. Callers whose answer has not begun get an error.
-func (e *Entry) cutCallers(cause error) error {
+func (e *Entry) cutCallers(p *plannedStop, cause error) error {
 	e.log.Write(event.DrainCut, event.F("in_flight", e.front.ActiveRequests()))
 	e.front.CancelInFlight()
-	ctx, cancel := context.WithTimeout(context.Background(), fraction(e.bounds.Load().Grace, notifyFraction))
+	ctx, cancel := context.WithTimeout(context.Background(), p.lasting(notifyFraction))
 	defer cancel()
 	// Callers that have not received the error by then are cut without it.
 	_, _ = e.conns.Drain(ctx)
