upstream, jsonclient: heads and answers without an end are read up to a limit

A replica may send bytes that are no answer without end, in a head or a body. Its request ended with 504 at the time-out of the route, and the router kept all of the head: with 16 requests at once the peak was 8.7 to 10.5 GB, for header lines, one line, and no HTTP at all.

Cause: http.ReadResponse has no limit on a head. Ruled out by the same table of tests: trailers, lines of chunks, interim responses, bytes after a response. A body of a response to another request was skipped until the time-out, in constant memory.

Heads are bounded by [limits] header, relayed ones by twice that, skipped bodies by 1 MB. Past the limit the attempt ends as broken off by its replica: its connection is closed, it counts against the replica, and the request is repeated where its route allows. The store's answers, the list of what an engine holds, and the calls of the chat interface get limits of the kind. Why it works: the connection reads no further than the limit, so nothing above it can keep more.

TestEndlessResponsesAreReadUpToALimit: before, 8 of 15 cases read all of the 256 MB on offer. TestEndlessHeadsDoNotGrowARouter, real routers: 20, 20 and 21 MB at the peak, bound 128 MB. TestEndlessHeadIsAFaultOfItsReplica: 504 before, 502 now. TestEndlessAnswersAreReadUpToALimit is new and was not run on the code before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,12 +117,15 @@
 func New(idle time.Duration) *Dispatcher {
 	const dialTimeout = 2 * time.Second
 	const idleConnections = 256
+	const maxHead = 32 << 10
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext:         socket.TakesBack(dialer.DialContext),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		// A faulty target may send a head without an end.
+		MaxResponseHeaderBytes: maxHead,
 	}
 	client := &http.Client{
 		Transport: transport,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,6 +149,7 @@
 		IDHeader:       e.env.Dialect.AttemptID,
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: e.settings.Routes.Silence,
+		MaxHead:        e.settings.Limits.Header,
 		IdleTime:       e.settings.Routes.Keep,
 		Source:         e.settings.Routes.Source,
 		Dial:           e.env.DialReplica,
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -25,8 +25,10 @@
 		IDHeader:       e.env.Dialect.AttemptID,
 		DialTimeout:    e.settings.Routes.Dial,
 		SilenceTimeout: silence,
-		IdleTime:       relayIdleTime,
-		Dial:           peer.DialRelay(upstream.SystemDial(silence, "")),
+		// The other router adds headers of its own to those of a replica.
+		MaxHead:  2 * e.settings.Limits.Header,
+		IdleTime: relayIdleTime,
+		Dial:     peer.DialRelay(upstream.SystemDial(silence, "")),
 	})
 	o.Relays, o.RelayPool = e.gossip.Routers, e.relayPool
 }
--- a/internal/jsonclient/jsonclient.go
+++ b/internal/jsonclient/jsonclient.go
@@ -18,6 +18,16 @@
 	"time"
 )
 
+// The largest head and body of an answer, in bytes. A page of the platform's store is a few
+// megabytes at most.
+const (
+	maxHead   = 64 << 10
+	maxAnswer = 16 << 20
+)
+
+// ErrTooLarge: an answer has no end, or a far one.
+var ErrTooLarge = errors.New("jsonclient: answer too large")
+
 // Client calls one service. It is safe for concurrent use.
 type Client struct {
 	base   string
@@ -30,7 +40,7 @@
 // time.
 func New(base string, dialTimeout, callTime time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
 	return &Client{base: base, callTime: callTime, client: &http.Client{Transport: transport}}
 }
 
@@ -100,7 +110,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{path, response.StatusCode}
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := readAnswer(response.Body)
 	if err != nil {
 		return nil, causeOf(ctx, err)
 	}
@@ -155,5 +165,47 @@
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{path, response.StatusCode}
 	}
-	return json.NewDecoder(response.Body).Decode(into)
+	text, err := readAnswer(response.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
+
+// onceTransport opens a connection for each call.
+var onceTransport = &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
+
+// GetOnce makes a reading call on a connection of its own. answered is called with the head of
+// its answer, whatever the status.
+func GetOnce(ctx context.Context, url string, answered func(*http.Response), into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := onceTransport.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answered(response)
+	if response.StatusCode != http.StatusOK {
+		return &StatusError{request.URL.Path, response.StatusCode}
+	}
+	text, err := readAnswer(response.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
+
+// readAnswer reads the body of an answer, which must end within maxAnswer.
+func readAnswer(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > maxAnswer {
+		return nil, ErrTooLarge
+	}
+	return text, nil
 }
--- a/internal/kvservice/kvservice.go
+++ b/internal/kvservice/kvservice.go
@@ -45,6 +45,9 @@
 // maxAnswer bounds an answer; the list of instances may be larger than a value.
 const maxAnswer = 16 << 20
 
+// maxHead bounds the head of an answer, in bytes.
+const maxHead = 64 << 10
+
 // Client talks to the platform. It implements kv.Store.
 type Client struct {
 	base    string
@@ -59,8 +62,9 @@
 	const burstSeconds = 4
 	const idleConnections = 16
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHead,
 	}
 	return &Client{
 		base:    base,
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -170,6 +170,9 @@
 	return true
 }
 
+// orderClient sends orders. A faulty target may answer with a head without an end.
+var orderClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 32 << 10}}
+
 func sendOrder(ctx context.Context, l load, token uint64) error {
 	body, err := json.Marshal(LoadOrder{Token: token, LoadAdapter: l.adapter})
 	if err != nil {
@@ -180,7 +183,7 @@
 		return fmt.Errorf("router: order: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := orderClient.Do(req)
 	if err != nil {
 		return fmt.Errorf("router: order: %w", err)
 	}
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -102,9 +102,11 @@
 // probeClient returns a client whose bytes count as control traffic.
 func (r *Router) probeClient() *http.Client {
 	const idle = time.Minute
+	const maxHead = 32 << 10
 	transport := &http.Transport{
-		DialContext:     r.meter.Probe(&net.Dialer{Timeout: time.Second}),
-		IdleConnTimeout: idle,
+		DialContext:            r.meter.Probe(&net.Dialer{Timeout: time.Second}),
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: maxHead,
 	}
 	return &http.Client{Timeout: time.Second, Transport: transport}
 }
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -35,7 +36,7 @@
 func clock() int64 { return int64(time.Since(epoch)) }
 
 func (p *Pool) newConn(raw net.Conn, address string) *conn {
-	c := &conn{Conn: raw, pool: p, address: address, opened: clock()}
+	c := &conn{Conn: raw, pool: p, address: address, opened: clock(), headLeft: -1}
 	c.heard.Store(c.opened)
 	c.reader = bufio.NewReader(c)
 	p.mu.Lock()
@@ -47,15 +48,33 @@
 	return c
 }
 
-// Read implements net.Conn and records when bytes last arrived.
+// Read implements net.Conn and records when bytes last arrived. While a head is read, it fails
+// once the head is too large.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	if c.headLeft > 0 && len(b) > c.headLeft {
+		b = b[:c.headLeft]
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.heard.Store(clock())
 	}
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
 	return n, err
 }
 
+// readResponse reads one response up to its body. Its head may have maxHead bytes, and as much of
+// the body as arrives with them.
+func (c *conn) readResponse(method string, maxHead int) (*http.Response, error) {
+	c.headLeft = maxHead + c.reader.Size()
+	defer func() { c.headLeft = -1 }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // Close implements net.Conn. It may be called more than once.
 func (c *conn) Close() error {
 	c.pool.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,6 +33,10 @@
 	ErrNotSent = errors.New("upstream: not sent")
 	// ErrBroken: sent, but no response to this request arrived.
 	ErrBroken = errors.New("upstream: no answer")
+	// errHeadTooLarge and errSkippedTooLarge: the connection carries no response, or more of one
+	// to another request than is skipped.
+	errHeadTooLarge    = errors.New("head of the response too large")
+	errSkippedTooLarge = errors.New("response to another request too large")
 	// ErrNoneKept: there was no kept connection for a request that asked for one.
 	ErrNoneKept = errors.New("upstream: no connection kept")
 )
@@ -48,6 +52,8 @@
 	// Source is the IP address from which connections are opened, empty if the system chooses
 	// it.
 	Source string
+	// MaxHead is the largest head of a response, in bytes; zero means defaultMaxHead.
+	MaxHead int
 	// IdleTime is the longest time that a connection stays idle before it is closed.
 	IdleTime time.Duration
 	// Dial opens a connection. If nil, the system's TCP is used, with SilenceTimeout as the
@@ -60,6 +66,14 @@
 	OnSilent func(address string, dropped int)
 }
 
+const (
+	// defaultMaxHead is well above the size of usual heads, in bytes.
+	defaultMaxHead = 32 << 10
+	// maxSkippedBody is the largest body, in bytes, of a response to another request that is
+	// read to keep the connection.
+	maxSkippedBody = 1 << 20
+)
+
 // Pool keeps idle connections to replicas for reuse. It is safe for concurrent use.
 type Pool struct {
 	options Options
@@ -75,6 +89,9 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
+	if o.MaxHead == 0 {
+		o.MaxHead = defaultMaxHead
+	}
 	return &Pool{options: o, opener: opener(o), socketState: socket.Look, idle: make(map[string][]*conn), open: make(map[string]map[*conn]struct{})}
 }
 
@@ -89,6 +106,9 @@
 	// exchange read it concurrently.
 	opened int64
 	heard  atomic.Int64
+	// headLeft is how many bytes may still be read for the head that is being read. It is
+	// negative while no head is.
+	headLeft int
 	// expires is when the replica or the pool stops keeping the connection.
 	expires time.Time
 }
@@ -235,11 +255,12 @@
 	return &Answer{Response: response, pool: p, conn: c, stop: stop, wrote: wrote}, written, nil
 }
 
-// readHead reads response heads until one carries this request's id.
+// readHead reads response heads until one carries this request's id. What has no end is read up
+// to a limit: a faulty replica may send it until the connection is closed.
 func (p *Pool) readHead(c *conn, r *Request) (*http.Response, error) {
 	const maxSkipped = 4
 	for range maxSkipped {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := c.readResponse(r.Method, p.options.MaxHead)
 		if err != nil {
 			return nil, err
 		}
@@ -252,13 +273,27 @@
 		if !delimited(response) {
 			return nil, errors.New("response to another request without a delimited body")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skip(response.Body); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errors.New("answers of other requests only")
 }
 
+// skip reads a body to its end, which must come within maxSkippedBody.
+func skip(body io.Reader) error {
+	n, err := io.CopyN(io.Discard, body, maxSkippedBody+1)
+	switch {
+	case err == io.EOF:
+		return nil
+	case err != nil:
+		return err
+	case n > maxSkippedBody:
+		return errSkippedTooLarge
+	}
+	return nil
+}
+
 // delimited reports whether the end of a response can be found on its connection.
 func delimited(r *http.Response) bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
