front, conns: an answer that ends with its connection is reset if the router is killed

Cause: the system closes the sockets of a killed process in order. Ruled out: the framing of other answers (chunks of the same router show the break), a decision of the router (a stop resets such answers already).

While an answer ends with its connection, SO_LINGER without a time makes each close of it a reset; it is taken off before an answer ends in order. The same between routers and for plain services of the chat interface. Chunks were ruled out: the end of such an answer is never known, so that sound ones would look broken.

Before: TestAnswerOfKilledRouterIsNotComplete failed for callers of HTTP/1.1 without framing and of HTTP/1.0, and TestRelayedAnswerOfEndedRouterIsNotComplete failed.

The soak's check no longer excuses a half answer at a killed router; the two cases that it excused must be seen as broken now. TestRelayedConnectionCanBeReset held before too.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -184,6 +185,31 @@
 	c.Close()
 }
 
+// contextKey is the context key of a request's connection.
+type contextKey struct{}
+
+// Context is a ConnContext hook of http.Server, by which ResetOnClose finds the connection of a
+// request.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// ResetOnClose makes any close of a request's connection a reset, also that of the system when
+// the process is killed, or a regular one again. A reset drops what the caller has not been sent.
+// It has no effect on a connection that is no socket or that Context does not know.
+func ResetOnClose(ctx context.Context, reset bool) {
+	socket, can := ctx.Value(contextKey{}).(interface{ SetLinger(seconds int) error })
+	if !can {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	// One that is closed already has nothing left to reset.
+	_ = socket.SetLinger(seconds)
+}
+
 // Outcome is what CloseIfResting found.
 type Outcome uint8
 
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -27,13 +28,15 @@
 	head  dispatch.Head
 	begun bool
 	held  []byte
+	// request is the context of the caller's request.
+	request context.Context
 }
 
 // holdAtMost is the most bytes of an answer that are held back.
 const holdAtMost = 1 << 20
 
 func newAnswer(w http.ResponseWriter, stream bool, idle time.Duration, o observer) *answer {
-	return &answer{writer: w, control: http.NewResponseController(w), stream: stream, idle: idle, observe: o}
+	return &answer{writer: w, control: http.NewResponseController(w), stream: stream, idle: idle, observe: o, request: context.Background()}
 }
 
 // write writes a piece to the caller. One who does not read for as long as idle
@@ -62,6 +65,8 @@
 		// Makes the HTTP server end the answer with the connection, so that it claims no more
 		// than the target's.
 		a.writer.Header().Set("Transfer-Encoding", "identity")
+		// If the process is killed, the system must not end the answer in order.
+		conns.ResetOnClose(a.request, true)
 	}
 	if h.ContentType != "" {
 		a.writer.Header().Set("Content-Type", h.ContentType)
@@ -109,6 +114,9 @@
 
 // finish ends the answer: whole, refused, or visibly broken.
 func (a *answer) finish(refusal *admission.Refusal) {
+	if a.head.Undelimited && (refusal == nil || !a.begun) {
+		conns.ResetOnClose(a.request, false)
+	}
 	switch {
 	case refusal == nil && !a.begun:
 		// A caller that left needs no answer.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,6 +59,7 @@
 	e.server = &http.Server{
 		Handler:           e.announceEnd(e.handler()),
 		ConnState:         e.conns.ConnState,
+		ConnContext:       conns.Context,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       time.Minute,
 		IdleTimeout:       2 * time.Minute,
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -18,6 +18,7 @@
 		return
 	}
 	answer := newAnswer(w, false, e.limits.Idle, e.observer())
+	answer.request = r.Context()
 	answer.finish(e.router.ServePlain(r.Context(), call, answer))
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -205,7 +205,9 @@
 			e.conns.ConnState(c, state)
 			limits.ConnState(c, state)
 		},
-		ConnContext:    limits.ConnContext,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return conns.Context(limits.ConnContext(ctx, c), c)
+		},
 		MaxHeaderBytes: e.settings.Limits.Header,
 		ErrorLog:       e.log.Faults(event.HandlerFailed),
 	}
--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -116,6 +116,10 @@
 			f.slow.Add(1)
 			<-f.release
 		}
+		if r.Header.Get("Try") == unframed {
+			f.writeUnframed(w)
+			return
+		}
 		w.Header().Set("Try", r.Header.Get("Try"))
 		fmt.Fprint(w, "whole")
 	}))
@@ -161,6 +165,20 @@
 	return f
 }
 
+// unframed is the id of a request whose answer has neither a length nor chunks.
+const unframed = "unframed"
+
+// writeUnframed begins the answer to an unframed request, and ends it once release is closed.
+func (f *partitionedFleet) writeUnframed(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTry: %s\r\nConnection: close\r\n\r\nhalf", unframed)
+	<-f.release
+}
+
 // send sends the next request to a router and reports whether it was served.
 func (f *partitionedFleet) send(router int, service string, kind route.Kind) bool {
 	f.sent++
@@ -230,6 +248,27 @@
 	}
 }
 
+// Guards against an answer that looks complete because the router that relays it ended: the
+// system closes the connections of a process in order.
+func TestRelayedAnswerOfEndedRouterIsNotComplete(t *testing.T) {
+	f := newPartitionedFleet(t, 2)
+	f.gates[0].set(refuses)
+	require.True(t, f.servedInARow(0, "plain", route.Once))
+	callers, _ := f.routers[0].Addresses()
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/plain/%d/", callers, route.Once), nil)
+	require.NoError(t, err)
+	request.Host = "h"
+	request.Header.Set("Try", unframed)
+	response, err := f.client.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadFull(response.Body, make([]byte, len("half")))
+	require.NoError(t, err)
+	f.routers[1].relayed.Close()
+	_, err = io.ReadAll(response.Body)
+	assert.Error(t, err)
+}
+
 // Guards against requests that are relayed to replicas which the first router excludes because
 // of their own statements.
 func TestReplicaThatRestsGetsNothingByAnotherRouter(t *testing.T) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,6 +39,7 @@
 	e.relayed = &http.Server{
 		Handler:        http.HandlerFunc(e.front.ServeRelayed),
 		ConnState:      e.relayedConns.ConnState,
+		ConnContext:    conns.Context,
 		MaxHeaderBytes: e.settings.Limits.Header,
 		ErrorLog:       e.log.Faults(event.HandlerFailed),
 	}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -67,6 +67,7 @@
 	c.recordUndelimited(answer, err)
 	err = c.checkEnd(answer, err)
 	if err == nil {
+		c.endInOrder()
 		if answer.Undelimited() {
 			c.probeForCrash(choice)
 		} else {
--- a/internal/front/framing.go
+++ b/internal/front/framing.go
@@ -33,6 +33,17 @@
 	}
 	// HTTP/1.0 has no chunks.
 	c.endsWithConnection = answer.Undelimited() || !c.request.ProtoAtLeast(1, 1)
+	if c.endsWithConnection {
+		// If the process is killed, the system must not end the answer in order.
+		conns.ResetOnClose(c.request.Context(), true)
+	}
+}
+
+// endInOrder lets the caller's connection end regularly after an answer that may be complete.
+func (c *call) endInOrder() {
+	if c.endsWithConnection {
+		conns.ResetOnClose(c.request.Context(), false)
+	}
 }
 
 // checkEnd returns errEndUnknown if an answer that ended without an error has an unknown end
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -339,6 +339,7 @@
 	err = c.checkEnd(answer, err)
 	switch {
 	case err == nil:
+		c.endInOrder()
 		if !answer.Undelimited() {
 			c.recordServed(answer.StatusCode)
 		}
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,3 +46,24 @@
 	_, err = calls.Exchange(t.Context(), server.Address(), &peerpb.Digest{})
 	assert.NoError(t, err, "calls and relayed requests share the address")
 }
+
+// Guards against a relayed answer whose break looks like its end: a connection behind the
+// multiplexer that cannot be closed with a reset.
+func TestRelayedConnectionCanBeReset(t *testing.T) {
+	server, err := Listen("127.0.0.1:0", Handler{}, &Meter{})
+	require.NoError(t, err)
+	defer server.Close()
+	go func() {
+		c, err := server.Relayed().Accept()
+		if assert.NoError(t, err) {
+			assert.NoError(t, c.(interface{ SetLinger(int) error }).SetLinger(0))
+			c.Close()
+			assert.ErrorIs(t, c.(interface{ SetLinger(int) error }).SetLinger(0), net.ErrClosed)
+		}
+	}()
+	c, err := DialRelay((&net.Dialer{}).DialContext)(t.Context(), "tcp", server.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -150,8 +150,8 @@
 }
 
 // claimsComplete reports whether a caller may take an answer for complete. One that ends with
-// its connection claims nothing if its replica's did not either and no break was seen there, or
-// if a router in its way was killed.
+// its connection claims nothing if its replica's did not either and no break was seen there. A
+// router that is killed breaks it off.
 func (c *checker) claimsComplete(a *Attempt, run *standin.ReplicaRun) bool {
 	if !a.Complete || !a.Undelimited {
 		return a.Complete
@@ -162,16 +162,7 @@
 			last = other
 		}
 	}
-	// The head is that of the run which began the answer, also if another one goes on with it.
-	cut := (run.Undelimited || last.Undelimited) && (c.killed(a) || c.relayAtFault(a))
-	return !cut && !(last.Undelimited && last.Broken && !last.BreakSeen)
-}
-
-// killed reports whether the router of an attempt was killed meanwhile.
-func (c *checker) killed(a *Attempt) bool {
-	return slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
-		return d.What == kindKill && d.Router == a.Life.Router && d.overlaps(a.Sent, a.End)
-	})
+	return !(last.Undelimited && last.Broken && !last.BreakSeen)
 }
 
 // stream checks the events of an answer. run is the one that began it.
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -75,6 +75,19 @@
 			h.run(streamID).Undelimited = false
 			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
 		}},
+		"a kill ends an answer that ends with its connection": {Order, func(h *History) {
+			h.endUnknown(streamID)
+			h.run(streamID).BreakSeen = true
+			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
+		}},
+		"a kill ends one that went on at another replica": {Order, func(h *History) {
+			a := h.endUnknown(resumeID)
+			h.run(resumeID).BreakSeen = true
+			later := *h.run(resumeID)
+			later.At, later.Undelimited, later.Broken, later.After = later.At.Add(time.Millisecond), false, false, len(a.Seen)
+			h.Runs = append(h.Runs, later)
+			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
+		}},
 		"a sound stream that ends with its connection, early": {Order, func(h *History) {
 			h.endUnknown(streamID)
 			h.run(streamID).Undelimited, h.run(streamID).Broken = false, false
@@ -179,19 +192,6 @@
 			h.cut(onceID)
 			h.disturb("r0", "", calm, calm+100)
 		},
-		"a kill ends an answer that ends with its connection": func(h *History) {
-			h.endUnknown(streamID)
-			h.run(streamID).BreakSeen = true
-			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
-		},
-		"a kill ends one that went on at another replica": func(h *History) {
-			a := h.endUnknown(resumeID)
-			h.run(resumeID).BreakSeen = true
-			later := *h.run(resumeID)
-			later.At, later.Undelimited, later.Broken, later.After = later.At.Add(time.Millisecond), false, false, len(a.Seen)
-			h.Runs = append(h.Runs, later)
-			h.Disturbances = append(h.Disturbances, Disturbance{Router: "r0", What: kindKill, From: at(calm + 50), To: at(calm + 60)})
-		},
 		"answers with unknown ends are passed on as such": func(h *History) {
 			h.endUnknown(streamID)
 			h.endUnknown(onceID)
