front, balance: a silent attempt is kept until another replica has room

A sound stream was silent for 1.7 s, while its caller waits for 2.4 s.

Cause: the question before the attempt is ended, UsableReplicas, counts replicas that are full, above the bound, draining or resting; the choice after it leaves them out (403, 'no replica'). Ruled out: the retry budget, which is asked before, and the replica, which goes on 0.2 s later.

HasRoom makes the choice of Pick without taking anything, with the same exclusions; replicas that are avoided since they rejected have no room. A silent attempt is looked at each 0.1 s until it is heard again, and not ended within an event or while its version is unknown. Why it works: what is ended has, by what the router knows, a place to go on at.

Before: both cases of TestSilentStreamIsKeptUntilAnotherReplicaHasRoom failed with 'unexpected EOF'.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -164,7 +164,7 @@
 	c.front.balancer.RequestStarted(id)
 	defer c.front.balancer.RequestFinished(id)
 	hung := c.startSilenceTimer(c.silenceLimit(), id, cancel)
-	defer hung.Stop()
+	defer hung.stop()
 	sent := steady.Now()
 	c.sentAt = sent
 	c.trialOfVersion = versionTrial{sent: sent, chunks: c.chunks}
@@ -176,7 +176,8 @@
 		c.writtenAt = steady.Now()
 		return c.checkBeforeWrite(id, c.writtenAt)
 	}
-	request.Unacked = c.failover(c.silenceLimit(), cancel)
+	failover := c.failover(c.silenceLimit(), cancel)
+	request.Unacked = func() { failover() }
 	answer, err := c.front.pool.Do(ctx, choice.Replica.Address, request)
 	c.waiting.Store(false)
 	if err == nil && errors.Is(context.Cause(ctx), errSilent) {
@@ -189,7 +190,7 @@
 	}
 	defer answer.Close()
 	c.trialOfVersion.headAt = steady.Now()
-	if hung.Stop() && c.service.Engine == nil {
+	if hung.stop() && c.service.Engine == nil {
 		c.front.balancer.RecordDuration(id, steady.Since(sent))
 	}
 	c.sent.Add(1)
--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -58,6 +58,19 @@
 	return c.front.balancer.Pick(c.question(idsOf(strict)), now)
 }
 
+// canChoose reports whether choose would find a replica that has room. It does not change the
+// call.
+func (c *call) canChoose(q balance.Request, now time.Time) bool {
+	excluded, tried := c.exclusions(now), q.Tried
+	q.Tried = slices.Concat(tried, idsOf(excluded))
+	if c.front.balancer.HasRoom(q, now) {
+		return true
+	}
+	strict := slices.DeleteFunc(slices.Clone(excluded), func(x directory.Exclusion) bool { return x.LastResort })
+	q.Tried = slices.Concat(tried, idsOf(strict))
+	return len(strict) < len(excluded) && c.front.balancer.HasRoom(q, now)
+}
+
 func idsOf(excluded []directory.Exclusion) []string {
 	ids := make([]string, len(excluded))
 	for i, x := range excluded {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -176,7 +176,8 @@
 	defer cancel(nil)
 	attempts := c.relayAttempts()
 	c.waiting.Store(true)
-	silence := time.AfterFunc(c.silenceLimit(), c.failover(c.silenceLimit(), cancel))
+	failover := c.failover(c.silenceLimit(), cancel)
+	silence := time.AfterFunc(c.silenceLimit(), func() { failover() })
 	answer, err := f.options.RelayPool.Do(ctx, address, c.relayRequest(address, attempts, cancel))
 	silence.Stop()
 	c.waiting.Store(false)
@@ -224,6 +225,7 @@
 // of its time and attempts.
 func (c *call) relayRequest(address string, attempts int, cancel context.CancelCauseFunc) *upstream.Request {
 	d := &c.front.options.Dialect
+	failover := c.failover(c.silenceLimit(), cancel)
 	header := forwardedHeader(c.request.Header)
 	header.Set(d.Deadline, strconv.FormatInt(max(steady.Until(c.deadline).Milliseconds(), 1), 10))
 	header.Set(relayAttemptsHeader, strconv.Itoa(attempts))
@@ -252,7 +254,7 @@
 			}
 			return nil
 		},
-		Unacked: c.failover(c.silenceLimit(), cancel),
+		Unacked: func() { failover() },
 	}
 }
 
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"sync"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/steady"
@@ -22,41 +22,112 @@
 	return max(targets*c.route.Target, least)
 }
 
-// startSilenceTimer starts a timer that, when it fires, reports the replica as hung and fails
-// over if the request may be retried.
-func (c *call) startSilenceTimer(limit time.Duration, id string, cancel context.CancelCauseFunc) *time.Timer {
-	failover := c.failover(limit, cancel)
-	return time.AfterFunc(limit, func() {
-		c.front.reportFailure(c.id, id, balance.Hung)
-		failover()
-	})
+// silenceRecheck is the pause between two looks whether a silent attempt has a successor.
+const silenceRecheck = 100 * time.Millisecond
+
+// silenceTimer watches an attempt for silence. It reports the replica as hung once and, from then
+// on until the replica is heard again, fails over as soon as another one can take the request.
+type silenceTimer struct {
+	limit    time.Duration
+	report   func()
+	failover func() bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// fired is set while the replica is silent for longer than the limit, keep while what it sent
+	// could not go on elsewhere.
+	fired, keep, stopped bool
+}
+
+// startSilenceTimer watches an attempt for silence.
+func (c *call) startSilenceTimer(limit time.Duration, id string, cancel context.CancelCauseFunc) *silenceTimer {
+	s := &silenceTimer{limit: limit, failover: c.failover(limit, cancel), report: func() { c.front.reportFailure(c.id, id, balance.Hung) }}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(limit, s.fire)
+	return s
+}
+
+func (s *silenceTimer) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	if !s.fired {
+		s.fired = true
+		s.report()
+	}
+	if s.keep || !s.failover() {
+		s.timer.Reset(silenceRecheck)
+	}
+}
+
+// heard starts the time anew. keep is set if what was heard could not go on elsewhere.
+func (s *silenceTimer) heard(keep bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fired, s.keep = false, keep
+	s.timer.Reset(s.limit)
 }
 
-// failover returns a function that ends an attempt if the request may be retried and there
-// is time for it. It runs concurrently with the call, so its inputs are read here. It
-// reserves the retry first: otherwise another request could take the last one, and this
-// attempt would be ended for nothing.
-func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() {
+// stop ends the watch and reports whether the replica was heard in time.
+func (s *silenceTimer) stop() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	s.timer.Stop()
+	return !s.fired
+}
+
+// failover returns a function that ends an attempt if the request may be retried, there is time
+// for it and another replica can take it, and reports whether it did. It runs concurrently with
+// the call, so its inputs are read here. It reserves the retry first: otherwise another request
+// could take the last one, and this attempt would be ended for nothing.
+func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() bool {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
-	service, key, tried, begun, name := c.service.Name, c.key(), slices.Clone(c.tried), c.headSent, c.route.Name
-	return func() {
-		if repeatable && c.sentCount() < attempts && steady.Until(end) > limit && (begun || c.front.retryFitsShutdown(name, end, steady.Now())) &&
-			c.wouldRetry(service, key, tried) && c.reserveRetry() {
-			cancel(errSilent)
+	key, begun, name, q := c.key(), c.headSent, c.route.Name, c.retryQuestion()
+	return func() bool {
+		now := steady.Now()
+		fits := begun || c.front.retryFitsShutdown(name, end, now)
+		if !repeatable || c.sentCount() >= attempts || end.Sub(now) <= limit || !fits || !c.wouldRetry(key, q, now) || !c.reserveRetry() {
+			return false
 		}
+		cancel(errSilent)
+		return true
+	}
+}
+
+// retryQuestion returns the balancer's query for a replica in place of the one of the attempt in
+// progress.
+func (c *call) retryQuestion() balance.Request {
+	q := c.question(nil)
+	if c.headSent && c.origin.state == originOpen && c.replicaVersion.known {
+		// The first event fixes the version.
+		q.OnlyVersion, q.Version = true, c.replicaVersion.version
 	}
+	return q
 }
 
 // wouldRetry reports whether the request would be admitted once more, as of now, and another
-// replica could take it. Otherwise an attempt that is only silent would be ended for nothing.
-// It does not change the call.
-func (c *call) wouldRetry(service, key string, tried []string) bool {
+// replica or router could take it. Otherwise an attempt that is only silent would be ended for
+// nothing. It does not change the call.
+func (c *call) wouldRetry(key string, q balance.Request, now time.Time) bool {
 	table := c.front.holder.Current().Table
 	found := table.Match(c.request.Host, c.path())
 	if found == nil || table.Keyed() && !found.Public && table.Organisation(key) == nil {
 		return false
 	}
-	return len(c.front.balancer.UsableReplicas(service, tried, steady.Now())) > 0
+	if len(c.front.balancer.UsableReplicas(q.Service, q.Tried, now)) == 0 {
+		return false
+	}
+	return c.canChoose(q, now) || c.mayRelay(q.Service, now)
+}
+
+// mayRelay reports whether another router is asked for a request that no replica here can take.
+func (c *call) mayRelay(service string, now time.Time) bool {
+	o, b := &c.front.options, c.front.balancer
+	return c.relay == nil && o.Relays != nil && !o.Without.Has(mechanism.Relay) && (b.AnyOutOfReach(service, now) || b.ShareUsed(service, now))
 }
 
 // reserveRetry takes one retry from the budget for the next attempt, unless it holds one.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -97,6 +97,6 @@
 // silent while it can resume elsewhere.
 func (c *call) forwardResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
 	silence := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
-	defer silence.Stop()
-	return c.forwardEvents(answer, func() { silence.Reset(c.streamSilenceLimit()) })
+	defer silence.stop()
+	return c.forwardEvents(answer, func() { silence.heard(c.withinEvent || c.origin.state == originUnknown) })
 }
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -14,6 +16,7 @@
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/relay"
+	"github.com/croftyard/croftyard/pkg/route"
 )
 
 const streamHead = "HTTP/1.1 200 OK\r\nTry: id-1\r\nSign: s\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -69,6 +72,95 @@
 	assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", text)
 }
 
+// useEngines makes the replicas of the rig engines with slots.
+func (r *rig) useEngines(t *testing.T, slots int) {
+	t.Helper()
+	r.source.mu.Lock()
+	config := *r.source.snapshot.Config
+	config.Version++
+	config.Services = []route.Service{{Name: "s", Engine: &route.Engine{Slots: slots, Capacity: 1 << 20, TokenBytes: 1}}}
+	r.source.snapshot.Config = &config
+	r.source.snapshot.Replicas = slices.Clone(r.source.snapshot.Replicas)
+	for i := range r.source.snapshot.Replicas {
+		r.source.snapshot.Replicas[i].Slots = slots
+	}
+	snapshot := r.source.snapshot
+	r.source.mu.Unlock()
+	require.NoError(t, r.watcher.ApplySnapshot(snapshot, time.Now()))
+}
+
+// Guards against a sound stream that is ended because it is silent, although no other replica has
+// room for it: its caller loses what it would have got by waiting.
+func TestSilentStreamIsKeptUntilAnotherReplicaHasRoom(t *testing.T) {
+	const slots = 4
+	const first, last = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, test := range map[string]struct {
+		// goesOn: the silent replica goes on in the end. Otherwise the other one gets room.
+		goesOn bool
+		asked  int32
+	}{
+		"the replica goes on":      {true, 1},
+		"another replica has room": {false, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var r *rig
+			var asked atomic.Int32
+			serve := func(w http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				w.Header().Set("Content-Type", "text/event-stream")
+				if asked.Add(1) > 1 {
+					assert.Equal(t, "1", request.Header.Get("Last-Event-Id"))
+					fmt.Fprint(w, last)
+					return
+				}
+				other := map[string]string{"r0": "r1", "r1": "r0"}[request.Header.Get("Want")]
+				for range 2 * slots {
+					r.front.balancer.RequestStarted(other)
+				}
+				fmt.Fprint(w, first)
+				_ = http.NewResponseController(w).Flush()
+				silence := time.NewTimer(1800 * time.Millisecond)
+				defer silence.Stop()
+				select {
+				case <-request.Context().Done():
+					return
+				case <-silence.C:
+				}
+				if test.goesOn {
+					fmt.Fprint(w, last)
+					return
+				}
+				for range 2 * slots {
+					r.front.balancer.RequestFinished(other)
+				}
+				<-request.Context().Done()
+			}
+			one, _ := replica(t, serve)
+			two, _ := replica(t, serve)
+			r = newRig(t, one, two)
+			r.useEngines(t, slots)
+			_, text, err := r.send(t, "POST", "/resumable/", "", "Parts", "x")
+			require.NoError(t, err)
+			assert.Equal(t, first+last, text)
+			assert.Equal(t, test.asked, asked.Load())
+		})
+	}
+}
+
+// Guards against ending a silent attempt within an event: no other replica can go on there.
+func TestSilenceWithinEventEndsNothing(t *testing.T) {
+	silence := &silenceTimer{limit: time.Hour, report: func() {}, failover: func() bool {
+		assert.Fail(t, "it could not go on")
+		return true
+	}}
+	silence.timer = time.AfterFunc(time.Hour, func() {})
+	silence.heard(true)
+	silence.fire()
+	assert.False(t, silence.stop(), "it was silent")
+	silence.fire()
+}
+
 // A stream that ends within an event was broken off, also on a route that does not resume, so
 // its caller must not get it as complete.
 func TestStreamEndingWithinEventIsAborted(t *testing.T) {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -15,6 +15,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -302,6 +303,26 @@
 // of.
 func (b *Balancer) holdersUnknown() bool { return b.largeFleet || !b.holdersSynced }
 
+// HasRoom reports whether Pick would find a replica that is within reach and is not avoided
+// because it rejected requests. It chooses none.
+func (b *Balancer) HasRoom(q Request, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.services[q.Service]) == 0 {
+		return false
+	}
+	hasRoom := func(r *replica) bool {
+		return !b.isOutOfReach(r, now) && !(r.health.isAvoided(now) && r.health.kind == Shed)
+	}
+	bound := b.serviceBound(q.Service, now)
+	left := b.eligibleCandidates(q, bound, now)
+	if len(left) > 0 && len(q.Parts) > 0 {
+		chosen, _, _ := b.pickEngine(q, left, bound, now)
+		return chosen != nil && hasRoom(chosen)
+	}
+	return slices.ContainsFunc(left, hasRoom)
+}
+
 // Pick chooses a replica. It returns false if the service has no replica left.
 func (b *Balancer) Pick(q Request, now time.Time) (Choice, bool) {
 	b.mu.Lock()
