front, entry: plainer names and comments of the shutdown and of silent attempts

No change of what they do: one function decides on a retry during a shutdown, the timer of a silent attempt is reset, not heard. The tests of both hold.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -28,8 +28,8 @@
 	notifyFraction = 0.03
 )
 
-// plannedStop is a stop in progress. Its grace time can only become shorter: a platform that
-// was told a longer one may already have set the time at which it kills the process.
+// plannedStop is a stop in progress. Its grace time can only become shorter: the platform may have
+// set the time at which it kills the process when the stop began.
 type plannedStop struct {
 	asked time.Time
 	mu    sync.Mutex
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -25,8 +25,8 @@
 // silenceRecheck is the pause between two looks whether a silent attempt has a successor.
 const silenceRecheck = 100 * time.Millisecond
 
-// silenceTimer watches an attempt for silence. It reports the replica as hung once and, from then
-// on until the replica is heard again, fails over as soon as another one can take the request.
+// silenceTimer watches an attempt for silence. It reports the replica as hung once and, until the
+// replica sends something, fails over as soon as another one can take the request.
 type silenceTimer struct {
 	limit    time.Duration
 	report   func()
@@ -34,7 +34,7 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// fired is set while the replica is silent for longer than the limit, keep while what it sent
+	// fired is set while the replica is silent for longer than the limit, keep while its answer
 	// could not go on elsewhere.
 	fired, keep, stopped bool
 }
@@ -63,15 +63,16 @@
 	}
 }
 
-// heard starts the time anew. keep is set if what was heard could not go on elsewhere.
-func (s *silenceTimer) heard(keep bool) {
+// reset starts the time anew after the replica sent something. keep is set if the answer could not
+// go on elsewhere after it.
+func (s *silenceTimer) reset(keep bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fired, s.keep = false, keep
 	s.timer.Reset(s.limit)
 }
 
-// stop ends the watch and reports whether the replica was heard in time.
+// stop ends the watch and reports whether the replica has not been silent for too long.
 func (s *silenceTimer) stop() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -54,16 +54,17 @@
 // always.
 func (c *call) fitsShutdown(now time.Time) bool {
 	s := c.front.stopping.Load()
-	switch {
-	case s == nil || c.headSent || !c.deadline.After(s.cutAt):
+	if s == nil || c.headSent {
 		return true
-	case !c.mayHaveRun && !now.Before(s.announcedAt):
-		return false
 	}
-	return c.front.endsBefore(c.route.Name, s.cutAt, now)
+	if !c.mayHaveRun && !now.Before(s.announcedAt) {
+		return !c.deadline.After(s.cutAt)
+	}
+	return c.front.retryFitsShutdown(c.route.Name, c.deadline, now)
 }
 
-// retryFitsShutdown reports the same for a retry of a request that may have run.
+// retryFitsShutdown reports whether a retry of a request that may have run is expected to end before
+// the shutdown, if there is one, aborts it.
 func (f *Front) retryFitsShutdown(route string, deadline, now time.Time) bool {
 	s := f.stopping.Load()
 	return s == nil || !deadline.After(s.cutAt) || f.endsBefore(route, s.cutAt, now)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -98,5 +98,5 @@
 func (c *call) forwardResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
 	silence := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
 	defer silence.stop()
-	return c.forwardEvents(answer, func() { silence.heard(c.withinEvent || c.origin.state == originUnknown) })
+	return c.forwardEvents(answer, func() { silence.reset(c.withinEvent || c.origin.state == originUnknown) })
 }
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -155,7 +155,7 @@
 		return true
 	}}
 	silence.timer = time.AfterFunc(time.Hour, func() {})
-	silence.heard(true)
+	silence.reset(true)
 	silence.fire()
 	assert.False(t, silence.stop(), "it was silent")
 	silence.fire()
