front: a look for another replica reads nothing that the call may change

The look may run beside the call, as a timer of the attempt before: it read the call's service, which a new look-up of the route replaces. Found by reading; no run showed it. The name of the service is that of the question now. The tests under the race detector hold.

--- a/internal/front/eligible.go
+++ b/internal/front/eligible.go
@@ -28,7 +28,12 @@
 // exclusions returns the replicas of the service that are listed as ready but get no new
 // requests.
 func (c *call) exclusions(now time.Time) []directory.Exclusion {
-	excluded := c.front.watcher.Exclusions(c.service.Name, c.front.maxListAge(), now)
+	return c.exclusionsOf(c.service.Name, now)
+}
+
+// exclusionsOf returns the same for a service. It may run concurrently with the call.
+func (c *call) exclusionsOf(service string, now time.Time) []directory.Exclusion {
+	excluded := c.front.watcher.Exclusions(service, c.front.maxListAge(), now)
 	if c.relay == nil {
 		return excluded
 	}
@@ -58,10 +63,10 @@
 	return c.front.balancer.Pick(c.question(idsOf(strict)), now)
 }
 
-// canChoose reports whether choose would find a replica that has room. It does not change the
-// call.
+// canChoose reports whether choose would find a replica that has room. It may run concurrently
+// with the call.
 func (c *call) canChoose(q balance.Request, now time.Time) bool {
-	excluded, tried := c.exclusions(now), q.Tried
+	excluded, tried := c.exclusionsOf(q.Service, now), q.Tried
 	q.Tried = slices.Concat(tried, idsOf(excluded))
 	if c.front.balancer.HasRoom(q, now) {
 		return true
