front: a test of pieces of an answer sends them one by one

Cause: on a route that does not resume, events that are read together count as one piece, and the test kept them apart by 5 ms.

--- a/internal/front/parts_test.go
+++ b/internal/front/parts_test.go
@@ -1,11 +1,13 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,37 +66,68 @@
 	}
 }
 
-// events is a stream of that many events.
-func events(n int, w http.ResponseWriter) {
+// events is a stream of that many events, each sent once the caller has received the one before:
+// events that a router reads together count as one piece.
+func events(n int, w http.ResponseWriter, received <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range n {
 		fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(5 * time.Millisecond)
+		<-received
+	}
+}
+
+// receive sends a request and reads its answer to the end, with a value in received for each event.
+func (r *rig) receive(t *testing.T, path string, received chan<- struct{}) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, r.server.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	request.Host = "h"
+	for name, value := range map[string]string{"Try": "id-1", "Authorization": "Key k1", "Parts": "x"} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if lines.Text() == "" {
+			received <- struct{}{}
+		}
 	}
 }
 
 // Guards against parts that stay marked although replicas answer prompts with them, and against
 // answers of errors that clear them.
 func TestAnswersThatClearParts(t *testing.T) {
+	received := make(chan struct{}, beginningPieces+1)
 	tests := map[string]struct {
 		path    string
 		answer  func(w http.ResponseWriter)
 		cleared bool
 	}{
-		"a whole answer":                {"/single/x", func(w http.ResponseWriter) { fmt.Fprint(w, "whole") }, true},
-		"a short stream":                {"/stream/x", func(w http.ResponseWriter) { events(1, w) }, true},
-		"a stream that breaks off late": {"/stream/x", func(w http.ResponseWriter) { events(beginningPieces+1, w); panic(http.ErrAbortHandler) }, true},
-		"a resumable one, likewise":     {"/resumable/x", func(w http.ResponseWriter) { events(beginningPieces+1, w); panic(http.ErrAbortHandler) }, true},
-		"a stream that breaks off soon": {"/stream/x", func(w http.ResponseWriter) { events(beginningPieces, w); panic(http.ErrAbortHandler) }, false},
-		"an error":                      {"/single/x", func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) }, false},
+		"a whole answer": {"/single/x", func(w http.ResponseWriter) { fmt.Fprint(w, "whole") }, true},
+		"a short stream": {"/stream/x", func(w http.ResponseWriter) { events(1, w, received) }, true},
+		"a stream that breaks off late": {"/stream/x", func(w http.ResponseWriter) {
+			events(beginningPieces+1, w, received)
+			panic(http.ErrAbortHandler)
+		}, true},
+		"a resumable one, likewise": {"/resumable/x", func(w http.ResponseWriter) {
+			events(beginningPieces+1, w, received)
+			panic(http.ErrAbortHandler)
+		}, true},
+		"a stream that breaks off soon": {"/stream/x", func(w http.ResponseWriter) {
+			events(beginningPieces, w, received)
+			panic(http.ErrAbortHandler)
+		}, false},
+		"an error": {"/single/x", func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) }, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) { test.answer(w) })
 			r := newRig(t, address)
 			r.recordPartCrashes(2)
-			_, _, _ = r.send(t, http.MethodPost, test.path, "body", "Parts", "x")
+			r.receive(t, test.path, received)
 			assert.Equal(t, !test.cleared, r.partMarks(t) > 0)
 		})
 	}
