front: a caller without any time left is rejected

What callers saw: nothing, their time was over; but the replica was handed the route's whole time, 6 s, for an answer that nobody waits for.

Cause: the time is stated in whole milliseconds, so a caller with less than one left states 0, and the parser took values that are not above 0 for absent ones.

Ruled out: what routers hand on to replicas and to each other is 1 ms at least, so no hop between them can state 0.

On the same path: a value beyond what a time.Duration holds (1e300, Inf) became a negative time, and its request was rejected as too late.

Change: the value is compared with the route's limit as a number; none above 0 leaves no time, and the request is rejected before its body is read.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -151,6 +151,10 @@
 		c.refuse(refused)
 		return
 	}
+	if steady.Until(c.deadline) <= 0 {
+		c.refuse(refuseTooLate())
+		return
+	}
 	if refused := c.readBody(); refused != nil {
 		c.refuse(refused)
 		return
@@ -171,15 +175,17 @@
 	c.dispatch(ctx)
 }
 
-// setDeadline sets the deadline from the limits of the route and of the caller.
+// setDeadline sets the deadline from the limits of the route and of the caller. A caller that
+// states no number gets the route's; one that states none above 0 has no time left.
 func (c *call) setDeadline() {
 	limit := defaultTimeout
 	if c.route.Timeout > 0 {
 		limit = c.route.Timeout
 	}
 	milliseconds, err := strconv.ParseFloat(c.request.Header.Get(c.front.options.Dialect.Deadline), 64)
-	if err == nil && milliseconds > 0 {
-		limit = min(limit, time.Duration(milliseconds*float64(time.Millisecond)))
+	// Compared as a number: one that no time.Duration holds is longer than any limit.
+	if err == nil && milliseconds < float64(limit)/float64(time.Millisecond) {
+		limit = time.Duration(max(milliseconds, 0) * float64(time.Millisecond))
 	}
 	c.deadline = c.arrival.Add(limit)
 	c.setWriteDeadline()
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 
 	"github.com/croftyard/croftyard/internal/event"
@@ -127,7 +126,7 @@
 // body was read or while another replica was tried, or a shutdown may have begun.
 func (c *call) checkAdmission(ctx context.Context) *refusal {
 	if ctx.Err() != nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
+		return refuseTooLate()
 	}
 	if refused := c.admit(ctx); refused != nil {
 		return refused
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -42,6 +42,11 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryElsewhere, closes: true, unable: true}
 }
 
+// refuseTooLate refuses a request whose deadline has passed.
+func refuseTooLate() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "time is over", retryAfter: retryElsewhere}
+}
+
 // refuseUnconfigured refuses a request that arrives before there is a configuration. Since
 // many callers retry only once, Retry-After reaches to the expected end of the startup.
 func (f *Front) refuseUnconfigured(now time.Time) *refusal {
