front: a crash of the last replica within reach is recorded later

No router had recorded the third crash.

Cause: a replica that refuses connections has ended, unless this router reaches no other one either: then its path may be lost. When one body crashes all replicas within moments, whoever runs it on the last one reaches none, notes the request as one of a lost path, and drops it when the replica's entry is removed, which the list tells together with the replicas that take its place.

Change: such a request is kept, and its replica probed again once this router reaches another one, also after it has left the list. If it still refuses connections, the crash is recorded; if it listens, the path was lost.

--- a/internal/front/broken.go
+++ b/internal/front/broken.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
@@ -18,14 +19,16 @@
 	organisation uint32
 	at           time.Time
 	state        upstream.ProcessState
-	// incarnation identifies the replica's process that had the request.
+	// incarnation identifies the replica's process that had the request, address is its.
 	incarnation string
+	address     string
 	fields      []event.Field
 }
 
 // brokenRequests keeps broken requests whose replica was not seen to have ended: it may
 // already run again, or a proxy in front of it may still accept connections. A later report
-// of the replica's start, or the removal of its entry, shows whether it crashed.
+// of the replica's start, or the removal of its entry, shows whether it crashed. One that refused
+// connections while this router reached no other replica is probed again once it does.
 type brokenRequests struct {
 	mu   sync.Mutex
 	kept map[string][]brokenRequest
@@ -70,6 +73,48 @@
 	return recent
 }
 
+// refused returns the last recent request of each replica that refused connections.
+func (b *brokenRequests) refused(now time.Time) map[string]brokenRequest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last := make(map[string]brokenRequest)
+	for id, list := range b.kept {
+		for _, one := range list {
+			if one.state == upstream.Ended && now.Sub(one.at) <= brokenTTL {
+				last[id] = one
+			}
+		}
+	}
+	return last
+}
+
+// settle applies a probe of a replica, begun at a time, to its requests from before that time
+// which ended when it refused connections. It removes and returns them if it still does.
+func (b *brokenRequests) settle(id string, state upstream.ProcessState, began time.Time) []brokenRequest {
+	if state == upstream.Unreachable {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var crashed, rest []brokenRequest
+	for _, one := range b.kept[id] {
+		switch {
+		case one.state != upstream.Ended || one.at.After(began):
+			rest = append(rest, one)
+		case state == upstream.Ended:
+			crashed = append(crashed, one)
+		default:
+			one.state = state
+			rest = append(rest, one)
+		}
+	}
+	b.kept[id] = rest
+	if len(rest) == 0 {
+		delete(b.kept, id)
+	}
+	return crashed
+}
+
 // ReplicaRestarted records that a replica started again under its id. The requests that it
 // recently broke off count as crashes, and its earlier statements no longer hold.
 func (f *Front) ReplicaRestarted(id string, now time.Time) {
@@ -81,11 +126,32 @@
 
 // ReplicaRemoved records that a replica is no longer listed. Only one that rejected
 // connections after a broken request counts as crashed: a replica that still listened has
-// left, and behind a network partition entries expire too.
+// left, and behind a network partition entries expire too. One that refused connections is
+// still probed.
 func (f *Front) ReplicaRemoved(id string, now time.Time) {
 	for _, b := range f.broken.take(id, now) {
-		if b.state == upstream.Rejecting {
+		switch b.state {
+		case upstream.Rejecting:
 			f.recordCrash(id, b, now)
+		case upstream.Ended:
+			f.broken.note(id, b, now)
+		}
+	}
+}
+
+// confirmEnds records the crashes of replicas that refused connections while this router reached
+// no other one, if they still do now that it does.
+func (f *Front) confirmEnds(now time.Time) {
+	for id, last := range f.broken.refused(now) {
+		if !f.balancer.ReachedSince(last.at, id) {
+			continue
 		}
+		go func() {
+			began := steady.Now()
+			state := f.processState(id, last.address, began)
+			for _, b := range f.broken.settle(id, state, began) {
+				f.recordCrash(id, b, steady.Now())
+			}
+		}()
 	}
 }
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -98,12 +98,8 @@
 	one := c.brokenRequest(choice, broke)
 	go func() {
 		defer close(probed)
-		one.state = f.stateAfterBreak(id, address, broke)
-		if one.state != upstream.Ended {
-			f.broken.note(id, one, steady.Now())
-			return
-		}
-		f.recordCrash(id, one, steady.Now())
+		one.state = f.probePath(id, address, broke)
+		f.recordEnd(id, one)
 	}()
 }
 
@@ -117,29 +113,30 @@
 	ended := steady.Now()
 	one := c.brokenRequest(choice, ended)
 	go func() {
-		if f.stateAfterBreak(id, address, ended) == upstream.Ended {
-			f.recordCrash(id, one, steady.Now())
+		one.state = f.probePath(id, address, ended)
+		if one.state == upstream.Ended {
+			f.recordEnd(id, one)
 		}
 	}()
 }
 
 // brokenRequest describes the request for the case that it crashed its replica.
 func (c *call) brokenRequest(choice balance.Choice, at time.Time) brokenRequest {
-	b := brokenRequest{digest: c.digest(), at: at, incarnation: incarnation(choice), fields: c.crashFields(choice, at)}
+	b := brokenRequest{digest: c.digest(), at: at, incarnation: incarnation(choice), address: choice.Replica.Address, fields: c.crashFields(choice, at)}
 	if c.isBeginning() {
 		b.parts, b.organisation = c.partDigests(), poison.OrganisationHash(c.organisationName())
 	}
 	return b
 }
 
-// stateAfterBreak probes a replica's process. It has ended only if this router reaches others:
-// a path that is lost may refuse connections too.
-func (f *Front) stateAfterBreak(id, address string, broke time.Time) upstream.ProcessState {
-	state := f.probePath(id, address, broke)
-	if state == upstream.Ended && !f.reachesOthers(id, broke) {
-		return upstream.Unreachable
+// recordEnd records a broken request whose replica was probed. The replica has ended only if this
+// router reaches others: a path that is lost may refuse connections too.
+func (f *Front) recordEnd(id string, one brokenRequest) {
+	if one.state == upstream.Ended && f.reachesOthers(id, one.at) {
+		f.recordCrash(id, one, steady.Now())
+		return
 	}
-	return state
+	f.broken.note(id, one, steady.Now())
 }
 
 // leavesAsPlanned reports whether the replica is leaving, by the list or by its own
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -155,7 +155,7 @@
 	}()
 	<-underWay
 	state := make(chan upstream.ProcessState)
-	go func() { state <- r.front.stateAfterBreak("r0", "127.0.0.1:1", steady.Now()) }()
+	go func() { state <- r.front.probePath("r0", "127.0.0.1:1", steady.Now()) }()
 	time.Sleep(20 * time.Millisecond)
 	close(finish)
 	assert.Equal(t, upstream.Ended, <-state)
@@ -296,3 +296,58 @@
 		})
 	}
 }
+
+// Guards against crashes that no router counts because the request crashed all replicas at once:
+// whoever reaches no other one takes an end for a lost path.
+func TestCrashOfLastReplicaIsRecorded(t *testing.T) {
+	tests := map[string]struct {
+		// again: the last replica listens again. others: another replica is reached.
+		again, removed, others bool
+		crashes                int
+	}{
+		"another one is reached":             {others: true, crashes: 2},
+		"it has left the list by then":       {removed: true, others: true, crashes: 2},
+		"none is reached":                    {crashes: 1},
+		"its path was lost, and is back":     {again: true, others: true, crashes: 1},
+		"the same, and it has left the list": {again: true, removed: true, others: true, crashes: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan net.Listener, 2)
+			crash := func(l net.Listener, _ http.ResponseWriter) {
+				l.Close()
+				ended <- l
+			}
+			r := newRig(t, newAbortingReplica(t, crash), newAbortingReplica(t, crash))
+			_, _, _ = r.send(t, http.MethodPost, "/repeat/x", "body")
+			<-ended
+			lastAddress := (<-ended).Addr().String()
+			await := func(condition func() bool) {
+				require.Eventually(t, condition, 5*time.Second, time.Millisecond)
+			}
+			await(func() bool { return r.log.Count(event.ReplicaEnded) == 1 && len(r.front.broken.refused(steady.Now())) == 1 })
+			var last string
+			for id := range r.front.broken.refused(steady.Now()) {
+				last = id
+			}
+			if test.again {
+				l, err := net.Listen("tcp", lastAddress)
+				require.NoError(t, err)
+				t.Cleanup(func() { l.Close() })
+			}
+			if test.removed {
+				r.front.ReplicaRemoved(last, steady.Now())
+			}
+			if test.others {
+				address, _ := replica(t, func(http.ResponseWriter, *http.Request) {})
+				r.addReplicas(t, directory.Replica{ID: "r2", Service: "s", Address: address, DataCentre: "here"})
+				require.Equal(t, upstream.Listening, r.front.probePath("r2", address, steady.Now()))
+			}
+			r.front.ProbeLostPaths()
+			if test.others {
+				await(func() bool { return len(r.front.broken.refused(steady.Now())) == 0 })
+			}
+			assert.EqualValues(t, test.crashes, r.log.Count(event.ReplicaEnded))
+		})
+	}
+}
