--- a/internal/front/broken.go
+++ b/internal/front/broken.go
@@ -73,7 +73,7 @@
 	return recent
 }
 
-// refused returns the last recent request of each replica that refused connections.
+// refused returns, by replica, the last recent request after which it refused connections.
 func (b *brokenRequests) refused(now time.Time) map[string]brokenRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -88,8 +88,8 @@
 	return last
 }
 
-// settle applies a probe of a replica, begun at a time, to its requests from before that time
-// which ended when it refused connections. It removes and returns them if it still does.
+// settle applies what a probe of a replica found, which began at a time, to earlier requests after
+// which the replica refused connections. If it still does, they are removed and returned.
 func (b *brokenRequests) settle(id string, state upstream.ProcessState, began time.Time) []brokenRequest {
 	if state == upstream.Unreachable {
 		return nil
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -176,14 +176,14 @@
 }
 
 // setDeadline sets the deadline from the limits of the route and of the caller. A caller that
-// states no number gets the route's; one that states none above 0 has no time left.
+// states no number gets the route's limit, one that states 0 or less has no time left.
 func (c *call) setDeadline() {
 	limit := defaultTimeout
 	if c.route.Timeout > 0 {
 		limit = c.route.Timeout
 	}
 	milliseconds, err := strconv.ParseFloat(c.request.Header.Get(c.front.options.Dialect.Deadline), 64)
-	// Compared as a number: one that no time.Duration holds is longer than any limit.
+	// Compared before the conversion, which overflows for large numbers.
 	if err == nil && milliseconds < float64(limit)/float64(time.Millisecond) {
 		limit = time.Duration(max(milliseconds, 0) * float64(time.Millisecond))
 	}
