--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -325,7 +325,9 @@
 			await := func(condition func() bool) {
 				require.Eventually(t, condition, 5*time.Second, time.Millisecond)
 			}
-			await(func() bool { return r.log.Count(event.ReplicaEnded) == 1 && len(r.front.broken.refused(steady.Now())) == 1 })
+			await(func() bool {
+				return r.log.Count(event.ReplicaEnded) == 1 && len(r.front.broken.refused(steady.Now())) == 1
+			})
 			var last string
 			for id := range r.front.broken.refused(steady.Now()) {
 				last = id
