test/soak: no process starts while its settings file is broken

Cause: the soak writes a broken settings file now and then, says so with SIGHUP, and writes a whole one 0.1 s later.

Ruled out: a reload that takes a broken file in place of the old settings; the process that ended had just started.

Change: a process that starts, until it is ready, and a settings file that is not whole exclude each other. No check is changed; hang-ups that fell on a start, of which the process was not told, now reach it.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -165,6 +165,8 @@
 // restart starts a process and notes the start as a disturbance until it is ready.
 func (s *soak) restart(r *router) {
 	time.Sleep(restartDelay)
+	r.reading.Lock()
+	defer r.reading.Unlock()
 	over := s.record.disturb(Disturbance{Router: r.name, What: "start"})
 	defer over()
 	if err := r.start(); err != nil {
@@ -188,6 +190,8 @@
 
 // hangUp changes the settings file and says so, now and then with a broken file first.
 func (s *soak) hangUp(r *router, rnd *rand.Rand) {
+	r.reading.Lock()
+	defer r.reading.Unlock()
 	if rnd.IntN(3) == 0 {
 		s.writeSettings(r, "[instance]\nname =\n")
 		r.hup()
--- a/test/soak/router.go
+++ b/test/soak/router.go
@@ -24,6 +24,9 @@
 	record         *recorder
 	// handling is held while a fault that stops the process is under way.
 	handling sync.Mutex
+	// reading is held while the settings file is not whole, and while a process that starts
+	// reads it.
+	reading sync.Mutex
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
