--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -297,8 +297,8 @@
 	}
 }
 
-// Guards against crashes that no router counts because the request crashed all replicas at once:
-// whoever reaches no other one takes an end for a lost path.
+// Guards against crashes that no router counts because the request crashed all replicas at once: a
+// refused connection may be a lost path while no other replica is reached.
 func TestCrashOfLastReplicaIsRecorded(t *testing.T) {
 	tests := map[string]struct {
 		// again: the last replica listens again. others: another replica is reached.
--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -74,9 +74,9 @@
 }
 
 // ProbeLostPaths opens connections to replicas that this router lost the path to, so that
-// its return is noticed without a request, and to those whose end it could not tell from that.
-// It logs which services were lost or reached again since the last call, and is not safe for
-// concurrent use.
+// its return is noticed without a request, and to those that refused connections while no other
+// replica was reached. It logs which services were lost or reached again since the last call, and
+// is not safe for concurrent use.
 func (f *Front) ProbeLostPaths() {
 	f.confirmEnds(steady.Now())
 	f.logLostServices(f.balancer.LostServices(steady.Now()))
