faulty: a relay closes connections that it accepts while it closes

A goroutine dump after 8 minutes shows the clean-up of a faulty.Relay waiting for two goroutines that copy between open sockets.

Cause: Close closes the connections that are registered. One that has been accepted, but is registered after that, stays open, and Close waits for its ends forever.

Change: a connection that is accepted after Close has begun is closed at once. TestRelayClosesWhatItAcceptsMeanwhile hangs without the change (10 s bound) and passes with it.

--- a/internal/faulty/relay.go
+++ b/internal/faulty/relay.go
@@ -18,6 +18,7 @@
 	silentNew atomic.Bool
 	mu        sync.Mutex
 	links     []*link
+	closed    bool
 	done      sync.WaitGroup
 }
 
@@ -73,6 +74,7 @@
 func (r *Relay) Close() {
 	r.listener.Close()
 	r.mu.Lock()
+	r.closed = true
 	for _, l := range r.links {
 		l.close()
 	}
@@ -99,6 +101,11 @@
 		l := &link{caller: caller, server: server}
 		l.silent.Store(r.silentNew.Load())
 		r.mu.Lock()
+		if r.closed {
+			r.mu.Unlock()
+			l.close()
+			return
+		}
 		r.links = append(r.links, l)
 		r.mu.Unlock()
 		r.opened.Add(1)
