front: retries are logged and counted by service

Lines 404 and 413 told neither the service of a retry nor what the budget held, so that a budget that is too large could not be told from one that is spent at another service. No decision changes.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -306,8 +306,9 @@
 		return attemptGiveUp
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
-		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()))
-	c.front.metrics.Retries.Inc(1)
+		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()),
+		event.F("service", c.service.Name), event.F("left", c.front.retries.Available()))
+	c.front.metrics.RecordRetry(c.service.Name)
 	return attemptRetry
 }
 
@@ -315,7 +316,7 @@
 func (f *Front) spendRetry(request string) bool {
 	spent := !f.retries.Spend()
 	if spent && !f.budgetExhausted.Swap(true) {
-		f.log.Write(event.BudgetSpent, event.F("request", request))
+		f.log.Write(event.BudgetSpent, event.F("request", request), event.F("left", f.retries.Available()))
 	}
 	if !spent {
 		f.budgetExhausted.Store(false)
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -85,6 +85,12 @@
 	gometrics.GetOrRegisterCounter("croftyard.front.service_refused_overloaded."+m.label(m.services, service), m.Registry).Inc(1)
 }
 
+// RecordRetry counts a retry at a service.
+func (m *Metrics) RecordRetry(service string) {
+	m.Retries.Inc(1)
+	gometrics.GetOrRegisterCounter("croftyard.front.service_repeats."+m.label(m.services, service), m.Registry).Inc(1)
+}
+
 // RecordRequest counts a request by its route and outcome.
 func (m *Metrics) RecordRequest(route, outcome string, took, first time.Duration, begun bool) {
 	gometrics.GetOrRegisterCounter("croftyard.front.requests."+outcome, m.Registry).Inc(1)
