retry: a fleet's retries within one bound, without agreement

A module without network, not used yet. A router counts its requests and retries by service and has a part of the users' allowance; a retry is admitted if in every span of time that ends now, up to the window, its retries exceed the ratio of its requests by no more than its part. The sum over routers is then within the users' bound in every window, whatever the routers know of each other's counts.

What is left is lent, also fractions of a retry: a loan counts at its lender until it is settled, and as used if it never is. Where every router is killed once in each window nothing of the allowance is left: a process that starts cannot know what the one before it has used.

--- /dev/null
+++ b/pkg/retry/account.go
@@ -0,0 +1,54 @@
+package retry
+
+// slotsPerWindow divides the window. A slot counts until its end is older than the window, so that
+// what is counted is up to this part of it too long.
+const slotsPerWindow = 40
+
+// account holds the retries and requests of one service at one router over the last window, as a
+// sum to which a retry adds one and a request subtracts the ratio.
+type account struct {
+	// slots is a ring. slot is the number of the newest one.
+	slots [slotsPerWindow + 1]slot
+	slot  int64
+	// open is what was admitted or lent and may be used at any moment.
+	open float64
+}
+
+// slot is a part of the window.
+type slot struct {
+	// sum is that of the slot, most the largest sum from any moment in it to its end.
+	sum, most float64
+}
+
+// advance begins the slots up to a number.
+func (a *account) advance(to int64) {
+	if to-a.slot >= int64(len(a.slots)) {
+		a.slots = [len(a.slots)]slot{}
+		a.slot = to
+	}
+	for a.slot < to {
+		a.slot++
+		*a.newest() = slot{}
+	}
+}
+
+func (a *account) newest() *slot { return &a.slots[a.slot%int64(len(a.slots))] }
+
+// add adds to the sum as of now.
+func (a *account) add(x float64) {
+	s := a.newest()
+	s.sum += x
+	s.most = max(s.most+x, 0)
+}
+
+// excess returns the largest sum from any moment in the window until now.
+func (a *account) excess() float64 {
+	later, most := 0.0, 0.0
+	n := int64(len(a.slots))
+	for i := range n {
+		s := &a.slots[(a.slot-i+n)%n]
+		most = max(most, later+s.most)
+		later += s.sum
+	}
+	return most
+}
--- /dev/null
+++ b/pkg/retry/retry.go
@@ -0,0 +1,250 @@
+// Package retry keeps the retries of a fleet of routers within one bound.
+//
+// The users state what a service may get in any window of time over all routers: ratio retries
+// for each request, and an allowance besides. Routers decide without agreement. Each counts its
+// own requests and retries and has a part of the allowance; a retry is admitted if, in every
+// span of time that ends now and fits into the window,
+//
+//	retries <= ratio x requests + part of the allowance
+//
+// The sum over the routers is then within the users' bound in every window, as long as the
+// parts add up to no more than the allowance. What a router does not use it lends: a loan counts
+// as retries of the lender, and as none of the borrower.
+//
+//	Budget       the retries of one router, by service
+//	Reservation  one admitted retry, until it is sent
+//	Loan         retries that another router may make in place of this one
+//
+// The package does no I/O; time comes from the caller and is steady.
+package retry
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds are what the users allow each service, over all routers.
+type Bounds struct {
+	// Ratio is how many retries each request allows.
+	Ratio float64
+	// Allowance is how many retries are allowed in each window besides.
+	Allowance float64
+	// Window is the length of the spans in which both hold.
+	Window time.Duration
+}
+
+// Service identifies a service among routers.
+type Service uint64
+
+// ServiceOf returns the identity of the service with a name.
+func ServiceOf(name string) Service { return Service(xxhash.Sum64String(name)) }
+
+// LoanTime is for how long a router may use what it has borrowed, from when it asked. A lender
+// that is not told what was used counts all of the loan as used by then.
+const LoanTime = 250 * time.Millisecond
+
+// LoanID identifies a loan at its lender.
+type LoanID uint32
+
+// loan is what this router has lent.
+type loan struct {
+	account *account
+	amount  float64
+	until   time.Time
+}
+
+// Budget is one router's part of the fleet's retries. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	bounds Bounds
+	// partFrom is from when on this router has a part of the allowance, routers by how many
+	// the allowance is divided; 0 if that is not known.
+	partFrom time.Time
+	routers  float64
+	// epoch is the beginning of the first slot of the accounts.
+	epoch    time.Time
+	accounts map[Service]*account
+	loans    map[LoanID]loan
+	lastLoan LoanID
+}
+
+// NewBudget returns the budget of a router that starts. It has no part of the allowance before
+// partFrom: the process whose place it takes may just have used it.
+func NewBudget(b Bounds, now, partFrom time.Time) *Budget {
+	return &Budget{bounds: b, partFrom: partFrom, epoch: now, accounts: make(map[Service]*account), loans: make(map[LoanID]loan)}
+}
+
+// SetBounds replaces the bounds. After a change of the window nothing is known of what was used
+// in the new one, so that the part of the allowance begins one window later.
+func (b *Budget) SetBounds(bounds Bounds, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bounds.Window != b.bounds.Window {
+		clear(b.accounts)
+		clear(b.loans)
+		b.epoch = now
+		if from := now.Add(max(bounds.Window, b.bounds.Window)); from.After(b.partFrom) {
+			b.partFrom = from
+		}
+	}
+	b.bounds = bounds
+}
+
+// SetRouters sets by how many routers the allowance is divided. Routers that this one has lost
+// the contact to count: they may retry as well. Zero means that the number is not known.
+func (b *Budget) SetRouters(routers float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.routers = routers
+}
+
+// HasPart reports whether this router has a part of the allowance.
+func (b *Budget) HasPart(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.part(now) > 0
+}
+
+// part returns this router's part of the allowance.
+func (b *Budget) part(now time.Time) float64 {
+	if b.routers <= 0 || now.Before(b.partFrom) {
+		return 0
+	}
+	return b.bounds.Allowance / b.routers
+}
+
+// Request counts a request for a service. A request that another router counts, since it hands
+// it to this one, must not be counted again.
+func (b *Budget) Request(s Service, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(s, now).add(-b.bounds.Ratio)
+}
+
+// account returns the account of a service as of now.
+func (b *Budget) account(s Service, now time.Time) *account {
+	a := b.accounts[s]
+	if a == nil {
+		b.forgetIdle(now)
+		a = &account{slot: b.slot(now)}
+		b.accounts[s] = a
+	}
+	a.advance(b.slot(now))
+	b.expireLoans(now)
+	return a
+}
+
+// slot returns the number of the slot of a time.
+func (b *Budget) slot(now time.Time) int64 {
+	return int64(now.Sub(b.epoch)) / max(int64(b.bounds.Window)/slotsPerWindow, 1)
+}
+
+// forgetIdle forgets the services without requests or retries within the window.
+func (b *Budget) forgetIdle(now time.Time) {
+	oldest := b.slot(now) - slotsPerWindow
+	maps.DeleteFunc(b.accounts, func(_ Service, a *account) bool { return a.slot < oldest && a.open < rounding })
+}
+
+// expireLoans counts the loans that nobody settled as used.
+func (b *Budget) expireLoans(now time.Time) {
+	for id, l := range b.loans {
+		if !now.Before(l.until) {
+			b.close(id, l, l.amount, now)
+		}
+	}
+}
+
+// close ends a loan, of which some was used by now.
+func (b *Budget) close(id LoanID, l loan, used float64, now time.Time) {
+	delete(b.loans, id)
+	l.account.open -= l.amount
+	l.account.advance(b.slot(now))
+	l.account.add(used)
+}
+
+// left returns how many retries an account admits.
+func (b *Budget) left(a *account, now time.Time) float64 {
+	return b.part(now) - a.excess() - a.open
+}
+
+// Left returns how many retries at a service this router may make by itself. It may be less than
+// one, and less than zero after the number of routers has grown.
+func (b *Budget) Left(s Service, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.account(s, now), now)
+}
+
+// rounding is what sums of fractions may be off by.
+const rounding = 1e-6
+
+// Reserve admits one retry at a service, of which a part may be borrowed, and returns nil if too
+// little is left for the rest.
+func (b *Budget) Reserve(s Service, borrowed float64, now time.Time) *Reservation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(s, now)
+	own := max(1-borrowed, 0)
+	if own > rounding && own > b.left(a, now)+rounding {
+		return nil
+	}
+	a.open += own
+	return &Reservation{budget: b, account: a, amount: own}
+}
+
+// Lend sets retries at a service aside for another router, as many as this one has left and at
+// most as many as wanted. The amount may be zero; then there is no loan.
+func (b *Budget) Lend(s Service, wanted float64, now time.Time) (id LoanID, amount float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(s, now)
+	amount = min(wanted, b.left(a, now))
+	if amount < rounding {
+		return 0, 0
+	}
+	b.lastLoan++
+	b.loans[b.lastLoan] = loan{a, amount, now.Add(LoanTime)}
+	a.open += amount
+	return b.lastLoan, amount
+}
+
+// Settle ends a loan, of which the borrower has used some.
+func (b *Budget) Settle(id LoanID, used float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, open := b.loans[id]; open {
+		b.close(id, l, min(max(used, 0), l.amount), now)
+	}
+}
+
+// Reservation is one retry that was admitted. It counts as if it were made now until Use or
+// Release is called. The zero value and nil are reservations of nothing.
+type Reservation struct {
+	budget  *Budget
+	account *account
+	amount  float64
+}
+
+// Use counts the retry as sent now. Later calls have no effect.
+func (r *Reservation) Use(now time.Time) { r.end(now, true) }
+
+// Release gives the retry back, unless it was used.
+func (r *Reservation) Release(now time.Time) { r.end(now, false) }
+
+func (r *Reservation) end(now time.Time, used bool) {
+	if r == nil || r.budget == nil {
+		return
+	}
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.account.open -= r.amount
+	if used {
+		r.account.advance(b.slot(now))
+		r.account.add(r.amount)
+	}
+	r.amount = 0
+}
