retries: the fleet keeps the users' bound, by service, at any number of routers

Cause: a bound on the sum over all routers, by service and in any window, was kept by each router for itself: half of the ratio for all services together, and a sixteenth of the allowance whatever the number of routers, anew with each process. 143 routers held nine times the allowance.

Retries that routers counted equal the arrivals, by service, so that no send passes the budget by.

Change: pkg/retry decides, with parts by the number of routers that may be at work (pkg/membership: members, those that fell silent within two hours, those that stopped lately; the greatest number of those that others report) and loans of what is left, by datagrams, fractions too. A process that starts uses no more than the ratio of its own requests for a window, since the one before it may just have used its part. A silent attempt is not ended before its retry is admitted; a retry counts from when it is written. The demo starts with first_start, since its retries are the fleet's first.

--- a/internal/demo/routes.go
+++ b/internal/demo/routes.go
@@ -197,6 +197,7 @@
 	s.Platform.Kind, s.Platform.URL = settings.PlatformStore, "http://"+f.address(portOfStore)
 	s.Listen = settings.Listen{Callers: f.address(first), Readiness: f.address(first + 1), Peers: f.address(first + 2), Admin: f.address(first + 3)}
 	s.Peers.Seeds = []string{f.address(2)}
+	s.Routes.FirstStart = true
 	e, err := entry.Start(s, entry.Environment{
 		Source: func(s settings.Settings, call time.Duration) watch.Source {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -27,10 +27,9 @@
 	// outage a replica that vanished with its list keeps its work. The users state that live
 	// replicas are listed again within about two seconds (two heartbeats).
 	relistHeartbeats = 2
-	// retryFraction is the fraction of the fleet's retry ratio that each router earns.
-	retryFraction = 0.5
-	// retryBurstDivisor divides the fleet's retry allowance among routers.
-	retryBurstDivisor = 16
+	// retryFraction is the fraction of the users' retries that routers use: some arrive at their
+	// replicas later than others after they were counted.
+	retryFraction = 0.98
 )
 
 func fraction(d time.Duration, share float64) time.Duration {
@@ -97,7 +96,5 @@
 		MaxKeyProofAge:     keyProof(b),
 		MaxAbsenceProofAge: fraction(b.Apply, absenceProofFraction),
 		MaxListAge:         fraction(min(b.Drain, b.Evacuate), 1-forwardFraction),
-		RetryRatio:         b.RepeatRatio * retryFraction,
-		RetryBurst:         max(b.RepeatAllowance/retryBurstDivisor, 1),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,7 @@
 	"github.com/croftyard/croftyard/pkg/mechanism"
 	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/retry"
 	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/pkg/turns"
 )
@@ -83,6 +84,8 @@
 	front     *front.Front
 	metrics   *front.Metrics
 	gossip    *gossip.Gossip
+	// retries is this router's part of the fleet's retries.
+	retries *retry.Budget
 	// overload decides on requests to services without engines; nil if the settings turn
 	// admission control off. admission tells whether its decisions apply.
 	overload  *gatedController
@@ -160,6 +163,7 @@
 	})
 	e.poison, e.parts = newPoison(e.settings.Routes, e.log), newPartPoison(e.settings.Routes, e.log)
 	e.buildOverload()
+	e.retries = newRetries(e.settings, e.started)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{
 		Address:    e.settings.Listen.Peers,
@@ -170,6 +174,7 @@
 		Parts:      e.parts,
 		Origins:    origin.NewTracker(front.MaxStreamLifetime),
 		Overload:   e.overloadReports(),
+		Retries:    e.retries,
 	}, e.watcher, e.balancer, e.log)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
@@ -185,6 +190,8 @@
 		OwnsTask:   e.gossip.OwnsTask,
 		Without:    e.settings.Without,
 		Origins:    e.gossip.Origins(),
+		Retries:    e.retries,
+		Loans:      e.gossip.Loans(),
 	}
 	e.connectOverload(&options)
 	e.connectRelays(&options)
@@ -228,6 +235,7 @@
 	e.bounds.Store(&s.Bounds)
 	e.shortenStop(s.Bounds.Grace)
 	e.front.SetLimits(frontLimits(s.Bounds))
+	e.retries.SetBounds(retryBounds(s.Bounds), steady.Now())
 	e.front.SetHeldBytes(s.Limits.HeldBytes)
 	e.poison.SetLimits(poisonLimits(s.Routes))
 	e.parts.SetLimits(partLimits(s.Routes))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -189,6 +189,7 @@
 	until(e.Ready)
 	e.metrics.RecordRequest("r", "served", time.Millisecond, time.Millisecond, true)
 	e.metrics.RecordOverload("s", overload.OverShare)
+	e.metrics.RecordRetry("s")
 	response, err := http.Get("http://" + e.listeners[2].Addr().String() + "/metrics")
 	require.NoError(t, err)
 	defer response.Body.Close()
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -103,6 +103,7 @@
 		{Name: "croftyard_source_returns", Value: float64(returns)},
 		{Name: "croftyard_source_held", Value: float64(len(facts.Replicas) + len(facts.Evacuated))},
 		{Name: "croftyard_peers_routers", Value: float64(e.gossip.MemberCount())},
+		{Name: "croftyard_peers_retry_parts", Value: e.gossip.RetryParts()},
 		{Name: "croftyard_peers_older", Value: float64(e.gossip.OlderFormatPeers())},
 		{Name: "croftyard_peers_sent_bytes", Value: float64(sent)},
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -152,7 +152,7 @@
 	ReplicaChosen:     {logrus.InfoLevel, "replica chosen", "None needed."},
 	RequestSampled:    {logrus.InfoLevel, "request served, one of many", "None needed."},
 	RequestLate:       {logrus.InfoLevel, "request served late or after a repeat", "None needed. The lines of the same request tell why."},
-	BudgetSpent:       {logrus.WarnLevel, "no repeat left in the budget", "Look at the replicas that fail; the budget keeps them from being asked twice as often."},
+	BudgetSpent:       {logrus.WarnLevel, "no repeat left in the budget", "Look at the replicas of the service that fail; the budget keeps them from being asked twice as often. left is what this router could still make by itself; others were asked as well."},
 	CallerConnExpired: {logrus.DebugLevel, "caller's connection rested too long, closed", "None needed. The configuration's limits say how long it may rest."},
 	HandlerFailed:     {logrus.ErrorLevel, "the HTTP server reports a fault", "A fault in croftyard or a caller's broken request: report it with the text."},
 	ListOld:           {logrus.WarnLevel, "list of replicas is old and was not renewed in time", "None if the platform's service is down: requests go by the list at hand. Else see why its answers are slow: past its greatest age (`drain`) requests go only to replicas whose own answers show that they stay."},
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -15,6 +15,7 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/retry"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -50,8 +51,7 @@
 	// waiting is set while an attempt has no response head. That attempt is not yet counted
 	// in sent. Timers read it concurrently.
 	waiting atomic.Bool
-	// reserved is set while a retry has been taken from the budget but not yet made.
-	reserved atomic.Bool
+	retries callRetries
 	// failedReplicas answered with an error of their own that was not yet reported to the
 	// balancer.
 	failedReplicas []string
@@ -161,7 +161,7 @@
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.PromptParts))
 	if c.relay == nil {
-		c.front.retries.Earn()
+		c.front.retries.budget.Request(retry.ServiceOf(c.service.Name), c.arrival)
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.deadline))
 	defer cancel()
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -173,7 +173,11 @@
 	request := c.outgoing(choice)
 	request.Check = func() error {
 		c.writtenAt = steady.Now()
-		return c.checkBeforeWrite(id, c.writtenAt)
+		err := c.checkBeforeWrite(id, c.writtenAt)
+		if err == nil {
+			c.retries.written(c.writtenAt)
+		}
+		return err
 	}
 	failover := c.failover(c.silenceLimit(), cancel)
 	request.Unacked = func() { failover() }
@@ -302,28 +306,16 @@
 	if int(c.sent.Load()) >= c.maxAttempts() {
 		return attemptGiveUp
 	}
-	if !c.reserved.Swap(false) && !c.front.spendRetry(c.id) {
+	if !c.admitRetry(c.front.cutting) {
 		return attemptGiveUp
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
 		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()),
-		event.F("service", c.service.Name), event.F("left", c.front.retries.Available()))
+		event.F("service", c.service.Name), event.F("left", c.front.retries.left(c.service.Name)))
 	c.front.metrics.RecordRetry(c.service.Name)
 	return attemptRetry
 }
 
-// spendRetry takes a retry from the budget, and logs once when the budget is exhausted.
-func (f *Front) spendRetry(request string) bool {
-	spent := !f.retries.Spend()
-	if spent && !f.budgetExhausted.Swap(true) {
-		f.log.Write(event.BudgetSpent, event.F("request", request), event.F("left", f.retries.Available()))
-	}
-	if !spent {
-		f.budgetExhausted.Store(false)
-	}
-	return !spent
-}
-
 // reportFailure reports a replica's failure to the balancer.
 func (f *Front) reportFailure(request, id string, kind balance.Failure) {
 	f.balancer.RequestFailed(id, kind, f.options.DataCentre, steady.Now())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/relay"
+	"github.com/croftyard/croftyard/pkg/retry"
 )
 
 // Dialect holds the header names and value formats that callers, routers and replicas use.
@@ -87,6 +88,11 @@
 	Relays func() []relay.Router
 	// RelayPool keeps the connections to them.
 	RelayPool *upstream.Pool
+	// Retries is this router's part of the fleet's retries. If nil, New creates one that admits
+	// none.
+	Retries *retry.Budget
+	// Loans borrows retries from other routers. If nil, there is nobody to borrow from.
+	Loans Loans
 	// Origins records at which versions streams began. If nil, streams that callers take up may
 	// go on at any.
 	Origins Origins
@@ -105,29 +111,24 @@
 	// MaxListAge is the maximum age of the list of replicas at which a request is written to
 	// a replica. Zero means no maximum.
 	MaxListAge time.Duration
-	// RetryRatio is how many retries each request adds to the budget, RetryBurst how many
-	// the budget holds.
-	RetryRatio float64
-	RetryBurst float64
 }
 
 // Front is an http.Handler that forwards requests to replicas.
 type Front struct {
-	options         Options
-	watcher         *watch.Watcher
-	holder          *freshness.Holder
-	balancer        *balance.Balancer
-	poison          *poison.Tracker
-	parts           *poison.PartTracker
-	pool            *upstream.Pool
-	log             *event.Log
-	metrics         *Metrics
-	started         time.Time
-	limits          atomic.Pointer[Limits]
-	retries         *admission.RetryBudget
-	active          atomic.Int64
-	served          atomic.Uint64
-	budgetExhausted atomic.Bool
+	options  Options
+	watcher  *watch.Watcher
+	holder   *freshness.Holder
+	balancer *balance.Balancer
+	poison   *poison.Tracker
+	parts    *poison.PartTracker
+	pool     *upstream.Pool
+	log      *event.Log
+	metrics  *Metrics
+	started  time.Time
+	limits   atomic.Pointer[Limits]
+	retries  retries
+	active   atomic.Int64
+	served   atomic.Uint64
 	// listStale is set if the last attempt to refresh the list of replicas failed.
 	listStale atomic.Bool
 	// stopping is nil until BeginShutdown is called.
@@ -160,6 +161,9 @@
 	if o.Poison == nil {
 		o.Poison = poison.New(poison.Options{})
 	}
+	if o.Retries == nil {
+		o.Retries = retry.NewBudget(retry.Bounds{Window: time.Second}, steady.Now(), steady.Now())
+	}
 	if o.Parts == nil {
 		o.Parts = poison.NewPartTracker(poison.Options{})
 	}
@@ -174,7 +178,7 @@
 		log:              log,
 		metrics:          m,
 		started:          steady.Now(),
-		retries:          admission.NewRetryBudget(o.Limits.RetryRatio, o.Limits.RetryBurst),
+		retries:          retries{budget: o.Retries, loans: o.Loans},
 		longestDurations: admission.NewMaxDurations(),
 		relays:           relay.New(uint64(steady.Now().UnixNano())),
 	}
@@ -185,10 +189,7 @@
 }
 
 // SetLimits replaces the limits.
-func (f *Front) SetLimits(l Limits) {
-	f.limits.Store(&l)
-	f.retries.Set(l.RetryRatio, l.RetryBurst)
-}
+func (f *Front) SetLimits(l Limits) { f.limits.Store(&l) }
 
 // ActiveRequests returns the number of requests being served.
 func (f *Front) ActiveRequests() int { return int(f.active.Load()) }
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -13,8 +13,10 @@
 // Metrics are the metrics of a Front. Times are in milliseconds. Names follow
 // croftyard.PART.WHAT[_UNIT][.LABEL]; docs/METRICS.md lists them.
 type Metrics struct {
-	Registry          gometrics.Registry
-	Retries           gometrics.Counter
+	Registry gometrics.Registry
+	Retries  gometrics.Counter
+	// RetriesBorrowed counts the retries for which other routers lent something.
+	RetriesBorrowed   gometrics.Counter
 	ConnectionsOpened gometrics.Counter
 	// PoisonRefusals counts refusals of requests that are suspected to crash replicas.
 	PoisonRefusals gometrics.Counter
@@ -54,6 +56,7 @@
 	m := &Metrics{
 		Registry:           r,
 		Retries:            gometrics.NewRegisteredCounter("croftyard.front.repeats", r),
+		RetriesBorrowed:    gometrics.NewRegisteredCounter("croftyard.front.repeats_borrowed", r),
 		ConnectionsOpened:  gometrics.NewRegisteredCounter("croftyard.front.connections_opened", r),
 		PoisonRefusals:     gometrics.NewRegisteredCounter("croftyard.front.refused_as_poison", r),
 		DrainingAnswers:    gometrics.NewRegisteredCounter("croftyard.front.answers_draining", r),
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -249,9 +249,11 @@
 			if c.callerLeft() {
 				return errCallerGone
 			}
-			if !c.fitsShutdown(steady.Now()) {
+			now := steady.Now()
+			if !c.fitsShutdown(now) {
 				return fmt.Errorf("%w: the router is stopping", errNotAllowed)
 			}
+			c.retries.written(now)
 			return nil
 		},
 		Unacked: func() { failover() },
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -83,15 +83,15 @@
 
 // failover returns a function that ends an attempt if the request may be retried, there is time
 // for it and another replica can take it, and reports whether it did. It runs concurrently with
-// the call, so its inputs are read here. It reserves the retry first: otherwise another request
+// the call, so its inputs are read here. It claims the retry first: otherwise another request
 // could take the last one, and this attempt would be ended for nothing.
 func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() bool {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
-	key, begun, name, q := c.key(), c.headSent, c.route.Name, c.retryQuestion()
+	key, begun, name, q, service := c.key(), c.headSent, c.route.Name, c.retryQuestion(), c.service.Name
 	return func() bool {
 		now := steady.Now()
 		fits := begun || c.front.retryFitsShutdown(name, end, now)
-		if !repeatable || c.sentCount() >= attempts || end.Sub(now) <= limit || !fits || !c.wouldRetry(key, q, now) || !c.reserveRetry() {
+		if !repeatable || c.sentCount() >= attempts || end.Sub(now) <= limit || !fits || !c.wouldRetry(key, q, now) || !c.claimRetry(service) {
 			return false
 		}
 		cancel(errSilent)
@@ -130,15 +130,3 @@
 	o, b := &c.front.options, c.front.balancer
 	return c.relay == nil && o.Relays != nil && !o.Without.Has(mechanism.Relay) && (b.AnyOutOfReach(service, now) || b.ShareUsed(service, now))
 }
-
-// reserveRetry takes one retry from the budget for the next attempt, unless it holds one.
-func (c *call) reserveRetry() bool {
-	if !c.reserved.CompareAndSwap(false, true) {
-		return false
-	}
-	if c.front.spendRetry(c.id) {
-		return true
-	}
-	c.reserved.Store(false)
-	return false
-}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,6 +37,7 @@
 	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/relay"
+	"github.com/croftyard/croftyard/pkg/retry"
 )
 
 // Options configures a Gossip.
@@ -54,6 +55,8 @@
 	Parts *poison.PartTracker
 	// Origins records at which versions streams began; if nil, Start creates one.
 	Origins *origin.Tracker
+	// Retries is this router's part of the fleet's retries. If nil, the router has none to lend.
+	Retries *retry.Budget
 	// Overload holds the rates for admission control. Nil means that it is off: nothing is
 	// sent of them and what others send is ignored.
 	Overload OverloadReports
@@ -154,6 +157,8 @@
 	// originQueries are the open queries for the origins of streams.
 	originQueries originQueries
 	originWait    originWait
+	// loanQueries are the open queries for loans of retries.
+	loanQueries loanQueries
 	// ctx ends when the gossip stops.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -26,6 +26,7 @@
 	g.round++
 	round := g.round
 	g.members.SetRound(g.longestRound())
+	g.shareRetries(now)
 	g.mu.Unlock()
 	g.updateView(large)
 	g.balancer.SetLargeFleet(large)
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -48,6 +48,7 @@
 	defer g.mu.Unlock()
 	g.members.Merge(decodeRows(d.Member, d.HeardMs), now)
 	g.members.MergeAliveHashes(d.Alive, now)
+	g.recordCount(d, now)
 }
 
 // answer returns how new this router's knowledge is.
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -165,6 +165,12 @@
 		g.answerOriginQuery(from.String(), d.OriginQuery, now)
 	case d.OriginReply != nil:
 		g.originQueries.reply(from.String(), d.OriginReply)
+	case d.RetryQuery != nil:
+		g.lendRetries(from.String(), d.RetryQuery, now)
+	case d.RetryLoan != nil:
+		g.receiveLoan(from.String(), d.RetryLoan)
+	case d.RetrySettlement != nil:
+		g.settleRetries(d.RetrySettlement, now)
 	}
 }
 
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -31,6 +31,7 @@
 	}
 	g.addOwnDigest(rumors, now)
 	encodeRows(rumors, g.members.TakeNew(maxRows, now))
+	g.encodeCount(rumors, now)
 	encodeRumors(rumors, update.Rumors, now)
 	if !large {
 		// In a large fleet each mark arrives over many paths at once, and a repetition
--- a/pkg/admission/retry_budget.go
+++ b/pkg/admission/retry_budget.go
@@ -43,13 +43,6 @@
 	r.available = min(r.available+r.ratio, r.reserve)
 }
 
-// Available returns how many retries are left.
-func (r *RetryBudget) Available() float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.available
-}
-
 // Spend takes one retry from the budget and tells whether one was left.
 func (r *RetryBudget) Spend() bool {
 	r.mu.Lock()
--- /dev/null
+++ b/pkg/membership/count_test.go
@@ -0,0 +1,133 @@
+package membership
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// reportRound is a round in which routers also report how many they count, but for those that
+// have just started.
+func (f *fleet) reportRound(down func(string) bool, cut func(a, b string) bool, started map[string]time.Time) {
+	f.cutRound(down, cut)
+	for address, table := range f.tables {
+		if down(address) || f.now.Sub(started[address]) < settleTime {
+			continue
+		}
+		for _, partner := range table.Partners(f.now).All() {
+			if f.tables[partner] != nil && !down(partner) && !cut(address, partner) {
+				f.tables[partner].RecordCount(table.OwnCount(f.now), f.now)
+			}
+		}
+	}
+}
+
+// settleTime is how long a router that starts has no part of the allowance.
+const settleTime = 12 * time.Second
+
+// parts returns the sum of the parts of the routers that have one.
+func (f *fleet) parts(down func(string) bool, started map[string]time.Time) (sum float64) {
+	for address, table := range f.tables {
+		count := table.Routers(f.now)
+		if !down(address) && count > 0 && f.now.Sub(started[address]) >= settleTime {
+			sum += 1 / count
+		}
+	}
+	return sum
+}
+
+// Guards against parts of the allowance that add up to more than the whole because routers do not
+// count those that they have lost the contact to, and against parts that nobody uses.
+func TestPartsOfAllRoutersAddUpToTheWhole(t *testing.T) {
+	const rounds, from, to = 220, 60, 160
+	seeds := []string{"a0", "b0", "c0"}
+	centre := func(address string) string { return address[:1] }
+	tests := map[string]struct {
+		cut       func(a, b string) bool
+		killed    func(address string) bool
+		restarted bool
+		least     float64
+	}{
+		"all at work":                 {least: 1},
+		"a data centre cut off":       {cut: func(a, b string) bool { return (centre(a) == "a") != (centre(b) == "a") }, least: 1},
+		"each data centre for itself": {cut: func(a, b string) bool { return centre(a) != centre(b) }, least: 1},
+		"some killed":                 {killed: func(a string) bool { return strings.HasSuffix(a, "1") }, least: 0.5},
+		"some restarted":              {killed: func(a string) bool { return strings.HasSuffix(a, "1") }, restarted: true, least: 1},
+		"a part that is cut off restarts": {cut: func(a, b string) bool { return (centre(a) == "a") != (centre(b) == "a") },
+			killed: func(a string) bool { return centre(a) == "a" }, restarted: true, least: 0.99},
+		"a data centre and its rest restart apart": {cut: func(a, b string) bool { return (centre(a) == "a") != (centre(b) == "a") },
+			killed: func(string) bool { return true }, restarted: true, least: 0.99},
+	}
+	for name, test := range tests {
+		for _, size := range []int{6, 12, 30} {
+			t.Run(fmt.Sprintf("%s of %d", name, size), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(0)
+				started := make(map[string]time.Time)
+				start := func(address string) {
+					f.tables[address] = New(address, seeds, testMaxPartners)
+					started[address] = f.now
+				}
+				for n := range size {
+					start(fmt.Sprint(string("abc"[n%3]), n/3))
+				}
+				down := func(address string) bool {
+					return test.killed != nil && !test.restarted && f.rounds >= from && test.killed(address)
+				}
+				cut := func(a, b string) bool { return test.cut != nil && f.rounds >= from && f.rounds < to && test.cut(a, b) }
+				sum := 0.0
+				for range rounds {
+					if f.rounds == from+1 && test.restarted {
+						for address := range f.tables {
+							if test.killed(address) {
+								start(address)
+							}
+						}
+					}
+					f.reportRound(down, cut, started)
+					sum = f.parts(down, started)
+					require.LessOrEqual(t, sum, 1+1e-9, "round %d", f.rounds)
+				}
+				assert.GreaterOrEqual(t, sum, test.least-1e-9)
+			})
+		}
+	}
+}
+
+func TestRouters(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		seeds []string
+		play  func(t *Table)
+		after time.Duration
+		want  float64
+	}{
+		"alone":                       {nil, func(*Table) {}, 0, 1},
+		"a member":                    {nil, func(t *Table) { t.RecordHeartbeat("m", now) }, 0, 2},
+		"a silent one":                {nil, func(t *Table) { t.RecordHeartbeat("m", now) }, time.Hour, 2},
+		"one that is silent for long": {nil, func(t *Table) { t.RecordHeartbeat("m", now) }, 3 * time.Hour, 1},
+		"one that has just stopped":   {nil, func(t *Table) { t.RecordHeartbeat("m", now); t.RecordLeave("m", now) }, 25 * time.Second, 2},
+		"one that has stopped":        {nil, func(t *Table) { t.RecordHeartbeat("m", now); t.RecordLeave("m", now) }, 31 * time.Second, 1},
+		"what another one reports":    {nil, func(t *Table) { t.RecordCount(Count{7, false}, now) }, reportTime, 7},
+		"an old report":               {nil, func(t *Table) { t.RecordCount(Count{7, false}, now) }, 2 * reportTime, 1},
+		"no seed met":                 {[]string{"s", "t"}, func(*Table) {}, 0, 0},
+		"a seed met":                  {[]string{"s", "t"}, func(t *Table) { t.RecordHeartbeat("s", now) }, 0, 4},
+		"a seed itself":               {[]string{"own", "t"}, func(*Table) {}, 0, 2},
+		"seeds that nobody reaches":   {[]string{"s", "t"}, func(t *Table) { t.RecordCount(Count{3, true}, now) }, 0, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New("own", test.seeds, testMaxPartners)
+			table.SetWindow(10 * time.Second)
+			test.play(table)
+			for at := time.Duration(0); at <= test.after; at += time.Second {
+				table.Expire(now.Add(at))
+			}
+			assert.Equal(t, test.want, table.Routers(now.Add(test.after)))
+		})
+	}
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -54,6 +54,16 @@
 	// next.
 	lost      map[string]time.Time
 	lostIndex int
+	// silent holds when members were forgotten that did not announce a stop: they may work behind
+	// a partition.
+	silent map[string]time.Time
+	// window is set by SetWindow.
+	window time.Duration
+	// metSeeds are the seeds that were members since the start, began is about when that was.
+	metSeeds map[string]bool
+	began    time.Time
+	// counts are the greatest numbers of routers that others reported.
+	counts reportedCounts
 	// newMembers are members that contacted this router before it knew of them, and that
 	// it has not reported to others yet.
 	newMembers []string
@@ -112,6 +122,8 @@
 		members:     make(map[string]*member),
 		left:        make(map[string]time.Time),
 		lost:        make(map[string]time.Time),
+		silent:      make(map[string]time.Time),
+		metSeeds:    make(map[string]bool),
 		changes:     1,
 	}
 }
@@ -173,6 +185,10 @@
 	}
 	m = &member{address: address, hash: xxhash.Sum64String(address), added: now}
 	t.members[address] = m
+	delete(t.silent, address)
+	if slices.Contains(t.seeds, address) {
+		t.metSeeds[address] = true
+	}
 	t.changes++
 	return m, true
 }
@@ -197,6 +213,7 @@
 		t.remove(address)
 	}
 	t.stopSearch(address)
+	delete(t.silent, address)
 	t.left[address] = now
 }
 
@@ -224,15 +241,17 @@
 	}
 	for _, address := range silent {
 		t.lost[address] = now
+		t.silent[address] = now
 		t.remove(address)
 	}
+	maps.DeleteFunc(t.silent, func(_ string, at time.Time) bool { return now.Sub(at) > silentLifetime })
 	for address, at := range t.lost {
 		if now.Sub(at) > lostLifetime {
 			t.stopSearch(address)
 		}
 	}
 	for address, at := range t.left {
-		if now.Sub(at) > 2*largeLifetime {
+		if now.Sub(at) > max(2*largeLifetime, t.leftLifetime()) {
 			delete(t.left, address)
 		}
 	}
--- a/pkg/retry/account.go
+++ b/pkg/retry/account.go
@@ -10,6 +10,8 @@
 	// slots is a ring. slot is the number of the newest one.
 	slots [slotsPerWindow + 1]slot
 	slot  int64
+	// total is the sum of the account's life.
+	total float64
 	// open is what was admitted or lent and may be used at any moment.
 	open float64
 }
@@ -35,8 +37,16 @@
 func (a *account) newest() *slot { return &a.slots[a.slot%int64(len(a.slots))] }
 
 // add adds to the sum as of now.
-func (a *account) add(x float64) {
-	s := a.newest()
+func (a *account) add(x float64) { a.addAt(x, a.slot) }
+
+// addAt adds to the sum as of the end of a slot, which may be one that counts no more.
+func (a *account) addAt(x float64, number int64) {
+	a.total += x
+	n := int64(len(a.slots))
+	if number <= a.slot-n {
+		return
+	}
+	s := &a.slots[number%n]
 	s.sum += x
 	s.most = max(s.most+x, 0)
 }
--- a/pkg/retry/borrowing.go
+++ b/pkg/retry/borrowing.go
@@ -15,12 +15,15 @@
 
 // Lenders returns how many routers to ask for a loan. With small parts each of them has little
 // left.
-func (b *Budget) Lenders(now time.Time) int {
+func (b *Budget) Lenders() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return int(min(max(maxLenders/max(b.part(now), 1), minLenders), maxLenders))
+	return int(min(max(maxLenders/max(b.part(), 1), minLenders), maxLenders))
 }
 
+// surplus is asked for besides, since amounts are rounded on their way.
+const surplus = 1e-4
+
 // Borrowing collects the loans for one retry. It is not safe for concurrent use.
 type Borrowing struct {
 	wanted   float64
@@ -44,8 +47,8 @@
 	return &Borrowing{wanted: wanted, expected: expected, asked: asked}
 }
 
-// Wanted returns how much is asked for.
-func (b *Borrowing) Wanted() float64 { return b.wanted }
+// Wanted returns how much to ask for.
+func (b *Borrowing) Wanted() float64 { return b.wanted + surplus }
 
 // Ended reports whether Finish was called.
 func (b *Borrowing) Ended() bool { return b.ended }
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -9,7 +9,9 @@
 //
 // The sum over the routers is then within the users' bound in every window, as long as the
 // parts add up to no more than the allowance. What a router does not use it lends: a loan counts
-// as retries of the lender, and as none of the borrower.
+// as retries of the lender, and as none of the borrower. The process that had this router's part
+// before may just have used it, so that a process that starts at first makes no more retries in
+// all than the ratio of its own requests.
 //
 //	Budget       the retries of one router, by service
 //	Reservation  one admitted retry, until it is sent
@@ -60,19 +62,18 @@
 type Budget struct {
 	mu     sync.Mutex
 	bounds Bounds
-	// partFrom is from when on this router has a part of the allowance, routers by how many
-	// the allowance is divided; 0 if that is not known.
-	partFrom time.Time
+	// epoch is the beginning of the first slot of the accounts, and of the life of this budget.
+	// partFrom is from when on the part of the allowance may be used.
+	epoch, partFrom time.Time
+	// routers is by how many the allowance is divided; 0 if that is not known.
 	routers  float64
-	// epoch is the beginning of the first slot of the accounts.
-	epoch    time.Time
 	accounts map[Service]*account
 	loans    map[LoanID]loan
 	lastLoan LoanID
 }
 
-// NewBudget returns the budget of a router that starts. It has no part of the allowance before
-// partFrom: the process whose place it takes may just have used it.
+// NewBudget returns the budget of a router that starts now. Before partFrom it uses no more than
+// the ratio of its own requests.
 func NewBudget(b Bounds, now, partFrom time.Time) *Budget {
 	return &Budget{bounds: b, partFrom: partFrom, epoch: now, accounts: make(map[Service]*account), loans: make(map[LoanID]loan)}
 }
@@ -86,7 +87,7 @@
 		clear(b.accounts)
 		clear(b.loans)
 		b.epoch = now
-		if from := now.Add(max(bounds.Window, b.bounds.Window)); from.After(b.partFrom) {
+		if from := now.Add(max(bounds.Window, b.bounds.Window) + LoanTime); from.After(b.partFrom) {
 			b.partFrom = from
 		}
 	}
@@ -101,16 +102,23 @@
 	b.routers = routers
 }
 
-// HasPart reports whether this router has a part of the allowance.
+// Window returns the length of the spans in which the bounds hold.
+func (b *Budget) Window() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bounds.Window
+}
+
+// HasPart reports whether this router may use its part of the allowance.
 func (b *Budget) HasPart(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.part(now) > 0
+	return b.routers > 0 && !now.Before(b.partFrom)
 }
 
 // part returns this router's part of the allowance.
-func (b *Budget) part(now time.Time) float64 {
-	if b.routers <= 0 || now.Before(b.partFrom) {
+func (b *Budget) part() float64 {
+	if b.routers <= 0 {
 		return 0
 	}
 	return b.bounds.Allowance / b.routers
@@ -121,7 +129,11 @@
 func (b *Budget) Request(s Service, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.account(s, now).add(-b.bounds.Ratio)
+	a := b.account(s, now)
+	if now.Sub(b.epoch) >= LoanTime {
+		// Before, others may use what the process before this one lent them.
+		a.add(-b.bounds.Ratio)
+	}
 }
 
 // account returns the account of a service as of now.
@@ -144,6 +156,9 @@
 
 // forgetIdle forgets the services without requests or retries within the window.
 func (b *Budget) forgetIdle(now time.Time) {
+	if now.Before(b.partFrom) {
+		return
+	}
 	oldest := b.slot(now) - slotsPerWindow
 	maps.DeleteFunc(b.accounts, func(_ Service, a *account) bool { return a.slot < oldest && a.open < rounding })
 }
@@ -152,22 +167,26 @@
 func (b *Budget) expireLoans(now time.Time) {
 	for id, l := range b.loans {
 		if !now.Before(l.until) {
-			b.close(id, l, l.amount, now)
+			b.close(id, l, l.amount, l.until)
 		}
 	}
 }
 
-// close ends a loan, of which some was used by now.
-func (b *Budget) close(id LoanID, l loan, used float64, now time.Time) {
+// close ends a loan, of which some was used by a time.
+func (b *Budget) close(id LoanID, l loan, used float64, by time.Time) {
 	delete(b.loans, id)
 	l.account.open -= l.amount
-	l.account.advance(b.slot(now))
-	l.account.add(used)
+	l.account.advance(b.slot(by))
+	l.account.addAt(used, b.slot(by))
 }
 
 // left returns how many retries an account admits.
 func (b *Budget) left(a *account, now time.Time) float64 {
-	return b.part(now) - a.excess() - a.open
+	left := b.part() - a.excess()
+	if now.Before(b.partFrom) {
+		left = min(left, -a.total)
+	}
+	return left - a.open
 }
 
 // Left returns how many retries at a service this router may make by itself. It may be less than
