--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -69,6 +69,7 @@
 		c.asked(&h.Runs[i])
 	}
 	c.drain()
+	c.retries()
 	c.deadly()
 	c.deadlyParts()
 	c.lopsided()
