balance: slots of brittle replicas belong to one router each, and others hand requests there

Cause: the bound on rejections is the fleet's. Routers without a slot used one that their counts showed idle, and many that saw the same idle slot used it at once; those that the counts kept away refused, since only a router with a request of its own running took its share for used and handed others on; and the routers asked were drawn at random among all, of which few have a slot.

Change: with more routers than slots each slot belongs to one router, and the others hand their requests to the owners, which each router works out (OwnsRoom). With fewer, what an even division leaves over goes to other routers at each replica: three routers used three of six slots, now four.

Two tests expected the old division: the part lent in TestLentShareIsNotUsedTwice is now compared with what both routers have together, which differs by the remainder; TestLentSlots expects 6 of 7 for two shares lent, since each lent part is rounded down; TestLentPartsAreWhatIsLeftOfAShare has eight slots, which divide evenly. No bound is higher than before.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -139,6 +140,10 @@
 	routers := c.front.options.Relays()
 	c.relayRefusal = nil
 	forRoom := c.needsRoom(steady.Now())
+	if forRoom {
+		owns := c.front.balancer.OwnsRoom(c.service.Name)
+		routers = slices.DeleteFunc(routers, func(r relay.Router) bool { return !owns(r.Address) })
+	}
 	for range maxRelayTries {
 		if c.callerLeft() {
 			c.abortCallerGone()
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -11,16 +11,15 @@
 // so routers count on its slots only:
 //
 //	no more routers than slots -> each router uses its part of the slots of each replica
-//	more routers than slots    -> each slot of the service belongs to one router; others
-//	    use it too while the counts say that half of the replica is idle and nothing was
-//	    turned away lately
+//	more routers than slots    -> each slot of the service belongs to one router, to which
+//	    the others hand their requests
 //	after a rejection          -> the replica gets nothing from this router until its part
 //	    of the rejections that the replica bears allows for another one
 //
 // A router that reaches no replica lends its part to those that serve its requests.
 //
-// Counts of other routers are old, so no safety rests on them: without them a router uses
-// what belongs to it.
+// Counts of other routers are old: many that see the same idle slot would use it at once. So
+// nothing rests on them.
 
 const (
 	// brittleLifetime is how long a statement holds without a further one.
@@ -31,12 +30,6 @@
 	// slotFraction is the part of the slots that is divided: requests that were given up may
 	// take some for a moment longer.
 	slotFraction = 0.8
-	// strictTime is how long after a rejection routers use only the slots that belong to
-	// them: counts of a large fleet are up to 1.2 s old.
-	strictTime = 3 * time.Second
-	// idleFraction is the part of a replica's slots that must be idle for routers to use
-	// slots that belong to others.
-	idleFraction = 0.5
 	// sparePause is after what time a replica that is spared may have a free slot.
 	sparePause = 10 * time.Millisecond
 )
@@ -46,8 +39,6 @@
 	// bears is how many rejections in a second a replica survives.
 	bears float64
 	until time.Time
-	// strictUntil is until when routers use only slots that belong to them.
-	strictUntil time.Time
 }
 
 // BrittleReported records that an answer of a replica said that it is brittle, and how many
@@ -56,9 +47,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.replicas[id]; r != nil {
-		stated := b.brittle[r.Service]
-		stated.bears, stated.until = float64(rejections), now.Add(brittleLifetime)
-		b.brittle[r.Service] = stated
+		b.brittle[r.Service] = brittleness{float64(rejections), now.Add(brittleLifetime)}
 	}
 }
 
@@ -129,13 +118,7 @@
 	if now.Before(b.lentUntil[r.Service]) {
 		return true
 	}
-	if float64(r.running) < b.share(r, b.lentTo(r.Service, now)) {
-		return false
-	}
-	if b.routerCount() <= r.Slots {
-		return true
-	}
-	return now.Before(stated.strictUntil) || r.running > 0 || b.load(r, now) >= idleFraction*float64(r.Slots)
+	return float64(r.running) >= b.share(r, b.lentTo(r.Service, now))
 }
 
 // ShareUsed reports whether this router spares a brittle replica of a service only because its own
@@ -147,17 +130,37 @@
 		return false
 	}
 	return slices.ContainsFunc(b.services[service], func(r *replica) bool {
-		return r.Slots > 0 && r.running > 0 && b.mustSpare(r, now)
+		return r.Slots > 0 && float64(r.running) >= b.share(r, b.lentTo(service, now))
 	})
 }
 
+// OwnsRoom returns a function that reports whether slots of the brittle replicas of a service belong
+// to another router, at an address. They do to all if there are as many slots as routers.
+func (b *Balancer) OwnsRoom(service string) func(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slots, routers := b.slotsOf(service).total, b.routerCount()
+	known := slices.Concat(b.coldShares.others, b.leavingRouters, []uint64{b.coldShares.own})
+	slices.Sort(known)
+	return func(address string) bool {
+		rank, _ := slices.BinarySearch(known, hashString(address))
+		first, end := slotRange(rank, routers, slots)
+		return first < end
+	}
+}
+
+// slotRange returns which of some slots belong to the router of a rank among others.
+func slotRange(rank, routers, slots int) (first, end int) {
+	return (rank*slots + routers - 1) / routers, ((rank+1)*slots + routers - 1) / routers
+}
+
 // ownSlots returns how many slots of a replica belong to this router. The slots of all
 // replicas of the service, in the order of their ids, are divided evenly among the routers,
 // in the order of the hashes of their addresses.
 func (b *Balancer) ownSlots(r *replica) int {
 	slots := b.slotsOf(r.Service)
-	before, routers, rank := slots.before[r], b.routerCount(), b.routerRank()
-	first, end := (rank*slots.total+routers-1)/routers, ((rank+1)*slots.total+routers-1)/routers
+	before := slots.before[r]
+	first, end := slotRange(b.routerRank(), b.routerCount(), slots.total)
 	return max(min(end, before+r.Slots)-max(first, before), 0)
 }
 
@@ -219,7 +222,11 @@
 func (b *Balancer) share(r *replica, lent float64) float64 {
 	routers := b.routerCount()
 	if routers <= r.Slots {
-		return float64(max(int(slotFraction*float64(r.Slots)*(1+lent))/routers, 1))
+		divided := slotFraction * float64(r.Slots)
+		// What is left over goes to other routers at each replica.
+		rank := (b.routerRank() + int(r.rankHash%uint64(routers))) % routers
+		first, end := slotRange(rank, routers, max(int(divided), routers))
+		return float64(end - first + int(lent*divided/float64(routers)))
 	}
 	return float64(b.ownSlots(r) + int(lent*float64(r.Slots)/float64(routers)))
 }
@@ -277,13 +284,4 @@
 	}
 	r.rejections.take(b.rejectionRate(stated), now)
 	r.lastRejection = now
-	b.restrict(r.Service, now)
-}
-
-// restrict makes this router use only the slots that belong to it for a time.
-func (b *Balancer) restrict(service string, now time.Time) {
-	if stated, is := b.brittleOf(service, now); is {
-		stated.strictUntil = now.Add(strictTime)
-		b.brittle[service] = stated
-	}
 }
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 		b.SetRouters(known[n], known, start)
 		b.SetLargeFleet(routers > 12)
 	}
+	p.relays, p.addresses = 4, known
 	p.queue = func() int {
 		if at := p.now.Sub(start); at >= brittleFrom+brittleNotice && at < brittleTo {
 			return 1
@@ -72,38 +74,118 @@
 	p.after(brittleReturn, func() { p.replicas[id].gone = false })
 }
 
+// brittleLoad is a number of routers and replicas, how many rejections each of these bears in a
+// second, and the load in multiples of the slots.
+type brittleLoad struct {
+	routers, replicas, bears int
+	load                     float64
+}
+
+// play plays a load and returns how often replicas fell over and which part of what fits into the
+// slots was served in time.
+func (c brittleLoad) play(t *testing.T) (falls int, used float64) {
+	t.Helper()
+	p := newBrittlePlay(1, c.routers, c.replicas, c.bears)
+	full := float64(c.replicas*plainSlots) / plainWorkTime.Seconds()
+	const calm, high, length = 0.3, 6 * time.Second, 18 * time.Second
+	p.perSecond = func(at time.Duration) float64 {
+		if at >= high && at < 2*high {
+			return c.load * full
+		}
+		return calm * full
+	}
+	got := p.simulate(length)
+	t.Logf("falls %d, %+v", p.falls, got)
+	return p.falls, float64(got.onTime) / (full * (calm*(length-high).Seconds() + min(c.load, 1)*high.Seconds()))
+}
+
 // Guards against replicas that say they are brittle and are sent more than they have room
-// for until they end.
+// for until they end, and against slots that stay idle while callers are refused.
 func TestBrittleReplicasStayUp(t *testing.T) {
-	cases := map[string]struct {
-		routers, replicas, bears int
-		load                     float64
-	}{
+	for name, c := range map[string]brittleLoad{
+		"three routers, the slots":                                 {3, 3, 5, 1},
 		"six routers, three replicas, three quarters of the slots": {6, 3, 5, 0.75},
 		"six routers, three replicas, three times the slots":       {6, 3, 5, 3},
 		"six routers, none may be turned away":                     {6, 3, 0, 1.5},
 		"nine routers, three replicas, twice the slots":            {9, 3, 5, 2},
+		"30 routers, three replicas, three times the slots":        {30, 3, 5, 3},
+		"30 routers, three replicas, none may be turned away":      {30, 3, 0, 1},
 		"seventy routers, ten replicas, the slots":                 {70, 10, 10, 1},
 		"seventy routers, ten replicas, twice the slots":           {70, 10, 10, 2},
+		"seventy routers, none may be turned away":                 {70, 10, 0, 6},
+		"143 routers, three replicas, three times the slots":       {143, 3, 5, 3},
+		"143 routers, none may be turned away":                     {143, 10, 0, 1},
+		"300 routers, six times the slots":                         {300, 10, 5, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			falls, used := c.play(t)
+			assert.LessOrEqual(t, float64(falls), 2+0.1*float64(c.replicas))
+			assert.GreaterOrEqual(t, used, 0.9*slotFraction)
+		})
 	}
-	for name, c := range cases {
+}
+
+// Guards against routers that do not know of brittle replicas because they sent them nothing
+// lately: each sends one request that may be turned away.
+func TestReplicasThatBearNoRejectionStayUpBehindManyRouters(t *testing.T) {
+	for name, c := range map[string]brittleLoad{
+		"143 routers, three replicas, three times the slots": {143, 3, 0, 3},
+		"300 routers, ten replicas, six times the slots":     {300, 10, 0, 6},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := newBrittlePlay(1, c.routers, c.replicas, c.bears)
-			full := float64(c.replicas*plainSlots) / plainWorkTime.Seconds()
-			p.perSecond = func(at time.Duration) float64 {
-				if at >= 6*time.Second && at < 12*time.Second {
-					return c.load * full
-				}
-				return 0.3 * full
-			}
-			got := p.simulate(18 * time.Second)
-			t.Logf("falls %d, %+v", p.falls, got)
-			assert.LessOrEqual(t, float64(p.falls), 2+0.1*float64(c.replicas))
+			falls, used := c.play(t)
+			assert.LessOrEqual(t, float64(falls), 2+0.1*float64(c.replicas))
+			assert.GreaterOrEqual(t, used, 0.9*slotFraction)
 		})
 	}
 }
 
+// Guards against slots that belong to two routers, or to none, and against requests that are
+// handed to routers without any.
+func TestSlotsOfBrittleReplicasAreDivided(t *testing.T) {
+	for _, routers := range []int{1, 3, 6, 7, 18, 19, 143} {
+		list := engines(3)
+		var known []string
+		for n := range routers {
+			known = append(known, fmt.Sprint("r", n))
+		}
+		sums, owners := make(map[string]float64), 0
+		for n, own := range known {
+			for i := range list {
+				list[i].Slots = 6
+			}
+			b := newBalancer(list)
+			b.SetRouters(own, known, start)
+			part := 0.0
+			for id, r := range b.replicas {
+				sums[id] += b.share(r, 0)
+				part += b.share(r, 0)
+			}
+			if part > 0 {
+				owners++
+			}
+			other := known[(n+1)%routers]
+			named := b.OwnsRoom("llm")(other)
+			o := newBalancer(list)
+			o.SetRouters(other, known, start)
+			owns := 0.0
+			for _, r := range o.replicas {
+				owns += o.share(r, 0)
+			}
+			assert.Equal(t, owns > 0, named, "%s of %d", other, routers)
+		}
+		total := 0.0
+		for _, sum := range sums {
+			assert.LessOrEqual(t, sum, 6.0, "%d routers", routers)
+			total += sum
+		}
+		assert.GreaterOrEqual(t, total, 3*math.Floor(slotFraction*6), "%d routers", routers)
+		assert.Equal(t, min(routers, 18), owners, "%d routers", routers)
+	}
+}
+
 // Guards against a statement that outlives the time of which it speaks.
 func TestBrittlenessEnds(t *testing.T) {
 	list := engines(1)
@@ -136,7 +218,7 @@
 func TestLentShareIsNotUsedTwice(t *testing.T) {
 	list := engines(1)
 	list[0].Slots = 9
-	const service, own = "llm", 2
+	const service = "llm"
 	taken := func(b *Balancer, now time.Time) int {
 		n := 0
 		for ; n < 20; n++ {
@@ -155,12 +237,13 @@
 		b.SetRouters(fmt.Sprint("r", i), []string{"r0", "r1", "r2"}, start)
 		b.BrittleReported("i-0", 2, start)
 	}
+	own, both := taken(lender, start), taken(lender, start)+taken(taker, start)
 	assert.Equal(t, 1.0, lender.LendShare(service, "r1", 1, start))
 	taker.ShareLent(service, "r0", 1, start.Add(5*time.Millisecond))
-	assert.Equal(t, 2*own, taken(taker, start.Add(10*time.Millisecond)))
+	assert.Equal(t, both, taken(taker, start.Add(10*time.Millisecond)))
 	for after := time.Duration(0); after < 2*time.Second; after += 10 * time.Millisecond {
 		now := start.Add(after)
-		assert.LessOrEqual(t, taken(lender, now)+taken(taker, now), 2*own, "after %s", after)
+		assert.LessOrEqual(t, taken(lender, now)+taken(taker, now), both, "after %s", after)
 	}
 	assert.Equal(t, own, taken(lender, start.Add(loanTime+loanMargin)))
 	lender.LendShare("other", "r1", 1, start.Add(loanTime+loanMargin))
@@ -189,7 +272,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			list := engines(2)
-			list[0].Slots, list[1].Slots = 9, 9
+			list[0].Slots, list[1].Slots = 8, 8
 			b := newBalancer(list)
 			b.SetRouters("r0", []string{"r0", "r1", "r2"}, start)
 			for range c.running {
@@ -214,8 +297,8 @@
 		"none":                   {nil, 0, nil, 2},
 		"of one router":          {[]float64{1}, 0, nil, 4},
 		"half of two":            {[]float64{0.5, 0.5}, 0, nil, 4},
-		"of all others":          {[]float64{1, 1}, 0, nil, 7},
-		"of more than are":       {[]float64{1, 1, 1}, 0, nil, 7},
+		"of all others":          {[]float64{1, 1}, 0, nil, 6},
+		"of more than are":       {[]float64{1, 1, 1}, 0, nil, 6},
 		"of one, some time ago":  {[]float64{1}, loanTime, nil, 2},
 		"invalid":                {[]float64{-1, 2}, 0, nil, 2},
 		"none, others leave":     {nil, 0, []string{"r3", "r4"}, 1},
@@ -251,7 +334,7 @@
 	b.BrittleReported("i-0", 4, start)
 	assert.False(t, b.ShareUsed("llm", start), "idle")
 	b.RequestStarted("i-0")
-	assert.True(t, b.ShareUsed("llm", start), "one of four slots among three routers")
+	assert.True(t, b.ShareUsed("llm", start), "one of three slots among three routers")
 	b.LendShare("llm", "r1", 1, start)
 	assert.False(t, b.ShareUsed("llm", start), "lent")
 	assert.False(t, b.ShareUsed("llm", start.Add(brittleLifetime)), "no longer brittle")
--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -24,6 +24,10 @@
 	arrivals *rand.Rand
 	// ask sets what the callers of a request are, if they differ.
 	ask func(r *plainRequest)
+	// relays is how many other routers a request is handed to if this one has no part of the
+	// replicas' room left.
+	relays    int
+	addresses []string
 	// ended is called when a request was answered or finally refused.
 	ended func(r *plainRequest, served bool)
 	// centres is the number of data centres.
@@ -68,7 +72,9 @@
 }
 
 type plainRequest struct {
-	router  int
+	router int
+	// from is the router that the caller reached, which may have handed it on.
+	from    int
 	arrived time.Time
 	tried   []string
 	// work is how long it takes at a replica, in seconds; 0 if that is drawn when it starts.
@@ -214,9 +220,23 @@
 
 // send picks a replica, and another one if that is full.
 func (f *plainFleet) send(r *plainRequest) {
-	router := f.routers[r.router]
-	centre := r.router % f.centres
-	choice, found := router.Pick(Request{Service: "plain", DataCentre: fmt.Sprintf("dc%d", centre), Tried: r.tried, Target: plainDeadline}, f.now)
+	pick := func() (Choice, bool) {
+		return f.routers[r.router].Pick(Request{Service: "plain", DataCentre: fmt.Sprintf("dc%d", r.router%f.centres), Tried: r.tried, Target: plainDeadline}, f.now)
+	}
+	r.from = r.router
+	choice, found := pick()
+	for range f.relays {
+		if found || !f.routers[r.router].ShareUsed("plain", f.now) {
+			break
+		}
+		owns, other := f.routers[r.router].OwnsRoom("plain"), f.random.IntN(len(f.addresses))
+		for !owns(f.addresses[other]) {
+			other = (other + 1) % len(f.addresses)
+		}
+		r.router = other
+		choice, found = pick()
+	}
+	router, centre := f.routers[r.router], r.router%f.centres
 	if !found || len(r.tried) == r.attempts {
 		f.refuse(r, shedRetryAfter)
 		return
@@ -237,6 +257,7 @@
 		f.stats.shed++
 		if !replica.gone {
 			f.answered(r.router, id, false)
+			f.answered(r.from, id, true)
 		}
 		if f.controllers != nil && !replica.gone {
 			f.controllers[r.router].Rejected(ReplicaHash(id), f.now)
@@ -266,6 +287,7 @@
 			balancer.RequestFinished(replica.id)
 			balancer.RequestSucceeded(replica.id, nil, f.now)
 			f.answered(r.router, replica.id, true)
+			f.answered(r.from, replica.id, true)
 			if f.timed {
 				balancer.RecordDuration(replica.id, f.now.Sub(sentAt))
 			}
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -125,9 +125,6 @@
 		}
 		return
 	}
-	if f.Failure == Shed {
-		b.restrict(r.Service, now)
-	}
 	if f.At.Before(r.restartedAt) || f.Failure.isOfPath() && r.isDisproved(f.At, now) {
 		return
 	}
