--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,6 +137,7 @@
 		"one router":                        {prompt(1), [][]string{routerAddresses(1)}},
 		"a small fleet":                     {prompt(1), [][]string{routerAddresses(6)}},
 		"a large fleet":                     {prompt(1), [][]string{routerAddresses(78)}},
+		"985 routers":                       {prompt(1), [][]string{routerAddresses(985)}},
 		"a large fleet, a plain service":    {nil, [][]string{routerAddresses(78)}},
 		"two halves that know nothing":      {prompt(1), [][]string{routerAddresses(78)[:39], routerAddresses(78)[39:]}},
 		"two thirds that know nothing":      {nil, [][]string{routerAddresses(78)[:52], routerAddresses(78)[52:]}},
@@ -167,6 +169,25 @@
 	}
 }
 
+// Guards against a bound that more than two sides of a cut, which know nothing of each other, use
+// each for itself.
+func TestSidesOfACutKeepColdBound(t *testing.T) {
+	for _, sides := range []int{2, 3} {
+		t.Run(fmt.Sprint(sides), func(t *testing.T) {
+			list, all := makeCold(engines(5), start.Add(time.Minute), 0, 1, 2, 3, 4), routerAddresses(300)
+			var routers []*Balancer
+			for side := range slices.Chunk(all, len(all)/sides) {
+				for _, own := range side {
+					routers = append(routers, settledBalancer(list, own, side))
+				}
+			}
+			for id, got := range sendAll(t, routers, coldRequest(1), 4*time.Second) {
+				assert.LessOrEqual(t, float64(got), maxColdPerSecond, id)
+			}
+		})
+	}
+}
+
 func TestNewRouterSendsNothingToColdReplicas(t *testing.T) {
 	list := makeCold(engines(1), start.Add(time.Minute), 0)
 	b := New(1)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -67,7 +67,7 @@
 	// newMembers are members that contacted this router before it knew of them, and that
 	// it has not reported to others yet.
 	newMembers []string
-	// changes counts the changes of members and lost; the fields below are cached for one
+	// changes counts the changes of members, lost and silent; the fields below are cached for one
 	// count.
 	changes uint64
 	sorted  cached[[]*member]
@@ -185,7 +185,7 @@
 	}
 	m = &member{address: address, hash: xxhash.Sum64String(address), added: now}
 	t.members[address] = m
-	delete(t.silent, address)
+	t.accountFor(address)
 	if slices.Contains(t.seeds, address) {
 		t.metSeeds[address] = true
 	}
@@ -213,10 +213,18 @@
 		t.remove(address)
 	}
 	t.stopSearch(address)
-	delete(t.silent, address)
+	t.accountFor(address)
 	t.left[address] = now
 }
 
+// accountFor removes a member from those that fell silent.
+func (t *Table) accountFor(address string) {
+	if _, silent := t.silent[address]; silent {
+		delete(t.silent, address)
+		t.changes++
+	}
+}
+
 // Merge merges rows that another router sent, with ages as of now.
 func (t *Table) Merge(rows []Row, now time.Time) {
 	for _, r := range rows {
@@ -244,7 +252,11 @@
 		t.silent[address] = now
 		t.remove(address)
 	}
-	maps.DeleteFunc(t.silent, func(_ string, at time.Time) bool { return now.Sub(at) > silentLifetime })
+	for address, at := range t.silent {
+		if now.Sub(at) > silentLifetime {
+			t.accountFor(address)
+		}
+	}
 	for address, at := range t.lost {
 		if now.Sub(at) > lostLifetime {
 			t.stopSearch(address)
@@ -386,8 +398,8 @@
 // Alive returns the addresses of the other members, in no order.
 func (t *Table) Alive() []string { return slices.Collect(maps.Keys(t.members)) }
 
-// KnownAddresses returns all routers that are or lately were members, this one included,
-// sorted. Silent ones may be working behind a partition. Callers must not change the
+// KnownAddresses returns all routers that are members, or fell silent within silentLifetime and
+// may be working behind a partition, this one included, sorted. Callers must not change the
 // list; it stays the same one while Changes does.
 func (t *Table) KnownAddresses() []string {
 	return t.known.get(t.changes, func() []string {
@@ -395,15 +407,15 @@
 		for address := range t.members {
 			known = append(known, address)
 		}
-		for address := range t.lost {
+		for address := range t.silent {
 			known = append(known, address)
 		}
 		slices.Sort(known)
-		return slices.Compact(known)
+		return known
 	})
 }
 
-// Changes returns the number of changes of the members and of the lost members.
+// Changes returns the number of changes of the members and of those that are lost or silent.
 func (t *Table) Changes() uint64 { return t.changes }
 
 // Len returns the number of routers, this one included.
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -321,9 +321,14 @@
 	table.RecordHeartbeat("c", now.Add(Lifetime))
 	assert.Equal(t, []string{"a"}, table.Expire(now.Add(Lifetime+time.Second)))
 	assert.Equal(t, []string{"a", "b", "c"}, table.KnownAddresses(), "it may be working behind a partition; one that announced its stop is not")
-	table.RecordHeartbeat("c", now.Add(lostLifetime+2*Lifetime))
-	table.Expire(now.Add(lostLifetime + 2*Lifetime + time.Second))
-	assert.Equal(t, []string{"b", "c"}, table.KnownAddresses())
+	for _, after := range []struct {
+		time  time.Duration
+		known []string
+	}{{time.Hour, []string{"a", "b", "c"}}, {silentLifetime + 2*Lifetime, []string{"b", "c"}}} {
+		table.RecordHeartbeat("c", now.Add(after.time))
+		table.Expire(now.Add(after.time + time.Second))
+		assert.Equal(t, after.known, table.KnownAddresses(), "data centres are cut off for an hour now and then")
+	}
 }
 
 // A router that starts contacts some members of each line, which tell their partners of
