settings: bounds of repeats that contradict themselves are rejected at the start

A ratio above one and an allowance of a part of one were accepted: the first asks for more repeats than requests, the second for none, since a repeat is made whole or not. Both are told with key and value. TestBoundsOfTheUsersAreChecked failed on each of the two before. An allowance of 0 stays allowed and means no repeats.

--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -155,9 +155,12 @@
 	r.float("exposure", &b.Exposure, 0, 1)
 	r.duration("grace", &b.Grace, 10*time.Millisecond, time.Hour)
 	r.duration("heartbeat", &b.Heartbeat, time.Millisecond, time.Hour)
-	r.float("repeat_ratio", &b.RepeatRatio, 0, 10)
+	r.float("repeat_ratio", &b.RepeatRatio, 0, 1)
 	r.float("repeat_allowance", &b.RepeatAllowance, 0, 1e6)
 	r.duration("repeat_window", &b.RepeatWindow, 10*time.Millisecond, time.Hour)
+	if b.RepeatAllowance > 0 && b.RepeatAllowance < 1 {
+		r.reject("bounds", "repeat_allowance", fmt.Sprint(b.RepeatAllowance), "must be 0, for no repeats, or at least 1")
+	}
 }
 
 func (r *reader) experiments(without *mechanism.Set) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -43,7 +43,7 @@
 	assert.Equal(t, 3*time.Second, s.Bounds.Evacuate)
 	assert.InDelta(t, 1, s.Bounds.ColdOverage, 0)
 	assert.InDelta(t, 5, s.Bounds.ColdAllowance, 0, "the default")
-	for _, bad := range []string{"load_factor = 0.9", "load_factor = two", "drain = soon", "drain = 0s", "evacuate = 0s", "evacuate = never", "cold_overage = -1", "cold_allowance = 0"} {
+	for _, bad := range []string{"load_factor = 0.9", "load_factor = two", "drain = soon", "drain = 0s", "evacuate = 0s", "evacuate = never", "cold_overage = -1", "cold_allowance = 0", "repeat_ratio = 1.1", "repeat_ratio = -1", "repeat_allowance = 0.5", "repeat_window = 0s"} {
 		_, err := Parse("r.ini", []byte(good+"[bounds]\n"+bad+"\n"))
 		require.ErrorIs(t, err, ErrInvalid, bad)
 		assert.ErrorContains(t, err, "[bounds] "+bad[:5], bad)
