balance: the choice at plain services against chance, at all sizes of fleets

The simulated fleet plays the balancer's choice beside an even draw, two by own counts and two by all requests (which no router knows), on the same load.

--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -42,6 +42,13 @@
 	queue func() int
 	// answered is called with each answer of a replica, taken or turned away.
 	answered func(router int, id string, taken bool)
+	// choice replaces that of the balancers, if set. ids are those of the replicas, own what each
+	// router runs at them.
+	choice plainChoice
+	ids    []string
+	own    []map[string]int
+	// at draws the router that a call reaches.
+	at func(random *rand.Rand) int
 	// isolated is the data centre that is cut off from the others; -1 for none.
 	isolated int
 }
@@ -109,10 +116,15 @@
 		answered:    func(int, string, bool) {},
 	}
 	f.arrivals = f.random
+	f.at = func(random *rand.Rand) int { return random.IntN(routers) }
+	for range routers {
+		f.own = append(f.own, make(map[string]int))
+	}
 	f.connected = func(a, b int) bool { return f.sameSide(a%f.centres, b%f.centres) }
 	for i := range replicas {
 		id := fmt.Sprintf("p-%d", i)
 		f.replicas[id] = &plainReplica{id: id}
+		f.ids = append(f.ids, id)
 	}
 	f.list()
 	return f
@@ -180,7 +192,7 @@
 	f.stats.asked++
 	r := &plainRequest{arrived: f.now, attempts: 2}
 	f.ask(r)
-	r.router = f.arrivals.IntN(len(f.routers))
+	r.router = f.at(f.arrivals)
 	f.decide(r)
 }
 
@@ -221,6 +233,10 @@
 // send picks a replica, and another one if that is full.
 func (f *plainFleet) send(r *plainRequest) {
 	pick := func() (Choice, bool) {
+		if f.choice != nil {
+			id, found := f.choice(f, r.router, r.tried)
+			return Choice{Replica: directory.Replica{ID: id}}, found
+		}
 		return f.routers[r.router].Pick(Request{Service: "plain", DataCentre: fmt.Sprintf("dc%d", r.router%f.centres), Tried: r.tried, Target: plainDeadline}, f.now)
 	}
 	r.from = r.router
@@ -267,6 +283,7 @@
 		return
 	}
 	router.RequestStarted(id)
+	f.own[r.router][id]++
 	replica.waiting = append(replica.waiting, f.runOf(r, replica))
 	f.startWork(replica)
 }
@@ -285,6 +302,7 @@
 		f.after(time.Duration(r.work*f.slowdown(replica.id)*float64(time.Second)), func() {
 			replica.running--
 			balancer.RequestFinished(replica.id)
+			f.own[r.router][replica.id]--
 			balancer.RequestSucceeded(replica.id, nil, f.now)
 			f.answered(r.router, replica.id, true)
 			f.answered(r.from, replica.id, true)
