balance: a full replica is avoided for 50 ms, twice as long each time it takes nothing in between

Cause: a replica that turned one call away was avoided for 150 ms, two and a half times as long as a call takes. It emptied meanwhile, and the others got its calls and turned some away in turn.

Change: 50 ms, doubled up to 400 for each further call turned away before one is taken, so that a replica that takes nothing is asked less often than before.

--- a/pkg/balance/health.go
+++ b/pkg/balance/health.go
@@ -48,7 +48,9 @@
 func (f Failure) baseAvoidance() time.Duration {
 	switch f {
 	case Shed:
-		return 150 * time.Millisecond
+		// About as long as a call of a plain service: one that avoids a replica for longer leaves
+		// it without work.
+		return 50 * time.Millisecond
 	case Errored, Broke:
 		return 700 * time.Millisecond
 	}
@@ -63,21 +65,24 @@
 	failureResetTime = 8 * time.Second
 	// recoveryStreak is how many consecutive successes clear an earlier failure.
 	recoveryStreak = 3
-	// maxDoublings limits the shift.
-	maxDoublings = 5
+	// maxDoublings limits the shift, maxShedDoublings that for a replica that takes none of several
+	// requests in a row.
+	maxDoublings     = 5
+	maxShedDoublings = 3
 )
 
 // health decides whether a replica is avoided.
 //
-//	failure          -> avoided for baseAvoidance, twice as long for each further one
+//	failure          -> avoided for baseAvoidance, twice as long for each further one; being full
+//	                    counts only until a request is taken
 //	time is over     -> tried again
 //	successes        -> trusted again
 type health struct {
-	failures    int
-	streak      int
-	avoidUntil  time.Time
-	lastFailure time.Time
-	kind        Failure
+	failures, sheds int
+	streak          int
+	avoidUntil      time.Time
+	lastFailure     time.Time
+	kind            Failure
 }
 
 // recordFailure records a failure. Its time may lie before that of the last one if
@@ -86,7 +91,12 @@
 	if now.Sub(h.lastFailure) > failureResetTime {
 		h.failures = 0
 	}
-	pause := min(kind.baseAvoidance()<<min(h.failures, maxDoublings), maxAvoidance)
+	doublings := min(h.failures, maxDoublings)
+	if kind == Shed {
+		doublings = max(doublings, min(h.sheds, maxShedDoublings))
+		h.sheds++
+	}
+	pause := min(kind.baseAvoidance()<<doublings, maxAvoidance)
 	if until := now.Add(pause); until.After(h.avoidUntil) {
 		h.avoidUntil = until
 	}
@@ -103,6 +113,7 @@
 
 func (h *health) recordSuccess(now time.Time) {
 	h.streak++
+	h.sheds = 0
 	if h.failures > 0 && (h.streak >= recoveryStreak || now.After(h.avoidUntil)) {
 		h.failures--
 		h.streak = 0
