--- a/pkg/balance/enginefleet_test.go
+++ b/pkg/balance/enginefleet_test.go
@@ -26,6 +26,11 @@
 	shiftedShare float64
 	// breakShare is the share of requests that break at the engines with breaks set.
 	breakShare float64
+	// choice replaces that of the balancers, if set. ids are those of the engines, own what each
+	// router runs at them.
+	choice engineChoice
+	ids    []string
+	own    []map[string]int
 	// readPerSecond is how many tokens an engine reads in a second; pause is the time
 	// between two tokens of a request that runs alone, in seconds.
 	readPerSecond, pause float64
@@ -131,7 +136,11 @@
 		f.kinds[i].perSecond *= float64(engines) / baselineEngines
 		f.kinds[i].sessions = f.kinds[i].sessions * engines / baselineEngines
 	}
+	for range routers {
+		f.own = append(f.own, make(map[string]int))
+	}
 	for i := range engines {
+		f.ids = append(f.ids, fmt.Sprintf("e-%d", i))
 		f.add(fmt.Sprintf("e-%d", i), fmt.Sprintf("dc%d", i%centres))
 	}
 	f.list()
@@ -260,7 +269,7 @@
 
 func (f *engineFleet) send(k *requestKind, router int, parts []Part, tried []string, arrived time.Time) {
 	b := f.routers[router]
-	choice, found := b.Pick(Request{Service: "llm", DataCentre: fmt.Sprintf("dc%d", router%centres), Parts: parts, Tried: tried}, f.now)
+	choice, found := f.pick(router, parts, tried)
 	if !found {
 		f.stats.failed++
 		return
@@ -278,6 +287,7 @@
 	}
 	b.RequestStarted(e.id)
 	e.running++
+	f.own[router][e.id]++
 	first := f.read(e, f.engines[choice.CopySource], parts)
 	f.after(first, func() {
 		if f.now.Sub(arrived) <= k.deadline {
@@ -296,6 +306,7 @@
 	pause := f.pause + tokenPauseMore*float64(e.running)
 	f.after(first+time.Duration(made*pause*float64(time.Second)), func() {
 		e.running--
+		f.own[router][e.id]--
 		b.RequestFinished(e.id)
 		if broken {
 			f.stats.broken++
@@ -304,6 +315,13 @@
 	})
 }
 
+func (f *engineFleet) pick(router int, parts []Part, tried []string) (Choice, bool) {
+	if f.choice == nil {
+		return f.routers[router].Pick(Request{Service: "llm", DataCentre: fmt.Sprintf("dc%d", router%centres), Parts: parts, Tried: tried}, f.now)
+	}
+	return Choice{Replica: directory.Replica{ID: f.choice(f, router, parts)}}, true
+}
+
 // countOverLimit counts an arrival at an engine that has more than users allow.
 func (f *engineFleet) countOverLimit(e *simEngine) {
 	total, engines := 0, 0
