soak: the kill of another router excuses a relayed request only if it may have taken it

While a router was cut off from replicas any kill of another one excused all its requests that were open then, also those that ran on at a replica for another router. Now no replica may have had the request, or its last run ended as the router was killed, or within what an answer takes to pass one. The new row of TestEachRuleIsSeenBroken was not seen broken before.

--- a/test/soak/check_partition_test.go
+++ b/test/soak/check_partition_test.go
@@ -45,9 +45,10 @@
 }
 
 // killedBeside has a request cut after a router was cut off from replicas, when another one is
-// killed.
-func (h *History) killedBeside(cutOff string) {
+// killed. Its run ends some milliseconds after that.
+func (h *History) killedBeside(cutOff string, after int) {
 	h.cut(onceID)
+	h.run(onceID).Ended = at(calm + 60 + after)
 	h.Partitions = append(h.Partitions, Partition{Routers: []string{cutOff}, From: at(calm - 3000), To: at(calm - 500)})
 	h.disturb("r1", "", calm+50, calm+60)
 	h.Disturbances[0].What = kindKill
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -163,7 +163,8 @@
 		}},
 		"more time than the caller gave":             {Budget, func(h *History) { h.run(repeatID).Deadline = 5 * time.Second }},
 		"no time told":                               {Budget, func(h *History) { h.run(repeatID).Deadline = 0 }},
-		"another router is killed, none was cut off": {Lost, func(h *History) { h.killedBeside("r2") }},
+		"another router is killed, none was cut off": {Lost, func(h *History) { h.killedBeside("r2", 0) }},
+		"another router is killed while what one cut off has relayed runs on": {Lost, func(h *History) { h.killedBeside("r0", 30) }},
 		"a router cut off refuses what others serve, and is asked for much that nobody gets": {Recover, func(h *History) {
 			h.partitioned(20, 10, 0)
 			h.serveOthers(10, "/once/x")
@@ -203,7 +204,7 @@
 			h.fail(10)
 		},
 		"few requests fail at a router that is cut off":               func(h *History) { h.partitioned(10, 10, 0) },
-		"another router is killed that may have served one cut off":   func(h *History) { h.killedBeside("r0") },
+		"another router is killed that may have served one cut off":   func(h *History) { h.killedBeside("r0", 0) },
 		"another router is killed as a replica sees its router leave": func(h *History) { h.leftWith("r1", 0) },
 		"a router cut off is compared at other times": func(h *History) {
 			h.partitioned(20, 10, 0)
--- a/test/soak/check_times.go
+++ b/test/soak/check_times.go
@@ -117,19 +117,32 @@
 	})
 	return slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
 		killed := d.What == kindKill && d.Router != a.Life.Router && d.overlaps(a.Sent, a.End)
-		return killed && (relays || c.leftWith(a, d))
+		return killed && (c.leftWith(a, d) || relays && c.lostWith(a, d))
 	})
 }
 
+// passing is how long a connection takes to close, or an answer to pass a router.
+const passing = 20 * time.Millisecond
+
 // leftWith reports whether a replica that ran an attempt saw its router leave as another one was
 // killed.
 func (c *checker) leftWith(a *Attempt, kill Disturbance) bool {
-	const closing = 20 * time.Millisecond
 	return slices.ContainsFunc(c.runs[a.ID], func(run *standin.ReplicaRun) bool {
-		return run.Left && !run.Ended.Before(kill.From) && !run.Ended.After(kill.To.Add(closing))
+		return run.Left && !run.Ended.Before(kill.From) && !run.Ended.After(kill.To.Add(passing))
 	})
 }
 
+// lostWith reports whether a kill may have taken a relayed attempt: no replica had it, or the last
+// run ended as the router was killed, whose answer may have been on its way.
+func (c *checker) lostWith(a *Attempt, kill Disturbance) bool {
+	runs := c.runs[a.ID]
+	if len(runs) == 0 {
+		return true
+	}
+	last := slices.MaxFunc(runs, func(x, y *standin.ReplicaRun) int { return x.Ended.Compare(y.Ended) })
+	return !last.Ended.Before(kill.From.Add(-passing)) && !last.Ended.After(kill.To.Add(passing))
+}
+
 // replicaAtFault tells whether a replica broke off, or its link was harmed.
 func (c *checker) replicaAtFault(a *Attempt, ran []*standin.ReplicaRun) bool {
 	for _, p := range c.Partitions {
