--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -91,7 +91,7 @@
 	// Retries is this router's part of the fleet's retries. If nil, New creates one that admits
 	// none.
 	Retries *retry.Budget
-	// Loans borrows retries from other routers. If nil, there is nobody to borrow from.
+	// Loans borrows retries from other routers. If nil, retries are not borrowed.
 	Loans Loans
 	// Origins records at which versions streams began. If nil, streams that callers take up may
 	// go on at any.
--- a/internal/gossip/loans_test.go
+++ b/internal/gossip/loans_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Guards against loans that count though nobody asked for them, and against late ones that are
+// Guards against loans that count though they were not asked for, and against late ones that are
 // counted as used.
 func TestOnlyAskedRoutersLend(t *testing.T) {
 	var q loanQueries
--- a/internal/watch/outage_test.go
+++ b/internal/watch/outage_test.go
@@ -66,8 +66,8 @@
 	})
 }
 
-// Guards against a large answer over a narrow link that is taken for a source which answers nobody:
-// an old list then counted on, and replicas that had left since got requests.
+// Guards against a large answer over a narrow link that is taken for an outage of the source: an
+// old list then stayed valid, and replicas that had left since got requests.
 func TestReadWhoseAnswerHasBegunIsAnswered(t *testing.T) {
 	for name, read := range map[string]func(f *Watcher, t *testing.T){
 		"of the list": func(f *Watcher, t *testing.T) { _ = f.RefreshList(t.Context(), time.Now()) },
--- a/pkg/admission/fleet_test.go
+++ b/pkg/admission/fleet_test.go
@@ -33,9 +33,9 @@
 	return f
 }
 
-// step lets each router get its part of the demand, and every second tells it the demand at
-// those of the others that it hears.
-func (f *surgeFleet) step(n int, part func(router int) float64, hears func(a, b int) bool) {
+// step lets each router get its part of the demand, and every second reports to it the demand at
+// those of the others that it is connected to.
+func (f *surgeFleet) step(n int, part func(router int) float64, connected func(a, b int) bool) {
 	f.now = f.now.Add(surgeStep)
 	sum := 0.0
 	for i, l := range f.limits {
@@ -57,7 +57,7 @@
 	for i, l := range f.limits {
 		others, routers := 0.0, 1
 		for j := range f.limits {
-			if j != i && hears(i, j) {
+			if j != i && connected(i, j) {
 				others += demands[j]
 				routers++
 			}
@@ -112,8 +112,8 @@
 func TestFleetKeepsSurgeLimitThroughCutsAndRestarts(t *testing.T) {
 	const third = 3
 	for name, test := range map[string]struct {
-		restarts bool
-		hears    func(routers int) func(a, b int) bool
+		restarts  bool
+		connected func(routers int) func(a, b int) bool
 	}{
 		"all restart each 5 s": {true, func(int) func(a, b int) bool { return all }},
 		"a third is cut off": {false, func(routers int) func(a, b int) bool {
@@ -127,7 +127,7 @@
 					if test.restarts && n%50 == 49 {
 						f.limits = newSurgeFleet(routers).limits
 					}
-					f.step(n, func(int) float64 { return 1 / float64(routers) }, test.hears(routers))
+					f.step(n, func(int) float64 { return 1 / float64(routers) }, test.connected(routers))
 				}
 				t.Logf("greatest share %.2f", f.greatestShare())
 				assert.LessOrEqual(t, f.greatestShare(), 1+1e-9)
--- a/pkg/membership/count.go
+++ b/pkg/membership/count.go
@@ -70,7 +70,7 @@
 }
 
 // seedsMet returns how many of the seeds were members since the start. One that was not for
-// silentLifetime is gone.
+// silentLifetime no longer counts as missing.
 func (t *Table) seedsMet(now time.Time) (met, seeds int) {
 	if t.began.IsZero() {
 		t.began = now
@@ -84,9 +84,9 @@
 }
 
 // Routers returns how many routers may be at work, or 0 if nothing is known of the fleet: the
-// greatest number that this router or others count. A router that has not met all seeds since its
-// start, like all others that it hears of, may be in a part that is cut off. It assumes as many
-// routers behind each missing seed as there are to each that it has met.
+// greatest number that this router or others count. If none of them has met all seeds since its
+// start, they may be in a part of the fleet that is cut off: for each missing seed it then assumes
+// as many further routers as there are for each seed that it has met.
 func (t *Table) Routers(now time.Time) float64 {
 	t.counts.advance(now)
 	all := t.OwnCount(now).merge(t.counts.newest).merge(t.counts.older)
--- a/pkg/membership/count_test.go
+++ b/pkg/membership/count_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against parts of the allowance that add up to more than the whole because routers do not
-// count those that they have lost the contact to, and against parts that nobody uses.
+// count those that they have lost the contact to, and against parts that stay unused.
 func TestPartsOfAllRoutersAddUpToTheWhole(t *testing.T) {
 	const rounds, from, to = 220, 60, 160
 	seeds := []string{"a0", "b0", "c0"}
--- a/pkg/retry/borrowing.go
+++ b/pkg/retry/borrowing.go
@@ -35,7 +35,7 @@
 	ended    bool
 }
 
-// borrowed is one loan; settle tells its lender what was used of it.
+// borrowed is one loan; settle reports to its lender what was used of it.
 type borrowed struct {
 	amount float64
 	settle func(used float64)
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -44,8 +44,8 @@
 // ServiceOf returns the identity of the service with a name.
 func ServiceOf(name string) Service { return Service(xxhash.Sum64String(name)) }
 
-// LoanTime is for how long a router may use what it has borrowed, from when it asked. A lender
-// that is not told what was used counts all of the loan as used by then.
+// LoanTime is for how long a router may use what it has borrowed, from when it asked. Without a
+// settlement the lender counts all of the loan as used by then.
 const LoanTime = 250 * time.Millisecond
 
 // LoanID identifies a loan at its lender.
@@ -163,7 +163,7 @@
 	maps.DeleteFunc(b.accounts, func(_ Service, a *account) bool { return a.slot < oldest && a.open < rounding })
 }
 
-// expireLoans counts the loans that nobody settled as used.
+// expireLoans counts the loans without a settlement as used.
 func (b *Budget) expireLoans(now time.Time) {
 	for id, l := range b.loans {
 		if !now.Before(l.until) {
--- a/test/degrees/main.go
+++ b/test/degrees/main.go
@@ -7,7 +7,7 @@
 // It plays days of its own, see deploy/days/degrees.toml, with degrees from 0 to 1 that are doubled
 // until they do harm and then halved towards the least that does. It writes a table and, for each
 // site, one HTML page with a plot. It copies the committed sources to a scratch folder, so that its
-// figures are trials; the bench's own entries of the plays are copied back into journal/.
+// figures are trials; the journal entries of the plays are copied back.
 package main
 
 import (
@@ -111,11 +111,11 @@
 	if jobs == 0 {
 		jobs = max(runtime.NumCPU()/2, 1)
 	}
-	slots, told := make(chan struct{}, jobs), &progress{begun: time.Now()}
+	slots, progress := make(chan struct{}, jobs), &progress{begun: time.Now()}
 	results := make([]*result, len(a.Site))
 	var sites sync.WaitGroup
 	for i, site := range a.Site {
-		p := &player{arguments: a, site: absolute(site), folder: folder, end: time.Now().Add(a.Limit), slots: slots, told: told, points: make(map[string]map[float64]outcome)}
+		p := &player{arguments: a, site: absolute(site), folder: folder, end: time.Now().Add(a.Limit), slots: slots, progress: progress, points: make(map[string]map[float64]outcome)}
 		sites.Go(func() { results[i] = p.search(troubles) })
 	}
 	sites.Wait()
--- a/test/degrees/play.go
+++ b/test/degrees/play.go
@@ -20,8 +20,8 @@
 	folder string
 	end    time.Time
 	// slots bounds the plays at a time, over all sites.
-	slots chan struct{}
-	told  *progress
+	slots    chan struct{}
+	progress *progress
 
 	mu     sync.Mutex
 	number int
@@ -29,7 +29,7 @@
 	points map[string]map[float64]outcome
 }
 
-// progress tells how many plays were made.
+// progress prints each play and how many were made.
 type progress struct {
 	mu    sync.Mutex
 	plays int
@@ -70,7 +70,7 @@
 	}
 	p.points[t.Name][degree] = o
 	p.mu.Unlock()
-	p.told.played(p.site, t.Name, degree, o)
+	p.progress.played(p.site, t.Name, degree, o)
 	return o, true
 }
 
--- a/test/degrees/troubles.go
+++ b/test/degrees/troubles.go
@@ -16,7 +16,7 @@
 // trouble is what a day holds at a degree from 0 to 1.
 type trouble struct {
 	Name string `toml:"name"`
-	// Faults and Plan are entries of a day in the bench's words. DEGREE in them stands for
+	// Faults and Plan are entries of a day. DEGREE in them is replaced by
 	// From + degree x (To - From).
 	Faults []string `toml:"faults"`
 	Plan   []string `toml:"plan"`
@@ -26,7 +26,7 @@
 
 var (
 	errNoTrouble = errors.New("no such trouble")
-	errNoKind    = errors.New("the bench knows no such kind")
+	errNoKind    = errors.New("no such kind")
 )
 
 // readTroubles reads those of a file whose names are wanted, or all.
@@ -53,7 +53,7 @@
 
 var kindPattern = regexp.MustCompile(`kind = "([a-z_]+)"`)
 
-// checkKinds reports the first kind of a trouble that is not among those that the bench lists.
+// checkKinds returns an error for the first kind that is not among those listed.
 func checkKinds(troubles []trouble, listed string) error {
 	for _, t := range troubles {
 		for _, entry := range slices.Concat(t.Faults, t.Plan) {
@@ -76,7 +76,7 @@
 	}
 }
 
-// at returns entries in which DEGREE stands for the degree itself, with the trouble's own range.
+// at returns entries whose marks contain the range of the trouble.
 func (t trouble) at(entries []string) []string {
 	out := make([]string, len(entries))
 	for i, entry := range entries {
