front: Retry-After is at least 150 ms where all replicas are avoided

What callers saw: since a call that all replicas of its service had turned away was told to come back in 50 ms, before in 150.

Cause: Retry-After is the end of the shortest avoidance, which cut to 50 ms so that a router tries a replica again that has emptied. Callers who may come back once would spend that try on the first of the router's.

Ruled out: changing the test; what it asks for is what callers had.

Change: a minimum of 150 ms in refuseUnavailable if no replica can be tried now. Waiting in the router keeps the 50 ms.

--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -30,6 +30,9 @@
 const (
 	// retryElsewhere is for requests that another router or replica can serve at once.
 	retryElsewhere = 50 * time.Millisecond
+	// retryAvoided is the minimum if all replicas are avoided. Replicas that were full are tried
+	// again sooner; a caller with one retry left should not spend it on the first of these tries.
+	retryAvoided = 150 * time.Millisecond
 	// retryLater is the maximum, for conditions without a known end.
 	retryLater = 500 * time.Millisecond
 )
@@ -65,6 +68,8 @@
 		after = max(addJitter(first.after), retryElsewhere)
 	case !first.known:
 		after = c.front.untilNextRead()
+	case first.after > 0:
+		after = max(after, retryAvoided)
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after}
 }
