gossip: datagrams are taken once the router has kept its socket

Cause: ListenDatagrams began to take datagrams before it returned, so an answer could be sent by a socket that was not yet assigned.

Ruled out: the lock alone as a remedy, since each further message would have to remember it.

Change: Serve begins to take datagrams, after the assignment. What comes before waits in the system's buffer.

TestQueryAtStartIsAnswered failed before in 3 of 3 runs with the race detector, one of them by a nil pointer; since then it held in 3 of 3, and so do the other tests of internal/gossip and internal/peer.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -231,12 +231,14 @@
 	}
 	g.server = server
 	g.members = membership.New(server.Address(), g.options.Seeds, maxPartners)
-	g.datagrams, err = peer.ListenDatagrams(server.Address(), g.meter, g.handleDatagram)
+	g.datagrams, err = peer.ListenDatagrams(server.Address(), g.meter)
 	g.mu.Unlock()
 	if err != nil {
 		server.Close()
+		return err
 	}
-	return err
+	g.datagrams.Serve(g.handleDatagram)
+	return nil
 }
 
 // Address returns where the others reach this router.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -83,11 +83,16 @@
 
 // newIdleRouter returns a router that answers others but runs no rounds by itself.
 func newIdleRouter(t *testing.T, s *source, seeds ...string) *router {
+	t.Helper()
+	return newIdleRouterAt(t, "127.0.0.1:0", s, seeds...)
+}
+
+func newIdleRouterAt(t *testing.T, address string, s *source, seeds ...string) *router {
 	t.Helper()
 	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: s}
 	r.watcher = watch.New(s, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
 	var err error
-	r.gossip, err = Start(Options{Address: "127.0.0.1:0", Seeds: seeds, Period: 5 * time.Millisecond,
+	r.gossip, err = Start(Options{Address: address, Seeds: seeds, Period: 5 * time.Millisecond,
 		Retries: retry.NewBudget(retry.Bounds{Window: time.Hour}, time.Now(), time.Now())}, r.watcher, r.balancer, event.Discard())
 	require.NoError(t, err)
 	t.Cleanup(r.gossip.stop)
--- a/internal/gossip/loans_test.go
+++ b/internal/gossip/loans_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/pkg/retry"
 )
 
@@ -72,6 +77,34 @@
 	}
 }
 
+// Guards against a query that arrives as a router begins to listen, and that crashed it.
+func TestQueryAtStartIsAnswered(t *testing.T) {
+	query := encodeDatagram(&gossippb.Datagram{RetryQuery: &gossippb.RetryQuery{Number: 5, Service: uint64(lentService), Wanted: million}})
+	for range 50 {
+		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := probe.Addr().String()
+		probe.Close()
+		conn, err := net.Dial("udp", address)
+		require.NoError(t, err)
+		var asking sync.WaitGroup
+		asking.Go(func() {
+			for answer := make([]byte, peer.MaxDatagram); ; {
+				// Until the router listens, the system reports that nobody does.
+				_, _ = conn.Write(query)
+				_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+				if _, err := conn.Read(answer); err == nil || errors.Is(err, net.ErrClosed) {
+					return
+				}
+			}
+		})
+		r := newIdleRouterAt(t, address, &source{})
+		asking.Wait()
+		conn.Close()
+		r.gossip.stop()
+	}
+}
+
 // Guards against loans that count though they were not asked for, and against late ones that are
 // counted as used.
 func TestOnlyAskedRoutersLend(t *testing.T) {
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -27,9 +27,8 @@
 // readPause keeps a socket that fails from being read in a hurry.
 const readPause = 10 * time.Millisecond
 
-// ListenDatagrams has take called with each datagram that comes to an address, one at
-// a time. take must not keep the packet.
-func ListenDatagrams(address string, meter *Meter, take func(from netip.AddrPort, packet []byte)) (*Datagrams, error) {
+// ListenDatagrams opens an address for datagrams. Those that come wait until Serve is called.
+func ListenDatagrams(address string, meter *Meter) (*Datagrams, error) {
 	at, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("peer: datagrams: %w", err)
@@ -38,9 +37,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: datagrams: %w", err)
 	}
-	d := &Datagrams{conn: conn, meter: meter}
+	return &Datagrams{conn: conn, meter: meter}, nil
+}
+
+// Serve has take called with each datagram, one at a time, until Close. take must not keep the
+// packet.
+func (d *Datagrams) Serve(take func(from netip.AddrPort, packet []byte)) {
 	d.done.Go(func() { d.read(take) })
-	return d, nil
 }
 
 func (d *Datagrams) read(take func(netip.AddrPort, []byte)) {
--- a/internal/peer/datagram_test.go
+++ b/internal/peer/datagram_test.go
@@ -16,10 +16,11 @@
 	}
 	arrived := make(chan letter, 10)
 	first, second := &Meter{}, &Meter{}
-	a, err := ListenDatagrams("127.0.0.1:0", first, func(from netip.AddrPort, packet []byte) { arrived <- letter{from, string(packet)} })
+	a, err := ListenDatagrams("127.0.0.1:0", first)
 	require.NoError(t, err)
+	a.Serve(func(from netip.AddrPort, packet []byte) { arrived <- letter{from, string(packet)} })
 	defer a.Close()
-	b, err := ListenDatagrams("127.0.0.1:0", second, func(netip.AddrPort, []byte) {})
+	b, err := ListenDatagrams("127.0.0.1:0", second)
 	require.NoError(t, err)
 	to := a.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
 	texts := []string{"short", strings.Repeat("long", 5000)}
@@ -38,11 +39,11 @@
 }
 
 func TestAnAddressThatIsTakenIsAnError(t *testing.T) {
-	a, err := ListenDatagrams("127.0.0.1:0", &Meter{}, func(netip.AddrPort, []byte) {})
+	a, err := ListenDatagrams("127.0.0.1:0", &Meter{})
 	require.NoError(t, err)
 	defer a.Close()
 	for _, address := range []string{a.conn.LocalAddr().String(), "nonsense"} {
-		_, err = ListenDatagrams(address, &Meter{}, func(netip.AddrPort, []byte) {})
+		_, err = ListenDatagrams(address, &Meter{})
 		assert.Error(t, err, address)
 	}
 }
