balance, front: the last free slot of a brittle replica is taken by one request

Cause: Pick chooses by the requests that run, and a request counted as running only after the choice was logged and the attempt prepared.

Ruled out: loans (no router had lost its path then), a wrong number of routers (all others kept to 2 or 3), answers without the statement that the replica is brittle.

Change: StartChosen checks the share again and counts the request under one lock, before anything else; if the room has gone, the request chooses again. Requests at other replicas count that much earlier, too.

TestRequestsChosenTogetherTakeNoMoreThanTheShare is new with the function.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -83,6 +83,9 @@
 			c.giveUp(c.refuseNoReplica(x))
 			return
 		}
+		if !c.front.balancer.StartChosen(choice.Replica.ID, steady.Now()) {
+			continue
+		}
 		switch c.attempt(ctx, choice) {
 		case attemptFinished:
 			return
@@ -150,9 +153,10 @@
 	f.log.Write(id, event.F("age_ms", f.watcher.ListAge(steady.Now()).Milliseconds()), event.F("error", err))
 }
 
-// attempt sends the request to one replica.
+// attempt sends the request to one replica, at which it is counted as started.
 func (c *call) attempt(ctx context.Context, choice balance.Choice) attemptResult {
 	id := choice.Replica.ID
+	defer c.front.balancer.RequestFinished(id)
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
 	c.replicaVersion = softwareVersion{choice.Replica.Version, true}
@@ -160,8 +164,6 @@
 	c.logStopEstimate(steady.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.front.balancer.RequestStarted(id)
-	defer c.front.balancer.RequestFinished(id)
 	hung := c.startSilenceTimer(c.silenceLimit(), id, cancel)
 	defer hung.stop()
 	sent := steady.Now()
--- a/internal/front/retries.go
+++ b/internal/front/retries.go
@@ -131,7 +131,7 @@
 	return r.next != nil
 }
 
-// claim admits a retry for an attempt that is silent, which is ended for it. If other routers have
+// claimRetry admits a retry for an attempt that is silent, which is ended for it. If other routers have
 // to be asked, a later claim succeeds.
 func (c *call) claimRetry(service string) bool {
 	r := &c.retries
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -34,7 +34,7 @@
 		AttemptID: "Try", Resumes: "Goes-On", Deadline: "Left", PromptParts: "Parts", Key: "Authorization", KeyScheme: "Key ",
 		Organisation: "Org", ExpectReplica: "Want", Priority: "Rank", CopyFrom: "Copy",
 		RouterOnly:  []string{"Org", "Want", "Rank", "Copy"},
-		NotExecuted: "Not-Run", Load: "Load", ShuttingDown: "Leaving",
+		NotExecuted: "Not-Run", Load: "Load", ShuttingDown: "Leaving", Brittle: "Brittle",
 		ParseParts: func(s string) []balance.Part {
 			if s == "" {
 				return nil
--- a/pkg/balance/answered.go
+++ b/pkg/balance/answered.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// RequestStarted counts a request that is about to be sent to a replica.
+// RequestStarted counts a request that is about to be sent to a replica, whatever room it has.
 func (b *Balancer) RequestStarted(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -12,7 +12,25 @@
 	}
 }
 
-// RequestFinished ends a request that RequestStarted counted.
+// StartChosen counts a request that is about to be sent to a replica that Pick chose. It counts
+// nothing and reports false if the replica is brittle and requests that started since have taken
+// this router's part of its slots; another replica is to be chosen then.
+func (b *Balancer) StartChosen(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return true
+	}
+	if b.mustSpare(r, now) {
+		return false
+	}
+	r.running++
+	b.busy[r] = true
+	return true
+}
+
+// RequestFinished ends a request that RequestStarted or StartChosen counted.
 func (b *Balancer) RequestFinished(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -2,7 +2,8 @@
 //
 //	SetReplicas   sets the replicas that may get work
 //	Pick          chooses one by the parts of the prompt, load and health
-//	RequestStarted, RequestSucceeded, RequestFailed, RequestFinished
+//	StartChosen   counts the request there, unless others have taken the room since
+//	RequestSucceeded, RequestFailed, RequestFinished
 //	              record the outcome
 //	MergePeer     takes what another router sent about its own requests
 //
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -339,3 +339,39 @@
 	assert.False(t, b.ShareUsed("llm", start), "lent")
 	assert.False(t, b.ShareUsed("llm", start.Add(brittleLifetime)), "no longer brittle")
 }
+
+// Guards against requests that choose the last free slot together and all take it.
+func TestRequestsChosenTogetherTakeNoMoreThanTheShare(t *testing.T) {
+	const chosen = 8
+	for name, c := range map[string]struct {
+		prepare func(*Balancer)
+		want    int
+	}{
+		"sturdy":                  {func(*Balancer) {}, chosen},
+		"brittle":                 {func(b *Balancer) { b.BrittleReported("i-0", 2, start) }, 4},
+		"some run":                {func(b *Balancer) { b.BrittleReported("i-0", 2, start); b.RequestStarted("i-0") }, 3},
+		"lent since":              {func(b *Balancer) { b.BrittleReported("i-0", 2, start); b.LendShare("llm", "r1", 1, start) }, 0},
+		"was brittle":             {func(b *Balancer) { b.BrittleReported("i-0", 2, start.Add(-brittleLifetime)) }, chosen},
+		"replica is no more":      {func(b *Balancer) { b.SetReplicas(nil, start) }, chosen},
+		"a rejection was counted": {func(b *Balancer) { b.BrittleReported("i-0", 2, start); b.RequestFailed("i-0", Shed, "dc0", start) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := engines(1)
+			list[0].Slots = 10
+			b := newBalancer(list)
+			b.SetRouters("r0", []string{"r0", "r1"}, start)
+			for range chosen {
+				_, found := b.Pick(Request{Service: "llm"}, start)
+				assert.True(t, found)
+			}
+			c.prepare(b)
+			started := 0
+			for range chosen {
+				if b.StartChosen("i-0", start) {
+					started++
+				}
+			}
+			assert.Equal(t, c.want, started)
+		})
+	}
+}
