balance: the bound on a replica's load is checked as the request is counted

Requests that choose at the same moment, as after a router stood still, could all go to one engine: 40 of 40 where the users' bound allows 23 (4 engines, factor 2).

Ruled out: counting in Pick itself. Requests that chose often do not start (no path, no room elsewhere), and each such way would have to take the count back.

Change: StartChosen checks the bound again if more requests of this router run at the replica than when it was chosen, and the request chooses again if the replica was below the bound and is no more. One that was above it, with no other left, goes on.

TestRequestsChosenTogetherStayWithinBound: 40 at one engine without the check, within 23 with it. Tests of internal/front, internal/entry and pkg/balance pass.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -83,7 +83,7 @@
 			c.giveUp(c.refuseNoReplica(x))
 			return
 		}
-		if !c.front.balancer.StartChosen(choice.Replica.ID, steady.Now()) {
+		if !c.front.balancer.StartChosen(choice, steady.Now()) {
 			continue
 		}
 		switch c.attempt(ctx, choice) {
--- a/pkg/balance/answered.go
+++ b/pkg/balance/answered.go
@@ -12,17 +12,17 @@
 	}
 }
 
-// StartChosen counts a request that is about to be sent to a replica that Pick chose. It counts
-// nothing and reports false if the replica is brittle and requests that started since have taken
-// this router's part of its slots; another replica is to be chosen then.
-func (b *Balancer) StartChosen(id string, now time.Time) bool {
+// StartChosen counts a request that is about to be sent to the replica that Pick chose. It counts
+// nothing and reports false if requests that started since have taken the replica's room below the
+// bound, or this router's part of it if it is brittle; Pick then has to choose again.
+func (b *Balancer) StartChosen(c Choice, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.replicas[id]
+	r := b.replicas[c.Replica.ID]
 	if r == nil {
 		return true
 	}
-	if b.mustSpare(r, now) {
+	if b.mustSpare(r, now) || r.running > c.running && c.Load < c.Bound && b.load(r, now) >= b.serviceBound(r.Service, now) {
 		return false
 	}
 	r.running++
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -92,6 +92,8 @@
 	Holders int
 	// Load is the estimated load of the replica, Bound the bound it was compared with.
 	Load, Bound float64
+	// running is how many requests of this router ran at the replica.
+	running int
 	// PassedOver is the first engine in rank if another one was chosen, PassedOverLoad
 	// its load and PassedOverBadness how strongly it is suspected.
 	PassedOver        string
@@ -339,14 +341,14 @@
 	if len(q.Parts) == 0 {
 		chosen, reason := b.pickPlain(q, left, now)
 		reason = b.spendColdAllowance(chosen, q, reason, now)
-		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}, true
+		return Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, running: chosen.running, PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}, true
 	}
 	chosen, home, reason := b.pickEngine(q, left, bound, now)
 	if chosen == nil {
 		return Choice{}, false
 	}
 	reason = b.spendColdAllowance(chosen, q, reason, now)
-	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, Part: homeKey(q.Parts), PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}
+	choice := Choice{Replica: chosen.Replica, Reason: reason, Load: b.load(chosen, now), Bound: bound, running: chosen.running, Part: homeKey(q.Parts), PathLost: b.isPathLostFor(q.Service, reason, now), KeptOnly: b.isProbed(chosen, now), Unreachable: b.probePending(chosen, now)}
 	choice.Holders = len(b.holders.list(choice.Part, now))
 	if home != chosen {
 		b.verifyWanted(home, now)
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -360,14 +360,16 @@
 			list[0].Slots = 10
 			b := newBalancer(list)
 			b.SetRouters("r0", []string{"r0", "r1"}, start)
+			var choices []Choice
 			for range chosen {
-				_, found := b.Pick(Request{Service: "llm"}, start)
+				choice, found := b.Pick(Request{Service: "llm"}, start)
 				assert.True(t, found)
+				choices = append(choices, choice)
 			}
 			c.prepare(b)
 			started := 0
-			for range chosen {
-				if b.StartChosen("i-0", start) {
+			for _, choice := range choices {
+				if b.StartChosen(choice, start) {
 					started++
 				}
 			}
--- a/pkg/balance/load_test.go
+++ b/pkg/balance/load_test.go
@@ -168,3 +168,33 @@
 		}
 	}
 }
+
+// Guards against requests that choose a replica together, before any of them counts, and load it
+// above what users allow.
+func TestRequestsChosenTogetherStayWithinBound(t *testing.T) {
+	const requests, replicas = 40, 4
+	for name, parts := range map[string][]Part{"plain": nil, "engines": prompt(5)} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(engines(replicas))
+			choose := func() Choice {
+				c, found := b.Pick(Request{Service: "llm", DataCentre: "dc0", Parts: parts}, start)
+				assert.True(t, found)
+				return c
+			}
+			var choices []Choice
+			for range requests {
+				choices = append(choices, choose())
+			}
+			running := make(map[string]int)
+			for _, c := range choices {
+				for !b.StartChosen(c, start) {
+					c = choose()
+				}
+				running[c.Replica.ID]++
+			}
+			for id, n := range running {
+				assert.LessOrEqual(t, float64(n), float64(defaultLoadFactor*requests)/replicas+3, id)
+			}
+		})
+	}
+}
