--- a/internal/gossip/loans_test.go
+++ b/internal/gossip/loans_test.go
@@ -90,7 +90,7 @@
 		var asking sync.WaitGroup
 		asking.Go(func() {
 			for answer := make([]byte, peer.MaxDatagram); ; {
-				// Until the router listens, the system reports that nobody does.
+				// Both calls fail with ECONNREFUSED until the router listens.
 				_, _ = conn.Write(query)
 				_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
 				if _, err := conn.Read(answer); err == nil || errors.Is(err, net.ErrClosed) {
--- a/pkg/balance/enginefleet_test.go
+++ b/pkg/balance/enginefleet_test.go
@@ -381,21 +381,3 @@
 	}
 	return false
 }
-
-// worstOver returns the largest share of arrivals above what users allow in any five
-// seconds.
-func (s *engineStats) worstOver() float64 {
-	const window = 5 * time.Second
-	worst := 0.0
-	for i, from := range s.overLimit {
-		to := from.Add(window)
-		over, _ := slices.BinarySearchFunc(s.overLimit, to, time.Time.Compare)
-		first, _ := slices.BinarySearchFunc(s.arrivals, from, time.Time.Compare)
-		last, _ := slices.BinarySearchFunc(s.arrivals, to, time.Time.Compare)
-		// Only windows that end before the last arrival count.
-		if last < len(s.arrivals) {
-			worst = max(worst, float64(over-i)/float64(last-first))
-		}
-	}
-	return worst
-}
--- a/pkg/balance/engineload_test.go
+++ b/pkg/balance/engineload_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,21 @@
 	t.Logf("above %.4f, asked %d, in time %d, copied %d", got.worstOver(), got.asked, got.onTime, got.copied)
 	assert.Less(t, got.worstOver(), 0.03)
 }
+
+// worstOver returns the largest share of arrivals above what users allow in any five
+// seconds.
+func (s *engineStats) worstOver() float64 {
+	const window = 5 * time.Second
+	worst := 0.0
+	for i, from := range s.overLimit {
+		to := from.Add(window)
+		over, _ := slices.BinarySearchFunc(s.overLimit, to, time.Time.Compare)
+		first, _ := slices.BinarySearchFunc(s.arrivals, from, time.Time.Compare)
+		last, _ := slices.BinarySearchFunc(s.arrivals, to, time.Time.Compare)
+		// Only windows that end before the last arrival count.
+		if last < len(s.arrivals) {
+			worst = max(worst, float64(over-i)/float64(last-first))
+		}
+	}
+	return worst
+}
