--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -86,6 +86,7 @@
 	PartHeld          ID = 427
 	PartCleared       ID = 428
 	StopEstimate      ID = 429
+	StreamTakenUp     ID = 430
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -169,6 +170,7 @@
 	PartHeld:          {logrus.WarnLevel, "part of prompts is taken to crash what runs it, refused from now on", "The 418 lines whose parts name it tell requests, routes and replicas: find out where it comes from. It is tried again when its hold (`crash_hold`) is over."},
 	PartCleared:       {logrus.InfoLevel, "part of prompts that was held was answered, served again", "None needed."},
 	StopEstimate:      {logrus.InfoLevel, "request taken by estimate while the process stops", "None needed. A 403 line of the same request tells that it took longer: left_ms was left until the cut, recent_ms is the longest recent request of its route."},
+	StreamTakenUp:     {logrus.InfoLevel, "stream taken up by its caller", "None needed. found tells how its software version is known: recorded, inferred or unknown; an unknown one is refused. listed are the versions that serve, several that others served lately; answered of the asked routers answered."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/route"
@@ -28,7 +29,7 @@
 	RecordOrigin(k origin.Key, version string, others bool)
 	// FindOrigin returns what is known of a stream. It asks other routers if need be, for a
 	// bounded time.
-	FindOrigin(ctx context.Context, service string, k origin.Key) origin.Finding
+	FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search
 }
 
 // softwareVersion is that of a replica, if known. Replicas that state none share the empty one.
@@ -100,10 +101,11 @@
 		return nil
 	}
 	several := f.observeVersions(c.service.Name)
-	var found origin.Finding
+	var found origin.Search
 	if c.resumes() != "" || c.relay != nil {
 		found = f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
 	}
+	c.logTakenUp(found, several)
 	switch {
 	case found.Source != origin.Unknown:
 		c.origin = streamOrigin{originKnown, found.Version}
@@ -118,6 +120,13 @@
 	return nil
 }
 
+// logTakenUp logs what is known of a stream that the caller takes up.
+func (c *call) logTakenUp(found origin.Search, several bool) {
+	c.front.log.Write(event.StreamTakenUp, event.F("request", c.id), event.F("resumes", c.resumes()), event.F("after_event", c.request.Header.Get(lastEventHeader)),
+		event.F("found", found.Source.String()), event.F("origin", found.Version), event.F("listed", c.front.balancer.Versions(c.service.Name)),
+		event.F("several", found.Several || several), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
+}
+
 // statesVersions reports whether replicas of a service state the version of their software.
 func (f *Front) statesVersions(service string) bool {
 	return slices.ContainsFunc(f.balancer.Versions(service), func(version string) bool { return version != "" })
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -147,10 +147,10 @@
 }
 
 // FindOrigin returns what this router and others know of a stream.
-func (o *Origins) FindOrigin(ctx context.Context, service string, k origin.Key) origin.Finding {
+func (o *Origins) FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search {
 	own := o.Find(service, k, steady.Now())
 	if own.Source == origin.Recorded {
-		return own
+		return origin.Search{Finding: own}
 	}
 	timeout := o.gossip.originWait.several
 	if !own.Several {
@@ -158,13 +158,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return origin.Merge(append(o.gossip.askOrigin(ctx, service, k), own)...)
+	asked, findings := o.gossip.askOrigin(ctx, service, k)
+	return origin.Search{Finding: origin.Merge(append(findings, own)...), Asked: asked, Answered: len(findings)}
 }
 
-// askOrigin asks other routers and returns their findings once one has a record, all have
-// answered, or ctx ends.
-func (g *Gossip) askOrigin(ctx context.Context, service string, k origin.Key) []origin.Finding {
+// askOrigin asks other routers. It returns how many it asked, and their findings once one has a
+// record, all have answered, or ctx ends.
+func (g *Gossip) askOrigin(ctx context.Context, service string, k origin.Key) (asked int, findings []origin.Finding) {
 	silent := g.originRouters(k, originAsked)
+	asked = len(silent)
 	number, replies := g.originQueries.add(len(silent))
 	defer g.originQueries.remove(number)
 	query := encodeDatagram(&gossippb.Datagram{OriginQuery: &gossippb.OriginQuery{Number: number, Stream: uint64(k), Service: service}})
@@ -176,11 +178,10 @@
 	ask()
 	again := time.NewTimer(originResend)
 	defer again.Stop()
-	var findings []origin.Finding
 	for len(silent) > 0 {
 		select {
 		case <-ctx.Done():
-			return findings
+			return asked, findings
 		case <-again.C:
 			ask()
 		case r := <-replies:
@@ -191,9 +192,9 @@
 			silent = slices.Delete(silent, i, i+1)
 			findings = append(findings, r.finding)
 			if r.finding.Source == origin.Recorded {
-				return findings
+				return asked, findings
 			}
 		}
 	}
-	return findings
+	return asked, findings
 }
--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -55,7 +55,7 @@
 				assert.True(t, found(fleet[1], n), "%d, began at the router that was stopped", n)
 			}
 			f := fleet[1].gossip.Origins().FindOrigin(context.Background(), "s", origin.KeyOf("s", "unknown"))
-			assert.Equal(t, origin.Finding{Several: true}, f)
+			assert.Equal(t, origin.Finding{Several: true}, f.Finding)
 		})
 	}
 }
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -37,6 +37,25 @@
 	Recorded
 )
 
+// String returns the name of a source, for logs.
+func (s Source) String() string {
+	switch s {
+	case Inferred:
+		return "inferred"
+	case Recorded:
+		return "recorded"
+	default:
+		return "unknown"
+	}
+}
+
+// Search is a finding and what it took to make it.
+type Search struct {
+	Finding
+	// Asked is how many other routers were asked, Answered how many of them answered.
+	Asked, Answered int
+}
+
 // Tracker records where streams began. It is safe for concurrent use.
 type Tracker struct {
 	table    *Table
