entry: streams of two versions joined after all routers ended, red

Callers took up streams that broke off as all routers ended, and got the rest from another software version.

--- a/internal/entry/versions_test.go
+++ b/internal/entry/versions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -34,8 +35,12 @@
 type versionedFleet struct {
 	routers []*Entry
 	source  *source
-	client  *http.Client
-	sent    int
+	// all are the replicas, listed or not.
+	all    []directory.Replica
+	client *http.Client
+	sent   int
+	// started is how many routers were started.
+	started int
 }
 
 // newVersionedFleet starts routers before some replicas of each version.
@@ -55,20 +60,42 @@
 				directory.Replica{ID: fmt.Sprint(version, "-", n), Service: "s", Address: server.Listener.Addr().String(), Version: version, Slots: 16})
 		}
 	}
+	f.all = slices.Clone(f.source.snapshot.Replicas)
+	f.start(t, routers)
+	return f
+}
+
+// start starts routers.
+func (f *versionedFleet) start(t *testing.T, routers int) {
+	t.Helper()
+	for range routers {
+		f.add(t)
+	}
+	f.awaitReady()
+}
+
+// add starts a router that knows the first one, if there is any.
+func (f *versionedFleet) add(t *testing.T) {
+	t.Helper()
 	var seeds []string
-	for n := range routers {
-		e := startWith(t, f.source, time.Second, func(s *settings.Settings, env *Environment) {
-			s.Name, s.Peers.Seeds, s.Peers.Period = fmt.Sprint("r", n), seeds, 10*time.Millisecond
-			s.Bounds.RepeatAllowance, s.Bounds.RepeatWindow = 1000, 10*time.Millisecond
-			env.Dialect.Resumes = "Resumes"
-		})
-		seeds = []string{e.gossip.Address()}
-		f.routers = append(f.routers, e)
+	if len(f.routers) > 0 {
+		seeds = []string{f.routers[0].gossip.Address()}
 	}
+	f.started++
+	f.routers = append(f.routers, startWith(t, f.source, time.Second, func(s *settings.Settings, env *Environment) {
+		s.Name, s.Peers.Seeds, s.Peers.Period = fmt.Sprint("r", f.started), seeds, 10*time.Millisecond
+		s.Bounds.RepeatAllowance, s.Bounds.RepeatWindow = 1000, 10*time.Millisecond
+		env.Dialect.Resumes = "Resumes"
+	}))
+}
+
+// awaitReady waits until all routers serve and know each other.
+func (f *versionedFleet) awaitReady() {
 	for _, e := range f.routers {
-		until(func() bool { return e.Ready() && e.gossip.MemberCount() == routers && e.retries.HasPart(steady.Now()) })
+		until(func() bool {
+			return e.Ready() && e.gossip.MemberCount() >= len(f.routers) && e.retries.HasPart(steady.Now())
+		})
 	}
-	return f
 }
 
 func serveVersion(version string) http.HandlerFunc {
