origin: not knowing what served before is no longer taken for a single version

Cause: a router that found no record of a stream let it go on at any version unless it had seen several serve. One that had just started had seen one, or none, and took that for knowing that there was no other; so did the peers it asked. Ruled out: wrong routers asked (no member is left to ask); an incomplete first list (the joined streams began at a version that no longer served).

A router now states whether it knows all versions that served within a stream's lifetime (origin.Served.Complete). Only then, and if there was one, does a stream without a record go on; else it is refused at once. So that a restart of all costs the streams of a single version nothing, one record a service in the store names the versions that served lately. It is written when a version begins to serve or last served a lifetime ago, by the first router by rank, and read by routers that started since, when they need it. A record of an earlier generation of the store is not relied on. Streams without a record are no longer inferred from a version that served first, which was wrong where the record was lost: routers share their records when a second version joins.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -12,6 +12,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/watch"
+	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/platform"
 )
@@ -31,6 +32,9 @@
 		StatusWriter: func(s settings.Settings, call time.Duration) rollout.Writer {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
+		ServedStore: func(s settings.Settings, call time.Duration) origin.Store {
+			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
+		},
 		Dialect:         platform.Dialect(),
 		ReadyPath:       platform.ReadyPath,
 		HeldParts:       platform.Held,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,8 +52,11 @@
 	Source func(s settings.Settings, call time.Duration) watch.Source
 	// StatusWriter returns a client that writes the status of roll-outs. It may be nil.
 	StatusWriter func(s settings.Settings, call time.Duration) rollout.Writer
-	Dialect      front.Dialect
-	ReadyPath    string
+	// ServedStore returns a client of the records of versions that served lately. If nil, these
+	// are not kept, and are lost with the routers.
+	ServedStore func(s settings.Settings, call time.Duration) origin.Store
+	Dialect     front.Dialect
+	ReadyPath   string
 	// HeldParts asks an engine which parts of prompts it holds and passes the head of its
 	// answer to answered. It may be nil.
 	HeldParts func(ctx context.Context, address string, answered func(*http.Response)) ([]balance.Part, error)
@@ -92,6 +95,7 @@
 	admission *admissionSwitch
 
 	statusWriter atomic.Pointer[rollout.Writer]
+	served       servedVersions
 
 	callers *http.Server
 	conns   *conns.Set
@@ -164,17 +168,23 @@
 	e.poison, e.parts = newPoison(e.settings.Routes, e.log), newPartPoison(e.settings.Routes, e.log)
 	e.buildOverload()
 	e.retries = newRetries(e.settings, e.started)
+	e.served.tracker = origin.NewTracker(front.MaxStreamLifetime)
+	if e.settings.Routes.FirstStart {
+		e.served.tracker.NoneBefore()
+	}
+	e.setServedStore(e.settings)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{
-		Address:    e.settings.Listen.Peers,
-		DataCentre: e.settings.DataCentre,
-		Seeds:      e.settings.Peers.Seeds,
-		Period:     e.settings.Peers.Period,
-		Poison:     e.poison,
-		Parts:      e.parts,
-		Origins:    origin.NewTracker(front.MaxStreamLifetime),
-		Overload:   e.overloadReports(),
-		Retries:    e.retries,
+		Address:      e.settings.Listen.Peers,
+		DataCentre:   e.settings.DataCentre,
+		Seeds:        e.settings.Peers.Seeds,
+		Period:       e.settings.Peers.Period,
+		Poison:       e.poison,
+		Parts:        e.parts,
+		Origins:      e.served.tracker,
+		RecallServed: e.recallServed,
+		Overload:     e.overloadReports(),
+		Retries:      e.retries,
 	}, e.watcher, e.balancer, e.log)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
@@ -243,6 +253,7 @@
 	e.balancer.SetColdBounds(coldBounds(s.Bounds))
 	e.balancer.Rollouts().SetExposure(s.Bounds.Exposure)
 	e.setStatusWriter(s)
+	e.setServedStore(s)
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
@@ -342,6 +353,10 @@
 		e.runRollouts(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.keepServed(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		steady.Watch(ctx, e.handleResume)
 		return nil
--- /dev/null
+++ b/internal/entry/served.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/origin"
+)
+
+const (
+	// servedPeriod is the pause between two looks whether the record of versions is up to date.
+	servedPeriod = 500 * time.Millisecond
+	// recallTimeout is how long a caller waits for the record to be read. The read goes on.
+	recallTimeout = 150 * time.Millisecond
+	// recallPause is the pause between two reads for callers.
+	recallPause = 500 * time.Millisecond
+)
+
+// servedVersions keeps a record in the store of the versions that served lately, so that streams
+// can go on after all routers ended.
+type servedVersions struct {
+	tracker *origin.Tracker
+	keeper  origin.Keeper
+	store   atomic.Pointer[origin.Store]
+	// recalls joins the reads for callers, the last of which began at recalledAt.
+	recalls    singleflight.Group
+	recalledAt time.Time
+}
+
+// keepServed keeps the record up to date until ctx ends.
+func (e *Entry) keepServed(ctx context.Context) {
+	if e.env.ServedStore == nil || !e.waitUntil(ctx, e.watcher.Initialized) {
+		return
+	}
+	// Until routers know each other, each is the first by rank.
+	meeting, cancel := context.WithTimeout(ctx, peerWait+recallWait)
+	<-meeting.Done()
+	cancel()
+	ticker := time.NewTicker(servedPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.served.tracker.Added():
+		}
+		e.advanceServed(ctx)
+	}
+}
+
+// advanceServed reads or writes the record if that is due.
+func (e *Entry) advanceServed(ctx context.Context) {
+	if e.stopping.Load() || !e.proofFresh() {
+		// Another router writes what this one, cut off or stopping, can't.
+		return
+	}
+	for range 2 {
+		step := e.served.keeper.Next(e.resumableServices(), e.watcher.Digest().Generation, e.gossip.TaskRank("served versions"), steady.Now())
+		switch {
+		case step.Read:
+			e.readServed(ctx)
+		case len(step.Write) > 0:
+			e.writeServed(ctx, step.Write)
+		default:
+			return
+		}
+	}
+}
+
+// resumableServices returns what served lately at the services whose streams may be taken up.
+func (e *Entry) resumableServices() []origin.Served {
+	var list []origin.Served
+	for _, name := range e.front.ResumableServices() {
+		list = append(list, e.served.tracker.Served(name, steady.Now()))
+	}
+	return list
+}
+
+func (e *Entry) readServed(ctx context.Context) {
+	records, generation, err := (*e.served.store.Load()).ReadServed(ctx)
+	now := steady.Now()
+	if err != nil {
+		e.served.keeper.Failed(now)
+		e.log.Write(event.ServedRead, event.F("records", 0), event.F("reliable", 0), event.F("error", err))
+		return
+	}
+	reliable := e.served.keeper.Loaded(records, generation, now)
+	for _, r := range reliable {
+		e.served.tracker.Recall(r.Service, r.Versions, now)
+	}
+	e.log.Write(event.ServedRead, event.F("records", len(records)), event.F("reliable", len(reliable)), event.F("error", nil))
+}
+
+func (e *Entry) writeServed(ctx context.Context, records []origin.Stored) {
+	revision, err := (*e.served.store.Load()).WriteServed(ctx, records)
+	for _, r := range records {
+		e.log.Write(event.ServedWritten, event.F("service", r.Service), event.F("versions", r.Versions), event.F("revision", revision), event.F("error", err))
+	}
+	if err != nil {
+		e.served.keeper.Failed(steady.Now())
+		return
+	}
+	e.served.keeper.Written(records, revision)
+}
+
+// recallServed reads the record for a caller that takes up a stream, together with all others
+// that wait for it.
+func (e *Entry) recallServed() {
+	if e.env.ServedStore == nil {
+		return
+	}
+	done := e.served.recalls.DoChan("", func() (any, error) {
+		if now := steady.Now(); now.Sub(e.served.recalledAt) >= recallPause {
+			e.served.recalledAt = now
+			e.readServed(context.Background())
+		}
+		return nil, nil
+	})
+	select {
+	case <-done:
+	case <-time.After(recallTimeout):
+	}
+}
+
+// setServedStore sets the client that reads and writes the record.
+func (e *Entry) setServedStore(s settings.Settings) {
+	if e.env.ServedStore == nil {
+		return
+	}
+	store := e.env.ServedStore(s, readPeriod(s.Bounds))
+	e.served.store.Store(&store)
+}
--- a/internal/entry/versions_test.go
+++ b/internal/entry/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,7 @@
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -35,18 +37,30 @@
 type versionedFleet struct {
 	routers []*Entry
 	source  *source
+	store   *memoryStore
 	// all are the replicas, listed or not.
 	all    []directory.Replica
 	client *http.Client
 	sent   int
 	// started is how many routers were started.
 	started int
+	// firstStart: the first routers, as many as initial, start as a fleet that never ran before.
+	firstStart bool
+	initial    int
 }
 
 // newVersionedFleet starts routers before some replicas of each version.
 func newVersionedFleet(t *testing.T, routers, replicas int, versions ...string) *versionedFleet {
 	t.Helper()
-	f := &versionedFleet{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, source: &source{}}
+	f := newVersionedReplicas(t, replicas, versions...)
+	f.start(t, routers)
+	return f
+}
+
+// newVersionedReplicas starts some replicas of each version.
+func newVersionedReplicas(t *testing.T, replicas int, versions ...string) *versionedFleet {
+	t.Helper()
+	f := &versionedFleet{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, source: &source{}, store: newMemoryStore()}
 	f.source.snapshot.Config = &route.Config{Version: 1, Services: []route.Service{{Name: "s"}}}
 	for _, attempts := range []int{1, 3} {
 		f.source.snapshot.Config.Routes = append(f.source.snapshot.Config.Routes, route.Route{Name: fmt.Sprint("stream", attempts), Host: "h", Prefix: fmt.Sprintf("/%d/", attempts),
@@ -61,13 +75,13 @@
 		}
 	}
 	f.all = slices.Clone(f.source.snapshot.Replicas)
-	f.start(t, routers)
 	return f
 }
 
 // start starts routers.
 func (f *versionedFleet) start(t *testing.T, routers int) {
 	t.Helper()
+	f.initial = cmp.Or(f.initial, routers)
 	for range routers {
 		f.add(t)
 	}
@@ -85,7 +99,9 @@
 	f.routers = append(f.routers, startWith(t, f.source, time.Second, func(s *settings.Settings, env *Environment) {
 		s.Name, s.Peers.Seeds, s.Peers.Period = fmt.Sprint("r", f.started), seeds, 10*time.Millisecond
 		s.Bounds.RepeatAllowance, s.Bounds.RepeatWindow = 1000, 10*time.Millisecond
+		s.Routes.FirstStart = f.firstStart && f.started <= f.initial
 		env.Dialect.Resumes = "Resumes"
+		env.ServedStore = func(settings.Settings, time.Duration) origin.Store { return f.store }
 	}))
 }
 
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -21,14 +21,13 @@
 type Origins interface {
 	// SetLifetime sets how long after its first event a stream may be taken up.
 	SetLifetime(time.Duration)
-	// Observe notes which versions of a service serve now, and reports whether several served
-	// within a stream's lifetime.
-	Observe(service string, versions []string, now time.Time) (several bool)
-	// RecordOrigin records the version at which a stream begins; others is set if other routers
-	// are to know it.
-	RecordOrigin(k origin.Key, version string, others bool)
-	// FindOrigin returns what is known of a stream. It asks other routers if need be, for a
-	// bounded time.
+	// Observe notes which versions of a service serve now, by a list of replicas that is current
+	// or not.
+	Observe(service string, versions []string, current bool, now time.Time)
+	// RecordOrigin records the version at which a stream of a service begins.
+	RecordOrigin(service string, k origin.Key, version string)
+	// FindOrigin returns what is known of a stream. It asks other routers and the store if need
+	// be, for a bounded time.
 	FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search
 }
 
@@ -79,7 +78,8 @@
 	if f.options.Origins == nil || c.origin.state != originKnown || c.origin.version == "" {
 		return
 	}
-	f.options.Origins.RecordOrigin(c.originKey(), c.origin.version, f.observeVersions(c.service.Name))
+	f.observeVersions(c.service.Name)
+	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.version)
 }
 
 // originKey returns the key of the stream: callers that take it up name the attempt that brought
@@ -94,37 +94,32 @@
 }
 
 // findOrigin finds at which version the stream began that the caller takes up, and refuses to
-// go on if that is not known and may be one of several.
+// go on if that is not known.
 func (c *call) findOrigin(ctx context.Context) *refusal {
 	f := c.front
 	if f.options.Origins == nil || c.origin.state != originOpen || !c.takenUp() || !f.statesVersions(c.service.Name) {
 		return nil
 	}
-	several := f.observeVersions(c.service.Name)
-	var found origin.Search
-	if c.resumes() != "" || c.relay != nil {
-		found = f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
-	}
-	c.logTakenUp(found, several)
-	switch {
-	case found.Source != origin.Unknown:
-		c.origin = streamOrigin{originKnown, found.Version}
-		if !slices.Contains(f.balancer.Versions(c.service.Name), found.Version) {
-			// The list of another router may be newer.
-			f.watcher.TriggerRead()
-		}
-	case found.Several || several:
+	f.observeVersions(c.service.Name)
+	found := f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
+	c.logTakenUp(found)
+	if found.Source == origin.Unknown {
 		f.metrics.UnknownOrigins.Inc(1)
 		return &refusal{status: http.StatusServiceUnavailable, reason: "version of the stream not known", retryAfter: retryLater}
 	}
+	c.origin = streamOrigin{originKnown, found.Version}
+	if !slices.Contains(f.balancer.Versions(c.service.Name), found.Version) {
+		// The list of another router may be newer.
+		f.watcher.TriggerRead()
+	}
 	return nil
 }
 
 // logTakenUp logs what is known of a stream that the caller takes up.
-func (c *call) logTakenUp(found origin.Search, several bool) {
+func (c *call) logTakenUp(found origin.Search) {
 	c.front.log.Write(event.StreamTakenUp, event.F("request", c.id), event.F("resumes", c.resumes()), event.F("after_event", c.request.Header.Get(lastEventHeader)),
 		event.F("found", found.Source.String()), event.F("origin", found.Version), event.F("listed", c.front.balancer.Versions(c.service.Name)),
-		event.F("several", found.Several || several), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
+		event.F("several", found.Several), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
 }
 
 // statesVersions reports whether replicas of a service state the version of their software.
@@ -132,10 +127,10 @@
 	return slices.ContainsFunc(f.balancer.Versions(service), func(version string) bool { return version != "" })
 }
 
-// observeVersions notes the versions of a service and reports whether several served within a
-// stream's lifetime.
-func (f *Front) observeVersions(service string) (several bool) {
-	return f.options.Origins.Observe(service, f.balancer.Versions(service), steady.Now())
+// observeVersions notes the versions of a service.
+func (f *Front) observeVersions(service string) {
+	now := steady.Now()
+	f.options.Origins.Observe(service, f.balancer.Versions(service), f.watcher.Age(now) <= listLag, now)
 }
 
 // ObserveVersions notes which versions serve, and how long streams may last.
@@ -151,6 +146,26 @@
 	}
 }
 
+// ResumableServices returns the services whose streams may be taken up and whose replicas state the
+// version of their software.
+func (f *Front) ResumableServices() []string {
+	state := f.holder.Current()
+	if state.Table == nil {
+		return nil
+	}
+	var names []string
+	config := state.Table.Config()
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		for _, share := range r.Shares {
+			if r.Resumable && !slices.Contains(names, share.Service) && f.statesVersions(share.Service) {
+				names = append(names, share.Service)
+			}
+		}
+	}
+	return names
+}
+
 // MaxStreamLifetime bounds how long after its first event a stream may be taken up, and is
 // assumed before there is a configuration.
 const MaxStreamLifetime = 5 * time.Minute
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,6 +55,9 @@
 	Parts *poison.PartTracker
 	// Origins records at which versions streams began; if nil, Start creates one.
 	Origins *origin.Tracker
+	// RecallServed reads from the store which versions served before this router started, within
+	// a bounded time. It may be nil.
+	RecallServed func()
 	// Retries is this router's part of the fleet's retries. If nil, the router has none to lend.
 	Retries *retry.Budget
 	// Overload holds the rates for admission control. Nil means that it is off: nothing is
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -15,10 +15,13 @@
 // A caller whose stream broke off takes it up at any router, which has to know at which version
 // the stream began, also if the first router was killed meanwhile:
 //
-//	before the first event   if the service has several versions, the first router records the
+//	before the first event   unless a single version served lately, the first router records the
 //	                         version at all others of a small fleet, and at a few of a large
 //	                         one, chosen by the stream
+//	a second version joins   routers record the streams that began before at the others too
 //	when it is taken up      the other router asks these, unless it has the record itself
+//	nobody has a record      a single version that served lately is the stream's, if it is known
+//	                         that no other did; the store tells it to a router that started since
 //
 // Some of the few are chosen in the router's own data centre, which may be cut off from others.
 const (
@@ -50,6 +53,18 @@
 // Origins returns the records of where streams began.
 func (g *Gossip) Origins() *Origins { return &Origins{g.options.Origins, g} }
 
+// Observe notes which versions of a service serve now, by a list of replicas that is current or
+// not. When a second version joins, other routers get the records that they lack.
+func (o *Origins) Observe(service string, versions []string, current bool, now time.Time) {
+	o.Tracker.Observe(service, versions, current, now)
+	if len(o.Served(service, now).Versions) < 2 {
+		return
+	}
+	for _, r := range o.Unshared(now) {
+		o.send(r.Key, r.Version)
+	}
+}
+
 // originQueries are the open queries of this router.
 type originQueries struct {
 	mu   sync.Mutex
@@ -106,11 +121,21 @@
 	g.send(from, encodeDatagram(&gossippb.Datagram{OriginReply: reply}))
 }
 
-// RecordOrigin records the version at which a stream begins, at this router and, if others is
-// set, at others.
-func (o *Origins) RecordOrigin(k origin.Key, version string, others bool) {
-	o.Record(k, version, steady.Now())
-	if !others || len(version) > maxVersionLength {
+// RecordOrigin records the version at which a stream of a service begins. Unless no other version
+// served lately, other routers get the record too.
+func (o *Origins) RecordOrigin(service string, k origin.Key, version string) {
+	now := steady.Now()
+	served := o.Served(service, now)
+	shared := !served.Complete || len(served.Versions) > 1
+	o.Record(k, version, shared, now)
+	if shared {
+		o.send(k, version)
+	}
+}
+
+// send sends the record of a stream to the routers that hold it.
+func (o *Origins) send(k origin.Key, version string) {
+	if len(version) > maxVersionLength {
 		return
 	}
 	packet := encodeDatagram(&gossippb.Datagram{Origin: &gossippb.StreamOrigin{Stream: uint64(k), Version: version}})
@@ -122,7 +147,7 @@
 // mergeOrigin records what another router sent of a stream.
 func (g *Gossip) mergeOrigin(o *gossippb.StreamOrigin, now time.Time) {
 	if len(o.Version) <= maxVersionLength {
-		g.options.Origins.Record(origin.Key(o.Stream), o.Version, now)
+		g.options.Origins.Record(origin.Key(o.Stream), o.Version, true, now)
 	}
 }
 
@@ -146,7 +171,8 @@
 	return slices.DeleteFunc(owners, func(address string) bool { return address == own })
 }
 
-// FindOrigin returns what this router and others know of a stream.
+// FindOrigin returns what this router and others know of a stream, and reads what served before
+// from the store if no router knows it.
 func (o *Origins) FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search {
 	own := o.Find(service, k, steady.Now())
 	if own.Source == origin.Recorded {
@@ -159,7 +185,27 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asked, findings := o.gossip.askOrigin(ctx, service, k)
-	return origin.Search{Finding: origin.Merge(append(findings, own)...), Asked: asked, Answered: len(findings)}
+	search := origin.Search{Finding: origin.Merge(append(findings, own)...), Asked: asked, Answered: len(findings)}
+	if search.Source == origin.Unknown && !search.Several && o.gossip.options.RecallServed != nil {
+		o.gossip.options.RecallServed()
+		search.Finding = origin.Merge(append(findings, o.Find(service, k, steady.Now()))...)
+	}
+	if search.Source == origin.Inferred && !o.allows(service, search) {
+		search.Finding = origin.Finding{Several: true}
+	}
+	return search
+}
+
+// allows reports whether nothing contradicts a version that was inferred: neither what this router
+// observed, nor that no other router answered while its own list is old.
+func (o *Origins) allows(service string, s origin.Search) bool {
+	served := o.Served(service, steady.Now())
+	for _, version := range served.Versions {
+		if version != s.Version {
+			return false
+		}
+	}
+	return s.Answered > 0 || s.Asked == 0 || !served.Stale
 }
 
 // askOrigin asks other routers. It returns how many it asked, and their findings once one has a
--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -27,8 +27,8 @@
 			const streams = 50
 			for n := range streams {
 				r := fleet[n%len(fleet)]
-				r.gossip.Origins().Observe("s", []string{"v1", "v2"}, time.Now())
-				r.gossip.Origins().RecordOrigin(origin.KeyOf("s", fmt.Sprint(n)), fmt.Sprint("v", 1+n%2), true)
+				r.gossip.Origins().Observe("s", []string{"v1", "v2"}, true, time.Now())
+				r.gossip.Origins().RecordOrigin("s", origin.KeyOf("s", fmt.Sprint(n)), fmt.Sprint("v", 1+n%2))
 			}
 			found := func(at *router, n int) bool {
 				f := at.gossip.Origins().FindOrigin(context.Background(), "s", origin.KeyOf("s", fmt.Sprint(n)))
@@ -60,6 +60,35 @@
 	}
 }
 
+// Guards against streams that began while one version served and do not go on once another joined
+// and their router was lost: other routers had no record of them.
+func TestRecordsAreSharedWhenAnotherVersionJoins(t *testing.T) {
+	for _, routers := range []int{3, 2 * maxPartners} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			fleet := largeFleet(t, routers)
+			for _, r := range fleet {
+				waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+				r.gossip.Origins().NoneBefore()
+			}
+			first := fleet[0].gossip.Origins()
+			key := origin.KeyOf("s", "a")
+			holders := func() (count int) {
+				for _, r := range fleet {
+					if r.gossip.Origins().Find("s", key, time.Now()).Source == origin.Recorded {
+						count++
+					}
+				}
+				return count
+			}
+			first.Observe("s", []string{"v1"}, true, time.Now())
+			first.RecordOrigin("s", key, "v1")
+			assert.Equal(t, 1, holders(), "nobody else needs it yet")
+			first.Observe("s", []string{"v1", "v2"}, true, time.Now())
+			waitUntil(t, func() bool { return holders() > originHolders })
+		})
+	}
+}
+
 // A reply to no query, from a router that was not asked, or with a source that does not exist
 // is no finding.
 func TestOnlyAskedRoutersAnswerOrigins(t *testing.T) {
--- a/pkg/origin/bench_test.go
+++ b/pkg/origin/bench_test.go
@@ -13,7 +13,7 @@
 		runtime.ReadMemStats(&before)
 		table := NewTable()
 		for n := range maxRecords {
-			table.Record(Key(n), "v1.2.3", at(0), lifetime)
+			table.Record(Key(n), "v1.2.3", true, at(0), lifetime)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -24,11 +24,11 @@
 
 func BenchmarkRecordAndFind(b *testing.B) {
 	tracker := NewTracker(lifetime)
-	tracker.Observe("s", []string{"v1", "v2"}, at(0))
+	tracker.Observe("s", []string{"v1", "v2"}, true, at(0))
 	n := 0
 	for b.Loop() {
 		n++
-		tracker.Record(Key(n), "v1", at(float64(n)/1000))
+		tracker.Record(Key(n), "v1", true, at(float64(n)/1000))
 		tracker.Find("s", Key(n), at(float64(n)/1000))
 	}
 }
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -6,40 +6,75 @@
 	"time"
 )
 
-// History records which versions of each service served lately. It is safe for concurrent use.
+// History records which versions of each service served lately, and since when it knows them all.
+// It is safe for concurrent use.
 type History struct {
 	mu       sync.Mutex
 	services map[string]*served
+	// completeAtStart: nothing served before the first observation.
+	completeAtStart bool
 }
 
 // served are the versions of one service.
 type served struct {
-	// since is when the service was first observed.
-	since    time.Time
 	versions map[string]period
+	// knownSince is the time from which on every version that served is recorded.
+	knownSince time.Time
+	// stale is set while the lists of replicas are too old to show every version.
+	stale bool
 }
 
 // period is when a version served, as far as it was observed: one that is missing from an
 // observation may have served until then.
 type period struct {
-	version     string
-	first, last time.Time
-	serving     bool
+	last    time.Time
+	serving bool
+}
+
+// Served are the versions of a service that served within a stream's lifetime.
+type Served struct {
+	Service  string
+	Versions []string
+	// Complete: no other version served in that time. A router that started lately does not know
+	// that by itself.
+	Complete bool
+	// Stale: the last list of replicas was not current.
+	Stale bool
+}
+
+// only returns the version at which every stream without a record began.
+func (s Served) only() (version string, known bool) {
+	if !s.Complete || len(s.Versions) != 1 {
+		return "", false
+	}
+	return s.Versions[0], true
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*served)} }
 
-// Observe notes the versions that serve now, and forgets those that last served longer than
-// a stream's lifetime ago.
-func (h *History) Observe(service string, versions []string, now time.Time, lifetime time.Duration) {
+// beginning is the time from which on all versions are known if none served before the first
+// observation.
+var beginning time.Time
+
+// NoneBefore declares that no version served before the first observation.
+func (h *History) NoneBefore() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.services[service]
-	if s == nil {
-		s = &served{since: now, versions: make(map[string]period)}
-		h.services[service] = s
+	h.completeAtStart = true
+}
+
+// Observe notes the versions that serve now by a list that is current or not, and forgets those
+// that last served longer than a stream's lifetime ago. It reports whether a version was added.
+func (h *History) Observe(service string, versions []string, current bool, now time.Time, lifetime time.Duration) (added bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.service(service, now)
+	if s.stale && current {
+		// Versions may have come and gone meanwhile.
+		s.knownSince = now
 	}
+	s.stale = !current
 	for version, p := range s.versions {
 		if p.serving {
 			p.last, p.serving = now, false
@@ -50,39 +85,54 @@
 		}
 	}
 	for _, version := range versions {
-		p, known := s.versions[version]
-		if !known {
-			p = period{version: version, first: now}
-		}
-		p.last, p.serving = now, true
-		s.versions[version] = p
+		_, known := s.versions[version]
+		added = added || !known
+		s.versions[version] = period{now, true}
 	}
+	return added
 }
 
-// Several reports whether more than one version served within a stream's lifetime.
-func (h *History) Several(service string) bool {
+// Recall adds the versions that served before, as the store has them, up to now.
+func (h *History) Recall(service string, versions []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.services[service]
-	return s != nil && len(s.versions) > 1
+	s := h.service(service, now)
+	s.knownSince = beginning
+	for _, version := range versions {
+		if _, known := s.versions[version]; !known {
+			s.versions[version] = period{last: now}
+		}
+	}
 }
 
-// Only returns the version at which a stream without a record began: the one that served alone
-// before any other did, if that was within a stream's lifetime.
-func (h *History) Only(service string, now time.Time, lifetime time.Duration) (version string, known bool) {
+// service returns the versions of a service. h.mu must be held.
+func (h *History) service(name string, now time.Time) *served {
+	s := h.services[name]
+	if s == nil {
+		s = &served{versions: make(map[string]period), knownSince: now}
+		if h.completeAtStart {
+			s.knownSince = beginning
+		}
+		h.services[name] = s
+	}
+	return s
+}
+
+// Served returns the versions that served within a stream's lifetime, sorted.
+func (h *History) Served(service string, now time.Time, lifetime time.Duration) Served {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	out := Served{Service: service}
 	s := h.services[service]
-	if s == nil || len(s.versions) == 0 || now.Sub(s.since) < lifetime {
-		return "", false
-	}
-	var periods []period
-	for _, p := range s.versions {
-		periods = append(periods, p)
+	if s == nil {
+		out.Complete = h.completeAtStart
+		return out
 	}
-	slices.SortFunc(periods, func(x, y period) int { return x.first.Compare(y.first) })
-	if len(periods) > 1 && (periods[0].first.Equal(periods[1].first) || now.Sub(periods[1].first) > lifetime) {
-		return "", false
+	for version := range s.versions {
+		out.Versions = append(out.Versions, version)
 	}
-	return periods[0].version, true
+	slices.Sort(out.Versions)
+	out.Stale = s.stale
+	out.Complete = s.knownSince.Equal(beginning) || now.Sub(s.knownSince) >= lifetime
+	return out
 }
--- /dev/null
+++ b/pkg/origin/keeper.go
@@ -0,0 +1,139 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+)
+
+// The versions that served lately are lost with the routers that observed them. One small record
+// per service in the store outlives them:
+//
+//	a version begins to serve            the first router by rank adds it
+//	it last served a lifetime ago        that router removes it
+//	a router lacks what served before    it reads the records once, when it needs them
+//
+// A record holds at least the versions that served within a stream's lifetime before it is read,
+// but for one that began to serve within the time that a write takes.
+
+// Stored is the record of a service's versions in the store.
+type Stored struct {
+	Service  string
+	Versions []string
+	// Generation is that of the store when the record was written. In a later generation, which
+	// came from a copy, the record may lack versions.
+	Generation uint64
+	// Revision is the record's revision, 0 if there is none.
+	Revision uint64
+}
+
+// ErrConflict means that another router wrote a record meanwhile.
+var ErrConflict = errors.New("origin: record was written meanwhile")
+
+// Store holds the records.
+type Store interface {
+	// ReadServed returns all records, and the store's generation, 0 if it states none.
+	ReadServed(ctx context.Context) (records []Stored, generation uint64, err error)
+	// WriteServed writes records that have the revisions stated, all or none, and returns their
+	// new revision, or ErrConflict if one of them has another.
+	WriteServed(ctx context.Context, records []Stored) (revision uint64, err error)
+}
+
+const (
+	// keepers is how many routers look after the records: the first by rank, and one that makes
+	// up for it.
+	keepers = 2
+	// keeperPatience is how long the second waits for the first.
+	keeperPatience = 2 * time.Second
+	// keeperPause is the pause after a call to the store that failed.
+	keeperPause = time.Second
+	// maxWrites is how many records are written at a time. Each is two entries of a transaction.
+	maxWrites = 16
+)
+
+// Keeper decides when this router reads and writes the records. It is safe for concurrent use.
+type Keeper struct {
+	mu         sync.Mutex
+	stored     map[string]Stored
+	generation uint64
+	readAt     time.Time
+	// missingSince is when the records were first seen to lack something, or not to be known.
+	missingSince time.Time
+	failedAt     time.Time
+}
+
+// Step is what a Keeper wants done: a read of the records, or the write of some.
+type Step struct {
+	Read  bool
+	Write []Stored
+}
+
+// Next returns what is to be done now, given what served lately, the store's generation as far as it is
+// known, and how many routers precede this one.
+func (k *Keeper) Next(served []Served, generation uint64, rank int, now time.Time) Step {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known := !k.readAt.IsZero() && k.generation >= generation
+	outdated := k.outdated(served)
+	if known && len(outdated) == 0 || len(served) == 0 {
+		k.missingSince = time.Time{}
+		return Step{}
+	}
+	if k.missingSince.IsZero() {
+		k.missingSince = now
+	}
+	if rank >= keepers || now.Sub(k.missingSince) < time.Duration(rank)*keeperPatience || now.Sub(k.failedAt) < keeperPause {
+		return Step{}
+	}
+	if !known || rank > 0 && k.readAt.Before(k.missingSince.Add(keeperPatience)) {
+		return Step{Read: true}
+	}
+	return Step{Write: outdated[:min(len(outdated), maxWrites)]}
+}
+
+// outdated returns the records that differ from what served. Without knowledge of a whole lifetime
+// a record is not written, since it would claim that. k.mu must be held.
+func (k *Keeper) outdated(served []Served) []Stored {
+	var list []Stored
+	for _, s := range served {
+		had := k.stored[s.Service]
+		if !s.Complete || had.Revision > 0 && had.Generation == k.generation && slices.Equal(had.Versions, s.Versions) {
+			continue
+		}
+		list = append(list, Stored{s.Service, s.Versions, k.generation, had.Revision})
+	}
+	return list
+}
+
+// Loaded notes the records that were read and returns those that can be relied on.
+func (k *Keeper) Loaded(records []Stored, generation uint64, now time.Time) (reliable []Stored) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stored, k.generation, k.readAt = make(map[string]Stored), generation, now
+	for _, r := range records {
+		k.stored[r.Service] = r
+		if r.Generation == generation {
+			reliable = append(reliable, r)
+		}
+	}
+	return reliable
+}
+
+// Written notes that records were written with a revision.
+func (k *Keeper) Written(records []Stored, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range records {
+		r.Revision = revision
+		k.stored[r.Service] = r
+	}
+}
+
+// Failed notes that a call to the store failed. What is known of the records may be outdated.
+func (k *Keeper) Failed(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.readAt, k.failedAt = time.Time{}, now
+}
--- /dev/null
+++ b/pkg/origin/keeper_test.go
@@ -0,0 +1,102 @@
+package origin
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func servedBy(complete bool, versions ...string) []Served {
+	return []Served{{Service: "s", Versions: versions, Complete: complete}}
+}
+
+// keeperAfterRead returns a Keeper that read a record of a generation.
+func keeperAfterRead(generation uint64, versions ...string) *Keeper {
+	k := &Keeper{}
+	var records []Stored
+	if versions != nil {
+		records = []Stored{{"s", versions, generation, 7}}
+	}
+	k.Loaded(records, generation, at(0))
+	return k
+}
+
+func TestFirstKeeperReadsThenWritesWhatTheRecordLacks(t *testing.T) {
+	for name, test := range map[string]struct {
+		keeper     *Keeper
+		served     []Served
+		generation uint64
+		want       Step
+	}{
+		"nothing was read":                 {&Keeper{}, servedBy(true, "v1"), 1, Step{Read: true}},
+		"no service needs a record":        {&Keeper{}, nil, 1, Step{}},
+		"there is no record":               {keeperAfterRead(1), servedBy(true, "v1"), 1, Step{Write: []Stored{{"s", []string{"v1"}, 1, 0}}}},
+		"the record is right":              {keeperAfterRead(1, "v1"), servedBy(true, "v1"), 1, Step{}},
+		"a version joined":                 {keeperAfterRead(1, "v1"), servedBy(true, "v1", "v2"), 1, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
+		"a version left long ago":          {keeperAfterRead(1, "v1", "v2"), servedBy(true, "v2"), 1, Step{Write: []Stored{{"s", []string{"v2"}, 1, 7}}}},
+		"this router knows too little":     {keeperAfterRead(1, "v1"), servedBy(false, "v2"), 1, Step{}},
+		"the store came back from a copy":  {keeperAfterRead(1, "v1"), servedBy(true, "v1"), 2, Step{Read: true}},
+		"the generation is not known here": {keeperAfterRead(2, "v1"), servedBy(true, "v1"), 0, Step{}},
+	} {
+		assert.Equal(t, test.want, test.keeper.Next(test.served, test.generation, 0, at(1)), name)
+	}
+}
+
+// A record of an earlier generation is not relied on, and is written anew once it is known what
+// served.
+func TestRecordsOfEarlierGenerationsAreReplaced(t *testing.T) {
+	k := &Keeper{}
+	old := Stored{"s", []string{"v1"}, 1, 7}
+	assert.Empty(t, k.Loaded([]Stored{old}, 2, at(0)))
+	assert.Equal(t, Step{}, k.Next(servedBy(false, "v1"), 2, 0, at(1)))
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v1"}, 2, 7}}}, k.Next(servedBy(true, "v1"), 2, 0, at(2)))
+	assert.Equal(t, []Stored{old}, k.Loaded([]Stored{old}, 1, at(3)))
+}
+
+// The second router by rank makes up for the first one, and others do nothing, so that a change
+// takes few calls however many routers there are.
+func TestSecondKeeperMakesUpForTheFirst(t *testing.T) {
+	joined := servedBy(true, "v1", "v2")
+	for rank, want := range map[int][]Step{
+		0: {{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
+		1: {{}, {Read: true}, {Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
+		2: {{}, {}, {}},
+	} {
+		k := keeperAfterRead(1, "v1")
+		now := at(10)
+		for _, step := range want {
+			assert.Equal(t, step, k.Next(joined, 1, rank, now), "rank %d", rank)
+			if step.Read {
+				k.Loaded([]Stored{{"s", []string{"v1"}, 1, 7}}, 1, now)
+			}
+			now = now.Add(keeperPatience)
+		}
+	}
+}
+
+// A failed call is made again after a pause, with a read first.
+func TestFailedKeeperReadsAgain(t *testing.T) {
+	k := keeperAfterRead(1, "v1")
+	k.Failed(at(1))
+	assert.Equal(t, Step{}, k.Next(servedBy(true, "v2"), 1, 0, at(1).Add(keeperPause/2)))
+	assert.Equal(t, Step{Read: true}, k.Next(servedBy(true, "v2"), 1, 0, at(1).Add(keeperPause)))
+	k.Loaded([]Stored{{"s", []string{"v1"}, 1, 9}}, 1, at(3))
+	step := k.Next(servedBy(true, "v2"), 1, 0, at(3))
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v2"}, 1, 9}}}, step)
+	k.Written(step.Write, 12)
+	assert.Equal(t, Step{}, k.Next(servedBy(true, "v2"), 1, 0, at(4)))
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v2", "v3"}, 1, 12}}}, k.Next(servedBy(true, "v2", "v3"), 1, 0, at(5)))
+}
+
+// A transaction of the store has a bounded number of entries.
+func TestManyRecordsAreWrittenInParts(t *testing.T) {
+	var served []Served
+	for n := range maxWrites + 3 {
+		served = append(served, Served{Service: string(rune('a' + n)), Versions: []string{"v"}, Complete: true})
+	}
+	k := keeperAfterRead(1)
+	first := k.Next(served, 1, 0, at(1))
+	assert.Len(t, first.Write, maxWrites)
+	k.Written(first.Write, 1)
+	assert.Len(t, k.Next(served, 1, 0, at(1)).Write, 3)
+}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -4,10 +4,12 @@
 //	Table    the version at which each stream began, for as long as it may last
 //	History  which versions served lately, which decides for a stream without a record
 //	Tracker  both
+//	Keeper   when the versions that served are read from the store and written to it, so that
+//	         they outlive all routers
 //
-// Routers send each other records only while a service has more than one version. A stream
-// without one therefore began while there was a single version, as far as its router knew.
-// The package does no I/O; time comes from the caller.
+// Routers send each other records while a service has more than one version, or while they do not
+// know that it has not. A stream without a record therefore goes on only if a single version served
+// within its lifetime, and this is known. The package does no I/O; time comes from the caller.
 package origin
 
 import (
@@ -31,7 +33,7 @@
 const (
 	// Unknown: the version is not known.
 	Unknown Source = iota
-	// Inferred: the version served alone when the stream must have begun.
+	// Inferred: no other version served within the stream's lifetime.
 	Inferred
 	// Recorded: the router of the stream recorded the version.
 	Recorded
@@ -61,11 +63,12 @@
 	table    *Table
 	history  *History
 	lifetime atomic.Int64
+	added    chan struct{}
 }
 
 // NewTracker returns an empty tracker. A stream lasts for lifetime at the most.
 func NewTracker(lifetime time.Duration) *Tracker {
-	t := &Tracker{table: NewTable(), history: NewHistory()}
+	t := &Tracker{table: NewTable(), history: NewHistory(), added: make(chan struct{}, 1)}
 	t.SetLifetime(lifetime)
 	return t
 }
@@ -73,24 +76,49 @@
 // SetLifetime sets how long a stream may last, its takings up included.
 func (t *Tracker) SetLifetime(d time.Duration) { t.lifetime.Store(int64(d)) }
 
-// Observe notes the versions of a service that serve now, and reports whether several served
-// within a stream's lifetime.
-func (t *Tracker) Observe(service string, versions []string, now time.Time) (several bool) {
-	t.history.Observe(service, versions, now, t.streamLifetime())
-	return t.history.Several(service)
+// NoneBefore declares that no stream began before the first observation.
+func (t *Tracker) NoneBefore() { t.history.NoneBefore() }
+
+// Observe notes the versions of a service that serve now by a list of replicas that is current or
+// not.
+func (t *Tracker) Observe(service string, versions []string, current bool, now time.Time) {
+	if !t.history.Observe(service, versions, current, now, t.streamLifetime()) {
+		return
+	}
+	select {
+	case t.added <- struct{}{}:
+	default:
+	}
+}
+
+// Added returns a channel that receives a value after versions were added.
+func (t *Tracker) Added() <-chan struct{} { return t.added }
+
+// Recall adds the versions of a service that served before, as the store has them.
+func (t *Tracker) Recall(service string, versions []string, now time.Time) {
+	t.history.Recall(service, versions, now)
 }
 
-// Record notes the version at which a stream began.
-func (t *Tracker) Record(k Key, version string, now time.Time) {
-	t.table.Record(k, version, now, t.streamLifetime())
+// Served returns the versions of a service that served within a stream's lifetime.
+func (t *Tracker) Served(service string, now time.Time) Served {
+	return t.history.Served(service, now, t.streamLifetime())
 }
 
+// Record notes the version at which a stream began. shared is set if other routers have it too.
+func (t *Tracker) Record(k Key, version string, shared bool, now time.Time) {
+	t.table.Record(k, version, shared, now, t.streamLifetime())
+}
+
+// Unshared returns the records that no other router has, and counts them as shared from then on.
+func (t *Tracker) Unshared(now time.Time) []Record { return t.table.Unshared(now) }
+
 // Find returns what is known of a stream.
 func (t *Tracker) Find(service string, k Key, now time.Time) Finding {
-	f := Finding{Several: t.history.Several(service)}
+	served := t.Served(service, now)
+	f := Finding{Several: len(served.Versions) > 1}
 	if version, found := t.table.Version(k, now); found {
 		f.Source, f.Version = Recorded, version
-	} else if version, known := t.history.Only(service, now, t.streamLifetime()); known {
+	} else if version, known := served.only(); known {
 		f.Source, f.Version = Inferred, version
 	}
 	return f
@@ -101,8 +129,8 @@
 
 func (t *Tracker) streamLifetime() time.Duration { return time.Duration(t.lifetime.Load()) }
 
-// Merge combines findings of several routers about one stream. A record goes first. Routers
-// that infer different versions have seen different lists, so neither is believed.
+// Merge combines findings of several routers about one stream. A record goes first. A router that
+// saw more than one version overrules those that saw a single one.
 func Merge(findings ...Finding) Finding {
 	var out Finding
 	conflict := false
@@ -116,7 +144,7 @@
 			conflict = true
 		}
 	}
-	if conflict {
+	if conflict || out.Source == Inferred && out.Several {
 		return Finding{Several: true}
 	}
 	return out
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -32,6 +32,13 @@
 type record struct {
 	version string
 	expires time.Time
+	shared  bool
+}
+
+// Record is the version at which a stream began.
+type Record struct {
+	Key     Key
+	Version string
 }
 
 // NewTable returns an empty table.
@@ -40,13 +47,13 @@
 }
 
 // Record notes the version at which a stream began, for a time. The first version of a stream
-// holds until its record expires.
-func (t *Table) Record(k Key, version string, now time.Time, lifetime time.Duration) {
+// holds until its record expires. shared is set if other routers have the record too.
+func (t *Table) Record(k Key, version string, shared bool, now time.Time, lifetime time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known, found := t.records[k]; found && now.Before(known.expires) {
 		if known.version == version {
-			t.records[k] = record{known.version, now.Add(lifetime)}
+			t.records[k] = record{known.version, now.Add(lifetime), known.shared || shared}
 		}
 		return
 	}
@@ -54,13 +61,13 @@
 	if _, found := t.records[k]; !found {
 		t.order = append(t.order, k)
 	}
-	t.records[k] = record{t.shared(version), now.Add(lifetime)}
+	t.records[k] = record{t.sharedText(version), now.Add(lifetime), shared}
 }
 
 // maxSharedVersions bounds the texts that are shared. Others may send any.
 const maxSharedVersions = 256
 
-func (t *Table) shared(version string) string {
+func (t *Table) sharedText(version string) string {
 	if text, known := t.versions[version]; known {
 		return text
 	}
@@ -98,6 +105,22 @@
 	return known.version, true
 }
 
+// Unshared returns the records that no other router has, and marks them as shared.
+func (t *Table) Unshared(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Record
+	for k, r := range t.records {
+		if r.shared || !now.Before(r.expires) {
+			continue
+		}
+		r.shared = true
+		t.records[k] = r
+		list = append(list, Record{k, r.version})
+	}
+	return list
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
