--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -117,8 +117,10 @@
 
 // logTakenUp logs what is known of a stream that the caller takes up.
 func (c *call) logTakenUp(found origin.Search) {
+	listed := c.front.balancer.Versions(c.service.Name)
+	slices.Sort(listed)
 	c.front.log.Write(event.StreamTakenUp, event.F("request", c.id), event.F("resumes", c.resumes()), event.F("after_event", c.request.Header.Get(lastEventHeader)),
-		event.F("found", found.Source.String()), event.F("origin", found.Version), event.F("listed", c.front.balancer.Versions(c.service.Name)),
+		event.F("found", found.Source.String()), event.F("origin", found.Version), event.F("listed", slices.Compact(listed)),
 		event.F("several", found.Several), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
 }
 
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -35,6 +35,8 @@
 type Served struct {
 	Service  string
 	Versions []string
+	// Serving are those of them that serve now.
+	Serving []string
 	// Complete: no other version served in that time. A router that started lately does not know
 	// that by itself.
 	Complete bool
@@ -128,10 +130,14 @@
 		out.Complete = h.completeAtStart
 		return out
 	}
-	for version := range s.versions {
+	for version, p := range s.versions {
 		out.Versions = append(out.Versions, version)
+		if p.serving {
+			out.Serving = append(out.Serving, version)
+		}
 	}
 	slices.Sort(out.Versions)
+	slices.Sort(out.Serving)
 	out.Stale = s.stale
 	out.Complete = s.knownSince.Equal(beginning) || now.Sub(s.knownSince) >= lifetime
 	return out
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -76,7 +76,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	known := !k.readAt.IsZero() && k.generation >= generation
-	outdated := k.outdated(served)
+	outdated := k.outdated(served, rank)
 	if known && len(outdated) == 0 || len(served) == 0 {
 		k.missingSince = time.Time{}
 		return Step{}
@@ -93,13 +93,17 @@
 	return Step{Write: outdated[:min(len(outdated), maxWrites)]}
 }
 
-// outdated returns the records that differ from what served. Without knowledge of a whole lifetime
-// a record is not written, since it would claim that. k.mu must be held.
-func (k *Keeper) outdated(served []Served) []Stored {
+// outdated returns the records that differ from what served, or for routers other than the first by
+// rank, those that lack a version which serves: two routers may see at different times that one
+// left. Without knowledge of a whole lifetime a record is not written, since it would claim that.
+// k.mu must be held.
+func (k *Keeper) outdated(served []Served, rank int) []Stored {
 	var list []Stored
 	for _, s := range served {
 		had := k.stored[s.Service]
-		if !s.Complete || had.Revision > 0 && had.Generation == k.generation && slices.Equal(had.Versions, s.Versions) {
+		reliable := had.Revision > 0 && had.Generation == k.generation
+		isRight := slices.Equal(had.Versions, s.Versions) || rank > 0 && containsAll(had.Versions, s.Serving)
+		if !s.Complete || reliable && isRight {
 			continue
 		}
 		list = append(list, Stored{s.Service, s.Versions, k.generation, had.Revision})
@@ -107,6 +111,10 @@
 	return list
 }
 
+func containsAll(list, wanted []string) bool {
+	return !slices.ContainsFunc(wanted, func(version string) bool { return !slices.Contains(list, version) })
+}
+
 // Loaded notes the records that were read and returns those that can be relied on.
 func (k *Keeper) Loaded(records []Stored, generation uint64, now time.Time) (reliable []Stored) {
 	k.mu.Lock()
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -7,7 +7,7 @@
 )
 
 func servedBy(complete bool, versions ...string) []Served {
-	return []Served{{Service: "s", Versions: versions, Complete: complete}}
+	return []Served{{Service: "s", Versions: versions, Serving: versions, Complete: complete}}
 }
 
 // keeperAfterRead returns a Keeper that read a record of a generation.
@@ -74,6 +74,15 @@
 	}
 }
 
+// Two routers see at different times that a version left a lifetime ago, and must not write against
+// each other.
+func TestSecondKeeperLeavesRemovalToTheFirst(t *testing.T) {
+	k := keeperAfterRead(1, "v2")
+	later := []Served{{Service: "s", Versions: []string{"v1", "v2"}, Serving: []string{"v2"}, Complete: true}}
+	assert.Equal(t, Step{}, k.Next(later, 1, 1, at(1)))
+	assert.Equal(t, Step{}, k.Next(later, 1, 1, at(1).Add(2*keeperPatience)))
+}
+
 // A failed call is made again after a pause, with a read first.
 func TestFailedKeeperReadsAgain(t *testing.T) {
 	k := keeperAfterRead(1, "v1")
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -76,7 +76,7 @@
 		complete bool
 	}{{0, true, true}, {30, false, true}, {40, true, false}, {50, true, false}, {60, true, true}} {
 		tracker.Observe("s", one, step.current, at(step.at))
-		assert.Equal(t, Served{"s", one, step.complete, !step.current}, tracker.Served("s", at(step.at)), "%v", step.at)
+		assert.Equal(t, Served{"s", one, one, step.complete, !step.current}, tracker.Served("s", at(step.at)), "%v", step.at)
 	}
 	tracker.Observe("s", one, false, at(61))
 	tracker.Observe("s", one, true, at(62))
