standin: routers write to the store on a condition

The stand-in answered routers' reads only, so nothing that they keep there could be tested across their restarts. It takes transactions now: all or nothing by the revisions expected, 412 with what is held, 403 for keys of the operator and of replicas. A return to an older copy loses what was written since.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -143,14 +143,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.put(key, text, 0)
+	return time.Now()
+}
+
+// put writes a value at the present revision.
+func (s *Store) put(key string, value []byte, lease uint64) {
 	made := s.revision
 	if old, known := s.items[key]; known {
 		made = old.Made
 	}
-	item := platform.Item{Key: key, Value: text, Revision: s.revision, Made: made}
+	item := platform.Item{Key: key, Value: value, Revision: s.revision, Made: made, Lease: lease}
 	s.items[key] = item
 	s.changes = append(s.changes, platform.Change{Item: item})
-	return time.Now()
 }
 
 // Remove takes a key away and returns when that was acknowledged.
@@ -158,9 +163,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.remove(key)
+	return time.Now()
+}
+
+// remove takes a key away at the present revision.
+func (s *Store) remove(key string) {
 	delete(s.items, key)
 	s.changes = append(s.changes, platform.Change{Item: platform.Item{Key: key, Revision: s.revision}, Gone: true})
-	return time.Now()
 }
 
 // Forget makes the store forget which changes there were.
@@ -193,7 +203,7 @@
 
 // Handler returns the store's face to one router.
 func (s *Store) Handler(router string) http.Handler {
-	answer := platform.StoreHandler(s.eraNow, s.list, s.changed)
+	reads := platform.StoreHandler(s.eraNow, s.list, s.changed)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		faults, refused := s.called(router)
 		switch {
@@ -205,8 +215,10 @@
 			w.WriteHeader(faults.Status)
 		case faults.LoseAnswers:
 			panic(http.ErrAbortHandler)
+		case r.URL.Path == platform.WritePath:
+			s.write(&delayed{ResponseWriter: w, request: r, delay: faults.Slow}, r)
 		default:
-			answer.ServeHTTP(&delayed{ResponseWriter: w, request: r, delay: faults.Slow}, r)
+			reads.ServeHTTP(&delayed{ResponseWriter: w, request: r, delay: faults.Slow}, r)
 		}
 	})
 }
--- a/internal/standin/store_test.go
+++ b/internal/standin/store_test.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/platform"
 )
 
@@ -56,3 +59,34 @@
 	_, err = read()
 	assert.NoError(t, err, "another router is refused")
 }
+
+// Routers write on a condition; what they wrote is lost with a return to an older copy.
+func TestRoutersWriteToTheStore(t *testing.T) {
+	store := NewStore()
+	server, err := Serve("127.0.0.1:0", store.Handler("r0"))
+	require.NoError(t, err)
+	defer server.Close()
+	write := rollout.Write{Service: "s", Version: "v2", State: rollout.InProgress}
+	client := platform.NewStore("http://"+server.Address, time.Second, time.Minute)
+	before := store.Copy()
+	revision, err := client.WriteStatus(t.Context(), write)
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, revision)
+	_, err = client.WriteStatus(t.Context(), write)
+	assert.ErrorIs(t, err, rollout.ErrConflict)
+	write.Status = revision
+	_, err = client.WriteStatus(t.Context(), write)
+	assert.NoError(t, err)
+	assert.Len(t, Differing(before, store.Copy()), 1)
+	store.Return(before)
+	assert.Empty(t, Differing(before, store.Copy()))
+
+	store.Put(platform.ReplicaKey("i-1"), "")
+	body, err := json.Marshal(platform.Transaction{Remove: []string{platform.ReplicaKey("i-1")}})
+	require.NoError(t, err)
+	response, err := http.Post("http://"+server.Address+platform.WritePath, "application/json", bytes.NewReader(body))
+	require.NoError(t, err)
+	response.Body.Close()
+	assert.Equal(t, http.StatusForbidden, response.StatusCode)
+	assert.True(t, store.Copy().Has(platform.ReplicaKey("i-1")))
+}
