gossip: a starting router of a small fleet fetches the records of streams

A replacement of all routers one after another lost every record of a stream within seconds, though each router met others that had them: of 60 streams begun at two versions none went on (28 before, with 32 joined). A router that starts asks the first three members that it meets for all records. In a large fleet a record has four holders, which are hardly replaced within a stream's time.

TestStartingRouterFetchesRecords.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -144,7 +144,9 @@
 	// announcedChanges is the change count of the members that were last passed to the
 	// balancer.
 	announcedChanges uint64
-	round            int
+	// originSources are the members that were asked for all of their records of streams.
+	originSources []string
+	round         int
 	// largeRounds counts the rounds of a large fleet, pace decides when they are due.
 	largeRounds int
 	pace        roundPace
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -60,8 +60,8 @@
 	if len(o.Served(service, now).Versions) < 2 {
 		return
 	}
-	for _, r := range o.Unshared(now) {
-		o.send(r.Key, r.Version)
+	if records := o.Unshared(now); len(records) > 0 {
+		go o.gossip.sendOrigins(records, o.gossip.originHolders)
 	}
 }
 
@@ -116,6 +116,10 @@
 
 // answerOriginQuery answers a query of another router.
 func (g *Gossip) answerOriginQuery(from string, q *gossippb.OriginQuery, now time.Time) {
+	if q.Service == "" {
+		g.answerFetch(from, now)
+		return
+	}
 	f := g.options.Origins.Find(q.Service, origin.Key(q.Stream), now)
 	reply := &gossippb.OriginReply{Number: q.Number, Source: uint32(f.Source), Version: f.Version, Several: f.Several}
 	g.send(from, encodeDatagram(&gossippb.Datagram{OriginReply: reply}))
@@ -129,18 +133,63 @@
 	shared := !served.Complete || len(served.Versions) > 1
 	o.Record(k, version, shared, now)
 	if shared {
-		o.send(k, version)
+		o.gossip.sendOrigins([]origin.Record{{Key: k, Version: version}}, o.gossip.originHolders)
 	}
 }
 
-// send sends the record of a stream to the routers that hold it.
-func (o *Origins) send(k origin.Key, version string) {
-	if len(version) > maxVersionLength {
-		return
+// sendOrigins sends records to the routers that to returns for each. Many are sent in parts, so
+// that the receivers' buffers hold them.
+func (g *Gossip) sendOrigins(records []origin.Record, to func(origin.Key) []string) {
+	const part, pause = 32, 2 * time.Millisecond
+	for i, r := range records {
+		if len(r.Version) > maxVersionLength {
+			continue
+		}
+		packet := encodeDatagram(&gossippb.Datagram{Origin: &gossippb.StreamOrigin{Stream: uint64(r.Key), Version: r.Version}})
+		for _, address := range to(r.Key) {
+			g.send(address, packet)
+		}
+		if i%part == part-1 {
+			time.Sleep(pause)
+		}
+	}
+}
+
+// originHolders returns the other routers that get the record of a stream.
+func (g *Gossip) originHolders(k origin.Key) []string { return g.originRouters(k, originHolders) }
+
+// originSources is how many routers of a small fleet a starting one asks for all of their records.
+const originSources = 3
+
+// fetchOrigins asks routers that this one has just met for all of their records, so that records
+// outlive a replacement of all routers one after another. In a large fleet each record has few
+// holders, which are hardly replaced together.
+func (g *Gossip) fetchOrigins() {
+	g.mu.Lock()
+	var asked []string
+	if !g.members.Large() && len(g.originSources) < originSources {
+		for _, address := range g.members.Alive() {
+			if len(g.originSources) < originSources && !slices.Contains(g.originSources, address) {
+				g.originSources = append(g.originSources, address)
+				asked = append(asked, address)
+			}
+		}
 	}
-	packet := encodeDatagram(&gossippb.Datagram{Origin: &gossippb.StreamOrigin{Stream: uint64(k), Version: version}})
-	for _, address := range o.gossip.originRouters(k, originHolders) {
-		o.gossip.send(address, packet)
+	g.mu.Unlock()
+	// A query that names no service asks for all records.
+	packet := encodeDatagram(&gossippb.Datagram{OriginQuery: &gossippb.OriginQuery{}})
+	for _, address := range asked {
+		g.send(address, packet)
+	}
+}
+
+// answerFetch sends all records to a member that asks for them.
+func (g *Gossip) answerFetch(from string, now time.Time) {
+	g.mu.Lock()
+	known := slices.Contains(g.members.Alive(), from)
+	g.mu.Unlock()
+	if known {
+		go g.sendOrigins(g.options.Origins.Records(now), func(origin.Key) []string { return []string{from} })
 	}
 }
 
--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -89,6 +89,23 @@
 	}
 }
 
+// Guards against records that are lost although routers are replaced one after another.
+func TestStartingRouterFetchesRecords(t *testing.T) {
+	fleet := largeFleet(t, 2)
+	for _, r := range fleet {
+		waitUntil(t, func() bool { return r.gossip.MemberCount() == 2 })
+	}
+	const streams = 200
+	for n := range streams {
+		fleet[0].gossip.options.Origins.Record(origin.Key(n), "v1", true, time.Now())
+	}
+	fleet[1].gossip.mu.Lock()
+	fleet[1].gossip.originSources = nil
+	fleet[1].gossip.mu.Unlock()
+	fleet[1].gossip.fetchOrigins()
+	waitUntil(t, func() bool { return fleet[1].gossip.Origins().Len() == streams })
+}
+
 // A reply to no query, from a router that was not asked, or with a source that does not exist
 // is no finding.
 func TestOnlyAskedRoutersAnswerOrigins(t *testing.T) {
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -112,6 +112,9 @@
 // Unshared returns the records that no other router has, and counts them as shared from then on.
 func (t *Tracker) Unshared(now time.Time) []Record { return t.table.Unshared(now) }
 
+// Records returns all records.
+func (t *Tracker) Records(now time.Time) []Record { return t.table.All(now) }
+
 // Find returns what is known of a stream.
 func (t *Tracker) Find(service string, k Key, now time.Time) Finding {
 	served := t.Served(service, now)
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -121,6 +121,19 @@
 	return list
 }
 
+// All returns the records that have not expired.
+func (t *Table) All(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Record
+	for k, r := range t.records {
+		if now.Before(r.expires) {
+			list = append(list, Record{k, r.version})
+		}
+	}
+	return list
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
