upstream: a cut head joined with the next one is no answer

A surplus answer that a replica stopped within its head, on a kept connection, and the request's own answer behind it parse as one head: the cut line goes on with the next status line. Callers got the status of the surplus with the signature and body of their own answer (a replica's 500 as 200), or its length: an empty or short body, framed as whole.

The id that replicas echo doesn't tell: it is that of the second head. A line break before the second status line was ruled out as a cause, since the parser rejects such a header line. A status line within the status or within a value of the header now ends the attempt as broken off; the request may have run. A replica that puts a status line into a header of its own is not served any more: it can't be told from a joined head.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/head"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/steady"
 )
@@ -37,6 +38,8 @@
 	// to another request than is skipped.
 	errHeadTooLarge    = errors.New("head of the response too large")
 	errSkippedTooLarge = errors.New("response to another request too large")
+	// errJoinedHeads: a head was cut off and has the next one behind it.
+	errJoinedHeads = errors.New("head of the response cut off, another one follows")
 	// ErrNoneKept: there was no kept connection for a request that asked for one.
 	ErrNoneKept = errors.New("upstream: no connection kept")
 )
@@ -264,6 +267,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if head.Joined(response) {
+			return nil, errJoinedHeads
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
