edge: a broken answer to a chat that asks for a stream is ended in order, red

A chat with "stream": true whose engine answers 200 with a body that is no event stream (JSON, or no content type) and breaks off: five of seven cases reach the caller as 200, its short or empty body followed by an error event and the last chunk. Whole answers and event streams hold.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -154,3 +154,42 @@
 		})
 	}
 }
+
+// Guards against an answer without events to a request for a stream that was broken off and is
+// ended in order, with an error event behind its bytes.
+func TestBrokenAnswerToAStreamRequestIsNotEndedInOrder(t *testing.T) {
+	broken := admission.RefusePossiblyRun(admission.StreamBroken, "broke")
+	for name, test := range map[string]struct {
+		kind, body  string
+		undelimited bool
+		refusal     *admission.Refusal
+		status      int
+		ended       bool
+	}{
+		"whole":                       {"application/json", `{"whole":1}`, false, nil, 200, true},
+		"broken off":                  {"application/json", `{"half":`, false, broken, 502, true},
+		"broken off, empty":           {"application/json", "", false, broken, 502, true},
+		"broken off, of no kind":      {"", "half", false, broken, 502, true},
+		"broken off, unmarked":        {"application/json", `{"half":`, true, broken, 502, true},
+		"broken off, large":           {"application/json", string(make([]byte, holdAtMost+1)), false, broken, 200, false},
+		"stream without its last one": {"text/event-stream; charset=utf-8", "data: a\n\n", false, broken, 200, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				a := newAnswer(w, true, time.Second, testObserver())
+				_ = a.Head(dispatch.Head{Status: 200, ContentType: test.kind, Undelimited: test.undelimited})
+				if test.body != "" {
+					_ = a.Chunk([]byte(test.body))
+				}
+				a.finish(test.refusal)
+			}))
+			defer server.Close()
+			response, err := http.Get(server.URL)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			assert.Equal(t, test.status, response.StatusCode)
+			_, err = io.ReadAll(response.Body)
+			assert.Equal(t, test.ended, err == nil, "%v", err)
+		})
+	}
+}
