edge: only an event stream is passed on as a stream

An answer to a chat that asks for a stream was passed on as it came whatever its content type, and a break of it was told by an error event behind its bytes, with the body ended in order. Only an event stream has an end marker whose lack shows the break. Any other answer is now held until it is whole, as without "stream", and a broken one becomes a 502, or an aborted connection if it outgrew the buffer. Ruled out: the dispatcher, which already took such an answer for what it is.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -280,14 +280,15 @@
 
 // pass hands the answer to the sink.
 func (a *attempt) pass(resp *http.Response, body io.Reader) Outcome {
-	stream := a.request.Stream && isEventStream(resp)
+	contentType := resp.Header.Get("Content-Type")
+	stream := a.request.Stream && IsEventStream(contentType)
 	undelimited := !stream && isUndelimited(resp)
 	if a.begun && (!stream || resp.Header.Get(ResumeHeader) != strconv.Itoa(a.events)) {
 		return Outcome{Begun: true, Reason: admission.StreamBroken, Err: errors.New("dispatch: target cannot resume")}
 	}
 	if !a.begun {
 		a.begun = true
-		head := Head{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Undelimited: undelimited}
+		head := Head{Status: resp.StatusCode, ContentType: contentType, Undelimited: undelimited}
 		if err := a.sink.Head(head); err != nil {
 			return Outcome{Begun: true, Reason: admission.CallerGone, Err: ErrCallerGone}
 		}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"mime"
-	"net/http"
 )
 
 // EndMarker is the data of the event that ends a whole stream.
@@ -18,8 +17,9 @@
 // batch is the most bytes of whole events passed on together.
 const batch = 32 << 10
 
-func isEventStream(resp *http.Response) bool {
-	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+// IsEventStream reports whether a content type is that of an event stream.
+func IsEventStream(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
 	return err == nil && kind == "text/event-stream"
 }
 
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -20,6 +20,7 @@
 type answer struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
+	// stream: a stream was asked for and, once there is a head, is what comes.
 	stream  bool
 	seal    sealer
 	observe observer
@@ -71,7 +72,7 @@
 	if h.ContentType != "" {
 		a.writer.Header().Set("Content-Type", h.ContentType)
 	}
-	a.stream = a.stream && h.Status == http.StatusOK
+	a.stream = a.stream && h.Status == http.StatusOK && dispatch.IsEventStream(h.ContentType)
 	if a.stream {
 		a.writer.Header().Set("Cache-Control", "no-store")
 		a.begin()
