kvservice: a value whose end is not marked is no value

A value is any bytes, so nothing in it shows that it was cut off. One that ends with its connection, with neither a length nor chunks, is now an unavailable service: reads change nothing and are made again. Ruled out: JSON answers, which do not parse if they are cut, and writes, whose heads tell their outcome.

--- a/internal/kvservice/kvservice.go
+++ b/internal/kvservice/kvservice.go
@@ -96,10 +96,12 @@
 		// A read changes nothing, so its outcome is never in doubt.
 		return kv.Entry{}, fmt.Errorf("%w: get %s: %v", kv.ErrUnavailable, key, err)
 	}
-	switch answer.status {
-	case http.StatusOK:
+	switch {
+	case answer.status == http.StatusOK && answer.undelimited:
+		return kv.Entry{}, fmt.Errorf("%w: get %s: value with neither a length nor chunks", kv.ErrUnavailable, key)
+	case answer.status == http.StatusOK:
 		return kv.Entry{Value: answer.body, Revision: answer.revision}, nil
-	case http.StatusNotFound:
+	case answer.status == http.StatusNotFound:
 		return kv.Entry{}, nil
 	}
 	return kv.Entry{}, fmt.Errorf("%w: get %s: status %d", kv.ErrUnavailable, key, answer.status)
@@ -183,6 +185,9 @@
 	revision uint64
 	tag      string
 	body     []byte
+	// undelimited: the body has neither a length nor chunks, so its end does not prove it
+	// complete.
+	undelimited bool
 }
 
 // errNotSent marks a failure before the first byte of a request was written.
@@ -246,5 +251,7 @@
 	if err != nil {
 		revision = 0
 	}
-	return answer{status: resp.StatusCode, revision: revision, tag: resp.Header.Get("ETag"), body: body}, nil
+	// A compressed body marks its own end.
+	undelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+	return answer{status: resp.StatusCode, revision: revision, tag: resp.Header.Get("ETag"), body: body, undelimited: undelimited}, nil
 }
