--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/head"
 	"github.com/croftyard/croftyard/internal/retryafter"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/pkg/admission"
@@ -216,7 +217,7 @@
 		return a.failed(ctx, sent.Load(), err)
 	}
 	defer resp.Body.Close()
-	if resp.Header.Get(AttemptHeader) != a.request.Attempt {
+	if resp.Header.Get(AttemptHeader) != a.request.Attempt || head.Joined(resp) {
 		// The connection's framing cannot be trusted any more: closing the body
 		// before its end closes it.
 		return Outcome{Begun: a.begun, Reason: admission.AnswerCrossed, Err: errCrossed}
@@ -279,14 +280,15 @@
 
 // pass hands the answer to the sink.
 func (a *attempt) pass(resp *http.Response, body io.Reader) Outcome {
-	stream := a.request.Stream && isEventStream(resp)
+	contentType := resp.Header.Get("Content-Type")
+	stream := a.request.Stream && IsEventStream(contentType)
 	undelimited := !stream && isUndelimited(resp)
 	if a.begun && (!stream || resp.Header.Get(ResumeHeader) != strconv.Itoa(a.events)) {
 		return Outcome{Begun: true, Reason: admission.StreamBroken, Err: errors.New("dispatch: target cannot resume")}
 	}
 	if !a.begun {
 		a.begun = true
-		head := Head{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Undelimited: undelimited}
+		head := Head{Status: resp.StatusCode, ContentType: contentType, Undelimited: undelimited}
 		if err := a.sink.Head(head); err != nil {
 			return Outcome{Begun: true, Reason: admission.CallerGone, Err: ErrCallerGone}
 		}
