front: the head of a stream is forwarded with its first event

Cause: a resumable stream whose replica breaks off between head and first event went on at any version, as no event fixed one, under the head of the first replica: that of one version before events of another. Behind a relay the head also states the version to the first router, which recorded that one and went on at it after the next break: two versions in one answer, and over the caller's tries.

Ruled out: fixing the version with the head. It ends streams that have no other replica of the version, though their callers have nothing of them yet. The server writes the head with the first bytes of the body anyway, so callers see it no later.

Change: forwardEvents forwards the head before the first event; an attempt that ends before it leaves nothing of itself in the answer. The silence timer is given its query anew after the first event, which fixes the version; the special case for that is gone. A stream without an event that cannot go on is answered with 502 or 504 now; its connection was closed before.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -54,7 +54,7 @@
 	}
 	if c.headSent {
 		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.lastEvent))
-	} else {
+	} else if !resumable {
 		c.forwardHead(answer)
 	}
 	var err error
@@ -64,6 +64,9 @@
 	} else {
 		err = c.forwardBody(answer)
 	}
+	if err == nil && !c.headSent {
+		c.forwardHead(answer)
+	}
 	c.recordUndelimited(answer, err)
 	err = c.checkEnd(answer, err)
 	if err == nil {
@@ -179,7 +182,7 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		c.outcome.reason = "stream fell silent"
 		c.recordAbandoned(choice)
-		if c.withinEvent || c.origin.state == originUnknown {
+		if !c.canResume() {
 			return attemptGiveUp
 		}
 		return c.retry(c.outcome.reason)
@@ -193,7 +196,7 @@
 	} else {
 		c.recordBroken(choice)
 	}
-	if resumable && !c.withinEvent && c.origin.state != originUnknown && steady.Until(c.deadline) > 0 {
+	if resumable && c.canResume() && steady.Until(c.deadline) > 0 {
 		return c.retry("stream broken off")
 	}
 	return attemptGiveUp
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -335,7 +335,7 @@
 		c.outcome.reason = "another router went on at another version"
 		return c.retryRelay(true)
 	}
-	if !c.headSent {
+	if !c.headSent && !resumable {
 		c.forwardHead(answer)
 	}
 	var err error
@@ -344,6 +344,9 @@
 	} else {
 		err = c.forwardBody(answer)
 	}
+	if err == nil && !c.headSent {
+		c.forwardHead(answer)
+	}
 	c.recordUndelimited(answer, err)
 	err = c.checkEnd(answer, err)
 	switch {
@@ -359,14 +362,14 @@
 		c.abortCallerGone()
 	case errors.Is(context.Cause(ctx), errSilent):
 		c.outcome.reason = "another router fell silent"
-		return c.retryRelay(resumable && !c.withinEvent && c.origin.state != originUnknown)
+		return c.retryRelay(resumable && c.canResume())
 	case ctx.Err() != nil:
 		c.outcome.reason = "time is over"
 		return c.retryRelay(false)
 	}
 	// A replica may have broken off as well as the router.
 	c.outcome.reason = "answer of another router broken off: " + err.Error()
-	return c.retryRelay(resumable && !c.withinEvent && c.origin.state != originUnknown)
+	return c.retryRelay(resumable && c.canResume())
 }
 
 // recordRelayed records what an answer that came by another router says of its replica, and
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -72,6 +72,13 @@
 	s.timer.Reset(s.limit)
 }
 
+// setFailover replaces the function that fails over.
+func (s *silenceTimer) setFailover(failover func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failover = failover
+}
+
 // stop ends the watch and reports whether the replica has not been silent for too long.
 func (s *silenceTimer) stop() bool {
 	s.mu.Lock()
@@ -87,7 +94,7 @@
 // could take the last one, and this attempt would be ended for nothing.
 func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() bool {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
-	key, begun, name, q, service := c.key(), c.headSent, c.route.Name, c.retryQuestion(), c.service.Name
+	key, begun, name, q, service := c.key(), c.headSent, c.route.Name, c.question(nil), c.service.Name
 	return func() bool {
 		now := steady.Now()
 		fits := begun || c.front.retryFitsShutdown(name, end, now)
@@ -99,17 +106,6 @@
 	}
 }
 
-// retryQuestion returns the balancer's query for a replica in place of the one of the attempt in
-// progress.
-func (c *call) retryQuestion() balance.Request {
-	q := c.question(nil)
-	if c.headSent && c.origin.state == originOpen && c.replicaVersion.known {
-		// The first event fixes the version.
-		q.OnlyVersion, q.Version = true, c.replicaVersion.version
-	}
-	return q
-}
-
 // wouldRetry reports whether the request would be admitted once more, as of now, and another
 // replica or router could take it. Otherwise an attempt that is only silent would be ended for
 // nothing. It does not change the call.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -24,7 +24,8 @@
 )
 
 // forwardEvents forwards complete events only, so that a stream that breaks off within an
-// event can resume at another replica with that event.
+// event can resume at another replica with that event. The head is forwarded with the first event:
+// until then the stream may begin anew at any replica, whose head is then its own.
 //
 // heard is called for each event, or piece of one, that is forwarded. After a piece the stream
 // cannot resume until the event is complete.
@@ -61,8 +62,11 @@
 		if complete {
 			c.lastEvent = id
 		}
-		heard()
 		c.recordOrigin()
+		if !c.headSent {
+			c.forwardHead(answer)
+		}
+		heard()
 		if err := c.write(one); err != nil {
 			return err
 		}
@@ -74,6 +78,9 @@
 	}
 }
 
+// canResume reports whether the stream can go on at another replica if it breaks off now.
+func (c *call) canResume() bool { return !c.withinEvent && c.origin.state != originUnknown }
+
 // eventID returns the value of an event's id field.
 func eventID(one []byte) (string, bool) {
 	for line := range bytes.Lines(one) {
@@ -98,5 +105,13 @@
 func (c *call) forwardResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
 	silence := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
 	defer silence.stop()
-	return c.forwardEvents(answer, func() { silence.reset(c.withinEvent || c.origin.state == originUnknown) })
+	begun := c.headSent
+	return c.forwardEvents(answer, func() {
+		if !begun {
+			// The first event fixes the version.
+			begun = true
+			silence.setFailover(c.failover(c.streamSilenceLimit(), cancel))
+		}
+		silence.reset(!c.canResume())
+	})
 }
