front: a stream goes on behind its last event, or not at all

Cause: the id with which a stream goes on was the first one of the last event that had any. An event with data but without an id, or with an empty one, left the older id in place, so another replica sent again what the caller has; without any id the stream began anew. Of two ids the first was taken, where readers take the last. Of a long event that is forwarded in pieces, a piece may begin within a line, whose text was read as a field.

Ruled out: counting events instead of ids; ids rise, not by one.

Change: fields are read where lines begin; the last id counts; a stream whose last data has no id is not continued (its caller sees the break). Comments, retry fields and ids without data are as before, CR LF too.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -109,8 +109,10 @@
 	origin         streamOrigin
 	// originRecorded is set once the stream's first event is forwarded.
 	originRecorded bool
-	// lastEvent is the id of the last complete event that was forwarded.
+	// lastEvent is the id of the last complete event that was forwarded and had one.
 	lastEvent string
+	// lastEventUnnamed is set if the last one with data had no id.
+	lastEventUnnamed bool
 	// chunks counts the writes of the body to the caller, written their bytes.
 	chunks    int
 	written   int64
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -32,7 +32,8 @@
 func (c *call) forwardEvents(answer *upstream.Answer, heard func()) error {
 	reader := bufio.NewReader(answer)
 	var one []byte
-	charged, id, withinLine := 0, c.lastEvent, false
+	var fields eventFields
+	charged, withinLine := 0, false
 	defer func() { c.charge(-charged) }()
 	for {
 		line, err := reader.ReadSlice('\n')
@@ -46,6 +47,9 @@
 		if err != nil && err != bufio.ErrBufferFull {
 			return err
 		}
+		if !withinLine {
+			fields.add(line)
+		}
 		complete := err == nil && !withinLine && len(bytes.TrimRight(line, "\r\n")) == 0
 		withinLine = err != nil
 		if !complete && len(one) < maxEvent {
@@ -55,12 +59,10 @@
 			}
 			continue
 		}
-		if last, found := eventID(one); found {
-			id = last
-		}
 		c.withinEvent = !complete
 		if complete {
-			c.lastEvent = id
+			c.recordPosition(fields)
+			fields = eventFields{}
 		}
 		c.recordOrigin()
 		if !c.headSent {
@@ -79,16 +81,40 @@
 }
 
 // canResume reports whether the stream can go on at another replica if it breaks off now.
-func (c *call) canResume() bool { return !c.withinEvent && c.origin.state != originUnknown }
+func (c *call) canResume() bool {
+	return !c.withinEvent && !c.lastEventUnnamed && c.origin.state != originUnknown
+}
+
+// recordPosition records behind which event the stream goes on after an event. One with data but
+// without an id leaves the position unknown: a replica would send it again.
+func (c *call) recordPosition(event eventFields) {
+	if event.id != "" {
+		c.lastEvent = event.id
+	}
+	if event.id != "" || event.hasData {
+		c.lastEventUnnamed = event.id == ""
+	}
+}
+
+// eventFields are the fields of an event that say where its stream goes on.
+type eventFields struct {
+	id      string
+	hasData bool
+}
 
-// eventID returns the value of an event's id field.
-func eventID(one []byte) (string, bool) {
-	for line := range bytes.Lines(one) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return string(bytes.TrimSpace(value)), true
+// add reads a line, or the beginning of a long one. An id counts only if all of it was read.
+func (e *eventFields) add(line []byte) {
+	text, ended := bytes.CutSuffix(line, []byte("\n"))
+	name, value, _ := bytes.Cut(bytes.TrimSuffix(text, []byte("\r")), []byte(":"))
+	switch string(name) {
+	case "id":
+		e.id = ""
+		if ended {
+			e.id = string(bytes.TrimSpace(value))
 		}
+	case "data":
+		e.hasData = true
 	}
-	return "", false
 }
 
 // streamSilenceLimit returns how long a resumable stream may be silent before it resumes at
