--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -314,11 +315,20 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			ended := make(chan net.Listener, 2)
+			var r *rig
+			var crashed atomic.Int32
 			crash := func(l net.Listener, _ http.ResponseWriter) {
+				if crashed.Add(1) > 1 {
+					// The end of the first one is seen while this one is reached. The retry does not
+					// wait for that longer than probeWait.
+					for r.log.Count(event.ReplicaEnded) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+				}
 				l.Close()
 				ended <- l
 			}
-			r := newRig(t, newAbortingReplica(t, crash), newAbortingReplica(t, crash))
+			r = newRig(t, newAbortingReplica(t, crash), newAbortingReplica(t, crash))
 			_, _, _ = r.send(t, http.MethodPost, "/repeat/x", "body")
 			<-ended
 			lastAddress := (<-ended).Addr().String()
