origin: a first start is believed only if the store has no record; shorter lifetimes wait

A router that restarts with the settings of the first start (first_start is left in) took itself for one before which nothing served, and would have joined streams of two versions. It now does so only for services of which the store has no record. A configuration with shorter time-outs made routers forget a version while streams with the longer ones went on; the shorter lifetime now takes effect once the longer one has passed (TestShorterLifetimeWaitsForStreamsInProgress). Records of services that no configuration names are not taken over.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,9 +169,6 @@
 	e.buildOverload()
 	e.retries = newRetries(e.settings, e.started)
 	e.served.tracker = origin.NewTracker(front.MaxStreamLifetime)
-	if e.settings.Routes.FirstStart {
-		e.served.tracker.NoneBefore()
-	}
 	e.setServedStore(e.settings)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{
--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -92,12 +93,23 @@
 		return
 	}
 	reliable := e.served.keeper.Loaded(records, generation, now)
-	for _, r := range reliable {
-		e.served.tracker.Recall(r.Service, r.Versions, now)
+	for _, name := range e.front.ResumableServices() {
+		e.recallService(name, records, reliable, now)
 	}
 	e.log.Write(event.ServedRead, event.F("records", len(records)), event.F("reliable", len(reliable)), event.F("error", nil))
 }
 
+// recallService takes over which versions of a service served before, from its record if there is a
+// reliable one. Without any, none did if the fleet starts for the first time.
+func (e *Entry) recallService(name string, records, reliable []origin.Stored, now time.Time) {
+	isOf := func(r origin.Stored) bool { return r.Service == name }
+	if i := slices.IndexFunc(reliable, isOf); i >= 0 {
+		e.served.tracker.Recall(name, reliable[i].Versions, now)
+	} else if e.settings.Routes.FirstStart && !slices.ContainsFunc(records, isOf) {
+		e.served.tracker.Recall(name, nil, now)
+	}
+}
+
 func (e *Entry) writeServed(ctx context.Context, records []origin.Stored) {
 	revision, err := (*e.served.store.Load()).WriteServed(ctx, records)
 	for _, r := range records {
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -20,7 +20,7 @@
 // Origins records at which versions streams began, over all routers.
 type Origins interface {
 	// SetLifetime sets how long after its first event a stream may be taken up.
-	SetLifetime(time.Duration)
+	SetLifetime(d time.Duration, now time.Time)
 	// Observe notes which versions of a service serve now, by a list of replicas that is current
 	// or not.
 	Observe(service string, versions []string, current bool, now time.Time)
@@ -142,7 +142,7 @@
 		return
 	}
 	config := state.Table.Config()
-	f.options.Origins.SetLifetime(streamLifetime(config))
+	f.options.Origins.SetLifetime(streamLifetime(config), steady.Now())
 	for _, service := range config.Services {
 		f.observeVersions(service.Name)
 	}
--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -68,7 +68,7 @@
 			fleet := largeFleet(t, routers)
 			for _, r := range fleet {
 				waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
-				r.gossip.Origins().NoneBefore()
+				r.gossip.Origins().Recall("s", nil, time.Now())
 			}
 			first := fleet[0].gossip.Origins()
 			key := origin.KeyOf("s", "a")
--- a/pkg/origin/bench_test.go
+++ b/pkg/origin/bench_test.go
@@ -13,7 +13,7 @@
 		runtime.ReadMemStats(&before)
 		table := NewTable()
 		for n := range maxRecords {
-			table.Record(Key(n), "v1.2.3", true, at(0), lifetime)
+			table.Record(Key(n), "v1.2.3", true, at(0), lifespan)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -23,7 +23,7 @@
 }
 
 func BenchmarkRecordAndFind(b *testing.B) {
-	tracker := NewTracker(lifetime)
+	tracker := NewTracker(lifespan)
 	tracker.Observe("s", []string{"v1", "v2"}, true, at(0))
 	n := 0
 	for b.Loop() {
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -11,8 +11,6 @@
 type History struct {
 	mu       sync.Mutex
 	services map[string]*served
-	// completeAtStart: nothing served before the first observation.
-	completeAtStart bool
 }
 
 // served are the versions of one service.
@@ -55,17 +53,9 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*served)} }
 
-// beginning is the time from which on all versions are known if none served before the first
-// observation.
+// beginning is the time from which on all versions are known if the store tells what served before.
 var beginning time.Time
 
-// NoneBefore declares that no version served before the first observation.
-func (h *History) NoneBefore() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.completeAtStart = true
-}
-
 // Observe notes the versions that serve now by a list that is current or not, and forgets those
 // that last served longer than a stream's lifetime ago. It reports whether a version was added.
 func (h *History) Observe(service string, versions []string, current bool, now time.Time, lifetime time.Duration) (added bool) {
@@ -94,7 +84,7 @@
 	return added
 }
 
-// Recall adds the versions that served before, as the store has them, up to now.
+// Recall adds the versions that served before, up to now. They are all that did.
 func (h *History) Recall(service string, versions []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -112,9 +102,6 @@
 	s := h.services[name]
 	if s == nil {
 		s = &served{versions: make(map[string]period), knownSince: now}
-		if h.completeAtStart {
-			s.knownSince = beginning
-		}
 		h.services[name] = s
 	}
 	return s
@@ -127,7 +114,6 @@
 	out := Served{Service: service}
 	s := h.services[service]
 	if s == nil {
-		out.Complete = h.completeAtStart
 		return out
 	}
 	for version, p := range s.versions {
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -12,10 +12,7 @@
 // within its lifetime, and this is known. The package does no I/O; time comes from the caller.
 package origin
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 // Finding is what a router knows of a stream.
 type Finding struct {
@@ -62,22 +59,21 @@
 type Tracker struct {
 	table    *Table
 	history  *History
-	lifetime atomic.Int64
+	lifetime lifetime
 	added    chan struct{}
 }
 
-// NewTracker returns an empty tracker. A stream lasts for lifetime at the most.
-func NewTracker(lifetime time.Duration) *Tracker {
+// NewTracker returns an empty tracker. Until SetLifetime is called, a stream lasts for longest at
+// the most.
+func NewTracker(longest time.Duration) *Tracker {
 	t := &Tracker{table: NewTable(), history: NewHistory(), added: make(chan struct{}, 1)}
-	t.SetLifetime(lifetime)
+	t.lifetime.assumed = longest
 	return t
 }
 
-// SetLifetime sets how long a stream may last, its takings up included.
-func (t *Tracker) SetLifetime(d time.Duration) { t.lifetime.Store(int64(d)) }
-
-// NoneBefore declares that no stream began before the first observation.
-func (t *Tracker) NoneBefore() { t.history.NoneBefore() }
+// SetLifetime sets how long a stream may last, its takings up included. A shorter time takes effect
+// once the streams that began before have ended.
+func (t *Tracker) SetLifetime(d time.Duration, now time.Time) { t.lifetime.set(d, now) }
 
 // Observe notes the versions of a service that serve now by a list of replicas that is current or
 // not.
@@ -94,7 +90,7 @@
 // Added returns a channel that receives a value after versions were added.
 func (t *Tracker) Added() <-chan struct{} { return t.added }
 
-// Recall adds the versions of a service that served before, as the store has them.
+// Recall adds the versions of a service that served before, which are all that did.
 func (t *Tracker) Recall(service string, versions []string, now time.Time) {
 	t.history.Recall(service, versions, now)
 }
@@ -130,7 +126,7 @@
 // Len returns the number of streams recorded.
 func (t *Tracker) Len() int { return t.table.Len() }
 
-func (t *Tracker) streamLifetime() time.Duration { return time.Duration(t.lifetime.Load()) }
+func (t *Tracker) streamLifetime() time.Duration { return t.lifetime.get() }
 
 // Merge combines findings of several routers about one stream. A record goes first. A router that
 // saw more than one version overrules those that saw a single one.
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-const lifetime = 20 * time.Second
+const lifespan = 20 * time.Second
 
 var start = time.Unix(1000, 0)
 
@@ -50,7 +50,7 @@
 		"what the store had is long ago":  {[]observation{{0, other}, {21, other}}, "", one, 21, Finding{Inferred, "v2", false}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tracker := NewTracker(lifetime)
+			tracker := NewTracker(lifespan)
 			for i, o := range test.observed {
 				tracker.Observe("s", o.versions, true, at(o.at))
 				if i == 0 && test.recalled != nil {
@@ -67,8 +67,8 @@
 
 // Guards against a version that came and went while the lists were old, as behind a cut.
 func TestHistoryIsIncompleteAfterOldLists(t *testing.T) {
-	tracker := NewTracker(lifetime)
-	tracker.NoneBefore()
+	tracker := NewTracker(lifespan)
+	tracker.Recall("s", nil, at(0))
 	one := []string{"v1"}
 	for _, step := range []struct {
 		at       float64
@@ -88,15 +88,15 @@
 // lets it last.
 func TestFirstVersionOfAStreamHolds(t *testing.T) {
 	table, k := NewTable(), KeyOf("s", "a")
-	table.Record(k, "v1", false, at(0), lifetime)
-	table.Record(k, "v2", true, at(1), lifetime)
-	table.Record(k, "v1", false, at(15), lifetime)
+	table.Record(k, "v1", false, at(0), lifespan)
+	table.Record(k, "v2", true, at(1), lifespan)
+	table.Record(k, "v1", false, at(15), lifespan)
 	version, found := table.Version(k, at(30))
 	assert.True(t, found)
 	assert.Equal(t, "v1", version)
 	_, found = table.Version(k, at(36))
 	assert.False(t, found)
-	table.Record(k, "v2", true, at(36), lifetime)
+	table.Record(k, "v2", true, at(36), lifespan)
 	version, _ = table.Version(k, at(37))
 	assert.Equal(t, "v2", version)
 }
@@ -105,7 +105,7 @@
 func TestRecordsAreBounded(t *testing.T) {
 	table := NewTable()
 	for n := range 3 * maxRecords {
-		table.Record(Key(n), fmt.Sprint("v", n%1000), false, at(0), lifetime)
+		table.Record(Key(n), fmt.Sprint("v", n%1000), false, at(0), lifespan)
 	}
 	assert.LessOrEqual(t, table.Len(), maxRecords)
 	_, found := table.Version(Key(3*maxRecords-1), at(1))
@@ -113,7 +113,7 @@
 	_, found = table.Version(Key(0), at(1))
 	assert.False(t, found)
 	assert.LessOrEqual(t, len(table.versions), maxSharedVersions)
-	table.Record(1, "v", false, at(30), lifetime)
+	table.Record(1, "v", false, at(30), lifespan)
 	assert.Equal(t, 1, table.Len())
 	assert.LessOrEqual(t, len(table.order), 2)
 }
@@ -141,11 +141,24 @@
 // Streams that began before a second version joined are known to other routers once it has.
 func TestUnsharedRecordsAreReturnedOnce(t *testing.T) {
 	table := NewTable()
-	table.Record(1, "v1", false, at(0), lifetime)
-	table.Record(2, "v1", true, at(0), lifetime)
-	table.Record(3, "v1", false, at(-30), lifetime)
+	table.Record(1, "v1", false, at(0), lifespan)
+	table.Record(2, "v1", true, at(0), lifespan)
+	table.Record(3, "v1", false, at(-30), lifespan)
 	assert.Equal(t, []Record{{1, "v1"}}, table.Unshared(at(1)))
 	assert.Empty(t, table.Unshared(at(2)))
-	table.Record(1, "v1", false, at(3), lifetime)
+	table.Record(1, "v1", false, at(3), lifespan)
 	assert.Empty(t, table.Unshared(at(4)))
 }
+
+// Guards against a version that is forgotten before its streams have ended, as a configuration with
+// shorter time-outs came into force.
+func TestShorterLifetimeWaitsForStreamsInProgress(t *testing.T) {
+	tracker := NewTracker(time.Hour)
+	assert.Equal(t, time.Hour, tracker.streamLifetime())
+	for _, step := range []struct{ at, set, want float64 }{
+		{0, 20, 20}, {1, 60, 60}, {2, 10, 60}, {61, 10, 60}, {62, 10, 10}, {63, 5, 10}, {64, 20, 20}, {65, 10, 20}, {84, 10, 20}, {85, 10, 10},
+	} {
+		tracker.SetLifetime(time.Duration(step.set)*time.Second, at(step.at))
+		assert.Equal(t, time.Duration(step.want)*time.Second, tracker.streamLifetime(), "at %v", step.at)
+	}
+}
