front: a request that failed at another router is repeated if it may be

A router that hands a repeatable request to another one keeps an attempt back "since the other one may break off", and used it only if the other router gave no answer at all. One that reported its replica's failure, as a head cut short is, ended the request with 502. It is now treated like a router that broke off: the attempts that it had count as used, and the next router is asked if the route, the attempts and the retry budget allow it. What runs once still ends with 502, as does any request without attempts or time.

The test no longer asks for a broken answer where a body was cut before the other router had sent its head: the request is repeated there, and what the caller gets is the whole answer of the second run.

--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -115,9 +115,10 @@
 		require.Contains(t, []string{cutEvent + nextEvent, nextEvent}, body, what)
 	case full.path == "/resumable/cut":
 		require.Fail(t, "not resumed", what)
+	case repeats && err == nil && response.StatusCode == http.StatusOK && body == "sound":
+		// A body may be cut before another router has sent its head.
 	case repeats && at < full.headSize:
-		require.NoError(t, err, what)
-		require.Equal(t, "sound", body, what)
+		require.Fail(t, "not repeated", what)
 	case at < full.headSize:
 		require.NoError(t, err, what)
 		require.Equal(t, http.StatusBadGateway, response.StatusCode, what)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -202,9 +202,11 @@
 	}
 	switch {
 	case result == relayFailed:
+		drainBody(answer)
+		c.sent.Add(int32(attempts))
 		c.mayHaveRun = true
-		c.giveUp(&refusal{status: http.StatusBadGateway, reason: "failed at another router"})
-		return relayFinished
+		c.outcome.reason = "failed at another router"
+		return c.retryRelay(steady.Until(c.deadline) > 0)
 	case result == relayRefused && impliesNotRun(answer.StatusCode):
 		c.giveUp(c.refuseAsRelayed(answer))
 		return relayFinished
