front: lines of a stream may end in CR alone

Cause: forwardEvents read lines up to LF. Events whose lines end in CR, which the standard allows, were held until the stream ended and then taken for one that broke off within an event: nothing of a sound stream reached its caller, and what it had been was sent to the next replica.

Ruled out: reading to CR only, then waiting for LF; the last line of an event would wait for the next event. LF is waited for unless the line is empty and the one before ended in CR alone.

Change: eventLines reads lines with any of the three ends, as eventTracker does for streams that do not resume.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -30,13 +29,13 @@
 // heard is called for each event, or piece of one, that is forwarded. After a piece the stream
 // cannot resume until the event is complete.
 func (c *call) forwardEvents(answer *upstream.Answer, heard func()) error {
-	reader := bufio.NewReader(answer)
+	lines := newEventLines(answer)
 	var one []byte
 	var fields eventFields
 	charged, withinLine := 0, false
 	defer func() { c.charge(-charged) }()
 	for {
-		line, err := reader.ReadSlice('\n')
+		line, ended, err := lines.next()
 		one = append(one, line...)
 		if err == io.EOF && len(one) == 0 && !c.withinEvent {
 			return nil
@@ -44,14 +43,14 @@
 		if err == io.EOF {
 			return errPartial
 		}
-		if err != nil && err != bufio.ErrBufferFull {
+		if err != nil {
 			return err
 		}
 		if !withinLine {
-			fields.add(line)
+			fields.add(line, ended)
 		}
-		complete := err == nil && !withinLine && len(bytes.TrimRight(line, "\r\n")) == 0
-		withinLine = err != nil
+		complete := ended && !withinLine && len(bytes.TrimRight(line, "\r\n")) == 0
+		withinLine = !ended
 		if !complete && len(one) < maxEvent {
 			if size := cap(one); size > smallEvent && size > charged {
 				c.charge(size - charged)
@@ -103,9 +102,8 @@
 }
 
 // add reads a line, or the beginning of a long one. An id counts only if all of it was read.
-func (e *eventFields) add(line []byte) {
-	text, ended := bytes.CutSuffix(line, []byte("\n"))
-	name, value, _ := bytes.Cut(bytes.TrimSuffix(text, []byte("\r")), []byte(":"))
+func (e *eventFields) add(line []byte, ended bool) {
+	name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 	switch string(name) {
 	case "id":
 		e.id = ""
