--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -32,6 +32,8 @@
 	// Without pieces answers are plain.
 	Pieces int
 	Gap    time.Duration
+	// BreakOneIn makes one stream in so many break off at any byte of its events; 0: none.
+	BreakOneIn int
 	// Deadly tells whether a request crashes the replica, and how long it runs before. It
 	// may be nil.
 	Deadly func(request *http.Request, body []byte) (after time.Duration, deadly bool)
@@ -205,6 +207,10 @@
 	return text
 }
 
+func (r *Replica) event(attempt string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, r.piece(attempt, n))
+}
+
 // lastEventHeader is the standard's header for taking a stream up again.
 const lastEventHeader = "Last-Event-Id"
 
@@ -255,6 +261,10 @@
 		return
 	}
 	if r.Options.Pieces > 0 {
+		if at, breaks := r.breakAt(run); breaks {
+			r.change(run, func() { run.Broken = true })
+			w = &breakingWriter{ResponseWriter: w, left: at}
+		}
 		r.stream(w, request, run, r.Options.Pieces+1)
 		return
 	}
@@ -328,6 +338,9 @@
 	w.Header().Set(platform.SignatureHeader, run.Signature)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	if b, breaks := w.(*breakingWriter); breaks && b.left == 0 {
+		b.breakOff()
+	}
 	// A router that left needs no answer; the pause notices it.
 	r.writeEvents(w, func() { _ = http.NewResponseController(w).Flush() }, request, run, stopAt)
 }
@@ -339,7 +352,7 @@
 		if n > run.After+1 && !r.pause(request, r.Options.Gap) {
 			return false
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, r.piece(run.Attempt, n))
+		_, _ = io.WriteString(w, r.event(run.Attempt, n))
 		flush()
 	}
 	return true
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -91,6 +91,8 @@
 		s.loseFraming(place, rnd)
 	case kindRelease:
 		s.release(a, rnd)
+	case kindReleaseAll:
+		s.releaseAll(a, rnd)
 	case kindBreak:
 		s.breakStreams(a, rnd)
 	case kindSilence:
--- a/test/soak/router.go
+++ b/test/soak/router.go
@@ -159,7 +159,7 @@
 }
 
 // settingsText is a router's settings with the bounds of the users' sheet.
-func settingsText(name string, listen [listeners]string, store, seeds string, b Bounds, repeats int) string {
+func settingsText(name, zone string, listen [listeners]string, store, seeds string, b Bounds, repeats int) string {
 	return fmt.Sprintf(`[instance]
 name = %s
 data_centre = %s
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -68,6 +68,7 @@
 	kindRelease     = "replica-of-another-version"
 	kindBreak       = "streams-break-off"
 	kindDeadlyPart  = "deadly-part-of-prompts"
+	kindReleaseAll  = "all-engines-of-another-version"
 	kindLopsided    = "most-new-connections-to-one-router"
 )
 
@@ -102,6 +103,10 @@
 	// extraParts has moreKinds, prompts of several parts, of which one crashes what begins to
 	// answer it, and times in which most new connections go to one router.
 	extraParts = "parts"
+	// extraReleases has releases of all engines, back and forth, and streams that break off at any
+	// byte; no router is ended. extraReleasesKills ends routers, one and all, besides.
+	extraReleases      = "releases"
+	extraReleasesKills = "releases-kills"
 )
 
 // planWith is the plan of a seed with extras.
@@ -112,6 +117,8 @@
 		return planOf(seed, length)
 	case extraMore:
 		return planWithMore(seed, length)
+	case extraReleases, extraReleasesKills:
+		return planWithReleases(extras, seed, length)
 	case extraOldest:
 		p = planOf(seed, length)
 	default:
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -54,7 +54,7 @@
 		return Result{}, err
 	}
 	var err error
-	if s.world, err = newWorld(s.record, p.Extras == extraPaths, p.Extras == extraStreams); err != nil {
+	if s.world, err = newWorld(s.record, worldOptions{linked: p.Extras == extraPaths, versions: p.Extras == extraStreams, releases: p.hasReleases()}); err != nil {
 		return Result{}, err
 	}
 	defer s.world.close()
@@ -124,7 +124,11 @@
 	for _, other := range s.routers[:min(seedRouters, len(s.routers))] {
 		seeds = append(seeds, s.listen[other.name][2])
 	}
-	text := settingsText(r.name, s.listen[r.name], s.stores[r.name], strings.Join(seeds, ","), s.bounds, repeats)
+	at := zone
+	if s.plan.hasReleases() {
+		at = zones[slices.Index(s.routers, r)%len(zones)]
+	}
+	text := settingsText(r.name, at, s.listen[r.name], s.stores[r.name], strings.Join(seeds, ","), s.bounds, repeats)
 	if r.other == "" {
 		text += newerSettings + fmt.Sprintf("[routes]\nsource = %s\n", sourceOf(slices.Index(s.routers, r)))
 	}
@@ -155,7 +159,7 @@
 // play lets callers call while the faults come, then lets all recover, and stops all
 // routers as planned.
 func (s *soak) play(length time.Duration) {
-	s.users = &users{seed: s.plan.Seed, world: s.world, routers: s.routers, record: s.record, prompts: s.plan.Extras == extraParts}
+	s.users = &users{seed: s.plan.Seed, world: s.world, routers: s.routers, record: s.record, prompts: s.plan.Extras == extraParts, takesUpLate: s.plan.hasReleases()}
 	ctx, cancel := context.WithCancel(context.Background())
 	var calling sync.WaitGroup
 	calling.Go(func() { s.users.run(ctx) })
@@ -308,6 +312,9 @@
 		if strings.HasPrefix(kind, "v") {
 			kind = "version"
 		}
+		if a.Resumes != "" {
+			kind = "taken-up " + kind
+		}
 		out[kind+" "+a.ending()]++
 	}
 	return out
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -202,6 +202,10 @@
 // and against streams that go on at another software version, among all other troubles.
 func TestStreamsAmidOtherTroubles(t *testing.T) { playExtras(t, extraStreams, 901, 902, 903) }
 
+// Guards against streams of two software versions, in one answer and over the tries of their
+// callers, while engines of several replace each other and their streams break off at any byte.
+func TestStreamsAcrossReleases(t *testing.T) { playExtras(t, extraReleases, 892001, 892002) }
+
 // Guards against a part of prompts that crashes one engine after the other, and against a router
 // that gets most new connections and serves its callers worse, among all other troubles.
 func TestPartsAndLopsidedConnections(t *testing.T) { playExtras(t, extraParts, 1001, 1002, 1003) }
@@ -265,7 +269,7 @@
 }
 
 // allExtras are those of fresh seeds, one seed each in turn.
-var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements, extraPaths, extraStreams, extraParts}
+var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements, extraPaths, extraStreams, extraParts, extraReleases}
 
 // As many seeds as SOAK_SEEDS says, from SOAK_FIRST on or drawn afresh. SOAK_EXTRAS names
 // what they have besides; else each extra has its turn.
--- a/test/soak/users.go
+++ b/test/soak/users.go
@@ -19,6 +19,8 @@
 	sent    atomic.Uint64
 	// prompts: requests for streams state the parts of their prompts.
 	prompts bool
+	// takesUpLate: streams are taken up more often, some a while after they broke off.
+	takesUpLate bool
 	// favoured is the router that most new connections go to, if there is one.
 	favoured atomic.Pointer[router]
 }
--- a/test/soak/versions.go
+++ b/test/soak/versions.go
@@ -46,16 +46,22 @@
 }
 
 const (
-	// takeUps is how often a caller takes a stream up.
-	takeUps = 2
+	// takeUps is how often a caller takes a stream up, manyTakeUps in plans with releases.
+	takeUps     = 2
+	manyTakeUps = 5
+	// lateTakeUp is the longest pause before a late take-up.
+	lateTakeUp = time.Second
 	// takeUpPause is the pause before that if the last try was refused.
 	takeUpPause = 50 * time.Millisecond
 )
 
 // takeUp takes up a stream that broke off, at any router, until it is complete.
 func (u *users) takeUp(ctx context.Context, first *Attempt, rnd *rand.Rand) {
-	after, last := len(first.Seen), first
-	for range takeUps {
+	after, last, most := len(first.Seen), first, takeUps
+	if u.takesUpLate {
+		most = manyTakeUps
+	}
+	for range most {
 		left := time.Until(first.Sent.Add(first.Deadline))
 		if after == 0 || after >= first.Events || !last.LeftAt.IsZero() || ctx.Err() != nil || left <= 0 {
 			return
@@ -63,6 +69,9 @@
 		if last.Status == http.StatusServiceUnavailable {
 			time.Sleep(takeUpPause)
 		}
+		if u.takesUpLate && rnd.IntN(2) == 0 {
+			time.Sleep(time.Duration(rnd.Int64N(int64(lateTakeUp))))
+		}
 		c := u.connect(rnd)
 		if c == nil {
 			return
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -88,10 +88,19 @@
 	eventGap       = 25 * time.Millisecond
 )
 
-// newWorld starts store and replicas. linked is set if there is to be a link before each
-// replica, not only before every other one.
-// versions is set if replicas of streams state two software versions.
-func newWorld(record *recorder, linked, versions bool) (*world, error) {
+// worldOptions say what replicas there are.
+type worldOptions struct {
+	// linked: there is a link before each replica, not only before every other one.
+	linked bool
+	// versions: replicas of streams state two software versions.
+	versions bool
+	// releases: the world is that of plans with releases of all engines.
+	releases bool
+}
+
+// newWorld starts store and replicas.
+func newWorld(record *recorder, o worldOptions) (*world, error) {
+	linked, versions := o.linked, o.versions
 	w := &world{record: record, linked: linked, cuts: &cuts{sources: make(map[string]bool)}, store: standin.NewStore(), keys: map[string]string{"north": "north-key-0", "south": "south-key-0"}}
 	for _, s := range []struct {
 		service string
@@ -104,8 +113,14 @@
 		{long, longReplicas, standin.ReplicaOptions{Work: firstEvent, Pieces: longEvents, Gap: eventGap}},
 	} {
 		s.o.Service, s.o.Zone, s.o.Slots, s.o.Deadly = s.service, zone, replicaSlots, isDeadly
+		if o.releases && s.o.Pieces > 0 {
+			s.n, s.o.BreakOneIn = releaseEngines, breakOneIn
+		}
 		for n := range s.n {
 			place := &seat{name: fmt.Sprintf("%s-%d", s.service, n), options: s.o}
+			if o.releases {
+				place.options.Zone, place.options.Version = zones[n%len(zones)], firstVersion(n, s.o.Pieces)
+			}
 			if versions && s.o.Pieces > 0 {
 				place.options.Version = softwareVersions[n/2%2]
 			}
