--- /dev/null
+++ b/internal/front/takeup_test.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/watch"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/origin"
+)
+
+// fakeOrigins are Origins of which find answers for all routers.
+type fakeOrigins struct {
+	*origin.Tracker
+	find func() origin.Search
+}
+
+func (o fakeOrigins) RecordOrigin(k origin.Key, version string, _ bool) {
+	o.Record(k, version, time.Now())
+}
+
+func (o fakeOrigins) FindOrigin(context.Context, string, origin.Key) origin.Search { return o.find() }
+
+// Guards against a stream that goes on at any version at a router that has just started: it had no
+// list of replicas yet when the stream was taken up, and asked nobody where it began.
+func TestStreamTakenUpBeforeFirstListStaysAtItsVersion(t *testing.T) {
+	for _, version := range []string{"v1", "v2"} {
+		t.Run(version, func(t *testing.T) {
+			var replicas []directory.Replica
+			for _, v := range []string{"v1", "v2"} {
+				address, _ := rawReplica(t, fmt.Sprintf(chunkedStreamHead, v)+chunk("id: 2\ndata: "+v+"\n\n")+"0\r\n\r\n")
+				replicas = append(replicas, directory.Replica{ID: "r-" + v, Service: "s", Address: address, DataCentre: "here", Version: v})
+			}
+			r := newEmptyRig(t)
+			r.watcher.ApplyKnowledge(watch.Knowledge{Config: r.source.snapshot.Config}, time.Now(), time.Now(), "peer")
+			asked := make(chan struct{}, 1)
+			r.front.options.Origins = fakeOrigins{origin.NewTracker(time.Minute), func() origin.Search {
+				asked <- struct{}{}
+				return origin.Search{Finding: origin.Finding{Source: origin.Recorded, Version: version, Several: true}}
+			}}
+			time.AfterFunc(20*time.Millisecond, func() { r.addReplicas(t, replicas...) })
+			_, text, err := r.send(t, "POST", "/resumable/", "", "Goes-On", "first", "Last-Event-Id", "1")
+			require.NoError(t, err)
+			assert.Equal(t, "id: 2\ndata: "+version+"\n\n", text)
+			assert.NotEmpty(t, asked, "other routers were not asked")
+		})
+	}
+}
