front: where a stream began is asked before each choice

Cause: the question was put once, before the request waits for anything. A router that has just started has no list of replicas then, so no version was known, nobody was asked, and the stream went on at any version once the list was there: at the restart of any router, with records at its peers.

Ruled out: waiting for the list before the question; requests that are refused or handed on for other reasons would wait for nothing.

Change: dispatch asks after the list was refreshed and before each choice.

What findOrigin concludes is unchanged.

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -29,10 +29,6 @@
 // dispatch sends the request to one replica after another until one answers it or no further
 // replica may be tried.
 func (c *call) dispatch(ctx context.Context) {
-	if refused := c.findOrigin(ctx); refused != nil {
-		c.giveUp(refused)
-		return
-	}
 	for {
 		if c.callerLeft() {
 			c.abortCallerGone()
@@ -44,6 +40,11 @@
 			return
 		}
 		c.refreshList(ctx)
+		// Again before each choice: without a list, no version was known to differ.
+		if refused := c.findOrigin(ctx); refused != nil {
+			c.giveUp(refused)
+			return
+		}
 		now := steady.Now()
 		excluded := c.exclusions(now)
 		if refused := c.checkOverload(excluded, now); refused != nil {
