--- a/test/soak/releases.go
+++ b/test/soak/releases.go
@@ -21,7 +21,7 @@
 )
 
 func (p plan) hasReleases() bool {
-	return p.Extras == extraReleases || p.Extras == extraReleasesKills
+	return p.Extras == extraReleases || p.Extras == extraReleasesRestarts || p.Extras == extraReleasesKills
 }
 
 // firstVersion is the version of the n-th replica at the start.
@@ -41,7 +41,10 @@
 		p.Actions = append(p.Actions, action{At: at, Kind: kindReleaseAll, Target: rnd.Int(), For: between(rnd, 0, shortestFault*5)})
 	}
 	kinds := []string{kindPublish, kindUndelimited}
-	if extras == extraReleasesKills {
+	switch extras {
+	case extraReleasesRestarts:
+		kinds = []string{kindPublish, kindUndelimited, kindKill, kindKill, kindTerm}
+	case extraReleasesKills:
 		kinds = []string{kindPublish, kindUndelimited, kindKill, kindKill, kindKillAll}
 	}
 	for at := between(rnd, shortestPause, longestFault); at < length; at += between(rnd, longestPause, longestFault) {
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -104,9 +104,11 @@
 	// answer it, and times in which most new connections go to one router.
 	extraParts = "parts"
 	// extraReleases has releases of all engines, back and forth, and streams that break off at any
-	// byte; no router is ended. extraReleasesKills ends routers, one and all, besides.
-	extraReleases      = "releases"
-	extraReleasesKills = "releases-kills"
+	// byte; no router is ended. extraReleasesRestarts ends some routers besides, never all,
+	// extraReleasesKills all too.
+	extraReleases         = "releases"
+	extraReleasesRestarts = "releases-restarts"
+	extraReleasesKills    = "releases-kills"
 )
 
 // planWith is the plan of a seed with extras.
@@ -117,7 +119,7 @@
 		return planOf(seed, length)
 	case extraMore:
 		return planWithMore(seed, length)
-	case extraReleases, extraReleasesKills:
+	case extraReleases, extraReleasesRestarts, extraReleasesKills:
 		return planWithReleases(extras, seed, length)
 	case extraOldest:
 		p = planOf(seed, length)
