--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -40,6 +40,7 @@
 	chunkedHead = "Transfer-Encoding: chunked\r\n"
 )
 
+// chunk returns a text as one chunk of a body.
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 func cutAnswers() map[string]cutAnswer {
--- a/internal/front/stream_version_test.go
+++ b/internal/front/stream_version_test.go
@@ -18,9 +18,6 @@
 // chunkedStreamHead begins a stream in chunks.
 const chunkedStreamHead = "HTTP/1.1 200 OK\r\nTry: id-1\r\nSign: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-// chunk returns a text as one chunk of a body.
-func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-
 // newHeadOnlyRig returns a rig whose first choice sends the head of a stream and breaks off
 // before any event; the other replicas serve whole streams.
 func newHeadOnlyRig(t *testing.T, versions ...string) *rig {
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -20,8 +20,8 @@
 	find func() origin.Search
 }
 
-func (o fakeOrigins) RecordOrigin(k origin.Key, version string, _ bool) {
-	o.Record(k, version, time.Now())
+func (o fakeOrigins) RecordOrigin(_ string, k origin.Key, version string) {
+	o.Record(k, version, true, time.Now())
 }
 
 func (o fakeOrigins) FindOrigin(context.Context, string, origin.Key) origin.Search { return o.find() }
