--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -261,9 +261,9 @@
 		return
 	}
 	if r.Options.Pieces > 0 {
-		if at, breaks := r.breakAt(run); breaks {
+		if b, breaks := r.breakOf(run); breaks {
 			r.change(run, func() { run.Broken = true })
-			w = &breakingWriter{ResponseWriter: w, left: at}
+			w = newBreakingWriter(w, request, b)
 		}
 		r.stream(w, request, run, r.Options.Pieces+1)
 		return
