--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -163,6 +165,24 @@
 	}
 }
 
+// Rest is a rest that a listed replica asked for.
+type Rest struct {
+	ID    string
+	Until time.Time
+}
+
+// Rests returns up to count rests that last at the given time, the longest ones first.
+func (s *Statements) Rests(count int, now time.Time) []Rest {
+	var rests []Rest
+	s.eachExcluding(now, func(id string, said Statement) {
+		if now.Before(said.RestUntil) {
+			rests = append(rests, Rest{id, said.RestUntil})
+		}
+	})
+	slices.SortFunc(rests, func(a, b Rest) int { return cmp.Or(b.Until.Compare(a.Until), cmp.Compare(a.ID, b.ID)) })
+	return rests[:min(count, len(rests))]
+}
+
 // excludes reports whether the statement excludes its replica at the given time.
 func (s *Statement) excludes(now time.Time) bool {
 	return !s.DrainingSince.IsZero() || now.Before(s.RestUntil)
