admission, fleet, router: surge limits hold through restarts and cuts

Cause: a bucket started full in each process, and a router divided the limit by the routers that it hears.

Ruled out: a start with a part of the burst (each restart admits that part beyond the bound); a reserve of the burst for restarts (callers lose it always); learning from peers that little was admitted lately, which needs a field in each digest and knows nothing after a restart of all.

Change: buckets fill from the first moment of the process and are full at once only with `first_start`. A router takes, of the part of the limit that the routers which it hears have in an even split, its own by demand. Those heard are counted by the partners of which a digest is held; in a grid each stands for as many others as the next. Tests that begin with a full bucket say so (StartFull).

Open: behind 30 and more routers the parts of the burst are smaller than requests, which refuses callers without any restart.

Tests run: pkg/admission, pkg/fleet, internal/router, internal/edge, test/integration: pass.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -187,6 +187,7 @@
 	s.Platform.URL = "http://" + f.platform.Address
 	s.Platform.Poll = 200 * time.Millisecond
 	s.Platform.Rate = 20
+	s.Routes.FirstStart = true
 	s.Limits.DigestPeriod = 250 * time.Millisecond
 	s.Listen = settings.Listen{Callers: port(0), Peers: port(1), Admin: port(2)}
 	i, err := instance.Start(s, event.New(o.Log, s.Name, o.Level))
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -49,7 +49,7 @@
 	for _, p := range r.pools {
 		p.refresh(r.board)
 	}
-	routers := r.fleetSize()
+	routers := r.coveredRouters()
 	r.limits.VisitDemands(now, func(organisation string, _ float64) {
 		r.limits.SetFraction(now, organisation, r.board.OthersDemand(shortName(organisation)), routers)
 	})
@@ -66,6 +66,25 @@
 	return n
 }
 
+// peerHashes returns the hashes of the other live routers in this data centre.
+func (r *Router) peerHashes() []uint64 {
+	var hashes []uint64
+	for _, other := range r.routers {
+		if other.DataCentre == r.settings.DataCentre {
+			hashes = append(hashes, placement.Hash(other.Name))
+		}
+	}
+	return hashes
+}
+
+// coveredRouters is how many routers of this data centre the digests at hand cover, itself
+// counted. In a large one each partner stands for about as many others as the next.
+func (r *Router) coveredRouters() int {
+	hashes := r.peerHashes()
+	partners := fleet.PartnersOf(r.selfHash, hashes)
+	return 1 + len(hashes)*r.board.Heard(partners)/max(partners.Len(), 1)
+}
+
 // message is a digest on its way to one peer.
 type message struct {
 	to     fleet.Instance
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,6 +123,9 @@
 		sequence:    rand.Uint32(),
 	}
 	r.selfID = fleet.ShortID(r.selfHash)
+	if s.Routes.FirstStart {
+		r.limits.StartFull()
+	}
 	r.board = fleet.NewDigestTable(r.selfID)
 	r.claims = once.NewClaims(r.platform, steady.Now)
 	r.peers = peer.NewClient(r.meter)
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -170,6 +170,7 @@
 
 func TestSurgeLimit(t *testing.T) {
 	l := NewLimits()
+	l.StartFull()
 	limit := Limit{Rate: 100, Burst: 1000}
 	for range 10 {
 		require.Nil(t, l.Admit(start, "org", limit, 100, 1))
@@ -184,6 +185,7 @@
 
 func TestOnlyDemandNearLimitIsVisited(t *testing.T) {
 	l := NewLimits()
+	l.StartFull()
 	require.Nil(t, l.Admit(start, "small", Limit{Rate: 1000, Burst: 10_000}, 100, 1))
 	require.Nil(t, l.Admit(start, "large", Limit{Rate: 1000, Burst: 10_000}, 4000, 1))
 	var told []string
--- a/pkg/admission/example_test.go
+++ b/pkg/admission/example_test.go
@@ -10,6 +10,7 @@
 // A refusal by the surge limit tells when to retry.
 func Example() {
 	limits := admission.NewLimits()
+	limits.StartFull()
 	limit := admission.Limit{Rate: 100, Burst: 200}
 	now := time.Now()
 	for range 3 {
--- a/pkg/admission/fleet_test.go
+++ b/pkg/admission/fleet_test.go
@@ -135,3 +135,62 @@
 		}
 	}
 }
+
+// startFull lets the routers begin with full buckets, as when the whole fleet starts for the first time.
+func (f *surgeFleet) startFull() *surgeFleet {
+	for _, l := range f.limits {
+		l.StartFull()
+	}
+	return f
+}
+
+// Guards against restarted routers that add to what the fleet has just admitted from full buckets.
+func TestFullBucketsAndRestartsKeepSurgeLimit(t *testing.T) {
+	const lifeSteps = 50
+	even := func(_, routers, _ int) float64 { return 1 / float64(routers) }
+	moving := func(r, routers, step int) float64 { return oneIf(r == step/lifeSteps%routers) }
+	one := func(r, _, _ int) float64 { return oneIf(r == 0) }
+	halves := func(routers int) func(a, b int) bool {
+		return func(a, b int) bool { return (a < routers/2) == (b < routers/2) }
+	}
+	connected := func(int) func(a, b int) bool { return all }
+	none := func(int, int) (from, to int) { return 0, 0 }
+	everyone := func(n, routers int) (from, to int) { return 0, routers * int(oneIf(n%lifeSteps == lifeSteps-1)) }
+	inTurn := func(n, routers int) (from, to int) {
+		return n * routers / lifeSteps % routers, (n + 1) * routers / lifeSteps % routers
+	}
+	first := func(n, _ int) (from, to int) { return 0, int(oneIf(n%lifeSteps == lifeSteps-1)) }
+	for name, test := range map[string]struct {
+		part      func(router, routers, step int) float64
+		connected func(routers int) func(a, b int) bool
+		restarts  func(step, routers int) (from, to int)
+	}{
+		"even":                               {even, connected, none},
+		"at one router":                      {one, connected, none},
+		"at another one each 5 s":            {moving, connected, none},
+		"all restart":                        {even, connected, everyone},
+		"one after another restarts":         {even, connected, inTurn},
+		"all restart, demand moves":          {moving, connected, everyone},
+		"one after another, demand moves":    {moving, connected, inTurn},
+		"the one with the demand restarts":   {one, connected, first},
+		"half is cut off":                    {even, halves, none},
+		"half is cut off, all restart":       {even, halves, everyone},
+		"half is cut off, one has all":       {one, halves, none},
+		"half is cut off, one after another": {even, halves, inTurn},
+	} {
+		for _, routers := range []int{3, 30, 300} {
+			t.Run(fmt.Sprintf("%s, %d routers", name, routers), func(t *testing.T) {
+				f := newSurgeFleet(routers).startFull()
+				for n := range surgeSteps {
+					from, to := test.restarts(n, routers)
+					for r := from; r < to; r++ {
+						f.limits[r] = NewLimits()
+					}
+					f.step(n, func(r int) float64 { return test.part(r, routers, n) }, test.connected(routers))
+				}
+				t.Logf("greatest share %.2f", f.greatestShare())
+				assert.LessOrEqual(t, f.greatestShare(), 1+1e-9)
+			})
+		}
+	}
+}
--- a/pkg/admission/limits.go
+++ b/pkg/admission/limits.go
@@ -14,8 +14,16 @@
 // fraction of it, in proportion to the organisation's demand that it sees, so
 // callers that all use one router get nearly the whole limit there. The alternative,
 // a bucket in the platform's service, would cost a write for each request.
+//
+// What a router does not know counts as used up: buckets are empty when a process starts,
+// since the one before it may just have admitted a whole burst, and routers that are not
+// heard from keep their parts.
 type Limits struct {
 	buckets map[string]*bucket
+	// began is when the limits were first used. Buckets fill from then on.
+	began time.Time
+	// full is set by StartFull.
+	full bool
 }
 
 type bucket struct {
@@ -23,15 +31,20 @@
 	demand  Meter
 	// rate is the organisation's limit for the whole fleet.
 	rate float64
-	// fraction is this router's fraction of the organisation's limit.
-	fraction float64
+	// fraction is this router's fraction of the organisation's limit, evenFraction that of
+	// an even split over all routers.
+	fraction, evenFraction float64
 }
 
-// NewLimits returns limits without any organisation.
+// NewLimits returns limits without any organisation, of a router that takes the place of
+// another one.
 func NewLimits() *Limits {
 	return &Limits{buckets: make(map[string]*bucket)}
 }
 
+// StartFull lets buckets start full, since no router has admitted anything before.
+func (l *Limits) StartFull() { l.full = true }
+
 // Limit is an organisation's surge limit for the whole fleet.
 type Limit struct {
 	// Rate is in work tokens a second, Burst in work tokens.
@@ -41,17 +54,15 @@
 
 // Admit takes work from this router's bucket of the organisation. It returns nil or
 // a refusal that tells when the bucket will hold enough. evenFraction is this router's
-// fraction while the others' demand is unknown: 1 / number of routers.
+// fraction while the others' demand is unknown: 1 / number of routers that may be at work.
 func (l *Limits) Admit(now time.Time, organisation string, limit Limit, work, evenFraction float64) *Refusal {
+	l.begin(now)
 	b := l.buckets[organisation]
 	if b == nil {
-		b = &bucket{limiter: rate.NewLimiter(0, 0), fraction: evenFraction}
+		b = l.newBucket(now, limit, evenFraction)
 		l.buckets[organisation] = b
-		b.setLimit(now, limit)
-		// A new limiter starts full, whereas raising the burst of an empty one adds no
-		// tokens.
-		b.limiter = rate.NewLimiter(b.limiter.Limit(), b.limiter.Burst())
 	}
+	b.evenFraction = evenFraction
 	b.demand.Add(now, work)
 	b.setLimit(now, limit)
 	// A request larger than the bucket takes all of it; otherwise it could never pass.
@@ -62,6 +73,23 @@
 	return Refuse(SurgeLimit, b.timeUntil(now, n), "the organisation's surge limit is used up")
 }
 
+func (l *Limits) begin(now time.Time) {
+	if l.began.IsZero() {
+		l.began = now
+	}
+}
+
+func (l *Limits) newBucket(now time.Time, limit Limit, fraction float64) *bucket {
+	b := &bucket{limiter: rate.NewLimiter(0, 0), fraction: fraction, evenFraction: fraction}
+	b.setLimit(l.began, limit)
+	if l.full {
+		// A new limiter starts full, whereas raising the burst of an empty one adds no
+		// tokens.
+		b.limiter = rate.NewLimiter(b.limiter.Limit(), b.limiter.Burst())
+	}
+	return b
+}
+
 func (b *bucket) setLimit(now time.Time, limit Limit) {
 	b.rate = limit.Rate
 	perSecond := rate.Limit(limit.Rate * b.fraction)
@@ -106,6 +134,7 @@
 // VisitDemands calls visit for each organisation with recent demand and drops the others.
 func (l *Limits) VisitDemands(now time.Time, visit func(organisation string, demand float64)) {
 	const minDemand = 0.01
+	l.begin(now)
 	for organisation, b := range l.buckets {
 		demand := b.demand.Rate(now)
 		if demand < minDemand {
@@ -118,13 +147,15 @@
 
 // SetFraction sets this router's fraction of the organisation's limit. others is the
 // demand on the other routers in work tokens a second, as their digests report it, or
-// below 0 for an even split when there are no digests. routers is the number of routers.
+// below 0 for an even split when there are no digests. routers is how many routers these
+// cover, this one included: the others have their parts of an even split, whatever they do.
 func (l *Limits) SetFraction(now time.Time, organisation string, others float64, routers int) {
 	b := l.buckets[organisation]
 	if b == nil {
 		return
 	}
-	b.fraction = LimitFraction(b.demand.Rate(now), others, routers)
+	covered := min(float64(routers)*b.evenFraction, 1)
+	b.fraction = covered * LimitFraction(b.demand.Rate(now), others, routers)
 }
 
 // LimitFraction returns the fraction of a limit for a router that sees demand own while
--- a/pkg/fleet/digest.go
+++ b/pkg/fleet/digest.go
@@ -126,6 +126,19 @@
 // Len returns the number of digests in the table.
 func (b *DigestTable) Len() int { return len(b.digests) }
 
+// Heard returns how many of the partners a digest is held of.
+func (b *DigestTable) Heard(p Partners) int {
+	heard := 0
+	for _, hash := range slices.Concat(p.Direct, p.Relayed) {
+		_, direct := b.digests[source{ShortID(hash), false}]
+		_, relayed := b.digests[source{ShortID(hash), true}]
+		if direct || relayed {
+			heard++
+		}
+	}
+	return heard
+}
+
 // AddGroupLoads adds each group's load to loads, where index gives the group's position. A
 // negative load is unknown, and stays so if no digest has a load of the group.
 func (b *DigestTable) AddGroupLoads(index map[ID]int, loads []float64) {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -133,6 +134,30 @@
 	assert.Equal(t, -1.0, b.OthersDemand(5), "a stale digest is dropped")
 }
 
+// Guards against a router that counts on those behind a cut as if it knew what they do.
+func TestHeardPartners(t *testing.T) {
+	for _, routers := range []int{3, 16, 100} {
+		hashes := make([]uint64, routers)
+		for i := range hashes {
+			hashes[i] = uint64(i+1) << 32
+		}
+		partners := PartnersOf(hashes[0], hashes)
+		b := NewDigestTable(ShortID(hashes[0]))
+		assert.Zero(t, b.Heard(partners))
+		b.Put(digest(1000, 1, 4, 0), start)
+		assert.Zero(t, b.Heard(partners), "not a partner")
+		for n, hash := range slices.Concat(partners.Direct, partners.Relayed) {
+			d := digest(ShortID(hash), 1, 4, 0)
+			d.Relayed = n >= len(partners.Direct)
+			b.Put(d, start)
+			assert.Equal(t, n+1, b.Heard(partners))
+		}
+		assert.Equal(t, partners.Len(), b.Heard(partners))
+		b.DropStale(start.Add(StaleAfter + time.Second))
+		assert.Zero(t, b.Heard(partners))
+	}
+}
+
 func TestLoadsOfTwoOwnersAdded(t *testing.T) {
 	b := NewDigestTable(9)
 	first, second := digest(1, 1, 4, 0), digest(2, 1, 3, 0)
--- a/pkg/fleet/partners.go
+++ b/pkg/fleet/partners.go
@@ -17,6 +17,9 @@
 	Relayed []uint64
 }
 
+// Len returns the number of partners.
+func (p Partners) Len() int { return len(p.Direct) + len(p.Relayed) }
+
 // PartnersOf returns the partners of self among routers, which are hashes of names and may
 // include self.
 //
--- a/test/measure/fair.go
+++ b/test/measure/fair.go
@@ -77,6 +77,7 @@
 	w.group.SetEngines(engines)
 	for i := range w.limits {
 		w.limits[i] = admission.NewLimits()
+		w.limits[i].StartFull()
 	}
 	for org := range c.shares {
 		w.schedule(org)
