gossip, balance: a router that starts learns from the others which services have brittle replicas

Cause: that replicas end if they turn away too much is known to the routers that they answered, for 5 s. A router that starts took them for sound until their first answer, and sent them what its callers asked for. Replaced one after another amid the load, routers took replicas down.

Ruled out: sending the statement in each round, a field in all digests for what routers that are at work mostly know; taking replicas for brittle until the first answer, which holds requests back at each start of a sound service and leaves routers without a slot waiting (docs/design/restarts.md).

Change: the answer to a hello names such services, how many rejections a second their replicas bear and how long that holds on, 32 at most; taken in the first 16 rounds, as rests are. What is taken from another router lasts no longer than it does there, and the first own answer replaces it.

TestBrittleReplicasStayUpWhileRoutersRestart, TestHelloIsAnsweredWithBrittleServices (new).

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -53,7 +53,7 @@
 	g.members.Merge(decodeRows(r.Member, r.HeardMs), now)
 	g.mu.Unlock()
 	g.mergeMarks(r, now)
-	g.mergeRests(r, asked, now)
+	g.mergeStatements(r, asked, now)
 	g.watcher.ObservePeerAnswer(asked)
 	if r.ProofMs == nil {
 		return false
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -65,7 +65,7 @@
 		}
 		reply.Marks = encodeMarks(g.poison.Sample(maxHelloMarks), now)
 		reply.PartMarks = encodeMarks(g.parts.Sample(maxHelloParts), now)
-		g.addRests(reply, now)
+		g.addStatements(reply, now)
 	}
 	word, age := g.ownDigest(now)
 	if g.plain[d.Sender] {
--- a/internal/gossip/rests_test.go
+++ b/internal/gossip/statements_test.go
@@ -31,13 +31,13 @@
 func TestRestsOfOthersAreTakenAfterStartOnly(t *testing.T) {
 	r := newIdleRouter(t, &source{})
 	now := steady.Now()
-	r.gossip.mergeRests(&gossippb.Freshness{Resting: []string{"a", "b"}, RestLeftMs: []uint32{1000}}, now, now)
+	r.gossip.mergeStatements(&gossippb.Freshness{Resting: []string{"a", "b"}, RestLeftMs: []uint32{1000}}, now, now)
 	assert.Equal(t, now.Add(time.Second), restsAt(r, "a"))
 	assert.Zero(t, restsAt(r, "b"), "columns of unequal length")
 	r.gossip.mu.Lock()
 	r.gossip.round = learnRounds + 1
 	r.gossip.mu.Unlock()
-	r.gossip.mergeRests(&gossippb.Freshness{Resting: []string{"c"}, RestLeftMs: []uint32{1000}}, now, now)
+	r.gossip.mergeStatements(&gossippb.Freshness{Resting: []string{"c"}, RestLeftMs: []uint32{1000}}, now, now)
 	assert.Zero(t, restsAt(r, "c"))
 }
 
@@ -48,8 +48,23 @@
 		r.watcher.Statements().MarkResting(fmt.Sprint("i-", n), now, now.Add(time.Duration(n+1)*time.Second), now)
 	}
 	reply := &gossippb.Freshness{}
-	r.gossip.addRests(reply, now)
+	r.gossip.addStatements(reply, now)
 	assert.Len(t, reply.Resting, maxHelloRests)
 	assert.Equal(t, fmt.Sprint("i-", 2*maxHelloRests-1), reply.Resting[0], "the longest first")
 	assert.EqualValues(t, 2*maxHelloRests*1000, reply.RestLeftMs[0])
 }
+
+func TestHelloIsAnsweredWithBrittleServices(t *testing.T) {
+	source := &source{snapshot: watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}}
+	first := newRouter(t, source)
+	now := steady.Now()
+	first.balancer.SetReplicas(replicas("a", "b"), now)
+	first.balancer.BrittleReported("a", 3, now)
+	stated := first.balancer.BrittleServices(now)
+	assert.Len(t, stated, 1)
+	second := newRouter(t, source, first.gossip.Address())
+	waitUntil(t, func() bool { return len(second.balancer.BrittleServices(steady.Now())) > 0 })
+	learned := second.balancer.BrittleServices(steady.Now())[0]
+	assert.Equal(t, 3, learned.Rejections)
+	assert.WithinRange(t, learned.Until, stated[0].Until.Add(-time.Millisecond), stated[0].Until.Add(callTimeout))
+}
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -51,6 +52,38 @@
 	}
 }
 
+// BrittleService is what the replicas of a service stated, and until when that holds.
+type BrittleService struct {
+	Service    string
+	Rejections int
+	Until      time.Time
+}
+
+// BrittleServices returns the services whose replicas said that they are brittle, sorted.
+func (b *Balancer) BrittleServices(now time.Time) []BrittleService {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []BrittleService
+	for service, stated := range b.brittle {
+		if now.Before(stated.until) {
+			list = append(list, BrittleService{service, int(stated.bears), stated.until})
+		}
+	}
+	slices.SortFunc(list, func(x, y BrittleService) int { return cmp.Compare(x.Service, y.Service) })
+	return list
+}
+
+// MergeBrittle records what replicas stated to another router. The first answer to this one
+// replaces it.
+func (b *Balancer) MergeBrittle(s BrittleService, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	until := now.Add(min(s.Until.Sub(now), brittleLifetime))
+	if known, found := b.brittle[s.Service]; !found || known.until.Before(until) {
+		b.brittle[s.Service] = brittleness{float64(s.Rejections), until}
+	}
+}
+
 // SturdyReported records that an answer of a replica did not say that it is brittle.
 func (b *Balancer) SturdyReported(id string) {
 	b.mu.Lock()
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -84,6 +84,12 @@
 // play plays a load and returns how often replicas fell over and which part of what fits into the
 // slots was served in time.
 func (c brittleLoad) play(t *testing.T) (falls int, used float64) {
+	t.Helper()
+	return c.playWith(t, func(*brittlePlay, time.Duration, time.Duration) {})
+}
+
+// playWith is play with something prepared for the time of the high load, given its start and length.
+func (c brittleLoad) playWith(t *testing.T, prepare func(p *brittlePlay, from, length time.Duration)) (falls int, used float64) {
 	t.Helper()
 	p := newBrittlePlay(1, c.routers, c.replicas, c.bears)
 	full := float64(c.replicas*plainSlots) / plainWorkTime.Seconds()
@@ -94,6 +100,7 @@
 		}
 		return calm * full
 	}
+	prepare(p, high, high)
 	got := p.simulate(length)
 	t.Logf("falls %d, %+v", p.falls, got)
 	return p.falls, float64(got.onTime) / (full * (calm*(length-high).Seconds() + min(c.load, 1)*high.Seconds()))
@@ -377,3 +384,46 @@
 		})
 	}
 }
+
+// restart lets a router forget what replicas stated, and learn it from another one.
+func (p *brittlePlay) restart(router int) {
+	b := p.routers[router]
+	b.mu.Lock()
+	clear(b.brittle)
+	b.mu.Unlock()
+	for _, stated := range p.routers[(router+1)%len(p.routers)].BrittleServices(p.now) {
+		b.MergeBrittle(stated, p.now)
+	}
+}
+
+// Guards against a router that starts amid the load and sends replicas as much as if they were not brittle.
+func TestBrittleReplicasStayUpWhileRoutersRestart(t *testing.T) {
+	for name, c := range map[string]brittleLoad{
+		"six routers, none may be turned away":               {6, 3, 0, 1.5},
+		"nine routers, three replicas, twice the slots":      {9, 3, 5, 2},
+		"143 routers, none may be turned away":               {143, 10, 0, 1},
+		"143 routers, three replicas, three times the slots": {143, 3, 5, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			falls, _ := c.playWith(t, func(p *brittlePlay, from, length time.Duration) {
+				for router := range p.routers {
+					p.after(from+time.Duration(router)*length/time.Duration(len(p.routers)), func() { p.restart(router) })
+				}
+			})
+			assert.LessOrEqual(t, float64(falls), 2+0.1*float64(c.replicas))
+		})
+	}
+}
+
+func TestStatementsOfOthersHoldNoLongerThanOnes(t *testing.T) {
+	b := New(1)
+	b.MergeBrittle(BrittleService{"llm", 3, start.Add(time.Hour)}, start)
+	assert.Equal(t, []BrittleService{{"llm", 3, start.Add(brittleLifetime)}}, b.BrittleServices(start))
+	b.MergeBrittle(BrittleService{"llm", 4, start.Add(time.Second)}, start)
+	assert.Equal(t, 3, b.BrittleServices(start)[0].Rejections, "the one that holds longer")
+	assert.Empty(t, b.BrittleServices(start.Add(brittleLifetime)))
+	b.SetReplicas(engines(1), start)
+	b.SturdyReported("i-0")
+	assert.Empty(t, b.BrittleServices(start), "an answer ends it")
+}
