standin: a late answer names another request than its own

Cause: the rig. The request was tried twice at one replica: it got an error 500, then came again through another router. The second try met the fault "late", which puts an answer to the last answered request before the request's own. That was the same request, so both answers had its id and the router passed the first one on, as it must. Between the two tries that replica answered nobody else (two broken runs).

Ruled out: a connection that is used again after a surplus answer (the run's fault was "late", on a connection of its own), and the relay, which passed on what it got.

Change: the replica remembers the last two requests that it answered, and a late or surplus answer names the last other one. Routers are checked as strictly as before: what comes first is of no run of the request.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -60,7 +60,8 @@
 	queue      queue
 	faults     []ReplicaFault
 	runs       []*ReplicaRun
-	lastAnswer string
+	// answered are the last two requests that were answered, the later one first.
+	answered [2]string
 }
 
 // ReplicaRun is what a replica knows of one request that came to it.
@@ -319,7 +320,9 @@
 	_, _ = io.WriteString(w, text)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastAnswer = run.Attempt
+	if run.Attempt != r.answered[0] {
+		r.answered = [2]string{run.Attempt, r.answered[0]}
+	}
 }
 
 // stream writes the events that are due, up to one that is not written any more.
--- a/internal/standin/replica_faults.go
+++ b/internal/standin/replica_faults.go
@@ -128,9 +128,7 @@
 		panic(err)
 	}
 	defer conn.Close()
-	r.mu.Lock()
-	earlier := r.lastAnswer
-	r.mu.Unlock()
+	earlier := r.answeredBefore(run.Attempt)
 	own := wire(run.Attempt, run.Signature, Reply(run.Attempt, run.Method, run.Path, run.BodySum))
 	surplus := wire(earlier, run.Signature+"-surplus", "an answer of "+earlier)
 	switch fault {
@@ -147,6 +145,17 @@
 	}
 }
 
+// answeredBefore returns the last request, other than this one, that was answered. A late answer to an
+// earlier try of the same request has the request's own id, so no router could tell it apart.
+func (r *Replica) answeredBefore(attempt string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answered[0] == attempt {
+		return r.answered[1]
+	}
+	return r.answered[0]
+}
+
 // wire is a whole plain answer as it is sent.
 func wire(attempt, signature, text string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
--- a/internal/standin/replica_test.go
+++ b/internal/standin/replica_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/platform"
 )
 
 // Guards against a replica that reads its server before that is set: callers that know its
@@ -49,3 +51,27 @@
 		<-sent
 	}
 }
+
+// Guards against a late answer that names the request itself, which was tried here before: the soak
+// took it for an answer that a router mixed up.
+func TestLateAnswerNamesAnotherRequest(t *testing.T) {
+	replica, err := StartReplica("a", "127.0.0.9:0", ReplicaOptions{})
+	require.NoError(t, err)
+	defer replica.Crash()
+	send := func(attempt string) string {
+		request, err := http.NewRequest(http.MethodPost, "http://"+replica.Address()+"/x", strings.NewReader("x"))
+		require.NoError(t, err)
+		request.Header.Set(platform.Dialect().AttemptID, attempt)
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		response, err := client.Do(request)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		return response.Header.Get(platform.Dialect().AttemptID)
+	}
+	require.Equal(t, "first", send("first"))
+	require.Equal(t, "second", send("second"))
+	replica.Fail(FaultError, FaultLate, FaultLate)
+	require.Equal(t, "third", send("third"))
+	require.Equal(t, "second", send("third"))
+	require.Equal(t, "third", send("fourth"))
+}
