balance, gossip: routers tell each other that replicas are brittle

Cause, traced in that load: a router knew of the statement for 5 s after an answer of its own. At 0.6 requests a second and router some had no answer in the 3 s between the first statement and the time from which none may wait; they took slots that belong to others, whose owners were then turned away (falls 1 to 3, 6.02 to 6.35 s). The replicas were gone for 3 s and most routers had no answer meanwhile, so 5 s after the last one many forgot, and sent requests past the owners of the slots (falls 4 to 6, 11.07 to 11.09 s, by routers whose statement had lapsed 0.05 to 0.1 s before).

Ruled out: a longer lifetime, which does nothing for the first three falls and outlives what the replicas say; answers through relays, which tell their statement to both routers already.

Change: a statement is a rumor (Digest.brittle, brittle_bears, brittle_age_ms; testdata/brittle), told by who gets it from a replica 2 s after the last one, and forwarded in large fleets if it is 1 s later than the last one known. One that is older than an answer without it counts for nothing. 28 bytes to 12 partners each 2 s and router while replicas are brittle, else nothing; builds before ignore the fields.

--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -38,12 +38,13 @@
 
 // recordBrittle records whether an answer says that its replica is brittle.
 func (f *Front) recordBrittle(id string, answer *http.Response) {
+	now := steady.Now()
 	rejections, err := strconv.Atoi(answer.Header.Get(f.options.Dialect.Brittle))
 	if err != nil || rejections < 0 {
-		f.balancer.SturdyReported(id)
+		f.balancer.SturdyReported(id, now)
 		return
 	}
-	f.balancer.BrittleReported(id, rejections, steady.Now())
+	f.balancer.BrittleReported(id, rejections, now)
 }
 
 // RecordRest records a rest that an answer to one of the router's own queries asks for. Such
--- a/internal/gossip/corpus_test.go
+++ b/internal/gossip/corpus_test.go
@@ -13,6 +13,7 @@
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/watch"
+	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -79,3 +80,18 @@
 		})
 	}
 }
+
+// Guards against a change of the wire format: testdata/brittle is what the first build that tells
+// of brittle replicas wrote, the older ones tell nothing.
+func TestStatementsOfBrittlenessBetweenBuilds(t *testing.T) {
+	now := steady.Now()
+	for build, want := range map[string][]balance.BrittleStatement{
+		"56dafcd": nil,
+		"usual":   nil,
+		"brittle": {{Replica: 0xdeadbeef, Rejections: 0, At: now}, {Replica: 7, Rejections: 300, At: now.Add(-1500 * time.Millisecond)}},
+	} {
+		var d gossippb.Datagram
+		readMessage(t, build, "datagram", &d)
+		assert.Equal(t, want, decodeDigest(d.Digest, now).Brittle, build)
+	}
+}
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -124,11 +124,12 @@
 		missed = &gossippb.Digest{}
 		g.deferred[address] = missed
 	}
-	if len(missed.Failed) >= maxDeferred || len(missed.Part) >= maxDeferred || len(missed.Marks.GetCrashed()) >= maxDeferred {
+	if len(missed.Failed) >= maxDeferred || len(missed.Part) >= maxDeferred || len(missed.Brittle) >= maxDeferred || len(missed.Marks.GetCrashed()) >= maxDeferred {
 		return
 	}
 	proto.Merge(missed, &gossippb.Digest{
 		Failed: digest.Failed, Failure: digest.Failure, FailedAgeMs: digest.FailedAgeMs,
 		Part: digest.Part, Holder: digest.Holder, Marks: digest.Marks,
+		Brittle: digest.Brittle, BrittleBears: digest.BrittleBears, BrittleAgeMs: digest.BrittleAgeMs,
 	})
 }
--- a/internal/gossip/round_test.go
+++ b/internal/gossip/round_test.go
@@ -22,13 +22,17 @@
 	address := second.gossip.Address()
 	g := first.gossip
 	d := digests{hello: &gossippb.Digest{Hello: true}}
-	rumor := &gossippb.Digest{Sender: g.Address(), Failed: []uint32{1}, Failure: []uint32{4}, FailedAgeMs: []uint32{0}}
+	rumor := &gossippb.Digest{
+		Sender: g.Address(), Failed: []uint32{1}, Failure: []uint32{4}, FailedAgeMs: []uint32{0},
+		Brittle: []uint32{1}, BrittleBears: []uint32{2}, BrittleAgeMs: []uint32{0},
+	}
 	g.mu.Lock()
 	g.busy[address] = true
 	g.mu.Unlock()
 	g.startExchange(context.Background(), address, rumor, d)
 	g.mu.Lock()
 	assert.Equal(t, []uint32{1}, g.deferred[address].Failed)
+	assert.Len(t, decodeDigest(g.deferred[address], time.Now()).Brittle, 1)
 	g.busy[address] = false
 	g.mu.Unlock()
 	g.startExchange(context.Background(), address, &gossippb.Digest{Sender: g.Address()}, d)
@@ -79,3 +83,17 @@
 	d.HotHomes = d.HotHomes[:1]
 	assert.Len(t, decodeDigest(&d, later).Hot, 1, "a damaged message is read as far as it goes")
 }
+
+func TestStatementsOfBrittlenessAreSentWithAge(t *testing.T) {
+	now := time.Now()
+	stated := []balance.BrittleStatement{{Replica: 1 << 30, Rejections: 7, At: now.Add(-1500 * time.Millisecond)}, {Replica: 2, At: now}}
+	var d gossippb.Digest
+	encodeRumors(&d, balance.Rumors{Brittle: stated}, now)
+	later := now.Add(time.Hour)
+	for i := range stated {
+		stated[i].At = stated[i].At.Add(time.Hour)
+	}
+	assert.Equal(t, stated, decodeDigest(&d, later).Brittle)
+	d.BrittleBears = d.BrittleBears[:1]
+	assert.Len(t, decodeDigest(&d, later).Brittle, 1, "a damaged message is read as far as it goes")
+}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -91,6 +91,11 @@
 	}
 	d.Part, d.Holder = encodeHolders(rumors.Holders)
 	encodeHot(d, rumors.Hot, now)
+	for _, s := range rumors.Brittle {
+		d.Brittle = append(d.Brittle, s.Replica)
+		d.BrittleBears = append(d.BrittleBears, uint32(s.Rejections))
+		d.BrittleAgeMs = append(d.BrittleAgeMs, uint32(now.Sub(s.At).Milliseconds()))
+	}
 }
 
 func encodeHot(d *gossippb.Digest, parts []balance.HotPart, now time.Time) {
@@ -149,6 +154,9 @@
 	for i := range min(len(d.Hot), len(d.HotHomes), len(d.HotAgeMs)) {
 		t.Hot = append(t.Hot, balance.HotPart{Part: d.Hot[i], Homes: int(d.HotHomes[i]), At: now.Add(-milliseconds(d.HotAgeMs[i]))})
 	}
+	for i := range min(len(d.Brittle), len(d.BrittleBears), len(d.BrittleAgeMs)) {
+		t.Brittle = append(t.Brittle, balance.BrittleStatement{Replica: d.Brittle[i], Rejections: int(d.BrittleBears[i]), At: now.Add(-milliseconds(d.BrittleAgeMs[i]))})
+	}
 	return t
 }
 
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -218,9 +218,10 @@
 	// allowance limits what this router may send to the replica while it is cold.
 	allowance tokenBucket
 	// rejections limits the requests that this router may have turned away while the replica
-	// is brittle. lastRejection is when that last happened.
-	rejections    tokenBucket
-	lastRejection time.Time
+	// is brittle. lastRejection is when that last happened, sturdyAt when an answer last did not
+	// say that the replica is brittle.
+	rejections              tokenBucket
+	lastRejection, sturdyAt time.Time
 	// softOutcomes counts, over all routers, the failures that count against the replica
 	// only if it has more of them than the others.
 	softOutcomes outcomeCounts
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -22,8 +22,6 @@
 // nothing rests on them.
 
 const (
-	// brittleLifetime is how long a statement holds without a further one.
-	brittleLifetime = 5 * time.Second
 	// rejectionFraction is the part of the rejections that a replica bears that all routers
 	// together may cause. The rest is for counts of routers that differ.
 	rejectionFraction = 0.5
@@ -34,41 +32,6 @@
 	sparePause = 10 * time.Millisecond
 )
 
-// brittleness is what the replicas of a service stated last.
-type brittleness struct {
-	// bears is how many rejections in a second a replica survives.
-	bears float64
-	until time.Time
-}
-
-// BrittleReported records that an answer of a replica said that it is brittle, and how many
-// requests it may turn away in a second. It speaks for all replicas of the service.
-func (b *Balancer) BrittleReported(id string, rejections int, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.replicas[id]; r != nil {
-		b.brittle[r.Service] = brittleness{float64(rejections), now.Add(brittleLifetime)}
-	}
-}
-
-// SturdyReported records that an answer of a replica did not say that it is brittle.
-func (b *Balancer) SturdyReported(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.replicas[id]; r != nil {
-		delete(b.brittle, r.Service)
-	}
-}
-
-// brittleOf returns what the replicas of a service stated.
-func (b *Balancer) brittleOf(service string, now time.Time) (brittleness, bool) {
-	if len(b.brittle) == 0 {
-		return brittleness{}, false
-	}
-	stated, found := b.brittle[service]
-	return stated, found && now.Before(stated.until)
-}
-
 // SetLeavingRouters sets the addresses of the routers that announced their stop. Callers use
 // open connections to them until they end, so their parts of brittle replicas stay theirs.
 func (b *Balancer) SetLeavingRouters(addresses []string) {
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -47,7 +47,7 @@
 	p.answered = func(router int, id string, taken bool) {
 		at := p.now.Sub(start)
 		if at < brittleFrom || at >= brittleTo {
-			p.routers[router].SturdyReported(id)
+			p.routers[router].SturdyReported(id, p.now)
 			return
 		}
 		p.routers[router].BrittleReported(id, p.bears, p.now)
@@ -116,6 +116,7 @@
 		"143 routers, three replicas, three times the slots":       {143, 3, 5, 3},
 		"143 routers, none may be turned away":                     {143, 10, 0, 1},
 		"300 routers, six times the slots":                         {300, 10, 5, 6},
+		"300 routers, three replicas, six times the slots":         {300, 3, 5, 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -142,6 +143,94 @@
 	}
 }
 
+// Guards against routers that do not know that replicas are brittle because their own requests went
+// elsewhere, and against statements that are told without end.
+func TestStatementsOfBrittlenessReachAllRouters(t *testing.T) {
+	const replica, every, first, last = "p-0", 300 * time.Millisecond, time.Second, 21 * time.Second
+	for _, routers := range []int{3, 12, 30, 143, 300} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			f := newPlainFleet(1, routers, max(routers/8, 1), 1)
+			knowing := func() (n int) {
+				for _, b := range f.routers {
+					if _, is := b.brittleOf("plain", f.now); is {
+						n++
+					}
+				}
+				return n
+			}
+			for _, b := range f.routers {
+				b.SetLargeFleet(routers > 12)
+			}
+			for at := first; at < last; at += every {
+				f.after(at, func() { f.routers[f.random.IntN(routers)].BrittleReported(replica, 2, f.now) })
+			}
+			f.run(first + brittleNotice)
+			for f.now.Before(start.Add(last)) {
+				assert.Equal(t, routers, knowing(), "after %s", f.now.Sub(start))
+				f.run(every)
+			}
+			f.run(brittleLifetime)
+			assert.Zero(t, knowing(), "no replica has said so since")
+		})
+	}
+}
+
+// Guards against old statements of other routers that replace what this one was told since, and
+// against statements that circulate in a large fleet.
+func TestStatementOfBrittlenessFromAnotherRouter(t *testing.T) {
+	const now = 10 * time.Second
+	statement := func(at time.Duration) BrittleStatement {
+		return BrittleStatement{Replica: ReplicaHash("i-0"), Rejections: 4, At: start.Add(at)}
+	}
+	for name, c := range map[string]struct {
+		prepare          func(*Balancer)
+		at               time.Duration
+		brittle, forward bool
+		bears            float64
+	}{
+		"new":               {func(*Balancer) {}, now, true, true, 4},
+		"some time ago":     {func(*Balancer) {}, now - 4*time.Second, true, true, 4},
+		"too long ago":      {func(*Balancer) {}, now - brittleLifetime, false, false, 0},
+		"sturdy since":      {func(b *Balancer) { b.SturdyReported("i-1", start.Add(now)) }, now - time.Second, false, false, 0},
+		"sturdy before":     {func(b *Balancer) { b.SturdyReported("i-1", start.Add(now-time.Second)) }, now, true, true, 4},
+		"this one is later": {func(b *Balancer) { b.BrittleReported("i-1", 2, start.Add(now)) }, now - 3*time.Second, true, false, 2},
+		"a little later":    {func(b *Balancer) { b.BrittleReported("i-1", 2, start.Add(now-time.Second/2)) }, now, true, false, 4},
+		"much later":        {func(b *Balancer) { b.BrittleReported("i-1", 2, start.Add(now-brittleForward)) }, now, true, true, 4},
+		"known since":       {func(b *Balancer) { b.MergeRumors(Rumors{Brittle: []BrittleStatement{statement(now)}}, start) }, now, true, false, 4},
+		"no such replica":   {func(b *Balancer) { b.SetReplicas(nil, start) }, now, false, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(engines(2))
+			b.SetLargeFleet(true)
+			c.prepare(b)
+			b.TakeRumors(start.Add(now))
+			b.MergeRumors(Rumors{Brittle: []BrittleStatement{statement(c.at)}}, start.Add(now))
+			stated, brittle := b.brittleOf("llm", start.Add(now))
+			assert.Equal(t, c.brittle, brittle)
+			if brittle {
+				assert.Equal(t, c.bears, stated.bears)
+			}
+			var want []BrittleStatement
+			if c.forward {
+				want = append(want, statement(c.at))
+			}
+			assert.Equal(t, want, b.TakeRumors(start.Add(now)).Brittle)
+		})
+	}
+}
+
+// Guards against a statement that each answer tells all other routers anew.
+func TestStatementOfBrittlenessIsToldNowAndThen(t *testing.T) {
+	b := newBalancer(engines(2))
+	told := 0
+	for at := time.Duration(0); at < 10*brittleRepeat; at += 10 * time.Millisecond {
+		b.BrittleReported("i-0", 2, start.Add(at))
+		b.SturdyReported("i-1", start.Add(at))
+		told += len(b.TakeRumors(start.Add(at)).Brittle)
+	}
+	assert.Equal(t, 10, told)
+}
+
 // Guards against slots that belong to two routers, or to none, and against requests that are
 // handed to routers without any.
 func TestSlotsOfBrittleReplicasAreDivided(t *testing.T) {
@@ -206,7 +295,7 @@
 	assert.True(t, found(brittleLifetime), "it did not say so again")
 	b.BrittleReported("i-0", 2, start.Add(brittleLifetime))
 	assert.False(t, found(brittleLifetime))
-	b.SturdyReported("i-0")
+	b.SturdyReported("i-0", start.Add(brittleLifetime))
 	assert.True(t, found(brittleLifetime))
 }
 
--- a/pkg/balance/rumors.go
+++ b/pkg/balance/rumors.go
@@ -13,6 +13,7 @@
 	Failures []ObservedFailure
 	Holders  []PartHolder
 	Hot      []HotPart
+	Brittle  []BrittleStatement
 }
 
 // ObservedFailure is a failure that a router saw. At is on the monotonic clock of the
@@ -30,10 +31,12 @@
 }
 
 // Empty reports whether there is nothing to send.
-func (r Rumors) Empty() bool { return len(r.Failures)+len(r.Holders)+len(r.Hot) == 0 }
+func (r Rumors) Empty() bool {
+	return len(r.Failures)+len(r.Holders)+len(r.Hot)+len(r.Brittle) == 0
+}
 
-// TakeRumors returns what the other routers need to know. It returns each failure, holder
-// and hot part once.
+// TakeRumors returns what the other routers need to know. It returns each failure, holder,
+// hot part and statement once.
 func (b *Balancer) TakeRumors(now time.Time) Rumors {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -108,6 +111,9 @@
 	for _, h := range t.Hot {
 		b.addHotPart(h, now)
 	}
+	for _, s := range t.Brittle {
+		b.mergeBrittle(s, now)
+	}
 }
 
 // mergeFailure takes a failure that another router saw. b.mu is held.
