--- a/internal/gossip/statements.go
+++ b/internal/gossip/statements.go
@@ -50,6 +50,6 @@
 	}
 	for i := range min(len(r.Brittle), len(r.BrittleRejections), len(r.BrittleLeftMs), maxHelloBrittle) {
 		until := now.Add(milliseconds(r.BrittleLeftMs[i]))
-		g.balancer.MergeBrittle(balance.BrittleService{Service: r.Brittle[i], Rejections: int(r.BrittleRejections[i]), Until: until}, now)
+		g.balancer.LearnBrittle(balance.BrittleService{Service: r.Brittle[i], Rejections: int(r.BrittleRejections[i]), Until: until}, now)
 	}
 }
