test/restarts: deadly requests, rest, repeats, orders, what runs once

Rows for what else routers keep in memory only: which requests crash replicas, which replicas asked for rest, how much of the budget for repeats is spent, what the operator took away, what may run once. Each is judged from callers and replicas. A way of ending more: all are killed, and again 3 s after their return. Seeds were joined with blanks, so that routers knew only the first: mended.

--- a/test/restarts/caller.go
+++ b/test/restarts/caller.go
@@ -18,13 +18,17 @@
 // exchange is one request and what its caller saw of the answer.
 type exchange struct {
 	id, path, body string
+	// key is the caller's, that of the rig if empty; parts are those of its prompt.
+	key, parts string
 	// resumes and after take up a stream: the attempt that began it and its last event.
 	resumes string
 	after   int
 	// deadline is the time that the caller gives.
 	deadline time.Duration
 
-	sent time.Time
+	// router is the one that it was sent to.
+	router string
+	sent   time.Time
 	// headAfter is the time until the head of the answer.
 	headAfter  time.Duration
 	status     int
@@ -64,13 +68,16 @@
 	}
 	request.Host = host
 	request.Header.Set(names.AttemptID, e.id)
-	request.Header.Set(names.Key, names.KeyScheme+key)
+	request.Header.Set(names.Key, names.KeyScheme+cmp.Or(e.key, key))
 	request.Header.Set(names.Deadline, strconv.FormatInt(e.deadline.Milliseconds(), 10))
+	if e.parts != "" {
+		request.Header.Set(names.PromptParts, e.parts)
+	}
 	if e.resumes != "" {
 		request.Header.Set(names.Resumes, e.resumes)
 		request.Header.Set("Last-Event-Id", strconv.Itoa(e.after))
 	}
-	e.sent = time.Now()
+	e.router, e.sent = r.name, time.Now()
 	response, err := f.client.Do(request)
 	e.headAfter = time.Since(e.sent)
 	if err != nil {
--- a/test/restarts/fleet.go
+++ b/test/restarts/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,6 +40,8 @@
 	// of endMost.
 	turnPause = time.Second
 	lastPause = 2 * time.Second
+	// twicePause is the time from a return to the second end of endTwice.
+	twicePause = 3 * time.Second
 )
 
 var (
@@ -94,7 +97,7 @@
 
 // addReplica starts a replica and lists it.
 func (f *fleet) addReplica(id string, o standin.ReplicaOptions) (*standin.Replica, error) {
-	o.Service, o.Zone = service, zone
+	o.Service, o.Zone = service, cmp.Or(o.Zone, zone)
 	r, err := standin.StartReplica(id, ownAddress(standInHost), o)
 	if err != nil {
 		return nil, err
@@ -153,17 +156,14 @@
 	gone := time.Now()
 	serving := f.routers
 	switch f.end {
-	case endHalf:
-		serving = f.routers
+	case endUpdate:
+		return f.update(broken, meanwhile)
 	case endStill:
 		serving = first
 		for _, r := range f.routers[1:] {
 			r.signal(syscall.SIGSTOP)
 		}
 	}
-	if f.end == endUpdate {
-		return f.update(broken, meanwhile)
-	}
 	f.stopAll(first)
 	broken()
 	meanwhile()
@@ -184,7 +184,13 @@
 		})
 	}
 	all.Wait()
-	return serving, errors.Join(errs...)
+	if err := errors.Join(errs...); err != nil || f.end != endTwice {
+		return serving, err
+	}
+	time.Sleep(twicePause)
+	f.stopAll(first)
+	time.Sleep(f.absence)
+	return serving, f.returnAll(first)
 }
 
 // groups returns the routers that end first, and those that do later with the pause between them.
@@ -292,7 +298,9 @@
 		}
 		f.after(wait, func() { f.store.WriteAgain(platform.ReplicaKey(r.ID), before, copied) })
 	}
-	f.after(heartbeat, func() { f.store.WriteAgain(platform.ConfigKey, before, copied) })
+	for _, key := range []string{platform.ConfigKey, platform.EvacuationKey(southern)} {
+		f.after(heartbeat, func() { f.store.WriteAgain(key, before, copied) })
+	}
 }
 
 // after does something later, unless the case is over.
@@ -414,7 +422,7 @@
 	seeds := ""
 	for i, seed := range r.fleet.routers[:min(r.fleet.size, 3)] {
 		if i > 0 {
-			seeds += ", "
+			seeds += ","
 		}
 		seeds += seed.listen[2]
 	}
--- a/test/restarts/restarts_test.go
+++ b/test/restarts/restarts_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,41 +12,46 @@
 	"github.com/stretchr/testify/require"
 )
 
-// program builds the router's program once for all tests of a run.
-func program(t *testing.T) string {
-	t.Helper()
-	if given := os.Getenv("RESTARTS_PROGRAM"); given != "" {
-		return given
+// program builds the router's program once, in a folder that TestMain removes.
+var program = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(folder, "croftyard")
+	return path, build(path)
+})
+
+var folder string
+
+func TestMain(m *testing.M) {
+	var err error
+	if folder, err = os.MkdirTemp("", "restarts"); err != nil {
+		panic(err)
 	}
-	path := filepath.Join(t.TempDir(), "croftyard")
-	require.NoError(t, build(path))
-	return path
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
 }
 
 // playShort plays cases of a row side by side, each a change and a way of ending.
 func playShort(t *testing.T, r row, seed uint64, cases [][2]string) {
 	t.Helper()
 	const size = 3
-	path := program(t)
-	// The parallel subtests end before the folder of the program is removed.
-	t.Run("cases", func(t *testing.T) {
-		for _, c := range cases {
-			s := scenario{row: r, change: c[0], end: c[1], store: storeNormal, absence: 100 * time.Millisecond, size: size, seed: seed}
-			t.Run(s.change+", "+s.end, func(t *testing.T) {
-				t.Parallel()
-				o, err := s.play(path, t.TempDir(), "")
-				require.NoError(t, err)
-				t.Log(result{scenario: s, outcome: o}.summary())
-				assert.Zero(t, o.broken)
-				assert.Empty(t, o.violations)
-			})
-		}
-	})
+	path, err := program()
+	require.NoError(t, err)
+	t.Parallel()
+	for _, c := range cases {
+		s := scenario{row: r, change: c[0], end: c[1], store: storeNormal, absence: 100 * time.Millisecond, size: size, seed: seed}
+		t.Run(s.change+", "+s.end, func(t *testing.T) {
+			t.Parallel()
+			o, err := s.play(path, t.TempDir(), "")
+			require.NoError(t, err)
+			t.Log(result{scenario: s, outcome: o}.summary())
+			assert.Zero(t, o.broken)
+			assert.Empty(t, o.violations)
+		})
+	}
 }
 
 // Guards against streams that go on at another software version once no router remembers which one began them.
 func TestStreamsAfterRestartsHoldOneVersion(t *testing.T) {
-	const seed = 1
 	playShort(t, streams{}, seed, [][2]string{{leftBefore, endKilled}, {replacedMeanwhile, endKilled}, {bothServe, endKilled}, {leftBefore, endInTurn}, {leftBefore, endStill}})
 }
 
--- a/test/restarts/scenario.go
+++ b/test/restarts/scenario.go
@@ -22,7 +22,7 @@
 	play(f *fleet) (outcome, error)
 }
 
-var rows = []row{streams{}}
+var rows = []row{streams{}, deadly{}, rest{}, retries{}, orders{}, once{}}
 
 func rowNames() []string {
 	var names []string
@@ -36,6 +36,8 @@
 const (
 	// endKilled: all are killed at once.
 	endKilled = "killed"
+	// endTwice: all are killed at once, and again soon after their return.
+	endTwice = "killed twice"
 	// endPower: all fall silent, and what they had open breaks only as they return.
 	endPower = "power"
 	// endInTurn: one is killed each second.
@@ -50,7 +52,7 @@
 	endStill = "peers still"
 )
 
-var ends = []string{endKilled, endPower, endInTurn, endUpdate, endMost, endHalf, endStill}
+var ends = []string{endKilled, endTwice, endPower, endInTurn, endUpdate, endMost, endHalf, endStill}
 
 // States of the store when the first router returns.
 const (
--- a/test/restarts/streams.go
+++ b/test/restarts/streams.go
@@ -72,6 +72,8 @@
 	const around = 15 * time.Second
 	t := around + s.absence
 	switch s.end {
+	case endTwice:
+		t += twicePause + s.absence
 	case endInTurn:
 		t += time.Duration(s.size) * turnPause
 	case endUpdate:
--- /dev/null
+++ b/test/restarts/traffic.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/standin"
+	"github.com/croftyard/croftyard/platform"
+)
+
+// Paths of the routes of rows other than streams.
+const (
+	pathOnce   = "/once/x"
+	pathRepeat = "/repeat/x"
+)
+
+// callDeadline is the time that callers of these routes give.
+const callDeadline = 2 * time.Second
+
+// plainConfiguration has a route for what runs once and one for what may be repeated.
+func plainConfiguration(version uint64, keys ...string) platform.Configuration {
+	const timeout, target, attempts = 4000, 400, 3
+	return platform.Configuration{
+		Version: version,
+		Routes: []platform.RouteEntry{
+			{Name: "once", Host: host, PathPrefix: "/once/", Type: platform.RouteNonIdempotent, Service: service, MaxAttempts: attempts, TimeoutMS: timeout, TargetMS: target},
+			{Name: "repeat", Host: host, PathPrefix: "/repeat/", Type: platform.RouteIdempotent, Service: service, MaxAttempts: attempts, TimeoutMS: timeout, TargetMS: target},
+		},
+		Services: []platform.ServiceEntry{{Name: service}},
+		Limits:   platform.LimitsEntry{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15_000},
+		Tenants:  []platform.TenantEntry{{Name: "north", APIKeys: keys}},
+	}
+}
+
+// traffic is callers that send one request after another until they are stopped.
+type traffic struct {
+	stop context.CancelFunc
+	all  sync.WaitGroup
+
+	mu   sync.Mutex
+	sent []*exchange
+}
+
+// call lets callers send what next returns, each to a router that is drawn.
+func (f *fleet) call(callers int, pause time.Duration, next func() *exchange) *traffic {
+	ctx, stop := context.WithCancel(context.Background())
+	t := &traffic{stop: stop}
+	for n := range callers {
+		rnd := rand.New(rand.NewPCG(f.seed, uint64(n)))
+		t.all.Go(func() {
+			for ctx.Err() == nil {
+				e := next()
+				// A caller that stops waits for its last answer.
+				f.send(context.Background(), f.routers[rnd.IntN(f.size)], e, nil)
+				t.mu.Lock()
+				t.sent = append(t.sent, e)
+				t.mu.Unlock()
+				select {
+				case <-ctx.Done():
+				case <-time.After(pause):
+				}
+			}
+		})
+	}
+	return t
+}
+
+// ended stops the callers and returns what they sent, in its order. What found nobody at the
+// router's address was not sent.
+func (t *traffic) ended() []*exchange {
+	t.stop()
+	t.all.Wait()
+	sent := slices.DeleteFunc(t.sent, func(e *exchange) bool { return errors.Is(e.err, syscall.ECONNREFUSED) })
+	slices.SortFunc(sent, func(a, b *exchange) int { return a.sent.Compare(b.sent) })
+	return sent
+}
+
+// plain returns a request of a route.
+func (f *fleet) plain(path string) *exchange {
+	id := f.newID()
+	return &exchange{id: id, path: path, body: "body " + id, deadline: callDeadline}
+}
+
+// runs returns what came to all replicas, in its order.
+func (f *fleet) runs() []standin.ReplicaRun {
+	var all []standin.ReplicaRun
+	for _, r := range f.allReplicas() {
+		all = append(all, r.Runs()...)
+	}
+	slices.SortFunc(all, func(a, b standin.ReplicaRun) int { return a.At.Compare(b.At) })
+	return all
+}
+
+// addReplicas starts replicas whose ids begin with a name.
+func (f *fleet) addReplicas(name string, n int, o standin.ReplicaOptions) ([]*standin.Replica, error) {
+	var all []*standin.Replica
+	for i := range n {
+		r, err := f.addReplica(fmt.Sprintf("i-%s-%d", name, i), o)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+// count adds what became of requests: served is kept, what was refused is timed.
+func (o *outcome) count(sent []*exchange) {
+	for _, e := range sent {
+		o.asked++
+		switch {
+		case e.whole && e.status < 400:
+			o.kept++
+		case e.refused():
+			o.refused++
+			o.slowest = max(o.slowest, e.headAfter)
+		}
+	}
+}
+
+// after returns those requests that were sent after a time.
+func after(sent []*exchange, from time.Time) []*exchange {
+	return slices.DeleteFunc(slices.Clone(sent), func(e *exchange) bool { return e.sent.Before(from) })
+}
--- a/test/restarts/write.go
+++ b/test/restarts/write.go
@@ -42,7 +42,7 @@
 			notes += "; " + v
 		}
 		if r.err != nil {
-			notes = r.err.Error()
+			notes = strings.Join(strings.Fields(r.err.Error()), " ")
 		}
 		refusal := ""
 		if r.slowest > 0 {
