--- a/test/restarts/rows_test.go
+++ b/test/restarts/rows_test.go
@@ -11,6 +11,11 @@
 	playShort(t, deadly{}, seed, [][2]string{{deadlyBody, endKilled}, {deadlyPart, endInTurn}})
 }
 
+// Guards against the same where all routers end again soon after their return.
+func TestDeadlyRequestsAfterTwoRestarts(t *testing.T) {
+	playShort(t, deadly{}, seed, [][2]string{{deadlyBody, endTwice}})
+}
+
 // Guards against what runs once being run again, or refused although it runs, as routers end.
 func TestOnceAfterRestarts(t *testing.T) {
 	playShort(t, once{}, seed, [][2]string{{replicasFull, endKilled}, {replicasFail, endInTurn}})
