test/restarts: what failed is counted; addresses are free as routers start

What is against a rule may be more than what was tried, so that the rest of it could be less than none; what failed is a figure of its own now. One of some 420 cases ended at its start, 'address already in use', beside three other fleets. Suspected: a process that is being started holds the listeners by which another fleet looks for addresses.

--- a/test/restarts/deadly.go
+++ b/test/restarts/deadly.go
@@ -146,6 +146,8 @@
 		if e.refused() {
 			o.kept++
 			o.slowest = max(o.slowest, e.headAfter)
+		} else {
+			o.failed++
 		}
 	}
 	if late > mostLateRuns {
--- a/test/restarts/fleet.go
+++ b/test/restarts/fleet.go
@@ -457,7 +457,7 @@
 	command.Stdout, command.Stderr = log, log
 	// An interrupt at the terminal is for the rig, which ends the routers of the cases under way.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := command.Start(); err != nil {
+	if err := startAlone(command); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
@@ -474,6 +474,14 @@
 	return nil
 }
 
+// startAlone starts a process while no addresses are looked for: a process holds the listeners of
+// the one that started it until it runs its own program, and their addresses stay in use.
+func startAlone(command *exec.Cmd) error {
+	given.Lock()
+	defer given.Unlock()
+	return command.Start()
+}
+
 func (r *router) logPath() string { return filepath.Join(r.fleet.folder, r.name+".log") }
 
 // lastLine is the last line that the processes of this place have written.
--- a/test/restarts/orders.go
+++ b/test/restarts/orders.go
@@ -71,10 +71,13 @@
 	o := outcomeOf(s)
 	if f.change == revoked {
 		// What the routers keep is that the key is unknown.
-		o.kept = 0
+		o.kept, o.failed = 0, 0
 		for _, e := range s.afterReturn() {
-			if e.status == http.StatusUnauthorized {
+			switch {
+			case e.status == http.StatusUnauthorized:
 				o.kept++
+			case !e.refused():
+				o.failed++
 			}
 		}
 	}
--- a/test/restarts/restarts_test.go
+++ b/test/restarts/restarts_test.go
@@ -100,11 +100,11 @@
 func TestTableAndPage(t *testing.T) {
 	s := scenario{row: streams{}, change: bothServe, end: endKilled, store: storeNormal, absence: time.Second, size: 3, seed: 1}
 	results := []result{
-		{scenario: s, outcome: outcome{asked: 60, kept: 30, broken: 28, refused: 1, slowest: 2 * time.Millisecond, before: calls{3, 1}, violations: []string{"joined"}}},
+		{scenario: s, outcome: outcome{asked: 60, kept: 30, broken: 28, refused: 1, failed: 1, slowest: 2 * time.Millisecond, before: calls{3, 1}, violations: []string{"joined"}}},
 		{scenario: s, err: errNotReady},
 	}
 	text := table(results)
-	assert.Contains(t, text, "| 60 | 30 | 0 | 1 | 2ms | 28 | 1 | 3, 1 | 0, 0 | ; joined |")
+	assert.Contains(t, text, "| 60 | 30 | 0 | 1 | 2ms | 1 | 28 | 3, 1 | 0, 0 | ; joined |")
 	assert.Contains(t, text, errNotReady.Error())
 	page, err := page(results)
 	require.NoError(t, err)
--- a/test/restarts/scenario.go
+++ b/test/restarts/scenario.go
@@ -180,9 +180,11 @@
 
 // outcome is what callers and replicas saw in one case.
 type outcome struct {
-	// asked is how many were tried after the return. Each is kept, refused, broken or none of
-	// them: kept went on as before, broken is against the rules.
-	asked, kept, refused, broken int
+	// asked is how many were tried after the return: kept went on as before, failed ended in
+	// another way than by a refusal.
+	asked, kept, refused, failed int
+	// broken is how many, of these or of others, are against the rules.
+	broken int
 	// retried is how many of those kept were refused before.
 	retried int
 	// slowest is the longest time until a refusal.
--- a/test/restarts/streams.go
+++ b/test/restarts/streams.go
@@ -306,6 +306,8 @@
 			if len(s.tries) > 1 {
 				o.retried++
 			}
+		default:
+			o.failed++
 		}
 	}
 	o.notes = fmt.Sprintf("%d begun at %s", old, oldVersion)
--- a/test/restarts/traffic.go
+++ b/test/restarts/traffic.go
@@ -148,6 +148,8 @@
 		case e.refused():
 			o.refused++
 			o.slowest = max(o.slowest, e.headAfter)
+		default:
+			o.failed++
 		}
 	}
 	return o
--- a/test/restarts/write.go
+++ b/test/restarts/write.go
@@ -34,7 +34,7 @@
 // table returns one line a case.
 func table(results []result) string {
 	var out strings.Builder
-	out.WriteString("| row | change | end | store | away | routers | seed | asked | kept | of them retried | refused | slowest refusal | broken | other | reads, writes a router before | since | notes |\n" +
+	out.WriteString("| row | change | end | store | away | routers | seed | asked | kept | of them retried | refused | slowest refusal | failed | broken | reads, writes a router before | since | notes |\n" +
 		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, r := range results {
 		notes := r.notes
@@ -49,15 +49,12 @@
 			refusal = r.slowest.Round(time.Millisecond).String()
 		}
 		fmt.Fprintf(&out, "| %s | %s | %s | %s | %s | %d | %d | %d | %d | %d | %d | %s | %d | %d | %d, %d | %d, %d | %s |\n",
-			r.row.name(), r.change, r.end, r.store, r.absence, r.size, r.seed, r.asked, r.kept, r.retried, r.refused, refusal, r.broken, r.other(),
+			r.row.name(), r.change, r.end, r.store, r.absence, r.size, r.seed, r.asked, r.kept, r.retried, r.refused, refusal, r.failed, r.broken,
 			r.before.reads, r.before.writes, r.since.reads, r.since.writes, notes)
 	}
 	return out.String()
 }
 
-// other counts what was neither kept, refused nor broken: it failed in another way.
-func (o outcome) other() int { return o.asked - o.kept - o.refused - o.broken }
-
 const (
 	plotWidth = 26 * vg.Centimeter
 	// barHeight is the height of a case, plotEdge that around all of them.
@@ -73,7 +70,7 @@
 }{
 	{"kept", func(o outcome) int { return o.kept }, color.RGBA{R: 90, G: 160, B: 90, A: 255}},
 	{"refused", func(o outcome) int { return o.refused }, color.RGBA{R: 230, G: 190, B: 80, A: 255}},
-	{"other", outcome.other, color.RGBA{R: 150, G: 150, B: 150, A: 255}},
+	{"failed", func(o outcome) int { return o.failed }, color.RGBA{R: 150, G: 150, B: 150, A: 255}},
 	{"broken", func(o outcome) int { return o.broken }, color.RGBA{R: 200, G: 60, B: 60, A: 255}},
 }
 
