--- a/test/restarts/fleet.go
+++ b/test/restarts/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,6 +40,8 @@
 	// of endMost.
 	turnPause = time.Second
 	lastPause = 2 * time.Second
+	// twicePause is the time from a return to the second end of endTwice.
+	twicePause = 3 * time.Second
 )
 
 var (
@@ -58,6 +61,8 @@
 	attempt atomic.Uint64
 
 	mu sync.Mutex
+	// open are the routers that callers go to.
+	open []*router
 	// replicas are all that were started, listed or not.
 	replicas []*standin.Replica
 	// copied is what the store held before the change.
@@ -89,12 +94,13 @@
 		r.storeServer = server
 		f.routers = append(f.routers, r)
 	}
+	f.open = f.routers
 	return f, nil
 }
 
 // addReplica starts a replica and lists it.
 func (f *fleet) addReplica(id string, o standin.ReplicaOptions) (*standin.Replica, error) {
-	o.Service, o.Zone = service, zone
+	o.Service, o.Zone = service, cmp.Or(o.Zone, zone)
 	r, err := standin.StartReplica(id, ownAddress(standInHost), o)
 	if err != nil {
 		return nil, err
@@ -146,24 +152,19 @@
 }
 
 // endAndReturn ends routers in the case's way and waits until they have returned. broken is
-// called as soon as the first ones have ended, meanwhile while they are away, and the routers
-// at which callers arrive from then on are returned.
-func (f *fleet) endAndReturn(broken, meanwhile func()) ([]*router, error) {
+// called as soon as the first ones have ended, meanwhile while they are away.
+func (f *fleet) endAndReturn(broken, meanwhile func()) error {
 	first, later, pause := f.groups()
 	gone := time.Now()
-	serving := f.routers
 	switch f.end {
-	case endHalf:
-		serving = f.routers
+	case endUpdate:
+		return f.update(broken, meanwhile)
 	case endStill:
-		serving = first
+		f.setOpen(first)
 		for _, r := range f.routers[1:] {
 			r.signal(syscall.SIGSTOP)
 		}
 	}
-	if f.end == endUpdate {
-		return f.update(broken, meanwhile)
-	}
 	f.stopAll(first)
 	broken()
 	meanwhile()
@@ -184,7 +185,27 @@
 		})
 	}
 	all.Wait()
-	return serving, errors.Join(errs...)
+	if err := errors.Join(errs...); err != nil || f.end != endTwice {
+		return err
+	}
+	time.Sleep(twicePause)
+	f.stopAll(first)
+	time.Sleep(f.absence)
+	return f.returnAll(first)
+}
+
+// setOpen sets the routers that callers go to.
+func (f *fleet) setOpen(routers []*router) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open = routers
+}
+
+// openRouters returns the routers that callers go to.
+func (f *fleet) openRouters() []*router {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
 }
 
 // groups returns the routers that end first, and those that do later with the pause between them.
@@ -239,7 +260,7 @@
 }
 
 // update replaces one router after another.
-func (f *fleet) update(broken, meanwhile func()) ([]*router, error) {
+func (f *fleet) update(broken, meanwhile func()) error {
 	for i, r := range f.routers {
 		r.signal(syscall.SIGTERM)
 		<-r.ended
@@ -249,14 +270,14 @@
 		}
 		time.Sleep(f.absence)
 		if err := r.start(false); err != nil {
-			return nil, err
+			return err
 		}
 		if err := r.awaitReady(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	broken()
-	return f.routers, nil
+	return nil
 }
 
 // disturbStore brings the store into the case's state.
@@ -292,7 +313,9 @@
 		}
 		f.after(wait, func() { f.store.WriteAgain(platform.ReplicaKey(r.ID), before, copied) })
 	}
-	f.after(heartbeat, func() { f.store.WriteAgain(platform.ConfigKey, before, copied) })
+	for _, key := range []string{platform.ConfigKey, platform.EvacuationKey(southern)} {
+		f.after(heartbeat, func() { f.store.WriteAgain(key, before, copied) })
+	}
 }
 
 // after does something later, unless the case is over.
@@ -414,7 +437,7 @@
 	seeds := ""
 	for i, seed := range r.fleet.routers[:min(r.fleet.size, 3)] {
 		if i > 0 {
-			seeds += ", "
+			seeds += ","
 		}
 		seeds += seed.listen[2]
 	}
@@ -434,7 +457,7 @@
 	command.Stdout, command.Stderr = log, log
 	// An interrupt at the terminal is for the rig, which ends the routers of the cases under way.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := command.Start(); err != nil {
+	if err := startAlone(command); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
@@ -451,6 +474,14 @@
 	return nil
 }
 
+// startAlone starts a process while no addresses are looked for: a process holds the listeners of
+// the one that started it until it runs its own program, and their addresses stay in use.
+func startAlone(command *exec.Cmd) error {
+	given.Lock()
+	defer given.Unlock()
+	return command.Start()
+}
+
 func (r *router) logPath() string { return filepath.Join(r.fleet.folder, r.name+".log") }
 
 // lastLine is the last line that the processes of this place have written.
