--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -208,6 +208,12 @@
 	return record, nil
 }
 
+// Prefix returns the current records whose keys begin with prefix.
+func (r *Reader) Prefix(ctx context.Context, prefix string) (*List, error) {
+	_, list, err := r.readPrefix(ctx, prefix)
+	return list, err
+}
+
 // readPrefix reads the records whose keys begin with prefix and returns the number of
 // pages. The list has the origin of the first page.
 func (r *Reader) readPrefix(ctx context.Context, prefix string) (pages int, list *List, err error) {
--- a/internal/standin/store_write.go
+++ b/internal/standin/store_write.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"path"
 	"slices"
+	"strings"
 
 	"github.com/croftyard/croftyard/platform"
 )
@@ -38,8 +40,13 @@
 
 // writesReserved reports whether a transaction writes keys that routers may not write.
 func writesReserved(t platform.Transaction) bool {
-	return slices.ContainsFunc(t.Remove, platform.IsReserved) ||
-		slices.ContainsFunc(t.Put, func(p platform.Put) bool { return platform.IsReserved(p.Key) })
+	return slices.ContainsFunc(t.Remove, isReserved) ||
+		slices.ContainsFunc(t.Put, func(p platform.Put) bool { return isReserved(p.Key) })
+}
+
+// isReserved reports whether a key is the operator's or a replica's, which routers don't write.
+func isReserved(key string) bool {
+	return strings.HasPrefix(key, path.Dir(platform.ConfigKey)+"/") || strings.HasPrefix(key, platform.ReplicaKey(""))
 }
 
 // transact does a write whole if each key has the revision that is expected of it, and else
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -18,17 +18,6 @@
 // A record holds at least the versions that served within a stream's lifetime before it is read,
 // but for one that began to serve within the time that a write takes.
 
-// Stored is the record of a service's versions in the store.
-type Stored struct {
-	Service  string
-	Versions []string
-	// Generation is that of the store when the record was written. In a later generation, which
-	// came from a copy, the record may lack versions.
-	Generation uint64
-	// Revision is the record's revision, 0 if there is none.
-	Revision uint64
-}
-
 // ErrConflict means that another router wrote a record meanwhile.
 var ErrConflict = errors.New("origin: record was written meanwhile")
 
