--- a/test/builds/builds.go
+++ b/test/builds/builds.go
@@ -31,10 +31,12 @@
 	Relays = "ab8c365148812b35f73cdea95a418550be64fd27"
 	// Origins also knows these versions, and nothing of loans of retries.
 	Origins = "45f0ef865cfc7cb62b6276301743cb6058aeb55d"
+	// Loans also knows these loans, and nothing of the store's record of versions that served.
+	Loans = "f82f4fa8f6fbf55b10c066efa06b8773ae08486b"
 )
 
 // All are all of them.
-var All = []string{Oldest, Starts, Announcements, Rollouts, Admission, Relays, Origins}
+var All = []string{Oldest, Starts, Announcements, Rollouts, Admission, Relays, Origins, Loans}
 
 // Program builds the daemon of a commit into a folder and returns its path.
 func Program(commit, dir string) (string, error) {
