--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -206,6 +206,9 @@
 // callers, while engines of several replace each other and their streams break off at any byte.
 func TestStreamsAcrossReleases(t *testing.T) { playExtras(t, extraReleases, 892001, 892002) }
 
+// Guards against streams of two versions joined as all routers end amid releases.
+func TestStreamsAcrossReleasesAndKills(t *testing.T) { playExtras(t, extraReleasesKills, 892107) }
+
 // Guards against a part of prompts that crashes one engine after the other, and against a router
 // that gets most new connections and serves its callers worse, among all other troubles.
 func TestPartsAndLopsidedConnections(t *testing.T) { playExtras(t, extraParts, 1001, 1002, 1003) }
@@ -269,7 +272,7 @@
 }
 
 // allExtras are those of fresh seeds, one seed each in turn.
-var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements, extraPaths, extraStreams, extraParts, extraReleases}
+var allExtras = []string{extraMore, extraDrills, extraBuilds, extraOldest, extraStatements, extraPaths, extraStreams, extraParts, extraReleases, extraReleasesRestarts, extraReleasesKills}
 
 // As many seeds as SOAK_SEEDS says, from SOAK_FIRST on or drawn afresh. SOAK_EXTRAS names
 // what they have besides; else each extra has its turn.
