--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -144,9 +144,12 @@
 	// announcedChanges is the change count of the members that were last passed to the
 	// balancer.
 	announcedChanges uint64
-	// fetched is when each router last got all records of streams.
-	fetched map[string]time.Time
-	round   int
+	// fetches is how often this router asked for all records of streams, fetchedAt when it last
+	// did. fetched is when each other router last got those of this one.
+	fetches   int
+	fetchedAt time.Time
+	fetched   map[string]time.Time
+	round     int
 	// largeRounds counts the rounds of a large fleet, pace decides when they are due.
 	largeRounds int
 	pace        roundPace
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -162,23 +162,27 @@
 const originSources = 3
 
 const (
-	// fetchRounds is for how many rounds a starting router asks, each fetchEvery rounds: a datagram
-	// may be lost, or come before the other router knows this one.
-	fetchRounds = 16
-	fetchEvery  = 4
+	// maxFetches is how often a starting router asks once it has met others, fetchGap apart: a
+	// datagram may be lost, or come before the other router knows this one.
+	maxFetches = 4
+	fetchGap   = 300 * time.Millisecond
 	// fetchPause is the least time between two answers to the same router.
-	fetchPause = time.Second
+	fetchPause = 100 * time.Millisecond
 )
 
 // fetchOrigins asks routers of a small fleet for all of their records as this one starts, so that
 // records outlive a replacement of all routers one after another. In a large fleet each record has few
 // holders, which are hardly replaced together.
-func (g *Gossip) fetchOrigins() {
+func (g *Gossip) fetchOrigins(now time.Time) {
 	g.mu.Lock()
 	var asked []string
-	if g.round <= fetchRounds && g.round%fetchEvery == 1 && !g.members.Large() {
+	if g.fetches < maxFetches && now.Sub(g.fetchedAt) >= fetchGap && !g.members.Large() {
 		asked = g.members.Alive()
 	}
+	if len(asked) > 0 {
+		g.fetches++
+		g.fetchedAt = now
+	}
 	g.mu.Unlock()
 	// A query that names no service asks for all records.
 	packet := encodeDatagram(&gossippb.Datagram{OriginQuery: &gossippb.OriginQuery{}})
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -33,7 +33,7 @@
 	if changed {
 		g.balancer.SetRouters(g.server.Address(), known, now)
 	}
-	g.fetchOrigins()
+	g.fetchOrigins(now)
 	g.balancer.SetLeavingRouters(leaving)
 	g.balancer.SetHoldersSynced(g.holdersKnown.Load())
 	g.forgetLost(lost)
