front: the test of crashes at the last replica waits until probes have been applied

Cause: confirmEnds removes a broken request from the table and then records the crash. The test waited until the table was empty and counted at once.

Change: the router keeps a wait group of the probes that ProbeLostPaths starts, and the test waits for it.

--- a/internal/front/broken.go
+++ b/internal/front/broken.go
@@ -146,12 +146,12 @@
 		if !f.balancer.ReachedSince(last.at, id) {
 			continue
 		}
-		go func() {
+		f.lostPathProbes.Go(func() {
 			began := steady.Now()
 			state := f.processState(id, last.address, began)
 			for _, b := range f.broken.settle(id, state, began) {
 				f.recordCrash(id, b, steady.Now())
 			}
-		}()
+		})
 	}
 }
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -356,9 +356,8 @@
 				require.Equal(t, upstream.Listening, r.front.probePath("r2", address, steady.Now()))
 			}
 			r.front.ProbeLostPaths()
-			if test.others {
-				await(func() bool { return len(r.front.broken.refused(steady.Now())) == 0 })
-			}
+			r.front.lostPathProbes.Wait()
+			assert.Equal(t, test.others, len(r.front.broken.refused(steady.Now())) == 0)
 			assert.EqualValues(t, test.crashes, r.log.Count(event.ReplicaEnded))
 		})
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -139,7 +140,9 @@
 	longestDurations *admission.MaxDurations
 	// probes deduplicates concurrent probes of one replica.
 	probes singleflight.Group
-	broken brokenRequests
+	// lostPathProbes are the probes that ProbeLostPaths started.
+	lostPathProbes sync.WaitGroup
+	broken         brokenRequests
 	// inFlight are the calls in progress.
 	inFlight inFlightCalls
 	// overloaded are the services for which requests are refused.
--- a/internal/front/path.go
+++ b/internal/front/path.go
@@ -81,13 +81,13 @@
 	f.confirmEnds(steady.Now())
 	f.logLostServices(f.balancer.LostServices(steady.Now()))
 	for _, r := range f.balancer.PathProbes(steady.Now()) {
-		go func() {
+		f.lostPathProbes.Go(func() {
 			if f.processState(r.ID, r.Address, steady.Now()) == upstream.Listening {
 				f.balancer.Connected(r.ID, steady.Now())
 				return
 			}
 			f.balancer.ProbeFailed(r.ID, steady.Now())
-		}()
+		})
 	}
 }
 
