--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -378,28 +377,3 @@
 	defer r.mu.Unlock()
 	return r.leaving
 }
-
-// Fail makes the next requests meet faults, one each.
-func (r *Replica) Fail(faults ...ReplicaFault) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults = append(r.faults, faults...)
-}
-
-// Sound takes the faults back that no request met yet.
-func (r *Replica) Sound() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults = nil
-}
-
-func (r *Replica) nextFault() ReplicaFault {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.faults) == 0 {
-		return ""
-	}
-	next := r.faults[0]
-	r.faults = slices.Delete(r.faults, 0, 1)
-	return next
-}
--- a/internal/standin/replica_faults.go
+++ b/internal/standin/replica_faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/platform"
@@ -161,3 +162,28 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
 		platform.Dialect().AttemptID, attempt, platform.SignatureHeader, signature, len(text), text)
 }
+
+// Fail makes the next requests meet faults, one each.
+func (r *Replica) Fail(faults ...ReplicaFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, faults...)
+}
+
+// Sound takes the faults back that no request met yet.
+func (r *Replica) Sound() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = nil
+}
+
+func (r *Replica) nextFault() ReplicaFault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.faults) == 0 {
+		return ""
+	}
+	next := r.faults[0]
+	r.faults = slices.Delete(r.faults, 0, 1)
+	return next
+}
