restarts: a row of plain load, with callers that keep their connections

Nothing counted what callers lose in an update of the routers themselves: the rows break streams off by hand or look only at what is sent after the return.

--- a/test/restarts/caller.go
+++ b/test/restarts/caller.go
@@ -25,6 +25,8 @@
 	after   int
 	// deadline is the time that the caller gives.
 	deadline time.Duration
+	// client is the caller's own; nil for one that opens a connection for each request.
+	client *http.Client
 
 	// router is the one that it was sent to.
 	router string
@@ -35,7 +37,9 @@
 	retryAfter time.Duration
 	events     []seen
 	whole      bool
-	err        error
+	// closes: the answer is the last of its connection.
+	closes bool
+	err    error
 }
 
 // seen is an event of a stream.
@@ -78,14 +82,14 @@
 		request.Header.Set("Last-Event-Id", strconv.Itoa(e.after))
 	}
 	e.router, e.sent = r.name, time.Now()
-	response, err := f.client.Do(request)
+	response, err := cmp.Or(e.client, f.client).Do(request)
 	e.headAfter = time.Since(e.sent)
 	if err != nil {
 		e.err = err
 		return
 	}
 	defer response.Body.Close()
-	e.status = response.StatusCode
+	e.status, e.closes = response.StatusCode, response.Close
 	seconds, _ := strconv.ParseFloat(cmp.Or(response.Header.Get("Retry-After"), "0"), 64)
 	e.retryAfter = time.Duration(seconds * float64(time.Second))
 	if e.status != http.StatusOK || event == nil {
--- a/test/restarts/fleet.go
+++ b/test/restarts/fleet.go
@@ -52,9 +52,9 @@
 // fleet is the routers of a case and what surrounds them.
 type fleet struct {
 	scenario
+	programs
 	rnd     *rand.Rand
 	folder  string
-	program string
 	store   *standin.Store
 	routers []*router
 	client  *http.Client
@@ -71,12 +71,12 @@
 }
 
 // newFleet prepares a fleet whose routers have not started.
-func newFleet(s scenario, program, folder string) (*fleet, error) {
+func newFleet(s scenario, p programs, folder string) (*fleet, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
 	f := &fleet{
-		scenario: s, folder: folder, program: program, store: standin.NewStore(),
+		scenario: s, programs: p, folder: folder, store: standin.NewStore(),
 		rnd:    rand.New(rand.NewPCG(s.seed, uint64(s.size))),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -453,7 +453,11 @@
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(r.fleet.program, "serve", "--settings", settings)
+	program := r.fleet.next
+	if first {
+		program = r.fleet.first
+	}
+	command := exec.Command(program, "serve", "--settings", settings)
 	command.Stdout, command.Stderr = log, log
 	// An interrupt at the terminal is for the rig, which ends the routers of the cases under way.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -523,18 +527,23 @@
 			return fmt.Errorf("%w: %s: %s", errEnded, r.name, r.lastLine())
 		case <-time.After(poll):
 		}
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.listen[1]+platform.ReadyPath, http.NoBody)
-		if err != nil {
-			return err
-		}
-		response, err := r.fleet.client.Do(request)
-		if err != nil {
-			continue
-		}
-		response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if r.ready(ctx) {
 			return nil
 		}
 	}
 	return fmt.Errorf("%w: %s", errNotReady, r.name)
 }
+
+// ready reports whether the router says that it is ready.
+func (r *router) ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.listen[1]+platform.ReadyPath, http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := r.fleet.client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/test/restarts/main.go
+++ b/test/restarts/main.go
@@ -11,6 +11,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,7 @@
 
 type arguments struct {
 	Program  string          `help:"The router's program; it is built from this checkout by default."`
+	Next     string          `help:"The program that routers return with, if it is another one."`
 	Rows     []string        `help:"Rows: ${rows}; all by default."`
 	Changes  []string        `help:"What changes around the end, as the table names it; all by default."`
 	Ends     []string        `help:"Ways of ending: ${ends}."`
@@ -98,7 +100,7 @@
 		all.Go(func() {
 			defer func() { <-slots }()
 			r := result{scenario: s}
-			r.outcome, r.err = s.play(a.Program, filepath.Join(folder, fmt.Sprint("case", i)), a.Logs)
+			r.outcome, r.err = s.play(programs{a.Program, cmp.Or(a.Next, a.Program)}, filepath.Join(folder, fmt.Sprint("case", i)), a.Logs)
 			mu.Lock()
 			defer mu.Unlock()
 			played++
--- a/test/restarts/restarts_test.go
+++ b/test/restarts/restarts_test.go
@@ -41,7 +41,7 @@
 		s := scenario{row: r, change: c[0], end: c[1], store: storeNormal, absence: 100 * time.Millisecond, size: size, seed: seed}
 		t.Run(s.change+", "+s.end, func(t *testing.T) {
 			t.Parallel()
-			o, err := s.play(path, t.TempDir(), "")
+			o, err := s.play(programs{path, path}, t.TempDir(), "")
 			require.NoError(t, err)
 			t.Log(result{scenario: s, outcome: o}.summary())
 			assert.Zero(t, o.broken)
@@ -112,3 +112,22 @@
 	assert.NotContains(t, string(page), "<?xml")
 	assert.NotContains(t, strings.ReplaceAll(string(page), "http://www.w3.org/", ""), "http")
 }
+
+// Guards against an update of all routers, one after another, in which callers lose requests or streams.
+func TestUpdateUnderLoadLosesNothing(t *testing.T) {
+	path, err := program()
+	require.NoError(t, err)
+	t.Parallel()
+	for _, change := range []string{loadRequests, loadTwoVersions} {
+		s := scenario{row: load{}, change: change, end: endUpdate, store: storeNormal, absence: 100 * time.Millisecond, size: 3, seed: 1}
+		t.Run(change, func(t *testing.T) {
+			t.Parallel()
+			o, err := s.play(programs{path, path}, t.TempDir(), "")
+			require.NoError(t, err)
+			t.Log(result{scenario: s, outcome: o}.summary(), o.notes)
+			assert.Positive(t, o.asked)
+			assert.Equal(t, o.asked, o.kept)
+			assert.Empty(t, o.violations)
+		})
+	}
+}
--- a/test/restarts/scenario.go
+++ b/test/restarts/scenario.go
@@ -22,7 +22,7 @@
 	play(f *fleet) (outcome, error)
 }
 
-var rows = []row{streams{}, deadly{}, rest{}, retries{}, orders{}, once{}}
+var rows = []row{streams{}, deadly{}, rest{}, retries{}, orders{}, once{}, load{}}
 
 func rowNames() []string {
 	var names []string
@@ -221,9 +221,12 @@
 	return text
 }
 
+// programs are the one that routers start with, and the one that they return with.
+type programs struct{ first, next string }
+
 // play plays a case in a folder of its own. The routers' logs are kept in logs if a rule was broken.
-func (s scenario) play(program, folder, logs string) (outcome, error) {
-	f, err := newFleet(s, program, folder)
+func (s scenario) play(programs programs, folder, logs string) (outcome, error) {
+	f, err := newFleet(s, programs, folder)
 	if err != nil {
 		return outcome{}, err
 	}
