membership: the owners of a task are found without sorting all members

A record of a stream looks for its routers twice, and a stopping router will for each record that it holds.

TestTaskOwnersAreTheFirstByRank compares with a sort; it holds on the code before too.

--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -40,3 +40,16 @@
 		})
 	}
 }
+
+// BenchmarkTaskOwners measures what a record of a stream costs: its routers are chosen anew for each.
+func BenchmarkTaskOwners(b *testing.B) {
+	for _, routers := range []int{143, 985} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			table := fullTables(routers, time.Now())["0"]
+			b.ReportAllocs()
+			for b.Loop() {
+				table.TaskOwners("5f2b", 2, func(string) bool { return true })
+			}
+		})
+	}
+}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -379,3 +382,25 @@
 	}
 	assert.Equal(t, routers+1, listener.Len(), "it adds no member")
 }
+
+// Guards against owners of a task that are not the first ones by rank, or not those asked for.
+func TestTaskOwnersAreTheFirstByRank(t *testing.T) {
+	const routers = 40
+	table := fullTables(routers, time.Now())["0"]
+	even := func(address string) bool { return address[len(address)-1]%2 == 0 }
+	for n := range 50 {
+		task := fmt.Sprint("task ", n)
+		var ranked []string
+		for i := range routers {
+			if address := fmt.Sprint(i); even(address) {
+				ranked = append(ranked, address)
+			}
+		}
+		slices.SortFunc(ranked, func(x, y string) int {
+			return cmp.Compare(xxhash.Sum64String(y+task), xxhash.Sum64String(x+task))
+		})
+		for _, most := range []int{0, 1, 3, routers} {
+			assert.Equal(t, ranked[:min(most, len(ranked))], table.TaskOwners(task, most, even))
+		}
+	}
+}
--- a/pkg/membership/tasks.go
+++ b/pkg/membership/tasks.go
@@ -52,19 +52,28 @@
 // TaskOwners returns the addresses of the first routers for a task by rendezvous hashing,
 // this one included, that include accepts.
 func (t *Table) TaskOwners(task string, most int, include func(address string) bool) []string {
-	type candidate struct {
-		address string
-		rank    uint64
+	owners := make([]string, 0, most+1)
+	ranks := make([]uint64, 0, most+1)
+	key := make([]byte, 0, maxTaskKey)
+	add := func(address string) {
+		if !include(address) {
+			return
+		}
+		key = append(append(key[:0], address...), task...)
+		rank := xxhash.Sum64(key)
+		at, _ := slices.BinarySearchFunc(ranks, rank, func(x, y uint64) int { return cmp.Compare(y, x) })
+		if at == most {
+			return
+		}
+		owners, ranks = slices.Insert(owners, at, address), slices.Insert(ranks, at, rank)
+		owners, ranks = owners[:min(len(owners), most)], ranks[:min(len(ranks), most)]
 	}
-	candidates := []candidate{{t.own, xxhash.Sum64String(t.own + task)}}
+	add(t.own)
 	for address := range t.members {
-		candidates = append(candidates, candidate{address, xxhash.Sum64String(address + task)})
-	}
-	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !include(c.address) })
-	slices.SortFunc(candidates, func(x, y candidate) int { return cmp.Compare(y.rank, x.rank) })
-	owners := make([]string, 0, most)
-	for _, c := range candidates[:min(most, len(candidates))] {
-		owners = append(owners, c.address)
+		add(address)
 	}
 	return owners
 }
+
+// maxTaskKey holds an address and a task, both of usual length, in bytes.
+const maxTaskKey = 128
