gossip: a stopping router of a large fleet hands over the records of streams that it holds

In a large fleet a record has two holders of all and two of the first router's data centre, and a router that is asked at a take-up in another data centre asks only the former. Both are replaced within a stream's time in an update.

Ruled out: a router that starts asks for all records, as in a small fleet: each router of 985 holds those of four in 985 streams, and would have to ask all.

Change: once the others know of the stop, the router sends each record of which it is a holder by rank to the next two, of all and of its data centre, at most 8,192 records and for 1 s. Records that were handed to it are not handed on unless it became a holder, since each hand-over lets a record last anew. Event 110 tells how many.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -89,11 +89,12 @@
 	e.stopping.Store(true)
 	e.gossip.Leave()
 	e.waitUntil(limit, p.past(minServeFraction))
+	handedOver := e.gossip.Origins().HandOver(limit)
 	e.waitForCallers(limit, p.past(idleCloseFraction))
 	e.endListening(limit)
 	ended, err := e.conns.Drain(limit)
 	e.log.Write(event.CallersEnded, event.F("closed_at_rest", ended.Closed), event.F("found_unread", ended.Unread),
-		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("after_ms", steady.Since(p.asked).Milliseconds()))
+		event.F("in_use", ended.Serving), event.F("longest_rest_ms", ended.Longest.Milliseconds()), event.F("records_handed_over", handedOver), event.F("after_ms", steady.Since(p.asked).Milliseconds()))
 	if err == nil {
 		// Gossip announced the stop to the other routers when it began.
 		_, err = e.relayedConns.Drain(limit)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -111,7 +111,7 @@
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
 	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names, addresses or admission control changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
-	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
+	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut. records_handed_over are those of streams that this router held for a large fleet."},
 	Exhausted:         {logrus.ErrorLevel, "no file descriptor left, resting connections to replicas closed", "Raise the limit of open files, or look at who opens so many connections."},
 	Woke:              {logrus.WarnLevel, "the machine was suspended", "None needed: what was known is proven anew before it is acted on. If it recurs, look why the machine is suspended."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
