gossip: messages of other routers that are not usable are counted and logged, and their decoders fuzzed

Datagrams that were cut short, or hold a message of a later build, were dropped without a trace.

Change: event 326 with the sender and the reason, and croftyard_peers_rejected; what is passed on of the configuration and the list and cannot be decoded counts too (202 tells of it). TestDamagedDatagramsAreCounted failed before, since nothing counted.

--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,8 @@
 	$(GO) test -run '^$$' -fuzz FuzzChat -fuzztime $(FUZZTIME) ./internal/edge
 	$(GO) test -run '^$$' -fuzz FuzzRest -fuzztime $(FUZZTIME) ./internal/retryafter
 	$(GO) test -run '^$$' -fuzz FuzzDigest -fuzztime $(FUZZTIME) ./internal/peer
+	$(GO) test -run '^$$' -fuzz FuzzDatagram -fuzztime $(FUZZTIME) ./internal/gossip
+	$(GO) test -run '^$$' -fuzz FuzzKnowledge -fuzztime $(FUZZTIME) ./internal/gossip
 	$(GO) test -run '^$$' -fuzz FuzzEntry -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzConfiguration -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzEvacuation -fuzztime $(FUZZTIME) ./platform
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -109,6 +109,7 @@
 		{Name: "croftyard_peers_received_bytes", Value: float64(received)},
 		{Name: "croftyard_peers_unsent", Value: float64(e.gossip.UnsentDatagrams())},
 		{Name: "croftyard_peers_refused", Value: float64(e.gossip.RefusedRequests())},
+		{Name: "croftyard_peers_rejected", Value: float64(e.gossip.RejectedMessages())},
 		{Name: "croftyard_replicas_draining", Value: float64(draining)},
 		{Name: "croftyard_replicas_resting", Value: float64(resting)},
 		{Name: "croftyard_poison_marked", Value: float64(marked)},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,7 @@
 	ServiceLost       ID = 323
 	ServiceReached    ID = 324
 	ListFirst         ID = 325
+	PeerUnreadable    ID = 326
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -143,6 +144,7 @@
 	ServiceLost:       {logrus.WarnLevel, "replicas of a service are out of reach from here", "Its requests go to other routers. If it lasts, look at the network between this instance and the replicas."},
 	ServiceReached:    {logrus.InfoLevel, "replicas of a service are within reach again", "None needed."},
 	ListFirst:         {logrus.InfoLevel, "first list of replicas", "None needed. from is the peer that passed it on, or store; after_ms counts from the start. If it is from the store at most routers of a large fleet, look whether they reach each other."},
+	PeerUnreadable:    {logrus.WarnLevel, "message of another router not usable, ignored", "None during an upgrade: the peer may be of a build that sends more. Else look at who sends from the address named, and at the network."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -126,6 +126,7 @@
 	g.meter.Called(request, reply)
 	knowledge, err := decodeKnowledge(reply, have)
 	if err != nil {
+		g.rejected.Add(1)
 		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
 		return
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -119,6 +119,8 @@
 	// it.
 	budget  sendBudget
 	refused atomic.Uint64
+	// rejected counts the messages that were not usable.
+	rejected atomic.Uint64
 	// config and lists cache the encoded values that were sent last.
 	config atomic.Pointer[packed[uint64]]
 	lists  *lru.Cache[listKey, []byte]
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -82,12 +82,12 @@
 }
 
 // newIdleRouter returns a router that answers others but runs no rounds by itself.
-func newIdleRouter(t *testing.T, s *source, seeds ...string) *router {
+func newIdleRouter(t testing.TB, s *source, seeds ...string) *router {
 	t.Helper()
 	return newIdleRouterAt(t, "127.0.0.1:0", s, seeds...)
 }
 
-func newIdleRouterAt(t *testing.T, address string, s *source, seeds ...string) *router {
+func newIdleRouterAt(t testing.TB, address string, s *source, seeds ...string) *router {
 	t.Helper()
 	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: s}
 	r.watcher = watch.New(s, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -147,7 +148,8 @@
 // handleDatagram handles a datagram from another router.
 func (g *Gossip) handleDatagram(from netip.AddrPort, packet []byte) {
 	var d gossippb.Datagram
-	if proto.Unmarshal(packet, &d) != nil {
+	if err := proto.Unmarshal(packet, &d); err != nil {
+		g.rejectMessage(from.String(), fmt.Errorf("%w: %w", ErrMalformed, err))
 		return
 	}
 	now := steady.Now()
@@ -171,6 +173,9 @@
 		g.receiveLoan(from.String(), d.RetryLoan)
 	case d.RetrySettlement != nil:
 		g.settleRetries(d.RetrySettlement, now)
+	default:
+		// A later build may send others.
+		g.rejectMessage(from.String(), errNoMessage)
 	}
 }
 
