gossip: an answer or marks that are damaged are ignored as a whole

A starting router merges members, marks, rests and brittle services from answers to hellos. Columns of unequal length were read up to the shortest, and digests of another size left out, so that a part of a damaged answer was taken, and what stands beside what could be wrong.

Ruled out: the same for all columns of a digest: builds since differ in some of them (the usual rates of overload reports), and a part of such a digest is meant to be taken.

What stays: decoders read up to the shortest column. TestAnswersAreTakenWholeOrNotAtAll, 12 kinds of damage, failed before with all; answers of earlier builds are taken (TestMessagesOfEarlierBuilds).

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -41,6 +41,10 @@
 // applyFreshness applies the answer of a router that was queried at the time asked, and
 // reports whether to fetch its knowledge.
 func (g *Gossip) applyFreshness(address string, r *gossippb.Freshness, asked, now time.Time) bool {
+	if err := checkAnswer(r); err != nil {
+		g.rejectMessage(address, err)
+		return false
+	}
 	if r.Stopping {
 		g.recordLeave(address, now)
 	} else {
--- a/internal/gossip/malformed_test.go
+++ b/internal/gossip/malformed_test.go
@@ -159,3 +159,50 @@
 	r.gossip.handleDatagram(nobody, protowire.AppendVarint(laterMessage, 1))
 	assert.Equal(t, rejected+1, r.gossip.RejectedMessages(), "a message of a later build")
 }
+
+// Guards against an answer of which a part is taken though it is damaged: columns of unequal length do
+// not tell what belongs together.
+func TestAnswersAreTakenWholeOrNotAtAll(t *testing.T) {
+	for name, damage := range map[string]func(r *gossippb.Freshness){
+		"rests without times":             func(r *gossippb.Freshness) { r.RestLeftMs = r.RestLeftMs[:1] },
+		"times without rests":             func(r *gossippb.Freshness) { r.Resting = nil },
+		"brittle services without times":  func(r *gossippb.Freshness) { r.BrittleLeftMs = nil },
+		"rejections without services":     func(r *gossippb.Freshness) { r.Brittle = r.Brittle[:1] },
+		"members without times":           func(r *gossippb.Freshness) { r.HeardMs = nil },
+		"crashes without replicas":        func(r *gossippb.Freshness) { r.Marks.Replica = nil },
+		"crashes without times":           func(r *gossippb.Freshness) { r.PartMarks.CrashedAgeMs = nil },
+		"answers without times":           func(r *gossippb.Freshness) { r.Marks.ServedAgeMs = nil },
+		"a digest of another size":        func(r *gossippb.Freshness) { r.Marks.Crashed[0] = r.Marks.Crashed[0][:8] },
+		"a served digest of another size": func(r *gossippb.Freshness) { r.Marks.Served[0] = nil },
+		"organisations of some crashes": func(r *gossippb.Freshness) {
+			r.PartMarks.Organisation = append(r.PartMarks.Organisation, 1)
+			r.PartMarks.Shared = append(r.PartMarks.Shared, true)
+		},
+		"organisations alone": func(r *gossippb.Freshness) { r.PartMarks.Shared = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := knowing(t)
+			message := handedOver()["answer"]
+			damage(message.Answer)
+			packet, err := proto.Marshal(message)
+			require.NoError(t, err)
+			r.expect(1, nobody)
+			r.gossip.handleDatagram(nobody, packet)
+			assert.EqualValues(t, 1, r.gossip.RejectedMessages())
+			now := steady.Now()
+			assert.Empty(t, r.watcher.Statements().Rests(maxHelloRests, now))
+			assert.Empty(t, r.balancer.BrittleServices(now))
+			assert.Empty(t, r.gossip.poison.Sample(maxHelloMarks))
+			assert.Empty(t, r.gossip.parts.Sample(maxHelloParts))
+			assert.Equal(t, 1, r.gossip.MemberCount())
+		})
+	}
+	r := knowing(t)
+	packet, err := proto.Marshal(handedOver()["answer"])
+	require.NoError(t, err)
+	r.expect(1, nobody)
+	r.gossip.handleDatagram(nobody, packet)
+	assert.NotEmpty(t, r.watcher.Statements().Rests(maxHelloRests, steady.Now()), "whole")
+	assert.NotEmpty(t, r.gossip.poison.Sample(maxHelloMarks), "whole")
+	assert.Zero(t, r.gossip.RejectedMessages())
+}
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -25,6 +25,10 @@
 
 // applyDigest applies a digest from another router.
 func (g *Gossip) applyDigest(d *gossippb.Digest, now time.Time) {
+	if err := checkMarks(d); err != nil {
+		g.rejectMessage(d.Sender, err)
+		return
+	}
 	if d.Stopping {
 		g.recordLeave(d.Sender, now)
 	} else {
