gossip: marks of parts name the organisation of the crash that they belong to

The columns of organisations had an entry for each mark that has one, the others one for each crash: beside a mark without an organisation, or of an answer with one, they told of other crashes.

Change: if one crash has an organisation, all have the column. TestMarksWithAndWithoutOrganisationRoundTrip failed before (organisation 5 of an answer stood beside a crash without one).

--- a/internal/gossip/malformed_test.go
+++ b/internal/gossip/malformed_test.go
@@ -206,3 +206,18 @@
 	assert.NotEmpty(t, r.gossip.poison.Sample(maxHelloMarks), "whole")
 	assert.Zero(t, r.gossip.RejectedMessages())
 }
+
+// Guards against marks whose organisations are told as those of other marks, since some have none.
+func TestMarksWithAndWithoutOrganisationRoundTrip(t *testing.T) {
+	now := steady.Now()
+	marks := []poison.Mark{
+		{Digest: poison.Digest{1}, Replica: 1, At: now},
+		{Digest: poison.Digest{2}, Served: true, Organisation: 5, At: now},
+		{Digest: poison.Digest{3}, Replica: 3, Organisation: 7, Shared: true, At: now},
+	}
+	message := &gossippb.Digest{PartMarks: encodeMarks(marks, now)}
+	require.NoError(t, checkMarks(message))
+	decoded := decodeMarks(message.PartMarks, now)
+	require.Len(t, decoded, len(marks))
+	assert.Equal(t, []poison.Mark{marks[0], marks[2], {Digest: poison.Digest{2}, Served: true, At: now}}, decoded)
+}
--- a/internal/gossip/marks.go
+++ b/internal/gossip/marks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
@@ -65,15 +66,16 @@
 		return nil
 	}
 	m := &gossippb.Marks{}
+	ofParts := slices.ContainsFunc(marks, func(mark poison.Mark) bool { return !mark.Served && mark.Organisation != 0 })
 	for _, mark := range marks {
 		digest, age := mark.Digest[:], uint32(max(now.Sub(mark.At).Milliseconds(), 0))
-		if mark.Organisation != 0 {
-			m.Organisation, m.Shared = append(m.Organisation, mark.Organisation), append(m.Shared, mark.Shared)
-		}
 		if mark.Served {
 			m.Served, m.ServedAgeMs = append(m.Served, digest), append(m.ServedAgeMs, age)
 			continue
 		}
+		if ofParts {
+			m.Organisation, m.Shared = append(m.Organisation, mark.Organisation), append(m.Shared, mark.Shared)
+		}
 		m.Crashed, m.Replica, m.CrashedAgeMs = append(m.Crashed, digest), append(m.Replica, mark.Replica), append(m.CrashedAgeMs, age)
 	}
 	return m
