gossip: only the router that was asked can answer a query

Answers in datagrams were found by their number, whoever sent them. Numbers count from 1, so that any sender could answer for a router, and what it told counted as of the time of the query: rests, marks, and the proof of the configuration.

Change: the sender has to be the router that was asked; others are ignored, counted and logged, and the query stays open. Answers that come late or twice are ignored as before, without a line. TestAnswerOfAnotherSenderIsIgnored failed before (the rests were taken). TestUnsolicitedDigestIsNoProof's calls name the sender now.

--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
@@ -146,12 +147,18 @@
 }
 
 // handleAnswer handles the answer to a query of this router.
-func (g *Gossip) handleAnswer(r *gossippb.Freshness, now time.Time) {
+func (g *Gossip) handleAnswer(from netip.AddrPort, r *gossippb.Freshness, now time.Time) {
 	g.mu.Lock()
 	q, found := g.queries[r.Ask]
-	delete(g.queries, r.Ask)
+	foreign := found && !isAddress(q.address, from)
+	if !foreign {
+		delete(g.queries, r.Ask)
+	}
 	g.mu.Unlock()
-	if !found {
+	if foreign {
+		g.rejectMessage(from.String(), errNotAsked)
+	}
+	if !found || foreign {
 		return
 	}
 	newer := g.applyFreshness(q.address, r, q.at, now)
@@ -167,3 +174,9 @@
 		g.relayProof(now)
 	}
 }
+
+// isAddress reports whether a text, which may be written in another way, is an address.
+func isAddress(text string, address netip.AddrPort) bool {
+	parsed, err := netip.ParseAddrPort(text)
+	return err == nil && netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()) == address
+}
--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -101,10 +101,10 @@
 	require.Len(t, r.gossip.queries, 1, "it queries the sender")
 	asked := now.Add(-50 * time.Millisecond)
 	for number := range r.gossip.queries {
-		r.gossip.handleAnswer(&gossippb.Freshness{Ask: number + 1, Version: version, Mark: mark, ProofMs: &proofMs}, now)
+		r.gossip.handleAnswer(nobody, &gossippb.Freshness{Ask: number + 1, Version: version, Mark: mark, ProofMs: &proofMs}, now)
 		assert.Equal(t, read, r.holder.Current().ProvenAt, "an answer without a query")
 		r.gossip.queries[number] = query{address: digest.Sender, at: asked}
-		r.gossip.handleAnswer(&gossippb.Freshness{Ask: number, Version: version, Mark: mark, ProofMs: &proofMs}, now)
+		r.gossip.handleAnswer(nobody, &gossippb.Freshness{Ask: number, Version: version, Mark: mark, ProofMs: &proofMs}, now)
 	}
 	assert.Equal(t, asked, r.holder.Current().ProvenAt, "dated from the query")
 	assert.Empty(t, r.gossip.queries)
--- a/internal/gossip/malformed.go
+++ b/internal/gossip/malformed.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -18,7 +19,10 @@
 // RejectedMessages returns how many messages of other routers were not usable.
 func (g *Gossip) RejectedMessages() uint64 { return g.rejected.Load() }
 
-var errNoMessage = fmt.Errorf("%w: none of the known messages", ErrMalformed)
+var (
+	errNoMessage = fmt.Errorf("%w: none of the known messages", ErrMalformed)
+	errNotAsked  = errors.New("gossip: answer of a router that was not asked")
+)
 
 // checkAnswer returns an error if entries of an answer cannot be told apart. Every build since the oldest
 // one that runs beside this one sends all columns of a group, so it is damaged then.
--- a/internal/gossip/malformed_test.go
+++ b/internal/gossip/malformed_test.go
@@ -221,3 +221,19 @@
 	require.Len(t, decoded, len(marks))
 	assert.Equal(t, []poison.Mark{marks[0], marks[2], {Digest: poison.Digest{2}, Served: true, At: now}}, decoded)
 }
+
+// Guards against answers that are taken for those of a router that was asked, though another one sent
+// them: what they tell counts as of the time of the query, the proof of the configuration too.
+func TestAnswerOfAnotherSenderIsIgnored(t *testing.T) {
+	r := knowing(t)
+	packet, err := proto.Marshal(handedOver()["answer"])
+	require.NoError(t, err)
+	r.expect(1, nobody)
+	r.gossip.handleDatagram(netip.MustParseAddrPort("127.0.0.1:10"), packet)
+	assert.Empty(t, r.watcher.Statements().Rests(maxHelloRests, steady.Now()))
+	assert.EqualValues(t, 1, r.gossip.RejectedMessages())
+	r.gossip.handleDatagram(nobody, packet)
+	assert.NotEmpty(t, r.watcher.Statements().Rests(maxHelloRests, steady.Now()), "the router that was asked answers later")
+	r.gossip.handleDatagram(nobody, packet)
+	assert.EqualValues(t, 1, r.gossip.RejectedMessages(), "an answer that comes twice or late is none of another sender")
+}
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -160,7 +160,7 @@
 		d.Digest.Sender = from.String()
 		g.handleDigest(d.Digest, now)
 	case d.Answer != nil:
-		g.handleAnswer(d.Answer, now)
+		g.handleAnswer(from, d.Answer, now)
 	case d.Origin != nil:
 		g.mergeOrigin(d.Origin, now)
 	case d.OriginQuery != nil:
