gossip: numbers of queries begin anywhere

They counted from 1 in each process. A router that returns at its address may get the answer to a query of the process before, which a router sent as that one ended, and took it for the answer to its own query of that number: it was dated from the later query, so that a proof of the configuration could seem newer than it is.

Change: the first number is drawn. TestQueriesOfTwoProcessesHaveOtherNumbers failed before (1, 1, 1, 1).

--- a/internal/gossip/ask.go
+++ b/internal/gossip/ask.go
@@ -66,9 +66,13 @@
 func (g *Gossip) addQuery(q query) uint32 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lastQuery = max(g.lastQuery+1, 1)
-	g.queries[g.lastQuery] = q
-	return g.lastQuery
+	number := uint32(0)
+	for number == 0 {
+		g.lastQuery++
+		number = g.firstQuery + g.lastQuery
+	}
+	g.queries[number] = q
+	return number
 }
 
 // expireQueries forgets queries that were not answered in time.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -158,8 +159,10 @@
 	hellos      int
 	stopped     bool
 	// queries holds the unanswered queries by number; queryOffset counts the partners
-	// that were queried in turn.
+	// that were queried in turn. Numbers begin anywhere: an answer to the process that ran
+	// at this address before would else be taken for one to this process.
 	queries     map[uint32]query
+	firstQuery  uint32
 	lastQuery   uint32
 	queryOffset int
 	// recentHellos holds when routers were last asked for their data centre.
@@ -203,6 +206,7 @@
 		leaving:      make(map[string]time.Time),
 		plain:        make(map[string]bool),
 		queries:      make(map[uint32]query),
+		firstQuery:   rand.Uint32(),
 		recentHellos: make(map[string]time.Time),
 
 		reportSources: make(map[string]bool),
--- a/internal/gossip/malformed_test.go
+++ b/internal/gossip/malformed_test.go
@@ -237,3 +237,14 @@
 	r.gossip.handleDatagram(nobody, packet)
 	assert.EqualValues(t, 1, r.gossip.RejectedMessages(), "an answer that comes twice or late is none of another sender")
 }
+
+// Guards against answers to the process that ran at this address before, which are taken for answers to
+// the first queries of this one.
+func TestQueriesOfTwoProcessesHaveOtherNumbers(t *testing.T) {
+	numbers := make(map[uint32]bool)
+	const processes = 4
+	for range processes {
+		numbers[knowing(t).gossip.addQuery(query{address: nobody.String(), at: steady.Now()})] = true
+	}
+	assert.Len(t, numbers, processes)
+}
