directory: rests of replicas that no list names are not passed on

A starting router takes rests from answers to hellos before it has a list. Those of replicas that are gone were kept as if they were listed: counted in croftyard_replicas_resting, and handed on to the next router that starts, for as long as the rest lasts, up to 49 days. An answer names the 32 longest, so that 32 such rests kept all others from being handed over.

Change: each list that is applied drops the rests of replicas that it does not name from those that count; they are remembered for a replica that joins within the grace period, as those of one that leaves the list. TestRestOfAReplicaThatIsNotListedIsNotPassedOn failed before.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -190,6 +190,7 @@
 	for _, e := range missing {
 		changes = d.handleMissing(e, before, lost[e.replica.Service], changes)
 	}
+	d.statements.markUnlisted(func(id string) bool { return d.entries[id] != nil }, sent)
 	d.updateOldestListed()
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
 	return changes
--- a/pkg/directory/statements.go
+++ b/pkg/directory/statements.go
@@ -247,6 +247,22 @@
 	}
 }
 
+// markUnlisted records that a read sent at the given time does not list some replicas of which there
+// are statements. Other routers tell of rests that they know before the first read.
+func (s *Statements) markUnlisted(listed func(id string) bool, read time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.excluding {
+		if listed(id) {
+			continue
+		}
+		delete(s.excluding, id)
+		if record := s.records[id]; record.missingSince.IsZero() {
+			record.missingSince = read
+		}
+	}
+}
+
 // markJoined records that a read sent at the given time lists a replica that the previous
 // read did not. Either its entry expired and was written again, or the replica restarted:
 // the start times decide, or without them how long the entry was missing.
