--- a/internal/gossip/malformed_test.go
+++ b/internal/gossip/malformed_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -248,3 +249,23 @@
 	}
 	assert.Len(t, numbers, processes)
 }
+
+// Guards against a datagram that is larger than any that routers send, and of which a part is taken.
+func TestTooLargeDatagramIsIgnored(t *testing.T) {
+	r, sender := knowing(t), newIdleRouter(t, &source{})
+	message := handedOver()["digest"]
+	// One more kilobyte is still sent by the system.
+	const member, larger = "127.0.0.1:9", peer.MaxDatagram + 1<<10
+	for range larger / (len(member) + 2) {
+		message.Digest.Member = append(message.Digest.Member, member)
+	}
+	packet, err := proto.Marshal(message)
+	require.NoError(t, err)
+	require.Greater(t, len(packet), peer.MaxDatagram)
+	to, err := netip.ParseAddrPort(r.gossip.Address())
+	require.NoError(t, err)
+	require.NoError(t, sender.gossip.datagrams.Send(to, packet))
+	waitUntil(t, func() bool { return r.gossip.RejectedMessages() == 1 })
+	assert.Equal(t, 1, r.gossip.MemberCount())
+	assert.Empty(t, r.gossip.poison.Sample(maxHelloMarks))
+}
