--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,7 @@
 	ServiceLost       ID = 323
 	ServiceReached    ID = 324
 	ListFirst         ID = 325
+	PeerUnreadable    ID = 326
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -111,7 +112,7 @@
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
 	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names, addresses or admission control changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
-	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
+	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut. records_handed_over are those of streams that this router held for a large fleet."},
 	Exhausted:         {logrus.ErrorLevel, "no file descriptor left, resting connections to replicas closed", "Raise the limit of open files, or look at who opens so many connections."},
 	Woke:              {logrus.WarnLevel, "the machine was suspended", "None needed: what was known is proven anew before it is acted on. If it recurs, look why the machine is suspended."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
@@ -143,6 +144,7 @@
 	ServiceLost:       {logrus.WarnLevel, "replicas of a service are out of reach from here", "Its requests go to other routers. If it lasts, look at the network between this instance and the replicas."},
 	ServiceReached:    {logrus.InfoLevel, "replicas of a service are within reach again", "None needed."},
 	ListFirst:         {logrus.InfoLevel, "first list of replicas", "None needed. from is the peer that passed it on, or store; after_ms counts from the start. If it is from the store at most routers of a large fleet, look whether they reach each other."},
+	PeerUnreadable:    {logrus.WarnLevel, "message of another router not usable, ignored", "None during an upgrade: the peer may be of a build that sends more. Else look at who sends from the address named, and at the network."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
