balance: a request may prefer software versions

Cause: streams that may be taken up are to begin at versions that the store's record names (next commits). The balancer knew one version for a stream in progress, or all.

Change: Request.PreferredVersions. Replicas of other versions are candidates only if none of the preferred ones has room: within reach, below the bound, not full, not seen to reject or hang. Shares of roll-outs and versions that were rolled back hold as before. Without a preference, or if it covers all replicas, nothing changes.

Tests: TestPreferredVersions and three more (new), with the race detector; the rest of the package is run before the landing.

--- a/pkg/balance/versions.go
+++ b/pkg/balance/versions.go
@@ -24,6 +24,38 @@
 	if q.OnlyVersion {
 		return b.candidates(q, ofVersion(q.Version, all, plan), bound, now)
 	}
+	if left := b.preferredCandidates(q, plan, limited, bound, now); len(left) > 0 {
+		return left
+	}
+	return b.shareOut(q, all, plan, limited, bound, now)
+}
+
+// preferredCandidates returns the candidates of the preferred versions, or none if none of these has
+// room or all versions are preferred.
+func (b *Balancer) preferredCandidates(q Request, plan rollout.Plan, limited bool, bound float64, now time.Time) []*replica {
+	all := b.services[q.Service]
+	isOther := func(r *replica) bool { return !slices.Contains(q.PreferredVersions, r.Version) }
+	if len(q.PreferredVersions) == 0 || !slices.ContainsFunc(all, isOther) {
+		return nil
+	}
+	current, updated := divideByVersion(all, plan)
+	preferred := slices.DeleteFunc(slices.Concat(current, updated), isOther)
+	left := b.shareOut(q, preferred, plan, limited, bound, now)
+	if !slices.ContainsFunc(left, func(r *replica) bool { return b.hasRoom(r, bound, now) }) {
+		return nil
+	}
+	return left
+}
+
+// hasRoom reports whether a replica is within reach and below the bound, and was not seen to reject
+// requests or to leave them unanswered. It may have failed some that it ran.
+func (b *Balancer) hasRoom(r *replica, bound float64, now time.Time) bool {
+	failing := r.health.isAvoided(now) && !r.health.kind.isSoft()
+	return !failing && !r.isCutOff(now) && b.load(r, now) < bound && !b.isFull(r, now)
+}
+
+// shareOut returns the candidates among some replicas by the shares of a roll-out.
+func (b *Balancer) shareOut(q Request, all []*replica, plan rollout.Plan, limited bool, bound float64, now time.Time) []*replica {
 	if !limited {
 		return b.candidates(q, all, bound, now)
 	}
