origin, gossip: routers know which versions the store's record names

Cause: a version that joins serves before the record names it. A few routers write the record; the others did not know what it holds unless they read it, a call to the store each.

Ruled out: reads by all routers (985 calls a release); a push by the router that wrote, which sends 984 datagrams at once and whose losses nobody notices; names in the datagrams, which bound their length.

Change: Tracker holds, by service, the versions that serve and that a record is known to name, with the store's generation. They end as the version stops serving, since a record may drop it then, in a later generation, and when the store came back from a copy. A router that keeps no records asks the first one that does 0.25 s after a version joined, then all three at pauses of 0.5 to 8 s until it is confirmed: ServedQuery and ServedReply, datagrams of 13 and 20 bytes for one version (41 and 48 with IP and UDP). Any router that knows answers, members only, each query once. Older builds do not answer.

Tests: pkg/origin, pkg/membership and the new ones of internal/gossip pass with the race detector.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -165,6 +165,8 @@
 	// originQueries are the open queries for the origins of streams.
 	originQueries originQueries
 	originWait    originWait
+	// servedQueries are the queries for the versions that the store's records name.
+	servedQueries servedQueries
 	// loanQueries are the open queries for loans of retries.
 	loanQueries loanQueries
 	// ctx ends when the gossip stops.
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -165,6 +165,10 @@
 		g.answerOriginQuery(from.String(), d.OriginQuery, now)
 	case d.OriginReply != nil:
 		g.originQueries.reply(from.String(), d.OriginReply)
+	case d.ServedQuery != nil:
+		g.answerServedQuery(from.String(), d.ServedQuery)
+	case d.ServedReply != nil:
+		g.receiveServed(from.String(), d.ServedReply)
 	case d.RetryQuery != nil:
 		g.lendRetries(from.String(), d.RetryQuery, now)
 	case d.RetryLoan != nil:
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -336,6 +336,9 @@
 // Alive returns the addresses of the other members, in no order.
 func (t *Table) Alive() []string { return slices.Collect(maps.Keys(t.members)) }
 
+// IsAlive reports whether the router at an address is a member.
+func (t *Table) IsAlive(address string) bool { return t.members[address] != nil }
+
 // KnownAddresses returns all routers that are members, or fell silent within silentLifetime and
 // may be working behind a partition, this one included, sorted. Callers must not change the
 // list; it stays the same one while Changes does.
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 	knownSince time.Time
 	// stale is set while the lists of replicas are too old to show every version.
 	stale bool
+	// confirmed maps the versions that serve and that the record in the store is known to name to
+	// the generation of that record.
+	confirmed map[string]uint64
 }
 
 // period is when a version served, as far as it was observed: one that is missing from an
@@ -85,6 +89,7 @@
 		added = added || !known
 		s.versions[version] = period{now, true}
 	}
+	maps.DeleteFunc(s.confirmed, func(version string, _ uint64) bool { return !s.versions[version].serving })
 	return added
 }
 
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -31,9 +31,9 @@
 }
 
 const (
-	// keepers is how many routers look after the records: the first by rank, and some that make
+	// Keepers is how many routers look after the records: the first by rank, and some that make
 	// up for it.
-	keepers = 3
+	Keepers = 3
 	// keeperPatience is how long each waits for the one before it.
 	keeperPatience = 2 * time.Second
 	// keeperPause is the pause after a call to the store that failed.
@@ -76,7 +76,7 @@
 	if k.missingSince.IsZero() {
 		k.missingSince = now
 	}
-	if rank >= keepers || now.Sub(k.missingSince) < time.Duration(rank)*keeperPatience || now.Sub(k.failedAt) < keeperPause {
+	if rank >= Keepers || now.Sub(k.missingSince) < time.Duration(rank)*keeperPatience || now.Sub(k.failedAt) < keeperPause {
 		return Step{}
 	}
 	if !known || rank > 0 && k.readAt.Before(k.missingSince.Add(time.Duration(rank)*keeperPatience)) {
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -7,6 +7,8 @@
 //	Keeper   when the versions that served are read from the store and written to it, so that
 //	         they outlive all routers
 //
+// A Tracker also holds which of the versions that serve the record in the store is known to name.
+//
 // Routers send each other records while a service has more than one version, or while they do not
 // know that it has not. A stream without a record therefore goes on only if a single version served
 // within its lifetime, and this is known. The package does no I/O; time comes from the caller.
