front, entry: streams begin at versions that the store's record names

Callers saw streams joined from two versions: a version joined while the store took no writes, all routers ended, it was gone when they came back, and the record named the other version alone.

Cause: a version got streams as soon as it was listed, before the record named it. The gap is the time of a write (0.03 to 0.3 s), or as long as the store takes none.

Ruled out: waiting with the listing of a version, which holds all requests back; a record of each stream (a write a stream); an end after some seconds, which leaves the gap open at a longer outage.

Change: a stream that may be resumed begins at versions that the record is known to name, while one of their replicas has room, else anywhere as before. Streams that are taken up, and what may not be resumed, go on as before. Keepers take it from what they read and wrote, others ask them. New gauge croftyard_front_versions_unrecorded.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -354,6 +354,10 @@
 		e.keepServed(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.confirmServed(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		steady.Watch(ctx, e.handleResume)
 		return nil
--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// servedPeriod is the pause between two looks whether the record of versions is up to date.
-	servedPeriod = 500 * time.Millisecond
+	// servedPeriod is the pause between two looks whether the record of versions is up to date, and
+	// confirmPeriod between two whether other routers are to be asked which versions it names.
+	servedPeriod  = 500 * time.Millisecond
+	confirmPeriod = 200 * time.Millisecond
 	// recallTimeout is how long a caller waits for the record to be read. The read goes on.
 	recallTimeout = 150 * time.Millisecond
 	// recallPause is the pause after a read for callers, and recallFailedPause after one that
@@ -60,6 +62,35 @@
 	}
 }
 
+// confirmServed asks other routers which of the versions that serve the record names, until ctx ends.
+func (e *Entry) confirmServed(ctx context.Context) {
+	if e.env.ServedStore == nil {
+		return
+	}
+	ticker := time.NewTicker(confirmPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.gossip.Origins().ConfirmVersions(e.front.ResumableServices(), steady.Now())
+		}
+	}
+}
+
+// unrecordedVersions returns how many versions serve that the record is not known to name.
+func (e *Entry) unrecordedVersions() int {
+	if e.env.ServedStore == nil {
+		return 0
+	}
+	count := 0
+	for _, name := range e.front.ResumableServices() {
+		count += len(e.served.tracker.Unconfirmed(name))
+	}
+	return count
+}
+
 // advanceServed reads or writes the record if that is due.
 func (e *Entry) advanceServed(ctx context.Context) {
 	if e.stopping.Load() || !e.proofFresh() {
@@ -69,10 +100,11 @@
 	if restores := e.watcher.Restores(); restores != e.served.restores {
 		e.served.restores = restores
 		e.served.keeper.Distrust()
+		e.served.tracker.ResetConfirmed()
 	}
 	// A read may call for a write.
 	for range 2 {
-		step := e.served.keeper.Next(e.resumableServices(), e.watcher.Digest().Generation, e.gossip.TaskRank("served versions"), steady.Now())
+		step := e.served.keeper.Next(e.resumableServices(), e.watcher.Digest().Generation, e.gossip.ServedRank(), steady.Now())
 		switch {
 		case step.Read:
 			_ = e.readServed(ctx) // Logged; the keeper tries again.
@@ -104,6 +136,7 @@
 	reliable := e.served.keeper.Loaded(records, generation, now)
 	for _, name := range e.front.ResumableServices() {
 		e.recallService(name, records, reliable, now)
+		e.confirmRead(name, reliable, generation)
 	}
 	e.log.Write(event.ServedRead, event.F("records", len(records)), event.F("reliable", len(reliable)), event.F("error", nil))
 	return nil
@@ -120,6 +153,21 @@
 	}
 }
 
+// confirmRead notes the versions of a service that its record names. A router that does not keep the
+// records asks those that do, since it does not read what they write later.
+func (e *Entry) confirmRead(name string, reliable []origin.Stored, generation uint64) {
+	if e.gossip.ServedRank() >= origin.Keepers {
+		return
+	}
+	var versions []string
+	for _, r := range reliable {
+		if r.Service == name {
+			versions = r.Versions
+		}
+	}
+	e.served.tracker.SetConfirmed(name, versions, generation)
+}
+
 func (e *Entry) writeServed(ctx context.Context, records []origin.Stored) {
 	revision, err := (*e.served.store.Load()).WriteServed(ctx, records)
 	for _, r := range records {
@@ -130,6 +178,9 @@
 		return
 	}
 	e.served.keeper.Written(records, revision)
+	for _, r := range records {
+		e.served.tracker.SetConfirmed(r.Service, r.Versions, r.Generation)
+	}
 }
 
 // recallServed reads the record for a caller that takes up a stream, together with all others
--- a/internal/entry/subject.go
+++ b/internal/entry/subject.go
@@ -118,6 +118,7 @@
 		{Name: "croftyard_front_held_bytes", Value: float64(e.front.Held().Used())},
 		{Name: "croftyard_front_held_limit_bytes", Value: float64(e.front.Held().Limit())},
 		{Name: "croftyard_front_held_rejected", Value: float64(e.front.Held().Rejected())},
+		{Name: "croftyard_front_versions_unrecorded", Value: float64(e.unrecordedVersions())},
 		{Name: "croftyard_front_active", Value: float64(e.front.ActiveRequests())},
 		{Name: "croftyard_front_connections_idle", Value: float64(e.pool.Idle())},
 		{Name: "croftyard_log_lines_dropped", Value: float64(e.env.LogDropped())},
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -120,6 +120,7 @@
 	tried := slices.Concat(c.tried, excluded)
 	q := balance.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate, Target: c.route.Target}
 	q.OnlyVersion, q.Version = c.origin.state == originKnown, c.origin.version
+	q.PreferredVersions = c.preferredVersions()
 	if c.service.Engine != nil {
 		q.Parts = c.parts
 	}
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -26,6 +26,9 @@
 	Observe(service string, versions []string, current bool, now time.Time)
 	// Served returns the versions of a service that served within a stream's lifetime.
 	Served(service string, now time.Time) origin.Served
+	// Confirmed returns the versions of a service that serve and that the store's record is known
+	// to name.
+	Confirmed(service string) []string
 	// RecordOrigin records the version at which a stream of a service begins.
 	RecordOrigin(service string, k origin.Key, version string)
 	// FindOrigin returns what is known of a stream. It asks other routers and the store if need
@@ -62,6 +65,15 @@
 	return o.state == originOpen || o.state == originKnown && v.known && v.version == o.version
 }
 
+// preferredVersions returns the versions at which a stream should begin: those that routers know of
+// also after all of them ended. Without any, the stream may begin anywhere.
+func (c *call) preferredVersions() []string {
+	if c.front.options.Origins == nil || !c.route.Resumable || c.origin.state != originOpen {
+		return nil
+	}
+	return c.front.options.Origins.Confirmed(c.service.Name)
+}
+
 // recordOrigin records the version at which the stream begins, before its first event is
 // forwarded.
 func (c *call) recordOrigin() {
--- a/internal/front/origin_test.go
+++ b/internal/front/origin_test.go
@@ -21,6 +21,7 @@
 func (noOrigins) Observe(string, []string, bool, time.Time) {}
 func (noOrigins) RecordOrigin(string, origin.Key, string)   {}
 func (noOrigins) Served(string, time.Time) origin.Served    { return origin.Served{} }
+func (noOrigins) Confirmed(string) []string                 { return nil }
 func (noOrigins) FindOrigin(context.Context, string, origin.Key) origin.Search {
 	return origin.Search{}
 }
