poison, entry, platform: what is held outlives the routers in one record of the store

Callers saw: after an end of all routers a request, or a part of prompts, that crashes replicas could crash three more before it was held again, after each such end.

Cause: marks are in the memory of routers only, and nobody who starts with the whole fleet can be told them.

Ruled out: telling marks from the record to others as marks. Their times are later than those by which others know the same crashes, which would count twice and hold a request six times as long for each. Ruled out, too: holding without crashes, as a further crash could not extend that.

Change: one record (croftyard/held) with what is held now, the latest 64 requests and 32 parts, each with its crashes by age. The first router by rank writes it as it changes, at most once a second, under a condition; two more make up for it. A router that starts reads it once, in a stale read. Restored crashes are not told; a crash that others know by its own time takes the place of its restored one. What only a record holds may be tried by any router a further hold after its hold is over, since the owner of its trials may not know it.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -13,6 +13,7 @@
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/origin"
+	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/rollout"
 	"github.com/croftyard/croftyard/platform"
 )
@@ -35,6 +36,9 @@
 		ServedStore: func(s settings.Settings, call time.Duration) origin.Store {
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
+		HeldStore: func(s settings.Settings, call time.Duration) poison.Store {
+			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
+		},
 		Dialect:         platform.Dialect(),
 		ReadyPath:       platform.ReadyPath,
 		HeldParts:       platform.Held,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,8 +55,11 @@
 	// ServedStore returns a client of the records of versions that served lately. If nil, these
 	// are not kept, and are lost with the routers.
 	ServedStore func(s settings.Settings, call time.Duration) origin.Store
-	Dialect     front.Dialect
-	ReadyPath   string
+	// HeldStore returns a client of the record of what crashes replicas. If nil, none is kept, and
+	// it is lost with the routers.
+	HeldStore func(s settings.Settings, call time.Duration) poison.Store
+	Dialect   front.Dialect
+	ReadyPath string
 	// HeldParts asks an engine which parts of prompts it holds and passes the head of its
 	// answer to answered. It may be nil.
 	HeldParts func(ctx context.Context, address string, answered func(*http.Response)) ([]balance.Part, error)
@@ -96,6 +99,7 @@
 
 	statusWriter atomic.Pointer[rollout.Writer]
 	served       servedVersions
+	held         heldRecord
 
 	callers *http.Server
 	conns   *conns.Set
@@ -170,6 +174,7 @@
 	e.retries = newRetries(e.settings, e.started)
 	e.served.tracker = origin.NewTracker(front.MaxStreamLifetime)
 	e.setServedStore(e.settings)
+	e.setHeldStore(e.settings)
 	var err error
 	e.gossip, err = gossip.Start(gossip.Options{
 		Address:      e.settings.Listen.Peers,
@@ -251,6 +256,7 @@
 	e.balancer.Rollouts().SetExposure(s.Bounds.Exposure)
 	e.setStatusWriter(s)
 	e.setServedStore(s)
+	e.setHeldStore(s)
 	e.log.Write(event.SettingsReloaded, event.F("restart_needed", restart))
 }
 
@@ -354,6 +360,10 @@
 		e.keepServed(ctx)
 		return nil
 	})
+	work.Go(func() error {
+		e.keepHeld(ctx)
+		return nil
+	})
 	work.Go(func() error {
 		steady.Watch(ctx, e.handleResume)
 		return nil
--- /dev/null
+++ b/internal/entry/heldrecord.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/poison"
+)
+
+const (
+	// heldPeriod is the pause between two looks whether the record of what is held is up to date.
+	heldPeriod = 500 * time.Millisecond
+	// heldReads bounds the tries to read the record after a start, each once the store was read.
+	heldReads = 5
+)
+
+// heldRecord keeps a record in the store of the requests and parts that are held, so that they are after
+// all routers ended.
+type heldRecord struct {
+	keeper poison.Keeper
+	store  atomic.Pointer[poison.Store]
+	// restores is how often the store had come back from a copy at the last look.
+	restores uint64
+}
+
+// keepHeld restores what was held before the start, and keeps the record up to date until ctx ends.
+func (e *Entry) keepHeld(ctx context.Context) {
+	if e.env.HeldStore == nil {
+		return
+	}
+	met := time.After(peerWait + recallWait)
+	restored := e.settings.Routes.FirstStart || e.settings.Routes.Crashes+e.settings.Routes.PartCrashes == 0
+	if !restored {
+		// Requests come as soon as there is a list of replicas, which is read at the same time.
+		restored = e.readHeld(ctx, true) == nil
+	}
+	ticker := time.NewTicker(heldPeriod)
+	defer ticker.Stop()
+	for tries := 1; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-met:
+			// Until routers know each other, each is the first by rank.
+			met = nil
+		case <-ticker.C:
+		}
+		if e.stopping.Load() || !e.watcher.Initialized() || !e.proofFresh() {
+			// Another router writes what this one, cut off or stopping, can't.
+			continue
+		}
+		if !restored && tries < heldReads {
+			tries++
+			restored = e.readHeld(ctx, true) == nil
+		}
+		if met == nil {
+			e.advanceHeld(ctx)
+		}
+	}
+}
+
+// advanceHeld reads or writes the record if that is due.
+func (e *Entry) advanceHeld(ctx context.Context) {
+	if restores := e.watcher.Restores(); restores != e.held.restores {
+		e.held.restores = restores
+		e.held.keeper.Distrust()
+	}
+	// A read may call for a write.
+	for range 2 {
+		now := steady.Now()
+		record := poison.Record{Requests: e.poison.Held(poison.MaxHeldRequests, now), Parts: e.parts.Held(poison.MaxHeldParts, now)}
+		switch e.held.keeper.Next(record, e.gossip.TaskRank("held requests"), now) {
+		case poison.ReadRecordStep:
+			if e.readHeld(ctx, false) != nil {
+				return
+			}
+		case poison.WriteRecordStep:
+			e.writeHeld(ctx, record)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// readHeld reads the record and holds what it states. One that is not usable counts as empty.
+func (e *Entry) readHeld(ctx context.Context, stale bool) error {
+	record, err := (*e.held.store.Load()).ReadHeld(ctx, stale)
+	now := steady.Now()
+	requests, parts := e.poison.Restore(record.Requests, now), e.parts.Restore(record.Parts, now)
+	e.log.Write(event.HeldRead, event.F("requests", len(record.Requests)), event.F("parts", len(record.Parts)),
+		event.F("restored", requests+parts), event.F("revision", record.Revision), event.F("error", err))
+	if err != nil && !errors.Is(err, poison.ErrRecord) {
+		e.held.keeper.Failed(now)
+		return err
+	}
+	e.held.keeper.Loaded(record, now)
+	return nil
+}
+
+func (e *Entry) writeHeld(ctx context.Context, record poison.Record) {
+	record.Revision = e.held.keeper.Revision()
+	revision, err := (*e.held.store.Load()).WriteHeld(ctx, record)
+	e.log.Write(event.HeldWritten, event.F("requests", len(record.Requests)), event.F("parts", len(record.Parts)),
+		event.F("revision", revision), event.F("error", err))
+	if err != nil {
+		e.held.keeper.Failed(steady.Now())
+		return
+	}
+	record.Revision = revision
+	e.held.keeper.Written(record, steady.Now())
+}
+
+// setHeldStore sets the client that reads and writes the record.
+func (e *Entry) setHeldStore(s settings.Settings) {
+	if e.env.HeldStore == nil {
+		return
+	}
+	store := e.env.HeldStore(s, readPeriod(s.Bounds))
+	e.held.store.Store(&store)
+}
--- /dev/null
+++ b/internal/entry/heldrecord_test.go
@@ -0,0 +1,358 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
+	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/poison"
+	"github.com/croftyard/croftyard/pkg/route"
+)
+
+// heldMemory is a store that keeps the record of what is held.
+type heldMemory struct {
+	mu            sync.Mutex
+	value         []byte
+	revision      uint64
+	away          bool
+	reads, writes int
+}
+
+// ReadHeld implements poison.Store.
+func (m *heldMemory) ReadHeld(context.Context, bool) (poison.Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	switch {
+	case m.away:
+		return poison.Record{}, errAway
+	case m.revision == 0:
+		return poison.Record{}, nil
+	}
+	return poison.ReadRecord(m.value, m.revision)
+}
+
+// WriteHeld implements poison.Store.
+func (m *heldMemory) WriteHeld(_ context.Context, r poison.Record) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	switch {
+	case m.away:
+		return 0, errAway
+	case r.Revision != m.revision:
+		return 0, poison.ErrConflict
+	}
+	m.revision++
+	m.value = r.Value()
+	return m.revision, nil
+}
+
+// set has another writer write a value.
+func (m *heldMemory) set(value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	m.value = []byte(value)
+}
+
+func (m *heldMemory) setAway(away bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = away
+}
+
+// holds returns how much the record holds.
+func (m *heldMemory) holds() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// One that is not usable holds nothing.
+	r, _ := poison.ReadRecord(m.value, m.revision)
+	return r.Len()
+}
+
+func (m *heldMemory) calls() (reads, writes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.writes
+}
+
+// crashFleet is routers before replicas that deadly requests crash.
+type crashFleet struct {
+	source  source
+	store   heldMemory
+	routers []*Entry
+	client  *http.Client
+	// part: what is deadly is a part of the prompt, not the body.
+	part     bool
+	replicas int
+	crashed  atomic.Int64
+	sent     int
+	// mended: replicas answer deadly requests.
+	mended atomic.Bool
+}
+
+const crashRouters = 3
+
+func newCrashFleet(t *testing.T, part bool) *crashFleet {
+	t.Helper()
+	f := &crashFleet{part: part, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	f.source.snapshot.Config = &route.Config{Version: 1, Services: []route.Service{{Name: "s"}}, Routes: []route.Route{
+		{Name: "r", Host: "h", Prefix: "/", Kind: route.Repeatable, Attempts: 1, Timeout: 5 * time.Second, Shares: []route.Share{{Service: "s", Weight: 1}}}}}
+	f.replace(t)
+	f.start(t, true)
+	return f
+}
+
+// replace lists replicas that run, and no others.
+func (f *crashFleet) replace(t *testing.T) {
+	t.Helper()
+	const replicas = 6
+	var list []directory.Replica
+	for range replicas {
+		f.replicas++
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !f.mended.Load() && r.Header.Get("Deadly") != "" {
+				f.crashed.Add(1)
+				server.Listener.Close()
+				go server.CloseClientConnections()
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Try", r.Header.Get("Try"))
+			fmt.Fprint(w, "whole")
+		}))
+		t.Cleanup(server.Close)
+		list = append(list, directory.Replica{ID: fmt.Sprint("i", f.replicas), Service: "s", Address: server.Listener.Addr().String(), Slots: 16, Born: int64(f.replicas)})
+	}
+	f.source.mu.Lock()
+	f.source.snapshot = watch.Snapshot{Config: f.source.snapshot.Config, Replicas: list}
+	f.source.mu.Unlock()
+}
+
+// start starts the routers that the fleet lacks and waits until all serve and know each other.
+func (f *crashFleet) start(t *testing.T, first bool) {
+	t.Helper()
+	for len(f.routers) < crashRouters {
+		var seeds []string
+		if len(f.routers) > 0 {
+			seeds = []string{f.routers[0].gossip.Address()}
+		}
+		f.routers = append(f.routers, startWith(t, &f.source, time.Second, func(s *settings.Settings, env *Environment) {
+			s.Name, s.Peers.Seeds, s.Peers.Period = fmt.Sprint("r", len(f.routers)), seeds, 10*time.Millisecond
+			s.Routes.FirstStart = first
+			env.Dialect.PromptParts = "Parts"
+			env.Dialect.ParseParts = func(text string) []balance.Part {
+				if text == "" {
+					return nil
+				}
+				return []balance.Part{{ID: uint64(len(text)), Tokens: 100}, {ID: 1000, Tokens: 1}}
+			}
+			env.HeldStore = func(settings.Settings, time.Duration) poison.Store { return &f.store }
+		}))
+	}
+	for _, e := range f.routers {
+		until(func() bool { return e.Ready() && e.gossip.MemberCount() >= crashRouters })
+	}
+}
+
+// end ends routers.
+func (f *crashFleet) end(routers ...*Entry) {
+	for _, e := range routers {
+		e.Stop()
+		e.Kill()
+		// One that is killed may say that requests were cut.
+		_ = e.Wait()
+	}
+	f.routers = f.routers[len(routers):]
+}
+
+// awaitRead waits until routers have read the record.
+func (f *crashFleet) awaitRead(routers ...*Entry) {
+	for _, e := range routers {
+		until(func() bool { return e.log.Count(event.HeldRead) > 0 })
+	}
+}
+
+// post sends a request and returns the status of its answer, 0 if there is none.
+func (f *crashFleet) post(t *testing.T, e *Entry, deadly bool) int {
+	t.Helper()
+	f.sent++
+	callers, _ := e.Addresses()
+	body, parts := "deadly", ""
+	if f.part || !deadly {
+		body = fmt.Sprint(f.sent)
+	}
+	if f.part {
+		parts = map[bool]string{true: "xx", false: "x"}[deadly]
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/x", strings.NewReader(body))
+	require.NoError(t, err)
+	request.Host = "h"
+	for name, value := range map[string]string{"Try": fmt.Sprint("t", f.sent), "Parts": parts, "Deadly": map[bool]string{true: "1"}[deadly]} {
+		request.Header.Set(name, value)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// crash sends deadly requests until one is held, and waits until the record says so.
+func (f *crashFleet) crash(t *testing.T) {
+	t.Helper()
+	held := func() bool {
+		_, requests := f.routers[0].poison.Counts()
+		_, parts := f.routers[0].parts.Counts()
+		return requests+parts > 0
+	}
+	const enough = replicasPerService
+	crashed := f.crashed.Load()
+	for !held() {
+		f.post(t, f.routers[0], true)
+		if f.crashed.Load()-crashed >= enough {
+			// A crash counts only while other replicas are reached, or once its entry goes.
+			crashed = f.crashed.Load()
+			f.replace(t)
+		}
+	}
+	until(func() bool { return f.store.holds() == 1 })
+}
+
+// assertHeld sends requests to all routers: the deadly ones are refused, the others served.
+func (f *crashFleet) assertHeld(t *testing.T) {
+	t.Helper()
+	const each = 5
+	crashed := f.crashed.Load()
+	for _, e := range f.routers {
+		for range each {
+			assert.Equal(t, http.StatusServiceUnavailable, f.post(t, e, true))
+			assert.Equal(t, http.StatusOK, f.post(t, e, false))
+		}
+	}
+	assert.Equal(t, crashed, f.crashed.Load(), "deadly requests reached replicas")
+}
+
+// crashes returns how many crashes a router counts of what is held.
+func (f *crashFleet) crashes(e *Entry) int {
+	list := append(e.poison.Held(1, steady.Now()), e.parts.Held(1, steady.Now())...)
+	if len(list) == 0 {
+		return 0
+	}
+	return len(list[0].Crashes)
+}
+
+// Guards against requests, and parts of prompts, that may crash more replicas once all routers have ended.
+func TestHeldAfterAllRoutersEnded(t *testing.T) {
+	for name, part := range map[string]bool{"a body": false, "a part": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(t, part)
+			f.crash(t)
+			for range 2 {
+				f.end(f.routers...)
+				f.replace(t)
+				f.start(t, false)
+				f.awaitRead(f.routers...)
+				f.assertHeld(t)
+			}
+			// The replicas are mended, and a trial shows it.
+			f.mended.Store(true)
+			for _, e := range f.routers {
+				e.poison.SetLimits(poison.Limits{Crashes: 3, Hold: time.Millisecond})
+				e.parts.SetLimits(poison.Limits{Crashes: 3, Hold: time.Millisecond})
+			}
+			for _, e := range f.routers {
+				until(func() bool { return f.post(t, e, true) == http.StatusOK })
+			}
+			until(func() bool { return f.store.holds() == 0 })
+		})
+	}
+}
+
+// Guards against crashes that count twice at a router that learned them from the others too, which makes
+// the hold longer.
+func TestRestoredCrashesCountOnce(t *testing.T) {
+	for name, part := range map[string]bool{"a body": false, "a part": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(t, part)
+			f.crash(t)
+			before := f.crashes(f.routers[0])
+			for range crashRouters {
+				f.end(f.routers[0])
+				f.start(t, false)
+				f.awaitRead(f.routers[crashRouters-1])
+			}
+			f.replace(t)
+			f.assertHeld(t)
+			for _, e := range f.routers {
+				assert.Equal(t, before, f.crashes(e))
+			}
+		})
+	}
+}
+
+// Guards against a record that keeps routers from serving, and against one that is not mended.
+func TestRecordOfHeldRequestsThatIsNotUsable(t *testing.T) {
+	f := newCrashFleet(t, false)
+	f.crash(t)
+	f.end(f.routers...)
+	f.store.set(`{"requests":[{"digest":"`)
+	f.replace(t)
+	f.start(t, false)
+	f.awaitRead(f.routers...)
+	for _, e := range f.routers {
+		assert.Equal(t, http.StatusOK, f.post(t, e, false))
+		assert.EqualValues(t, 1, e.log.Count(event.HeldRead))
+		assert.Zero(t, f.crashes(e))
+	}
+	f.crash(t)
+}
+
+// Guards against a record that is not read, as the store was away at the start.
+func TestHeldRequestsAreReadOnceTheStoreIsBack(t *testing.T) {
+	f := newCrashFleet(t, false)
+	f.crash(t)
+	f.end(f.routers...)
+	f.store.setAway(true)
+	f.replace(t)
+	f.start(t, false)
+	f.awaitRead(f.routers...)
+	f.store.setAway(false)
+	for _, e := range f.routers {
+		until(func() bool { return f.crashes(e) > 0 })
+	}
+	f.assertHeld(t)
+}
+
+// Guards against calls to the store by fleets that hold nothing.
+func TestNothingIsWrittenWhileNothingIsHeld(t *testing.T) {
+	f := newCrashFleet(t, false)
+	time.Sleep(peerWait + recallWait + 2*heldPeriod)
+	reads, writes := f.store.calls()
+	assert.Zero(t, reads+writes)
+	f.end(f.routers...)
+	f.start(t, false)
+	f.awaitRead(f.routers...)
+	time.Sleep(peerWait + recallWait + 2*heldPeriod)
+	reads, writes = f.store.calls()
+	assert.Equal(t, []int{crashRouters, 0}, []int{reads, writes}, "reads and writes")
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,6 +89,8 @@
 	StreamTakenUp     ID = 430
 	ServedRead        ID = 431
 	ServedWritten     ID = 432
+	HeldRead          ID = 433
+	HeldWritten       ID = 434
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -175,6 +177,8 @@
 	StreamTakenUp:     {logrus.InfoLevel, "stream taken up by its caller", "None needed. found tells how its software version is known: recorded, inferred or unknown; an unknown one is refused. listed are the versions that serve, several that others served lately; answered of the asked routers answered."},
 	ServedRead:        {logrus.InfoLevel, "record of the versions that served was read", "None needed. It tells which versions served before this process started. Records that are not reliable were written before the store came back from a copy."},
 	ServedWritten:     {logrus.InfoLevel, "record of the versions that served was written", "None needed. With an error, another router writes it or this one tries again. While it is missing, streams that break off as all routers end cannot go on."},
+	HeldRead:          {logrus.InfoLevel, "record of held requests was read", "None needed. It tells what crashes replicas to a process that has started. With an error, it is left out; one that is not usable is written anew once something is held."},
+	HeldWritten:       {logrus.InfoLevel, "record of held requests was written", "None needed. With an error, another router writes it or this one tries again. What it lacks as all routers end may crash replicas again."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -57,7 +57,7 @@
 		return c.refusePoisoned(exclusiveRetryAfter)
 	case c.exclusive:
 		return nil
-	case v.State == poison.Trial && !c.front.ownsTrial(c.digest()), !memory.BeginRun(c.digest(), v.State, now):
+	case v.State == poison.Trial && !c.front.ownsTrial(c.digest()) && !memory.AnyMayTry(c.digest(), now), !memory.BeginRun(c.digest(), v.State, now):
 		return c.refusePoisoned(exclusiveRetryAfter)
 	}
 	c.exclusive, c.trial = true, v.State == poison.Trial
--- a/internal/front/parts.go
+++ b/internal/front/parts.go
@@ -60,7 +60,7 @@
 		return c.refusePoisoned(v.RetryAfter)
 	case v.State != poison.Trial:
 		return nil
-	case !f.ownsTrial(v.Part), !f.parts.BeginRun(v.Part, v.State, now):
+	case !f.ownsTrial(v.Part) && !f.parts.AnyMayTry(v.Part, now), !f.parts.BeginRun(v.Part, v.State, now):
 		return c.refusePoisoned(exclusiveRetryAfter)
 	}
 	c.partTrial = &v.Part
--- a/pkg/poison/exchange.go
+++ b/pkg/poison/exchange.go
@@ -60,7 +60,7 @@
 }
 
 // Sample returns the marks of some requests, held ones first and different ones each
-// time, for routers that start or were partitioned.
+// time, for routers that start or were partitioned. Routers read restored ones themselves.
 func (m *Tracker) Sample(requests int) []Mark {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -77,6 +77,10 @@
 			s, _ = m.suspects.Peek(d)
 		}
 		for _, c := range s.crashes {
+			if c.restored {
+				// Others may know it by its own time, and would count it twice.
+				continue
+			}
 			marks = append(marks, Mark{Digest: d, Replica: c.replica, Organisation: c.organisation, Shared: c.shared, At: c.at})
 		}
 	}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -9,6 +9,7 @@
 //	BeginRun       starts a run of a suspected request, at most one at a time
 //	TakePending, Recent, Sample, Merge
 //	               exchange marks between routers, so that those of all routers count
+//	Held, Restore  carry what is held over an end of all routers, by a record in a store
 //
 // A mark names a request, a replica and a time. Marks are only added, or removed by a
 // later full answer, so routers converge whatever the order of delivery. A harmless
@@ -148,6 +149,8 @@
 	organisation uint32
 	shared       bool
 	at           time.Time
+	// restored is set if the crash is from a record: it was at this time or earlier.
+	restored bool
 }
 
 // crashWeight is the weight of a crash, that of a shared one is 1.
@@ -168,7 +171,15 @@
 
 // isSame reports whether two marks are of the same crash.
 func (c crash) isSame(other crash) bool {
-	return c.replica == other.replica && c.at.Sub(other.at).Abs() < crashWindow
+	switch {
+	case c.replica != other.replica:
+		return false
+	case c.restored && !other.restored:
+		return other.at.Sub(c.at) < crashWindow
+	case other.restored && !c.restored:
+		return c.at.Sub(other.at) < crashWindow
+	}
+	return c.at.Sub(other.at).Abs() < crashWindow
 }
 
 // New returns an empty Tracker.
@@ -303,7 +314,7 @@
 	if mark.Served {
 		return s.addAnswer(mark.At)
 	}
-	return s.addCrash(crash{mark.Replica, mark.Organisation, mark.Shared, mark.At})
+	return s.addCrash(crash{mark.Replica, mark.Organisation, mark.Shared, mark.At, false})
 }
 
 // addAnswer records an answer and tells whether it was new.
@@ -333,6 +344,11 @@
 		return false
 	}
 	if i := slices.IndexFunc(s.crashes, c.isSame); i >= 0 {
+		if s.crashes[i].restored && !c.restored {
+			c.shared = c.shared || s.crashes[i].shared
+			s.crashes[i] = c
+			return true
+		}
 		// Of several prompts with the part that one crash hit, the one with a likelier cause counts.
 		changed := c.shared && !s.crashes[i].shared
 		s.crashes[i].shared = s.crashes[i].shared || c.shared
