balance: routers that know only some of the seeds send cold replicas that part

Cause: each of two groups of routers that know nothing of each other may send a cold replica half of what the users allow. Three groups (restarted while cut off, or apart for over two hours) looked the same to themselves and came to 24 requests in a second, 19.4 allowed, apart and as they met again.

Ruled out: a division by three alone, by which one group leaves more than half idle (docs/design/bounds.md before this); the counts that routers report to each other (Count.Complete), which routers with an older view on each side would report on all of them.

Change: what a router may send is the part of the seeds that it knows, as members, silent or just stopped; groups that know nothing of each other know different seeds, so their parts add up to one. A part below the whole also counts the request that each sender saves up. A seed that is found counts 4 s later: routers meet the seeds of another side before its other members.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -197,6 +197,42 @@
 	})
 }
 
+// Guards against a router that takes the few that it knows for the whole fleet.
+func TestColdReplicasAreLeftToRoutersThatKnowSeeds(t *testing.T) {
+	seed := newRouter(t, &source{})
+	for name, c := range map[string]struct {
+		seeds []string
+		found bool
+	}{
+		"all seeds":           {[]string{seed.gossip.Address()}, true},
+		"none of them":        {[]string{"127.0.0.1:1", "127.0.0.1:2"}, false},
+		"there are no others": {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRouter(t, &source{}, c.seeds...)
+			r.balancer.SetColdBounds(balance.ColdBounds{Overage: 1.5, Allowance: 5})
+			list := replicas("a")
+			list[0].Cold, list[0].ColdLeft = true, time.Hour
+			r.watcher.ApplySnapshot(watch.Snapshot{Config: config(4), Replicas: list}, time.Now())
+			waitUntil(t, func() bool { return r.balancer.ReadyCount("s") == 1 })
+			picks := func() bool {
+				r.awaitRound(t)
+				// This is long after the start, but long before the replica is warm.
+				_, found := r.balancer.Pick(balance.Request{Service: "s", ColdRate: 20}, time.Now().Add(time.Minute))
+				return found
+			}
+			if c.found {
+				waitUntil(t, picks)
+				return
+			}
+			for range 3 {
+				assert.False(t, picks())
+			}
+		})
+	}
+}
+
 func TestOlderPeerRevertsNothing(t *testing.T) {
 	old := newRouter(t, &source{})
 	old.watcher.ApplySnapshot(watch.Snapshot{Config: config(3), Replicas: replicas("gone")}, time.Now())
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -19,6 +19,7 @@
 	large := g.members.Large()
 	partners := g.members.Partners(now)
 	known, changes := g.members.KnownAddresses(), g.members.Changes()
+	seedsKnown, seeds := g.members.SeedsKnown()
 	leaving := g.leavingAddresses()
 	changed := changes != g.announcedChanges
 	g.announcedChanges = changes
@@ -30,6 +31,7 @@
 	g.mu.Unlock()
 	g.updateView(large)
 	g.balancer.SetLargeFleet(large)
+	g.balancer.SetSeedsKnown(seedsKnown, seeds, now)
 	if changed {
 		g.balancer.SetRouters(g.server.Address(), known, now)
 	}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -44,6 +44,11 @@
 	ownRank int
 	// knownSince is when the routers were first set.
 	knownSince time.Time
+	// seedsKnown is how many of the seeds this router has known for membershipSettleTime; risesTo
+	// is how many it knows now, of which it is sure at risesAt.
+	seedsKnown, seeds int
+	risesTo           int
+	risesAt           time.Time
 	// heldBack holds the services whose cold replicas are held back.
 	heldBack map[string]bool
 }
@@ -93,20 +98,52 @@
 	}
 }
 
+// SetSeedsKnown sets how many of the seeds this router knows, itself included. What a greater number
+// stands for takes effect once the other routers have learned of each other as well.
+func (b *Balancer) SetSeedsKnown(known, seeds int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := &b.coldShares
+	switch {
+	case c.seeds != seeds || known <= c.seedsKnown:
+		c.seedsKnown, c.risesTo = known, known
+	case known != c.risesTo:
+		c.risesTo, c.risesAt = known, now.Add(membershipSettleTime)
+	case !now.Before(c.risesAt):
+		c.seedsKnown = known
+	}
+	c.seeds = seeds
+}
+
+// part returns the part of the whole fleet that the routers which this one knows stand for.
+// Others may be at work behind a partition if it does not know all seeds.
+func (c *coldShares) part() float64 {
+	if c.seeds == 0 {
+		return 1
+	}
+	return float64(c.seedsKnown) / float64(c.seeds)
+}
+
 // senderCount returns how many routers may send to one cold replica.
 func (c *coldShares) senderCount() int {
-	most := max(int(c.bounds.Allowance/(membershipViews*coldBurst)), 1)
+	most := max(int(c.part()*c.bounds.Allowance/(membershipViews*coldBurst)), 1)
 	return min(most, len(c.others)+1)
 }
 
 // rate returns what one of them may send in a second, given the replica's rate.
 func (c *coldShares) rate(replicaRate float64) float64 {
-	return replicaRate * c.bounds.Overage / float64(membershipViews*c.senderCount())
+	senders, part := float64(c.senderCount()), c.part()
+	total := part * replicaRate * c.bounds.Overage / membershipViews
+	if part < 1 {
+		// There may be a group for each seed, and each sender saves up a request.
+		total = min(total, part*(replicaRate*c.bounds.Overage+c.bounds.Allowance)/membershipViews-senders*coldBurst)
+	}
+	return max(total, 0) / senders
 }
 
-// isSender reports whether this router is one of those that may send to a cold replica.
-func (c *coldShares) isSender(r *replica, now time.Time) bool {
-	if c.knownSince.IsZero() || now.Sub(c.knownSince) < membershipSettleTime {
+// isSender reports whether this router is one of those that may send to a cold replica, at a rate.
+func (c *coldShares) isSender(r *replica, rate float64, now time.Time) bool {
+	if rate <= 0 || c.knownSince.IsZero() || now.Sub(c.knownSince) < membershipSettleTime {
 		return false
 	}
 	before := 0
@@ -147,7 +184,7 @@
 	}
 	rate := b.coldShares.rate(q.ColdRate)
 	for _, r := range cold {
-		if r.allowance.available(rate, now) >= 1 && b.coldShares.isSender(r, now) {
+		if r.allowance.available(rate, now) >= 1 && b.coldShares.isSender(r, rate, now) {
 			left = append(left, r)
 		}
 	}
--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,22 +172,80 @@
 // Guards against a bound that more than two sides of a cut, which know nothing of each other, use
 // each for itself.
 func TestSidesOfACutKeepColdBound(t *testing.T) {
-	for _, sides := range []int{2, 3} {
-		t.Run(fmt.Sprint(sides), func(t *testing.T) {
-			list, all := makeCold(engines(5), start.Add(time.Minute), 0, 1, 2, 3, 4), routerAddresses(300)
-			var routers []*Balancer
-			for side := range slices.Chunk(all, len(all)/sides) {
-				for _, own := range side {
-					routers = append(routers, settledBalancer(list, own, side))
-				}
-			}
-			for id, got := range sendAll(t, routers, coldRequest(1), 4*time.Second) {
-				assert.LessOrEqual(t, float64(got), maxColdPerSecond, id)
+	for name, c := range map[string]struct {
+		// seeds is how many of the seeds are on each side, and known of them; nil if there are none.
+		seeds []int
+		sides int
+		// still is how many routers in a hundred know all others since before the cut.
+		still int
+		// least is what a replica gets in some second.
+		least float64
+	}{
+		"two sides":                                  {nil, 2, 0, coldRate * 0.7},
+		"two sides, a seed on one":                   {[]int{1, 0}, 2, 0, coldRate * 0.7},
+		"three sides, a seed on each":                {[]int{1, 1, 1}, 3, 0, coldRate * 0.7},
+		"three sides, two have seeds":                {[]int{2, 1, 0}, 3, 0, coldRate * 0.7},
+		"three sides, one has all seeds":             {[]int{3, 0, 0}, 3, 0, coldRate * 0.7},
+		"three sides, a seed on each, some know all": {[]int{1, 1, 1}, 3, 30, 3},
+		"four sides, a seed on each of two":          {[]int{1, 0, 0, 1}, 4, 0, coldRate * 0.7},
+		"four sides, five seeds":                     {[]int{2, 1, 1, 1}, 4, 0, 6},
+		"four sides, some know all":                  {[]int{2, 1, 0, 0}, 4, 30, 3},
+	} {
+		for _, size := range []int{3, 30, 300, 985} {
+			if size >= 300 && !strings.HasPrefix(name, "three sides") || size == 985 && name != "three sides, a seed on each" {
+				continue
 			}
-		})
+			t.Run(fmt.Sprintf("%s, %d", name, size), func(t *testing.T) {
+				t.Parallel()
+				list, all, total := makeCold(engines(5), start.Add(time.Minute), 0, 1, 2, 3, 4), routerAddresses(size), 0
+				for _, n := range c.seeds {
+					total += n
+				}
+				var routers []*Balancer
+				for side := range c.sides {
+					members := all[len(all)*side/c.sides : len(all)*(side+1)/c.sides]
+					for i, own := range members {
+						known, seeds := members, 0
+						if c.seeds != nil {
+							seeds = c.seeds[side]
+						}
+						if i < len(members)*c.still/100 {
+							known, seeds = all, total
+						}
+						b := settledBalancer(list, own, known)
+						b.SetSeedsKnown(seeds, total, start)
+						routers = append(routers, b)
+					}
+				}
+				for id, got := range sendAll(t, routers, coldRequest(1), 1500*time.Millisecond) {
+					assert.LessOrEqual(t, float64(got), maxColdPerSecond, id)
+					if size > c.sides {
+						assert.GreaterOrEqual(t, float64(got), c.least, "and not left idle: %s", id)
+					}
+				}
+			})
+		}
 	}
 }
 
+func TestRouterThatKnowsNoSeedSendsNothingToColdReplicas(t *testing.T) {
+	b := settledBalancer(makeCold(engines(1), start.Add(time.Minute), 0), "a", []string{"a", "b"})
+	b.SetSeedsKnown(0, 3, start)
+	_, found := b.Pick(coldRequest(1), start)
+	assert.False(t, found, "others may be at work which it does not know")
+	for _, at := range []time.Duration{0, time.Second, membershipSettleTime - time.Millisecond} {
+		b.SetSeedsKnown(3, 3, start.Add(at))
+		_, found = b.Pick(coldRequest(1), start.Add(at))
+		assert.False(t, found, "it may have met only the seeds")
+	}
+	b.SetSeedsKnown(3, 3, start.Add(membershipSettleTime))
+	_, found = b.Pick(coldRequest(1), start.Add(membershipSettleTime))
+	assert.True(t, found)
+	b.SetSeedsKnown(0, 3, start.Add(time.Minute/2))
+	_, found = b.Pick(coldRequest(1), start.Add(time.Minute/2))
+	assert.False(t, found)
+}
+
 func TestNewRouterSendsNothingToColdReplicas(t *testing.T) {
 	list := makeCold(engines(1), start.Add(time.Minute), 0)
 	b := New(1)
@@ -218,6 +276,26 @@
 	}
 }
 
+func TestColdSendersAndRateOfAPartOfTheFleet(t *testing.T) {
+	for _, c := range []struct {
+		bounds       ColdBounds
+		known, seeds int
+		senders      int
+		rate         float64
+	}{
+		{ColdBounds{1.5, 5}, 3, 3, 2, 3.6},
+		{ColdBounds{1.5, 5}, 2, 3, 1, 4.8},
+		{ColdBounds{1.5, 5}, 1, 3, 1, 19.4/6 - 1},
+		{ColdBounds{1.5, 5}, 0, 3, 1, 0},
+		{ColdBounds{1, 1}, 1, 3, 1, 10.6/6 - 1},
+		{ColdBounds{2, 20}, 1, 3, 3, 3.2 / 3},
+	} {
+		shares := coldShares{bounds: c.bounds, others: make([]uint64, 77), seedsKnown: c.known, seeds: c.seeds}
+		assert.Equal(t, c.senders, shares.senderCount())
+		assert.InDelta(t, c.rate, shares.rate(coldRate), 1e-9, "%+v", c)
+	}
+}
+
 func TestEvacuatedReplicaIsOnlyCopiedFrom(t *testing.T) {
 	b := newBalancer(engines(6))
 	first := pick(t, b, prompt(1), start)
--- a/pkg/membership/count.go
+++ b/pkg/membership/count.go
@@ -83,6 +83,20 @@
 	return met, len(t.seeds)
 }
 
+// SeedsKnown returns how many of the seeds this router knows, itself included, and how many there
+// are: members, those that fell silent and those that announced their stop a short while ago. Parts
+// of the fleet that know nothing of each other know different seeds.
+func (t *Table) SeedsKnown() (known, seeds int) {
+	for _, seed := range t.seeds {
+		_, silent := t.silent[seed]
+		_, left := t.left[seed]
+		if seed == t.own || t.members[seed] != nil || silent || left {
+			known++
+		}
+	}
+	return known, len(t.seeds)
+}
+
 // Routers returns how many routers may be at work, or 0 if nothing is known of the fleet: the
 // greatest number that this router or others count. If none of them has met all seeds since its
 // start, they may be in a part of the fleet that is cut off: for each missing seed it then assumes
--- a/pkg/membership/count_test.go
+++ b/pkg/membership/count_test.go
@@ -131,3 +131,104 @@
 		})
 	}
 }
+
+// Guards against parts of the fleet that know nothing of each other and count the same seeds, and
+// against seeds that are not known again once all routers reach each other. While they meet again
+// there are many views, of which TestPartsOfAFleetKeepColdBound tests what they amount to.
+func TestPartsThatAreCutOffKnowDifferentSeeds(t *testing.T) {
+	// Routers that started later than settled do not know the others of their part yet.
+	const rounds, from, to, settled = 220, 60, 160, 4 * time.Second
+	seeds := []string{"a0", "b0", "c0"}
+	apart := func(a, b string) bool { return a[:1] != b[:1] }
+	tests := map[string]struct {
+		seeds []string
+		cut   func(a, b string) bool
+		ends  func(address string) bool
+		most  float64
+	}{
+		"all at work":                              {seeds, func(string, string) bool { return false }, func(string) bool { return false }, 1},
+		"apart":                                    {seeds, apart, func(string) bool { return false }, 1},
+		"apart, all started since":                 {seeds, apart, func(string) bool { return true }, 1},
+		"apart, half started since":                {seeds, apart, func(a string) bool { return a[len(a)-1]%2 == 0 }, 2},
+		"apart, those of one part started since":   {seeds, apart, func(a string) bool { return a[:1] == "a" }, 2},
+		"apart, all seeds are in one, all started": {[]string{"a0", "a1", "a2"}, apart, func(string) bool { return true }, 1},
+		"apart, one has no seed, all started":      {[]string{"a0", "a1", "b0"}, apart, func(string) bool { return true }, 1},
+	}
+	for name, test := range tests {
+		for _, size := range []int{9, 30} {
+			t.Run(fmt.Sprintf("%s, %d", name, size), func(t *testing.T) {
+				t.Parallel()
+				f, started := newFleet(0), make(map[string]time.Time)
+				start := func(address string) {
+					f.tables[address], started[address] = New(address, test.seeds, testMaxPartners), f.now
+				}
+				for n := range size {
+					start(fmt.Sprint(string("abc"[n%3]), n/3))
+				}
+				cut := func(a, b string) bool { return f.rounds >= from && f.rounds < to && test.cut(a, b) }
+				for range rounds {
+					if f.rounds == from+1 {
+						for address := range f.tables {
+							if test.ends(address) {
+								start(address)
+							}
+						}
+					}
+					f.cutRound(nobody, cut)
+					if f.rounds >= to {
+						continue
+					}
+					views := make(map[string]float64)
+					for address, table := range f.tables {
+						if f.now.Sub(started[address]) >= settled {
+							known, all := table.SeedsKnown()
+							views[strings.Join(table.KnownAddresses(), " ")] = float64(known) / float64(all)
+						}
+					}
+					sum := 0.0
+					for _, part := range views {
+						sum += part
+					}
+					require.LessOrEqual(t, sum, test.most+1e-9, "round %d", f.rounds)
+				}
+				for address, table := range f.tables {
+					known, all := table.SeedsKnown()
+					assert.Equal(t, all, known, address)
+				}
+			})
+		}
+	}
+}
+
+func TestSeedsKnown(t *testing.T) {
+	now := time.Now()
+	stop := func(t *Table) { t.RecordHeartbeat("s", now); t.RecordLeave("s", now) }
+	tests := map[string]struct {
+		seeds       []string
+		play        func(t *Table)
+		after       time.Duration
+		known, each int
+	}{
+		"no seeds":                      {nil, func(*Table) {}, 0, 0, 0},
+		"not met":                       {[]string{"s", "t"}, func(*Table) {}, 0, 0, 2},
+		"not met for long":              {[]string{"s", "t"}, func(*Table) {}, 3 * time.Hour, 0, 2},
+		"itself":                        {[]string{"own", "t"}, func(*Table) {}, 0, 1, 2},
+		"a member":                      {[]string{"s", "t"}, func(t *Table) { t.RecordHeartbeat("s", now) }, 0, 1, 2},
+		"a silent one":                  {[]string{"s", "t"}, func(t *Table) { t.RecordHeartbeat("s", now) }, time.Hour, 1, 2},
+		"one that is silent for long":   {[]string{"s", "t"}, func(t *Table) { t.RecordHeartbeat("s", now) }, 3 * time.Hour, 0, 2},
+		"one that has just stopped":     {[]string{"s", "t"}, stop, 25 * time.Second, 1, 2},
+		"one that stopped a while ago":  {[]string{"s", "t"}, stop, time.Minute, 0, 2},
+		"one that is met by its report": {[]string{"s", "t"}, func(t *Table) { t.Merge([]Row{{"s", time.Second}}, now) }, 0, 1, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New("own", test.seeds, testMaxPartners)
+			test.play(table)
+			for at := time.Duration(0); at <= test.after; at += time.Second {
+				table.Expire(now.Add(at))
+			}
+			known, each := table.SeedsKnown()
+			assert.Equal(t, []int{test.known, test.each}, []int{known, each})
+		})
+	}
+}
