--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -16,7 +16,8 @@
 //	a router lacks what served before    it reads the records once, when it needs them
 //
 // A record holds at least the versions that served within a stream's lifetime before it is read,
-// but for one that began to serve within the time that a write takes.
+// but for those that are not written yet, at which streams begin only if no others have room
+// (confirmed.go).
 
 // ErrConflict means that another router wrote a record meanwhile.
 var ErrConflict = errors.New("origin: record was written meanwhile")
