entry: the narrow link of a test keeps its rate on a busy machine

Cause, by a trace on a scratch copy (trial, -race, load 61): the rig's link slept for 1 ms a chunk while it held the link, so that how late the machine wakes it made the link narrower. Chunks of 1 ms took 3.06 and 4.39 ms, the reads of the three seeds 4.0 and 3.4 s, and meanwhile others came to their turns by rank, at 2.1, 3.4 and 4.8 s: 6 reads each. With chunks that took 7.1 ms there were 18 reads, three of which failed at the time-out of a page.

Ruled out: routers that read again after they have the list; the rig counts those that lack it only.

Change: the link reserves times, so that it carries a chunk each ms however late its users wake; the number of reads that is allowed is the same, and so are pages, chunks and the rate.

--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,25 +28,39 @@
 	narrowSeeds     = 3
 )
 
-// narrowLink is the link of a store. It carries the answers to all routers in turn.
+// narrowLink is the link of a store. It carries the answers to all routers in turn, at a rate that
+// does not depend on how late the machine wakes those that wait for them.
 type narrowLink struct {
 	snapshot watch.Snapshot
-	link     chan struct{}
 	reads    atomic.Int32
+	mu       sync.Mutex
+	// idleFrom is when all that was sent until now has passed.
+	idleFrom time.Time
+}
+
+// send puts a chunk that is ready on the link and returns when it has passed.
+func (n *narrowLink) send(ready time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.idleFrom.Before(ready) {
+		n.idleFrom = ready
+	}
+	n.idleFrom = n.idleFrom.Add(narrowChunkTime)
+	return n.idleFrom
 }
 
 // page makes one call, which is given up after a time.
 func (n *narrowLink) page(ctx context.Context, call time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, call)
 	defer cancel()
+	passed := time.Now()
 	for range narrowChunks {
+		passed = n.send(passed)
 		select {
-		case n.link <- struct{}{}:
+		case <-time.After(time.Until(passed)):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		time.Sleep(narrowChunkTime)
-		<-n.link
 	}
 	return nil
 }
@@ -100,7 +115,7 @@
 // Guards against routers that each read a list which is too long for all, when all start again,
 // instead of learning it from those that read it first.
 func TestRoutersLearnALongListAfterARestartOfAll(t *testing.T) {
-	link := &narrowLink{snapshot: served("127.0.0.1:1"), link: make(chan struct{}, 1)}
+	link := &narrowLink{snapshot: served("127.0.0.1:1")}
 	link.snapshot.Revision = 1
 	for n := range 500 {
 		link.snapshot.Replicas = append(link.snapshot.Replicas, directory.Replica{ID: fmt.Sprint("i-", n), Service: "s", Address: fmt.Sprint("127.0.0.2:", n+1)})
