--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,7 @@
 	ServiceLost       ID = 323
 	ServiceReached    ID = 324
 	ListFirst         ID = 325
+	PeerUnreadable    ID = 326
 	RequestServed     ID = 401
 	RequestRefused    ID = 402
 	RequestBroken     ID = 403
@@ -89,6 +90,8 @@
 	StreamTakenUp     ID = 430
 	ServedRead        ID = 431
 	ServedWritten     ID = 432
+	HeldRead          ID = 433
+	HeldWritten       ID = 434
 	PlatformDown      ID = 501
 	PlatformBack      ID = 502
 	SourceRewound     ID = 503
@@ -111,7 +114,7 @@
 	LogLevel:          {logrus.InfoLevel, "log level changed", "None needed."},
 	SettingsReloaded:  {logrus.InfoLevel, "settings read again", "If restart_needed is true, names, addresses or admission control changed: restart the process."},
 	SettingsRejected:  {logrus.ErrorLevel, "changed settings not usable, those in force stay", "Mend the file; every error in it is named."},
-	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut."},
+	CallersEnded:      {logrus.InfoLevel, "callers' connections closed", "found_unread counts requests that came as a connection was to be closed; they were served. in_use are cut. records_handed_over are those of streams that this router held for a large fleet."},
 	Exhausted:         {logrus.ErrorLevel, "no file descriptor left, resting connections to replicas closed", "Raise the limit of open files, or look at who opens so many connections."},
 	Woke:              {logrus.WarnLevel, "the machine was suspended", "None needed: what was known is proven anew before it is acted on. If it recurs, look why the machine is suspended."},
 	ConfigAdopted:     {logrus.InfoLevel, "configuration in force", "None needed. The version never goes down."},
@@ -143,6 +146,7 @@
 	ServiceLost:       {logrus.WarnLevel, "replicas of a service are out of reach from here", "Its requests go to other routers. If it lasts, look at the network between this instance and the replicas."},
 	ServiceReached:    {logrus.InfoLevel, "replicas of a service are within reach again", "None needed."},
 	ListFirst:         {logrus.InfoLevel, "first list of replicas", "None needed. from is the peer that passed it on, or store; after_ms counts from the start. If it is from the store at most routers of a large fleet, look whether they reach each other."},
+	PeerUnreadable:    {logrus.WarnLevel, "message of another router not usable, ignored", "None during an upgrade: the peer may be of a build that sends more. Else look at who sends from the address named, and at the network."},
 	RequestServed:     {logrus.DebugLevel, "request served", "None needed."},
 	RequestRefused:    {logrus.InfoLevel, "request refused", "See the reason; OPERATIONS.md has a page for each."},
 	RequestBroken:     {logrus.WarnLevel, "answer broken off", "The caller was told. If frequent, look at the target named."},
@@ -174,7 +178,9 @@
 	StopEstimate:      {logrus.InfoLevel, "request taken by estimate while the process stops", "None needed. A 403 line of the same request tells that it took longer: left_ms was left until the cut, recent_ms is the longest recent request of its route."},
 	StreamTakenUp:     {logrus.InfoLevel, "stream taken up by its caller", "None needed. found tells how its software version is known: recorded, inferred or unknown; an unknown one is refused. listed are the versions that serve, several that others served lately; answered of the asked routers answered."},
 	ServedRead:        {logrus.InfoLevel, "record of the versions that served was read", "None needed. It tells which versions served before this process started. Records that are not reliable were written before the store came back from a copy."},
-	ServedWritten:     {logrus.InfoLevel, "record of the versions that served was written", "None needed. With an error, another router writes it or this one tries again. While it is missing, streams that break off as all routers end cannot go on."},
+	ServedWritten:     {logrus.InfoLevel, "record of the versions that served was written", "None needed. With an error, another router writes it or this one tries again. While it is missing, streams that break off as all routers end cannot go on; while it lacks a version, new ones begin at versions that it names as long as these have room."},
+	HeldRead:          {logrus.InfoLevel, "record of held requests was read", "None needed. It tells what crashes replicas to a process that has started. With an error, it is left out; one that is not usable is written anew once something is held."},
+	HeldWritten:       {logrus.InfoLevel, "record of held requests was written", "None needed. With an error, another router writes it or this one tries again. What it lacks as all routers end may crash replicas again."},
 	PlatformDown:      {logrus.WarnLevel, "platform's service does not answer", "Requests go on. Edits and requests with an Idempotency-Key are refused until it is back."},
 	PlatformBack:      {logrus.InfoLevel, "platform's service answers again", "None needed."},
 	SourceRewound:     {logrus.WarnLevel, "platform's store came back from a copy, what was known holds against it", "Have what was written since the copy written again, revoked keys first: for hold_ms replicas known to drain or to be gone, and evacuations, hold on; the configuration counts as unproven for half of that."},
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -41,6 +41,10 @@
 // applyFreshness applies the answer of a router that was queried at the time asked, and
 // reports whether to fetch its knowledge.
 func (g *Gossip) applyFreshness(address string, r *gossippb.Freshness, asked, now time.Time) bool {
+	if err := checkAnswer(r); err != nil {
+		g.rejectMessage(address, err)
+		return false
+	}
 	if r.Stopping {
 		g.recordLeave(address, now)
 	} else {
@@ -126,6 +130,7 @@
 	g.meter.Called(request, reply)
 	knowledge, err := decodeKnowledge(reply, have)
 	if err != nil {
+		g.rejected.Add(1)
 		g.log.Write(event.ConfigRejected, event.F("error", err), event.F("peer", address))
 		return
 	}
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -147,7 +148,8 @@
 // handleDatagram handles a datagram from another router.
 func (g *Gossip) handleDatagram(from netip.AddrPort, packet []byte) {
 	var d gossippb.Datagram
-	if proto.Unmarshal(packet, &d) != nil {
+	if err := proto.Unmarshal(packet, &d); err != nil {
+		g.rejectMessage(from.String(), fmt.Errorf("%w: %w", ErrMalformed, err))
 		return
 	}
 	now := steady.Now()
@@ -158,19 +160,26 @@
 		d.Digest.Sender = from.String()
 		g.handleDigest(d.Digest, now)
 	case d.Answer != nil:
-		g.handleAnswer(d.Answer, now)
+		g.handleAnswer(from, d.Answer, now)
 	case d.Origin != nil:
 		g.mergeOrigin(d.Origin, now)
 	case d.OriginQuery != nil:
 		g.answerOriginQuery(from.String(), d.OriginQuery, now)
 	case d.OriginReply != nil:
 		g.originQueries.reply(from.String(), d.OriginReply)
+	case d.ServedQuery != nil:
+		g.answerServedQuery(from.String(), d.ServedQuery)
+	case d.ServedReply != nil:
+		g.receiveServed(from.String(), d.ServedReply)
 	case d.RetryQuery != nil:
 		g.lendRetries(from.String(), d.RetryQuery, now)
 	case d.RetryLoan != nil:
 		g.receiveLoan(from.String(), d.RetryLoan)
 	case d.RetrySettlement != nil:
 		g.settleRetries(d.RetrySettlement, now)
+	default:
+		// A later build may send others.
+		g.rejectMessage(from.String(), errNoMessage)
 	}
 }
 
