relay: the only router left is asked again 50 ms after it was not reached

Change: if no other router is left, one that was not reached is tried again, by one request in 50 ms, and an answer ends the mark. TestOnlyRouterIsAskedAgainAfterAnError fails with a second in place of the 50 ms.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -38,6 +38,9 @@
 	// unreachableTime is the same for a router that was not reached itself, which takes as
 	// long to notice as a connection may take to open.
 	unreachableTime = time.Second
+	// unreachableRetryTime is the same while no other router is left: one that is short of processor
+	// time fails some exchanges and serves others.
+	unreachableRetryTime = 50 * time.Millisecond
 	// servedTime is how long a router that served a request is preferred.
 	servedTime = 2 * time.Second
 	// enoughServing is how many routers must serve for the others not to be asked: fewer
@@ -49,11 +52,14 @@
 type Selector struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	// services holds what is known of routers by service, routers by address alone.
-	services map[string]map[string]record
-	routers  map[string]time.Time
+	// services holds what is known of routers by service, unreachable by address alone.
+	services    map[string]map[string]record
+	unreachable map[string]unreachable
 }
 
+// unreachable is until when a router is probably not reached, and when it was last tried.
+type unreachable struct{ until, triedAt time.Time }
+
 // record is what became of the last requests that were handed to a router.
 type record struct {
 	// unableAt is when it was last unable, or was asked again since.
@@ -66,7 +72,7 @@
 
 // New returns a Selector. Its choices depend only on seed and on the calls made to it.
 func New(seed uint64) *Selector {
-	return &Selector{random: rand.New(rand.NewPCG(seed, seed)), services: make(map[string]map[string]record), routers: make(map[string]time.Time)}
+	return &Selector{random: rand.New(rand.NewPCG(seed, seed)), services: make(map[string]map[string]record), unreachable: make(map[string]unreachable)}
 }
 
 // Request is a request that needs another router.
@@ -84,7 +90,8 @@
 //
 // Routers of the own data centre come first, unless one of them was unable and none served:
 // what cuts a router off often strikes its whole data centre. Those that are stopping come
-// last, and after them the one that was unable longest ago.
+// last, after them the one that was unable longest ago, and after that the one that was not
+// reached longest ago.
 func (s *Selector) Choose(q Request, routers []Router, now time.Time) (Router, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,7 +102,10 @@
 	if r, found := s.choose(q, slices.DeleteFunc(slices.Clone(routers), func(r Router) bool { return !r.Leaving }), now); found {
 		return r, true
 	}
-	return s.chooseUnable(q, routers, now)
+	if r, found := s.chooseUnable(q, routers, now); found {
+		return r, true
+	}
+	return s.chooseUnreachable(q, routers, now)
 }
 
 // chooseUnable returns the router that was unable longest ago, for one request in
@@ -117,10 +127,38 @@
 	return longest, found
 }
 
+// chooseUnreachable returns the router that was not reached longest ago, for one request in
+// unreachableRetryTime.
+func (s *Selector) chooseUnreachable(q Request, routers []Router, now time.Time) (Router, bool) {
+	longest, found := Router{}, false
+	for _, r := range routers {
+		triedAt := s.unreachable[r.Address].triedAt
+		if !s.isUnreachable(r, now) || s.isRefused(q, r, now) || now.Sub(triedAt) < unreachableRetryTime {
+			continue
+		}
+		if !found || triedAt.Before(s.unreachable[longest.Address].triedAt) {
+			longest, found = r, true
+		}
+	}
+	if found {
+		s.unreachable[longest.Address] = unreachable{s.unreachable[longest.Address].until, now}
+	}
+	return longest, found
+}
+
 // isExcluded reports whether a router was tried for the request or is not reached itself.
 func (s *Selector) isExcluded(q Request, r Router, now time.Time) bool {
+	return s.isRefused(q, r, now) || s.isUnreachable(r, now)
+}
+
+// isRefused reports whether a router was tried for the request or has no room for it.
+func (s *Selector) isRefused(q Request, r Router, now time.Time) bool {
 	full := q.ForRoom && now.Before(s.services[q.Service][r.Address].fullUntil)
-	return full || now.Before(s.routers[r.Address]) || slices.Contains(q.Tried, r.Address)
+	return full || slices.Contains(q.Tried, r.Address)
+}
+
+func (s *Selector) isUnreachable(r Router, now time.Time) bool {
+	return now.Before(s.unreachable[r.Address].until)
 }
 
 func (s *Selector) choose(q Request, routers []Router, now time.Time) (Router, bool) {
@@ -183,7 +221,7 @@
 		if now.Before(rec.servedUntil) {
 			serving++
 		}
-		if !r.Leaving && !rec.isUnable(now) && !now.Before(s.routers[r.Address]) {
+		if !r.Leaving && !rec.isUnable(now) && !s.isUnreachable(r, now) {
 			able++
 		}
 	}
@@ -221,6 +259,8 @@
 		}
 	}
 	known[address] = rec
+	// It answered.
+	delete(s.unreachable, address)
 }
 
 // Unreachable records that a router was not reached, or broke off, and is not to be asked
@@ -228,10 +268,10 @@
 func (s *Selector) Unreachable(address string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for other, until := range s.routers {
-		if now.After(until) {
-			delete(s.routers, other)
+	for other, u := range s.unreachable {
+		if now.After(u.until) {
+			delete(s.unreachable, other)
 		}
 	}
-	s.routers[address] = now.Add(unreachableTime)
+	s.unreachable[address] = unreachable{now.Add(unreachableTime), now}
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -130,3 +130,27 @@
 		assert.Equal(t, c.want, found, c)
 	}
 }
+
+// Guards against requests that are refused for a second since an exchange with the only router that
+// reaches the replicas failed.
+func TestOnlyRouterIsAskedAgainAfterAnError(t *testing.T) {
+	start := time.Now()
+	routers := []Router{{"a1", "a", false}, {"a2", "a", false}}
+	s := New(1)
+	choose := func(after time.Duration, tried ...string) string {
+		r, _ := s.Choose(Request{Service: "s", DataCentre: "a", Tried: tried}, routers, start.Add(after))
+		return r.Address
+	}
+	s.Unable("s", "a2", start)
+	s.Unreachable("a1", start)
+	again := unreachableRetryTime
+	assert.Empty(t, choose(again-1, "a2"), "at once")
+	assert.Equal(t, "a2", choose(again), "what is reached comes first")
+	assert.Equal(t, "a1", choose(again, "a2"))
+	assert.Empty(t, choose(again, "a2"), "one request at a time")
+	assert.Empty(t, choose(2*again, "a1", "a2"), "not twice for a request")
+	assert.Equal(t, "a1", choose(2*again, "a2"))
+	s.Full("s", "a1", start.Add(2*again))
+	assert.Equal(t, "a1", choose(2*again, "a2"), "it has answered")
+	assert.Equal(t, "a1", choose(2*again, "a2"), "it has answered")
+}
