front: a relayed request that runs once is not spent on a path that is probably lost

Ruled out: replicas that fell (none did).

Change: a router that has lost half of a service's replicas and chooses one that it suspects gives a relayed request which runs once back as `unable`, unless its part of brittle replicas is used up, which is `full`. A router with a path goes on to replicas that it does not suspect, as before (TestRelayedRequestReachesReplicaBesideEndedOnes).

TestRelayedRequestIsNotLostOnBrokenPath: `failed` before.

--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -64,20 +65,60 @@
 		replicas := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
 		replicas[n], _ = rawReplica(t, completeAnswer("id-1", "whole"))
 		r := newRig(t, replicas...)
-		server := httptest.NewServer(http.HandlerFunc(r.front.ServeRelayed))
-		t.Cleanup(server.Close)
-		request, err := http.NewRequest(http.MethodPost, server.URL+"/once/x", nil)
-		require.NoError(t, err)
-		request.Host = "h"
-		request.Header.Set("Try", "id-1")
-		request.Header.Set("Authorization", "Key k1")
-		request.Header.Set(relayServiceHeader, "s")
-		request.Header.Set(relayOrganisationHeader, "acme")
-		response, err := http.DefaultClient.Do(request)
-		require.NoError(t, err)
+		response := r.sendRelayed(t, "/once/x", nil)
 		text, err := io.ReadAll(response.Body)
 		require.NoError(t, err)
 		response.Body.Close()
 		assert.Equal(t, "whole", string(text))
 	}
 }
+
+// sendRelayed sends a request as another router hands it to this one, with further headers.
+func (r *rig) sendRelayed(t *testing.T, path string, header map[string]string) *http.Response {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(r.front.ServeRelayed))
+	t.Cleanup(server.Close)
+	request, err := http.NewRequest(http.MethodPost, server.URL+path, nil)
+	require.NoError(t, err)
+	request.Host = "h"
+	request.Header.Set("Try", "id-1")
+	request.Header.Set("Authorization", "Key k1")
+	request.Header.Set(relayServiceHeader, "s")
+	request.Header.Set(relayOrganisationHeader, "acme")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	return response
+}
+
+// Guards against a request that may run once and fails, although a further router could serve it,
+// since a router that has lost its path too sent it on a connection that is reset.
+func TestRelayedRequestIsNotLostOnBrokenPath(t *testing.T) {
+	tests := map[string]struct {
+		path, result string
+		arrivals     int
+	}{
+		"runs once":       {"/once/x", relayUnable, 0},
+		"may be repeated": {"/repeat/x", relayFailed, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			resetting, arrived := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if assert.NoError(t, err) {
+					c.Close()
+				}
+			})
+			r := newRig(t, "127.0.0.1:1", "127.0.0.1:2", resetting)
+			for n := range 3 {
+				r.front.balancer.RequestFailed(fmt.Sprint("r", n), balance.Refused, "here", time.Now())
+			}
+			response := r.sendRelayed(t, test.path, map[string]string{relayAttemptsHeader: "1"})
+			defer response.Body.Close()
+			assert.Equal(t, test.result, response.Header.Get(relayResultHeader))
+			assert.EqualValues(t, test.arrivals, arrived.Load())
+		})
+	}
+}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -109,7 +109,7 @@
 	}
 	if c.relay != nil {
 		// Replicas that are reached and have no room are no reason to ask yet another router.
-		return found && (choice.Unreachable || choice.KeptOnly) || !found && c.front.balancer.PathLost(c.service.Name, steady.Now())
+		return found && (choice.Unreachable || choice.KeptOnly || c.wouldBreak(choice)) || !found && c.front.balancer.PathLost(c.service.Name, steady.Now())
 	}
 	if !found {
 		now := steady.Now()
@@ -118,6 +118,13 @@
 	return choice.PathLost || choice.Unreachable
 }
 
+// wouldBreak reports whether a request of another router that runs once should not be sent to the
+// replica: this router has probably lost its path too, and a request on a connection that is reset
+// cannot be tried elsewhere.
+func (c *call) wouldBreak(choice balance.Choice) bool {
+	return c.route.RunsOnce() && choice.PathLost && choice.Reason == balance.LastResort && !c.front.balancer.ShareUsed(c.service.Name, steady.Now())
+}
+
 // needsRoom reports whether brittle replicas may have room that belongs to other routers.
 func (c *call) needsRoom(now time.Time) bool {
 	return c.relay == nil && c.front.balancer.ShareUsed(c.service.Name, now)
