entry: the record of what is held is read as soon as there is a list

The tests' fleet counts each crash before it sends the next deadly request, and has addresses of its own.

--- a/internal/entry/heldrecord.go
+++ b/internal/entry/heldrecord.go
@@ -39,6 +39,10 @@
 		// Requests come as soon as there is a list of replicas, which is read at the same time.
 		restored = e.readHeld(ctx, true) == nil
 	}
+	if !restored && e.waitUntil(ctx, e.watcher.Initialized) {
+		// The store may be back.
+		restored = e.readHeld(ctx, true) == nil
+	}
 	ticker := time.NewTicker(heldPeriod)
 	defer ticker.Stop()
 	for tries := 1; ; {
--- a/internal/entry/heldrecord_test.go
+++ b/internal/entry/heldrecord_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -103,7 +104,9 @@
 	part     bool
 	replicas int
 	crashed  atomic.Int64
-	sent     int
+	// last is the start of the replica that crashed last.
+	last atomic.Int64
+	sent int
 	// mended: replicas answer deadly requests.
 	mended atomic.Bool
 }
@@ -126,24 +129,46 @@
 	const replicas = 6
 	var list []directory.Replica
 	for range replicas {
-		f.replicas++
-		var server *httptest.Server
-		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !f.mended.Load() && r.Header.Get("Deadly") != "" {
-				f.crashed.Add(1)
-				server.Listener.Close()
-				go server.CloseClientConnections()
-				panic(http.ErrAbortHandler)
-			}
-			w.Header().Set("Try", r.Header.Get("Try"))
-			fmt.Fprint(w, "whole")
-		}))
-		t.Cleanup(server.Close)
-		list = append(list, directory.Replica{ID: fmt.Sprint("i", f.replicas), Service: "s", Address: server.Listener.Addr().String(), Slots: 16, Born: int64(f.replicas)})
+		list = append(list, f.add(t))
 	}
+	f.list(list)
+}
+
+// replaceCrashed lists another replica in place of the one that crashed last.
+func (f *crashFleet) replaceCrashed(t *testing.T) {
+	t.Helper()
 	f.source.mu.Lock()
-	f.source.snapshot = watch.Snapshot{Config: f.source.snapshot.Config, Replicas: list}
+	list := slices.Clone(f.source.snapshot.Replicas)
 	f.source.mu.Unlock()
+	list = slices.DeleteFunc(list, func(r directory.Replica) bool { return r.Born == f.last.Load() })
+	f.list(append(list, f.add(t)))
+}
+
+func (f *crashFleet) list(list []directory.Replica) {
+	f.source.mu.Lock()
+	defer f.source.mu.Unlock()
+	f.source.snapshot = watch.Snapshot{Config: f.source.snapshot.Config, Replicas: list}
+}
+
+// add starts a replica.
+func (f *crashFleet) add(t *testing.T) directory.Replica {
+	t.Helper()
+	f.replicas++
+	born := int64(f.replicas)
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !f.mended.Load() && r.Header.Get("Deadly") != "" {
+			f.last.Store(born)
+			f.crashed.Add(1)
+			server.Listener.Close()
+			go server.CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Try", r.Header.Get("Try"))
+		fmt.Fprint(w, "whole")
+	}))
+	t.Cleanup(server.Close)
+	return directory.Replica{ID: fmt.Sprint("i", born), Service: "s", Address: server.Listener.Addr().String(), Slots: 16, Born: born}
 }
 
 // start starts the routers that the fleet lacks and waits until all serve and know each other.
@@ -156,6 +181,8 @@
 		}
 		f.routers = append(f.routers, startWith(t, &f.source, time.Second, func(s *settings.Settings, env *Environment) {
 			s.Name, s.Peers.Seeds, s.Peers.Period = fmt.Sprint("r", len(f.routers)), seeds, 10*time.Millisecond
+			// Routers of another test's process would count the same crashes.
+			s.Listen.Peers = freePeerAddress(t)
 			s.Routes.FirstStart = first
 			env.Dialect.PromptParts = "Parts"
 			env.Dialect.ParseParts = func(text string) []balance.Part {
@@ -217,22 +244,26 @@
 	return response.StatusCode
 }
 
-// crash sends deadly requests until one is held, and waits until the record says so.
+// crash sends deadly requests until they are held, and waits until the record says so. Before the next
+// one is sent the crash is counted, so that there are no more than it takes.
 func (f *crashFleet) crash(t *testing.T) {
 	t.Helper()
-	held := func() bool {
-		_, requests := f.routers[0].poison.Counts()
-		_, parts := f.routers[0].parts.Counts()
-		return requests+parts > 0
+	e := f.routers[0]
+	marks := e.poison.Sample
+	if f.part {
+		marks = e.parts.Sample
 	}
-	const enough = replicasPerService
-	crashed := f.crashed.Load()
-	for !held() {
-		f.post(t, f.routers[0], true)
-		if f.crashed.Load()-crashed >= enough {
-			// A crash counts only while other replicas are reached, or once its entry goes.
-			crashed = f.crashed.Load()
-			f.replace(t)
+	const counted = 300
+	for len(marks(1)) < e.settings.Routes.Crashes {
+		crashed, before := f.crashed.Load(), len(marks(1))
+		until(func() bool { f.post(t, e, true); return f.crashed.Load() > crashed })
+		f.replaceCrashed(t)
+		// A router that cannot tell whether the replica ended counts none.
+		for range counted {
+			if len(marks(1)) > before {
+				break
+			}
+			time.Sleep(time.Millisecond)
 		}
 	}
 	until(func() bool { return f.store.holds() == 1 })
