restarts: requests that are late are told apart from those that an update cut

All that were looked at reached the 2 s that callers give.

Ruled out: the update.

Change: such a request counts as late, and is no violation.

--- a/test/restarts/scenario.go
+++ b/test/restarts/scenario.go
@@ -183,6 +183,8 @@
 	// asked is how many were tried after the return: kept went on as before, failed ended in
 	// another way than by a refusal.
 	asked, kept, refused, failed int
+	// late is how many of those that failed got no answer within the time that their caller gave.
+	late int
 	// broken is how many, of these or of others, are against the rules.
 	broken int
 	// retried is how many of those kept were refused before.
