front: rigs of tests dial and wait for as long as a busy machine needs

TestAnswerThatIsCutDoesNotLookComplete and TestStreamTakenUpBeforeFirstListStaysAtItsVersion failed once each in whole runs at a load of 40 to 70, with 503 'no replica'; the latter also 1 of 120 times alone on.

Cause: the rig's dial time-out of 1 s, and the 75 ms for which a request waits for a first list. By a trial a dial time-out of a microsecond gives the same answer (the request has not run, so 503 is right). Ruled out: an old list (0 of 6 with pauses up to 4 s before the request).

Change: the rig dials for a minute, as that of internal/upstream does; the route of the second test has a target of a minute, so the request waits for 7.5 s at most.

--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -183,7 +183,7 @@
 	holder := freshness.NewHolder()
 	balancer := balance.New(1)
 	f := watch.New(source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), holder, balancer, log)
-	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Second, SilenceTimeout: 10 * time.Second, IdleTime: time.Minute})
+	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Minute, SilenceTimeout: 10 * time.Second, IdleTime: time.Minute})
 	limits := Limits{MaxKeyProofAge: time.Hour, MaxAbsenceProofAge: time.Hour}
 	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits, Retries: retryBudget(1, 100)}, f, holder, balancer, pool, NewMetrics(), log)
 	r := &rig{front: front, source: source, watcher: f, holder: holder, server: httptest.NewServer(front), log: log}
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -37,6 +37,10 @@
 				replicas = append(replicas, directory.Replica{ID: "r-" + v, Service: "s", Address: address, DataCentre: "here", Version: v})
 			}
 			r := newEmptyRig(t)
+			for i := range r.source.snapshot.Config.Routes {
+				// The time for which a request waits for the list depends on it.
+				r.source.snapshot.Config.Routes[i].Target = time.Minute
+			}
 			r.watcher.ApplyKnowledge(watch.Knowledge{Config: r.source.snapshot.Config}, time.Now(), time.Now(), "peer")
 			asked := make(chan struct{}, 1)
 			r.front.options.Origins = fakeOrigins{origin.NewTracker(time.Minute), func() origin.Search {
