--- a/internal/entry/unlisted_test.go
+++ b/internal/entry/unlisted_test.go
@@ -15,7 +15,10 @@
 	f.awaitRecord("v1")
 	streams := f.begin(t, 0)
 	f.restart(t, func() { f.serveOnly() })
-	f.takeUp(t, 0, streams[:1])
+	time.Sleep(3 * time.Second)
+	for n := range f.routers {
+		f.takeUp(t, n, streams[:1])
+	}
 	f.serveOnly("v1")
 	listed := time.Now()
 	for len(streams[0].versions) == brokenAfter && time.Since(listed) < 20*time.Second {
