--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/croftyard/croftyard/internal/entry"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/kept"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/origin"
@@ -34,10 +35,10 @@
 			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
 		},
 		ServedStore: func(s settings.Settings, call time.Duration) origin.Store {
-			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
+			return kept.Served{Keys: platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)}
 		},
 		HeldStore: func(s settings.Settings, call time.Duration) poison.Store {
-			return platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)
+			return kept.Held{Keys: platform.NewStore(s.Platform.URL, s.Platform.Timeout, call)}
 		},
 		Dialect:         platform.Dialect(),
 		ReadyPath:       platform.ReadyPath,
