head: a head that was cut within its Trailer field is found

What callers saw: an answer of 500 with the status and the header of the head before it, 200 (7 of 7 cuts within 'Trailer: Digest' behind a surplus answer; found by a review).

Cause: the parser moves the names of a Trailer field to Response.Trailer, in canonical form; Joined looked at the status and the header only.

TestJoinedWithinRemovedFields and TestHeadCutWithinItsTrailersIsNotJoinedWithTheNext failed before and hold now.

--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 )
 
 // statusLine matches the beginning of a response.
@@ -22,5 +23,11 @@
 			return true
 		}
 	}
+	// The parser moves the names in a Trailer field there, in canonical form.
+	for name := range r.Trailer {
+		if statusLine.MatchString(strings.ToUpper(name)) {
+			return true
+		}
+	}
 	return false
 }
