gossip: numbers of all queries begin anywhere; by an old list no version is confirmed

Queries for origins, for records of versions and for loans counted from 1 in each process, so that an answer to the process before could pass for one to this one. And a router whose list is old confirmed versions to others that may have left, and left the record.

TestOriginQueriesOfTwoProcessesHaveOtherNumbers, TestServedQueriesOfTwoProcessesHaveOtherNumbers and TestRouterWithAnOldListConfirmsNoVersion failed before and hold now.

--- a/internal/gossip/loans.go
+++ b/internal/gossip/loans.go
@@ -54,7 +54,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.open == nil {
-		q.open = make(map[uint32]*loanQuery)
+		// Answers to the process that ran at this address before may still arrive.
+		q.open, q.last = make(map[uint32]*loanQuery), rand.Uint32()
 	}
 	q.last++
 	q.open[q.last] = query
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -87,7 +88,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.open == nil {
-		q.open = make(map[uint32]chan<- originReply)
+		// Answers to the process that ran at this address before may still arrive.
+		q.open, q.last = make(map[uint32]chan<- originReply), rand.Uint32()
 	}
 	q.last++
 	q.open[q.last] = channel
--- a/internal/gossip/served.go
+++ b/internal/gossip/served.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/origin"
 )
 
@@ -80,6 +81,10 @@
 func (q *servedQueries) due(services []string, unconfirmed func(service string) []string, now time.Time) []string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.services == nil {
+		// Answers to the process that ran at this address before may still arrive.
+		q.last = rand.Uint32()
+	}
 	kept := make(map[uint64]*servedQuery, len(services))
 	var due []string
 	for _, service := range services {
@@ -172,7 +177,8 @@
 		return
 	}
 	versions, generation := g.options.Origins.ConfirmedSince(service)
-	if len(versions) == 0 {
+	// By an old list a version may seem to serve that has left, and left the record.
+	if len(versions) == 0 || g.options.Origins.Served(service, steady.Now()).Stale {
 		return
 	}
 	reply := &gossippb.ServedReply{Number: q.Number, Generation: generation}
