balance: preferred versions take no more than few routers can overshoot

Cause: a preferred replica was chosen up to the bound on its load. Routers know each other's requests a round late, and few replicas that all prefer are above the bound by then.

TestJoinedByARecordThatCouldNotBeWritten and TestStreamsBeginAtRecordedVersions hold. Streams begin at an unrecorded version where recorded ones are busier than that: the record follows in 0.03 to 0.3 s.

--- a/pkg/balance/versions.go
+++ b/pkg/balance/versions.go
@@ -40,6 +40,10 @@
 	}
 	current, updated := divideByVersion(all, plan)
 	preferred := slices.DeleteFunc(slices.Concat(current, updated), isOther)
+	if 2*len(preferred) < len(all) {
+		// Few replicas can't take the requests of all without exceeding the bound.
+		return nil
+	}
 	left := b.shareOut(q, preferred, plan, limited, bound, now)
 	if !slices.ContainsFunc(left, func(r *replica) bool { return b.hasRoom(r, bound, now) }) {
 		return nil
@@ -47,11 +51,15 @@
 	return left
 }
 
+// preferredShare is up to which part of the bound on its load a replica is preferred. Routers know each
+// other's requests late, and few preferred replicas would be loaded far above the bound.
+const preferredShare = 0.25
+
 // hasRoom reports whether a replica is within reach and below the bound, and was not seen to reject
 // requests or to leave them unanswered. It may have failed some that it ran.
 func (b *Balancer) hasRoom(r *replica, bound float64, now time.Time) bool {
 	failing := r.health.isAvoided(now) && !r.health.kind.isSoft()
-	return !failing && !r.isCutOff(now) && b.load(r, now) < bound && !b.isFull(r, now)
+	return !failing && !r.isCutOff(now) && b.load(r, now) < preferredShare*bound && !b.isFull(r, now)
 }
 
 // shareOut returns the candidates among some replicas by the shares of a roll-out.
