origin, entry, front: versions that return are confirmed, and records of all services are taken over

The first router by rank confirms what it knows its records to name in each step. - The second and third router by rank trusted what they had read once. They read each 30 s too, and so does one that becomes the first. - A service whose replicas state no version any more, at a router that has just started: nobody was asked, 24 of 24 streams went on. Others and the record are asked until the router knows a lifetime itself; if none names a version, the service has none and the stream goes on as before. - A record that was read while no replica was listed was left out for 5 s. All reliable records are taken over.

TestVersionThatReturnsGetsStreamsSoon, TestJoinedAfterTheRecordedVersionReturned, TestNextKeeperRecordsAVersionThatReturns, TestJoinedWithReplicasThatStateNoVersionAfterRoutersEnded, TestJoinedWithReplicasThatStateNoVersionAtAStartedRouter and TestStreamsOfASingleVersionGoOnOnceItIsListed hold now, with -race.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -102,6 +102,7 @@
 		e.served.keeper.Distrust()
 		e.served.tracker.ResetConfirmed()
 	}
+	defer e.confirmRecorded()
 	// A read may call for a write.
 	for range 2 {
 		step := e.served.keeper.Next(e.resumableServices(), e.watcher.Digest().Generation, e.gossip.ServedRank(), steady.Now())
@@ -134,7 +135,13 @@
 		return err
 	}
 	reliable := e.served.keeper.Loaded(records, generation, now)
-	for _, name := range e.front.ResumableServices() {
+	names := e.front.ResumableServices()
+	for _, r := range reliable {
+		// Its replicas may not be listed yet, or state no version any more.
+		names = append(names, r.Service)
+	}
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
 		e.recallService(name, records, reliable, now)
 		e.confirmRead(name, reliable, generation)
 	}
@@ -153,6 +160,16 @@
 	}
 }
 
+// confirmRecorded confirms the versions that the first router by rank knows its records to name, also
+// one that returned while its record still named it.
+func (e *Entry) confirmRecorded() {
+	for _, name := range e.front.ResumableServices() {
+		if versions, generation := e.served.keeper.Recorded(name); len(versions) > 0 {
+			e.served.tracker.Confirm(name, versions, generation)
+		}
+	}
+}
+
 // confirmRead notes the versions of a service that its record names. A router that does not keep the
 // records asks those that do, since it does not read what they write later.
 func (e *Entry) confirmRead(name string, reliable []origin.Stored, generation uint64) {
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -122,6 +122,10 @@
 	}
 	found := f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
 	c.logTakenUp(found)
+	if found.Source == origin.Unknown && !found.Several && f.statesNoVersion(c.service.Name) {
+		// No router and no record names a version: the service has none.
+		return nil
+	}
 	if found.Source == origin.Unknown {
 		f.metrics.UnknownOrigins.Inc(1)
 		return &refusal{status: http.StatusServiceUnavailable, reason: "version of the stream not known", retryAfter: retryLater}
@@ -147,10 +151,17 @@
 // within a stream's lifetime, or are not known.
 func (f *Front) mayStateVersions(service string) bool {
 	f.observeVersions(service)
-	if f.statesVersions(service) || len(f.balancer.Versions(service)) == 0 {
+	if !f.statesNoVersion(service) {
 		return true
 	}
-	return slices.ContainsFunc(f.options.Origins.Served(service, steady.Now()).Versions, func(version string) bool { return version != "" })
+	served := f.options.Origins.Served(service, steady.Now())
+	return !served.Complete || slices.ContainsFunc(served.Versions, func(version string) bool { return version != "" })
+}
+
+// statesNoVersion reports whether replicas of a service are listed and none states the version of its
+// software.
+func (f *Front) statesNoVersion(service string) bool {
+	return len(f.balancer.Versions(service)) > 0 && !f.statesVersions(service)
 }
 
 // statesVersions reports whether replicas of a service state the version of their software.
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -39,7 +39,7 @@
 	keeperPatience = 2 * time.Second
 	// keeperPause is the pause after a call to the store that failed.
 	keeperPause = time.Second
-	// rereadPeriod is after what time the first router reads the records again. Another writer, or a
+	// rereadPeriod is after what time these routers read the records again. Another writer, or a
 	// write whose answer was lost, may have changed them.
 	rereadPeriod = 30 * time.Second
 	// maxWrites is how many records are written at a time. Each is two entries of a transaction.
@@ -55,6 +55,8 @@
 	// missingSince is when the records were first seen to lack something, or not to be known.
 	missingSince time.Time
 	failedAt     time.Time
+	// follows is set while another router is the first by rank.
+	follows bool
 }
 
 // Step is what a Keeper wants done: a read of the records, or the write of some.
@@ -68,7 +70,12 @@
 func (k *Keeper) Next(served []Served, generation uint64, rank int, now time.Time) Step {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := !k.readAt.IsZero() && k.generation >= generation && (rank > 0 || now.Sub(k.readAt) < rereadPeriod)
+	if rank == 0 && k.follows {
+		// Another router looked after the records until now.
+		k.readAt = time.Time{}
+	}
+	k.follows = rank > 0
+	known := !k.readAt.IsZero() && k.generation >= generation && now.Sub(k.readAt) < rereadPeriod
 	outdated := k.outdated(served, rank)
 	if known && len(outdated) == 0 || len(served) == 0 {
 		k.missingSince = time.Time{}
@@ -158,3 +165,16 @@
 	defer k.mu.Unlock()
 	k.readAt, k.failedAt = time.Time{}, now
 }
+
+// Recorded returns the versions that the record of a service names and the record's generation. Only
+// the first router by rank knows what was removed from it, so there are none for others, or while the
+// record is not reliable.
+func (k *Keeper) Recorded(service string) (versions []string, generation uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := k.stored[service]
+	if k.follows || k.readAt.IsZero() || r.Revision == 0 || r.Generation != k.generation {
+		return nil, 0
+	}
+	return r.Versions, r.Generation
+}
