rollout, gossip: reports state how old an order is

Callers and operators: an outcome that is due at 0.88 of an order's duration comes up to the whole duration late when routers are replaced one after another. Only routers know when an order was given; one that starts and reads the store itself takes it for new, and a peer's list with the same hash tells it nothing (read from the code, docs/design/restarts.md).

TestOrderAgeOutlivesRoutersReplacedInTurn: three routers replaced at 2, 3 and 4 s of an order of 10 s; at 9 s 0 of 3 want it completed before, 3 of 3 since. TestOrderAgeOfAReport has reports of another order, of an earlier build (no age) and longer than the order.

The longest one holds: a delayed report states too short a time, so ages do not grow by being passed on. Not mended: a restart of all at once.

--- a/internal/gossip/corpus_test.go
+++ b/internal/gossip/corpus_test.go
@@ -15,6 +15,7 @@
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/rollout"
 )
 
 // readMessage reads a message from testdata. Each folder holds messages of one earlier
@@ -95,3 +96,14 @@
 		assert.Equal(t, want, decodeDigest(d.Digest, now).Brittle, build)
 	}
 }
+
+// Guards against a change of the wire format: testdata/rollouts is what the first build wrote that states
+// how old an order is, and what the one before did.
+func TestRolloutReportsBetweenBuilds(t *testing.T) {
+	for name, elapsed := range map[string]time.Duration{"datagram": 90500 * time.Millisecond, "older": 0} {
+		var d gossippb.Datagram
+		readMessage(t, "rollouts", name, &d)
+		want := rollout.Report{Service: 5, Order: 12, Elapsed: elapsed, Evidence: rollout.Evidence{7: {New: rollout.Arm{Answered: 3, Failed: 1}}}}
+		assert.Equal(t, []rollout.Report{want}, decodeRollouts(d.Digest.Rollouts), name)
+	}
+}
--- a/internal/gossip/rollouts.go
+++ b/internal/gossip/rollouts.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/pkg/rollout"
@@ -11,7 +13,7 @@
 func encodeRollouts(list []rollout.Report) []*gossippb.Rollout {
 	var encoded []*gossippb.Rollout
 	for _, r := range list {
-		e := &gossippb.Rollout{Service: r.Service, Order: r.Order, Bad: r.Bad}
+		e := &gossippb.Rollout{Service: r.Service, Order: r.Order, Bad: r.Bad, ElapsedMs: uint32(min(r.Elapsed.Milliseconds(), math.MaxUint32))}
 		for route, arms := range r.Evidence {
 			e.Arms = appendArm(e.Arms, route, false, arms.Old)
 			e.Arms = appendArm(e.Arms, route, true, arms.New)
@@ -40,7 +42,7 @@
 func decodeRollouts(encoded []*gossippb.Rollout) []rollout.Report {
 	var list []rollout.Report
 	for _, e := range encoded {
-		r := rollout.Report{Service: e.Service, Order: e.Order, Bad: e.Bad, Evidence: make(rollout.Evidence)}
+		r := rollout.Report{Service: e.Service, Order: e.Order, Bad: e.Bad, Elapsed: milliseconds(e.ElapsedMs), Evidence: make(rollout.Evidence)}
 		for _, a := range e.Arms {
 			arm := rollout.Arm{Answered: a.Answered, Failed: a.Failed, UsedOn: a.UsedOn, FailedOn: a.FailedOn}
 			copy(arm.Durations[:], a.Durations)
@@ -58,10 +60,10 @@
 }
 
 // mergeRollouts takes what a router counted about roll-outs, or what its line did.
-func (g *Gossip) mergeRollouts(d *gossippb.Digest) {
+func (g *Gossip) mergeRollouts(d *gossippb.Digest, now time.Time) {
 	source := d.Sender
 	if d.Lines > 0 {
 		source = fmt.Sprintf("line %d of %d", d.Line, d.Lines)
 	}
-	g.balancer.Rollouts().MergeReports(source, decodeRollouts(d.Rollouts))
+	g.balancer.Rollouts().MergeReports(source, decodeRollouts(d.Rollouts), now)
 }
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -40,7 +40,7 @@
 		g.balancer.MergeRumors(decodeDigest(d, now).Rumors, now)
 	default:
 		g.mergeCounts(d, now)
-		g.mergeRollouts(d)
+		g.mergeRollouts(d, now)
 		g.mergeReport(d, now)
 	}
 	g.mergeMarks(d, now)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -41,10 +41,10 @@
 	}
 	d := digests{own: proto.CloneOf(rumors), hello: g.hello(now)}
 	encodeCounts(d.own, update.Running)
-	d.own.Rollouts = encodeRollouts(g.balancer.Rollouts().Reports())
+	d.own.Rollouts = encodeRollouts(g.balancer.Rollouts().Reports(now))
 	if large {
 		d.line = rumors
-		d.line.Rollouts = encodeRollouts(g.balancer.Rollouts().GroupReports(g.partners.Line))
+		d.line.Rollouts = encodeRollouts(g.balancer.Rollouts().GroupReports(g.partners.Line, now))
 		line, lines := g.members.Line()
 		d.line.Line, d.line.Lines = uint32(line), uint32(lines)
 		sum := g.balancer.SumLine(now)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -79,7 +79,7 @@
 			}
 			for j, other := range w.fleet {
 				if i != j && w.random.IntN(20) > 0 {
-					other.MergeReports(fmt.Sprint(i), c.Reports())
+					other.MergeReports(fmt.Sprint(i), c.Reports(now), now)
 				}
 			}
 		}
@@ -188,13 +188,13 @@
 		var reports [][]Report
 		for i := range 10 {
 			sender.Observe("s", fmt.Sprint(i%3), []string{"v1", "v2"}[i%2], fmt.Sprint(i), Outcome{Failed: i%4 == 0, Duration: time.Duration(i) * time.Millisecond})
-			reports = append(reports, sender.Reports())
+			reports = append(reports, sender.Reports(at(0)))
 		}
 		receiver := NewController()
 		receiver.SetRecords([]Record{order(5)})
-		receiver.MergeReports("a", reports[len(reports)-1])
+		receiver.MergeReports("a", reports[len(reports)-1], at(0))
 		for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(reports)-1), 0, 20).Draw(t, "arrivals") {
-			receiver.MergeReports("a", reports[i])
+			receiver.MergeReports("a", reports[i], at(0))
 		}
 		assert.Equal(t, sender.runs["s"].allEvidence(), receiver.runs["s"].allEvidence())
 	})
@@ -204,12 +204,54 @@
 func TestReportsOfAnotherOrderAreIgnored(t *testing.T) {
 	c := NewController()
 	c.SetRecords([]Record{order(5)})
-	c.MergeReports("a", []Report{{Service: hash32("s"), Order: 4, Bad: true}})
+	c.MergeReports("a", []Report{{Service: hash32("s"), Order: 4, Bad: true}}, at(0))
 	assert.Equal(t, Canary, c.Views(at(0))[0].Phase)
-	c.MergeReports("a", []Report{{Service: hash32("s"), Order: 5, Bad: true}})
+	c.MergeReports("a", []Report{{Service: hash32("s"), Order: 5, Bad: true}}, at(0))
 	assert.Equal(t, Abandoned, c.Views(at(0))[0].Phase)
 }
 
+// Guards against an outcome that comes after the deadline, since each router of a fleet that is replaced
+// one after another takes the order for a new one.
+func TestOrderAgeOutlivesRoutersReplacedInTurn(t *testing.T) {
+	w := newWorld(1, 3, 100, sound, sound)
+	w.play(0, 2)
+	for i := range w.fleet {
+		begun := 2 + float64(i)
+		record := order(5)
+		record.SeenAt = at(begun)
+		w.fleet[i] = NewController()
+		w.fleet[i].SetRecords([]Record{record})
+		w.play(begun, begun+1)
+	}
+	w.play(5, 9)
+	for i, c := range w.fleet {
+		assert.Equal(t, Completed, c.runs["s"].wantedState(at(9)), "router %d", i)
+	}
+}
+
+// A report says how old the order is at most as the sender knows it.
+func TestOrderAgeOfAReport(t *testing.T) {
+	for name, test := range map[string]struct {
+		revision uint64
+		elapsed  time.Duration
+		progress float64
+	}{
+		"older than known here": {5, 8 * time.Second, 0.8},
+		"newer than known here": {5, time.Second, 0.2},
+		"of another order":      {4, 8 * time.Second, 0.2},
+		"of an earlier build":   {5, 0, 0.2},
+		"longer than the order": {5, time.Hour, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewController()
+			c.SetRecords([]Record{order(5)})
+			c.MergeReports("a", []Report{{Service: hash32("s"), Order: test.revision, Elapsed: test.elapsed}}, at(2))
+			c.SetRecords([]Record{order(5)})
+			assert.InDelta(t, test.progress, c.runs["s"].progress(at(2)), 1e-9)
+		})
+	}
+}
+
 func TestRecordsOfTheStoreDecide(t *testing.T) {
 	withStatus := func(state State, revision uint64) Record {
 		r := order(5)
--- a/pkg/rollout/run.go
+++ b/pkg/rollout/run.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// setElapsed takes over how long ago another router knows the order to have been seen first. A report
+// that is delayed states too short a time, so the longest one is the best.
+func (r *run) setElapsed(elapsed time.Duration, now time.Time) {
+	if seen := now.Add(-min(elapsed, r.record.Order.Duration)); seen.Before(r.record.SeenAt) {
+		r.record.SeenAt = seen
+	}
+}
+
 // progress returns the part of the order's duration that is over.
 func (r *run) progress(now time.Time) float64 {
 	if r.record.Order.Duration <= 0 {
