eventstream: the text of event streams leaves internal/front

Moves only, with exported names: lines, the tracker of events and the fields of an event, with their tests. They know nothing of calls, callers or replicas.

--- a/internal/front/eventlines.go
+++ b/internal/eventstream/lines.go
@@ -1,4 +1,11 @@
-package front
+// Package eventstream reads the text of event streams: their lines, whether they end within an event,
+// and the fields that say where a stream goes on. The format is that of text/event-stream in the HTML
+// standard, section 9.2.
+//
+//	Lines    the lines of a stream
+//	Tracker  whether what was added so far ends within an event
+//	Fields   the id of an event, and whether it has data
+package eventstream
 
 import (
 	"bufio"
@@ -6,19 +13,20 @@
 	"io"
 )
 
-// eventLines reads the lines of an event stream, which end in CR LF, LF or CR.
-type eventLines struct {
+// Lines reads the lines of an event stream, which end in CR LF, LF or CR.
+type Lines struct {
 	reader *bufio.Reader
 	// crOnly is set if the last line ended in CR alone.
 	crOnly bool
 }
 
-func newEventLines(r io.Reader) *eventLines { return &eventLines{reader: bufio.NewReader(r)} }
+// NewLines returns the lines of a stream.
+func NewLines(r io.Reader) *Lines { return &Lines{reader: bufio.NewReader(r)} }
 
-// next returns the next line with its end, or a part of a line that is longer than the buffer, for
+// Next returns the next line with its end, or a part of a line that is longer than the buffer, for
 // which ended is not set. The bytes are valid until the next call. What is left before an error is
 // returned with it.
-func (l *eventLines) next() (line []byte, ended bool, err error) {
+func (l *Lines) Next() (line []byte, ended bool, err error) {
 	for scanned := 0; ; {
 		// What is buffered is returned without an error.
 		buffered, _ := l.reader.Peek(l.reader.Buffered())
@@ -42,7 +50,7 @@
 
 // lineLength returns the length of a line with its end, which begins at i. Behind CR, LF is waited
 // for unless the line may end its event with CR: nothing may follow then for a while.
-func (l *eventLines) lineLength(buffered []byte, i int) int {
+func (l *Lines) lineLength(buffered []byte, i int) int {
 	if buffered[i] == '\n' {
 		l.crOnly = false
 		return i + 1
@@ -60,7 +68,7 @@
 }
 
 // take consumes n bytes that are buffered.
-func (l *eventLines) take(n int) []byte {
+func (l *Lines) take(n int) []byte {
 	b, _ := l.reader.Peek(n)
 	_, _ = l.reader.Discard(n)
 	return b
--- a/internal/front/eventlines_test.go
+++ b/internal/eventstream/lines_test.go
@@ -1,4 +1,4 @@
-package front
+package eventstream
 
 import (
 	"io"
@@ -10,7 +10,7 @@
 )
 
 // Lines are the same whether a stream arrives at once or byte by byte, and none is lost.
-func TestEventLines(t *testing.T) {
+func TestLines(t *testing.T) {
 	long := strings.Repeat("x", 4096)
 	for _, test := range []struct {
 		stream string
@@ -30,9 +30,9 @@
 		for name, reader := range map[string]io.Reader{
 			"at once": strings.NewReader(test.stream), "byte by byte": iotest.OneByteReader(strings.NewReader(test.stream)),
 		} {
-			lines, got := newEventLines(reader), []string(nil)
+			lines, got := NewLines(reader), []string(nil)
 			for {
-				line, _, err := lines.next()
+				line, _, err := lines.Next()
 				if len(line) > 0 {
 					got = append(got, string(line))
 				}
@@ -51,11 +51,11 @@
 func TestEventEndIsNotWaitedFor(t *testing.T) {
 	for _, event := range []string{"a\n\n", "a\r\n\r\n", "a\r\r", "a\n\r\n"} {
 		pipe, feed := io.Pipe()
-		lines := newEventLines(pipe)
+		lines := NewLines(pipe)
 		go func() { _, _ = io.WriteString(feed, event) }()
-		_, ended, err := lines.next()
+		_, ended, err := lines.Next()
 		assert.True(t, ended, "%q, %v", event, err)
-		line, ended, err := lines.next()
+		line, ended, err := lines.Next()
 		assert.True(t, ended, "%q, %v", event, err)
 		assert.Empty(t, strings.TrimRight(string(line), "\r\n"))
 		pipe.Close()
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/eventstream"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -134,13 +135,13 @@
 	const size = 16 << 10
 	buffer := make([]byte, size)
 	stream := isEventStream(answer.Response)
-	tracker := newEventTracker()
+	tracker := eventstream.NewTracker()
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if stream {
-				tracker.add(buffer[:n])
-				c.withinEvent = tracker.withinEvent()
+				tracker.Add(buffer[:n])
+				c.withinEvent = tracker.WithinEvent()
 			}
 			if err := c.write(buffer[:n]); err != nil {
 				return err
--- a/internal/front/framing.go
+++ b/internal/front/framing.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"errors"
 	"net/http"
 	"strconv"
@@ -63,47 +62,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// eventTracker follows the bytes of an event stream and reports whether they end within an
-// event. An event ends with an empty line.
-type eventTracker struct {
-	// tail is the end of what was added: as much as an empty line and the end of the line
-	// before it take.
-	tail []byte
-}
-
-// maxEventEnd is the longest end of an event, in bytes: "\n" and "\r\n".
-const maxEventEnd = 3
-
-func newEventTracker() *eventTracker { return &eventTracker{tail: []byte("\n\n")} }
-
-// add appends bytes of the stream.
-func (t *eventTracker) add(b []byte) {
-	b = b[max(len(b)-maxEventEnd, 0):]
-	t.tail = append(t.tail, b...)
-	if excess := len(t.tail) - maxEventEnd; excess > 0 {
-		t.tail = append(t.tail[:0], t.tail[excess:]...)
-	}
-}
-
-func (t *eventTracker) withinEvent() bool {
-	line, ended := cutLineEnd(t.tail)
-	if !ended {
-		return true
-	}
-	_, empty := cutLineEnd(line)
-	return !empty
-}
-
-// cutLineEnd removes the end of a line: CR LF, LF or CR.
-func cutLineEnd(b []byte) (line []byte, found bool) {
-	for _, end := range []string{"\r\n", "\n", "\r"} {
-		if line, found = bytes.CutSuffix(b, []byte(end)); found {
-			return line, true
-		}
-	}
-	return b, false
-}
-
 // recordUndelimited counts an answer that ended with its connection and logs it if it was
 // broken off within an event, and one of many otherwise.
 func (c *call) recordUndelimited(answer *upstream.Answer, err error) {
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -15,33 +15,6 @@
 	"github.com/croftyard/croftyard/pkg/relay"
 )
 
-// An event that is cut off in any place is not taken for a complete one.
-func TestEventTracker(t *testing.T) {
-	for stream, within := range map[string]bool{
-		"":                      false,
-		"id: 1":                 true,
-		"id: 1\n":               true,
-		"id: 1\r\n":             true,
-		"id: 1\ndata: a\n\n":    false,
-		"data: a\r\n\r\n":       false,
-		"data: a\r\r":           false,
-		"data: a\n\r\n":         false,
-		"data: a\n\ni":          true,
-		"data: a\n\n: alive\n":  true,
-		"\n":                    false,
-		"data: a\n\ndata: b\n":  true,
-		"data: a\r\n\r\ndata: ": true,
-	} {
-		whole, split := newEventTracker(), newEventTracker()
-		whole.add([]byte(stream))
-		for i := range stream {
-			split.add([]byte(stream[i : i+1]))
-		}
-		assert.Equal(t, within, whole.withinEvent(), "%q", stream)
-		assert.Equal(t, within, split.withinEvent(), "%q byte by byte", stream)
-	}
-}
-
 // undelimitedHead begins an answer with neither a length nor chunks.
 const undelimitedHead = "HTTP/1.1 200 OK\r\nTry: id-1\r\nSign: s\r\n"
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/eventstream"
 	"github.com/croftyard/croftyard/internal/upstream"
 )
 
@@ -29,13 +30,13 @@
 // heard is called for each event, or piece of one, that is forwarded. After a piece the stream
 // cannot resume until the event is complete.
 func (c *call) forwardEvents(answer *upstream.Answer, heard func()) error {
-	lines := newEventLines(answer)
+	lines := eventstream.NewLines(answer)
 	var one []byte
-	var fields eventFields
+	var fields eventstream.Fields
 	charged, withinLine := 0, false
 	defer func() { c.charge(-charged) }()
 	for {
-		line, ended, err := lines.next()
+		line, ended, err := lines.Next()
 		one = append(one, line...)
 		if err == io.EOF && len(one) == 0 && !c.withinEvent {
 			return nil
@@ -47,7 +48,7 @@
 			return err
 		}
 		if !withinLine {
-			fields.add(line, ended)
+			fields.Add(line, ended)
 		}
 		complete := ended && !withinLine && len(bytes.TrimRight(line, "\r\n")) == 0
 		withinLine = !ended
@@ -61,7 +62,7 @@
 		c.withinEvent = !complete
 		if complete {
 			c.recordPosition(fields)
-			fields = eventFields{}
+			fields = eventstream.Fields{}
 		}
 		c.recordOrigin()
 		if !c.headSent {
@@ -86,32 +87,12 @@
 
 // recordPosition records behind which event the stream goes on after an event. One with data but
 // without an id leaves the position unknown: a replica would send it again.
-func (c *call) recordPosition(event eventFields) {
-	if event.id != "" {
-		c.lastEvent = event.id
+func (c *call) recordPosition(event eventstream.Fields) {
+	if event.ID != "" {
+		c.lastEvent = event.ID
 	}
-	if event.id != "" || event.hasData {
-		c.lastEventUnnamed = event.id == ""
-	}
-}
-
-// eventFields are the fields of an event that say where its stream goes on.
-type eventFields struct {
-	id      string
-	hasData bool
-}
-
-// add reads a line, or the beginning of a long one. An id counts only if all of it was read.
-func (e *eventFields) add(line []byte, ended bool) {
-	name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-	switch string(name) {
-	case "id":
-		e.id = ""
-		if ended {
-			e.id = string(bytes.TrimSpace(value))
-		}
-	case "data":
-		e.hasData = true
+	if event.ID != "" || event.HasData {
+		c.lastEventUnnamed = event.ID == ""
 	}
 }
 
