gossip, entry: routers of tests listen for peers at an address of their own process

Cause: rigs of both packages listened for peers at 127.0.0.1:0. A router that ended frees its port, members of its fleet still send to it, and a router of a fleet in another process that gets the port answers: the two fleets become one. Counts of members, ranks and the configuration are then never what a test waits for.

Ruled out by reading: a first start with a gap in its lists. The record is written again a stream's lifetime later, or after the next read of the records, 30 s later at the latest.

Change: addresses of 127.0.0.0/8 by process id, as in test/crash; waits of internal/gossip end after 2 minutes by the test's name and list the members.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -54,7 +54,7 @@
 	t.Helper()
 	set := settings.Default()
 	set.Name, set.DataCentre = "r1", "here"
-	set.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0", Readiness: "127.0.0.1:0"}
+	set.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: ownPeerAddress(), Admin: "127.0.0.1:0", Readiness: "127.0.0.1:0"}
 	set.Bounds.Apply = 100 * time.Millisecond
 	set.Bounds.Grace = grace
 	env := Environment{
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -101,12 +101,18 @@
 	return snapshot, err
 }
 
+// ownPeerAddress returns an address of this process alone. A fleet of another process that still sends to
+// a router that ended would else reach the one that gets its port.
+func ownPeerAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.2:0", 1+pid>>8%200, pid%256)
+}
+
 // freePeerAddress returns an address for a router whose address others have to know before it
 // starts. No other test's connections take a port there.
 func freePeerAddress(t *testing.T) string {
 	t.Helper()
-	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.2:0", 1+pid>>8%200, pid%256))
+	l, err := net.Listen("tcp", ownPeerAddress())
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -37,7 +37,7 @@
 func TestLargeFleetLearnsFromSingleReader(t *testing.T) {
 	fleet := largeFleet(t, 2*maxPartners)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+		r.awaitMembers(t, len(fleet))
 	}
 	for i, list := range [][]string{{"a", "b"}, {"b"}} {
 		version, read := uint64(4+i), time.Now()
@@ -58,7 +58,7 @@
 func TestLargeFleetKnowsCountsOfAll(t *testing.T) {
 	fleet := largeFleet(t, 2*maxPartners)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+		r.awaitMembers(t, len(fleet))
 		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 		r.balancer.RequestStarted("a")
 	}
@@ -74,7 +74,7 @@
 func TestRumorReachesLargeFleet(t *testing.T) {
 	fleet := largeFleet(t, 2*maxPartners)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+		r.awaitMembers(t, len(fleet))
 		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	}
 	for _, r := range fleet {
--- a/internal/gossip/fleet_bench_test.go
+++ b/internal/gossip/fleet_bench_test.go
@@ -96,7 +96,7 @@
 	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
 	r.watcher = watch.New(r.source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
 	var err error
-	r.gossip, err = Start(Options{Address: "127.0.0.1:0", DataCentre: centre, Seeds: seeds, Period: benchPeriod}, r.watcher, r.balancer, event.Discard())
+	r.gossip, err = Start(Options{Address: ownAddress(), DataCentre: centre, Seeds: seeds, Period: benchPeriod}, r.watcher, r.balancer, event.Discard())
 	require.NoError(b, err)
 	r.gossip.SetHoldersKnown()
 	return r
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -84,7 +86,14 @@
 // newIdleRouter returns a router that answers others but runs no rounds by itself.
 func newIdleRouter(t testing.TB, s *source, seeds ...string) *router {
 	t.Helper()
-	return newIdleRouterAt(t, "127.0.0.1:0", s, seeds...)
+	return newIdleRouterAt(t, ownAddress(), s, seeds...)
+}
+
+// ownAddress returns an address of this process alone. A fleet of another process that still sends to a
+// router that ended would else reach the one that gets its port.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.3:0", 1+pid>>8%200, pid%256)
 }
 
 func newIdleRouterAt(t testing.TB, address string, s *source, seeds ...string) *router {
@@ -111,11 +120,22 @@
 	return list
 }
 
-// waitUntil waits for a condition; the test's own timeout ends a wait that would not end.
+// waitLimit ends a wait in vain, far beyond what a busy machine needs, so that the test fails by its name.
+const waitLimit = 2 * time.Minute
+
+// waitUntil waits for a condition.
 func waitUntil(t *testing.T, condition func() bool) {
 	t.Helper()
-	for !condition() {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(waitLimit); !condition(); time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "condition not met in %v", waitLimit)
+	}
+}
+
+// awaitMembers waits until a router knows some number of routers, itself included.
+func (r *router) awaitMembers(t *testing.T, count int) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); r.gossip.MemberCount() != count; time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "%s knows %d routers after %v, not %d: %v", r.gossip.Address(), r.gossip.MemberCount(), waitLimit, count, r.gossip.Routers())
 	}
 }
 
@@ -124,7 +144,7 @@
 	for range 20 {
 		g := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: &source{}}
 		g.watcher = watch.New(g.source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), g.holder, g.balancer, event.Discard())
-		held, err := net.Listen("tcp", "127.0.0.1:0")
+		held, err := net.Listen("tcp", ownAddress())
 		require.NoError(t, err)
 		address := held.Addr().String()
 		client := peer.NewClient(&peer.Meter{})
@@ -161,7 +181,8 @@
 		assert.False(t, r.holder.Current().ProvenAt.After(read), "a proof does not get newer in transit")
 		assert.Zero(t, r.source.reads)
 	}
-	waitUntil(t, func() bool { return first.gossip.MemberCount() == 3 && third.gossip.MemberCount() == 3 })
+	first.awaitMembers(t, 3)
+	third.awaitMembers(t, 3)
 
 	later := time.Now()
 	first.watcher.ApplySnapshot(watch.Snapshot{Config: config(5), Replicas: replicas("b")}, later)
@@ -250,7 +271,8 @@
 	for _, r := range []*router{first, second} {
 		r.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
 	}
-	waitUntil(t, func() bool { return first.gossip.MemberCount() == 2 && second.gossip.MemberCount() == 2 })
+	first.awaitMembers(t, 2)
+	second.awaitMembers(t, 2)
 	first.balancer.RequestFailed("a", balance.Refused, "", time.Now())
 	waitUntil(t, func() bool { return second.balancer.Suspected("a", time.Now()) })
 	assert.False(t, second.balancer.Suspected("b", time.Now()))
@@ -259,9 +281,10 @@
 func TestLeavingRouterIsForgottenAtOnce(t *testing.T) {
 	first := newRouter(t, &source{})
 	second := newRouter(t, &source{}, first.gossip.Address())
-	waitUntil(t, func() bool { return first.gossip.MemberCount() == 2 && second.gossip.MemberCount() == 2 })
+	first.awaitMembers(t, 2)
+	second.awaitMembers(t, 2)
 	second.gossip.Leave()
-	waitUntil(t, func() bool { return first.gossip.MemberCount() == 1 })
+	first.awaitMembers(t, 1)
 	// A router that queries it is told as well, and so does not add it again.
 	first.gossip.exchange(context.Background(), second.gossip.Address(), &gossippb.Digest{Sender: first.gossip.Address()})
 	assert.Equal(t, 1, first.gossip.MemberCount())
@@ -299,7 +322,8 @@
 	first.balancer.PartsReported("a", parts, time.Now())
 	second := newRouter(t, &source{}, first.gossip.Address())
 	second.watcher.ApplySnapshot(watch.Snapshot{Config: config(1), Replicas: replicas("a", "b")}, time.Now())
-	waitUntil(t, func() bool { return first.gossip.MemberCount() == 2 && second.gossip.MemberCount() == 2 })
+	first.awaitMembers(t, 2)
+	second.awaitMembers(t, 2)
 	assert.False(t, second.gossip.HoldersKnown(), "the first router knows only the holders that it saw itself")
 	first.gossip.SetHoldersKnown()
 	waitUntil(t, second.gossip.HoldersKnown)
--- a/internal/gossip/hello_test.go
+++ b/internal/gossip/hello_test.go
@@ -16,7 +16,7 @@
 func newHourlyRouter(t *testing.T) *router {
 	t.Helper()
 	r := newIdleRouter(t, &source{})
-	slow, err := Start(Options{Address: "127.0.0.1:0", Period: time.Hour}, r.watcher, r.balancer, event.Discard())
+	slow, err := Start(Options{Address: ownAddress(), Period: time.Hour}, r.watcher, r.balancer, event.Discard())
 	require.NoError(t, err)
 	t.Cleanup(slow.stop)
 	r.gossip = slow
--- a/internal/gossip/loans_test.go
+++ b/internal/gossip/loans_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	fleet := largeFleet(t, routers)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == routers })
+		r.awaitMembers(t, routers)
 	}
 	for _, r := range fleet {
 		now := time.Now()
@@ -81,7 +81,7 @@
 func TestQueryAtStartIsAnswered(t *testing.T) {
 	query := encodeDatagram(&gossippb.Datagram{RetryQuery: &gossippb.RetryQuery{Number: 5, Service: uint64(lentService), Wanted: million}})
 	for range 50 {
-		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		probe, err := net.Listen("tcp", ownAddress())
 		require.NoError(t, err)
 		address := probe.Addr().String()
 		probe.Close()
@@ -126,7 +126,7 @@
 func TestLendersAreOfBothKindsOfDataCentres(t *testing.T) {
 	fleet := largeFleet(t, 10)
 	r := fleet[0]
-	waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+	r.awaitMembers(t, len(fleet))
 	tests := map[string]struct{ near, most, want, wantNear int }{
 		"half of each":        {5, 4, 4, 2},
 		"few near":            {1, 4, 4, 1},
--- a/internal/gossip/marks_test.go
+++ b/internal/gossip/marks_test.go
@@ -61,7 +61,7 @@
 		fleet = append(fleet, newRouter(t, &source{}, first.gossip.Address()))
 	}
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+		r.awaitMembers(t, len(fleet))
 	}
 	recordThreeCrashes(fleet)
 	waitUntil(t, func() bool { return allHold(fleet) })
--- a/internal/gossip/origins_review_test.go
+++ b/internal/gossip/origins_review_test.go
@@ -70,7 +70,7 @@
 func TestNoAnswerAndAListOfSecondsInferNoVersion(t *testing.T) {
 	fleet := largeFleet(t, 2)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == 2 })
+		r.awaitMembers(t, 2)
 	}
 	o := fleet[0].gossip.Origins()
 	o.Recall("s", []string{"v1"}, steady.Now())
--- a/internal/gossip/origins_stale_test.go
+++ b/internal/gossip/origins_stale_test.go
@@ -26,7 +26,7 @@
 func TestRoutersWithOldListsInferNoVersion(t *testing.T) {
 	fleet := largeFleet(t, 2)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == 2 })
+		r.awaitMembers(t, 2)
 		r.cutOff("v1")
 	}
 	f := fleet[0].gossip.Origins().FindOrigin(context.Background(), "s", origin.KeyOf("s", "began outside"))
@@ -45,7 +45,7 @@
 func TestRecordsOfARouterWithAnOldListAreShared(t *testing.T) {
 	fleet := largeFleet(t, 3)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+		r.awaitMembers(t, len(fleet))
 	}
 	key := origin.KeyOf("s", "a")
 	time.Sleep(300 * time.Millisecond) // Starting routers have fetched records by then.
@@ -64,7 +64,7 @@
 func TestFetchesOfRecordsAreBounded(t *testing.T) {
 	fleet := largeFleet(t, 2)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == 2 })
+		r.awaitMembers(t, 2)
 	}
 	for n := range 1 << 15 {
 		fleet[0].gossip.options.Origins.Record(origin.Key(n), "v1", true, steady.Now())
@@ -81,7 +81,7 @@
 	for range 5 {
 		fleet := largeFleet(t, 6)
 		for _, r := range fleet {
-			waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+			r.awaitMembers(t, len(fleet))
 		}
 		const streams = 50
 		for n := range streams {
@@ -90,7 +90,7 @@
 			}
 		}
 		started := newRouter(t, fleet[0].source, fleet[0].gossip.Address())
-		waitUntil(t, func() bool { return started.gossip.MemberCount() == len(fleet)+1 })
+		started.awaitMembers(t, len(fleet)+1)
 		waitUntil(t, func() bool { return started.gossip.Origins().Len() == streams })
 	}
 }
--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -22,7 +22,7 @@
 			fleet := largeFleet(t, routers)
 			for _, r := range fleet {
 				r.gossip.originWait = originWait{patience, patience}
-				waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+				r.awaitMembers(t, len(fleet))
 			}
 			const streams = 50
 			for n := range streams {
@@ -67,7 +67,7 @@
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			fleet := largeFleet(t, routers)
 			for _, r := range fleet {
-				waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+				r.awaitMembers(t, len(fleet))
 			}
 			first := fleet[0].gossip.Origins()
 			holders := func(service string, key origin.Key) (count int) {
@@ -108,7 +108,7 @@
 func TestStartingRouterFetchesRecords(t *testing.T) {
 	fleet := largeFleet(t, 2)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == 2 })
+		r.awaitMembers(t, 2)
 	}
 	const streams = 200
 	for n := range streams {
--- a/internal/gossip/served_test.go
+++ b/internal/gossip/served_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	fleet := largeFleet(t, routers)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == routers })
+		r.awaitMembers(t, routers)
 		r.gossip.Origins().Observe("s", versions, true, steady.Now())
 	}
 	slices.SortFunc(fleet, func(a, b *router) int { return a.gossip.ServedRank() - b.gossip.ServedRank() })
--- a/internal/gossip/update_test.go
+++ b/internal/gossip/update_test.go
@@ -173,7 +173,7 @@
 	fleet := largeFleet(t, 2*maxPartners)
 	at := make(map[string]*router)
 	for _, r := range fleet {
-		waitUntil(t, func() bool { return r.gossip.MemberCount() == len(fleet) })
+		r.awaitMembers(t, len(fleet))
 		r.gossip.Origins().Observe("s", []string{"v1", "v2"}, true, steady.Now())
 		at[r.gossip.Address()] = r
 	}
