conns, socket, front, test/crash: waits of tests end by the test's name

Waits without end made a whole package time out after 30 minutes, without a word of the test or the condition. They end after 2 minutes, far beyond what a busy machine needs.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -85,23 +85,28 @@
 }
 
 // conn returns the connection as the server has it.
-func (r *rig) conn(t *testing.T) *Conn {
+func (r *rig) conn(t *testing.T) (conn *Conn) {
 	t.Helper()
-	for {
+	await(t, func() bool {
 		r.set.mu.Lock()
+		defer r.set.mu.Unlock()
 		for c := range r.set.open {
-			r.set.mu.Unlock()
-			return c
+			conn = c
+			return true
 		}
-		r.set.mu.Unlock()
-		time.Sleep(time.Millisecond)
-	}
+		return false
+	})
+	return conn
 }
 
+// waitLimit ends a wait in vain, far beyond what a busy machine needs, so that the test fails by its name.
+const waitLimit = 2 * time.Minute
+
 // await returns once a look finds what is wanted.
-func await(look func() bool) {
-	for !look() {
-		time.Sleep(time.Millisecond)
+func await(t *testing.T, look func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !look(); time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "not found in %v", waitLimit)
 	}
 }
 
@@ -132,11 +137,11 @@
 				<-r.idle
 				r.resume <- struct{}{}
 			}
-			await(r.conn(t).waits)
+			await(t, r.conn(t).waits)
 			assert.Equal(t, 1, r.set.CloseResting(time.Now()).Closed)
 			_, err := r.reader.ReadByte()
 			assert.ErrorIs(t, err, io.EOF, "an orderly end")
-			await(func() bool { return r.set.Open() == 0 })
+			await(t, func() bool { return r.set.Open() == 0 })
 		})
 	}
 }
@@ -150,7 +155,7 @@
 	<-r.idle
 	r.send(t, request)
 	c := r.conn(t)
-	await(c.finds)
+	await(t, c.finds)
 	assert.Zero(t, r.set.CloseResting(time.Now()).Closed, "the server has not come to read")
 	// The server reads again, and the request is found before it is taken.
 	c.setReading(true)
@@ -164,7 +169,7 @@
 		r := newRig(t)
 		r.send(t, request[:10])
 		c := r.conn(t)
-		await(func() bool {
+		await(t, func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return c.heard
@@ -188,7 +193,7 @@
 		// The server looks with one byte whether its caller is still there.
 		c := r.conn(t)
 		r.send(t, request[:1])
-		await(func() bool {
+		await(t, func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return c.heard
@@ -197,7 +202,7 @@
 		r.answer(t)
 		<-r.idle
 		r.resume <- struct{}{}
-		await(c.waits)
+		await(t, c.waits)
 		assert.Equal(t, Ended{Serving: 1}, r.set.CloseResting(time.Now()))
 		r.send(t, request[1:])
 		r.answer(t)
@@ -207,7 +212,7 @@
 func TestNothingIsReadFromAClosedConnection(t *testing.T) {
 	r := newRig(t)
 	c := r.conn(t)
-	await(c.waits)
+	await(t, c.waits)
 	assert.Equal(t, Closed, c.endRest())
 	r.send(t, request)
 	_, err := r.reader.ReadByte()
@@ -227,7 +232,7 @@
 	}
 	assert.False(t, left())
 	r.caller.Close()
-	await(left)
+	await(t, left)
 	r.finish <- struct{}{}
 }
 
@@ -260,7 +265,7 @@
 	r.answer(t)
 	<-r.idle
 	r.resume <- struct{}{}
-	await(r.conn(t).waits)
+	await(t, r.conn(t).waits)
 	assert.Equal(t, Ended{Serving: 1}, r.set.CloseResting(time.Now()))
 	r.send(t, request[10:])
 	r.answer(t)
@@ -271,7 +276,7 @@
 func TestAKillOfAServerAtRestCutsNothing(t *testing.T) {
 	r := newRig(t)
 	r.closes = 3 * drainPause
-	await(r.conn(t).waits)
+	await(t, r.conn(t).waits)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	ended, err := r.set.Drain(ctx)
@@ -306,7 +311,7 @@
 	caller, err := net.Dial("tcp", raw.Addr().String())
 	require.NoError(t, err)
 	defer caller.Close()
-	await(set.Queued)
+	await(t, set.Queued)
 	assert.ErrorIs(t, set.Wait(ctx), context.Canceled)
 	assert.ErrorIs(t, set.WaitAccepted(ctx), context.Canceled)
 	served, err := listener.Accept()
--- a/internal/front/caller_left_test.go
+++ b/internal/front/caller_left_test.go
@@ -117,7 +117,7 @@
 			leave(caller)
 			// Permit one read, of the head. The read of the end is still blocked.
 			late.reads <- struct{}{}
-			waitUntil(func() bool { return r.front.metrics.Duration.Count() == 1 })
+			waitUntil(t, func() bool { return r.front.metrics.Duration.Count() == 1 })
 			assert.Zero(t, arrivals.Load())
 			gone := gometrics.GetOrRegisterCounter("croftyard.front.requests."+outcomeGone, r.front.metrics.Registry)
 			assert.EqualValues(t, 1, gone.Count())
@@ -125,10 +125,14 @@
 	}
 }
 
-// waitUntil waits for a condition. The test's timeout bounds the wait.
-func waitUntil(condition func() bool) {
-	for !condition() {
-		time.Sleep(time.Millisecond)
+// waitLimit ends a wait in vain, far beyond what a busy machine needs, so that the test fails by its name.
+const waitLimit = 2 * time.Minute
+
+// waitUntil waits for a condition.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !condition(); time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "condition not met in %v", waitLimit)
 	}
 }
 
@@ -179,7 +183,7 @@
 			test.before(caller)
 			caller.Close()
 			<-ended
-			waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+			waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 			assert.EqualValues(t, 1, arrivals.Load(), "no further attempt is sent")
 		})
 	}
@@ -201,7 +205,7 @@
 	_, err := io.WriteString(caller, head("GET", "/short/x"))
 	require.NoError(t, err)
 	<-ended
-	waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+	waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 }
 
 func TestWriteDeadlineClearedAfterAnswer(t *testing.T) {
@@ -233,7 +237,7 @@
 	caller := dial(t, server.Listener.Addr().String())
 	_, err := io.WriteString(caller, head("GET", "/once/x"))
 	require.NoError(t, err)
-	waitUntil(func() bool { return arrivals.Load() == 1 })
+	waitUntil(t, func() bool { return arrivals.Load() == 1 })
 	require.NoError(t, caller.CloseWrite())
 	answer, err := io.ReadAll(caller)
 	assert.Empty(t, answer)
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -99,7 +99,7 @@
 			if test.status != 0 {
 				assert.Equal(t, test.status, status)
 			}
-			waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+			waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 			assert.Zero(t, r.front.Held().Used())
 		})
 	}
@@ -114,9 +114,9 @@
 		caller := dial(t, r.server.Listener.Addr().String())
 		_, err := io.WriteString(caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nTry: id-1\r\nAuthorization: Key k1\r\n"+framing+"\r\n\r\n1000\r\nx")
 		require.NoError(t, err)
-		waitUntil(func() bool { return r.front.Held().Used() > 0 })
+		waitUntil(t, func() bool { return r.front.Held().Used() > 0 })
 		caller.Close()
-		waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+		waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 		assert.Zero(t, r.front.Held().Used())
 	}
 	assert.Zero(t, arrivals.Load())
@@ -154,9 +154,9 @@
 	assert.Equal(t, http.StatusOK, r.post(t.Context(), "/once/x", strings.NewReader("small")).StatusCode)
 	finish <- struct{}{}
 	<-ended
-	waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+	waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 	assert.Equal(t, http.StatusOK, r.post(t.Context(), "/once/x", strings.NewReader(large)).StatusCode)
-	waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+	waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 	assert.Equal(t, 1, strings.Count(written.String(), fmt.Sprintf(`"event":%d`, event.MemoryFull)), written.String())
 	assert.Equal(t, 1, strings.Count(written.String(), fmt.Sprintf(`"event":%d`, event.MemoryFree)))
 }
@@ -202,7 +202,7 @@
 		listed.ID, listed.Address = "r1", address
 		r.addReplicas(t, listed)
 		assert.Equal(t, test.status, <-done)
-		waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+		waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 		assert.Equal(t, test.status == http.StatusOK, arrivals.Load() == 1, "sent elsewhere only if it may be")
 		assert.Zero(t, r.front.Held().Used())
 	}
@@ -218,7 +218,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	require.NoError(t, err)
 	assert.GreaterOrEqual(t, response.StatusCode, 400)
-	waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+	waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 }
 
 // Guards against buffering an event of any length, against charging what is no longer held, and
@@ -243,7 +243,7 @@
 			if test.whole {
 				assert.True(t, test.events == text, "unchanged, %d bytes of %d", len(text), len(test.events))
 			}
-			waitUntil(func() bool { return r.front.ActiveRequests() == 0 })
+			waitUntil(t, func() bool { return r.front.ActiveRequests() == 0 })
 			assert.Zero(t, r.front.Held().Used())
 		})
 	}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -30,9 +31,14 @@
 	return known && s.Left
 }
 
-// until waits for a condition; the test's own limit ends a wait in vain.
-func until(condition func() bool) {
-	for !condition() {
+// waitLimit ends a wait in vain, far beyond what a busy machine needs, so that the test fails by its name.
+const waitLimit = 2 * time.Minute
+
+// until waits for a condition.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !condition(); {
+		require.True(t, time.Now().Before(end), "condition not met in %v", waitLimit)
 	}
 }
 
@@ -48,7 +54,7 @@
 			near, far := connected(t)
 			assert.False(t, left(near))
 			leave(near, far)
-			until(func() bool { return left(near) })
+			until(t, func() bool { return left(near) })
 		})
 	}
 }
@@ -57,7 +63,7 @@
 	near, _ := connected(t)
 	_, err := near.Write([]byte("text"))
 	require.NoError(t, err)
-	until(func() bool {
+	until(t, func() bool {
 		s, known := Look(near)
 		require.True(t, known)
 		return !s.Unacked
--- a/test/crash/crash_test.go
+++ b/test/crash/crash_test.go
@@ -70,7 +70,7 @@
 	before := f.historyOf(body)
 	assert.GreaterOrEqual(t, len(before.crashes), 3)
 	last := f.start()
-	until(last.Ready)
+	until(t, last.Ready)
 	// A router that has just started is held to no bound for contact, and its partners
 	// greet it meanwhile.
 	time.Sleep(contact)
--- a/test/crash/rig_test.go
+++ b/test/crash/rig_test.go
@@ -91,7 +91,7 @@
 		f.start()
 	}
 	for _, r := range f.routers {
-		until(r.Ready)
+		until(t, r.Ready)
 	}
 	return f
 }
@@ -192,9 +192,14 @@
 	return l.Addr().String()
 }
 
-func until(condition func() bool) {
-	for !condition() {
-		time.Sleep(5 * time.Millisecond)
+// waitLimit ends a wait in vain, far beyond what a busy machine needs, so that the test fails by its name.
+const waitLimit = 2 * time.Minute
+
+// until waits for a condition.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !condition(); time.Sleep(5 * time.Millisecond) {
+		require.True(t, time.Now().Before(end), "condition not met in %v", waitLimit)
 	}
 }
 
