--- /dev/null
+++ b/pkg/origin/gap_test.go
@@ -0,0 +1,19 @@
+package origin
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against a process that stood still and takes what it saw before and after for all that
+// served meanwhile. The first observation afterwards may be by a current list.
+func TestVersionsAreNotKnownOverAGapOfObservations(t *testing.T) {
+	tracker := NewTracker(lifespan)
+	for second := range 31 {
+		tracker.Observe("s", []string{"v1"}, true, at(float64(second)))
+	}
+	assert.Equal(t, Inferred, tracker.Find("s", 1, at(30)).Source)
+	tracker.Observe("s", []string{"v1"}, true, at(90))
+	assert.Equal(t, Unknown, tracker.Find("s", 1, at(90)).Source)
+}
