--- a/internal/entry/heldrecord_test.go
+++ b/internal/entry/heldrecord_test.go
@@ -99,6 +99,8 @@
 	t       *testing.T
 	source  source
 	store   heldMemory
+	// lagging is what routers started from now on use in place of store; nil for store itself.
+	lagging *laggingMemory
 	routers []*Entry
 	client  *http.Client
 	// part: what is deadly is a part of the prompt, not the body.
@@ -192,7 +194,12 @@
 				}
 				return []balance.Part{{ID: uint64(len(text)), Tokens: 100}, {ID: 1000, Tokens: 1}}
 			}
-			env.HeldStore = func(settings.Settings, time.Duration) poison.Store { return &f.store }
+			env.HeldStore = func(settings.Settings, time.Duration) poison.Store {
+				if f.lagging != nil {
+					return f.lagging
+				}
+				return &f.store
+			}
 		}))
 	}
 	for _, e := range f.routers {
