origin: a router with an old list removes no version from the record

TestKeeperWithAnOldListRemovesNothing, "an old list", red before; a stale list counts as incomplete, which adds and removes nothing.

--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -101,11 +101,13 @@
 		had := k.stored[s.Service]
 		reliable := had.Revision > 0 && had.Generation == k.generation
 		wanted := s.Versions
+		// By a list that is too old, versions that serve may be missing.
+		complete := s.Complete && !s.Stale
 		switch {
-		case !s.Complete && !reliable:
+		case !complete && !reliable:
 			// A record claims to hold all versions of a lifetime.
 			continue
-		case !s.Complete || rank > 0:
+		case !complete || rank > 0:
 			if reliable && containsAll(had.Versions, s.Serving) {
 				continue
 			}
