origin: what a router saw itself is not made new by reading the record again

Callers: after one release, streams of the only version that serves are refused with 503 once all routers ended, for good, if a stream may last above 30 s; records are sent for each stream. The routers that keep the record read it again each 30 s, and took what it names as serving until then, so that a version that left never expired and was never removed. The tests of internal/entry have lifetimes of 7 s, below the period.

A version that this router knows keeps the time at which it saw it last, unless others may have served unobserved since the record was taken over last: after a start and after old lists what is read counts as serving until then, as before.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -21,6 +21,8 @@
 	knownSince time.Time
 	// stale is set while the lists of replicas are too old to show every version.
 	stale bool
+	// unseen is set if versions may have served unobserved since the store's record was taken over last.
+	unseen bool
 	// confirmed maps the versions that serve and that the record in the store is known to name to
 	// the generation of that record.
 	confirmed map[string]uint64
@@ -71,8 +73,8 @@
 	defer h.mu.Unlock()
 	s := h.service(service, now)
 	if s.stale && current {
-		// Versions may have come and gone meanwhile.
-		s.knownSince = now
+		// Versions may have joined and left meanwhile.
+		s.knownSince, s.unseen = now, true
 	}
 	s.stale = !current
 	for version, p := range s.versions {
@@ -100,17 +102,19 @@
 	s := h.service(service, now)
 	s.knownSince = beginning
 	for _, version := range versions {
-		if !s.versions[version].serving {
+		// What the record names is mostly what this router saw itself.
+		if p, known := s.versions[version]; !known || s.unseen && !p.serving {
 			s.versions[version] = period{last: now}
 		}
 	}
+	s.unseen = false
 }
 
 // service returns the versions of a service. h.mu must be held.
 func (h *History) service(name string, now time.Time) *served {
 	s := h.services[name]
 	if s == nil {
-		s = &served{versions: make(map[string]period), knownSince: now}
+		s = &served{versions: make(map[string]period), knownSince: now, unseen: true}
 		h.services[name] = s
 	}
 	return s
