origin: versions are not known over a time without observations

Another may have joined and left meanwhile at routers that are no longer there; a stream of it would go on at the one that is left.

A gap above 5 s, the age up to which lists count as current, is treated as one of old lists. Tests of History now observe each second between the observations of their tables, which stood for that; what they expect is unchanged.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -21,8 +21,10 @@
 	knownSince time.Time
 	// stale is set while the lists of replicas are too old to show every version.
 	stale bool
-	// unseen is set if versions may have served unobserved since the store's record was taken over last.
-	unseen bool
+	// observedAt is when the versions were observed last. unseen is set if others may have served
+	// unobserved since the store's record was taken over last.
+	observedAt time.Time
+	unseen     bool
 	// confirmed maps the versions that serve and that the record in the store is known to name to
 	// the generation of that record.
 	confirmed map[string]uint64
@@ -63,6 +65,10 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*served)} }
 
+// maxObservationGap is the longest time between two observations over which no version can join and leave
+// unseen: lists of that age count as current.
+const maxObservationGap = 5 * time.Second
+
 // beginning is the time from which on all versions are known if the store tells what served before.
 var beginning time.Time
 
@@ -72,11 +78,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service, now)
-	if s.stale && current {
+	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
 		// Versions may have joined and left meanwhile.
 		s.knownSince, s.unseen = now, true
 	}
-	s.stale = !current
+	s.stale, s.observedAt = !current, now
 	for version, p := range s.versions {
 		if p.serving {
 			p.last, p.serving = now, false
@@ -114,7 +120,7 @@
 func (h *History) service(name string, now time.Time) *served {
 	s := h.services[name]
 	if s == nil {
-		s = &served{versions: make(map[string]period), knownSince: now, unseen: true}
+		s = &served{versions: make(map[string]period), knownSince: now, observedAt: now, unseen: true}
 		h.services[name] = s
 	}
 	return s
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -16,6 +16,13 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// observe notes versions that serve each second from a time until before another, as routers do.
+func observe(tracker *Tracker, versions []string, current bool, from, until float64) {
+	for second := from; second < until; second++ {
+		tracker.Observe("s", versions, current, at(second))
+	}
+}
+
 // Guards against a stream without a record that goes on at another version than its own: at any
 // of two that served, or at the only one listed by a router that does not know what served before.
 func TestFind(t *testing.T) {
@@ -52,6 +59,9 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := NewTracker(lifespan)
 			for i, o := range test.observed {
+				if i > 0 {
+					observe(tracker, test.observed[i-1].versions, true, test.observed[i-1].at+1, o.at)
+				}
 				tracker.Observe("s", o.versions, true, at(o.at))
 				if i == 0 && test.recalled != nil {
 					tracker.Recall("s", test.recalled, at(o.at))
@@ -70,12 +80,15 @@
 	tracker := NewTracker(lifespan)
 	tracker.Recall("s", nil, at(0))
 	one := []string{"v1"}
+	last, current := 0.0, true
 	for _, step := range []struct {
 		at       float64
 		current  bool
 		complete bool
 	}{{0, true, true}, {30, false, true}, {40, true, false}, {50, true, false}, {60, true, true}} {
+		observe(tracker, one, current, last, step.at)
 		tracker.Observe("s", one, step.current, at(step.at))
+		last, current = step.at, step.current
 		assert.Equal(t, Served{"s", one, one, step.complete, !step.current}, tracker.Served("s", at(step.at)), "%v", step.at)
 	}
 	tracker.Observe("s", one, false, at(61))
