origin: versions are confirmed again after old lists or none

Where a gap of observations ends, the router asks again, as after a start: one to three datagrams within 0.5 s, during which streams begin at any version.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -79,8 +79,8 @@
 	defer h.mu.Unlock()
 	s := h.service(service, now)
 	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
-		// Versions may have joined and left meanwhile.
-		s.knownSince, s.unseen = now, true
+		// Versions may have joined and left meanwhile, and the record may have dropped some.
+		s.knownSince, s.unseen, s.confirmed = now, true, nil
 	}
 	s.stale, s.observedAt = !current, now
 	for version, p := range s.versions {
