--- a/internal/entry/versions_test.go
+++ b/internal/entry/versions_test.go
@@ -50,6 +50,8 @@
 	initial    int
 	// withoutRecord: routers do not keep the record of versions, as those of earlier builds.
 	withoutRecord bool
+	// apply is the time in which a configuration is to be in force, 0 for the default.
+	apply time.Duration
 }
 
 // newVersionedFleet starts routers before some replicas of each version.
@@ -103,6 +105,9 @@
 		s.Name, s.Peers.Seeds, s.Peers.Period = fmt.Sprint("r", f.started), seeds, 10*time.Millisecond
 		s.Bounds.RepeatAllowance, s.Bounds.RepeatWindow = 1000, 10*time.Millisecond
 		s.Routes.FirstStart = f.firstStart && f.started <= f.initial
+		if f.apply > 0 {
+			s.Bounds.Apply, s.Bounds.Drain, s.Bounds.Evacuate = f.apply, f.apply, f.apply
+		}
 		env.Dialect.Resumes = "Resumes"
 		if !f.withoutRecord {
 			env.ServedStore = func(settings.Settings, time.Duration) origin.Store { return f.store }
