--- a/internal/entry/heldrecord_test.go
+++ b/internal/entry/heldrecord_test.go
@@ -96,9 +96,9 @@
 
 // crashFleet is routers before replicas that deadly requests crash.
 type crashFleet struct {
-	t       *testing.T
-	source  source
-	store   heldMemory
+	t      *testing.T
+	source source
+	store  heldMemory
 	// lagging is what routers started from now on use in place of store; nil for store itself.
 	lagging *laggingMemory
 	routers []*Entry
