front: a test of a rest checks its end exactly, not within a second of real time

Cause: TestRestingReplicaExcludedUntilEnd moved the clock to a second before the end of a rest and then sent 40 requests. A machine that takes more than the second chooses the replica, rightly.

Seen: two cases once at a load of 50 to 120 ("a replica is chosen in its rest").

Change: the end is compared with the times around the request, and the exclusion a nanosecond before the end and at it, so the test is stricter; the requests have 90 s.

--- a/internal/front/statements_test.go
+++ b/internal/front/statements_test.go
@@ -195,13 +195,24 @@
 			rests, serves := newScriptedReplica(t), newScriptedReplica(t)
 			r := newRig(t, rests.address, serves.address)
 			rests.setAnswer(answerResting(test.retryAfter, test.marked))
+			before := steady.Now()
 			r.sendUntil(t, rests)
-			advanceClock(t, test.rest-time.Second)
+			after := steady.Now()
+			end := r.watcher.Statements().Get("r0").RestUntil
+			assert.WithinRange(t, end, before.Add(test.rest), after.Add(test.rest))
+			_, excluded := r.front.Exclusion("r0", end.Add(-time.Nanosecond))
+			assert.True(t, excluded, "until its end")
+			_, excluded = r.front.Exclusion("r0", end)
+			assert.False(t, excluded, "from its end on")
+			// The requests have to be sent before the end.
+			const left = 90 * time.Second
+			advanceClock(t, test.rest-left)
 			r.addReplicas(t)
 			assert.Equal(t, manyRequests, r.sendMany(t, manyRequests), "the other replica serves")
 			assert.Zero(t, rests.arrivals.Load())
 			rests.setAnswer(answerOK)
-			advanceClock(t, 2*time.Second)
+			advanceClock(t, left)
+			r.addReplicas(t)
 			r.sendUntil(t, rests)
 		})
 	}
