origin: streams of a route that is led to another service are refused

Cause: a record's key holds the service, so a take-up at the new service found no record there, and its single version was inferred as where the stream began.

Evidence: TestJoinedOverAChangeOfShares/routers_stay failed before. With the check of routes alone switched off, all 9 cases of TestStreamsOfALedRouteAreRefused and both of TestStreamsGoOnAtTheirServiceOverChangesOfShares fail (all routers ended, a change while none ran, a route added or removed within another, a router that starts).

Ruled out: only streams with a record go on (routers of one version keep it alone); the former service as a version of the new one (refuses streams of its other routes once all routers ended, misses a change that was not written or made while no router ran).

Change: routes of streams are observed, recorded and asked for as the versions of a service are, under a name that no service has, one entry each. A version is inferred only if all routes of a stream's lifetime lead it to its service. No message changes: the question comes in place of a service's name, which builds before do not know, and answer so. The record is in the same read and the same write as those of services.

Calls to the store: none more while routes stay (TestRoutesThatStayAreWrittenOnce: one write for both services and the routes), two writes a change at any size of the fleet (worked out).

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -117,10 +117,16 @@
 	}
 }
 
-// resumableServices returns what served lately at the services whose streams may be taken up.
+// resumableServices returns what served lately at the services whose streams may be taken up, after the
+// routes of that time.
 func (e *Entry) resumableServices() []origin.Served {
-	var list []origin.Served
-	for _, name := range e.front.ResumableServices() {
+	names := e.front.ResumableServices()
+	if len(names) == 0 {
+		return nil
+	}
+	// All in one write, if they are few: a record of versions is relied on together with that of routes.
+	list := []origin.Served{e.served.tracker.Served(origin.Routes, steady.Now())}
+	for _, name := range names {
 		list = append(list, e.served.tracker.Served(name, steady.Now()))
 	}
 	return list
@@ -135,7 +141,7 @@
 		return err
 	}
 	reliable := e.served.keeper.Loaded(records, generation, now)
-	names := e.front.ResumableServices()
+	names := append(e.front.ResumableServices(), origin.Routes)
 	for _, r := range reliable {
 		// Its replicas may not be listed yet, or state no version any more.
 		names = append(names, r.Service)
@@ -150,12 +156,13 @@
 }
 
 // recallService takes over which versions of a service served before, from its record if there is a
-// reliable one. Without any, none did if the fleet starts for the first time.
+// reliable one. Without any, none did if the fleet starts for the first time. Routers of an earlier
+// build record no routes, so a missing record of these names none.
 func (e *Entry) recallService(name string, records, reliable []origin.Stored, now time.Time) {
 	isOf := func(r origin.Stored) bool { return r.Service == name }
 	if i := slices.IndexFunc(reliable, isOf); i >= 0 {
 		e.served.tracker.Recall(name, reliable[i].Versions, now)
-	} else if e.settings.Routes.FirstStart && !slices.ContainsFunc(records, isOf) {
+	} else if (e.settings.Routes.FirstStart || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
 		e.served.tracker.Recall(name, nil, now)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -155,6 +155,8 @@
 	// of other routers in progress.
 	relays      *relay.Selector
 	relayedHere atomic.Int64
+	// routes are the routes that were noted last.
+	routes atomic.Pointer[observedRoutes]
 	// lostServices are the services that this router lost the path to, as last logged.
 	lostServices []string
 }
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -14,15 +14,15 @@
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
-// What replicas of two software versions write does not fit together, and replicas do not check
-// it. A stream therefore goes on only at the version that began it.
+// What replicas of two services or of two software versions write does not fit together, and replicas
+// do not check it. A stream therefore goes on only at the service and the version that began it.
 
 // Origins records at which versions streams began, over all routers.
 type Origins interface {
 	// SetLifetime sets how long after its first event a stream may be taken up.
 	SetLifetime(d time.Duration, now time.Time)
 	// Observe notes which versions of a service serve now, by a list of replicas that is current
-	// or not.
+	// or not, or what origin.DescribeRoutes returns, of origin.Routes.
 	Observe(service string, versions []string, current bool, now time.Time)
 	// Served returns the versions of a service that served within a stream's lifetime.
 	Served(service string, now time.Time) origin.Served
@@ -31,8 +31,11 @@
 	Confirmed(service string) []string
 	// RecordOrigin records the version at which a stream of a service begins.
 	RecordOrigin(service string, k origin.Key, version string)
-	// FindOrigin returns what is known of a stream. It asks other routers and the store if need
-	// be, for a bounded time.
+	// Find returns what this router knows of a stream, or of what an origin.RouteQuery asks in
+	// place of a service.
+	Find(service string, k origin.Key, now time.Time) origin.Finding
+	// FindOrigin returns the same. It asks other routers and the store if need be, for a bounded
+	// time.
 	FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search
 }
 
@@ -92,6 +95,7 @@
 	if f.options.Origins == nil || c.origin.state != originKnown || c.origin.version == "" {
 		return
 	}
+	f.observeRoutes()
 	f.observeVersions(c.service.Name)
 	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.version)
 	if c.takenUp() {
@@ -114,21 +118,31 @@
 func (c *call) originKey() origin.Key { return origin.KeyOf(c.service.Name, c.streamID()) }
 
 // findOrigin finds at which version the stream began that the caller takes up, and refuses to
-// go on if that is not known.
+// go on if that is not known, or if it began at another service.
 func (c *call) findOrigin(ctx context.Context) *refusal {
 	f := c.front
-	if f.options.Origins == nil || c.origin.state != originOpen || !c.takenUp() || !f.mayStateVersions(c.service.Name) {
+	if f.options.Origins == nil || c.origin.state != originOpen || !c.takenUp() {
 		return nil
 	}
+	f.observeRoutes()
+	if !f.mayStateVersions(c.service.Name) {
+		return c.checkRoutes()
+	}
 	found := f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
-	c.logTakenUp(found)
+	routes := origin.Search{Finding: origin.Finding{Source: origin.Recorded}}
+	if found.Source == origin.Inferred {
+		routes = c.findRoutes(ctx)
+	}
+	c.logTakenUp(found, routes)
 	if found.Source == origin.Unknown && !found.Several && f.statesNoVersion(c.service.Name) {
 		// No router and no record names a version: the service has none.
-		return nil
+		return c.checkRoutes()
 	}
 	if found.Source == origin.Unknown {
-		f.metrics.UnknownOrigins.Inc(1)
-		return &refusal{status: http.StatusServiceUnavailable, reason: "version of the stream not known", retryAfter: retryLater}
+		return c.refuseOrigin("version of the stream not known")
+	}
+	if routes.Source == origin.Unknown {
+		return c.refuseMoved()
 	}
 	c.origin = streamOrigin{originKnown, found.Version}
 	if !slices.Contains(f.balancer.Versions(c.service.Name), found.Version) {
@@ -138,13 +152,45 @@
 	return nil
 }
 
-// logTakenUp logs what is known of a stream that the caller takes up.
-func (c *call) logTakenUp(found origin.Search) {
+// findRoutes finds whether all routes of a stream's lifetime lead it to its service. What this router
+// knows to differ no other one can overrule.
+func (c *call) findRoutes(ctx context.Context) origin.Search {
+	if own := c.front.options.Origins.Find(c.routeQuery(), c.originKey(), steady.Now()); own.Several {
+		return origin.Search{Finding: own}
+	}
+	return c.front.options.Origins.FindOrigin(ctx, c.routeQuery(), c.originKey())
+}
+
+// checkRoutes refuses a stream of a service without versions, of which nothing is recorded, if this
+// router knows that its route led elsewhere.
+func (c *call) checkRoutes() *refusal {
+	if c.front.options.Origins.Find(c.routeQuery(), c.originKey(), steady.Now()).Several {
+		return c.refuseMoved()
+	}
+	return nil
+}
+
+func (c *call) refuseMoved() *refusal { return c.refuseOrigin("service of the stream not known") }
+
+// refuseOrigin refuses to go on with a stream, of which it is not known where it began.
+func (c *call) refuseOrigin(reason string) *refusal {
+	c.front.metrics.UnknownOrigins.Inc(1)
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryLater}
+}
+
+// routeQuery asks whether the stream began at its service, in place of a service's name.
+func (c *call) routeQuery() string {
+	q := origin.RouteQuery{Host: strings.ToLower(c.route.Host), Path: c.path(), Draw: c.shareDraw, Service: c.service.Name}
+	return q.String()
+}
+
+// logTakenUp logs what is known of a stream that the caller takes up, and of its routes.
+func (c *call) logTakenUp(found, routes origin.Search) {
 	listed := c.front.balancer.Versions(c.service.Name)
 	slices.Sort(listed)
 	c.front.log.Write(event.StreamTakenUp, event.F("request", c.id), event.F("resumes", c.resumes()), event.F("after_event", c.request.Header.Get(lastEventHeader)),
 		event.F("found", found.Source.String()), event.F("origin", found.Version), event.F("listed", slices.Compact(listed)),
-		event.F("several", found.Several), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
+		event.F("several", found.Several), event.F("routes", routes.Source.String()), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
 }
 
 // mayStateVersions reports whether replicas of a service state the version of their software, did so
@@ -169,13 +215,38 @@
 	return slices.ContainsFunc(f.balancer.Versions(service), func(version string) bool { return version != "" })
 }
 
+// observedRoutes are the texts of a configuration's routes.
+type observedRoutes struct {
+	table *route.Table
+	texts []string
+}
+
+// observeRoutes notes the routes of a configuration that was not observed yet.
+func (f *Front) observeRoutes() {
+	table := f.holder.Current().Table
+	if observed := f.routes.Load(); table != nil && (observed == nil || observed.table != table) {
+		f.noteRoutes(table)
+	}
+}
+
+// noteRoutes notes the routes of a configuration.
+func (f *Front) noteRoutes(table *route.Table) {
+	observed := f.routes.Load()
+	if observed == nil || observed.table != table {
+		observed = &observedRoutes{table, origin.DescribeRoutes(table.Config().Routes)}
+		f.routes.Store(observed)
+	}
+	now := steady.Now()
+	f.options.Origins.Observe(origin.Routes, observed.texts, f.watcher.Age(now) <= listLag, now)
+}
+
 // observeVersions notes the versions of a service.
 func (f *Front) observeVersions(service string) {
 	now := steady.Now()
 	f.options.Origins.Observe(service, f.balancer.Versions(service), f.watcher.Age(now) <= listLag, now)
 }
 
-// ObserveVersions notes which versions serve, and how long streams may last.
+// ObserveVersions notes which versions serve, where routes lead, and how long streams may last.
 func (f *Front) ObserveVersions() {
 	state := f.holder.Current()
 	if state.Table == nil || f.options.Origins == nil {
@@ -183,6 +254,7 @@
 	}
 	config := state.Table.Config()
 	f.options.Origins.SetLifetime(streamLifetime(config), steady.Now())
+	f.noteRoutes(state.Table)
 	for _, service := range config.Services {
 		f.observeVersions(service.Name)
 	}
--- a/internal/front/origin_test.go
+++ b/internal/front/origin_test.go
@@ -22,6 +22,9 @@
 func (noOrigins) RecordOrigin(string, origin.Key, string)   {}
 func (noOrigins) Served(string, time.Time) origin.Served    { return origin.Served{} }
 func (noOrigins) Confirmed(string) []string                 { return nil }
+func (noOrigins) Find(string, origin.Key, time.Time) origin.Finding {
+	return origin.Finding{}
+}
 func (noOrigins) FindOrigin(context.Context, string, origin.Key) origin.Search {
 	return origin.Search{}
 }
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -56,10 +56,11 @@
 func (g *Gossip) Origins() *Origins { return &Origins{g.options.Origins, g} }
 
 // Observe notes which versions of a service serve now, by a list of replicas that is current or
-// not. When a second version joins, or may have, other routers get the records that they lack.
+// not, or the routes. When a second version joins, or may have, or a route is led to another service,
+// other routers get the records that they lack.
 func (o *Origins) Observe(service string, versions []string, current bool, now time.Time) {
 	o.Tracker.Observe(service, versions, current, now)
-	if o.Served(service, now).IsSingle() {
+	if o.Settled(service, now) {
 		return
 	}
 	if records := o.Unshared(now); len(records) > 0 {
@@ -129,10 +130,10 @@
 }
 
 // RecordOrigin records the version at which a stream of a service begins. Unless it is known that no
-// other version served lately, other routers get the record too.
+// other version served lately and no route led elsewhere, other routers get the record too.
 func (o *Origins) RecordOrigin(service string, k origin.Key, version string) {
 	now := steady.Now()
-	shared := !o.Served(service, now).IsSingle()
+	shared := !o.Settled(service, now)
 	o.Record(k, version, shared, now)
 	if shared {
 		o.gossip.sendOrigins([]origin.Record{{Key: k, Version: version}}, o.gossip.originHolders)
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -1,5 +1,5 @@
 // Package kept keeps what must outlive all routers as records in a store: one by service of the software
-// versions that served lately, and one of the requests and parts of prompts that crash replicas.
+// versions that served lately, one of the routes to services, and one of the requests and parts of prompts that crash replicas.
 package kept
 
 import (
@@ -28,7 +28,7 @@
 	WriteKeys(ctx context.Context, list []records.Record, conflict error) (revision uint64, err error)
 }
 
-// Served keeps the versions that served. It implements origin.Store.
+// Served keeps the versions that served, and the routes under origin.Routes. It implements origin.Store.
 type Served struct{ Keys Keys }
 
 // ReadServed implements origin.Store.
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -97,8 +97,20 @@
 func (h *History) Recall(service string, versions []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.service(service, now).knownSince = beginning
+	h.add(service, versions, now)
+}
+
+// Add adds versions that served before, up to now, among others.
+func (h *History) Add(service string, versions []string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.add(service, versions, now)
+}
+
+// add adds versions that served before, up to now. h.mu must be held.
+func (h *History) add(service string, versions []string, now time.Time) {
 	s := h.service(service, now)
-	s.knownSince = beginning
 	for _, version := range versions {
 		if !s.versions[version].serving {
 			s.versions[version] = period{last: now}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -1,8 +1,9 @@
-// Package origin remembers at which software version of a service streams began, so that they
+// Package origin remembers at which service and software version streams began, so that they
 // go on only there.
 //
 //	Table    the version at which each stream began, for as long as it may last
-//	History  which versions served lately, which decides for a stream without a record
+//	History  which versions served lately, and which routes led to services, which decides for a
+//	         stream without a record
 //	Tracker  both
 //	Keeper   when the versions that served are read from the store and written to it, so that
 //	         they outlive all routers
@@ -10,8 +11,9 @@
 // A Tracker also holds which of the versions that serve the record in the store is known to name.
 //
 // Routers send each other records while a service has more than one version, or while they do not
-// know that it has not. A stream without a record therefore goes on only if a single version served
-// within its lifetime, and this is known. The package does no I/O; time comes from the caller.
+// know that it has not, or while a route leads elsewhere than lately. A stream without a record
+// therefore goes on only if a single version served, and its route led to the service, within its
+// lifetime, and this is known. The package does no I/O; time comes from the caller.
 package origin
 
 import "time"
@@ -63,6 +65,7 @@
 	history  *History
 	lifetime lifetime
 	added    chan struct{}
+	routes   observedRoutes
 }
 
 // NewTracker returns an empty tracker. Until SetLifetime is called, a stream lasts for longest at
@@ -78,8 +81,11 @@
 func (t *Tracker) SetLifetime(d time.Duration, now time.Time) { t.lifetime.set(d, now) }
 
 // Observe notes the versions of a service that serve now by a list of replicas that is current or
-// not.
+// not, or the texts of all Routes.
 func (t *Tracker) Observe(service string, versions []string, current bool, now time.Time) {
+	if service == Routes {
+		defer t.inheritRoutes(versions, now)
+	}
 	if !t.history.Observe(service, versions, current, now, t.streamLifetime()) {
 		return
 	}
@@ -95,6 +101,9 @@
 // Recall adds the versions of a service that served before, which are all that did.
 func (t *Tracker) Recall(service string, versions []string, now time.Time) {
 	t.history.Recall(service, versions, now)
+	if service == Routes {
+		t.recallRoutes(versions, now)
+	}
 }
 
 // Served returns the versions of a service that served within a stream's lifetime.
@@ -113,8 +122,12 @@
 // Records returns all records.
 func (t *Tracker) Records(now time.Time) []Record { return t.table.All(now) }
 
-// Find returns what is known of a stream.
+// Find returns what is known of a stream of a service, or what a RouteQuery asks: Inferred means that
+// the stream began at the service, Several that it may have begun at another one.
 func (t *Tracker) Find(service string, k Key, now time.Time) Finding {
+	if q, err := parseRouteQuery(service); err == nil {
+		return t.findRoute(q, now)
+	}
 	served := t.Served(service, now)
 	f := Finding{Several: len(served.Versions) > 1}
 	if version, found := t.table.Version(k, now); found {
--- a/pkg/origin/stored.go
+++ b/pkg/origin/stored.go
@@ -2,7 +2,7 @@
 
 import "encoding/json"
 
-// Stored is the record of a service's versions in the store.
+// Stored is the record of a service's versions in the store, or that of the texts of Routes.
 type Stored struct {
 	Service  string
 	Versions []string
