front: an answer does not go on at another service of the same version

Cause: the route is looked up again before each attempt, while the origin of the stream held a version only. If the operator led the route to a service whose replicas state the same version, and the replica broke off, the rest came from the other service.

What callers saw: one answer joined from two services, complete by its framing.

Ruled out: going on at the former service, which the new configuration forbids.

Change: where a stream began holds the service; another one is refused, which cuts an answer that has begun.

--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -60,9 +60,15 @@
 // streamOrigin is where a stream began.
 type streamOrigin struct {
 	state   originState
+	service string
 	version string
 }
 
+// movedFrom reports whether a stream began at another service than the one given.
+func (o streamOrigin) movedFrom(service string) bool {
+	return o.state == originKnown && o.service != service
+}
+
 // allows reports whether a stream may go on at a version.
 func (o streamOrigin) allows(v softwareVersion) bool {
 	return o.state == originOpen || o.state == originKnown && v.known && v.version == o.version
@@ -87,7 +93,7 @@
 	switch {
 	case c.origin.state != originOpen:
 	case c.replicaVersion.known:
-		c.origin = streamOrigin{originKnown, c.replicaVersion.version}
+		c.origin = streamOrigin{originKnown, c.service.Name, c.replicaVersion.version}
 	default:
 		c.origin = streamOrigin{state: originUnknown}
 	}
@@ -121,6 +127,9 @@
 // go on if that is not known, or if it began at another service.
 func (c *call) findOrigin(ctx context.Context) *refusal {
 	f := c.front
+	if c.origin.movedFrom(c.service.Name) {
+		return c.refuseMoved()
+	}
 	if f.options.Origins == nil || c.origin.state != originOpen || !c.takenUp() {
 		return nil
 	}
@@ -144,7 +153,7 @@
 	if routes.Source == origin.Unknown {
 		return c.refuseMoved()
 	}
-	c.origin = streamOrigin{originKnown, found.Version}
+	c.origin = streamOrigin{originKnown, c.service.Name, found.Version}
 	if !slices.Contains(f.balancer.Versions(c.service.Name), found.Version) {
 		// The list of another router may be newer.
 		f.watcher.TriggerRead()
@@ -319,7 +328,7 @@
 	}
 	c.relay.asksVersion = true
 	if version, known := strings.CutPrefix(values[0], relayOriginPrefix); known {
-		c.origin = streamOrigin{originKnown, version}
+		c.origin = streamOrigin{originKnown, c.relay.service, version}
 	}
 }
 
--- a/internal/front/stream_version_test.go
+++ b/internal/front/stream_version_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
+	"github.com/croftyard/croftyard/pkg/directory"
+	"github.com/croftyard/croftyard/pkg/route"
 )
 
 // chunkedStreamHead begins a stream in chunks.
@@ -122,3 +124,37 @@
 	require.NoError(t, err)
 	assert.Equal(t, first+last, text)
 }
+
+// Guards against an answer that goes on at another service of the same version, to which the operator led
+// the route meanwhile.
+func TestStreamGoesOnAtItsServiceWithinAnswer(t *testing.T) {
+	const begun = "id: 1\ndata: a\n\n"
+	other, arrivals := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 2\ndata: b\n\n")
+	})
+	var r *rig
+	address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, begun)
+		_ = http.NewResponseController(w).Flush()
+		r.source.mu.Lock()
+		snapshot := changedSnapshot(r, func(c *route.Config) {
+			c.Services = append(c.Services, route.Service{Name: "other"})
+			for i := range c.Routes {
+				c.Routes[i].Shares = []route.Share{{Service: "other", Weight: 1}}
+			}
+		})
+		r.source.snapshot = snapshot
+		r.source.mu.Unlock()
+		assert.NoError(t, r.watcher.ApplySnapshot(snapshot, time.Now()))
+		panic(http.ErrAbortHandler)
+	})
+	r = newRig(t, address)
+	r.addReplicas(t, directory.Replica{ID: "o0", Service: "other", Address: other, DataCentre: "here", Version: "v1"})
+	r.setVersions(t, "v1", "v1")
+	_, text, err := r.send(t, "POST", "/resumable/", "")
+	assert.Error(t, err, "the answer looks complete")
+	assert.Equal(t, begun, text)
+	assert.Zero(t, arrivals.Load())
+}
