origin: a longer lifetime of streams is not covered at once

Cause: SetLifetime compared the age of what is known with the new lifetime, and versions that the shorter one forgot were missing from it. Recall took the store's record, kept for the shorter one, for the whole of it too.

What callers saw: after a configuration lengthened the longest time-out of a route that resumes, a stream without a record went on at the only version left, though another one had served within the new lifetime.

Ruled out: keeping versions for longer than the lifetime in advance, which would refuse streams for as long after each release.

Change: History keeps since when versions may not have been forgotten; what is known reaches back no further, also after a read of the record. It counts from the lifetime that was in effect, also from the assumed one.

What remains: the record does not state for which lifetime it was kept, so routers that all start within the difference rely on it.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -19,6 +19,9 @@
 	versions map[string]period
 	// knownSince is the time from which on every version that served is recorded.
 	knownSince time.Time
+	// coveredSince is the time before which versions may have been forgotten, here and in the store's
+	// record, under a shorter lifetime.
+	coveredSince time.Time
 	// stale is set while the lists of replicas are too old to show every version.
 	stale bool
 	// confirmed maps the versions that serve and that the record in the store is known to name to
@@ -93,12 +96,31 @@
 	return added
 }
 
-// Recall adds the versions that served before, up to now. They are all that did.
+// lengthen notes that streams last longer from now on. Versions that last served longer ago than the
+// lifetime before were forgotten.
+func (h *History) lengthen(before time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.services {
+		s.coveredSince = later(s.coveredSince, now.Add(-before))
+		s.knownSince = later(s.knownSince, s.coveredSince)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Recall adds the versions that served before, up to now. They are all that did within the lifetime for
+// which a record is kept.
 func (h *History) Recall(service string, versions []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service, now)
-	s.knownSince = beginning
+	s.knownSince = later(beginning, s.coveredSince)
 	for _, version := range versions {
 		if !s.versions[version].serving {
 			s.versions[version] = period{last: now}
--- a/pkg/origin/lifetime.go
+++ b/pkg/origin/lifetime.go
@@ -15,10 +15,12 @@
 	shortened time.Time
 }
 
-// set sets the time. A shorter one takes effect after the current one has passed.
-func (l *lifetime) set(d time.Duration, now time.Time) {
+// set sets the time and returns the one in effect before. A shorter one takes effect after the current
+// one has passed.
+func (l *lifetime) set(d time.Duration, now time.Time) (before time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before = l.inEffect()
 	switch {
 	case d >= l.current:
 		l.current, l.shortened = d, time.Time{}
@@ -27,11 +29,17 @@
 	case now.Sub(l.shortened) >= l.current:
 		l.current, l.shortened = d, time.Time{}
 	}
+	return before
 }
 
 func (l *lifetime) get() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.inEffect()
+}
+
+// inEffect returns the time in effect. l.mu must be held.
+func (l *lifetime) inEffect() time.Duration {
 	if l.current == 0 {
 		return l.assumed
 	}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -74,8 +74,13 @@
 }
 
 // SetLifetime sets how long a stream may last, its takings up included. A shorter time takes effect
-// once the streams that began before have ended.
-func (t *Tracker) SetLifetime(d time.Duration, now time.Time) { t.lifetime.set(d, now) }
+// once the streams that began before have ended. A longer one is not covered by what is known until it
+// has passed.
+func (t *Tracker) SetLifetime(d time.Duration, now time.Time) {
+	if before := t.lifetime.set(d, now); d > before {
+		t.history.lengthen(before, now)
+	}
+}
 
 // Observe notes the versions of a service that serve now by a list of replicas that is current or
 // not.
--- a/pkg/origin/returned_test.go
+++ b/pkg/origin/returned_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -48,3 +49,46 @@
 	f := tracker.Find("s", KeyOf("s", "a"), at(13))
 	assert.Equal(t, Unknown, f.Source, "v1 served 12 s ago, and a stream may last for 60 s: %+v", f)
 }
+
+// Guards against the same if the store's record, which was kept for the shorter lifetime, is read again,
+// and if the lifetime grows again before the first growth is covered.
+func TestLongerLifetimeIsKnownOnceItHasPassed(t *testing.T) {
+	type step struct{ at, lifetime float64 }
+	for name, test := range map[string]struct {
+		lifetimes []step
+		// unknown are times at which a version may have been forgotten, known others.
+		unknown, known []float64
+	}{
+		"grows":                        {[]step{{0, 10}, {13, 60}}, []float64{13, 40, 62}, []float64{12, 63, 100}},
+		"grows twice":                  {[]step{{0, 10}, {13, 60}, {20, 90}}, []float64{13, 63, 92}, []float64{12, 93}},
+		"grows long after":             {[]step{{0, 10}, {13, 60}, {200, 90}}, []float64{13, 200, 229}, []float64{63, 199, 230}},
+		"returns to the shorter one":   {[]step{{0, 10}, {13, 60}, {14, 10}, {74, 10}}, []float64{13, 62}, []float64{63, 75}},
+		"shorter, then as long again":  {[]step{{0, 60}, {13, 10}, {14, 60}}, nil, []float64{12, 13, 14, 60}},
+		"shorter in effect, then long": {[]step{{0, 60}, {13, 10}, {73, 10}, {90, 60}}, []float64{90, 139}, []float64{89, 140}},
+		"longer than assumed":          {[]step{{0, 300}, {13, 305}}, []float64{13, 17}, []float64{12, 18}},
+	} {
+		for kind, recall := range map[string]bool{"": false, ", record read again": true} {
+			t.Run(name+kind, func(t *testing.T) {
+				tracker := NewTracker(lifespan)
+				rest := test.lifetimes
+				for second := 0.0; second <= 230; second++ {
+					for len(rest) > 0 && rest[0].at <= second {
+						tracker.SetLifetime(time.Duration(rest[0].lifetime)*time.Second, at(second))
+						rest = rest[1:]
+					}
+					if second == 0 || recall {
+						tracker.Recall("s", []string{"v2"}, at(second))
+					}
+					tracker.Observe("s", []string{"v2"}, true, at(second))
+					complete := tracker.Served("s", at(second)).Complete
+					if slices.Contains(test.unknown, second) {
+						assert.False(t, complete, "at %v", second)
+					}
+					if slices.Contains(test.known, second) {
+						assert.True(t, complete, "at %v", second)
+					}
+				}
+			})
+		}
+	}
+}
