gossip: where no router answers, a version is inferred by a list read now

Cause: a list of up to 5 s counted as current also for a router whom none of those asked answered. Another version may have joined within that time, and streams begun at it elsewhere.

What callers saw: such a stream, whose first router was lost too, went on at the single version that the router knew.

New: TestNoAnswerNeedsAListThatIsReadNow (a single version, another one that joined, or replaced it, a store that is away; one router, and two of which one does not answer).

Ruled out: a shorter bound on the age of the list, which another router's list may still be newer than; to infer nothing without an answer, by which the last router, a fleet of one and one among older builds would refuse all streams of a single version.

Change: FindOrigin waits for a read as front does for unknown keys (one read for all who wait, 150 ms at most, none while the store is known to fail) and compares the versions that are listed then.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -170,6 +170,8 @@
 	// originQueries are the open queries for the origins of streams.
 	originQueries originQueries
 	originWait    originWait
+	// originListWait bounds the wait for a list of replicas if no router answers.
+	originListWait time.Duration
 	// servedQueries are the queries for the versions that the store's records name.
 	servedQueries servedQueries
 	// loanQueries are the open queries for loans of retries.
@@ -192,13 +194,16 @@
 	}
 	meter := &peer.Meter{}
 	g := &Gossip{
-		options:      o,
-		log:          log,
-		watcher:      f,
-		balancer:     b,
-		poison:       o.Poison,
-		parts:        o.Parts,
-		originWait:   originWait{originTimeout, originTimeoutSingle},
+		options:    o,
+		log:        log,
+		watcher:    f,
+		balancer:   b,
+		poison:     o.Poison,
+		parts:      o.Parts,
+		originWait: originWait{originTimeout, originTimeoutSingle},
+
+		originListWait: originListTimeout,
+
 		meter:        meter,
 		client:       peer.NewClient(meter),
 		busy:         make(map[string]bool),
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -24,6 +24,7 @@
 //	when it is taken up      the other router asks these, unless it has the record itself
 //	nobody has a record      a single version that served lately is the stream's, if it is known
 //	                         that no other did; the store tells it to a router that started since
+//	no router answers        the same, by a list of replicas that is read now
 //
 // Some of the few are chosen in the router's own data centre, which may be cut off from others.
 const (
@@ -38,6 +39,8 @@
 	// serves, little depends on them, and originTimeoutSingle bounds it.
 	originTimeout       = 100 * time.Millisecond
 	originTimeoutSingle = 25 * time.Millisecond
+	// originListTimeout bounds the wait for a list of replicas, which is read if no router answers.
+	originListTimeout = 150 * time.Millisecond
 	// maxVersionLength bounds the version in a record of another router, in bytes.
 	maxVersionLength = 128
 )
@@ -242,7 +245,8 @@
 // FindOrigin returns what this router and others know of a stream, and reads what served before
 // from the store if no router knows it.
 func (o *Origins) FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search {
-	own := o.Find(service, k, steady.Now())
+	begun := steady.Now()
+	own := o.Find(service, k, begun)
 	if own.Source == origin.Recorded {
 		return origin.Search{Finding: own}
 	}
@@ -250,24 +254,42 @@
 	if !own.Several {
 		timeout = o.gossip.originWait.single
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	asked, findings := o.gossip.askOrigin(ctx, service, k)
+	asked, findings := o.gossip.askOrigin(limited, service, k)
 	search := origin.Search{Finding: origin.Merge(append(findings, own)...), Asked: asked, Answered: len(findings)}
 	if search.Source == origin.Unknown && !search.Several && o.gossip.options.RecallServed != nil {
 		o.gossip.options.RecallServed()
 		search.Finding = origin.Merge(append(findings, o.Find(service, k, steady.Now()))...)
 	}
+	if search.Source == origin.Inferred && search.Answered == 0 && !o.gossip.listedSince(ctx, begun) {
+		search.Finding = origin.Finding{}
+	}
 	if search.Source == origin.Inferred && !o.allows(service, search.Version) {
 		search.Finding = origin.Finding{Several: true}
 	}
 	return search
 }
 
-// allows reports whether this router observed no other version than one that was inferred.
+// listedSince reports whether the list of replicas was read since a time. It waits for that, for a
+// bounded time, unless the store answered nobody lately.
+func (g *Gossip) listedSince(ctx context.Context, since time.Time) bool {
+	if g.watcher.SourceFailing() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.originListWait)
+	defer cancel()
+	if g.watcher.WaitFresh(ctx, since) != nil {
+		return false
+	}
+	now := steady.Now()
+	return g.watcher.ListAge(now) <= now.Sub(since)
+}
+
+// allows reports whether this router lists and observed no other version than one that was inferred.
 func (o *Origins) allows(service, inferred string) bool {
-	served := o.Served(service, steady.Now())
-	return !slices.ContainsFunc(served.Versions, func(version string) bool { return version != inferred })
+	versions := append(o.gossip.balancer.Versions(service), o.Served(service, steady.Now()).Versions...)
+	return !slices.ContainsFunc(versions, func(version string) bool { return version != inferred })
 }
 
 // askOrigin asks other routers. It returns how many it asked, and their findings once one has a
--- a/internal/gossip/origins_review_test.go
+++ b/internal/gossip/origins_review_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 
 	"github.com/croftyard/croftyard/internal/gossip/gossippb"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
+	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/origin"
 )
 
@@ -81,3 +84,54 @@
 	t.Logf("%+v", f)
 	assert.Equal(t, origin.Unknown, f.Source, "asked %d, answered %d", f.Asked, f.Answered)
 }
+
+// Guards against streams of a single version that do not go on where no router answers, since the others
+// ended or are of a build that does not, and against those that go on by a list of before.
+func TestNoAnswerNeedsAListThatIsReadNow(t *testing.T) {
+	listed := func(versions ...string) (list []directory.Replica) {
+		for _, version := range versions {
+			list = append(list, directory.Replica{ID: version, Service: "s", Address: version + ":1", Version: version})
+		}
+		return list
+	}
+	for name, test := range map[string]struct {
+		listed []directory.Replica
+		away   bool
+		want   origin.Finding
+	}{
+		"a single version":        {listed("v1"), false, origin.Finding{Source: origin.Inferred, Version: "v1"}},
+		"another one has joined":  {listed("v1", "v2"), false, origin.Finding{Several: true}},
+		"another one replaced it": {listed("v2"), false, origin.Finding{Several: true}},
+		"the store is away":       {listed("v1"), true, origin.Finding{}},
+	} {
+		for _, routers := range []int{1, 2} {
+			t.Run(fmt.Sprint(name, ", ", routers), func(t *testing.T) {
+				fleet := largeFleet(t, routers)
+				for _, r := range fleet {
+					waitUntil(t, func() bool { return r.gossip.MemberCount() == routers })
+				}
+				r := fleet[0]
+				if !test.away {
+					// What is tested is what the list says, not how soon it is read on a busy machine.
+					r.gossip.originListWait = time.Minute
+				}
+				r.watcher.ApplySnapshot(watch.Snapshot{Config: config(3), Replicas: listed("v1")}, steady.Now().Add(-time.Second))
+				r.source.mu.Lock()
+				r.source.snapshot = watch.Snapshot{Config: config(3), Replicas: test.listed}
+				if !test.away {
+					r.source.err = nil
+				}
+				r.source.mu.Unlock()
+				go r.watcher.Run(t.Context())
+				o := r.gossip.Origins()
+				o.Recall("s", []string{"v1"}, steady.Now())
+				o.Observe("s", []string{"v1"}, true, steady.Now())
+				for _, other := range fleet[1:] {
+					other.gossip.datagrams.Close()
+				}
+				f := o.FindOrigin(t.Context(), "s", origin.KeyOf("s", "a"))
+				assert.Equal(t, origin.Search{Finding: test.want, Asked: routers - 1}, f)
+			})
+		}
+	}
+}
