--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -19,6 +19,9 @@
 	versions map[string]period
 	// knownSince is the time from which on every version that served is recorded.
 	knownSince time.Time
+	// coveredSince is the time before which versions may have been forgotten, here and in the store's
+	// record, under a shorter lifetime.
+	coveredSince time.Time
 	// stale is set while the lists of replicas are too old to show every version.
 	stale bool
 	// observedAt is when the versions were observed last. unseen is set if others may have served
@@ -101,12 +104,33 @@
 	return added
 }
 
-// Recall adds the versions that served before, up to now. They are all that did.
+// lengthen notes that streams last longer from now on. Versions that last served longer ago than the
+// lifetime before were forgotten.
+func (h *History) lengthen(before time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.services {
+		s.coveredSince = later(s.coveredSince, now.Add(-before))
+		s.knownSince = later(s.knownSince, s.coveredSince)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Recall adds the versions that served before, up to now. They are all that did within the lifetime for
+// which a record is kept.
 func (h *History) Recall(service string, versions []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.service(service, now).knownSince = beginning
+	s := h.service(service, now)
+	s.knownSince = later(beginning, s.coveredSince)
 	h.add(service, versions, now)
+	s.unseen = false
 }
 
 // Add adds versions that served before, up to now, among others.
@@ -125,7 +149,6 @@
 			s.versions[version] = period{last: now}
 		}
 	}
-	s.unseen = false
 }
 
 // service returns the versions of a service. h.mu must be held.
