entry, gossip, poison: a record that a stale read lacked is read again

Cause: a router that starts reads the record of what is held once, by a stale read, which may be seconds old. One that lacks the last write is an answer without an error, so it passed for "nothing is held".

What callers saw: after an end of all routers soon after a write, deadly requests were sent on, to as many replicas as before.

Ruled out: a linearizable read by each router (6, 143, 985 reads that are in the rate); a second stale read after a pause, which nothing shows to be long enough; the revision of the store in a stale answer, of which the protocol does not say that it is that of the old state; marks of the record passed on, which count twice at builds before (docs/design/crashing-parts.md).

Change: the first router by rank among those that started reads the record as it is, the next ones 2 s and 4 s later if nobody has. The others ask these three for its revision (HeldQuery, HeldReply) and read again, stale, until they have it: six queries and six reads at most. Nothing is asked in a fleet that starts for the first time.

Tests changed: the store of the rig counts reads and stale reads apart. TestRecordOfHeldRequestsThatIsNotUsable expected one read at each router when the requests had been sent, which the read of the first router by rank may now exceed; it expects that no router reads stale again, to the test's end.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -185,6 +185,7 @@
 		Parts:        e.parts,
 		Origins:      e.served.tracker,
 		RecallServed: e.recallServed,
+		Held:         &e.held.keeper,
 		Overload:     e.overloadReports(),
 		Retries:      e.retries,
 	}, e.watcher, e.balancer, e.log)
--- a/internal/entry/heldrecord.go
+++ b/internal/entry/heldrecord.go
@@ -36,6 +36,7 @@
 	met := time.After(peerWait + recallWait)
 	restored := e.settings.Routes.FirstStart || e.settings.Routes.Crashes+e.settings.Routes.PartCrashes == 0
 	if !restored {
+		e.held.keeper.Started()
 		// Requests come as soon as there is a list of replicas, which is read at the same time.
 		restored = e.readHeld(ctx, true) == nil
 	}
@@ -63,11 +64,25 @@
 			restored = e.readHeld(ctx, true) == nil
 		}
 		if met == nil {
+			e.recheckHeld(ctx)
 			e.advanceHeld(ctx)
 		}
 	}
 }
 
+// recheckHeld reads the record again, or asks others for its revision, if the read at the start may have
+// lacked the last write.
+func (e *Entry) recheckHeld(ctx context.Context) {
+	switch e.held.keeper.NextRecheck(e.gossip.HeldRank(), steady.Now()) {
+	case poison.ReadRecordStep:
+		_ = e.readHeld(ctx, false) // Logged; the keeper tries again.
+	case poison.ReadStaleStep:
+		_ = e.readHeld(ctx, true)
+	case poison.AskStep:
+		e.gossip.AskHeldRevision()
+	}
+}
+
 // advanceHeld reads or writes the record if that is due.
 func (e *Entry) advanceHeld(ctx context.Context) {
 	if restores := e.watcher.Restores(); restores != e.held.restores {
@@ -78,7 +93,7 @@
 	for range 2 {
 		now := steady.Now()
 		record := poison.Record{Requests: e.poison.Held(poison.MaxHeldRequests, now), Parts: e.parts.Held(poison.MaxHeldParts, now)}
-		switch e.held.keeper.Next(record, e.gossip.TaskRank("held requests"), now) {
+		switch e.held.keeper.Next(record, e.gossip.HeldRank(), now) {
 		case poison.ReadRecordStep:
 			if e.readHeld(ctx, false) != nil {
 				return
@@ -103,7 +118,11 @@
 		e.held.keeper.Failed(now)
 		return err
 	}
-	e.held.keeper.Loaded(record, now)
+	if stale {
+		e.held.keeper.LoadedStale(record, now)
+	} else {
+		e.held.keeper.Loaded(record, now)
+	}
 	return nil
 }
 
--- a/internal/entry/heldrecord_test.go
+++ b/internal/entry/heldrecord_test.go
@@ -28,18 +28,23 @@
 
 // heldMemory is a store that keeps the record of what is held.
 type heldMemory struct {
-	mu            sync.Mutex
-	value         []byte
-	revision      uint64
-	away          bool
-	reads, writes int
+	mu       sync.Mutex
+	value    []byte
+	revision uint64
+	away     bool
+	// reads are those that may not be stale.
+	reads, staleReads, writes int
 }
 
 // ReadHeld implements poison.Store.
-func (m *heldMemory) ReadHeld(context.Context, bool) (poison.Record, error) {
+func (m *heldMemory) ReadHeld(_ context.Context, stale bool) (poison.Record, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reads++
+	if stale {
+		m.staleReads++
+	} else {
+		m.reads++
+	}
 	switch {
 	case m.away:
 		return poison.Record{}, errAway
@@ -88,17 +93,17 @@
 	return r.Len()
 }
 
-func (m *heldMemory) calls() (reads, writes int) {
+func (m *heldMemory) calls() (reads, staleReads, writes int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.reads, m.writes
+	return m.reads, m.staleReads, m.writes
 }
 
 // crashFleet is routers before replicas that deadly requests crash.
 type crashFleet struct {
-	t       *testing.T
-	source  source
-	store   heldMemory
+	t      *testing.T
+	source source
+	store  heldMemory
 	// lagging is what routers started from now on use in place of store; nil for store itself.
 	lagging *laggingMemory
 	routers []*Entry
@@ -368,10 +373,11 @@
 	f.awaitRead(f.routers...)
 	for _, e := range f.routers {
 		assert.Equal(t, http.StatusOK, f.post(t, e, false))
-		assert.EqualValues(t, 1, e.log.Count(event.HeldRead))
 		assert.Zero(t, f.crashes(e))
 	}
 	f.crash(t)
+	_, staleReads, _ := f.store.calls()
+	assert.Equal(t, crashRouters, staleReads)
 }
 
 // Guards against a record that is not read, as the store was away at the start.
@@ -394,12 +400,12 @@
 func TestNothingIsWrittenWhileNothingIsHeld(t *testing.T) {
 	f := newCrashFleet(t, false)
 	time.Sleep(peerWait + recallWait + 2*heldPeriod)
-	reads, writes := f.store.calls()
-	assert.Zero(t, reads+writes)
+	reads, staleReads, writes := f.store.calls()
+	assert.Zero(t, reads+staleReads+writes)
 	f.end(f.routers...)
 	f.start(t, false)
 	f.awaitRead(f.routers...)
-	time.Sleep(peerWait + recallWait + 2*heldPeriod)
-	reads, writes = f.store.calls()
-	assert.Equal(t, []int{crashRouters, 0}, []int{reads, writes}, "reads and writes")
+	time.Sleep(peerWait + recallWait + 4*heldPeriod)
+	reads, staleReads, writes = f.store.calls()
+	assert.Equal(t, []int{1, crashRouters, 0}, []int{reads, staleReads, writes}, "reads, stale reads and writes")
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -59,6 +59,9 @@
 	// RecallServed reads from the store which versions served before this router started, within
 	// a bounded time. It may be nil.
 	RecallServed func()
+	// Held says what is known of the store's record of what crashes replicas; if nil, Start creates
+	// one.
+	Held *poison.Keeper
 	// Retries is this router's part of the fleet's retries. If nil, the router has none to lend.
 	Retries *retry.Budget
 	// Overload holds the rates for admission control. Nil means that it is off: nothing is
@@ -172,6 +175,8 @@
 	originWait    originWait
 	// servedQueries are the queries for the versions that the store's records name.
 	servedQueries servedQueries
+	// heldQuery is the query for the revision of the record of what crashes replicas.
+	heldQuery heldQuery
 	// loanQueries are the open queries for loans of retries.
 	loanQueries loanQueries
 	// ctx ends when the gossip stops.
@@ -190,6 +195,9 @@
 	if o.Origins == nil {
 		o.Origins = origin.NewTracker(time.Minute)
 	}
+	if o.Held == nil {
+		o.Held = &poison.Keeper{}
+	}
 	meter := &peer.Meter{}
 	g := &Gossip{
 		options:      o,
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -171,6 +171,10 @@
 		g.answerServedQuery(from.String(), d.ServedQuery)
 	case d.ServedReply != nil:
 		g.receiveServed(from.String(), d.ServedReply)
+	case d.HeldQuery != nil:
+		g.answerHeldQuery(from.String(), d.HeldQuery)
+	case d.HeldReply != nil:
+		g.receiveHeld(from.String(), d.HeldReply)
 	case d.RetryQuery != nil:
 		g.lendRetries(from.String(), d.RetryQuery, now)
 	case d.RetryLoan != nil:
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -21,9 +21,9 @@
 }
 
 const (
-	// keepers is how many routers look after the record: the first by rank, and some that make up
+	// Keepers is how many routers look after the record: the first by rank, and some that make up
 	// for it. Each waits keeperPatience for the one before it.
-	keepers        = 3
+	Keepers        = 3
 	keeperPatience = 2 * time.Second
 	// keeperPause is the pause after a write, or a call that failed, and heldPause what is added for
 	// each request or part that is held. An organisation that has ever new requests crash replicas
@@ -42,6 +42,10 @@
 	// ReadRecordStep asks for a read of the record, and WriteRecordStep for a write of what is held.
 	ReadRecordStep
 	WriteRecordStep
+	// AskStep asks for a query of the routers that keep the record, and ReadStaleStep for a stale
+	// read of it.
+	AskStep
+	ReadStaleStep
 )
 
 // Keeper decides when this router reads and writes the record. It is safe for concurrent use.
@@ -54,13 +58,14 @@
 	// since is when each digest that is held was first seen.
 	since             map[Digest]time.Time
 	readAt, pauseFrom time.Time
+	recheck           recheck
 }
 
 // Next returns what is to be done now, given what is held and how many routers precede this one.
 func (k *Keeper) Next(held Record, rank int, now time.Time) Step {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if rank >= keepers {
+	if rank >= Keepers {
 		k.since = nil
 		return NoStep
 	}
@@ -147,10 +152,16 @@
 	return k.revision
 }
 
-// Loaded notes the record that was read.
+// Loaded notes the record that was read as it is.
 func (k *Keeper) Loaded(r Record, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.load(r, now)
+	k.recheck = recheck{}
+}
+
+// load notes a record. k.mu must be held.
+func (k *Keeper) load(r Record, now time.Time) {
 	k.known, k.revision, k.stored, k.readAt = true, r.Revision, crashCounts(r), now
 }
 
@@ -159,6 +170,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.known, k.revision, k.stored, k.pauseFrom = true, r.Revision, crashCounts(r), now
+	k.recheck = recheck{}
 }
 
 // Distrust makes the record be read again before it is written.
@@ -166,6 +178,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.known = false
+	if k.recheck.pending {
+		// The revision that another router stated may be one of before.
+		k.recheck = recheck{pending: true}
+	}
 }
 
 // Failed notes that a call to the store failed. What is known of the record may be outdated.
--- a/pkg/poison/keeper_test.go
+++ b/pkg/poison/keeper_test.go
@@ -96,7 +96,7 @@
 func TestRecordIsKept(t *testing.T) {
 	for _, routers := range []int{1, 2, 6, 143, 985} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
-			checks := min(routers, keepers) - 1
+			checks := min(routers, Keepers) - 1
 			s := newKeptStore(routers)
 			s.run(20)
 			s.assertCalls(t, 0, 0)
@@ -138,7 +138,7 @@
 
 // Guards against a record that nobody writes, as its first writer ended or cannot.
 func TestOthersMakeUpForTheFirst(t *testing.T) {
-	for ended := range keepers {
+	for ended := range Keepers {
 		s := newKeptStore(6)
 		s.hold(1, 1)
 		// They have ended, but the others do not know yet.
@@ -200,5 +200,5 @@
 	k.Failed(at(0))
 	assert.Equal(t, NoStep, k.Next(held, 0, at(0.9)))
 	assert.Equal(t, ReadRecordStep, k.Next(held, 0, at(1.1)))
-	assert.Equal(t, NoStep, k.Next(held, keepers, at(100)))
+	assert.Equal(t, NoStep, k.Next(held, Keepers, at(100)))
 }
