--- a/pkg/origin/routes_test.go
+++ b/pkg/origin/routes_test.go
@@ -73,6 +73,11 @@
 	observe := func(tracker *Tracker, second float64, texts []string) {
 		tracker.Observe(Routes, texts, true, at(second))
 	}
+	until := func(tracker *Tracker, last float64, texts []string) {
+		for second := 1.0; second <= last; second++ {
+			observe(tracker, second, texts)
+		}
+	}
 	known := func(texts []string) *Tracker {
 		tracker := NewTracker(lifespan)
 		observe(tracker, 0, texts)
@@ -93,7 +98,7 @@
 		"it stays":                       {known(toS), func(tr *Tracker) { observe(tr, 1, toS) }, "/a/x", 0, 1, led, true},
 		"another path":                   {known(toS), func(tr *Tracker) { observe(tr, 1, toS) }, "/b/x", 0, 1, notKnown, true},
 		"it is led here":                 {known(toO), func(tr *Tracker) { observe(tr, 1, toS) }, "/a/x", 0, 1, mayBeLed, false},
-		"it was led here long ago":       {known(toO), func(tr *Tracker) { observe(tr, 1, toS); observe(tr, past, toS) }, "/a/x", 0, past, led, true},
+		"it was led here long ago":       {known(toO), func(tr *Tracker) { until(tr, past, toS) }, "/a/x", 0, past, led, true},
 		"it was led away and back":       {known(toS), func(tr *Tracker) { observe(tr, 1, toO); observe(tr, 2, toS) }, "/a/x", 0, 2, mayBeLed, false},
 		"shares, both lead here":         {known(half), func(tr *Tracker) { observe(tr, 1, toS) }, "/a/x", 0.25, 1, led, false},
 		"shares, one led elsewhere":      {known(half), func(tr *Tracker) { observe(tr, 1, toS) }, "/a/x", 0.75, 1, mayBeLed, false},
