front: lists count as current for two periods of reads, if these are long

Callers: with bounds that let routers read lists rarely (apply, drain and evacuate of 20 s: each 8 s), 10 of 24 streams of the only version were refused after a restart of all, since each list counted as old before the next read, after 5 s; such a router also never knew a lifetime by itself.

The time by which lists differ, which is also added to the lifetime of a stream, is 5 s or two periods of reads, whichever is longer; at the default bounds nothing changes.

--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -96,5 +96,6 @@
 		MaxKeyProofAge:     keyProof(b),
 		MaxAbsenceProofAge: fraction(b.Apply, absenceProofFraction),
 		MaxListAge:         fraction(min(b.Drain, b.Evacuate), 1-forwardFraction),
+		ListPeriod:         readPeriod(b),
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -112,6 +112,8 @@
 	// MaxListAge is the maximum age of the list of replicas at which a request is written to
 	// a replica. Zero means no maximum.
 	MaxListAge time.Duration
+	// ListPeriod is the usual pause between two reads of that list.
+	ListPeriod time.Duration
 }
 
 // Front is an http.Handler that forwards requests to replicas.
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -246,13 +246,13 @@
 		f.routes.Store(observed)
 	}
 	now := steady.Now()
-	f.options.Origins.Observe(origin.Routes, observed.texts, f.watcher.Age(now) <= listLag, now)
+	f.options.Origins.Observe(origin.Routes, observed.texts, f.watcher.Age(now) <= f.listLag(), now)
 }
 
 // observeVersions notes the versions of a service.
 func (f *Front) observeVersions(service string) {
 	now := steady.Now()
-	f.options.Origins.Observe(service, f.balancer.Versions(service), f.watcher.Age(now) <= listLag, now)
+	f.options.Origins.Observe(service, f.balancer.Versions(service), f.watcher.Age(now) <= f.listLag(), now)
 }
 
 // ObserveVersions notes which versions serve, where routes lead, and how long streams may last.
@@ -262,7 +262,7 @@
 		return
 	}
 	config := state.Table.Config()
-	f.options.Origins.SetLifetime(streamLifetime(config), steady.Now())
+	f.options.Origins.SetLifetime(streamLifetime(config)+f.listLag(), steady.Now())
 	f.noteRoutes(state.Table)
 	for _, service := range config.Services {
 		f.observeVersions(service.Name)
@@ -293,10 +293,19 @@
 // assumed before there is a configuration.
 const MaxStreamLifetime = 5 * time.Minute
 
-// listLag is by how much the lists of two routers differ in age.
-const listLag = 5 * time.Second
+const (
+	// leastListLag is by how much the lists of two routers differ in age at least, and
+	// listLagPeriods the same in periods of reads: one read may fail.
+	leastListLag   = 5 * time.Second
+	listLagPeriods = 2
+)
+
+// listLag is by how much the lists of two routers differ in age. Older ones are not current.
+func (f *Front) listLag() time.Duration {
+	return max(leastListLag, listLagPeriods*f.limits.Load().ListPeriod)
+}
 
-// streamLifetime returns how long after its first event a stream may be taken up.
+// streamLifetime returns how long after its first event the caller of a stream may wait for its end.
 func streamLifetime(config route.Config) time.Duration {
 	longest := time.Duration(0)
 	for i := range config.Routes {
@@ -305,7 +314,7 @@
 			longest = max(longest, cmp.Or(r.Timeout, MaxStreamLifetime))
 		}
 	}
-	return min(longest, MaxStreamLifetime) + listLag
+	return min(longest, MaxStreamLifetime)
 }
 
 // relayOriginPrefix precedes the version in relayOriginHeader.
