--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -101,7 +101,7 @@
 	if f.options.Origins == nil || c.origin.state != originKnown || c.origin.version == "" {
 		return
 	}
-	f.observeRoutes()
+	f.observeNewRoutes()
 	f.observeVersions(c.service.Name)
 	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.version)
 	if c.takenUp() {
@@ -230,17 +230,19 @@
 	texts []string
 }
 
-// observeRoutes notes the routes of a configuration that was not observed yet.
-func (f *Front) observeRoutes() {
-	table := f.holder.Current().Table
-	if observed := f.routes.Load(); table != nil && (observed == nil || observed.table != table) {
-		f.noteRoutes(table)
+// observeNewRoutes notes the routes of a configuration that was not observed yet.
+func (f *Front) observeNewRoutes() {
+	if observed := f.routes.Load(); observed == nil || observed.table != f.holder.Current().Table {
+		f.observeRoutes()
 	}
 }
 
-// noteRoutes notes the routes of a configuration.
-func (f *Front) noteRoutes(table *route.Table) {
-	observed := f.routes.Load()
+// observeRoutes notes the routes of the configuration.
+func (f *Front) observeRoutes() {
+	table, observed := f.holder.Current().Table, f.routes.Load()
+	if table == nil {
+		return
+	}
 	if observed == nil || observed.table != table {
 		observed = &observedRoutes{table, origin.DescribeRoutes(table.Config().Routes)}
 		f.routes.Store(observed)
@@ -263,7 +265,7 @@
 	}
 	config := state.Table.Config()
 	f.options.Origins.SetLifetime(streamLifetime(config), steady.Now())
-	f.noteRoutes(state.Table)
+	f.observeRoutes()
 	for _, service := range config.Services {
 		f.observeVersions(service.Name)
 	}
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -55,3 +55,21 @@
 		})
 	}
 }
+
+// Guards against refusals after the store was away: routes that were last observed by an old configuration
+// count as not known, although versions are known again.
+func TestRoutesAreCurrentAsAStreamIsTakenUp(t *testing.T) {
+	address, _ := rawReplica(t, fmt.Sprintf(chunkedStreamHead, "v1")+chunk("id: 2\ndata: v1\n\n")+"0\r\n\r\n")
+	r := newRig(t, address)
+	r.setVersions(t, "v1")
+	tracker := origin.NewTracker(time.Minute)
+	r.front.options.Origins = fakeOrigins{tracker, func() origin.Search {
+		return origin.Search{Finding: origin.Finding{Source: origin.Inferred, Version: "v1"}}
+	}}
+	r.front.ObserveVersions()
+	tracker.Observe(origin.Routes, nil, false, time.Now())
+	_, text, err := r.send(t, "POST", "/resumable/", "", "Goes-On", "first", "Last-Event-Id", "1")
+	require.NoError(t, err)
+	assert.Equal(t, "id: 2\ndata: v1\n\n", text)
+	assert.False(t, tracker.Served(origin.Routes, time.Now()).Stale)
+}
