gossip: records of streams come from members, answers from who was asked

Cause: the record of a stream was taken from any sender, and the first one of a stream holds. Answers of routers that were not asked were dropped without a trace, and could fill the room of those that were.

What callers saw: nothing yet; a datagram that is sent to a wrong address, or by a router of another fleet, decided where a stream goes on.

Evidence: TestRecordOfAStrangerIsIgnored failed before. New: TestRecordsOf- UnknownSendersWaitUntilTheyAreKnown (met before, later, never, too many; left or silent before), TestRecordsAtAndOfStartingRoutersAreKept.

Ruled out: dropping records of unknown senders at once. Also a hello before each record, which builds before do not send.

Change: records of members, and of routers that left or fell silent, are merged; those of unknown senders are kept for 20 s, 8,192 at most, and merged before queries and take-ups and in each round once the sender is known. Those that are not count as rejected messages, with one line for each sender. Messages are the same.

Tests: TestOnlyAskedRoutersAnswerOrigins and the test of two processes name the routers that they ask, since queries know them now; the first also checks the error.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -169,7 +169,9 @@
 	recentHellos map[string]time.Time
 	// originQueries are the open queries for the origins of streams.
 	originQueries originQueries
-	originWait    originWait
+	// pendingOrigins are records of streams whose senders are not known yet.
+	pendingOrigins pendingOrigins
+	originWait     originWait
 	// originListWait bounds the wait for a list of replicas if no router answers.
 	originListWait time.Duration
 	// servedQueries are the queries for the versions that the store's records name.
--- a/internal/gossip/malformed.go
+++ b/internal/gossip/malformed.go
@@ -11,8 +11,11 @@
 )
 
 // rejectMessage counts and logs a message of another router that is ignored as a whole.
-func (g *Gossip) rejectMessage(from string, reason error) {
-	g.rejected.Add(1)
+func (g *Gossip) rejectMessage(from string, reason error) { g.rejectMessages(from, 1, reason) }
+
+// rejectMessages counts several messages of a router and logs one line for them.
+func (g *Gossip) rejectMessages(from string, count int, reason error) {
+	g.rejected.Add(uint64(count))
 	g.log.Write(event.PeerUnreadable, event.F("peer", from), event.F("error", reason))
 }
 
@@ -22,6 +25,7 @@
 var (
 	errNoMessage = fmt.Errorf("%w: none of the known messages", ErrMalformed)
 	errNotAsked  = errors.New("gossip: answer of a router that was not asked")
+	errNoMember  = errors.New("gossip: record of a stream from a router that is no member")
 )
 
 // checkAnswer returns an error if entries of an answer cannot be told apart. Every build since the oldest
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -74,7 +74,13 @@
 type originQueries struct {
 	mu   sync.Mutex
 	last uint32
-	open map[uint32]chan<- originReply
+	open map[uint32]originQuery
+}
+
+// originQuery is an open query to some routers.
+type originQuery struct {
+	asked   []string
+	replies chan<- originReply
 }
 
 // originReply is what one router answered.
@@ -83,19 +89,19 @@
 	finding origin.Finding
 }
 
-// add opens a query to a number of routers.
-func (q *originQueries) add(asked int) (number uint32, replies <-chan originReply) {
+// add opens a query to some routers.
+func (q *originQueries) add(asked ...string) (number uint32, replies <-chan originReply) {
 	// Each router may be asked again once, and answer both.
 	const most = 2
-	channel := make(chan originReply, most*asked)
+	channel := make(chan originReply, most*len(asked))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.open == nil {
 		// Answers to the process that ran at this address before may still arrive.
-		q.open, q.last = make(map[uint32]chan<- originReply), rand.Uint32()
+		q.open, q.last = make(map[uint32]originQuery), rand.Uint32()
 	}
 	q.last++
-	q.open[q.last] = channel
+	q.open[q.last] = originQuery{slices.Clone(asked), channel}
 	return q.last, channel
 }
 
@@ -105,19 +111,24 @@
 	delete(q.open, number)
 }
 
-// reply passes a reply to its query, if that is still open.
-func (q *originQueries) reply(from string, r *gossippb.OriginReply) {
+// reply passes a reply to its query, if that is still open. It returns an error if the router that
+// answers was not asked.
+func (q *originQueries) reply(from string, r *gossippb.OriginReply) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	channel := q.open[r.Number]
-	if channel == nil || r.Source > uint32(origin.Recorded) {
-		return
+	query, open := q.open[r.Number]
+	if !open || r.Source > uint32(origin.Recorded) {
+		return nil
+	}
+	if !slices.Contains(query.asked, from) {
+		return errNotAsked
 	}
 	reply := originReply{from, origin.Finding{Source: origin.Source(r.Source), Version: r.Version, Several: r.Several}}
 	select {
-	case channel <- reply:
+	case query.replies <- reply:
 	default:
 	}
+	return nil
 }
 
 // answerOriginQuery answers a query of another router.
@@ -126,6 +137,7 @@
 		g.answerFetch(from, now)
 		return
 	}
+	g.mergePendingOrigins(now)
 	f := g.options.Origins.Find(q.Service, origin.Key(q.Stream), now)
 	reply := &gossippb.OriginReply{Number: q.Number, Source: uint32(f.Source), Version: f.Version, Several: f.Several}
 	g.send(from, encodeDatagram(&gossippb.Datagram{OriginReply: reply}))
@@ -215,13 +227,6 @@
 	return true
 }
 
-// mergeOrigin records what another router sent of a stream.
-func (g *Gossip) mergeOrigin(o *gossippb.StreamOrigin, now time.Time) {
-	if len(o.Version) <= maxVersionLength {
-		g.options.Origins.Record(origin.Key(o.Stream), o.Version, true, now)
-	}
-}
-
 // originRouters returns the other routers that hold the record of a stream: all of a small
 // fleet; the first of a large one, and the first of this data centre.
 func (g *Gossip) originRouters(k origin.Key, most int) []string {
@@ -246,6 +251,7 @@
 // from the store if no router knows it.
 func (o *Origins) FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search {
 	begun := steady.Now()
+	o.gossip.mergePendingOrigins(begun)
 	own := o.Find(service, k, begun)
 	if own.Source == origin.Recorded {
 		return origin.Search{Finding: own}
@@ -297,7 +303,7 @@
 func (g *Gossip) askOrigin(ctx context.Context, service string, k origin.Key) (asked int, findings []origin.Finding) {
 	silent := g.originRouters(k, originAsked)
 	asked = len(silent)
-	number, replies := g.originQueries.add(len(silent))
+	number, replies := g.originQueries.add(silent...)
 	defer g.originQueries.remove(number)
 	query := encodeDatagram(&gossippb.Datagram{OriginQuery: &gossippb.OriginQuery{Number: number, Stream: uint64(k), Service: service}})
 	ask := func() {
--- a/internal/gossip/origins_review_test.go
+++ b/internal/gossip/origins_review_test.go
@@ -37,9 +37,9 @@
 // queries of this one: a stream would go on where another one began.
 func TestOriginQueriesOfTwoProcessesHaveOtherNumbers(t *testing.T) {
 	var before, after originQueries
-	first, _ := before.add(1)
-	second, replies := after.add(1)
-	after.reply("127.0.0.1:9", &gossippb.OriginReply{Number: first, Source: uint32(origin.Recorded), Version: "v1"})
+	first, _ := before.add(nobody.String())
+	second, replies := after.add(nobody.String())
+	assert.NoError(t, after.reply(nobody.String(), &gossippb.OriginReply{Number: first, Source: uint32(origin.Recorded), Version: "v1"}))
 	assert.NotEqual(t, first, second)
 	assert.Empty(t, replies)
 }
--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -129,16 +129,17 @@
 // is no finding.
 func TestOnlyAskedRoutersAnswerOrigins(t *testing.T) {
 	var q originQueries
-	number, replies := q.add(1)
-	q.reply("a:1", &gossippb.OriginReply{Number: number + 1, Source: 2})
-	q.reply("a:1", &gossippb.OriginReply{Number: number, Source: 3})
+	number, replies := q.add("a:1")
+	assert.NoError(t, q.reply("a:1", &gossippb.OriginReply{Number: number + 1, Source: 2}))
+	assert.NoError(t, q.reply("a:1", &gossippb.OriginReply{Number: number, Source: 3}))
+	assert.ErrorIs(t, q.reply("b:1", &gossippb.OriginReply{Number: number, Source: 2}), errNotAsked)
 	assert.Empty(t, replies)
 	for range 4 {
-		q.reply("a:1", &gossippb.OriginReply{Number: number, Source: 2})
+		assert.NoError(t, q.reply("a:1", &gossippb.OriginReply{Number: number, Source: 2}))
 	}
 	assert.Len(t, replies, 2)
 	q.remove(number)
-	q.reply("a:1", &gossippb.OriginReply{Number: number, Source: 2})
+	assert.NoError(t, q.reply("a:1", &gossippb.OriginReply{Number: number, Source: 2}))
 	assert.Len(t, replies, 2)
 }
 
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -35,6 +35,7 @@
 	if changed {
 		g.balancer.SetRouters(g.server.Address(), known, now)
 	}
+	g.mergePendingOrigins(now)
 	g.fetchOrigins(now)
 	g.balancer.SetLeavingRouters(leaving)
 	g.balancer.SetHoldersSynced(g.holdersKnown.Load())
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -162,11 +162,13 @@
 	case d.Answer != nil:
 		g.handleAnswer(from, d.Answer, now)
 	case d.Origin != nil:
-		g.mergeOrigin(d.Origin, now)
+		g.mergeOrigin(from.String(), d.Origin, now)
 	case d.OriginQuery != nil:
 		g.answerOriginQuery(from.String(), d.OriginQuery, now)
 	case d.OriginReply != nil:
-		g.originQueries.reply(from.String(), d.OriginReply)
+		if err := g.originQueries.reply(from.String(), d.OriginReply); err != nil {
+			g.rejectMessage(from.String(), err)
+		}
 	case d.ServedQuery != nil:
 		g.answerServedQuery(from.String(), d.ServedQuery)
 	case d.ServedReply != nil:
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -339,6 +339,14 @@
 // IsAlive reports whether the router at an address is a member.
 func (t *Table) IsAlive(address string) bool { return t.members[address] != nil }
 
+// Knows reports whether the router at an address is a member, or was one: it announced its stop, or fell
+// silent.
+func (t *Table) Knows(address string) bool {
+	_, left := t.left[address]
+	_, lost := t.lost[address]
+	return left || lost || t.IsAlive(address)
+}
+
 // KnownAddresses returns all routers that are members, or fell silent within silentLifetime and
 // may be working behind a partition, this one included, sorted. Callers must not change the
 // list; it stays the same one while Changes does.
