front, entry: a record that was not read does not pass for a service without versions

Cause: findOrigin took a stream of unknown origin for one of a service without versions if the listed replicas state none and no router saw several.

Change: Search.Unrecorded says that the records in the store were read since the router started and none is of the service. Without it such a stream goes on only if the router knows a lifetime, in which no version served. A read that failed, or has not ended, is no answer; one that succeeded stays one.

While it is away right after a restart of all, take-ups of theirs are refused until a router knows a lifetime.

Ruled out: passing of what was asked to other routers, which have no more than this one after a restart of all; a deployment without a store for records, which goes on as before.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -201,10 +201,11 @@
 }
 
 // recallServed reads the record for a caller that takes up a stream, together with all others
-// that wait for it.
-func (e *Entry) recallServed() {
+// that wait for it. It reports whether the records were read and none is of the service.
+func (e *Entry) recallServed(service string) (unrecorded bool) {
 	if e.env.ServedStore == nil {
-		return
+		// No version is ever recorded.
+		return true
 	}
 	done := e.served.recalls.DoChan("", func() (any, error) {
 		if steady.Now().Before(e.served.recallFrom) {
@@ -221,6 +222,7 @@
 	case <-done:
 	case <-time.After(recallTimeout):
 	}
+	return e.served.keeper.Lacks(service)
 }
 
 // setServedStore sets the client that reads and writes the record.
--- a/internal/entry/unversionedaway_test.go
+++ b/internal/entry/unversionedaway_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -28,3 +30,28 @@
 	}
 	assert.Zero(t, joined, "of %d went on at a replica without a version", len(streams))
 }
+
+// Guards against streams of a service without versions that do not go on after all routers ended, once the
+// store answers.
+func TestStreamsWithoutVersionsGoOnAfterRoutersEnded(t *testing.T) {
+	for name, away := range map[string]bool{"the store answers": false, "it is back": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newVersionedReplicas(t, 2, "")
+			f.start(t, 3)
+			streams := f.begin(t, 0)
+			f.restart(t, func() { f.store.setAway(away) })
+			if away {
+				f.takeUp(t, 1, streams)
+				for _, s := range streams {
+					assert.Len(t, s.versions, brokenAfter, s.id)
+					assert.Equal(t, http.StatusServiceUnavailable, s.status, s.id)
+				}
+				f.store.setAway(false)
+				time.Sleep(recallFailedPause)
+			}
+			f.takeUp(t, 1, streams)
+			assertOneVersion(t, streams)
+			assert.Empty(t, f.store.copied(), "nothing is recorded of a service without versions")
+		})
+	}
+}
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -122,8 +122,9 @@
 	}
 	found := f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
 	c.logTakenUp(found)
-	if found.Source == origin.Unknown && !found.Several && f.statesNoVersion(c.service.Name) {
-		// No router and no record names a version: the service has none.
+	if found.Source == origin.Unknown && !found.Several && (found.Unrecorded && f.statesNoVersion(c.service.Name) || !f.mayStateVersions(c.service.Name)) {
+		// No router and no record names a version: the service has none. A record that was not read
+		// may name one.
 		return nil
 	}
 	if found.Source == origin.Unknown {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -57,8 +57,8 @@
 	// Origins records at which versions streams began; if nil, Start creates one.
 	Origins *origin.Tracker
 	// RecallServed reads from the store which versions served before this router started, within
-	// a bounded time. It may be nil.
-	RecallServed func()
+	// a bounded time, and reports whether the store has no record of a service. It may be nil.
+	RecallServed func(service string) (unrecorded bool)
 	// Held says what is known of the store's record of what crashes replicas; if nil, Start creates
 	// one.
 	Held *poison.Keeper
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -255,7 +255,7 @@
 	asked, findings := o.gossip.askOrigin(ctx, service, k)
 	search := origin.Search{Finding: origin.Merge(append(findings, own)...), Asked: asked, Answered: len(findings)}
 	if search.Source == origin.Unknown && !search.Several && o.gossip.options.RecallServed != nil {
-		o.gossip.options.RecallServed()
+		search.Unrecorded = o.gossip.options.RecallServed(service)
 		search.Finding = origin.Merge(append(findings, o.Find(service, k, steady.Now()))...)
 	}
 	if search.Source == origin.Inferred && !o.allows(service, search.Version) {
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -166,6 +166,14 @@
 	k.readAt, k.failedAt = time.Time{}, now
 }
 
+// Lacks reports whether the records were read and none is of the service.
+func (k *Keeper) Lacks(service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, recorded := k.stored[service]
+	return k.stored != nil && !recorded
+}
+
 // Recorded returns the versions that the record of a service names and the record's generation. Only
 // the first router by rank knows what was removed from it, so there are none for others, or while the
 // record is not reliable.
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -55,6 +55,8 @@
 	Finding
 	// Asked is how many other routers were asked, Answered how many of them answered.
 	Asked, Answered int
+	// Unrecorded: the records in the store were read, and none is of the service.
+	Unrecorded bool
 }
 
 // Tracker records where streams began. It is safe for concurrent use.
