--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -19,8 +19,15 @@
 	versions map[string]period
 	// knownSince is the time from which on every version that served is recorded.
 	knownSince time.Time
+	// coveredSince is the time before which versions may have been forgotten, here and in the store's
+	// record, under a shorter lifetime.
+	coveredSince time.Time
 	// stale is set while the lists of replicas are too old to show every version.
 	stale bool
+	// observedAt is when the versions were observed last. unseen is set if others may have served
+	// unobserved since the store's record was taken over last.
+	observedAt time.Time
+	unseen     bool
 	// confirmed maps the versions that serve and that the record in the store is known to name to
 	// the generation of that record.
 	confirmed map[string]uint64
@@ -61,6 +68,10 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*served)} }
 
+// maxObservationGap is the longest time between two observations over which no version can join and leave
+// unseen: lists of that age count as current.
+const maxObservationGap = 5 * time.Second
+
 // beginning is the time from which on all versions are known if the store tells what served before.
 var beginning time.Time
 
@@ -70,11 +81,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service, now)
-	if s.stale && current {
-		// Versions may have come and gone meanwhile.
-		s.knownSince = now
+	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
+		// Versions may have joined and left meanwhile, and the record may have dropped some.
+		s.knownSince, s.unseen, s.confirmed = now, true, nil
 	}
-	s.stale = !current
+	s.stale, s.observedAt = !current, now
 	for version, p := range s.versions {
 		if p.serving {
 			p.last, p.serving = now, false
@@ -93,14 +104,48 @@
 	return added
 }
 
-// Recall adds the versions that served before, up to now. They are all that did.
+// lengthen notes that streams last longer from now on. Versions that last served longer ago than the
+// lifetime before were forgotten.
+func (h *History) lengthen(before time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.services {
+		s.coveredSince = later(s.coveredSince, now.Add(-before))
+		s.knownSince = later(s.knownSince, s.coveredSince)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Recall adds the versions that served before, up to now. They are all that did within the lifetime for
+// which a record is kept.
 func (h *History) Recall(service string, versions []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service, now)
-	s.knownSince = beginning
+	s.knownSince = later(beginning, s.coveredSince)
+	h.add(service, versions, now)
+	s.unseen = false
+}
+
+// Add adds versions that served before, up to now, among others.
+func (h *History) Add(service string, versions []string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.add(service, versions, now)
+}
+
+// add adds versions that served before, up to now. h.mu must be held.
+func (h *History) add(service string, versions []string, now time.Time) {
+	s := h.service(service, now)
 	for _, version := range versions {
-		if !s.versions[version].serving {
+		// What the record names is mostly what this router saw itself.
+		if p, known := s.versions[version]; !known || s.unseen && !p.serving {
 			s.versions[version] = period{last: now}
 		}
 	}
@@ -110,7 +155,7 @@
 func (h *History) service(name string, now time.Time) *served {
 	s := h.services[name]
 	if s == nil {
-		s = &served{versions: make(map[string]period), knownSince: now}
+		s = &served{versions: make(map[string]period), knownSince: now, observedAt: now, unseen: true}
 		h.services[name] = s
 	}
 	return s
