origin, front, entry: the record of versions is kept while it names one

Cause: the record of a service was kept only while a listed replica states a version. Replicas without one that take the place of v1 were in no record, which went on naming v1 alone and claimed to hold all that served.

A service without any listed replica for a lifetime keeps its record: an empty one is not relied on.

Calls: a release to replicas without a version takes two writes, as one between versions.

Ruled out: a record of each service with routes that resume, which costs a write, and rereads, where no version was ever stated.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -118,9 +118,14 @@
 }
 
 // resumableServices returns what served lately at the services whose streams may be taken up, after the
-// routes of that time.
+// routes of that time. Services of which neither replicas nor the record name a version have none.
 func (e *Entry) resumableServices() []origin.Served {
 	names := e.front.ResumableServices()
+	for _, name := range e.front.ServicesWithResumableRoutes() {
+		if !slices.Contains(names, name) && e.served.keeper.MayName(name) {
+			names = append(names, name)
+		}
+	}
 	if len(names) == 0 {
 		return nil
 	}
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -207,11 +207,13 @@
 // within a stream's lifetime, or are not known.
 func (f *Front) mayStateVersions(service string) bool {
 	f.observeVersions(service)
-	if !f.statesNoVersion(service) {
-		return true
-	}
-	served := f.options.Origins.Served(service, steady.Now())
-	return !served.Complete || slices.ContainsFunc(served.Versions, func(version string) bool { return version != "" })
+	return !f.statesNoVersion(service) || f.statedVersions(service) || !f.options.Origins.Served(service, steady.Now()).Complete
+}
+
+// statedVersions reports whether replicas that state the version of their software served within a
+// stream's lifetime.
+func (f *Front) statedVersions(service string) bool {
+	return slices.ContainsFunc(f.options.Origins.Served(service, steady.Now()).Versions, func(version string) bool { return version != "" })
 }
 
 // statesNoVersion reports whether replicas of a service are listed and none states the version of its
@@ -271,8 +273,15 @@
 }
 
 // ResumableServices returns the services whose streams may be taken up and whose replicas state the
-// version of their software.
+// version of their software, or did so within a stream's lifetime.
 func (f *Front) ResumableServices() []string {
+	return slices.DeleteFunc(f.ServicesWithResumableRoutes(), func(service string) bool {
+		return !f.statesVersions(service) && (f.options.Origins == nil || !f.statedVersions(service))
+	})
+}
+
+// ServicesWithResumableRoutes returns the services whose streams may be taken up.
+func (f *Front) ServicesWithResumableRoutes() []string {
 	state := f.holder.Current()
 	if state.Table == nil {
 		return nil
@@ -282,7 +291,7 @@
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		for _, share := range r.Shares {
-			if r.Resumable && !slices.Contains(names, share.Service) && f.statesVersions(share.Service) {
+			if r.Resumable && !slices.Contains(names, share.Service) {
 				names = append(names, share.Service)
 			}
 		}
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -104,6 +104,9 @@
 		// By a list that is too old, versions that serve may be missing.
 		complete := s.Complete && !s.Stale
 		switch {
+		case len(s.Versions) == 0:
+			// No replica was listed for a lifetime. A record that names no version is not relied on.
+			continue
 		case !complete && !reliable:
 			// A record claims to hold all versions of a lifetime.
 			continue
@@ -168,6 +171,13 @@
 	k.readAt, k.failedAt = time.Time{}, now
 }
 
+// MayName reports whether the record of a service names a version that replicas state, or was not read.
+func (k *Keeper) MayName(service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stored == nil || slices.ContainsFunc(k.stored[service].Versions, func(version string) bool { return version != "" })
+}
+
 // Lacks reports whether the records were read and none is of the service.
 func (k *Keeper) Lacks(service string) bool {
 	k.mu.Lock()
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -38,6 +38,8 @@
 		"too little is known, one joined":  {keeperAfterRead(1, "v1"), servedBy(false, "v2"), 1, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
 		"too little is known, one left":    {keeperAfterRead(1, "v1", "v2"), servedBy(false, "v2"), 1, Step{}},
 		"the store came back from a copy":  {keeperAfterRead(1, "v1"), servedBy(true, "v1"), 2, Step{Read: true}},
+		"no replica is listed":             {keeperAfterRead(1, "v1"), servedBy(true), 1, Step{}},
+		"the same, there is no record":     {keeperAfterRead(1), servedBy(true), 1, Step{}},
 		"the generation is not known here": {keeperAfterRead(2, "v1"), servedBy(true, "v1"), 0, Step{}},
 	} {
 		assert.Equal(t, test.want, test.keeper.Next(test.served, test.generation, 0, at(1)), name)
@@ -112,3 +114,30 @@
 	k.Written(first.Write, 1)
 	assert.Len(t, k.Next(served, 1, 0, at(1)).Write, 3)
 }
+
+// A record is kept as long as it names a version that replicas state, and until it was read it may.
+func TestRecordMayNameAVersion(t *testing.T) {
+	for name, test := range map[string]struct {
+		keeper       *Keeper
+		names, lacks bool
+	}{
+		"nothing was read":               {&Keeper{}, true, false},
+		"there is no record":             {keeperAfterRead(1), false, true},
+		"it names a version":             {keeperAfterRead(1, "v1"), true, false},
+		"it names that and none":         {keeperAfterRead(1, "", "v1"), true, false},
+		"it names replicas without one":  {keeperAfterRead(1, ""), false, false},
+		"it is of an earlier generation": {keeperAfterReadOf(Stored{"s", []string{"v1"}, 1, 7}, 2), true, false},
+	} {
+		assert.Equal(t, test.names, test.keeper.MayName("s"), name)
+		assert.Equal(t, test.lacks, test.keeper.Lacks("s"), name)
+		test.keeper.Failed(at(1))
+		assert.Equal(t, test.lacks, test.keeper.Lacks("s"), "%s, then a call failed", name)
+	}
+}
+
+// keeperAfterReadOf returns a Keeper that read a record in a generation of the store.
+func keeperAfterReadOf(record Stored, generation uint64) *Keeper {
+	k := &Keeper{}
+	k.Loaded([]Stored{record}, generation, at(0))
+	return k
+}
