--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -118,9 +118,14 @@
 }
 
 // resumableServices returns what served lately at the services whose streams may be taken up, after the
-// routes of that time.
+// routes of that time. Services of which neither replicas nor the record name a version have none.
 func (e *Entry) resumableServices() []origin.Served {
 	names := e.front.ResumableServices()
+	for _, name := range e.front.ServicesWithResumableRoutes() {
+		if !slices.Contains(names, name) && e.served.keeper.MayName(name) {
+			names = append(names, name)
+		}
+	}
 	if len(names) == 0 {
 		return nil
 	}
@@ -208,10 +213,11 @@
 }
 
 // recallServed reads the record for a caller that takes up a stream, together with all others
-// that wait for it.
-func (e *Entry) recallServed() {
+// that wait for it. It reports whether the records were read and none is of the service.
+func (e *Entry) recallServed(service string) (unrecorded bool) {
 	if e.env.ServedStore == nil {
-		return
+		// No version is ever recorded.
+		return true
 	}
 	done := e.served.recalls.DoChan("", func() (any, error) {
 		if steady.Now().Before(e.served.recallFrom) {
@@ -228,6 +234,7 @@
 	case <-done:
 	case <-time.After(recallTimeout):
 	}
+	return e.served.keeper.Lacks(service)
 }
 
 // setServedStore sets the client that reads and writes the record.
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -143,8 +143,9 @@
 		routes = c.findRoutes(ctx)
 	}
 	c.logTakenUp(found, routes)
-	if found.Source == origin.Unknown && !found.Several && f.statesNoVersion(c.service.Name) {
-		// No router and no record names a version: the service has none.
+	if found.Source == origin.Unknown && !found.Several && (found.Unrecorded && f.statesNoVersion(c.service.Name) || !f.mayStateVersions(c.service.Name)) {
+		// No router and no record names a version: the service has none. A record that was not read
+		// may name one.
 		return c.checkRoutes()
 	}
 	if found.Source == origin.Unknown {
@@ -206,11 +207,13 @@
 // within a stream's lifetime, or are not known.
 func (f *Front) mayStateVersions(service string) bool {
 	f.observeVersions(service)
-	if !f.statesNoVersion(service) {
-		return true
-	}
-	served := f.options.Origins.Served(service, steady.Now())
-	return !served.Complete || slices.ContainsFunc(served.Versions, func(version string) bool { return version != "" })
+	return !f.statesNoVersion(service) || f.statedVersions(service) || !f.options.Origins.Served(service, steady.Now()).Complete
+}
+
+// statedVersions reports whether replicas that state the version of their software served within a
+// stream's lifetime.
+func (f *Front) statedVersions(service string) bool {
+	return slices.ContainsFunc(f.options.Origins.Served(service, steady.Now()).Versions, func(version string) bool { return version != "" })
 }
 
 // statesNoVersion reports whether replicas of a service are listed and none states the version of its
@@ -272,8 +275,15 @@
 }
 
 // ResumableServices returns the services whose streams may be taken up and whose replicas state the
-// version of their software.
+// version of their software, or did so within a stream's lifetime.
 func (f *Front) ResumableServices() []string {
+	return slices.DeleteFunc(f.ServicesWithResumableRoutes(), func(service string) bool {
+		return !f.statesVersions(service) && (f.options.Origins == nil || !f.statedVersions(service))
+	})
+}
+
+// ServicesWithResumableRoutes returns the services whose streams may be taken up.
+func (f *Front) ServicesWithResumableRoutes() []string {
 	state := f.holder.Current()
 	if state.Table == nil {
 		return nil
@@ -283,7 +293,7 @@
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		for _, share := range r.Shares {
-			if r.Resumable && !slices.Contains(names, share.Service) && f.statesVersions(share.Service) {
+			if r.Resumable && !slices.Contains(names, share.Service) {
 				names = append(names, share.Service)
 			}
 		}
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -266,7 +266,7 @@
 	asked, findings := o.gossip.askOrigin(limited, service, k)
 	search := origin.Search{Finding: origin.Merge(append(findings, own)...), Asked: asked, Answered: len(findings)}
 	if search.Source == origin.Unknown && !search.Several && o.gossip.options.RecallServed != nil {
-		o.gossip.options.RecallServed()
+		search.Unrecorded = o.gossip.options.RecallServed(service)
 		search.Finding = origin.Merge(append(findings, o.Find(service, k, steady.Now()))...)
 	}
 	if search.Source == origin.Inferred && search.Answered == 0 && !o.gossip.listedSince(ctx, begun) {
