gossip: routers of large fleets in tests run a round each 25 ms

Cause: 22 routers with rounds of 5 ms under the race detector took 6 of 8 processors by themselves. Answers then took more than the 50 ms that a retry waits, and their sockets dropped datagrams.

Rounds of 5 ms stay for the small fleets.

--- a/internal/gossip/ask_test.go
+++ b/internal/gossip/ask_test.go
@@ -25,7 +25,7 @@
 	var fleet []*router
 	var seeds []string
 	for range routers {
-		r := newRouter(t, &source{err: errors.New("turned away")}, seeds...)
+		r := newIdleRouterEvery(t, largePeriod, ownAddress(), &source{err: errors.New("turned away")}, seeds...).run(t)
 		r.gossip.SetHoldersKnown()
 		if fleet = append(fleet, r); len(seeds) < 2 {
 			seeds = append(seeds, r.gossip.Address())
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -59,7 +59,12 @@
 
 func newRouter(t *testing.T, s *source, seeds ...string) *router {
 	t.Helper()
-	r := newIdleRouter(t, s, seeds...)
+	return newIdleRouter(t, s, seeds...).run(t)
+}
+
+// run makes an idle router run rounds until the test ends.
+func (r *router) run(t *testing.T) *router {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { r.gossip.Run(ctx) })
@@ -96,12 +101,24 @@
 	return fmt.Sprintf("127.%d.%d.3:0", 1+pid>>8%200, pid%256)
 }
 
+// rigPeriod is the pause between two rounds of a router, largePeriod that of routers of a large fleet, of
+// which many run on one machine.
+const (
+	rigPeriod   = 5 * time.Millisecond
+	largePeriod = 25 * time.Millisecond
+)
+
 func newIdleRouterAt(t testing.TB, address string, s *source, seeds ...string) *router {
+	t.Helper()
+	return newIdleRouterEvery(t, rigPeriod, address, s, seeds...)
+}
+
+func newIdleRouterEvery(t testing.TB, period time.Duration, address string, s *source, seeds ...string) *router {
 	t.Helper()
 	r := &router{holder: freshness.NewHolder(), balancer: balance.New(1), source: s}
 	r.watcher = watch.New(s, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), r.holder, r.balancer, event.Discard())
 	var err error
-	r.gossip, err = Start(Options{Address: address, Seeds: seeds, Period: 5 * time.Millisecond,
+	r.gossip, err = Start(Options{Address: address, Seeds: seeds, Period: period,
 		Retries: retry.NewBudget(retry.Bounds{Window: time.Hour}, time.Now(), time.Now())}, r.watcher, r.balancer, event.Discard())
 	require.NoError(t, err)
 	t.Cleanup(r.gossip.stop)
