front: replicas of tests that end listen at an address of their own process

A replica that ended frees its port on 127.0.0.1, and a server of another test process that gets it answers the probe: the replica seems to run.

Nothing that the test checks has changed.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,12 @@
 func newAbortingReplica(t *testing.T, handler func(l net.Listener, w http.ResponseWriter)) string {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
+	server.Listener.Close()
+	// Once it has ended, no other process may listen at its address.
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.4:0", 1+pid>>8%200, pid%256))
+	require.NoError(t, err)
+	server.Listener = listener
 	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Try", r.Header.Get("Try"))
 		handler(server.Listener, w)
