origin: red test of a record that was kept for a shorter lifetime

Found on the way to the longer lifetime: the record does not state for which lifetime it was kept, so routers that all start under a longer one rely on it.

--- a/pkg/origin/returned_test.go
+++ b/pkg/origin/returned_test.go
@@ -92,3 +92,30 @@
 		}
 	}
 }
+
+// Guards against a record that was kept for a shorter lifetime and is relied on by routers that all
+// start under a longer one.
+func TestRecordOfAShorterLifetimeIsNotRelied(t *testing.T) {
+	before := NewTracker(lifespan)
+	before.SetLifetime(10*time.Second, at(0))
+	before.Recall("s", nil, at(0))
+	before.Observe("s", []string{"v1", "v2"}, true, at(0))
+	var k Keeper
+	k.Loaded(nil, 1, at(0))
+	stored := Stored{Service: "s"}
+	for second := 1.0; second <= 13; second++ {
+		before.Observe("s", []string{"v2"}, true, at(second))
+		for _, r := range k.Next([]Served{before.Served("s", at(second))}, 1, 0, at(second)).Write {
+			r.Revision = stored.Revision + 1
+			stored = ReadStored("s", r.Value(), r.Revision)
+			k.Written([]Stored{stored}, r.Revision)
+		}
+	}
+	assert.Equal(t, []string{"v2"}, stored.Versions, "v1 last served a lifetime ago")
+	after := NewTracker(lifespan)
+	after.SetLifetime(60*time.Second, at(14))
+	after.Observe("s", []string{"v2"}, true, at(14))
+	after.Recall("s", stored.Versions, at(14))
+	f := after.Find("s", KeyOf("s", "a"), at(14))
+	assert.Equal(t, Unknown, f.Source, "v1 served 13 s ago, and a stream may last for 60 s: %+v", f)
+}
