origin, entry: a record states for how long versions are kept in it

Cause: a shorter time-out takes effect after the longer one has passed, but that wait was kept in memory. A process that started after the change took the shorter one at once, and forgot versions of the record after it.

Change: the record states the time (kept_ms, which earlier builds ignore). The first router by rank writes the time in effect anew; others leave it, or raise it. No package of platform/ is concerned: values are JSON of pkg/origin, which platform/ passes on.

Calls: one write a service after the first start of this build, and one after each change of the longest time-out.

Ruled out: the same time as proof that the record covers a longer lifetime. A router that raised it for a record of an earlier build states more than that record covered.

Tests changed: literals of Stored and Served have one field more; Tracker.streamLifetime, which two assertions read, is lifetime.get at a time.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -51,6 +51,8 @@
 	Complete bool
 	// Stale: the last list of replicas was not current.
 	Stale bool
+	// Lifetime is how long a stream may last.
+	Lifetime time.Duration
 }
 
 // only returns the version at which every stream without a record began. A list that is not current
@@ -165,7 +167,7 @@
 func (h *History) Served(service string, now time.Time, lifetime time.Duration) Served {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := Served{Service: service}
+	out := Served{Service: service, Lifetime: lifetime}
 	s := h.services[service]
 	if s == nil {
 		return out
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -100,7 +100,7 @@
 	for _, s := range served {
 		had := k.stored[s.Service]
 		reliable := had.Revision > 0 && had.Generation == k.generation
-		wanted := s.Versions
+		wanted, kept := s.Versions, s.Lifetime
 		// By a list that is too old, versions that serve may be missing.
 		complete := s.Complete && !s.Stale
 		switch {
@@ -115,10 +115,15 @@
 				continue
 			}
 			wanted = union(had.Versions, s.Versions)
-		case reliable && slices.Equal(had.Versions, s.Versions):
+			if reliable && had.Kept == 0 {
+				kept = 0
+			} else if reliable {
+				kept = max(had.Kept, s.Lifetime)
+			}
+		case reliable && slices.Equal(had.Versions, s.Versions) && had.Kept == s.Lifetime:
 			continue
 		}
-		list = append(list, Stored{s.Service, wanted, k.generation, had.Revision})
+		list = append(list, Stored{s.Service, wanted, k.generation, had.Revision, kept})
 	}
 	return list
 }
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -15,7 +15,7 @@
 	k := &Keeper{}
 	var records []Stored
 	if versions != nil {
-		records = []Stored{{"s", versions, generation, 7}}
+		records = []Stored{{"s", versions, generation, 7, 0}}
 	}
 	k.Loaded(records, generation, at(0))
 	return k
@@ -30,12 +30,12 @@
 	}{
 		"nothing was read":                 {&Keeper{}, servedBy(true, "v1"), 1, Step{Read: true}},
 		"no service needs a record":        {&Keeper{}, nil, 1, Step{}},
-		"there is no record":               {keeperAfterRead(1), servedBy(true, "v1"), 1, Step{Write: []Stored{{"s", []string{"v1"}, 1, 0}}}},
+		"there is no record":               {keeperAfterRead(1), servedBy(true, "v1"), 1, Step{Write: []Stored{{"s", []string{"v1"}, 1, 0, 0}}}},
 		"the record is right":              {keeperAfterRead(1, "v1"), servedBy(true, "v1"), 1, Step{}},
-		"a version joined":                 {keeperAfterRead(1, "v1"), servedBy(true, "v1", "v2"), 1, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
-		"a version left long ago":          {keeperAfterRead(1, "v1", "v2"), servedBy(true, "v2"), 1, Step{Write: []Stored{{"s", []string{"v2"}, 1, 7}}}},
+		"a version joined":                 {keeperAfterRead(1, "v1"), servedBy(true, "v1", "v2"), 1, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7, 0}}}},
+		"a version left long ago":          {keeperAfterRead(1, "v1", "v2"), servedBy(true, "v2"), 1, Step{Write: []Stored{{"s", []string{"v2"}, 1, 7, 0}}}},
 		"too little is known, no record":   {keeperAfterRead(1), servedBy(false, "v2"), 1, Step{}},
-		"too little is known, one joined":  {keeperAfterRead(1, "v1"), servedBy(false, "v2"), 1, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
+		"too little is known, one joined":  {keeperAfterRead(1, "v1"), servedBy(false, "v2"), 1, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7, 0}}}},
 		"too little is known, one left":    {keeperAfterRead(1, "v1", "v2"), servedBy(false, "v2"), 1, Step{}},
 		"the store came back from a copy":  {keeperAfterRead(1, "v1"), servedBy(true, "v1"), 2, Step{Read: true}},
 		"no replica is listed":             {keeperAfterRead(1, "v1"), servedBy(true), 1, Step{}},
@@ -50,10 +50,10 @@
 // served.
 func TestRecordsOfEarlierGenerationsAreReplaced(t *testing.T) {
 	k := &Keeper{}
-	old := Stored{"s", []string{"v1"}, 1, 7}
+	old := Stored{"s", []string{"v1"}, 1, 7, 0}
 	assert.Empty(t, k.Loaded([]Stored{old}, 2, at(0)))
 	assert.Equal(t, Step{}, k.Next(servedBy(false, "v1"), 2, 0, at(1)))
-	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v1"}, 2, 7}}}, k.Next(servedBy(true, "v1"), 2, 0, at(2)))
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v1"}, 2, 7, 0}}}, k.Next(servedBy(true, "v1"), 2, 0, at(2)))
 	assert.Equal(t, []Stored{old}, k.Loaded([]Stored{old}, 1, at(3)))
 }
 
@@ -62,9 +62,9 @@
 func TestNextKeepersMakeUpForTheFirst(t *testing.T) {
 	joined := servedBy(true, "v1", "v2")
 	for rank, want := range map[int][]Step{
-		0: {{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
-		1: {{}, {Read: true}, {Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
-		2: {{}, {}, {Read: true}, {Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7}}}},
+		0: {{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7, 0}}}},
+		1: {{}, {Read: true}, {Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7, 0}}}},
+		2: {{}, {}, {Read: true}, {Write: []Stored{{"s", []string{"v1", "v2"}, 1, 7, 0}}}},
 		3: {{}, {}, {}, {}},
 	} {
 		k := keeperAfterRead(1, "v1")
@@ -72,7 +72,7 @@
 		for _, step := range want {
 			assert.Equal(t, step, k.Next(joined, 1, rank, now), "rank %d", rank)
 			if step.Read {
-				k.Loaded([]Stored{{"s", []string{"v1"}, 1, 7}}, 1, now)
+				k.Loaded([]Stored{{"s", []string{"v1"}, 1, 7, 0}}, 1, now)
 			}
 			now = now.Add(keeperPatience)
 		}
@@ -94,12 +94,12 @@
 	k.Failed(at(1))
 	assert.Equal(t, Step{}, k.Next(servedBy(true, "v2"), 1, 0, at(1).Add(keeperPause/2)))
 	assert.Equal(t, Step{Read: true}, k.Next(servedBy(true, "v2"), 1, 0, at(1).Add(keeperPause)))
-	k.Loaded([]Stored{{"s", []string{"v1"}, 1, 9}}, 1, at(3))
+	k.Loaded([]Stored{{"s", []string{"v1"}, 1, 9, 0}}, 1, at(3))
 	step := k.Next(servedBy(true, "v2"), 1, 0, at(3))
-	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v2"}, 1, 9}}}, step)
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v2"}, 1, 9, 0}}}, step)
 	k.Written(step.Write, 12)
 	assert.Equal(t, Step{}, k.Next(servedBy(true, "v2"), 1, 0, at(4)))
-	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v2", "v3"}, 1, 12}}}, k.Next(servedBy(true, "v2", "v3"), 1, 0, at(5)))
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v2", "v3"}, 1, 12, 0}}}, k.Next(servedBy(true, "v2", "v3"), 1, 0, at(5)))
 }
 
 // A transaction of the store has a bounded number of entries.
@@ -126,7 +126,7 @@
 		"it names a version":             {keeperAfterRead(1, "v1"), true, false},
 		"it names that and none":         {keeperAfterRead(1, "", "v1"), true, false},
 		"it names replicas without one":  {keeperAfterRead(1, ""), false, false},
-		"it is of an earlier generation": {keeperAfterReadOf(Stored{"s", []string{"v1"}, 1, 7}, 2), true, false},
+		"it is of an earlier generation": {keeperAfterReadOf(Stored{"s", []string{"v1"}, 1, 7, 0}, 2), true, false},
 	} {
 		assert.Equal(t, test.names, test.keeper.MayName("s"), name)
 		assert.Equal(t, test.lacks, test.keeper.Lacks("s"), name)
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -16,7 +16,10 @@
 // lifetime, and this is known. The package does no I/O; time comes from the caller.
 package origin
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Finding is what a router knows of a stream.
 type Finding struct {
@@ -93,7 +96,7 @@
 	if service == Routes {
 		defer t.inheritRoutes(versions, now)
 	}
-	if !t.history.Observe(service, versions, current, now, t.streamLifetime()) {
+	if !t.history.Observe(service, versions, current, now, t.lifetime.get(now)) {
 		return
 	}
 	select {
@@ -105,8 +108,18 @@
 // Added returns a channel that receives a value after versions were added.
 func (t *Tracker) Added() <-chan struct{} { return t.added }
 
-// Recall adds the versions of a service that served before, which are all that did.
+// Recall adds the versions of a service that served before, which are all that did, by a record that does
+// not state for how long they are kept in it. Streams that began before may last for the longest time.
 func (t *Tracker) Recall(service string, versions []string, now time.Time) {
+	t.RecallKept(service, versions, 0, now)
+}
+
+// RecallKept does the same by a record in which versions are kept for a time after they last served, 0
+// if that is not stated. Streams that began before may last for that time.
+func (t *Tracker) RecallKept(service string, versions []string, kept time.Duration, now time.Time) {
+	if len(versions) > 0 {
+		t.lifetime.setEarlier(cmp.Or(kept, t.lifetime.assumed), now)
+	}
 	t.history.Recall(service, versions, now)
 	if service == Routes {
 		t.recallRoutes(versions, now)
@@ -115,12 +128,12 @@
 
 // Served returns the versions of a service that served within a stream's lifetime.
 func (t *Tracker) Served(service string, now time.Time) Served {
-	return t.history.Served(service, now, t.streamLifetime())
+	return t.history.Served(service, now, t.lifetime.get(now))
 }
 
 // Record notes the version at which a stream began. shared is set if other routers have it too.
 func (t *Tracker) Record(k Key, version string, shared bool, now time.Time) {
-	t.table.Record(k, version, shared, now, t.streamLifetime())
+	t.table.Record(k, version, shared, now, t.lifetime.get(now))
 }
 
 // Unshared returns the records that no other router has, and counts them as shared from then on.
@@ -148,8 +161,6 @@
 // Len returns the number of streams recorded.
 func (t *Tracker) Len() int { return t.table.Len() }
 
-func (t *Tracker) streamLifetime() time.Duration { return t.lifetime.get() }
-
 // Merge combines findings of several routers about one stream. A record goes first. A router that
 // saw more than one version overrules those that saw a single one.
 func Merge(findings ...Finding) Finding {
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -89,7 +89,7 @@
 		observe(tracker, one, current, last, step.at)
 		tracker.Observe("s", one, step.current, at(step.at))
 		last, current = step.at, step.current
-		assert.Equal(t, Served{"s", one, one, step.complete, !step.current}, tracker.Served("s", at(step.at)), "%v", step.at)
+		assert.Equal(t, Served{"s", one, one, step.complete, !step.current, lifespan}, tracker.Served("s", at(step.at)), "%v", step.at)
 	}
 	tracker.Observe("s", one, false, at(61))
 	tracker.Observe("s", one, true, at(62))
@@ -167,11 +167,11 @@
 // shorter time-outs came into force.
 func TestShorterLifetimeWaitsForStreamsInProgress(t *testing.T) {
 	tracker := NewTracker(time.Hour)
-	assert.Equal(t, time.Hour, tracker.streamLifetime())
+	assert.Equal(t, time.Hour, tracker.lifetime.get(at(0)))
 	for _, step := range []struct{ at, set, want float64 }{
 		{0, 20, 20}, {1, 60, 60}, {2, 10, 60}, {61, 10, 60}, {62, 10, 10}, {63, 5, 10}, {64, 20, 20}, {65, 10, 20}, {84, 10, 20}, {85, 10, 10},
 	} {
 		tracker.SetLifetime(time.Duration(step.set)*time.Second, at(step.at))
-		assert.Equal(t, time.Duration(step.want)*time.Second, tracker.streamLifetime(), "at %v", step.at)
+		assert.Equal(t, time.Duration(step.want)*time.Second, tracker.lifetime.get(at(step.at)), "at %v", step.at)
 	}
 }
--- a/pkg/origin/reread_test.go
+++ b/pkg/origin/reread_test.go
@@ -12,7 +12,7 @@
 func TestVersionThatLeftIsRemovedThoughTheRecordIsReread(t *testing.T) {
 	const lifetime = 65 * time.Second
 	tracker, keeper := NewTracker(lifetime), &Keeper{}
-	record := Stored{"s", []string{"v1", "v2"}, 1, 7}
+	record := Stored{"s", []string{"v1", "v2"}, 1, 7, 0}
 	for second := range 600 {
 		now := at(float64(second))
 		tracker.Observe("s", []string{"v2"}, true, now)
--- a/pkg/origin/stored.go
+++ b/pkg/origin/stored.go
@@ -1,6 +1,9 @@
 package origin
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Stored is the record of a service's versions in the store, or that of the texts of Routes.
 type Stored struct {
@@ -11,8 +14,14 @@
 	Generation uint64
 	// Revision is the record's revision, 0 if there is none.
 	Revision uint64
+	// Kept is for how long versions are kept in the record after they last served, 0 if it does not
+	// state that, as those of earlier builds.
+	Kept time.Duration
 }
 
+// maxKept bounds Stored.Kept. Streams last for some minutes at most.
+const maxKept = 10 * time.Minute
+
 // unreadable is the generation of a record that cannot be read. No store has it.
 const unreadable = ^uint64(0)
 
@@ -20,12 +29,13 @@
 type storedValue struct {
 	Versions   []string `json:"versions"`
 	Generation uint64   `json:"generation"`
+	KeptMs     int64    `json:"kept_ms,omitempty"`
 }
 
 // Value returns the value of the record in the store.
 func (s Stored) Value() []byte {
 	// Texts and numbers can always be encoded.
-	value, _ := json.Marshal(storedValue{s.Versions, s.Generation})
+	value, _ := json.Marshal(storedValue{s.Versions, s.Generation, s.Kept.Milliseconds()})
 	return value
 }
 
@@ -36,6 +46,9 @@
 	var read storedValue
 	if json.Unmarshal(value, &read) == nil && len(read.Versions) > 0 {
 		s.Versions, s.Generation = read.Versions, read.Generation
+		if read.KeptMs > 0 && read.KeptMs <= maxKept.Milliseconds() {
+			s.Kept = time.Duration(read.KeptMs) * time.Millisecond
+		}
 	}
 	return s
 }
--- a/pkg/origin/unknown_test.go
+++ b/pkg/origin/unknown_test.go
@@ -23,7 +23,7 @@
 		tracker.Observe("s", []string{"v1", "v2"}, true, now)
 		switch next := k.Next([]Served{tracker.Served("s", now)}, 1, 0, now); {
 		case next.Read:
-			k.Loaded([]Stored{{"s", []string{"v1"}, 1, 7}}, 1, now)
+			k.Loaded([]Stored{{"s", []string{"v1"}, 1, 7, 0}}, 1, now)
 			tracker.Recall("s", []string{"v1"}, now)
 		case len(next.Write) > 0:
 			recorded = next.Write[0].Versions
@@ -64,7 +64,7 @@
 // Guards against a write that was taken for lost and is done later: the record then lacks a version
 // that came back meanwhile, and the router that wrote it takes what it read before for the record.
 func TestWriteThatIsDoneLateIsNoticed(t *testing.T) {
-	stored := Stored{"s", []string{"v1", "v2"}, 1, 7}
+	stored := Stored{"s", []string{"v1", "v2"}, 1, 7, 0}
 	k := &Keeper{}
 	k.Loaded([]Stored{stored}, 1, at(0))
 	late := k.Next(servedBy(true, "v2"), 1, 0, at(1)).Write
@@ -75,7 +75,7 @@
 	k.Loaded([]Stored{stored}, 1, at(3))
 	assert.Empty(t, k.Next(servedBy(true, "v1", "v2"), 1, 0, at(3)).Write)
 	// Now the store does the late write, whose condition still holds.
-	stored = Stored{"s", late[0].Versions, 1, 8}
+	stored = Stored{"s", late[0].Versions, 1, 8, 0}
 	for second := range 60 {
 		now := at(4 + float64(second))
 		switch step := k.Next(servedBy(true, "v1", "v2"), 1, 0, now); {
