--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -49,8 +49,8 @@
 	// began there.
 	OnlyVersion bool
 	Version     string
-	// PreferredVersions are versions of the software: replicas of others are chosen only if none
-	// of these has room. If it is empty, none is preferred.
+	// PreferredVersions are versions of the software: the fewer requests their replicas have room
+	// for, the more go to any version. If it is empty, none is preferred.
 	PreferredVersions []string
 	// Target is the time within which the caller wants an answer from a plain service; 0
 	// for the default.
