--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -292,27 +292,6 @@
 	return e.listeners[0].Addr().String(), e.listeners[1].Addr().String()
 }
 
-// Ready reports whether the router should get new connections.
-func (e *Entry) Ready() bool {
-	if e.stopping.Load() || !e.watcher.Initialized() || e.callerListener.starved(steady.Now()) {
-		return false
-	}
-	return e.proofFresh()
-}
-
-// proofFresh reports whether the proof of the configuration is new enough for keys.
-func (e *Entry) proofFresh() bool {
-	return e.watcher.Staleness(steady.Now()) < keyProof(*e.bounds.Load())
-}
-
-func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !e.Ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	fmt.Fprintln(w, "ready")
-}
-
 // Stop starts the planned stop.
 func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
 
