entry: replicas of tests that crash listen at an address of their own process

Suspected: a server of another test process got the port of a replica that had ended and answered a deadly request, so that the request counts as answered, and four times as many crashes hold it.

--- a/internal/entry/heldrecord_test.go
+++ b/internal/entry/heldrecord_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -164,7 +165,7 @@
 	f.replicas++
 	born := int64(f.replicas)
 	var server *httptest.Server
-	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !f.mended.Load() && r.Header.Get("Deadly") != "" {
 			f.last.Store(born)
 			f.crashed.Add(1)
@@ -175,6 +176,12 @@
 		w.Header().Set("Try", r.Header.Get("Try"))
 		fmt.Fprint(w, "whole")
 	}))
+	// A server of another process at the address of a replica that ended would answer deadly requests.
+	server.Listener.Close()
+	listener, err := net.Listen("tcp", ownPeerAddress())
+	require.NoError(t, err)
+	server.Listener = listener
+	server.Start()
 	t.Cleanup(server.Close)
 	return directory.Replica{ID: fmt.Sprint("i", born), Service: "s", Address: server.Listener.Addr().String(), Slots: 16, Born: born}
 }
