balance: replicas that take no requests count as no room for recorded versions

Cause: the chance by which streams prefer recorded versions adds up the room of all their replicas. Those that are out of reach, full, reject requests or hang run little, so they added the most.

Evidence: TestPreferenceCountsNoRoomOfReplicasThatTakeNothing: two of three replicas refuse, reject or hang, the others run 12 each: 1,000 of 1,000 requests at the third before, at most half now. None is below what was, if replicas only broke off or are all in order.

Change: a replica that takes no requests counts for what it runs above its share, but not as room.

Ruled out: leaving out such replicas wholly, since one that is full also lowers the chance now.

--- a/pkg/balance/preferred_test.go
+++ b/pkg/balance/preferred_test.go
@@ -113,6 +113,47 @@
 	assert.NotZero(t, load("v2"))
 }
 
+// Guards against a preference for replicas that take no requests: those that do would get the requests
+// for which the others have room.
+func TestPreferenceCountsNoRoomOfReplicasThatTakeNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		kind Failure
+		lost int
+		// least and most are how many of 1,000 requests go to the preferred version.
+		least, most int
+	}{
+		"none lost":      {Refused, 0, 1000, 1000},
+		"two of three":   {Refused, 2, 0, 500},
+		"they reject":    {Shed, 2, 0, 500},
+		"they hang":      {Hung, 2, 0, 500},
+		"all of them":    {Refused, 3, 0, 0},
+		"they broke off": {Broke, 2, 1000, 1000},
+	} {
+		b := preferenceBalancer(now, 100)
+		for _, id := range []string{"v1-a", "v1-b", "v1-c"}[:test.lost] {
+			for range 3 {
+				b.RequestFailed(id, test.kind, "here", now)
+			}
+		}
+		for id, running := range map[string]int{"v1-c": 12, "v2-a": 12, "v2-b": 12, "v2-c": 12} {
+			for range running {
+				b.RequestStarted(id)
+			}
+		}
+		preferred := 0
+		for n := range 1000 {
+			choice, found := b.Pick(Request{Service: "s", DataCentre: "here", Parts: []Part{{ID: uint64(n), Tokens: 100}}, PreferredVersions: []string{"v1"}}, now)
+			require.True(t, found)
+			if choice.Replica.Version == "v1" {
+				preferred++
+			}
+		}
+		assert.GreaterOrEqual(t, preferred, test.least, name)
+		assert.LessOrEqual(t, preferred, test.most, name)
+	}
+}
+
 // A preference takes no slots that engines do not have.
 func TestPreferredEnginesThatAreFullGetNoMore(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/pkg/balance/versions.go
+++ b/pkg/balance/versions.go
@@ -66,8 +66,12 @@
 	room, others := 0.0, 0.0
 	for _, r := range preferred {
 		load := b.load(r, now)
-		room += preferredShare*bound - load
 		others -= load
+		left := preferredShare*bound - load
+		if !b.takesRequests(r, now) {
+			left = min(left, 0)
+		}
+		room += left
 	}
 	for _, r := range all {
 		others += b.load(r, now)
@@ -75,11 +79,16 @@
 	return b.random.Float64()*others < preferenceGain*room
 }
 
-// hasRoom reports whether a replica is within reach and below the bound, and was not seen to reject
-// requests or to leave them unanswered. It may have failed some that it ran.
+// hasRoom reports whether a replica takes requests and is below the bound.
 func (b *Balancer) hasRoom(r *replica, bound float64, now time.Time) bool {
+	return b.takesRequests(r, now) && b.load(r, now) < bound
+}
+
+// takesRequests reports whether a replica is within reach and not full, and was not seen to reject
+// requests or to leave them unanswered. It may have failed some that it ran.
+func (b *Balancer) takesRequests(r *replica, now time.Time) bool {
 	failing := r.health.isAvoided(now) && !r.health.kind.isSoft()
-	return !failing && !r.isCutOff(now) && b.load(r, now) < bound && !b.isFull(r, now)
+	return !failing && !r.isCutOff(now) && !b.isFull(r, now)
 }
 
 // shareOut returns the candidates among some replicas by the shares of a roll-out.
