origin: a record that is read again unchanged makes nothing new

Cause: what a record names and a router does not know counts as in force up to the read. A version that left is forgotten after a stream's lifetime, and the record names it until the first router by rank has written it. A read in between, at each 30 s or after a write that failed, counted the version for a lifetime more.

What callers saw: while the store is read but takes no writes, routers that keep the record count a version that left, or a route's former shares, as of late for as long as that lasts, and overrule those that do not: streams of a single version are refused. With a store in order the same for one lifetime, if a read falls between a router's last look and the first router's write.

Evidence: TestWhatLeftIsForgottenWhileTheStoreTakesNoWrites: several versions for 593 of 600 s before, and routes not settled at the end; 67 s at most now, a lifetime of 65 s. TestRecordThatChangedCountsAnew: a record of another revision, and any after a time without observations, count as before.

Change: a record of the same generation and revision as the one recalled last adds nothing, unless there was a gap between observations since. Tracker.RecallKept takes the record as Tracker.RecallRecord.

Ruled out: a comparison of the versions alone, which a version that was removed and added again may equal.

Tests changed: one call of RecallKept.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -166,7 +166,7 @@
 func (e *Entry) recallService(name string, records, reliable []origin.Stored, now time.Time) {
 	isOf := func(r origin.Stored) bool { return r.Service == name }
 	if i := slices.IndexFunc(reliable, isOf); i >= 0 {
-		e.served.tracker.RecallKept(name, reliable[i].Versions, reliable[i].Kept, now)
+		e.served.tracker.RecallRecord(reliable[i], now)
 	} else if (e.settings.Routes.FirstStart || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
 		e.served.tracker.Recall(name, nil, now)
 	}
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -28,11 +28,16 @@
 	// unobserved since the store's record was taken over last.
 	observedAt time.Time
 	unseen     bool
+	// recalled is the record that was recalled last.
+	recalled recordRead
 	// confirmed maps the versions that serve and that the record in the store is known to name to
 	// the generation of that record.
 	confirmed map[string]uint64
 }
 
+// recordRead identifies the content of a service's record.
+type recordRead struct{ generation, revision uint64 }
+
 // period is when a version served, as far as it was observed: one that is missing from an
 // observation may have served until then.
 type period struct {
@@ -124,15 +129,22 @@
 	return b
 }
 
-// Recall adds the versions that served before, up to now. They are all that did within the lifetime for
-// which a record is kept.
-func (h *History) Recall(service string, versions []string, now time.Time) {
+// Recall adds the versions of a record that served before, up to now. They are all that did within the
+// lifetime for which a record is kept. It reports false if the same record was recalled before and what
+// served since was observed: one that cannot be written names versions that left long ago.
+func (h *History) Recall(r Stored, now time.Time) (news bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.service(service, now)
+	s := h.service(r.Service, now)
 	s.knownSince = later(beginning, s.coveredSince)
-	h.add(service, versions, now)
+	read := recordRead{r.Generation, r.Revision}
+	if !s.unseen && r.Revision > 0 && read == s.recalled {
+		return false
+	}
+	s.recalled = read
+	h.add(r.Service, r.Versions, now)
 	s.unseen = false
+	return true
 }
 
 // Add adds versions that served before, up to now, among others.
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -111,18 +111,17 @@
 // Recall adds the versions of a service that served before, which are all that did, by a record that does
 // not state for how long they are kept in it. Streams that began before may last for the longest time.
 func (t *Tracker) Recall(service string, versions []string, now time.Time) {
-	t.RecallKept(service, versions, 0, now)
+	t.RecallRecord(Stored{Service: service, Versions: versions}, now)
 }
 
-// RecallKept does the same by a record in which versions are kept for a time after they last served, 0
-// if that is not stated. Streams that began before may last for that time.
-func (t *Tracker) RecallKept(service string, versions []string, kept time.Duration, now time.Time) {
-	if len(versions) > 0 {
-		t.lifetime.setEarlier(cmp.Or(kept, t.lifetime.assumed), now)
+// RecallRecord does the same by a record as it was read. Streams that began before may last for the time
+// that it states.
+func (t *Tracker) RecallRecord(r Stored, now time.Time) {
+	if len(r.Versions) > 0 {
+		t.lifetime.setEarlier(cmp.Or(r.Kept, t.lifetime.assumed), now)
 	}
-	t.history.Recall(service, versions, now)
-	if service == Routes {
-		t.recallRoutes(versions, now)
+	if t.history.Recall(r, now) && r.Service == Routes {
+		t.recallRoutes(r.Versions, now)
 	}
 }
 
--- a/pkg/origin/shortened_test.go
+++ b/pkg/origin/shortened_test.go
@@ -48,7 +48,7 @@
 			for second := 0.0; second <= test.single; second++ {
 				tracker.SetLifetime(lifespan, at(second))
 				if second == 0 || second == 15 {
-					tracker.RecallKept("s", []string{"v1", "v2"}, test.kept, at(second))
+					tracker.RecallRecord(Stored{Service: "s", Versions: []string{"v1", "v2"}, Kept: test.kept}, at(second))
 				}
 				tracker.Observe("s", []string{"v2"}, true, at(second))
 				switch second {
