origin: a lifetime with a fraction of a millisecond is written once

Cause: a record states in whole milliseconds for how long versions are kept, cut off; the first router by rank compared that with the lifetime, of which the period of reads, 0.4 of the users' shortest bound, is a part.

What callers saw: nothing. Operators: a write a service at each read of the record, one in 30 s, where bounds are above 6.25 s and no multiple of 5 ms.

Evidence: TestRecordOfAFractionOfAMillisecondIsWrittenOnce: 10 writes in 300 s before, 1 now.

Change: the time is rounded up before it is compared and written.

Ruled out: bounds of whole seconds, all of which from 7 to 60 s give whole milliseconds (worked out).

--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -100,7 +100,7 @@
 	for _, s := range served {
 		had := k.stored[s.Service]
 		reliable := had.Revision > 0 && had.Generation == k.generation
-		wanted, kept := s.Versions, s.Lifetime
+		wanted, kept := s.Versions, inMilliseconds(s.Lifetime)
 		// By a list that is too old, versions that serve may be missing.
 		complete := s.Complete && !s.Stale
 		switch {
@@ -118,9 +118,9 @@
 			if reliable && had.Kept == 0 {
 				kept = 0
 			} else if reliable {
-				kept = max(had.Kept, s.Lifetime)
+				kept = max(had.Kept, kept)
 			}
-		case reliable && slices.Equal(had.Versions, s.Versions) && had.Kept == s.Lifetime:
+		case reliable && slices.Equal(had.Versions, s.Versions) && had.Kept == kept:
 			continue
 		}
 		list = append(list, Stored{s.Service, wanted, k.generation, had.Revision, kept})
--- a/pkg/origin/shortened_test.go
+++ b/pkg/origin/shortened_test.go
@@ -89,3 +89,25 @@
 		assert.Equal(t, test.want, step, name)
 	}
 }
+
+// Guards against a record that is written anew after each read: it states milliseconds, and the period of
+// reads, which is a part of a stream's lifetime, may have a fraction of one.
+func TestRecordOfAFractionOfAMillisecondIsWrittenOnce(t *testing.T) {
+	served := servedBy(true, "v1")
+	served[0].Lifetime = 15*time.Second + 800*time.Microsecond
+	k, record, writes := &Keeper{}, Stored{"s", []string{"v1"}, 1, 7, 0}, 0
+	for second := range 300 {
+		step := k.Next(served, 1, 0, at(float64(second)))
+		if step.Read {
+			k.Loaded([]Stored{ReadStored("s", record.Value(), record.Revision)}, 1, at(float64(second)))
+		}
+		for _, r := range step.Write {
+			writes++
+			r.Revision = record.Revision + 1
+			record = r
+			k.Written(step.Write, r.Revision)
+		}
+	}
+	assert.Equal(t, 1, writes)
+	assert.GreaterOrEqual(t, ReadStored("s", record.Value(), record.Revision).Kept, served[0].Lifetime)
+}
--- a/pkg/origin/stored.go
+++ b/pkg/origin/stored.go
@@ -22,6 +22,11 @@
 // maxKept bounds Stored.Kept. Streams last for some minutes at most.
 const maxKept = 10 * time.Minute
 
+// inMilliseconds rounds a time up to what a record can state.
+func inMilliseconds(d time.Duration) time.Duration {
+	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
 // unreadable is the generation of a record that cannot be read. No store has it.
 const unreadable = ^uint64(0)
 
