entry: the record is read anew after a time without a current list

Cause: after a read for a caller the next one waits for 5 s. A time without a current list takes back what was read, but the pause went on. A read while the list is old helps nobody, and begins the pause too.

What callers saw: streams of a single version are refused for up to 5 s after an outage though the list is current and the record can be read, if the record was read for a caller shortly before the list.

Change: the pause ends with a gap between observations that came after the last read began.

A read that failed still pauses for 0.5 s, and a missing record for 5 s.

Ruled out: a shorter pause while a service is not known, which without a record means two reads a second for a stream's lifetime.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -33,9 +33,10 @@
 	tracker *origin.Tracker
 	keeper  origin.Keeper
 	store   atomic.Pointer[origin.Store]
-	// recalls joins the reads for callers. The next one may begin at recallFrom.
-	recalls    singleflight.Group
-	recallFrom time.Time
+	// recalls joins the reads for callers. The last one began at recalledAt, the next one may begin at
+	// recallFrom.
+	recalls                singleflight.Group
+	recalledAt, recallFrom time.Time
 	// restores is how often the store had come back from a copy at the last look.
 	restores uint64
 }
@@ -220,9 +221,12 @@
 		return true
 	}
 	done := e.served.recalls.DoChan("", func() (any, error) {
-		if steady.Now().Before(e.served.recallFrom) {
+		now := steady.Now()
+		// What was read before a time without a current list is not known to be all any more.
+		if now.Before(e.served.recallFrom) && !e.served.tracker.GapEnd(service).After(e.served.recalledAt) {
 			return nil, nil
 		}
+		e.served.recalledAt = now
 		pause := recallPause
 		if e.readServed(context.Background()) != nil {
 			pause = recallFailedPause
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -28,6 +28,8 @@
 	// unobserved since the store's record was taken over last.
 	observedAt time.Time
 	unseen     bool
+	// gapEnd is when the last time without observations by a current list ended; zero if there was none.
+	gapEnd time.Time
 	// recalled is the record that was recalled last.
 	recalled recordRead
 	// confirmed maps the versions that serve and that the record in the store is known to name to
@@ -90,7 +92,7 @@
 	s := h.service(service, now)
 	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
 		// Versions may have joined and left meanwhile, and the record may have dropped some.
-		s.knownSince, s.unseen, s.confirmed = now, true, nil
+		s.knownSince, s.gapEnd, s.unseen, s.confirmed = now, now, true, nil
 	}
 	s.stale, s.observedAt = !current, now
 	for version, p := range s.versions {
@@ -165,6 +167,17 @@
 	}
 }
 
+// GapEnd returns when the last time ended in which a service was not observed by a current list, zero if
+// there was none.
+func (h *History) GapEnd(service string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.services[service]; s != nil {
+		return s.gapEnd
+	}
+	return time.Time{}
+}
+
 // service returns the versions of a service. h.mu must be held.
 func (h *History) service(name string, now time.Time) *served {
 	s := h.services[name]
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -130,6 +130,10 @@
 	return t.history.Served(service, now, t.lifetime.get(now))
 }
 
+// GapEnd returns when the last time ended in which a service was not observed by a current list, zero if
+// there was none.
+func (t *Tracker) GapEnd(service string) time.Time { return t.history.GapEnd(service) }
+
 // Record notes the version at which a stream began. shared is set if other routers have it too.
 func (t *Tracker) Record(k Key, version string, shared bool, now time.Time) {
 	t.table.Record(k, version, shared, now, t.lifetime.get(now))
