--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -33,9 +33,10 @@
 	tracker *origin.Tracker
 	keeper  origin.Keeper
 	store   atomic.Pointer[origin.Store]
-	// recalls joins the reads for callers. The next one may begin at recallFrom.
-	recalls    singleflight.Group
-	recallFrom time.Time
+	// recalls joins the reads for callers. The last one began at recalledAt, the next one may begin at
+	// recallFrom.
+	recalls                singleflight.Group
+	recalledAt, recallFrom time.Time
 	// restores is how often the store had come back from a copy at the last look.
 	restores uint64
 }
@@ -166,7 +167,7 @@
 func (e *Entry) recallService(name string, records, reliable []origin.Stored, now time.Time) {
 	isOf := func(r origin.Stored) bool { return r.Service == name }
 	if i := slices.IndexFunc(reliable, isOf); i >= 0 {
-		e.served.tracker.RecallKept(name, reliable[i].Versions, reliable[i].Kept, now)
+		e.served.tracker.RecallRecord(reliable[i], now)
 	} else if (e.settings.Routes.FirstStart || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
 		e.served.tracker.Recall(name, nil, now)
 	}
@@ -220,9 +221,12 @@
 		return true
 	}
 	done := e.served.recalls.DoChan("", func() (any, error) {
-		if steady.Now().Before(e.served.recallFrom) {
+		now := steady.Now()
+		// What was read before a time without a current list is not known to be all any more.
+		if now.Before(e.served.recallFrom) && !e.served.tracker.GapEnd(service).After(e.served.recalledAt) {
 			return nil, nil
 		}
+		e.served.recalledAt = now
 		pause := recallPause
 		if e.readServed(context.Background()) != nil {
 			pause = recallFailedPause
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -28,11 +28,18 @@
 	// unobserved since the store's record was taken over last.
 	observedAt time.Time
 	unseen     bool
+	// gapEnd is when the last time without observations by a current list ended; zero if there was none.
+	gapEnd time.Time
+	// recalled is the record that was recalled last.
+	recalled recordRead
 	// confirmed maps the versions that serve and that the record in the store is known to name to
 	// the generation of that record.
 	confirmed map[string]uint64
 }
 
+// recordRead identifies the content of a service's record.
+type recordRead struct{ generation, revision uint64 }
+
 // period is when a version served, as far as it was observed: one that is missing from an
 // observation may have served until then.
 type period struct {
@@ -85,7 +92,7 @@
 	s := h.service(service, now)
 	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
 		// Versions may have joined and left meanwhile, and the record may have dropped some.
-		s.knownSince, s.unseen, s.confirmed = now, true, nil
+		s.knownSince, s.gapEnd, s.unseen, s.confirmed = now, now, true, nil
 	}
 	s.stale, s.observedAt = !current, now
 	for version, p := range s.versions {
@@ -124,15 +131,22 @@
 	return b
 }
 
-// Recall adds the versions that served before, up to now. They are all that did within the lifetime for
-// which a record is kept.
-func (h *History) Recall(service string, versions []string, now time.Time) {
+// Recall adds the versions of a record that served before, up to now. They are all that did within the
+// lifetime for which a record is kept. It reports false if the same record was recalled before and what
+// served since was observed: one that cannot be written names versions that left long ago.
+func (h *History) Recall(r Stored, now time.Time) (news bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.service(service, now)
+	s := h.service(r.Service, now)
 	s.knownSince = later(beginning, s.coveredSince)
-	h.add(service, versions, now)
+	read := recordRead{r.Generation, r.Revision}
+	if !s.unseen && r.Revision > 0 && read == s.recalled {
+		return false
+	}
+	s.recalled = read
+	h.add(r.Service, r.Versions, now)
 	s.unseen = false
+	return true
 }
 
 // Add adds versions that served before, up to now, among others.
@@ -153,6 +167,17 @@
 	}
 }
 
+// GapEnd returns when the last time ended in which a service was not observed by a current list, zero if
+// there was none.
+func (h *History) GapEnd(service string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.services[service]; s != nil {
+		return s.gapEnd
+	}
+	return time.Time{}
+}
+
 // service returns the versions of a service. h.mu must be held.
 func (h *History) service(name string, now time.Time) *served {
 	s := h.services[name]
