gossip: tests of what a changed list costs leave time for calls

And a proof of another router seems older by the time that a call takes, while the two reads of the test were 1 s apart. With 0.6 s put into an exchange, or the bounds cut to 1 us and 2 ms, it fails the same way; with bounds of two minutes and 3 s put into the fetch it still does, for the second reason. That the failed run was one of these is not shown: the fetch takes 74 to 81 ms at a load of 16 to 20.

With 1.5 s put into the exchange and 3 s into the fetch both tests hold. What they check has not changed, and routers keep their bounds.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -25,7 +25,7 @@
 	}()
 	asked := steady.Now()
 	var reply *gossippb.Freshness
-	err := g.client.Control(ctx, address, peer.Bound{Call: callTimeout, Kept: keptTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := g.client.Control(ctx, address, peer.Bound{Call: g.callWait.exchange, Kept: keptTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Exchange(ctx, digest)
 		return err
 	})
@@ -120,7 +120,7 @@
 		ListRevision: have.Revision, Generation: have.Generation,
 	}
 	var reply *gossippb.KnowledgeReply
-	err := g.client.Control(ctx, address, peer.Bound{Call: knowledgeTimeout}, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := g.client.Control(ctx, address, peer.Bound{Call: g.callWait.knowledge}, func(ctx context.Context, conn drpc.Conn) (err error) {
 		reply, err = gossippb.NewDRPCGossipClient(conn).Knowledge(ctx, request)
 		return err
 	})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -98,6 +98,9 @@
 	keptTimeout = 150 * time.Millisecond
 )
 
+// callWait bounds an exchange with another router, and fetching its knowledge.
+type callWait struct{ exchange, knowledge time.Duration }
+
 // Gossip shares state with other routers. It is safe for concurrent use.
 type Gossip struct {
 	options  Options
@@ -175,6 +178,8 @@
 	// pendingOrigins are records of streams whose senders are not known yet.
 	pendingOrigins pendingOrigins
 	originWait     originWait
+	// callWait bounds the calls of other routers.
+	callWait callWait
 	// originListWait bounds the wait for a list of replicas if no router answers.
 	originListWait time.Duration
 	// servedQueries are the queries for the versions that the store's records name.
@@ -211,6 +216,7 @@
 		poison:     o.Poison,
 		parts:      o.Parts,
 		originWait: originWait{originTimeout, originTimeoutSingle},
+		callWait:   callWait{exchange: callTimeout, knowledge: knowledgeTimeout},
 
 		originListWait: originListTimeout,
 
