gossip: a test of records that nobody else needs waits for fetches at the start

TestRecordsAreSharedWhenAnotherVersionJoins/3 failed once at a load of 39 to 53. A way that it can fail: routers that start ask others for all records four times, 0.3 s apart, so that one may get the record that nobody else needs yet. That the failed run was this one is not shown.

The test waits until routers fetch no more and the first has handled all that they asked. What it checks has not changed.

--- a/internal/gossip/origins_test.go
+++ b/internal/gossip/origins_test.go
@@ -24,6 +24,26 @@
 	})
 }
 
+// awaitFetches waits until a router fetches no more records of streams, and another one has handled all
+// of its requests for them: datagrams of one router are handled in turn.
+func (r *router) awaitFetches(t *testing.T, other *router) {
+	t.Helper()
+	waitUntil(t, func() bool {
+		r.gossip.mu.Lock()
+		defer r.gossip.mu.Unlock()
+		return r.gossip.fetches == maxFetches || r.gossip.members.Large()
+	})
+	r.awaitRound(t)
+	address := other.gossip.Address()
+	number, replies := r.gossip.originQueries.add(address)
+	defer r.gossip.originQueries.remove(number)
+	query := encodeDatagram(&gossippb.Datagram{OriginQuery: &gossippb.OriginQuery{Number: number, Service: "none"}})
+	waitUntil(t, func() bool {
+		r.gossip.send(address, query)
+		return len(replies) > 0
+	})
+}
+
 // A stream is taken up at a router that never saw it, and after the one that did was killed.
 func TestOriginIsFoundAtAnyRouter(t *testing.T) {
 	// What is tested is who is asked, not how soon answers come on a busy machine.
@@ -84,6 +104,9 @@
 			for _, r := range fleet {
 				r.awaitMembers(t, len(fleet))
 			}
+			for _, r := range fleet[1:] {
+				r.awaitFetches(t, fleet[0])
+			}
 			first := fleet[0].gossip.Origins()
 			holders := func(service string, key origin.Key) (count int) {
 				for _, r := range fleet {
