--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -140,7 +140,7 @@
 
 // Guards against an answer that its replica cut off, in any place, and that a caller takes for
 // whole, or a request that may have run and is refused as if it had not, or is sent again.
-func TestAnswerThatIsCutDoesNotLookComplete(t *testing.T) {
+func TestForwardedAnswerThatIsCutDoesNotLookComplete(t *testing.T) {
 	for name, full := range cutAnswers() {
 		for _, hop := range []struct {
 			version string
