soak: a caller that leaves as its answer ends cuts no other request

Cause: the timer that has a caller leave was stopped without waiting for a closing that had begun. An exchange whose answer ended at that moment returned the connection as usable, and the timer closed it under the next request. Ruled out: the router, as what it closes shows as EOF or a reset; other goroutines of the soak, as each connection belongs to one caller.

Change: the end of an exchange takes the leaving back, or waits until it is done and then does not reuse the connection. An answer that ended before its caller left still counts as whole, and a connection that was closed before its caller left counts as closed, which passed for leaving before.

--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -11,7 +11,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,14 +61,7 @@
 	a.Unasked = c.reader.Buffered() > 0
 	c.served++
 	a.Sent = time.Now()
-	var left atomic.Int64
-	if s.leave > 0 {
-		timer := time.AfterFunc(s.leave, func() {
-			left.Store(time.Now().UnixNano())
-			c.Close()
-		})
-		defer timer.Stop()
-	}
+	stay := c.leaveAfter(s.leave)
 	// The connection may be closed already, which shows when it is used.
 	_ = c.SetDeadline(a.Sent.Add(a.Deadline + answerSlack))
 	err := c.send(a, s)
@@ -80,19 +72,40 @@
 		again, err = c.receive(a)
 	}
 	a.End = time.Now()
-	c.note(a, err, left.Load())
-	return again && a.LeftAt.IsZero()
+	left := stay()
+	c.note(a, err, left)
+	return again && left.IsZero()
+}
+
+// leaveAfter closes the connection after d; 0: never. The function returned takes that back,
+// and returns when the connection was closed if it is too late.
+func (c *conn) leaveAfter(d time.Duration) (stay func() time.Time) {
+	if d == 0 {
+		return func() time.Time { return time.Time{} }
+	}
+	left := make(chan time.Time, 1)
+	timer := time.AfterFunc(d, func() {
+		at := time.Now()
+		c.Close()
+		left <- at
+	})
+	return func() time.Time {
+		if timer.Stop() {
+			return time.Time{}
+		}
+		return <-left
+	}
 }
 
 // note tells apart how an exchange ended early.
-func (c *conn) note(a *Attempt, err error, left int64) {
+func (c *conn) note(a *Attempt, err error, left time.Time) {
 	if err == nil {
 		return
 	}
 	a.Detail = err.Error()
 	switch {
-	case left > 0:
-		a.LeftAt = time.Unix(0, left)
+	case !left.IsZero() && !left.After(a.End):
+		a.LeftAt = left
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The caller gives up and closes the connection.
 		a.LeftAt = a.End
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -176,3 +178,45 @@
 		}
 	}
 }
+
+// answerLate reads requests from a connection and answers each whole after d.
+func answerLate(c net.Conn, d time.Duration) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		time.Sleep(d)
+		if _, err := io.WriteString(c, wholeAnswer); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a caller that leaves as its answer ends and so cuts its next request on the
+// connection, which passed for one that the router had lost.
+func TestLeavingAsAnAnswerEndsDoesNotCutTheNextRequest(t *testing.T) {
+	const late = time.Millisecond
+	for range 500 {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			var answering sync.WaitGroup
+			defer answering.Wait()
+			defer near.Close()
+			answering.Go(func() { answerLate(far, late) })
+			c := &conn{Conn: near, reader: bufio.NewReader(near), life: &Life{}}
+			first := &Attempt{ID: "first", Method: http.MethodPost, Path: "/x", Deadline: time.Second}
+			if !c.exchange(first, style{body: bodyOf(first.ID, bodySize), leave: late}) {
+				return
+			}
+			next := &Attempt{ID: "next", Method: http.MethodPost, Path: "/x", Deadline: time.Second}
+			c.exchange(next, style{body: bodyOf(next.ID, bodySize)})
+			require.True(t, next.Complete, next.Detail)
+		})
+	}
+}
