origin: versions are not known once observations have ceased

Cause: a gap between observations is noticed by the observation behind it. Until then what was observed before counts as what served up to now. A router that stood still, or was suspended, answers the queries that wait in its socket before it observes anew; a service that its configuration names no more is never observed again, so what was known of it stays for good.

What callers saw: a router that started lately asks such a one and infers the version by its answer. If the version of the answer serves again and another one served meanwhile, the stream is joined; found by reading.

Change: what was not observed for 5 s, the longest gap, counts as by an old list.

Ruled out: stopping routers and the time of a take-up: the router that goes on with a stream observes first.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -56,7 +56,7 @@
 	// Complete: no other version served in that time. A router that started lately does not know
 	// that by itself.
 	Complete bool
-	// Stale: the last list of replicas was not current.
+	// Stale: the last list of replicas was not current, or the service was not observed lately.
 	Stale bool
 	// Lifetime is how long a stream may last.
 	Lifetime time.Duration
@@ -205,7 +205,7 @@
 	}
 	slices.Sort(out.Versions)
 	slices.Sort(out.Serving)
-	out.Stale = s.stale
+	out.Stale = s.stale || now.Sub(s.observedAt) > maxObservationGap
 	out.Complete = s.knownSince.Equal(beginning) || now.Sub(s.knownSince) >= lifetime
 	return out
 }
