entry: a record read before a gap of observations is not relied on behind it

Cause: the answer to a read of the record counts as what served up to the moment at which it is taken over, and the answer to a write as what the record names then. A router that is suspended, or stands still, in between observes anew first, which takes back what it knew, and then believes an answer as old as the suspension.

What callers saw: streams of a version that came and went meanwhile go on at another one, at this router and at those that ask it; found by reading.

Evidence: TestRecordReadBeforeASuspensionIsNotRelied: a single version is known, and confirmed, by a record that was read a minute before; neither now.

Change: what a call told that began more than 5 s, the longest gap, before the end of the last gap of a service is left out. The keeper counts the age of its records from when their read began, so that it reads again. A shorter time is no fault, and refuses no stream of a single version after an outage.

Calls: one read more by a keeper after a suspension.

Ruled out: the end of a caller's wait, since a stream that it takes up began before the read.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -139,6 +139,7 @@
 }
 
 func (e *Entry) readServed(ctx context.Context) error {
+	begun := steady.Now()
 	records, generation, err := (*e.served.store.Load()).ReadServed(ctx)
 	now := steady.Now()
 	if err != nil {
@@ -146,7 +147,7 @@
 		e.log.Write(event.ServedRead, event.F("records", 0), event.F("reliable", 0), event.F("error", err))
 		return err
 	}
-	reliable := e.served.keeper.Loaded(records, generation, now)
+	reliable := e.served.keeper.Loaded(records, generation, begun)
 	names := append(e.front.ResumableServices(), origin.Routes)
 	for _, r := range reliable {
 		// Its replicas may not be listed yet, or state no version any more.
@@ -154,6 +155,9 @@
 	}
 	slices.Sort(names)
 	for _, name := range slices.Compact(names) {
+		if e.isUnobservedSince(name, begun) {
+			continue
+		}
 		e.recallService(name, records, reliable, now)
 		e.confirmRead(name, reliable, generation)
 	}
@@ -161,6 +165,12 @@
 	return nil
 }
 
+// isUnobservedSince reports whether versions of a service may have come and gone unobserved since a call
+// to the store began: it may tell what the store held before.
+func (e *Entry) isUnobservedSince(name string, begun time.Time) bool {
+	return e.served.tracker.GapEnd(name).Sub(begun) > origin.MaxObservationGap
+}
+
 // recallService takes over which versions of a service served before, from its record if there is a
 // reliable one. Without any, none did if the fleet starts for the first time. Routers of an earlier
 // build record no routes, so a missing record of these names none.
@@ -199,6 +209,7 @@
 }
 
 func (e *Entry) writeServed(ctx context.Context, records []origin.Stored) {
+	begun := steady.Now()
 	revision, err := (*e.served.store.Load()).WriteServed(ctx, records)
 	for _, r := range records {
 		e.log.Write(event.ServedWritten, event.F("service", r.Service), event.F("versions", r.Versions), event.F("revision", revision), event.F("error", err))
@@ -209,6 +220,9 @@
 	}
 	e.served.keeper.Written(records, revision)
 	for _, r := range records {
+		if e.isUnobservedSince(r.Service, begun) {
+			continue
+		}
 		e.served.tracker.SetConfirmed(r.Service, r.Versions, r.Generation)
 	}
 }
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -77,9 +77,9 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*served)} }
 
-// maxObservationGap is the longest time between two observations over which no version can join and leave
+// MaxObservationGap is the longest time between two observations over which no version can join and leave
 // unseen: lists of that age count as current.
-const maxObservationGap = 5 * time.Second
+const MaxObservationGap = 5 * time.Second
 
 // beginning is the time from which on all versions are known if the store tells what served before.
 var beginning time.Time
@@ -90,7 +90,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service, now)
-	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
+	if current && (s.stale || now.Sub(s.observedAt) > MaxObservationGap) {
 		// Versions may have joined and left meanwhile, and the record may have dropped some.
 		s.knownSince, s.gapEnd, s.unseen, s.confirmed = now, now, true, nil
 	}
@@ -205,7 +205,7 @@
 	}
 	slices.Sort(out.Versions)
 	slices.Sort(out.Serving)
-	out.Stale = s.stale || now.Sub(s.observedAt) > maxObservationGap
+	out.Stale = s.stale || now.Sub(s.observedAt) > MaxObservationGap
 	out.Complete = s.knownSince.Equal(beginning) || now.Sub(s.knownSince) >= lifetime
 	return out
 }
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -138,11 +138,11 @@
 	return !slices.ContainsFunc(wanted, func(version string) bool { return !slices.Contains(list, version) })
 }
 
-// Loaded notes the records that were read and returns those that can be relied on.
-func (k *Keeper) Loaded(records []Stored, generation uint64, now time.Time) (reliable []Stored) {
+// Loaded notes the records of a read that began at a time, and returns those that can be relied on.
+func (k *Keeper) Loaded(records []Stored, generation uint64, begun time.Time) (reliable []Stored) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.stored, k.generation, k.readAt = make(map[string]Stored), generation, now
+	k.stored, k.generation, k.readAt = make(map[string]Stored), generation, begun
 	for _, r := range records {
 		k.stored[r.Service] = r
 		if r.Generation == generation {
