origin: the routes, too, are read anew after a time without a current list

Cause: the pause between two reads for callers ends with a gap of observations of what is asked for. A query of routes stands in place of a service's name there, and the gap is noted under the name of the routes.

What callers saw: streams of routes that lead where they did are refused for up to 5 s after an outage, if other routers know the version and not the routes, as those of an earlier build, and the record was read for a caller shortly before the list.

Evidence: TestRoutesAreReadAgainOnceTheListIsCurrent: unknown before, inferred now.

Change: the gap of a query of routes is that of the routes.

Calls: none more; a read serves both.

--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -130,9 +130,14 @@
 	return t.history.Served(service, now, t.lifetime.get(now))
 }
 
-// GapEnd returns when the last time ended in which a service was not observed by a current list, zero if
-// there was none.
-func (t *Tracker) GapEnd(service string) time.Time { return t.history.GapEnd(service) }
+// GapEnd returns when the last time ended in which a service, or the routes that a RouteQuery is about,
+// were not observed by a current list, zero if there was none.
+func (t *Tracker) GapEnd(service string) time.Time {
+	if _, err := parseRouteQuery(service); err == nil {
+		service = Routes
+	}
+	return t.history.GapEnd(service)
+}
 
 // Record notes the version at which a stream began. shared is set if other routers have it too.
 func (t *Tracker) Record(k Key, version string, shared bool, now time.Time) {
