origin: a record of the same revision and other content tells something new

Cause: since a record that is read again unchanged makes nothing new, unchanged means the same revision. A store that came back from a copy without telling an era counts its revisions on from the copy's, so that a record written since may have the revision of one that was read before.

What callers saw: nothing; a router that observed would take no account of what other routers recorded after such a return.

Evidence: TestRecordOfTheSameRevisionMayHaveChanged: a single version with a record that names two before.

Change: the versions are compared, too.

A lower revision counts as a change, as before.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -37,8 +37,16 @@
 	confirmed map[string]uint64
 }
 
-// recordRead identifies the content of a service's record.
-type recordRead struct{ generation, revision uint64 }
+// recordRead is the content of a service's record. A store that came back from a copy may give a
+// revision twice.
+type recordRead struct {
+	generation, revision uint64
+	versions             []string
+}
+
+func (r recordRead) equals(other Stored) bool {
+	return r.revision > 0 && r.revision == other.Revision && r.generation == other.Generation && slices.Equal(r.versions, other.Versions)
+}
 
 // period is when a version served, as far as it was observed: one that is missing from an
 // observation may have served until then.
@@ -139,11 +147,10 @@
 	defer h.mu.Unlock()
 	s := h.service(r.Service, now)
 	s.knownSince = later(beginning, s.coveredSince)
-	read := recordRead{r.Generation, r.Revision}
-	if !s.unseen && r.Revision > 0 && read == s.recalled {
+	if !s.unseen && s.recalled.equals(r) {
 		return false
 	}
-	s.recalled = read
+	s.recalled = recordRead{r.Generation, r.Revision, r.Versions}
 	h.add(r.Service, r.Versions, now)
 	s.unseen = false
 	return true
--- a/pkg/origin/unwritable_test.go
+++ b/pkg/origin/unwritable_test.go
@@ -93,3 +93,15 @@
 		assert.Equal(t, test.want, tracker.Served("s", at(second)).IsSingle(), name)
 	}
 }
+
+// Guards against a record that is taken for unchanged as its revision is: a store that came back from a copy
+// may give a revision twice.
+func TestRecordOfTheSameRevisionMayHaveChanged(t *testing.T) {
+	tracker := NewTracker(lifespan)
+	tracker.Observe("s", []string{"v2"}, true, at(0))
+	tracker.RecallRecord(Stored{"s", []string{"v2"}, 1, 7, lifespan}, at(0))
+	observe(tracker, []string{"v2"}, true, 1, 31)
+	assert.True(t, tracker.Served("s", at(30)).IsSingle())
+	tracker.RecallRecord(Stored{"s", []string{"v1", "v2"}, 1, 7, lifespan}, at(30))
+	assert.False(t, tracker.Served("s", at(30)).IsSingle())
+}
