origin, entry: a record that this router wrote tells it nothing new

Cause: a record that is read again unchanged makes nothing new, but the first read of one that the router wrote itself is no second one. Where streams last for less than 30 s, after which the record is read again, the router has forgotten a version that left before it reads what it wrote when the next one joined.

What callers saw: with a store that takes no writes, or a read that comes due in the half second in which the version is forgotten, the first router by rank counts the version for a lifetime more, removes it so much later, and overrules the others: streams of a single version are refused.

Evidence: TestRecordThatThisRouterWroteTellsNothingNew: refused from 24 to 44 s after the release before, not at all now, a lifetime of 20 s.

Change: a record that was written counts as recalled.

Ruled out: the next routers by rank, which read a record that lacks a version within 2 and 4 s.

Calls: none more.

--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -219,6 +219,7 @@
 		return
 	}
 	e.served.keeper.Written(records, revision)
+	e.served.tracker.Written(records, revision)
 	for _, r := range records {
 		if e.isUnobservedSince(r.Service, begun) {
 			continue
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -156,6 +156,17 @@
 	return true
 }
 
+// written notes records that this router wrote with a revision.
+func (h *History) written(records []Stored, revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range records {
+		if s := h.services[r.Service]; s != nil {
+			s.recalled = recordRead{r.Generation, revision, r.Versions}
+		}
+	}
+}
+
 // Add adds versions that served before, up to now, among others.
 func (h *History) Add(service string, versions []string, now time.Time) {
 	h.mu.Lock()
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -125,6 +125,10 @@
 	}
 }
 
+// Written notes records that this router wrote of what it knows, with a revision. Reading them tells it
+// nothing new.
+func (t *Tracker) Written(records []Stored, revision uint64) { t.history.written(records, revision) }
+
 // Served returns the versions of a service that served within a stream's lifetime.
 func (t *Tracker) Served(service string, now time.Time) Served {
 	return t.history.Served(service, now, t.lifetime.get(now))
--- a/pkg/origin/unwritable_test.go
+++ b/pkg/origin/unwritable_test.go
@@ -105,3 +105,42 @@
 	tracker.RecallRecord(Stored{"s", []string{"v1", "v2"}, 1, 7, lifespan}, at(30))
 	assert.False(t, tracker.Served("s", at(30)).IsSingle())
 }
+
+// Guards against a version that left and counts for a lifetime more, as the router that wrote the record
+// reads it for the first time once it forgot the version.
+func TestRecordThatThisRouterWroteTellsNothingNew(t *testing.T) {
+	const gone = 2
+	tracker, keeper := NewTracker(lifespan), &Keeper{}
+	record := Stored{"s", []string{"v1"}, 1, 7, lifespan}
+	var refused []float64
+	for second := 0.0; second <= 60; second++ {
+		serving := []string{"v2"}
+		if second < gone {
+			serving = []string{"v1", "v2"}
+		}
+		tracker.Observe("s", serving, true, at(second))
+		for range 2 {
+			step := keeper.Next([]Served{tracker.Served("s", at(second))}, 1, 0, at(second))
+			if step.Read {
+				for _, r := range keeper.Loaded([]Stored{record}, 1, at(second)) {
+					tracker.RecallRecord(r, at(second))
+				}
+			}
+			switch {
+			case len(step.Write) == 0:
+			case second < gone:
+				record = step.Write[0]
+				record.Revision = 8
+				keeper.Written(step.Write, 8)
+				tracker.Written(step.Write, 8)
+			default:
+				keeper.Failed(at(second))
+			}
+		}
+		if second > gone+lifespan.Seconds() && !tracker.Served("s", at(second)).IsSingle() {
+			refused = append(refused, second)
+		}
+	}
+	assert.Equal(t, []string{"v1", "v2"}, record.Versions)
+	assert.Empty(t, refused)
+}
