balance: replicas that a request is held back from count as no room for recorded versions

Cause: as for replicas that take no requests. Those that rest, are cold, are spared as brittle, were tried before, or that other routers do not reach, get nothing of what is preferred while others have room, run little, and add the most to the chance of the preference.

Evidence: TestPreferenceCountsNoRoomOfReplicasHeldBack: two of three replicas rest, are cold, were tried, or are out of another router's reach, the others run 12 each: 1,000 of 1,000 requests at the preferred version before, at most half now; 1,000 if none are held back, or their rest is over.

Change: such a replica counts for what it runs above its share, not as room.

Ruled out: a preference that ends where all others are held back: some that may take a request, as before, decide that.

--- a/pkg/balance/preferred_test.go
+++ b/pkg/balance/preferred_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -154,6 +155,62 @@
 	}
 }
 
+// Guards against the same for replicas that a request is held back from.
+func TestPreferenceCountsNoRoomOfReplicasHeldBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		change func(b *Balancer, q *Request)
+		// least and most are how many of 1,000 requests go to the preferred version.
+		least, most int
+	}{
+		"none":            {func(*Balancer, *Request) {}, 1000, 1000},
+		"they were tried": {func(_ *Balancer, q *Request) { q.Tried = []string{"v1-a", "v1-b"} }, 0, 500},
+		"they are cold": {func(b *Balancer, q *Request) {
+			q.ColdRate = 1
+			for _, id := range []string{"v1-a", "v1-b"} {
+				b.replicas[id].ColdUntil = now.Add(time.Minute)
+			}
+		}, 0, 500},
+		"they rest": {func(b *Balancer, _ *Request) {
+			b.RestUntil("v1-a", now.Add(time.Second))
+			b.RestUntil("v1-b", now.Add(time.Second))
+		}, 0, 500},
+		"they rested": {func(b *Balancer, _ *Request) {
+			b.RestUntil("v1-a", now.Add(-time.Minute))
+			b.RestUntil("v1-b", now.Add(-time.Minute))
+		}, 1000, 1000},
+		"another router does not reach them": {func(b *Balancer, _ *Request) {
+			for _, id := range []string{"v1-a", "v1-b"} {
+				b.replicas[id].reported.recordFailure(Refused, now)
+			}
+		}, 0, 500},
+	} {
+		b := preferenceBalancer(now, 100)
+		q := Request{Service: "s", DataCentre: "here", PreferredVersions: []string{"v1"}}
+		for id, running := range map[string]int{"v1-c": 12, "v2-a": 12, "v2-b": 12, "v2-c": 12} {
+			for range running {
+				b.RequestStarted(id)
+			}
+		}
+		test.change(b, &q)
+		preferred := 0
+		for n := range 1000 {
+			q.Parts = []Part{{ID: uint64(n), Tokens: 100}}
+			choice, found := b.Pick(q, now)
+			// Callers of Pick exclude replicas that rest.
+			for asked := q; found && b.replicas[choice.Replica.ID].restUntil.After(now); choice, found = b.Pick(asked, now) {
+				asked.Tried = append(slices.Clone(asked.Tried), choice.Replica.ID)
+			}
+			require.True(t, found)
+			if choice.Replica.Version == "v1" {
+				preferred++
+			}
+		}
+		assert.GreaterOrEqual(t, preferred, test.least, name)
+		assert.LessOrEqual(t, preferred, test.most, name)
+	}
+}
+
 // A preference takes no slots that engines do not have.
 func TestPreferredEnginesThatAreFullGetNoMore(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/pkg/balance/versions.go
+++ b/pkg/balance/versions.go
@@ -40,7 +40,7 @@
 	}
 	current, updated := divideByVersion(all, plan)
 	preferred := slices.DeleteFunc(slices.Concat(current, updated), isOther)
-	if !b.prefersNow(preferred, all, bound, now) {
+	if !b.prefersNow(q, preferred, all, bound, now) {
 		return nil
 	}
 	left := b.shareOut(q, preferred, plan, limited, bound, now)
@@ -62,13 +62,13 @@
 // prefersNow decides by chance whether a request goes to the preferred replicas. They have room for a
 // part of what the others run, and get a share of the requests in proportion to it: if all requests
 // went there until reports show them as loaded, they would exceed the bound.
-func (b *Balancer) prefersNow(preferred, all []*replica, bound float64, now time.Time) bool {
+func (b *Balancer) prefersNow(q Request, preferred, all []*replica, bound float64, now time.Time) bool {
 	room, others := 0.0, 0.0
 	for _, r := range preferred {
 		load := b.load(r, now)
 		others -= load
 		left := preferredShare*bound - load
-		if !b.takesRequests(r, now) {
+		if b.isHeldBack(r, q, now) || !b.takesRequests(r, now) {
 			left = min(left, 0)
 		}
 		room += left
@@ -79,6 +79,12 @@
 	return b.random.Float64()*others < preferenceGain*room
 }
 
+// isHeldBack reports whether a request hardly goes to a replica though that may take requests: it was
+// tried, is cold, rests, is brittle and must be spared, or other routers do not reach it.
+func (b *Balancer) isHeldBack(r *replica, q Request, now time.Time) bool {
+	return slices.Contains(q.Tried, r.ID) || isCold(r.Replica, q, now) || now.Before(r.restUntil) || b.mustSpare(r, now) || r.reported.isAvoided(now)
+}
+
 // hasRoom reports whether a replica takes requests and is below the bound.
 func (b *Balancer) hasRoom(r *replica, bound float64, now time.Time) bool {
 	return b.takesRequests(r, now) && b.load(r, now) < bound
