origin: a lifetime above what a record can state is written once

Cause: a record is read as stating no time if that is above 10 minutes. The lifetime holds two periods of reads, 0.8 of the users' shortest bound, so it is above that where bounds are above 6.25 minutes; an hour is accepted.

What callers saw: nothing. Operators: a write a service at each read of the record, one in 30 s. A router that starts under shorter bounds assumes 5 minutes for streams of before.

Evidence: TestRecordOfALongLifetimeIsWrittenOnce: 10 writes in 300 s and no time stated before, 1 and 10 minutes now.

Change: a record states 10 minutes at most.

Ruled out: a greater bound on what is read, since any writer may have written a record, and streams last for 5 minutes at most.

--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -100,7 +100,7 @@
 	for _, s := range served {
 		had := k.stored[s.Service]
 		reliable := had.Revision > 0 && had.Generation == k.generation
-		wanted, kept := s.Versions, inMilliseconds(s.Lifetime)
+		wanted, kept := s.Versions, statable(s.Lifetime)
 		// By a list that is too old, versions that serve may be missing.
 		complete := s.Complete && !s.Stale
 		switch {
--- a/pkg/origin/shortened_test.go
+++ b/pkg/origin/shortened_test.go
@@ -111,3 +111,25 @@
 	assert.Equal(t, 1, writes)
 	assert.GreaterOrEqual(t, ReadStored("s", record.Value(), record.Revision).Kept, served[0].Lifetime)
 }
+
+// Guards against the same where the period of reads is so long that the lifetime is above what a record can
+// state.
+func TestRecordOfALongLifetimeIsWrittenOnce(t *testing.T) {
+	served := servedBy(true, "v1")
+	served[0].Lifetime = maxKept + time.Second
+	k, record, writes := &Keeper{}, Stored{"s", []string{"v1"}, 1, 7, 0}, 0
+	for second := range 300 {
+		step := k.Next(served, 1, 0, at(float64(second)))
+		if step.Read {
+			k.Loaded([]Stored{ReadStored("s", record.Value(), record.Revision)}, 1, at(float64(second)))
+		}
+		for _, r := range step.Write {
+			writes++
+			r.Revision = record.Revision + 1
+			record = r
+			k.Written(step.Write, r.Revision)
+		}
+	}
+	assert.Equal(t, 1, writes)
+	assert.Equal(t, maxKept, ReadStored("s", record.Value(), record.Revision).Kept)
+}
--- a/pkg/origin/stored.go
+++ b/pkg/origin/stored.go
@@ -22,9 +22,9 @@
 // maxKept bounds Stored.Kept. Streams last for some minutes at most.
 const maxKept = 10 * time.Minute
 
-// inMilliseconds rounds a time up to what a record can state.
-func inMilliseconds(d time.Duration) time.Duration {
-	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
+// statable returns a time as a record can state it, rounded up.
+func statable(d time.Duration) time.Duration {
+	return min((d + time.Millisecond - 1).Truncate(time.Millisecond), maxKept)
 }
 
 // unreadable is the generation of a record that cannot be read. No store has it.
