--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -37,8 +37,16 @@
 	confirmed map[string]uint64
 }
 
-// recordRead identifies the content of a service's record.
-type recordRead struct{ generation, revision uint64 }
+// recordRead is the content of a service's record. A store that came back from a copy may give a
+// revision twice.
+type recordRead struct {
+	generation, revision uint64
+	versions             []string
+}
+
+func (r recordRead) equals(other Stored) bool {
+	return r.revision > 0 && r.revision == other.Revision && r.generation == other.Generation && slices.Equal(r.versions, other.Versions)
+}
 
 // period is when a version served, as far as it was observed: one that is missing from an
 // observation may have served until then.
@@ -56,7 +64,7 @@
 	// Complete: no other version served in that time. A router that started lately does not know
 	// that by itself.
 	Complete bool
-	// Stale: the last list of replicas was not current.
+	// Stale: the last list of replicas was not current, or the service was not observed lately.
 	Stale bool
 	// Lifetime is how long a stream may last.
 	Lifetime time.Duration
@@ -77,9 +85,9 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*served)} }
 
-// maxObservationGap is the longest time between two observations over which no version can join and leave
+// MaxObservationGap is the longest time between two observations over which no version can join and leave
 // unseen: lists of that age count as current.
-const maxObservationGap = 5 * time.Second
+const MaxObservationGap = 5 * time.Second
 
 // beginning is the time from which on all versions are known if the store tells what served before.
 var beginning time.Time
@@ -90,7 +98,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service, now)
-	if current && (s.stale || now.Sub(s.observedAt) > maxObservationGap) {
+	if current && (s.stale || now.Sub(s.observedAt) > MaxObservationGap) {
 		// Versions may have joined and left meanwhile, and the record may have dropped some.
 		s.knownSince, s.gapEnd, s.unseen, s.confirmed = now, now, true, nil
 	}
@@ -139,16 +147,26 @@
 	defer h.mu.Unlock()
 	s := h.service(r.Service, now)
 	s.knownSince = later(beginning, s.coveredSince)
-	read := recordRead{r.Generation, r.Revision}
-	if !s.unseen && r.Revision > 0 && read == s.recalled {
+	if !s.unseen && s.recalled.equals(r) {
 		return false
 	}
-	s.recalled = read
+	s.recalled = recordRead{r.Generation, r.Revision, r.Versions}
 	h.add(r.Service, r.Versions, now)
 	s.unseen = false
 	return true
 }
 
+// written notes records that this router wrote with a revision.
+func (h *History) written(records []Stored, revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range records {
+		if s := h.services[r.Service]; s != nil {
+			s.recalled = recordRead{r.Generation, revision, r.Versions}
+		}
+	}
+}
+
 // Add adds versions that served before, up to now, among others.
 func (h *History) Add(service string, versions []string, now time.Time) {
 	h.mu.Lock()
@@ -205,7 +223,7 @@
 	}
 	slices.Sort(out.Versions)
 	slices.Sort(out.Serving)
-	out.Stale = s.stale
+	out.Stale = s.stale || now.Sub(s.observedAt) > MaxObservationGap
 	out.Complete = s.knownSince.Equal(beginning) || now.Sub(s.knownSince) >= lifetime
 	return out
 }
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -125,14 +125,23 @@
 	}
 }
 
+// Written notes records that this router wrote of what it knows, with a revision. Reading them tells it
+// nothing new.
+func (t *Tracker) Written(records []Stored, revision uint64) { t.history.written(records, revision) }
+
 // Served returns the versions of a service that served within a stream's lifetime.
 func (t *Tracker) Served(service string, now time.Time) Served {
 	return t.history.Served(service, now, t.lifetime.get(now))
 }
 
-// GapEnd returns when the last time ended in which a service was not observed by a current list, zero if
-// there was none.
-func (t *Tracker) GapEnd(service string) time.Time { return t.history.GapEnd(service) }
+// GapEnd returns when the last time ended in which a service, or the routes that a RouteQuery is about,
+// were not observed by a current list, zero if there was none.
+func (t *Tracker) GapEnd(service string) time.Time {
+	if _, err := parseRouteQuery(service); err == nil {
+		service = Routes
+	}
+	return t.history.GapEnd(service)
+}
 
 // Record notes the version at which a stream began. shared is set if other routers have it too.
 func (t *Tracker) Record(k Key, version string, shared bool, now time.Time) {
