router: the counters of a router in a package of their own

Moves only: internal/router/metrics, which edge reads without the whole router. placed and observe are exported, NewMetrics is New. No name that leaves the process changed.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
@@ -78,7 +79,7 @@
 }
 
 func testObserver() observer {
-	return observer{metrics: router.NewMetrics(), began: time.Now()}
+	return observer{metrics: metrics.New(), began: time.Now()}
 }
 
 func TestUsage(t *testing.T) {
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/metrics"
 )
 
 // usage is what engines report of an answer, in the usual shape.
@@ -31,7 +31,7 @@
 
 // observer counts what an answer shows on its way.
 type observer struct {
-	metrics *router.Metrics
+	metrics *metrics.Metrics
 	began   time.Time
 }
 
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
@@ -133,7 +134,7 @@
 }
 
 func (r *Router) granted(job *Job, p *pool, group *owner.Group[chan verdict], t *ticket) (*visit, *admission.Refusal) {
-	observe(r.metrics.Waited, t.WaitTime())
+	metrics.Observe(r.metrics.Waited, t.WaitTime())
 	r.mu.Lock()
 	engine, listed := p.engines[t.GrantedEngine().Hash]
 	r.mu.Unlock()
--- a/internal/router/metrics.go
+++ b/internal/router/metrics/metrics.go
@@ -1,4 +1,5 @@
-package router
+// Package metrics holds the counters and histograms of one router of chats.
+package metrics
 
 import (
 	"time"
@@ -35,8 +36,8 @@
 	origins map[placement.Origin]gometrics.Counter
 }
 
-// NewMetrics returns metrics in a registry of their own.
-func NewMetrics() *Metrics {
+// New returns metrics in a registry of their own.
+func New() *Metrics {
 	const reservoir = 1028
 	const recent = 0.015
 	registry := gometrics.NewRegistry()
@@ -87,13 +88,15 @@
 	}
 }
 
-func (m *Metrics) placed(origin placement.Origin) {
+// Placed counts where a request was placed, and what the choice rested on.
+func (m *Metrics) Placed(origin placement.Origin) {
 	m.origins[origin].Inc(1)
 	if origin == placement.FromDiversion {
 		m.Diverted.Inc(1)
 	}
 }
 
-func observe(h gometrics.Histogram, d time.Duration) {
+// Observe enters a duration, in microseconds.
+func Observe(h gometrics.Histogram, d time.Duration) {
 	h.Update(d.Microseconds())
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
@@ -50,7 +51,7 @@
 type Router struct {
 	settings settings.Settings
 	log      *event.Log
-	metrics  *Metrics
+	metrics  *metrics.Metrics
 	platform *kvservice.Client
 	claims   *once.Claims
 	peers    *peer.Client
@@ -103,7 +104,7 @@
 	r := &Router{
 		settings:    s,
 		log:         log,
-		metrics:     NewMetrics(),
+		metrics:     metrics.New(),
 		platform:    kvservice.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
 		meter:       &peer.Meter{},
 		targets:     dispatch.New(s.Limits.Idle),
@@ -169,7 +170,7 @@
 func (r *Router) Snapshot() *policy.Snapshot { return r.adopted.Current() }
 
 // Metrics returns the router's metrics.
-func (r *Router) Metrics() *Metrics { return r.metrics }
+func (r *Router) Metrics() *metrics.Metrics { return r.metrics }
 
 // Drain ends what waits here and waits for what is in flight, as long as ctx
 // allows. New requests are refused from the first moment.
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -10,6 +10,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
@@ -74,7 +75,7 @@
 		return refusal
 	}
 	r.metrics.Served.Inc(1)
-	observe(r.metrics.Total, steady.Since(started))
+	metrics.Observe(r.metrics.Total, steady.Since(started))
 	r.log.Write(event.RequestServed, event.F("request", job.ID), event.F("group", job.Group.Name))
 	return nil
 }
@@ -171,7 +172,7 @@
 	if choice.Group == placement.None {
 		return place{}, false
 	}
-	r.metrics.placed(choice.Origin)
+	r.metrics.Placed(choice.Origin)
 	owner, found := p.owner(choice.Group, avoid)
 	if p.name.DataCentre != r.settings.DataCentre && !found {
 		return place{}, false
