router: what operators are shown in a package of its own

Moves only: the JSON of a router's state and of an explained decision is in internal/router/report, which croftyardctl and the daemon's gauges read. router.State, PoolState, GroupState, EngineState, InstanceState, ControlState and DemandState are report.State, Pool, Group, Engine, Instance, Control and Demand; Question, Explanation and Candidate keep their names. The JSON's names are the same.

--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/command"
-	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/report"
 )
 
 type state struct {
@@ -95,8 +95,8 @@
 	return result, all
 }
 
-func askState(instance string) (router.State, error) {
-	var s router.State
+func askState(instance string) (report.State, error) {
+	var s report.State
 	body, err := ask(http.MethodGet, instance, "/state")
 	if err != nil {
 		return s, err
@@ -119,14 +119,14 @@
 	if err != nil {
 		return err
 	}
-	var e router.Explanation
+	var e report.Explanation
 	if err := json.Unmarshal(body, &e); err != nil {
 		return fmt.Errorf("router %s: %w", c.Instance, err)
 	}
 	return c.print(out, e, func(w io.Writer) { printExplanation(w, e) })
 }
 
-func printExplanation(w io.Writer, e router.Explanation) {
+func printExplanation(w io.Writer, e report.Explanation) {
 	if e.Refusal != "" {
 		fmt.Fprintf(w, "refused: %s\n", e.Refusal)
 		return
--- a/internal/instance/subject.go
+++ b/internal/instance/subject.go
@@ -5,6 +5,7 @@
 
 	"github.com/croftyard/croftyard/internal/admin"
 	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/report"
 )
 
 // subject shows a router to its operators.
@@ -14,12 +15,12 @@
 		Registry: r.Metrics().Registry,
 		Gauges:   func() []admin.Gauge { return gauges(r.State()) },
 		Explain: func(query url.Values) (any, error) {
-			return r.Explain(router.Question{Group: query.Get("group"), Model: query.Get("model"), Token: query.Get("token")})
+			return r.Explain(report.Question{Group: query.Get("group"), Model: query.Get("model"), Token: query.Get("token")})
 		},
 	}
 }
 
-func gauges(s router.State) []admin.Gauge {
+func gauges(s report.State) []admin.Gauge {
 	return []admin.Gauge{
 		{Name: "croftyard_control_sent_bytes", Value: float64(s.Control.SentBytes)},
 		{Name: "croftyard_control_received_bytes", Value: float64(s.Control.ReceivedBytes)},
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -4,57 +4,21 @@
 	"errors"
 	"fmt"
 
+	"github.com/croftyard/croftyard/internal/router/report"
 	"github.com/croftyard/croftyard/pkg/placement"
 )
 
-// Question is what an operator wants explained.
-type Question struct {
-	Group string
-	Model string
-	Token string
-}
-
-// Explanation tells where a request would go now, and why.
-type Explanation struct {
-	Group  string `json:"group"`
-	Model  string `json:"model"`
-	Router string `json:"router"`
-	Pool   string `json:"pool"`
-	// Token tells what became of the chat token.
-	Token  string  `json:"token"`
-	Bound  float64 `json:"bound"`
-	Mean   float64 `json:"mean_load"`
-	Target float64 `json:"target_load"`
-	// Origin and Chosen are the decision; Diverted is the chance that a request
-	// is sent elsewhere because the group is above the target.
-	Origin     string      `json:"origin"`
-	Chosen     string      `json:"chosen_owner"`
-	Engine     string      `json:"engine,omitempty"`
-	Diverted   float64     `json:"diverted"`
-	Candidates []Candidate `json:"candidates"`
-	// Refusal is why there would be none.
-	Refusal string `json:"refusal,omitempty"`
-}
-
-// Candidate is one group of engines.
-type Candidate struct {
-	Owner   string   `json:"owner"`
-	Load    float64  `json:"load"`
-	Chosen  bool     `json:"chosen"`
-	Engines []string `json:"engines"`
-}
-
 // ErrNoGroup: the configuration in force has no such research group.
 var ErrNoGroup = errors.New("router: no such group")
 
 // Explain works a decision out without making it.
-func (r *Router) Explain(q Question) (Explanation, error) {
+func (r *Router) Explain(q report.Question) (report.Explanation, error) {
 	snapshot := r.adopted.Current()
 	if snapshot == nil || snapshot.Groups[q.Group] == nil {
-		return Explanation{}, fmt.Errorf("%w: %s", ErrNoGroup, q.Group)
+		return report.Explanation{}, fmt.Errorf("%w: %s", ErrNoGroup, q.Group)
 	}
 	group := snapshot.Groups[q.Group]
-	e := Explanation{Group: q.Group, Model: q.Model, Router: r.settings.Name, Bound: group.Bound, Token: "none"}
+	e := report.Explanation{Group: q.Group, Model: q.Model, Router: r.settings.Name, Bound: group.Bound, Token: "none"}
 	if !group.AllowsModel(q.Model) {
 		e.Refusal = fmt.Sprintf("group %s may not use %s", q.Group, q.Model)
 		return e, nil
@@ -77,7 +41,7 @@
 	return e, nil
 }
 
-func (r *Router) explain(e *Explanation, job *Job) {
+func (r *Router) explain(e *report.Explanation, job *Job) {
 	p := r.poolFor(job.Model)
 	if p == nil {
 		e.Refusal = "no live engine serves " + job.Model
@@ -95,7 +59,7 @@
 		e.Engine = p.engines[p.layout.Engines[choice.Engine]].Name
 	}
 	for g, group := range p.layout.Groups {
-		c := Candidate{Load: p.loads[g], Chosen: g == choice.Group}
+		c := report.Candidate{Load: p.loads[g], Chosen: g == choice.Group}
 		if group.Owner != placement.None {
 			c.Owner = p.routers[group.Owner].Name
 		}
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -22,7 +22,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/demo"
-	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/report"
 	"github.com/croftyard/croftyard/internal/standin"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -256,8 +256,8 @@
 	require.Eventually(c.t, done, patience, 10*time.Millisecond, what)
 }
 
-func (p *process) state() (router.State, error) {
-	var s router.State
+func (p *process) state() (report.State, error) {
+	var s report.State
 	resp, err := http.Get("http://" + p.admin + "/state")
 	if err != nil {
 		return s, err
@@ -368,7 +368,7 @@
 	return demo.Apply(context.Background(), c.platform, text)
 }
 
-func closedEngine(engines []router.EngineState, name string) bool {
+func closedEngine(engines []report.Engine, name string) bool {
 	for _, e := range engines {
 		if e.Name == name {
 			return e.Closed
