--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -50,7 +50,7 @@
 	return err
 }
 
-// Served implements router.Answer.
+// Served implements job.Answer.
 func (a *answer) Served(engine string) error {
 	if a.seal != nil {
 		a.writer.Header().Set(ChatHeader, a.seal(engine))
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -11,6 +11,7 @@
 	"unicode/utf8"
 
 	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -60,7 +61,7 @@
 type sealer func(engine string) string
 
 // readChat checks a request as a whole and makes the job from it.
-func (e *Edge) readChat(w http.ResponseWriter, r *http.Request, id string) (*router.Job, sealer, *problem) {
+func (e *Edge) readChat(w http.ResponseWriter, r *http.Request, id string) (*job.Job, sealer, *problem) {
 	snapshot, group, p := e.authenticate(r)
 	if p != nil {
 		return nil, nil, p
@@ -77,7 +78,7 @@
 	if p := e.allowed(group, chat, adapter); p != nil {
 		return nil, nil, p
 	}
-	job := &router.Job{ID: id, Group: group, Model: chat.Model, Adapter: adapter, Path: r.URL.Path, Body: body, Stream: chat.Stream}
+	job := &job.Job{ID: id, Group: group, Model: chat.Model, Adapter: adapter, Path: r.URL.Path, Body: body, Stream: chat.Stream}
 	if p := readTerms(r, group, job); p != nil {
 		return nil, nil, p
 	}
@@ -163,7 +164,7 @@
 }
 
 // readTerms reads deadline, priority and idempotency key.
-func readTerms(r *http.Request, group *policy.Group, job *router.Job) *problem {
+func readTerms(r *http.Request, group *policy.Group, job *job.Job) *problem {
 	deadline := group.Deadline
 	if text := r.Header.Get(DeadlineHeader); text != "" {
 		d, err := time.ParseDuration(text)
@@ -195,7 +196,7 @@
 //
 // A chat that returns without a token is recognized by what stays the same
 // through its turns: the system messages and the first message after them.
-func measure(job *router.Job, group *policy.Group, chat *chatRequest) {
+func measure(job *job.Job, group *policy.Group, chat *chatRequest) {
 	prompt, system := 0, 0
 	chatText := group.Name + "\x00" + chat.Model
 	prefixText := ""
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/dispatch"
-	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -30,18 +30,18 @@
 			assert.Equal(t, 400, p.Status)
 			return
 		}
-		var job router.Job
+		var job job.Job
 		measure(&job, group, chat)
 		assert.Positive(t, job.PromptTokens)
 		assert.GreaterOrEqual(t, job.PromptTokens, job.FreshTokens)
 	})
 }
 
-func expectJob(t *testing.T, body string) router.Job {
+func expectJob(t *testing.T, body string) job.Job {
 	t.Helper()
 	chat, p := parseChat([]byte(body))
 	require.Nil(t, p)
-	var job router.Job
+	var job job.Job
 	measure(&job, &policy.Group{Name: "g", Parameters: policy.Defaults()}, chat)
 	return job
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/croftyard/croftyard/internal/dispatch"
-	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/job"
 )
 
 // service passes a call to a plain service.
@@ -22,7 +22,7 @@
 	answer.finish(e.router.ServePlain(r.Context(), call, answer))
 }
 
-func (e *Edge) readCall(w http.ResponseWriter, r *http.Request, id string) (*router.Call, *problem) {
+func (e *Edge) readCall(w http.ResponseWriter, r *http.Request, id string) (*job.Call, *problem) {
 	_, group, p := e.authenticate(r)
 	if p != nil {
 		return nil, p
@@ -36,7 +36,7 @@
 	if p != nil {
 		return nil, p
 	}
-	call := &router.Call{Service: service}
+	call := &job.Call{Service: service}
 	call.Job.ID = id
 	call.Job.Group = group
 	call.Job.PromptTokens = len(body)/bytesPerToken + 1
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/once"
@@ -42,7 +43,7 @@
 }
 
 // claimRefusal turns a claim's error into a refusal.
-func (r *Router) claimRefusal(job *Job, err error) *admission.Refusal {
+func (r *Router) claimRefusal(job *job.Job, err error) *admission.Refusal {
 	switch {
 	case errors.Is(err, once.ErrDone):
 		return admission.RefusePossiblyRun(admission.AlreadyRan, "a request with this key has already run")
@@ -67,21 +68,21 @@
 // settleTime bounds the write that ends a claim.
 const settleTime = 5 * time.Second
 
-func (r *Router) release(claim *once.Claim, job *Job) {
+func (r *Router) release(claim *once.Claim, job *job.Job) {
 	r.endClaim(claim.Release, job)
 }
 
-func (r *Router) done(claim *once.Claim, job *Job) {
+func (r *Router) done(claim *once.Claim, job *job.Job) {
 	r.endClaim(claim.Done, job)
 }
 
 // endClaim writes the claim's end beside the answer, which does not wait for
 // the service; a planned stop does.
-func (r *Router) endClaim(end func(context.Context) error, job *Job) {
+func (r *Router) endClaim(end func(context.Context) error, job *job.Job) {
 	r.inFlight.beside(func() { r.writeClaim(end, job) })
 }
 
-func (r *Router) writeClaim(end func(context.Context) error, job *Job) {
+func (r *Router) writeClaim(end func(context.Context) error, job *job.Job) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
 	if err := end(ctx); err != nil {
@@ -92,7 +93,7 @@
 // confirmed checks a refusal of a request with a key: that it was not run is
 // said only after its record was seen free. Without that look the refusal
 // would be false whenever an earlier request with the same key has run.
-func (r *Router) confirmed(ctx context.Context, job *Job, refusal *admission.Refusal) *admission.Refusal {
+func (r *Router) confirmed(ctx context.Context, job *job.Job, refusal *admission.Refusal) *admission.Refusal {
 	if job.Key == "" || !refusal.NotRun {
 		return refusal
 	}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/report"
 	"github.com/croftyard/croftyard/pkg/placement"
 )
@@ -23,7 +24,7 @@
 		e.Refusal = fmt.Sprintf("group %s may not use %s", q.Group, q.Model)
 		return e, nil
 	}
-	job := &Job{Group: group, Model: q.Model, Chat: placement.Hash(q.Group)}
+	job := &job.Job{Group: group, Model: q.Model, Chat: placement.Hash(q.Group)}
 	if q.Token != "" {
 		keys := placement.TokenKeys{Current: snapshot.Fleet.ChatKey, Previous: snapshot.Fleet.PreviousChatKey}
 		token, err := keys.Open(q.Token)
@@ -41,7 +42,7 @@
 	return e, nil
 }
 
-func (r *Router) explain(e *report.Explanation, job *Job) {
+func (r *Router) explain(e *report.Explanation, job *job.Job) {
 	p := r.poolFor(job.Model)
 	if p == nil {
 		e.Refusal = "no live engine serves " + job.Model
--- a/internal/router/forwarded.go
+++ b/internal/router/forwarded.go
@@ -7,6 +7,7 @@
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -26,7 +27,7 @@
 	return send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_End{End: end}})
 }
 
-func (r *Router) serveForwarded(ctx context.Context, m *peerpb.ForwardRequest, answer Answer) *admission.Refusal {
+func (r *Router) serveForwarded(ctx context.Context, m *peerpb.ForwardRequest, answer job.Answer) *admission.Refusal {
 	end, accepted := r.begin()
 	if !accepted {
 		return admission.Refuse(admission.Stopping, 0, "the engines' owner stops")
@@ -52,12 +53,12 @@
 
 // decodeJob reads a forwarded request. The group's parameters are this
 // router's own; a group that it does not know yet gets the defaults.
-func (r *Router) decodeJob(m *peerpb.ForwardRequest) *Job {
+func (r *Router) decodeJob(m *peerpb.ForwardRequest) *job.Job {
 	group := &policy.Group{Name: m.Group, Organisation: m.Organisation, Parameters: policy.Defaults()}
 	if s := r.adopted.Current(); s != nil && s.Groups[m.Group] != nil {
 		group = s.Groups[m.Group]
 	}
-	return &Job{
+	return &job.Job{
 		ID:           m.RequestId,
 		Group:        group,
 		Model:        m.Model,
@@ -83,7 +84,7 @@
 	engine string
 }
 
-// Served implements Answer.
+// Served implements job.Answer.
 func (a *remoteAnswer) Served(engine string) error {
 	a.engine = engine
 	return nil
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
@@ -17,7 +18,7 @@
 )
 
 // serveOwned serves a request in one of this router's own groups.
-func (r *Router) serveOwned(ctx context.Context, job *Job, at place, hopsLeft int, answer Answer) *admission.Refusal {
+func (r *Router) serveOwned(ctx context.Context, job *job.Job, at place, hopsLeft int, answer job.Answer) *admission.Refusal {
 	for {
 		visit, refusal := r.wait(ctx, job, at.pool, at.group, hopsLeft)
 		if refusal != nil {
@@ -33,7 +34,7 @@
 // retry tells whether another engine may be tried: nothing ran, time is left,
 // and the budget of retries allows it. A target that said that it leaves costs
 // no budget: it is not asked again, so there are no more such tries than targets.
-func (r *Router) retry(ctx context.Context, job *Job, refusal *admission.Refusal) bool {
+func (r *Router) retry(ctx context.Context, job *job.Job, refusal *admission.Refusal) bool {
 	if !refusal.NotRun || ctx.Err() != nil {
 		return false
 	}
@@ -61,7 +62,7 @@
 }
 
 // wait gets the request an engine of a group, or a refusal.
-func (r *Router) wait(ctx context.Context, job *Job, p *pool, id uint64, hopsLeft int) (*visit, *admission.Refusal) {
+func (r *Router) wait(ctx context.Context, job *job.Job, p *pool, id uint64, hopsLeft int) (*visit, *admission.Refusal) {
 	t := &ticket{Request: r.ownerRequest(job, hopsLeft), Payload: make(chan verdict, 1)}
 	r.mu.Lock()
 	group := p.group(id, r.settings.Limits.Queue, r.engine)
@@ -91,13 +92,13 @@
 	}
 }
 
-func (r *Router) ownerRequest(job *Job, hopsLeft int) owner.Request {
+func (r *Router) ownerRequest(job *job.Job, hopsLeft int) owner.Request {
 	request := owner.Request{
 		Flow:     job.Group.Name,
 		Share:    job.Group.Share,
 		Priority: job.Priority,
 		Deadline: job.Deadline,
-		Work:     job.work(),
+		Work:     job.Work(),
 		Engine:   job.Engine,
 		Prefix:   job.Prefix,
 		Bound:    job.Group.Bound,
@@ -133,7 +134,7 @@
 	return admission.Refuse(admission.CallerGone, 0, "the caller went away")
 }
 
-func (r *Router) granted(job *Job, p *pool, group *owner.Group[chan verdict], t *ticket) (*visit, *admission.Refusal) {
+func (r *Router) granted(job *job.Job, p *pool, group *owner.Group[chan verdict], t *ticket) (*visit, *admission.Refusal) {
 	metrics.Observe(r.metrics.Waited, t.WaitTime())
 	r.mu.Lock()
 	engine, listed := p.engines[t.GrantedEngine().Hash]
@@ -152,7 +153,7 @@
 }
 
 // visit sends the request to the engine that it was granted.
-func (r *Router) visit(ctx context.Context, job *Job, v *visit, answer Answer) *admission.Refusal {
+func (r *Router) visit(ctx context.Context, job *job.Job, v *visit, answer job.Answer) *admission.Refusal {
 	request := dispatch.Request{
 		Method:      http.MethodPost,
 		Address:     v.engine.Address,
@@ -170,7 +171,7 @@
 
 // namedSink tells the answer its engine just before its head.
 type namedSink struct {
-	Answer
+	job.Answer
 	engine string
 }
 
@@ -184,7 +185,7 @@
 
 // dispatchOnce sends a request to a target. One with a key is claimed first,
 // so that it runs at most once whatever else holds the same key.
-func (r *Router) dispatchOnce(ctx context.Context, job *Job, target fleet.Instance, request dispatch.Request, sink dispatch.Sink) (dispatch.Outcome, *admission.Refusal) {
+func (r *Router) dispatchOnce(ctx context.Context, job *job.Job, target fleet.Instance, request dispatch.Request, sink dispatch.Sink) (dispatch.Outcome, *admission.Refusal) {
 	if refusal := r.suspicion(job, &request); refusal != nil {
 		return dispatch.Outcome{NotRun: true}, refusal
 	}
@@ -220,7 +221,7 @@
 
 // settle notes what an attempt showed of its target and turns a failure into a
 // refusal.
-func (r *Router) settle(ctx context.Context, job *Job, target fleet.Instance, outcome dispatch.Outcome) *admission.Refusal {
+func (r *Router) settle(ctx context.Context, job *job.Job, target fleet.Instance, outcome dispatch.Outcome) *admission.Refusal {
 	if outcome.Resumed > 0 {
 		r.metrics.Resumed.Inc(int64(outcome.Resumed))
 		r.log.Write(event.StreamResumed, event.F("request", job.ID), event.F("target", target.Name), event.F("times", outcome.Resumed))
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -7,23 +7,17 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
-// Call is a request to a plain service.
-type Call struct {
-	Job     Job
-	Service *policy.Service
-	Request dispatch.Request
-}
-
 // ServePlain sends a request to the least busy replica of a plain service. No
 // owner is needed: there is no cache to find. It is sent again only if it
 // cannot have run, or if the service's calls may be repeated.
-func (r *Router) ServePlain(ctx context.Context, call *Call, sink dispatch.Sink) *admission.Refusal {
+func (r *Router) ServePlain(ctx context.Context, call *job.Call, sink dispatch.Sink) *admission.Refusal {
 	end, accepted := r.begin()
 	if !accepted {
 		return r.confirmed(ctx, &call.Job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
@@ -44,7 +38,7 @@
 	return nil
 }
 
-func (r *Router) callReplicas(ctx context.Context, call *Call, sink dispatch.Sink) *admission.Refusal {
+func (r *Router) callReplicas(ctx context.Context, call *job.Call, sink dispatch.Sink) *admission.Refusal {
 	tried := make(map[string]bool)
 	started := &startedSink{Sink: sink}
 	mayHaveRun := false
@@ -71,7 +65,7 @@
 
 // callAgain tells whether another replica may be called after this refusal: the
 // call did not run, or the service's calls may be repeated.
-func (r *Router) callAgain(ctx context.Context, call *Call, refusal *admission.Refusal) bool {
+func (r *Router) callAgain(ctx context.Context, call *job.Call, refusal *admission.Refusal) bool {
 	failed := refusal.Reason == admission.TargetFailed || refusal.Reason == admission.TargetLeaving
 	repeatable := failed && call.Service.Repeatable && call.Job.Key == ""
 	again := *refusal
@@ -79,7 +73,7 @@
 	return r.retry(ctx, &call.Job, &again)
 }
 
-func (r *Router) callReplica(ctx context.Context, call *Call, target fleet.Instance, sink dispatch.Sink) *admission.Refusal {
+func (r *Router) callReplica(ctx context.Context, call *job.Call, target fleet.Instance, sink dispatch.Sink) *admission.Refusal {
 	ctx, cancel := context.WithTimeout(ctx, call.Service.Timeout)
 	defer cancel()
 	r.countService(target.Name, 1)
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
@@ -32,7 +33,7 @@
 	})
 }
 
-func digestOf(job *Job, r *dispatch.Request) poison.Digest {
+func digestOf(job *job.Job, r *dispatch.Request) poison.Digest {
 	method := r.Method
 	if method == "" {
 		method = http.MethodPost
@@ -41,7 +42,7 @@
 }
 
 // suspicion refuses a request that is taken to crash what runs it.
-func (r *Router) suspicion(job *Job, request *dispatch.Request) *admission.Refusal {
+func (r *Router) suspicion(job *job.Job, request *dispatch.Request) *admission.Refusal {
 	if !r.poison.HasMarks() {
 		return nil
 	}
@@ -54,7 +55,7 @@
 
 // noteFate makes a mark against a request that was broken off by a target that ended,
 // or takes all back from one that was answered whole.
-func (r *Router) noteFate(ctx context.Context, job *Job, target fleet.Instance, request *dispatch.Request, outcome dispatch.Outcome) {
+func (r *Router) noteFate(ctx context.Context, job *job.Job, target fleet.Instance, request *dispatch.Request, outcome dispatch.Outcome) {
 	switch {
 	case outcome.EndUnknown:
 	case outcome.Whole:
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -3,60 +3,27 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
-	"github.com/croftyard/croftyard/pkg/policy"
 )
 
-// Job is one request of a caller, checked by the edge.
-type Job struct {
-	// ID names the request in logs.
-	ID       string
-	Group    *policy.Group
-	Model    string
-	Adapter  string
-	Path     string
-	Body     []byte
-	Stream   bool
-	Priority int
-	Deadline time.Time
-	// PromptTokens and OutputTokens estimate the request's size; Fresh is the
-	// part of the prompt that no engine can hold, the last turn.
-	PromptTokens int
-	OutputTokens int
-	FreshTokens  int
-	// Chat and Prefix are the hashes that place the request.
-	Chat   uint64
-	Prefix uint64
-	// Engine is the hash of the token's engine, or 0.
-	Engine uint64
-	// Key is the caller's Idempotency-Key with its group, or empty.
-	Key string
-}
-
-// Answer takes a request's answer: the engine's name comes before its head.
-type Answer interface {
-	dispatch.Sink
-	Served(engine string) error
-}
-
 // maxHops bounds the groups that are asked in turn.
 const maxHops = 3
 
 // Serve takes a request from the edge to an engine and its answer back. It
 // returns nil once the answer is whole, or a refusal; answer may then have
 // begun.
-func (r *Router) Serve(ctx context.Context, job *Job, answer Answer) *admission.Refusal {
+func (r *Router) Serve(ctx context.Context, job *job.Job, answer job.Answer) *admission.Refusal {
 	end, accepted := r.begin()
 	if !accepted {
 		return r.confirmed(ctx, job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
@@ -80,37 +47,19 @@
 	return nil
 }
 
-func (r *Router) refused(job *Job, refusal *admission.Refusal) {
+func (r *Router) refused(job *job.Job, refusal *admission.Refusal) {
 	r.metrics.Refused(refusal.Reason)
 	r.log.Write(event.RequestRefused, event.F("request", job.ID), event.F("group", job.Group.Name),
 		event.F("reason", refusal.Reason.String()), event.F("not_run", refusal.NotRun), event.F("detail", refusal.Detail))
 }
 
 // admit draws the request's work from the organisation's surge limit.
-func (r *Router) admit(job *Job) *admission.Refusal {
+func (r *Router) admit(job *job.Job) *admission.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	limit := admission.Limit{Rate: job.Group.Rate, Burst: job.Group.Burst}
 	r.retries.Earn()
-	return r.limits.Admit(steady.Now(), job.Group.Organisation, limit, job.work(), 1/float64(r.fleetSize()))
-}
-
-// work estimates the request's work: with a token the engine holds all but the
-// last turn.
-func (j *Job) work() float64 {
-	cached := 0
-	if j.Engine != 0 {
-		cached = j.PromptTokens - j.FreshTokens
-	}
-	return admission.EstimateWork(j.PromptTokens, cached, j.OutputTokens)
-}
-
-// wanted names what an engine must serve.
-func (j *Job) wanted() string {
-	if j.Adapter == "" {
-		return j.Model
-	}
-	return fmt.Sprintf("%s with adapter %s", j.Model, j.Adapter)
+	return r.limits.Admit(steady.Now(), job.Group.Organisation, limit, job.Work(), 1/float64(r.fleetSize()))
 }
 
 // place is the edge's decision for one hop. It names the group by its ID: the
@@ -125,14 +74,14 @@
 
 // route asks groups in turn until one serves the request or says that it
 // cannot be served. Another is asked only while nothing can have run.
-func (r *Router) route(ctx context.Context, job *Job, answer Answer) *admission.Refusal {
+func (r *Router) route(ctx context.Context, job *job.Job, answer job.Answer) *admission.Refusal {
 	avoid := make(map[string]bool)
 	var last *admission.Refusal
 	full := uint64(0)
 	for hop := 1; hop <= maxHops; hop++ {
 		at, found := r.choose(job, full, avoid)
 		if !found {
-			return admission.Refuse(admission.NoEngine, time.Second, "no live engine serves "+job.wanted())
+			return admission.Refuse(admission.NoEngine, time.Second, "no live engine serves "+job.Wanted())
 		}
 		refusal := r.hop(ctx, job, at, maxHops-hop, answer)
 		if refusal == nil || !refusal.NotRun || !passable(refusal.Reason) {
@@ -161,7 +110,7 @@
 
 // choose picks the group and its owner. full is the ID of the group that passed
 // the request on, or 0.
-func (r *Router) choose(job *Job, full uint64, avoid map[string]bool) (place, bool) {
+func (r *Router) choose(job *job.Job, full uint64, avoid map[string]bool) (place, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.poolFor(job.Model)
@@ -186,14 +135,14 @@
 	return at, true
 }
 
-func (r *Router) chooseGroup(p *pool, job *Job, full uint64) placement.Choice {
+func (r *Router) chooseGroup(p *pool, job *job.Job, full uint64) placement.Choice {
 	if from := p.layout.GroupIndex(full); full != 0 && from != placement.None {
 		return p.layout.Reroute(from, p.eligible(job.Adapter), p.loads, r.rnd)
 	}
 	return p.layout.Choose(r.request(p, job), p.loads, job.Group.Bound, r.rnd)
 }
 
-func (r *Router) request(p *pool, job *Job) placement.Request {
+func (r *Router) request(p *pool, job *job.Job) placement.Request {
 	return placement.Request{
 		Chat:           job.Chat,
 		Prefix:         job.Prefix,
@@ -244,7 +193,7 @@
 }
 
 // hop has one group serve the request.
-func (r *Router) hop(ctx context.Context, job *Job, at place, hopsLeft int, answer Answer) *admission.Refusal {
+func (r *Router) hop(ctx context.Context, job *job.Job, at place, hopsLeft int, answer job.Answer) *admission.Refusal {
 	if at.self {
 		return r.serveOwned(ctx, job, at, hopsLeft, answer)
 	}
@@ -271,7 +220,7 @@
 
 // forwarded passes the events of a forwarded request to the caller's answer.
 type forwarded struct {
-	answer Answer
+	answer job.Answer
 	end    *peerpb.End
 }
 
@@ -303,7 +252,7 @@
 	}
 }
 
-func encodeJob(job *Job, at place, hopsLeft int) *peerpb.ForwardRequest {
+func encodeJob(job *job.Job, at place, hopsLeft int) *peerpb.ForwardRequest {
 	return &peerpb.ForwardRequest{
 		RequestId:    job.ID,
 		Organisation: job.Group.Organisation,
