--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -8,7 +8,7 @@
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer"
-	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/router/forward"
 	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -198,12 +198,12 @@
 		return r.serveOwned(ctx, job, at, hopsLeft, answer)
 	}
 	r.metrics.Forwarded.Inc(1)
-	f := &forwarded{answer: answer}
-	err := r.peers.Forward(ctx, at.owner.Address, encodeJob(job, at, hopsLeft), f.receive)
+	f := forward.NewReceiver(answer)
+	err := r.peers.Forward(ctx, at.owner.Address, forward.Encode(job, at.group, hopsLeft), f.Receive)
 	switch {
-	case f.end != nil:
+	case f.End() != nil:
 		r.reached(at.owner.Name, event.PeerBack)
-		return refusalOf(f.end)
+		return forward.RefusalOf(f.End())
 	case errors.Is(err, peer.ErrUnreachable) && ctx.Err() == nil:
 		r.failed(at.owner.Name, event.PeerLost, err)
 		return admission.Refuse(admission.HopBroken, time.Second, "the engines' owner cannot be reached")
@@ -217,61 +217,3 @@
 	r.failed(at.owner.Name, event.PeerLost, err)
 	return admission.RefusePossiblyRun(admission.HopBroken, "the connection to the engines' owner broke")
 }
-
-// forwarded passes the events of a forwarded request to the caller's answer.
-type forwarded struct {
-	answer job.Answer
-	end    *peerpb.End
-}
-
-func (f *forwarded) receive(e *peerpb.ForwardEvent) error {
-	switch event := e.Event.(type) {
-	case *peerpb.ForwardEvent_Chunk:
-		return f.answer.Chunk(event.Chunk)
-	case *peerpb.ForwardEvent_Head:
-		if err := f.answer.Served(event.Head.Engine); err != nil {
-			return err
-		}
-		head := dispatch.Head{Status: int(event.Head.Status), ContentType: event.Head.ContentType, Undelimited: event.Head.Undelimited}
-		return f.answer.Head(head)
-	case *peerpb.ForwardEvent_End:
-		f.end = event.End
-	}
-	return nil
-}
-
-func refusalOf(end *peerpb.End) *admission.Refusal {
-	if end.Whole {
-		return nil
-	}
-	return &admission.Refusal{
-		Reason:     admission.Reason(end.Reason),
-		NotRun:     end.NotRun,
-		RetryAfter: time.Duration(end.RetryAfterMs) * time.Millisecond,
-		Detail:     end.Detail,
-	}
-}
-
-func encodeJob(job *job.Job, at place, hopsLeft int) *peerpb.ForwardRequest {
-	return &peerpb.ForwardRequest{
-		RequestId:    job.ID,
-		Organisation: job.Group.Organisation,
-		Group:        job.Group.Name,
-		Model:        job.Model,
-		Adapter:      job.Adapter,
-		Path:         job.Path,
-		Body:         job.Body,
-		Stream:       job.Stream,
-		Priority:     int32(job.Priority),
-		DeadlineMs:   max(steady.Until(job.Deadline).Milliseconds(), 1),
-		PromptTokens: int64(job.PromptTokens),
-		OutputTokens: int64(job.OutputTokens),
-		FreshTokens:  int64(job.FreshTokens),
-		Engine:       job.Engine,
-		Chat:         job.Chat,
-		Prefix:       job.Prefix,
-		EngineGroup:  at.group,
-		HopsLeft:     uint32(hopsLeft),
-		Key:          job.Key,
-	}
-}
