router: calls of engines' own interface in a package of their own

Moves only: GET /v1/load and POST /v1/orders are in internal/router/engineapi, the test of reports that are cut with them. sendOrder (SendOrder) gets the engine's address and the order's body instead of the wanted load and the token.

--- a/internal/router/probe_test.go
+++ b/internal/router/engineapi/load_test.go
@@ -1,4 +1,4 @@
-package router
+package engineapi
 
 import (
 	"fmt"
@@ -25,7 +25,7 @@
 				for at := range len(text) {
 					server, err := faulty.NewScripted("/v1/load", faulty.Reply{Text: text[:at], End: end})
 					require.NoError(t, err)
-					_, err = loadOf(t.Context(), &http.Client{Transport: &http.Transport{}}, server.Address())
+					_, err = Load(t.Context(), &http.Client{Transport: &http.Transport{}}, server.Address())
 					assert.Error(t, err, "%d bytes of %q", at, text)
 					server.Close()
 				}
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -1,17 +1,14 @@
 package router
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/engineapi"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/orders"
@@ -36,14 +33,6 @@
 	holdsPerTerm = 3
 )
 
-// LoadOrder is the body of POST /v1/orders to an engine.
-type LoadOrder struct {
-	// Token is the fencing token: a target that checks refuses smaller ones.
-	Token uint64 `json:"token"`
-	// LoadAdapter is the adapter that the engine is to hold.
-	LoadAdapter string `json:"load_adapter"`
-}
-
 // load is one order that is wanted.
 type load struct {
 	engine  fleet.Instance
@@ -165,31 +154,7 @@
 	sent[l.name()] = steady.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), steady.Until(order.Before.Add(orderMargin)))
 	defer cancel()
-	err = sendOrder(ctx, l, order.Token)
+	err = engineapi.SendOrder(ctx, l.engine.Address, engineapi.LoadOrder{Token: order.Token, LoadAdapter: l.adapter})
 	r.log.Write(event.OrderSent, event.F("engine", l.engine.Name), event.F("adapter", l.adapter), event.F("token", order.Token), event.F("error", err))
 	return true
 }
-
-// orderClient sends orders. A faulty target may answer with a head without an end.
-var orderClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 32 << 10}}
-
-func sendOrder(ctx context.Context, l load, token uint64) error {
-	body, err := json.Marshal(LoadOrder{Token: token, LoadAdapter: l.adapter})
-	if err != nil {
-		return fmt.Errorf("router: order: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.engine.Address+"/v1/orders", bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("router: order: %w", err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := orderClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("router: order: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("router: order: status %d", resp.StatusCode)
-	}
-	return nil
-}
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/engineapi"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -42,7 +40,7 @@
 	if r.excludes(e.Name) != nil {
 		return
 	}
-	running, err := loadOf(ctx, client, e.Address)
+	running, err := engineapi.Load(ctx, client, e.Address)
 	if ctx.Err() != nil {
 		return
 	}
@@ -73,32 +71,6 @@
 	return list
 }
 
-// loadReport is an engine's answer to GET /v1/load.
-type loadReport struct {
-	Running int `json:"running"`
-}
-
-func loadOf(ctx context.Context, client *http.Client, address string) (int, error) {
-	const maxReport = 4 << 10
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
-	if err != nil {
-		return 0, fmt.Errorf("router: load: %w", err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, fmt.Errorf("router: load: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("router: load: status %d", resp.StatusCode)
-	}
-	var report loadReport
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&report); err != nil {
-		return 0, fmt.Errorf("router: load: %w", err)
-	}
-	return report.Running, nil
-}
-
 // probeClient returns a client whose bytes count as control traffic.
 func (r *Router) probeClient() *http.Client {
 	const idle = time.Minute
