router: the count of requests in flight in a package of its own

Moves only: inFlight is inflight.Requests, its methods begin, beside, end and stop are Begin, Go, End and Stop.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -79,7 +79,7 @@
 // endClaim writes the claim's end beside the answer, which does not wait for
 // the service; a planned stop does.
 func (r *Router) endClaim(end func(context.Context) error, job *job.Job) {
-	r.inFlight.beside(func() { r.writeClaim(end, job) })
+	r.inFlight.Go(func() { r.writeClaim(end, job) })
 }
 
 func (r *Router) writeClaim(end func(context.Context) error, job *job.Job) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/inflight"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -65,7 +66,7 @@
 	selfID   fleet.ID
 	listed   atomic.Bool
 	draining atomic.Bool
-	inFlight inFlight
+	inFlight inflight.Requests
 	active   atomic.Int64
 
 	mu      sync.Mutex
@@ -189,12 +190,12 @@
 // refuseNew refuses the requests that come from now on.
 func (r *Router) refuseNew() {
 	r.draining.Store(true)
-	r.inFlight.stop()
+	r.inFlight.Stop()
 }
 
 func (r *Router) waitIdle(ctx context.Context) error {
 	select {
-	case <-r.inFlight.stop():
+	case <-r.inFlight.Stop():
 		return nil
 	case <-ctx.Done():
 		r.log.Write(event.DrainCut, event.F("active", r.active.Load()))
@@ -210,12 +211,12 @@
 
 // begin counts a request in, unless the router is stopping.
 func (r *Router) begin() (end func(), accepted bool) {
-	if !r.inFlight.begin() {
+	if !r.inFlight.Begin() {
 		return nil, false
 	}
 	r.active.Add(1)
 	return func() {
 		r.active.Add(-1)
-		r.inFlight.end()
+		r.inFlight.End()
 	}, true
 }
