router: requests with an Idempotency-Key in a package of their own

Moves only: what claims a key, ends the claim and checks a refusal of such a request is internal/router/idempotency. Router's claimRefusal, release, done and confirmed are methods of idempotency.Claims; Take also turns an error into the refusal, which dispatchOnce did.

--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -10,7 +10,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/croftyard/croftyard/internal/router"
+	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -187,7 +187,7 @@
 		return badRequest(fmt.Sprintf("%s must not be longer than %d bytes", IdempotencyKey, maxIdempotencyKey))
 	}
 	if key != "" {
-		job.Key = router.ScopedKey(group.Name, key)
+		job.Key = idempotency.ScopedKey(group.Name, key)
 	}
 	return nil
 }
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -198,23 +199,23 @@
 		r.noteFate(ctx, job, target, &request, outcome)
 		return outcome, r.settle(ctx, job, target, outcome)
 	}
-	request.Key = callersKey(job.Key)
-	claim, err := r.claims.Take(ctx, claimKey(job.Key), request.Attempt, job.Deadline)
-	if err != nil {
-		return dispatch.Outcome{}, r.claimRefusal(job, err)
+	request.Key = idempotency.CallersKey(job.Key)
+	claim, refusal := r.claims.Take(ctx, job, request.Attempt)
+	if refusal != nil {
+		return dispatch.Outcome{}, refusal
 	}
 	if err := claim.CheckDeadline(); err != nil {
-		r.release(claim, job)
+		r.claims.Release(claim, job)
 		return dispatch.Outcome{}, admission.Refuse(admission.DeadlineMiss, time.Second, "the deadline passed while the key was claimed")
 	}
 	outcome := r.targets.Run(ctx, request, sink)
 	r.noteFate(ctx, job, target, &request, outcome)
-	refusal := r.settle(ctx, job, target, outcome)
+	refusal = r.settle(ctx, job, target, outcome)
 	switch {
 	case outcome.NotRun:
-		r.release(claim, job)
+		r.claims.Release(claim, job)
 	case outcome.Whole:
-		r.done(claim, job)
+		r.claims.Done(claim, job)
 	}
 	return outcome, refusal
 }
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -20,7 +20,7 @@
 func (r *Router) ServePlain(ctx context.Context, call *job.Call, sink dispatch.Sink) *admission.Refusal {
 	end, accepted := r.begin()
 	if !accepted {
-		return r.confirmed(ctx, &call.Job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
+		return r.claims.Confirm(ctx, &call.Job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
 	}
 	defer end()
 	ctx, cancel := context.WithTimeout(ctx, steady.Until(call.Job.Deadline))
@@ -30,7 +30,7 @@
 		refusal = r.callReplicas(ctx, call, sink)
 	}
 	if refusal != nil {
-		refusal = r.confirmed(ctx, &call.Job, refusal)
+		refusal = r.claims.Confirm(ctx, &call.Job, refusal)
 		r.refused(&call.Job, refusal)
 		return refusal
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,7 +9,6 @@
 //	serve.go       the edge's half of a request: choose a group, go to its owner
 //	local.go       the owner's half: queue, dispatch, retry
 //	forwarded.go   a request that another router's edge sent here
-//	claim.go       keyed requests
 //	plain.go       plain services
 //	probe.go       the load of owned engines
 //	orders.go      fenced orders to targets
@@ -35,13 +34,13 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/inflight"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
-	"github.com/croftyard/croftyard/pkg/once"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/poison"
@@ -54,7 +53,7 @@
 	log      *event.Log
 	metrics  *metrics.Metrics
 	platform *kvservice.Client
-	claims   *once.Claims
+	claims   *idempotency.Claims
 	peers    *peer.Client
 	meter    *peer.Meter
 	server   *peer.Server
@@ -129,7 +128,7 @@
 		r.limits.StartFull()
 	}
 	r.board = fleet.NewDigestTable(r.selfID)
-	r.claims = once.NewClaims(r.platform, steady.Now)
+	r.claims = idempotency.New(r.platform, &r.inFlight, log, s.Platform.Timeout)
 	r.peers = peer.NewClient(r.meter)
 	r.config = newConfig(r)
 	r.list = &list{router: r}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -26,7 +26,7 @@
 func (r *Router) Serve(ctx context.Context, job *job.Job, answer job.Answer) *admission.Refusal {
 	end, accepted := r.begin()
 	if !accepted {
-		return r.confirmed(ctx, job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
+		return r.claims.Confirm(ctx, job, admission.Refuse(admission.Stopping, time.Second, "this router stops"))
 	}
 	defer end()
 	started := steady.Now()
@@ -37,7 +37,7 @@
 		refusal = r.route(ctx, job, answer)
 	}
 	if refusal != nil {
-		refusal = r.confirmed(ctx, job, refusal)
+		refusal = r.claims.Confirm(ctx, job, refusal)
 		r.refused(job, refusal)
 		return refusal
 	}
