router: roles held by few routers, and pauses, in packages of their own

Moves only: Router.chosen is roles.Routers.Holds, the order of the peers that list.readers asks is roles.Routers.Others, sleep is pause.For. Health of the other routers is read before the role instead of within it, under the same lock; the choices are the same.

--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -15,6 +15,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/router/pause"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/kv"
 	"github.com/croftyard/croftyard/pkg/policy"
@@ -103,12 +104,12 @@
 
 // watch follows the head in the service while this router is a watcher.
 func (c *config) watch(ctx context.Context) {
-	const pause = time.Second
+	const interval = time.Second
 	revision := uint64(0)
 	down := false
 	for ctx.Err() == nil {
 		if !c.watches() {
-			sleep(ctx, c.router.jitter(pause))
+			pause.For(ctx, c.router.jitter(interval))
 			continue
 		}
 		entry, err := c.router.platform.Watch(ctx, policy.HeadKey, revision)
@@ -122,7 +123,7 @@
 		down = false
 		if entry.Revision == 0 {
 			c.router.log.Write(event.ConfigAbsent)
-			sleep(ctx, c.router.jitter(pause))
+			pause.For(ctx, c.router.jitter(interval))
 			continue
 		}
 		if entry.Revision == revision {
@@ -130,7 +131,7 @@
 		}
 		if err := c.load(ctx, entry); err != nil {
 			c.router.log.Write(event.ConfigRejected, event.F("error", err))
-			sleep(ctx, c.router.jitter(pause))
+			pause.For(ctx, c.router.jitter(interval))
 			continue
 		}
 		revision = entry.Revision
@@ -148,7 +149,7 @@
 	if !c.settled.Load() {
 		c.askPeers(ctx)
 	}
-	sleep(ctx, c.router.jitter(time.Second))
+	pause.For(ctx, c.router.jitter(time.Second))
 }
 
 // askPeers pulls from every peer that answers, so that a router that starts
@@ -197,7 +198,7 @@
 	if !c.settled.Load() || r.fleetSize() <= watchAll {
 		return true
 	}
-	return r.chosen(watchersKey, watchers, func(i fleet.Instance) bool { return i.DataCentre == r.settings.DataCentre })
+	return r.liveRouters(r.isNear).Holds(watchersKey, watchers)
 }
 
 // load adopts a head that came from the service.
--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -9,6 +9,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
+	"github.com/croftyard/croftyard/internal/router/pause"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/placement"
@@ -16,7 +17,7 @@
 
 // sendDigests tells the partners this router's load, period by period.
 func (r *Router) sendDigests(ctx context.Context) error {
-	for sleep(ctx, r.jitter(r.digestPeriod())) {
+	for pause.For(ctx, r.jitter(r.digestPeriod())) {
 		r.tick()
 		r.sendRound(ctx)
 	}
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -1,20 +1,17 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/peer/peerpb"
-	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/router/pause"
 	"github.com/croftyard/croftyard/pkg/fleet"
-	"github.com/croftyard/croftyard/pkg/placement"
 )
 
 // Readers of the platform's list: everyone in a data centre of up to readAll
@@ -48,7 +45,7 @@
 		if len(readers) == 0 || !l.askReaders(ctx, readers) {
 			l.read(ctx)
 		}
-		if !sleep(ctx, l.router.jitter(l.period(len(readers) == 0))) {
+		if !pause.For(ctx, l.router.jitter(l.period(len(readers) == 0))) {
 			return nil
 		}
 	}
@@ -66,35 +63,20 @@
 	return fleet.ScaledPeriod(poll, l.router.fleetSize())
 }
 
-// readers returns the peers to ask, in the order in which this router asks
-// them: each router keeps to one while it answers, and they share the work.
-// It returns none if this router is a reader itself.
+// readers returns the peers to ask in turn, none if this router is a reader
+// itself.
 func (l *list) readers() []fleet.Instance {
 	r := l.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	near := func(i fleet.Instance) bool { return i.DataCentre == r.settings.DataCentre }
-	if !r.listed.Load() || r.fleetSize() <= readAll || r.chosen(listReadersKey, listReaders, near) {
+	if !r.listed.Load() || r.fleetSize() <= readAll {
 		return nil
 	}
-	key := placement.Hash(listReadersKey)
-	now := steady.Now()
-	var peers []fleet.Instance
-	for _, other := range r.routers {
-		if near(other) && r.view.Health(other.Name, now) == fleet.Live {
-			peers = append(peers, other)
-		}
-	}
-	slices.SortFunc(peers, byRank(key))
-	peers = peers[:min(len(peers), listReaders)]
-	slices.SortFunc(peers, byRank(r.selfHash))
-	return peers
-}
-
-func byRank(key uint64) func(a, b fleet.Instance) int {
-	return func(a, b fleet.Instance) int {
-		return cmp.Compare(placement.Rank(key, placement.Hash(b.Name)), placement.Rank(key, placement.Hash(a.Name)))
+	near := r.liveRouters(r.isNear)
+	if near.Holds(listReadersKey, listReaders) {
+		return nil
 	}
+	return near.Others(listReadersKey, listReaders)
 }
 
 // askReaders asks one reader after the other until one answers.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -1,11 +1,11 @@
 package router
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/router/roles"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/owner"
@@ -208,25 +208,22 @@
 	}
 }
 
-// chosen tells whether this router is among the first n by rendezvous on key of
-// the live routers that among allows. A role is thus held by few without a
-// message; views that differ make it a few more for a while.
-func (r *Router) chosen(key string, n int, among func(fleet.Instance) bool) bool {
+// liveRouters returns the live routers that among allows, from which roles are taken. The caller holds the
+// mutex.
+func (r *Router) liveRouters(among func(fleet.Instance) bool) roles.Routers {
 	now := steady.Now()
-	hash := placement.Hash(key)
-	own := placement.Rank(hash, r.selfHash)
-	before := 0
+	routers := roles.Routers{Self: r.selfHash}
 	for _, other := range r.routers {
-		if !among(other) || r.view.Health(other.Name, now) != fleet.Live {
-			continue
-		}
-		if placement.Rank(hash, placement.Hash(other.Name)) > own {
-			before++
+		if among(other) && r.view.Health(other.Name, now) == fleet.Live {
+			routers.Live = append(routers.Live, other)
 		}
 	}
-	return before < n
+	return routers
 }
 
+// isNear tells whether an instance is in this router's data centre.
+func (r *Router) isNear(i fleet.Instance) bool { return i.DataCentre == r.settings.DataCentre }
+
 func hashesOf(names []string, into []uint64) []uint64 {
 	for _, name := range names {
 		into = append(into, placement.Hash(name))
@@ -272,18 +269,6 @@
 	r.closeEngines(now)
 }
 
-// sleep waits and returns false when ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // jitter spreads a period by a fifth, so that routers do not act in step.
 func (r *Router) jitter(d time.Duration) time.Duration {
 	const spread = 0.2
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/router/engineapi"
+	"github.com/croftyard/croftyard/internal/router/pause"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/orders"
@@ -48,7 +49,7 @@
 	var holder *orders.Holder
 	rate := 0.0
 	sent := make(map[string]time.Time)
-	for sleep(ctx, r.jitter(orderTTL/holdsPerTerm)) {
+	for pause.For(ctx, r.jitter(orderTTL/holdsPerTerm)) {
 		s := r.adopted.Current()
 		if s == nil || s.Fleet.LoadRate == 0 || !r.asksForOrders() {
 			continue
@@ -71,10 +72,10 @@
 func (r *Router) orderRound(ctx context.Context, holder *orders.Holder, rate float64, wanted []load, sent map[string]time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, orderTTL/holdsPerTerm)
 	defer cancel()
-	pause := time.Duration(float64(time.Second) / rate)
+	interval := time.Duration(float64(time.Second) / rate)
 	for _, l := range wanted {
 		for !r.order(ctx, holder, l, sent) {
-			if !sleep(ctx, pause) {
+			if !pause.For(ctx, interval) {
 				return
 			}
 		}
@@ -85,7 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	everywhere := func(fleet.Instance) bool { return true }
-	return !r.draining.Load() && r.chosen(ordersKey, orderAskers, everywhere)
+	return !r.draining.Load() && r.liveRouters(everywhere).Holds(ordersKey, orderAskers)
 }
 
 // hold takes or keeps the right, and logs when that changes.
