--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,7 +9,6 @@
 //	serve.go       the edge's half of a request: choose a group, go to its owner
 //	local.go       the owner's half: queue, dispatch, retry
 //	forwarded.go   a request that another router's edge sent here
-//	claim.go       keyed requests
 //	plain.go       plain services
 //	probe.go       the load of owned engines
 //	orders.go      fenced orders to targets
@@ -35,11 +34,13 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/idempotency"
+	"github.com/croftyard/croftyard/internal/router/inflight"
+	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/admission"
 	"github.com/croftyard/croftyard/pkg/fleet"
-	"github.com/croftyard/croftyard/pkg/once"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/poison"
@@ -50,9 +51,9 @@
 type Router struct {
 	settings settings.Settings
 	log      *event.Log
-	metrics  *Metrics
+	metrics  *metrics.Metrics
 	platform *kvservice.Client
-	claims   *once.Claims
+	claims   *idempotency.Claims
 	peers    *peer.Client
 	meter    *peer.Meter
 	server   *peer.Server
@@ -64,7 +65,7 @@
 	selfID   fleet.ID
 	listed   atomic.Bool
 	draining atomic.Bool
-	inFlight inFlight
+	inFlight inflight.Requests
 	active   atomic.Int64
 
 	mu      sync.Mutex
@@ -103,7 +104,7 @@
 	r := &Router{
 		settings:    s,
 		log:         log,
-		metrics:     NewMetrics(),
+		metrics:     metrics.New(),
 		platform:    kvservice.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
 		meter:       &peer.Meter{},
 		targets:     dispatch.New(s.Limits.Idle),
@@ -127,7 +128,7 @@
 		r.limits.StartFull()
 	}
 	r.board = fleet.NewDigestTable(r.selfID)
-	r.claims = once.NewClaims(r.platform, steady.Now)
+	r.claims = idempotency.New(r.platform, &r.inFlight, log, s.Platform.Timeout)
 	r.peers = peer.NewClient(r.meter)
 	r.config = newConfig(r)
 	r.list = &list{router: r}
@@ -169,7 +170,7 @@
 func (r *Router) Snapshot() *policy.Snapshot { return r.adopted.Current() }
 
 // Metrics returns the router's metrics.
-func (r *Router) Metrics() *Metrics { return r.metrics }
+func (r *Router) Metrics() *metrics.Metrics { return r.metrics }
 
 // Drain ends what waits here and waits for what is in flight, as long as ctx
 // allows. New requests are refused from the first moment.
@@ -188,12 +189,12 @@
 // refuseNew refuses the requests that come from now on.
 func (r *Router) refuseNew() {
 	r.draining.Store(true)
-	r.inFlight.stop()
+	r.inFlight.Stop()
 }
 
 func (r *Router) waitIdle(ctx context.Context) error {
 	select {
-	case <-r.inFlight.stop():
+	case <-r.inFlight.Stop():
 		return nil
 	case <-ctx.Done():
 		r.log.Write(event.DrainCut, event.F("active", r.active.Load()))
@@ -209,12 +210,12 @@
 
 // begin counts a request in, unless the router is stopping.
 func (r *Router) begin() (end func(), accepted bool) {
-	if !r.inFlight.begin() {
+	if !r.inFlight.Begin() {
 		return nil, false
 	}
 	r.active.Add(1)
 	return func() {
 		r.active.Add(-1)
-		r.inFlight.end()
+		r.inFlight.End()
 	}, true
 }
