entry: a first start tells nothing of a time without a current list after it

Cause: with first_start and no record nothing served before. That is known of the time before the start, but a read at any later time took it for all that served up to the read. A router that did not observe for a time, and finds no record, as after a return of the store from a copy of before the first write, knew a single version at once.

What callers saw: a stream of a version that came and went meanwhile goes on at another one; found by reading.

Evidence: TestFirstStartTellsNothingOfALaterGap: a single version after a minute without observations before, not known now.

Change: first_start counts until the first gap of observations after the first current list.

Ruled out: a gap before the first current list, as any start has one; the record of routes, of which routers of an earlier build keep none.

--- a/internal/entry/lateread_test.go
+++ b/internal/entry/lateread_test.go
@@ -51,3 +51,20 @@
 	assert.False(t, e.served.tracker.Served("s", steady.Now()).IsSingle())
 	assert.Empty(t, e.served.tracker.Confirmed("s"))
 }
+
+// Guards against a first start that is believed for a time after it: a router that did not observe what served
+// reads that there is no record.
+func TestFirstStartTellsNothingOfALaterGap(t *testing.T) {
+	f := newVersionedReplicas(t, 2, "v1")
+	f.firstStart = true
+	f.start(t, 1)
+	f.awaitRecord("v1")
+	e := f.routers[0]
+	assert.True(t, e.served.tracker.Served("s", steady.Now()).IsSingle())
+	f.store.remove()
+	begun := steady.Now()
+	t.Cleanup(steady.Pretend(time.Minute))
+	until(t, func() bool { return e.served.tracker.GapEnd("s").After(begun.Add(time.Minute)) })
+	e.recallServed("s")
+	assert.False(t, e.served.tracker.Served("s", steady.Now()).IsSingle())
+}
--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -172,13 +172,16 @@
 }
 
 // recallService takes over which versions of a service served before, from its record if there is a
-// reliable one. Without any, none did if the fleet starts for the first time. Routers of an earlier
-// build record no routes, so a missing record of these names none.
+// reliable one. Without any, none did before the start if the fleet starts for the first time. Routers of
+// an earlier build record no routes, so a missing record of these names none.
 func (e *Entry) recallService(name string, records, reliable []origin.Stored, now time.Time) {
 	isOf := func(r origin.Stored) bool { return r.Service == name }
 	if i := slices.IndexFunc(reliable, isOf); i >= 0 {
 		e.served.tracker.RecallRecord(reliable[i], now)
-	} else if (e.settings.Routes.FirstStart || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
+		return
+	}
+	isFirst := e.settings.Routes.FirstStart && !e.served.tracker.HasLapsed(name)
+	if (isFirst || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
 		e.served.tracker.Recall(name, nil, now)
 	}
 }
--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -30,6 +30,9 @@
 	unseen     bool
 	// gapEnd is when the last time without observations by a current list ended; zero if there was none.
 	gapEnd time.Time
+	// seen is set once the versions were observed by a current list, lapsed once they were not for a
+	// time after that.
+	seen, lapsed bool
 	// recalled is the record that was recalled last.
 	recalled recordRead
 	// confirmed maps the versions that serve and that the record in the store is known to name to
@@ -101,7 +104,9 @@
 	if current && (s.stale || now.Sub(s.observedAt) > MaxObservationGap) {
 		// Versions may have joined and left meanwhile, and the record may have dropped some.
 		s.knownSince, s.gapEnd, s.unseen, s.confirmed = now, now, true, nil
+		s.lapsed = s.seen
 	}
+	s.seen = s.seen || current
 	s.stale, s.observedAt = !current, now
 	for version, p := range s.versions {
 		if p.serving {
@@ -196,6 +201,14 @@
 	return time.Time{}
 }
 
+// hasLapsed reports whether a service was not observed for a time after it had been by a current list.
+func (h *History) hasLapsed(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[service]
+	return s != nil && s.lapsed
+}
+
 // service returns the versions of a service. h.mu must be held.
 func (h *History) service(name string, now time.Time) *served {
 	s := h.services[name]
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -143,6 +143,10 @@
 	return t.history.GapEnd(service)
 }
 
+// HasLapsed reports whether a service was not observed by a current list for a time after it had been, so
+// that what is known of the time before the start does not tell what served.
+func (t *Tracker) HasLapsed(service string) bool { return t.history.hasLapsed(service) }
+
 // Record notes the version at which a stream began. shared is set if other routers have it too.
 func (t *Tracker) Record(k Key, version string, shared bool, now time.Time) {
 	t.table.Record(k, version, shared, now, t.lifetime.get(now))
