origin, entry: a read that another call overtook is not relied on

Cause: callers' reads run beside the keeper's reads and writes. An answer that comes after a later call replaces what the keeper knows of the record by what it held before, until the record is read again, 30 s later.

What callers saw: nothing; found by reading. A version that was removed and returns counts as recorded, so streams begin there, and are joined if all routers end and it leaves within that time. One that left counts as of late for a lifetime more, which refuses streams of a single version.

Evidence: TestReadThatAWriteOvertookIsNotReliedOn: the record names v1, and no call is due, before; a read now.

Change: a record of a lower revision than one of the same generation that is known is not relied on, and is read again at once. A store that came back from a copy without telling an era has lower ones, too; the second read is relied on (TestRecordOfALowerRevisionIsReliedOnOnceReadAgain).

Calls: one read more after such a read.

Ruled out: stale reads of the store, which the record is not read by.

--- a/internal/entry/lateread_test.go
+++ b/internal/entry/lateread_test.go
@@ -68,3 +68,24 @@
 	e.recallServed("s")
 	assert.False(t, e.served.tracker.Served("s", steady.Now()).IsSingle())
 }
+
+// A read for a caller that another call overtook is made again at once: the next one would have to wait.
+func TestReadThatWasOvertakenIsMadeAgain(t *testing.T) {
+	f := newVersionedReplicas(t, 2, "v1")
+	f.firstStart = true
+	f.start(t, 1)
+	f.awaitRecord("v1")
+	e := f.routers[0]
+	late := lateStore{f.store, make(chan struct{}), make(chan struct{})}
+	var store origin.Store = late
+	e.served.store.Store(&store)
+	read := make(chan error, 1)
+	go func() { read <- e.readServed(context.Background()) }()
+	<-late.asked
+	f.store.put("v0", "v1")
+	require.NoError(t, e.readServed(context.Background()))
+	f.store.put("v1")
+	close(late.release)
+	require.NoError(t, <-read)
+	assert.False(t, e.served.keeper.Overtaken())
+}
--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -138,7 +138,16 @@
 	return list
 }
 
+// readServed reads the records, and once more if another call overtook the read.
 func (e *Entry) readServed(ctx context.Context) error {
+	err := e.readServedOnce(ctx)
+	if err == nil && e.served.keeper.Overtaken() {
+		err = e.readServedOnce(ctx)
+	}
+	return err
+}
+
+func (e *Entry) readServedOnce(ctx context.Context) error {
 	begun := steady.Now()
 	records, generation, err := (*e.served.store.Load()).ReadServed(ctx)
 	now := steady.Now()
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -55,6 +55,8 @@
 	// missingSince is when the records were first seen to lack something, or not to be known.
 	missingSince time.Time
 	failedAt     time.Time
+	// overtaken is set if a record was changed since the last read began.
+	overtaken bool
 	// follows is set while another router is the first by rank.
 	follows bool
 }
@@ -138,20 +140,35 @@
 	return !slices.ContainsFunc(wanted, func(version string) bool { return !slices.Contains(list, version) })
 }
 
-// Loaded notes the records of a read that began at a time, and returns those that can be relied on.
+// Loaded notes the records of a read that began at a time, and returns those that can be relied on: not one
+// that another call found changed meanwhile.
 func (k *Keeper) Loaded(records []Stored, generation uint64, begun time.Time) (reliable []Stored) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	known := k.stored
+	k.overtaken = false
 	k.stored, k.generation, k.readAt = make(map[string]Stored), generation, begun
 	for _, r := range records {
 		k.stored[r.Service] = r
-		if r.Generation == generation {
+		switch {
+		case r.Generation != generation:
+		case known[r.Service].Generation == generation && known[r.Service].Revision > r.Revision:
+			// The store may also have come back from a copy.
+			k.overtaken, k.readAt = true, time.Time{}
+		default:
 			reliable = append(reliable, r)
 		}
 	}
 	return reliable
 }
 
+// Overtaken reports whether a record was changed since the last read began, so that another one is due.
+func (k *Keeper) Overtaken() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.overtaken
+}
+
 // Written notes that records were written with a revision.
 func (k *Keeper) Written(records []Stored, revision uint64) {
 	k.mu.Lock()
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -141,3 +141,33 @@
 	k.Loaded([]Stored{record}, generation, at(0))
 	return k
 }
+
+// Guards against a version that is taken for recorded, or for one that served lately: a read began before
+// the version was removed from the record, and ended later.
+func TestReadThatAWriteOvertookIsNotReliedOn(t *testing.T) {
+	k := keeperAfterRead(1, "v1", "v2")
+	step := k.Next(servedBy(true, "v2"), 1, 0, at(1))
+	assert.Len(t, step.Write, 1)
+	k.Written(step.Write, 8)
+	overtaken := []Stored{{"s", []string{"v1", "v2"}, 1, 7, 0}}
+	assert.Empty(t, k.Loaded(overtaken, 1, at(1)))
+	assert.True(t, k.Overtaken())
+	versions, _ := k.Recorded("s")
+	assert.Empty(t, versions)
+	// v1 returns.
+	assert.Equal(t, Step{Read: true}, k.Next(servedBy(true, "v1", "v2"), 1, 0, at(2)))
+	assert.Len(t, k.Loaded([]Stored{{"s", []string{"v2"}, 1, 8, 0}}, 1, at(2)), 1)
+	step = k.Next(servedBy(true, "v1", "v2"), 1, 0, at(2))
+	assert.Equal(t, Step{Write: []Stored{{"s", []string{"v1", "v2"}, 1, 8, 0}}}, step)
+}
+
+// A store that came back from a copy without telling a generation has lower revisions.
+func TestRecordOfALowerRevisionIsReliedOnOnceReadAgain(t *testing.T) {
+	k := keeperAfterRead(1, "v1")
+	copied := []Stored{{"s", []string{"v1"}, 1, 5, 0}}
+	assert.Empty(t, k.Loaded(copied, 1, at(1)))
+	assert.True(t, k.Overtaken())
+	assert.Equal(t, copied, k.Loaded(copied, 1, at(2)))
+	assert.False(t, k.Overtaken())
+	assert.Equal(t, Step{}, k.Next(servedBy(true, "v1"), 1, 0, at(3)))
+}
