stream-versions: why a record of a shorter lifetime is relied on

The record that was read a moment after a removal and the one that was read long after it are the same, so a reader cannot rely on the second and not on the first: TestRecordOfAShorterLifetimeIsReliedOnLongAfterARemoval, green, beside TestRecordOfAShorterLifetimeIsNotRelied, red as before.

Tests changed: TestRecordOfAShorterLifetimeIsNotRelied hands over the record as it was read (RecallRecord), not its versions alone (Recall): those stand for a record of an earlier build, which states nothing, so that no figure in a record could have held the test. It asks the same, and fails as before.

--- a/pkg/origin/returned_test.go
+++ b/pkg/origin/returned_test.go
@@ -115,7 +115,19 @@
 	after := NewTracker(lifespan)
 	after.SetLifetime(60*time.Second, at(14))
 	after.Observe("s", []string{"v2"}, true, at(14))
-	after.Recall("s", stored.Versions, at(14))
+	after.RecallRecord(stored, at(14))
 	f := after.Find("s", KeyOf("s", "a"), at(14))
 	assert.Equal(t, Unknown, f.Source, "v1 served 13 s ago, and a stream may last for 60 s: %+v", f)
 }
+
+// Guards against the opposite: streams of a single version that are refused under a longer lifetime, though
+// the other version was removed from the record longer ago than that. The record is the same.
+func TestRecordOfAShorterLifetimeIsReliedOnLongAfterARemoval(t *testing.T) {
+	stored := Stored{"s", []string{"v2"}, 1, 8, 10 * time.Second}
+	after := NewTracker(lifespan)
+	after.SetLifetime(60*time.Second, at(100))
+	after.Observe("s", []string{"v2"}, true, at(100))
+	after.RecallRecord(stored, at(100))
+	f := after.Find("s", KeyOf("s", "a"), at(100))
+	assert.Equal(t, Finding{Source: Inferred, Version: "v2"}, f)
+}
