--- a/pkg/balance/versions.go
+++ b/pkg/balance/versions.go
@@ -79,10 +79,10 @@
 	return b.random.Float64()*others < preferenceGain*room
 }
 
-// isHeldBack reports whether a request hardly goes to a replica though that may take requests: it was
-// tried, is cold, rests, is brittle and must be spared, or other routers do not reach it.
+// isHeldBack reports whether a request hardly goes to a replica though that may take requests: it was tried
+// or is excluded, as one that leaves, is cold, rests, is not reached by other routers, or must be spared.
 func (b *Balancer) isHeldBack(r *replica, q Request, now time.Time) bool {
-	return slices.Contains(q.Tried, r.ID) || isCold(r.Replica, q, now) || now.Before(r.restUntil) || b.mustSpare(r, now) || r.reported.isAvoided(now)
+	return slices.Contains(q.Tried, r.ID) || isCold(r.Replica, q, now) || now.Before(r.restUntil) || r.reported.isAvoided(now) || b.mustSpare(r, now)
 }
 
 // hasRoom reports whether a replica takes requests and is below the bound.
