--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -138,7 +138,16 @@
 	return list
 }
 
+// readServed reads the records, and once more if another call overtook the read.
 func (e *Entry) readServed(ctx context.Context) error {
+	err := e.readServedOnce(ctx)
+	if err == nil && e.served.keeper.Overtaken() {
+		err = e.readServedOnce(ctx)
+	}
+	return err
+}
+
+func (e *Entry) readServedOnce(ctx context.Context) error {
 	begun := steady.Now()
 	records, generation, err := (*e.served.store.Load()).ReadServed(ctx)
 	now := steady.Now()
@@ -172,13 +181,16 @@
 }
 
 // recallService takes over which versions of a service served before, from its record if there is a
-// reliable one. Without any, none did if the fleet starts for the first time. Routers of an earlier
-// build record no routes, so a missing record of these names none.
+// reliable one. Without any, none did before the start if the fleet starts for the first time. Routers of
+// an earlier build record no routes, so a missing record of these names none.
 func (e *Entry) recallService(name string, records, reliable []origin.Stored, now time.Time) {
 	isOf := func(r origin.Stored) bool { return r.Service == name }
 	if i := slices.IndexFunc(reliable, isOf); i >= 0 {
 		e.served.tracker.RecallRecord(reliable[i], now)
-	} else if (e.settings.Routes.FirstStart || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
+		return
+	}
+	isFirst := e.settings.Routes.FirstStart && !e.served.tracker.HasLapsed(name)
+	if (isFirst || name == origin.Routes) && !slices.ContainsFunc(records, isOf) {
 		e.served.tracker.Recall(name, nil, now)
 	}
 }
