watch: a rest that is kept at a later start ends gradually

Cause: the balancer drops all it knows of a replica that started again, also the end of a rest that the directory keeps now. At that end the replica got its whole share at once.

Ruled out: keeping the end within the balancer, which does not know which rest is kept.

Change: the watcher tells the balancer the end that is kept. `go test -run TestShareReturnsGraduallyAfterARest ./internal/watch`: 5 of 12 requests at the end of the rest before, 1 since.

--- a/internal/watch/apply.go
+++ b/internal/watch/apply.go
@@ -79,6 +79,8 @@
 			// Routers that receive the list detect the restart by the start time in the
 			// replica's entry.
 			w.balancer.ReplicaRestarted(c.Replica.ID, c.Replica.Born == 0, steady.Now())
+			// The balancer drops the rest, which may be kept.
+			w.balancer.RestUntil(c.Replica.ID, w.Statements().Get(c.Replica.ID).RestUntil)
 		case directory.Left:
 			w.balancer.ReplicaRemoved(c.Replica.ID)
 		}
