balance, entry: brittle services are known after all routers end

Cause: that replicas are brittle is known to routers only. After an end of all of them each that starts takes its replicas for sturdy until a first answer, and in a large fleet counts itself as one of a few until routers have met again: up to all replicas fall, where 2 and a tenth of their number may.

Ruled out: to take all replicas for brittle until a first answer costs sound services refusals (docs/design/restarts.md).

Change: the record of what crashes replicas, which each router reads at its start, also names the services whose replicas stated within the last minute that they are brittle, and how many routers shared them. No further call at a start; a write when a service is named first and one a minute after the last statement. Nothing is named where no replica states that it is brittle, or crashes are not counted. Earlier builds pass over the fields and drop them when they write.

The rig's members are those of the cold replicas' rig, moved to membersfleet_test.go.

--- a/internal/entry/heldrecord.go
+++ b/internal/entry/heldrecord.go
@@ -9,6 +9,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/poison"
 )
 
@@ -34,7 +35,7 @@
 		return
 	}
 	met := time.After(peerWait + recallWait)
-	restored := e.settings.Routes.FirstStart || e.settings.Routes.Crashes+e.settings.Routes.PartCrashes == 0
+	restored := e.settings.Routes.FirstStart || !e.marksCrashes()
 	if !restored {
 		e.held.keeper.Started()
 		// Requests come as soon as there is a list of replicas, which is read at the same time.
@@ -92,7 +93,7 @@
 	// A read may call for a write.
 	for range 2 {
 		now := steady.Now()
-		record := poison.Record{Requests: e.poison.Held(poison.MaxHeldRequests, now), Parts: e.parts.Held(poison.MaxHeldParts, now)}
+		record := e.heldNow(now)
 		switch e.held.keeper.Next(record, e.gossip.HeldRank(), now) {
 		case poison.ReadRecordStep:
 			if e.readHeld(ctx, false) != nil {
@@ -107,12 +108,43 @@
 	}
 }
 
+// heldNow returns what is held now, and which services are brittle.
+func (e *Entry) heldNow(now time.Time) poison.Record {
+	record := poison.Record{Requests: e.poison.Held(poison.MaxHeldRequests, now), Parts: e.parts.Held(poison.MaxHeldParts, now)}
+	if !e.marksCrashes() {
+		// No router would read it at its start.
+		return record
+	}
+	recent := e.balancer.RecentlyBrittle(now)
+	var services []poison.BrittleService
+	for _, s := range recent.Services {
+		services = append(services, poison.BrittleService{Service: s.Service, Rejections: s.Rejections})
+	}
+	record.Brittle = poison.NewBrittle(services, recent.Routers)
+	return record
+}
+
+// marksCrashes reports whether requests or parts that crash replicas are held at all.
+func (e *Entry) marksCrashes() bool {
+	return e.settings.Routes.Crashes+e.settings.Routes.PartCrashes > 0
+}
+
+// recallBrittle takes what the record states of brittle services.
+func (e *Entry) recallBrittle(stated poison.Brittle, now time.Time) {
+	recent := balance.RecentBrittle{Routers: stated.Routers}
+	for _, s := range stated.Services {
+		recent.Services = append(recent.Services, balance.BrittleService{Service: s.Service, Rejections: s.Rejections})
+	}
+	e.balancer.RecallBrittle(recent, now)
+}
+
 // readHeld reads the record and holds what it states. One that is not usable counts as empty.
 func (e *Entry) readHeld(ctx context.Context, stale bool) error {
 	record, err := (*e.held.store.Load()).ReadHeld(ctx, stale)
 	now := steady.Now()
 	requests, parts := e.poison.Restore(record.Requests, now), e.parts.Restore(record.Parts, now)
-	e.log.Write(event.HeldRead, event.F("requests", len(record.Requests)), event.F("parts", len(record.Parts)),
+	e.recallBrittle(record.Brittle, now)
+	e.log.Write(event.HeldRead, event.F("requests", len(record.Requests)), event.F("parts", len(record.Parts)), event.F("brittle", len(record.Brittle.Services)),
 		event.F("restored", requests+parts), event.F("revision", record.Revision), event.F("error", err))
 	if err != nil && !errors.Is(err, poison.ErrRecord) {
 		e.held.keeper.Failed(now)
@@ -129,7 +161,7 @@
 func (e *Entry) writeHeld(ctx context.Context, record poison.Record) {
 	record.Revision = e.held.keeper.Revision()
 	revision, err := (*e.held.store.Load()).WriteHeld(ctx, record)
-	e.log.Write(event.HeldWritten, event.F("requests", len(record.Requests)), event.F("parts", len(record.Parts)),
+	e.log.Write(event.HeldWritten, event.F("requests", len(record.Requests)), event.F("parts", len(record.Parts)), event.F("brittle", len(record.Brittle.Services)),
 		event.F("revision", revision), event.F("error", err))
 	if err != nil {
 		e.held.keeper.Failed(steady.Now())
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -191,6 +191,10 @@
 	lentUntil map[string]time.Time
 	// leavingRouters are the hashes of the addresses of routers that announced their stop.
 	leavingRouters []uint64
+	// formerRouters is how many routers there were before the start, as long as this one may not
+	// know them all; else 0. formerUntil is the end of that time.
+	formerRouters int
+	formerUntil   time.Time
 	// slots caches the slots of services.
 	slots map[string]serviceSlots
 	// estimator estimates the replicas of plain services; nil if there is none.
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -46,11 +47,17 @@
 }
 
 // routerCount returns the number of routers that share brittle replicas: those that this
-// router knows, itself included, and those that are leaving.
-func (b *Balancer) routerCount() int { return len(b.coldShares.others) + len(b.leavingRouters) + 1 }
+// router knows, itself included, and those that are leaving; after a start not less than there
+// were.
+func (b *Balancer) routerCount() int {
+	return max(len(b.coldShares.others)+len(b.leavingRouters)+1, b.formerRouters)
+}
 
 // routerRank returns how many of them come before this router.
 func (b *Balancer) routerRank() int {
+	if !b.hasMet() {
+		return b.hashRank(b.coldShares.own)
+	}
 	rank := b.coldShares.ownRank
 	for _, hash := range b.leavingRouters {
 		if hash < b.coldShares.own {
@@ -60,6 +67,18 @@
 	return rank
 }
 
+// hasMet reports whether this router knows nearly all of those that were at work before its start.
+func (b *Balancer) hasMet() bool {
+	return float64(len(b.coldShares.others)+1) >= metFraction*float64(b.formerRouters)
+}
+
+// hashRank returns about how many routers come before one, by the hash of its address only: the others
+// are not known yet.
+func (b *Balancer) hashRank(hash uint64) int {
+	rank, _ := bits.Mul64(hash, uint64(b.routerCount()))
+	return int(rank)
+}
+
 // rejectionRate returns how many rejections in a second this router may cause at a replica.
 func (b *Balancer) rejectionRate(stated brittleness) float64 {
 	return stated.bears * rejectionFraction / float64(b.routerCount())
@@ -103,6 +122,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slots, routers := b.slotsOf(service).total, b.routerCount()
+	if !b.hasMet() {
+		return func(address string) bool {
+			first, end := slotRange(b.hashRank(hashString(address)), routers, slots)
+			return first < end
+		}
+	}
 	known := slices.Concat(b.coldShares.others, b.leavingRouters, []uint64{b.coldShares.own})
 	slices.Sort(known)
 	return func(address string) bool {
@@ -124,7 +149,7 @@
 	slots := b.slotsOf(r.Service)
 	before := slots.before[r]
 	first, end := slotRange(b.routerRank(), b.routerCount(), slots.total)
-	return max(min(end, before+r.Slots)-max(first, before), 0)
+	return max(min(end, before+b.dividedSlots(r))-max(first, before), 0)
 }
 
 // loan is what a router lends its share of: to the other router, or from it. lentShare is the
@@ -224,6 +249,15 @@
 	total  int
 }
 
+// dividedSlots returns how many slots of a replica are divided among more routers than that. Until
+// routers have met, some slots belong to several of them.
+func (b *Balancer) dividedSlots(r *replica) int {
+	if b.formerRouters > 0 {
+		return (r.Slots + 1) / 2
+	}
+	return r.Slots
+}
+
 // slotsOf returns the slots of a service, which are kept until its replicas change.
 func (b *Balancer) slotsOf(service string) serviceSlots {
 	slots, known := b.slots[service]
@@ -233,7 +267,7 @@
 	slots.before = make(map[*replica]int)
 	for _, r := range b.services[service] {
 		slots.before[r] = slots.total
-		slots.total += r.Slots
+		slots.total += b.dividedSlots(r)
 	}
 	b.slots[service] = slots
 	return slots
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -91,7 +91,13 @@
 // playWith is play with something prepared for the time of the high load, given its start and length.
 func (c brittleLoad) playWith(t *testing.T, prepare func(p *brittlePlay, from, length time.Duration)) (falls int, used float64) {
 	t.Helper()
-	p := newBrittlePlay(1, c.routers, c.replicas, c.bears)
+	return c.playSeed(t, 1, prepare)
+}
+
+// playSeed is playWith with a seed.
+func (c brittleLoad) playSeed(t *testing.T, seed uint64, prepare func(p *brittlePlay, from, length time.Duration)) (falls int, used float64) {
+	t.Helper()
+	p := newBrittlePlay(seed, c.routers, c.replicas, c.bears)
 	full := float64(c.replicas*plainSlots) / plainWorkTime.Seconds()
 	const calm, high, length = 0.3, 6 * time.Second, 18 * time.Second
 	p.perSecond = func(at time.Duration) float64 {
--- a/pkg/balance/brittleness.go
+++ b/pkg/balance/brittleness.go
@@ -17,6 +17,14 @@
 	// brittleForward is the same for forwarding what another router told. It is less, since routers
 	// hear of the last one, of those that several told at once, at different times.
 	brittleForward = brittleRepeat / 2
+	// recentlyBrittle is for how long after the last statement it is to be recalled after a restart, and
+	// recallTime how long a router that started waits for a first answer, which tells.
+	recentlyBrittle = time.Minute
+	recallTime      = 30 * time.Second
+	// meetingTime is how long routers that all start at once need to know nearly all of each other,
+	// and metFraction how many that are for each to know its rank.
+	meetingTime = 10 * time.Second
+	metFraction = 0.875
 )
 
 // brittleness is what the replicas of a service stated last.
@@ -27,6 +35,11 @@
 	at time.Time
 	// toldAt is when the last statement was made that other routers know.
 	toldAt time.Time
+	// lastAt is when they stated it last, whatever answers did since.
+	lastAt time.Time
+	// recalledUntil is until when they count as brittle because they stated it before this router
+	// started; zero once an answer has told.
+	recalledUntil time.Time
 }
 
 // BrittleStatement says how many requests a replica, and each other one of its service, may turn
@@ -62,7 +75,7 @@
 	}
 	r.sturdyAt = now
 	if stated, found := b.brittle[r.Service]; found {
-		stated.at = time.Time{}
+		stated.at, stated.recalledUntil = time.Time{}, time.Time{}
 		b.brittle[r.Service] = stated
 	}
 }
@@ -74,7 +87,7 @@
 	if s.At.Before(stated.at) {
 		return false
 	}
-	stated.bears, stated.at = float64(s.Rejections), s.At
+	stated.bears, stated.at, stated.lastAt, stated.recalledUntil = float64(s.Rejections), s.At, s.At, time.Time{}
 	news := s.At.Sub(stated.toldAt) >= later
 	if news {
 		stated.toldAt = s.At
@@ -95,8 +108,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []BrittleService
-	for service := range b.brittle {
-		if stated, holds := b.brittleOf(service, now); holds {
+	for service, stated := range b.brittle {
+		if now.Sub(stated.at) < brittleLifetime {
 			list = append(list, BrittleService{service, int(stated.bears), stated.at.Add(brittleLifetime)})
 		}
 	}
@@ -114,10 +127,62 @@
 	if !stated.at.Before(at) || b.wasSturdyAfter(s.Service, at) {
 		return
 	}
-	stated.bears, stated.at = float64(s.Rejections), at
+	stated.bears, stated.at, stated.lastAt, stated.recalledUntil = float64(s.Rejections), at, at, time.Time{}
 	b.brittle[s.Service] = stated
 }
 
+// RecentBrittle is which services had replicas that stated that they are brittle, and how many routers
+// share them.
+type RecentBrittle struct {
+	// Services is sorted; Until of each is zero.
+	Services []BrittleService
+	Routers  int
+}
+
+// RecentlyBrittle returns the services whose replicas stated within the last minute that they are
+// brittle, even if one has answered otherwise since: while the first replicas change, answers differ.
+func (b *Balancer) RecentlyBrittle(now time.Time) RecentBrittle {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	recent := RecentBrittle{Routers: b.routerCount()}
+	for service, stated := range b.brittle {
+		if now.Sub(stated.lastAt) < recentlyBrittle || now.Before(stated.recalledUntil) {
+			recent.Services = append(recent.Services, BrittleService{Service: service, Rejections: int(stated.bears)})
+		}
+	}
+	slices.SortFunc(recent.Services, func(x, y BrittleService) int { return cmp.Compare(x.Service, y.Service) })
+	return recent
+}
+
+// RecallBrittle records, as a router starts, what was known before all routers ended. The first answer of
+// a service replaces it. Until routers have met again the replicas are divided among as many as there
+// were.
+func (b *Balancer) RecallBrittle(recent RecentBrittle, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.firstListedAt.IsZero() && now.Sub(b.firstListedAt) > startupPeriod {
+		return
+	}
+	for _, s := range recent.Services {
+		stated, found := b.brittle[s.Service]
+		if found && stated.recalledUntil.IsZero() || b.wasSturdyAfter(s.Service, time.Time{}) {
+			continue
+		}
+		b.brittle[s.Service] = brittleness{bears: float64(s.Rejections), recalledUntil: now.Add(recallTime)}
+		b.formerRouters, b.formerUntil = recent.Routers, now.Add(meetingTime)
+		clear(b.slots)
+	}
+}
+
+// forgetFormer ends the time for which replicas are divided as before the start, once it is over or
+// as many routers are known. b.mu is held.
+func (b *Balancer) forgetFormer(now time.Time) {
+	if b.formerRouters > 0 && (len(b.coldShares.others)+1 >= b.formerRouters || !now.Before(b.formerUntil)) {
+		b.formerRouters = 0
+		clear(b.slots)
+	}
+}
+
 // queueBrittle queues a statement for the next update. b.mu is held.
 func (b *Balancer) queueBrittle(s BrittleStatement) {
 	if len(b.pendingRumors.Brittle) < b.maxPending(maxPendingFailures) {
@@ -147,5 +212,5 @@
 		return brittleness{}, false
 	}
 	stated, found := b.brittle[service]
-	return stated, found && now.Sub(stated.at) < brittleLifetime
+	return stated, found && (now.Sub(stated.at) < brittleLifetime || now.Before(stated.recalledUntil))
 }
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -96,6 +96,7 @@
 			b.coldShares.ownRank++
 		}
 	}
+	b.forgetFormer(now)
 }
 
 // SetSeedsKnown sets how many of the seeds this router knows, itself included. What a greater number
@@ -103,6 +104,7 @@
 func (b *Balancer) SetSeedsKnown(known, seeds int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetFormer(now)
 	c := &b.coldShares
 	switch {
 	case c.seeds != seeds || known <= c.seedsKnown:
--- a/pkg/balance/coldfleet_test.go
+++ b/pkg/balance/coldfleet_test.go
@@ -15,38 +15,27 @@
 // coldFleet simulates routers that meet, are cut off from each other and start again, and send all
 // that they may to the cold replicas of one service.
 type coldFleet struct {
-	seeds   []string
+	*memberFleet
 	list    []directory.Replica
-	order   []string
 	routers map[string]*coldRouter
-	met     map[[2]string]bool
-	rounds  int
 	now     time.Time
-	// cut tells whether two routers do not reach each other now.
-	cut func(a, b string) bool
 	// arrivals are the requests that came to each replica.
 	arrivals map[string][]time.Time
 }
 
 type coldRouter struct {
 	balancer *Balancer
-	members  *membership.Table
 	changes  uint64
 }
 
-const (
-	// The figures of a large fleet: rows of members in a message, rounds between hellos, partners.
-	coldRows, coldHello, coldPartners = 16, 8, 11
-	// coldAttempts is the number of requests that each router has in a round.
-	coldAttempts = 6
-)
+// coldAttempts is the number of requests that each router has in a round.
+const coldAttempts = 6
 
 func newColdFleet(routers int, seeds ...string) *coldFleet {
 	f := &coldFleet{
-		seeds: seeds, list: engines(3), routers: make(map[string]*coldRouter), met: make(map[[2]string]bool),
+		memberFleet: newMemberFleet(seeds...), list: engines(3), routers: make(map[string]*coldRouter),
 		now: start, arrivals: make(map[string][]time.Time),
 	}
-	f.cut = func(string, string) bool { return false }
 	f.list = makeCold(f.list, start.Add(time.Hour), 0, 1, 2)
 	for n := range routers {
 		address := fmt.Sprint(string("abc"[n%3]), n/3)
@@ -61,40 +50,8 @@
 	b := New(hashString(address))
 	b.SetColdBounds(coldBounds)
 	b.SetReplicas(f.list, f.now)
-	f.routers[address] = &coldRouter{balancer: b, members: membership.New(address, f.seeds, coldPartners)}
-	for _, other := range f.order {
-		delete(f.met, [2]string{address, other})
-	}
-}
-
-// hello has two routers pass on a sample of the members that they know.
-func (f *coldFleet) hello(from, to string) {
-	if f.routers[to] == nil || f.cut(from, to) {
-		return
-	}
-	a, b := f.routers[from].members, f.routers[to].members
-	b.RecordContact(from, f.now)
-	b.Merge(a.Sample(f.rounds, coldRows, f.now), f.now)
-	a.RecordContact(to, f.now)
-	a.Merge(b.Sample(f.rounds, coldRows, f.now), f.now)
-	if relay, found := b.RelayFor(from, f.now); found {
-		a.Merge([]membership.Row{relay}, f.now)
-	}
-}
-
-// send sends a router's round to one partner.
-func (f *coldFleet) send(from, to string, hello bool, rows []membership.Row, alive []byte) {
-	if f.cut(from, to) {
-		return
-	}
-	receiver := f.routers[to].members
-	receiver.RecordHeartbeat(from, f.now)
-	receiver.Merge(rows, f.now)
-	receiver.MergeAliveHashes(alive, f.now)
-	if pair := [2]string{from, to}; hello || !f.met[pair] {
-		f.met[pair], f.met[[2]string{to, from}] = true, true
-		f.hello(from, to)
-	}
+	f.routers[address] = &coldRouter{balancer: b}
+	f.start(address)
 }
 
 // play plays some rounds of all routers.
@@ -113,29 +70,15 @@
 }
 
 func (f *coldFleet) gossip() {
-	f.rounds++
-	for i, address := range f.order {
+	f.round(f.now, func(address string, t *membership.Table) {
 		r := f.routers[address]
-		t := r.members
-		t.Expire(f.now)
-		p := t.Partners(f.now)
 		known, seeds := t.SeedsKnown()
 		r.balancer.SetSeedsKnown(known, seeds, f.now)
 		if changes := t.Changes(); changes != r.changes {
 			r.balancer.SetRouters(address, t.KnownAddresses(), f.now)
 			r.changes = changes
 		}
-		rows := t.TakeNew(coldRows, f.now)
-		for n, partner := range p.Line {
-			f.send(address, partner, (f.rounds+i)%coldHello == 0 && n == f.rounds%len(p.Line), rows, nil)
-		}
-		for _, partner := range p.RelayTo {
-			f.send(address, partner, false, rows, t.AliveHashes(f.now))
-		}
-		for _, other := range append(p.Seeds, t.SilentRelays(4, f.now)...) {
-			f.hello(address, other)
-		}
-	}
+	})
 }
 
 // most returns the most requests that came to a replica in a second, and the mean per replica and
--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -28,6 +28,8 @@
 	// replicas' room left.
 	relays    int
 	addresses []string
+	// knows returns the routers that a router may hand requests to.
+	knows func(router int) []string
 	// ended is called when a request was answered or finally refused.
 	ended func(r *plainRequest, served bool)
 	// centres is the number of data centres.
@@ -49,6 +51,8 @@
 	own    []map[string]int
 	// at draws the router that a call reaches.
 	at func(random *rand.Rand) int
+	// away: no router takes connections.
+	away bool
 	// isolated is the data centre that is cut off from the others; -1 for none.
 	isolated int
 }
@@ -115,6 +119,7 @@
 		queue:       func() int { return plainQueue },
 		answered:    func(int, string, bool) {},
 	}
+	f.knows = func(int) []string { return f.addresses }
 	f.arrivals = f.random
 	f.at = func(random *rand.Rand) int { return random.IntN(routers) }
 	for range routers {
@@ -193,6 +198,10 @@
 	r := &plainRequest{arrived: f.now, attempts: 2}
 	f.ask(r)
 	r.router = f.at(f.arrivals)
+	if f.away {
+		f.refuse(r, shedRetryAfter)
+		return
+	}
 	f.decide(r)
 }
 
@@ -245,9 +254,9 @@
 		if found || !f.routers[r.router].ShareUsed("plain", f.now) {
 			break
 		}
-		owns, other := f.routers[r.router].OwnsRoom("plain"), f.random.IntN(len(f.addresses))
-		for !owns(f.addresses[other]) {
-			other = (other + 1) % len(f.addresses)
+		other, knows := f.ownerOfRoom(r.router)
+		if !knows {
+			break
 		}
 		r.router = other
 		choice, found = pick()
@@ -288,6 +297,21 @@
 	f.startWork(replica)
 }
 
+// ownerOfRoom draws one of the routers that a router knows to have room at replicas.
+func (f *plainFleet) ownerOfRoom(router int) (other int, found bool) {
+	owns, known := f.routers[router].OwnsRoom("plain"), f.knows(router)
+	if len(known) == 0 {
+		return 0, false
+	}
+	first := f.random.IntN(len(known))
+	for i := range known {
+		if address := known[(first+i)%len(known)]; owns(address) {
+			return slices.Index(f.addresses, address), true
+		}
+	}
+	return 0, false
+}
+
 // runOf returns what a replica does for a request: it starts the work.
 func (f *plainFleet) runOf(r *plainRequest, replica *plainReplica) func() {
 	sentAt, balancer := f.now, f.routers[r.router]
@@ -301,6 +325,11 @@
 		}
 		f.after(time.Duration(r.work*f.slowdown(replica.id)*float64(time.Second)), func() {
 			replica.running--
+			if balancer != f.routers[r.router] {
+				// The router has ended, and the caller's connection with it.
+				f.startWork(replica)
+				return
+			}
 			balancer.RequestFinished(replica.id)
 			f.own[r.router][replica.id]--
 			balancer.RequestSucceeded(replica.id, nil, f.now)
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -133,8 +133,8 @@
 	return true
 }
 
-// crashCounts returns how many crashes a record states of each digest. Requests and parts have no
-// digest in common.
+// crashCounts returns how many crashes a record states of each digest, and the same for brittle
+// services. Requests, parts and services have no digest in common.
 func crashCounts(r Record) map[Digest]int {
 	counts := make(map[Digest]int, r.Len())
 	for _, list := range [][]HeldMarks{r.Requests, r.Parts} {
@@ -142,6 +142,7 @@
 			counts[h.Digest] = len(h.Crashes)
 		}
 	}
+	r.Brittle.add(counts)
 	return counts
 }
 
--- a/pkg/poison/keeper_test.go
+++ b/pkg/poison/keeper_test.go
@@ -74,7 +74,7 @@
 				return
 			}
 			s.revision++
-			s.record = Record{held.Requests, held.Parts, s.revision}
+			s.record = Record{held.Requests, held.Parts, held.Brittle, s.revision}
 			k.Written(s.record, at(s.now))
 			return
 		default:
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -45,9 +45,10 @@
 	Age time.Duration
 }
 
-// Record is what was held at some time.
+// Record is what was held, and which services were brittle, at some time.
 type Record struct {
 	Requests, Parts []HeldMarks
+	Brittle         Brittle
 	// Revision is the record's revision, 0 if there is none.
 	Revision uint64
 }
@@ -71,12 +72,15 @@
 type recordValue struct {
 	Requests []heldValue `json:"requests"`
 	Parts    []heldValue `json:"parts"`
+	// Records of earlier builds lack these.
+	Brittle []BrittleService `json:"brittle,omitempty"`
+	Routers int              `json:"routers,omitempty"`
 }
 
 // Value returns the value of the record in the store.
 func (r Record) Value() []byte {
 	// Texts and numbers can always be encoded.
-	value, _ := json.Marshal(recordValue{encodeHeld(r.Requests), encodeHeld(r.Parts)})
+	value, _ := json.Marshal(recordValue{encodeHeld(r.Requests), encodeHeld(r.Parts), r.Brittle.Services, r.Brittle.Routers})
 	return value
 }
 
@@ -111,7 +115,11 @@
 	if err != nil {
 		return none, err
 	}
-	return Record{requests, parts, revision}, nil
+	brittle := Brittle{read.Brittle, read.Routers}
+	if err := brittle.check(); err != nil {
+		return none, err
+	}
+	return Record{requests, parts, brittle, revision}, nil
 }
 
 // decodeHeld decodes all of a list, or nothing.
