balance: a router that starts beside others has no part of brittle replicas until it has met them

Change: if other routers told it of brittle replicas before it had an answer of its own, a router with a record of before its start sends them nothing itself until it knows seven eighths of as many routers, for 10 s at most. Its requests go to those that have slots.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -195,6 +195,9 @@
 	// know them all; else 0. formerUntil is the end of that time.
 	formerRouters int
 	formerUntil   time.Time
+	// othersServe: brittle replicas have answered other routers since this one started. It has no part
+	// of their slots until it has met those.
+	othersServe bool
 	// slots caches the slots of services.
 	slots map[string]serviceSlots
 	// estimator estimates the replicas of plain services; nil if there is none.
--- a/pkg/balance/brittle.go
+++ b/pkg/balance/brittle.go
@@ -209,6 +209,9 @@
 // shares that are lent to it.
 func (b *Balancer) share(r *replica, lent float64) float64 {
 	routers := b.routerCount()
+	if b.othersServe && !b.hasMet() {
+		return 0
+	}
 	if routers <= r.Slots {
 		divided := slotFraction * float64(r.Slots)
 		// What is left over goes to other routers at each replica.
--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -17,6 +17,8 @@
 	bears    int
 	rejected map[string][]time.Time
 	falls    int
+	// startedAt is when routers started that did so later than the fleet.
+	startedAt map[*Balancer]time.Time
 }
 
 const (
@@ -28,7 +30,7 @@
 )
 
 func newBrittlePlay(seed uint64, routers, replicas, bears int) *brittlePlay {
-	p := &brittlePlay{plainFleet: newPlainFleet(seed, routers, max(routers/8, 1), replicas), bears: bears, rejected: make(map[string][]time.Time)}
+	p := &brittlePlay{plainFleet: newPlainFleet(seed, routers, max(routers/8, 1), replicas), bears: bears, rejected: make(map[string][]time.Time), startedAt: make(map[*Balancer]time.Time)}
 	var known []string
 	for n := range p.routers {
 		known = append(known, fmt.Sprint("r", n))
--- a/pkg/balance/brittleness.go
+++ b/pkg/balance/brittleness.go
@@ -127,6 +127,7 @@
 	if !stated.at.Before(at) || b.wasSturdyAfter(s.Service, at) {
 		return
 	}
+	b.othersServe = b.othersServe || !stated.recalledUntil.IsZero()
 	stated.bears, stated.at, stated.lastAt, stated.recalledUntil = float64(s.Rejections), at, at, time.Time{}
 	b.brittle[s.Service] = stated
 }
@@ -164,13 +165,18 @@
 		return
 	}
 	for _, s := range recent.Services {
-		stated, found := b.brittle[s.Service]
-		if found && stated.recalledUntil.IsZero() || b.wasSturdyAfter(s.Service, time.Time{}) {
+		if b.wasSturdyAfter(s.Service, time.Time{}) {
 			continue
 		}
-		b.brittle[s.Service] = brittleness{bears: float64(s.Rejections), recalledUntil: now.Add(recallTime)}
 		b.formerRouters, b.formerUntil = recent.Routers, now.Add(meetingTime)
 		clear(b.slots)
+		stated, found := b.brittle[s.Service]
+		switch {
+		case !found || !stated.recalledUntil.IsZero():
+			b.brittle[s.Service] = brittleness{bears: float64(s.Rejections), recalledUntil: now.Add(recallTime)}
+		case stated.toldAt.IsZero():
+			b.othersServe = true
+		}
 	}
 }
 
--- a/pkg/balance/brittlerestart_test.go
+++ b/pkg/balance/brittlerestart_test.go
@@ -21,20 +21,13 @@
 // list and what one of them knew lately of brittle replicas.
 func (p *brittlePlay) restartAll(at time.Duration) {
 	var recent RecentBrittle
-	members := newMemberFleet(p.addresses[:min(len(p.addresses), 3)]...)
-	members.order = p.addresses
-	p.after(at+routersAway, func() { p.away = false })
+	members := p.newMembers()
+	p.after(at+routersAway, func() { clear(p.away) })
 	p.after(at, func() {
-		p.away = true
 		recent = p.routers[0].RecentlyBrittle(p.now)
-		for router, address := range p.addresses {
-			b := New(uint64(router) + 7919)
-			b.SetLargeFleet(len(p.addresses) > 12)
-			b.SetReplicas(p.listed(), p.now)
-			b.SetRouters(address, nil, p.now)
-			p.routers[router] = b
-			clear(p.own[router])
-			members.start(address)
+		for router := range p.addresses {
+			p.away[router] = true
+			p.replaceRouter(router, members)
 		}
 		p.knows = func(router int) []string { return members.tables[p.addresses[router]].KnownAddresses() }
 	})
@@ -46,6 +39,71 @@
 	})
 }
 
+// restartInTurn replaces one router after another by one that knows no more than its seeds, the list and
+// what another one knew lately of brittle replicas.
+func (p *brittlePlay) restartInTurn(from, length time.Duration) {
+	members := p.newMembers()
+	for _, address := range p.addresses {
+		members.start(address)
+	}
+	const meetingRounds = 30
+	for range meetingRounds {
+		members.round(p.now, func(string, *membership.Table) {})
+	}
+	p.knows = func(router int) []string { return members.tables[p.addresses[router]].KnownAddresses() }
+	p.meet(members)
+	for router := range p.addresses {
+		at := from + time.Duration(router)*length/time.Duration(len(p.addresses))
+		p.after(at, func() { p.away[router] = true })
+		p.after(at+routersAway, func() {
+			delete(p.away, router)
+			recent := p.routers[(router+1)%len(p.routers)].RecentlyBrittle(p.now)
+			b := p.replaceRouter(router, members)
+			if router%2 == 0 {
+				b.RecallBrittle(recent, p.now)
+			}
+			for _, seed := range members.seeds {
+				members.hello(p.addresses[router], seed, p.now)
+			}
+			b.RecallBrittle(recent, p.now)
+		})
+	}
+}
+
+// learnTime is for how long after its start a router learns from the answers to its hellos what replicas
+// stated.
+const learnTime = 16 * rumorRound
+
+// memberSeeds is the number of routers whose addresses all know from the start.
+const memberSeeds = 3
+
+func (p *brittlePlay) newMembers() *memberFleet {
+	members := newMemberFleet(p.addresses[:min(len(p.addresses), memberSeeds)]...)
+	members.order = p.addresses
+	members.answered = func(from, to string) {
+		b, other := p.routers[p.index(from)], p.routers[p.index(to)]
+		if p.now.Sub(p.startedAt[b]) > learnTime {
+			return
+		}
+		for _, stated := range other.BrittleServices(p.now) {
+			b.LearnBrittle(stated, p.now)
+		}
+	}
+	return members
+}
+
+// replaceRouter replaces a router by one that has just started.
+func (p *brittlePlay) replaceRouter(router int, members *memberFleet) *Balancer {
+	b := New(uint64(router) + 7919)
+	b.SetLargeFleet(len(p.addresses) > memberPartners+1)
+	b.SetReplicas(p.listed(), p.now)
+	b.SetRouters(p.addresses[router], nil, p.now)
+	p.routers[router], p.startedAt[b] = b, p.now
+	clear(p.own[router])
+	members.start(p.addresses[router])
+	return b
+}
+
 // meet plays a round of the members, and the next ones.
 func (p *brittlePlay) meet(members *memberFleet) {
 	tell := func(address string, t *membership.Table) {
@@ -55,8 +113,8 @@
 		b.SetSeedsKnown(known, seeds, p.now)
 	}
 	members.round(p.now, tell)
-	for address, t := range members.tables {
-		tell(address, t)
+	for _, address := range p.addresses {
+		tell(address, members.tables[address])
 	}
 	round := gossipRound
 	if len(p.addresses) <= memberPartners+1 {
@@ -94,6 +152,26 @@
 	}
 }
 
+// Guards against routers that start, know only some of the others and use more than their part.
+func TestBrittleReplicasStayUpThoughRoutersEndInTurn(t *testing.T) {
+	for name, c := range map[string]brittleLoad{
+		"three routers, three times the slots":                {3, 3, 5, 3},
+		"nine routers, none may be turned away":               {9, 3, 0, 1.5},
+		"30 routers, none may be turned away":                 {30, 10, 0, 1},
+		"30 routers, three replicas, none may be turned away": {30, 3, 0, 3},
+		"143 routers, none may be turned away":                {143, 10, 0, 1},
+		"143 routers, three replicas, three times the slots":  {143, 3, 5, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			falls, _ := c.playWith(t, func(p *brittlePlay, from, length time.Duration) {
+				p.restartInTurn(from, length)
+			})
+			assert.LessOrEqual(t, float64(falls), 2+0.1*float64(c.replicas))
+		})
+	}
+}
+
 // Guards against requests to sound replicas that are refused, or wait, since routers have just started.
 func TestStartBeforeSoundReplicasCostsNothing(t *testing.T) {
 	for _, routers := range []int{3, 30, 143} {
@@ -105,7 +183,7 @@
 			p.restartAll(2 * time.Second)
 			refused := 0
 			p.ended = func(_ *plainRequest, served bool) {
-				if !served && !p.away {
+				if !served && len(p.away) == 0 {
 					refused++
 				}
 			}
@@ -183,10 +261,24 @@
 	}
 	assert.Equal(t, 14.0, share(func(*Balancer) {}), "alone")
 	assert.LessOrEqual(t, share(func(b *Balancer) { b.RecallBrittle(recent, start) }), 2.0, "one of nine")
-	assert.LessOrEqual(t, share(func(b *Balancer) {
+	assert.Equal(t, 2.0, share(func(b *Balancer) {
+		b.RecallBrittle(recent, start)
+		b.SetRouters("r0", known, start)
+	}), "all known")
+	told := BrittleService{"llm", 0, start.Add(time.Second)}
+	assert.Zero(t, share(func(b *Balancer) {
+		b.RecallBrittle(recent, start)
+		b.LearnBrittle(told, start)
+	}), "others have served since")
+	assert.Zero(t, share(func(b *Balancer) {
+		b.LearnBrittle(told, start)
+		b.RecallBrittle(recent, start)
+	}), "others had served before the record was read")
+	assert.Equal(t, 2.0, share(func(b *Balancer) {
 		b.RecallBrittle(recent, start)
+		b.LearnBrittle(told, start)
 		b.SetRouters("r0", known, start)
-	}), 2.0, "all known")
+	}), "these are known")
 	assert.Equal(t, 14.0, share(func(b *Balancer) {
 		b.RecallBrittle(recent, start)
 		b.SetSeedsKnown(1, 1, start.Add(meetingTime))
--- a/pkg/balance/membersfleet_test.go
+++ b/pkg/balance/membersfleet_test.go
@@ -16,6 +16,8 @@
 	rounds int
 	// cut tells whether two routers do not reach each other now.
 	cut func(a, b string) bool
+	// answered is called after one router has answered the hello of another one.
+	answered func(from, to string)
 }
 
 const (
@@ -26,7 +28,8 @@
 func newMemberFleet(seeds ...string) *memberFleet {
 	return &memberFleet{
 		seeds: seeds, tables: make(map[string]*membership.Table), met: make(map[[2]string]bool),
-		cut: func(string, string) bool { return false },
+		cut:      func(string, string) bool { return false },
+		answered: func(string, string) {},
 	}
 }
 
@@ -51,6 +54,7 @@
 	if relay, found := b.RelayFor(from, now); found {
 		a.Merge([]membership.Row{relay}, now)
 	}
+	f.answered(from, to)
 }
 
 // send sends a router's round to one partner.
--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -51,8 +51,8 @@
 	own    []map[string]int
 	// at draws the router that a call reaches.
 	at func(random *rand.Rand) int
-	// away: no router takes connections.
-	away bool
+	// away are routers that take no connections.
+	away map[int]bool
 	// isolated is the data centre that is cut off from the others; -1 for none.
 	isolated int
 }
@@ -118,6 +118,7 @@
 		isolated:    -1,
 		queue:       func() int { return plainQueue },
 		answered:    func(int, string, bool) {},
+		away:        make(map[int]bool),
 	}
 	f.knows = func(int) []string { return f.addresses }
 	f.arrivals = f.random
@@ -198,7 +199,7 @@
 	r := &plainRequest{arrived: f.now, attempts: 2}
 	f.ask(r)
 	r.router = f.at(f.arrivals)
-	if f.away {
+	if f.away[r.router] {
 		f.refuse(r, shedRetryAfter)
 		return
 	}
@@ -305,8 +306,9 @@
 	}
 	first := f.random.IntN(len(known))
 	for i := range known {
-		if address := known[(first+i)%len(known)]; owns(address) {
-			return slices.Index(f.addresses, address), true
+		address := known[(first+i)%len(known)]
+		if other = slices.Index(f.addresses, address); owns(address) && !f.away[other] {
+			return other, true
 		}
 	}
 	return 0, false
