--- a/pkg/balance/brittle_test.go
+++ b/pkg/balance/brittle_test.go
@@ -17,6 +17,8 @@
 	bears    int
 	rejected map[string][]time.Time
 	falls    int
+	// startedAt is when routers started that did so later than the fleet.
+	startedAt map[*Balancer]time.Time
 }
 
 const (
@@ -28,7 +30,7 @@
 )
 
 func newBrittlePlay(seed uint64, routers, replicas, bears int) *brittlePlay {
-	p := &brittlePlay{plainFleet: newPlainFleet(seed, routers, max(routers/8, 1), replicas), bears: bears, rejected: make(map[string][]time.Time)}
+	p := &brittlePlay{plainFleet: newPlainFleet(seed, routers, max(routers/8, 1), replicas), bears: bears, rejected: make(map[string][]time.Time), startedAt: make(map[*Balancer]time.Time)}
 	var known []string
 	for n := range p.routers {
 		known = append(known, fmt.Sprint("r", n))
@@ -91,7 +93,13 @@
 // playWith is play with something prepared for the time of the high load, given its start and length.
 func (c brittleLoad) playWith(t *testing.T, prepare func(p *brittlePlay, from, length time.Duration)) (falls int, used float64) {
 	t.Helper()
-	p := newBrittlePlay(1, c.routers, c.replicas, c.bears)
+	return c.playSeed(t, 1, prepare)
+}
+
+// playSeed is playWith with a seed.
+func (c brittleLoad) playSeed(t *testing.T, seed uint64, prepare func(p *brittlePlay, from, length time.Duration)) (falls int, used float64) {
+	t.Helper()
+	p := newBrittlePlay(seed, c.routers, c.replicas, c.bears)
 	full := float64(c.replicas*plainSlots) / plainWorkTime.Seconds()
 	const calm, high, length = 0.3, 6 * time.Second, 18 * time.Second
 	p.perSecond = func(at time.Duration) float64 {
