--- a/pkg/balance/enginefleet_test.go
+++ b/pkg/balance/enginefleet_test.go
@@ -86,6 +86,8 @@
 	// overLimit holds the times of arrivals at an engine above what users allow, arrivals
 	// those of all arrivals.
 	overLimit, arrivals []time.Time
+	// used holds the requests of the engine at each arrival, as a share of what users allow.
+	used []float64
 	// read, reread and copied count tokens. openings is the part of reread that belongs
 	// to openings; lost counts tokens read again since no running engine holds them any
 	// more.
@@ -331,7 +333,9 @@
 			engines++
 		}
 	}
-	if float64(e.running) > capFactor*float64(total)/float64(engines)+capSlack {
+	used := float64(e.running) / (capFactor*float64(total)/float64(engines) + capSlack)
+	f.stats.used = append(f.stats.used, used)
+	if used > 1 {
 		f.stats.overLimit = append(f.stats.overLimit, f.now)
 	}
 }
