balance: routers of one data centre together keep the cap on skew

Cause: an engine of the router's own data centre is preferred until it is seen at the bound. Counts of the other routers are one or two rounds of 0.6 s old, so all routers of a busy data centre fill its engines at once.

Change: in a large fleet the part of requests that prefers near engines falls from all to none between half and three quarters of the way from the mean load to the bound, by the mean load of the data centre's engines. Fleets of up to twelve routers, with counts 0.3 s old, place as before.

--- a/pkg/balance/engine.go
+++ b/pkg/balance/engine.go
@@ -69,6 +69,9 @@
 			near = append(near, r)
 		}
 	}
+	if !lastResort && !b.prefersNear(near, left, bound, now) {
+		near = nil
+	}
 	chosen, held := b.pickHolderOrHome(near, key, fits, bound, now)
 	if (held || chosen != nil && keptPerDataCentre(q.Parts)) && !b.disabled.Has(mechanism.Near) {
 		return chosen, home, reasonFor(chosen, home, Near, lastResort)
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -57,11 +57,16 @@
 
 // boundAmong is the bound for a set of replicas.
 func (b *Balancer) boundAmong(list []*replica, now time.Time) float64 {
+	return b.boundForMean(b.meanLoad(list, now))
+}
+
+// meanLoad is the mean load of a set of replicas, which is not empty.
+func (b *Balancer) meanLoad(list []*replica, now time.Time) float64 {
 	total := 0.0
 	for _, r := range list {
 		total += b.load(r, now)
 	}
-	return b.boundForMean(total / float64(len(list)))
+	return total / float64(len(list))
 }
 
 // boundForMean is the bound for a mean load.
--- a/pkg/balance/near_test.go
+++ b/pkg/balance/near_test.go
@@ -68,6 +68,40 @@
 	assert.NotEmpty(t, pickFrom(b, "elsewhere", smallPrompt(5)).Replica.ID)
 }
 
+// Guards against routers of a large fleet that all prefer the engines of their data centre until
+// they see them at the bound.
+func TestNearEnginesArePreferredLessTowardsTheBound(t *testing.T) {
+	const requests = 400
+	for _, c := range []struct {
+		large bool
+		// running is what each engine of the data centre runs; the mean load is a third of it.
+		running     int
+		least, most float64
+	}{
+		{true, 1, 1, 1},
+		{true, 2, 0.5, 0.95},
+		// What does not prefer them still has a third of its homes there.
+		{true, 4, 0.2, 0.5},
+		{false, 4, 1, 1},
+	} {
+		b := newBalancer(engines(12))
+		b.SetLargeFleet(c.large)
+		for _, id := range []string{"i-0", "i-3", "i-6", "i-9"} {
+			for range c.running {
+				b.RequestStarted(id)
+			}
+		}
+		near := 0
+		for part := range uint64(requests) {
+			if pickFrom(b, "dc0", smallPrompt(part)).Replica.DataCentre == "dc0" {
+				near++
+			}
+		}
+		assert.GreaterOrEqual(t, float64(near), c.least*requests, "%+v", c)
+		assert.LessOrEqual(t, float64(near), c.most*requests, "%+v", c)
+	}
+}
+
 // Some replicas never announce that they drain: their entry goes, and they keep serving
 // for seconds. Their parts were read again elsewhere, though they could be copied.
 func TestUnlistedReplicaIsCopiedFromForAWhile(t *testing.T) {
