router: what keeps the configuration up to date in a package of its own

Moves only: config is configuration.Follower, in two files: what is watched, and what goes between peers. Instead of the router it holds what it needs of it (configuration.Options); Router.version is Follower.Version. settled is read before the router's lock instead of under it: it is atomic.

--- a/internal/router/digest.go
+++ b/internal/router/digest.go
@@ -155,7 +155,7 @@
 		if !known {
 			continue
 		}
-		d := fleet.Digest{Sender: r.selfID, Engines: engines, Version: r.version()}
+		d := fleet.Digest{Sender: r.selfID, Engines: engines, Version: r.config.Version()}
 		messages = append(messages, message{to: to, digest: peer.EncodeDigest(d)})
 	}
 	return messages
@@ -179,7 +179,7 @@
 		Sequence: r.sequence,
 		Loads:    loads,
 		Demands:  fleet.LargestDemands(demands),
-		Version:  r.version(),
+		Version:  r.config.Version(),
 		Stopping: r.draining.Load(),
 	}
 	for name := range r.leavingSeen {
@@ -188,13 +188,6 @@
 	return d
 }
 
-func (r *Router) version() uint64 {
-	if s := r.adopted.Current(); s != nil {
-		return s.Version
-	}
-	return 0
-}
-
 func (r *Router) sendDigest(ctx context.Context, m message) {
 	reply, err := r.peers.Exchange(ctx, m.to.Address, m.digest)
 	if err != nil {
@@ -204,7 +197,7 @@
 		return
 	}
 	r.reached(m.to.Name, event.PeerBack)
-	r.config.heard(reply.Version, m.to.Address)
+	r.config.Heard(reply.Version, m.to.Address)
 }
 
 // takeDigest serves a digest of a peer.
@@ -215,7 +208,7 @@
 	now := steady.Now()
 	if len(d.Engines) > 0 {
 		r.takeCounts(d, now)
-		return &peerpb.DigestReply{Version: r.version()}
+		return &peerpb.DigestReply{Version: r.config.Version()}
 	}
 	r.board.Put(d, now)
 	r.takeLeaving(d.Leaving, now)
@@ -226,9 +219,9 @@
 		p.refresh(r.board)
 	}
 	if address := r.addressOf(d.Sender); address != "" {
-		r.config.heard(d.Version, address)
+		r.config.Heard(d.Version, address)
 	}
-	return &peerpb.DigestReply{Version: r.version()}
+	return &peerpb.DigestReply{Version: r.config.Version()}
 }
 
 // takeCounts takes another router's counts at engines that this one owns.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -221,6 +221,20 @@
 	return routers
 }
 
+// nearRouters returns the number of routers in this data centre and those that may hold a role in it.
+func (r *Router) nearRouters() (size int, routers roles.Routers) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleetSize(), r.liveRouters(r.isNear)
+}
+
+// otherRouters returns the other routers of the fleet.
+func (r *Router) otherRouters() []fleet.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.routers)
+}
+
 // isNear tells whether an instance is in this router's data centre.
 func (r *Router) isNear(i fleet.Instance) bool { return i.DataCentre == r.settings.DataCentre }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,7 +4,6 @@
 //
 //	list.go        the platform's list, from the platform or from a peer
 //	membership.go  the list -> View -> pools
-//	config.go      the head -> the snapshot in force
 //	digest.go      load digests to and from other routers
 //	serve.go       the edge's half of a request: choose a group, go to its owner
 //	local.go       the owner's half: queue, dispatch, retry
@@ -34,6 +33,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/configuration"
 	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/inflight"
 	"github.com/croftyard/croftyard/internal/router/metrics"
@@ -59,7 +59,7 @@
 	server   *peer.Server
 	targets  *dispatch.Dispatcher
 	adopted  policy.ActiveSnapshot
-	config   *config
+	config   *configuration.Follower
 	list     *list
 	selfHash uint64
 	selfID   fleet.ID
@@ -130,12 +130,22 @@
 	r.board = fleet.NewDigestTable(r.selfID)
 	r.claims = idempotency.New(r.platform, &r.inFlight, log, s.Platform.Timeout)
 	r.peers = peer.NewClient(r.meter)
-	r.config = newConfig(r)
+	r.config = configuration.NewFollower(configuration.Options{
+		Log:        log,
+		Metrics:    r.metrics,
+		Service:    r.platform,
+		Peers:      r.peers,
+		InForce:    &r.adopted,
+		DataCentre: s.DataCentre,
+		Routers:    r.otherRouters,
+		Near:       r.nearRouters,
+		Jitter:     r.jitter,
+	})
 	r.list = &list{router: r}
 	server, err := peer.Listen(s.Listen.Peers, peer.Handler{
 		Forward:       r.serveForward,
 		Exchange:      r.takeDigest,
-		Configuration: r.config.answer,
+		Configuration: r.config.Answer,
 		List:          r.list.answer,
 	}, r.meter)
 	if err != nil {
@@ -150,7 +160,7 @@
 func (r *Router) Run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
 	work.Go(func() error { return r.list.follow(ctx) })
-	work.Go(func() error { return r.config.follow(ctx) })
+	work.Go(func() error { return r.config.Follow(ctx) })
 	work.Go(func() error { return r.sendDigests(ctx) })
 	work.Go(func() error { return r.pollLoads(ctx) })
 	work.Go(func() error { return r.giveOrders(ctx) })
@@ -163,7 +173,7 @@
 // Ready tells whether requests can be served: the newest configuration that
 // can be had is in force and the list of instances was read.
 func (r *Router) Ready() bool {
-	return !r.draining.Load() && r.listed.Load() && r.config.settled.Load()
+	return !r.draining.Load() && r.listed.Load() && r.config.Settled()
 }
 
 // Snapshot returns the configuration in force, or nil.
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -25,7 +25,7 @@
 		Ready:         r.Ready(),
 		Draining:      r.draining.Load(),
 		Active:        r.active.Load(),
-		ConfigVersion: r.version(),
+		ConfigVersion: r.config.Version(),
 		Peers:         r.board.Len(),
 		Control:       report.Control{SentBytes: sent, ReceivedBytes: received, Calls: r.meter.Calls()},
 		PlatformCalls: r.platform.Calls(),
