router: what keeps the list of instances in a package of its own

Moves only: list is instancelist.Follower, which holds what it needs of the router (instancelist.Options) instead of the router. The flag that a list was taken stays with the router, which sets it under its lock, and is read before that lock: it is atomic. New is shorter by two functions that make options.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,7 +2,6 @@
 // live view and the configuration, talks to the other routers, and carries a
 // request from the edge to its owner and to a target.
 //
-//	list.go        the platform's list, from the platform or from a peer
 //	membership.go  the list -> View -> pools
 //	digest.go      load digests to and from other routers
 //	serve.go       the edge's half of a request: choose a group, go to its owner
@@ -36,6 +35,7 @@
 	"github.com/croftyard/croftyard/internal/router/configuration"
 	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/inflight"
+	"github.com/croftyard/croftyard/internal/router/instancelist"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -60,7 +60,7 @@
 	targets  *dispatch.Dispatcher
 	adopted  policy.ActiveSnapshot
 	config   *configuration.Follower
-	list     *list
+	list     *instancelist.Follower
 	selfHash uint64
 	selfID   fleet.ID
 	listed   atomic.Bool
@@ -130,23 +130,13 @@
 	r.board = fleet.NewDigestTable(r.selfID)
 	r.claims = idempotency.New(r.platform, &r.inFlight, log, s.Platform.Timeout)
 	r.peers = peer.NewClient(r.meter)
-	r.config = configuration.NewFollower(configuration.Options{
-		Log:        log,
-		Metrics:    r.metrics,
-		Service:    r.platform,
-		Peers:      r.peers,
-		InForce:    &r.adopted,
-		DataCentre: s.DataCentre,
-		Routers:    r.otherRouters,
-		Near:       r.nearRouters,
-		Jitter:     r.jitter,
-	})
-	r.list = &list{router: r}
+	r.config = configuration.NewFollower(r.configurationOptions())
+	r.list = instancelist.NewFollower(r.listOptions())
 	server, err := peer.Listen(s.Listen.Peers, peer.Handler{
 		Forward:       r.serveForward,
 		Exchange:      r.takeDigest,
 		Configuration: r.config.Answer,
-		List:          r.list.answer,
+		List:          r.list.Answer,
 	}, r.meter)
 	if err != nil {
 		return nil, fmt.Errorf("router: %w", err)
@@ -155,11 +145,39 @@
 	return r, nil
 }
 
+func (r *Router) configurationOptions() configuration.Options {
+	return configuration.Options{
+		Log:        r.log,
+		Metrics:    r.metrics,
+		Service:    r.platform,
+		Peers:      r.peers,
+		InForce:    &r.adopted,
+		DataCentre: r.settings.DataCentre,
+		Routers:    r.otherRouters,
+		Near:       r.nearRouters,
+		Jitter:     r.jitter,
+	}
+}
+
+func (r *Router) listOptions() instancelist.Options {
+	return instancelist.Options{
+		Log:         r.log,
+		Service:     r.platform,
+		Peers:       r.peers,
+		Poll:        r.settings.Platform.Poll,
+		Near:        r.nearRouters,
+		Jitter:      r.jitter,
+		Take:        r.takeList,
+		Listed:      r.listed.Load,
+		Unreachable: func(name string, err error) { r.failed(name, event.PeerLost, err) },
+	}
+}
+
 // Run keeps the router up to date until ctx ends. It serves peers and Serve
 // all the while, and for as long as it takes to drain after that.
 func (r *Router) Run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return r.list.follow(ctx) })
+	work.Go(func() error { return r.list.Follow(ctx) })
 	work.Go(func() error { return r.config.Follow(ctx) })
 	work.Go(func() error { return r.sendDigests(ctx) })
 	work.Go(func() error { return r.pollLoads(ctx) })
