router: an attempt at a target in a package of its own

Moves only: dispatchOnce is attempt.Sender.Send, with settle and what is counted against requests that crash their targets. It holds the dispatcher, the claims and five functions of the router (attempt.Options) instead of the router.

--- a/internal/router/poison.go
+++ b/internal/router/attempt/crash.go
@@ -1,4 +1,4 @@
-package router
+package attempt
 
 import (
 	"context"
@@ -42,11 +42,11 @@
 }
 
 // suspicion refuses a request that is taken to crash what runs it.
-func (r *Router) suspicion(job *job.Job, request *dispatch.Request) *admission.Refusal {
-	if !r.poison.HasMarks() {
+func (s *Sender) suspicion(job *job.Job, request *dispatch.Request) *admission.Refusal {
+	if !s.poison.HasMarks() {
 		return nil
 	}
-	v := r.poison.Check(digestOf(job, request), steady.Now())
+	v := s.poison.Check(digestOf(job, request), steady.Now())
 	if v.State != poison.Held {
 		return nil
 	}
@@ -55,32 +55,16 @@
 
 // noteFate makes a mark against a request that was broken off by a target that ended,
 // or takes all back from one that was answered whole.
-func (r *Router) noteFate(ctx context.Context, job *job.Job, target fleet.Instance, request *dispatch.Request, outcome dispatch.Outcome) {
+func (s *Sender) noteFate(ctx context.Context, job *job.Job, target fleet.Instance, request *dispatch.Request, outcome dispatch.Outcome) {
 	switch {
 	case outcome.EndUnknown:
 	case outcome.Whole:
-		r.poison.RecordSuccess(digestOf(job, request), steady.Now())
+		s.poison.RecordSuccess(digestOf(job, request), steady.Now())
 	case outcome.NotRun || outcome.Leaving || ctx.Err() != nil:
 	case outcome.Reason != admission.TargetFailed && outcome.Reason != admission.StreamBroken:
-	case dispatch.Ended(ctx, target.Address, r.otherEngines(target)):
+	case dispatch.Ended(ctx, target.Address, s.options.Others(target)):
 		now, digest := steady.Now(), digestOf(job, request)
-		r.poison.RecordCrash(digest, uint32(placement.Hash(target.Name)), now, now)
-		r.log.Write(event.ReplicaEnded, event.F("request", job.ID), event.F("replica", target.Name), event.F("digest", digest.String()))
+		s.poison.RecordCrash(digest, uint32(placement.Hash(target.Name)), now, now)
+		s.options.Log.Write(event.ReplicaEnded, event.F("request", job.ID), event.F("replica", target.Name), event.F("digest", digest.String()))
 	}
 }
-
-// comparedEngines is with how many other engines one that refuses connections is compared.
-const comparedEngines = 2
-
-// otherEngines returns the addresses of some engines besides one.
-func (r *Router) otherEngines(target fleet.Instance) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var others []string
-	r.view.ForEach(steady.Now(), func(i fleet.Instance, _ fleet.Health) {
-		if i.Role == fleet.RoleEngine && i.Name != target.Name && len(others) < comparedEngines {
-			others = append(others, i.Address)
-		}
-	})
-	return others
-}
--- a/internal/router/local.go
+++ b/internal/router/local.go
@@ -8,7 +8,6 @@
 
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/internal/event"
-	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -165,7 +164,7 @@
 		Stream:      job.Stream,
 	}
 	named := &namedSink{Answer: answer, engine: v.engine.Name}
-	outcome, refusal := r.dispatchOnce(ctx, job, v.engine, request, named)
+	outcome, refusal := r.attempts.Send(ctx, job, v.engine, request, named)
 	r.finish(v.group, v.ticket, refusal == nil && outcome.Whole)
 	return refusal
 }
@@ -183,80 +182,3 @@
 	}
 	return s.Answer.Head(h)
 }
-
-// dispatchOnce sends a request to a target. One with a key is claimed first,
-// so that it runs at most once whatever else holds the same key.
-func (r *Router) dispatchOnce(ctx context.Context, job *job.Job, target fleet.Instance, request dispatch.Request, sink dispatch.Sink) (dispatch.Outcome, *admission.Refusal) {
-	if refusal := r.suspicion(job, &request); refusal != nil {
-		return dispatch.Outcome{NotRun: true}, refusal
-	}
-	if refusal := r.excludes(target.Name); refusal != nil {
-		return dispatch.Outcome{NotRun: true}, refusal
-	}
-	request.Attempt = dispatch.NewAttempt()
-	if job.Key == "" {
-		outcome := r.targets.Run(ctx, request, sink)
-		r.noteFate(ctx, job, target, &request, outcome)
-		return outcome, r.settle(ctx, job, target, outcome)
-	}
-	request.Key = idempotency.CallersKey(job.Key)
-	claim, refusal := r.claims.Take(ctx, job, request.Attempt)
-	if refusal != nil {
-		return dispatch.Outcome{}, refusal
-	}
-	if err := claim.CheckDeadline(); err != nil {
-		r.claims.Release(claim, job)
-		return dispatch.Outcome{}, admission.Refuse(admission.DeadlineMiss, time.Second, "the deadline passed while the key was claimed")
-	}
-	outcome := r.targets.Run(ctx, request, sink)
-	r.noteFate(ctx, job, target, &request, outcome)
-	refusal = r.settle(ctx, job, target, outcome)
-	switch {
-	case outcome.NotRun:
-		r.claims.Release(claim, job)
-	case outcome.Whole:
-		r.claims.Done(claim, job)
-	}
-	return outcome, refusal
-}
-
-// settle notes what an attempt showed of its target and turns a failure into a
-// refusal.
-func (r *Router) settle(ctx context.Context, job *job.Job, target fleet.Instance, outcome dispatch.Outcome) *admission.Refusal {
-	if outcome.Resumed > 0 {
-		r.metrics.Resumed.Inc(int64(outcome.Resumed))
-		r.log.Write(event.StreamResumed, event.F("request", job.ID), event.F("target", target.Name), event.F("times", outcome.Resumed))
-	}
-	if outcome.Leaving {
-		r.leaving(target.Name)
-	}
-	if outcome.Rest > 0 {
-		r.resting(target.Name, outcome.Rest)
-	}
-	if outcome.Whole {
-		return nil
-	}
-	switch {
-	case outcome.Reason == admission.TargetLeaving:
-	case outcome.Unreachable:
-		r.failed(target.Name, event.EngineSuspect, outcome.Err)
-	case outcome.Reason == admission.AnswerCrossed:
-		r.metrics.Crossed.Inc(1)
-		r.log.Write(event.AnswerCrossed, event.F("request", job.ID), event.F("target", target.Name))
-	case outcome.Reason == admission.CallerGone || errors.Is(ctx.Err(), context.Canceled):
-		r.log.Write(event.CallerGone, event.F("request", job.ID))
-		return &admission.Refusal{Reason: admission.CallerGone, NotRun: outcome.NotRun, Detail: "the caller went away"}
-	default:
-		r.metrics.Broken.Inc(1)
-		r.log.Write(event.RequestBroken, event.F("request", job.ID), event.F("target", target.Name), event.F("error", outcome.Err))
-	}
-	refusal := &admission.Refusal{Reason: outcome.Reason, NotRun: outcome.NotRun, Detail: "the target failed"}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		refusal.Reason = admission.DeadlineMiss
-		refusal.Detail = "the deadline passed"
-	}
-	if refusal.NotRun {
-		refusal.RetryAfter = time.Second
-	}
-	return refusal
-}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -80,7 +80,7 @@
 	defer r.countService(target.Name, -1)
 	request := call.Request
 	request.Address = target.Address
-	_, refusal := r.dispatchOnce(ctx, &call.Job, target, request, sink)
+	_, refusal := r.attempts.Send(ctx, &call.Job, target, request, sink)
 	return refusal
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/attempt"
 	"github.com/croftyard/croftyard/internal/router/configuration"
 	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/inflight"
@@ -43,7 +44,6 @@
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
-	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -57,7 +57,7 @@
 	peers    *peer.Client
 	meter    *peer.Meter
 	server   *peer.Server
-	targets  *dispatch.Dispatcher
+	attempts *attempt.Sender
 	adopted  policy.ActiveSnapshot
 	config   *configuration.Follower
 	list     *instancelist.Follower
@@ -91,8 +91,6 @@
 	// leavingSeen holds the targets that said themselves that they leave.
 	leavingSeen map[string]time.Time
 	sequence    uint32
-	// poison holds the marks against requests that crash their targets.
-	poison *poison.Tracker
 }
 
 // gainedAtMost bounds the engines that wait to be asked; one that finds no place
@@ -107,7 +105,6 @@
 		metrics:     metrics.New(),
 		platform:    kvservice.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
 		meter:       &peer.Meter{},
-		targets:     dispatch.New(s.Limits.Idle),
 		selfHash:    placement.Hash(s.Name),
 		rnd:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		view:        fleet.NewView(),
@@ -120,7 +117,6 @@
 		gained:      make(chan fleet.Instance, gainedAtMost),
 		services:    make(map[string]int),
 		leavingSeen: make(map[string]time.Time),
-		poison:      newPoison(log),
 		sequence:    rand.Uint32(),
 	}
 	r.selfID = fleet.ShortID(r.selfHash)
@@ -129,6 +125,7 @@
 	}
 	r.board = fleet.NewDigestTable(r.selfID)
 	r.claims = idempotency.New(r.platform, &r.inFlight, log, s.Platform.Timeout)
+	r.attempts = attempt.NewSender(r.attemptOptions())
 	r.peers = peer.NewClient(r.meter)
 	r.config = configuration.NewFollower(r.configurationOptions())
 	r.list = instancelist.NewFollower(r.listOptions())
@@ -145,6 +142,20 @@
 	return r, nil
 }
 
+func (r *Router) attemptOptions() attempt.Options {
+	return attempt.Options{
+		Log:         r.log,
+		Metrics:     r.metrics,
+		Targets:     dispatch.New(r.settings.Limits.Idle),
+		Claims:      r.claims,
+		Excludes:    r.excludes,
+		Unreachable: func(target string, err error) { r.failed(target, event.EngineSuspect, err) },
+		Leaving:     r.leaving,
+		Resting:     r.resting,
+		Others:      r.otherEngines,
+	}
+}
+
 func (r *Router) configurationOptions() configuration.Options {
 	return configuration.Options{
 		Log:        r.log,
--- a/internal/router/statements.go
+++ b/internal/router/statements.go
@@ -34,3 +34,19 @@
 	}
 	return nil
 }
+
+// comparedEngines is with how many other engines one that refuses connections is compared.
+const comparedEngines = 2
+
+// otherEngines returns the addresses of some engines besides one.
+func (r *Router) otherEngines(target fleet.Instance) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var others []string
+	r.view.ForEach(steady.Now(), func(i fleet.Instance, _ fleet.Health) {
+		if i.Role == fleet.RoleEngine && i.Name != target.Name && len(others) < comparedEngines {
+			others = append(others, i.Address)
+		}
+	})
+	return others
+}
