--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,7 +9,7 @@
 //	forwarded.go   a request that another router's edge sent here
 //	plain.go       plain services
 //	probe.go       the load of owned engines
-//	orders.go      fenced orders to targets
+//	orders.go      what orders to engines need of the router
 //	explain.go     a decision worked out for an operator
 //	state.go       the state dump
 //
@@ -37,6 +37,7 @@
 	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/inflight"
 	"github.com/croftyard/croftyard/internal/router/instancelist"
+	"github.com/croftyard/croftyard/internal/router/loadorders"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -192,7 +193,7 @@
 	work.Go(func() error { return r.config.Follow(ctx) })
 	work.Go(func() error { return r.sendDigests(ctx) })
 	work.Go(func() error { return r.pollLoads(ctx) })
-	work.Go(func() error { return r.giveOrders(ctx) })
+	work.Go(func() error { return loadorders.NewGiver(r.orderOptions()).Follow(ctx) })
 	return work.Wait()
 }
 
