--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,16 +2,14 @@
 // live view and the configuration, talks to the other routers, and carries a
 // request from the edge to its owner and to a target.
 //
-//	list.go        the platform's list, from the platform or from a peer
 //	membership.go  the list -> View -> pools
-//	config.go      the head -> the snapshot in force
 //	digest.go      load digests to and from other routers
 //	serve.go       the edge's half of a request: choose a group, go to its owner
 //	local.go       the owner's half: queue, dispatch, retry
 //	forwarded.go   a request that another router's edge sent here
 //	plain.go       plain services
 //	probe.go       the load of owned engines
-//	orders.go      fenced orders to targets
+//	orders.go      what orders to engines need of the router
 //	explain.go     a decision worked out for an operator
 //	state.go       the state dump
 //
@@ -34,8 +32,12 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/kvservice"
 	"github.com/croftyard/croftyard/internal/peer"
+	"github.com/croftyard/croftyard/internal/router/attempt"
+	"github.com/croftyard/croftyard/internal/router/configuration"
 	"github.com/croftyard/croftyard/internal/router/idempotency"
 	"github.com/croftyard/croftyard/internal/router/inflight"
+	"github.com/croftyard/croftyard/internal/router/instancelist"
+	"github.com/croftyard/croftyard/internal/router/loadorders"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -43,7 +45,6 @@
 	"github.com/croftyard/croftyard/pkg/fleet"
 	"github.com/croftyard/croftyard/pkg/owner"
 	"github.com/croftyard/croftyard/pkg/placement"
-	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -57,10 +58,10 @@
 	peers    *peer.Client
 	meter    *peer.Meter
 	server   *peer.Server
-	targets  *dispatch.Dispatcher
+	attempts *attempt.Sender
 	adopted  policy.ActiveSnapshot
-	config   *config
-	list     *list
+	config   *configuration.Follower
+	list     *instancelist.Follower
 	selfHash uint64
 	selfID   fleet.ID
 	listed   atomic.Bool
@@ -91,8 +92,6 @@
 	// leavingSeen holds the targets that said themselves that they leave.
 	leavingSeen map[string]time.Time
 	sequence    uint32
-	// poison holds the marks against requests that crash their targets.
-	poison *poison.Tracker
 }
 
 // gainedAtMost bounds the engines that wait to be asked; one that finds no place
@@ -107,7 +106,6 @@
 		metrics:     metrics.New(),
 		platform:    kvservice.NewClient(s.Platform.URL, s.Platform.Timeout, s.Platform.Rate),
 		meter:       &peer.Meter{},
-		targets:     dispatch.New(s.Limits.Idle),
 		selfHash:    placement.Hash(s.Name),
 		rnd:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		view:        fleet.NewView(),
@@ -120,7 +118,6 @@
 		gained:      make(chan fleet.Instance, gainedAtMost),
 		services:    make(map[string]int),
 		leavingSeen: make(map[string]time.Time),
-		poison:      newPoison(log),
 		sequence:    rand.Uint32(),
 	}
 	r.selfID = fleet.ShortID(r.selfHash)
@@ -129,14 +126,15 @@
 	}
 	r.board = fleet.NewDigestTable(r.selfID)
 	r.claims = idempotency.New(r.platform, &r.inFlight, log, s.Platform.Timeout)
+	r.attempts = attempt.NewSender(r.attemptOptions())
 	r.peers = peer.NewClient(r.meter)
-	r.config = newConfig(r)
-	r.list = &list{router: r}
+	r.config = configuration.NewFollower(r.configurationOptions())
+	r.list = instancelist.NewFollower(r.listOptions())
 	server, err := peer.Listen(s.Listen.Peers, peer.Handler{
 		Forward:       r.serveForward,
 		Exchange:      r.takeDigest,
-		Configuration: r.config.answer,
-		List:          r.list.answer,
+		Configuration: r.config.Answer,
+		List:          r.list.Answer,
 	}, r.meter)
 	if err != nil {
 		return nil, fmt.Errorf("router: %w", err)
@@ -145,15 +143,57 @@
 	return r, nil
 }
 
+func (r *Router) attemptOptions() attempt.Options {
+	return attempt.Options{
+		Log:         r.log,
+		Metrics:     r.metrics,
+		Targets:     dispatch.New(r.settings.Limits.Idle),
+		Claims:      r.claims,
+		Excludes:    r.excludes,
+		Unreachable: func(target string, err error) { r.failed(target, event.EngineSuspect, err) },
+		Leaving:     r.leaving,
+		Resting:     r.resting,
+		Others:      r.otherEngines,
+	}
+}
+
+func (r *Router) configurationOptions() configuration.Options {
+	return configuration.Options{
+		Log:        r.log,
+		Metrics:    r.metrics,
+		Service:    r.platform,
+		Peers:      r.peers,
+		InForce:    &r.adopted,
+		DataCentre: r.settings.DataCentre,
+		Routers:    r.otherRouters,
+		Near:       r.nearRouters,
+		Jitter:     r.jitter,
+	}
+}
+
+func (r *Router) listOptions() instancelist.Options {
+	return instancelist.Options{
+		Log:         r.log,
+		Service:     r.platform,
+		Peers:       r.peers,
+		Poll:        r.settings.Platform.Poll,
+		Near:        r.nearRouters,
+		Jitter:      r.jitter,
+		Take:        r.takeList,
+		Listed:      r.listed.Load,
+		Unreachable: func(name string, err error) { r.failed(name, event.PeerLost, err) },
+	}
+}
+
 // Run keeps the router up to date until ctx ends. It serves peers and Serve
 // all the while, and for as long as it takes to drain after that.
 func (r *Router) Run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return r.list.follow(ctx) })
-	work.Go(func() error { return r.config.follow(ctx) })
+	work.Go(func() error { return r.list.Follow(ctx) })
+	work.Go(func() error { return r.config.Follow(ctx) })
 	work.Go(func() error { return r.sendDigests(ctx) })
 	work.Go(func() error { return r.pollLoads(ctx) })
-	work.Go(func() error { return r.giveOrders(ctx) })
+	work.Go(func() error { return loadorders.NewGiver(r.orderOptions()).Follow(ctx) })
 	return work.Wait()
 }
 
@@ -163,7 +203,7 @@
 // Ready tells whether requests can be served: the newest configuration that
 // can be had is in force and the list of instances was read.
 func (r *Router) Ready() bool {
-	return !r.draining.Load() && r.listed.Load() && r.config.settled.Load()
+	return !r.draining.Load() && r.listed.Load() && r.config.Settled()
 }
 
 // Snapshot returns the configuration in force, or nil.
