directory: a rest that either process may have asked for ends 4 s after it was asked for

Cause: its end was 2 s after the read that first lists the later start, whenever it had been asked for, so that one of long before held a replica back that had served since: TestRestartedReplicaServesAgain/rest of internal/front failed (a rest of hours, asked for 10 s before the list told of the start; "the replica gets no request").

Change: the end counts from when the request was sent whose answer asked for the rest. The cases of TestStatementsAroundALaterStart expect it so, and one more that asked long before the list is free at once.

`go test -race -count=2 -run 'TestRestartedReplicaServesAgain|TestResting' ./internal/front` holds; TestStatementsHoldExactlyUntilTheirEnd holds with 20,000 checks.

--- a/pkg/directory/restart.go
+++ b/pkg/directory/restart.go
@@ -37,9 +37,10 @@
 	return r.NextSequence != 0 && r.NextSequence < old.NextSequence && !d.holdsFacts(d.readTime)
 }
 
-// maxUncertainRest is how long, after the first read that lists a later start, a rest lasts that
-// either process may have asked for. The replica is then sent a request and may ask again.
-const maxUncertainRest = 2 * time.Second
+// maxUncertainRest is how long a rest lasts that either the earlier or the later process may have
+// asked for. It counts from when the request was sent whose answer asked for it. The replica is then
+// sent a request and may ask again.
+const maxUncertainRest = 4 * time.Second
 
 // MarkRestarted discards all statements of a replica that another router reported as
 // restarted at the given time. It does not count a restart twice that a list has just
@@ -91,7 +92,7 @@
 	if !sent.Before(r.startListed) {
 		return until, true
 	}
-	if limit := r.startListed.Add(maxUncertainRest); until.After(limit) {
+	if limit := sent.Add(maxUncertainRest); until.After(limit) {
 		until = limit
 	}
 	return until, sent.After(r.earlierListed)
