--- a/internal/faulty/scripted.go
+++ b/internal/faulty/scripted.go
@@ -43,11 +43,11 @@
 	requests atomic.Int32
 }
 
-// NewScripted starts a server on the loopback address that serves requests for a path, as another
+// NewScripted starts a server on a loopback address that serves requests for a path, as another
 // process may still send requests to the server that had its port before. The error is the
 // listener's.
 func NewScripted(path string, replies ...Reply) (*Scripted, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -6,7 +6,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -72,13 +72,13 @@
 // relayedBy returns a rig that reaches no replica and knows two routers that serve its requests.
 func relayedBy(t *testing.T, other *rig) *rig {
 	t.Helper()
+	r := newRig(t, "127.0.0.1:1")
 	var routers []relay.Router
 	for range 2 {
-		server := httptest.NewServer(http.HandlerFunc(other.front.ServeRelayed))
-		t.Cleanup(server.Close)
+		server := serve(t, http.HandlerFunc(other.front.ServeRelayed))
+		r.relays = append(r.relays, server)
 		routers = append(routers, relay.Router{Address: server.Listener.Addr().String(), DataCentre: "here"})
 	}
-	r := newRig(t, "127.0.0.1:1")
 	r.front.options.RelayPool = r.front.pool
 	r.front.options.Relays = func() []relay.Router { return routers }
 	return r
@@ -96,6 +96,8 @@
 	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
+	// The reset frees the port once the answer is read.
+	require.NoError(t, c.(*net.TCPConn).SetLinger(0))
 	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
 	_, err = fmt.Fprintf(c, "POST %s HTTP/%s\r\nHost: h\r\nTry: %s\r\nAuthorization: Key k1\r\nContent-Length: 0\r\n\r\n", path, version, id)
 	require.NoError(t, err)
@@ -109,9 +111,9 @@
 
 // checkCutAnswer fails if what a caller got of a cut answer looks complete, or promises that the
 // request has not run.
-func checkCutAnswer(t *testing.T, full cutAnswer, at int, end faulty.End, response *http.Response, body string, err error) {
+func checkCutAnswer(t *testing.T, full cutAnswer, at int, end faulty.End, unsent []string, response *http.Response, body string, err error) {
 	t.Helper()
-	what := fmt.Sprintf("%d bytes of %q: %v %q %v", at, full.text, response, body, err)
+	what := fmt.Sprintf("%d bytes of %q: %v %q %v, not sent: %q", at, full.text, response, body, err, unsent)
 	if response != nil {
 		require.False(t, impliesNotRun(response.StatusCode), what)
 	}
@@ -160,12 +162,15 @@
 					require.NoError(t, err)
 					addresses := []string{server.Address(), server.Address()}[:len(replies)]
 					r := newRig(t, addresses...)
+					other := r
 					if hop.relayed {
-						r = relayedBy(t, r)
+						r = relayedBy(t, other)
 					}
 					response, body, err := r.call(t, hop.version, full.path)
-					checkCutAnswer(t, full, at, end, response, body, err)
+					checkCutAnswer(t, full, at, end, slices.Concat(other.unsent.all(), r.unsent.all()), response, body, err)
 					assert.LessOrEqual(t, server.Requests(), len(replies))
+					r.close()
+					other.close()
 					server.Close()
 				}
 			})
@@ -197,9 +202,10 @@
 				r.front.options.RelayPool = r.front.pool
 				r.front.options.Relays = func() []relay.Router { return []relay.Router{{Address: server.Address(), DataCentre: "here"}} }
 				response, body, err := r.call(t, "1.1", path)
-				what := fmt.Sprintf("%d bytes of %q: %v %q %v", at, text, response, body, err)
+				what := fmt.Sprintf("%d bytes of %q: %v %q %v, not sent: %q", at, text, response, body, err, r.unsent.all())
 				assert.Equal(t, 1, server.Requests(), what)
 				assert.Zero(t, r.front.pool.Idle(), what)
+				r.close()
 				server.Close()
 				switch {
 				case name == "answer" && at >= headSize:
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/faulty"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -119,6 +120,9 @@
 	holder  *freshness.Holder
 	server  *httptest.Server
 	log     *event.Log
+	unsent  *unsent
+	// relays are the servers of the routers that it hands requests to.
+	relays []*httptest.Server
 }
 
 func testConfig() route.Config {
@@ -183,12 +187,33 @@
 	holder := freshness.NewHolder()
 	balancer := balance.New(1)
 	f := watch.New(source, watch.Options{Period: time.Hour, Timeout: time.Second}, directory.New(time.Hour, time.Hour), holder, balancer, log)
-	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Minute, SilenceTimeout: 10 * time.Second, IdleTime: time.Minute})
+	const silence = 10 * time.Second
+	failures := &unsent{}
+	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Minute, SilenceTimeout: silence, IdleTime: time.Minute,
+		Dial: failures.watch(upstream.SystemDial(silence, ""))})
 	limits := Limits{MaxKeyProofAge: time.Hour, MaxAbsenceProofAge: time.Hour}
 	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits, Retries: retryBudget(1, 100)}, f, holder, balancer, pool, NewMetrics(), log)
-	r := &rig{front: front, source: source, watcher: f, holder: holder, server: httptest.NewServer(front), log: log}
-	t.Cleanup(r.server.Close)
-	return r
+	return &rig{front: front, source: source, watcher: f, holder: holder, server: serve(t, front), log: log, unsent: failures}
+}
+
+// serve starts a server on an address of its own.
+func serve(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	listener, err := faulty.Listen()
+	require.NoError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// close ends the rig's connections and servers before its test ends.
+func (r *rig) close() {
+	r.front.pool.DropIdle()
+	r.server.Close()
+	for _, server := range r.relays {
+		server.Close()
+	}
 }
 
 // retryBudget returns the budget of a fleet of one router.
@@ -222,12 +247,11 @@
 func replica(t *testing.T, handler http.HandlerFunc) (address string, arrivals *atomic.Int32) {
 	t.Helper()
 	arrivals = &atomic.Int32{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		arrivals.Add(1)
 		w.Header().Set("Try", r.Header.Get("Try"))
 		handler(w, r)
 	}))
-	t.Cleanup(server.Close)
 	return server.Listener.Addr().String(), arrivals
 }
 
@@ -251,7 +275,7 @@
 // text that ends in "!" closes the connection after it.
 func rawReplica(t *testing.T, answers ...string) (address string, seen chan *http.Request) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	seen = make(chan *http.Request, 16)
