front: the test of a failed dial needs no late kernel

Cause: TestRequestWithoutAFreePortIsRefused bounds the local ports of a socket by IP_LOCAL_PORT_RANGE, which kernels before 6.3 refuse.

Change: the dial's only address is that of a listener, so that it fails as it is bound, on any kernel. What callers get is checked as before; the error is "address already in use" in place of "cannot assign requested address".

go test -run TestRequestWithoutAFreePort -count 3 ./internal/front holds.

--- a/internal/front/dials_test.go
+++ b/internal/front/dials_test.go
@@ -64,20 +64,9 @@
 	return n, err
 }
 
-// portOnly returns a dial whose connections have a single local port to be opened from.
-func portOnly(port int) socket.Dial {
-	// ipLocalPortRange is Linux's IP_LOCAL_PORT_RANGE, which the syscall package lacks.
-	const ipLocalPortRange = 51
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var result error
-		err := raw.Control(func(fd uintptr) {
-			result = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipLocalPortRange, port|port<<16)
-		})
-		if err != nil {
-			return err
-		}
-		return result
-	}}
+// dialFrom returns a dial whose connections are opened from one address.
+func dialFrom(local net.Addr) socket.Dial {
+	dialer := net.Dialer{LocalAddr: local}
 	return dialer.DialContext
 }
 
@@ -90,12 +79,12 @@
 	address, asked := replica(t, nil)
 	r := newRig(t, address)
 	r.front.pool = upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Minute, SilenceTimeout: time.Minute, IdleTime: time.Minute,
-		Dial: r.unsent.watch(portOnly(listener.Addr().(*net.TCPAddr).Port))})
+		Dial: r.unsent.watch(dialFrom(listener.Addr()))})
 	response, body, err := r.call(t, "1.1", "/once/x")
 	require.NoError(t, err)
 	assert.Equal(t, 503, response.StatusCode)
 	assert.Contains(t, body, "no replica")
 	assert.Zero(t, asked.Load())
 	require.Len(t, r.unsent.all(), 1)
-	assert.Contains(t, r.unsent.all()[0], syscall.EADDRNOTAVAIL.Error())
+	assert.Contains(t, r.unsent.all()[0], syscall.EADDRINUSE.Error())
 }
