--- a/pkg/balance/plainfleet_test.go
+++ b/pkg/balance/plainfleet_test.go
@@ -53,6 +53,10 @@
 	at func(random *rand.Rand) int
 	// away are routers that take no connections.
 	away map[int]bool
+	// handsOn: requests of a router that lost the path to the service, or opened no connection to two
+	// replicas, go to others, which are not simulated. failedDials counts such connections, by router.
+	handsOn     bool
+	failedDials map[int]int
 	// isolated is the data centre that is cut off from the others; -1 for none.
 	isolated int
 }
@@ -69,6 +73,8 @@
 	// waits for a connection.
 	plainPatience       = 4 * time.Second
 	plainConnectTimeout = 300 * time.Millisecond
+	// plainUnopened is after how many replicas that take no connection another router is asked.
+	plainUnopened = 2
 	// shedRetryAfter is what a caller is told if replicas did not take the request.
 	shedRetryAfter = 50 * time.Millisecond
 	// plainSpread is the standard deviation of the logarithm of the work time.
@@ -95,6 +101,8 @@
 	// organisation asks; it repeats at once, this often, or once after Retry-After.
 	organisation, repeats int
 	impatient             bool
+	// unopened is how many replicas took no connection.
+	unopened int
 }
 
 // plainStats counts what callers got.
@@ -119,6 +127,7 @@
 		queue:       func() int { return plainQueue },
 		answered:    func(int, string, bool) {},
 		away:        make(map[int]bool),
+		failedDials: make(map[int]int),
 	}
 	f.knows = func(int) []string { return f.addresses }
 	f.arrivals = f.random
@@ -267,9 +276,15 @@
 		f.refuse(r, shedRetryAfter)
 		return
 	}
+	if f.handsOn && (choice.PathLost || choice.Unreachable || r.unopened == plainUnopened) {
+		f.ended(r, true)
+		return
+	}
 	id := choice.Replica.ID
 	if !f.sameSide(centre, f.centreOf(id)) {
 		// Nothing was sent, so it is not an attempt.
+		f.failedDials[r.router]++
+		r.unopened++
 		f.after(plainConnectTimeout, func() {
 			router.RequestFailed(id, Unreachable, fmt.Sprintf("dc%d", centre), f.now)
 			f.send(r)
