--- a/pkg/balance/brittlerestart_test.go
+++ b/pkg/balance/brittlerestart_test.go
@@ -46,7 +46,7 @@
 	for _, address := range p.addresses {
 		members.start(address)
 	}
-	const meetingRounds = 12
+	const meetingRounds = 30
 	for range meetingRounds {
 		members.round(p.now, func(string, *membership.Table) {})
 	}
