--- a/pkg/balance/brittleness.go
+++ b/pkg/balance/brittleness.go
@@ -155,9 +155,8 @@
 	return recent
 }
 
-// RecallBrittle records, as a router starts, what was known before all routers ended. The first answer of
-// a service replaces it. Until routers have met again the replicas are divided among as many as there
-// were.
+// RecallBrittle records, as a router starts, what was known before. The first answer of a service replaces
+// it. Until this router knows as many routers as there were, the replicas are divided among these.
 func (b *Balancer) RecallBrittle(recent RecentBrittle, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -175,6 +174,7 @@
 		case !found || !stated.recalledUntil.IsZero():
 			b.brittle[s.Service] = brittleness{bears: float64(s.Rejections), recalledUntil: now.Add(recallTime)}
 		case stated.toldAt.IsZero():
+			// LearnBrittle came first: toldAt is set by this router's own answers and by rumors.
 			b.othersServe = true
 		}
 	}
