tests: servers, relays and links that fail listen at addresses of their process

Change: 10 listeners in tests of internal/front, internal/upstream, internal/dispatch and internal/peer, the replica of crash_test, faulty.Relay, Endless and Narrow, and the links of test/proxy use faulty.Listen. What the tests check is unchanged. Others that listen at 127.0.0.1:0 have one or two listeners each and stay.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -114,7 +113,7 @@
 }
 
 func TestUnreachableDidNotRun(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	listener.Close()
@@ -125,7 +124,7 @@
 
 // Guards against a router whose own path is lost and that takes its targets to have ended.
 func TestEnded(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	defer listener.Close()
 	open := listener.Addr().String()
--- a/internal/faulty/endless.go
+++ b/internal/faulty/endless.go
@@ -22,10 +22,10 @@
 	closed   chan struct{}
 }
 
-// NewEndless starts a server on the loopback address whose answers are begin and then piece
+// NewEndless starts a server on a loopback address whose answers are begin and then piece
 // again and again. The error is the listener's.
 func NewEndless(begin, piece string) (*Endless, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/faulty/narrow.go
+++ b/internal/faulty/narrow.go
@@ -9,7 +9,7 @@
 // Narrow takes one connection and has little room for what comes on it: most of a long
 // request stays on the way, with the system of who sent it.
 type Narrow struct {
-	listener *net.TCPListener
+	listener net.Listener
 	begun    chan *net.TCPConn
 }
 
@@ -18,7 +18,7 @@
 
 // NewNarrow listens for a connection.
 func NewNarrow() (*Narrow, error) {
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	listener, err := Listen()
 	if err != nil {
 		return nil, fmt.Errorf("faulty: narrow: %w", err)
 	}
@@ -32,10 +32,11 @@
 
 // accept takes the connection and its first byte.
 func (n *Narrow) accept() {
-	c, err := n.listener.AcceptTCP()
+	accepted, err := n.listener.Accept()
 	if err != nil {
 		return
 	}
+	c := accepted.(*net.TCPConn)
 	if c.SetReadBuffer(narrowRoom) != nil {
 		return
 	}
--- a/internal/faulty/relay.go
+++ b/internal/faulty/relay.go
@@ -30,7 +30,7 @@
 
 // NewRelay passes connections on to a server at an address.
 func NewRelay(to string) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := Listen()
 	if err != nil {
 		return nil, fmt.Errorf("faulty: relay: %w", err)
 	}
--- a/internal/front/caller_left_test.go
+++ b/internal/front/caller_left_test.go
@@ -15,6 +15,8 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/faulty"
 )
 
 // lateListener accepts connections whose reads proceed one at a time, when the test permits.
@@ -106,7 +108,7 @@
 		t.Run(name, func(t *testing.T) {
 			address, arrivals := replica(t, func(http.ResponseWriter, *http.Request) {})
 			r := newRig(t, address)
-			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			raw, err := faulty.Listen()
 			require.NoError(t, err)
 			late := &lateListener{Listener: raw, reads: make(chan struct{})}
 			r.serveWithLimits(t, late)
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -16,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/faulty"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -28,13 +28,10 @@
 // then aborts the connection.
 func newAbortingReplica(t *testing.T, handler func(l net.Listener, w http.ResponseWriter)) string {
 	t.Helper()
-	server := httptest.NewUnstartedServer(nil)
-	server.Listener.Close()
 	// Once it has ended, no other process may listen at its address.
-	pid := os.Getpid()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.4:0", 1+pid>>8%200, pid%256))
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
-	server.Listener = listener
+	server := &httptest.Server{Listener: listener, Config: &http.Server{}}
 	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Try", r.Header.Get("Try"))
 		handler(server.Listener, w)
--- a/internal/front/cutstorm_test.go
+++ b/internal/front/cutstorm_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/faulty"
 )
 
 // cutter is a replica that cuts most of its answers, keeps connections where it can, and may send a
@@ -35,7 +37,7 @@
 
 func (c *cutter) listen(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	go func() {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/faulty"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -105,7 +105,7 @@
 }
 
 func TestRefusedConnectionCostsNoAttempt(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	dead := listener.Addr().String()
 	listener.Close()
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/faulty"
 )
 
 // chunked hides the length of a text, so that the client sends it chunked.
@@ -164,7 +165,7 @@
 // stuckReplica accepts requests and reads nothing of them.
 func stuckReplica(t *testing.T) (address string, accepted chan struct{}) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	accepted = make(chan struct{}, 16)
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/faulty"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -19,7 +19,7 @@
 // endedReplica returns an address at which a replica refuses connections.
 func endedReplica(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := faulty.Listen()
 	require.NoError(t, err)
 	l.Close()
 	return l.Addr().String()
--- a/internal/peer/cut_test.go
+++ b/internal/peer/cut_test.go
@@ -7,13 +7,15 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/faulty"
 )
 
 // Guards against a request that is written to a router that closed within its greeting.
 func TestRelayGreetingThatIsCutOpensNoConnection(t *testing.T) {
 	for at := range relayAccept {
 		for _, reset := range []bool{false, true} {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := faulty.Listen()
 			require.NoError(t, err)
 			rest := make(chan []byte, 1)
 			go func() {
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/faulty"
 )
 
 func TestProbeReportsProcessState(t *testing.T) {
@@ -21,7 +23,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := faulty.Listen()
 			require.NoError(t, err)
 			defer listener.Close()
 			go func() {
@@ -43,7 +45,7 @@
 }
 
 func TestProbeReportsEndedWhenRefused(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	listener.Close()
--- a/test/proxy/proxy.go
+++ b/test/proxy/proxy.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/croftyard/croftyard/internal/faulty"
 )
 
 // Proxy passes connections on to one address.
@@ -41,7 +43,7 @@
 
 // New starts a proxy to target on a free loopback port.
 func New(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := faulty.Listen()
 	if err != nil {
 		return nil, err
 	}
