--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/socket"
@@ -89,7 +90,7 @@
 	// relayPool keeps connections to other routers.
 	relayPool *upstream.Pool
 	front     *front.Front
-	metrics   *front.Metrics
+	metrics   *metrics.Metrics
 	gossip    *gossip.Gossip
 	// retries is this router's part of the fleet's retries.
 	retries *retry.Budget
@@ -146,7 +147,7 @@
 
 func (e *Entry) build() error {
 	b := e.settings.Bounds
-	e.metrics = front.NewMetrics()
+	e.metrics = metrics.New()
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(steady.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
@@ -127,7 +128,7 @@
 	parts    *poison.PartTracker
 	pool     *upstream.Pool
 	log      *event.Log
-	metrics  *Metrics
+	metrics  *metrics.Metrics
 	started  time.Time
 	limits   atomic.Pointer[Limits]
 	retries  retries
@@ -165,7 +166,7 @@
 }
 
 // New returns a Front.
-func New(o Options, f *watch.Watcher, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
+func New(o Options, f *watch.Watcher, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *metrics.Metrics, log *event.Log) *Front {
 	if o.Poison == nil {
 		o.Poison = poison.New(poison.Options{})
 	}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics/metrics.go
@@ -1,4 +1,5 @@
-package front
+// Package metrics holds the counters and histograms of a Front.
+package metrics
 
 import (
 	"strings"
@@ -50,8 +51,8 @@
 	otherLabel = "other"
 )
 
-// NewMetrics returns metrics in a new registry.
-func NewMetrics() *Metrics {
+// New returns metrics in a new registry.
+func New() *Metrics {
 	r := gometrics.NewRegistry()
 	m := &Metrics{
 		Registry:           r,
@@ -71,20 +72,20 @@
 		services:           make(map[string]bool),
 	}
 	for _, reason := range []overload.Reason{overload.OverShare, overload.TooLate} {
-		m.refusedOverloaded(reason)
+		m.RefusedOverloaded(reason)
 	}
 	return m
 }
 
-// refusedOverloaded returns the counter of requests that admission control refused for a
+// RefusedOverloaded returns the counter of requests that admission control refused for a
 // reason.
-func (m *Metrics) refusedOverloaded(reason overload.Reason) gometrics.Counter {
+func (m *Metrics) RefusedOverloaded(reason overload.Reason) gometrics.Counter {
 	return gometrics.GetOrRegisterCounter("croftyard.front.refused_overloaded."+strings.ReplaceAll(string(reason), " ", "_"), m.Registry)
 }
 
 // RecordOverload counts a request that admission control refused.
 func (m *Metrics) RecordOverload(service string, reason overload.Reason) {
-	m.refusedOverloaded(reason).Inc(1)
+	m.RefusedOverloaded(reason).Inc(1)
 	gometrics.GetOrRegisterCounter("croftyard.front.service_refused_overloaded."+m.label(m.services, service), m.Registry).Inc(1)
 }
 
