front: headers between routers in a package of their own

Moves only: the names and results of relayheaders.go and the text of excluded replicas are in internal/front/relayheader, and relayHeaders, which was only read to remove them, is Delete.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/eventstream"
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -249,7 +250,7 @@
 	c.front.announceClose(c.writer)
 	header.Set(c.front.options.Dialect.AttemptID, c.id)
 	if c.relay != nil {
-		header.Set(relayResultHeader, c.relay.result(c, r))
+		header.Set(relayheader.Result, c.relay.result(c, r))
 		c.setExclusions(header)
 	}
 	http.Error(c.writer, r.reason, r.status)
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/faulty"
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/pkg/relay"
 )
 
@@ -185,10 +186,10 @@
 	const path = "/once/cut"
 	for name, text := range map[string]string{
 		"answer":  "HTTP/1.1 200 OK\r\nTry: id-1\r\nSign: s\r\nRelay-Sent: 1\r\nRelay-Replica: r0\r\nContent-Length: 4\r\n\r\nbody",
-		"refused": fmt.Sprintf(refused, relayRefused),
-		"unable":  fmt.Sprintf(refused, relayUnable),
-		"full":    fmt.Sprintf(refused, relayFull),
-		"differs": fmt.Sprintf(refused, relayDiffers),
+		"refused": fmt.Sprintf(refused, relayheader.Refused),
+		"unable":  fmt.Sprintf(refused, relayheader.Unable),
+		"full":    fmt.Sprintf(refused, relayheader.Full),
+		"differs": fmt.Sprintf(refused, relayheader.Differs),
 		"failed":  "HTTP/1.1 502 Bad Gateway\r\nTry: id-1\r\nRelay-Result: failed\r\nContent-Length: 7\r\n\r\nfailed\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/route"
@@ -329,7 +330,7 @@
 	return min(longest, MaxStreamLifetime)
 }
 
-// relayOriginPrefix precedes the version in relayOriginHeader.
+// relayOriginPrefix precedes the version in relayheader.Origin.
 const relayOriginPrefix = "="
 
 // setOrigin adds to a request for another router the version at which the stream began.
@@ -338,12 +339,12 @@
 	if c.origin.state == originKnown {
 		value = relayOriginPrefix + c.origin.version
 	}
-	header.Set(relayOriginHeader, value)
+	header.Set(relayheader.Origin, value)
 }
 
 // readOrigin reads where the stream began from the request of another router.
 func (c *call) readOrigin(header http.Header) {
-	values, stated := header[relayOriginHeader]
+	values, stated := header[relayheader.Origin]
 	if !stated {
 		return
 	}
@@ -356,10 +357,10 @@
 // relayedVersion returns the version of the replica that answered another router. One of an
 // earlier build does not state it.
 func (c *call) relayedVersion(header http.Header) softwareVersion {
-	if values, stated := header[relayVersionHeader]; stated {
+	if values, stated := header[relayheader.Version]; stated {
 		return softwareVersion{values[0], true}
 	}
-	version, listed := c.front.balancer.VersionOf(header.Get(relayReplicaHeader))
+	version, listed := c.front.balancer.VersionOf(header.Get(relayheader.Replica))
 	return softwareVersion{version, listed}
 }
 
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -83,8 +84,8 @@
 	request.Host = "h"
 	request.Header.Set("Try", "id-1")
 	request.Header.Set("Authorization", "Key k1")
-	request.Header.Set(relayServiceHeader, "s")
-	request.Header.Set(relayOrganisationHeader, "acme")
+	request.Header.Set(relayheader.Service, "s")
+	request.Header.Set(relayheader.Organisation, "acme")
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
@@ -100,8 +101,8 @@
 		path, result string
 		arrivals     int
 	}{
-		"runs once":       {"/once/x", relayUnable, 0},
-		"may be repeated": {"/repeat/x", relayFailed, 1},
+		"runs once":       {"/once/x", relayheader.Unable, 0},
+		"may be repeated": {"/repeat/x", relayheader.Failed, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -115,9 +116,9 @@
 			for n := range 3 {
 				r.front.balancer.RequestFailed(fmt.Sprint("r", n), balance.Refused, "here", time.Now())
 			}
-			response := r.sendRelayed(t, test.path, map[string]string{relayAttemptsHeader: "1"})
+			response := r.sendRelayed(t, test.path, map[string]string{relayheader.Attempts: "1"})
 			defer response.Body.Close()
-			assert.Equal(t, test.result, response.Header.Get(relayResultHeader))
+			assert.Equal(t, test.result, response.Header.Get(relayheader.Result))
 			assert.EqualValues(t, test.arrivals, arrived.Load())
 		})
 	}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -156,26 +157,26 @@
 		return c.handleRelayError(ctx, address, attempts, err)
 	}
 	defer answer.Close()
-	result := answer.Header.Get(relayResultHeader)
+	result := answer.Header.Get(relayheader.Result)
 	f.log.Write(event.RequestRelayed, event.F("request", c.id), event.F("router", address), event.F("result", result), event.F("status", answer.StatusCode))
 	if result != "" {
 		f.recordRelayedRests(answer, c.arrival)
 	}
 	switch {
-	case result == relayFailed:
+	case result == relayheader.Failed:
 		drainBody(answer)
 		c.sent.Add(int32(attempts))
 		c.mayHaveRun = true
 		c.outcome.reason = "failed at another router"
 		return c.retryRelay(steady.Until(c.deadline) > 0)
-	case result == relayRefused && impliesNotRun(answer.StatusCode):
+	case result == relayheader.Refused && impliesNotRun(answer.StatusCode):
 		c.giveUp(c.refuseAsRelayed(answer))
 		return relayFinished
-	case result == relayFull:
+	case result == relayheader.Full:
 		f.relays.Full(c.service.Name, address, steady.Now())
 		c.relayRefusal = c.refuseAsRelayed(answer)
 		return relayNone
-	case result == relayDiffers:
+	case result == relayheader.Differs:
 		f.watcher.TriggerRead()
 		drainBody(answer)
 		return relayNone
@@ -196,10 +197,10 @@
 	failover := c.failover(c.silenceLimit(), cancel)
 	header := forwardedHeader(c.request.Header)
 	header.Set(d.Deadline, strconv.FormatInt(max(steady.Until(c.deadline).Milliseconds(), 1), 10))
-	header.Set(relayAttemptsHeader, strconv.Itoa(attempts))
-	header.Set(relayShareHeader, strconv.FormatFloat(c.shareDraw, 'g', -1, 64))
-	header.Set(relayServiceHeader, c.service.Name)
-	header.Set(relayOrganisationHeader, c.organisationName())
+	header.Set(relayheader.Attempts, strconv.Itoa(attempts))
+	header.Set(relayheader.Share, strconv.FormatFloat(c.shareDraw, 'g', -1, 64))
+	header.Set(relayheader.Service, c.service.Name)
+	header.Set(relayheader.Organisation, c.organisationName())
 	c.lendShare(header, address)
 	c.setExclusions(header)
 	c.setOrigin(header)
@@ -237,8 +238,8 @@
 	}
 	part := 1 / float64(max(f.relays.Takers(c.service.Name, f.options.Relays(), now), 1))
 	part = f.balancer.LendShare(c.service.Name, address, part, now)
-	header.Set(relayLenderHeader, f.options.Name)
-	header.Set(relayLentHeader, strconv.FormatFloat(part, 'g', -1, 64))
+	header.Set(relayheader.Lender, f.options.Name)
+	header.Set(relayheader.Lent, strconv.FormatFloat(part, 'g', -1, 64))
 }
 
 // handleRelayError decides how to go on after another router gave no answer.
--- a/internal/front/relayanswer.go
+++ b/internal/front/relayanswer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 )
@@ -75,16 +76,14 @@
 // recordRelayed records what an answer that came by another router says of its replica, and
 // removes what is not the replica's.
 func (c *call) recordRelayed(answer *upstream.Answer) {
-	sent, err := strconv.Atoi(answer.Header.Get(relaySentHeader))
+	sent, err := strconv.Atoi(answer.Header.Get(relayheader.Sent))
 	if err != nil || sent < 1 {
 		sent = 1
 	}
 	c.sent.Add(int32(sent))
-	c.outcome.replica = answer.Header.Get(relayReplicaHeader)
+	c.outcome.replica = answer.Header.Get(relayheader.Replica)
 	c.replicaVersion = c.relayedVersion(answer.Header)
-	for _, name := range relayHeaders {
-		answer.Header.Del(name)
-	}
+	relayheader.Delete(answer.Header)
 	// The end of the connection is the other router's.
 	stated := *answer.Response
 	stated.Close = false
--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -24,23 +25,21 @@
 	defer f.active.Add(-1)
 	c := newCall(f, w, r, steady.Now())
 	defer c.recordEnd()
-	attempts, err := strconv.Atoi(r.Header.Get(relayAttemptsHeader))
+	attempts, err := strconv.Atoi(r.Header.Get(relayheader.Attempts))
 	if err != nil || attempts < 1 {
 		attempts = 1
 	}
-	c.relay = &relayedCall{attempts: attempts, service: r.Header.Get(relayServiceHeader), organisation: r.Header.Get(relayOrganisationHeader)}
-	c.relay.excluded = parseExclusions(r.Header, steady.Now())
-	if share, err := strconv.ParseFloat(r.Header.Get(relayShareHeader), 64); err == nil && share >= 0 && share < 1 {
+	c.relay = &relayedCall{attempts: attempts, service: r.Header.Get(relayheader.Service), organisation: r.Header.Get(relayheader.Organisation)}
+	c.relay.excluded = relayheader.ParseExclusions(r.Header, steady.Now())
+	if share, err := strconv.ParseFloat(r.Header.Get(relayheader.Share), 64); err == nil && share >= 0 && share < 1 {
 		c.shareDraw = share
 	}
-	part, err := strconv.ParseFloat(r.Header.Get(relayLentHeader), 64)
-	if lender := r.Header.Get(relayLenderHeader); err == nil && lender != "" {
+	part, err := strconv.ParseFloat(r.Header.Get(relayheader.Lent), 64)
+	if lender := r.Header.Get(relayheader.Lender); err == nil && lender != "" {
 		f.balancer.ShareLent(c.relay.service, lender, part, steady.Now())
 	}
 	c.readOrigin(r.Header)
-	for _, name := range relayHeaders {
-		r.Header.Del(name)
-	}
+	relayheader.Delete(r.Header)
 	f.metrics.RelayedHere.Inc(1)
 	defer f.relayedHere.Add(-1)
 	if f.relayedHere.Add(1) > maxRelayedHere {
@@ -69,22 +68,22 @@
 	return c.organisation.Name
 }
 
-// result returns the value of relayResultHeader for an answer that this router generated.
+// result returns the value of relayheader.Result for an answer that this router generated.
 func (*relayedCall) result(c *call, r *refusal) string {
 	switch {
 	case c.mayHaveRun:
-		return relayFailed
+		return relayheader.Failed
 	case r.differs || !impliesNotRun(r.status):
-		return relayDiffers
+		return relayheader.Differs
 	case c.sent.Load() > 0:
 		// Replicas turned it away; the first router does not know how many.
-		return relayRefused
+		return relayheader.Refused
 	case r.unable:
-		return relayUnable
+		return relayheader.Unable
 	case r.full:
-		return relayFull
+		return relayheader.Full
 	}
-	return relayRefused
+	return relayheader.Refused
 }
 
 // describeRelayed adds to the head of a replica's answer what the router that handed the
@@ -93,10 +92,10 @@
 	if c.relay == nil {
 		return
 	}
-	header.Set(relaySentHeader, strconv.Itoa(int(c.sent.Load())))
-	header.Set(relayReplicaHeader, c.outcome.replica)
+	header.Set(relayheader.Sent, strconv.Itoa(int(c.sent.Load())))
+	header.Set(relayheader.Replica, c.outcome.replica)
 	if c.relay.asksVersion {
-		header.Set(relayVersionHeader, c.replicaVersion.version)
+		header.Set(relayheader.Version, c.replicaVersion.version)
 	}
 }
 
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -191,14 +192,14 @@
 		r := newRig(t, address)
 		r.shutDownWith(true, 50*time.Second, time.Millisecond)
 		request := httptest.NewRequest(http.MethodPost, "http://h/stream/x", nil)
-		for name, value := range map[string]string{"Try": "id-1", "Authorization": "Key k1", "Left": deadline, relayServiceHeader: "s", relayOrganisationHeader: "acme"} {
+		for name, value := range map[string]string{"Try": "id-1", "Authorization": "Key k1", "Left": deadline, relayheader.Service: "s", relayheader.Organisation: "acme"} {
 			request.Header.Set(name, value)
 		}
 		recorder := httptest.NewRecorder()
 		r.front.ServeRelayed(recorder, request)
 		assert.Equal(t, status, recorder.Code)
 		if status != http.StatusOK {
-			assert.Equal(t, relayUnable, recorder.Header().Get(relayResultHeader), "another router is asked")
+			assert.Equal(t, relayheader.Unable, recorder.Header().Get(relayheader.Result), "another router is asked")
 			assert.Zero(t, arrivals.Load())
 		}
 	}
--- a/internal/front/stream_version_test.go
+++ b/internal/front/stream_version_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
@@ -55,9 +56,9 @@
 	other := httptest.NewServer(http.HandlerFunc(r.front.ServeRelayed))
 	t.Cleanup(other.Close)
 	r.server = other
-	response, text, err := r.send(t, "POST", "/resumable/", "", relayAttemptsHeader, "2", relayServiceHeader, "s", relayOrganisationHeader, "acme", relayOriginHeader, "")
+	response, text, err := r.send(t, "POST", "/resumable/", "", relayheader.Attempts, "2", relayheader.Service, "s", relayheader.Organisation, "acme", relayheader.Origin, "")
 	require.NoError(t, err)
-	assert.Equal(t, "id: 1\ndata: "+response.Header.Get(relayVersionHeader)+"\n\n", text)
+	assert.Equal(t, "id: 1\ndata: "+response.Header.Get(relayheader.Version)+"\n\n", text)
 }
 
 // A stream goes on behind the last event only if that event's id says where: another replica would
