front: where a stream goes on in a package of its own

Moves only: streamOrigin, softwareVersion, the interface Origins and the position of a stream (lastEvent, lastEventUnnamed and withinEvent of a call) are continuation.Origin, Version, Origins and Position.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -55,7 +55,7 @@
 		return c.retry(c.outcome.reason)
 	}
 	if c.headSent {
-		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.lastEvent))
+		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.position.LastEvent))
 	} else if !resumable {
 		c.forwardHead(answer)
 	}
@@ -142,13 +142,13 @@
 		if n > 0 {
 			if stream {
 				tracker.Add(buffer[:n])
-				c.withinEvent = tracker.WithinEvent()
+				c.position.WithinEvent = tracker.WithinEvent()
 			}
 			if err := c.write(buffer[:n]); err != nil {
 				return err
 			}
 		}
-		if err == io.EOF && c.withinEvent {
+		if err == io.EOF && c.position.WithinEvent {
 			return errPartial
 		}
 		if err == io.EOF {
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
@@ -102,18 +103,14 @@
 	endsWithConnection bool
 	// streaming is set while the answer that is forwarded is a stream of events.
 	streaming bool
-	// withinEvent is set while a piece of an incomplete event was forwarded.
-	withinEvent bool
 	// replicaVersion is that of the replica whose answer is forwarded, origin the one at which
 	// the stream began.
-	replicaVersion softwareVersion
-	origin         streamOrigin
+	replicaVersion continuation.Version
+	origin         continuation.Origin
 	// originRecorded is set once the stream's first event is forwarded.
 	originRecorded bool
-	// lastEvent is the id of the last complete event that was forwarded and had one.
-	lastEvent string
-	// lastEventUnnamed is set if the last one with data had no id.
-	lastEventUnnamed bool
+	// position is how far the stream was forwarded.
+	position continuation.Position
 	// chunks counts the writes of the body to the caller, written their bytes.
 	chunks    int
 	written   int64
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
@@ -119,7 +120,7 @@
 func (c *call) question(excluded []string) balance.Request {
 	tried := slices.Concat(c.tried, excluded)
 	q := balance.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate, Target: c.route.Target}
-	q.OnlyVersion, q.Version = c.origin.state == originKnown, c.origin.version
+	q.OnlyVersion, q.Version = c.origin.State == continuation.Known, c.origin.Version
 	q.PreferredVersions = c.preferredVersions()
 	if c.service.Engine != nil {
 		q.Parts = c.parts
@@ -161,7 +162,7 @@
 	defer c.front.balancer.RequestFinished(id)
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
-	c.replicaVersion = softwareVersion{choice.Replica.Version, true}
+	c.replicaVersion = continuation.KnownVersion(choice.Replica.Version)
 	c.logChoice(choice)
 	c.logStopEstimate(steady.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/front/framing.go
+++ b/internal/front/framing.go
@@ -70,7 +70,7 @@
 	}
 	f := c.front
 	f.metrics.UndelimitedAnswers.Inc(1)
-	within := c.withinEvent || errors.Is(err, errPartial)
+	within := c.position.WithinEvent || errors.Is(err, errPartial)
 	if !within && f.metrics.UndelimitedAnswers.Count()%sampleInterval != 0 {
 		return
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
@@ -98,7 +99,7 @@
 	Loans Loans
 	// Origins records at which versions streams began. If nil, streams that callers take up may
 	// go on at any.
-	Origins Origins
+	Origins continuation.Origins
 	// AdmissionEnabled reports whether requests may be refused by Overload. If nil, they may.
 	AdmissionEnabled func() bool
 }
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -9,76 +9,17 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
-// What replicas of two services or of two software versions write does not fit together, and replicas
-// do not check it. A stream therefore goes on only at the service and the version that began it.
-
-// Origins records at which versions streams began, over all routers.
-type Origins interface {
-	// SetLifetime sets how long after its first event a stream may be taken up.
-	SetLifetime(d time.Duration, now time.Time)
-	// Observe notes which versions of a service serve now, by a list of replicas that is current
-	// or not, or what origin.DescribeRoutes returns, of origin.Routes.
-	Observe(service string, versions []string, current bool, now time.Time)
-	// Served returns the versions of a service that served within a stream's lifetime.
-	Served(service string, now time.Time) origin.Served
-	// Confirmed returns the versions of a service that serve and that the store's record is known
-	// to name.
-	Confirmed(service string) []string
-	// RecordOrigin records the version at which a stream of a service begins.
-	RecordOrigin(service string, k origin.Key, version string)
-	// Find returns what this router knows of a stream, or of what an origin.RouteQuery asks in
-	// place of a service.
-	Find(service string, k origin.Key, now time.Time) origin.Finding
-	// FindOrigin returns the same. It asks other routers and the store if need be, for a bounded
-	// time.
-	FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search
-}
-
-// softwareVersion is that of a replica, if known. Replicas that state none share the empty one.
-type softwareVersion struct {
-	version string
-	known   bool
-}
-
-// originState says what is known of the version at which a stream began.
-type originState uint8
-
-const (
-	// originOpen: no event was forwarded, so the stream may begin at any version.
-	originOpen originState = iota
-	// originKnown: it began at a version, and goes on only there.
-	originKnown
-	// originUnknown: it began at a version that is not known, and cannot go on.
-	originUnknown
-)
-
-// streamOrigin is where a stream began.
-type streamOrigin struct {
-	state   originState
-	service string
-	version string
-}
-
-// movedFrom reports whether a stream began at another service than the one given.
-func (o streamOrigin) movedFrom(service string) bool {
-	return o.state == originKnown && o.service != service
-}
-
-// allows reports whether a stream may go on at a version.
-func (o streamOrigin) allows(v softwareVersion) bool {
-	return o.state == originOpen || o.state == originKnown && v.known && v.version == o.version
-}
-
 // preferredVersions returns the versions at which a stream should begin: those that routers know of
 // also after all of them ended. Without any, the stream may begin anywhere.
 func (c *call) preferredVersions() []string {
-	if c.front.options.Origins == nil || !c.route.Resumable || c.origin.state != originOpen {
+	if c.front.options.Origins == nil || !c.route.Resumable || c.origin.State != continuation.Open {
 		return nil
 	}
 	return c.front.options.Origins.Confirmed(c.service.Name)
@@ -92,22 +33,22 @@
 	}
 	c.originRecorded = true
 	switch {
-	case c.origin.state != originOpen:
-	case c.replicaVersion.known:
-		c.origin = streamOrigin{originKnown, c.service.Name, c.replicaVersion.version}
+	case c.origin.State != continuation.Open:
+	case c.replicaVersion.Known:
+		c.origin = continuation.StartedAt(c.service.Name, c.replicaVersion.Name)
 	default:
-		c.origin = streamOrigin{state: originUnknown}
+		c.origin = continuation.Origin{State: continuation.Unknown}
 	}
 	f := c.front
-	if f.options.Origins == nil || c.origin.state != originKnown || c.origin.version == "" {
+	if f.options.Origins == nil || c.origin.State != continuation.Known || c.origin.Version == "" {
 		return
 	}
 	f.observeNewRoutes()
 	f.observeVersions(c.service.Name)
-	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.version)
+	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.Version)
 	if c.takenUp() {
 		// A caller may name this attempt when it takes the stream up again.
-		f.options.Origins.RecordOrigin(c.service.Name, origin.KeyOf(c.service.Name, c.id), c.origin.version)
+		f.options.Origins.RecordOrigin(c.service.Name, origin.KeyOf(c.service.Name, c.id), c.origin.Version)
 	}
 }
 
@@ -128,10 +69,10 @@
 // go on if that is not known, or if it began at another service.
 func (c *call) findOrigin(ctx context.Context) *refusal {
 	f := c.front
-	if c.origin.movedFrom(c.service.Name) {
+	if c.origin.MovedFrom(c.service.Name) {
 		return c.refuseMoved()
 	}
-	if f.options.Origins == nil || c.origin.state != originOpen || !c.takenUp() {
+	if f.options.Origins == nil || c.origin.State != continuation.Open || !c.takenUp() {
 		return nil
 	}
 	f.observeRoutes()
@@ -155,7 +96,7 @@
 	if routes.Source == origin.Unknown {
 		return c.refuseMoved()
 	}
-	c.origin = streamOrigin{originKnown, c.service.Name, found.Version}
+	c.origin = continuation.StartedAt(c.service.Name, found.Version)
 	if !slices.Contains(f.balancer.Versions(c.service.Name), found.Version) {
 		// The list of another router may be newer.
 		f.watcher.TriggerRead()
@@ -336,8 +277,8 @@
 // setOrigin adds to a request for another router the version at which the stream began.
 func (c *call) setOrigin(header http.Header) {
 	value := ""
-	if c.origin.state == originKnown {
-		value = relayOriginPrefix + c.origin.version
+	if c.origin.State == continuation.Known {
+		value = relayOriginPrefix + c.origin.Version
 	}
 	header.Set(relayheader.Origin, value)
 }
@@ -350,18 +291,18 @@
 	}
 	c.relay.asksVersion = true
 	if version, known := strings.CutPrefix(values[0], relayOriginPrefix); known {
-		c.origin = streamOrigin{originKnown, c.relay.service, version}
+		c.origin = continuation.StartedAt(c.relay.service, version)
 	}
 }
 
 // relayedVersion returns the version of the replica that answered another router. One of an
 // earlier build does not state it.
-func (c *call) relayedVersion(header http.Header) softwareVersion {
+func (c *call) relayedVersion(header http.Header) continuation.Version {
 	if values, stated := header[relayheader.Version]; stated {
-		return softwareVersion{values[0], true}
+		return continuation.KnownVersion(values[0])
 	}
 	version, listed := c.front.balancer.VersionOf(header.Get(relayheader.Replica))
-	return softwareVersion{version, listed}
+	return continuation.Version{Name: version, Known: listed}
 }
 
 // takenUp reports whether the caller takes up a stream that an earlier attempt began.
--- a/internal/front/outgoing.go
+++ b/internal/front/outgoing.go
@@ -32,8 +32,8 @@
 			header.Set(d.CopyFrom, choice.CopySource)
 		}
 	}
-	if c.lastEvent != "" {
-		header.Set(lastEventHeader, c.lastEvent)
+	if c.position.LastEvent != "" {
+		header.Set(lastEventHeader, c.position.LastEvent)
 	}
 	return &upstream.Request{
 		Method: c.request.Method,
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -204,8 +204,8 @@
 	c.lendShare(header, address)
 	c.setExclusions(header)
 	c.setOrigin(header)
-	if c.lastEvent != "" {
-		header.Set(lastEventHeader, c.lastEvent)
+	if c.position.LastEvent != "" {
+		header.Set(lastEventHeader, c.position.LastEvent)
 	}
 	return &upstream.Request{
 		Method: c.request.Method,
--- a/internal/front/relayanswer.go
+++ b/internal/front/relayanswer.go
@@ -32,7 +32,7 @@
 		c.outcome.reason = "replica does not resume"
 		return c.retryRelay(true)
 	}
-	if !c.origin.allows(c.replicaVersion) {
+	if !c.origin.Allows(c.replicaVersion) {
 		c.outcome.reason = "another router went on at another version"
 		return c.retryRelay(true)
 	}
--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -95,7 +95,7 @@
 	header.Set(relayheader.Sent, strconv.Itoa(int(c.sent.Load())))
 	header.Set(relayheader.Replica, c.outcome.replica)
 	if c.relay.asksVersion {
-		header.Set(relayheader.Version, c.replicaVersion.version)
+		header.Set(relayheader.Version, c.replicaVersion.Name)
 	}
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/eventstream"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/upstream"
 )
 
@@ -38,7 +39,7 @@
 	for {
 		line, ended, err := lines.Next()
 		one = append(one, line...)
-		if err == io.EOF && len(one) == 0 && !c.withinEvent {
+		if err == io.EOF && len(one) == 0 && !c.position.WithinEvent {
 			return nil
 		}
 		if err == io.EOF {
@@ -59,9 +60,9 @@
 			}
 			continue
 		}
-		c.withinEvent = !complete
+		c.position.WithinEvent = !complete
 		if complete {
-			c.recordPosition(fields)
+			c.position.Record(fields)
 			fields = eventstream.Fields{}
 		}
 		c.recordOrigin()
@@ -82,18 +83,7 @@
 
 // canResume reports whether the stream can go on at another replica if it breaks off now.
 func (c *call) canResume() bool {
-	return !c.withinEvent && !c.lastEventUnnamed && c.origin.state != originUnknown
-}
-
-// recordPosition records behind which event the stream goes on after an event. One with data but
-// without an id leaves the position unknown: a replica would send it again.
-func (c *call) recordPosition(event eventstream.Fields) {
-	if event.ID != "" {
-		c.lastEvent = event.ID
-	}
-	if event.ID != "" || event.HasData {
-		c.lastEventUnnamed = event.ID == ""
-	}
+	return c.position.IsKnown() && c.origin.State != continuation.Unknown
 }
 
 // streamSilenceLimit returns how long a resumable stream may be silent before it resumes at
