front: what serves while streams go on is noted in the package of continuation

Moves only: observing versions and routes, and the services whose streams may be taken up, are continuation.Observer; Front keeps the three methods that the router's life calls. MaxStreamLifetime is continuation.MaxLifetime. Tests that replaced Front.options.Origins after the start replace the Observer with it (rig.useOrigins); what they assert is the same.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front"
 	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
@@ -174,7 +175,7 @@
 	e.poison, e.parts = newPoison(e.settings.Routes, e.log), newPartPoison(e.settings.Routes, e.log)
 	e.buildOverload()
 	e.retries = newRetries(e.settings, e.started)
-	e.served.tracker = origin.NewTracker(front.MaxStreamLifetime)
+	e.served.tracker = origin.NewTracker(continuation.MaxLifetime)
 	e.setServedStore(e.settings)
 	e.setHeldStore(e.settings)
 	var err error
--- a/internal/front/continuation/origin.go
+++ b/internal/front/continuation/origin.go
@@ -3,6 +3,7 @@
 //
 //	origin.go    the service and the version at which a stream began
 //	position.go  the event behind which it goes on
+//	observer.go  which services and versions serve meanwhile
 //
 // What replicas of two services or of two software versions write does not fit together, and replicas
 // do not check it. A stream therefore goes on only at the service and the version that began it.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -160,8 +160,8 @@
 	// of other routers in progress.
 	relays      *relay.Selector
 	relayedHere atomic.Int64
-	// routes are the routes that were noted last.
-	routes atomic.Pointer[observedRoutes]
+	// streams notes for Origins what serves.
+	streams *continuation.Observer
 	// lostServices are the services that this router lost the path to, as last logged.
 	lostServices []string
 }
@@ -193,11 +193,22 @@
 		relays:           relay.New(uint64(steady.Now().UnixNano())),
 	}
 	front.limits.Store(&o.Limits)
+	front.streams = front.newStreams()
 	front.held.SetLimit(o.HeldBytes)
 	front.cutting, front.cut = context.WithCancel(context.Background())
 	return front
 }
 
+func (f *Front) newStreams() *continuation.Observer {
+	return continuation.NewObserver(continuation.ObserverOptions{
+		Origins:    f.options.Origins,
+		Watcher:    f.watcher,
+		Holder:     f.holder,
+		Balancer:   f.balancer,
+		ListPeriod: func() time.Duration { return f.limits.Load().ListPeriod },
+	})
+}
+
 // SetLimits replaces the limits.
 func (f *Front) SetLimits(l Limits) { f.limits.Store(&l) }
 
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -6,14 +6,12 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/origin"
-	"github.com/croftyard/croftyard/pkg/route"
 )
 
 // preferredVersions returns the versions at which a stream should begin: those that routers know of
@@ -43,8 +41,8 @@
 	if f.options.Origins == nil || c.origin.State != continuation.Known || c.origin.Version == "" {
 		return
 	}
-	f.observeNewRoutes()
-	f.observeVersions(c.service.Name)
+	f.streams.ObserveNewRoutes()
+	f.streams.ObserveVersions(c.service.Name)
 	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.Version)
 	if c.takenUp() {
 		// A caller may name this attempt when it takes the stream up again.
@@ -75,8 +73,8 @@
 	if f.options.Origins == nil || c.origin.State != continuation.Open || !c.takenUp() {
 		return nil
 	}
-	f.observeRoutes()
-	if !f.mayStateVersions(c.service.Name) {
+	f.streams.ObserveRoutes()
+	if !f.streams.MayStateVersions(c.service.Name) {
 		return c.checkRoutes()
 	}
 	found := f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
@@ -85,7 +83,7 @@
 		routes = c.findRoutes(ctx)
 	}
 	c.logTakenUp(found, routes)
-	if found.Source == origin.Unknown && !found.Several && (found.Unrecorded && f.statesNoVersion(c.service.Name) || !f.mayStateVersions(c.service.Name)) {
+	if found.Source == origin.Unknown && !found.Several && (found.Unrecorded && f.streams.StatesNoVersion(c.service.Name) || !f.streams.MayStateVersions(c.service.Name)) {
 		// No router and no record names a version: the service has none. A record that was not read
 		// may name one.
 		return c.checkRoutes()
@@ -145,130 +143,16 @@
 		event.F("several", found.Several), event.F("routes", routes.Source.String()), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
 }
 
-// mayStateVersions reports whether replicas of a service state the version of their software, did so
-// within a stream's lifetime, or are not known.
-func (f *Front) mayStateVersions(service string) bool {
-	f.observeVersions(service)
-	return !f.statesNoVersion(service) || f.statedVersions(service) || !f.options.Origins.Served(service, steady.Now()).Complete
-}
-
-// statedVersions reports whether replicas that state the version of their software served within a
-// stream's lifetime.
-func (f *Front) statedVersions(service string) bool {
-	return slices.ContainsFunc(f.options.Origins.Served(service, steady.Now()).Versions, func(version string) bool { return version != "" })
-}
-
-// statesNoVersion reports whether replicas of a service are listed and none states the version of its
-// software.
-func (f *Front) statesNoVersion(service string) bool {
-	return len(f.balancer.Versions(service)) > 0 && !f.statesVersions(service)
-}
-
-// statesVersions reports whether replicas of a service state the version of their software.
-func (f *Front) statesVersions(service string) bool {
-	return slices.ContainsFunc(f.balancer.Versions(service), func(version string) bool { return version != "" })
-}
-
-// observedRoutes are the texts of a configuration's routes.
-type observedRoutes struct {
-	table *route.Table
-	texts []string
-}
-
-// observeNewRoutes notes the routes of a configuration that was not observed yet.
-func (f *Front) observeNewRoutes() {
-	if observed := f.routes.Load(); observed == nil || observed.table != f.holder.Current().Table {
-		f.observeRoutes()
-	}
-}
-
-// observeRoutes notes the routes of the configuration.
-func (f *Front) observeRoutes() {
-	table, observed := f.holder.Current().Table, f.routes.Load()
-	if table == nil {
-		return
-	}
-	if observed == nil || observed.table != table {
-		observed = &observedRoutes{table, origin.DescribeRoutes(table.Config().Routes)}
-		f.routes.Store(observed)
-	}
-	now := steady.Now()
-	f.options.Origins.Observe(origin.Routes, observed.texts, f.watcher.Age(now) <= f.listLag(), now)
-}
-
-// observeVersions notes the versions of a service.
-func (f *Front) observeVersions(service string) {
-	now := steady.Now()
-	f.options.Origins.Observe(service, f.balancer.Versions(service), f.watcher.Age(now) <= f.listLag(), now)
-}
-
 // ObserveVersions notes which versions serve, where routes lead, and how long streams may last.
-func (f *Front) ObserveVersions() {
-	state := f.holder.Current()
-	if state.Table == nil || f.options.Origins == nil {
-		return
-	}
-	config := state.Table.Config()
-	f.options.Origins.SetLifetime(streamLifetime(config)+f.listLag(), steady.Now())
-	f.observeRoutes()
-	for _, service := range config.Services {
-		f.observeVersions(service.Name)
-	}
-}
+func (f *Front) ObserveVersions() { f.streams.Observe() }
 
 // ResumableServices returns the services whose streams may be taken up and whose replicas state the
 // version of their software, or did so within a stream's lifetime.
-func (f *Front) ResumableServices() []string {
-	return slices.DeleteFunc(f.ServicesWithResumableRoutes(), func(service string) bool {
-		return !f.statesVersions(service) && (f.options.Origins == nil || !f.statedVersions(service))
-	})
-}
+func (f *Front) ResumableServices() []string { return f.streams.ResumableServices() }
 
 // ServicesWithResumableRoutes returns the services whose streams may be taken up.
 func (f *Front) ServicesWithResumableRoutes() []string {
-	state := f.holder.Current()
-	if state.Table == nil {
-		return nil
-	}
-	var names []string
-	config := state.Table.Config()
-	for i := range config.Routes {
-		r := &config.Routes[i]
-		for _, share := range r.Shares {
-			if r.Resumable && !slices.Contains(names, share.Service) {
-				names = append(names, share.Service)
-			}
-		}
-	}
-	return names
-}
-
-// MaxStreamLifetime bounds how long after its first event a stream may be taken up, and is
-// assumed before there is a configuration.
-const MaxStreamLifetime = 5 * time.Minute
-
-const (
-	// leastListLag is by how much the lists of two routers differ in age at least, and
-	// listLagPeriods the same in periods of reads: one read may fail.
-	leastListLag   = 5 * time.Second
-	listLagPeriods = 2
-)
-
-// listLag is by how much the lists of two routers differ in age. Older ones are not current.
-func (f *Front) listLag() time.Duration {
-	return max(leastListLag, listLagPeriods*f.limits.Load().ListPeriod)
-}
-
-// streamLifetime returns how long after its first event the caller of a stream may wait for its end.
-func streamLifetime(config route.Config) time.Duration {
-	longest := time.Duration(0)
-	for i := range config.Routes {
-		r := &config.Routes[i]
-		if r.Resumable {
-			longest = max(longest, cmp.Or(r.Timeout, MaxStreamLifetime))
-		}
-	}
-	return min(longest, MaxStreamLifetime)
+	return f.streams.ServicesWithResumableRoutes()
 }
 
 // relayOriginPrefix precedes the version in relayheader.Origin.
--- a/internal/front/origin_test.go
+++ b/internal/front/origin_test.go
@@ -38,7 +38,7 @@
 	})
 	r := newAgedRig(t, testListAge)
 	r.setMaxListAge(testMaxListAge)
-	r.front.options.Origins = noOrigins{}
+	r.useOrigins(noOrigins{})
 	r.source.mu.Lock()
 	r.source.snapshot.Replicas = []directory.Replica{{ID: "r0", Service: "s", Address: address, DataCentre: "here", Version: "v2"}}
 	r.source.mu.Unlock()
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/faulty"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
@@ -316,3 +317,9 @@
 func completeAnswer(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTry: %s\r\nSign: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
+
+// useOrigins replaces what records where streams began.
+func (r *rig) useOrigins(o continuation.Origins) {
+	r.front.options.Origins = o
+	r.front.streams = r.front.newStreams()
+}
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -43,10 +43,10 @@
 			}
 			r.watcher.ApplyKnowledge(watch.Knowledge{Config: r.source.snapshot.Config}, time.Now(), time.Now(), "peer")
 			asked := make(chan struct{}, 1)
-			r.front.options.Origins = fakeOrigins{origin.NewTracker(time.Minute), func() origin.Search {
+			r.useOrigins(fakeOrigins{origin.NewTracker(time.Minute), func() origin.Search {
 				asked <- struct{}{}
 				return origin.Search{Finding: origin.Finding{Source: origin.Recorded, Version: version, Several: true}}
-			}}
+			}})
 			time.AfterFunc(20*time.Millisecond, func() { r.addReplicas(t, replicas...) })
 			_, text, err := r.send(t, "POST", "/resumable/", "", "Goes-On", "first", "Last-Event-Id", "1")
 			require.NoError(t, err)
@@ -63,9 +63,9 @@
 	r := newRig(t, address)
 	r.setVersions(t, "v1")
 	tracker := origin.NewTracker(time.Minute)
-	r.front.options.Origins = fakeOrigins{tracker, func() origin.Search {
+	r.useOrigins(fakeOrigins{tracker, func() origin.Search {
 		return origin.Search{Finding: origin.Finding{Source: origin.Inferred, Version: "v1"}}
-	}}
+	}})
 	r.front.ObserveVersions()
 	tracker.Observe(origin.Routes, nil, false, time.Now())
 	_, text, err := r.send(t, "POST", "/resumable/", "", "Goes-On", "first", "Last-Event-Id", "1")
