front: the watch for silent replicas in a package of its own

Moves only: silenceTimer is silence.Timer; what it reports and how it fails over stay with the call, which starts it (silence.Start).

--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	hung := c.startSilenceTimer(c.silenceLimit(), id, cancel)
-	defer hung.stop()
+	defer hung.Stop()
 	sent := steady.Now()
 	c.sentAt = sent
 	c.trialOfVersion = versionTrial{sent: sent, chunks: c.chunks}
@@ -198,7 +198,7 @@
 	}
 	defer answer.Close()
 	c.trialOfVersion.headAt = steady.Now()
-	if hung.stop() && c.service.Engine == nil {
+	if hung.Stop() && c.service.Engine == nil {
 		c.front.balancer.RecordDuration(id, steady.Since(sent))
 	}
 	c.sent.Add(1)
--- a/internal/front/retries.go
+++ b/internal/front/retries.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/silence"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/retry"
 )
@@ -153,7 +154,7 @@
 
 // aheadTime is how long a borrowed retry is kept for a silent attempt, which is looked at again
 // meanwhile.
-const aheadTime = 3 * silenceRecheck
+const aheadTime = 3 * silence.Recheck
 
 // borrowAhead asks other routers for a retry. c.retries.mu is held.
 func (c *call) borrowAhead(service string) {
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/front/silence"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/mechanism"
@@ -22,70 +22,9 @@
 	return max(targets*c.route.Target, least)
 }
 
-// silenceRecheck is the pause between two looks whether a silent attempt has a successor.
-const silenceRecheck = 100 * time.Millisecond
-
-// silenceTimer watches an attempt for silence. It reports the replica as hung once and, until the
-// replica sends something, fails over as soon as another one can take the request.
-type silenceTimer struct {
-	limit    time.Duration
-	report   func()
-	failover func() bool
-
-	mu    sync.Mutex
-	timer *time.Timer
-	// fired is set while the replica is silent for longer than the limit, keep while its answer
-	// could not go on elsewhere.
-	fired, keep, stopped bool
-}
-
 // startSilenceTimer watches an attempt for silence.
-func (c *call) startSilenceTimer(limit time.Duration, id string, cancel context.CancelCauseFunc) *silenceTimer {
-	s := &silenceTimer{limit: limit, failover: c.failover(limit, cancel), report: func() { c.front.reportFailure(c.id, id, balance.Hung) }}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(limit, s.fire)
-	return s
-}
-
-func (s *silenceTimer) fire() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopped {
-		return
-	}
-	if !s.fired {
-		s.fired = true
-		s.report()
-	}
-	if s.keep || !s.failover() {
-		s.timer.Reset(silenceRecheck)
-	}
-}
-
-// reset starts the time anew after the replica sent something. keep is set if the answer could not
-// go on elsewhere after it.
-func (s *silenceTimer) reset(keep bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fired, s.keep = false, keep
-	s.timer.Reset(s.limit)
-}
-
-// setFailover replaces the function that fails over.
-func (s *silenceTimer) setFailover(failover func() bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failover = failover
-}
-
-// stop ends the watch and reports whether the replica has not been silent for too long.
-func (s *silenceTimer) stop() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopped = true
-	s.timer.Stop()
-	return !s.fired
+func (c *call) startSilenceTimer(limit time.Duration, id string, cancel context.CancelCauseFunc) *silence.Timer {
+	return silence.Start(limit, func() { c.front.reportFailure(c.id, id, balance.Hung) }, c.failover(limit, cancel))
 }
 
 // failover returns a function that ends an attempt if the request may be retried, there is time
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -98,15 +98,15 @@
 // forwardResumable forwards the events of a stream and ends the attempt if the stream falls
 // silent while it can resume elsewhere.
 func (c *call) forwardResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
-	silence := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
-	defer silence.stop()
+	timer := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
+	defer timer.Stop()
 	begun := c.headSent
 	return c.forwardEvents(answer, func() {
 		if !begun {
 			// The first event fixes the version.
 			begun = true
-			silence.setFailover(c.failover(c.streamSilenceLimit(), cancel))
+			timer.SetFailover(c.failover(c.streamSilenceLimit(), cancel))
 		}
-		silence.reset(!c.canResume())
+		timer.Reset(!c.canResume())
 	})
 }
