front: retries of calls in a package of their own

Moves only: the budget of a Front and the retries of a call are retries.Budget and retries.Call. TestFailoverReservesRetry replaces the whole budget instead of a field of it.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -272,7 +272,7 @@
 // or late are always logged; the others are sampled.
 func (c *call) recordEnd() {
 	f := c.front
-	c.retries.end(steady.Now())
+	c.retries.End(steady.Now())
 	took := steady.Since(c.arrival)
 	f.metrics.RecordRequest(c.routeName(), c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
 	if c.exclusive {
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,11 +13,11 @@
 
 	"github.com/croftyard/croftyard/internal/front/callerconn"
 	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
-	"github.com/croftyard/croftyard/pkg/retry"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -53,7 +53,7 @@
 	// waiting is set while an attempt has no response head. That attempt is not yet counted
 	// in sent. Timers read it concurrently.
 	waiting atomic.Bool
-	retries callRetries
+	retries retries.Call
 	// failedReplicas answered with an error of their own that was not yet reported to the
 	// balancer.
 	failedReplicas []string
@@ -161,7 +161,7 @@
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.PromptParts))
 	if c.relay == nil {
-		c.front.retries.budget.Request(retry.ServiceOf(c.service.Name), c.arrival)
+		c.front.retries.Request(c.service.Name, c.arrival)
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.deadline))
 	defer cancel()
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -180,7 +180,7 @@
 		c.writtenAt = steady.Now()
 		err := c.checkBeforeWrite(id, c.writtenAt)
 		if err == nil {
-			c.retries.written(c.writtenAt)
+			c.retries.Written(c.writtenAt)
 		}
 		return err
 	}
@@ -316,7 +316,7 @@
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
 		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()),
-		event.F("service", c.service.Name), event.F("left", c.front.retries.left(c.service.Name)))
+		event.F("service", c.service.Name), event.F("left", c.front.retries.Left(c.service.Name)))
 	c.front.metrics.RecordRetry(c.service.Name)
 	return attemptRetry
 }
--- a/internal/front/failover_test.go
+++ b/internal/front/failover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
@@ -63,7 +64,7 @@
 // first: the caller is then cut off from a healthy engine.
 func TestFailoverReservesRetry(t *testing.T) {
 	r := newRig(t, "127.0.0.1:1")
-	r.front.retries.budget = retryBudget(0, 1)
+	r.front.retries = retries.New(retryBudget(0, 1), nil)
 	one := silentCall(r, route.Repeatable, 2, time.Hour)
 	one.mayHaveRun = true
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -73,9 +74,9 @@
 	failover()
 	assert.Equal(t, errSilent, context.Cause(ctx))
 	one.sent.Store(1)
-	assert.Nil(t, r.front.retries.reserve(one.service.Name), "the reserved retry is unavailable to others")
+	assert.Nil(t, r.front.retries.Reserve(one.service.Name), "the reserved retry is unavailable to others")
 	assert.Equal(t, attemptRetry, one.retry("stream fell silent"))
-	one.retries.written(time.Now())
+	one.retries.Written(time.Now())
 	assert.Equal(t, attemptGiveUp, one.retry("second retry"), "only one retry was reserved")
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/croftyard/croftyard/internal/front/callerconn"
 	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/metrics"
+	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
@@ -96,7 +97,7 @@
 	// none.
 	Retries *retry.Budget
 	// Loans borrows retries from other routers. If nil, retries are not borrowed.
-	Loans Loans
+	Loans retries.Loans
 	// Origins records at which versions streams began. If nil, streams that callers take up may
 	// go on at any.
 	Origins continuation.Origins
@@ -132,7 +133,7 @@
 	metrics  *metrics.Metrics
 	started  time.Time
 	limits   atomic.Pointer[Limits]
-	retries  retries
+	retries  *retries.Budget
 	active   atomic.Int64
 	served   atomic.Uint64
 	// listStale is set if the last attempt to refresh the list of replicas failed.
@@ -188,7 +189,7 @@
 		log:              log,
 		metrics:          m,
 		started:          steady.Now(),
-		retries:          retries{budget: o.Retries, loans: o.Loans},
+		retries:          retries.New(o.Retries, o.Loans),
 		longestDurations: admission.NewMaxDurations(),
 		relays:           relay.New(uint64(steady.Now().UnixNano())),
 	}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -222,7 +222,7 @@
 			if !c.fitsShutdown(now) {
 				return fmt.Errorf("%w: the router is stopping", errNotAllowed)
 			}
-			c.retries.written(now)
+			c.retries.Written(now)
 			return nil
 		},
 		Unacked: func() { failover() },
