front: deadlines of calls over suspensions in a package of their own

Moves only: inFlightCalls is deadlines.Calls, the body of Front.RestartTimers its Restart. TestSuspensionKeepsUnexpiredRequest asks for the number of calls (Len) instead of locking and counting them itself.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -165,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.deadline))
 	defer cancel()
-	defer c.front.inFlight.add(c.deadline, cancel)()
+	defer c.front.inFlight.Add(c.deadline, cancel)()
 	// The request's own context is not cancelled: its end means that the caller left.
 	defer context.AfterFunc(c.front.cutting, cancel)()
 	if c.front.cutting.Err() != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front/callerconn"
 	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/deadlines"
 	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -150,7 +151,7 @@
 	lostPathProbes sync.WaitGroup
 	broken         brokenRequests
 	// inFlight are the calls in progress.
-	inFlight inFlightCalls
+	inFlight deadlines.Calls
 	// overloaded are the services for which requests are refused.
 	overloaded overloadedServices
 	// held counts the bytes held for callers; heldFull is set from the first refusal for lack
@@ -228,3 +229,7 @@
 	defer c.recordEnd()
 	c.serve()
 }
+
+// RestartTimers ends the calls that expired while the machine was suspended, and restarts the
+// timers of the others.
+func (f *Front) RestartTimers() { f.inFlight.Restart() }
--- a/internal/front/suspension_test.go
+++ b/internal/front/suspension_test.go
@@ -83,10 +83,7 @@
 	assert.Equal(t, http.StatusOK, status)
 	// The call is removed when its handler returns, shortly after the answer.
 	for {
-		r.front.inFlight.mu.Lock()
-		left := len(r.front.inFlight.calls)
-		r.front.inFlight.mu.Unlock()
-		if left == 0 {
+		if r.front.inFlight.Len() == 0 {
 			return
 		}
 		time.Sleep(time.Millisecond)
