front: memory held for callers in a package of its own

Moves only: what a call reserves and charges is memory.Account, what a Front counts of all memory.Pool; reading a body goes with them. TestFullBudgetRefusesAndRecovers replaces the log of a Front, and now the pool that writes to it too.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/croftyard/croftyard/internal/front/callerconn"
 	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/memory"
 	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -33,8 +34,8 @@
 	// parts are those of the prompt; body is the complete body.
 	parts []balance.Part
 	body  []byte
-	// held is what the call has reserved of the router's memory budget, in bytes.
-	held int64
+	// held is what the call has reserved of the router's memory.
+	held memory.Account
 	// bodyRead is set once the body was read to its end.
 	bodyRead bool
 	// shareDraw selects among the shares of a route, the same one for each attempt.
@@ -128,11 +129,13 @@
 }
 
 func newCall(f *Front, w http.ResponseWriter, r *http.Request, now time.Time) *call {
+	id := r.Header.Get(f.options.Dialect.AttemptID)
 	return &call{
 		front:     f,
 		writer:    w,
 		request:   r,
-		id:        r.Header.Get(f.options.Dialect.AttemptID),
+		id:        id,
+		held:      f.held.Account(id),
 		arrival:   now,
 		shareDraw: rand.Float64(),
 	}
@@ -142,7 +145,7 @@
 const defaultTimeout = 10 * time.Minute
 
 func (c *call) serve() {
-	defer c.releaseHeld()
+	defer c.held.Release()
 	if refused := c.admit(c.request.Context()); refused != nil {
 		c.refuse(refused)
 		return
@@ -219,14 +222,14 @@
 	// The errors are ignored: some writers do not support deadlines.
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(steady.OfDay(c.deadline))
-	body, err := c.readHeld(reader, c.request.ContentLength, limit)
+	body, err := c.held.Read(reader, c.request.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		c.body, c.bodyRead = body, true
 		return nil
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memory.ErrFull):
 		return refuseNoMemory()
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/croftyard/croftyard/internal/front/callerconn"
 	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/deadlines"
+	"github.com/croftyard/croftyard/internal/front/memory"
 	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
@@ -30,7 +31,6 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
-	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/relay"
 	"github.com/croftyard/croftyard/pkg/retry"
@@ -154,10 +154,8 @@
 	inFlight deadlines.Calls
 	// overloaded are the services for which requests are refused.
 	overloaded overloadedServices
-	// held counts the bytes held for callers; heldFull is set from the first refusal for lack
-	// of memory until there is room again.
-	held     membudget.Budget
-	heldFull atomic.Bool
+	// held is the memory for callers.
+	held *memory.Pool
 	// relays remembers which routers reach which services, relayedHere counts the requests
 	// of other routers in progress.
 	relays      *relay.Selector
@@ -192,6 +190,7 @@
 		started:          steady.Now(),
 		retries:          retries.New(o.Retries, o.Loans),
 		longestDurations: admission.NewMaxDurations(),
+		held:             memory.NewPool(log),
 		relays:           relay.New(uint64(steady.Now().UnixNano())),
 	}
 	front.limits.Store(&o.Limits)
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/memory"
 )
 
 // chunked hides the length of a text, so that the client sends it chunked.
@@ -136,6 +137,7 @@
 	r := newRig(t, address)
 	var written bytes.Buffer
 	r.front.log = event.New(&written, "here", logrus.InfoLevel)
+	r.front.held = memory.NewPool(r.front.log)
 	r.front.SetHeldBytes(limit)
 	ended := make(chan struct{})
 	go func() {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -35,7 +35,7 @@
 	var one []byte
 	var fields eventstream.Fields
 	charged, withinLine := 0, false
-	defer func() { c.charge(-charged) }()
+	defer func() { c.held.Charge(-charged) }()
 	for {
 		line, ended, err := lines.Next()
 		one = append(one, line...)
@@ -55,7 +55,7 @@
 		withinLine = !ended
 		if !complete && len(one) < maxEvent {
 			if size := cap(one); size > smallEvent && size > charged {
-				c.charge(size - charged)
+				c.held.Charge(size - charged)
 				charged = size
 			}
 			continue
@@ -75,7 +75,7 @@
 		}
 		one = one[:0]
 		if charged > 0 {
-			c.charge(-charged)
+			c.held.Charge(-charged)
 			charged, one = 0, nil
 		}
 	}
