--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/brokenrequest"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -98,7 +99,7 @@
 	one := c.brokenRequest(choice, broke)
 	go func() {
 		defer close(probed)
-		one.state = f.probePath(id, address, broke)
+		one.State = f.probePath(id, address, broke)
 		f.recordEnd(id, one)
 	}()
 }
@@ -113,30 +114,30 @@
 	ended := steady.Now()
 	one := c.brokenRequest(choice, ended)
 	go func() {
-		one.state = f.probePath(id, address, ended)
-		if one.state == upstream.Ended {
+		one.State = f.probePath(id, address, ended)
+		if one.State == upstream.Ended {
 			f.recordEnd(id, one)
 		}
 	}()
 }
 
 // brokenRequest describes the request for the case that it crashed its replica.
-func (c *call) brokenRequest(choice balance.Choice, at time.Time) brokenRequest {
-	b := brokenRequest{digest: c.digest(), at: at, incarnation: incarnation(choice), address: choice.Replica.Address, fields: c.crashFields(choice, at)}
+func (c *call) brokenRequest(choice balance.Choice, at time.Time) brokenrequest.Request {
+	b := brokenrequest.Request{Digest: c.digest(), At: at, Incarnation: incarnation(choice), Address: choice.Replica.Address, Fields: c.crashFields(choice, at)}
 	if c.isBeginning() {
-		b.parts, b.organisation = c.partDigests(), poison.OrganisationHash(c.organisationName())
+		b.Parts, b.Organisation = c.partDigests(), poison.OrganisationHash(c.organisationName())
 	}
 	return b
 }
 
 // recordEnd records a broken request whose replica was probed. The replica has ended only if this
 // router reaches others: a path that is lost may refuse connections too.
-func (f *Front) recordEnd(id string, one brokenRequest) {
-	if one.state == upstream.Ended && f.reachesOthers(id, one.at) {
+func (f *Front) recordEnd(id string, one brokenrequest.Request) {
+	if one.State == upstream.Ended && f.reachesOthers(id, one.At) {
 		f.recordCrash(id, one, steady.Now())
 		return
 	}
-	f.broken.note(id, one, steady.Now())
+	f.broken.Note(id, one, steady.Now())
 }
 
 // leavesAsPlanned reports whether the replica is leaving, by the list or by its own
@@ -154,8 +155,8 @@
 	}
 	now := steady.Now()
 	one := c.brokenRequest(choice, now)
-	one.state = upstream.Unreachable
-	c.front.broken.note(choice.Replica.ID, one, now)
+	one.State = upstream.Unreachable
+	c.front.broken.Note(choice.Replica.ID, one, now)
 }
 
 // incarnation identifies the process behind a replica id. It is empty if its start time is
@@ -175,11 +176,11 @@
 }
 
 // recordCrash counts a replica's crash against the request that it ran.
-func (f *Front) recordCrash(id string, b brokenRequest, now time.Time) {
-	replica := balance.ReplicaHash(id + b.incarnation)
-	f.poison.RecordCrash(b.digest, replica, b.at, now)
-	f.parts.RecordCrash(b.parts, b.organisation, replica, b.at, now)
-	f.log.Write(event.ReplicaEnded, append(b.fields, event.F("seen_after_ms", now.Sub(b.at).Milliseconds()))...)
+func (f *Front) recordCrash(id string, b brokenrequest.Request, now time.Time) {
+	replica := balance.ReplicaHash(id + b.Incarnation)
+	f.poison.RecordCrash(b.Digest, replica, b.At, now)
+	f.parts.RecordCrash(b.Parts, b.Organisation, replica, b.At, now)
+	f.log.Write(event.ReplicaEnded, append(b.Fields, event.F("seen_after_ms", now.Sub(b.At).Milliseconds()))...)
 }
 
 // probeResult is what a probe found, and when it began.
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/brokenrequest"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -265,7 +266,7 @@
 			r.front.poison.SetLimits(poison.Limits{Crashes: 3, Hold: time.Minute})
 			now := time.Now()
 			digest := poison.NewDigest("acme", "POST", "h", "/", nil)
-			r.front.broken.note("a", brokenRequest{digest: digest, at: now, state: test.state}, now)
+			r.front.broken.Note("a", brokenrequest.Request{Digest: digest, At: now, State: test.state}, now)
 			test.tell(r.front, now.Add(test.after))
 			test.tell(r.front, now.Add(test.after))
 			assert.Equal(t, test.marks, r.front.poison.Check(digest, now).Crashes)
@@ -343,10 +344,10 @@
 				require.Eventually(t, condition, 5*time.Second, time.Millisecond)
 			}
 			await(func() bool {
-				return r.log.Count(event.ReplicaEnded) == 1 && len(r.front.broken.refused(steady.Now())) == 1
+				return r.log.Count(event.ReplicaEnded) == 1 && len(r.front.broken.Refused(steady.Now())) == 1
 			})
 			var last string
-			for id := range r.front.broken.refused(steady.Now()) {
+			for id := range r.front.broken.Refused(steady.Now()) {
 				last = id
 			}
 			if test.again {
@@ -364,7 +365,7 @@
 			}
 			r.front.ProbeLostPaths()
 			r.front.lostPathProbes.Wait()
-			assert.Equal(t, test.others, len(r.front.broken.refused(steady.Now())) == 0)
+			assert.Equal(t, test.others, len(r.front.broken.Refused(steady.Now())) == 0)
 			assert.EqualValues(t, test.crashes, r.log.Count(event.ReplicaEnded))
 		})
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/brokenrequest"
 	"github.com/croftyard/croftyard/internal/front/callerconn"
 	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/deadlines"
@@ -149,7 +150,7 @@
 	probes singleflight.Group
 	// lostPathProbes are the probes that ProbeLostPaths started.
 	lostPathProbes sync.WaitGroup
-	broken         brokenRequests
+	broken         brokenrequest.Store
 	// inFlight are the calls in progress.
 	inFlight deadlines.Calls
 	// overloaded are the services for which requests are refused.
