--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,9 @@
 	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/front"
+	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/gossip"
 	"github.com/croftyard/croftyard/internal/settings"
 	"github.com/croftyard/croftyard/internal/socket"
@@ -88,7 +91,7 @@
 	// relayPool keeps connections to other routers.
 	relayPool *upstream.Pool
 	front     *front.Front
-	metrics   *front.Metrics
+	metrics   *metrics.Metrics
 	gossip    *gossip.Gossip
 	// retries is this router's part of the fleet's retries.
 	retries *retry.Budget
@@ -145,7 +148,7 @@
 
 func (e *Entry) build() error {
 	b := e.settings.Bounds
-	e.metrics = front.NewMetrics()
+	e.metrics = metrics.New()
 	e.holder = freshness.NewHolder()
 	e.balancer = balance.New(uint64(steady.Now().UnixNano()))
 	e.balancer.SetLoadFactor(b.LoadFactor)
@@ -172,7 +175,7 @@
 	e.poison, e.parts = newPoison(e.settings.Routes, e.log), newPartPoison(e.settings.Routes, e.log)
 	e.buildOverload()
 	e.retries = newRetries(e.settings, e.started)
-	e.served.tracker = origin.NewTracker(front.MaxStreamLifetime)
+	e.served.tracker = origin.NewTracker(continuation.MaxLifetime)
 	e.setServedStore(e.settings)
 	e.setHeldStore(e.settings)
 	var err error
@@ -217,7 +220,7 @@
 		Removed: func(id string) { e.front.ReplicaRemoved(id, steady.Now()) },
 		Verify:  e.front.VerifyReplica,
 	})
-	limits := front.NewConnLimits(e.holder, e.log)
+	limits := callerconn.New(e.holder, e.log)
 	e.conns = conns.NewSet()
 	e.callers = &http.Server{
 		Handler: e.front,
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/eventstream"
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -54,7 +55,7 @@
 		return c.retry(c.outcome.reason)
 	}
 	if c.headSent {
-		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.lastEvent))
+		c.front.log.Write(event.StreamResumed, event.F("request", c.id), event.F("replica", choice.Replica.ID), event.F("after_event", c.position.LastEvent))
 	} else if !resumable {
 		c.forwardHead(answer)
 	}
@@ -141,13 +142,13 @@
 		if n > 0 {
 			if stream {
 				tracker.Add(buffer[:n])
-				c.withinEvent = tracker.WithinEvent()
+				c.position.WithinEvent = tracker.WithinEvent()
 			}
 			if err := c.write(buffer[:n]); err != nil {
 				return err
 			}
 		}
-		if err == io.EOF && c.withinEvent {
+		if err == io.EOF && c.position.WithinEvent {
 			return errPartial
 		}
 		if err == io.EOF {
@@ -249,7 +250,7 @@
 	c.front.announceClose(c.writer)
 	header.Set(c.front.options.Dialect.AttemptID, c.id)
 	if c.relay != nil {
-		header.Set(relayResultHeader, c.relay.result(c, r))
+		header.Set(relayheader.Result, c.relay.result(c, r))
 		c.setExclusions(header)
 	}
 	http.Error(c.writer, r.reason, r.status)
@@ -271,7 +272,7 @@
 // or late are always logged; the others are sampled.
 func (c *call) recordEnd() {
 	f := c.front
-	c.retries.end(steady.Now())
+	c.retries.End(steady.Now())
 	took := steady.Since(c.arrival)
 	f.metrics.RecordRequest(c.routeName(), c.outcome.name, took, c.firstByte.Sub(c.arrival), !c.firstByte.IsZero())
 	if c.exclusive {
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -11,11 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/memory"
+	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/directory"
 	"github.com/croftyard/croftyard/pkg/poison"
-	"github.com/croftyard/croftyard/pkg/retry"
 	"github.com/croftyard/croftyard/pkg/route"
 )
 
@@ -31,8 +34,8 @@
 	// parts are those of the prompt; body is the complete body.
 	parts []balance.Part
 	body  []byte
-	// held is what the call has reserved of the router's memory budget, in bytes.
-	held int64
+	// held is what the call has reserved of the router's memory.
+	held memory.Account
 	// bodyRead is set once the body was read to its end.
 	bodyRead bool
 	// shareDraw selects among the shares of a route, the same one for each attempt.
@@ -51,7 +54,7 @@
 	// waiting is set while an attempt has no response head. That attempt is not yet counted
 	// in sent. Timers read it concurrently.
 	waiting atomic.Bool
-	retries callRetries
+	retries retries.Call
 	// failedReplicas answered with an error of their own that was not yet reported to the
 	// balancer.
 	failedReplicas []string
@@ -101,18 +104,14 @@
 	endsWithConnection bool
 	// streaming is set while the answer that is forwarded is a stream of events.
 	streaming bool
-	// withinEvent is set while a piece of an incomplete event was forwarded.
-	withinEvent bool
 	// replicaVersion is that of the replica whose answer is forwarded, origin the one at which
 	// the stream began.
-	replicaVersion softwareVersion
-	origin         streamOrigin
+	replicaVersion continuation.Version
+	origin         continuation.Origin
 	// originRecorded is set once the stream's first event is forwarded.
 	originRecorded bool
-	// lastEvent is the id of the last complete event that was forwarded and had one.
-	lastEvent string
-	// lastEventUnnamed is set if the last one with data had no id.
-	lastEventUnnamed bool
+	// position is how far the stream was forwarded.
+	position continuation.Position
 	// chunks counts the writes of the body to the caller, written their bytes.
 	chunks    int
 	written   int64
@@ -130,11 +129,13 @@
 }
 
 func newCall(f *Front, w http.ResponseWriter, r *http.Request, now time.Time) *call {
+	id := r.Header.Get(f.options.Dialect.AttemptID)
 	return &call{
 		front:     f,
 		writer:    w,
 		request:   r,
-		id:        r.Header.Get(f.options.Dialect.AttemptID),
+		id:        id,
+		held:      f.held.Account(id),
 		arrival:   now,
 		shareDraw: rand.Float64(),
 	}
@@ -144,7 +145,7 @@
 const defaultTimeout = 10 * time.Minute
 
 func (c *call) serve() {
-	defer c.releaseHeld()
+	defer c.held.Release()
 	if refused := c.admit(c.request.Context()); refused != nil {
 		c.refuse(refused)
 		return
@@ -163,11 +164,11 @@
 	}
 	c.parts = c.front.options.Dialect.ParseParts(c.request.Header.Get(c.front.options.Dialect.PromptParts))
 	if c.relay == nil {
-		c.front.retries.budget.Request(retry.ServiceOf(c.service.Name), c.arrival)
+		c.front.retries.Request(c.service.Name, c.arrival)
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), steady.Until(c.deadline))
 	defer cancel()
-	defer c.front.inFlight.add(c.deadline, cancel)()
+	defer c.front.inFlight.Add(c.deadline, cancel)()
 	// The request's own context is not cancelled: its end means that the caller left.
 	defer context.AfterFunc(c.front.cutting, cancel)()
 	if c.front.cutting.Err() != nil {
@@ -205,7 +206,7 @@
 }
 
 // callerLeft reports whether the caller has disconnected.
-func (c *call) callerLeft() bool { return callerLeft(c.request.Context()) }
+func (c *call) callerLeft() bool { return callerconn.Left(c.request.Context()) }
 
 // readBody reads the complete body: a retry needs it, and the server detects that the caller
 // left only after the body's end.
@@ -221,14 +222,14 @@
 	// The errors are ignored: some writers do not support deadlines.
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(steady.OfDay(c.deadline))
-	body, err := c.readHeld(reader, c.request.ContentLength, limit)
+	body, err := c.held.Read(reader, c.request.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		c.body, c.bodyRead = body, true
 		return nil
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memory.ErrFull):
 		return refuseNoMemory()
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
@@ -119,7 +120,7 @@
 func (c *call) question(excluded []string) balance.Request {
 	tried := slices.Concat(c.tried, excluded)
 	q := balance.Request{Service: c.service.Name, DataCentre: c.front.options.DataCentre, Tried: tried, ColdRate: c.service.ColdRate, Target: c.route.Target}
-	q.OnlyVersion, q.Version = c.origin.state == originKnown, c.origin.version
+	q.OnlyVersion, q.Version = c.origin.State == continuation.Known, c.origin.Version
 	q.PreferredVersions = c.preferredVersions()
 	if c.service.Engine != nil {
 		q.Parts = c.parts
@@ -161,13 +162,13 @@
 	defer c.front.balancer.RequestFinished(id)
 	c.tried = append(c.tried, id)
 	c.outcome.replica = id
-	c.replicaVersion = softwareVersion{choice.Replica.Version, true}
+	c.replicaVersion = continuation.KnownVersion(choice.Replica.Version)
 	c.logChoice(choice)
 	c.logStopEstimate(steady.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	hung := c.startSilenceTimer(c.silenceLimit(), id, cancel)
-	defer hung.stop()
+	defer hung.Stop()
 	sent := steady.Now()
 	c.sentAt = sent
 	c.trialOfVersion = versionTrial{sent: sent, chunks: c.chunks}
@@ -179,7 +180,7 @@
 		c.writtenAt = steady.Now()
 		err := c.checkBeforeWrite(id, c.writtenAt)
 		if err == nil {
-			c.retries.written(c.writtenAt)
+			c.retries.Written(c.writtenAt)
 		}
 		return err
 	}
@@ -197,7 +198,7 @@
 	}
 	defer answer.Close()
 	c.trialOfVersion.headAt = steady.Now()
-	if hung.stop() && c.service.Engine == nil {
+	if hung.Stop() && c.service.Engine == nil {
 		c.front.balancer.RecordDuration(id, steady.Since(sent))
 	}
 	c.sent.Add(1)
@@ -315,7 +316,7 @@
 	}
 	c.front.log.Write(event.RequestRetried, event.F("request", c.id), event.F("replica", c.outcome.replica),
 		event.F("why", why), event.F("sent", c.sent.Load()), event.F("after_ms", steady.Since(c.arrival).Milliseconds()),
-		event.F("service", c.service.Name), event.F("left", c.front.retries.left(c.service.Name)))
+		event.F("service", c.service.Name), event.F("left", c.front.retries.Left(c.service.Name)))
 	c.front.metrics.RecordRetry(c.service.Name)
 	return attemptRetry
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,13 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/brokenrequest"
+	"github.com/croftyard/croftyard/internal/front/callerconn"
+	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/deadlines"
+	"github.com/croftyard/croftyard/internal/front/memory"
+	"github.com/croftyard/croftyard/internal/front/metrics"
+	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
@@ -25,7 +32,6 @@
 	"github.com/croftyard/croftyard/pkg/balance"
 	"github.com/croftyard/croftyard/pkg/freshness"
 	"github.com/croftyard/croftyard/pkg/mechanism"
-	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/poison"
 	"github.com/croftyard/croftyard/pkg/relay"
 	"github.com/croftyard/croftyard/pkg/retry"
@@ -93,10 +99,10 @@
 	// none.
 	Retries *retry.Budget
 	// Loans borrows retries from other routers. If nil, retries are not borrowed.
-	Loans Loans
+	Loans retries.Loans
 	// Origins records at which versions streams began. If nil, streams that callers take up may
 	// go on at any.
-	Origins Origins
+	Origins continuation.Origins
 	// AdmissionEnabled reports whether requests may be refused by Overload. If nil, they may.
 	AdmissionEnabled func() bool
 }
@@ -126,10 +132,10 @@
 	parts    *poison.PartTracker
 	pool     *upstream.Pool
 	log      *event.Log
-	metrics  *Metrics
+	metrics  *metrics.Metrics
 	started  time.Time
 	limits   atomic.Pointer[Limits]
-	retries  retries
+	retries  *retries.Budget
 	active   atomic.Int64
 	served   atomic.Uint64
 	// listStale is set if the last attempt to refresh the list of replicas failed.
@@ -144,27 +150,25 @@
 	probes singleflight.Group
 	// lostPathProbes are the probes that ProbeLostPaths started.
 	lostPathProbes sync.WaitGroup
-	broken         brokenRequests
+	broken         brokenrequest.Store
 	// inFlight are the calls in progress.
-	inFlight inFlightCalls
+	inFlight deadlines.Calls
 	// overloaded are the services for which requests are refused.
 	overloaded overloadedServices
-	// held counts the bytes held for callers; heldFull is set from the first refusal for lack
-	// of memory until there is room again.
-	held     membudget.Budget
-	heldFull atomic.Bool
+	// held is the memory for callers.
+	held *memory.Pool
 	// relays remembers which routers reach which services, relayedHere counts the requests
 	// of other routers in progress.
 	relays      *relay.Selector
 	relayedHere atomic.Int64
-	// routes are the routes that were noted last.
-	routes atomic.Pointer[observedRoutes]
+	// streams notes for Origins what serves.
+	streams *continuation.Observer
 	// lostServices are the services that this router lost the path to, as last logged.
 	lostServices []string
 }
 
 // New returns a Front.
-func New(o Options, f *watch.Watcher, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *Metrics, log *event.Log) *Front {
+func New(o Options, f *watch.Watcher, h *freshness.Holder, b *balance.Balancer, p *upstream.Pool, m *metrics.Metrics, log *event.Log) *Front {
 	if o.Poison == nil {
 		o.Poison = poison.New(poison.Options{})
 	}
@@ -185,16 +189,28 @@
 		log:              log,
 		metrics:          m,
 		started:          steady.Now(),
-		retries:          retries{budget: o.Retries, loans: o.Loans},
+		retries:          retries.New(o.Retries, o.Loans),
 		longestDurations: admission.NewMaxDurations(),
+		held:             memory.NewPool(log),
 		relays:           relay.New(uint64(steady.Now().UnixNano())),
 	}
 	front.limits.Store(&o.Limits)
+	front.streams = front.newStreams()
 	front.held.SetLimit(o.HeldBytes)
 	front.cutting, front.cut = context.WithCancel(context.Background())
 	return front
 }
 
+func (f *Front) newStreams() *continuation.Observer {
+	return continuation.NewObserver(continuation.ObserverOptions{
+		Origins:    f.options.Origins,
+		Watcher:    f.watcher,
+		Holder:     f.holder,
+		Balancer:   f.balancer,
+		ListPeriod: func() time.Duration { return f.limits.Load().ListPeriod },
+	})
+}
+
 // SetLimits replaces the limits.
 func (f *Front) SetLimits(l Limits) { f.limits.Store(&l) }
 
@@ -203,7 +219,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expired(r.Context()) {
+	if callerconn.Expired(r.Context()) {
 		// The closed connection tells the caller that nothing was forwarded.
 		panic(http.ErrAbortHandler)
 	}
@@ -213,3 +229,7 @@
 	defer c.recordEnd()
 	c.serve()
 }
+
+// RestartTimers ends the calls that expired while the machine was suspended, and restarts the
+// timers of the others.
+func (f *Front) RestartTimers() { f.inFlight.Restart() }
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/faulty"
+	"github.com/croftyard/croftyard/internal/front/memory"
 )
 
 // chunked hides the length of a text, so that the client sends it chunked.
@@ -137,6 +138,7 @@
 	r := newRig(t, address)
 	var written bytes.Buffer
 	r.front.log = event.New(&written, "here", logrus.InfoLevel)
+	r.front.held = memory.NewPool(r.front.log)
 	r.front.SetHeldBytes(limit)
 	ended := make(chan struct{})
 	go func() {
--- a/internal/front/origin.go
+++ b/internal/front/origin.go
@@ -6,78 +6,18 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/croftyard/croftyard/internal/event"
+	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/relayheader"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/origin"
-	"github.com/croftyard/croftyard/pkg/route"
 )
 
-// What replicas of two services or of two software versions write does not fit together, and replicas
-// do not check it. A stream therefore goes on only at the service and the version that began it.
-
-// Origins records at which versions streams began, over all routers.
-type Origins interface {
-	// SetLifetime sets how long after its first event a stream may be taken up.
-	SetLifetime(d time.Duration, now time.Time)
-	// Observe notes which versions of a service serve now, by a list of replicas that is current
-	// or not, or what origin.DescribeRoutes returns, of origin.Routes.
-	Observe(service string, versions []string, current bool, now time.Time)
-	// Served returns the versions of a service that served within a stream's lifetime.
-	Served(service string, now time.Time) origin.Served
-	// Confirmed returns the versions of a service that serve and that the store's record is known
-	// to name.
-	Confirmed(service string) []string
-	// RecordOrigin records the version at which a stream of a service begins.
-	RecordOrigin(service string, k origin.Key, version string)
-	// Find returns what this router knows of a stream, or of what an origin.RouteQuery asks in
-	// place of a service.
-	Find(service string, k origin.Key, now time.Time) origin.Finding
-	// FindOrigin returns the same. It asks other routers and the store if need be, for a bounded
-	// time.
-	FindOrigin(ctx context.Context, service string, k origin.Key) origin.Search
-}
-
-// softwareVersion is that of a replica, if known. Replicas that state none share the empty one.
-type softwareVersion struct {
-	version string
-	known   bool
-}
-
-// originState says what is known of the version at which a stream began.
-type originState uint8
-
-const (
-	// originOpen: no event was forwarded, so the stream may begin at any version.
-	originOpen originState = iota
-	// originKnown: it began at a version, and goes on only there.
-	originKnown
-	// originUnknown: it began at a version that is not known, and cannot go on.
-	originUnknown
-)
-
-// streamOrigin is where a stream began.
-type streamOrigin struct {
-	state   originState
-	service string
-	version string
-}
-
-// movedFrom reports whether a stream began at another service than the one given.
-func (o streamOrigin) movedFrom(service string) bool {
-	return o.state == originKnown && o.service != service
-}
-
-// allows reports whether a stream may go on at a version.
-func (o streamOrigin) allows(v softwareVersion) bool {
-	return o.state == originOpen || o.state == originKnown && v.known && v.version == o.version
-}
-
 // preferredVersions returns the versions at which a stream should begin: those that routers know of
 // also after all of them ended. Without any, the stream may begin anywhere.
 func (c *call) preferredVersions() []string {
-	if c.front.options.Origins == nil || !c.route.Resumable || c.origin.state != originOpen {
+	if c.front.options.Origins == nil || !c.route.Resumable || c.origin.State != continuation.Open {
 		return nil
 	}
 	return c.front.options.Origins.Confirmed(c.service.Name)
@@ -91,22 +31,22 @@
 	}
 	c.originRecorded = true
 	switch {
-	case c.origin.state != originOpen:
-	case c.replicaVersion.known:
-		c.origin = streamOrigin{originKnown, c.service.Name, c.replicaVersion.version}
+	case c.origin.State != continuation.Open:
+	case c.replicaVersion.Known:
+		c.origin = continuation.StartedAt(c.service.Name, c.replicaVersion.Name)
 	default:
-		c.origin = streamOrigin{state: originUnknown}
+		c.origin = continuation.Origin{State: continuation.Unknown}
 	}
 	f := c.front
-	if f.options.Origins == nil || c.origin.state != originKnown || c.origin.version == "" {
+	if f.options.Origins == nil || c.origin.State != continuation.Known || c.origin.Version == "" {
 		return
 	}
-	f.observeNewRoutes()
-	f.observeVersions(c.service.Name)
-	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.version)
+	f.streams.ObserveNewRoutes()
+	f.streams.ObserveVersions(c.service.Name)
+	f.options.Origins.RecordOrigin(c.service.Name, c.originKey(), c.origin.Version)
 	if c.takenUp() {
 		// A caller may name this attempt when it takes the stream up again.
-		f.options.Origins.RecordOrigin(c.service.Name, origin.KeyOf(c.service.Name, c.id), c.origin.version)
+		f.options.Origins.RecordOrigin(c.service.Name, origin.KeyOf(c.service.Name, c.id), c.origin.Version)
 	}
 }
 
@@ -127,14 +67,14 @@
 // go on if that is not known, or if it began at another service.
 func (c *call) findOrigin(ctx context.Context) *refusal {
 	f := c.front
-	if c.origin.movedFrom(c.service.Name) {
+	if c.origin.MovedFrom(c.service.Name) {
 		return c.refuseMoved()
 	}
-	if f.options.Origins == nil || c.origin.state != originOpen || !c.takenUp() {
+	if f.options.Origins == nil || c.origin.State != continuation.Open || !c.takenUp() {
 		return nil
 	}
-	f.observeRoutes()
-	if !f.mayStateVersions(c.service.Name) {
+	f.streams.ObserveRoutes()
+	if !f.streams.MayStateVersions(c.service.Name) {
 		return c.checkRoutes()
 	}
 	found := f.options.Origins.FindOrigin(ctx, c.service.Name, c.originKey())
@@ -143,7 +83,7 @@
 		routes = c.findRoutes(ctx)
 	}
 	c.logTakenUp(found, routes)
-	if found.Source == origin.Unknown && !found.Several && (found.Unrecorded && f.statesNoVersion(c.service.Name) || !f.mayStateVersions(c.service.Name)) {
+	if found.Source == origin.Unknown && !found.Several && (found.Unrecorded && f.streams.StatesNoVersion(c.service.Name) || !f.streams.MayStateVersions(c.service.Name)) {
 		// No router and no record names a version: the service has none. A record that was not read
 		// may name one.
 		return c.checkRoutes()
@@ -154,7 +94,7 @@
 	if routes.Source == origin.Unknown {
 		return c.refuseMoved()
 	}
-	c.origin = streamOrigin{originKnown, c.service.Name, found.Version}
+	c.origin = continuation.StartedAt(c.service.Name, found.Version)
 	if !slices.Contains(f.balancer.Versions(c.service.Name), found.Version) {
 		// The list of another router may be newer.
 		f.watcher.TriggerRead()
@@ -203,164 +143,50 @@
 		event.F("several", found.Several), event.F("routes", routes.Source.String()), event.F("asked", found.Asked), event.F("answered", found.Answered), event.F("uptime_ms", steady.Since(c.front.started).Milliseconds()))
 }
 
-// mayStateVersions reports whether replicas of a service state the version of their software, did so
-// within a stream's lifetime, or are not known.
-func (f *Front) mayStateVersions(service string) bool {
-	f.observeVersions(service)
-	return !f.statesNoVersion(service) || f.statedVersions(service) || !f.options.Origins.Served(service, steady.Now()).Complete
-}
-
-// statedVersions reports whether replicas that state the version of their software served within a
-// stream's lifetime.
-func (f *Front) statedVersions(service string) bool {
-	return slices.ContainsFunc(f.options.Origins.Served(service, steady.Now()).Versions, func(version string) bool { return version != "" })
-}
-
-// statesNoVersion reports whether replicas of a service are listed and none states the version of its
-// software.
-func (f *Front) statesNoVersion(service string) bool {
-	return len(f.balancer.Versions(service)) > 0 && !f.statesVersions(service)
-}
-
-// statesVersions reports whether replicas of a service state the version of their software.
-func (f *Front) statesVersions(service string) bool {
-	return slices.ContainsFunc(f.balancer.Versions(service), func(version string) bool { return version != "" })
-}
-
-// observedRoutes are the texts of a configuration's routes.
-type observedRoutes struct {
-	table *route.Table
-	texts []string
-}
-
-// observeNewRoutes notes the routes of a configuration that was not observed yet.
-func (f *Front) observeNewRoutes() {
-	if observed := f.routes.Load(); observed == nil || observed.table != f.holder.Current().Table {
-		f.observeRoutes()
-	}
-}
-
-// observeRoutes notes the routes of the configuration.
-func (f *Front) observeRoutes() {
-	table, observed := f.holder.Current().Table, f.routes.Load()
-	if table == nil {
-		return
-	}
-	if observed == nil || observed.table != table {
-		observed = &observedRoutes{table, origin.DescribeRoutes(table.Config().Routes)}
-		f.routes.Store(observed)
-	}
-	now := steady.Now()
-	f.options.Origins.Observe(origin.Routes, observed.texts, f.watcher.Age(now) <= f.listLag(), now)
-}
-
-// observeVersions notes the versions of a service.
-func (f *Front) observeVersions(service string) {
-	now := steady.Now()
-	f.options.Origins.Observe(service, f.balancer.Versions(service), f.watcher.Age(now) <= f.listLag(), now)
-}
-
 // ObserveVersions notes which versions serve, where routes lead, and how long streams may last.
-func (f *Front) ObserveVersions() {
-	state := f.holder.Current()
-	if state.Table == nil || f.options.Origins == nil {
-		return
-	}
-	config := state.Table.Config()
-	f.options.Origins.SetLifetime(streamLifetime(config)+f.listLag(), steady.Now())
-	f.observeRoutes()
-	for _, service := range config.Services {
-		f.observeVersions(service.Name)
-	}
-}
+func (f *Front) ObserveVersions() { f.streams.Observe() }
 
 // ResumableServices returns the services whose streams may be taken up and whose replicas state the
 // version of their software, or did so within a stream's lifetime.
-func (f *Front) ResumableServices() []string {
-	return slices.DeleteFunc(f.ServicesWithResumableRoutes(), func(service string) bool {
-		return !f.statesVersions(service) && (f.options.Origins == nil || !f.statedVersions(service))
-	})
-}
+func (f *Front) ResumableServices() []string { return f.streams.ResumableServices() }
 
 // ServicesWithResumableRoutes returns the services whose streams may be taken up.
 func (f *Front) ServicesWithResumableRoutes() []string {
-	state := f.holder.Current()
-	if state.Table == nil {
-		return nil
-	}
-	var names []string
-	config := state.Table.Config()
-	for i := range config.Routes {
-		r := &config.Routes[i]
-		for _, share := range r.Shares {
-			if r.Resumable && !slices.Contains(names, share.Service) {
-				names = append(names, share.Service)
-			}
-		}
-	}
-	return names
-}
-
-// MaxStreamLifetime bounds how long after its first event a stream may be taken up, and is
-// assumed before there is a configuration.
-const MaxStreamLifetime = 5 * time.Minute
-
-const (
-	// leastListLag is by how much the lists of two routers differ in age at least, and
-	// listLagPeriods the same in periods of reads: one read may fail.
-	leastListLag   = 5 * time.Second
-	listLagPeriods = 2
-)
-
-// listLag is by how much the lists of two routers differ in age. Older ones are not current.
-func (f *Front) listLag() time.Duration {
-	return max(leastListLag, listLagPeriods*f.limits.Load().ListPeriod)
-}
-
-// streamLifetime returns how long after its first event the caller of a stream may wait for its end.
-func streamLifetime(config route.Config) time.Duration {
-	longest := time.Duration(0)
-	for i := range config.Routes {
-		r := &config.Routes[i]
-		if r.Resumable {
-			longest = max(longest, cmp.Or(r.Timeout, MaxStreamLifetime))
-		}
-	}
-	return min(longest, MaxStreamLifetime)
+	return f.streams.ServicesWithResumableRoutes()
 }
 
-// relayOriginPrefix precedes the version in relayOriginHeader.
+// relayOriginPrefix precedes the version in relayheader.Origin.
 const relayOriginPrefix = "="
 
 // setOrigin adds to a request for another router the version at which the stream began.
 func (c *call) setOrigin(header http.Header) {
 	value := ""
-	if c.origin.state == originKnown {
-		value = relayOriginPrefix + c.origin.version
+	if c.origin.State == continuation.Known {
+		value = relayOriginPrefix + c.origin.Version
 	}
-	header.Set(relayOriginHeader, value)
+	header.Set(relayheader.Origin, value)
 }
 
 // readOrigin reads where the stream began from the request of another router.
 func (c *call) readOrigin(header http.Header) {
-	values, stated := header[relayOriginHeader]
+	values, stated := header[relayheader.Origin]
 	if !stated {
 		return
 	}
 	c.relay.asksVersion = true
 	if version, known := strings.CutPrefix(values[0], relayOriginPrefix); known {
-		c.origin = streamOrigin{originKnown, c.relay.service, version}
+		c.origin = continuation.StartedAt(c.relay.service, version)
 	}
 }
 
 // relayedVersion returns the version of the replica that answered another router. One of an
 // earlier build does not state it.
-func (c *call) relayedVersion(header http.Header) softwareVersion {
-	if values, stated := header[relayVersionHeader]; stated {
-		return softwareVersion{values[0], true}
+func (c *call) relayedVersion(header http.Header) continuation.Version {
+	if values, stated := header[relayheader.Version]; stated {
+		return continuation.KnownVersion(values[0])
 	}
-	version, listed := c.front.balancer.VersionOf(header.Get(relayReplicaHeader))
-	return softwareVersion{version, listed}
+	version, listed := c.front.balancer.VersionOf(header.Get(relayheader.Replica))
+	return continuation.Version{Name: version, Known: listed}
 }
 
 // takenUp reports whether the caller takes up a stream that an earlier attempt began.
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -20,6 +20,8 @@
 
 	"github.com/croftyard/croftyard/internal/event"
 	"github.com/croftyard/croftyard/internal/faulty"
+	"github.com/croftyard/croftyard/internal/front/continuation"
+	"github.com/croftyard/croftyard/internal/front/metrics"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -192,7 +194,7 @@
 	pool := upstream.New(upstream.Options{IDHeader: "Try", DialTimeout: time.Minute, SilenceTimeout: silence, IdleTime: time.Minute,
 		Dial: failures.watch(upstream.SystemDial(silence, ""))})
 	limits := Limits{MaxKeyProofAge: time.Hour, MaxAbsenceProofAge: time.Hour}
-	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits, Retries: retryBudget(1, 100)}, f, holder, balancer, pool, NewMetrics(), log)
+	front := New(Options{Dialect: testDialect(), DataCentre: "here", Limits: limits, Retries: retryBudget(1, 100)}, f, holder, balancer, pool, metrics.New(), log)
 	return &rig{front: front, source: source, watcher: f, holder: holder, server: serve(t, front), log: log, unsent: failures}
 }
 
@@ -315,3 +317,9 @@
 func completeAnswer(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTry: %s\r\nSign: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
+
+// useOrigins replaces what records where streams began.
+func (r *rig) useOrigins(o continuation.Origins) {
+	r.front.options.Origins = o
+	r.front.streams = r.front.newStreams()
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftyard/croftyard/internal/eventstream"
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/upstream"
 )
 
@@ -34,11 +35,11 @@
 	var one []byte
 	var fields eventstream.Fields
 	charged, withinLine := 0, false
-	defer func() { c.charge(-charged) }()
+	defer func() { c.held.Charge(-charged) }()
 	for {
 		line, ended, err := lines.Next()
 		one = append(one, line...)
-		if err == io.EOF && len(one) == 0 && !c.withinEvent {
+		if err == io.EOF && len(one) == 0 && !c.position.WithinEvent {
 			return nil
 		}
 		if err == io.EOF {
@@ -54,14 +55,14 @@
 		withinLine = !ended
 		if !complete && len(one) < maxEvent {
 			if size := cap(one); size > smallEvent && size > charged {
-				c.charge(size - charged)
+				c.held.Charge(size - charged)
 				charged = size
 			}
 			continue
 		}
-		c.withinEvent = !complete
+		c.position.WithinEvent = !complete
 		if complete {
-			c.recordPosition(fields)
+			c.position.Record(fields)
 			fields = eventstream.Fields{}
 		}
 		c.recordOrigin()
@@ -74,7 +75,7 @@
 		}
 		one = one[:0]
 		if charged > 0 {
-			c.charge(-charged)
+			c.held.Charge(-charged)
 			charged, one = 0, nil
 		}
 	}
@@ -82,18 +83,7 @@
 
 // canResume reports whether the stream can go on at another replica if it breaks off now.
 func (c *call) canResume() bool {
-	return !c.withinEvent && !c.lastEventUnnamed && c.origin.state != originUnknown
-}
-
-// recordPosition records behind which event the stream goes on after an event. One with data but
-// without an id leaves the position unknown: a replica would send it again.
-func (c *call) recordPosition(event eventstream.Fields) {
-	if event.ID != "" {
-		c.lastEvent = event.ID
-	}
-	if event.ID != "" || event.HasData {
-		c.lastEventUnnamed = event.ID == ""
-	}
+	return c.position.IsKnown() && c.origin.State != continuation.Unknown
 }
 
 // streamSilenceLimit returns how long a resumable stream may be silent before it resumes at
@@ -108,15 +98,15 @@
 // forwardResumable forwards the events of a stream and ends the attempt if the stream falls
 // silent while it can resume elsewhere.
 func (c *call) forwardResumable(id string, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
-	silence := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
-	defer silence.stop()
+	timer := c.startSilenceTimer(c.streamSilenceLimit(), id, cancel)
+	defer timer.Stop()
 	begun := c.headSent
 	return c.forwardEvents(answer, func() {
 		if !begun {
 			// The first event fixes the version.
 			begun = true
-			silence.setFailover(c.failover(c.streamSilenceLimit(), cancel))
+			timer.SetFailover(c.failover(c.streamSilenceLimit(), cancel))
 		}
-		silence.reset(!c.canResume())
+		timer.Reset(!c.canResume())
 	})
 }
