front: streams of tests begin at the replica that they are to begin at

Cause: the two other replicas are noted as full, which counts for 50 ms. If the request is later than that, it tries these, which cannot be reached, and is handed to the other router before it has begun.

Change: they are noted as full for a time to come, here and in the rig of TestRelayedStreamIsOfStatedVersion. What is checked is unchanged.

--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -198,9 +198,10 @@
 				"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
 			r := newRig(t, broken, "127.0.0.1:1", "127.0.0.1:1")
 			r.setVersions(t, "v1", "v1", "v2")
-			// The stream begins at the first replica.
+			// The stream begins at the first replica, also on a busy machine: the others are avoided for
+			// some ms after they are seen to be full.
 			for _, id := range []string{"r1", "r2"} {
-				r.front.balancer.RequestFailed(id, balance.Shed, "here", steady.Now())
+				r.front.balancer.RequestFailed(id, balance.Shed, "here", steady.Now().Add(10*time.Second))
 			}
 			r.front.options.RelayPool = r.front.pool
 			r.front.options.Relays = func() []relay.Router { return []relay.Router{{Address: other, DataCentre: "here"}} }
--- a/internal/front/stream_version_test.go
+++ b/internal/front/stream_version_test.go
@@ -34,7 +34,7 @@
 	r := newRig(t, addresses...)
 	r.setVersions(t, versions...)
 	for i := range versions[1:] {
-		r.front.balancer.RequestFailed(fmt.Sprint("r", i+1), balance.Shed, "here", steady.Now())
+		r.front.balancer.RequestFailed(fmt.Sprint("r", i+1), balance.Shed, "here", steady.Now().Add(10*time.Second))
 	}
 	return r
 }
