--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -286,7 +286,7 @@
 			break
 		}
 		f.replaceCrashed(t)
-		// A router that cannot tell whether the replica ended counts none.
+		// A router that does not know whether the replica ended counts no crash.
 		for range counted {
 			if len(marks(1)) > before {
 				break
--- a/internal/entry/heldbrittle_test.go
+++ b/internal/entry/heldbrittle_test.go
@@ -41,7 +41,7 @@
 	until(t, func() bool { return !f.store.names("s") })
 }
 
-// Guards against calls to the store where crashes are not counted: nobody reads the record.
+// Guards against calls to the store where crashes are not counted: no router reads the record.
 func TestBrittleServicesAreNotRecordedWithoutMarks(t *testing.T) {
 	e := &Entry{settings: settings.Settings{Routes: settings.Routes{}}, balancer: balance.New(1)}
 	e.poison, e.parts = newPoison(e.settings.Routes, nil), newPartPoison(e.settings.Routes, nil)
--- a/internal/entry/heldrecord.go
+++ b/internal/entry/heldrecord.go
@@ -25,7 +25,7 @@
 type heldRecord struct {
 	keeper poison.Keeper
 	store  atomic.Pointer[poison.Store]
-	// restores is how often the store had come back from a copy at the last look.
+	// restores is the number of restores of the store from a copy, as of the last check.
 	restores uint64
 }
 
--- a/internal/entry/joined_test.go
+++ b/internal/entry/joined_test.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// Guards against a record of versions that nobody kept up to date: routers of a build without it
+// Guards against a record of versions that was not kept up to date: routers of a build without it
 // served in between, as after a roll-back of the build.
 func TestJoinedByARecordThatWasNotKept(t *testing.T) {
 	f := newVersionedReplicas(t, 2, "v1", "v2")
--- a/internal/entry/served.go
+++ b/internal/entry/served.go
@@ -22,7 +22,7 @@
 	// recallTimeout is how long a caller waits for the record to be read. The read goes on.
 	recallTimeout = 150 * time.Millisecond
 	// recallPause is the pause after a read for callers, and recallFailedPause after one that
-	// failed. What a record does not tell now it hardly tells soon.
+	// failed. A record rarely changes in between.
 	recallPause       = 5 * time.Second
 	recallFailedPause = 500 * time.Millisecond
 )
@@ -37,7 +37,7 @@
 	// recallFrom.
 	recalls                singleflight.Group
 	recalledAt, recallFrom time.Time
-	// restores is how often the store had come back from a copy at the last look.
+	// restores is the number of restores of the store from a copy, as of the last check.
 	restores uint64
 }
 
@@ -175,7 +175,7 @@
 }
 
 // isUnobservedSince reports whether versions of a service may have come and gone unobserved since a call
-// to the store began: it may tell what the store held before.
+// to the store began: its answer may be the content of before.
 func (e *Entry) isUnobservedSince(name string, begun time.Time) bool {
 	return e.served.tracker.GapEnd(name).Sub(begun) > origin.MaxObservationGap
 }
--- a/internal/entry/unversioned_test.go
+++ b/internal/entry/unversioned_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against streams that go on at replicas without a version after all routers ended: the record
-// in the store names the version that served before, and nobody reads it.
+// in the store names the version that served before, and no router reads it.
 func TestJoinedWithReplicasThatStateNoVersionAfterRoutersEnded(t *testing.T) {
 	f := newVersionedReplicas(t, 2, "v1", "")
 	f.serveOnly("v1")
