--- a/review/cases2/tenant.go
+++ b/review/cases2/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -14,7 +15,8 @@
 
 // tenant: the only tenant loses one of its two keys, and some seconds later it is taken out of the
 // configuration with the other one. CONFIG: nothing runs that was sent later than revoke_ms after its key
-// was taken away. Without the trouble the tenant stays, with its second key.
+// was taken away. Without the trouble the tenant stays, with its second key. TROUBLE=keys is for comparison:
+// the tenant stays and loses the second key too.
 func tenant(w *world) (bool, error) {
 	const clients, before, between, after = 6, 3 * time.Second, 8 * time.Second, 8 * time.Second
 	taken := make(map[string]time.Time)
@@ -26,8 +28,12 @@
 		w.list("%s version 4 is acknowledged: the first key is taken away", taken[rig2.Key].Format(clock))
 		time.Sleep(between)
 		if w.trouble {
-			taken[rig2.SecondKey] = w.store.Put(platform.ConfigKey, rig2.PlainConfig(9, []any{}))
-			w.list("%s version 9 is acknowledged: the tenant is taken away, and its second key with it", taken[rig2.SecondKey].Format(clock))
+			tenants := []any{}
+			if os.Getenv("TROUBLE") == "keys" {
+				tenants = []any{rig2.TenantWith([]string{}...)}
+			}
+			taken[rig2.SecondKey] = w.store.Put(platform.ConfigKey, rig2.PlainConfig(9, tenants))
+			w.list("%s version 9 is acknowledged: its tenants are %v, the second key is taken away", taken[rig2.SecondKey].Format(clock), tenants)
 		}
 	}()
 	var both sync.WaitGroup
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -42,7 +42,7 @@
 
 // TenantWith returns the tenant with keys.
 func TenantWith(keys ...string) any {
-	return map[string]any{"name": Tenant, "api_keys": keys, "priority": 1}
+	return map[string]any{"name": Tenant, "api_keys": append([]string{}, keys...), "priority": 1}
 }
 
 // PlainConfig is a configuration with one plain service and two routes to it, as on the small sites:
