--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/croftyard ] && [ -x target/review-2/cases2 ] || exit 2
-CASE_FOLDER=review/6 exec target/review-2/cases2 unsigned
+CASE_FOLDER=review/7 exec target/review-2/cases2 unmarked
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -27,13 +27,12 @@
 
 var cases = map[string]func(*world) (bool, error){
 	"unmarked": unmarked,
-	"unsigned": unsigned,
 	"tenant":   tenant,
 }
 
 func main() {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases2 unmarked|unsigned|tenant")
+		fmt.Fprintln(os.Stderr, "usage: cases2 unmarked|tenant")
 		os.Exit(cannot)
 	}
 	os.Exit(play(cases[os.Args[1]]))
--- a/review/cases2/unmarked.go
+++ b/review/cases2/unmarked.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftyard/croftyard/platform"
 	"github.com/croftyard/croftyard/review/rig2"
 )
 
@@ -14,7 +15,6 @@
 const (
 	calmBefore = 3 * time.Second
 	failing    = 6 * time.Second
-	spoiling   = 5 * time.Second
 	calmAfter  = 3 * time.Second
 	// failClients send as many requests a second as four slots of a replica serve.
 	failClients = 12
@@ -58,7 +58,7 @@
 		if n%2 == 0 {
 			run.Status = http.StatusRequestTimeout
 		}
-		run.Note = "failed, without " + rig2.NotRunHeader
+		run.Note = "failed, without " + platform.Dialect().NotExecuted
 		const text = "failed after the work"
 		rw.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		rw.WriteHeader(run.Status)
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/croftyard/croftyard/platform"
 )
 
 // Reply is what a client got for one attempt; Status 0: no whole answer.
@@ -14,8 +16,10 @@
 	Attempt, Path, Key, Router string
 	Sent, Ended                time.Time
 	Status                     int
-	Signature, Body            string
-	Problem                    string
+	// Begun is the status of an answer that broke off.
+	Begun           int
+	Signature, Body string
+	Problem         string
 }
 
 // Client sends requests to routers, on connections that it keeps.
@@ -33,8 +37,13 @@
 // Close closes its connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
-// Send sends one attempt, with a key unless that is empty.
-func (c *Client) Send(router *Router, method, path, key, body string, deadline time.Duration) (reply Reply) {
+// Send sends one attempt of a plain request, with a key unless that is empty.
+func (c *Client) Send(router *Router, method, path, key, body string, deadline time.Duration) Reply {
+	return c.SendPrompt(router, method, path, key, "", body, deadline)
+}
+
+// SendPrompt sends one attempt, with the parts of its prompt unless they are empty.
+func (c *Client) SendPrompt(router *Router, method, path, key, parts, body string, deadline time.Duration) (reply Reply) {
 	c.number++
 	reply = Reply{Attempt: fmt.Sprintf("%s-%d", c.name, c.number), Path: path, Key: key, Router: router.Name, Sent: time.Now()}
 	defer func() { reply.Ended = time.Now() }()
@@ -48,10 +57,15 @@
 	// The library must not send it again by itself.
 	request.GetBody = nil
 	request.Host = Host
-	request.Header.Set(AttemptHeader, reply.Attempt)
-	request.Header.Set(DeadlineHeader, fmt.Sprint(deadline.Milliseconds()))
+	request.Header.Set(names.AttemptID, reply.Attempt)
+	request.Header.Set(names.Deadline, fmt.Sprint(deadline.Milliseconds()))
+	if parts != "" {
+		request.Header.Set(header("Model"), "m")
+		request.Header.Set(header("Token-Usage"), "1460,80")
+		request.Header.Set(names.PromptParts, parts)
+	}
 	if key != "" {
-		request.Header.Set("Authorization", "Token "+key)
+		request.Header.Set(names.Key, names.KeyScheme+key)
 	}
 	answer, err := c.client.Do(request)
 	if err != nil {
@@ -60,10 +74,11 @@
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
+	reply.Signature, reply.Body = answer.Header.Get(platform.SignatureHeader), string(text)
 	if err != nil {
-		reply.Problem = err.Error()
+		reply.Problem, reply.Begun = err.Error(), answer.StatusCode
 		return reply
 	}
-	reply.Status, reply.Signature, reply.Body = answer.StatusCode, answer.Header.Get(SignatureHeader), string(text)
+	reply.Status = answer.StatusCode
 	return reply
 }
--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,21 +13,20 @@
 	"github.com/croftyard/croftyard/platform"
 )
 
-// Headers of the users' pages.
-const (
-	AttemptHeader   = "X-Croftyard-Attempt-Id"
-	NotRunHeader    = "X-Croftyard-Not-Executed"
-	SignatureHeader = "X-Croftyard-Server-Signature"
-	DeadlineHeader  = "X-Croftyard-Deadline-Ms"
-	TenantHeader    = "X-Croftyard-Tenant"
-	expectHeader    = "X-Croftyard-Expect-Instance"
-	instanceHeader  = "X-Croftyard-Instance-Id"
-)
+// names are the platform's.
+var names = platform.Dialect()
+
+// header returns the name of a header that the routers don't read, after those of one family that they do.
+func header(suffix string) string {
+	const known = "Attempt-Id"
+	return strings.TrimSuffix(names.AttemptID, known) + suffix
+}
 
 // Run is one request that a replica began to work on.
 type Run struct {
 	Attempt, Replica, Tenant, Path string
-	At                             time.Time
+	// Ended is when it stopped to work on it; zero if that was not noted.
+	At, Ended time.Time
 	// Status is what it answered; Note tells what was unusual.
 	Status int
 	Note   string
@@ -114,14 +114,14 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, request *http.Request) {
-	id := request.Header.Get(AttemptHeader)
-	w.Header().Set(AttemptHeader, id)
+	id := request.Header.Get(names.AttemptID)
+	w.Header().Set(names.AttemptID, id)
 	if request.URL.Path == "/healthz" {
-		w.Header().Set(instanceHeader, r.ID)
+		w.Header().Set(header("Instance-Id"), r.ID)
 		return
 	}
-	if expected := request.Header.Get(expectHeader); expected != "" && expected != r.ID {
-		w.Header().Set(instanceHeader, r.ID)
+	if expected := request.Header.Get(names.ExpectReplica); expected != "" && expected != r.ID {
+		w.Header().Set(header("Instance-Id"), r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -133,7 +133,7 @@
 	case r.queue <- struct{}{}:
 		defer func() { <-r.queue }()
 	default:
-		w.Header().Set(NotRunHeader, "1")
+		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -143,14 +143,14 @@
 	case <-request.Context().Done():
 		return
 	}
-	run := Run{Attempt: id, Replica: r.ID, Tenant: request.Header.Get(TenantHeader), Path: request.URL.Path, At: time.Now(), Status: http.StatusOK}
+	run := Run{Attempt: id, Replica: r.ID, Tenant: request.Header.Get(names.Organisation), Path: request.URL.Path, At: time.Now(), Status: http.StatusOK}
 	defer func() { r.runs.Add(run) }()
 	time.Sleep(r.Work)
 	r.mu.Lock()
 	r.number++
 	signature, answer := fmt.Sprintf("%s.%d", r.ID, r.number), r.answer
 	r.mu.Unlock()
-	w.Header().Set(SignatureHeader, signature)
+	w.Header().Set(platform.SignatureHeader, signature)
 	if answer != nil && answer(w, &run) {
 		return
 	}
--- a/review/rig2/router.go
+++ b/review/rig2/router.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/croftyard/croftyard/platform"
 )
 
 // Router is a place at which one router process after another serves.
@@ -147,7 +149,7 @@
 func (r *Router) Ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Readiness+"/-/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Readiness+platform.ReadyPath, nil)
 	if err != nil {
 		return false
 	}
