--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -28,12 +28,13 @@
 var cases = map[string]func(*world) (bool, error){
 	"unmarked": unmarked,
 	"tenant":   tenant,
+	"twice":    twice,
 	"moved":    moved,
 }
 
 func main() {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases2 moved|unmarked|tenant")
+		fmt.Fprintln(os.Stderr, "usage: cases2 moved|twice|unmarked|tenant")
 		os.Exit(cannot)
 	}
 	os.Exit(play(cases[os.Args[1]]))
