review: case 6, a silent stream is cut since its successor rejects it

A replica with 14 of 12 slots taken counts as one with room, so a silent stream is ended for it, rejected there and cut (LOST, around a SIGHUP).

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -28,13 +28,14 @@
 var cases = map[string]func(*world) (bool, error){
 	"unmarked": unmarked,
 	"tenant":   tenant,
+	"silent":   silent,
 	"twice":    twice,
 	"moved":    moved,
 }
 
 func main() {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases2 moved|twice|unmarked|tenant")
+		fmt.Fprintln(os.Stderr, "usage: cases2 moved|twice|silent|unmarked|tenant")
 		os.Exit(cannot)
 	}
 	os.Exit(play(cases[os.Args[1]]))
