front: an unmarked 429 or 408 of a replica is an error of it

What callers saw: a replica works on a request that may run once and fails it with 429 or 408, without the mark of not having run. The caller gets that status, which promises that nothing has run, and sends the request again.

Cause: handleAnswer withheld the promise for errors from 500 on only, so that the entries for 429 and 408 in impliesNotRun were never reached for a replica's answer. Ruled out: the mark itself (set answers are retried as before), and 421, which the users' rules take for a rejection without it.

Change: a status that implies that the request has not run goes the way of the replica's own 5xx: tried elsewhere where it may be repeated, 502 otherwise. That suffices, since every answer of a replica passes there before its head is forwarded. The soak's replicas fail with an unmarked 503, 429 and 408 in turn.

--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -31,7 +31,7 @@
 		return c.retry(c.outcome.reason)
 	}
 	c.mayHaveRun = true
-	if answer.StatusCode >= http.StatusInternalServerError {
+	if answer.StatusCode >= http.StatusInternalServerError || impliesNotRun(answer.StatusCode) {
 		return c.handleReplicaError(ctx, cancel, choice, answer)
 	}
 	if c.front.balancer.RequestSucceeded(id, c.parts, steady.Now()) {
@@ -51,8 +51,8 @@
 	return balance.Shed
 }
 
-// handleReplicaError handles a replica's own 5xx, after which it is unknown what the replica
-// did.
+// handleReplicaError handles a replica's own 5xx, or a status that implies that the request has
+// not run without the NotExecuted header. It is unknown what the replica did.
 func (c *call) handleReplicaError(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
 	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
 	c.trialOfVersion.failed = true
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -60,7 +60,9 @@
 	brittle    *brittle
 	queue      queue
 	faults     []ReplicaFault
-	runs       []*ReplicaRun
+	// unmarked counts the answers of FaultUnmarked.
+	unmarked int
+	runs     []*ReplicaRun
 	// answered are the last two requests that were answered, the later one first.
 	answered [2]string
 }
--- a/internal/standin/replica_faults.go
+++ b/internal/standin/replica_faults.go
@@ -16,7 +16,8 @@
 const (
 	// FaultError: it runs and is answered with the replica's own 500.
 	FaultError ReplicaFault = "error"
-	// FaultUnmarked: it runs and is answered with 503 without the mark of not having run.
+	// FaultUnmarked: it runs and is answered with 503, 429 or 408, in turn, without the mark of not
+	// having run.
 	FaultUnmarked ReplicaFault = "unmarked"
 	// FaultFull: it is turned away with the mark of not having run.
 	FaultFull ReplicaFault = "full"
@@ -60,7 +61,7 @@
 	case FaultError:
 		r.answer(w, run, http.StatusInternalServerError)
 	case FaultUnmarked:
-		r.answer(w, run, http.StatusServiceUnavailable)
+		r.answer(w, run, r.nextUnmarked())
 	case FaultFull:
 		r.change(run, func() { run.Refused = true })
 		w.Header().Set(platform.Dialect().NotExecuted, "full")
@@ -80,6 +81,18 @@
 	}
 }
 
+// unmarkedStatuses are those that imply that a request has not run.
+var unmarkedStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// nextUnmarked returns the status of the next answer without the mark.
+func (r *Replica) nextUnmarked() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := unmarkedStatuses[r.unmarked%len(unmarkedStatuses)]
+	r.unmarked++
+	return status
+}
+
 func (r *Replica) answerUsual(w http.ResponseWriter, request *http.Request, run *ReplicaRun) {
 	if r.Options.Pieces > 0 {
 		r.stream(w, request, run, r.Options.Pieces+1)
