front: no promise of a replica by way of another router

Cause: an answer by another router without Relay-Result was forwarded whatever its status, and routers of earlier builds forward an unmarked 429 or 408. And the header of a replica's answer reached the first router whole, so a replica that sets Relay-Result spoke for its router: a request that had run was handed to a second router.

Change: such a status counts as a failure at the other router, and a replica's headers of routers are removed before its router sets its own.

Before: TestUnmarkedPromiseByAnotherRouterIsNotForwarded failed in 6 of 6 cases, TestReplicaDoesNotSpeakForItsRouter in 5 of 5; both hold now.

--- a/internal/front/promise_test.go
+++ b/internal/front/promise_test.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/croftyard/croftyard/internal/front/relayheader"
+	"github.com/croftyard/croftyard/pkg/relay"
 )
 
 // promises are the statuses which tell a caller that its request has not run.
@@ -51,3 +55,38 @@
 		})
 	}
 }
+
+// Guards against a replica's unmarked promise that a router of another build has passed on.
+func TestUnmarkedPromiseByAnotherRouterIsNotForwarded(t *testing.T) {
+	for _, status := range promises {
+		for _, path := range []string{"/once/x", "/repeat/x"} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				text := strings.Replace(unmarked(status), "Sign: s\r\n", "Sign: s\r\nRelay-Replica: r7\r\nRelay-Sent: 1\r\n", 1)
+				router, _ := rawReplica(t, text)
+				r := newRig(t, "127.0.0.1:1")
+				r.front.options.RelayPool = r.front.pool
+				r.front.options.Relays = func() []relay.Router { return []relay.Router{{Address: router, DataCentre: "here"}} }
+				response, body, err := r.send(t, "POST", path, "deposit")
+				require.NoError(t, err)
+				assert.Equal(t, http.StatusBadGateway, response.StatusCode, body)
+				assert.Empty(t, response.Header.Get("Sign"))
+			})
+		}
+	}
+}
+
+// Guards against a replica that says of a request which has run, in the words of routers, that
+// another router may serve it.
+func TestReplicaDoesNotSpeakForItsRouter(t *testing.T) {
+	for _, result := range []string{relayheader.Unable, relayheader.Differs, relayheader.Full, relayheader.Refused, relayheader.Failed} {
+		t.Run(result, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\nTry: id-1\r\nSign: s\r\nRelay-Result: " + result + "\r\nRelay-Excluded: r1=5000\r\nContent-Length: 5\r\n\r\nwhole"
+			address, seen := rawReplica(t, head)
+			response, body, err := relayedBy(t, newRig(t, address)).send(t, "POST", "/once/x", "deposit")
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, response.StatusCode, body)
+			assert.Equal(t, "whole", body)
+			assert.Len(t, seen, 1)
+		})
+	}
+}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -184,6 +184,13 @@
 		f.relays.Unable(c.service.Name, address, steady.Now())
 		drainBody(answer)
 		return relayNone
+	case impliesNotRun(answer.StatusCode):
+		// Routers of earlier builds forward such an answer of a replica that has run the request.
+		drainBody(answer)
+		c.mayHaveRun = true
+		c.recordRelayed(answer)
+		c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode) + " by another router"
+		return c.retryRelay(steady.Until(c.deadline) > 0)
 	}
 	f.metrics.Relayed.Inc(1)
 	f.relays.Served(c.service.Name, address, steady.Now())
--- a/internal/front/relayed.go
+++ b/internal/front/relayed.go
@@ -87,11 +87,12 @@
 }
 
 // describeRelayed adds to the head of a replica's answer what the router that handed the
-// request to this one must know.
+// request to this one must know. A replica cannot set any of it.
 func (c *call) describeRelayed(header http.Header) {
 	if c.relay == nil {
 		return
 	}
+	relayheader.Delete(header)
 	header.Set(relayheader.Sent, strconv.Itoa(int(c.sent.Load())))
 	header.Set(relayheader.Replica, c.outcome.replica)
 	if c.relay.asksVersion {
