edge: a target's own error states that it may have run

Cause: the chat interface tells by Croftyard-Ran whether a request has run, and forwarded a target's 429 or 503 without it, which a caller could not tell from the router's own.

Change: every status from 400 on that is a target's carries Croftyard-Ran: unknown. TestErrorOfTargetMayHaveRun failed before.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -83,6 +83,10 @@
 
 func (a *answer) begin() {
 	a.begun = true
+	if a.head.Status >= http.StatusBadRequest {
+		// The target's own error, after which it is unknown what it did.
+		a.writer.Header().Set(RanHeader, ranUnknown)
+	}
 	a.writer.WriteHeader(a.head.Status)
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -156,6 +156,18 @@
 	}
 }
 
+// Guards against a target's own 429 that its caller takes for the promise of a router.
+func TestErrorOfTargetMayHaveRun(t *testing.T) {
+	for status, ran := range map[int]string{200: "", 302: "", 400: ranUnknown, 408: ranUnknown, 429: ranUnknown, 503: ranUnknown} {
+		w := httptest.NewRecorder()
+		a := newAnswer(&deadlines{ResponseRecorder: w}, false, time.Second, testObserver())
+		require.NoError(t, a.Head(dispatch.Head{Status: status}))
+		a.finish(nil)
+		assert.Equal(t, status, w.Code)
+		assert.Equal(t, ran, w.Header().Get(RanHeader), "%d", status)
+	}
+}
+
 // Guards against an answer without events to a request for a stream that was broken off and is
 // ended in order, with an error event behind its bytes.
 func TestBrokenAnswerToAStreamRequestIsNotEndedInOrder(t *testing.T) {
