route: a configuration states whether requests need a key

What callers saw: the last tenant is removed with its keys, the list of tenants is empty, and every key is served from then on, those that were removed too. The replica gets the key itself and no tenant.

Cause: Table.Keyed was derived from the number of organisations, and decoding gave an empty list and an absent one the same value. Ruled out: the age of proofs and the check before the write, which ask the same table.

It goes with the configuration from router to router. One of an earlier build that has no organisation and does not state it is not taken, and read from the store instead, so no router falls back to serving without keys.

--- a/internal/front/admit_test.go
+++ b/internal/front/admit_test.go
@@ -172,3 +172,31 @@
 	}
 	assert.True(t, served)
 }
+
+// Guards against requests that are served with a removed key, and forwarded with it, once no
+// organisation is left.
+func TestKeysAreRefusedWithoutOrganisations(t *testing.T) {
+	for name, test := range map[string]struct {
+		keys   route.KeyRule
+		path   string
+		status int
+		key    string
+	}{
+		"none left":               {route.KeysRequired, "/once/", http.StatusUnauthorized, ""},
+		"none left, public route": {route.KeysRequired, "/open/", http.StatusOK, ""},
+		"never any":               {route.KeysNotRequired, "/once/", http.StatusOK, "Key k1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var forwarded string
+			address, arrivals := replica(t, func(_ http.ResponseWriter, r *http.Request) { forwarded = r.Header.Get("Authorization") })
+			r := newAgedRig(t, 0, address)
+			snapshot := changedSnapshot(r, func(c *route.Config) { c.Organisations, c.Keys = nil, test.keys })
+			require.NoError(t, r.watcher.ApplySnapshot(snapshot, time.Now()))
+			response, _, err := r.send(t, "POST", test.path, "")
+			require.NoError(t, err)
+			assert.Equal(t, test.status, response.StatusCode)
+			assert.Equal(t, test.status == http.StatusOK, arrivals.Load() == 1)
+			assert.Equal(t, test.key, forwarded)
+		})
+	}
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -155,6 +155,10 @@
 		if err := unpack(reply.Configuration, k.Config); err != nil {
 			return k, err
 		}
+		if !k.Config.IsKeyRuleKnown() {
+			// Routers of earlier builds do not send it. This one reads the configuration itself.
+			k.Config = nil
+		}
 	}
 	if len(reply.Replicas) == 0 {
 		return k, nil
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -140,6 +140,43 @@
 	Services      []Service
 	Limits        Limits
 	Organisations []Organisation
+	// Keys states whether requests need a key. Organisations imply KeysRequired.
+	Keys KeyRule
+}
+
+// KeyRule states whether requests need a key, unless their route is public.
+type KeyRule uint8
+
+// The rules.
+const (
+	// KeysUnstated: only organisations show it. Without any, it is not known whether there never
+	// were any or all were removed; Compile takes the former for granted.
+	KeysUnstated KeyRule = iota
+	// KeysRequired: they do, even if no organisation is left to hold one.
+	KeysRequired
+	// KeysNotRequired: they do not.
+	KeysNotRequired
+)
+
+// RequireKeys returns the rule that requests need a key, or that they do not.
+func RequireKeys(required bool) KeyRule {
+	if required {
+		return KeysRequired
+	}
+	return KeysNotRequired
+}
+
+// IsKeyRuleKnown reports whether the rule follows from the configuration.
+func (c *Config) IsKeyRuleKnown() bool { return c.Keys != KeysUnstated || len(c.Organisations) > 0 }
+
+func (c *Config) keyRule() KeyRule {
+	switch {
+	case len(c.Organisations) > 0:
+		return KeysRequired
+	case c.Keys == KeysUnstated:
+		return KeysNotRequired
+	}
+	return c.Keys
 }
 
 // Table answers which route and organisation a request belongs to.
@@ -152,6 +189,7 @@
 
 // Compile checks a configuration and builds its table.
 func Compile(c Config) (*Table, error) {
+	c.Keys = c.keyRule()
 	t := &Table{
 		config:   c,
 		routes:   make(map[string]*Route, len(c.Routes)),
@@ -200,7 +238,7 @@
 func (t *Table) Config() Config { return t.config }
 
 // Keyed tells whether requests need a key, unless their route is public.
-func (t *Table) Keyed() bool { return len(t.config.Organisations) > 0 }
+func (t *Table) Keyed() bool { return t.config.Keys == KeysRequired }
 
 // Match returns the route of the host whose prefix is the longest that begins
 // the path, or nil. host may carry a port.
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -79,6 +79,33 @@
 	assert.Nil(t, table.Organisation(""))
 }
 
+// Guards against a configuration whose last organisation was removed and that another router takes
+// for one that never had any.
+func TestKeyRuleIsStatedOnceCompiled(t *testing.T) {
+	one := []Organisation{{Name: "a"}}
+	for name, test := range map[string]struct {
+		config Config
+		known  bool
+		want   KeyRule
+	}{
+		"unstated":               {Config{}, false, KeysNotRequired},
+		"organisation without":   {Config{Organisations: one}, true, KeysRequired},
+		"required, none left":    {Config{Keys: KeysRequired}, true, KeysRequired},
+		"not required":           {Config{Keys: KeysNotRequired}, true, KeysNotRequired},
+		"not required, with one": {Config{Keys: KeysNotRequired, Organisations: one}, true, KeysRequired},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.known, test.config.IsKeyRuleKnown())
+			table, err := Compile(test.config)
+			require.NoError(t, err)
+			assert.Equal(t, test.want, table.Config().Keys)
+			assert.Equal(t, test.want == KeysRequired, table.Keyed())
+			compiled := table.Config()
+			assert.True(t, compiled.IsKeyRuleKnown())
+		})
+	}
+}
+
 func BenchmarkMatch(b *testing.B) {
 	var c Config
 	for i := range 1000 {
