route: an empty key is nobody's

A request without a key has the key "", so an empty text in a tenant's list of keys served it as that tenant's. TestEmptyKeyIsNobodys failed before.

--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -206,7 +206,10 @@
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
-			t.keys[key] = &c.Organisations[i]
+			if key != "" {
+				// A request without a key has the key "".
+				t.keys[key] = &c.Organisations[i]
+			}
 		}
 	}
 	return t, nil
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -79,6 +79,14 @@
 	assert.Nil(t, table.Organisation(""))
 }
 
+// Guards against a request without a key that is served since a list of keys holds an empty text.
+func TestEmptyKeyIsNobodys(t *testing.T) {
+	table, err := Compile(Config{Organisations: []Organisation{{Name: "a", Keys: []string{"", "k1"}}}})
+	require.NoError(t, err)
+	assert.Nil(t, table.Organisation(""))
+	assert.NotNil(t, table.Organisation("k1"))
+}
+
 // Guards against a configuration whose last organisation was removed and that another router takes
 // for one that never had any.
 func TestKeyRuleIsStatedOnceCompiled(t *testing.T) {
