records: a response without a revision is none

Cause: a page that lacks the store's fields ({}, null) was read as an empty store of revision 0: no replica, and a store that was restored from a copy. TestAnswerWithoutRevisionIsNoAnswer: before, each such answer was taken. Changes without a revision were rejected already.

--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -29,6 +29,9 @@
 	// ErrMixedGenerations means that the store was restored from a copy during a read, so
 	// that its responses are of two generations. The next read sees only one.
 	ErrMixedGenerations = errors.New("records: responses are of two generations")
+	// ErrNoRevision means that a response lacks the store's revision, so what it does not list may
+	// exist.
+	ErrNoRevision = errors.New("records: response without a revision")
 	// ErrLongList means that the list would have to be read in full, and is too long for that.
 	ErrLongList = errors.New("records: list too long to be read in full")
 )
@@ -241,6 +244,9 @@
 func (r *Reader) fetchPage(ctx context.Context, prefix, after string) (Page, error) {
 	before := r.tracker.current()
 	p, err := r.store.Page(ctx, prefix, after)
+	if err == nil && p.At == 0 {
+		err = ErrNoRevision
+	}
 	if err != nil {
 		return Page{}, err
 	}
