engineapi: a report without a load is none

Cause: an absent figure was decoded as no load, by which the engine would get all requests. TestReportWithoutLoadIsNoReport failed before.

--- a/internal/router/engineapi/load.go
+++ b/internal/router/engineapi/load.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,7 +15,8 @@
 
 // loadReport is an engine's answer to GET /v1/load.
 type loadReport struct {
-	Running int `json:"running"`
+	// Running is nil if the answer lacks it.
+	Running *int `json:"running"`
 }
 
 // Load returns how many requests an engine runs, whoever sent them. address is its host:port.
@@ -36,5 +38,8 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&report); err != nil {
 		return 0, fmt.Errorf("router: load: %w", err)
 	}
-	return report.Running, nil
+	if report.Running == nil || *report.Running < 0 {
+		return 0, errors.New("router: load: report without a load")
+	}
+	return *report.Running, nil
 }
--- a/internal/router/engineapi/load_test.go
+++ b/internal/router/engineapi/load_test.go
@@ -11,6 +11,19 @@
 	"github.com/croftyard/croftyard/internal/faulty"
 )
 
+// Guards against an answer without the load that is taken for no load, by which the engine gets all
+// requests.
+func TestReportWithoutLoadIsNoReport(t *testing.T) {
+	for _, body := range []string{`null`, `{}`, `{"running":null}`, `{"running":-1}`, `{"queued":3}`} {
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		server, err := faulty.NewScripted("/v1/load", faulty.Reply{Text: text, End: faulty.Closed})
+		require.NoError(t, err)
+		_, err = Load(t.Context(), &http.Client{Transport: &http.Transport{}}, server.Address())
+		assert.Error(t, err, body)
+		server.Close()
+	}
+}
+
 // Guards against a report that was cut off, in any place, and lowers an engine's load.
 func TestLoadReportThatIsCutIsNoReport(t *testing.T) {
 	const report = `{"running":123}`
