kvservice: answers without their fields are none

Cause: null was read as a list without instances, and a grant without its number as no lease, so that records would never lapse.

--- a/internal/kvservice/cut_test.go
+++ b/internal/kvservice/cut_test.go
@@ -12,6 +12,28 @@
 	"github.com/croftyard/croftyard/pkg/kv"
 )
 
+// Guards against an answer without a list that is taken for an empty one, by which all instances
+// are gone, and against records that are written without a lease since an answer names none.
+func TestAnswerWithoutItsFieldsIsNoAnswer(t *testing.T) {
+	for _, test := range []struct{ path, body string }{
+		{"/v1/instances", `null`}, {"/v1/leases", `null`}, {"/v1/leases", `{}`}, {"/v1/leases", `{"lease":0}`},
+	} {
+		t.Run(test.path+" "+test.body, func(t *testing.T) {
+			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(test.body), test.body)
+			server, err := faulty.NewScripted(test.path, faulty.Reply{Text: text, End: faulty.Closed})
+			require.NoError(t, err)
+			defer server.Close()
+			client := NewClient("http://"+server.Address(), time.Minute, 1000)
+			if test.path == "/v1/instances" {
+				_, _, err = client.Instances(t.Context(), "")
+			} else {
+				_, err = client.Grant(t.Context(), time.Second)
+			}
+			assert.ErrorIs(t, err, kv.ErrUnavailable)
+		})
+	}
+}
+
 // Guards against an answer that was cut off, in any place, and is taken for a shorter value, an
 // older revision, an absent key or a write that was not made.
 func TestAnswerThatIsCutIsNoAnswer(t *testing.T) {
--- a/internal/kvservice/instances.go
+++ b/internal/kvservice/instances.go
@@ -40,5 +40,8 @@
 	if err := json.Unmarshal(answer.body, &list.Instances); err != nil {
 		return List{}, false, fmt.Errorf("%w: instances: %v", kv.ErrUnavailable, err)
 	}
+	if list.Instances == nil {
+		return List{}, false, fmt.Errorf("%w: instances: no list", kv.ErrUnavailable)
+	}
 	return list, true, nil
 }
--- a/internal/kvservice/kvservice.go
+++ b/internal/kvservice/kvservice.go
@@ -145,6 +145,9 @@
 	if err := json.Unmarshal(answer.body, &granted); err != nil {
 		return kv.NoLease, fmt.Errorf("%w: grant: %v", kv.ErrUnavailable, err)
 	}
+	if granted.Lease == kv.NoLease {
+		return kv.NoLease, fmt.Errorf("%w: grant: no lease", kv.ErrUnavailable)
+	}
 	return granted.Lease, nil
 }
 
