--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,13 +117,18 @@
 		writeProblem(w, p)
 		return
 	}
-	list := modelList{Object: "list"}
-	for _, name := range e.router.Models() {
+	writeJSON(w, http.StatusOK, "application/json", modelsOf(group, e.router.Models()))
+}
+
+// modelsOf returns those of the models that a group may use.
+func modelsOf(group *policy.Group, names []string) modelList {
+	list := modelList{Object: "list", Data: []model{}}
+	for _, name := range names {
 		if group.AllowsModel(name) {
 			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "croftyard"})
 		}
 	}
-	writeJSON(w, http.StatusOK, "application/json", list)
+	return list
 }
 
 type modelList struct {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// Guards against null in place of a list, which clients of the usual interface do not expect.
+func TestListOfNoModelsIsEmpty(t *testing.T) {
+	text, err := json.Marshal(modelsOf(&policy.Group{}, []string{"m"}))
+	require.NoError(t, err)
+	assert.JSONEq(t, `{"object":"list","data":[]}`, string(text))
+}
+
 // Guards against a target's own 429 that its caller takes for the promise of a router.
 func TestErrorOfTargetMayHaveRun(t *testing.T) {
 	for status, ran := range map[int]string{200: "", 302: "", 400: ranUnknown, 408: ranUnknown, 429: ranUnknown, 503: ranUnknown} {
