socket: a reset that a write was told of is no end of what is read

What callers saw: a replica answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer.

Cause: the system reports a reset once. The request is written while the answer is read, so the write may get it, and the read then finds the end of the connection, which completes an answer that has neither a length nor chunks. Ruled out: the framing and the caller's side, which say no more than the replica's, and requests up to 32 KB, which are written first.

Change: the connection below both clients asks, at the end of what was read, whether the other side closed in order, and waits for the write that is failing if it did not. That is the one place that sees both calls.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -31,26 +31,38 @@
 
 // Look returns the state of a connection; known is false for what is no socket.
 func Look(c net.Conn) (s State, known bool) {
+	info, known := infoOf(c)
+	if !known {
+		return State{}, false
+	}
+	return State{
+		Left:    info.State == closeWait || info.State == closed,
+		Unacked: info.State == established && info.Unacked > 0,
+		Quiet:   time.Duration(info.Last_data_recv) * time.Millisecond,
+	}, true
+}
+
+// isHalfClosed reports whether the other side has closed a connection in order, and this one has
+// not; known is false for what is no socket.
+func isHalfClosed(c net.Conn) (half, known bool) {
+	info, known := infoOf(c)
+	return known && info.State == closeWait, known
+}
+
+// infoOf returns what the system knows of a connection; known is false for what is no socket.
+func infoOf(c net.Conn) (info syscall.TCPInfo, known bool) {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return State{}, false
+		return info, false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return State{}, false
+		return info, false
 	}
-	var info syscall.TCPInfo
 	asked := false
 	// Control, unlike Read, does not wait for a read that is under way.
 	err = raw.Control(func(fd uintptr) { asked = ask(fd, &info) })
-	if err != nil || !asked {
-		return State{}, false
-	}
-	return State{
-		Left:    info.State == closeWait || info.State == closed,
-		Unacked: info.State == established && info.Unacked > 0,
-		Quiet:   time.Duration(info.Last_data_recv) * time.Millisecond,
-	}, true
+	return info, err == nil && asked
 }
 
 func ask(fd uintptr, info *syscall.TCPInfo) bool {
--- a/internal/socket/takeback.go
+++ b/internal/socket/takeback.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 )
@@ -16,6 +19,11 @@
 	net.Conn
 	// unanswered: nothing came since something was written.
 	unanswered atomic.Bool
+	// writing is held during a write. writes counts the writes in progress, and writeFailed is set
+	// once one has failed.
+	writing     sync.Mutex
+	writes      atomic.Int32
+	writeFailed atomic.Bool
 }
 
 // TakesBack makes the connections of a dial take back, when they are closed, what was written and
@@ -36,18 +44,52 @@
 // Write implements net.Conn.
 func (c *takesBack) Write(b []byte) (int, error) {
 	c.unanswered.Store(true)
-	return c.Conn.Write(b)
+	c.writes.Add(1)
+	defer c.writes.Add(-1)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
 }
 
-// Read implements net.Conn.
+// errResetDuringWrite means that a write got the error of a connection that was reset.
+var errResetDuringWrite = fmt.Errorf("socket: reset while a request was written: %w", syscall.ECONNRESET)
+
+// Read implements net.Conn. The end of what was read is an error if the connection was reset: the
+// system reports a reset once, and a write that is under way may be told first.
 func (c *takesBack) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.unanswered.Store(false)
 	}
+	if err == io.EOF && c.wasReset() {
+		err = errResetDuringWrite
+	}
 	return n, err
 }
 
+// wasReset reports, at the end of what was read, whether a write failed because of that end.
+func (c *takesBack) wasReset() bool {
+	if c.writes.Load() == 0 {
+		return c.writeFailed.Load()
+	}
+	ended, known := isHalfClosed(c)
+	if !known {
+		// The end can't be told from a reset.
+		return true
+	}
+	if ended {
+		return c.writeFailed.Load()
+	}
+	// The connection is closed, so the write in progress ends.
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed.Load()
+}
+
 // Close implements net.Conn.
 func (c *takesBack) Close() error {
 	socket, known := c.Conn.(interface{ SetLinger(seconds int) error })
