front: a success that no replica signed is not forwarded

Cause: the router forwarded the signature without a look at it, so the echoed id alone made bytes an answer.

Change: a 2xx without it is an error of its replica, also by way of another router. front.Dialect.Signature names the header; without a name nothing is asked.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,7 +57,9 @@
 	RouterOnly []string
 	// Headers of a replica's answer. NotExecuted says that the request has not run.
 	NotExecuted string
-	Load        string
+	// Signature shows that a success is a replica's; empty if replicas do not sign.
+	Signature string
+	Load      string
 	// ShuttingDown announces the replica's shutdown.
 	ShuttingDown string
 	// Brittle states how many requests the replica may turn away in a second before it ends.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -184,7 +184,7 @@
 		f.relays.Unable(c.service.Name, address, steady.Now())
 		drainBody(answer)
 		return relayNone
-	case impliesNotRun(answer.StatusCode):
+	case impliesNotRun(answer.StatusCode), c.lacksSignature(answer):
 		// Routers of earlier builds forward such an answer of a replica that has run the request.
 		drainBody(answer)
 		c.mayHaveRun = true
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -31,7 +31,7 @@
 		return c.retry(c.outcome.reason)
 	}
 	c.mayHaveRun = true
-	if answer.StatusCode >= http.StatusInternalServerError || impliesNotRun(answer.StatusCode) {
+	if answer.StatusCode >= http.StatusInternalServerError || impliesNotRun(answer.StatusCode) || c.lacksSignature(answer) {
 		return c.handleReplicaError(ctx, cancel, choice, answer)
 	}
 	if c.front.balancer.RequestSucceeded(id, c.parts, steady.Now()) {
@@ -51,10 +51,14 @@
 	return balance.Shed
 }
 
-// handleReplicaError handles a replica's own 5xx, or a status that implies that the request has
-// not run without the NotExecuted header. It is unknown what the replica did.
+// handleReplicaError handles a replica's own 5xx, a status that implies that the request has not
+// run without the NotExecuted header, or a success without a signature. It is unknown what the
+// replica did.
 func (c *call) handleReplicaError(ctx context.Context, cancel context.CancelCauseFunc, choice balance.Choice, answer *upstream.Answer) attemptResult {
 	c.outcome.reason = "replica's error " + strconv.Itoa(answer.StatusCode)
+	if c.lacksSignature(answer) {
+		c.outcome.reason = "success without a signature"
+	}
 	c.trialOfVersion.failed = true
 	if c.headSent {
 		c.front.reportFailure(c.id, choice.Replica.ID, balance.Errored)
@@ -69,8 +73,8 @@
 	if len(c.failedReplicas) == 0 {
 		c.front.reportFailure(c.id, choice.Replica.ID, balance.Errored)
 	}
-	if impliesNotRun(answer.StatusCode) {
-		// Without the NotExecuted header, a status that implies it may not be forwarded.
+	if impliesNotRun(answer.StatusCode) || c.lacksSignature(answer) {
+		// A promise needs the NotExecuted header, and a success the signature.
 		drainBody(answer)
 		return attemptGiveUp
 	}
@@ -86,6 +90,14 @@
 	c.failedReplicas = nil
 }
 
+// lacksSignature reports whether an answer is a success that its replica did not sign. Callers
+// count on the signature, so such an answer is not the replica's.
+func (c *call) lacksSignature(answer *upstream.Answer) bool {
+	name := c.front.options.Dialect.Signature
+	success := answer.StatusCode >= http.StatusOK && answer.StatusCode < http.StatusMultipleChoices
+	return name != "" && success && answer.Header.Get(name) == ""
+}
+
 // impliesNotRun reports whether a status implies that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
