front, entry: bodies without an end are bounded all together

Cause: two bounds of one answer each. An event of a stream that resumes is held up to 1 MB, whatever others hold. And after a restart all engines of a router are asked at once what they hold, with 16 MB for each answer.

Change: an event is held up to 256 KB, 16 KB while more than half of the memory for callers is used, and forwarded in pieces beyond; an engine's list is read up to 1 MB, 16 engines at a time.

--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -20,6 +20,8 @@
 	recallWait = 350 * time.Millisecond
 	// heldTimeout bounds one query to an engine.
 	heldTimeout = time.Second
+	// maxRecalls is how many engines are asked at a time: each answer is held as a whole.
+	maxRecalls = 16
 )
 
 // recall learns after a start who holds which parts of prompts. A peer that has run for
@@ -46,13 +48,18 @@
 	}
 	e.gossip.SetHoldersKnown()
 	table := e.holder.Current().Table
+	turns := make(chan struct{}, maxRecalls)
 	for _, r := range e.watcher.Replicas() {
 		service := table.Service(r.Service)
 		if service == nil || service.Engine == nil {
 			continue
 		}
 		if _, excluded := e.front.Exclusion(r.ID, steady.Now()); !excluded && e.gossip.OwnsTask(r.ID) {
-			go e.fetchHeldParts(ctx, r)
+			go func() {
+				turns <- struct{}{}
+				defer func() { <-turns }()
+				e.fetchHeldParts(ctx, r)
+			}()
 		}
 	}
 }
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -264,3 +264,39 @@
 		assert.NotEqual(t, "2", asked.Header.Get("Last-Event-Id"))
 	}
 }
+
+// Guards against events without an end that together take the memory of the router.
+func TestLongEventIsForwardedInPiecesWhileMemoryIsScarce(t *testing.T) {
+	for name, test := range map[string]struct {
+		limit int64
+		sent  int
+	}{
+		"scarce": {smallEvent, 8 * smallEvent},
+		"ample":  {1 << 30, maxEvent + smallEvent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			written, release := make(chan struct{}), make(chan struct{})
+			defer close(release)
+			address, _ := replica(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, "data: "+strings.Repeat("x", test.sent))
+				_ = http.NewResponseController(w).Flush()
+				close(written)
+				<-release
+			})
+			r := newRig(t, address)
+			r.front.SetHeldBytes(test.limit)
+			request, err := http.NewRequest(http.MethodPost, r.server.URL+"/resumable/x", nil)
+			require.NoError(t, err)
+			request.Host = "h"
+			request.Header.Set("Try", "id-1")
+			request.Header.Set("Authorization", "Key k1")
+			response, err := http.DefaultTransport.RoundTrip(request)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			<-written
+			_, err = io.ReadFull(response.Body, make([]byte, smallEvent))
+			assert.NoError(t, err, "before the event has ended")
+		})
+	}
+}
--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -81,6 +81,12 @@
 	}
 }
 
+// IsScarce reports whether more than half of the budget is used.
+func (a *Account) IsScarce() bool {
+	limit := a.pool.budget.Limit()
+	return limit > 0 && a.pool.budget.Used() > limit/2
+}
+
 // Release returns what the call has reserved and charged.
 func (a *Account) Release() {
 	if a.held == 0 {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -18,7 +18,7 @@
 const (
 	// maxEvent is how much of one event of a stream is held, in bytes. A longer one is
 	// forwarded in pieces.
-	maxEvent = 1 << 20
+	maxEvent = 256 << 10
 	// smallEvent is the size, in bytes, up to which the buffer of events is kept between them
 	// and not charged.
 	smallEvent = 16 << 10
@@ -53,7 +53,7 @@
 		}
 		complete := ended && !withinLine && len(bytes.TrimRight(line, "\r\n")) == 0
 		withinLine = !ended
-		if !complete && len(one) < maxEvent {
+		if !complete && len(one) < c.maxHeldEvent() {
 			if size := cap(one); size > smallEvent && size > charged {
 				c.held.Charge(size - charged)
 				charged = size
@@ -81,6 +81,15 @@
 	}
 }
 
+// maxHeldEvent is how much of one event is held, in bytes. While memory is scarce a long event is
+// forwarded in pieces: it may have no end.
+func (c *call) maxHeldEvent() int {
+	if c.held.IsScarce() {
+		return smallEvent
+	}
+	return maxEvent
+}
+
 // canResume reports whether the stream can go on at another replica if it breaks off now.
 func (c *call) canResume() bool {
 	return c.position.IsKnown() && c.origin.State != continuation.Unknown
--- a/internal/jsonclient/jsonclient.go
+++ b/internal/jsonclient/jsonclient.go
@@ -23,6 +23,9 @@
 const (
 	maxHead   = 64 << 10
 	maxAnswer = 16 << 20
+	// maxOnce is the largest body that GetOnce reads: what an engine holds is some ten thousand short
+	// rows at most, and many engines may be asked at the same time.
+	maxOnce = 1 << 20
 )
 
 // ErrTooLarge: an answer has no end, or a far one.
@@ -110,7 +113,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{path, response.StatusCode}
 	}
-	body, err := readAnswer(response.Body)
+	body, err := readAnswer(response.Body, maxAnswer)
 	if err != nil {
 		return nil, causeOf(ctx, err)
 	}
@@ -165,7 +168,7 @@
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{path, response.StatusCode}
 	}
-	text, err := readAnswer(response.Body)
+	text, err := readAnswer(response.Body, maxAnswer)
 	if err != nil {
 		return err
 	}
@@ -176,7 +179,7 @@
 var onceTransport = &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
 
 // GetOnce makes a reading call on a connection of its own. answered is called with the head of
-// its answer, whatever the status.
+// its answer, whatever the status. A body of more than a megabyte is ErrTooLarge.
 func GetOnce(ctx context.Context, url string, answered func(*http.Response), into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -191,20 +194,20 @@
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{request.URL.Path, response.StatusCode}
 	}
-	text, err := readAnswer(response.Body)
+	text, err := readAnswer(response.Body, maxOnce)
 	if err != nil {
 		return err
 	}
 	return json.Unmarshal(text, into)
 }
 
-// readAnswer reads the body of an answer, which must end within maxAnswer.
-func readAnswer(body io.Reader) ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
+// readAnswer reads the body of an answer, which must end within a number of bytes.
+func readAnswer(body io.Reader, most int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, most+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(text) > maxAnswer {
+	if int64(len(text)) > most {
 		return nil, ErrTooLarge
 	}
 	return text, nil
