gossip: a version is inferred by a list of this moment only

Cause: a stream without a record goes on at the only version that served. Routers that are cut off together answer each other.

Ruled out: a single router out of step, which reads the list or refuses.

Change: the list must be at most 250 ms old, or is read then, 150 ms at most. A version that joins is recorded, confirmed by another router, begins a stream and loses it in no less.

The rig of TestRoutersAnswerWhereRoutesLed had never read a list; it has a current one now, and wants the same.

--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -25,6 +25,7 @@
 //	nobody has a record      a single version that served lately is the stream's, if it is known
 //	                         that no other did; the store tells it to a router that started since
 //	no router answers        the same, by a list of replicas that is read now
+//	routers answer           the same, by a list that was read a moment ago, or is read now
 //
 // Some of the few are chosen in the router's own data centre, which may be cut off from others.
 const (
@@ -39,8 +40,14 @@
 	// serves, little depends on them, and originTimeoutSingle bounds it.
 	originTimeout       = 100 * time.Millisecond
 	originTimeoutSingle = 25 * time.Millisecond
-	// originListTimeout bounds the wait for a list of replicas, which is read if no router answers.
+	// originListTimeout bounds the wait for a list of replicas, which is read if no router answers or
+	// the known one is older than inferredListAge.
 	originListTimeout = 150 * time.Millisecond
+	// inferredListAge is how old the list may be by which a version is inferred. Routers that are cut
+	// off together answer each other and may all lack a version that has joined. Before a stream of
+	// that version is taken up, the version is recorded in the store, another router has confirmed
+	// that, and the stream has begun and broken off, which takes longer.
+	inferredListAge = 250 * time.Millisecond
 	// maxVersionLength bounds the version in a record of another router, in bytes.
 	maxVersionLength = 128
 )
@@ -269,7 +276,11 @@
 		search.Unrecorded = o.gossip.options.RecallServed(service)
 		search.Finding = origin.Merge(append(findings, o.Find(service, k, steady.Now()))...)
 	}
-	if search.Source == origin.Inferred && search.Answered == 0 && !o.gossip.listedSince(ctx, begun) {
+	since := begun.Add(-inferredListAge)
+	if search.Answered == 0 {
+		since = begun
+	}
+	if search.Source == origin.Inferred && !o.gossip.listedSince(ctx, since) {
 		search.Finding = origin.Finding{}
 	}
 	if search.Source == origin.Inferred && !o.allows(service, search.Version) {
@@ -281,6 +292,9 @@
 // listedSince reports whether the list of replicas was read since a time. It waits for that, for a
 // bounded time, unless the store answered nobody lately.
 func (g *Gossip) listedSince(ctx context.Context, since time.Time) bool {
+	if now := steady.Now(); g.watcher.ListAge(now) <= now.Sub(since) {
+		return true
+	}
 	if g.watcher.SourceFailing() {
 		return false
 	}
--- a/internal/gossip/routes_test.go
+++ b/internal/gossip/routes_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/croftyard/croftyard/internal/steady"
+	"github.com/croftyard/croftyard/internal/watch"
 	"github.com/croftyard/croftyard/pkg/origin"
 	"github.com/croftyard/croftyard/pkg/route"
 )
@@ -65,6 +66,8 @@
 			fleet := routesFleet(t, 2)
 			test.own(fleet[0].gossip.Origins(), steady.Now())
 			test.other(fleet[1].gossip.Origins(), steady.Now())
+			// What is inferred needs a current list, which this one stays however busy the machine is.
+			assert.NoError(t, fleet[0].watcher.ApplySnapshot(watch.Snapshot{Config: config(1)}, steady.Now().Add(waitLimit)))
 			q := origin.RouteQuery{Host: "h", Path: "/x", Service: "s"}
 			search := fleet[0].gossip.Origins().FindOrigin(context.Background(), q.String(), origin.KeyOf("s", "a"))
 			assert.Equal(t, test.want, search.Finding)
