front: a silent stream is kept while its route leads elsewhere

What callers saw: a sound stream is silent for 1.7 s after a configuration led its route to another service. After 1.5 s the router ends it to go on elsewhere, may not go on at the other service, and cuts its caller off.

Cause: before the end, room was looked for at the service where the attempt began; the next attempt looks the request up anew and finds the other service. Ruled out: the key and the route, which were asked of the newest configuration.

Change: an attempt of a stream that has begun, or was taken up, is not ended for its silence while the newest configuration leads it to another service, by its route or its share of it. First answers that are late are ended as before, since these may begin there.

--- a/internal/front/failover_test.go
+++ b/internal/front/failover_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/retries"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -53,6 +55,45 @@
 	}
 }
 
+// Guards against a sound stream that is silent and is ended, although its route leads to another
+// service meanwhile, where it does not go on.
+func TestSilentStreamIsKeptWhileItsRouteLeadsElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		shares       []route.Share
+		begun, known bool
+		moves        bool
+	}{
+		"begun":                  {[]route.Share{{Service: "s", Weight: 1}}, true, false, true},
+		"begun, moved":           {[]route.Share{{Service: "s2", Weight: 1}}, true, false, false},
+		"taken up, moved":        {[]route.Share{{Service: "s2", Weight: 1}}, false, true, false},
+		"not begun, moved":       {[]route.Share{{Service: "s2", Weight: 1}}, false, false, true},
+		"begun, its share":       {[]route.Share{{Service: "s", Weight: 9}, {Service: "s2", Weight: 1}}, true, false, true},
+		"begun, its share moved": {[]route.Share{{Service: "s2", Weight: 9}, {Service: "s", Weight: 1}}, true, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "127.0.0.1:1", "127.0.0.1:2")
+			c := silentCall(r, route.Repeatable, 2, time.Hour)
+			c.headSent, c.shareDraw = test.begun, 0.5
+			if test.known {
+				c.origin = continuation.StartedAt("s", "v1")
+			}
+			c.waiting.Store(true)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			failover := c.failover(time.Minute, cancel)
+			snapshot := changedSnapshot(r, func(config *route.Config) {
+				config.Services = append(config.Services, route.Service{Name: "s2"})
+				for i := range config.Routes {
+					config.Routes[i].Shares = test.shares
+				}
+			})
+			require.NoError(t, r.watcher.ApplySnapshot(snapshot, time.Now()))
+			failover()
+			assert.Equal(t, test.moves, context.Cause(ctx) == errSilent)
+		})
+	}
+}
+
 // silentCall returns a call whose replica is silent, with a time left.
 func silentCall(r *rig, kind route.Kind, attempts int, left time.Duration) *call {
 	request := httptest.NewRequest(http.MethodPost, "http://h/repeat/x", nil)
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/front/continuation"
 	"github.com/croftyard/croftyard/internal/front/silence"
 	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/balance"
@@ -33,11 +34,12 @@
 // could take the last one, and this attempt would be ended for nothing.
 func (c *call) failover(limit time.Duration, cancel context.CancelCauseFunc) func() bool {
 	repeatable, attempts, end := !c.route.RunsOnce() && !c.front.options.Without.Has(mechanism.Hang), c.maxAttempts(), c.deadline
-	key, begun, name, q, service := c.key(), c.headSent, c.route.Name, c.question(nil), c.service.Name
+	key, draw, begun, name, q, service := c.key(), c.shareDraw, c.headSent, c.route.Name, c.question(nil), c.service.Name
+	bound := begun || c.origin.State == continuation.Known
 	return func() bool {
 		now := steady.Now()
 		fits := begun || c.front.retryFitsShutdown(name, end, now)
-		if !repeatable || c.sentCount() >= attempts || end.Sub(now) <= limit || !fits || !c.wouldRetry(key, q, now) || !c.claimRetry(service) {
+		if !repeatable || c.sentCount() >= attempts || end.Sub(now) <= limit || !fits || bound && c.isMoved(q.Service, draw) || !c.wouldRetry(key, q, now) || !c.claimRetry(service) {
 			return false
 		}
 		cancel(errSilent)
@@ -45,6 +47,13 @@
 	}
 }
 
+// isMoved reports whether the newest configuration leads the request to another service than one. A
+// stream that has begun does not go on there. draw selects among the shares of the route.
+func (c *call) isMoved(service string, draw float64) bool {
+	found := c.front.holder.Current().Table.Match(c.request.Host, c.path())
+	return found != nil && found.Service(draw) != service
+}
+
 // wouldRetry reports whether the request would be admitted once more, as of now, and another
 // replica or router could take it. Otherwise an attempt that is only silent would be ended for
 // nothing. It does not change the call.
