--- a/internal/entry/outofstep_test.go
+++ b/internal/entry/outofstep_test.go
@@ -25,6 +25,7 @@
 		"four routers, without the store": {4, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inStep := newVersionedReplicas(t, 2, "v1", "v2")
 			outOfStep := *inStep
 			outOfStep.source, outOfStep.store = &source{}, newMemoryStore()
