gossip: a list of a store that may be a copy is not current

The shortcut for a list that was read a moment ago asked for the age of the list only, where the wait asks for the proof too, which is older while the store may have been restored from a copy. Found by reading; no test showed it.

--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -292,7 +292,9 @@
 // listedSince reports whether the list of replicas was read since a time. It waits for that, for a
 // bounded time, unless the store answered nobody lately.
 func (g *Gossip) listedSince(ctx context.Context, since time.Time) bool {
-	if now := steady.Now(); g.watcher.ListAge(now) <= now.Sub(since) {
+	now := steady.Now()
+	// The proof is older than the list if the store may be a copy.
+	if age := now.Sub(since); g.watcher.ListAge(now) <= age && g.watcher.Staleness(now) <= age {
 		return true
 	}
 	if g.watcher.SourceFailing() {
@@ -303,7 +305,7 @@
 	if g.watcher.WaitFresh(ctx, since) != nil {
 		return false
 	}
-	now := steady.Now()
+	now = steady.Now()
 	return g.watcher.ListAge(now) <= now.Sub(since)
 }
 
