standin: garbled answers have heads that HTTP does not have

The soak's replicas sent one form of bytes that are no answer. In turn they send a status 000, a name of a field with a blank, and a length with a blank behind or before its name, in an answer that is whole otherwise, so a router that forwards one is found by the soak (MIXED).

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -60,9 +60,9 @@
 	brittle    *brittle
 	queue      queue
 	faults     []ReplicaFault
-	// unmarked counts the answers of FaultUnmarked.
-	unmarked int
-	runs     []*ReplicaRun
+	// unmarked and garbled count the answers of FaultUnmarked and FaultGarbled.
+	unmarked, garbled int
+	runs              []*ReplicaRun
 	// answered are the last two requests that were answered, the later one first.
 	answered [2]string
 }
--- a/internal/standin/replica_faults.go
+++ b/internal/standin/replica_faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/croftyard/croftyard/platform"
@@ -25,7 +26,8 @@
 	FaultHang ReplicaFault = "hang"
 	// FaultCut: the connection is closed amid the answer.
 	FaultCut ReplicaFault = "cut"
-	// FaultGarbled: bytes come that are no answer.
+	// FaultGarbled: bytes come that are no answer, or whose head, in turn, has a status or a field that
+	// HTTP does not have.
 	FaultGarbled ReplicaFault = "garbled"
 	// FaultLate: an answer to an earlier request comes where this one's is due.
 	FaultLate ReplicaFault = "late"
@@ -155,10 +157,28 @@
 		_, _ = conn.Write([]byte(own + surplus))
 		time.Sleep(surplusRest)
 	default:
-		_, _ = conn.Write([]byte("\x00\x01 no answer\r\n\r\n"))
+		_, _ = conn.Write([]byte(r.nextGarbled(own)))
 	}
 }
 
+// garbled makes bytes that are no answer of a whole answer.
+var garbled = []func(own string) string{
+	func(string) string { return "\x00\x01 no answer\r\n\r\n" },
+	func(own string) string { return strings.Replace(own, " 200 OK", " 000 ", 1) },
+	func(own string) string { return strings.Replace(own, "\r\n", "\r\nNot a: name\r\n", 1) },
+	func(own string) string { return strings.Replace(own, "Content-Length:", "Content-Length :", 1) },
+	func(own string) string { return strings.Replace(own, "Content-Length:", " Content-Length:", 1) },
+}
+
+// nextGarbled returns what is sent in place of an answer.
+func (r *Replica) nextGarbled(own string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := garbled[r.garbled%len(garbled)]
+	r.garbled++
+	return next(own)
+}
+
 // answeredBefore returns the last request, other than this one, that was answered. A late answer to an
 // earlier try of the same request has the request's own id, so no router could tell it apart.
 func (r *Replica) answeredBefore(attempt string) string {
