soak: replicas beside routers of earlier builds fail in the first form only

The check stays as it is. Where routers of earlier builds serve, replicas fail with an unmarked 503 and with bytes that are no head, as before; elsewhere in all forms.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -31,6 +31,8 @@
 	// Without pieces answers are plain.
 	Pieces int
 	Gap    time.Duration
+	// FirstForms: faults that have several forms come in the first one only.
+	FirstForms bool
 	// BreakOneIn makes one stream in so many break off at any byte of its events; 0: none.
 	BreakOneIn int
 	// Deadly tells whether a request crashes the replica, and how long it runs before. It
