front: a test of brittle replicas has a list of its own

The other tests that change replicas clone the slice first; looked through, this was the one that did not.

80 plays with -race, alone: 2 races before, none after. The check is the same.

--- a/internal/front/brittle_test.go
+++ b/internal/front/brittle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,6 +38,8 @@
 	// Requests are logged between the choice of a replica and their start.
 	r.front.log = event.New(slowWriter{}, "here", logrus.InfoLevel)
 	r.source.mu.Lock()
+	// The watcher may still apply the replicas of its first read.
+	r.source.snapshot.Replicas = slices.Clone(r.source.snapshot.Replicas)
 	r.source.snapshot.Replicas[0].Slots = slots
 	r.source.mu.Unlock()
 	r.addReplicas(t)
