head: errors hold no bytes of a replica's fields

Cause: the error of a malformed head quoted the name of the field. The name is the replica's, may have 32 KB, and went into the log and into the body of the 502.

Change: the error says what is wrong, not with which bytes.

--- a/internal/head/check.go
+++ b/internal/head/check.go
@@ -13,7 +13,8 @@
 // Check returns an error that wraps ErrMalformed if a parsed head is that of no response of HTTP/1:
 // by its version, its status, the name or the value of a field, or since it joins two heads. The
 // parser takes any status of three digits, and blanks in names, by which a length or a transfer
-// coding is hidden from it.
+// coding is hidden from it. The error holds no bytes of the fields, which may be long: it is logged,
+// and is in the answer to the caller.
 func Check(r *http.Response) error {
 	const leastStatus, mostStatus = 100, 599
 	switch {
@@ -28,11 +29,11 @@
 	}
 	for name, values := range r.Header {
 		if name == "" || strings.IndexFunc(name, isNoToken) >= 0 {
-			return fmt.Errorf("%w: name %q of a field", ErrMalformed, name)
+			return fmt.Errorf("%w: name of a field", ErrMalformed)
 		}
 		for _, value := range values {
 			if strings.IndexFunc(value, isControl) >= 0 {
-				return fmt.Errorf("%w: control byte in the value of %s", ErrMalformed, name)
+				return fmt.Errorf("%w: control byte in the value of a field", ErrMalformed)
 			}
 		}
 	}
