front: early answers that are reset, by another router; comments

TestRelayedEarlyAnswerThatIsResetDoesNotLookComplete: a long request is written to another router as well as to a replica. Four comments say in plain terms what they said in figures of speech.

--- a/internal/front/early_test.go
+++ b/internal/front/early_test.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// Guards against the same by way of another router, to which the long request is written too.
+func TestRelayedEarlyAnswerThatIsResetDoesNotLookComplete(t *testing.T) {
+	const plays = 10
+	body := strings.Repeat("x", 1<<20)
+	for _, path := range []string{"/once/x", "/stream/x", "/open/x"} {
+		t.Run(path, func(t *testing.T) {
+			for range plays {
+				server, err := faulty.NewEarly(earlyAnswer(""))
+				require.NoError(t, err)
+				r := relayedBy(t, newRig(t, server.Address()))
+				go func() {
+					<-server.Begun()
+					server.Reset()
+				}()
+				response, text, err := r.send(t, "POST", path, body)
+				server.Close()
+				if err == nil {
+					assert.Equal(t, http.StatusBadGateway, response.StatusCode, text)
+				}
+			}
+		})
+	}
+}
+
 // earlyAnswer returns the beginning of an answer.
 func earlyAnswer(head string) string {
 	const event = "id: 1\ndata: a\n\n"
--- a/internal/front/promise_test.go
+++ b/internal/front/promise_test.go
@@ -13,7 +13,7 @@
 	"github.com/croftyard/croftyard/pkg/relay"
 )
 
-// promises are the statuses which tell a caller that its request has not run.
+// promises are the statuses by which a caller knows that its request has not run.
 var promises = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // unmarked returns a replica's answer that lacks the mark of a request which has not run.
--- a/internal/jsonfields/list.go
+++ b/internal/jsonfields/list.go
@@ -2,8 +2,8 @@
 
 import "encoding/json"
 
-// List is a list that tells an absent field, which leaves it nil, from one without entries. With
-// the option omitzero it is written as it was read.
+// List is a list that is nil if its field is absent and empty if the field has no entries. With the
+// option omitzero it is written as it was read.
 type List[T any] []T
 
 // UnmarshalJSON implements json.Unmarshaler. The result is not nil, even for null.
--- a/internal/socket/takeback.go
+++ b/internal/socket/takeback.go
@@ -59,7 +59,7 @@
 var errResetDuringWrite = fmt.Errorf("socket: reset while a request was written: %w", syscall.ECONNRESET)
 
 // Read implements net.Conn. The end of what was read is an error if the connection was reset: the
-// system reports a reset once, and a write that is under way may be told first.
+// system reports a reset to one call only, which may be a write in progress.
 func (c *takesBack) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -78,7 +78,7 @@
 	}
 	ended, known := isHalfClosed(c)
 	if !known {
-		// The end can't be told from a reset.
+		// Whether the connection was reset is not known.
 		return true
 	}
 	if ended {
