edge, dispatch: what the chat interface holds of all answers is bounded

Cause: answers were held up to 1 MB each until they are whole, and events up to 1 MB each, with no bound of their sum, so a faulty engine could grow a router with as many requests as it had slots.

Its benchmark's attempt has a dispatcher now, which the events need.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	"github.com/croftyard/croftyard/internal/retryafter"
 	"github.com/croftyard/croftyard/internal/socket"
 	"github.com/croftyard/croftyard/pkg/admission"
+	"github.com/croftyard/croftyard/pkg/membudget"
 )
 
 // Headers between router and target.
@@ -112,6 +113,8 @@
 type Dispatcher struct {
 	client *http.Client
 	idle   time.Duration
+	// longEvents counts what is held of long events.
+	longEvents membudget.Budget
 }
 
 // New returns a dispatcher that gives up on a target after idle of silence.
@@ -133,7 +136,9 @@
 		// A redirect is the target's answer, not an order to call elsewhere.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Dispatcher{client: client, idle: idle}
+	d := &Dispatcher{client: client, idle: idle}
+	d.longEvents.SetLimit(maxLongEvents)
+	return d
 }
 
 // endedTimeout bounds the look whether a target has ended: a way that is cut tells
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -215,7 +215,7 @@
 	text := strings.Repeat(event, events) + "data: [DONE]\n\n"
 	b.ReportAllocs()
 	for b.Loop() {
-		a := &attempt{sink: discard{}, request: Request{Stream: true}}
+		a := &attempt{dispatcher: new(Dispatcher), sink: discard{}, request: Request{Stream: true}}
 		if err := a.passEvents(&stepReader{text: text, step: len(event)}); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -9,14 +9,15 @@
 	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/dispatch"
 	"github.com/croftyard/croftyard/pkg/admission"
+	"github.com/croftyard/croftyard/pkg/membudget"
 )
 
 // answer writes a request's answer to its caller.
 //
 // A stream is passed on as it comes. Any other answer is held until it is
 // whole, so that a target that fails half way becomes a clear error; only one
-// that outgrows the buffer is passed on early, and then a failure breaks the
-// connection, never ends the body cleanly.
+// that outgrows the buffer, or the budget of all buffers, is passed on early,
+// and then a failure breaks the connection, never ends the body cleanly.
 type answer struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
@@ -29,15 +30,32 @@
 	head  dispatch.Head
 	begun bool
 	held  []byte
+	// budget counts the held bytes of all answers; reserved are those of this one.
+	budget   *membudget.Budget
+	reserved int64
 	// request is the context of the caller's request.
 	request context.Context
 }
 
-// holdAtMost is the most bytes of an answer that are held back.
-const holdAtMost = 1 << 20
+const (
+	// holdAtMost is the most bytes of an answer that are held back.
+	holdAtMost = 1 << 20
+	// holdTogether is the same of all answers of an edge.
+	holdTogether = 32 << 20
+)
 
 func newAnswer(w http.ResponseWriter, stream bool, idle time.Duration, o observer) *answer {
-	return &answer{writer: w, control: http.NewResponseController(w), stream: stream, idle: idle, observe: o, request: context.Background()}
+	return &answer{
+		writer: w, control: http.NewResponseController(w), stream: stream, idle: idle, observe: o,
+		budget: new(membudget.Budget), request: context.Background(),
+	}
+}
+
+// newAnswer returns the answer to a request of this edge.
+func (e *Edge) newAnswer(w http.ResponseWriter, r *http.Request, stream bool) *answer {
+	a := newAnswer(w, stream, e.limits.Idle, e.observer())
+	a.budget, a.request = &e.held, r.Context()
+	return a
 }
 
 // write writes a piece to the caller. One who does not read for as long as idle
@@ -102,21 +120,32 @@
 	if a.begun {
 		return a.write(b)
 	}
+	hasRoom := a.budget.Reserve(int64(len(b)))
+	if hasRoom {
+		a.reserved += int64(len(b))
+	}
 	a.held = append(a.held, b...)
-	if len(a.held) <= holdAtMost {
+	if hasRoom && len(a.held) <= holdAtMost {
 		return nil
 	}
 	return a.release()
 }
 
+// release writes what is held.
 func (a *answer) release() error {
 	a.begin()
 	a.observe.usage(a.held)
 	err := a.write(a.held)
-	a.held = nil
+	a.drop()
 	return err
 }
 
+// drop forgets what is held.
+func (a *answer) drop() {
+	a.budget.Release(a.reserved)
+	a.held, a.reserved = nil, 0
+}
+
 // finish ends the answer: whole, refused, or visibly broken.
 func (a *answer) finish(refusal *admission.Refusal) {
 	if a.head.Undelimited && (refusal == nil || !a.begun) {
@@ -128,6 +157,7 @@
 		_ = a.release()
 	case refusal == nil:
 	case !a.begun:
+		a.drop()
 		a.writer.Header().Del(ChatHeader)
 		a.writer.Header().Del("Content-Type")
 		a.writer.Header().Del("Transfer-Encoding")
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -50,8 +50,7 @@
 		writeProblem(w, p.without(r))
 		return
 	}
-	answer := newAnswer(w, job.Stream, e.limits.Idle, e.observer())
-	answer.request = r.Context()
+	answer := e.newAnswer(w, r, job.Stream)
 	answer.seal = token
 	refusal := e.router.Serve(r.Context(), job, answer)
 	answer.finish(refusal)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/croftyard/croftyard/internal/conns"
 	"github.com/croftyard/croftyard/internal/router"
 	"github.com/croftyard/croftyard/internal/settings"
+	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/placement"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
@@ -45,6 +46,8 @@
 	limits settings.Limits
 	server *http.Server
 	conns  *conns.Set
+	// held counts what is held of answers.
+	held membudget.Budget
 	// stopping: each further answer is the last of its connection.
 	stopping atomic.Bool
 	// listener is what Serve serves, accepted is closed once it has ended.
@@ -65,6 +68,7 @@
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    limits.Header,
 	}
+	e.held.SetLimit(holdTogether)
 	return e
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -17,6 +17,7 @@
 	"github.com/croftyard/croftyard/internal/router/job"
 	"github.com/croftyard/croftyard/internal/router/metrics"
 	"github.com/croftyard/croftyard/pkg/admission"
+	"github.com/croftyard/croftyard/pkg/membudget"
 	"github.com/croftyard/croftyard/pkg/policy"
 )
 
@@ -115,6 +116,47 @@
 	assert.Equal(t, "stream_broken", p.Reason)
 }
 
+// Guards against answers that each stay below their bound and together take all memory, and against
+// room that an answer keeps once it has ended.
+func TestAnswersAreBoundedTogether(t *testing.T) {
+	broken := admission.RefusePossiblyRun(admission.StreamBroken, "broke")
+	tests := map[string]struct {
+		used   int64
+		end    *admission.Refusal
+		begun  bool
+		status int
+	}{
+		"room":                 {0, nil, false, 200},
+		"room, broken off":     {0, broken, false, 502},
+		"no room":              {holdTogether, nil, true, 200},
+		"room for a part":      {holdTogether - 9, nil, true, 200},
+		"no room, broken off":  {holdTogether, broken, true, 200},
+		"room for another one": {holdTogether - 10, nil, false, 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, budget := httptest.NewRecorder(), new(membudget.Budget)
+			budget.SetLimit(holdTogether)
+			require.True(t, budget.Reserve(test.used))
+			a := newAnswer(&deadlines{ResponseRecorder: w}, false, time.Second, testObserver())
+			a.budget = budget
+			require.NoError(t, a.Head(dispatch.Head{Status: 200}))
+			for range 2 {
+				require.NoError(t, a.Chunk([]byte("piece")))
+			}
+			assert.Equal(t, test.begun, a.begun)
+			if test.begun && test.end != nil {
+				assert.Panics(t, func() { a.finish(test.end) })
+			} else {
+				a.finish(test.end)
+			}
+			assert.Equal(t, test.status, w.Code)
+			assert.Equal(t, test.status == 200, w.Body.String() == "piecepiece")
+			assert.Equal(t, test.used, budget.Used())
+		})
+	}
+}
+
 func TestLargeAnswerBreaksVisibly(t *testing.T) {
 	a := newAnswer(&deadlines{ResponseRecorder: httptest.NewRecorder()}, false, time.Second, testObserver())
 	require.NoError(t, a.Head(dispatch.Head{Status: 200}))
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -17,8 +17,7 @@
 		writeProblem(w, p.without(r))
 		return
 	}
-	answer := newAnswer(w, false, e.limits.Idle, e.observer())
-	answer.request = r.Context()
+	answer := e.newAnswer(w, r, false)
 	answer.finish(e.router.ServePlain(r.Context(), call, answer))
 }
 
