--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -169,6 +169,9 @@
 	defer cancel(nil)
 	hung := c.startSilenceTimer(c.silenceLimit(), id, cancel)
 	defer hung.Stop()
+	if c.headSent {
+		hung.SetFailover(c.failoverIfLost(choice.Replica, c.silenceLimit(), cancel))
+	}
 	sent := steady.Now()
 	c.sentAt = sent
 	c.trialOfVersion = versionTrial{sent: sent, chunks: c.chunks}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -152,11 +152,9 @@
 	probes singleflight.Group
 	// lostPathProbes are the probes that ProbeLostPaths started.
 	lostPathProbes sync.WaitGroup
-	// healthChecks deduplicates concurrent health checks of one replica, healthChecking are those
-	// under way.
-	healthChecks   singleflight.Group
-	healthChecking sync.WaitGroup
-	broken         brokenrequest.Store
+	// healthChecks deduplicates concurrent health checks of one replica.
+	healthChecks singleflight.Group
+	broken       brokenrequest.Store
 	// inFlight are the calls in progress.
 	inFlight deadlines.Calls
 	// overloaded are the services for which requests are refused.
--- a/internal/front/reach.go
+++ b/internal/front/reach.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
 
@@ -28,6 +29,14 @@
 	return &reachCheck{front: c.front, id: r.ID, address: r.Address, path: c.service.HealthPath}
 }
 
+// failoverIfLost is failover for a request whose caller has events of its stream: it ends the attempt
+// only if the replica does not answer a health check. A replica that does may go on with the request,
+// also after its connection was closed, and the next one may have no room.
+func (c *call) failoverIfLost(r directory.Replica, limit time.Duration, cancel context.CancelCauseFunc) func() bool {
+	check, failover := c.newReachCheck(r), c.failover(limit, cancel)
+	return func() bool { return check.lost(steady.Now()) && failover() }
+}
+
 // lost reports whether the newest check found that the replica does not answer. It does not wait:
 // without a recent check it begins one, for the next call.
 func (r *reachCheck) lost(now time.Time) bool {
@@ -41,7 +50,7 @@
 		return r.isLost
 	}
 	r.running, r.began = true, now
-	r.front.healthChecking.Go(r.run)
+	go r.run()
 	return false
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/croftyard/croftyard/internal/eventstream"
 	"github.com/croftyard/croftyard/internal/front/continuation"
-	"github.com/croftyard/croftyard/internal/steady"
 	"github.com/croftyard/croftyard/internal/upstream"
 	"github.com/croftyard/croftyard/pkg/directory"
 )
@@ -107,15 +106,14 @@
 }
 
 // forwardResumable forwards the events of a stream and ends the attempt if the stream falls
-// silent while it can resume elsewhere. Once the caller has events of it, the attempt is ended only if
-// its replica does not answer a health check either: a replica that does may go on with the request,
-// also after its connection was closed, and the next one may have no room.
+// silent while it can resume elsewhere. Once the caller has events of it, its replica must be lost,
+// or its connection dead.
 func (c *call) forwardResumable(replica directory.Replica, answer *upstream.Answer, cancel context.CancelCauseFunc) error {
 	timer := c.startSilenceTimer(c.streamSilenceLimit(), replica.ID, cancel)
 	defer timer.Stop()
 	setFailover := func() {
-		check, failover := c.newReachCheck(replica), c.failover(c.streamSilenceLimit(), cancel)
-		timer.SetFailover(func() bool { return (answer.IsSilenced() || check.lost(steady.Now())) && failover() })
+		failover, ifLost := c.failover(c.streamSilenceLimit(), cancel), c.failoverIfLost(replica, c.streamSilenceLimit(), cancel)
+		timer.SetFailover(func() bool { return answer.IsSilenced() && failover() || ifLost() })
 	}
 	begun := c.headSent
 	if begun {
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -59,16 +59,19 @@
 	hangs, gone, cut bool
 	// silence is how long the stream is silent before it goes on; it does not if this is 0.
 	silence time.Duration
+	// late is how long the next replica to be asked takes to answer.
+	late time.Duration
 }
 
 const healthPath = "/health"
 
-// startSilentReplicas starts two replicas that count the streams they are asked for. The first one
-// to be asked falls silent; then, once, is called with the name of the other one.
-func startSilentReplicas(t *testing.T, silent silentReplica, then func(other string)) (r *rig, asked *atomic.Int32) {
+// startSilentReplicas starts three replicas that count the streams they are asked for. The first one
+// to be asked falls silent, once then was called with the names of the others.
+func startSilentReplicas(t *testing.T, silent silentReplica, then func(others []string)) (r *rig, asked *atomic.Int32) {
 	t.Helper()
 	const first, last = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
 	asked = new(atomic.Int32)
+	names := []string{"r0", "r1", "r2"}
 	var hung atomic.Pointer[string]
 	listeners := make(map[string]net.Listener)
 	handler := func(w http.ResponseWriter, request *http.Request) {
@@ -81,8 +84,11 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 		w.Header().Set("Try", request.Header.Get("Try"))
 		w.Header().Set("Content-Type", "text/event-stream")
-		if asked.Add(1) > 1 {
+		if n := asked.Add(1); n > 1 {
 			assert.Equal(t, "1", request.Header.Get("Last-Event-Id"))
+			if n == 2 {
+				time.Sleep(silent.late)
+			}
 			fmt.Fprint(w, last)
 			return
 		}
@@ -93,7 +99,7 @@
 		if silent.gone {
 			listeners[own].Close()
 		}
-		then(map[string]string{"r0": "r1", "r1": "r0"}[own])
+		then(slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == own }))
 		fmt.Fprint(w, first)
 		_ = http.NewResponseController(w).Flush()
 		if silent.cut {
@@ -115,7 +121,7 @@
 		<-request.Context().Done()
 	}
 	var addresses []string
-	for _, name := range []string{"r0", "r1"} {
+	for _, name := range names {
 		server := serve(t, http.HandlerFunc(handler))
 		listeners[name] = server.Listener
 		addresses = append(addresses, server.Listener.Addr().String())
@@ -132,17 +138,18 @@
 		path    string
 		asked   int32
 	}{
-		"gone":                      {silentReplica{gone: true}, "", 2},
-		"gone, with health checks":  {silentReplica{gone: true}, healthPath, 2},
-		"hangs":                     {silentReplica{hangs: true}, healthPath, 2},
-		"connection cut":            {silentReplica{cut: true}, "", 2},
-		"sound":                     {silentReplica{silence: pause}, "", 1},
-		"sound, with health checks": {silentReplica{silence: pause}, healthPath, 1},
+		"gone":                       {silentReplica{gone: true}, "", 2},
+		"gone, with health checks":   {silentReplica{gone: true}, healthPath, 2},
+		"hangs":                      {silentReplica{hangs: true}, healthPath, 2},
+		"connection cut":             {silentReplica{cut: true}, "", 2},
+		"gone, the next one is late": {silentReplica{gone: true, late: pause}, "", 2},
+		"sound":                      {silentReplica{silence: pause}, "", 1},
+		"sound, with health checks":  {silentReplica{silence: pause}, healthPath, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r, asked := startSilentReplicas(t, test.replica, func(string) {})
+			r, asked := startSilentReplicas(t, test.replica, func([]string) {})
 			r.setHealthPath(t, test.path)
 			_, text, err := r.send(t, "POST", "/resumable/", "")
 			require.NoError(t, err)
@@ -198,16 +205,18 @@
 			t.Parallel()
 			var r *rig
 			var asked *atomic.Int32
-			r, asked = startSilentReplicas(t, test.replica, func(other string) {
-				for range 2 * slots {
-					r.front.balancer.RequestStarted(other)
+			r, asked = startSilentReplicas(t, test.replica, func(others []string) {
+				for _, other := range others {
+					for range 2 * slots {
+						r.front.balancer.RequestStarted(other)
+					}
 				}
 				if test.replica.silence > 0 {
 					return
 				}
 				time.AfterFunc(silence, func() {
 					for range 2 * slots {
-						r.front.balancer.RequestFinished(other)
+						r.front.balancer.RequestFinished(others[0])
 					}
 				})
 			})
