front: answers that are reset within an upload, a test

The reset of an early answer was played right behind the answer and after the write had filled its buffers only. Replicas now also read a part of the upload before they answer or before the reset, 12 cases.

--- a/internal/faulty/early.go
+++ b/internal/faulty/early.go
@@ -12,17 +12,23 @@
 	listener net.Listener
 	// answer is sent for each request, verbatim.
 	answer string
+	// before and after are how many bytes of a body are read before the answer and after it.
+	before, after int64
 	// begun delivers a value as the answer was sent, and the reset waits for one of proceed.
 	begun, proceed chan struct{}
 }
 
 // NewEarly starts a server on a loopback address. The error is the listener's.
-func NewEarly(answer string) (*Early, error) {
+func NewEarly(answer string) (*Early, error) { return NewEarlyWithin(answer, 0, 0) }
+
+// NewEarlyWithin starts a server that reads so many bytes of each body before it answers, and so many
+// more before the reset.
+func NewEarlyWithin(answer string, before, after int64) (*Early, error) {
 	l, err := Listen()
 	if err != nil {
 		return nil, err
 	}
-	e := &Early{listener: l, answer: answer, begun: make(chan struct{}, 1), proceed: make(chan struct{})}
+	e := &Early{listener: l, answer: answer, before: before, after: after, begun: make(chan struct{}, 1), proceed: make(chan struct{})}
 	go e.run()
 	return e, nil
 }
@@ -65,7 +71,9 @@
 			break
 		}
 	}
+	_, _ = io.CopyN(io.Discard, reader, e.before)
 	_, _ = io.WriteString(c, e.answer)
 	e.begun <- struct{}{}
 	<-e.proceed
+	_, _ = io.CopyN(io.Discard, reader, e.after)
 }
--- a/internal/front/early_test.go
+++ b/internal/front/early_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// Guards against the same where the replica has read a part of the request before it answers, or reads
+// on before the reset.
+func TestAnswerThatIsResetWithinAnUploadDoesNotLookComplete(t *testing.T) {
+	const most, step = 48 << 10, 6 << 10
+	body := strings.Repeat("x", 1<<20)
+	for before := int64(0); before < most; before += 4 * step {
+		for after := int64(0); before+after < most; after += step {
+			t.Run(fmt.Sprintf("%d before, %d after", before, after), func(t *testing.T) {
+				t.Parallel()
+				server, err := faulty.NewEarlyWithin(earlyAnswer(""), before, after)
+				require.NoError(t, err)
+				defer server.Close()
+				go func() {
+					<-server.Begun()
+					server.Reset()
+				}()
+				response, text, err := newRig(t, server.Address()).send(t, "POST", "/once/x", body)
+				if err == nil {
+					assert.Equal(t, http.StatusBadGateway, response.StatusCode, text)
+				}
+			})
+		}
+	}
+}
+
 // Guards against the same by way of another router, to which the long request is written too.
 func TestRelayedEarlyAnswerThatIsResetDoesNotLookComplete(t *testing.T) {
 	const plays = 10
